--- /dev/null
+++ b/Makefile
@@ -0,0 +1,86 @@
+# kingcupcrank: the workspace.  Packages are built by their own Makefiles.
+include config.mk
+
+LIB_PACKAGES = lib/request lib/connection lib/version lib/process
+PROGRAM_PACKAGES = programs/kccd programs/kcc
+PACKAGES = $(LIB_PACKAGES) $(PROGRAM_PACKAGES) tests
+FORMATTED = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h')
+
+all: programs
+
+lib: $(BUILD)/libkcc.a
+
+$(LIB_PACKAGES):
+	$(MAKE) -C $@
+
+$(BUILD)/libkcc.a: $(LIB_PACKAGES)
+	@rm -f $@
+	$(AR) rcs $@ $(foreach p,$(LIB_PACKAGES),$(BUILD)/$(p)/*.o)
+
+programs: lib
+	for p in $(PROGRAM_PACKAGES); do $(MAKE) -C $$p || exit 1; done
+
+tests-build: programs
+	$(MAKE) -C tests
+
+deps:
+	sh ./install-deps.sh
+
+demo: deps
+	$(MAKE) programs tests-build
+	sh examples/demo.sh
+
+check: deps
+	$(MAKE) check-built
+	$(MAKE) SANITIZE=1 check-built
+
+# Every test, without installing anything.
+check-built: tests-build
+	$(MAKE) -C tests check
+
+fuzz: lib
+	$(MAKE) -C tests fuzz
+
+fuzz-check: lib
+	$(MAKE) -C tests fuzz-check
+
+mutants:
+	sh tests/mutants/run.sh
+
+bench: tests-build
+	$(MAKE) -C tests bench
+
+bench-control: tests-build
+	$(MAKE) -C tests bench-control
+
+format:
+	clang-format -i $(FORMATTED)
+
+format-check:
+	clang-format --dry-run --Werror $(FORMATTED)
+
+lint:
+	cppcheck --quiet --error-exitcode=1 --inline-suppr \
+	    --enable=warning,performance,portability \
+	    --suppress=missingIncludeSystem --library=gnu \
+	    --suppressions-list=.cppcheck-suppressions -DKC_LINT=1 \
+	    $(filter -I%,$(INCLUDES)) $(filter %.c,$(FORMATTED))
+	printf '%s\n' $(filter %.c,$(FORMATTED)) | xargs -P $(shell nproc) -n 4 \
+	    sh -c 'clang-tidy --quiet "$$@" -- $(CFLAGS_BASE) 2>/dev/null' lint
+
+install: programs
+	install -d $(DESTDIR)$(PREFIX)/bin $(DESTDIR)$(PREFIX)/lib/pkgconfig \
+	    $(DESTDIR)$(PREFIX)/include/kcc
+	install -m 755 $(BUILD)/kccd $(BUILD)/kcc $(DESTDIR)$(PREFIX)/bin
+	install -m 644 $(BUILD)/libkcc.a $(DESTDIR)$(PREFIX)/lib
+	install -m 644 lib/kcc.h lib/kcc_types.h lib/*/kcc_*.h \
+	    $(DESTDIR)$(PREFIX)/include/kcc
+	sed 's|@PREFIX@|$(PREFIX)|' libkcc.pc.in \
+	    > $(DESTDIR)$(PREFIX)/lib/pkgconfig/libkcc.pc
+
+clean:
+	rm -rf build
+
+.PHONY: all lib programs tests-build deps demo check check-built fuzz \
+    fuzz-check mutants bench bench-control format format-check lint install \
+    clean $(LIB_PACKAGES)
--- /dev/null
+++ b/config.mk
@@ -0,0 +1,26 @@
+# Settings shared by every package.
+ROOT := $(dir $(abspath $(lastword $(MAKEFILE_LIST))))
+PREFIX ?= /usr/local
+CC ?= gcc
+
+ifeq ($(SANITIZE),1)
+BUILD ?= $(ROOT)build/sanitize
+SANITIZERS = -fsanitize=address,undefined -fno-sanitize-recover=all
+OPTIMIZE ?= -O1
+else
+BUILD ?= $(ROOT)build/plain
+SANITIZERS =
+OPTIMIZE ?= -O2
+endif
+
+INCLUDES = -I$(ROOT)lib -I$(ROOT)lib/request -I$(ROOT)lib/connection \
+    -I$(ROOT)lib/version -I$(ROOT)lib/process
+CFLAGS_BASE = -std=gnu11 -D_GNU_SOURCE $(INCLUDES) $(EXTRA_INCLUDES)
+CFLAGS_ALL = $(CFLAGS_BASE) -Wall -Wextra -Wshadow -Werror -g $(OPTIMIZE) \
+    $(SANITIZERS) -MMD -MP $(CFLAGS)
+
+# Libraries of libkcc, and those that only the programs use.
+LIB_LIBS = -lmsgpackc -linih -ljansson -lxxhash -lm
+PROGRAM_LIBS = -levhtp -levent -levent_openssl -lssl -lcrypto -llog4c
+
+.DEFAULT_GOAL := all
--- /dev/null
+++ b/lib/connection/codec.c
@@ -0,0 +1,267 @@
+/*
+ * Encoding of messages as msgpack arrays behind a four-byte length:
+ * [type, generation, clock, stream, field...].
+ */
+#include <arpa/inet.h>
+#include <assert.h>
+#include <msgpack.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "message_table_internal.h"
+
+#define PREFIX_SIZE 4
+#define HEADER_FIELDS 4
+
+struct KcEncoder {
+    msgpack_sbuffer buffer;
+};
+
+struct KcDecoder {
+    msgpack_unpacked unpacked;
+};
+
+KcEncoder *
+KcEncoder_Create(void)
+{
+    KcEncoder *encoder = KcMem_New(sizeof(*encoder));
+
+    msgpack_sbuffer_init(&encoder->buffer);
+    return encoder;
+}
+
+void
+KcEncoder_Free(KcEncoder *encoder)
+{
+    msgpack_sbuffer_destroy(&encoder->buffer);
+    free(encoder);
+}
+
+static void
+pack_bytes(msgpack_packer *packer, const char *data, size_t size)
+{
+    msgpack_pack_bin(packer, size);
+    msgpack_pack_bin_body(packer, data, size);
+}
+
+/* Packs one field of a message. */
+static void
+pack_field(msgpack_packer *packer, const KcMsg *msg, const KcField *field)
+{
+    const char *at = (const char *)msg + field->offset;
+
+    switch (field->kind) {
+    case KC_FIELD_U32:
+        msgpack_pack_uint32(packer, *(const uint32_t *)at);
+        break;
+    case KC_FIELD_U64:
+        msgpack_pack_uint64(packer, *(const uint64_t *)at);
+        break;
+    case KC_FIELD_I32:
+        msgpack_pack_int32(packer, *(const int32_t *)at);
+        break;
+    case KC_FIELD_BOOL:
+        if (*(const bool *)at) {
+            msgpack_pack_true(packer);
+        }
+        else {
+            msgpack_pack_false(packer);
+        }
+        break;
+    case KC_FIELD_NAME:
+        pack_bytes(packer, at, strnlen(at, field->size - 1));
+        break;
+    case KC_FIELD_BYTES:
+        pack_bytes(packer, ((const KcBytes *)at)->data,
+                   ((const KcBytes *)at)->size);
+        break;
+    }
+}
+
+int
+KcEncoder_Pack(KcEncoder *encoder, const KcMsg *msg, KcBytes *bytes)
+{
+    const KcMsgLayout *layout = &KcMsg_Layouts[msg->type];
+    msgpack_packer packer;
+    uint32_t length = 0;
+
+    assert((unsigned)msg->type < KC_MSG_COUNT);
+    msgpack_sbuffer_clear(&encoder->buffer);
+    msgpack_sbuffer_write(&encoder->buffer, (const char *)&length,
+                          PREFIX_SIZE);
+    msgpack_packer_init(&packer, &encoder->buffer, msgpack_sbuffer_write);
+    msgpack_pack_array(&packer, HEADER_FIELDS + layout->field_count);
+    msgpack_pack_uint32(&packer, (uint32_t)msg->type);
+    msgpack_pack_uint64(&packer, msg->generation);
+    msgpack_pack_uint64(&packer, msg->clock);
+    msgpack_pack_uint32(&packer, msg->stream);
+    for (size_t i = 0; i < layout->field_count; i++) {
+        pack_field(&packer, msg, &layout->fields[i]);
+    }
+    if (encoder->buffer.size - PREFIX_SIZE > KC_FRAME_MAX) {
+        return KC_ERR_TOO_LARGE;
+    }
+    length = htonl((uint32_t)(encoder->buffer.size - PREFIX_SIZE));
+    memcpy(encoder->buffer.data, &length, PREFIX_SIZE);
+    bytes->data = encoder->buffer.data;
+    bytes->size = encoder->buffer.size;
+    return 0;
+}
+
+KcDecoder *
+KcDecoder_Create(void)
+{
+    KcDecoder *decoder = KcMem_New(sizeof(*decoder));
+
+    msgpack_unpacked_init(&decoder->unpacked);
+    return decoder;
+}
+
+void
+KcDecoder_Free(KcDecoder *decoder)
+{
+    msgpack_unpacked_destroy(&decoder->unpacked);
+    free(decoder);
+}
+
+int
+KcDecoder_FrameSize(const unsigned char prefix[4], size_t *size)
+{
+    uint32_t length;
+
+    memcpy(&length, prefix, PREFIX_SIZE);
+    length = ntohl(length);
+    if (length == 0) {
+        return KC_ERR_PARSE;
+    }
+    if (length > KC_FRAME_MAX) {
+        return KC_ERR_TOO_LARGE;
+    }
+    *size = length;
+    return 0;
+}
+
+/* Reads an unsigned number up to limit. */
+static int
+read_unsigned(const msgpack_object *object, uint64_t limit, uint64_t *value)
+{
+    if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+        object->via.u64 > limit) {
+        return KC_ERR_PARSE;
+    }
+    *value = object->via.u64;
+    return 0;
+}
+
+static int
+read_i32(const msgpack_object *object, int32_t *value)
+{
+    if (object->type == MSGPACK_OBJECT_POSITIVE_INTEGER &&
+        object->via.u64 <= INT32_MAX) {
+        *value = (int32_t)object->via.u64;
+        return 0;
+    }
+    if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER &&
+        object->via.i64 >= INT32_MIN) {
+        *value = (int32_t)object->via.i64;
+        return 0;
+    }
+    return KC_ERR_PARSE;
+}
+
+/* Reads bytes into a fixed array; an inner NUL or an overrun is refused. */
+static int
+read_name(const msgpack_object *object, char *to, size_t size)
+{
+    const msgpack_object_bin *bin = &object->via.bin;
+
+    if (object->type != MSGPACK_OBJECT_BIN || bin->size >= size ||
+        memchr(bin->ptr, '\0', bin->size) != NULL) {
+        return KC_ERR_PARSE;
+    }
+    memcpy(to, bin->ptr, bin->size);
+    to[bin->size] = '\0';
+    return 0;
+}
+
+/* Decodes one field of a message. */
+static int
+read_field(const msgpack_object *object, KcMsg *msg, const KcField *field)
+{
+    char *at = (char *)msg + field->offset;
+    uint64_t number = 0;
+    int code;
+
+    switch (field->kind) {
+    case KC_FIELD_U32:
+        code = read_unsigned(object, UINT32_MAX, &number);
+        *(uint32_t *)at = (uint32_t)number;
+        return code;
+    case KC_FIELD_U64:
+        return read_unsigned(object, UINT64_MAX, (uint64_t *)at);
+    case KC_FIELD_I32:
+        return read_i32(object, (int32_t *)at);
+    case KC_FIELD_BOOL:
+        *(bool *)at = object->via.boolean;
+        return object->type == MSGPACK_OBJECT_BOOLEAN ? 0 : KC_ERR_PARSE;
+    case KC_FIELD_NAME:
+        return read_name(object, at, field->size);
+    case KC_FIELD_BYTES:
+        if (object->type != MSGPACK_OBJECT_BIN) {
+            return KC_ERR_PARSE;
+        }
+        ((KcBytes *)at)->data = object->via.bin.ptr;
+        ((KcBytes *)at)->size = object->via.bin.size;
+        return 0;
+    }
+    return KC_ERR_PARSE;
+}
+
+/* Decodes the four fields that every message has. */
+static int
+read_header(const msgpack_object *items, KcMsg *msg)
+{
+    uint64_t type = 0;
+    uint64_t stream = 0;
+
+    if (read_unsigned(&items[0], KC_MSG_COUNT - 1, &type) != 0 ||
+        read_unsigned(&items[1], UINT64_MAX, &msg->generation) != 0 ||
+        read_unsigned(&items[2], UINT64_MAX, &msg->clock) != 0 ||
+        read_unsigned(&items[3], UINT32_MAX, &stream) != 0) {
+        return KC_ERR_PARSE;
+    }
+    msg->type = (KcMsgType)type;
+    msg->stream = (uint32_t)stream;
+    return 0;
+}
+
+int
+KcDecoder_Unpack(KcDecoder *decoder, const void *frame, size_t size,
+                 KcMsg *msg)
+{
+    const KcMsgLayout *layout;
+    const msgpack_object_array *array;
+    size_t used = 0;
+
+    memset(msg, 0, sizeof(*msg));
+    if (msgpack_unpack_next(&decoder->unpacked, frame, size, &used) !=
+            MSGPACK_UNPACK_SUCCESS ||
+        used != size || decoder->unpacked.data.type != MSGPACK_OBJECT_ARRAY) {
+        return KC_ERR_PARSE;
+    }
+    array = &decoder->unpacked.data.via.array;
+    if (array->size < HEADER_FIELDS || read_header(array->ptr, msg) != 0) {
+        return KC_ERR_PARSE;
+    }
+    layout = &KcMsg_Layouts[msg->type];
+    if (array->size != HEADER_FIELDS + layout->field_count) {
+        return KC_ERR_PARSE;
+    }
+    for (size_t i = 0; i < layout->field_count; i++) {
+        if (read_field(&array->ptr[HEADER_FIELDS + i], msg,
+                       &layout->fields[i]) != 0) {
+            return KC_ERR_PARSE;
+        }
+    }
+    return 0;
+}
--- /dev/null
+++ b/lib/connection/link.c
@@ -0,0 +1,202 @@
+/*
+ * Rules of a link: who may send what, on which stream, in which order.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "message_table_internal.h"
+
+KcLink *
+KcLink_Create(const KcLinkOps *ops, void *transport, bool initiator,
+              KcTime now)
+{
+    KcLink *link = KcMem_New(sizeof(*link));
+
+    link->ops = ops;
+    link->transport = transport;
+    link->initiator = initiator;
+    link->idle_since = now;
+    link->heard_at = now;
+    TAILQ_INIT(&link->stream_list);
+    return link;
+}
+
+static void
+free_stream(KcStream *stream)
+{
+    KcLink *link = stream->parent;
+
+    HASH_DEL(link->streams, stream);
+    TAILQ_REMOVE(&link->stream_list, stream, link);
+    free(stream);
+}
+
+void
+KcLink_Free(KcLink *link)
+{
+    KcStream *stream;
+
+    while ((stream = TAILQ_FIRST(&link->stream_list)) != NULL) {
+        assert(stream->owner == NULL);
+        free_stream(stream);
+    }
+    free(link);
+}
+
+static KcStream *
+add_stream(KcLink *link, uint32_t id, void *owner, uint64_t next_offset)
+{
+    KcStream *stream = KcMem_New(sizeof(*stream));
+
+    assert(id > link->last_stream);
+    link->last_stream = id;
+    stream->id = id;
+    stream->parent = link;
+    stream->owner = owner;
+    stream->next_offset = next_offset;
+    HASH_ADD(hh, link->streams, id, sizeof(stream->id), stream);
+    TAILQ_INSERT_TAIL(&link->stream_list, stream, link);
+    return stream;
+}
+
+KcStream *
+KcLink_Open(KcLink *link, void *owner, uint64_t next_offset)
+{
+    assert(link->initiator);
+    return add_stream(link, link->last_stream + 1, owner, next_offset);
+}
+
+void
+KcLink_CloseStream(KcStream *stream, KcTime now)
+{
+    KcLink *link = stream->parent;
+
+    free_stream(stream);
+    if (TAILQ_EMPTY(&link->stream_list)) {
+        link->idle_since = now;
+    }
+}
+
+void
+KcLink_Send(KcLink *link, KcMsg *msg)
+{
+    if (link->stamp != NULL) {
+        link->stamp(link->stamp_context, msg);
+    }
+    link->ops->send(link->transport, msg);
+}
+
+static int
+violation(const KcLink *link, KcError *err, const char *step)
+{
+    return KcError_Set(err, KC_ERR_PROTOCOL, step, link->peer);
+}
+
+/* The first message must be HELLO, and only the first. */
+static int
+receive_hello(KcLink *link, const KcMsg *msg, KcError *err)
+{
+    const KcMsgHello *hello = &msg->u.hello;
+
+    if (link->greeted || msg->stream != 0) {
+        return violation(link, err, "hello twice");
+    }
+    if (hello->protocol != KC_PROTOCOL_VERSION) {
+        return violation(link, err, "protocol version");
+    }
+    if (KcName_Check(hello->name) != 0) {
+        return violation(link, err, "peer name");
+    }
+    KcName_Copy(link->peer, hello->name, KC_NAME_MAX);
+    link->peer_incarnation = hello->incarnation;
+    link->greeted = true;
+    return 0;
+}
+
+/* Opens the stream of a PROPOSE or RESUME. */
+static int
+receive_open(KcLink *link, const KcMsg *msg, KcStream **stream, KcError *err)
+{
+    if (link->initiator) {
+        return violation(link, err, "stream opened by acceptor");
+    }
+    if (msg->stream <= link->last_stream) {
+        return violation(link, err, "stream id not increasing");
+    }
+    *stream = add_stream(link, msg->stream, NULL, 0);
+    return 0;
+}
+
+/* Checks the order of messages from the agent within one stream. */
+static int
+receive_answer(KcLink *link, const KcMsg *msg, KcStream *stream, KcError *err)
+{
+    if (stream->ended) {
+        return violation(link, err, "message after the end of a stream");
+    }
+    if (msg->type == KC_MSG_DATA) {
+        if (msg->u.data.offset != stream->next_offset) {
+            return violation(link, err, "data out of order");
+        }
+        stream->next_offset += msg->u.data.bytes.size;
+    }
+    if (msg->type == KC_MSG_END && msg->u.end.code == 0 &&
+        msg->u.end.offset != stream->next_offset) {
+        return violation(link, err, "end before the last byte");
+    }
+    stream->ended = msg->type == KC_MSG_END || msg->type == KC_MSG_REFUSE;
+    return 0;
+}
+
+/* Finds the stream of a message that needs an open one. */
+static int
+receive_on_stream(KcLink *link, const KcMsg *msg, KcStream **stream,
+                  KcError *err)
+{
+    bool from_initiator = KcMsg_Layouts[msg->type].rule == KC_RULE_INITIATOR;
+
+    if (from_initiator == link->initiator) {
+        return violation(link, err, "message from the wrong side");
+    }
+    if (msg->stream == 0 || msg->stream > link->last_stream) {
+        return violation(link, err, "message on an unopened stream");
+    }
+    HASH_FIND(hh, link->streams, &msg->stream, sizeof(msg->stream), *stream);
+    if (*stream == NULL || from_initiator) {
+        return 0;
+    }
+    return receive_answer(link, msg, *stream, err);
+}
+
+int
+KcLink_Receive(KcLink *link, const KcMsg *msg, KcStream **stream, KcTime now,
+               KcError *err)
+{
+    *stream = NULL;
+    link->heard_at = now;
+    if (msg->generation > link->peer_generation) {
+        link->peer_generation = msg->generation;
+    }
+    if (msg->type == KC_MSG_HELLO) {
+        return receive_hello(link, msg, err);
+    }
+    if (!link->greeted) {
+        return violation(link, err, "message before hello");
+    }
+    switch (KcMsg_Layouts[msg->type].rule) {
+    case KC_RULE_OPEN:
+        return receive_open(link, msg, stream, err);
+    case KC_RULE_INITIATOR:
+    case KC_RULE_ACCEPTOR:
+        return receive_on_stream(link, msg, stream, err);
+    case KC_RULE_CONNECTION:
+        if (!link->initiator || msg->stream != 0) {
+            return violation(link, err, "message from the wrong side");
+        }
+        return 0;
+    case KC_RULE_ANY:
+        break;
+    }
+    return msg->stream == 0 ? 0 : violation(link, err, "stream not zero");
+}
--- /dev/null
+++ b/lib/connection/message_table_internal.h
@@ -0,0 +1,45 @@
+/*
+ * Layout of each message type as a table of fields, read by the encoder and
+ * the decoder alike.
+ */
+#ifndef KCC_MESSAGE_TABLE_INTERNAL_H
+#define KCC_MESSAGE_TABLE_INTERNAL_H
+
+#include "kcc_connection.h"
+
+typedef enum KcFieldKind {
+    KC_FIELD_U32,
+    KC_FIELD_U64,
+    KC_FIELD_I32,
+    KC_FIELD_BOOL,
+    KC_FIELD_NAME, /* char array of the given size, NUL terminated */
+    KC_FIELD_BYTES /* KcBytes */
+} KcFieldKind;
+
+/* One field of a message. */
+typedef struct KcField {
+    KcFieldKind kind;
+    size_t offset; /* within KcMsg */
+    size_t size;   /* of a KC_FIELD_NAME */
+} KcField;
+
+/* Who may send a message, and where. */
+typedef enum KcMsgRule {
+    KC_RULE_ANY = 0,       /* both sides, on stream 0 */
+    KC_RULE_OPEN = 1,      /* initiator, on a new stream */
+    KC_RULE_INITIATOR = 2, /* initiator, on an open stream */
+    KC_RULE_ACCEPTOR = 3,  /* acceptor, on an open stream */
+    KC_RULE_CONNECTION = 4 /* acceptor, on stream 0 */
+} KcMsgRule;
+
+/* One message type. */
+typedef struct KcMsgLayout {
+    const char *name;
+    KcMsgRule rule;
+    size_t field_count;
+    const KcField *fields;
+} KcMsgLayout;
+
+extern const KcMsgLayout KcMsg_Layouts[KC_MSG_COUNT];
+
+#endif
--- /dev/null
+++ b/lib/process/agent.c
@@ -0,0 +1,435 @@
+/*
+ * The agent as a whole: its document, lease, connections, planned stop.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent_internal.h"
+
+void
+KcAgentOptions_Init(KcAgentOptions *options)
+{
+    memset(options, 0, sizeof(*options));
+    options->victim = KcVictim_Policy("kcc");
+    options->fencing = true;
+    options->store_share = 1;
+    options->hold = 500 * KC_MS;
+    options->detach = 5 * KC_SECOND;
+    options->retain = 60 * KC_SECOND;
+    options->inspect = 1 * KC_SECOND;
+    options->lease_ttl = 15 * KC_SECOND;
+    options->lease_margin = 3 * KC_SECOND;
+    options->lease_renew = 5 * KC_SECOND;
+    options->confirm_spread = 4 * KC_SECOND;
+    options->sync_retry = 500 * KC_MS;
+    options->window = 64 * 1024;
+    options->order.priority_step_ms = 1000;
+    options->order.share_step_ms = 500;
+    options->load_failures_max = 3;
+}
+
+static void
+adopt_document(void *context, KcDocument *document, KcTime now)
+{
+    KcAgent *agent = context;
+
+    assert(agent->document == NULL ||
+           agent->document->generation < document->generation);
+    KcDocument_Release(agent->document);
+    agent->document = document;
+    agent->service = KcDocument_Service(document, agent->options.service);
+    KcAgentEngine_Configure(agent, now);
+    KcLease_Confirm(agent->lease, document->generation, now);
+    KcAgentWork_RetryHeld(agent, now);
+    KcAgentSchedule_Pump(agent, now);
+}
+
+static KcLink *
+peer_of(void *context, uint64_t generation)
+{
+    KcAgent *agent = context;
+    KcLink *link;
+
+    TAILQ_FOREACH (link, &agent->links, link) {
+        if (link->greeted && link->peer_generation >= generation) {
+            return link;
+        }
+    }
+    return NULL;
+}
+
+static KcTime
+clock_of(void *context)
+{
+    KcAgent *agent = context;
+
+    return agent->options.clock(agent->options.context);
+}
+
+static void
+on_lease(void *context, uint64_t fence, KcTime now)
+{
+    KcAgent *agent = context;
+
+    agent->inspected = false;
+    if (fence != 0) {
+        KcAgentEngine_Inspect(agent, now);
+    }
+}
+
+static void
+create_lease(KcAgent *agent)
+{
+    const KcAgentOptions *options = &agent->options;
+    KcRequestId token = {options->incarnation, 0};
+    KcLeaseOptions lease = {.object_ops = options->object_ops,
+                            .objects = options->objects,
+                            .timers = options->timers,
+                            .events = options->events,
+                            .name = options->name,
+                            .holder = options->name,
+                            .role = "agent",
+                            .datacentre = options->datacentre,
+                            .admin =
+                                options->admin != NULL ? options->admin : "",
+                            .token = &token,
+                            .ttl = options->lease_ttl,
+                            .margin = options->lease_margin,
+                            .renew = options->lease_renew,
+                            .confirm_spread = options->confirm_spread,
+                            .wall_offset = options->wall_offset,
+                            .seed = options->incarnation,
+                            .clock = clock_of,
+                            .changed = on_lease,
+                            .context = agent};
+
+    agent->lease = KcLease_Create(&lease);
+}
+
+KcAgent *
+KcAgent_Create(const KcAgentOptions *options)
+{
+    KcAgent *agent = KcMem_New(sizeof(*agent));
+    KcSyncOptions sync = {.object_ops = options->object_ops,
+                          .objects = options->objects,
+                          .timers = options->timers,
+                          .events = options->events,
+                          .counters = options->counters,
+                          .retry = options->sync_retry,
+                          .clock = clock_of,
+                          .adopt = adopt_document,
+                          .peer = peer_of,
+                          .context = agent};
+
+    agent->options = *options;
+    TAILQ_INIT(&agent->links);
+    TAILQ_INIT(&agent->held);
+    TAILQ_INIT(&agent->queue);
+    TAILQ_INIT(&agent->running);
+    TAILQ_INIT(&agent->ended);
+    KcAgentSchedule_Init(agent);
+    agent->sync = KcSync_Create(&sync);
+    create_lease(agent);
+    return agent;
+}
+
+static void
+free_records(KcAgent *agent)
+{
+    KcHorizon *horizon;
+    KcHorizon *next;
+
+    HASH_ITER(hh, agent->horizons, horizon, next)
+    {
+        HASH_DEL(agent->horizons, horizon);
+        free(horizon);
+    }
+    if (agent->resident_ready) {
+        KcResidency_Clear(&agent->residency);
+    }
+}
+
+static void
+release_link(KcAgent *agent, KcLink *link, KcTime now)
+{
+    KcStream *stream;
+
+    while ((stream = TAILQ_FIRST(&link->stream_list)) != NULL) {
+        KcWork *work = stream->owner;
+
+        stream->owner = NULL;
+        KcLink_CloseStream(stream, now);
+        if (work != NULL) {
+            work->stream = NULL;
+            KcAgentWork_Detach(agent, work, now);
+        }
+    }
+    TAILQ_REMOVE(&agent->links, link, link);
+    KcLink_Free(link);
+}
+
+void
+KcAgent_Free(KcAgent *agent)
+{
+    KcTime now = clock_of(agent);
+    KcLink *link;
+    KcWork *work;
+    KcWork *next;
+
+    while ((link = TAILQ_FIRST(&agent->links)) != NULL) {
+        link->ops->close(link->transport);
+        release_link(agent, link, now);
+    }
+    HASH_ITER(hh, agent->works, work, next)
+    {
+        KcAgentWork_Forget(agent, work, now);
+    }
+    KcTimers_Clear(agent->options.timers, &agent->inspect_timer);
+    KcTimers_Clear(agent->options.timers, &agent->pump_timer);
+    KcSync_Free(agent->sync);
+    KcLease_Free(agent->lease);
+    KcDocument_Release(agent->document);
+    free_records(agent);
+    free(agent);
+}
+
+void
+KcAgent_Start(KcAgent *agent, KcTime now)
+{
+    KcSync_Start(agent->sync, now);
+    KcLease_Start(agent->lease, now);
+    KcAgentEngine_Start(agent, now);
+}
+
+/* ---- connections ----------------------------------------------------- */
+
+static void
+stamp(void *context, KcMsg *msg)
+{
+    KcAgent *agent = context;
+
+    msg->generation = KcSync_Generation(agent->sync);
+    msg->clock = KcEvents_Clock(agent->options.events, clock_of(agent));
+}
+
+void
+KcAgent_OnConnected(KcAgent *agent, KcLink *link, KcTime now)
+{
+    KcMsg msg = {.type = KC_MSG_HELLO};
+
+    (void)now;
+    link->owner = agent;
+    link->stamp = stamp;
+    link->stamp_context = agent;
+    TAILQ_INSERT_TAIL(&agent->links, link, link);
+    KcName_Copy(msg.u.hello.name, agent->options.name, KC_NAME_MAX);
+    msg.u.hello.incarnation = agent->options.incarnation;
+    msg.u.hello.protocol = KC_PROTOCOL_VERSION;
+    KcLink_Send(link, &msg);
+}
+
+void
+KcAgent_OnLinkLost(KcAgent *agent, KcLink *link, int code, KcTime now)
+{
+    KcEventInfo info = {.peer = link->peer,
+                        .generation = KcSync_Generation(agent->sync),
+                        .detail = code};
+
+    KcEvents_Add(agent->options.events, KC_EVENT_LINK_LOST, now, &info);
+    release_link(agent, link, now);
+}
+
+static void
+close_link(KcAgent *agent, KcLink *link, int code, KcTime now)
+{
+    link->ops->close(link->transport);
+    KcAgent_OnLinkLost(agent, link, code, now);
+}
+
+/*
+ * A newer connection of an entry supersedes its older ones: what is still
+ * unread on those must never be acted upon, since the entry may already
+ * have been told that an attempt did not run.
+ */
+static void
+supersede(KcAgent *agent, const KcLink *newer, KcTime now)
+{
+    KcLink *link;
+    KcLink *next;
+
+    TAILQ_FOREACH_SAFE (link, &agent->links, link, next) {
+        if (link != newer && link->greeted &&
+            strcmp(link->peer, newer->peer) == 0) {
+            close_link(agent, link, KC_ERR_CONFLICT, now);
+        }
+    }
+}
+
+static void
+greet(KcAgent *agent, KcLink *link, KcTime now)
+{
+    KcMsg msg = {.type = KC_MSG_LEAVING};
+    KcEventInfo info = {.peer = link->peer,
+                        .generation = KcSync_Generation(agent->sync)};
+
+    KcEvents_Add(agent->options.events, KC_EVENT_LINK_UP, now, &info);
+    supersede(agent, link, now);
+    if (agent->draining) {
+        KcLink_Send(link, &msg);
+    }
+}
+
+static void
+on_stream_message(KcAgent *agent, KcStream *stream, const KcMsg *msg,
+                  KcTime now)
+{
+    switch (msg->type) {
+    case KC_MSG_PROPOSE:
+        KcAgentWork_Propose(agent, stream, msg, now);
+        break;
+    case KC_MSG_RESUME:
+        KcAgentWork_Resume(agent, stream, msg, now);
+        break;
+    case KC_MSG_CANCEL:
+        KcAgentWork_Cancel(agent, stream->owner, now);
+        break;
+    case KC_MSG_CREDIT:
+        KcAgentWork_Credit(agent, stream->owner, msg, now);
+        break;
+    default:
+        break;
+    }
+}
+
+void
+KcAgent_OnMessage(KcAgent *agent, KcLink *link, const KcMsg *msg, KcTime now)
+{
+    KcStream *stream;
+    KcError error;
+    KcMsg pong = {.type = KC_MSG_PONG};
+
+    KcEvents_Observe(agent->options.events, msg->clock, now);
+    if (KcLink_Receive(link, msg, &stream, now, &error) != 0) {
+        KcCounters_Add(agent->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
+        close_link(agent, link, error.code, now);
+        return;
+    }
+    if (msg->type == KC_MSG_HELLO) {
+        greet(agent, link, now);
+    }
+    if (KcSync_OnMessage(agent->sync, link, msg, now)) {
+        return;
+    }
+    if (msg->type == KC_MSG_PING) {
+        KcLink_Send(link, &pong);
+    }
+    else if (stream != NULL) {
+        on_stream_message(agent, stream, msg, now);
+    }
+}
+
+/* ---- planned stop and views ------------------------------------------ */
+
+void
+KcAgent_Drain(KcAgent *agent, KcTime now)
+{
+    KcMsg msg = {.type = KC_MSG_LEAVING};
+    KcLink *link;
+    KcWork *work;
+    KcWork *next;
+
+    if (agent->draining) {
+        return;
+    }
+    agent->draining = true;
+    KcAgent_Event(agent, KC_EVENT_LEAVING, NULL, NULL, 0, now);
+    KcLease_Leave(agent->lease, now);
+    TAILQ_FOREACH (link, &agent->links, link) {
+        if (link->greeted) {
+            KcLink_Send(link, &msg);
+        }
+    }
+    /* Works that have not started are better off elsewhere. */
+    TAILQ_FOREACH_SAFE (work, &agent->held, link, next) {
+        KcAgentWork_Refuse(agent, work, KC_ERR_LEAVING, now);
+    }
+    TAILQ_FOREACH_SAFE (work, &agent->queue, link, next) {
+        KcAgentWork_Refuse(agent, work, KC_ERR_LEAVING, now);
+    }
+}
+
+bool
+KcAgent_Drained(const KcAgent *agent)
+{
+    return TAILQ_EMPTY(&agent->running) && TAILQ_EMPTY(&agent->queue) &&
+           TAILQ_EMPTY(&agent->held) && TAILQ_EMPTY(&agent->ended);
+}
+
+int
+KcAgent_Ready(const KcAgent *agent, KcTime now)
+{
+    (void)now;
+    if (agent->draining) {
+        return KC_ERR_LEAVING;
+    }
+    if (agent->document == NULL) {
+        return KC_ERR_NO_DOCUMENT;
+    }
+    if (agent->service == NULL) {
+        return KC_ERR_NOT_FOUND;
+    }
+    return 0;
+}
+
+uint64_t
+KcAgent_Generation(const KcAgent *agent)
+{
+    return KcSync_Generation(agent->sync);
+}
+
+uint64_t
+KcAgent_Fence(const KcAgent *agent)
+{
+    return KcLease_Fence(agent->lease);
+}
+
+uint32_t
+KcAgent_Running(const KcAgent *agent)
+{
+    return agent->running_count;
+}
+
+uint32_t
+KcAgent_Queued(const KcAgent *agent)
+{
+    return agent->queued_count;
+}
+
+const KcResidency *
+KcAgent_Residency(const KcAgent *agent)
+{
+    return &agent->residency;
+}
+
+void
+KcAgent_Event(KcAgent *agent, KcEventType type, const KcWork *work,
+              const char *subject, int64_t detail, KcTime now)
+{
+    char text[KC_MODEL_TEXT];
+    KcEventInfo info = {.subject = subject,
+                        .generation = KcSync_Generation(agent->sync),
+                        .detail = detail};
+
+    if (work != NULL) {
+        info.request = &work->key.request;
+        if (work->stream != NULL) {
+            info.peer = work->stream->parent->peer;
+        }
+        if (subject == NULL && work->model.adapter[0] != '\0') {
+            KcModelRef_Format(&work->model, text);
+            info.subject = text;
+        }
+    }
+    KcEvents_Add(agent->options.events, type, now, &info);
+}
--- /dev/null
+++ b/lib/process/agent_engine.c
@@ -0,0 +1,343 @@
+/*
+ * The agent's dealings with its backend server: orders, reports, cold
+ * restarts, and the check that an answer comes from the right adapter.
+ */
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent_internal.h"
+
+#define MINUTE (60 * KC_SECOND)
+
+/* ---- set-up ---------------------------------------------------------- */
+
+void
+KcAgentEngine_Configure(KcAgent *agent, KcTime now)
+{
+    const KcService *service = agent->service;
+    KcTime share;
+
+    (void)now;
+    if (service == NULL || service->kind != KC_SERVICE_MODEL) {
+        return;
+    }
+    share = MINUTE * agent->options.store_share / service->loads_per_minute;
+    if (agent->resident_ready) {
+        KcResidency_Resize(&agent->residency, (uint32_t)service->slots);
+        KcPace_Configure(&agent->pace, service->load_ms * KC_MS, share);
+        return;
+    }
+    KcResidency_Init(&agent->residency, (uint32_t)service->slots,
+                     agent->options.victim);
+    KcPace_Init(&agent->pace, service->load_ms * KC_MS, share);
+    agent->resident_ready = true;
+    if (KcLease_Fence(agent->lease) != 0) {
+        KcAgentEngine_Inspect(agent, now);
+    }
+}
+
+static void
+on_inspect_timer(KcTimer *timer, KcTime now)
+{
+    KcAgent *agent = timer->owner;
+
+    KcAgentEngine_Inspect(agent, now);
+    KcTimers_Set(agent->options.timers, timer, now + agent->options.inspect);
+}
+
+void
+KcAgentEngine_Start(KcAgent *agent, KcTime now)
+{
+    KcTimer_Init(&agent->inspect_timer, on_inspect_timer, agent);
+    KcTimers_Set(agent->options.timers, &agent->inspect_timer,
+                 now + agent->options.inspect);
+}
+
+void
+KcAgentEngine_Inspect(KcAgent *agent, KcTime now)
+{
+    if (agent->inspecting || !agent->resident_ready) {
+        return;
+    }
+    agent->inspecting = true;
+    agent->inspect_asked = now;
+    agent->options.ops->inspect(agent->options.backend);
+}
+
+/* ---- orders ---------------------------------------------------------- */
+
+/* Each load has a name of its own: a late order for an earlier one of the
+ * same adapter, ours or a former holder's, matches nothing. */
+static void
+name_slot(KcAgent *agent, KcSlot *slot, const KcModelState *model)
+{
+    snprintf(slot->name, sizeof(slot->name), "%s@%u#%llu.%llu",
+             model->ref.adapter, model->ref.version,
+             (unsigned long long)slot->fence,
+             (unsigned long long)++agent->load_sequence);
+}
+
+void
+KcAgentEngine_Load(KcAgent *agent, KcSlot *slot, KcModelState *model,
+                   KcTime now)
+{
+    uint64_t fence = KcLease_Fence(agent->lease);
+
+    assert(KcLease_MayOrder(agent->lease, now));
+    KcResidency_BeginLoad(&agent->residency, slot, model, fence, now);
+    name_slot(agent, slot, model);
+    KcPace_Begin(&agent->pace, now);
+    KcCounters_Add(agent->options.counters, KC_COUNT_LOADS, 1);
+    KcAgent_Event(agent, KC_EVENT_LOAD, NULL, model->key, (int64_t)fence, now);
+    agent->options.ops->load(agent->options.backend, slot);
+}
+
+void
+KcAgentEngine_Evict(KcAgent *agent, KcSlot *slot, KcTime now)
+{
+    uint64_t fence = KcLease_Fence(agent->lease);
+
+    assert(KcLease_MayOrder(agent->lease, now));
+    KcAgent_Event(agent, KC_EVENT_EVICT, NULL, slot->model->key,
+                  (int64_t)fence, now);
+    KcResidency_BeginEvict(&agent->residency, slot, now);
+    KcCounters_Add(agent->options.counters, KC_COUNT_EVICTIONS, 1);
+    agent->options.ops->evict(agent->options.backend, slot, fence);
+}
+
+void
+KcAgent_OnLoaded(KcAgent *agent, KcSlot *slot, int code, KcTime now)
+{
+    KcModelState *model = slot->model;
+
+    agent->order_ended = now;
+    KcPace_End(&agent->pace, now - slot->ordered, code, now);
+    if (slot->state != KC_SLOT_LOADING) {
+        return; /* the engine restarted meanwhile */
+    }
+    KcAgent_Event(agent, KC_EVENT_LOADED, NULL, model->key, code, now);
+    KcCounters_Add(agent->options.counters, KC_COUNT_LOAD_FAILURES, code != 0);
+    KcResidency_EndLoad(slot, code, now);
+    KcAgentSchedule_Pump(agent, now);
+}
+
+void
+KcAgent_OnEvicted(KcAgent *agent, KcSlot *slot, int code, KcTime now)
+{
+    (void)code; /* an adapter still there is found by the next inspection */
+    agent->order_ended = now;
+    if (slot->state != KC_SLOT_EVICTING) {
+        return;
+    }
+    KcResidency_EndEvict(slot);
+    KcAgentSchedule_Pump(agent, now);
+}
+
+/* ---- reports --------------------------------------------------------- */
+
+static KcSlot *
+slot_by_name(KcAgent *agent, const char *name)
+{
+    KcSlot *slot;
+
+    TAILQ_FOREACH (slot, &agent->residency.slots, link) {
+        if (slot->state != KC_SLOT_EMPTY && strcmp(slot->name, name) == 0) {
+            return slot;
+        }
+    }
+    return NULL;
+}
+
+static bool
+listed(const KcSlot *slot, const KcEngineAdapter *adapters, size_t count)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strcmp(slot->name, adapters[i].name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Forgets slots whose adapter the engine no longer lists. */
+static void
+forget_missing(KcAgent *agent, const KcEngineAdapter *adapters, size_t count,
+               KcTime asked)
+{
+    KcSlot *slot;
+
+    TAILQ_FOREACH (slot, &agent->residency.slots, link) {
+        bool held =
+            slot->state == KC_SLOT_READY || slot->state == KC_SLOT_CLOSING;
+
+        /* A change after the question was sent is not in the answer. */
+        if (held && slot->ordered < asked && !listed(slot, adapters, count)) {
+            KcResidency_Forget(slot);
+        }
+    }
+}
+
+/* Splits an engine's "adapter@version#..." into a reference. */
+static int
+parse_engine_name(const char *name, KcModelRef *ref)
+{
+    char text[KC_ENGINE_NAME_MAX];
+    char *hash;
+    char *at;
+    int64_t version;
+
+    KcName_Copy(text, name, sizeof(text));
+    hash = strchr(text, '#');
+    if (hash != NULL) {
+        *hash = '\0';
+    }
+    at = strrchr(text, '@');
+    if (at == NULL || at - text >= KC_NAME_MAX || at == text ||
+        KcIni_Number(at + 1, 1, UINT32_MAX, &version) != 0) {
+        return KC_ERR_PARSE;
+    }
+    *at = '\0';
+    KcName_Copy(ref->adapter, text, KC_NAME_MAX);
+    ref->version = (uint32_t)version;
+    return 0;
+}
+
+/* Takes over an adapter that an earlier holder of the lease had loaded. */
+static bool
+adopt_stray(KcAgent *agent, const KcEngineAdapter *adapter, KcTime now)
+{
+    KcSlot *slot = KcResidency_Victim(&agent->residency, true, now);
+    KcModelState *model;
+    KcModelRef ref;
+
+    if (!agent->options.fencing || slot == NULL ||
+        slot->state != KC_SLOT_EMPTY ||
+        parse_engine_name(adapter->name, &ref) != 0) {
+        return false;
+    }
+    model = KcResidency_Model(&agent->residency, &ref, now);
+    if (model->slot != NULL) {
+        return false;
+    }
+    KcResidency_BeginLoad(&agent->residency, slot, model,
+                          KcLease_Fence(agent->lease), now);
+    KcName_Copy(slot->name, adapter->name, sizeof(slot->name));
+    KcResidency_EndLoad(slot, 0, now);
+    return true;
+}
+
+/* Deals with an adapter that the engine holds and no slot knows. */
+static void
+settle_stray(KcAgent *agent, const KcEngineAdapter *adapter, KcTime now)
+{
+    if (adopt_stray(agent, adapter, now)) {
+        return;
+    }
+    /* It may still serve a call of an earlier holder: then it stays. */
+    if (adapter->active == 0 && KcLease_MayOrder(agent->lease, now)) {
+        agent->options.ops->evict_stray(agent->options.backend, adapter->name,
+                                        KcLease_Fence(agent->lease));
+    }
+}
+
+static void
+on_restart(KcAgent *agent, const char *epoch, KcTime now)
+{
+    KcSlot *slot;
+
+    if (agent->epoch[0] != '\0') {
+        KcCounters_Add(agent->options.counters, KC_COUNT_ENGINE_RESTARTS, 1);
+        KcAgent_Event(agent, KC_EVENT_RESTARTED, NULL, NULL, 0, now);
+        TAILQ_FOREACH (slot, &agent->residency.slots, link) {
+            if (slot->state == KC_SLOT_READY ||
+                slot->state == KC_SLOT_CLOSING) {
+                KcResidency_Forget(slot);
+            }
+        }
+    }
+    KcName_Copy(agent->epoch, epoch, sizeof(agent->epoch));
+}
+
+void
+KcAgent_OnInspected(KcAgent *agent, int code, const char *epoch,
+                    const KcEngineAdapter *adapters, size_t count,
+                    KcTime asked, KcTime now)
+{
+    agent->inspecting = false;
+    if (code != 0) {
+        return;
+    }
+    if (strcmp(agent->epoch, epoch) != 0) {
+        on_restart(agent, epoch, now);
+    }
+    forget_missing(agent, adapters, count, asked);
+    for (size_t i = 0; i < count; i++) {
+        /* An order that ended since the question is not in the answer. */
+        if (slot_by_name(agent, adapters[i].name) == NULL &&
+            KcLease_Fence(agent->lease) != 0 && agent->order_ended < asked) {
+            settle_stray(agent, &adapters[i], now);
+        }
+    }
+    if (KcLease_Fence(agent->lease) != 0) {
+        agent->inspected = true;
+    }
+    KcAgentSchedule_Pump(agent, now);
+}
+
+/* ---- answers --------------------------------------------------------- */
+
+void
+KcAgent_OnStarted(KcAgent *agent, KcWork *work, const char *model,
+                  uint32_t status, const char *content_type, KcTime now)
+{
+    KcModelRef ref = {.adapter = ""};
+
+    assert(work->state == KC_WORK_RUNNING && !work->started);
+    if (work->slot != NULL && (strcmp(model, work->slot->name) != 0 ||
+                               parse_engine_name(model, &ref) != 0)) {
+        KcCounters_Add(agent->options.counters, KC_COUNT_WRONG_MODEL, 1);
+        agent->options.ops->cancel(agent->options.backend, work);
+        KcAgentWork_End(agent, work, KC_ERR_WRONG_MODEL, true, "", now);
+        return;
+    }
+    work->started = true;
+    KcName_Copy(work->head.adapter, ref.adapter, KC_NAME_MAX);
+    work->head.version = ref.version;
+    work->head.status = status;
+    KcName_Copy(work->head.content_type, content_type, KC_NAME_MAX);
+    KcAgent_Event(agent, KC_EVENT_FIRST_BYTE, work, NULL,
+                  (now - work->arrived) / KC_MS, now);
+    KcAgentWork_Flush(agent, work, now);
+}
+
+void
+KcAgent_OnData(KcAgent *agent, KcWork *work, KcBytes bytes, uint64_t tokens,
+               KcTime now)
+{
+    assert(work->state == KC_WORK_RUNNING && work->started);
+    KcBuffer_Append(&work->out, bytes.data, bytes.size);
+    work->tokens = tokens;
+    KcAgentWork_Flush(agent, work, now);
+}
+
+void
+KcAgent_OnEnd(KcAgent *agent, KcWork *work, int code, bool ran,
+              const char *finish, KcTime now)
+{
+    assert(work->state == KC_WORK_RUNNING);
+    if (code == KC_ERR_NOT_FOUND && !ran && work->slot != NULL) {
+        /* The engine does not have the adapter: load it again. */
+        KcResidency_Forget(work->slot);
+    }
+    if (!ran && !work->started && code == KC_ERR_INVALID) {
+        KcAgentWork_Reject(agent, work, code, now);
+        return;
+    }
+    if (!ran && !work->started) {
+        KcAgentWork_Requeue(agent, work, now);
+        return;
+    }
+    KcAgentWork_End(agent, work, code, ran, finish, now);
+}
--- /dev/null
+++ b/lib/process/agent_schedule.c
@@ -0,0 +1,361 @@
+/*
+ * The order in which works are started and adapters are loaded.
+ *
+ * A free place in the batch is never left empty while a waiting work's
+ * adapter is loaded.  Loads go to the waiting model of highest urgency;
+ * when every slot is pinned for longer than a rare adapter may wait, one
+ * slot is closed to new work and becomes its place.
+ */
+#include <assert.h>
+#include <string.h>
+
+#include "agent_internal.h"
+
+/* Wait that each further work for the same model adds to its urgency. */
+#define COMPANION_MS 50
+/* While a load is held back by the pace, it is looked at this often. */
+#define PUMP_INTERVAL (20 * KC_MS)
+
+static void
+on_pump(KcTimer *timer, KcTime now)
+{
+    KcAgentSchedule_Pump(timer->owner, now);
+}
+
+void
+KcAgentSchedule_Init(KcAgent *agent)
+{
+    KcTimer_Init(&agent->pump_timer, on_pump, agent);
+}
+
+static bool
+needs_adapter(const KcAgent *agent)
+{
+    return agent->service != NULL && agent->service->kind == KC_SERVICE_MODEL;
+}
+
+void
+KcAgentSchedule_Enqueue(KcAgent *agent, KcWork *work, KcTime now)
+{
+    KcModelState *model = NULL;
+
+    work->state = KC_WORK_QUEUED;
+    TAILQ_INSERT_TAIL(&agent->queue, work, link);
+    agent->queued_count++;
+    if (work->model.adapter[0] == '\0') {
+        return;
+    }
+    model = KcResidency_Model(&agent->residency, &work->model, now);
+    work->waits_for = model;
+    if (model->waiting++ == 0 && !KcResidency_Ready(model)) {
+        agent->wanted_count++;
+    }
+    work->missed = work->missed || !KcResidency_Ready(model);
+}
+
+void
+KcAgentSchedule_Dequeue(KcAgent *agent, KcWork *work)
+{
+    assert(work->state == KC_WORK_QUEUED);
+    TAILQ_REMOVE(&agent->queue, work, link);
+    agent->queued_count--;
+    if (work->waits_for != NULL) {
+        work->waits_for->waiting--;
+        work->waits_for = NULL;
+    }
+}
+
+void
+KcAgentSchedule_Load(const KcAgent *agent, const KcWork *work, KcLoad *load)
+{
+    const KcModelState *model = NULL;
+    char key[sizeof(model->key)];
+
+    load->queued = agent->queued_count;
+    load->running = agent->running_count;
+    load->loading = agent->wanted_count;
+    load->resident = false;
+    if (work == NULL || !agent->resident_ready) {
+        return;
+    }
+    if (work->slot != NULL) {
+        model = work->slot->model;
+    }
+    else if (work->waits_for != NULL) {
+        model = work->waits_for;
+    }
+    else {
+        KcModelRef_Format(&work->model, key);
+        HASH_FIND_STR(agent->residency.models, key, model);
+    }
+    load->resident = model != NULL && model->slot != NULL &&
+                     (model->slot->state == KC_SLOT_READY ||
+                      model->slot->state == KC_SLOT_LOADING);
+}
+
+KcTime
+KcAgentSchedule_Wait(const KcAgent *agent)
+{
+    int64_t batch = agent->service->batch;
+    int64_t excess = (int64_t)agent->queued_count +
+                     (int64_t)agent->running_count - batch + 1;
+
+    if (excess <= 0) {
+        return 0;
+    }
+    return excess * agent->service->service_ms * KC_MS / batch;
+}
+
+/* ---- starting -------------------------------------------------------- */
+
+static bool
+startable(const KcAgent *agent, const KcWork *work)
+{
+    if (!needs_adapter(agent)) {
+        return true;
+    }
+    return KcResidency_Ready(work->waits_for);
+}
+
+static KcWork *
+most_urgent_startable(KcAgent *agent, KcTime now)
+{
+    KcWork *work;
+    KcWork *best = NULL;
+    int64_t highest = 0;
+
+    TAILQ_FOREACH (work, &agent->queue, link) {
+        int64_t urgency;
+
+        if (!startable(agent, work)) {
+            continue;
+        }
+        urgency = KcOrder_Urgency(work, &agent->options.order, now);
+        if (best == NULL || urgency > highest) {
+            best = work;
+            highest = urgency;
+        }
+    }
+    return best;
+}
+
+/* Time that a work waited because its adapter was not loaded. */
+static void
+count_stall(KcAgent *agent, const KcWork *work, const KcModelState *model)
+{
+    KcTime stall = model->ready_at - work->arrived;
+
+    if (work->missed && stall > 0) {
+        KcCounters_Add(agent->options.counters, KC_COUNT_STALL_US,
+                       (uint64_t)stall);
+    }
+}
+
+static void
+start_work(KcAgent *agent, KcWork *work, KcTime now)
+{
+    KcModelState *model = work->waits_for;
+
+    KcAgentSchedule_Dequeue(agent, work);
+    if (model != NULL) {
+        KcResidency_Use(model, now);
+        KcResidency_Pin(&agent->residency, model->slot, now);
+        work->slot = model->slot;
+        count_stall(agent, work, model);
+    }
+    work->state = KC_WORK_RUNNING;
+    work->ran = true;
+    work->share->running++;
+    TAILQ_INSERT_TAIL(&agent->running, work, link);
+    agent->running_count++;
+    KcTimers_Clear(agent->options.timers, &work->timer);
+    KcCounters_Add(agent->options.counters, KC_COUNT_WORKS_STARTED, 1);
+    KcAgent_Event(agent, KC_EVENT_START, work, NULL,
+                  (now - work->arrived) / KC_MS, now);
+    agent->options.ops->start(agent->options.backend, work);
+}
+
+static void
+start_works(KcAgent *agent, KcTime now)
+{
+    KcWork *work;
+
+    while (agent->running_count < agent->service->batch) {
+        work = most_urgent_startable(agent, now);
+        if (work == NULL) {
+            return;
+        }
+        start_work(agent, work, now);
+    }
+}
+
+/* ---- loading --------------------------------------------------------- */
+
+static bool
+wants_load(const KcModelState *model, KcTime now)
+{
+    return model->slot == NULL && model->retry_at <= now;
+}
+
+/* The waiting work whose adapter should be loaded next. */
+static KcWork *
+most_urgent_missing(KcAgent *agent, KcTime now)
+{
+    KcWork *work;
+    KcWork *best = NULL;
+    int64_t highest = 0;
+
+    TAILQ_FOREACH (work, &agent->queue, link) {
+        int64_t urgency;
+
+        if (work->waits_for == NULL || !wants_load(work->waits_for, now)) {
+            continue;
+        }
+        urgency = KcOrder_Urgency(work, &agent->options.order, now) +
+                  (int64_t)work->waits_for->waiting * COMPANION_MS;
+        if (best == NULL || urgency > highest) {
+            best = work;
+            highest = urgency;
+        }
+    }
+    return best;
+}
+
+/* Has the work waited so long that a slot must be made free for it? */
+static bool
+overdue(const KcAgent *agent, const KcWork *work, KcTime now)
+{
+    KcTime bound = agent->service->rare_stall_ms * KC_MS;
+
+    return now - work->arrived >= bound / 2;
+}
+
+static bool
+any_closing(const KcAgent *agent)
+{
+    const KcSlot *slot;
+
+    TAILQ_FOREACH (slot, &agent->residency.slots, link) {
+        if (slot->state == KC_SLOT_CLOSING && slot->pins > 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* The slot for the work's adapter, made free if need be; NULL: not yet. */
+static KcSlot *
+slot_for(KcAgent *agent, const KcWork *work, KcTime now)
+{
+    KcSlot *slot = KcResidency_Victim(&agent->residency, true, now);
+
+    if (slot == NULL && overdue(agent, work, now)) {
+        slot = KcResidency_Victim(&agent->residency, false, now);
+        if (slot == NULL && !any_closing(agent)) {
+            KcResidency_CloseOne(&agent->residency, now);
+        }
+    }
+    return slot;
+}
+
+/* Orders one load or the eviction before it.  False: nothing to be done. */
+static bool
+load_one(KcAgent *agent, KcTime now)
+{
+    KcWork *work = most_urgent_missing(agent, now);
+    KcSlot *slot;
+
+    if (work == NULL || !KcPace_Allows(&agent->pace, now)) {
+        return false;
+    }
+    slot = slot_for(agent, work, now);
+    if (slot == NULL) {
+        return false;
+    }
+    if (slot->state == KC_SLOT_EMPTY) {
+        KcAgentEngine_Load(agent, slot, work->waits_for, now);
+        return true;
+    }
+    KcAgentEngine_Evict(agent, slot, now);
+    return false; /* the load follows when the eviction has ended */
+}
+
+static bool
+evicting(const KcAgent *agent)
+{
+    const KcSlot *slot;
+
+    TAILQ_FOREACH (slot, &agent->residency.slots, link) {
+        if (slot->state == KC_SLOT_EVICTING) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+load_models(KcAgent *agent, KcTime now)
+{
+    KcSlot *slot;
+
+    if (!agent->inspected || !KcLease_MayOrder(agent->lease, now)) {
+        return;
+    }
+    slot = KcResidency_Trim(&agent->residency, now);
+    if (slot != NULL) {
+        KcAgentEngine_Evict(agent, slot, now);
+    }
+    /* An eviction under way already makes room for the most urgent. */
+    while (!evicting(agent) && load_one(agent, now)) {
+        continue;
+    }
+}
+
+/* Refuses works whose adapter has failed to load too often. */
+static void
+refuse_failing(KcAgent *agent, KcTime now)
+{
+    KcWork *work;
+    KcWork *next;
+
+    TAILQ_FOREACH_SAFE (work, &agent->queue, link, next) {
+        KcModelState *model = work->waits_for;
+
+        if (model != NULL && model->slot == NULL && model->retry_at > now &&
+            model->failures >= agent->options.load_failures_max) {
+            KcAgentWork_Refuse(agent, work, KC_ERR_LOAD_FAILED, now);
+        }
+    }
+}
+
+/* Counts the models that are waited for and not ready. */
+static void
+count_wanted(KcAgent *agent)
+{
+    KcModelState *model;
+
+    agent->wanted_count = 0;
+    TAILQ_FOREACH (model, &agent->residency.model_list, link) {
+        if (model->waiting > 0 && !KcResidency_Ready(model)) {
+            agent->wanted_count++;
+        }
+    }
+}
+
+void
+KcAgentSchedule_Pump(KcAgent *agent, KcTime now)
+{
+    if (agent->service == NULL) {
+        return;
+    }
+    if (needs_adapter(agent)) {
+        refuse_failing(agent, now);
+        load_models(agent, now);
+        count_wanted(agent);
+    }
+    start_works(agent, now);
+    if (agent->wanted_count > 0) {
+        KcTimers_Set(agent->options.timers, &agent->pump_timer,
+                     now + PUMP_INTERVAL);
+    }
+}
--- /dev/null
+++ b/lib/process/entry.c
@@ -0,0 +1,329 @@
+/*
+ * The entry as a whole: its document, fleet, planned stop.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_internal.h"
+
+#define HINT_MAX 16384
+#define CUSTOMER_MAX 16384
+
+void
+KcEntryOptions_Init(KcEntryOptions *options)
+{
+    memset(options, 0, sizeof(*options));
+    options->policy = KcRoute_Policy("kcc");
+    options->attempts_max = 4;
+    options->requests_max = 20000;
+    options->reply_timeout = 1 * KC_SECOND;
+    options->resume_timeout = 3 * KC_SECOND;
+    options->resume_retry = 100 * KC_MS;
+    options->cancel_grace = 500 * KC_MS;
+    options->ping_after = 1 * KC_SECOND;
+    options->lost_after = 3 * KC_SECOND;
+    options->suspect = 500 * KC_MS;
+    options->remote_cost = 60 * KC_MS;
+    options->sync_retry = 500 * KC_MS;
+    options->window = 64 * 1024;
+    options->retry_percent = 20;
+    options->retry_burst = 100;
+    options->lease_ttl = 15 * KC_SECOND;
+    options->lease_margin = 3 * KC_SECOND;
+    options->lease_renew = 5 * KC_SECOND;
+    options->confirm_spread = 4 * KC_SECOND;
+}
+
+/* Takes over what the document says about regions and the link. */
+static void
+apply_document(KcEntry *entry, KcTime now)
+{
+    KcDatacentre *datacentre =
+        KcDocument_Datacentre(entry->document, entry->options.datacentre);
+
+    KcName_Copy(entry->fleet.region,
+                datacentre != NULL ? datacentre->region : "", KC_NAME_MAX);
+    entry->remote.per_s = entry->document->link_bytes_per_s /
+                          (int64_t)(entry->entries > 0 ? entry->entries : 1);
+    KcEntry_OnInstances(entry, NULL, 0, entry->entries, now);
+}
+
+static void
+adopt_document(void *context, KcDocument *document, KcTime now)
+{
+    KcEntry *entry = context;
+
+    assert(entry->document == NULL ||
+           entry->document->generation < document->generation);
+    KcDocument_Release(entry->document);
+    entry->document = document;
+    apply_document(entry, now);
+    KcLease_Confirm(entry->lease, document->generation, now);
+}
+
+/* A connection to an agent of at least this generation. */
+static KcLink *
+peer_of(void *context, uint64_t generation)
+{
+    KcEntry *entry = context;
+    KcBackend *backend;
+
+    TAILQ_FOREACH (backend, &entry->fleet.backends, link) {
+        if (backend->connection != NULL &&
+            backend->connection->peer_generation >= generation) {
+            return backend->connection;
+        }
+    }
+    return NULL;
+}
+
+static KcTime
+clock_of(void *context)
+{
+    KcEntry *entry = context;
+
+    return entry->options.clock(entry->options.context);
+}
+
+/* An entry gives no orders; its lease object confirms its generation. */
+static void
+on_lease(void *context, uint64_t fence, KcTime now)
+{
+    (void)context;
+    (void)fence;
+    (void)now;
+}
+
+static void
+create_lease(KcEntry *entry)
+{
+    const KcEntryOptions *options = &entry->options;
+    KcRequestId token = {options->incarnation, 0};
+    KcLeaseOptions lease = {.object_ops = options->object_ops,
+                            .objects = options->objects,
+                            .timers = options->timers,
+                            .events = options->events,
+                            .name = options->name,
+                            .holder = options->name,
+                            .role = "entry",
+                            .datacentre = options->datacentre,
+                            .admin =
+                                options->admin != NULL ? options->admin : "",
+                            .token = &token,
+                            .ttl = options->lease_ttl,
+                            .margin = options->lease_margin,
+                            .renew = options->lease_renew,
+                            .confirm_spread = options->confirm_spread,
+                            .wall_offset = options->wall_offset,
+                            .seed = options->incarnation,
+                            .clock = clock_of,
+                            .changed = on_lease,
+                            .context = entry};
+
+    entry->lease = KcLease_Create(&lease);
+}
+
+KcEntry *
+KcEntry_Create(const KcEntryOptions *options)
+{
+    KcEntry *entry = KcMem_New(sizeof(*entry));
+    KcSyncOptions sync = {.object_ops = options->object_ops,
+                          .objects = options->objects,
+                          .timers = options->timers,
+                          .events = options->events,
+                          .counters = options->counters,
+                          .retry = options->sync_retry,
+                          .clock = clock_of,
+                          .adopt = adopt_document,
+                          .peer = peer_of,
+                          .context = entry};
+
+    assert(options->attempts_max <= KC_ATTEMPTS_MAX);
+    entry->options = *options;
+    entry->random = options->incarnation | 1;
+    entry->entries = 1;
+    TAILQ_INIT(&entry->requests);
+    KcFleet_Init(&entry->fleet, HINT_MAX);
+    KcCustomers_Init(&entry->customers, CUSTOMER_MAX);
+    KcRetryBudget_Init(&entry->budget, options->retry_percent,
+                       options->retry_burst);
+    entry->sync = KcSync_Create(&sync);
+    create_lease(entry);
+    return entry;
+}
+
+static void
+drop_link(KcEntry *entry, KcBackend *backend)
+{
+    KcLink *link = backend->connection;
+
+    KcTimers_Clear(entry->options.timers, &backend->watch);
+    if (link != NULL) {
+        backend->connection = NULL;
+        link->ops->close(link->transport);
+        KcLink_Free(link);
+    }
+}
+
+void
+KcEntry_Free(KcEntry *entry)
+{
+    KcBackend *backend;
+
+    assert(TAILQ_EMPTY(&entry->requests));
+    TAILQ_FOREACH (backend, &entry->fleet.backends, link) {
+        drop_link(entry, backend);
+    }
+    KcFleet_Clear(&entry->fleet);
+    KcCustomers_Clear(&entry->customers);
+    KcSync_Free(entry->sync);
+    KcLease_Free(entry->lease);
+    KcDocument_Release(entry->document);
+    free(entry->instances);
+    free(entry);
+}
+
+void
+KcEntry_Start(KcEntry *entry, KcTime now)
+{
+    KcSync_Start(entry->sync, now);
+    KcLease_Start(entry->lease, now);
+}
+
+static void
+forget_backend(void *context, KcBackend *backend)
+{
+    drop_link(context, backend);
+}
+
+/* Keeps the list: a new document may place its instances differently. */
+static void
+keep_instances(KcEntry *entry, const KcInstance *instances, size_t count)
+{
+    size_t size = count * sizeof(*instances);
+
+    free(entry->instances);
+    entry->instances = KcMem_New(size);
+    memcpy(entry->instances, instances, size);
+    entry->instance_count = count;
+}
+
+void
+KcEntry_OnInstances(KcEntry *entry, const KcInstance *instances, size_t count,
+                    uint32_t entries, KcTime now)
+{
+    (void)now;
+    if (instances != NULL) {
+        keep_instances(entry, instances, count);
+    }
+    entry->entries = entries > 0 ? entries : 1;
+    if (entry->document != NULL) {
+        entry->remote.per_s =
+            entry->document->link_bytes_per_s / (int64_t)entry->entries;
+    }
+    KcFleet_Update(&entry->fleet, entry->instances, entry->instance_count,
+                   entry->document, forget_backend, entry);
+}
+
+void
+KcEntry_CloseIdle(KcEntry *entry, KcTime idle, KcTime now)
+{
+    KcBackend *backend;
+
+    TAILQ_FOREACH (backend, &entry->fleet.backends, link) {
+        KcLink *link = backend->connection;
+
+        if (link != NULL && TAILQ_EMPTY(&link->stream_list) &&
+            TAILQ_EMPTY(&backend->attempt_list) &&
+            now - link->idle_since >= idle) {
+            drop_link(entry, backend);
+        }
+    }
+}
+
+void
+KcEntry_Drain(KcEntry *entry, KcTime now)
+{
+    KcEventInfo info = {.peer = entry->options.name};
+
+    if (!entry->draining) {
+        KcEvents_Add(entry->options.events, KC_EVENT_LEAVING, now, &info);
+        KcLease_Leave(entry->lease, now);
+    }
+    entry->draining = true;
+}
+
+bool
+KcEntry_Drained(const KcEntry *entry)
+{
+    return TAILQ_EMPTY(&entry->requests);
+}
+
+int
+KcEntry_Ready(const KcEntry *entry)
+{
+    if (entry->draining) {
+        return KC_ERR_LEAVING;
+    }
+    if (entry->document == NULL) {
+        return KC_ERR_NO_DOCUMENT;
+    }
+    return 0;
+}
+
+uint64_t
+KcEntry_Generation(const KcEntry *entry)
+{
+    return KcSync_Generation(entry->sync);
+}
+
+const KcDocument *
+KcEntry_Document(const KcEntry *entry)
+{
+    return entry->document;
+}
+
+const KcFleet *
+KcEntry_Fleet(const KcEntry *entry)
+{
+    return &entry->fleet;
+}
+
+uint32_t
+KcEntry_RequestCount(const KcEntry *entry)
+{
+    return entry->request_count;
+}
+
+void
+KcEntry_Hello(const KcEntry *entry, KcMsg *msg)
+{
+    memset(msg, 0, sizeof(*msg));
+    msg->type = KC_MSG_HELLO;
+    KcName_Copy(msg->u.hello.name, entry->options.name, KC_NAME_MAX);
+    msg->u.hello.incarnation = entry->options.incarnation;
+    msg->u.hello.protocol = KC_PROTOCOL_VERSION;
+}
+
+void
+KcEntry_Event(KcEntry *entry, KcEventType type, const KcRequest *request,
+              const char *peer, int64_t detail, KcTime now)
+{
+    char subject[KC_MODEL_TEXT];
+    KcEventInfo info = {.request = &request->id,
+                        .peer = peer,
+                        .subject = subject,
+                        .generation = KcSync_Generation(entry->sync),
+                        .detail = detail};
+
+    if (request->model.adapter[0] != '\0') {
+        KcModelRef_Format(&request->model, subject);
+    }
+    else {
+        KcName_Copy(subject,
+                    request->service != NULL ? request->service->name : "",
+                    sizeof(subject));
+    }
+    KcEvents_Add(entry->options.events, type, now, &info);
+}
--- /dev/null
+++ b/lib/process/entry_attempt.c
@@ -0,0 +1,593 @@
+/*
+ * One attempt: choosing a backend server, proposing, resuming, and what each
+ * reply of the agent means.
+ */
+#include <assert.h>
+#include <string.h>
+
+#include "entry_internal.h"
+
+/* A load report counts for nothing after this time. */
+#define KNOWLEDGE_MAX (5 * KC_SECOND)
+/* Share of a load that each rank away from home costs. */
+#define SPREAD_DIVISOR 8
+/* An agent that said it is leaving is avoided this long. */
+#define LEAVING_AVOID (30 * KC_SECOND)
+
+static void
+set_state(KcAttempt *attempt, KcAttemptState state)
+{
+    attempt->state = state;
+}
+
+static void
+set_timer(KcAttempt *attempt, void (*fire)(KcTimer *, KcTime), KcTime due)
+{
+    KcTimers *timers = attempt->request->entry->options.timers;
+
+    KcTimers_Clear(timers, &attempt->timer);
+    attempt->timer.fire = fire;
+    KcTimers_Set(timers, &attempt->timer, due);
+}
+
+static KcEntry *
+entry_of(const KcAttempt *attempt)
+{
+    return attempt->request->entry;
+}
+
+/* ---- choosing -------------------------------------------------------- */
+
+static void
+fill_route_options(const KcRequest *request, KcRouteOptions *options)
+{
+    const KcService *service = request->service;
+
+    options->load = service->load_ms * KC_MS;
+    options->service = service->service_ms * KC_MS;
+    options->batch = (uint32_t)service->batch;
+    options->remote = request->entry->options.remote_cost;
+    options->knowledge = KNOWLEDGE_MAX;
+    options->stall_weight = service->stall_weight;
+    options->batch_weight = service->batch_weight;
+    options->spread = options->load / SPREAD_DIVISOR;
+}
+
+static uint64_t
+draw(KcEntry *entry)
+{
+    entry->random ^= entry->random << 13;
+    entry->random ^= entry->random >> 7;
+    entry->random ^= entry->random << 17;
+    return entry->random;
+}
+
+static void
+choose(KcRequest *request, KcTime now, KcRouteChoice *choice)
+{
+    KcEntry *entry = request->entry;
+    KcRouteOptions options;
+    KcRouteQuery query = {
+        .fleet = &entry->fleet,
+        .pool = KcFleet_Pool(&entry->fleet, request->service->name),
+        .key = request->route_key,
+        .needs_adapter = request->service->kind == KC_SERVICE_MODEL,
+        .tried = request->tried,
+        .tried_count = request->tried_count,
+        .random = draw(entry),
+        .options = &options};
+
+    memset(choice, 0, sizeof(*choice));
+    if (query.pool == NULL || query.pool->count == 0) {
+        return;
+    }
+    fill_route_options(request, &options);
+    query.remote_allowed = KcByteBudget_Allows(&entry->remote, now);
+    entry->options.policy->pick(&query, now, choice);
+}
+
+/* ---- sending --------------------------------------------------------- */
+
+static void
+send(KcAttempt *attempt, KcMsg *msg)
+{
+    msg->stream = attempt->stream->id;
+    KcLink_Send(attempt->stream->parent, msg);
+}
+
+static void
+charge_remote(KcAttempt *attempt, uint64_t bytes, KcTime now)
+{
+    KcEntry *entry = entry_of(attempt);
+
+    if (attempt->remote) {
+        KcByteBudget_Charge(&entry->remote, bytes, now);
+        KcCounters_Add(entry->options.counters, KC_COUNT_REMOTE_BYTES, bytes);
+    }
+}
+
+static void
+on_reply_timeout(KcTimer *timer, KcTime now)
+{
+    KcAttempt *attempt = timer->owner;
+    KcRequest *request = attempt->request;
+
+    KcEntryLink_Suspect(request->entry, attempt->backend, now);
+    /* A call that may not be repeated waits on, until its deadline. */
+    if (request->repeatable) {
+        KcEntryAttempt_End(request, KC_ATTEMPT_LOST, KC_ERR_LOST, "propose",
+                           now);
+    }
+}
+
+/* An answer that has begun is continued within a deadline of its own. */
+static KcTime
+time_left(const KcRequest *request, KcTime now)
+{
+    if (request->started) {
+        return request->service->deadline_ms * KC_MS;
+    }
+    return request->deadline > now ? request->deadline - now : 0;
+}
+
+static void
+send_propose(KcAttempt *attempt, KcTime now)
+{
+    KcRequest *request = attempt->request;
+    KcEntry *entry = request->entry;
+    KcLink *link = attempt->backend->connection;
+    KcMsg msg = {.type = KC_MSG_PROPOSE};
+    KcMsgPropose *propose = &msg.u.propose;
+
+    propose->request = request->id;
+    propose->attempt = attempt->number;
+    KcName_Copy(propose->service, request->service->name, KC_NAME_MAX);
+    KcName_Copy(propose->adapter, request->model.adapter, KC_NAME_MAX);
+    propose->version = request->model.version;
+    KcName_Copy(propose->customer, request->customer_name, KC_NAME_MAX);
+    propose->priority = request->priority;
+    propose->deadline_us = (uint64_t)time_left(request, now);
+    propose->repeatable = request->repeatable;
+    propose->offset = request->offset;
+    propose->tokens = request->tokens;
+    KcName_Copy(propose->method, request->method, sizeof(propose->method));
+    KcName_Copy(propose->path, request->path, sizeof(propose->path));
+    KcName_Copy(propose->content_type, request->content_type, KC_NAME_MAX);
+    propose->body = (KcBytes){KcBuffer_Data(&request->body),
+                              KcBuffer_Size(&request->body)};
+    propose->delivered = (KcBytes){KcBuffer_Data(&request->delivered),
+                                   KcBuffer_Size(&request->delivered)};
+    attempt->incarnation = link->peer_incarnation;
+    attempt->stream = KcLink_Open(link, attempt, request->offset);
+    request->credited = request->offset;
+    set_state(attempt, KC_ATTEMPT_PROPOSED);
+    set_timer(attempt, on_reply_timeout, now + entry->options.reply_timeout);
+    charge_remote(attempt, propose->body.size + propose->delivered.size, now);
+    KcEntry_Event(entry, KC_EVENT_PROPOSE, request, attempt->backend->name,
+                  attempt->number, now);
+    send(attempt, &msg);
+}
+
+static void
+send_resume(KcAttempt *attempt, KcTime now)
+{
+    KcRequest *request = attempt->request;
+    KcMsg msg = {.type = KC_MSG_RESUME};
+
+    msg.u.resume.request = request->id;
+    msg.u.resume.attempt = attempt->number;
+    msg.u.resume.offset = request->offset;
+    attempt->stream =
+        KcLink_Open(attempt->backend->connection, attempt, request->offset);
+    set_state(attempt, KC_ATTEMPT_PROPOSED);
+    set_timer(attempt, on_reply_timeout,
+              now + request->entry->options.reply_timeout);
+    KcCounters_Add(request->entry->options.counters, KC_COUNT_RESUMES, 1);
+    KcEntry_Event(request->entry, KC_EVENT_RESUME, request,
+                  attempt->backend->name, (int64_t)request->offset, now);
+    send(attempt, &msg);
+    if (request->cancelled) {
+        KcEntryAttempt_Cancel(request, now);
+    }
+}
+
+void
+KcEntryAttempt_Credit(KcRequest *request, bool done)
+{
+    KcAttempt *attempt = &request->attempt;
+    KcMsg msg = {.type = KC_MSG_CREDIT};
+
+    request->credited = request->consumed;
+    if (attempt->stream == NULL) {
+        return;
+    }
+    msg.u.credit.offset = done ? request->offset : request->consumed;
+    msg.u.credit.done = done;
+    send(attempt, &msg);
+}
+
+static void
+on_cancel_grace(KcTimer *timer, KcTime now)
+{
+    KcAttempt *attempt = timer->owner;
+
+    KcEntryAttempt_End(attempt->request, KC_ATTEMPT_LOST, KC_ERR_DEADLINE,
+                       "cancel", now);
+}
+
+void
+KcEntryAttempt_Cancel(KcRequest *request, KcTime now)
+{
+    KcAttempt *attempt = &request->attempt;
+    KcMsg msg = {.type = KC_MSG_CANCEL};
+
+    assert(attempt->state != KC_ATTEMPT_IDLE);
+    if (attempt->stream != NULL) {
+        send(attempt, &msg);
+    }
+    set_timer(attempt, on_cancel_grace,
+              now + request->entry->options.cancel_grace);
+}
+
+/* ---- the course of an attempt ---------------------------------------- */
+
+static void
+begin_attempt(KcRequest *request, const KcRouteChoice *choice, KcTime now)
+{
+    KcEntry *entry = request->entry;
+    KcAttempt *attempt = &request->attempt;
+    KcBackend *backend = choice->backend;
+
+    assert(attempt->state == KC_ATTEMPT_IDLE);
+    attempt->backend = backend;
+    attempt->number = ++request->attempts;
+    attempt->remote = choice->remote;
+    attempt->started = false;
+    attempt->stream = NULL;
+    request->tried[request->tried_count++] = backend;
+    set_state(attempt, KC_ATTEMPT_CONNECTING);
+    TAILQ_INSERT_TAIL(&backend->attempt_list, attempt, link);
+    backend->attempts++;
+    backend->sent++;
+    KcCounters_Add(entry->options.counters, KC_COUNT_ATTEMPTS, 1);
+    KcCounters_Add(entry->options.counters, KC_COUNT_RETRIES,
+                   request->attempts > 1);
+    KcCounters_Add(entry->options.counters, KC_COUNT_REMOTE_ATTEMPTS,
+                   choice->remote);
+    KcCounters_Add(entry->options.counters, KC_COUNT_CONTINUATIONS,
+                   request->offset > 0);
+    KcEntry_Event(entry, KC_EVENT_PICK, request, backend->name,
+                  choice->cost / KC_MS, now);
+    KcEntryLink_Watch(entry, backend, now);
+    if (backend->connection != NULL) {
+        send_propose(attempt, now);
+    }
+    else {
+        KcEntryLink_Connect(entry, backend);
+    }
+}
+
+/* No candidate is left: say what the last one said. */
+static void
+finish_without_candidate(KcRequest *request, KcTime now)
+{
+    KcOutcome outcome =
+        request->may_have_run || request->offset > 0 || request->started
+            ? KC_OUTCOME_UNKNOWN
+            : KC_OUTCOME_NOT_RUN;
+
+    if (request->error.code == 0) {
+        KcError_Set(&request->error, KC_ERR_NO_BACKEND, "pick", NULL);
+    }
+    if (request->retry_after == 0) {
+        request->retry_after = KC_SECOND;
+    }
+    KcEntryRequest_Finish(request, outcome, request->error.code,
+                          request->error.step, request->error.peer, now);
+}
+
+void
+KcEntryAttempt_Next(KcRequest *request, KcTime now)
+{
+    KcRouteChoice choice;
+
+    choose(request, now, &choice);
+    if (choice.backend == NULL || request->tried_count == KC_ATTEMPTS_MAX) {
+        finish_without_candidate(request, now);
+        return;
+    }
+    begin_attempt(request, &choice, now);
+}
+
+void
+KcEntryAttempt_Detach(KcRequest *request, KcTime now)
+{
+    KcAttempt *attempt = &request->attempt;
+
+    if (attempt->state == KC_ATTEMPT_IDLE) {
+        return;
+    }
+    KcTimers_Clear(request->entry->options.timers, &attempt->timer);
+    if (attempt->stream != NULL) {
+        attempt->stream->owner = NULL;
+        KcLink_CloseStream(attempt->stream, now);
+        attempt->stream = NULL;
+    }
+    TAILQ_REMOVE(&attempt->backend->attempt_list, attempt, link);
+    attempt->backend->attempts--;
+    attempt->backend = NULL;
+    set_state(attempt, KC_ATTEMPT_IDLE);
+}
+
+/* A stream that is given up must not go on at the agent. */
+static void
+withdraw(KcAttempt *attempt)
+{
+    KcMsg msg = {.type = KC_MSG_CANCEL};
+
+    if (attempt->stream != NULL && !attempt->stream->ended) {
+        send(attempt, &msg);
+    }
+}
+
+void
+KcEntryAttempt_End(KcRequest *request, KcAttemptEnd end, int code,
+                   const char *step, KcTime now)
+{
+    KcEntry *entry = request->entry;
+    KcAttempt *attempt = &request->attempt;
+    KcRetryInput input = {
+        .end = end,
+        .code = code,
+        .repeatable = request->repeatable,
+        .may_have_run = request->may_have_run,
+        .cancelled = request->cancelled,
+        .continues = request->service->kind == KC_SERVICE_MODEL,
+        .part_delivered = request->offset > 0 || request->started,
+        .attempts = request->attempts,
+        .attempts_max = entry->options.attempts_max};
+    KcRetryVerdict verdict;
+
+    KcError_Set(&request->error, code, step, attempt->backend->name);
+    if (end == KC_ATTEMPT_LOST || end == KC_ATTEMPT_FAILED) {
+        withdraw(attempt);
+    }
+    KcEntryAttempt_Detach(request, now);
+    verdict = KcRetry_Decide(&input, &entry->budget);
+    if (end == KC_ATTEMPT_FAILED || end == KC_ATTEMPT_LOST) {
+        request->may_have_run = true;
+    }
+    switch (verdict) {
+    case KC_RETRY_NEXT:
+        KcEntryAttempt_Next(request, now);
+        break;
+    case KC_RETRY_NOT_RUN:
+        KcEntryRequest_Finish(request, KC_OUTCOME_NOT_RUN, code, step,
+                              request->error.peer, now);
+        break;
+    case KC_RETRY_UNKNOWN:
+        KcEntryRequest_Finish(request, KC_OUTCOME_UNKNOWN, code, step,
+                              request->error.peer, now);
+        break;
+    }
+}
+
+/* ---- connections ----------------------------------------------------- */
+
+void
+KcEntryAttempt_OnConnected(KcAttempt *attempt, KcTime now)
+{
+    uint64_t incarnation = attempt->backend->connection->peer_incarnation;
+
+    if (attempt->state == KC_ATTEMPT_CONNECTING) {
+        send_propose(attempt, now);
+    }
+    else if (attempt->state == KC_ATTEMPT_RESUMING) {
+        if (incarnation == attempt->incarnation) {
+            send_resume(attempt, now);
+        }
+        else {
+            KcEntryAttempt_End(attempt->request, KC_ATTEMPT_LOST, KC_ERR_LOST,
+                               "resume", now);
+        }
+    }
+}
+
+static void
+on_resume_retry(KcTimer *timer, KcTime now)
+{
+    KcAttempt *attempt = timer->owner;
+
+    if (now >= attempt->resume_until) {
+        KcEntryAttempt_End(attempt->request, KC_ATTEMPT_LOST, KC_ERR_LOST,
+                           "resume", now);
+        return;
+    }
+    set_timer(attempt, on_resume_retry,
+              now + entry_of(attempt)->options.resume_retry);
+    KcEntryLink_Connect(entry_of(attempt), attempt->backend);
+}
+
+void
+KcEntryAttempt_OnConnectFailed(KcAttempt *attempt, KcTime now)
+{
+    (void)now;
+    if (attempt->state == KC_ATTEMPT_CONNECTING) {
+        KcEntryAttempt_End(attempt->request, KC_ATTEMPT_NEVER_SENT,
+                           KC_ERR_NO_BACKEND, "connect", now);
+    }
+    /* A resuming attempt tries again by its timer. */
+}
+
+void
+KcEntryAttempt_OnLinkLost(KcAttempt *attempt, KcTime now)
+{
+    KcRequest *request = attempt->request;
+    KcTime until = now + entry_of(attempt)->options.resume_timeout;
+
+    if (attempt->state == KC_ATTEMPT_CONNECTING) {
+        KcEntryLink_Connect(entry_of(attempt), attempt->backend);
+        return;
+    }
+    if (attempt->state != KC_ATTEMPT_RESUMING) {
+        /* Waiting may still tell the fate of a call never to be repeated. */
+        if (!request->repeatable && request->deadline > until) {
+            until = request->deadline;
+        }
+        attempt->resume_until = until;
+    }
+    attempt->stream = NULL;
+    set_state(attempt, KC_ATTEMPT_RESUMING);
+    set_timer(attempt, on_resume_retry,
+              now + entry_of(attempt)->options.resume_retry);
+    KcEntryLink_Connect(entry_of(attempt), attempt->backend);
+}
+
+/* ---- replies --------------------------------------------------------- */
+
+/* Takes over the load that rides on a reply. */
+static void
+learn_load(KcAttempt *attempt, const KcLoad *load, KcTime now)
+{
+    KcBackend *backend = attempt->backend;
+    KcRequest *request = attempt->request;
+
+    backend->load = *load;
+    backend->load_at = now;
+    backend->sent = 0;
+    if (request->service->kind == KC_SERVICE_MODEL) {
+        KcFleet_Learn(&request->entry->fleet, request->route_key, backend,
+                      load->resident, now);
+    }
+}
+
+static void
+on_admit(KcAttempt *attempt, const KcMsg *msg, KcTime now)
+{
+    KcRequest *request = attempt->request;
+
+    learn_load(attempt, &msg->u.admit.load, now);
+    set_state(attempt, KC_ATTEMPT_ADMITTED);
+    if (!request->cancelled) {
+        KcTimers_Clear(request->entry->options.timers, &attempt->timer);
+    }
+}
+
+static void
+on_refuse(KcAttempt *attempt, const KcMsg *msg, KcTime now)
+{
+    KcRequest *request = attempt->request;
+    const KcMsgRefuse *refuse = &msg->u.refuse;
+
+    learn_load(attempt, &refuse->load, now);
+    KcCounters_Add(request->entry->options.counters, KC_COUNT_REFUSALS, 1);
+    request->retry_after = (KcTime)refuse->retry_after_ms * KC_MS;
+    if (refuse->code == KC_ERR_LEAVING) {
+        attempt->backend->suspect_until = now + LEAVING_AVOID;
+    }
+    KcEntryAttempt_Credit(request, true);
+    KcEntryAttempt_End(request, KC_ATTEMPT_REFUSED, refuse->code, "refused",
+                       now);
+}
+
+/* Does the answer come from the adapter and version that was asked for? */
+static bool
+names_the_model(const KcRequest *request, const KcMsgStarted *started)
+{
+    return strcmp(started->adapter, request->model.adapter) == 0 &&
+           started->version == request->model.version;
+}
+
+static void
+on_started(KcAttempt *attempt, const KcMsg *msg, KcTime now)
+{
+    KcRequest *request = attempt->request;
+    KcEntry *entry = request->entry;
+
+    if (!names_the_model(request, &msg->u.started)) {
+        KcCounters_Add(entry->options.counters, KC_COUNT_WRONG_MODEL, 1);
+        KcEntryAttempt_End(request, KC_ATTEMPT_FAILED, KC_ERR_WRONG_MODEL,
+                           "started", now);
+        return;
+    }
+    attempt->started = true;
+    KcTimers_Clear(entry->options.timers, &request->timer);
+    if (request->started) {
+        return;
+    }
+    request->started = true;
+    KcEntry_Event(entry, KC_EVENT_FIRST_BYTE, request, attempt->backend->name,
+                  (now - request->arrived) / KC_MS, now);
+    if (request->caller != NULL) {
+        request->caller_ops->started(request->caller, request,
+                                     &msg->u.started);
+    }
+}
+
+static void
+on_data(KcAttempt *attempt, const KcMsg *msg, KcTime now)
+{
+    KcRequest *request = attempt->request;
+    const KcMsgData *data = &msg->u.data;
+
+    if (!attempt->started) {
+        KcEntryAttempt_End(request, KC_ATTEMPT_FAILED, KC_ERR_PROTOCOL,
+                           "data before started", now);
+        return;
+    }
+    assert(data->offset == request->offset);
+    if (request->service->kind == KC_SERVICE_MODEL) {
+        KcBuffer_Append(&request->delivered, data->bytes.data,
+                        data->bytes.size);
+    }
+    request->offset += data->bytes.size;
+    KcCounters_Add(request->entry->options.counters, KC_COUNT_TOKENS,
+                   data->tokens - request->tokens);
+    request->tokens = data->tokens;
+    charge_remote(attempt, data->bytes.size, now);
+    if (request->caller != NULL) {
+        request->caller_ops->data(request->caller, request, data->bytes,
+                                  data->tokens);
+    }
+    else {
+        KcEntry_Consumed(request, request->offset, now);
+    }
+}
+
+static void
+on_end(KcAttempt *attempt, const KcMsg *msg, KcTime now)
+{
+    KcRequest *request = attempt->request;
+    const KcMsgEnd *end = &msg->u.end;
+
+    learn_load(attempt, &end->load, now);
+    KcEntryAttempt_Credit(request, true);
+    if (end->code != 0) {
+        KcEntryAttempt_End(request,
+                           end->ran ? KC_ATTEMPT_FAILED : KC_ATTEMPT_REFUSED,
+                           end->code, "answer", now);
+        return;
+    }
+    if (!attempt->started) {
+        KcEntryAttempt_End(request, KC_ATTEMPT_FAILED, KC_ERR_PROTOCOL,
+                           "end before started", now);
+        return;
+    }
+    KcName_Copy(request->finish, end->finish, sizeof(request->finish));
+    KcEntryAttempt_Detach(request, now);
+    KcEntryRequest_Finish(request, KC_OUTCOME_ANSWERED, 0, "", NULL, now);
+}
+
+static void (*const handlers[KC_MSG_COUNT])(KcAttempt *attempt,
+                                            const KcMsg *msg, KcTime now) = {
+    [KC_MSG_ADMIT] = on_admit,     [KC_MSG_REFUSE] = on_refuse,
+    [KC_MSG_STARTED] = on_started, [KC_MSG_DATA] = on_data,
+    [KC_MSG_END] = on_end,
+};
+
+void
+KcEntryAttempt_OnMessage(KcAttempt *attempt, const KcMsg *msg, KcTime now)
+{
+    assert(handlers[msg->type] != NULL);
+    handlers[msg->type](attempt, msg, now);
+}
--- /dev/null
+++ b/lib/process/entry_link.c
@@ -0,0 +1,210 @@
+/*
+ * The entry's connections to agents.
+ */
+#include <assert.h>
+#include <string.h>
+
+#include "entry_internal.h"
+
+/* Failures in a row after which the time of avoidance grows no more. */
+#define SUSPECT_DOUBLINGS 6
+#define LEAVING_AVOID (30 * KC_SECOND)
+
+void
+KcEntryLink_Connect(KcEntry *entry, KcBackend *backend)
+{
+    if (backend->connection != NULL || backend->connecting) {
+        return;
+    }
+    backend->connecting = true;
+    entry->options.ops->connect(entry->options.context, backend);
+}
+
+void
+KcEntryLink_Suspect(KcEntry *entry, KcBackend *backend, KcTime now)
+{
+    uint32_t doublings = backend->failures;
+
+    if (doublings > SUSPECT_DOUBLINGS) {
+        doublings = SUSPECT_DOUBLINGS;
+    }
+    backend->failures++;
+    backend->suspect_until = now + (entry->options.suspect << doublings);
+}
+
+static KcEntry *
+entry_of(const KcBackend *backend)
+{
+    return TAILQ_FIRST(&backend->attempt_list)->request->entry;
+}
+
+/* While attempts wait, a silent agent is asked, and then given up. */
+static void
+on_watch(KcTimer *timer, KcTime now)
+{
+    KcBackend *backend = timer->owner;
+    KcLink *link = backend->connection;
+    KcMsg msg = {.type = KC_MSG_PING};
+    KcEntry *entry;
+    KcTime silent;
+
+    if (TAILQ_EMPTY(&backend->attempt_list)) {
+        return; /* set again by the next attempt */
+    }
+    entry = entry_of(backend);
+    KcTimers_Set(entry->options.timers, timer,
+                 now + entry->options.ping_after);
+    if (link == NULL) {
+        return;
+    }
+    silent = now - link->heard_at;
+    if (silent >= entry->options.lost_after) {
+        link->ops->close(link->transport);
+        KcEntry_OnLinkLost(entry, backend, KC_ERR_LOST, now);
+    }
+    else if (silent >= entry->options.ping_after) {
+        KcLink_Send(link, &msg);
+    }
+}
+
+void
+KcEntryLink_Watch(KcEntry *entry, KcBackend *backend, KcTime now)
+{
+    if (backend->watch.fire == NULL) {
+        KcTimer_Init(&backend->watch, on_watch, backend);
+    }
+    if (backend->watch.due != KC_NEVER) {
+        return;
+    }
+    /* Silence is counted from now, when an answer is first waited for. */
+    if (backend->connection != NULL) {
+        backend->connection->heard_at = now;
+    }
+    KcTimers_Set(entry->options.timers, &backend->watch,
+                 now + entry->options.ping_after);
+}
+
+static void
+link_event(KcEntry *entry, KcEventType type, const KcBackend *backend,
+           int code, KcTime now)
+{
+    KcEventInfo info = {.peer = backend->name,
+                        .generation = KcSync_Generation(entry->sync),
+                        .detail = code};
+
+    KcEvents_Add(entry->options.events, type, now, &info);
+}
+
+static void
+stamp(void *context, KcMsg *msg)
+{
+    KcEntry *entry = context;
+    KcTime now = entry->options.clock(entry->options.context);
+
+    msg->generation = KcSync_Generation(entry->sync);
+    msg->clock = KcEvents_Clock(entry->options.events, now);
+}
+
+void
+KcEntry_OnConnected(KcEntry *entry, KcBackend *backend, KcLink *link,
+                    KcTime now)
+{
+    KcAttempt *attempt;
+    KcAttempt *next;
+
+    assert(backend->connection == NULL && link->greeted);
+    backend->connecting = false;
+    backend->connection = link;
+    backend->failures = 0;
+    backend->suspect_until = 0;
+    backend->incarnation = link->peer_incarnation;
+    link->owner = backend;
+    link->stamp = stamp;
+    link->stamp_context = entry;
+    link_event(entry, KC_EVENT_LINK_UP, backend, 0, now);
+    TAILQ_FOREACH_SAFE (attempt, &backend->attempt_list, link, next) {
+        KcEntryAttempt_OnConnected(attempt, now);
+    }
+}
+
+void
+KcEntry_OnConnectFailed(KcEntry *entry, KcBackend *backend, KcTime now)
+{
+    KcAttempt *attempt;
+    KcAttempt *next;
+
+    backend->connecting = false;
+    KcEntryLink_Suspect(entry, backend, now);
+    TAILQ_FOREACH_SAFE (attempt, &backend->attempt_list, link, next) {
+        KcEntryAttempt_OnConnectFailed(attempt, now);
+    }
+}
+
+/* Takes every stream of a lost link from its attempt. */
+static void
+release_streams(KcLink *link, KcTime now)
+{
+    KcStream *stream;
+
+    while ((stream = TAILQ_FIRST(&link->stream_list)) != NULL) {
+        KcAttempt *attempt = stream->owner;
+
+        if (attempt != NULL) {
+            attempt->stream = NULL;
+        }
+        stream->owner = NULL;
+        KcLink_CloseStream(stream, now);
+    }
+}
+
+void
+KcEntry_OnLinkLost(KcEntry *entry, KcBackend *backend, int code, KcTime now)
+{
+    KcLink *link = backend->connection;
+    KcAttempt *attempt;
+    KcAttempt *next;
+
+    assert(link != NULL);
+    backend->connection = NULL;
+    release_streams(link, now);
+    KcLink_Free(link);
+    link_event(entry, KC_EVENT_LINK_LOST, backend, code, now);
+    KcEntryLink_Suspect(entry, backend, now);
+    TAILQ_FOREACH_SAFE (attempt, &backend->attempt_list, link, next) {
+        KcEntryAttempt_OnLinkLost(attempt, now);
+    }
+}
+
+static void
+on_leaving(KcEntry *entry, KcBackend *backend, KcTime now)
+{
+    (void)entry;
+    backend->suspect_until = now + LEAVING_AVOID;
+}
+
+void
+KcEntry_OnMessage(KcEntry *entry, KcBackend *backend, const KcMsg *msg,
+                  KcTime now)
+{
+    KcLink *link = backend->connection;
+    KcStream *stream;
+    KcError error;
+
+    assert(link != NULL);
+    KcEvents_Observe(entry->options.events, msg->clock, now);
+    if (KcLink_Receive(link, msg, &stream, now, &error) != 0) {
+        KcCounters_Add(entry->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
+        link->ops->close(link->transport);
+        KcEntry_OnLinkLost(entry, backend, error.code, now);
+        return;
+    }
+    if (KcSync_OnMessage(entry->sync, link, msg, now)) {
+        return;
+    }
+    if (msg->type == KC_MSG_LEAVING) {
+        on_leaving(entry, backend, now);
+    }
+    else if (stream != NULL && stream->owner != NULL) {
+        KcEntryAttempt_OnMessage(stream->owner, msg, now);
+    }
+}
--- /dev/null
+++ b/lib/process/entry_request.c
@@ -0,0 +1,421 @@
+/*
+ * A request at the entry from submission to outcome.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "entry_internal.h"
+
+/* A claim is tried for as long as the deadline allows, but no longer. */
+#define CLAIM_GIVE_UP (3 * KC_SECOND)
+#define CLAIM_RETRY (100 * KC_MS)
+#define CLAIM_SETTLE (60 * KC_SECOND)
+
+static const KcCounter outcome_counters[] = {
+    [KC_OUTCOME_NONE] = KC_COUNT_UNKNOWN,
+    [KC_OUTCOME_ANSWERED] = KC_COUNT_ANSWERED,
+    [KC_OUTCOME_NOT_RUN] = KC_COUNT_NOT_RUN,
+    [KC_OUTCOME_UNKNOWN] = KC_COUNT_UNKNOWN,
+};
+
+static void
+free_request(KcRequest *request)
+{
+    assert(request->attempt.state == KC_ATTEMPT_IDLE);
+    KcBuffer_Clear(&request->body);
+    KcBuffer_Clear(&request->delivered);
+    KcDocument_Release(request->document);
+    free(request);
+}
+
+static void
+hold(KcRequest *request)
+{
+    request->held++;
+}
+
+static void
+release(KcRequest *request)
+{
+    assert(request->held > 0);
+    request->held--;
+    if (request->held == 0 && request->finished) {
+        free_request(request);
+    }
+}
+
+static KcClaimMark
+mark_of(KcOutcome outcome)
+{
+    switch (outcome) {
+    case KC_OUTCOME_ANSWERED:
+        return KC_CLAIM_DONE;
+    case KC_OUTCOME_NOT_RUN:
+        return KC_CLAIM_RELEASED;
+    default:
+        return KC_CLAIM_UNKNOWN;
+    }
+}
+
+static void
+tell_caller(KcRequest *request, KcOutcome outcome, KcClaimMark earlier)
+{
+    KcResult result = {.id = request->id,
+                       .outcome = outcome,
+                       .error = request->error,
+                       .retry_after = request->retry_after,
+                       .duplicate = request->error.code == KC_ERR_DUPLICATE,
+                       .earlier = earlier,
+                       .finish = request->finish,
+                       .tokens = request->tokens,
+                       .model = &request->model};
+
+    if (request->caller != NULL) {
+        request->caller_ops->finished(request->caller, &result);
+        request->caller = NULL;
+    }
+}
+
+/* Ends a request; earlier is what became of the call before a duplicate. */
+static void
+finish(KcRequest *request, KcOutcome outcome, KcClaimMark earlier, KcTime now)
+{
+    KcEntry *entry = request->entry;
+
+    assert(!request->finished);
+    assert(request->attempt.state == KC_ATTEMPT_IDLE);
+    request->finished = true;
+    KcTimers_Clear(entry->options.timers, &request->timer);
+    if (request->claim != NULL) {
+        KcClaim_End(request->claim, mark_of(outcome), now);
+        request->claim = NULL;
+    }
+    if (request->customer != NULL) {
+        KcCustomers_Leave(request->customer);
+    }
+    KcCounters_Add(entry->options.counters, outcome_counters[outcome], 1);
+    KcEntry_Event(entry, KC_EVENT_FINISH, request, request->error.peer,
+                  outcome, now);
+    TAILQ_REMOVE(&entry->requests, request, link);
+    entry->request_count--;
+    tell_caller(request, outcome, earlier);
+    if (request->held == 0) {
+        free_request(request);
+    }
+}
+
+void
+KcEntryRequest_Finish(KcRequest *request, KcOutcome outcome, int code,
+                      const char *step, const char *peer, KcTime now)
+{
+    KcError_Set(&request->error, code, step, peer);
+    finish(request, outcome, KC_CLAIM_UNKNOWN, now);
+}
+
+static void
+finish_not_run(KcRequest *request, int code, const char *step, KcTime now)
+{
+    KcEntryRequest_Finish(request, KC_OUTCOME_NOT_RUN, code, step, NULL, now);
+}
+
+/* The key was used before: what that call did decides what is said. */
+static void
+finish_duplicate(KcRequest *request, KcClaimMark earlier, KcTime now)
+{
+    KcCounters_Add(request->entry->options.counters, KC_COUNT_DUPLICATES, 1);
+    KcError_Set(&request->error, KC_ERR_DUPLICATE, "claim", NULL);
+    finish(request, KC_OUTCOME_UNKNOWN, earlier, now);
+}
+
+static KcTime
+claim_clock(void *context)
+{
+    KcEntry *entry = context;
+
+    return entry->options.clock(entry->options.context);
+}
+
+static void
+on_verdict(void *context, const KcClaimVerdict *verdict, KcTime now)
+{
+    KcRequest *request = context;
+
+    KcEntry_Event(request->entry, KC_EVENT_CLAIM, request, NULL, verdict->code,
+                  now);
+    if (verdict->code == KC_ERR_DUPLICATE) {
+        finish_duplicate(request, verdict->mark, now);
+    }
+    else if (verdict->code != 0) {
+        request->retry_after = KC_SECOND;
+        finish_not_run(request, verdict->code, "claim", now);
+    }
+    else {
+        KcEntryAttempt_Next(request, now);
+    }
+}
+
+static void
+start_claim(KcRequest *request, const char *key, KcTime now)
+{
+    KcEntry *entry = request->entry;
+    KcClaimOptions options = {.ops = entry->options.object_ops,
+                              .objects = entry->options.objects,
+                              .timers = entry->options.timers,
+                              .service = request->service->name,
+                              .customer = request->customer_name,
+                              .key = key,
+                              .token = &request->id,
+                              .give_up = now + CLAIM_GIVE_UP,
+                              .retry = CLAIM_RETRY,
+                              .settle = CLAIM_SETTLE,
+                              .clock = claim_clock,
+                              .clock_context = entry,
+                              .verdict = on_verdict,
+                              .context = request};
+
+    if (options.give_up > request->deadline) {
+        options.give_up = request->deadline;
+    }
+    KcCounters_Add(entry->options.counters, KC_COUNT_CLAIMS, 1);
+    request->claim = KcClaim_Start(&options, now);
+}
+
+/* The deadline passed and the answer has not begun. */
+static void
+on_deadline(KcTimer *timer, KcTime now)
+{
+    KcRequest *request = timer->owner;
+    KcAttemptState state = request->attempt.state;
+
+    assert(!request->started);
+    request->cancelled = true;
+    if (state == KC_ATTEMPT_IDLE || state == KC_ATTEMPT_CONNECTING) {
+        KcOutcome outcome =
+            request->may_have_run ? KC_OUTCOME_UNKNOWN : KC_OUTCOME_NOT_RUN;
+
+        KcEntryAttempt_Detach(request, now);
+        KcEntryRequest_Finish(request, outcome, KC_ERR_DEADLINE, "deadline",
+                              NULL, now);
+        return;
+    }
+    KcEntryAttempt_Cancel(request, now);
+}
+
+static KcRequest *
+create_request(KcEntry *entry, const KcCall *call, KcTime now)
+{
+    KcRequest *request = KcMem_New(sizeof(*request));
+
+    request->entry = entry;
+    request->id.nonce = entry->options.incarnation;
+    request->id.sequence = ++entry->sequence;
+    request->arrived = now;
+    request->priority = call->priority;
+    request->attempt.request = request;
+    KcName_Copy(request->customer_name, call->customer, KC_NAME_MAX);
+    KcName_Copy(request->method, call->method, sizeof(request->method));
+    KcName_Copy(request->path, call->path, sizeof(request->path));
+    KcName_Copy(request->content_type, call->content_type, KC_NAME_MAX);
+    KcBuffer_Append(&request->body, call->body.data, call->body.size);
+    KcTimer_Init(&request->timer, on_deadline, request);
+    KcTimer_Init(&request->attempt.timer, NULL, &request->attempt);
+    TAILQ_INSERT_TAIL(&entry->requests, request, link);
+    entry->request_count++;
+    return request;
+}
+
+/* Calls that only read may be repeated whatever the service says. */
+static bool
+only_reads(const char *method)
+{
+    return strcmp(method, "GET") == 0 || strcmp(method, "HEAD") == 0;
+}
+
+/* Finds the service, and for a model call the adapter and version. */
+static int
+resolve(KcRequest *request, const KcCall *call)
+{
+    KcDocument *document = request->entry->document;
+    KcService *service = NULL;
+    int code = 0;
+
+    request->document = KcDocument_Retain(document);
+    if (call->plain) {
+        service = KcDocument_ServiceByPath(document, call->path);
+        code = service != NULL ? 0 : KC_ERR_NOT_FOUND;
+        request->route_key = request->id.nonce ^ request->id.sequence;
+    }
+    else {
+        code = KcDocument_Resolve(document, call->model, &request->model,
+                                  &service);
+        request->route_key = KcRoute_Key(&request->model);
+    }
+    if (code != 0) {
+        return code;
+    }
+    request->service = service;
+    request->repeatable = service->repeatable || only_reads(call->method);
+    return 0;
+}
+
+static int
+check_limits(KcRequest *request, KcTime now)
+{
+    KcEntry *entry = request->entry;
+    KcLimit *limit =
+        KcDocument_Limit(request->document, request->customer_name);
+    int code;
+
+    if (entry->request_count > entry->options.requests_max) {
+        request->retry_after = KC_SECOND;
+        return KC_ERR_BUSY;
+    }
+    if (limit == NULL) {
+        return 0;
+    }
+    code = KcCustomers_Admit(&entry->customers, request->customer_name, limit,
+                             entry->entries, now, &request->customer,
+                             &request->retry_after);
+    if (code != 0) {
+        KcCounters_Add(entry->options.counters, KC_COUNT_LIMITED, 1);
+    }
+    return code;
+}
+
+/* Checks everything that needs no other process.  *step says what failed. */
+static int
+check_call(KcRequest *request, const KcCall *call, KcTime now,
+           const char **step)
+{
+    KcEntry *entry = request->entry;
+    int code = KcEntry_Ready(entry);
+
+    *step = "ready";
+    if (code != 0) {
+        return code;
+    }
+    *step = "resolve";
+    code = resolve(request, call);
+    if (code != 0) {
+        return code;
+    }
+    *step = "limits";
+    code = check_limits(request, now);
+    if (code != 0) {
+        return code;
+    }
+    *step = "key";
+    if (request->service->require_key && !request->repeatable &&
+        call->key == NULL) {
+        return KC_ERR_KEY_REQUIRED;
+    }
+    return 0;
+}
+
+static void
+begin(KcRequest *request, const KcCall *call, KcTime now)
+{
+    KcEntry *entry = request->entry;
+    const char *step;
+    KcTime allowed;
+    int code = check_call(request, call, now, &step);
+
+    KcEntry_Event(entry, KC_EVENT_REQUEST, request, NULL,
+                  (int64_t)request->priority, now);
+    if (code != 0) {
+        finish_not_run(request, code, step, now);
+        return;
+    }
+    allowed = request->service->deadline_ms * KC_MS;
+    if (call->deadline > 0 && call->deadline < allowed) {
+        allowed = call->deadline;
+    }
+    request->deadline = now + allowed;
+    KcTimers_Set(entry->options.timers, &request->timer, request->deadline);
+    KcRetryBudget_Deposit(&entry->budget);
+    if (!request->repeatable && call->key != NULL) {
+        start_claim(request, call->key, now);
+    }
+    else {
+        KcEntryAttempt_Next(request, now);
+    }
+}
+
+KcRequest *
+KcEntry_Submit(KcEntry *entry, const KcCall *call,
+               const KcCallerOps *caller_ops, void *caller, KcTime now)
+{
+    KcRequest *request = create_request(entry, call, now);
+    bool finished;
+
+    request->caller_ops = caller_ops;
+    request->caller = caller;
+    KcCounters_Add(entry->options.counters, KC_COUNT_REQUESTS, 1);
+    hold(request);
+    begin(request, call, now);
+    finished = request->finished;
+    release(request);
+    return finished ? NULL : request;
+}
+
+void
+KcEntry_Abandon(KcRequest *request, KcTime now)
+{
+    KcEntry *entry = request->entry;
+
+    assert(!request->finished);
+    KcCounters_Add(entry->options.counters, KC_COUNT_ABANDONED, 1);
+    request->caller = NULL;
+    if (!request->repeatable) {
+        KcEntry_Consumed(request, request->offset, now);
+        return;
+    }
+    request->cancelled = true;
+    if (request->attempt.state == KC_ATTEMPT_PROPOSED ||
+        request->attempt.state == KC_ATTEMPT_ADMITTED) {
+        KcEntryAttempt_Cancel(request, now);
+        return;
+    }
+    KcEntryAttempt_Detach(request, now);
+    KcEntryRequest_Finish(request, KC_OUTCOME_UNKNOWN, KC_ERR_CANCELLED,
+                          "caller", NULL, now);
+}
+
+/* Has any attempt been sent whose fate is not known to be harmless? */
+static bool
+may_have_run(const KcRequest *request)
+{
+    return request->may_have_run || request->started ||
+           request->attempt.state >= KC_ATTEMPT_PROPOSED;
+}
+
+void
+KcEntry_Abort(KcEntry *entry, KcTime now)
+{
+    KcRequest *request;
+
+    while ((request = TAILQ_FIRST(&entry->requests)) != NULL) {
+        KcOutcome outcome =
+            may_have_run(request) ? KC_OUTCOME_UNKNOWN : KC_OUTCOME_NOT_RUN;
+
+        request->cancelled = true;
+        KcEntryAttempt_Detach(request, now);
+        KcEntryRequest_Finish(request, outcome, KC_ERR_LEAVING, "stop", NULL,
+                              now);
+    }
+}
+
+void
+KcEntry_Consumed(KcRequest *request, uint64_t offset, KcTime now)
+{
+    uint64_t step = request->entry->options.window / 4;
+
+    (void)now;
+    assert(offset <= request->offset);
+    request->consumed = offset;
+    /* After a continuation the new agent starts beyond what was consumed. */
+    if (request->consumed >= request->credited + step) {
+        KcEntryAttempt_Credit(request, false);
+    }
+}
--- /dev/null
+++ b/lib/process/error.c
@@ -0,0 +1,163 @@
+/*
+ * Names of error numbers and outcomes, request ids, and the allocation
+ * helpers.  Everything here lives as long as the process.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kcc_types.h"
+
+/* Indexed by the negated error number. */
+static const char *const error_names[] = {
+    "ok",
+    "no_memory",
+    "invalid_value",
+    "parse_error",
+    "protocol_error",
+    "too_large",
+    "unknown_model",
+    "version_retired",
+    "no_document",
+    "behind",
+    "busy",
+    "leaving",
+    "no_backend",
+    "limit_exceeded",
+    "deadline_exceeded",
+    "cancelled",
+    "peer_lost",
+    "load_failed",
+    "wrong_model",
+    "duplicate",
+    "conflict",
+    "object_api_unavailable",
+    "not_found",
+    "no_lease",
+    "stale_fence",
+    "backend_error",
+    "idempotency_key_required",
+    "unknown_work",
+};
+
+_Static_assert(sizeof(error_names) / sizeof(error_names[0]) ==
+                   -KC_ERR_LIMIT_MARK,
+               "every error number has a name");
+
+const char *
+KcError_Name(int code)
+{
+    if (code > 0 || code <= KC_ERR_LIMIT_MARK) {
+        return "unknown_error";
+    }
+    return error_names[-code];
+}
+
+int
+KcError_Set(KcError *err, int code, const char *step, const char *peer)
+{
+    if (err != NULL) {
+        err->code = code;
+        err->step = step;
+        KcName_Copy(err->peer, peer != NULL ? peer : "", sizeof(err->peer));
+    }
+    return code;
+}
+
+const char *
+KcOutcome_Name(KcOutcome outcome)
+{
+    switch (outcome) {
+    case KC_OUTCOME_ANSWERED:
+        return "answered";
+    case KC_OUTCOME_NOT_RUN:
+        return "not_run";
+    case KC_OUTCOME_UNKNOWN:
+        return "unknown";
+    case KC_OUTCOME_NONE:
+        break;
+    }
+    return "none";
+}
+
+void
+KcRequestId_Format(const KcRequestId *id, char text[KC_REQUEST_ID_TEXT])
+{
+    snprintf(text, KC_REQUEST_ID_TEXT, "%016" PRIx64 "%016" PRIx64, id->nonce,
+             id->sequence);
+}
+
+int
+KcRequestId_Parse(const char *text, KcRequestId *id)
+{
+    char half[17];
+    char *end;
+
+    if (strlen(text) != KC_REQUEST_ID_TEXT - 1 ||
+        strspn(text, "0123456789abcdef") != KC_REQUEST_ID_TEXT - 1) {
+        return KC_ERR_PARSE;
+    }
+    memcpy(half, text, 16);
+    half[16] = '\0';
+    id->nonce = strtoull(half, &end, 16);
+    id->sequence = strtoull(text + 16, &end, 16);
+    return 0;
+}
+
+bool
+KcRequestId_Equal(const KcRequestId *a, const KcRequestId *b)
+{
+    return a->nonce == b->nonce && a->sequence == b->sequence;
+}
+
+void
+KcModelRef_Format(const KcModelRef *ref, char text[KC_MODEL_TEXT])
+{
+    snprintf(text, KC_MODEL_TEXT, "%s@%u", ref->adapter, ref->version);
+}
+
+void
+KcName_Copy(char *to, const char *from, size_t size)
+{
+    size_t length = strnlen(from, size - 1);
+
+    memmove(to, from, length);
+    to[length] = '\0';
+}
+
+int
+KcName_Check(const char *name)
+{
+    size_t length = strlen(name);
+    size_t good = strspn(name, "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                               "abcdefghijklmnopqrstuvwxyz"
+                               "0123456789._-");
+
+    if (length == 0 || length >= KC_NAME_MAX || good != length) {
+        return KC_ERR_INVALID;
+    }
+    return 0;
+}
+
+void *
+KcMem_New(size_t size)
+{
+    void *memory = calloc(1, size > 0 ? size : 1);
+
+    if (memory == NULL) {
+        abort();
+    }
+    return memory;
+}
+
+void *
+KcMem_Grow(void *old, size_t size)
+{
+    void *memory = realloc(old, size > 0 ? size : 1);
+
+    if (memory == NULL) {
+        abort();
+    }
+    return memory;
+}
--- /dev/null
+++ b/lib/process/fleet.c
@@ -0,0 +1,272 @@
+/*
+ * The backend servers known to an entry, by service, and the adapters known
+ * to be loaded at them.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "kcc_process.h"
+
+void
+KcFleet_Init(KcFleet *fleet, uint32_t hint_max)
+{
+    memset(fleet, 0, sizeof(*fleet));
+    TAILQ_INIT(&fleet->backends);
+    TAILQ_INIT(&fleet->pools);
+    TAILQ_INIT(&fleet->hint_list);
+    fleet->hint_max = hint_max;
+}
+
+KcBackend *
+KcFleet_Find(const KcFleet *fleet, const char *name)
+{
+    KcBackend *backend;
+
+    HASH_FIND_STR(fleet->by_name, name, backend);
+    return backend;
+}
+
+KcPool *
+KcFleet_Pool(const KcFleet *fleet, const char *service)
+{
+    KcPool *pool;
+
+    TAILQ_FOREACH (pool, &fleet->pools, link) {
+        if (strcmp(pool->service, service) == 0) {
+            return pool;
+        }
+    }
+    return NULL;
+}
+
+static KcPool *
+find_or_add_pool(KcFleet *fleet, const char *service)
+{
+    KcPool *pool = KcFleet_Pool(fleet, service);
+
+    if (pool == NULL) {
+        pool = KcMem_New(sizeof(*pool));
+        KcName_Copy(pool->service, service, KC_NAME_MAX);
+        TAILQ_INSERT_TAIL(&fleet->pools, pool, link);
+    }
+    return pool;
+}
+
+static void
+pool_add(KcPool *pool, KcBackend *backend)
+{
+    if (pool->count == pool->capacity) {
+        pool->capacity = pool->capacity > 0 ? pool->capacity * 2 : 16;
+        pool->members = KcMem_Grow(pool->members,
+                                   pool->capacity * sizeof(pool->members[0]));
+    }
+    backend->pool = pool;
+    backend->index = pool->count;
+    pool->members[pool->count++] = backend;
+    pool->epoch++;
+}
+
+static void
+pool_remove(KcPool *pool, KcBackend *backend)
+{
+    KcBackend *last = pool->members[pool->count - 1];
+
+    pool->members[backend->index] = last;
+    last->index = backend->index;
+    pool->count--;
+    pool->epoch++;
+}
+
+static void
+forget_holder(KcFleet *fleet, KcBackend *backend)
+{
+    KcHint *hint;
+
+    TAILQ_FOREACH (hint, &fleet->hint_list, link) {
+        for (int i = 0; i < 4; i++) {
+            if (hint->holders[i] == backend) {
+                hint->holders[i] = NULL;
+            }
+        }
+    }
+}
+
+static void
+remove_backend(KcFleet *fleet, KcBackend *backend)
+{
+    assert(backend->connection == NULL);
+    assert(TAILQ_EMPTY(&backend->attempt_list));
+    forget_holder(fleet, backend);
+    pool_remove(backend->pool, backend);
+    HASH_DEL(fleet->by_name, backend);
+    TAILQ_REMOVE(&fleet->backends, backend, link);
+    free(backend);
+}
+
+static KcBackend *
+add_backend(KcFleet *fleet, const KcInstance *instance)
+{
+    KcBackend *backend = KcMem_New(sizeof(*backend));
+
+    KcName_Copy(backend->name, instance->name, KC_NAME_MAX);
+    KcName_Copy(backend->service, instance->service, KC_NAME_MAX);
+    backend->hash = XXH3_64bits(backend->name, strlen(backend->name));
+    TAILQ_INIT(&backend->attempt_list);
+    HASH_ADD_STR(fleet->by_name, name, backend);
+    TAILQ_INSERT_TAIL(&fleet->backends, backend, link);
+    pool_add(find_or_add_pool(fleet, instance->service), backend);
+    return backend;
+}
+
+/* Takes over where an instance stands; a change alters the candidates. */
+static void
+place_backend(KcBackend *backend, const KcInstance *instance,
+              const KcDocument *document)
+{
+    KcDatacentre *datacentre = NULL;
+    const char *region = "";
+
+    if (document != NULL) {
+        datacentre = KcDocument_Datacentre(document, instance->datacentre);
+    }
+    if (datacentre != NULL) {
+        region = datacentre->region;
+    }
+    KcName_Copy(backend->datacentre, instance->datacentre, KC_NAME_MAX);
+    if (strcmp(backend->region, region) != 0) {
+        KcName_Copy(backend->region, region, KC_NAME_MAX);
+        backend->pool->epoch++;
+    }
+}
+
+/* Takes over one line of the instance list. */
+static void
+update_backend(KcFleet *fleet, const KcInstance *instance,
+               const KcDocument *document)
+{
+    KcBackend *backend = KcFleet_Find(fleet, instance->name);
+
+    if (backend == NULL) {
+        backend = add_backend(fleet, instance);
+    }
+    if (strcmp(backend->address, instance->address) != 0) {
+        /* A replacement under the same name starts without a record. */
+        KcName_Copy(backend->address, instance->address, KC_ADDRESS_MAX);
+        backend->suspect_until = 0;
+        backend->failures = 0;
+        backend->leaving = false;
+    }
+    place_backend(backend, instance, document);
+    backend->listed = true;
+    /* What an agent says itself is noted in suspect_until. */
+    backend->leaving = instance->leaving;
+}
+
+void
+KcFleet_Update(KcFleet *fleet, const KcInstance *instances, size_t count,
+               const KcDocument *document,
+               void (*forget)(void *context, KcBackend *backend),
+               void *context)
+{
+    KcBackend *backend;
+    KcBackend *next;
+
+    TAILQ_FOREACH (backend, &fleet->backends, link) {
+        backend->listed = false;
+    }
+    for (size_t i = 0; i < count; i++) {
+        update_backend(fleet, &instances[i], document);
+    }
+    TAILQ_FOREACH_SAFE (backend, &fleet->backends, link, next) {
+        if (!backend->listed && !backend->connecting &&
+            TAILQ_EMPTY(&backend->attempt_list)) {
+            forget(context, backend);
+            remove_backend(fleet, backend);
+        }
+    }
+}
+
+static void
+clear_hints(KcFleet *fleet)
+{
+    KcHint *hint;
+
+    while ((hint = TAILQ_FIRST(&fleet->hint_list)) != NULL) {
+        TAILQ_REMOVE(&fleet->hint_list, hint, link);
+        HASH_DEL(fleet->hints, hint);
+        free(hint);
+    }
+}
+
+void
+KcFleet_Clear(KcFleet *fleet)
+{
+    KcBackend *backend;
+    KcPool *pool;
+
+    clear_hints(fleet);
+    while ((backend = TAILQ_FIRST(&fleet->backends)) != NULL) {
+        remove_backend(fleet, backend);
+    }
+    while ((pool = TAILQ_FIRST(&fleet->pools)) != NULL) {
+        TAILQ_REMOVE(&fleet->pools, pool, link);
+        free(pool->members);
+        free(pool->buckets);
+        free(pool);
+    }
+}
+
+/* Finds or adds the hint of a key, dropping the least recently used. */
+static KcHint *
+touch_hint(KcFleet *fleet, uint64_t key)
+{
+    KcHint *hint;
+
+    HASH_FIND(hh, fleet->hints, &key, sizeof(key), hint);
+    if (hint != NULL) {
+        TAILQ_REMOVE(&fleet->hint_list, hint, link);
+        TAILQ_INSERT_TAIL(&fleet->hint_list, hint, link);
+        return hint;
+    }
+    if (fleet->hint_count == fleet->hint_max) {
+        hint = TAILQ_FIRST(&fleet->hint_list);
+        TAILQ_REMOVE(&fleet->hint_list, hint, link);
+        HASH_DEL(fleet->hints, hint);
+        free(hint);
+        fleet->hint_count--;
+    }
+    hint = KcMem_New(sizeof(*hint));
+    hint->key = key;
+    HASH_ADD(hh, fleet->hints, key, sizeof(hint->key), hint);
+    TAILQ_INSERT_TAIL(&fleet->hint_list, hint, link);
+    fleet->hint_count++;
+    return hint;
+}
+
+void
+KcFleet_Learn(KcFleet *fleet, uint64_t key, KcBackend *backend, bool resident,
+              KcTime now)
+{
+    KcHint *hint = touch_hint(fleet, key);
+    int oldest = 0;
+
+    for (int i = 0; i < 4; i++) {
+        if (hint->holders[i] == backend) {
+            hint->holders[i] = resident ? backend : NULL;
+            hint->at[i] = now;
+            return;
+        }
+        if (hint->holders[i] == NULL) {
+            hint->at[i] = 0;
+        }
+        if (hint->at[i] < hint->at[oldest]) {
+            oldest = i;
+        }
+    }
+    if (resident) {
+        hint->holders[oldest] = backend;
+        hint->at[oldest] = now;
+    }
+}
--- /dev/null
+++ b/lib/process/hash_internal.h
@@ -0,0 +1,21 @@
+/*
+ * The 64-bit mixing function behind routing.
+ */
+#ifndef KCC_HASH_INTERNAL_H
+#define KCC_HASH_INTERNAL_H
+
+#include <stdint.h>
+
+/* Spreads a number over all 64 bits (finalizer of splitmix64). */
+static inline uint64_t
+mix64(uint64_t x)
+{
+    x ^= x >> 30;
+    x *= 0xbf58476d1ce4e5b9ULL;
+    x ^= x >> 27;
+    x *= 0x94d049bb133111ebULL;
+    x ^= x >> 31;
+    return x;
+}
+
+#endif
--- /dev/null
+++ b/lib/process/kcc_agent.h
@@ -0,0 +1,132 @@
+/*
+ * The agent: the authority on one backend server.  It admits or refuses
+ * proposals, orders adapters to be loaded and evicted, and keeps answers
+ * until their entry has them.
+ */
+#ifndef KCC_AGENT_H
+#define KCC_AGENT_H
+
+#include "kcc_process.h"
+
+typedef struct KcAgent KcAgent;
+
+/* One adapter as an engine lists it. */
+typedef struct KcEngineAdapter {
+    char name[KC_ENGINE_NAME_MAX];
+    uint32_t active; /* calls it is serving */
+} KcEngineAdapter;
+
+/* The backend server seam. */
+typedef struct KcBackendOps {
+    /*
+     * Sends a work to the backend server.  Answered by KcAgent_OnStarted(),
+     * KcAgent_OnData() and KcAgent_OnEnd(), never before returning.
+     */
+    void (*start)(void *backend, KcWork *work);
+    /* Stops a work; nothing is reported for it afterwards. */
+    void (*cancel)(void *backend, KcWork *work);
+    /* Pauses or resumes reading the answer of a work. */
+    void (*throttle)(void *backend, KcWork *work, bool paused);
+    /* Orders a load; answered by KcAgent_OnLoaded(). */
+    void (*load)(void *backend, KcSlot *slot);
+    /* Orders an eviction; answered by KcAgent_OnEvicted(). */
+    void (*evict)(void *backend, KcSlot *slot, uint64_t fence);
+    /* Evicts an adapter that is in no slot; not answered. */
+    void (*evict_stray)(void *backend, const char *name, uint64_t fence);
+    /* Asks for the adapters held; answered by KcAgent_OnInspected(). */
+    void (*inspect)(void *backend);
+} KcBackendOps;
+
+/* Options of an agent; durations in microseconds. */
+typedef struct KcAgentOptions {
+    const char *name; /* instance name, as in the instance list */
+    const char *service;
+    const char *datacentre;
+    const char *admin; /* administrators' address, NULL when none */
+    uint64_t incarnation;
+    const KcBackendOps *ops;
+    void *backend;
+    const KcObjectOps *object_ops;
+    void *objects;
+    KcTimers *timers;
+    KcEvents *events;
+    KcCounters *counters;
+    KcTime (*clock)(void *context);
+    void *context;
+    const KcVictimPolicy *victim;
+    bool fencing;         /* the engine refuses old fencing numbers */
+    uint32_t store_share; /* agents that share the weight store's rate */
+    int64_t wall_offset;
+    KcTime hold;    /* wait for a newer document */
+    KcTime detach;  /* kept for a lost connection to come back */
+    KcTime retain;  /* record of an ended work is kept */
+    KcTime inspect; /* interval of looking at the engine */
+    KcTime lease_ttl;
+    KcTime lease_margin;
+    KcTime lease_renew;
+    KcTime confirm_spread;
+    KcTime sync_retry;
+    uint64_t window; /* bytes an entry may lag behind */
+    KcOrderOptions order;
+    uint32_t load_failures_max; /* after which a model is refused */
+} KcAgentOptions;
+
+void KcAgentOptions_Init(KcAgentOptions *options);
+
+KcAgent *KcAgent_Create(const KcAgentOptions *options);
+
+/* Frees the agent with its links and works; running works are cancelled. */
+void KcAgent_Free(KcAgent *agent);
+
+/* Begins to watch the document, take the lease and look at the engine. */
+void KcAgent_Start(KcAgent *agent, KcTime now);
+
+/* A new connection: the agent sends HELLO and owns the link. */
+void KcAgent_OnConnected(KcAgent *agent, KcLink *link, KcTime now);
+
+/* A connection was lost; the link is freed here. */
+void KcAgent_OnLinkLost(KcAgent *agent, KcLink *link, int code, KcTime now);
+
+/* A message arrived; it may close and free the link. */
+void KcAgent_OnMessage(KcAgent *agent, KcLink *link, const KcMsg *msg,
+                       KcTime now);
+
+/* What the backend server reported; see KcBackendOps. */
+void KcAgent_OnStarted(KcAgent *agent, KcWork *work, const char *model,
+                       uint32_t status, const char *content_type, KcTime now);
+void KcAgent_OnData(KcAgent *agent, KcWork *work, KcBytes bytes,
+                    uint64_t tokens, KcTime now);
+
+/*
+ * A work ended.  code 0: the answer is whole.  ran is false only when the
+ * backend server certainly did not run the call.
+ */
+void KcAgent_OnEnd(KcAgent *agent, KcWork *work, int code, bool ran,
+                   const char *finish, KcTime now);
+void KcAgent_OnLoaded(KcAgent *agent, KcSlot *slot, int code, KcTime now);
+void KcAgent_OnEvicted(KcAgent *agent, KcSlot *slot, int code, KcTime now);
+
+/*
+ * What the engine holds.  epoch changes when the engine restarts; asked is
+ * the time at which the question was sent.
+ */
+void KcAgent_OnInspected(KcAgent *agent, int code, const char *epoch,
+                         const KcEngineAdapter *adapters, size_t count,
+                         KcTime asked, KcTime now);
+
+/* Begins a planned stop; asking twice changes nothing. */
+void KcAgent_Drain(KcAgent *agent, KcTime now);
+
+/* True when every answer has been delivered. */
+bool KcAgent_Drained(const KcAgent *agent);
+
+/* Why no work is admitted now, 0 when it is. */
+int KcAgent_Ready(const KcAgent *agent, KcTime now);
+
+uint64_t KcAgent_Generation(const KcAgent *agent);
+uint64_t KcAgent_Fence(const KcAgent *agent);
+uint32_t KcAgent_Running(const KcAgent *agent);
+uint32_t KcAgent_Queued(const KcAgent *agent);
+const KcResidency *KcAgent_Residency(const KcAgent *agent);
+
+#endif
--- /dev/null
+++ b/lib/process/route.c
@@ -0,0 +1,352 @@
+/*
+ * Choosing a backend server.
+ *
+ * Adapters are hashed into buckets.  The candidates of a bucket are the
+ * best backend servers by rendezvous hashing, in this region and in the
+ * others; they are computed when a bucket is first used after a change of
+ * the members, so a choice costs as much as there are candidates, whatever
+ * the size of the fleet.
+ */
+#include <assert.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "hash_internal.h"
+#include "kcc_process.h"
+
+#define BUCKET_COUNT 16384
+#define WEIGHT_UNIT 50 /* a weight of 50 counts a cost once */
+
+uint64_t
+KcRoute_Key(const KcModelRef *model)
+{
+    return XXH3_64bits_withSeed(model->adapter, strlen(model->adapter),
+                                model->version);
+}
+
+/* Inserts a member into a list kept in descending order of weight. */
+static uint8_t
+insert_ranked(uint16_t *list, uint64_t *weights, uint8_t count, uint8_t max,
+              uint16_t member, uint64_t weight)
+{
+    int at = count;
+
+    if (count == max && weight <= weights[max - 1]) {
+        return count;
+    }
+    if (count == max) {
+        at = max - 1;
+    }
+    else {
+        count++;
+    }
+    while (at > 0 && weights[at - 1] < weight) {
+        weights[at] = weights[at - 1];
+        list[at] = list[at - 1];
+        at--;
+    }
+    weights[at] = weight;
+    list[at] = member;
+    return count;
+}
+
+/* Computes the candidates of a bucket from all members of the pool. */
+static void
+fill_bucket(const KcFleet *fleet, const KcPool *pool, uint64_t index,
+            KcBucket *bucket)
+{
+    uint64_t local[KC_ROUTE_LOCAL];
+    uint64_t remote[KC_ROUTE_REMOTE];
+
+    bucket->local_count = 0;
+    bucket->remote_count = 0;
+    for (uint32_t i = 0; i < pool->count; i++) {
+        const KcBackend *member = pool->members[i];
+        uint64_t weight =
+            mix64(member->hash ^ (index * 0x9e3779b97f4a7c15ULL));
+
+        if (strcmp(member->region, fleet->region) == 0) {
+            bucket->local_count =
+                insert_ranked(bucket->local, local, bucket->local_count,
+                              KC_ROUTE_LOCAL, (uint16_t)i, weight);
+        }
+        else {
+            bucket->remote_count =
+                insert_ranked(bucket->remote, remote, bucket->remote_count,
+                              KC_ROUTE_REMOTE, (uint16_t)i, weight);
+        }
+    }
+    bucket->epoch = pool->epoch;
+}
+
+static KcBucket *
+bucket_of(const KcFleet *fleet, KcPool *pool, uint64_t key)
+{
+    uint64_t index = key & (BUCKET_COUNT - 1);
+
+    if (pool->buckets == NULL) {
+        pool->buckets = KcMem_New(BUCKET_COUNT * sizeof(pool->buckets[0]));
+    }
+    if (pool->buckets[index].epoch != pool->epoch) {
+        fill_bucket(fleet, pool, index, &pool->buckets[index]);
+    }
+    return &pool->buckets[index];
+}
+
+/* May the backend server be proposed to? */
+static bool
+usable(const KcRouteQuery *query, const KcBackend *backend, KcTime now)
+{
+    if (backend->leaving || !backend->listed || backend->suspect_until > now) {
+        return false;
+    }
+    for (uint32_t i = 0; i < query->tried_count; i++) {
+        if (query->tried[i] == backend) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Calls at a backend server by its last report, which counts less with age,
+ * and what this entry has sent since. */
+static int64_t
+expected_calls(const KcRouteOptions *options, const KcBackend *backend,
+               KcTime now)
+{
+    int64_t reported =
+        (int64_t)backend->load.queued + (int64_t)backend->load.running;
+    KcTime age = now - backend->load_at;
+
+    if (age >= options->knowledge) {
+        reported = 0;
+    }
+    else {
+        reported = reported * (options->knowledge - age) / options->knowledge;
+    }
+    if (reported < backend->attempts) {
+        reported = backend->attempts;
+    }
+    return reported + backend->sent;
+}
+
+/* Expected wait for a place in the batch. */
+static KcTime
+expected_wait(const KcRouteOptions *options, const KcBackend *backend,
+              KcTime now)
+{
+    int64_t excess =
+        expected_calls(options, backend, now) - options->batch + 1;
+
+    if (excess <= 0) {
+        return 0;
+    }
+    return excess * options->service / options->batch;
+}
+
+static bool
+known_holder(const KcHint *hint, const KcBackend *backend)
+{
+    if (hint == NULL) {
+        return false;
+    }
+    for (int i = 0; i < 4; i++) {
+        if (hint->holders[i] == backend) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Expected wait for the adapter at a backend server that lacks it. */
+static KcTime
+expected_stall(const KcRouteQuery *query, const KcHint *hint,
+               const KcBackend *backend)
+{
+    if (!query->needs_adapter || known_holder(hint, backend)) {
+        return 0;
+    }
+    return query->options->load * (1 + (KcTime)backend->load.loading);
+}
+
+/* Chooses the cheapest of a list of candidates. */
+static void
+cheapest(const KcRouteQuery *query, const KcHint *hint, const uint16_t *list,
+         uint8_t count, KcTime base, bool remote, KcTime now,
+         KcRouteChoice *choice)
+{
+    const KcRouteOptions *options = query->options;
+
+    for (uint8_t i = 0; i < count; i++) {
+        KcBackend *backend = query->pool->members[list[i]];
+        KcTime cost = base + i * options->spread;
+
+        if (!usable(query, backend, now)) {
+            continue;
+        }
+        cost += expected_wait(options, backend, now) * options->batch_weight /
+                WEIGHT_UNIT;
+        cost += expected_stall(query, hint, backend) * options->stall_weight /
+                WEIGHT_UNIT;
+        if (choice->backend == NULL || cost < choice->cost) {
+            choice->backend = backend;
+            choice->cost = cost;
+            choice->remote = remote;
+        }
+    }
+}
+
+/* When no candidate is usable, any backend server of the pool will do. */
+static void
+any_usable(const KcRouteQuery *query, KcTime now, KcRouteChoice *choice)
+{
+    const KcPool *pool = query->pool;
+
+    for (uint32_t i = 0; i < pool->count; i++) {
+        KcBackend *backend = pool->members[(query->key + i) % pool->count];
+        bool remote = strcmp(backend->region, query->fleet->region) != 0;
+
+        if (!usable(query, backend, now) ||
+            (remote && !query->remote_allowed)) {
+            continue;
+        }
+        choice->backend = backend;
+        choice->cost = remote ? query->options->remote : 0;
+        choice->remote = remote;
+        if (!remote) {
+            return;
+        }
+    }
+}
+
+static void
+pick_kcc(const KcRouteQuery *query, KcTime now, KcRouteChoice *choice)
+{
+    KcBucket *bucket = bucket_of(query->fleet, query->pool, query->key);
+    KcHint *hint = NULL;
+
+    if (query->needs_adapter) {
+        HASH_FIND(hh, query->fleet->hints, &query->key, sizeof(query->key),
+                  hint);
+    }
+    cheapest(query, hint, bucket->local, bucket->local_count, 0, false, now,
+             choice);
+    if (query->remote_allowed) {
+        cheapest(query, hint, bucket->remote, bucket->remote_count,
+                 query->options->remote, true, now, choice);
+    }
+    if (choice->backend == NULL) {
+        any_usable(query, now, choice);
+    }
+}
+
+/* ---- baselines ------------------------------------------------------- */
+
+static void
+choose(KcRouteChoice *choice, const KcRouteQuery *query, KcBackend *backend)
+{
+    choice->backend = backend;
+    choice->cost = 0;
+    choice->remote = strcmp(backend->region, query->fleet->region) != 0;
+}
+
+static void
+pick_random(const KcRouteQuery *query, KcTime now, KcRouteChoice *choice)
+{
+    const KcPool *pool = query->pool;
+
+    for (uint32_t i = 0; i < pool->count; i++) {
+        KcBackend *backend = pool->members[(query->random + i) % pool->count];
+
+        if (usable(query, backend, now)) {
+            choose(choice, query, backend);
+            return;
+        }
+    }
+}
+
+/* Looks at the whole pool, as the related paper's database query does. */
+static void
+pick_least_loaded(const KcRouteQuery *query, KcTime now, KcRouteChoice *choice)
+{
+    const KcPool *pool = query->pool;
+    int64_t least = INT64_MAX;
+
+    for (uint32_t i = 0; i < pool->count; i++) {
+        KcBackend *backend = pool->members[(query->random + i) % pool->count];
+        int64_t calls = expected_calls(query->options, backend, now);
+
+        if (usable(query, backend, now) && calls < least) {
+            least = calls;
+            choose(choice, query, backend);
+        }
+    }
+}
+
+/* The first usable member by rendezvous rank, over all regions. */
+static void
+pick_hash(const KcRouteQuery *query, KcTime now, KcRouteChoice *choice)
+{
+    KcBucket *bucket = bucket_of(query->fleet, query->pool, query->key);
+
+    for (uint8_t i = 0; i < bucket->local_count; i++) {
+        KcBackend *backend = query->pool->members[bucket->local[i]];
+
+        if (usable(query, backend, now)) {
+            choose(choice, query, backend);
+            return;
+        }
+    }
+    any_usable(query, now, choice);
+}
+
+/* As pick_hash(), passing over members above 1.25 times the mean load. */
+static void
+pick_bounded_hash(const KcRouteQuery *query, KcTime now, KcRouteChoice *choice)
+{
+    KcBucket *bucket = bucket_of(query->fleet, query->pool, query->key);
+    int64_t total = 1;
+    int64_t bound;
+
+    for (uint32_t i = 0; i < query->pool->count; i++) {
+        total += expected_calls(query->options, query->pool->members[i], now);
+    }
+    bound = (total * 5 / 4 + query->pool->count - 1) / query->pool->count;
+    for (uint8_t i = 0; i < bucket->local_count; i++) {
+        KcBackend *backend = query->pool->members[bucket->local[i]];
+
+        if (usable(query, backend, now) &&
+            expected_calls(query->options, backend, now) < bound) {
+            choose(choice, query, backend);
+            return;
+        }
+    }
+    pick_hash(query, now, choice);
+}
+
+static const KcRoutePolicy policies[] = {
+    {"kcc", pick_kcc},
+    {"random", pick_random},
+    {"least_loaded", pick_least_loaded},
+    {"hash", pick_hash},
+    {"bounded_hash", pick_bounded_hash},
+};
+
+#define POLICY_COUNT (sizeof(policies) / sizeof(policies[0]))
+
+const KcRoutePolicy *
+KcRoute_PolicyAt(size_t index)
+{
+    return index < POLICY_COUNT ? &policies[index] : NULL;
+}
+
+const KcRoutePolicy *
+KcRoute_Policy(const char *name)
+{
+    for (size_t i = 0; i < POLICY_COUNT; i++) {
+        if (strcmp(policies[i].name, name) == 0) {
+            return &policies[i];
+        }
+    }
+    return NULL;
+}
--- /dev/null
+++ b/lib/process/sync.c
@@ -0,0 +1,325 @@
+/*
+ * Keeping the document in force up to date: watching the head in the object
+ * API, and fetching from a peer, verified by hash, when the object API does
+ * not answer or a peer is ahead.
+ */
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kcc_process.h"
+
+/* A peer is asked for its head at most this often. */
+#define HEAD_REQUEST_INTERVAL (200 * KC_MS)
+
+struct KcSync {
+    KcSyncOptions options;
+    KcCatchup *catchup;
+    uint64_t head_version; /* object version of the head last seen */
+    uint64_t known;        /* highest generation any peer has named */
+    uint64_t rejected;     /* generation that could not be used */
+    KcTime asked_at;       /* a peer was asked for its head */
+    uint32_t fetches;      /* part fetches outstanding at the object API */
+    bool api_failed;       /* its last call was not answered */
+    bool started;
+    bool watching;
+    bool freed;          /* freed once the outstanding calls have ended */
+    KcTimer timer;       /* repeats the watch */
+    KcTimer fetch_timer; /* repeats fetches that failed */
+};
+
+/* One outstanding fetch of a part. */
+typedef struct PartCall {
+    KcSync *sync;
+    char hash[KC_HASH_TEXT];
+} PartCall;
+
+static void watch_head(KcSync *sync);
+
+static void
+free_if_unused(KcSync *sync)
+{
+    if (sync->freed && !sync->watching && sync->fetches == 0) {
+        free(sync);
+    }
+}
+
+static void
+send_simple(KcLink *link, KcMsgType type, const char *hash)
+{
+    KcMsg msg = {.type = type};
+
+    if (hash != NULL) {
+        KcName_Copy(msg.u.part.hash, hash, sizeof(msg.u.part.hash));
+    }
+    KcLink_Send(link, &msg);
+}
+
+/* Repeats the fetches that have not been answered, from a peer if any. */
+static void
+on_fetch_timer(KcTimer *timer, KcTime now)
+{
+    KcSync *sync = timer->owner;
+
+    if (KcCatchup_Wanted(sync->catchup) == 0) {
+        return;
+    }
+    KcTimers_Set(sync->options.timers, timer, now + sync->options.retry);
+    KcCatchup_Retry(sync->catchup);
+}
+
+/* Asks a peer that has the wanted generation for a part. */
+static void
+ask_part(KcSync *sync, const char *hash)
+{
+    uint64_t wanted = KcCatchup_Wanted(sync->catchup);
+    KcLink *peer = sync->options.peer(sync->options.context, wanted);
+
+    if (wanted != 0 && peer != NULL) {
+        send_simple(peer, KC_MSG_PART_REQUEST, hash);
+    }
+}
+
+static void
+on_part_read(void *context, const KcObjectReply *reply)
+{
+    PartCall *call = context;
+    KcSync *sync = call->sync;
+
+    sync->fetches--;
+    if (!sync->freed) {
+        sync->api_failed = reply->code != 0;
+        if (reply->code == 0) {
+            KcCatchup_OnPart(sync->catchup, call->hash, reply->value.data,
+                             reply->value.size);
+        }
+        else {
+            ask_part(sync, call->hash);
+        }
+    }
+    free(call);
+    free_if_unused(sync);
+}
+
+/* Catch-up wants a part: from the object API, and from a peer as well while
+ * the object API does not answer. */
+static void
+fetch_part(void *context, const char *hash)
+{
+    KcSync *sync = context;
+    KcTime now = sync->options.clock(sync->options.context);
+    char name[KC_OBJECT_NAME_MAX];
+    PartCall *call;
+
+    if (sync->api_failed) {
+        ask_part(sync, hash);
+    }
+    call = KcMem_New(sizeof(*call));
+    call->sync = sync;
+    KcName_Copy(call->hash, hash, sizeof(call->hash));
+    snprintf(name, sizeof(name), "%s%s", KC_OBJECT_PARTS, hash);
+    sync->fetches++;
+    sync->options.object_ops->get(sync->options.objects, name, on_part_read,
+                                  call);
+    if (sync->fetch_timer.due == KC_NEVER) {
+        KcTimers_Set(sync->options.timers, &sync->fetch_timer,
+                     now + sync->options.retry);
+    }
+}
+
+static void
+adopt(void *context, KcDocument *document)
+{
+    KcSync *sync = context;
+    KcTime now = sync->options.clock(sync->options.context);
+    KcEventInfo info = {.generation = document->generation};
+
+    KcEvents_Add(sync->options.events, KC_EVENT_ADOPT, now, &info);
+    KcCounters_Add(sync->options.counters, KC_COUNT_ADOPTIONS, 1);
+    sync->options.adopt(sync->options.context, document, now);
+}
+
+static void
+reject(void *context, uint64_t generation, const KcProblemList *problems)
+{
+    KcSync *sync = context;
+    KcTime now = sync->options.clock(sync->options.context);
+    const KcProblem *first = TAILQ_FIRST(problems);
+    KcEventInfo info = {.generation = KcSync_Generation(sync),
+                        .detail = (int64_t)generation,
+                        .subject = first != NULL ? first->text : ""};
+
+    sync->rejected = generation;
+    KcEvents_Add(sync->options.events, KC_EVENT_REJECT, now, &info);
+}
+
+static const KcCatchupOps catchup_ops = {fetch_part, adopt, reject};
+
+static void
+offer_head(KcSync *sync, const char *json, size_t size)
+{
+    KcHead *head = KcMem_New(sizeof(*head));
+
+    if (KcHead_Decode(json, size, head) == 0 &&
+        head->generation != sync->rejected) {
+        KcCatchup_OnHead(sync->catchup, head);
+    }
+    free(head);
+}
+
+static void
+on_watch_timer(KcTimer *timer, KcTime now)
+{
+    (void)now;
+    watch_head(timer->owner);
+}
+
+static void
+on_head_read(void *context, const KcObjectReply *reply)
+{
+    KcSync *sync = context;
+    KcTime now = sync->options.clock(sync->options.context);
+    KcTime pause = 0;
+
+    sync->watching = false;
+    if (sync->freed) {
+        free_if_unused(sync);
+        return;
+    }
+    sync->api_failed = reply->code == KC_ERR_UNAVAILABLE;
+    if (reply->code == 0) {
+        sync->head_version = reply->version;
+        offer_head(sync, reply->value.data, reply->value.size);
+    }
+    else {
+        pause = sync->options.retry;
+    }
+    KcTimers_Set(sync->options.timers, &sync->timer, now + pause);
+}
+
+static void
+watch_head(KcSync *sync)
+{
+    sync->watching = true;
+    sync->options.object_ops->watch(sync->options.objects, KC_OBJECT_HEAD,
+                                    sync->head_version, on_head_read, sync);
+}
+
+KcSync *
+KcSync_Create(const KcSyncOptions *options)
+{
+    KcSync *sync = KcMem_New(sizeof(*sync));
+
+    sync->options = *options;
+    sync->catchup = KcCatchup_Create(&catchup_ops, sync);
+    KcTimer_Init(&sync->timer, on_watch_timer, sync);
+    KcTimer_Init(&sync->fetch_timer, on_fetch_timer, sync);
+    return sync;
+}
+
+void
+KcSync_Free(KcSync *sync)
+{
+    KcTimers_Clear(sync->options.timers, &sync->timer);
+    KcTimers_Clear(sync->options.timers, &sync->fetch_timer);
+    KcCatchup_Free(sync->catchup);
+    sync->catchup = NULL;
+    sync->freed = true;
+    free_if_unused(sync);
+}
+
+void
+KcSync_Start(KcSync *sync, KcTime now)
+{
+    (void)now;
+    assert(!sync->started);
+    sync->started = true;
+    watch_head(sync);
+}
+
+uint64_t
+KcSync_Generation(const KcSync *sync)
+{
+    return KcCatchup_Generation(sync->catchup);
+}
+
+bool
+KcSync_Behind(const KcSync *sync, uint64_t generation)
+{
+    return generation > KcSync_Generation(sync);
+}
+
+/* A peer has a newer document: ask it for the head. */
+static void
+ask_head(KcSync *sync, KcLink *link, uint64_t generation, KcTime now)
+{
+    bool asked =
+        sync->asked_at != 0 && now - sync->asked_at < HEAD_REQUEST_INTERVAL;
+
+    if (generation <= KcCatchup_Wanted(sync->catchup) ||
+        generation == sync->rejected) {
+        return;
+    }
+    if (asked && generation <= sync->known) {
+        return;
+    }
+    sync->known = generation;
+    sync->asked_at = now;
+    send_simple(link, KC_MSG_HEAD_REQUEST, NULL);
+}
+
+static void
+send_head(KcSync *sync, KcLink *link)
+{
+    const KcHead *head = KcCatchup_Head(sync->catchup);
+    KcMsg msg = {.type = KC_MSG_HEAD};
+    char *json;
+
+    if (head == NULL) {
+        return;
+    }
+    json = KcHead_Encode(head);
+    msg.u.head.json = (KcBytes){json, strlen(json)};
+    KcLink_Send(link, &msg);
+    free(json);
+}
+
+static void
+send_part(KcSync *sync, KcLink *link, const char *hash)
+{
+    KcMsg msg = {.type = KC_MSG_PART};
+
+    msg.u.part.bytes.data =
+        KcCatchup_Part(sync->catchup, hash, &msg.u.part.bytes.size);
+    if (msg.u.part.bytes.data == NULL) {
+        return;
+    }
+    KcName_Copy(msg.u.part.hash, hash, sizeof(msg.u.part.hash));
+    KcLink_Send(link, &msg);
+}
+
+bool
+KcSync_OnMessage(KcSync *sync, KcLink *link, const KcMsg *msg, KcTime now)
+{
+    if (KcSync_Behind(sync, msg->generation)) {
+        ask_head(sync, link, msg->generation, now);
+    }
+    switch (msg->type) {
+    case KC_MSG_HEAD_REQUEST:
+        send_head(sync, link);
+        return true;
+    case KC_MSG_HEAD:
+        offer_head(sync, msg->u.head.json.data, msg->u.head.json.size);
+        return true;
+    case KC_MSG_PART_REQUEST:
+        send_part(sync, link, msg->u.part.hash);
+        return true;
+    case KC_MSG_PART:
+        KcCatchup_OnPart(sync->catchup, msg->u.part.hash,
+                         msg->u.part.bytes.data, msg->u.part.bytes.size);
+        return true;
+    default:
+        return false;
+    }
+}
--- /dev/null
+++ b/lib/request/buffer.c
@@ -0,0 +1,66 @@
+/*
+ * A growing queue of bytes.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "kcc_request.h"
+
+#define CAPACITY_MIN 256
+
+/* Moves the bytes to the front, and grows when that is not enough. */
+static void
+make_room(KcBuffer *buffer, size_t size)
+{
+    size_t held = KcBuffer_Size(buffer);
+
+    if (buffer->start > 0) {
+        memmove(buffer->data, buffer->data + buffer->start, held);
+        buffer->start = 0;
+        buffer->end = held;
+    }
+    if (buffer->capacity - held < size) {
+        size_t capacity = buffer->capacity * 2;
+
+        if (capacity < held + size) {
+            capacity = held + size;
+        }
+        if (capacity < CAPACITY_MIN) {
+            capacity = CAPACITY_MIN;
+        }
+        buffer->data = KcMem_Grow(buffer->data, capacity);
+        buffer->capacity = capacity;
+    }
+}
+
+void
+KcBuffer_Append(KcBuffer *buffer, const void *data, size_t size)
+{
+    if (size == 0) {
+        return;
+    }
+    if (buffer->capacity - buffer->end < size) {
+        make_room(buffer, size);
+    }
+    memcpy(buffer->data + buffer->end, data, size);
+    buffer->end += size;
+}
+
+void
+KcBuffer_Drop(KcBuffer *buffer, size_t size)
+{
+    assert(size <= KcBuffer_Size(buffer));
+    buffer->start += size;
+    if (buffer->start == buffer->end) {
+        buffer->start = 0;
+        buffer->end = 0;
+    }
+}
+
+void
+KcBuffer_Clear(KcBuffer *buffer)
+{
+    free(buffer->data);
+    memset(buffer, 0, sizeof(*buffer));
+}
--- /dev/null
+++ b/lib/request/retry.c
@@ -0,0 +1,83 @@
+/*
+ * Decisions on what follows an attempt that gave no whole answer.
+ */
+#include "kcc_request.h"
+
+/* Cost of one retry in the budget's units. */
+#define RETRY_COST 1000
+
+void
+KcRetryBudget_Init(KcRetryBudget *budget, int64_t percent, int64_t burst)
+{
+    budget->deposit = percent * RETRY_COST / 100;
+    budget->ceiling = burst * RETRY_COST;
+    budget->tokens = budget->ceiling;
+}
+
+void
+KcRetryBudget_Deposit(KcRetryBudget *budget)
+{
+    budget->tokens += budget->deposit;
+    if (budget->tokens > budget->ceiling) {
+        budget->tokens = budget->ceiling;
+    }
+}
+
+bool
+KcRetryBudget_Take(KcRetryBudget *budget)
+{
+    if (budget->tokens < RETRY_COST) {
+        return false;
+    }
+    budget->tokens -= RETRY_COST;
+    return true;
+}
+
+/* The verdict when no further attempt is made. */
+static KcRetryVerdict
+give_up(const KcRetryInput *input, bool may_have_run)
+{
+    if (may_have_run || input->part_delivered) {
+        return KC_RETRY_UNKNOWN;
+    }
+    return KC_RETRY_NOT_RUN;
+}
+
+/* Would every other backend server say the same? */
+static bool
+is_final(int code)
+{
+    switch (code) {
+    case KC_ERR_INVALID:
+    case KC_ERR_UNKNOWN_MODEL:
+    case KC_ERR_RETIRED:
+    case KC_ERR_DEADLINE:
+        return true;
+    default:
+        return false;
+    }
+}
+
+KcRetryVerdict
+KcRetry_Decide(const KcRetryInput *input, KcRetryBudget *budget)
+{
+    bool ran =
+        input->end == KC_ATTEMPT_FAILED || input->end == KC_ATTEMPT_LOST;
+    bool may_have_run = input->may_have_run || ran;
+
+    if (input->cancelled || is_final(input->code) ||
+        input->attempts >= input->attempts_max) {
+        return give_up(input, may_have_run);
+    }
+    if (may_have_run && !input->repeatable) {
+        return give_up(input, may_have_run);
+    }
+    if (input->part_delivered && !input->continues) {
+        return give_up(input, may_have_run);
+    }
+    /* A refusal cost the backend server nothing; only real work counts. */
+    if (ran && !KcRetryBudget_Take(budget)) {
+        return give_up(input, may_have_run);
+    }
+    return KC_RETRY_NEXT;
+}
--- /dev/null
+++ b/programs/kcc/call_command.c
@@ -0,0 +1,99 @@
+/*
+ * kcc call: one request to an entry, as any caller could send it.
+ */
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../request/caller.h"
+#include "client.h"
+#include "command.h"
+
+#define CALL_TIMEOUT (120 * KC_SECOND)
+
+/* The answer as it arrives. */
+typedef struct Printing {
+    KcLoop *loop;
+    int status;
+    int code;
+} Printing;
+
+static void
+on_head(void *context, const KcHttpHead *head)
+{
+    ((Printing *)context)->status = head->status;
+}
+
+static void
+on_data(void *context, KcBytes bytes)
+{
+    (void)context;
+    fwrite(bytes.data, 1, bytes.size, stdout);
+    fflush(stdout);
+}
+
+static void
+on_done(void *context, int code, bool sent)
+{
+    Printing *printing = context;
+
+    (void)sent;
+    printing->code = code;
+    KcLoop_Stop(printing->loop);
+}
+
+static const KcHttpOps ops = {on_head, on_data, on_done};
+
+static char *
+model_body(const KcArguments *arguments, const char *text)
+{
+    json_t *body = json_pack("{s:s, s:s, s:b}", "model", arguments->model,
+                             "prompt", text, "stream", (int)arguments->stream);
+    char *encoded = json_dumps(body, JSON_COMPACT);
+
+    json_decref(body);
+    return encoded;
+}
+
+int
+KcCommand_Call(const KcArguments *arguments)
+{
+    const char *text = arguments->word_count > 0 ? arguments->words[0] : "";
+    Printing printing = {.code = KC_ERR_LOST};
+    char *body;
+    KcHttpOptions options = {
+        .address = arguments->entry,
+        .method = "POST",
+        .path = arguments->path != NULL ? arguments->path : "/v1/completions",
+        .headers = {{"Content-Type", "application/json"},
+                    {KC_HEADER_CUSTOMER, arguments->customer},
+                    {KC_HEADER_PRIORITY, arguments->priority},
+                    {KC_HEADER_KEY, arguments->key}},
+        .timeout = CALL_TIMEOUT,
+        .ops = &ops,
+        .context = &printing};
+
+    if (arguments->entry == NULL ||
+        (arguments->model == NULL) == (arguments->path == NULL)) {
+        fprintf(stderr, "usage: kcc call --entry ADDRESS "
+                        "(--model NAME | --path PATH) [TEXT]\n");
+        return KC_EXIT_USAGE;
+    }
+    body =
+        arguments->model != NULL ? model_body(arguments, text) : strdup(text);
+    options.body = (KcBytes){body, strlen(body)};
+    printing.loop = KcLoop_Create();
+    options.base = printing.loop->base;
+    if (KcHttpCall_Start(&options) != NULL) {
+        KcLoop_Run(printing.loop);
+    }
+    KcLoop_Free(printing.loop);
+    free(body);
+    printf("\n");
+    if (printing.code != 0) {
+        fprintf(stderr, "kcc: the entry did not answer\n");
+    }
+    return printing.code == 0 && printing.status < 400 ? KC_EXIT_OK
+                                                       : KC_EXIT_FAILED;
+}
--- /dev/null
+++ b/programs/kcc/client.c
@@ -0,0 +1,59 @@
+/*
+ * Blocking calls for the command line.
+ */
+#include "client.h"
+
+#include <string.h>
+
+#define TIMEOUT (10 * KC_SECOND)
+
+typedef struct Waiting {
+    KcLoop *loop;
+    KcAnswerText *answer;
+} Waiting;
+
+void
+KcAnswerText_Clear(KcAnswerText *answer)
+{
+    KcBuffer_Clear(&answer->body);
+    answer->status = 0;
+}
+
+static void
+on_answer(void *context, int status, const char *etag, KcBytes body)
+{
+    Waiting *waiting = context;
+
+    waiting->answer->status = status;
+    KcName_Copy(waiting->answer->etag, etag, sizeof(waiting->answer->etag));
+    KcBuffer_Append(&waiting->answer->body, body.data, body.size);
+    KcBuffer_Append(&waiting->answer->body, "", 1);
+    waiting->answer->body.end--;
+    KcLoop_Stop(waiting->loop);
+}
+
+void
+KcClient_Call(const KcHttpOptions *options, KcAnswerText *answer)
+{
+    KcHttpOptions copy = *options;
+    Waiting waiting = {KcLoop_Create(), answer};
+
+    memset(answer, 0, sizeof(*answer));
+    copy.base = waiting.loop->base;
+    if (copy.timeout == 0) {
+        copy.timeout = TIMEOUT;
+    }
+    if (KcHttpCall_Fetch(&copy, on_answer, &waiting) != NULL) {
+        KcLoop_Run(waiting.loop);
+    }
+    KcLoop_Free(waiting.loop);
+}
+
+void
+KcClient_Get(const char *address, const char *path, KcAnswerText *answer)
+{
+    KcHttpOptions options = {
+        .address = address, .method = "GET", .path = path};
+
+    KcClient_Call(&options, answer);
+}
--- /dev/null
+++ b/programs/process/admin_http.c
@@ -0,0 +1,160 @@
+/*
+ * The administrators' side of a process.
+ */
+#include "admin_http.h"
+
+#include <evhtp.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BACKLOG 64
+
+struct KcAdmin {
+    KcAdminOptions options;
+    evhtp_t *http;
+};
+
+static void
+reply_text(evhtp_request_t *http, evhtp_res status, const char *type,
+           const char *text)
+{
+    evhtp_headers_add_header(http->headers_out,
+                             evhtp_header_new("Content-Type", type, 0, 1));
+    evbuffer_add(http->buffer_out, text, strlen(text));
+    evhtp_send_reply(http, status);
+}
+
+static void
+reply_json(evhtp_request_t *http, json_t *json)
+{
+    char *text = json_dumps(json, JSON_COMPACT);
+
+    reply_text(http, EVHTP_RES_OK, "application/json", text);
+    free(text);
+    json_decref(json);
+}
+
+static void
+on_metrics(evhtp_request_t *http, void *context)
+{
+    KcAdmin *admin = context;
+    char *text = KcCounters_Format(admin->options.counters);
+
+    reply_text(http, EVHTP_RES_OK, "text/plain; version=0.0.4", text);
+    free(text);
+}
+
+static void
+on_health(evhtp_request_t *http, void *context)
+{
+    (void)context;
+    reply_text(http, EVHTP_RES_OK, "text/plain", "ok\n");
+}
+
+static void
+on_ready(evhtp_request_t *http, void *context)
+{
+    KcAdmin *admin = context;
+    int code = admin->options.ops->ready(admin->options.context);
+
+    if (code == 0) {
+        reply_text(http, EVHTP_RES_OK, "text/plain", "ready\n");
+    }
+    else {
+        reply_text(http, EVHTP_RES_SERVUNAVAIL, "text/plain",
+                   KcError_Name(code));
+    }
+}
+
+static json_t *
+encode_event(const KcEvent *event)
+{
+    char id[KC_REQUEST_ID_TEXT];
+    json_t *json = json_pack(
+        "{s:I, s:s, s:I, s:I, s:s, s:s}", "clock", (json_int_t)event->clock,
+        "type", KcEventType_Name(event->type), "generation",
+        (json_int_t)event->generation, "detail", (json_int_t)event->detail,
+        "peer", event->peer, "subject", event->subject);
+
+    if (event->request.nonce != 0 || event->request.sequence != 0) {
+        KcRequestId_Format(&event->request, id);
+        json_object_set_new(json, "request", json_string(id));
+    }
+    return json;
+}
+
+static void
+on_events(evhtp_request_t *http, void *context)
+{
+    KcAdmin *admin = context;
+    const KcEvents *events = admin->options.events;
+    json_t *list = json_array();
+
+    for (size_t i = 0; i < KcEvents_Count(events); i++) {
+        json_array_append_new(list, encode_event(KcEvents_At(events, i)));
+    }
+    reply_json(http, json_pack("{s:s, s:o}", "process",
+                               admin->options.settings->name, "events", list));
+}
+
+static void
+on_state(evhtp_request_t *http, void *context)
+{
+    KcAdmin *admin = context;
+    const KcSettings *settings = admin->options.settings;
+    void *owner = admin->options.context;
+    int code = admin->options.ops->ready(owner);
+    json_t *state =
+        json_pack("{s:s, s:s, s:s, s:I, s:s}", "process", settings->name,
+                  "role", settings->role == KC_ROLE_ENTRY ? "entry" : "agent",
+                  "datacentre", settings->datacentre, "generation",
+                  (json_int_t)admin->options.ops->generation(owner), "ready",
+                  code == 0 ? "yes" : KcError_Name(code));
+
+    admin->options.ops->state(owner, state);
+    reply_json(http, state);
+}
+
+static void
+on_drain(evhtp_request_t *http, void *context)
+{
+    KcAdmin *admin = context;
+
+    if (evhtp_request_get_method(http) != htp_method_POST) {
+        reply_text(http, EVHTP_RES_METHNALLOWED, "text/plain", "use POST\n");
+        return;
+    }
+    admin->options.ops->drain(admin->options.context);
+    reply_text(http, EVHTP_RES_OK, "text/plain", "draining\n");
+}
+
+KcAdmin *
+KcAdmin_Create(const KcAdminOptions *options)
+{
+    KcAdmin *admin = KcMem_New(sizeof(*admin));
+    char host[KC_ADDRESS_MAX];
+    uint16_t port;
+
+    admin->options = *options;
+    admin->http = evhtp_new(options->loop->base, NULL);
+    evhtp_set_cb(admin->http, "/metrics", on_metrics, admin);
+    evhtp_set_cb(admin->http, "/healthz", on_health, admin);
+    evhtp_set_cb(admin->http, "/readyz", on_ready, admin);
+    evhtp_set_cb(admin->http, "/debug/events", on_events, admin);
+    evhtp_set_cb(admin->http, "/debug/state", on_state, admin);
+    evhtp_set_cb(admin->http, "/admin/drain", on_drain, admin);
+    if (KcAddress_Parse(options->settings->admin, host, &port) != 0 ||
+        evhtp_bind_socket(admin->http, host, port, BACKLOG) != 0) {
+        KcAdmin_Free(admin);
+        return NULL;
+    }
+    return admin;
+}
+
+void
+KcAdmin_Free(KcAdmin *admin)
+{
+    evhtp_unbind_socket(admin->http);
+    evhtp_free(admin->http);
+    free(admin);
+}
--- /dev/null
+++ b/programs/process/entry_role.c
@@ -0,0 +1,304 @@
+/*
+ * The entry as a process.
+ */
+#include <string.h>
+
+#include "../connection/tcp.h"
+#include "../request/caller.h"
+#include "admin_http.h"
+#include "instances_http.h"
+#include "log.h"
+#include "objects_http.h"
+#include "role.h"
+
+#define IDLE_CHECK (1 * KC_SECOND)
+
+typedef struct EntryRole {
+    KcParts parts;
+    KcEntry *entry;
+    KcFront *front;
+    KcInstances *instances;
+    KcTimer idle_timer;
+} EntryRole;
+
+/* ---- connections to agents --------------------------------------------- */
+
+static void
+on_ready(void *context, void *peer, KcLink *link)
+{
+    EntryRole *role = context;
+
+    KcEntry_OnConnected(role->entry, peer, link, KcLoop_Now());
+}
+
+static void
+on_message(void *context, KcLink *link, const KcMsg *msg)
+{
+    EntryRole *role = context;
+
+    KcEntry_OnMessage(role->entry, link->owner, msg, KcLoop_Now());
+}
+
+static void
+on_closed(void *context, void *peer, KcLink *link, int code)
+{
+    EntryRole *role = context;
+    KcBackend *backend = peer;
+    KcLogFields fields = {.peer = backend->name, .step = "link", .code = code};
+
+    if (link == NULL) {
+        KcLog_Write(KC_LOG_INFO, &fields, "no connection to the agent");
+        KcEntry_OnConnectFailed(role->entry, backend, KcLoop_Now());
+    }
+    else {
+        KcLog_Write(KC_LOG_INFO, &fields, "connection to the agent lost");
+        KcEntry_OnLinkLost(role->entry, backend, code, KcLoop_Now());
+    }
+}
+
+static const KcTcpOps tcp_ops = {on_ready, on_message, on_closed};
+
+static void
+connect_backend(void *context, KcBackend *backend)
+{
+    EntryRole *role = context;
+    KcTcpOptions options = {.loop = role->parts.loop,
+                            .counters = &role->parts.counters,
+                            .ops = &tcp_ops,
+                            .context = role};
+    KcMsg hello;
+
+    KcEntry_Hello(role->entry, &hello);
+    KcTcp_Connect(&options, backend, backend->address, &hello,
+                  role->parts.settings->connect_timeout_ms * KC_MS);
+}
+
+static const KcEntryOps entry_ops = {connect_backend};
+
+static void
+on_instances(void *context, const KcInstance *instances, size_t count,
+             uint32_t entries)
+{
+    EntryRole *role = context;
+
+    KcLog_Write(KC_LOG_INFO, NULL,
+                "instance list: %zu backend servers, %u "
+                "entries",
+                count, entries);
+    KcEntry_OnInstances(role->entry, instances, count, entries, KcLoop_Now());
+}
+
+static void
+on_idle_check(KcTimer *timer, KcTime now)
+{
+    EntryRole *role = timer->owner;
+
+    KcEntry_CloseIdle(role->entry, role->parts.settings->link_idle_ms * KC_MS,
+                      now);
+    KcTimers_Set(role->parts.loop->timers, timer, now + IDLE_CHECK);
+}
+
+/* ---- administration ------------------------------------------------------
+ */
+
+static int
+ready(void *context)
+{
+    return KcEntry_Ready(((EntryRole *)context)->entry);
+}
+
+static uint64_t
+generation(void *context)
+{
+    return KcEntry_Generation(((EntryRole *)context)->entry);
+}
+
+static json_t *
+encode_backend(const KcBackend *backend, KcTime now)
+{
+    return json_pack(
+        "{s:s, s:s, s:s, s:s, s:s, s:b, s:b, s:b, s:i, s:i, s:i, s:I}", "name",
+        backend->name, "service", backend->service, "datacentre",
+        backend->datacentre, "region", backend->region, "address",
+        backend->address, "leaving", (int)backend->leaving, "suspect",
+        (int)(backend->suspect_until > now), "connected",
+        (int)(backend->connection != NULL), "queued",
+        (int)backend->load.queued, "running", (int)backend->load.running,
+        "attempts", (int)backend->attempts, "load_age_ms",
+        (json_int_t)((now - backend->load_at) / KC_MS));
+}
+
+static void
+add_state(void *context, json_t *state)
+{
+    EntryRole *role = context;
+    const KcFleet *fleet = KcEntry_Fleet(role->entry);
+    const KcBackend *backend;
+    json_t *list = json_array();
+
+    TAILQ_FOREACH (backend, &fleet->backends, link) {
+        json_array_append_new(list, encode_backend(backend, KcLoop_Now()));
+    }
+    json_object_set_new(state, "region", json_string(fleet->region));
+    json_object_set_new(state, "requests",
+                        json_integer(KcEntry_RequestCount(role->entry)));
+    json_object_set_new(state, "backends", list);
+}
+
+static void
+admin_drain(void *context)
+{
+    KcParts_Drain(&((EntryRole *)context)->parts);
+}
+
+static const KcAdminOps admin_ops = {ready, generation, add_state,
+                                     admin_drain};
+
+static void
+drain(void *context)
+{
+    KcEntry_Drain(((EntryRole *)context)->entry, KcLoop_Now());
+}
+
+static bool
+drained(void *context)
+{
+    return KcEntry_Drained(((EntryRole *)context)->entry);
+}
+
+static const KcRoleOps role_ops = {drain, drained};
+
+/* ---- set-up ----------------------------------------------------------------
+ */
+
+static KcTime
+clock_now(void *context)
+{
+    (void)context;
+    return KcLoop_Now();
+}
+
+static void
+create_entry(EntryRole *role)
+{
+    const KcSettings *settings = role->parts.settings;
+    KcEntryOptions options;
+
+    KcEntryOptions_Init(&options);
+    options.name = settings->name;
+    options.datacentre = settings->datacentre;
+    options.admin = settings->admin;
+    options.incarnation = KcLoop_Random();
+    options.ops = &entry_ops;
+    options.context = role;
+    options.object_ops = &KcObjects_Http;
+    options.objects = role->parts.objects;
+    options.timers = role->parts.loop->timers;
+    options.events = role->parts.events;
+    options.counters = &role->parts.counters;
+    options.clock = clock_now;
+    options.policy = KcRoute_Policy(settings->policy);
+    options.attempts_max = (uint32_t)settings->attempts_max;
+    options.requests_max = (uint32_t)settings->requests_max;
+    options.reply_timeout = settings->reply_timeout_ms * KC_MS;
+    options.resume_timeout = settings->resume_timeout_ms * KC_MS;
+    options.remote_cost = settings->remote_cost_ms * KC_MS;
+    options.window = (uint64_t)settings->window;
+    options.retry_percent = settings->retry_percent;
+    options.wall_offset = role->parts.loop->wall_offset;
+    options.lease_ttl = settings->lease_ttl_ms * KC_MS;
+    options.lease_renew = settings->lease_renew_ms * KC_MS;
+    options.confirm_spread = settings->confirm_spread_ms * KC_MS;
+    role->entry = KcEntry_Create(&options);
+}
+
+/* Opens the addresses.  Returns 0 or KC_ERR_INVALID. */
+static int
+listen_all(EntryRole *role)
+{
+    const KcSettings *settings = role->parts.settings;
+    KcFrontOptions front = {role->parts.loop, settings, role->entry};
+    KcAdminOptions admin = {.loop = role->parts.loop,
+                            .settings = settings,
+                            .counters = &role->parts.counters,
+                            .events = role->parts.events,
+                            .ops = &admin_ops,
+                            .context = role};
+    KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
+
+    role->front = KcFront_Create(&front);
+    if (role->front == NULL) {
+        KcLog_Write(KC_LOG_ERROR, &fields,
+                    "cannot listen on [listen] "
+                    "callers = %s",
+                    settings->callers);
+        return KC_ERR_INVALID;
+    }
+    role->parts.admin = KcAdmin_Create(&admin);
+    if (role->parts.admin == NULL) {
+        KcLog_Write(KC_LOG_ERROR, &fields,
+                    "cannot listen on [listen] admin = %s", settings->admin);
+        return KC_ERR_INVALID;
+    }
+    return 0;
+}
+
+static void
+start_all(EntryRole *role)
+{
+    const KcSettings *settings = role->parts.settings;
+    KcInstancesOptions instances = {
+        .loop = role->parts.loop,
+        .address = settings->instances,
+        .interval = settings->instances_poll_ms * KC_MS,
+        .timeout = settings->object_timeout_ms * KC_MS,
+        .changed = on_instances,
+        .context = role};
+
+    KcEntry_Start(role->entry, KcLoop_Now());
+    role->instances = KcInstances_Create(&instances);
+    KcTimer_Init(&role->idle_timer, on_idle_check, role);
+    KcTimers_Set(role->parts.loop->timers, &role->idle_timer,
+                 KcLoop_Now() + IDLE_CHECK);
+    KcParts_HandleSignals(&role->parts, &role_ops, role);
+}
+
+static void
+free_all(EntryRole *role)
+{
+    if (role->instances != NULL) {
+        KcInstances_Free(role->instances);
+        KcTimers_Clear(role->parts.loop->timers, &role->idle_timer);
+    }
+    if (role->front != NULL) {
+        KcFront_Free(role->front);
+    }
+    if (role->parts.admin != NULL) {
+        KcAdmin_Free(role->parts.admin);
+    }
+    KcEntry_Abort(role->entry, KcLoop_Now());
+    KcEntry_Free(role->entry);
+    KcParts_Clear(&role->parts);
+}
+
+int
+KcEntryRole_Run(const KcSettings *settings)
+{
+    EntryRole role;
+    int status = 1;
+
+    memset(&role, 0, sizeof(role));
+    if (KcParts_Init(&role.parts, settings) != 0) {
+        return 1;
+    }
+    create_entry(&role);
+    if (listen_all(&role) == 0) {
+        start_all(&role);
+        KcLog_Write(KC_LOG_INFO, NULL, "entry serves callers on %s",
+                    settings->callers);
+        KcLoop_Run(role.parts.loop);
+        status = KcEntry_Drained(role.entry) ? 0 : 1;
+    }
+    free_all(&role);
+    return status;
+}
--- /dev/null
+++ b/programs/process/log.h
@@ -0,0 +1,37 @@
+/*
+ * Structured logs: one line of key=value pairs per message, through log4c.
+ */
+#ifndef KCC_LOG_H
+#define KCC_LOG_H
+
+#include <kcc.h>
+
+typedef enum KcLogLevel {
+    KC_LOG_ERROR = 0,
+    KC_LOG_WARN,
+    KC_LOG_INFO,
+    KC_LOG_DEBUG
+} KcLogLevel;
+
+/* Finds a level by name.  Returns it, or KC_ERR_NOT_FOUND. */
+int KcLog_Level(const char *name);
+
+/* Opens the log on standard error.  Returns 0 or KC_ERR_INVALID. */
+int KcLog_Open(const char *process_name, KcLogLevel level);
+void KcLog_Close(void);
+
+/* What a line says besides its text; unset fields are left out. */
+typedef struct KcLogFields {
+    const KcRequestId *request;
+    uint64_t generation;
+    const char *peer;
+    const char *step;
+    int code; /* negative error number */
+} KcLogFields;
+
+/* Writes one line.  fields may be NULL; format is that of printf(). */
+void KcLog_Write(KcLogLevel level, const KcLogFields *fields,
+                 const char *format, ...)
+    __attribute__((format(printf, 3, 4)));
+
+#endif
--- /dev/null
+++ b/programs/process/loop.h
@@ -0,0 +1,40 @@
+/*
+ * The event loop of a process: one libevent base on one thread, and the
+ * library's timers driven from it.
+ */
+#ifndef KCC_LOOP_H
+#define KCC_LOOP_H
+
+#include <event2/event.h>
+
+#include <kcc.h>
+
+typedef struct KcLoop {
+    struct event_base *base;
+    KcTimers *timers;
+    struct event *wake;  /* due when the next timer is */
+    int64_t wall_offset; /* wall clock minus monotonic clock */
+    bool stop;
+} KcLoop;
+
+/* Creates the loop.  Returns NULL when libevent cannot start. */
+KcLoop *KcLoop_Create(void);
+void KcLoop_Free(KcLoop *loop);
+
+/* Microseconds on the monotonic clock. */
+KcTime KcLoop_Now(void);
+
+/* Runs until KcLoop_Stop(). */
+void KcLoop_Run(KcLoop *loop);
+void KcLoop_Stop(KcLoop *loop);
+
+/* Random bits for names that must not repeat, from the operating system. */
+uint64_t KcLoop_Random(void);
+
+/*
+ * Splits "address:port".  Returns 0 or KC_ERR_PARSE.  host must hold
+ * KC_ADDRESS_MAX bytes.
+ */
+int KcAddress_Parse(const char *text, char *host, uint16_t *port);
+
+#endif
--- /dev/null
+++ b/programs/process/objects_http.h
@@ -0,0 +1,43 @@
+/*
+ * The object API over HTTP.
+ *
+ *   GET  /v1/objects/NAME                       the value; ETag: its version
+ *   GET  /v1/objects/NAME?above=V&wait_ms=T     as soon as its version is
+ *                                               above V, or after T
+ *   PUT  /v1/objects/NAME  If-Match: V          conditional update
+ *   PUT  /v1/objects/NAME  If-None-Match: *     create if absent
+ *   GET  /v1/list?prefix=P                      {"objects": [{"name",
+ *                                               "version", "value"}]}
+ *
+ * 404 means absent, 409 or 412 a lost race; anything else, and no answer,
+ * means that a put may have taken effect.
+ */
+#ifndef KCC_OBJECTS_HTTP_H
+#define KCC_OBJECTS_HTTP_H
+
+#include "../request/http_call.h"
+#include "loop.h"
+
+typedef struct KcObjects KcObjects;
+
+typedef struct KcObjectsOptions {
+    KcLoop *loop;
+    const char *address;
+    KcTime timeout; /* of a get or put */
+    KcTime watch;   /* longest wait of one watch */
+    KcCounters *counters;
+} KcObjectsOptions;
+
+KcObjects *KcObjects_Create(const KcObjectsOptions *options);
+
+/* Frees it; calls still outstanding are dropped without an answer. */
+void KcObjects_Free(KcObjects *objects);
+
+/* The seam's table for this implementation. */
+extern const KcObjectOps KcObjects_Http;
+
+/* Lists the objects below a prefix as JSON; for the command line. */
+void KcObjects_List(KcObjects *objects, const char *prefix, KcObjectDone done,
+                    void *context);
+
+#endif
--- /dev/null
+++ b/programs/process/role.c
@@ -0,0 +1,110 @@
+/*
+ * Parts that both roles have, and the planned stop.
+ */
+#include "role.h"
+
+#include <event2/event.h>
+#include <signal.h>
+#include <string.h>
+
+#include "log.h"
+#include "objects_http.h"
+
+/* While draining, completion is looked for this often. */
+#define DRAIN_INTERVAL (50 * KC_MS)
+
+int
+KcParts_Init(KcParts *parts, const KcSettings *settings)
+{
+    KcObjectsOptions objects;
+
+    memset(parts, 0, sizeof(*parts));
+    parts->settings = settings;
+    parts->loop = KcLoop_Create();
+    if (parts->loop == NULL) {
+        return KC_ERR_INVALID;
+    }
+    parts->events =
+        KcEvents_Create((size_t)settings->events, parts->loop->wall_offset);
+    objects =
+        (KcObjectsOptions){.loop = parts->loop,
+                           .address = settings->objects,
+                           .timeout = settings->object_timeout_ms * KC_MS,
+                           .watch = settings->watch_ms * KC_MS,
+                           .counters = &parts->counters};
+    parts->objects = KcObjects_Create(&objects);
+    return 0;
+}
+
+void
+KcParts_Clear(KcParts *parts)
+{
+    KcTimers_Clear(parts->loop->timers, &parts->drain_timer);
+    for (int i = 0; i < 2; i++) {
+        if (parts->signals[i] != NULL) {
+            event_free(parts->signals[i]);
+        }
+    }
+    KcObjects_Free(parts->objects);
+    KcEvents_Free(parts->events);
+    KcLoop_Free(parts->loop);
+}
+
+static void
+check_drained(KcTimer *timer, KcTime now)
+{
+    KcParts *parts = timer->owner;
+
+    if (parts->ops->drained(parts->role)) {
+        KcLog_Write(KC_LOG_INFO, NULL, "drained; stopping");
+        KcLoop_Stop(parts->loop);
+    }
+    else if (now >= parts->drain_until) {
+        KcLog_Write(KC_LOG_WARN, NULL,
+                    "stopping with requests in progress: drain_ms is over");
+        KcLoop_Stop(parts->loop);
+    }
+    else {
+        KcTimers_Set(parts->loop->timers, timer, now + DRAIN_INTERVAL);
+    }
+}
+
+void
+KcParts_Drain(KcParts *parts)
+{
+    KcTime now = KcLoop_Now();
+
+    if (parts->draining) {
+        return;
+    }
+    parts->draining = true;
+    parts->drain_until = now + parts->settings->drain_ms * KC_MS;
+    KcLog_Write(KC_LOG_INFO, NULL, "planned stop begins");
+    parts->ops->drain(parts->role);
+    KcTimers_Set(parts->loop->timers, &parts->drain_timer,
+                 now + DRAIN_INTERVAL);
+}
+
+static void
+on_signal(evutil_socket_t number, short what, void *context)
+{
+    (void)number;
+    (void)what;
+    KcParts_Drain(context);
+}
+
+void
+KcParts_HandleSignals(KcParts *parts, const KcRoleOps *ops, void *role)
+{
+    static const int numbers[2] = {SIGTERM, SIGINT};
+
+    parts->ops = ops;
+    parts->role = role;
+    KcTimer_Init(&parts->drain_timer, check_drained, parts);
+    signal(SIGPIPE, SIG_IGN);
+    for (int i = 0; i < 2; i++) {
+        parts->signals[i] =
+            evsignal_new(parts->loop->base, numbers[i], on_signal, parts);
+        evsignal_add(parts->signals[i], NULL);
+    }
+}
--- /dev/null
+++ b/programs/process/role.h
@@ -0,0 +1,49 @@
+/*
+ * The two roles of a process.
+ */
+#ifndef KCC_ROLE_H
+#define KCC_ROLE_H
+
+#include "loop.h"
+#include "settings.h"
+
+/* What a planned stop needs to know of a role. */
+typedef struct KcRoleOps {
+    void (*drain)(void *role);
+    bool (*drained)(void *role);
+} KcRoleOps;
+
+/* Parts that both roles have. */
+typedef struct KcParts {
+    KcLoop *loop;
+    const KcSettings *settings;
+    KcCounters counters;
+    KcEvents *events;
+    struct KcObjects *objects;
+    struct KcAdmin *admin;
+    const KcRoleOps *ops;
+    void *role;
+    struct event *signals[2];
+    KcTimer drain_timer;
+    KcTime drain_until;
+    bool draining;
+} KcParts;
+
+/*
+ * Runs the process until it has been stopped and drained.  Returns the exit
+ * status: 0 after a clean stop.
+ */
+int KcEntryRole_Run(const KcSettings *settings);
+int KcAgentRole_Run(const KcSettings *settings);
+
+/* Sets up loop, events and object API.  Returns 0 or KC_ERR_INVALID. */
+int KcParts_Init(KcParts *parts, const KcSettings *settings);
+void KcParts_Clear(KcParts *parts);
+
+/* Handles SIGTERM and SIGINT by a planned stop of the role. */
+void KcParts_HandleSignals(KcParts *parts, const KcRoleOps *ops, void *role);
+
+/* Begins a planned stop; asking twice changes nothing. */
+void KcParts_Drain(KcParts *parts);
+
+#endif
--- /dev/null
+++ b/programs/process/settings.h
@@ -0,0 +1,86 @@
+/*
+ * The settings of one process: an INI file, checked as a whole against one
+ * table that also prints the reference.
+ */
+#ifndef KCC_SETTINGS_H
+#define KCC_SETTINGS_H
+
+#include <stdio.h>
+
+#include <kcc.h>
+
+typedef enum KcRole {
+    KC_ROLE_ENTRY = 0, /* takes callers' requests */
+    KC_ROLE_AGENT = 1  /* stands beside one backend server */
+} KcRole;
+
+/* Settings with every default filled in.  Durations in milliseconds. */
+typedef struct KcSettings {
+    int64_t role; /* KcRole */
+    char name[KC_NAME_MAX];
+    char datacentre[KC_NAME_MAX];
+    char log_level[KC_NAME_MAX];
+    int64_t events;
+    char callers[KC_ADDRESS_MAX];
+    char links[KC_ADDRESS_MAX];
+    char admin[KC_ADDRESS_MAX];
+    char objects[KC_ADDRESS_MAX];
+    char instances[KC_ADDRESS_MAX];
+    int64_t object_timeout_ms;
+    int64_t watch_ms;
+    int64_t instances_poll_ms;
+    int64_t lease_ttl_ms;
+    int64_t lease_renew_ms;
+    int64_t confirm_spread_ms;
+    int64_t drain_ms;
+    /* entry */
+    char policy[KC_NAME_MAX];
+    int64_t attempts_max;
+    int64_t requests_max;
+    int64_t connections_max;
+    int64_t header_max;
+    int64_t body_max;
+    int64_t read_timeout_ms;
+    int64_t write_timeout_ms;
+    int64_t reply_timeout_ms;
+    int64_t resume_timeout_ms;
+    int64_t connect_timeout_ms;
+    int64_t link_idle_ms;
+    int64_t remote_cost_ms;
+    int64_t retry_percent;
+    int64_t window;
+    /* agent */
+    char backend[KC_ADDRESS_MAX];
+    char service[KC_NAME_MAX];
+    bool fencing;
+    char victim[KC_NAME_MAX];
+    int64_t store_share;
+    int64_t inspect_ms;
+    int64_t order_timeout_ms;
+    int64_t silence_timeout_ms;
+    int64_t detach_ms;
+    int64_t retain_ms;
+} KcSettings;
+
+/*
+ * Reads and checks a settings file.  Every mistake is appended to problems
+ * with file, line and key.  Returns 0, KC_ERR_NOT_FOUND when the file cannot
+ * be read, or KC_ERR_INVALID.
+ */
+int KcSettings_Read(const char *path, KcSettings *settings,
+                    KcProblemList *problems);
+
+/* As KcSettings_Read(), from text. */
+int KcSettings_Parse(const char *file, const char *text, size_t size,
+                     KcSettings *settings, KcProblemList *problems);
+
+/* Prints the reference of all settings as a table in Markdown. */
+void KcSettings_PrintReference(FILE *out);
+
+/* Prints problems, one per line: file:line: [section] key: text. */
+void KcProblem_Print(FILE *out, const KcProblemList *problems);
+
+/* Reads a whole file; the caller frees it.  NULL when it cannot be read. */
+char *KcFile_Read(const char *path, size_t *size);
+
+#endif
--- /dev/null
+++ b/programs/request/answer.c
@@ -0,0 +1,207 @@
+/*
+ * JSON of answers and errors.
+ */
+#include "answer.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Adds text as a JSON string. */
+static void
+add_string(struct evbuffer *out, const char *text, size_t size)
+{
+    json_t *string = json_stringn(text, size);
+    char *encoded = NULL;
+
+    if (string != NULL) {
+        encoded = json_dumps(string, JSON_ENCODE_ANY);
+        json_decref(string);
+    }
+    if (encoded != NULL) {
+        evbuffer_add(out, encoded, strlen(encoded));
+        free(encoded);
+    }
+    else {
+        evbuffer_add(out, "\"\"", 2);
+    }
+}
+
+static void
+add_head(struct evbuffer *out, const KcAnswerInfo *info, const char *prefix,
+         const char *object)
+{
+    evbuffer_add_printf(out,
+                        "{\"id\":\"%s-%s\",\"object\":\"%s\","
+                        "\"created\":%" PRId64 ",\"model\":\"%s\","
+                        "\"choices\":[{\"index\":0,",
+                        prefix, info->id, object, info->created, info->model);
+}
+
+static void
+add_finish(struct evbuffer *out, const char *finish)
+{
+    evbuffer_add_printf(out, ",\"finish_reason\":");
+    add_string(out, finish, strlen(finish));
+    evbuffer_add_printf(out, "}]");
+}
+
+static void
+add_usage(struct evbuffer *out, const KcResult *result)
+{
+    evbuffer_add_printf(out, ",\"usage\":{\"completion_tokens\":%" PRIu64 "}}",
+                        result->tokens);
+}
+
+/* ---- /v1/completions -------------------------------------------------- */
+
+static void
+completion_whole(const KcAnswerInfo *info, KcBytes text,
+                 const KcResult *result, struct evbuffer *out)
+{
+    add_head(out, info, "cmpl", "text_completion");
+    evbuffer_add_printf(out, "\"text\":");
+    add_string(out, text.data, text.size);
+    add_finish(out, result->finish);
+    add_usage(out, result);
+}
+
+static void
+completion_piece(const KcAnswerInfo *info, KcBytes text, struct evbuffer *out)
+{
+    evbuffer_add_printf(out, "data: ");
+    add_head(out, info, "cmpl", "text_completion");
+    evbuffer_add_printf(out, "\"text\":");
+    add_string(out, text.data, text.size);
+    evbuffer_add_printf(out, ",\"finish_reason\":null}]}\n\n");
+}
+
+static void
+completion_last(const KcAnswerInfo *info, const KcResult *result,
+                struct evbuffer *out)
+{
+    evbuffer_add_printf(out, "data: ");
+    add_head(out, info, "cmpl", "text_completion");
+    evbuffer_add_printf(out, "\"text\":\"\"");
+    add_finish(out, result->finish);
+    evbuffer_add_printf(out, "}\n\ndata: [DONE]\n\n");
+}
+
+/* ---- /v1/chat/completions ---------------------------------------------- */
+
+static void
+chat_whole(const KcAnswerInfo *info, KcBytes text, const KcResult *result,
+           struct evbuffer *out)
+{
+    add_head(out, info, "chatcmpl", "chat.completion");
+    evbuffer_add_printf(out,
+                        "\"message\":{\"role\":\"assistant\",\"content\":");
+    add_string(out, text.data, text.size);
+    evbuffer_add_printf(out, "}");
+    add_finish(out, result->finish);
+    add_usage(out, result);
+}
+
+static void
+chat_piece(const KcAnswerInfo *info, KcBytes text, struct evbuffer *out)
+{
+    evbuffer_add_printf(out, "data: ");
+    add_head(out, info, "chatcmpl", "chat.completion.chunk");
+    evbuffer_add_printf(out, "\"delta\":{\"role\":\"assistant\",\"content\":");
+    add_string(out, text.data, text.size);
+    evbuffer_add_printf(out, "},\"finish_reason\":null}]}\n\n");
+}
+
+static void
+chat_last(const KcAnswerInfo *info, const KcResult *result,
+          struct evbuffer *out)
+{
+    evbuffer_add_printf(out, "data: ");
+    add_head(out, info, "chatcmpl", "chat.completion.chunk");
+    evbuffer_add_printf(out, "\"delta\":{}");
+    add_finish(out, result->finish);
+    evbuffer_add_printf(out, "}\n\ndata: [DONE]\n\n");
+}
+
+static const KcAnswerForm forms[] = {
+    {"/v1/completions", completion_whole, completion_piece, completion_last},
+    {"/v1/chat/completions", chat_whole, chat_piece, chat_last},
+};
+
+const KcAnswerForm *
+KcAnswer_Form(const char *path)
+{
+    for (size_t i = 0; i < sizeof(forms) / sizeof(forms[0]); i++) {
+        if (strcmp(forms[i].path, path) == 0) {
+            return &forms[i];
+        }
+    }
+    return NULL;
+}
+
+/* ---- errors ------------------------------------------------------------ */
+
+static const struct {
+    int code;
+    int status;
+} statuses[] = {
+    {KC_ERR_INVALID, 400},      {KC_ERR_PARSE, 400},
+    {KC_ERR_KEY_REQUIRED, 400}, {KC_ERR_UNKNOWN_MODEL, 404},
+    {KC_ERR_NOT_FOUND, 404},    {KC_ERR_DUPLICATE, 409},
+    {KC_ERR_RETIRED, 410},      {KC_ERR_TOO_LARGE, 413},
+    {KC_ERR_LIMIT, 429},        {KC_ERR_BUSY, 503},
+    {KC_ERR_NO_BACKEND, 503},   {KC_ERR_NO_DOCUMENT, 503},
+    {KC_ERR_LEAVING, 503},      {KC_ERR_UNAVAILABLE, 503},
+    {KC_ERR_NO_LEASE, 503},     {KC_ERR_LOAD_FAILED, 503},
+    {KC_ERR_DEADLINE, 504},     {KC_ERR_BEHIND, 503},
+};
+
+int
+KcAnswer_Status(int code)
+{
+    for (size_t i = 0; i < sizeof(statuses) / sizeof(statuses[0]); i++) {
+        if (statuses[i].code == code) {
+            return statuses[i].status;
+        }
+    }
+    return 502;
+}
+
+static const char *
+earlier_name(const KcResult *result)
+{
+    switch (result->earlier) {
+    case KC_CLAIM_DONE:
+        return "answered";
+    case KC_CLAIM_CLAIMED:
+        return "running";
+    default:
+        return "unknown";
+    }
+}
+
+void
+KcAnswer_Error(const KcResult *result, struct evbuffer *out)
+{
+    char id[KC_REQUEST_ID_TEXT];
+    json_t *error;
+    json_t *root;
+    char *text;
+
+    KcRequestId_Format(&result->id, id);
+    error = json_pack("{s:s, s:s, s:s, s:s, s:s}", "code",
+                      KcError_Name(result->error.code), "outcome",
+                      KcOutcome_Name(result->outcome), "step",
+                      result->error.step != NULL ? result->error.step : "",
+                      "peer", result->error.peer, "request_id", id);
+    if (result->duplicate) {
+        json_object_set_new(error, "earlier_call",
+                            json_string(earlier_name(result)));
+    }
+    root = json_pack("{s:o}", "error", error);
+    text = json_dumps(root, JSON_COMPACT);
+    evbuffer_add(out, text, strlen(text));
+    free(text);
+    json_decref(root);
+}
--- /dev/null
+++ b/programs/request/backend_call_internal.h
@@ -0,0 +1,45 @@
+/*
+ * State shared by the two kinds of calls to a backend server.
+ */
+#ifndef KCC_BACKEND_CALL_INTERNAL_H
+#define KCC_BACKEND_CALL_INTERNAL_H
+
+#include "backend_call.h"
+#include "http_call.h"
+
+TAILQ_HEAD(KcOrderList, Order);
+
+struct KcBackendHttp {
+    KcLoop *loop;
+    const KcSettings *settings;
+    KcAgent *agent;
+    struct KcOrderList orders;
+    KcHttpCall *inspection; /* NULL when none is outstanding */
+    KcTime asked;
+};
+
+/* One work at the backend server. */
+typedef struct KcBackendCall {
+    KcBackendHttp *backend;
+    KcWork *work;
+    KcHttpCall *http;
+    int status;
+    bool finished; /* an engine sent its finish reason */
+    uint64_t tokens;
+    char finish[32];
+    KcTimer bad_body; /* reports a body that cannot be sent */
+    KcBuffer line;    /* bytes of an incomplete server-sent event */
+} KcBackendCall;
+
+KcBackendCall *KcBackendCall_Create(KcBackendHttp *backend, KcWork *work);
+void KcBackendCall_Free(KcBackendCall *call);
+
+/* Frees the call and reports its end. */
+void KcBackendCall_End(KcBackendCall *call, int code, bool ran,
+                       const char *finish);
+
+/* engine_call.c and service_call.c: send a work. */
+void KcEngineCall_Start(KcBackendHttp *backend, KcWork *work);
+void KcServiceCall_Start(KcBackendHttp *backend, KcWork *work);
+
+#endif
--- /dev/null
+++ b/programs/request/engine_call.c
@@ -0,0 +1,243 @@
+/*
+ * A call to a model engine: the engine is always asked to stream, and its
+ * server-sent events are turned into text and a finish reason.
+ */
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "backend_call_internal.h"
+
+#define EVENT_PREFIX "data:"
+#define EVENT_DONE "[DONE]"
+
+/* ---- the request -----------------------------------------------------------
+ */
+
+/* The caller's body with the engine's name of the adapter. */
+static char *
+engine_body(const KcWork *work)
+{
+    json_t *body = json_loadb(KcBuffer_Data(&work->body),
+                              KcBuffer_Size(&work->body), 0, NULL);
+    size_t delivered = KcBuffer_Size(&work->delivered);
+    char *text;
+
+    if (!json_is_object(body)) {
+        json_decref(body);
+        return NULL;
+    }
+    json_object_set_new(body, "model", json_string(work->slot->name));
+    json_object_set_new(body, "stream", json_true());
+    json_object_set_new(body, "priority",
+                        json_integer((json_int_t)work->priority));
+    if (delivered > 0) {
+        json_object_set_new(
+            body, "continue_from",
+            json_stringn(KcBuffer_Data(&work->delivered), delivered));
+    }
+    text = json_dumps(body, JSON_COMPACT);
+    json_decref(body);
+    return text;
+}
+
+/* ---- the answer
+ * -------------------------------------------------------------- */
+
+/* Text of one event, of either form; NULL when it has none. */
+static json_t *
+text_of(json_t *choice)
+{
+    json_t *delta = json_object_get(choice, "delta");
+
+    if (delta != NULL) {
+        return json_object_get(delta, "content");
+    }
+    return json_object_get(choice, "text");
+}
+
+/* Tells the agent which model answers.  False when the call was ended. */
+static bool
+report_start(KcBackendCall *call, json_t *event)
+{
+    KcWork *work = call->work;
+    const char *model = json_string_value(json_object_get(event, "model"));
+
+    if (work->started) {
+        return true;
+    }
+    KcAgent_OnStarted(call->backend->agent, work, model != NULL ? model : "",
+                      200, "", KcLoop_Now());
+    /* The agent cancels a call whose answer names another model. */
+    return work->call == call;
+}
+
+/* Handles one decoded event.  False when the call was ended. */
+static bool
+take_event(KcBackendCall *call, json_t *event)
+{
+    KcWork *work = call->work;
+    json_t *choice = json_array_get(json_object_get(event, "choices"), 0);
+    json_t *text = text_of(choice);
+    json_t *finish = json_object_get(choice, "finish_reason");
+
+    if (!report_start(call, event)) {
+        return false;
+    }
+    if (json_is_string(finish)) {
+        KcName_Copy(call->finish, json_string_value(finish),
+                    sizeof(call->finish));
+    }
+    if (json_is_string(text) && json_string_length(text) > 0) {
+        KcBytes bytes = {json_string_value(text), json_string_length(text)};
+
+        call->tokens++;
+        KcAgent_OnData(call->backend->agent, work, bytes, call->tokens,
+                       KcLoop_Now());
+    }
+    return true;
+}
+
+/* Handles one line.  False when the call was ended. */
+static bool
+take_line(KcBackendCall *call, const char *line, size_t size)
+{
+    const size_t prefix = strlen(EVENT_PREFIX);
+    json_t *event;
+    bool goes_on;
+
+    if (size < prefix || memcmp(line, EVENT_PREFIX, prefix) != 0) {
+        return true;
+    }
+    line += prefix;
+    size -= prefix;
+    while (size > 0 && *line == ' ') {
+        line++;
+        size--;
+    }
+    if (size == strlen(EVENT_DONE) && memcmp(line, EVENT_DONE, size) == 0) {
+        call->finished = true;
+        return true;
+    }
+    event = json_loadb(line, size, 0, NULL);
+    if (event == NULL) {
+        return true;
+    }
+    goes_on = take_event(call, event);
+    json_decref(event);
+    return goes_on;
+}
+
+static void
+on_head(void *context, const KcHttpHead *head)
+{
+    KcBackendCall *call = context;
+
+    call->status = head->status;
+}
+
+static void
+on_data(void *context, KcBytes bytes)
+{
+    KcBackendCall *call = context;
+    KcWork *work = call->work;
+    const char *newline;
+
+    if (call->status != 200) {
+        return;
+    }
+    KcBuffer_Append(&call->line, bytes.data, bytes.size);
+    while ((newline = memchr(KcBuffer_Data(&call->line), '\n',
+                             KcBuffer_Size(&call->line))) != NULL) {
+        size_t size = (size_t)(newline - KcBuffer_Data(&call->line));
+        size_t line = size;
+
+        if (line > 0 && newline[-1] == '\r') {
+            line--;
+        }
+        if (!take_line(call, KcBuffer_Data(&call->line), line)) {
+            return; /* the call has been freed */
+        }
+        if (work->call != call) {
+            return;
+        }
+        KcBuffer_Drop(&call->line, size + 1);
+    }
+}
+
+/* What an answer without text says; *ran is set. */
+static int
+code_of_status(int status, bool *ran)
+{
+    *ran = false;
+    switch (status) {
+    case 404:
+        return KC_ERR_NOT_FOUND;
+    case 429:
+    case 503:
+        return KC_ERR_BUSY;
+    case 400:
+    case 422:
+        return KC_ERR_INVALID;
+    default:
+        *ran = true;
+        return KC_ERR_BACKEND;
+    }
+}
+
+static void
+on_done(void *context, int code, bool sent)
+{
+    KcBackendCall *call = context;
+    bool ran = sent;
+
+    call->http = NULL;
+    if (code == 0 && call->status != 200) {
+        code = code_of_status(call->status, &ran);
+    }
+    else if (code == 0 && (!call->finished || !call->work->started)) {
+        /* The stream ended without saying that it was whole. */
+        code = KC_ERR_LOST;
+    }
+    KcBackendCall_End(call, code, ran, call->finish);
+}
+
+static const KcHttpOps ops = {on_head, on_data, on_done};
+
+static void
+on_bad_body(KcTimer *timer, KcTime now)
+{
+    KcBackendCall *call = timer->owner;
+
+    (void)now;
+    KcBackendCall_End(call, KC_ERR_PARSE, true, "");
+}
+
+void
+KcEngineCall_Start(KcBackendHttp *backend, KcWork *work)
+{
+    KcBackendCall *call = KcBackendCall_Create(backend, work);
+    char *text = engine_body(work);
+    char id[KC_REQUEST_ID_TEXT];
+    KcHttpOptions options = {.base = backend->loop->base,
+                             .address = backend->settings->backend,
+                             .method = "POST",
+                             .path = work->path,
+                             .headers = {{"Content-Type", "application/json"},
+                                         {"X-Kcc-Request-Id", id}},
+                             .timeout =
+                                 backend->settings->silence_timeout_ms * KC_MS,
+                             .ops = &ops,
+                             .context = call};
+
+    KcRequestId_Format(&work->key.request, id);
+    if (text == NULL) {
+        /* The entry has parsed the body; only a broken peer gets here. */
+        call->bad_body.fire = on_bad_body;
+        KcTimers_Set(backend->loop->timers, &call->bad_body, KcLoop_Now());
+        return;
+    }
+    options.body = (KcBytes){text, strlen(text)};
+    call->http = KcHttpCall_Start(&options);
+    free(text);
+}
--- /dev/null
+++ b/programs/request/http_call.h
@@ -0,0 +1,72 @@
+/*
+ * One HTTP request as a client, over evhttp: to the object API, the instance
+ * list, an engine or a plain service.
+ */
+#ifndef KCC_HTTP_CALL_H
+#define KCC_HTTP_CALL_H
+
+#include <event2/event.h>
+
+#include <kcc.h>
+
+typedef struct KcHttpCall KcHttpCall;
+
+/* What the answer's head says.  Text is borrowed for the call. */
+typedef struct KcHttpHead {
+    int status;
+    const char *content_type; /* "" when absent */
+    const char *etag;         /* "" when absent */
+} KcHttpHead;
+
+/* Progress of a call.  head and data may be NULL. */
+typedef struct KcHttpOps {
+    void (*head)(void *context, const KcHttpHead *head);
+    void (*data)(void *context, KcBytes bytes);
+    /*
+     * The call ended; its pointer is not valid afterwards.  code 0: the
+     * answer is whole.  sent is false when no byte of the request left.
+     */
+    void (*done)(void *context, int code, bool sent);
+} KcHttpOps;
+
+/* One header to send. */
+typedef struct KcHttpHeader {
+    const char *name;
+    const char *value; /* NULL: left out */
+} KcHttpHeader;
+
+#define KC_HTTP_HEADERS_MAX 6
+
+typedef struct KcHttpOptions {
+    struct event_base *base;
+    const char *address; /* "address:port" */
+    const char *method;
+    const char *path;
+    KcHttpHeader headers[KC_HTTP_HEADERS_MAX];
+    KcBytes body;
+    KcTime timeout; /* without progress */
+    const KcHttpOps *ops;
+    void *context;
+} KcHttpOptions;
+
+/*
+ * Starts a call.  Returns NULL when it cannot be started, for a bad address
+ * or method; done is not called then.
+ */
+KcHttpCall *KcHttpCall_Start(const KcHttpOptions *options);
+
+/* Ends a call; nothing is reported for it afterwards. */
+void KcHttpCall_Cancel(KcHttpCall *call);
+
+/* Pauses or resumes reading the answer. */
+void KcHttpCall_Throttle(KcHttpCall *call, bool paused);
+
+/* Called with the whole answer: status 0 when there was none. */
+typedef void (*KcHttpWhole)(void *context, int status, const char *etag,
+                            KcBytes body);
+
+/* Starts a call whose answer is collected; options->ops is not used. */
+KcHttpCall *KcHttpCall_Fetch(const KcHttpOptions *options, KcHttpWhole whole,
+                             void *context);
+
+#endif
--- /dev/null
+++ b/programs/request/service_call.c
@@ -0,0 +1,65 @@
+/*
+ * A call to a plain service: the body is passed on as it is.
+ */
+#include <string.h>
+
+#include "backend_call_internal.h"
+
+static void
+on_head(void *context, const KcHttpHead *head)
+{
+    KcBackendCall *call = context;
+
+    call->status = head->status;
+    KcAgent_OnStarted(call->backend->agent, call->work, "",
+                      (uint32_t)head->status, head->content_type,
+                      KcLoop_Now());
+}
+
+static void
+on_data(void *context, KcBytes bytes)
+{
+    KcBackendCall *call = context;
+
+    if (call->work->started) {
+        KcAgent_OnData(call->backend->agent, call->work, bytes, 0,
+                       KcLoop_Now());
+    }
+}
+
+static void
+on_done(void *context, int code, bool sent)
+{
+    KcBackendCall *call = context;
+
+    /* Without its head an answer is not an answer. */
+    if (code == 0 && call->status == 0) {
+        code = KC_ERR_LOST;
+    }
+    call->http = NULL;
+    KcBackendCall_End(call, code, sent, "");
+}
+
+static const KcHttpOps ops = {on_head, on_data, on_done};
+
+void
+KcServiceCall_Start(KcBackendHttp *backend, KcWork *work)
+{
+    KcBackendCall *call = KcBackendCall_Create(backend, work);
+    char id[KC_REQUEST_ID_TEXT];
+    KcHttpOptions options = {
+        .base = backend->loop->base,
+        .address = backend->settings->backend,
+        .method = work->method,
+        .path = work->path,
+        .headers = {{"Content-Type", work->content_type},
+                    {"X-Kcc-Request-Id", id},
+                    {"X-Kcc-Customer", work->share->customer}},
+        .body = {KcBuffer_Data(&work->body), KcBuffer_Size(&work->body)},
+        .timeout = backend->settings->silence_timeout_ms * KC_MS,
+        .ops = &ops,
+        .context = call};
+
+    KcRequestId_Format(&work->key.request, id);
+    call->http = KcHttpCall_Start(&options);
+}
--- /dev/null
+++ b/tests/standins/instances.c
@@ -0,0 +1,129 @@
+/*
+ * Stand-in for the platform's instance list, which lags behind the truth.
+ *
+ * FILE holds the list as JSON.  POST /standin/instance?name=N&state=S sets
+ * the state of an instance: live, leaving, or gone; the list shows it after
+ * lag_ms.
+ */
+#include <string.h>
+
+#include "standin.h"
+
+static StandinKnob knobs[] = {
+    {"lag_ms", 500, "delay until a change is shown"},
+    {"outage", 0, "1: calls are dropped"},
+    {NULL, 0, NULL},
+};
+
+/* A change that is not shown yet. */
+typedef struct Change {
+    KcTimer timer;
+    char name[KC_NAME_MAX];
+    char state[16];
+} Change;
+
+static Standin standin;
+static json_t *list;
+static int64_t list_version = 1;
+static int64_t calls;
+static int64_t unchanged;
+
+static void
+show_change(KcTimer *timer, KcTime now)
+{
+    Change *change = timer->owner;
+    json_t *instance;
+    size_t index;
+
+    (void)now;
+    json_array_foreach (list, index, instance) {
+        const char *name =
+            json_string_value(json_object_get(instance, "name"));
+
+        if (strcmp(name, change->name) != 0) {
+            continue;
+        }
+        if (strcmp(change->state, "gone") == 0) {
+            json_array_remove(list, index);
+        }
+        else {
+            json_object_set_new(instance, "state", json_string(change->state));
+        }
+        list_version++;
+        break;
+    }
+    free(change);
+}
+
+static void
+on_change(evhtp_request_t *http, void *context)
+{
+    const char *name = Standin_Query(http, "name");
+    const char *state = Standin_Query(http, "state");
+    Change *change;
+
+    (void)context;
+    if (name == NULL || state == NULL) {
+        Standin_ReplyText(http, EVHTP_RES_BADREQ, "name and state\n");
+        return;
+    }
+    change = KcMem_New(sizeof(*change));
+    KcName_Copy(change->name, name, sizeof(change->name));
+    KcName_Copy(change->state, state, sizeof(change->state));
+    KcTimer_Init(&change->timer, show_change, change);
+    KcTimers_Set(standin.loop->timers, &change->timer,
+                 KcLoop_Now() + Standin_Knob(&standin, "lag_ms") * KC_MS);
+    Standin_ReplyText(http, EVHTP_RES_OK, "ok\n");
+}
+
+static void
+on_list(evhtp_request_t *http, void *context)
+{
+    const char *seen = evhtp_header_find(http->headers_in, "If-None-Match");
+    char etag[32];
+
+    (void)context;
+    calls++;
+    if (Standin_Knob(&standin, "outage") != 0) {
+        Standin_Drop(http);
+        return;
+    }
+    snprintf(etag, sizeof(etag), "\"%lld\"", (long long)list_version);
+    evhtp_headers_add_header(http->headers_out,
+                             evhtp_header_new("ETag", etag, 0, 1));
+    if (seen != NULL && strcmp(seen, etag) == 0) {
+        unchanged++;
+        evhtp_send_reply(http, EVHTP_RES_NOTMOD);
+        return;
+    }
+    Standin_ReplyJson(http, EVHTP_RES_OK, json_incref(list));
+}
+
+static void
+add_state(json_t *state)
+{
+    json_object_set_new(state, "calls", json_integer(calls));
+    json_object_set_new(state, "unchanged", json_integer(unchanged));
+    json_object_set_new(state, "version", json_integer(list_version));
+}
+
+static const StandinOptions options = {"standin-instances", knobs, add_state,
+                                       NULL};
+
+int
+main(int argc, char **argv)
+{
+    int status;
+
+    Standin_Init(&standin, &options, argc, argv);
+    list = standin.file != NULL ? json_load_file(standin.file, 0, NULL) : NULL;
+    if (!json_is_array(list)) {
+        fprintf(stderr, "standin-instances: FILE must hold a JSON array\n");
+        return 1;
+    }
+    evhtp_set_cb(standin.http, "/v1/instances", on_list, NULL);
+    evhtp_set_cb(standin.http, "/standin/instance", on_change, NULL);
+    status = Standin_Run(&standin);
+    json_decref(list);
+    return status;
+}
--- /dev/null
+++ b/tests/standins/service.c
@@ -0,0 +1,124 @@
+/*
+ * Stand-in for a plain service: it counts what it executes, per body and per
+ * request id.
+ */
+#include <string.h>
+
+#include "standin.h"
+
+static StandinKnob knobs[] = {
+    {"delay_ms", 5, "time of one execution"},
+    {"cut", 0, "this many calls are executed and their connection dropped"},
+    {"refuse", 0, "this many calls are answered 503 unexecuted"},
+    {NULL, 0, NULL},
+};
+
+/* A call being executed. */
+typedef struct Execution {
+    evhtp_request_t *http;
+    KcTimer timer;
+} Execution;
+
+static Standin standin;
+static json_t *by_body;
+static int64_t executions;
+
+static void
+count_body(const char *body)
+{
+    json_int_t count = json_integer_value(json_object_get(by_body, body));
+
+    json_object_set_new(by_body, body, json_integer(count + 1));
+    executions++;
+}
+
+/* The body as text that may be a JSON key. */
+static void
+body_text(evhtp_request_t *http, char *text, size_t size)
+{
+    size_t length = evbuffer_get_length(http->buffer_in);
+
+    if (length >= size) {
+        length = size - 1;
+    }
+    evbuffer_copyout(http->buffer_in, text, length);
+    text[length] = '\0';
+}
+
+static void
+on_executed(KcTimer *timer, KcTime now)
+{
+    Execution *execution = timer->owner;
+    evhtp_request_t *http = execution->http;
+    char body[1024];
+
+    (void)now;
+    evhtp_request_unset_hook(http, evhtp_hook_on_request_fini);
+    free(execution);
+    if (Standin_TakeFault(&standin, "cut")) {
+        Standin_Drop(http);
+        return;
+    }
+    body_text(http, body, sizeof(body));
+    Standin_ReplyJson(http, EVHTP_RES_OK,
+                      json_pack("{s:s, s:s, s:I}", "service", "plain",
+                                "accepted", body, "executions",
+                                (json_int_t)executions));
+}
+
+static evhtp_res
+on_gone(evhtp_request_t *http, void *context)
+{
+    Execution *execution = context;
+
+    (void)http;
+    KcTimers_Clear(standin.loop->timers, &execution->timer);
+    free(execution);
+    return EVHTP_RES_OK;
+}
+
+static void
+on_call(evhtp_request_t *http, void *context)
+{
+    Execution *execution;
+    char body[1024];
+
+    (void)context;
+    if (Standin_TakeFault(&standin, "refuse")) {
+        Standin_ReplyText(http, EVHTP_RES_SERVUNAVAIL, "busy\n");
+        return;
+    }
+    /* Executed as soon as it has arrived, whatever becomes of the answer. */
+    body_text(http, body, sizeof(body));
+    count_body(body);
+    execution = KcMem_New(sizeof(*execution));
+    execution->http = http;
+    KcTimer_Init(&execution->timer, on_executed, execution);
+    KcTimers_Set(standin.loop->timers, &execution->timer,
+                 KcLoop_Now() + Standin_Knob(&standin, "delay_ms") * KC_MS);
+    evhtp_request_set_hook(http, evhtp_hook_on_request_fini,
+                           (evhtp_hook)on_gone, execution);
+}
+
+static void
+add_state(json_t *state)
+{
+    json_object_set_new(state, "executions", json_integer(executions));
+    json_object_set(state, "by_body", by_body);
+}
+
+static const StandinOptions options = {"standin-service", knobs, add_state,
+                                       NULL};
+
+int
+main(int argc, char **argv)
+{
+    int status;
+
+    by_body = json_object();
+    Standin_Init(&standin, &options, argc, argv);
+    evhtp_set_gencb(standin.http, on_call, NULL);
+    status = Standin_Run(&standin);
+    json_decref(by_body);
+    return status;
+}
