--- /dev/null
+++ b/tests/standins/standin.c
@@ -0,0 +1,247 @@
+/*
+ * What all stand-ins share.
+ */
+#include "standin.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BACKLOG 1024
+
+static const struct argp_option argp_options[] = {
+    {"listen", 'l', "ADDRESS", 0, "Address to serve", 0},
+    {"set", 's', "NAME=VALUE", 0, "Set a knob", 0},
+    {NULL, 0, NULL, 0, NULL, 0},
+};
+
+typedef struct CommandLine {
+    Standin *standin;
+    const char *listen;
+} CommandLine;
+
+/* Sets a knob from text.  Returns 0 or a negative error number. */
+static int
+set_knob(Standin *standin, const char *name, const char *text)
+{
+    StandinKnob *knob = standin->options->knobs;
+    int code;
+
+    for (; knob->name != NULL; knob++) {
+        if (strcmp(knob->name, name) != 0) {
+            continue;
+        }
+        code = KcIni_Number(text, INT64_MIN, INT64_MAX, &knob->value);
+        if (code == 0 && standin->http != NULL &&
+            standin->options->changed != NULL) {
+            standin->options->changed(knob);
+        }
+        return code;
+    }
+    return KC_ERR_NOT_FOUND;
+}
+
+static error_t
+parse(int key, char *arg, struct argp_state *state)
+{
+    CommandLine *line = state->input;
+    char *equals;
+
+    switch (key) {
+    case 'l':
+        line->listen = arg;
+        return 0;
+    case 's':
+        equals = strchr(arg, '=');
+        if (equals == NULL) {
+            argp_error(state, "expected NAME=VALUE");
+        }
+        *equals = '\0';
+        if (set_knob(line->standin, arg, equals + 1) != 0) {
+            argp_error(state, "no such knob or not a number: %s", arg);
+        }
+        return 0;
+    case ARGP_KEY_ARG:
+        line->standin->file = arg;
+        return 0;
+    case ARGP_KEY_END:
+        if (line->listen == NULL) {
+            argp_error(state, "--listen is needed");
+        }
+        return 0;
+    default:
+        return ARGP_ERR_UNKNOWN;
+    }
+}
+
+static const struct argp argp = {argp_options, parse, "[FILE]", NULL,
+                                 NULL,         NULL,  NULL};
+
+void
+Standin_ReplyText(evhtp_request_t *http, evhtp_res status, const char *text)
+{
+    evbuffer_add(http->buffer_out, text, strlen(text));
+    evhtp_send_reply(http, status);
+}
+
+void
+Standin_ReplyJson(evhtp_request_t *http, evhtp_res status, json_t *json)
+{
+    char *text = json_dumps(json, JSON_COMPACT);
+
+    evhtp_headers_add_header(
+        http->headers_out,
+        evhtp_header_new("Content-Type", "application/json", 0, 0));
+    Standin_ReplyText(http, status, text);
+    free(text);
+    json_decref(json);
+}
+
+void
+Standin_Drop(evhtp_request_t *http)
+{
+    /* evhtp ends the connection when it sees the end of its input. */
+    struct bufferevent *bev = evhtp_request_get_bev(http);
+
+    shutdown(bufferevent_getfd(bev), SHUT_RDWR);
+}
+
+json_t *
+Standin_Body(evhtp_request_t *http)
+{
+    size_t size = evbuffer_get_length(http->buffer_in);
+    const char *data = (const char *)evbuffer_pullup(http->buffer_in, -1);
+
+    return json_loadb(data != NULL ? data : "", size, 0, NULL);
+}
+
+const char *
+Standin_Query(evhtp_request_t *http, const char *name)
+{
+    if (http->uri->query == NULL) {
+        return NULL;
+    }
+    return evhtp_kv_find(http->uri->query, name);
+}
+
+static int
+set_from_query(evhtp_kv_t *kv, void *context)
+{
+    return set_knob(context, kv->key, kv->val != NULL ? kv->val : "");
+}
+
+static void
+on_set(evhtp_request_t *http, void *context)
+{
+    int code = KC_ERR_INVALID;
+
+    if (http->uri->query != NULL) {
+        code = evhtp_kvs_for_each(http->uri->query, set_from_query, context);
+    }
+    Standin_ReplyText(http, code == 0 ? EVHTP_RES_OK : EVHTP_RES_BADREQ,
+                      code == 0 ? "ok\n" : KcError_Name(code));
+}
+
+static void
+on_state(evhtp_request_t *http, void *context)
+{
+    Standin *standin = context;
+    json_t *state = json_object();
+    json_t *knobs = json_object();
+
+    for (StandinKnob *knob = standin->options->knobs; knob->name != NULL;
+         knob++) {
+        json_object_set_new(knobs, knob->name, json_integer(knob->value));
+    }
+    json_object_set_new(state, "knobs", knobs);
+    standin->options->state(state);
+    Standin_ReplyJson(http, EVHTP_RES_OK, state);
+}
+
+void
+Standin_Init(Standin *standin, const StandinOptions *options, int argc,
+             char **argv)
+{
+    CommandLine line = {standin, NULL};
+    char host[KC_ADDRESS_MAX];
+    uint16_t port;
+
+    memset(standin, 0, sizeof(*standin));
+    standin->options = options;
+    argp_parse(&argp, argc, argv, 0, NULL, &line);
+    standin->loop = KcLoop_Create();
+    standin->http = evhtp_new(standin->loop->base, NULL);
+    evhtp_set_cb(standin->http, "/standin/set", on_set, standin);
+    evhtp_set_cb(standin->http, "/standin/state", on_state, standin);
+    if (KcAddress_Parse(line.listen, host, &port) != 0 ||
+        evhtp_bind_socket(standin->http, host, port, BACKLOG) != 0) {
+        fprintf(stderr, "%s: cannot listen on %s\n", options->name,
+                line.listen);
+        exit(1);
+    }
+}
+
+static void
+on_signal(evutil_socket_t number, short what, void *context)
+{
+    (void)number;
+    (void)what;
+    KcLoop_Stop(context);
+}
+
+int
+Standin_Run(Standin *standin)
+{
+    static const int numbers[2] = {SIGTERM, SIGINT};
+    struct event *events[2];
+
+    signal(SIGPIPE, SIG_IGN);
+    for (int i = 0; i < 2; i++) {
+        events[i] = evsignal_new(standin->loop->base, numbers[i], on_signal,
+                                 standin->loop);
+        evsignal_add(events[i], NULL);
+    }
+    KcLoop_Run(standin->loop);
+    for (int i = 0; i < 2; i++) {
+        event_free(events[i]);
+    }
+    evhtp_unbind_socket(standin->http);
+    evhtp_free(standin->http);
+    KcLoop_Free(standin->loop);
+    return 0;
+}
+
+static StandinKnob *
+find_knob(const Standin *standin, const char *name)
+{
+    StandinKnob *knob = standin->options->knobs;
+
+    while (knob->name != NULL && strcmp(knob->name, name) != 0) {
+        knob++;
+    }
+    if (knob->name == NULL) {
+        abort();
+    }
+    return knob;
+}
+
+int64_t
+Standin_Knob(const Standin *standin, const char *name)
+{
+    return find_knob(standin, name)->value;
+}
+
+bool
+Standin_TakeFault(const Standin *standin, const char *name)
+{
+    StandinKnob *knob = find_knob(standin, name);
+
+    if (knob->value == 0) {
+        return false;
+    }
+    if (knob->value > 0) {
+        knob->value--;
+    }
+    return true; /* a negative number never ends */
+}
