--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -29,7 +29,8 @@
     KC_MSG_STARTED,      /* agent: the backend server answers */
     KC_MSG_DATA,         /* agent: a piece of the answer */
     KC_MSG_END,          /* agent: ends the attempt */
-    KC_MSG_LEAVING,      /* agent: no new work is accepted */
+    KC_MSG_LEAVING,      /* agent: no new work is accepted; the entry echoes
+                          * it and proposes nothing more on the link */
     KC_MSG_HEAD_REQUEST, /* either: asks for the head in force */
     KC_MSG_HEAD,         /* either: the head as JSON */
     KC_MSG_PART_REQUEST, /* either: asks for a part by hash */
@@ -223,6 +224,7 @@
     void *owner; /* KcBackend at an entry, KcAgent at an agent */
     bool initiator;
     bool greeted; /* the peer's HELLO has arrived */
+    bool leaving; /* the peer's LEAVING has arrived */
     char peer[KC_NAME_MAX];
     uint64_t peer_incarnation;
     uint64_t peer_generation;
--- a/lib/connection/link.c
+++ b/lib/connection/link.c
@@ -114,13 +114,16 @@
     return 0;
 }
 
-/* Opens the stream of a PROPOSE or RESUME. */
+/* Opens the stream of a PROPOSE or RESUME; none follows LEAVING. */
 static int
 receive_open(KcLink *link, const KcMsg *msg, KcStream **stream, KcError *err)
 {
     if (link->initiator) {
         return violation(link, err, "stream opened by acceptor");
     }
+    if (link->leaving) {
+        return violation(link, err, "stream opened after leaving");
+    }
     if (msg->stream <= link->last_stream) {
         return violation(link, err, "stream id not increasing");
     }
@@ -190,13 +193,12 @@
     case KC_RULE_INITIATOR:
     case KC_RULE_ACCEPTOR:
         return receive_on_stream(link, msg, stream, err);
-    case KC_RULE_CONNECTION:
-        if (!link->initiator || msg->stream != 0) {
-            return violation(link, err, "message from the wrong side");
-        }
-        return 0;
     case KC_RULE_ANY:
         break;
     }
-    return msg->stream == 0 ? 0 : violation(link, err, "stream not zero");
+    if (msg->stream != 0) {
+        return violation(link, err, "stream not zero");
+    }
+    link->leaving = link->leaving || msg->type == KC_MSG_LEAVING;
+    return 0;
 }
--- a/lib/connection/message_table_internal.h
+++ b/lib/connection/message_table_internal.h
@@ -28,8 +28,7 @@
     KC_RULE_ANY = 0,       /* both sides, on stream 0 */
     KC_RULE_OPEN = 1,      /* initiator, on a new stream */
     KC_RULE_INITIATOR = 2, /* initiator, on an open stream */
-    KC_RULE_ACCEPTOR = 3,  /* acceptor, on an open stream */
-    KC_RULE_CONNECTION = 4 /* acceptor, on stream 0 */
+    KC_RULE_ACCEPTOR = 3   /* acceptor, on an open stream */
 } KcMsgRule;
 
 /* One message type. */
--- a/lib/process/agent.c
+++ b/lib/process/agent.c
@@ -7,6 +7,9 @@
 
 #include "agent_internal.h"
 
+/* Longest wait for the entries' echo of LEAVING. */
+#define LEAVE_WAIT (5 * KC_SECOND)
+
 void
 KcAgentOptions_Init(KcAgentOptions *options)
 {
@@ -343,6 +346,7 @@
         return;
     }
     agent->draining = true;
+    agent->leave_until = now + LEAVE_WAIT;
     KcAgent_Event(agent, KC_EVENT_LEAVING, NULL, NULL, 0, now);
     KcLease_Leave(agent->lease, now);
     TAILQ_FOREACH (link, &agent->links, link) {
@@ -359,9 +363,29 @@
     }
 }
 
+/* Has every entry said that no proposal is on its way? */
+static bool
+all_links_left(const KcAgent *agent)
+{
+    const KcLink *link;
+
+    TAILQ_FOREACH (link, &agent->links, link) {
+        if (link->greeted && !link->leaving) {
+            return false;
+        }
+    }
+    return true;
+}
+
 bool
 KcAgent_Drained(const KcAgent *agent)
 {
+    KcTime now = clock_of((void *)agent);
+
+    /* An entry that is frozen or cut off is not waited for. */
+    if (!all_links_left(agent) && now < agent->leave_until) {
+        return false;
+    }
     return TAILQ_EMPTY(&agent->running) && TAILQ_EMPTY(&agent->queue) &&
            TAILQ_EMPTY(&agent->held) && TAILQ_EMPTY(&agent->ended);
 }
--- a/lib/process/agent_internal.h
+++ b/lib/process/agent_internal.h
@@ -46,6 +46,7 @@
     KcTime inspect_asked;
     KcTime order_ended; /* last time at which a load or eviction ended */
     bool draining;
+    KcTime leave_until; /* the entries' echoes are waited for until then */
     KcTimer inspect_timer;
     KcTimer pump_timer;
 };
--- a/lib/process/entry.c
+++ b/lib/process/entry.c
@@ -144,6 +144,7 @@
     entry->random = options->incarnation | 1;
     entry->entries = 1;
     TAILQ_INIT(&entry->requests);
+    TAILQ_INIT(&entry->claims);
     KcFleet_Init(&entry->fleet, HINT_MAX);
     KcCustomers_Init(&entry->customers, CUSTOMER_MAX);
     KcRetryBudget_Init(&entry->budget, options->retry_percent,
@@ -175,6 +176,7 @@
     TAILQ_FOREACH (backend, &entry->fleet.backends, link) {
         drop_link(entry, backend);
     }
+    KcClaim_DiscardAll(&entry->claims);
     KcFleet_Clear(&entry->fleet);
     KcCustomers_Clear(&entry->customers);
     KcSync_Free(entry->sync);
@@ -257,7 +259,7 @@
 bool
 KcEntry_Drained(const KcEntry *entry)
 {
-    return TAILQ_EMPTY(&entry->requests);
+    return TAILQ_EMPTY(&entry->requests) && TAILQ_EMPTY(&entry->claims);
 }
 
 int
--- a/lib/process/entry_attempt.c
+++ b/lib/process/entry_attempt.c
@@ -473,6 +473,22 @@
     }
 }
 
+/* Was the attempt withdrawn before its answer began?  Then what still comes
+ * of it is not passed on: it would be cut by the withdrawal. */
+static bool
+withdrawn(const KcRequest *request)
+{
+    return request->cancelled && !request->started;
+}
+
+/* An attempt withdrawn at the deadline ended because of the deadline. */
+static int
+code_of_end(const KcRequest *request, int code)
+{
+    return withdrawn(request) && code == KC_ERR_CANCELLED ? KC_ERR_DEADLINE
+                                                          : code;
+}
+
 static void
 on_refuse(KcAttempt *attempt, const KcMsg *msg, KcTime now)
 {
@@ -486,8 +502,8 @@
         attempt->backend->suspect_until = now + LEAVING_AVOID;
     }
     KcEntryAttempt_Credit(request, true);
-    KcEntryAttempt_End(request, KC_ATTEMPT_REFUSED, refuse->code, "refused",
-                       now);
+    KcEntryAttempt_End(request, KC_ATTEMPT_REFUSED,
+                       code_of_end(request, refuse->code), "refused", now);
 }
 
 /* Does the answer come from the adapter and version that was asked for? */
@@ -511,6 +527,9 @@
         return;
     }
     attempt->started = true;
+    if (withdrawn(request)) {
+        return;
+    }
     KcTimers_Clear(entry->options.timers, &request->timer);
     if (request->started) {
         return;
@@ -535,6 +554,9 @@
                            "data before started", now);
         return;
     }
+    if (withdrawn(request)) {
+        return;
+    }
     assert(data->offset == request->offset);
     if (request->service->kind == KC_SERVICE_MODEL) {
         KcBuffer_Append(&request->delivered, data->bytes.data,
@@ -565,7 +587,7 @@
     if (end->code != 0) {
         KcEntryAttempt_End(request,
                            end->ran ? KC_ATTEMPT_FAILED : KC_ATTEMPT_REFUSED,
-                           end->code, "answer", now);
+                           code_of_end(request, end->code), "answer", now);
         return;
     }
     if (!attempt->started) {
@@ -573,6 +595,11 @@
                            "end before started", now);
         return;
     }
+    if (withdrawn(request)) {
+        KcEntryAttempt_End(request, KC_ATTEMPT_FAILED, KC_ERR_DEADLINE,
+                           "deadline", now);
+        return;
+    }
     KcName_Copy(request->finish, end->finish, sizeof(request->finish));
     KcEntryAttempt_Detach(request, now);
     KcEntryRequest_Finish(request, KC_OUTCOME_ANSWERED, 0, "", NULL, now);
--- a/lib/process/entry_internal.h
+++ b/lib/process/entry_internal.h
@@ -17,7 +17,8 @@
     KcByteBudget remote;
     struct KcRequestList requests;
     uint32_t request_count;
-    uint32_t entries; /* live entries, over which limits are divided */
+    KcClaimList claims; /* not settled yet */
+    uint32_t entries;   /* live entries, over which limits are divided */
     uint64_t sequence;
     uint64_t random;
     bool draining;
--- a/lib/process/entry_link.c
+++ b/lib/process/entry_link.c
@@ -73,7 +73,7 @@
     if (backend->watch.fire == NULL) {
         KcTimer_Init(&backend->watch, on_watch, backend);
     }
-    if (backend->watch.due != KC_NEVER) {
+    if (backend->watch.set) {
         return;
     }
     /* Silence is counted from now, when an answer is first waited for. */
@@ -175,11 +175,14 @@
     }
 }
 
+/* Tells the agent that nothing proposed is still on its way to it. */
 static void
-on_leaving(KcEntry *entry, KcBackend *backend, KcTime now)
+on_leaving(KcBackend *backend, KcTime now)
 {
-    (void)entry;
+    KcMsg msg = {.type = KC_MSG_LEAVING};
+
     backend->suspect_until = now + LEAVING_AVOID;
+    KcLink_Send(backend->connection, &msg);
 }
 
 void
@@ -202,7 +205,7 @@
         return;
     }
     if (msg->type == KC_MSG_LEAVING) {
-        on_leaving(entry, backend, now);
+        on_leaving(backend, now);
     }
     else if (stream != NULL && stream->owner != NULL) {
         KcEntryAttempt_OnMessage(stream->owner, msg, now);
--- a/lib/process/entry_request.c
+++ b/lib/process/entry_request.c
@@ -172,7 +172,8 @@
                               .clock = claim_clock,
                               .clock_context = entry,
                               .verdict = on_verdict,
-                              .context = request};
+                              .context = request,
+                              .list = &entry->claims};
 
     if (options.give_up > request->deadline) {
         options.give_up = request->deadline;
--- a/lib/process/kcc_entry.h
+++ b/lib/process/kcc_entry.h
@@ -112,7 +112,7 @@
 /* Ends every request at once; what may have run is told as unknown. */
 void KcEntry_Abort(KcEntry *entry, KcTime now);
 
-/* True when no request is in progress. */
+/* True when no request is in progress and every claim is settled. */
 bool KcEntry_Drained(const KcEntry *entry);
 
 /* Why no request can be served now, 0 when requests are served. */
--- a/lib/process/lease.c
+++ b/lib/process/lease.c
@@ -116,11 +116,12 @@
 on_written(void *context, const KcObjectReply *reply)
 {
     KcLease *lease = context;
-    KcTime now = lease->options.clock(lease->options.context);
+    KcTime now;
 
     if (!end_call(lease)) {
         return;
     }
+    now = lease->options.clock(lease->options.context);
     note_awake(lease, now);
     if (reply->code == 0) {
         lease->version = reply->version;
@@ -193,12 +194,13 @@
 on_read(void *context, const KcObjectReply *reply)
 {
     KcLease *lease = context;
-    KcTime now = lease->options.clock(lease->options.context);
+    KcTime now;
     KcLeaseValue value;
 
     if (!end_call(lease)) {
         return;
     }
+    now = lease->options.clock(lease->options.context);
     note_awake(lease, now);
     if (reply->code == KC_ERR_NOT_FOUND) {
         write_lease(lease, lease->fence + 1, KC_OBJECT_ABSENT, now);
@@ -286,7 +288,7 @@
     if (lease->fence == 0 || lease->calling) {
         return; /* the outstanding call is followed by another */
     }
-    if (lease->timer.due > now + delay) {
+    if (!lease->timer.set || lease->timer.due > now + delay) {
         call_later(lease, delay, now);
     }
 }
--- a/lib/process/route.c
+++ b/lib/process/route.c
@@ -100,6 +100,9 @@
     if (backend->leaving || !backend->listed || backend->suspect_until > now) {
         return false;
     }
+    if (backend->connection != NULL && backend->connection->leaving) {
+        return false;
+    }
     for (uint32_t i = 0; i < query->tried_count; i++) {
         if (query->tried[i] == backend) {
             return false;
--- a/lib/process/sync.c
+++ b/lib/process/sync.c
@@ -122,7 +122,7 @@
     sync->fetches++;
     sync->options.object_ops->get(sync->options.objects, name, on_part_read,
                                   call);
-    if (sync->fetch_timer.due == KC_NEVER) {
+    if (!sync->fetch_timer.set) {
         KcTimers_Set(sync->options.timers, &sync->fetch_timer,
                      now + sync->options.retry);
     }
@@ -179,7 +179,6 @@
 on_head_read(void *context, const KcObjectReply *reply)
 {
     KcSync *sync = context;
-    KcTime now = sync->options.clock(sync->options.context);
     KcTime pause = 0;
 
     sync->watching = false;
@@ -195,7 +194,8 @@
     else {
         pause = sync->options.retry;
     }
-    KcTimers_Set(sync->options.timers, &sync->timer, now + pause);
+    KcTimers_Set(sync->options.timers, &sync->timer,
+                 sync->options.clock(sync->options.context) + pause);
 }
 
 static void
--- a/lib/request/claim.c
+++ b/lib/request/claim.c
@@ -22,6 +22,7 @@
 } ClaimPhase;
 
 struct KcClaim {
+    TAILQ_ENTRY(KcClaim) link;
     KcClaimOptions options;
     ClaimPhase phase;
     char name[KC_OBJECT_NAME_MAX];
@@ -29,7 +30,7 @@
     uint64_t version; /* version of the object that was last seen */
     bool waiting;     /* an answer of the object API is outstanding */
     bool ended;       /* KcClaim_End() was called */
-    bool may_exist;   /* a write of ours may have taken effect */
+    bool discarded;   /* freed when the outstanding answer arrives */
     KcClaimMark mark; /* to be recorded */
     KcTime settle_until;
     KcTimer timer;
@@ -58,9 +59,37 @@
 free_claim(KcClaim *claim)
 {
     KcTimers_Clear(claim->options.timers, &claim->timer);
+    TAILQ_REMOVE(claim->options.list, claim, link);
     free(claim);
 }
 
+void
+KcClaim_DiscardAll(KcClaimList *list)
+{
+    KcClaim *claim;
+
+    while ((claim = TAILQ_FIRST(list)) != NULL) {
+        TAILQ_REMOVE(list, claim, link);
+        KcTimers_Clear(claim->options.timers, &claim->timer);
+        claim->discarded = true;
+        if (!claim->waiting) {
+            free(claim);
+        }
+    }
+}
+
+/* Notes an answer.  False when the claim was discarded meanwhile. */
+static bool
+take_answer(KcClaim *claim)
+{
+    claim->waiting = false;
+    if (claim->discarded) {
+        free(claim);
+        return false;
+    }
+    return true;
+}
+
 static void
 give_verdict(KcClaim *claim, int code, KcClaimMark mark, KcTime now)
 {
@@ -115,9 +144,12 @@
 on_written(void *context, const KcObjectReply *reply)
 {
     KcClaim *claim = context;
-    KcTime now = claim->options.clock(claim->options.clock_context);
+    KcTime now;
 
-    claim->waiting = false;
+    if (!take_answer(claim)) {
+        return;
+    }
+    now = claim->options.clock(claim->options.clock_context);
     if (reply->code == 0) {
         claim->version = reply->version;
     }
@@ -148,7 +180,6 @@
     KcName_Copy(value.token, claim->token, sizeof(value.token));
     bytes.size = KcClaimValue_Encode(&value, text, sizeof(text));
     claim->waiting = true;
-    claim->may_exist = true;
     claim->options.ops->put(claim->options.objects, claim->name, bytes,
                             expected, on_written, claim);
 }
@@ -192,10 +223,13 @@
 on_read(void *context, const KcObjectReply *reply)
 {
     KcClaim *claim = context;
-    KcTime now = claim->options.clock(claim->options.clock_context);
+    KcTime now;
     KcClaimValue value;
 
-    claim->waiting = false;
+    if (!take_answer(claim)) {
+        return;
+    }
+    now = claim->options.clock(claim->options.clock_context);
     if (settle_if_ended(claim)) {
         return;
     }
@@ -241,6 +275,7 @@
     claim->options = *options;
     KcRequestId_Format(options->token, claim->token);
     KcTimer_Init(&claim->timer, on_timer, claim);
+    TAILQ_INSERT_TAIL(options->list, claim, link);
     set_name(claim);
     write_mark(claim, KC_CLAIM_CLAIMED, KC_OBJECT_ABSENT);
     return claim;
--- a/lib/request/kcc_request.h
+++ b/lib/request/kcc_request.h
@@ -23,7 +23,8 @@
 /* A timer, embedded in what it belongs to. */
 typedef struct KcTimer {
     LIST_ENTRY(KcTimer) link;
-    KcTime due; /* KC_NEVER when it is not set */
+    KcTime due;
+    bool set; /* false in zeroed memory */
     void (*fire)(struct KcTimer *timer, KcTime now);
     void *owner;
 } KcTimer;
@@ -131,6 +132,10 @@
 
 typedef struct KcClaim KcClaim;
 
+/* Claims that are not settled yet; owned by whoever starts them. */
+TAILQ_HEAD(KcClaimList, KcClaim);
+typedef struct KcClaimList KcClaimList;
+
 /* Verdict of a claim. */
 typedef struct KcClaimVerdict {
     int code;         /* 0, KC_ERR_DUPLICATE or KC_ERR_UNAVAILABLE */
@@ -152,7 +157,8 @@
     KcTime (*clock)(void *clock_context); /* for late replies */
     void *clock_context; /* outlives the claim, unlike context */
     void (*verdict)(void *context, const KcClaimVerdict *verdict, KcTime now);
-    void *context; /* used until KcClaim_End() */
+    void *context;     /* used until KcClaim_End() */
+    KcClaimList *list; /* holds the claim until it is settled */
 } KcClaimOptions;
 
 /*
@@ -169,6 +175,9 @@
  */
 void KcClaim_End(KcClaim *claim, KcClaimMark mark, KcTime now);
 
+/* Drops every claim of a list, settled or not. */
+void KcClaim_DiscardAll(KcClaimList *list);
+
 /* ---- Part 4: retries ------------------------------------------------- */
 
 /* Share of requests that may be retried, as a token bucket. */
--- a/lib/request/timers.c
+++ b/lib/request/timers.c
@@ -41,7 +41,7 @@
 void
 KcTimer_Init(KcTimer *timer, void (*fire)(KcTimer *, KcTime), void *owner)
 {
-    timer->due = KC_NEVER;
+    timer->set = false;
     timer->fire = fire;
     timer->owner = owner;
 }
@@ -63,6 +63,7 @@
     }
     index = tick & (LIST_COUNT - 1);
     timer->due = due;
+    timer->set = true;
     LIST_INSERT_HEAD(&timers->lists[index], timer, link);
     timers->used[index / WORD_BITS] |= 1ULL << (index % WORD_BITS);
 }
@@ -71,9 +72,9 @@
 KcTimers_Clear(KcTimers *timers, KcTimer *timer)
 {
     (void)timers;
-    if (timer->due != KC_NEVER) {
+    if (timer->set) {
         LIST_REMOVE(timer, link);
-        timer->due = KC_NEVER;
+        timer->set = false;
     }
 }
 
--- a/programs/process/objects_http.c
+++ b/programs/process/objects_http.c
@@ -44,6 +44,7 @@
 void
 KcObjects_Free(KcObjects *objects)
 {
+    KcObjectReply reply = {.code = KC_ERR_UNAVAILABLE};
     ObjectCall *call;
 
     while ((call = TAILQ_FIRST(&objects->calls)) != NULL) {
@@ -51,6 +52,7 @@
         if (call->http != NULL) {
             KcHttpCall_Cancel(call->http);
         }
+        call->done(call->context, &reply);
         free(call);
     }
     free(objects);
--- a/programs/process/objects_http.h
+++ b/programs/process/objects_http.h
@@ -30,7 +30,10 @@
 
 KcObjects *KcObjects_Create(const KcObjectsOptions *options);
 
-/* Frees it; calls still outstanding are dropped without an answer. */
+/*
+ * Frees it.  Calls still outstanding are answered KC_ERR_UNAVAILABLE, so
+ * that whoever was freed while waiting lets go of its memory.
+ */
 void KcObjects_Free(KcObjects *objects);
 
 /* The seam's table for this implementation. */
--- /dev/null
+++ b/tests/fuzz/operations.c
@@ -0,0 +1,461 @@
+/*
+ * The operations of the fuzzer: a table of function pointers.
+ */
+#include "operations.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../world/world_internal.h"
+
+/* Bytes that choose the world, and bytes of one operation. */
+#define HEADER_SIZE 4
+#define OPERATION_SIZE 3
+/* The promises are checked after this many operations. */
+#define CHECK_INTERVAL 16
+/* Time in which a healed world must come to rest. */
+#define REST_TIME (200 * KC_SECOND)
+#define KEY_COUNT 8
+
+/* One operation; a and b are bytes of the input. */
+typedef struct Operation {
+    const char *name;
+    bool fault; /* not part of a world without faults */
+    void (*apply)(World *world, uint8_t a, uint8_t b);
+} Operation;
+
+static WorldNode *
+entry_of(World *world, uint8_t a)
+{
+    return World_Entry(world, a % World_EntryCount(world));
+}
+
+static WorldNode *
+agent_of(World *world, uint8_t a)
+{
+    return World_Agent(world, a % World_AgentCount(world));
+}
+
+static WorldNode *
+node_of(World *world, uint8_t a)
+{
+    return &world->nodes[a % world->node_count];
+}
+
+static WorldCaller *
+recent_caller(World *world, uint8_t a)
+{
+    uint32_t back = a % 8 + 1;
+
+    if (back > world->caller_count) {
+        return NULL;
+    }
+    return WorldCaller_Find(world, world->caller_count - back);
+}
+
+/* ---- callers -------------------------------------------------------------
+ */
+
+static void
+call_model(World *world, uint8_t a, uint8_t b)
+{
+    World_CallModel(entry_of(world, a), b % world->options.adapters,
+                    (b & 0x80) != 0 ? 1 : 2, (a >> 4) % 10);
+}
+
+static void
+call_burst(World *world, uint8_t a, uint8_t b)
+{
+    for (int i = 0; i < 6; i++) {
+        call_model(world, (uint8_t)(a + i), (uint8_t)(b + i * (a & 1)));
+    }
+}
+
+static void
+call_plain(World *world, uint8_t a, uint8_t b)
+{
+    World_CallPlain(entry_of(world, a), b % KEY_COUNT);
+}
+
+static void
+call_same_key(World *world, uint8_t a, uint8_t b)
+{
+    uint32_t key = 100 + b % KEY_COUNT;
+
+    World_CallPlain(entry_of(world, a), key);
+    World_CallPlain(entry_of(world, (uint8_t)(a + 1)), key);
+}
+
+static void
+abandon(World *world, uint8_t a, uint8_t b)
+{
+    WorldCaller *caller = recent_caller(world, a);
+
+    (void)b;
+    if (caller != NULL) {
+        World_Abandon(caller);
+    }
+}
+
+static void
+slow_reader(World *world, uint8_t a, uint8_t b)
+{
+    WorldCaller *caller = recent_caller(world, a);
+
+    if (caller != NULL) {
+        World_SetSlowReader(caller, (b & 1) != 0);
+    }
+}
+
+/* ---- time ------------------------------------------------------------------
+ */
+
+static void
+wait_short(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_Advance(world, (KcTime)a * 4 * KC_MS);
+}
+
+static void
+wait_long(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_Advance(world, (KcTime)a * 100 * KC_MS);
+}
+
+/* ---- processes
+ * ---------------------------------------------------------------- */
+
+static void
+kill_node(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_Kill(node_of(world, a));
+}
+
+static void
+restart_node(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_Restart(node_of(world, a));
+}
+
+static void
+kill_and_restart(World *world, uint8_t a, uint8_t b)
+{
+    WorldNode *node = node_of(world, a);
+
+    World_Kill(node);
+    World_Advance(world, (KcTime)b * KC_MS);
+    World_Restart(node);
+}
+
+static void
+pause_node(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_Pause(node_of(world, a));
+}
+
+static void
+resume_node(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_Resume(node_of(world, a));
+}
+
+static void
+drain_node(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_Drain(node_of(world, a));
+}
+
+/* ---- network
+ * --------------------------------------------------------------------- */
+
+static void
+cut(World *world, uint8_t a, uint8_t b)
+{
+    World_Cut(entry_of(world, a), agent_of(world, b));
+}
+
+static void
+stall(World *world, uint8_t a, uint8_t b)
+{
+    World_Stall(entry_of(world, a), agent_of(world, b), true);
+}
+
+static void
+unstall(World *world, uint8_t a, uint8_t b)
+{
+    World_Stall(entry_of(world, a), agent_of(world, b), false);
+}
+
+/* ---- platform
+ * ---------------------------------------------------------------------- */
+
+static void
+begin_outage(World *world, uint8_t a, uint8_t b)
+{
+    (void)a;
+    (void)b;
+    World_SetOutage(world, true);
+}
+
+static void
+end_outage(World *world, uint8_t a, uint8_t b)
+{
+    (void)a;
+    (void)b;
+    World_SetOutage(world, false);
+}
+
+static void
+lose_replies(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_LoseReplies(world, a % 3 + 1);
+}
+
+static void
+delay_writes(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_DelayWrites(world, a % 3 + 1);
+}
+
+static void
+slow_store(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_SetSlow(world, (KcTime)(a % 8) * 100 * KC_MS);
+}
+
+/* ---- engines
+ * --------------------------------------------------------------------------
+ */
+
+static void
+restart_engine(World *world, uint8_t a, uint8_t b)
+{
+    (void)b;
+    World_RestartEngine(agent_of(world, a));
+}
+
+static void
+fail_loads(World *world, uint8_t a, uint8_t b)
+{
+    World_FailLoads(agent_of(world, a), b % 4 + 1);
+}
+
+static void
+cut_answers(World *world, uint8_t a, uint8_t b)
+{
+    World_CutAnswers(agent_of(world, a), b % 3 + 1);
+}
+
+static void
+wrong_models(World *world, uint8_t a, uint8_t b)
+{
+    World_WrongModels(agent_of(world, a), b % 3 + 1);
+}
+
+static void
+delay_orders(World *world, uint8_t a, uint8_t b)
+{
+    World_DelayOrders(agent_of(world, a), b % 3 + 1);
+}
+
+/* ---- operators
+ * --------------------------------------------------------------------------
+ */
+
+static void
+edit(World *world, uint8_t a, uint8_t b)
+{
+    World_EditRetirement(world, a % world->options.adapters, (b & 1) != 0,
+                         false);
+}
+
+/* Two operators edit from the same head: the second must be refused. */
+static void
+race_edits(World *world, uint8_t a, uint8_t b)
+{
+    if (World_EditRetirement(world, a % world->options.adapters, (b & 1) != 0,
+                             false) == 0) {
+        World_EditRetirement(world, b % world->options.adapters, (a & 1) != 0,
+                             true);
+    }
+}
+
+/* Operations that happen more often stand more than once. */
+static const Operation operations[] = {
+    {"call_model", false, call_model},
+    {"call_model", false, call_model},
+    {"call_burst", false, call_burst},
+    {"call_plain", false, call_plain},
+    {"call_same_key", false, call_same_key},
+    {"wait_short", false, wait_short},
+    {"wait_short", false, wait_short},
+    {"wait_short", false, wait_short},
+    {"wait_long", false, wait_long},
+    {"abandon", false, abandon},
+    {"slow_reader", false, slow_reader},
+    {"drain_node", false, drain_node},
+    {"restart_node", false, restart_node},
+    {"restart_node", false, restart_node},
+    {"restart_node", false, restart_node},
+    {"edit", false, edit},
+    {"race_edits", false, race_edits},
+    {"kill_node", true, kill_node},
+    {"kill_and_restart", true, kill_and_restart},
+    {"pause_node", true, pause_node},
+    {"resume_node", true, resume_node},
+    {"cut", true, cut},
+    {"stall", true, stall},
+    {"unstall", true, unstall},
+    {"begin_outage", true, begin_outage},
+    {"end_outage", true, end_outage},
+    {"lose_replies", true, lose_replies},
+    {"delay_writes", true, delay_writes},
+    {"slow_store", true, slow_store},
+    {"restart_engine", true, restart_engine},
+    {"fail_loads", true, fail_loads},
+    {"cut_answers", true, cut_answers},
+    {"wrong_models", true, wrong_models},
+    {"delay_orders", true, delay_orders},
+};
+
+#define OPERATION_COUNT (sizeof(operations) / sizeof(operations[0]))
+
+/* ---- a run
+ * ---------------------------------------------------------------------------------
+ */
+
+/* Ends every fault, so that the world can come to rest. */
+static void
+heal(World *world)
+{
+    World_SetOutage(world, false);
+    World_LoseReplies(world, 0);
+    World_DelayWrites(world, 0);
+    World_SetSlow(world, 0);
+    for (uint32_t i = 0; i < world->node_count; i++) {
+        World_Resume(&world->nodes[i]);
+    }
+    for (uint32_t i = 0; i < World_EntryCount(world); i++) {
+        for (uint32_t j = 0; j < World_AgentCount(world); j++) {
+            World_Stall(World_Entry(world, i), World_Agent(world, j), false);
+        }
+    }
+    for (uint32_t i = 0; i < World_AgentCount(world); i++) {
+        WorldNode *agent = World_Agent(world, i);
+
+        World_FailLoads(agent, 0);
+        World_CutAnswers(agent, 0);
+        World_WrongModels(agent, 0);
+        World_DelayOrders(agent, 0);
+    }
+}
+
+static void
+choose_world(const uint8_t *data, WorldOptions *options, bool *faultless)
+{
+    WorldOptions_Init(options);
+    options->seed = data[0] + 1;
+    *faultless = (data[1] & 3) == 0;
+    options->fencing = (data[1] & 4) != 0;
+    options->slots = 1 + data[2] % 3;
+    options->batch = 1 + (data[2] >> 4) % 4;
+    options->model_agents = 1 + data[3] % 3;
+    options->entries = 1 + (data[3] >> 4) % 3;
+}
+
+static void
+print_operation(const World *world, const Operation *operation,
+                const uint8_t *bytes)
+{
+    printf("%" PRId64 " %s %u %u\n", World_Now(world) / KC_MS, operation->name,
+           bytes[1], bytes[2]);
+}
+
+static void
+count_ended(const World *world, FuzzResult *result)
+{
+    const WorldCaller *caller;
+
+    TAILQ_FOREACH (caller, &world->callers, link) {
+        result->ended += caller->finished ? 1 : 0;
+        result->answered +=
+            caller->finished && caller->outcome == KC_OUTCOME_ANSWERED;
+    }
+}
+
+/* Applies the operations.  Stops at the first finding. */
+static void
+apply_all(World *world, const uint8_t *data, size_t size, bool faultless,
+          bool trace, FuzzResult *result)
+{
+    for (size_t i = 0; i + OPERATION_SIZE <= size; i += OPERATION_SIZE) {
+        const Operation *operation = &operations[data[i] % OPERATION_COUNT];
+
+        if (faultless && operation->fault) {
+            continue;
+        }
+        if (trace) {
+            print_operation(world, operation, data + i);
+        }
+        operation->apply(world, data[i + 1], data[i + 2]);
+        result->operations++;
+        if (result->operations % CHECK_INTERVAL == 0) {
+            result->finding = Oracle_CheckNow(world);
+        }
+        if (result->finding != NULL) {
+            return;
+        }
+    }
+}
+
+static FuzzResult
+run(const uint8_t *data, size_t size, bool trace)
+{
+    FuzzResult result = {0};
+    WorldOptions options;
+    bool faultless;
+    World *world;
+
+    if (size < HEADER_SIZE) {
+        return result;
+    }
+    choose_world(data, &options, &faultless);
+    world = World_Create(&options);
+    World_Advance(world, 500 * KC_MS);
+    apply_all(world, data + HEADER_SIZE, size - HEADER_SIZE, faultless, trace,
+              &result);
+    if (result.finding == NULL) {
+        heal(world);
+        World_Advance(world, REST_TIME);
+        result.finding = Oracle_CheckAtRest(world, faultless);
+    }
+    if (trace) {
+        World_PrintEvents(world);
+    }
+    count_ended(world, &result);
+    World_Free(world);
+    return result;
+}
+
+FuzzResult
+Fuzz_Run(const uint8_t *data, size_t size)
+{
+    return run(data, size, false);
+}
+
+FuzzResult
+Fuzz_Trace(const uint8_t *data, size_t size)
+{
+    return run(data, size, true);
+}
--- /dev/null
+++ b/tests/world/document.c
@@ -0,0 +1,177 @@
+/*
+ * The operators of the world: its document and their edits of it.
+ */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world_internal.h"
+
+static void
+add(KcBuffer *buffer, const char *format, ...)
+{
+    char text[256];
+    va_list args;
+    int length;
+
+    va_start(args, format);
+    length = vsnprintf(text, sizeof(text), format, args);
+    va_end(args);
+    KcBuffer_Append(buffer, text, (size_t)length);
+}
+
+static void
+write_regions(const World *world, KcBuffer *text)
+{
+    for (uint32_t i = 0; i < world->options.regions; i++) {
+        add(text, "[region r%u]\ndatacentres = dc-%u\n", i, i);
+    }
+    add(text, "[link]\nbytes_per_s = 3750000\n");
+}
+
+static void
+write_services(const World *world, KcBuffer *text)
+{
+    (void)world;
+    add(text, "[service model]\nkind = model\nbase_model = base\n");
+    add(text, "[service plain]\nkind = plain\npath = /plain\n"
+              "repeatable = no\n");
+}
+
+static void
+write_capacity(const World *world, KcBuffer *text)
+{
+    const WorldOptions *options = &world->options;
+
+    add(text, "[service model]\nslots = %u\nbatch = %u\nqueue_max = %u\n",
+        options->slots, options->batch, options->queue_max);
+    add(text, "load_ms = %lld\nservice_ms = %lld\ndeadline_ms = %lld\n",
+        (long long)(options->load_time / KC_MS),
+        (long long)(options->service_time / KC_MS),
+        (long long)(options->deadline / KC_MS));
+    add(text, "stall_weight = %u\nbatch_weight = %u\nrare_stall_ms = %lld\n",
+        options->stall_weight, options->batch_weight,
+        (long long)(options->rare_stall / KC_MS));
+    add(text, "loads_per_minute = %u\n", options->loads_per_minute);
+    add(text, "[service plain]\nbatch = 4\nqueue_max = 16\n"
+              "service_ms = 20\ndeadline_ms = 10000\n");
+}
+
+static void
+write_adapters(const World *world, KcBuffer *text)
+{
+    add(text, "[adapters]\n");
+    for (uint32_t i = 0; i < world->options.adapters; i++) {
+        add(text, "a%u = model 1 2*\n", i);
+    }
+}
+
+static void
+write_retirements(const World *world, KcBuffer *text)
+{
+    add(text, "[retired]\n");
+    for (uint32_t i = 0; i < world->options.adapters; i++) {
+        if (world->retired[i]) {
+            add(text, "a%u = 1\n", i);
+        }
+    }
+}
+
+static void
+write_limits(const World *world, KcBuffer *text)
+{
+    (void)world;
+    add(text, "[customer *]\nrate_per_s = 100000\nburst = 100000\n"
+              "in_flight = 10000\n");
+}
+
+static void (*const writers[KC_SECTION_COUNT])(const World *world,
+                                               KcBuffer *text) = {
+    [KC_SECTION_ADAPTERS] = write_adapters,
+    [KC_SECTION_CAPACITY] = write_capacity,
+    [KC_SECTION_REGIONS] = write_regions,
+    [KC_SECTION_RETIREMENTS] = write_retirements,
+    [KC_SECTION_SERVICES] = write_services,
+    [KC_SECTION_LIMITS] = write_limits,
+};
+
+/* Stores the parts of a section and names them in the head. */
+static void
+store_section(World *world, KcHead *head, int section, const KcBuffer *text)
+{
+    const char *data = KcBuffer_Data(text);
+    size_t left = KcBuffer_Size(text);
+    uint32_t count = 0;
+
+    while (left > 0) {
+        size_t size = KcHead_PartSize(data, left);
+        char name[KC_OBJECT_NAME_MAX];
+        char *hash = head->part[section][count++];
+
+        KcHead_Hash(data, size, hash);
+        snprintf(name, sizeof(name), "%s%s", KC_OBJECT_PARTS, hash);
+        WorldStore_Put(world, name, (KcBytes){data, size}, KC_OBJECT_ANY);
+        data += size;
+        left -= size;
+    }
+    head->part_count[section] = count;
+}
+
+int
+WorldDocument_Write(World *world, uint64_t expected)
+{
+    KcHead *head = KcMem_New(sizeof(*head));
+    char *json;
+    int code;
+
+    for (int i = 0; i < KC_SECTION_COUNT; i++) {
+        KcBuffer text = {0};
+
+        writers[i](world, &text);
+        store_section(world, head, i, &text);
+        KcBuffer_Clear(&text);
+    }
+    head->generation = world->accepted + 1;
+    json = KcHead_Encode(head);
+    code = WorldStore_Put(world, KC_OBJECT_HEAD, (KcBytes){json, strlen(json)},
+                          expected);
+    if (code == 0) {
+        world->accepted++;
+        world->previous_head = expected;
+    }
+    free(json);
+    free(head);
+    return code;
+}
+
+int
+World_EditRetirement(World *world, uint32_t adapter, bool retired, bool stale)
+{
+    WorldObject *head = WorldStore_Find(world, KC_OBJECT_HEAD);
+    bool before = world->retired[adapter];
+    int code;
+
+    if (world->store.outage) {
+        return KC_ERR_UNAVAILABLE;
+    }
+    world->retired[adapter] = retired;
+    code = WorldDocument_Write(world,
+                               stale ? world->previous_head : head->version);
+    if (code != 0) {
+        world->retired[adapter] = before;
+    }
+    return code;
+}
+
+bool
+World_IsRetired(const World *world, uint32_t adapter)
+{
+    return world->retired[adapter];
+}
+
+uint64_t
+World_AcceptedGeneration(const World *world)
+{
+    return world->accepted;
+}
--- /dev/null
+++ b/tests/world/node.c
@@ -0,0 +1,476 @@
+/*
+ * Processes of the world, and the world as a whole.
+ */
+#include <assert.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "world_internal.h"
+
+#define EVENT_COUNT 256
+/* Wall clock at the world's beginning; any number will do. */
+#define WALL_OFFSET ((int64_t)1700000000 * KC_SECOND)
+#define START_TIME (1000 * KC_SECOND)
+#define INSTANCE_LAG (500 * KC_MS)
+
+void
+WorldOptions_Init(WorldOptions *options)
+{
+    memset(options, 0, sizeof(*options));
+    options->seed = 1;
+    options->entries = 2;
+    options->model_agents = 3;
+    options->plain_agents = 2;
+    options->regions = 2;
+    options->adapters = 6;
+    options->slots = 2;
+    options->batch = 4;
+    options->queue_max = 32;
+    options->tokens = 6;
+    options->token_time = 20 * KC_MS;
+    options->load_time = 250 * KC_MS;
+    options->service_time = 120 * KC_MS;
+    options->execute_time = 20 * KC_MS;
+    options->deadline = 20 * KC_SECOND;
+    options->near = 1 * KC_MS;
+    options->far = 30 * KC_MS;
+    options->loads_per_minute = 600;
+    options->stall_weight = 50;
+    options->batch_weight = 50;
+    options->rare_stall = 4 * KC_SECOND;
+    options->fencing = true;
+    options->route = "kcc";
+    options->victim = "kcc";
+}
+
+uint64_t
+World_Draw(World *world, uint64_t limit)
+{
+    world->random ^= world->random << 13;
+    world->random ^= world->random >> 7;
+    world->random ^= world->random << 17;
+    return world->random % limit;
+}
+
+KcTime
+World_Now(const World *world)
+{
+    return world->now;
+}
+
+KcTime
+World_Latency(const WorldNode *a, const WorldNode *b)
+{
+    const WorldOptions *options = &a->world->options;
+
+    return a->region == b->region ? options->near : options->far;
+}
+
+static KcTime
+clock_of(void *context)
+{
+    return ((WorldNode *)context)->world->now;
+}
+
+/* ---- starting
+ * ----------------------------------------------------------------- */
+
+static void
+connect_backend(void *context, KcBackend *backend)
+{
+    WorldPipe_Connect(context, backend);
+}
+
+static const KcEntryOps entry_ops = {connect_backend};
+
+static void
+start_entry(WorldNode *node)
+{
+    World *world = node->world;
+    KcEntryOptions options;
+
+    KcEntryOptions_Init(&options);
+    options.name = node->name;
+    options.datacentre = node->datacentre;
+    options.incarnation = World_Draw(world, UINT64_MAX) | 1;
+    options.ops = &entry_ops;
+    options.context = node;
+    options.object_ops = &WorldStore_Ops;
+    options.objects = node;
+    options.timers = node->timers;
+    options.events = node->events;
+    options.counters = &node->counters;
+    options.clock = clock_of;
+    options.policy = KcRoute_Policy(world->options.route);
+    options.remote_cost = 2 * world->options.far;
+    options.wall_offset = WALL_OFFSET;
+    options.window = 256;
+    node->entry = KcEntry_Create(&options);
+    KcEntry_Start(node->entry, world->now);
+    WorldNode_ShowInstances(node);
+}
+
+static void
+start_agent(WorldNode *node)
+{
+    World *world = node->world;
+    KcAgentOptions options;
+
+    KcAgentOptions_Init(&options);
+    options.name = node->name;
+    options.service = node->role == WORLD_PLAIN_AGENT ? "plain" : "model";
+    options.datacentre = node->datacentre;
+    options.incarnation = World_Draw(world, UINT64_MAX) | 1;
+    options.ops = &WorldEngine_Ops;
+    options.backend = node->engine;
+    options.object_ops = &WorldStore_Ops;
+    options.objects = node;
+    options.timers = node->timers;
+    options.events = node->events;
+    options.counters = &node->counters;
+    options.clock = clock_of;
+    options.context = node;
+    options.victim = KcVictim_Policy(world->options.victim);
+    options.fencing = world->options.fencing;
+    options.store_share = world->options.model_agents;
+    options.wall_offset = WALL_OFFSET;
+    options.window = 256;
+    node->agent = KcAgent_Create(&options);
+    KcAgent_Start(node->agent, world->now);
+}
+
+void
+WorldNode_Start(WorldNode *node)
+{
+    assert(!node->alive);
+    node->alive = true;
+    node->paused = false;
+    node->draining = false;
+    node->incarnation++;
+    node->generation = 0;
+    node->timers = KcTimers_Create(node->world->now);
+    node->events = KcEvents_Create(EVENT_COUNT, WALL_OFFSET);
+    if (node->role == WORLD_ENTRY) {
+        start_entry(node);
+    }
+    else {
+        start_agent(node);
+    }
+}
+
+void
+World_Restart(WorldNode *node)
+{
+    if (!node->alive) {
+        WorldNode_Start(node);
+    }
+}
+
+/* ---- the instance list
+ * ------------------------------------------------------------ */
+
+void
+WorldNode_ShowInstances(WorldNode *node)
+{
+    World *world = node->world;
+    KcInstance *list = KcMem_New(world->node_count * sizeof(*list));
+    size_t count = 0;
+    uint32_t entries = 0;
+
+    for (uint32_t i = 0; i < world->node_count; i++) {
+        const WorldNode *other = &world->nodes[i];
+        KcInstance *instance = &list[count];
+
+        if (other->role == WORLD_ENTRY) {
+            entries++;
+            continue;
+        }
+        KcName_Copy(instance->name, other->name, KC_NAME_MAX);
+        KcName_Copy(instance->service,
+                    other->role == WORLD_PLAIN_AGENT ? "plain" : "model",
+                    KC_NAME_MAX);
+        KcName_Copy(instance->datacentre, other->datacentre, KC_NAME_MAX);
+        KcName_Copy(instance->address, other->address, KC_ADDRESS_MAX);
+        instance->leaving = other->alive && other->draining;
+        count++;
+    }
+    KcEntry_OnInstances(node->entry, list, count, entries, world->now);
+    free(list);
+}
+
+static void
+show_instances(void *context)
+{
+    WorldNode_ShowInstances(context);
+}
+
+/* The list shows a change to every entry after its lag. */
+static void
+announce(World *world)
+{
+    for (uint32_t i = 0; i < world->node_count; i++) {
+        WorldNode *node = &world->nodes[i];
+
+        if (node->role == WORLD_ENTRY && node->alive) {
+            WorldSchedule_Add(world, world->now + INSTANCE_LAG, node,
+                              show_instances, NULL, node);
+        }
+    }
+}
+
+/* ---- ending
+ * ------------------------------------------------------------------------- */
+
+static void
+lose_callers(WorldNode *node)
+{
+    WorldCaller *caller;
+
+    TAILQ_FOREACH (caller, &node->world->callers, link) {
+        if (caller->entry == node && caller->request != NULL) {
+            caller->lost = true;
+        }
+    }
+}
+
+static void
+kill_entry(WorldNode *node)
+{
+    lose_callers(node);
+    KcEntry_Abort(node->entry, node->world->now);
+    KcEntry_Free(node->entry);
+    node->entry = NULL;
+}
+
+static void
+kill_agent(WorldNode *node)
+{
+    WorldEngine_AgentGone(node->engine);
+    KcAgent_Free(node->agent);
+    node->agent = NULL;
+}
+
+void
+World_Kill(WorldNode *node)
+{
+    if (!node->alive) {
+        return;
+    }
+    WorldSchedule_DropBacklog(node);
+    /* Nothing that a dying process says is heard. */
+    WorldPipe_NodeGone(node);
+    if (node->entry != NULL) {
+        kill_entry(node);
+    }
+    else {
+        kill_agent(node);
+    }
+    WorldStore_NodeGone(node);
+    node->alive = false;
+    node->paused = false;
+    KcTimers_Free(node->timers);
+    KcEvents_Free(node->events);
+}
+
+void
+World_Pause(WorldNode *node)
+{
+    if (node->alive) {
+        node->paused = true;
+    }
+}
+
+void
+World_Drain(WorldNode *node)
+{
+    World *world = node->world;
+
+    if (!node->alive || node->paused) {
+        return;
+    }
+    if (!node->draining) {
+        node->draining = true;
+        node->draining_since = world->now;
+    }
+    if (node->entry != NULL) {
+        KcEntry_Drain(node->entry, world->now);
+    }
+    else {
+        KcAgent_Drain(node->agent, world->now);
+    }
+    announce(world);
+}
+
+/* ---- the world
+ * ------------------------------------------------------------------------ */
+
+static void
+add_node(World *world, WorldRole role, const char *prefix, uint32_t index)
+{
+    WorldNode *node = &world->nodes[world->node_count];
+
+    node->world = world;
+    node->role = role;
+    node->index = index;
+    node->region = index % world->options.regions;
+    TAILQ_INIT(&node->backlog);
+    snprintf(node->name, sizeof(node->name), "%s-%u", prefix, index);
+    snprintf(node->address, sizeof(node->address), "127.0.0.1:%u",
+             1000 + world->node_count);
+    snprintf(node->datacentre, sizeof(node->datacentre), "dc-%u",
+             node->region);
+    world->node_count++;
+    if (role != WORLD_ENTRY) {
+        node->engine = WorldEngine_Create(node);
+    }
+}
+
+World *
+World_Create(const WorldOptions *options)
+{
+    World *world = KcMem_New(sizeof(*world));
+    uint32_t count =
+        options->entries + options->model_agents + options->plain_agents;
+
+    world->options = *options;
+    world->now = START_TIME;
+    world->random = options->seed * 0x9e3779b97f4a7c15ULL | 1;
+    TAILQ_INIT(&world->pipes);
+    TAILQ_INIT(&world->store.calls);
+    TAILQ_INIT(&world->callers);
+    world->nodes = KcMem_New(count * sizeof(world->nodes[0]));
+    world->retired = KcMem_New(options->adapters * sizeof(bool));
+    for (uint32_t i = 0; i < options->entries; i++) {
+        add_node(world, WORLD_ENTRY, "entry", i);
+    }
+    for (uint32_t i = 0; i < options->model_agents; i++) {
+        add_node(world, WORLD_MODEL_AGENT, "model", i);
+    }
+    for (uint32_t i = 0; i < options->plain_agents; i++) {
+        add_node(world, WORLD_PLAIN_AGENT, "plain", i);
+    }
+    WorldDocument_Write(world, KC_OBJECT_ABSENT);
+    for (uint32_t i = 0; i < world->node_count; i++) {
+        WorldNode_Start(&world->nodes[i]);
+    }
+    return world;
+}
+
+void
+World_Free(World *world)
+{
+    WorldCaller *caller;
+
+    for (uint32_t i = 0; i < world->node_count; i++) {
+        World_Kill(&world->nodes[i]);
+    }
+    WorldSchedule_Clear(world);
+    for (uint32_t i = 0; i < world->node_count; i++) {
+        if (world->nodes[i].engine != NULL) {
+            WorldEngine_Free(world->nodes[i].engine);
+        }
+    }
+    WorldPipe_FreeAll(world);
+    WorldStore_Free(world);
+    while ((caller = TAILQ_FIRST(&world->callers)) != NULL) {
+        TAILQ_REMOVE(&world->callers, caller, link);
+        KcBuffer_Clear(&caller->received);
+        free(caller);
+    }
+    free(world->caller_index);
+    free(world->nodes);
+    free(world->retired);
+    free(world);
+}
+
+uint32_t
+World_EntryCount(const World *world)
+{
+    return world->options.entries;
+}
+
+uint32_t
+World_AgentCount(const World *world)
+{
+    return world->options.model_agents + world->options.plain_agents;
+}
+
+WorldNode *
+World_Entry(World *world, uint32_t index)
+{
+    assert(index < world->options.entries);
+    return &world->nodes[index];
+}
+
+WorldNode *
+World_Agent(World *world, uint32_t index)
+{
+    assert(index < World_AgentCount(world));
+    return &world->nodes[world->options.entries + index];
+}
+
+/* ---- tracing --------------------------------------------------------------
+ */
+
+/* Number of the caller of a request, or -1. */
+static int
+caller_number(const World *world, const KcRequestId *id)
+{
+    const WorldCaller *caller;
+
+    if (id->nonce == 0) {
+        return -1;
+    }
+    TAILQ_FOREACH (caller, &world->callers, link) {
+        if (KcRequestId_Equal(&caller->id, id)) {
+            return (int)caller->number;
+        }
+    }
+    return -1;
+}
+
+/* The earliest event after a clock, over all processes. */
+static const KcEvent *
+next_event(const World *world, uint64_t clock, const WorldNode **where)
+{
+    const KcEvent *best = NULL;
+
+    for (uint32_t i = 0; i < world->node_count; i++) {
+        const WorldNode *node = &world->nodes[i];
+
+        if (!node->alive) {
+            continue;
+        }
+        for (size_t j = 0; j < KcEvents_Count(node->events); j++) {
+            const KcEvent *event = KcEvents_At(node->events, j);
+
+            if (event->clock > clock &&
+                (best == NULL || event->clock < best->clock)) {
+                best = event;
+                *where = node;
+            }
+        }
+    }
+    return best;
+}
+
+void
+World_PrintEvents(const World *world)
+{
+    const WorldNode *node = NULL;
+    const KcEvent *event;
+    uint64_t clock = 0;
+
+    while ((event = next_event(world, clock, &node)) != NULL) {
+        int64_t wall = (int64_t)(event->clock >> KC_CLOCK_SHIFT);
+
+        clock = event->clock;
+        printf("%8.3f %-8s %-12s request %3d peer %-8s subject %-6s "
+               "generation %d detail %d\n",
+               (double)(wall - WALL_OFFSET) / (double)KC_SECOND, node->name,
+               KcEventType_Name(event->type),
+               caller_number(world, &event->request), event->peer,
+               event->subject, (int)event->generation, (int)event->detail);
+    }
+}
--- /dev/null
+++ b/tests/world/world_internal.h
@@ -0,0 +1,283 @@
+/*
+ * The world's state, shared by its files and read by the oracle.
+ */
+#ifndef KCC_WORLD_INTERNAL_H
+#define KCC_WORLD_INTERNAL_H
+
+#include "world.h"
+
+/* ---- scheduling -----------------------------------------------------------
+ */
+
+/* Something that happens at a time. */
+typedef struct WorldEvent {
+    KcTime at;
+    uint64_t order;       /* among events of the same time */
+    WorldNode *node;      /* NULL: happens to no process */
+    uint64_t incarnation; /* of the node; dropped when it has changed */
+    void (*run)(void *context);
+    void (*drop)(void *context);
+    void *context;
+} WorldEvent;
+
+typedef struct WorldBacklog {
+    TAILQ_ENTRY(WorldBacklog) link;
+    WorldEvent event;
+} WorldBacklog;
+
+/* Schedules an event.  drop frees the context of one that never runs. */
+void WorldSchedule_Add(World *world, KcTime at, WorldNode *node,
+                       void (*run)(void *context), void (*drop)(void *context),
+                       void *context);
+
+/* Drops what waits for a frozen process. */
+void WorldSchedule_DropBacklog(WorldNode *node);
+
+/* Drops every event. */
+void WorldSchedule_Clear(World *world);
+
+/* ---- processes
+ * -------------------------------------------------------------- */
+
+typedef enum WorldRole {
+    WORLD_ENTRY,
+    WORLD_MODEL_AGENT,
+    WORLD_PLAIN_AGENT
+} WorldRole;
+
+struct WorldNode {
+    World *world;
+    WorldRole role;
+    uint32_t index;
+    char name[KC_NAME_MAX];
+    char address[KC_ADDRESS_MAX];
+    char datacentre[KC_NAME_MAX];
+    uint32_t region;
+    bool alive;
+    bool paused;
+    bool draining;
+    KcTime draining_since;
+    uint64_t incarnation; /* grows with every start */
+    uint64_t generation;  /* highest seen by the oracle, this incarnation */
+    KcTimers *timers;
+    KcEvents *events;
+    KcCounters counters;
+    KcEntry *entry;
+    KcAgent *agent;
+    WorldEngine *engine;
+    TAILQ_HEAD(, WorldBacklog) backlog;
+};
+
+/* ---- links
+ * ---------------------------------------------------------------------- */
+
+/* One side of a connection, the transport of its link. */
+typedef struct WorldSide {
+    struct WorldPipe *pipe;
+    int index; /* 0: the entry's, 1: the agent's */
+} WorldSide;
+
+/* One connection. */
+typedef struct WorldPipe {
+    TAILQ_ENTRY(WorldPipe) link;
+    World *world;
+    WorldNode *node[2];
+    uint64_t incarnation[2];
+    char backend[KC_NAME_MAX]; /* by name: the entry may forget it */
+    WorldSide sides[2];
+    KcLink *end[2]; /* NULL once that side has closed */
+    bool open[2];
+    bool ready; /* the entry knows the link */
+    bool cut;   /* nothing more arrives */
+    bool stalled;
+    KcTime last[2]; /* time of the last delivery to each side */
+    KcEncoder *encoder;
+    KcDecoder *decoder;
+} WorldPipe;
+
+TAILQ_HEAD(WorldPipeList, WorldPipe);
+
+void WorldPipe_Connect(WorldNode *entry, KcBackend *backend);
+
+/* A process has ended: its ends are gone. */
+void WorldPipe_NodeGone(WorldNode *node);
+void WorldPipe_FreeAll(World *world);
+
+/* ---- object API
+ * ------------------------------------------------------------------ */
+
+typedef struct WorldObject {
+    UT_hash_handle hh;
+    char name[KC_OBJECT_NAME_MAX];
+    uint64_t version;
+    KcBuffer value;
+} WorldObject;
+
+typedef struct WorldObjectCall WorldObjectCall;
+TAILQ_HEAD(WorldObjectCallList, WorldObjectCall);
+
+typedef struct WorldStore {
+    WorldObject *objects;
+    uint64_t versions;
+    struct WorldObjectCallList calls;
+    bool outage;
+    KcTime slow;
+    uint32_t lose_replies;
+    uint32_t delay_writes;
+    uint64_t reads;
+    uint64_t writes;
+} WorldStore;
+
+extern const KcObjectOps WorldStore_Ops; /* context: a WorldNode */
+
+WorldObject *WorldStore_Find(World *world, const char *name);
+
+/* Writes at once.  Returns 0 or KC_ERR_CONFLICT. */
+int WorldStore_Put(World *world, const char *name, KcBytes value,
+                   uint64_t expected);
+void WorldStore_NodeGone(WorldNode *node);
+void WorldStore_Free(World *world);
+
+/* ---- engines and services
+ * ---------------------------------------------------------- */
+
+typedef struct WorldAdapter {
+    TAILQ_ENTRY(WorldAdapter) link;
+    char name[KC_ENGINE_NAME_MAX];
+    bool ready;
+    uint32_t active;
+} WorldAdapter;
+
+/* One call at an engine or service. */
+typedef struct WorldEngineCall {
+    TAILQ_ENTRY(WorldEngineCall) link;
+    uint64_t id;
+    WorldEngine *engine;
+    WorldNode *node;
+    uint64_t incarnation;
+    KcWork *work;          /* NULL once cancelled or its agent is gone */
+    WorldAdapter *adapter; /* NULL for a plain call */
+    WorldCaller *caller;   /* whose call it is, by prompt */
+    char model[KC_MODEL_TEXT];
+    uint32_t next;
+    size_t skip;
+    bool throttled;
+    bool waiting; /* a step is due while throttled */
+    bool wrong;
+} WorldEngineCall;
+
+struct WorldEngine {
+    World *world;
+    WorldNode *node;
+    bool plain;
+    uint64_t epoch;
+    uint64_t fence;
+    uint64_t call_ids;
+    uint32_t running;
+    TAILQ_HEAD(, WorldAdapter) adapters;
+    TAILQ_HEAD(, WorldEngineCall) calls;
+    uint32_t fail_loads;
+    uint32_t cut_answers;
+    uint32_t wrong_models;
+    uint32_t delay_orders;
+    /* What the oracle reads. */
+    uint64_t evicted_active;
+    uint64_t starts;
+    KcTime last_start;
+    /* What the benchmarks read: integrals over time. */
+    KcTime busy_since;
+    double busy_time;    /* seconds with a call running */
+    double running_time; /* seconds times calls running */
+    KcTime integrated_to;
+    uint64_t loads;
+};
+
+extern const KcBackendOps WorldEngine_Ops; /* context: a WorldEngine */
+
+WorldEngine *WorldEngine_Create(WorldNode *node);
+void WorldEngine_Free(WorldEngine *engine);
+void WorldEngine_AgentGone(WorldEngine *engine);
+void WorldEngine_Integrate(WorldEngine *engine);
+
+/* ---- callers
+ * --------------------------------------------------------------------------
+ */
+
+/* What one caller asked and saw. */
+struct WorldCaller {
+    TAILQ_ENTRY(WorldCaller) link;
+    World *world;
+    WorldNode *entry;
+    uint64_t incarnation;
+    uint32_t number; /* names the prompt or body */
+    bool plain;
+    uint32_t key;
+    KcModelRef model;
+    KcRequest *request; /* NULL before and after */
+    KcRequestId id;     /* zero when it ended at once */
+    bool started;
+    bool finished;
+    bool lost; /* its entry died: told nothing */
+    bool abandoned;
+    bool slow;
+    KcOutcome outcome;
+    int code;
+    bool duplicate;
+    KcClaimMark earlier;
+    char answered_by[KC_MODEL_TEXT];
+    KcBuffer received;
+    uint32_t executions; /* counted by the engines and services */
+    KcTime submitted;
+    KcTime first_byte;
+    KcTime ended;
+};
+
+TAILQ_HEAD(WorldCallerList, WorldCaller);
+
+/* The whole text that a model call must bring. */
+void WorldCaller_Expected(const WorldCaller *caller, KcBuffer *text);
+
+/* Token number index of a model's answer to a caller. */
+size_t WorldCaller_Token(const char *model, uint32_t number, uint32_t index,
+                         char *text, size_t size);
+
+WorldCaller *WorldCaller_Find(World *world, uint32_t number);
+
+/* ---- the world
+ * --------------------------------------------------------------------------
+ */
+
+struct World {
+    WorldOptions options;
+    KcTime now;
+    uint64_t random;
+    WorldEvent *heap;
+    size_t heap_count;
+    size_t heap_capacity;
+    uint64_t event_order;
+    WorldNode *nodes;
+    uint32_t node_count;
+    struct WorldPipeList pipes;
+    WorldStore store;
+    struct WorldCallerList callers;
+    WorldCaller **caller_index;
+    uint32_t caller_count;
+    uint32_t caller_capacity;
+    uint32_t loads_in_flight; /* from the weight store */
+    bool *retired;            /* version 1 of each adapter */
+    uint64_t accepted;        /* generation of the head */
+    uint64_t previous_head;   /* object version before the last edit */
+};
+
+/* Starts a process in a fresh incarnation. */
+void WorldNode_Start(WorldNode *node);
+
+/* Gives an entry the instance list as the world stands. */
+void WorldNode_ShowInstances(WorldNode *node);
+
+KcTime World_Latency(const WorldNode *a, const WorldNode *b);
+
+/* Writes the document and its head.  Returns as World_EditRetirement(). */
+int WorldDocument_Write(World *world, uint64_t expected);
+
+#endif
