--- a/lib/process/agent.c
+++ b/lib/process/agent.c
@@ -77,6 +77,7 @@
 
     agent->inspected = false;
     if (fence != 0) {
+        KcAgentEngine_Announce(agent);
         KcAgentEngine_Inspect(agent, now);
     }
 }
--- a/lib/process/agent_engine.c
+++ b/lib/process/agent_engine.c
@@ -34,6 +34,7 @@
     KcPace_Init(&agent->pace, service->load_ms * KC_MS, share);
     agent->resident_ready = true;
     if (KcLease_Fence(agent->lease) != 0) {
+        KcAgentEngine_Announce(agent);
         KcAgentEngine_Inspect(agent, now);
     }
 }
@@ -55,6 +56,24 @@
                  now + agent->options.inspect);
 }
 
+void
+KcAgentEngine_Announce(KcAgent *agent)
+{
+    if (agent->options.fencing && agent->resident_ready) {
+        agent->options.ops->announce(agent->options.backend,
+                                     KcLease_Fence(agent->lease));
+    }
+}
+
+void
+KcAgent_OnAnnounced(KcAgent *agent, uint64_t fence, int code, KcTime now)
+{
+    if (code == 0 && fence == KcLease_Fence(agent->lease)) {
+        agent->announced = fence;
+        agent->announced_at = now;
+    }
+}
+
 void
 KcAgentEngine_Inspect(KcAgent *agent, KcTime now)
 {
@@ -204,15 +223,40 @@
     return 0;
 }
 
+/* Fencing number in an engine's "adapter@version#fence.sequence". */
+static uint64_t
+fence_of_name(const char *name)
+{
+    const char *hash = strchr(name, '#');
+
+    return hash != NULL ? strtoull(hash + 1, NULL, 10) : 0;
+}
+
+/*
+ * May a stray adapter be used?  Only when no order to evict it can still
+ * arrive: an earlier holder's is refused once the engine has seen our
+ * number, and one of our own number we may have ordered away ourselves.
+ */
+static bool
+safe_to_adopt(const KcAgent *agent, const KcEngineAdapter *adapter,
+              KcTime asked)
+{
+    uint64_t fence = KcLease_Fence(agent->lease);
+
+    return agent->options.fencing && agent->announced == fence &&
+           agent->announced_at < asked && fence_of_name(adapter->name) < fence;
+}
+
 /* Takes over an adapter that an earlier holder of the lease had loaded. */
 static bool
-adopt_stray(KcAgent *agent, const KcEngineAdapter *adapter, KcTime now)
+adopt_stray(KcAgent *agent, const KcEngineAdapter *adapter, KcTime asked,
+            KcTime now)
 {
     KcSlot *slot = KcResidency_Victim(&agent->residency, true, now);
     KcModelState *model;
     KcModelRef ref;
 
-    if (!agent->options.fencing || slot == NULL ||
+    if (!safe_to_adopt(agent, adapter, asked) || slot == NULL ||
         slot->state != KC_SLOT_EMPTY ||
         parse_engine_name(adapter->name, &ref) != 0) {
         return false;
@@ -225,14 +269,25 @@
                           KcLease_Fence(agent->lease), now);
     KcName_Copy(slot->name, adapter->name, sizeof(slot->name));
     KcResidency_EndLoad(slot, 0, now);
+    slot->foreign = adapter->active;
     return true;
 }
 
+/* An earlier holder's calls only ever become fewer. */
+static void
+recount_foreign(KcSlot *slot, const KcEngineAdapter *adapter)
+{
+    if (adapter->active < slot->foreign) {
+        slot->foreign = adapter->active;
+    }
+}
+
 /* Deals with an adapter that the engine holds and no slot knows. */
 static void
-settle_stray(KcAgent *agent, const KcEngineAdapter *adapter, KcTime now)
+settle_stray(KcAgent *agent, const KcEngineAdapter *adapter, KcTime asked,
+             KcTime now)
 {
-    if (adopt_stray(agent, adapter, now)) {
+    if (adopt_stray(agent, adapter, asked, now)) {
         return;
     }
     /* It may still serve a call of an earlier holder: then it stays. */
@@ -274,10 +329,15 @@
     }
     forget_missing(agent, adapters, count, asked);
     for (size_t i = 0; i < count; i++) {
+        KcSlot *slot = slot_by_name(agent, adapters[i].name);
+
+        if (slot != NULL) {
+            recount_foreign(slot, &adapters[i]);
+        }
         /* An order that ended since the question is not in the answer. */
-        if (slot_by_name(agent, adapters[i].name) == NULL &&
-            KcLease_Fence(agent->lease) != 0 && agent->order_ended < asked) {
-            settle_stray(agent, &adapters[i], now);
+        if (slot == NULL && KcLease_Fence(agent->lease) != 0 &&
+            agent->order_ended < asked) {
+            settle_stray(agent, &adapters[i], asked, now);
         }
     }
     if (KcLease_Fence(agent->lease) != 0) {
--- a/lib/process/agent_internal.h
+++ b/lib/process/agent_internal.h
@@ -43,6 +43,8 @@
     char epoch[64]; /* of the engine, "" before it was first seen */
     bool inspected; /* the engine has been looked at with this lease */
     bool inspecting;
+    uint64_t announced; /* fencing number that the engine has seen */
+    KcTime announced_at;
     KcTime inspect_asked;
     KcTime order_ended; /* last time at which a load or eviction ended */
     bool draining;
@@ -119,6 +121,9 @@
 /* Begins to look at the engine at regular times. */
 void KcAgentEngine_Start(KcAgent *agent, KcTime now);
 
+/* Shows the engine the fencing number of the lease. */
+void KcAgentEngine_Announce(KcAgent *agent);
+
 /* Looks at the engine now, e.g. after taking the lease. */
 void KcAgentEngine_Inspect(KcAgent *agent, KcTime now);
 
--- a/lib/process/agent_schedule.c
+++ b/lib/process/agent_schedule.c
@@ -168,7 +168,10 @@
     work->share->running++;
     TAILQ_INSERT_TAIL(&agent->running, work, link);
     agent->running_count++;
-    KcTimers_Clear(agent->options.timers, &work->timer);
+    /* One whose connection is lost is still given up if it stays away. */
+    if (work->stream != NULL || !work->repeatable) {
+        KcTimers_Clear(agent->options.timers, &work->timer);
+    }
     KcCounters_Add(agent->options.counters, KC_COUNT_WORKS_STARTED, 1);
     KcAgent_Event(agent, KC_EVENT_START, work, NULL,
                   (now - work->arrived) / KC_MS, now);
@@ -236,7 +239,7 @@
     const KcSlot *slot;
 
     TAILQ_FOREACH (slot, &agent->residency.slots, link) {
-        if (slot->state == KC_SLOT_CLOSING && slot->pins > 0) {
+        if (slot->state == KC_SLOT_CLOSING && slot->pins + slot->foreign > 0) {
             return true;
         }
     }
--- a/lib/process/agent_work.c
+++ b/lib/process/agent_work.c
@@ -136,11 +136,15 @@
     send(work, &msg);
 }
 
-/* Pauses reading from the backend server while the entry lags behind. */
+/*
+ * Pauses reading from the backend server while the entry lags behind.  A
+ * call not to be repeated runs to its end even if nobody reads its answer.
+ */
 static void
 adjust_throttle(KcAgent *agent, KcWork *work)
 {
-    bool full = KcBuffer_Size(&work->out) >= agent->options.window;
+    bool read = work->stream != NULL || work->repeatable;
+    bool full = read && KcBuffer_Size(&work->out) >= agent->options.window;
 
     if (work->state == KC_WORK_RUNNING && full != work->throttled) {
         work->throttled = full;
@@ -528,6 +532,7 @@
 
     assert(work->stream == NULL);
     if (work->state == KC_WORK_RUNNING && !work->repeatable) {
+        adjust_throttle(agent, work);
         return; /* runs to its end */
     }
     if (work->state == KC_WORK_ENDED && !work->repeatable) {
--- a/lib/process/entry_attempt.c
+++ b/lib/process/entry_attempt.c
@@ -186,6 +186,8 @@
     KcEntry_Event(request->entry, KC_EVENT_RESUME, request,
                   attempt->backend->name, (int64_t)request->offset, now);
     send(attempt, &msg);
+    /* What was taken while there was no connection has not been credited. */
+    KcEntryAttempt_Credit(request, false);
     if (request->cancelled) {
         KcEntryAttempt_Cancel(request, now);
     }
@@ -197,10 +199,10 @@
     KcAttempt *attempt = &request->attempt;
     KcMsg msg = {.type = KC_MSG_CREDIT};
 
-    request->credited = request->consumed;
     if (attempt->stream == NULL) {
-        return;
+        return; /* made good when the attempt is resumed */
     }
+    request->credited = request->consumed;
     msg.u.credit.offset = done ? request->offset : request->consumed;
     msg.u.credit.done = done;
     send(attempt, &msg);
--- a/lib/process/kcc_agent.h
+++ b/lib/process/kcc_agent.h
@@ -33,6 +33,11 @@
     void (*evict)(void *backend, KcSlot *slot, uint64_t fence);
     /* Evicts an adapter that is in no slot; not answered. */
     void (*evict_stray)(void *backend, const char *name, uint64_t fence);
+    /*
+     * Shows the engine a fencing number, so that it refuses older ones;
+     * answered by KcAgent_OnAnnounced().
+     */
+    void (*announce)(void *backend, uint64_t fence);
     /* Asks for the adapters held; answered by KcAgent_OnInspected(). */
     void (*inspect)(void *backend);
 } KcBackendOps;
@@ -106,6 +111,9 @@
 void KcAgent_OnLoaded(KcAgent *agent, KcSlot *slot, int code, KcTime now);
 void KcAgent_OnEvicted(KcAgent *agent, KcSlot *slot, int code, KcTime now);
 
+/* The engine has seen a fencing number (code 0), or refused it. */
+void KcAgent_OnAnnounced(KcAgent *agent, uint64_t fence, int code, KcTime now);
+
 /*
  * What the engine holds.  epoch changes when the engine restarts; asked is
  * the time at which the question was sent.
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -514,6 +514,8 @@
     KcSlotState state;
     KcModelState *model; /* NULL when empty */
     uint32_t pins;       /* requests in service; never evicted above zero */
+    uint32_t foreign;    /* calls of an earlier holder, by the engine's word;
+                          * likewise never evicted above zero */
     KcTime ordered;      /* time of the last order */
     KcTime used;         /* time of the last pin */
     uint64_t fence;      /* under which it was loaded */
--- a/lib/process/residency.c
+++ b/lib/process/residency.c
@@ -65,7 +65,8 @@
 
     TAILQ_FOREACH (slot, &residency->slots, link) {
         if (slot->state == KC_SLOT_EVICTING ||
-            (slot->state == KC_SLOT_CLOSING && slot->pins > 0)) {
+            (slot->state == KC_SLOT_CLOSING &&
+             slot->pins + slot->foreign > 0)) {
             return true;
         }
     }
@@ -219,7 +220,7 @@
         if (slot->state == KC_SLOT_EMPTY) {
             return slot;
         }
-        if (!evictable || slot->pins > 0) {
+        if (!evictable || slot->pins > 0 || slot->foreign > 0) {
             continue;
         }
         if (spare_waited && slot->model->waiting > 0 &&
@@ -283,6 +284,7 @@
     slot->model = NULL;
     slot->state = KC_SLOT_EMPTY;
     slot->gone = false;
+    slot->foreign = 0;
     slot->name[0] = '\0';
 }
 
@@ -312,7 +314,7 @@
 KcResidency_BeginEvict(KcResidency *residency, KcSlot *slot, KcTime now)
 {
     assert(slot->state == KC_SLOT_READY || slot->state == KC_SLOT_CLOSING);
-    assert(slot->pins == 0);
+    assert(slot->pins == 0 && slot->foreign == 0);
     residency->inflation = value_of(residency, slot, now);
     slot->state = KC_SLOT_EVICTING;
     slot->ordered = now;
--- a/programs/kcc/call_command.c
+++ b/programs/kcc/call_command.c
@@ -43,7 +43,7 @@
     KcLoop_Stop(printing->loop);
 }
 
-static const KcHttpOps ops = {on_head, on_data, on_done};
+static const KcHttpOps ops = {on_head, on_data, on_done, NULL};
 
 static char *
 model_body(const KcArguments *arguments, const char *text)
--- a/programs/request/backend_call.c
+++ b/programs/request/backend_call.c
@@ -39,6 +39,9 @@
         KcHttpCall_Cancel(order->http);
         free(order);
     }
+    if (backend->announcement != NULL) {
+        KcHttpCall_Cancel(backend->announcement);
+    }
     if (backend->inspection != NULL) {
         KcHttpCall_Cancel(backend->inspection);
     }
@@ -145,6 +148,43 @@
                NULL);
 }
 
+/* The engine answered an order for no adapter: it has seen its number. */
+static void
+on_announced(void *context, int status, const char *etag, KcBytes body)
+{
+    KcBackendHttp *backend = context;
+    bool seen = status == 404 || status == 200;
+
+    (void)etag;
+    (void)body;
+    backend->announcement = NULL;
+    KcAgent_OnAnnounced(backend->agent, backend->announced,
+                        seen ? 0 : order_code(status), KcLoop_Now());
+}
+
+static void
+announce(void *context, uint64_t fence)
+{
+    KcBackendHttp *backend = context;
+    json_t *json = eviction("", fence);
+    char *text = json_dumps(json, JSON_COMPACT);
+    KcHttpOptions options = {.base = backend->loop->base,
+                             .address = backend->settings->backend,
+                             .method = "POST",
+                             .path = "/v1/unload_lora_adapter",
+                             .headers = {{"Content-Type", "application/json"}},
+                             .body = {text, strlen(text)},
+                             .timeout = INSPECT_TIMEOUT};
+
+    if (backend->announcement != NULL) {
+        KcHttpCall_Cancel(backend->announcement);
+    }
+    backend->announced = fence;
+    backend->announcement = KcHttpCall_Fetch(&options, on_announced, backend);
+    free(text);
+    json_decref(json);
+}
+
 /* ---- inspection ------------------------------------------------------------
  */
 
@@ -257,7 +297,7 @@
 }
 
 const KcBackendOps KcBackend_Http = {start, cancel,      throttle, load,
-                                     evict, evict_stray, inspect};
+                                     evict, evict_stray, announce, inspect};
 
 KcBackendCall *
 KcBackendCall_Create(KcBackendHttp *backend, KcWork *work)
--- a/programs/request/backend_call_internal.h
+++ b/programs/request/backend_call_internal.h
@@ -14,7 +14,9 @@
     const KcSettings *settings;
     KcAgent *agent;
     struct KcOrderList orders;
-    KcHttpCall *inspection; /* NULL when none is outstanding */
+    KcHttpCall *announcement; /* NULL when none is outstanding */
+    uint64_t announced;       /* the number it shows */
+    KcHttpCall *inspection;   /* NULL when none is outstanding */
     KcTime asked;
 };
 
--- a/programs/request/engine_call.c
+++ b/programs/request/engine_call.c
@@ -202,7 +202,7 @@
     KcBackendCall_End(call, code, ran, call->finish);
 }
 
-static const KcHttpOps ops = {on_head, on_data, on_done};
+static const KcHttpOps ops = {on_head, on_data, on_done, NULL};
 
 static void
 on_bad_body(KcTimer *timer, KcTime now)
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -240,6 +240,9 @@
     if (!call->over) {
         evhttp_cancel_request(call->request);
     }
+    if (call->ops.dropped != NULL) {
+        call->ops.dropped(call->context);
+    }
     free(call);
 }
 
@@ -299,8 +302,17 @@
     free(collected);
 }
 
-static const KcHttpOps collect_ops = {collect_head, collect_data,
-                                      collect_done};
+static void
+collect_dropped(void *context)
+{
+    Collected *collected = context;
+
+    KcBuffer_Clear(&collected->body);
+    free(collected);
+}
+
+static const KcHttpOps collect_ops = {collect_head, collect_data, collect_done,
+                                      collect_dropped};
 
 KcHttpCall *
 KcHttpCall_Fetch(const KcHttpOptions *options, KcHttpWhole whole,
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -27,6 +27,8 @@
      * answer is whole.  sent is false when no byte of the request left.
      */
     void (*done)(void *context, int code, bool sent);
+    /* The call was cancelled and is over; may be NULL. */
+    void (*dropped)(void *context);
 } KcHttpOps;
 
 /* One header to send. */
--- a/programs/request/service_call.c
+++ b/programs/request/service_call.c
@@ -40,7 +40,7 @@
     KcBackendCall_End(call, code, sent, "");
 }
 
-static const KcHttpOps ops = {on_head, on_data, on_done};
+static const KcHttpOps ops = {on_head, on_data, on_done, NULL};
 
 void
 KcServiceCall_Start(KcBackendHttp *backend, KcWork *work)
--- a/tests/cases/test_faults.c
+++ b/tests/cases/test_faults.c
@@ -310,6 +310,9 @@
     World_CallModel(World_Entry(world, 1), 4, 2, 4);
     World_CallPlain(World_Entry(world, 1), 0);
     World_Advance(world, 30 * KC_SECOND);
+    if (count_answered(world) != before + 3) {
+        World_PrintEvents(world);
+    }
     g_assert_cmpuint(count_answered(world), ==, before + 3);
     World_Free(world);
 }
@@ -347,6 +350,38 @@
     }
 }
 
+/*
+ * An eviction that takes effect late meets the same adapter, loaded anew and
+ * serving: the name of each load is its own, so it matches nothing.
+ */
+static void
+test_late_eviction(void)
+{
+    WorldOptions options;
+    World *world;
+
+    WorldOptions_Init(&options);
+    options.entries = 1;
+    options.model_agents = 1;
+    options.slots = 1;
+    options.tokens = 200; /* calls of four seconds */
+    world = World_Create(&options);
+    World_Advance(world, KC_SECOND);
+    World_CallModel(World_Entry(world, 0), 0, 2, 4);
+    World_Advance(world, 6 * KC_SECOND);
+    World_DelayOrders(World_Agent(world, 0), 1);
+    World_CallModel(World_Entry(world, 0), 1, 2, 4); /* evicts a0, late */
+    World_Advance(world, 5 * KC_SECOND);
+    for (int i = 0; i < 8; i++) {
+        World_CallModel(World_Entry(world, 0), 0, 2, 4);
+        World_Advance(world, 500 * KC_MS);
+    }
+    World_Advance(world, 60 * KC_SECOND);
+    g_assert_cmpstr(Oracle_CheckAtRest(world, false), ==, NULL);
+    g_assert_cmpuint(count_answered(world), ==, 10);
+    World_Free(world);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -354,5 +389,6 @@
     g_test_add_func("/faults/singly", test_singly);
     g_test_add_func("/faults/twice", test_twice);
     g_test_add_func("/faults/in_pairs", test_in_pairs);
+    g_test_add_func("/faults/late_eviction", test_late_eviction);
     return g_test_run();
 }
--- a/tests/fuzz/operations.c
+++ b/tests/fuzz/operations.c
@@ -188,6 +188,12 @@
     World_Stall(entry_of(world, a), agent_of(world, b), true);
 }
 
+static void
+stick(World *world, uint8_t a, uint8_t b)
+{
+    World_Stick(entry_of(world, a), agent_of(world, b));
+}
+
 static void
 unstall(World *world, uint8_t a, uint8_t b)
 {
@@ -316,6 +322,7 @@
     {"resume_node", true, resume_node},
     {"cut", true, cut},
     {"stall", true, stall},
+    {"stick", true, stick},
     {"unstall", true, unstall},
     {"begin_outage", true, begin_outage},
     {"end_outage", true, end_outage},
--- a/tests/world/engine.c
+++ b/tests/world/engine.c
@@ -15,6 +15,8 @@
 /* A delayed order takes effect after this, and its answer is lost. */
 #define ORDER_DELAY (8 * KC_SECOND)
 #define ORDER_TIMEOUT (3 * KC_SECOND)
+/* A call whose agent is gone goes on for this long. */
+#define ORPHAN_TIME (1500 * KC_MS)
 
 /* An order, inspection or stray eviction on its way. */
 typedef struct Order {
@@ -315,6 +317,36 @@
                EVICT_TIME);
 }
 
+static void
+give_announced(void *context)
+{
+    Order *order = context;
+    WorldNode *node = order->node;
+
+    KcAgent_OnAnnounced(node->agent, order->fence, order->code,
+                        node->world->now);
+    free(order);
+}
+
+static void
+do_announce(void *context)
+{
+    Order *order = context;
+
+    order->code = stale(order->engine, order->fence) ? KC_ERR_STALE_FENCE : 0;
+    answer_order(order, give_announced, LATENCY);
+}
+
+static void
+announce(void *backend, uint64_t fence)
+{
+    WorldEngine *engine = backend;
+    World *world = engine->world;
+
+    WorldSchedule_Add(world, world->now + LATENCY, NULL, do_announce,
+                      drop_order, new_order(engine, NULL, "", fence));
+}
+
 static void
 give_inspection(void *context)
 {
@@ -637,7 +669,7 @@
 }
 
 const KcBackendOps WorldEngine_Ops = {start, cancel,      throttle, load,
-                                      evict, evict_stray, inspect};
+                                      evict, evict_stray, announce, inspect};
 
 /* ---- faults and endings
  * ------------------------------------------------------------------ */
@@ -682,13 +714,36 @@
     agent->engine->delay_orders = count;
 }
 
+static void
+end_orphan(void *context)
+{
+    CallEvent event = *(CallEvent *)context;
+
+    free(context);
+    if (still_there(&event)) {
+        free_call(event.call);
+    }
+}
+
+/* An engine notices only after a while that nobody reads an answer. */
 void
 WorldEngine_AgentGone(WorldEngine *engine)
 {
+    World *world = engine->world;
     WorldEngineCall *call;
 
-    while ((call = TAILQ_FIRST(&engine->calls)) != NULL) {
-        free_call(call);
+    TAILQ_FOREACH (call, &engine->calls, link) {
+        CallEvent *event;
+
+        if (call->work == NULL) {
+            continue;
+        }
+        call->work->call = NULL;
+        call->work = NULL;
+        event = KcMem_New(sizeof(*event));
+        *event = (CallEvent){engine, call, call->id};
+        WorldSchedule_Add(world, world->now + ORPHAN_TIME, NULL, end_orphan,
+                          free, event);
     }
 }
 
@@ -696,7 +751,11 @@
 WorldEngine_Free(WorldEngine *engine)
 {
     WorldAdapter *adapter;
+    WorldEngineCall *call;
 
+    while ((call = TAILQ_FIRST(&engine->calls)) != NULL) {
+        free_call(call);
+    }
     while ((adapter = TAILQ_FIRST(&engine->adapters)) != NULL) {
         remove_adapter(engine, adapter);
     }
--- a/tests/world/node.c
+++ b/tests/world/node.c
@@ -9,6 +9,8 @@
 #include "world_internal.h"
 
 #define EVENT_COUNT 256
+/* Smaller than an answer, so that readers hold back the engines. */
+#define WINDOW 32
 /* Wall clock at the world's beginning; any number will do. */
 #define WALL_OFFSET ((int64_t)1700000000 * KC_SECOND)
 #define START_TIME (1000 * KC_SECOND)
@@ -105,7 +107,7 @@
     options.policy = KcRoute_Policy(world->options.route);
     options.remote_cost = 2 * world->options.far;
     options.wall_offset = WALL_OFFSET;
-    options.window = 256;
+    options.window = WINDOW;
     node->entry = KcEntry_Create(&options);
     KcEntry_Start(node->entry, world->now);
     WorldNode_ShowInstances(node);
@@ -135,7 +137,7 @@
     options.fencing = world->options.fencing;
     options.store_share = world->options.model_agents;
     options.wall_offset = WALL_OFFSET;
-    options.window = 256;
+    options.window = WINDOW;
     node->agent = KcAgent_Create(&options);
     KcAgent_Start(node->agent, world->now);
 }
@@ -455,6 +457,18 @@
     return best;
 }
 
+static void
+print_slots(const WorldNode *node)
+{
+    const KcSlot *slot;
+
+    TAILQ_FOREACH (slot, &KcAgent_Residency(node->agent)->slots, link) {
+        printf("%s slot %u: state %d, %s, %u pins, %u foreign\n", node->name,
+               slot->number, (int)slot->state, slot->name, slot->pins,
+               slot->foreign);
+    }
+}
+
 void
 World_PrintEvents(const World *world)
 {
@@ -473,4 +487,10 @@
                caller_number(world, &event->request), event->peer,
                event->subject, (int)event->generation, (int)event->detail);
     }
+    for (uint32_t i = 0; i < world->node_count; i++) {
+        if (world->nodes[i].alive && world->nodes[i].agent != NULL &&
+            world->nodes[i].role == WORLD_MODEL_AGENT) {
+            print_slots(&world->nodes[i]);
+        }
+    }
 }
--- a/tests/world/pipe.c
+++ b/tests/world/pipe.c
@@ -211,7 +211,7 @@
     WorldPipe *pipe = parcel->pipe;
     World *world = pipe->world;
 
-    if (pipe->stalled && !pipe->cut) {
+    if ((pipe->stalled || pipe->stuck) && !pipe->cut) {
         WorldSchedule_Add(world, world->now + STALL_POLL,
                           pipe->node[parcel->side], deliver, drop_parcel,
                           parcel);
@@ -357,6 +357,19 @@
     TAILQ_FOREACH (pipe, &entry->world->pipes, link) {
         if (pipe->node[0] == entry && pipe->node[1] == agent) {
             pipe->stalled = stalled;
+            pipe->stuck = pipe->stuck && stalled;
+        }
+    }
+}
+
+void
+World_Stick(WorldNode *entry, WorldNode *agent)
+{
+    WorldPipe *pipe;
+
+    TAILQ_FOREACH (pipe, &entry->world->pipes, link) {
+        if (pipe->node[0] == entry && pipe->node[1] == agent) {
+            pipe->stuck = true;
         }
     }
 }
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -93,6 +93,9 @@
 /* Holds up everything between them, until released. */
 void World_Stall(WorldNode *entry, WorldNode *agent, bool stalled);
 
+/* As World_Stall(), but for the present connections alone. */
+void World_Stick(WorldNode *entry, WorldNode *agent);
+
 /* The object API: no answer, no answer but an effect, an effect that comes
  * after the caller has given up, and a delay. */
 void World_SetOutage(World *world, bool outage);
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -90,6 +90,7 @@
     bool ready; /* the entry knows the link */
     bool cut;   /* nothing more arrives */
     bool stalled;
+    bool stuck;     /* stalled by itself: new connections are not */
     KcTime last[2]; /* time of the last delivery to each side */
     KcEncoder *encoder;
     KcDecoder *decoder;
