--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -11,7 +11,7 @@
 
 #include "kcc_types.h"
 
-/* ---- Part 1: messages ------------------------------------------------ */
+/* ---- Part 1: messages --------------------------------------------------- */
 
 #define KC_PROTOCOL_VERSION 1
 
@@ -159,7 +159,7 @@
 /* Name of a message type in lower case. */
 const char *KcMsg_Name(KcMsgType type);
 
-/* ---- Part 2: encoding ------------------------------------------------ */
+/* ---- Part 2: encoding --------------------------------------------------- */
 
 /* An encoder that is reused from message to message. */
 typedef struct KcEncoder KcEncoder;
@@ -191,7 +191,7 @@
 int KcDecoder_Unpack(KcDecoder *decoder, const void *frame, size_t size,
                      KcMsg *msg);
 
-/* ---- Part 3: the link ------------------------------------------------ */
+/* ---- Part 3: the link --------------------------------------------------- */
 
 typedef struct KcLink KcLink;
 
--- a/lib/process/agent.c
+++ b/lib/process/agent.c
@@ -206,7 +206,7 @@
     KcAgentEngine_Start(agent, now);
 }
 
-/* ---- connections ----------------------------------------------------- */
+/* ---- connections -------------------------------------------------------- */
 
 static void
 stamp(void *context, KcMsg *msg)
@@ -279,6 +279,7 @@
 
     KcEvents_Add(agent->options.events, KC_EVENT_LINK_UP, now, &info);
     supersede(agent, link, now);
+    KcAgentWork_AbandonOf(agent, link->peer, link->peer_incarnation, now);
     if (agent->draining) {
         KcLink_Send(link, &msg);
     }
@@ -333,7 +334,7 @@
     }
 }
 
-/* ---- planned stop and views ------------------------------------------ */
+/* ---- planned stop and views --------------------------------------------- */
 
 void
 KcAgent_Drain(KcAgent *agent, KcTime now)
@@ -378,6 +379,20 @@
     return true;
 }
 
+/* Is an answer still wanted?  One whose entry stays away is not. */
+static bool
+any_answer_wanted(const KcAgent *agent, KcTime now)
+{
+    const KcWork *work;
+
+    TAILQ_FOREACH (work, &agent->ended, link) {
+        if (work->stream != NULL || now < agent->leave_until) {
+            return true;
+        }
+    }
+    return false;
+}
+
 bool
 KcAgent_Drained(const KcAgent *agent)
 {
@@ -388,7 +403,7 @@
         return false;
     }
     return TAILQ_EMPTY(&agent->running) && TAILQ_EMPTY(&agent->queue) &&
-           TAILQ_EMPTY(&agent->held) && TAILQ_EMPTY(&agent->ended);
+           TAILQ_EMPTY(&agent->held) && !any_answer_wanted(agent, now);
 }
 
 int
--- a/lib/process/agent_engine.c
+++ b/lib/process/agent_engine.c
@@ -11,7 +11,7 @@
 
 #define MINUTE (60 * KC_SECOND)
 
-/* ---- set-up ---------------------------------------------------------- */
+/* ---- set-up ------------------------------------------------------------- */
 
 void
 KcAgentEngine_Configure(KcAgent *agent, KcTime now)
@@ -85,7 +85,7 @@
     agent->options.ops->inspect(agent->options.backend);
 }
 
-/* ---- orders ---------------------------------------------------------- */
+/* ---- orders ------------------------------------------------------------- */
 
 /* Each load has a name of its own: a late order for an earlier one of the
  * same adapter, ours or a former holder's, matches nothing. */
@@ -154,7 +154,7 @@
     KcAgentSchedule_Pump(agent, now);
 }
 
-/* ---- reports --------------------------------------------------------- */
+/* ---- reports ------------------------------------------------------------ */
 
 static KcSlot *
 slot_by_name(KcAgent *agent, const char *name)
@@ -346,7 +346,7 @@
     KcAgentSchedule_Pump(agent, now);
 }
 
-/* ---- answers --------------------------------------------------------- */
+/* ---- answers ------------------------------------------------------------ */
 
 void
 KcAgent_OnStarted(KcAgent *agent, KcWork *work, const char *model,
--- a/lib/process/agent_internal.h
+++ b/lib/process/agent_internal.h
@@ -88,6 +88,10 @@
 /* Puts a work that did not run back into the queue. */
 void KcAgentWork_Requeue(KcAgent *agent, KcWork *work, KcTime now);
 
+/* An entry has been started anew: its earlier works are nobody's. */
+void KcAgentWork_AbandonOf(KcAgent *agent, const char *entry,
+                           uint64_t incarnation, KcTime now);
+
 /* Forgets a work in whatever state; cancels it at the backend server. */
 void KcAgentWork_Forget(KcAgent *agent, KcWork *work, KcTime now);
 
--- a/lib/process/agent_schedule.c
+++ b/lib/process/agent_schedule.c
@@ -106,7 +106,7 @@
     return excess * agent->service->service_ms * KC_MS / batch;
 }
 
-/* ---- starting -------------------------------------------------------- */
+/* ---- starting ----------------------------------------------------------- */
 
 static bool
 startable(const KcAgent *agent, const KcWork *work)
@@ -192,7 +192,7 @@
     }
 }
 
-/* ---- loading --------------------------------------------------------- */
+/* ---- loading ------------------------------------------------------------ */
 
 static bool
 wants_load(const KcModelState *model, KcTime now)
--- a/lib/process/agent_work.c
+++ b/lib/process/agent_work.c
@@ -16,7 +16,7 @@
 
 static void on_timer(KcTimer *timer, KcTime now);
 
-/* ---- shares and horizons --------------------------------------------- */
+/* ---- shares and horizons ------------------------------------------------ */
 
 static KcShare *
 take_share(KcAgent *agent, const char *customer)
@@ -78,7 +78,7 @@
     return horizon != NULL && id->sequence <= horizon->sequence;
 }
 
-/* ---- sending --------------------------------------------------------- */
+/* ---- sending ------------------------------------------------------------ */
 
 static void
 send(KcWork *work, KcMsg *msg)
@@ -172,7 +172,7 @@
     }
 }
 
-/* ---- forgetting ------------------------------------------------------ */
+/* ---- forgetting --------------------------------------------------------- */
 
 static void
 leave_list(KcAgent *agent, KcWork *work)
@@ -247,7 +247,7 @@
     KcAgentWork_Forget(agent, work, now);
 }
 
-/* ---- admission ------------------------------------------------------- */
+/* ---- admission ---------------------------------------------------------- */
 
 /* Finds the model in the document in force. */
 static int
@@ -373,6 +373,7 @@
 {
     work->stream = stream;
     stream->owner = work;
+    KcName_Copy(work->entry, stream->parent->peer, KC_NAME_MAX);
 }
 
 void
@@ -418,7 +419,7 @@
     }
 }
 
-/* ---- the course of a work -------------------------------------------- */
+/* ---- the course of a work ----------------------------------------------- */
 
 void
 KcAgentWork_End(KcAgent *agent, KcWork *work, int code, bool ran,
@@ -435,7 +436,12 @@
     KcTimers_Set(agent->options.timers, &work->timer,
                  now + agent->options.retain);
     KcAgent_Event(agent, KC_EVENT_END, work, NULL, code, now);
-    KcAgentWork_Flush(agent, work, now);
+    if (work->orphan) {
+        KcAgentWork_Forget(agent, work, now);
+    }
+    else {
+        KcAgentWork_Flush(agent, work, now);
+    }
     KcAgentSchedule_Pump(agent, now);
 }
 
@@ -541,6 +547,44 @@
     KcTimers_Set(agent->options.timers, &work->timer, until);
 }
 
+/* Nobody will ask for this work again. */
+static void
+abandon(KcAgent *agent, KcWork *work, KcTime now)
+{
+    work->orphan = true;
+    switch (work->state) {
+    case KC_WORK_HELD:
+    case KC_WORK_QUEUED:
+        KcAgentWork_Refuse(agent, work, KC_ERR_LOST, now);
+        break;
+    case KC_WORK_RUNNING:
+        if (work->repeatable) {
+            KcAgentWork_Forget(agent, work, now);
+        }
+        break;
+    case KC_WORK_ENDED:
+        KcAgentWork_Forget(agent, work, now);
+        break;
+    }
+}
+
+void
+KcAgentWork_AbandonOf(KcAgent *agent, const char *entry, uint64_t incarnation,
+                      KcTime now)
+{
+    KcWork *work;
+    KcWork *next;
+
+    HASH_ITER(hh, agent->works, work, next)
+    {
+        if (work->key.request.nonce != incarnation &&
+            strcmp(work->entry, entry) == 0) {
+            abandon(agent, work, now);
+        }
+    }
+    KcAgentSchedule_Pump(agent, now);
+}
+
 static void
 on_timer(KcTimer *timer, KcTime now)
 {
--- a/lib/process/entry_attempt.c
+++ b/lib/process/entry_attempt.c
@@ -36,7 +36,7 @@
     return attempt->request->entry;
 }
 
-/* ---- choosing -------------------------------------------------------- */
+/* ---- choosing ----------------------------------------------------------- */
 
 static void
 fill_route_options(const KcRequest *request, KcRouteOptions *options)
@@ -86,7 +86,7 @@
     entry->options.policy->pick(&query, now, choice);
 }
 
-/* ---- sending --------------------------------------------------------- */
+/* ---- sending ------------------------------------------------------------ */
 
 static void
 send(KcAttempt *attempt, KcMsg *msg)
@@ -231,7 +231,7 @@
               now + request->entry->options.cancel_grace);
 }
 
-/* ---- the course of an attempt ---------------------------------------- */
+/* ---- the course of an attempt ------------------------------------------- */
 
 static void
 begin_attempt(KcRequest *request, const KcRouteChoice *choice, KcTime now)
@@ -374,7 +374,7 @@
     }
 }
 
-/* ---- connections ----------------------------------------------------- */
+/* ---- connections -------------------------------------------------------- */
 
 void
 KcEntryAttempt_OnConnected(KcAttempt *attempt, KcTime now)
@@ -445,7 +445,7 @@
     KcEntryLink_Connect(entry_of(attempt), attempt->backend);
 }
 
-/* ---- replies --------------------------------------------------------- */
+/* ---- replies ------------------------------------------------------------ */
 
 /* Takes over the load that rides on a reply. */
 static void
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -17,7 +17,7 @@
 #include "kcc_types.h"
 #include "kcc_version.h"
 
-/* ---- Part 1: counters and events ------------------------------------- */
+/* ---- Part 1: counters and events ---------------------------------------- */
 
 /* Every counter of a process; see KcCounter_Name() and KcCounter_Help(). */
 typedef enum KcCounter {
@@ -153,7 +153,7 @@
 /* The index-th oldest event held. */
 const KcEvent *KcEvents_At(const KcEvents *events, size_t index);
 
-/* ---- Part 2: the document in force ----------------------------------- */
+/* ---- Part 2: the document in force -------------------------------------- */
 
 #define KC_OBJECT_HEAD "kcc/head"
 #define KC_OBJECT_PARTS "kcc/parts/"
@@ -194,7 +194,7 @@
 bool KcSync_OnMessage(KcSync *sync, KcLink *link, const KcMsg *msg,
                       KcTime now);
 
-/* ---- Part 3: the lease ----------------------------------------------- */
+/* ---- Part 3: the lease -------------------------------------------------- */
 
 #define KC_OBJECT_LEASES "kcc/leases/"
 
@@ -244,7 +244,9 @@
 /*
  * A lease object with a fencing number, renewed by conditional updates.
  * A lease held by another is taken over only when it has not been renewed
- * for its ttl plus margin as measured here, on the monotonic clock.
+ * for its ttl plus margin as measured here, on the monotonic clock; one held
+ * by an earlier process of the same instance is taken over at once when a
+ * process starts.
  */
 KcLease *KcLease_Create(const KcLeaseOptions *options);
 void KcLease_Free(KcLease *lease);
@@ -268,7 +270,7 @@
  */
 bool KcLease_MayOrder(const KcLease *lease, KcTime now);
 
-/* ---- Part 4: routing ------------------------------------------------- */
+/* ---- Part 4: routing ---------------------------------------------------- */
 
 /* Candidates kept per bucket, in this region and in the others. */
 #define KC_ROUTE_LOCAL 8
@@ -424,7 +426,7 @@
 /* The index-th policy, NULL past the last. */
 const KcRoutePolicy *KcRoute_PolicyAt(size_t index);
 
-/* ---- Part 5: limits -------------------------------------------------- */
+/* ---- Part 5: limits ----------------------------------------------------- */
 
 /* What one customer uses at an entry. */
 typedef struct KcCustomer {
@@ -473,7 +475,7 @@
 /* Charges bytes; the budget may be overdrawn and is paid back in time. */
 void KcByteBudget_Charge(KcByteBudget *budget, uint64_t bytes, KcTime now);
 
-/* ---- Part 6: residency ----------------------------------------------- */
+/* ---- Part 6: residency -------------------------------------------------- */
 
 /*
  * Longest name of an adapter at an engine, with its NUL:
--- a/lib/process/lease.c
+++ b/lib/process/lease.c
@@ -28,9 +28,10 @@
     uint64_t sent_fence;    /* and with this number */
     uint64_t other_version; /* another's lease, seen unchanged since */
     KcTime other_since;
-    KcTime awake_at; /* last time this process was seen running */
-    bool doubtful;   /* paused since the last confirmed renewal */
-    bool calling;    /* a call is outstanding */
+    KcTime awake_at;  /* last time this process was seen running */
+    bool held_before; /* by this process */
+    bool doubtful;    /* paused since the last confirmed renewal */
+    bool calling;     /* a call is outstanding */
     bool freed;
     bool leaving;
     uint64_t generation; /* to be confirmed */
@@ -78,6 +79,7 @@
         return;
     }
     lease->fence = fence;
+    lease->held_before = true;
     KcEvents_Add(lease->options.events, KC_EVENT_LEASE, now, &info);
     lease->options.changed(lease->options.context, fence, now);
 }
@@ -179,6 +181,17 @@
     KcTime lapse = value->ttl_us + lease->options.margin;
 
     set_fence(lease, 0, now);
+    /*
+     * A process that starts: an earlier one of this very instance is gone,
+     * since the address it listened on is ours.  Should it be frozen on
+     * another machine instead, its orders carry the older number; and having
+     * held the lease, it waits like any other when it thaws.
+     */
+    if (!lease->held_before &&
+        strcmp(value->holder, lease->options.holder) == 0) {
+        write_lease(lease, value->fence + 1, lease->version, now);
+        return;
+    }
     if (lease->other_version != lease->version) {
         lease->other_version = lease->version;
         lease->other_since = now;
--- a/lib/process/route.c
+++ b/lib/process/route.c
@@ -243,7 +243,7 @@
     }
 }
 
-/* ---- baselines ------------------------------------------------------- */
+/* ---- baselines ---------------------------------------------------------- */
 
 static void
 choose(KcRouteChoice *choice, const KcRouteQuery *query, KcBackend *backend)
--- a/lib/request/kcc_request.h
+++ b/lib/request/kcc_request.h
@@ -16,7 +16,7 @@
 #include "kcc_types.h"
 #include "kcc_version.h"
 
-/* ---- Part 1: timers and buffers -------------------------------------- */
+/* ---- Part 1: timers and buffers ----------------------------------------- */
 
 typedef struct KcTimers KcTimers;
 
@@ -74,7 +74,7 @@
     return buffer->data + buffer->start;
 }
 
-/* ---- Part 2: the object API seam ------------------------------------- */
+/* ---- Part 2: the object API seam ---------------------------------------- */
 
 /* Expected version of a put: the object must not exist. */
 #define KC_OBJECT_ABSENT 0
@@ -108,7 +108,7 @@
                   KcObjectDone done, void *context);
 } KcObjectOps;
 
-/* ---- Part 3: the at-most-once claim ---------------------------------- */
+/* ---- Part 3: the at-most-once claim ------------------------------------- */
 
 /* What a claim object says about the call that holds it. */
 typedef enum KcClaimMark {
@@ -178,7 +178,7 @@
 /* Drops every claim of a list, settled or not. */
 void KcClaim_DiscardAll(KcClaimList *list);
 
-/* ---- Part 4: retries ------------------------------------------------- */
+/* ---- Part 4: retries ---------------------------------------------------- */
 
 /* Share of requests that may be retried, as a token bucket. */
 typedef struct KcRetryBudget {
@@ -230,7 +230,7 @@
 KcRetryVerdict KcRetry_Decide(const KcRetryInput *input,
                               KcRetryBudget *budget);
 
-/* ---- Part 5: the entry's request ------------------------------------- */
+/* ---- Part 5: the entry's request ---------------------------------------- */
 
 struct KcBackend;
 struct KcEntry;
@@ -346,7 +346,7 @@
 
 TAILQ_HEAD(KcRequestList, KcRequest);
 
-/* ---- Part 6: the agent's work ---------------------------------------- */
+/* ---- Part 6: the agent's work ------------------------------------------- */
 
 typedef enum KcWorkState {
     KC_WORK_HELD = 0, /* waits for a newer document */
@@ -376,7 +376,9 @@
     KcWorkKey key;
     KcWorkState state;
     void *agent;
-    KcStream *stream; /* NULL while its entry is not connected */
+    KcStream *stream;        /* NULL while its entry is not connected */
+    char entry[KC_NAME_MAX]; /* the entry that proposed it */
+    bool orphan; /* its entry has been started anew: nobody will ask */
     char service[KC_NAME_MAX];
     KcModelRef model; /* adapter "" for a plain service */
     KcShare *share;
--- a/lib/version/document_parse.c
+++ b/lib/version/document_parse.c
@@ -101,7 +101,7 @@
     }
 }
 
-/* ---- regions --------------------------------------------------------- */
+/* ---- regions ------------------------------------------------------------ */
 
 static void
 add_datacentre(Parser *parser, const KcIniItem *item, const char *region,
@@ -155,7 +155,7 @@
     }
 }
 
-/* ---- services -------------------------------------------------------- */
+/* ---- services ----------------------------------------------------------- */
 
 static KcService *
 find_or_add_service(Parser *parser, const KcIniItem *item, const char *name)
@@ -258,7 +258,7 @@
     }
 }
 
-/* ---- adapters and retirements ---------------------------------------- */
+/* ---- adapters and retirements ------------------------------------------- */
 
 /* Adds one "VERSION" or "VERSION*"; the star marks the default. */
 static void
@@ -386,7 +386,7 @@
     }
 }
 
-/* ---- limits ---------------------------------------------------------- */
+/* ---- limits ------------------------------------------------------------- */
 
 static KcLimit *
 find_or_add_limit(Parser *parser, const char *customer)
@@ -421,7 +421,7 @@
     }
 }
 
-/* ---- the whole ------------------------------------------------------- */
+/* ---- the whole ---------------------------------------------------------- */
 
 /* Checks what only the services as a whole can show. */
 static void
--- a/lib/version/kcc_version.h
+++ b/lib/version/kcc_version.h
@@ -11,7 +11,7 @@
 
 #include "kcc_types.h"
 
-/* ---- Part 1: the document ------------------------------------------- */
+/* ---- Part 1: the document ----------------------------------------------- */
 
 /* The sections of the document; each belongs to one team. */
 typedef enum KcSection {
@@ -189,7 +189,7 @@
 int KcDocument_Resolve(const KcDocument *document, const char *model,
                        KcModelRef *ref, KcService **service);
 
-/* ---- Part 2: the head ------------------------------------------------ */
+/* ---- Part 2: the head --------------------------------------------------- */
 
 #define KC_HASH_TEXT 33    /* 128 bits as hexadecimal, with NUL */
 #define KC_PART_MAX 900000 /* bytes; values of the object API end at 1 MB */
@@ -219,7 +219,7 @@
 /* Decodes a head from JSON.  Returns 0 or KC_ERR_PARSE. */
 int KcHead_Decode(const char *text, size_t size, KcHead *head);
 
-/* ---- Part 3: catching up --------------------------------------------- */
+/* ---- Part 3: catching up ------------------------------------------------ */
 
 typedef struct KcCatchup KcCatchup;
 
--- a/programs/kcc/document_commands.c
+++ b/programs/kcc/document_commands.c
@@ -13,8 +13,7 @@
 /* An edit of another section that came between is built upon this often. */
 #define APPLY_TRIES 8
 
-/* ---- differences ---------------------------------------------------------
- */
+/* ---- differences -------------------------------------------------------- */
 
 /* How often a line occurs in one text and not in the other. */
 typedef struct LineCount {
@@ -107,8 +106,7 @@
     return removed + print_one_side(before, after, '+');
 }
 
-/* ---- reading ---------------------------------------------------------------
- */
+/* ---- reading ------------------------------------------------------------ */
 
 static int
 find_section(const char *name)
@@ -169,8 +167,7 @@
     return code == 0 ? KC_EXIT_OK : KC_EXIT_FAILED;
 }
 
-/* ---- commands --------------------------------------------------------------
- */
+/* ---- commands ----------------------------------------------------------- */
 
 int
 KcCommand_Check(const KcArguments *arguments)
@@ -242,8 +239,7 @@
     return lines == 0 ? KC_EXIT_OK : KC_EXIT_FAILED;
 }
 
-/* ---- apply
- * ------------------------------------------------------------------ */
+/* ---- apply -------------------------------------------------------------- */
 
 /* One apply: the wanted text, and the section it was based on. */
 typedef struct Apply {
--- a/programs/kcc/timeline_commands.c
+++ b/programs/kcc/timeline_commands.c
@@ -153,8 +153,7 @@
     json_decref(events->pages);
 }
 
-/* ---- text
- * ------------------------------------------------------------------- */
+/* ---- text --------------------------------------------------------------- */
 
 static int64_t
 micros_of(const Event *event)
@@ -195,8 +194,7 @@
            number_of(event, "generation"), number_of(event, "detail"));
 }
 
-/* ---- trace-event JSON
- * --------------------------------------------------------- */
+/* ---- trace-event JSON --------------------------------------------------- */
 
 static void
 print_trace(const Events *events)
@@ -245,8 +243,7 @@
     return status;
 }
 
-/* ---- explain
- * ------------------------------------------------------------------ */
+/* ---- explain ------------------------------------------------------------ */
 
 /* How the detail of an event is to be read. */
 typedef enum DetailKind {
--- a/programs/process/agent_role.c
+++ b/programs/process/agent_role.c
@@ -48,8 +48,7 @@
 
 static const KcTcpOps tcp_ops = {NULL, on_message, on_closed};
 
-/* ---- administration ------------------------------------------------------
- */
+/* ---- administration ----------------------------------------------------- */
 
 static int
 ready(void *context)
@@ -130,8 +129,7 @@
 
 static const KcRoleOps role_ops = {drain, drained};
 
-/* ---- set-up ----------------------------------------------------------------
- */
+/* ---- set-up ------------------------------------------------------------- */
 
 static KcTime
 clock_now(void *context)
--- a/programs/process/entry_role.c
+++ b/programs/process/entry_role.c
@@ -21,7 +21,7 @@
     KcTimer idle_timer;
 } EntryRole;
 
-/* ---- connections to agents --------------------------------------------- */
+/* ---- connections to agents ---------------------------------------------- */
 
 static void
 on_ready(void *context, void *peer, KcLink *link)
@@ -98,8 +98,7 @@
     KcTimers_Set(role->parts.loop->timers, timer, now + IDLE_CHECK);
 }
 
-/* ---- administration ------------------------------------------------------
- */
+/* ---- administration ----------------------------------------------------- */
 
 static int
 ready(void *context)
@@ -168,8 +167,7 @@
 
 static const KcRoleOps role_ops = {drain, drained};
 
-/* ---- set-up ----------------------------------------------------------------
- */
+/* ---- set-up ------------------------------------------------------------- */
 
 static KcTime
 clock_now(void *context)
--- a/programs/request/answer.c
+++ b/programs/request/answer.c
@@ -54,7 +54,7 @@
                         result->tokens);
 }
 
-/* ---- /v1/completions -------------------------------------------------- */
+/* ---- /v1/completions ---------------------------------------------------- */
 
 static void
 completion_whole(const KcAnswerInfo *info, KcBytes text,
@@ -88,7 +88,7 @@
     evbuffer_add_printf(out, "}\n\ndata: [DONE]\n\n");
 }
 
-/* ---- /v1/chat/completions ---------------------------------------------- */
+/* ---- /v1/chat/completions ----------------------------------------------- */
 
 static void
 chat_whole(const KcAnswerInfo *info, KcBytes text, const KcResult *result,
@@ -140,7 +140,7 @@
     return NULL;
 }
 
-/* ---- errors ------------------------------------------------------------ */
+/* ---- errors ------------------------------------------------------------- */
 
 static const struct {
     int code;
--- a/programs/request/backend_call.c
+++ b/programs/request/backend_call.c
@@ -54,8 +54,7 @@
     backend->agent = agent;
 }
 
-/* ---- orders --------------------------------------------------------------
- */
+/* ---- orders ------------------------------------------------------------- */
 
 static int
 order_code(int status)
@@ -185,8 +184,7 @@
     json_decref(json);
 }
 
-/* ---- inspection ------------------------------------------------------------
- */
+/* ---- inspection --------------------------------------------------------- */
 
 static size_t
 decode_adapters(json_t *list, KcEngineAdapter *adapters)
@@ -254,8 +252,7 @@
     backend->inspection = KcHttpCall_Fetch(&options, on_inspected, backend);
 }
 
-/* ---- calls
- * ------------------------------------------------------------------ */
+/* ---- calls -------------------------------------------------------------- */
 
 static void
 start(void *context, KcWork *work)
--- a/programs/request/caller.c
+++ b/programs/request/caller.c
@@ -62,7 +62,7 @@
     }
 }
 
-/* ---- answers ----------------------------------------------------------- */
+/* ---- answers ------------------------------------------------------------ */
 
 static void
 send_error(Caller *caller, const KcResult *result)
@@ -214,7 +214,7 @@
 
 static const KcCallerOps caller_ops = {on_started, on_data, on_finished};
 
-/* ---- hooks of one request ---------------------------------------------- */
+/* ---- hooks of one request ----------------------------------------------- */
 
 /* The request is being freed: answered, or its connection is gone. */
 static evhtp_res
@@ -395,8 +395,7 @@
     call->body = (KcBytes){(const char *)evbuffer_pullup(in, -1), size};
 }
 
-/* ---- paths ---------------------------------------------------------------
- */
+/* ---- paths -------------------------------------------------------------- */
 
 static void
 on_model_call(evhtp_request_t *http, void *context)
@@ -481,8 +480,7 @@
     evhtp_send_reply(http, EVHTP_RES_OK);
 }
 
-/* ---- connections -----------------------------------------------------------
- */
+/* ---- connections -------------------------------------------------------- */
 
 /* Bytes of headers seen on a connection's current request. */
 static evhtp_res
--- a/programs/request/engine_call.c
+++ b/programs/request/engine_call.c
@@ -11,8 +11,7 @@
 #define EVENT_PREFIX "data:"
 #define EVENT_DONE "[DONE]"
 
-/* ---- the request -----------------------------------------------------------
- */
+/* ---- the request -------------------------------------------------------- */
 
 /* The caller's body with the engine's name of the adapter. */
 static char *
@@ -41,8 +40,7 @@
     return text;
 }
 
-/* ---- the answer
- * -------------------------------------------------------------- */
+/* ---- the answer --------------------------------------------------------- */
 
 /* Text of one event, of either form; NULL when it has none. */
 static json_t *
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -269,7 +269,7 @@
     }
 }
 
-/* ---- collected answers ----------------------------------------------- */
+/* ---- collected answers -------------------------------------------------- */
 
 static void
 collect_head(void *context, const KcHttpHead *head)
--- a/tests/world/oracle.h
+++ b/tests/world/oracle.h
@@ -38,6 +38,9 @@
 /* At rest: every request has ended. */
 const char *Oracle_NothingLost(World *world);
 
+/* Our own processes never break a rule of their links. */
+const char *Oracle_NoBrokenRules(World *world);
+
 /* The promises that hold at every moment; NULL when all do. */
 const char *Oracle_CheckNow(World *world);
 
