--- a/lib/request/timers.c
+++ b/lib/request/timers.c
@@ -10,7 +10,7 @@
 
 #include "kcc_request.h"
 
-#define TICK (4 * KC_MS)
+#define TICK (1 * KC_MS)
 #define LIST_COUNT 2048
 #define WORD_BITS 64
 #define WORD_COUNT (LIST_COUNT / WORD_BITS)
--- a/programs/request/caller.c
+++ b/programs/request/caller.c
@@ -222,7 +222,7 @@
 {
     Caller *caller = context;
 
-    (void)http;
+    evhtp_connection_unset_hook(http->conn, evhtp_hook_on_write);
     if (caller->request != NULL) {
         KcEntry_Abandon(caller->request, KcLoop_Now());
     }
@@ -255,8 +255,8 @@
     caller->info.created = (int64_t)time(NULL);
     evhtp_request_set_hook(http, evhtp_hook_on_request_fini,
                            (evhtp_hook)on_request_end, caller);
-    evhtp_request_set_hook(http, evhtp_hook_on_write, (evhtp_hook)on_written,
-                           caller);
+    evhtp_connection_set_hook(http->conn, evhtp_hook_on_write,
+                              (evhtp_hook)on_written, caller);
     return caller;
 }
 
--- a/tests/daemons/fleet.c
+++ b/tests/daemons/fleet.c
@@ -16,7 +16,7 @@
 
 #include "../../programs/kcc/client.h"
 
-#define PROCESS_MAX 64
+#define PROCESS_MAX 300
 #define WAIT_MS 30000
 #define POLL_MS 50
 #define ADAPTERS 40
@@ -227,15 +227,17 @@
         {"services.ini",
          "[service llm]\nkind = model\nbase_model = base\n"
          "[service print]\nkind = plain\npath = /print\nrepeatable = no\n"},
-        {"capacity.ini", "[service llm]\nslots = 8\nbatch = 16\n"
-                         "load_ms = 50\nservice_ms = 50\n"
-                         "loads_per_minute = 60000\n"},
+        {"capacity.ini",
+         fleet->options.capacity != NULL
+             ? fleet->options.capacity
+             : "[service llm]\nslots = 8\nbatch = 16\nload_ms = 50\n"
+               "service_ms = 50\nloads_per_minute = 60000\n"},
         {"retirements.ini", "[retired]\n"},
         {"limits.ini", "[customer *]\nrate_per_s = 100000\nburst = 100000\n"},
     };
 
-    for (int i = 0; i < ADAPTERS; i++) {
-        g_string_append_printf(adapters, "a%d = llm 1 2*\n", i);
+    for (uint32_t i = 0; i < fleet->options.adapters; i++) {
+        g_string_append_printf(adapters, "a%u = llm 1 2*\n", i);
     }
     for (size_t i = 0; i < G_N_ELEMENTS(sections); i++) {
         char *file = path_of(fleet, sections[i].name);
@@ -292,7 +294,7 @@
                          fleet->options.plain_agents;
 
     for (int waited = 0; waited < WAIT_MS; waited += POLL_MS) {
-        char output[16384];
+        static char output[65536];
         uint32_t confirmed = 0;
         int code = Fleet_Kcc(fleet, status, output, sizeof(output));
 
@@ -344,6 +346,9 @@
     const char *apply[] = {"apply", "--all", NULL, "--author", "test", NULL};
 
     fleet->options = *options;
+    if (fleet->options.adapters == 0) {
+        fleet->options.adapters = ADAPTERS;
+    }
     fleet->next_port = options->port;
     fleet->build =
         g_getenv("BUILD") != NULL ? g_getenv("BUILD") : "build/plain";
--- a/tests/daemons/fleet.h
+++ b/tests/daemons/fleet.h
@@ -32,6 +32,8 @@
     const char *entry_settings;
     const char *engine_knobs; /* "NAME=VALUE", or NULL */
     const char *service_knobs;
+    const char *capacity; /* section of the document, NULL: a default */
+    uint32_t adapters;    /* a0, a1, ...; 0: a default */
 } FleetOptions;
 
 /* Starts everything, applies the document and waits until it is in force. */
--- a/tests/daemons/load.c
+++ b/tests/daemons/load.c
@@ -58,6 +58,7 @@
     (void)sent;
     call->whole = code == 0;
     call->ended = true;
+    call->http = NULL;
     call->load->in_progress--;
     KcBuffer_Append(&call->body, "", 1);
 }
@@ -94,10 +95,11 @@
         .ops = &ops,
         .context = call};
 
-    g_assert_nonnull(KcHttpCall_Start(&options));
+    call->http = KcHttpCall_Start(&options);
+    g_assert_nonnull(call->http);
 }
 
-void
+LoadCall *
 Load_CallModel(Load *load, uint32_t entry, uint32_t adapter, uint32_t version,
                bool stream)
 {
@@ -111,6 +113,7 @@
              "\"stream\":%s}",
              call->model, call->text, load->tokens, stream ? "true" : "false");
     send_call(load, call, entry, "/v1/completions", body);
+    return call;
 }
 
 void
@@ -215,12 +218,13 @@
 static void
 judge_model(const LoadCall *call, LoadResult *result)
 {
-    char expected[8192];
+    size_t size = (size_t)call->load->tokens * STANDIN_TOKEN_MAX + 1;
+    char *expected = g_malloc(size);
     bool done = true;
     char *text;
 
     StandinText_Answer(call->model, call->text, call->load->tokens, expected,
-                       sizeof(expected));
+                       size);
     text = call->stream ? streamed_text(call, &done) : whole_text(call);
     if (text == NULL || !done || strcmp(text, expected) != 0) {
         blame(result, call, "not the whole answer");
@@ -229,6 +233,7 @@
         result->answered++;
     }
     g_free(text);
+    g_free(expected);
 }
 
 /* Executions of a body, over all services. */
--- a/tests/daemons/load.h
+++ b/tests/daemons/load.h
@@ -18,6 +18,7 @@
     int status; /* 0: no answer */
     bool whole; /* the HTTP answer was whole */
     bool ended;
+    KcHttpCall *http; /* NULL once it has ended */
     KcBuffer body;
 } LoadCall;
 
@@ -46,7 +47,7 @@
 void Load_Clear(Load *load);
 
 /* Sends a call to an entry. */
-void Load_CallModel(Load *load, uint32_t entry, uint32_t adapter,
+LoadCall *Load_CallModel(Load *load, uint32_t entry, uint32_t adapter,
                     uint32_t version, bool stream);
 void Load_CallPlain(Load *load, uint32_t entry, const char *key);
 
--- a/tests/daemons/test_daemons.c
+++ b/tests/daemons/test_daemons.c
@@ -208,10 +208,49 @@
     }
 }
 
+/* A reader that stops holds back its own stream only, and gets the whole
+ * answer when it reads on. */
+static void
+test_slow_reader(void)
+{
+    FleetOptions options = {.port = 22000,
+                            .entries = 2,
+                            .model_agents = 2,
+                            .plain_agents = 2,
+                            .engine_knobs = "token_ms=0"};
+    Fleet *fleet = Fleet_Start(&options);
+    LoadResult result;
+    LoadCall *slow;
+    Load load;
+
+    Load_Init(&load, fleet, 20000);
+    slow = Load_CallModel(&load, 0, 1, 2, true);
+    while (slow->status == 0) {
+        Fleet_Run(load.loop, 1);
+    }
+    KcHttpCall_Throttle(slow->http, true);
+    for (int i = 0; i < 8; i++) {
+        Load_CallModel(&load, 0, 1, 2, true);
+        Fleet_Run(load.loop, 20);
+    }
+    while (load.in_progress > 1) {
+        Fleet_Run(load.loop, 10);
+    }
+    g_assert_false(slow->ended);
+    KcHttpCall_Throttle(slow->http, false);
+    Load_Finish(&load);
+    result = Load_Judge(&load);
+    g_assert_cmpuint(result.wrong, ==, 0);
+    g_assert_cmpuint(result.answered, ==, 9);
+    Load_Clear(&load);
+    Fleet_Stop(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/daemons/slow_reader", test_slow_reader);
     g_test_add_func("/daemons/disturbances", test_disturbances);
     return g_test_run();
 }
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -345,33 +345,47 @@
     start_waiting();
 }
 
-static void
-on_token(KcTimer *timer, KcTime now)
+/* Sends the next token.  False when the completion is over. */
+static bool
+send_token(Completion *completion)
 {
-    Completion *completion = timer->owner;
     char token[STANDIN_TOKEN_MAX];
     size_t length;
 
-    if (completion->next >= completion->count) {
-        finish_completion(completion);
-        return;
-    }
-    length = StandinText_Token(completion->model, completion->prompt,
-                               completion->next++, token);
-    if (completion->skip >= length) {
-        completion->skip -= length; /* delivered before: costs no time */
-        on_token(timer, now);
-        return;
-    }
+    do {
+        if (completion->next >= completion->count) {
+            finish_completion(completion);
+            return false;
+        }
+        length = StandinText_Token(completion->model, completion->prompt,
+                                   completion->next++, token);
+        if (completion->skip >= length) {
+            completion->skip -= length; /* delivered before: costs no time */
+            length = 0;
+        }
+    } while (length == 0);
     counts.tokens++;
     send_event(completion, token + completion->skip, NULL);
     completion->skip = 0;
     if (completion->next == 1 && Standin_TakeFault(&standin, "cut")) {
         cut_completion(completion);
-        return;
+        return false;
+    }
+    return true;
+}
+
+static void
+on_token(KcTimer *timer, KcTime now)
+{
+    Completion *completion = timer->owner;
+    int64_t pace = Standin_Knob(&standin, "token_ms");
+
+    while (send_token(completion)) {
+        if (pace > 0) {
+            KcTimers_Set(standin.loop->timers, timer, now + pace * KC_MS);
+            return;
+        }
     }
-    KcTimers_Set(standin.loop->timers, timer,
-                 now + Standin_Knob(&standin, "token_ms") * KC_MS);
 }
 
 static void
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -155,10 +155,34 @@
         json_object_set_new(knobs, knob->name, json_integer(knob->value));
     }
     json_object_set_new(state, "knobs", knobs);
+    json_object_set_new(state, "bytes_in", json_integer(standin->bytes_in));
+    json_object_set_new(state, "bytes_out",
+                        json_integer(standin->bytes_out));
     standin->options->state(state);
     Standin_ReplyJson(http, EVHTP_RES_OK, state);
 }
 
+static void
+on_bytes(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
+         void *context)
+{
+    (void)buffer;
+    *(int64_t *)context += (int64_t)info->n_added;
+}
+
+/* Counts what a new connection carries. */
+static evhtp_res
+on_accept(evhtp_connection_t *connection, void *context)
+{
+    Standin *standin = context;
+    struct bufferevent *bev = evhtp_connection_get_bev(connection);
+
+    evbuffer_add_cb(bufferevent_get_input(bev), on_bytes, &standin->bytes_in);
+    evbuffer_add_cb(bufferevent_get_output(bev), on_bytes,
+                    &standin->bytes_out);
+    return EVHTP_RES_OK;
+}
+
 void
 Standin_Init(Standin *standin, const StandinOptions *options, int argc,
              char **argv)
@@ -172,6 +196,7 @@
     argp_parse(&argp, argc, argv, 0, NULL, &line);
     standin->loop = KcLoop_Create();
     standin->http = evhtp_new(standin->loop->base, NULL);
+    evhtp_set_post_accept_cb(standin->http, on_accept, standin);
     evhtp_set_cb(standin->http, "/standin/set", on_set, standin);
     evhtp_set_cb(standin->http, "/standin/state", on_state, standin);
     if (KcAddress_Parse(line.listen, host, &port) != 0 ||
--- a/tests/standins/standin.h
+++ b/tests/standins/standin.h
@@ -34,6 +34,8 @@
     evhtp_t *http;
     const StandinOptions *options;
     const char *file; /* argument after the options, NULL if none */
+    int64_t bytes_in; /* of all connections, headers included */
+    int64_t bytes_out;
 } Standin;
 
 /*
--- a/tests/world/caller.c
+++ b/tests/world/caller.c
@@ -18,6 +18,13 @@
     return (size_t)snprintf(text, size, " %s/%u.%u", model, number, index);
 }
 
+size_t
+WorldCaller_Piece(uint32_t number, uint32_t index, char *text, size_t size)
+{
+    return (size_t)snprintf(text, size, "done %u, piece %u %-30s", number,
+                            index, ".");
+}
+
 void
 WorldCaller_Expected(const WorldCaller *caller, KcBuffer *text)
 {
@@ -25,9 +32,12 @@
     char token[160];
 
     if (caller->plain) {
-        int length = snprintf(token, sizeof(token), "done %u", caller->number);
+        for (uint32_t i = 0; i < WORLD_PLAIN_PIECES; i++) {
+            size_t length =
+                WorldCaller_Piece(caller->number, i, token, sizeof(token));
 
-        KcBuffer_Append(text, token, (size_t)length);
+            KcBuffer_Append(text, token, length);
+        }
         return;
     }
     KcModelRef_Format(&caller->model, model);
--- a/tests/world/engine.c
+++ b/tests/world/engine.c
@@ -542,7 +542,7 @@
     CallEvent event = *(CallEvent *)context;
     WorldEngineCall *call = event.call;
     WorldNode *node;
-    char text[64];
+    char text[128];
     KcBytes bytes = {text, 0};
 
     free(context);
@@ -555,11 +555,15 @@
         end_call(call, KC_ERR_LOST, true, "");
         return;
     }
-    bytes.size =
-        (size_t)snprintf(text, sizeof(text), "done %u", call->caller->number);
+    
     KcAgent_OnStarted(node->agent, call->work, "", 200, "text/plain",
                       node->world->now);
-    KcAgent_OnData(node->agent, call->work, bytes, 0, node->world->now);
+    /* All at once, whatever the window. */
+    for (uint32_t i = 0; i < WORLD_PLAIN_PIECES; i++) {
+        bytes.size =
+            WorldCaller_Piece(call->caller->number, i, text, sizeof(text));
+        KcAgent_OnData(node->agent, call->work, bytes, 0, node->world->now);
+    }
     end_call(call, 0, true, "");
 }
 
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -236,6 +236,11 @@
 /* The whole text that a model call must bring. */
 void WorldCaller_Expected(const WorldCaller *caller, KcBuffer *text);
 
+/* Pieces of a plain answer; each is larger than the window. */
+#define WORLD_PLAIN_PIECES 2
+size_t WorldCaller_Piece(uint32_t number, uint32_t index, char *text,
+                         size_t size);
+
 /* Token number index of a model's answer to a caller. */
 size_t WorldCaller_Token(const char *model, uint32_t number, uint32_t index,
                          char *text, size_t size);
