Load only for the works that start next; take the store's pace from the store

Change: adapters are loaded for as many works as there are free places and two more, and those adapters are spared; two loads in flight at an agent and no interval unless loads fail. Ruled out: static shares (idle agents' shares are lost) and lengthening the interval by the time a load took (the store queues, so every load is slow).

--- a/lib/process/agent_engine.c
+++ b/lib/process/agent_engine.c
@@ -132,7 +132,7 @@
     KcModelState *model = slot->model;
 
     agent->order_ended = now;
-    KcPace_End(&agent->pace, now - slot->ordered, code, now);
+    KcPace_End(&agent->pace, code, now);
     if (slot->state != KC_SLOT_LOADING) {
         return; /* the engine restarted meanwhile */
     }
--- a/lib/process/agent_schedule.c
+++ b/lib/process/agent_schedule.c
@@ -11,8 +11,10 @@
 
 #include "agent_internal.h"
 
-/* Wait that each further work for the same model adds to its urgency. */
-#define COMPANION_MS 50
+/* Works beyond the free places whose adapters are loaded ahead. */
+#define LOOKAHEAD 2
+/* Works that are looked at for loads, at the most. */
+#define NEXT_MAX 32
 /* While a load is held back by the pace, it is looked at this often. */
 #define PUMP_INTERVAL (20 * KC_MS)
 
@@ -141,11 +143,12 @@
 
 /* Time that a work waited because its adapter was not loaded. */
 static void
-count_stall(KcAgent *agent, const KcWork *work, const KcModelState *model)
+count_stall(KcAgent *agent, KcWork *work, const KcModelState *model)
 {
     KcTime stall = model->ready_at - work->arrived;
 
     if (work->missed && stall > 0) {
+        work->stall = stall;
         KcCounters_Add(agent->options.counters, KC_COUNT_STALL_US,
                        (uint64_t)stall);
     }
@@ -194,34 +197,71 @@
 
 /* ---- loading ------------------------------------------------------------ */
 
-static bool
-wants_load(const KcModelState *model, KcTime now)
+/* The works that would be started next, most urgent first. */
+typedef struct NextWorks {
+    KcWork *work[NEXT_MAX];
+    int64_t urgency[NEXT_MAX];
+    uint32_t count;
+    uint32_t max;
+} NextWorks;
+
+static void
+insert_next(NextWorks *next, KcWork *work, int64_t urgency)
 {
-    return model->slot == NULL && model->retry_at <= now;
+    uint32_t at = next->count;
+
+    if (next->count == next->max) {
+        if (urgency <= next->urgency[next->max - 1]) {
+            return;
+        }
+        at = next->max - 1;
+    }
+    else {
+        next->count++;
+    }
+    while (at > 0 && next->urgency[at - 1] < urgency) {
+        next->work[at] = next->work[at - 1];
+        next->urgency[at] = next->urgency[at - 1];
+        at--;
+    }
+    next->work[at] = work;
+    next->urgency[at] = urgency;
 }
 
-/* The waiting work whose adapter should be loaded next. */
-static KcWork *
-most_urgent_missing(KcAgent *agent, KcTime now)
+/*
+ * Finds the works for which adapters are held and loaded: as many as there
+ * are free places, and a few more, so that a load is over when the next
+ * place becomes free.  Loading for works further back would only push out
+ * what those in front of them need.
+ */
+static void
+find_next(KcAgent *agent, NextWorks *next, KcTime now)
 {
+    int64_t free_places = agent->service->batch - agent->running_count;
     KcWork *work;
-    KcWork *best = NULL;
-    int64_t highest = 0;
 
+    next->count = 0;
+    next->max = LOOKAHEAD;
+    if (free_places > 0) {
+        next->max += (uint32_t)free_places;
+    }
+    if (next->max > NEXT_MAX) {
+        next->max = NEXT_MAX;
+    }
     TAILQ_FOREACH (work, &agent->queue, link) {
-        int64_t urgency;
-
-        if (work->waits_for == NULL || !wants_load(work->waits_for, now)) {
-            continue;
-        }
-        urgency = KcOrder_Urgency(work, &agent->options.order, now) +
-                  (int64_t)work->waits_for->waiting * COMPANION_MS;
-        if (best == NULL || urgency > highest) {
-            best = work;
-            highest = urgency;
-        }
+        insert_next(next, work,
+                    KcOrder_Urgency(work, &agent->options.order, now));
+    }
+    agent->residency.pass++;
+    for (uint32_t i = 0; i < next->count; i++) {
+        next->work[i]->waits_for->needed = agent->residency.pass;
     }
-    return best;
+}
+
+static bool
+wants_load(const KcModelState *model, KcTime now)
+{
+    return model->slot == NULL && model->retry_at <= now;
 }
 
 /* Has the work waited so long that a slot must be made free for it? */
@@ -252,23 +292,23 @@
 {
     KcSlot *slot = KcResidency_Victim(&agent->residency, true, now);
 
-    if (slot == NULL && overdue(agent, work, now)) {
-        slot = KcResidency_Victim(&agent->residency, false, now);
-        if (slot == NULL && !any_closing(agent)) {
-            KcResidency_CloseOne(&agent->residency, now);
-        }
+    if (slot == NULL && overdue(agent, work, now) && !any_closing(agent)) {
+        KcResidency_CloseOne(&agent->residency, now);
     }
     return slot;
 }
 
-/* Orders one load or the eviction before it.  False: nothing to be done. */
+/* Orders the load for a work, or the eviction before it.  False: nothing
+ * more can be ordered now. */
 static bool
-load_one(KcAgent *agent, KcTime now)
+load_for(KcAgent *agent, KcWork *work, KcTime now)
 {
-    KcWork *work = most_urgent_missing(agent, now);
     KcSlot *slot;
 
-    if (work == NULL || !KcPace_Allows(&agent->pace, now)) {
+    if (!wants_load(work->waits_for, now)) {
+        return true;
+    }
+    if (!KcPace_Allows(&agent->pace, now)) {
         return false;
     }
     slot = slot_for(agent, work, now);
@@ -299,6 +339,7 @@
 static void
 load_models(KcAgent *agent, KcTime now)
 {
+    NextWorks next;
     KcSlot *slot;
 
     if (!agent->inspected || !KcLease_MayOrder(agent->lease, now)) {
@@ -309,8 +350,14 @@
         KcAgentEngine_Evict(agent, slot, now);
     }
     /* An eviction under way already makes room for the most urgent. */
-    while (!evicting(agent) && load_one(agent, now)) {
-        continue;
+    if (evicting(agent) || TAILQ_EMPTY(&agent->queue)) {
+        return;
+    }
+    find_next(agent, &next, now);
+    for (uint32_t i = 0; i < next.count; i++) {
+        if (!load_for(agent, next.work[i], now)) {
+            return;
+        }
     }
 }
 
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -492,11 +492,12 @@
     KcModelRef ref;
     struct KcSlot *slot; /* NULL unless loading, loaded or evicting */
     uint32_t waiting;    /* works that wait for it */
-    uint32_t failures;   /* loads failed in a row */
-    KcTime retry_at;     /* no load before this time */
-    KcTime ready_at;     /* time of the last load that ended well */
-    double frequency;    /* aged count of uses */
-    KcTime aged_at;      /* time to which frequency is aged */
+    uint64_t needed;   /* KcResidency.pass in which it was last needed soon */
+    uint32_t failures; /* loads failed in a row */
+    KcTime retry_at;   /* no load before this time */
+    KcTime ready_at;   /* time of the last load that ended well */
+    double frequency;  /* aged count of uses */
+    KcTime aged_at;    /* time to which frequency is aged */
 } KcModelState;
 
 TAILQ_HEAD(KcModelStateList, KcModelState);
@@ -551,6 +552,7 @@
     uint32_t model_max; /* idle models beyond this are forgotten */
     const KcVictimPolicy *policy;
     double inflation; /* value of the last victim (aging of GDSF) */
+    uint64_t pass;    /* counts the looks at what is needed soon */
 } KcResidency;
 
 void KcResidency_Init(KcResidency *residency, uint32_t slots,
@@ -588,10 +590,10 @@
 
 /*
  * The slot to use for a load: an empty one, else the unpinned one of lowest
- * value.  With spare_waited, slots whose model has waiting works are passed
+ * value.  With spare_needed, slots whose model is needed soon are passed
  * over.  NULL when there is none.
  */
-KcSlot *KcResidency_Victim(KcResidency *residency, bool spare_waited,
+KcSlot *KcResidency_Victim(KcResidency *residency, bool spare_needed,
                            KcTime now);
 
 /*
@@ -618,9 +620,8 @@
 typedef struct KcPace {
     KcTime nominal;  /* time of an undisturbed load */
     KcTime interval; /* time between the starts of two loads */
-    KcTime low;      /* bounds of the interval */
-    KcTime high;
-    KcTime next; /* the next load may start then */
+    KcTime high;     /* bound of the interval */
+    KcTime next;     /* the next load may start then */
     uint32_t in_flight;
     uint32_t in_flight_max;
 } KcPace;
@@ -634,7 +635,7 @@
 bool KcPace_Allows(const KcPace *pace, KcTime now);
 void KcPace_Begin(KcPace *pace, KcTime now);
 
-/* Adapts the interval to the time that a load took. */
-void KcPace_End(KcPace *pace, KcTime took, int code, KcTime now);
+/* Adapts the interval to how a load ended. */
+void KcPace_End(KcPace *pace, int code, KcTime now);
 
 #endif
--- a/lib/process/pace.c
+++ b/lib/process/pace.c
@@ -1,20 +1,16 @@
 /*
  * Sharing the weight store's rate without a coordinator.
  *
- * Each agent starts from its static share of the rate.  A load that took
- * much longer than an undisturbed one shows that the store is overcommitted
- * and lengthens the interval at once; loads at full speed shorten it by a
- * fixed step, so that agents with work use what idle ones leave.
+ * The store serves loads in turn, so an agent that begins a load only when
+ * an earlier one of its own has ended takes the pace from the store itself:
+ * nothing is left unused, and no agent can crowd out the others.  Only a
+ * load that fails, as a store that sheds load makes it, lengthens the
+ * interval; loads that end well shorten it again.
  */
 #include <assert.h>
 
 #include "kcc_process.h"
 
-/* A load that takes this many times the nominal was disturbed. */
-#define SLOW_NUMERATOR 3
-#define SLOW_DENOMINATOR 2
-/* Steps of the interval that full speed takes back, per load. */
-#define RECOVERY_STEPS 8
 /* The interval never exceeds this many times the static share. */
 #define HIGH_FACTOR 4
 #define IN_FLIGHT_MAX 2
@@ -23,6 +19,7 @@
 KcPace_Init(KcPace *pace, KcTime nominal, KcTime share)
 {
     pace->next = 0;
+    pace->interval = 0;
     pace->in_flight = 0;
     pace->in_flight_max = IN_FLIGHT_MAX;
     KcPace_Configure(pace, nominal, share);
@@ -32,11 +29,12 @@
 KcPace_Configure(KcPace *pace, KcTime nominal, KcTime share)
 {
     pace->nominal = nominal;
-    pace->interval = share;
-    pace->low = nominal / IN_FLIGHT_MAX;
     pace->high = share * HIGH_FACTOR;
-    if (pace->low > share) {
-        pace->low = share;
+    if (pace->high < nominal) {
+        pace->high = nominal;
+    }
+    if (pace->interval > pace->high) {
+        pace->interval = pace->high;
     }
 }
 
@@ -54,23 +52,23 @@
 }
 
 void
-KcPace_End(KcPace *pace, KcTime took, int code, KcTime now)
+KcPace_End(KcPace *pace, int code, KcTime now)
 {
-    bool slow = took * SLOW_DENOMINATOR > pace->nominal * SLOW_NUMERATOR;
-
-    (void)now;
     assert(pace->in_flight > 0);
     pace->in_flight--;
-    if (slow || code != 0) {
-        pace->interval *= 2;
-    }
-    else {
-        pace->interval -= pace->interval / RECOVERY_STEPS;
+    if (code == 0) {
+        pace->interval /= 2;
+        if (pace->interval < pace->nominal / 4) {
+            pace->interval = 0;
+        }
+        return;
     }
-    if (pace->interval < pace->low) {
-        pace->interval = pace->low;
+    pace->interval = pace->interval * 2;
+    if (pace->interval < pace->nominal) {
+        pace->interval = pace->nominal;
     }
     if (pace->interval > pace->high) {
         pace->interval = pace->high;
     }
+    pace->next = now + pace->interval;
 }
--- a/lib/process/residency.c
+++ b/lib/process/residency.c
@@ -206,7 +206,7 @@
 }
 
 KcSlot *
-KcResidency_Victim(KcResidency *residency, bool spare_waited, KcTime now)
+KcResidency_Victim(KcResidency *residency, bool spare_needed, KcTime now)
 {
     KcSlot *slot;
     KcSlot *victim = NULL;
@@ -223,8 +223,8 @@
         if (!evictable || slot->pins > 0 || slot->foreign > 0) {
             continue;
         }
-        if (spare_waited && slot->model->waiting > 0 &&
-            slot->state == KC_SLOT_READY) {
+        if (spare_needed && slot->model->needed == residency->pass &&
+            residency->pass > 0 && slot->state == KC_SLOT_READY) {
             continue;
         }
         value = value_of(residency, slot, now);
--- a/lib/request/kcc_request.h
+++ b/lib/request/kcc_request.h
@@ -386,6 +386,7 @@
     bool repeatable;
     KcTime arrived;
     bool missed;       /* its adapter was not loaded when it arrived */
+    KcTime stall;      /* time it waited for its adapter to be loaded */
     uint32_t requeued; /* times it was put back into the queue */
     struct KcModelState *waits_for; /* counted there while it waits */
     KcTime deadline;                /* the answer must have begun */
--- a/tests/daemons/load.h
+++ b/tests/daemons/load.h
@@ -48,7 +48,7 @@
 
 /* Sends a call to an entry. */
 LoadCall *Load_CallModel(Load *load, uint32_t entry, uint32_t adapter,
-                    uint32_t version, bool stream);
+                         uint32_t version, bool stream);
 void Load_CallPlain(Load *load, uint32_t entry, const char *key);
 
 /* Sends calls at intervals for a time. */
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -39,9 +39,11 @@
     uint32_t stall_weight;
     uint32_t batch_weight;
     KcTime rare_stall;
-    uint32_t store_free; /* loads in flight at full speed; 0: no limit */
-    bool fencing;        /* engines refuse old fencing numbers */
-    const char *route;   /* policy names */
+    uint32_t store_free;       /* loads in flight at full speed; 0: no limit */
+    uint32_t store_per_minute; /* loads begun at the most; 0: no limit */
+    uint32_t store_burst;      /* loads begun at once after a pause */
+    bool fencing;              /* engines refuse old fencing numbers */
+    const char *route;         /* policy names */
     const char *victim;
 } WorldOptions;
 
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -227,6 +227,7 @@
     KcBuffer received;
     uint32_t executions; /* counted by the engines and services */
     KcTime submitted;
+    KcTime stall; /* waited for its adapter to be loaded */
     KcTime first_byte;
     KcTime ended;
 };
@@ -266,6 +267,7 @@
     uint32_t caller_count;
     uint32_t caller_capacity;
     uint32_t loads_in_flight; /* from the weight store */
+    KcTime store_next;        /* the store begins no load before this */
     bool *retired;            /* version 1 of each adapter */
     uint64_t accepted;        /* generation of the head */
     uint64_t previous_head;   /* object version before the last edit */
