Give an adapter that nobody knows of one home over all regions

Change: at the best-ranked backend server of all regions a third of the stall is expected, elsewhere all of it; ranks cost a quarter of a load instead of an eighth; adapters are loaded for four works beyond the free places.

--- a/lib/process/agent_schedule.c
+++ b/lib/process/agent_schedule.c
@@ -12,7 +12,7 @@
 #include "agent_internal.h"
 
 /* Works beyond the free places whose adapters are loaded ahead. */
-#define LOOKAHEAD 2
+#define LOOKAHEAD 4
 /* Works that are looked at for loads, at the most. */
 #define NEXT_MAX 32
 /* While a load is held back by the pace, it is looked at this often. */
--- a/lib/process/entry_attempt.c
+++ b/lib/process/entry_attempt.c
@@ -10,7 +10,7 @@
 /* A load report counts for nothing after this time. */
 #define KNOWLEDGE_MAX (5 * KC_SECOND)
 /* Share of a load that each rank away from home costs. */
-#define SPREAD_DIVISOR 8
+#define SPREAD_DIVISOR 4
 /* An agent that said it is leaving is avoided this long. */
 #define LEAVING_AVOID (30 * KC_SECOND)
 
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -312,6 +312,7 @@
     uint16_t remote[KC_ROUTE_REMOTE];
     uint8_t local_count;
     uint8_t remote_count;
+    bool home_is_remote; /* the best of all is in another region */
 } KcBucket;
 
 /* The backend servers of one service. */
--- a/lib/process/route.c
+++ b/lib/process/route.c
@@ -16,6 +16,8 @@
 
 #define BUCKET_COUNT 16384
 #define WEIGHT_UNIT 50 /* a weight of 50 counts a cost once */
+/* Share of the stall that is expected at an adapter's home. */
+#define HOME_DIVISOR 3
 
 uint64_t
 KcRoute_Key(const KcModelRef *model)
@@ -76,6 +78,9 @@
                               KC_ROUTE_REMOTE, (uint16_t)i, weight);
         }
     }
+    bucket->home_is_remote =
+        bucket->remote_count > 0 &&
+        (bucket->local_count == 0 || remote[0] > local[0]);
     bucket->epoch = pool->epoch;
 }
 
@@ -161,24 +166,31 @@
     return false;
 }
 
-/* Expected wait for the adapter at a backend server that lacks it. */
+/*
+ * Expected wait for the adapter at a backend server not known to hold it.
+ * Every entry sends an adapter it knows nothing of to the same home, so the
+ * home is the likeliest to hold it after all.
+ */
 static KcTime
 expected_stall(const KcRouteQuery *query, const KcHint *hint,
-               const KcBackend *backend)
+               const KcBackend *backend, bool home)
 {
+    KcTime stall = query->options->load * (1 + (KcTime)backend->load.loading);
+
     if (!query->needs_adapter || known_holder(hint, backend)) {
         return 0;
     }
-    return query->options->load * (1 + (KcTime)backend->load.loading);
+    return home ? stall / HOME_DIVISOR : stall;
 }
 
 /* Chooses the cheapest of a list of candidates. */
 static void
 cheapest(const KcRouteQuery *query, const KcHint *hint, const uint16_t *list,
-         uint8_t count, KcTime base, bool remote, KcTime now,
+         uint8_t count, bool has_home, bool remote, KcTime now,
          KcRouteChoice *choice)
 {
     const KcRouteOptions *options = query->options;
+    KcTime base = remote ? options->remote : 0;
 
     for (uint8_t i = 0; i < count; i++) {
         KcBackend *backend = query->pool->members[list[i]];
@@ -189,8 +201,8 @@
         }
         cost += expected_wait(options, backend, now) * options->batch_weight /
                 WEIGHT_UNIT;
-        cost += expected_stall(query, hint, backend) * options->stall_weight /
-                WEIGHT_UNIT;
+        cost += expected_stall(query, hint, backend, has_home && i == 0) *
+                options->stall_weight / WEIGHT_UNIT;
         if (choice->backend == NULL || cost < choice->cost) {
             choice->backend = backend;
             choice->cost = cost;
@@ -232,11 +244,11 @@
         HASH_FIND(hh, query->fleet->hints, &query->key, sizeof(query->key),
                   hint);
     }
-    cheapest(query, hint, bucket->local, bucket->local_count, 0, false, now,
-             choice);
+    cheapest(query, hint, bucket->local, bucket->local_count,
+             !bucket->home_is_remote, false, now, choice);
     if (query->remote_allowed) {
         cheapest(query, hint, bucket->remote, bucket->remote_count,
-                 query->options->remote, true, now, choice);
+                 bucket->home_is_remote, true, now, choice);
     }
     if (choice->backend == NULL) {
         any_usable(query, now, choice);
