Keep adapters at home under overload

Cause: with four slots an engine, or beyond the weight store's rate, spilling to backend servers that lack the adapter makes loads dearer for all. Change: a copy elsewhere costs eight loads for each adapter waited for there.

--- a/lib/process/route.c
+++ b/lib/process/route.c
@@ -18,6 +18,8 @@
 #define WEIGHT_UNIT 50 /* a weight of 50 counts a cost once */
 /* Share of the stall that is expected at an adapter's home. */
 #define HOME_DIVISOR 3
+/* Loads that a copy costs for each adapter waited for beside it. */
+#define CROWD_FACTOR 8
 
 uint64_t
 KcRoute_Key(const KcModelRef *model)
@@ -169,18 +171,24 @@
 /*
  * Expected wait for the adapter at a backend server not known to hold it.
  * Every entry sends an adapter it knows nothing of to the same home, so the
- * home is the likeliest to hold it after all.
+ * home is the likeliest to hold it after all.  Elsewhere another copy takes
+ * a slot from what is waited for there, so where adapters wait already it
+ * costs many loads: under overload every adapter stays at its home.
  */
 static KcTime
 expected_stall(const KcRouteQuery *query, const KcHint *hint,
                const KcBackend *backend, bool home)
 {
-    KcTime stall = query->options->load * (1 + (KcTime)backend->load.loading);
+    KcTime load = query->options->load;
+    KcTime loading = (KcTime)backend->load.loading;
 
     if (!query->needs_adapter || known_holder(hint, backend)) {
         return 0;
     }
-    return home ? stall / HOME_DIVISOR : stall;
+    if (home) {
+        return load * (1 + loading) / HOME_DIVISOR;
+    }
+    return load * (1 + loading * CROWD_FACTOR);
 }
 
 /* Chooses the cheapest of a list of candidates. */
--- a/tests/bench/bench_policy.c
+++ b/tests/bench/bench_policy.c
@@ -570,6 +570,8 @@
     if (strcmp(which, "quick") == 0) {
         bench_policy_at(&deployments[0], 0.9, 8, 1);
         bench_policy_at(&deployments[1], 1.1, 8, 1);
+        bench_policy_at(&deployments[1], 0.9, 8, 1);
+        bench_policy_at(&deployments[0], 0.9, 4, 1);
     }
     if (all || strcmp(which, "shift") == 0) {
         bench_event("shift", true);
