--- a/lib/version/kcc_version.h
+++ b/lib/version/kcc_version.h
@@ -193,7 +193,8 @@
 
 #define KC_HASH_TEXT 33    /* 128 bits as hexadecimal, with NUL */
 #define KC_PART_MAX 900000 /* bytes; values of the object API end at 1 MB */
-#define KC_SECTION_PARTS_MAX 64
+#define KC_PART_MIN 16384  /* bytes; only a last part is smaller */
+#define KC_SECTION_PARTS_MAX 512
 
 /* The head object: it names the accepted combination of all sections. */
 typedef struct KcHead {
@@ -208,8 +209,10 @@
 void KcHead_Hash(const void *data, size_t size, char text[KC_HASH_TEXT]);
 
 /*
- * Where the part that starts at text ends: at the last line end within
- * KC_PART_MAX bytes.  Returns its size; 0 when a single line is too long.
+ * Where the part that starts at text ends.  Where a part ends depends on the
+ * lines near its end alone, so that an edit changes one part or two and the
+ * others need not be fetched again.  Returns its size, at most KC_PART_MAX;
+ * 0 when a single line is longer.
  */
 size_t KcHead_PartSize(const char *text, size_t size);
 
--- a/tests/bench/bench_daemons.c
+++ b/tests/bench/bench_daemons.c
@@ -434,10 +434,11 @@
 
 /* ---- control --------------------------------------------------------------------------------- */
 
-#define IDLE_SECONDS 10
+#define IDLE_SECONDS 20
+/* The defaults of the settings. */
+#define LEASE "ttl_ms = 30000\nrenew_ms = 10000\nconfirm_spread_ms = 6000\n"
 
-/* Sum of a counter over the processes' metrics pages is not needed: the
- * platform stand-ins count what all processes cost them. */
+/* What all processes cost the platform, as its stand-ins count it. */
 static int64_t
 platform_bytes(Fleet *fleet)
 {
@@ -528,8 +529,11 @@
 static void
 bench_control_at(uint32_t agents)
 {
-    FleetOptions options = {
-        .port = PORT, .entries = 2, .model_agents = agents, .adapters = 3000};
+    FleetOptions options = {.port = PORT,
+                            .entries = 2,
+                            .model_agents = agents,
+                            .adapters = 3000,
+                            .lease = LEASE};
     Fleet *fleet = Fleet_Start(&options);
     double change;
     Idle idle;
@@ -552,7 +556,7 @@
 static void
 bench_control(void)
 {
-    static const uint32_t sizes[] = {2, 8, 20, 40};
+    static const uint32_t sizes[] = {2, 10, 30, 60};
 
     for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
         bench_control_at(sizes[i]);
--- a/tests/daemons/fleet.c
+++ b/tests/daemons/fleet.c
@@ -135,6 +135,14 @@
     g_free(text);
 }
 
+static const char *
+lease_of(const Fleet *fleet)
+{
+    return fleet->options.lease != NULL
+               ? fleet->options.lease
+               : "confirm_spread_ms = 200\nttl_ms = 6000\nrenew_ms = 1500\n";
+}
+
 static void
 add_agent(Fleet *fleet, uint32_t number)
 {
@@ -152,12 +160,10 @@
         g_strdup_printf(
             "[process]\nrole = agent\nname = %s\ndatacentre = d%u\n"
             "[listen]\nlinks = %s\nadmin = %s\n[platform]\nobjects = %s\n"
-            "[lease]\nconfirm_spread_ms = 200\nttl_ms = 6000\n"
-            "renew_ms = 1500\n[backend]\naddress = %s\nservice = %s\n"
-            "inspect_ms = 200\n%s",
+            "[lease]\n%s[backend]\naddress = %s\nservice = %s\n%s",
             name, number % 2, process->address, process->admin,
-            Fleet_Address(fleet, FLEET_OBJECTS, 0), backend->address,
-            plain ? "print" : "llm",
+            Fleet_Address(fleet, FLEET_OBJECTS, 0), lease_of(fleet),
+            backend->address, plain ? "print" : "llm",
             fleet->options.agent_settings != NULL
                 ? fleet->options.agent_settings
                 : ""));
@@ -176,12 +182,12 @@
         g_strdup_printf(
             "[process]\nrole = entry\nname = %s\ndatacentre = d%u\n"
             "[listen]\ncallers = %s\nadmin = %s\n[platform]\nobjects = %s\n"
-            "instances = %s\ninstances_poll_ms = 100\n"
-            "[lease]\nconfirm_spread_ms = 200\nttl_ms = 6000\n"
-            "renew_ms = 1500\n%s",
+            "instances = %s\ninstances_poll_ms = %u\n"
+            "[lease]\n%s%s",
             name, number % 2, process->address, process->admin,
             Fleet_Address(fleet, FLEET_OBJECTS, 0),
             Fleet_Address(fleet, FLEET_INSTANCES, 0),
+            fleet->options.lease != NULL ? 2000 : 100, lease_of(fleet),
             fleet->options.entry_settings != NULL
                 ? fleet->options.entry_settings
                 : ""));
--- a/tests/daemons/fleet.h
+++ b/tests/daemons/fleet.h
@@ -32,6 +32,7 @@
     const char *entry_settings;
     const char *engine_knobs; /* "NAME=VALUE", or NULL */
     const char *service_knobs;
+    const char *lease;    /* [lease] settings, NULL: short ones */
     const char *capacity; /* section of the document, NULL: a default */
     uint32_t adapters;    /* a0, a1, ...; 0: a default */
 } FleetOptions;
--- a/tests/version/test_document.c
+++ b/tests/version/test_document.c
@@ -255,6 +255,52 @@
     }
 }
 
+/* Divides a text; returns the number of parts. */
+static uint32_t
+divide(const char *text, size_t size, char (*hashes)[KC_HASH_TEXT])
+{
+    uint32_t count = 0;
+
+    while (size > 0) {
+        size_t part = KcHead_PartSize(text, size);
+
+        g_assert_cmpuint(part, >, 0);
+        g_assert_cmpuint(count, <, KC_SECTION_PARTS_MAX);
+        KcHead_Hash(text, part, hashes[count++]);
+        text += part;
+        size -= part;
+    }
+    return count;
+}
+
+/* One changed line among 100,000 changes one part or two. */
+static void
+test_edit_changes_few_parts(void)
+{
+    static char before[KC_SECTION_PARTS_MAX][KC_HASH_TEXT];
+    static char after[KC_SECTION_PARTS_MAX][KC_HASH_TEXT];
+    GString *text = g_string_new("[adapters]\n");
+    uint32_t counts[2];
+    uint32_t kept = 0;
+    char *edited;
+
+    for (int i = 0; i < 100000; i++) {
+        g_string_append_printf(text, "customer-%06d = llm 1 2*\n", i);
+    }
+    counts[0] = divide(text->str, text->len, before);
+    edited = strstr(text->str, "customer-050000");
+    g_string_insert(text, edited - text->str, "customer-new = llm 1\n");
+    counts[1] = divide(text->str, text->len, after);
+    for (uint32_t i = 0; i < counts[1]; i++) {
+        for (uint32_t j = 0; j < counts[0]; j++) {
+            kept += strcmp(after[i], before[j]) == 0;
+        }
+    }
+    g_assert_cmpuint(counts[0], >, 20);
+    g_assert_cmpuint(kept + 2, >=, counts[1]);
+    g_string_free(text, TRUE);
+}
+
 static void
 fill_head(KcHead *head, uint64_t generation)
 {
@@ -436,6 +482,7 @@
     g_test_add_func("/version/paths", test_paths);
     g_test_add_func("/version/long_line", test_long_line);
     g_test_add_func("/version/parts", test_parts);
+    g_test_add_func("/version/edits", test_edit_changes_few_parts);
     g_test_add_func("/version/head", test_head_round_trip);
     g_test_add_func("/version/bad_heads", test_bad_heads);
     g_test_add_func("/version/catchup", test_catchup);
