Say what is built, and hold callers to their time

Cause: design, operation and promises were in heads only; the read timeout was a setting that nothing read.

--- a/programs/kcc/command.h
+++ b/programs/kcc/command.h
@@ -56,6 +56,7 @@
 int KcCommand_Timeline(const KcArguments *arguments);
 int KcCommand_Explain(const KcArguments *arguments);
 int KcCommand_Call(const KcArguments *arguments);
+int KcCommand_Capacity(const KcArguments *arguments);
 
 /* Prints an error with its step and peer; returns KC_EXIT_FAILED. */
 int KcCommand_Fail(const KcError *err);
--- a/programs/kcc/main.c
+++ b/programs/kcc/main.c
@@ -31,6 +31,8 @@
      0, 0, true, KcCommand_Explain},
     {"call", "[TEXT]", "Send a request to an entry", 0, 1, false,
      KcCommand_Call},
+    {"capacity", "FILE", "Work out loads at a size from measured slopes", 1, 1,
+     false, KcCommand_Capacity},
 };
 
 #define COMMAND_COUNT (sizeof(commands) / sizeof(commands[0]))
--- a/programs/request/caller.c
+++ b/programs/request/caller.c
@@ -214,8 +214,31 @@
 
 static const KcCallerOps caller_ops = {on_started, on_data, on_finished};
 
+static struct timeval
+wait_of(int64_t milliseconds)
+{
+    struct timeval wait = {milliseconds / 1000, milliseconds % 1000 * 1000};
+
+    return wait;
+}
+
 /* ---- hooks of one request ----------------------------------------------- */
 
+/*
+ * Sets the waits of a connection.  While a request is answered its caller
+ * need not send anything.
+ */
+static void
+set_waits(KcFront *front, evhtp_request_t *http, bool reading)
+{
+    const KcSettings *settings = front->options.settings;
+    struct timeval read_wait = wait_of(settings->read_timeout_ms);
+    struct timeval write_wait = wait_of(settings->write_timeout_ms);
+
+    bufferevent_set_timeouts(evhtp_request_get_bev(http),
+                             reading ? &read_wait : NULL, &write_wait);
+}
+
 /* The request is being freed: answered, or its connection is gone. */
 static evhtp_res
 on_request_end(evhtp_request_t *http, void *context)
@@ -223,6 +246,9 @@
     Caller *caller = context;
 
     evhtp_connection_unset_hook(http->conn, evhtp_hook_on_write);
+    if (evhtp_request_get_bev(http) != NULL) {
+        set_waits(caller->front, http, true);
+    }
     if (caller->request != NULL) {
         KcEntry_Abandon(caller->request, KcLoop_Now());
     }
@@ -253,6 +279,7 @@
     caller->front = front;
     caller->http = http;
     caller->info.created = (int64_t)time(NULL);
+    set_waits(front, http, false);
     evhtp_request_set_hook(http, evhtp_hook_on_request_fini,
                            (evhtp_hook)on_request_end, caller);
     evhtp_connection_set_hook(http->conn, evhtp_hook_on_write,
@@ -530,13 +557,10 @@
 set_up_http(KcFront *front)
 {
     const KcSettings *settings = front->options.settings;
-    struct timeval read_wait = {settings->read_timeout_ms / 1000,
-                                settings->read_timeout_ms % 1000 * 1000};
-    struct timeval write_wait = {settings->write_timeout_ms / 1000,
-                                 settings->write_timeout_ms % 1000 * 1000};
+    struct timeval read_wait = wait_of(settings->read_timeout_ms);
+    struct timeval write_wait = wait_of(settings->write_timeout_ms);
 
-    (void)read_wait;
-    evhtp_set_timeouts(front->http, NULL, &write_wait);
+    evhtp_set_timeouts(front->http, &read_wait, &write_wait);
     evhtp_set_max_body_size(front->http, (uint64_t)settings->body_max);
     evhtp_set_post_accept_cb(front->http, on_accept, front);
     evhtp_set_cb(front->http, "/v1/completions", on_model_call, front);
--- a/tests/run-tests.sh
+++ b/tests/run-tests.sh
@@ -4,22 +4,29 @@
 BUILD=$1
 shift
 export BUILD
+cd "$(dirname "$0")" || exit 1
 passed=0
 failed=0
-for program in "$@"; do
-    out=$("$program" --tap 2>&1)
-    status=$?
-    good=$(printf '%s\n' "$out" | grep -c '^ok ')
-    bad=$(printf '%s\n' "$out" | grep -c '^not ok ')
-    if [ "$status" -ne 0 ] && [ "$bad" -eq 0 ]; then
+
+count() { # NAME STATUS OUTPUT
+    good=$(printf '%s\n' "$3" | grep -c '^ok ')
+    bad=$(printf '%s\n' "$3" | grep -c '^not ok ')
+    if [ "$2" -ne 0 ] && [ "$bad" -eq 0 ]; then
         bad=1 # it ended before it could say what failed
     fi
     if [ "$bad" -ne 0 ]; then
-        printf '%s\n' "$out" | tail -40
+        printf '%s\n' "$3" | tail -40
     fi
-    echo "$(basename "$program"): $good passed, $bad failed"
+    echo "$1: $good passed, $bad failed"
     passed=$((passed + good))
     failed=$((failed + bad))
+}
+
+for program in "$@"; do
+    out=$("$program" --tap 2>&1)
+    count "$(basename "$program")" $? "$out"
 done
+out=$(sh ./check-docs.sh "$BUILD" .. 2>&1)
+count check-docs $? "$out"
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
