Split the large files by job

Change: agent_answer.c (what an agent sends of a work), entry_choose.c (what an entry asks the policy), kcc_residency.h; logs carry the generation.

--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -12,7 +12,8 @@
  * Advanced use: the parts by themselves, by life span: messages and links
  * (kcc_connection.h), claims, retries and the order of work
  * (kcc_request.h), documents and catching up (kcc_version.h), routing,
- * residency, limits and leases (kcc_process.h).
+ * limits and leases (kcc_process.h), residency
+ * (kcc_residency.h).
  *
  * Unstable: the fields of structures other than option structs, which may
  * change between versions.
@@ -32,5 +33,6 @@
 #include "kcc_connection.h"
 #include "kcc_process.h"
 #include "kcc_request.h"
+#include "kcc_residency.h"
 
 #endif
--- a/lib/process/agent_engine.c
+++ b/lib/process/agent_engine.c
@@ -369,7 +369,7 @@
     KcName_Copy(work->head.content_type, content_type, KC_NAME_MAX);
     KcAgent_Event(agent, KC_EVENT_FIRST_BYTE, work, NULL,
                   (now - work->arrived) / KC_MS, now);
-    KcAgentWork_Flush(agent, work, now);
+    KcAgentAnswer_Flush(agent, work, now);
 }
 
 void
@@ -379,7 +379,7 @@
     assert(work->state == KC_WORK_RUNNING && work->started);
     KcBuffer_Append(&work->out, bytes.data, bytes.size);
     work->tokens = tokens;
-    KcAgentWork_Flush(agent, work, now);
+    KcAgentAnswer_Flush(agent, work, now);
 }
 
 void
--- a/lib/process/agent_internal.h
+++ b/lib/process/agent_internal.h
@@ -75,9 +75,6 @@
 /* Refuses a work that has not run, and forgets it. */
 void KcAgentWork_Refuse(KcAgent *agent, KcWork *work, int code, KcTime now);
 
-/* Sends as much of a work's answer as its entry has room for. */
-void KcAgentWork_Flush(KcAgent *agent, KcWork *work, KcTime now);
-
 /* Ends a running work and releases its place and pin. */
 void KcAgentWork_End(KcAgent *agent, KcWork *work, int code, bool ran,
                      const char *finish, KcTime now);
@@ -95,6 +92,22 @@
 /* Forgets a work in whatever state; cancels it at the backend server. */
 void KcAgentWork_Forget(KcAgent *agent, KcWork *work, KcTime now);
 
+/* agent_answer.c -------------------------------------------------------- */
+
+/* Sends a message on the stream of a work, which must have one. */
+void KcAgentAnswer_Send(KcWork *work, KcMsg *msg);
+void KcAgentAnswer_Admit(KcAgent *agent, KcWork *work);
+void KcAgentAnswer_End(KcAgent *agent, KcWork *work);
+
+/*
+ * Pauses reading from the backend server while the entry lags behind.  A
+ * call not to be repeated runs to its end even if nobody reads its answer.
+ */
+void KcAgentAnswer_Throttle(KcAgent *agent, KcWork *work);
+
+/* Sends as much of a work's answer as its entry has room for. */
+void KcAgentAnswer_Flush(KcAgent *agent, KcWork *work, KcTime now);
+
 /* agent_schedule.c ------------------------------------------------------ */
 
 /* Starts and loads whatever can be started and loaded now. */
--- a/lib/process/agent_work.c
+++ b/lib/process/agent_work.c
@@ -78,100 +78,6 @@
     return horizon != NULL && id->sequence <= horizon->sequence;
 }
 
-/* ---- sending ------------------------------------------------------------ */
-
-static void
-send(KcWork *work, KcMsg *msg)
-{
-    msg->stream = work->stream->id;
-    KcLink_Send(work->stream->parent, msg);
-}
-
-static void
-send_admit(KcAgent *agent, KcWork *work)
-{
-    KcMsg msg = {.type = KC_MSG_ADMIT};
-
-    KcAgentSchedule_Load(agent, work, &msg.u.admit.load);
-    send(work, &msg);
-}
-
-static void
-send_started(KcWork *work)
-{
-    KcMsg msg = {.type = KC_MSG_STARTED};
-
-    msg.u.started = work->head;
-    work->started_sent = true;
-    send(work, &msg);
-}
-
-static void
-send_data(KcWork *work)
-{
-    uint64_t skip = work->sent - work->acked;
-    KcMsg msg = {.type = KC_MSG_DATA};
-
-    msg.u.data.offset = work->sent;
-    msg.u.data.tokens = work->tokens;
-    msg.u.data.bytes.data = KcBuffer_Data(&work->out) + skip;
-    msg.u.data.bytes.size = KcBuffer_Size(&work->out) - (size_t)skip;
-    work->sent = KcWork_Total(work);
-    send(work, &msg);
-}
-
-static void
-send_end(KcAgent *agent, KcWork *work)
-{
-    KcMsg msg = {.type = KC_MSG_END};
-    KcMsgEnd *end = &msg.u.end;
-
-    end->code = work->end_code;
-    end->ran = work->ran;
-    end->offset = KcWork_Total(work);
-    end->tokens = work->tokens;
-    KcName_Copy(end->finish, work->finish, sizeof(end->finish));
-    KcAgentSchedule_Load(agent, work, &end->load);
-    work->end_sent = true;
-    send(work, &msg);
-}
-
-/*
- * Pauses reading from the backend server while the entry lags behind.  A
- * call not to be repeated runs to its end even if nobody reads its answer.
- */
-static void
-adjust_throttle(KcAgent *agent, KcWork *work)
-{
-    bool read = work->stream != NULL || work->repeatable;
-    bool full = read && KcBuffer_Size(&work->out) >= agent->options.window;
-
-    if (work->state == KC_WORK_RUNNING && full != work->throttled) {
-        work->throttled = full;
-        agent->options.ops->throttle(agent->options.backend, work, full);
-    }
-}
-
-void
-KcAgentWork_Flush(KcAgent *agent, KcWork *work, KcTime now)
-{
-    (void)now;
-    adjust_throttle(agent, work);
-    if (work->stream == NULL || work->end_sent) {
-        return;
-    }
-    if (work->started && !work->started_sent) {
-        send_started(work);
-    }
-    if (work->sent < KcWork_Total(work) &&
-        KcWork_Unacked(work) < agent->options.window) {
-        send_data(work);
-    }
-    if (work->state == KC_WORK_ENDED && work->sent == KcWork_Total(work)) {
-        send_end(agent, work);
-    }
-}
-
 /* ---- forgetting --------------------------------------------------------- */
 
 static void
@@ -242,7 +148,7 @@
         msg.u.refuse.code = code;
         msg.u.refuse.retry_after_ms = retry_after_ms(agent);
         KcAgentSchedule_Load(agent, work, &msg.u.refuse.load);
-        send(work, &msg);
+        KcAgentAnswer_Send(work, &msg);
     }
     KcAgentWork_Forget(agent, work, now);
 }
@@ -328,7 +234,7 @@
     KcAgent_Event(agent, KC_EVENT_ADMIT, work, NULL,
                   (int64_t)agent->queued_count, now);
     if (work->stream != NULL) {
-        send_admit(agent, work);
+        KcAgentAnswer_Admit(agent, work);
     }
     KcAgentSchedule_Pump(agent, now);
 }
@@ -440,7 +346,7 @@
         KcAgentWork_Forget(agent, work, now);
     }
     else {
-        KcAgentWork_Flush(agent, work, now);
+        KcAgentAnswer_Flush(agent, work, now);
     }
     KcAgentSchedule_Pump(agent, now);
 }
@@ -486,7 +392,7 @@
 {
     if (work->stream != NULL) {
         work->end_code = KC_ERR_CANCELLED;
-        send_end(agent, work);
+        KcAgentAnswer_End(agent, work);
     }
     KcAgentWork_Forget(agent, work, now);
     KcAgentSchedule_Pump(agent, now);
@@ -528,7 +434,7 @@
         KcAgentWork_Forget(agent, work, now);
         return;
     }
-    KcAgentWork_Flush(agent, work, now);
+    KcAgentAnswer_Flush(agent, work, now);
 }
 
 void
@@ -538,7 +444,7 @@
 
     assert(work->stream == NULL);
     if (work->state == KC_WORK_RUNNING && !work->repeatable) {
-        adjust_throttle(agent, work);
+        KcAgentAnswer_Throttle(agent, work);
         return; /* runs to its end */
     }
     if (work->state == KC_WORK_ENDED && !work->repeatable) {
@@ -654,6 +560,6 @@
     reset_timer(agent, work, now);
     KcAgent_Event(agent, KC_EVENT_RESUME, work, NULL, (int64_t)resume->offset,
                   now);
-    send_admit(agent, work);
-    KcAgentWork_Flush(agent, work, now);
+    KcAgentAnswer_Admit(agent, work);
+    KcAgentAnswer_Flush(agent, work, now);
 }
--- a/lib/process/entry_internal.h
+++ b/lib/process/entry_internal.h
@@ -30,6 +30,10 @@
 void KcEntryRequest_Finish(KcRequest *request, KcOutcome outcome, int code,
                            const char *step, const char *peer, KcTime now);
 
+/* entry_choose.c: asks the policy; choice->backend NULL: none is usable. */
+void KcEntryChoose_Backend(KcRequest *request, KcTime now,
+                           KcRouteChoice *choice);
+
 /* entry_attempt.c: chooses a backend server and proposes to it. */
 void KcEntryAttempt_Next(KcRequest *request, KcTime now);
 
--- a/lib/process/kcc_agent.h
+++ b/lib/process/kcc_agent.h
@@ -7,6 +7,7 @@
 #define KCC_AGENT_H
 
 #include "kcc_process.h"
+#include "kcc_residency.h"
 
 typedef struct KcAgent KcAgent;
 
--- a/lib/process/pace.c
+++ b/lib/process/pace.c
@@ -9,7 +9,7 @@
  */
 #include <assert.h>
 
-#include "kcc_process.h"
+#include "kcc_residency.h"
 
 /* The interval never exceeds this many times the static share. */
 #define HIGH_FACTOR 4
--- a/lib/process/residency.c
+++ b/lib/process/residency.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "kcc_process.h"
+#include "kcc_residency.h"
 
 /* The aged count of uses halves in this time. */
 #define FREQUENCY_HALF_LIFE (60 * KC_SECOND)
--- a/lib/process/victim.c
+++ b/lib/process/victim.c
@@ -3,7 +3,7 @@
  */
 #include <string.h>
 
-#include "kcc_process.h"
+#include "kcc_residency.h"
 
 /* Least recently used. */
 static double
--- a/programs/request/caller.c
+++ b/programs/request/caller.c
@@ -180,9 +180,11 @@
 }
 
 static void
-log_finish(const KcResult *result)
+log_finish(const Caller *caller, const KcResult *result)
 {
     KcLogFields fields = {.request = &result->id,
+                          .generation =
+                              KcEntry_Generation(caller->front->options.entry),
                           .peer = result->error.peer,
                           .step = result->error.step,
                           .code = result->error.code};
@@ -200,7 +202,7 @@
     caller->request = NULL;
     caller->finished = true;
     KcRequestId_Format(&result->id, caller->info.id);
-    log_finish(result);
+    log_finish(caller, result);
     if (caller->streaming) {
         end_stream(caller, result);
     }
