--- a/tests/daemons/load.c
+++ b/tests/daemons/load.c
@@ -183,26 +183,28 @@
 static char *
 streamed_text(const LoadCall *call, bool *done)
 {
-    char **lines = g_strsplit(KcBuffer_Data(&call->body), "\n", -1);
+    char *copy = g_strdup(KcBuffer_Data(&call->body));
     GString *text = g_string_new("");
+    char *rest = copy;
+    char *line;
 
     *done = false;
-    for (char **line = lines; *line != NULL; line++) {
+    while ((line = strsep(&rest, "\n")) != NULL) {
         json_t *root;
         json_t *choice;
         const char *piece;
 
-        *done = *done || strcmp(*line, "data: [DONE]") == 0;
-        if (!g_str_has_prefix(*line, "data: {")) {
+        *done = *done || strcmp(line, "data: [DONE]") == 0;
+        if (!g_str_has_prefix(line, "data: {")) {
             continue;
         }
-        root = json_loads(*line + 6, 0, NULL);
+        root = json_loads(line + strlen("data: "), 0, NULL);
         choice = json_array_get(json_object_get(root, "choices"), 0);
         piece = json_string_value(json_object_get(choice, "text"));
         g_string_append(text, piece != NULL ? piece : "");
         json_decref(root);
     }
-    g_strfreev(lines);
+    g_free(copy);
     return g_string_free(text, FALSE);
 }
 
