Look up an edit whose reply was lost; try racing operators on the command line

Cause: kcc apply said the object API was unavailable when the write had taken effect and only its reply was lost; the races were tried in the fuzzer only. Change: the head is read back; fifteen cases of racing edits, lost replies and an outage against the stand-in. Conclusion: what apply says is what was accepted.

--- a/programs/kcc/document_commands.c
+++ b/programs/kcc/document_commands.c
@@ -249,6 +249,7 @@
     size_t size;
     char *base; /* text of the section as first read, NULL before */
     uint64_t base_changed;
+    int last_code; /* of the last write */
 } Apply;
 
 /* Another edit of the same section came between. */
@@ -299,7 +300,9 @@
         return KC_EXIT_FAILED;
     }
     code = KcStore_Write(arguments->objects, stored, &err);
-    if (code == KC_ERR_CONFLICT) {
+    /* Without an answer it may have been accepted: that is looked up. */
+    if (code == KC_ERR_CONFLICT || code == KC_ERR_UNAVAILABLE) {
+        apply->last_code = code;
         return -1;
     }
     if (code != 0) {
@@ -349,8 +352,13 @@
         KcStored_Clear(&stored);
     }
     if (status < 0) {
-        fprintf(stderr, "kcc: not applied: other edits keep coming\n");
-        status = KC_EXIT_CONFLICT;
+        fprintf(stderr, "kcc: %s\n",
+                apply->last_code == KC_ERR_CONFLICT
+                    ? "not applied: other edits keep coming"
+                    : "the object API does not answer: see kcc status for "
+                      "whether it was applied");
+        status = apply->last_code == KC_ERR_CONFLICT ? KC_EXIT_CONFLICT
+                                                     : KC_EXIT_FAILED;
     }
     return status;
 }
--- a/programs/process/agent_role.c
+++ b/programs/process/agent_role.c
@@ -131,13 +131,6 @@
 
 /* ---- set-up ------------------------------------------------------------- */
 
-static KcTime
-clock_now(void *context)
-{
-    (void)context;
-    return KcLoop_Now();
-}
-
 static void
 create_agent(AgentRole *role)
 {
@@ -158,7 +151,7 @@
     options.timers = role->parts.loop->timers;
     options.events = role->parts.events;
     options.counters = &role->parts.counters;
-    options.clock = clock_now;
+    options.clock = KcParts_Clock;
     options.victim = KcVictim_Policy(settings->victim);
     options.fencing = settings->fencing;
     options.store_share = (uint32_t)settings->store_share;
@@ -182,12 +175,6 @@
                         .counters = &role->parts.counters,
                         .ops = &tcp_ops,
                         .context = role};
-    KcAdminOptions admin = {.loop = role->parts.loop,
-                            .settings = settings,
-                            .counters = &role->parts.counters,
-                            .events = role->parts.events,
-                            .ops = &admin_ops,
-                            .context = role};
     KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
 
     /* The slot's own address is the lock against a second agent. */
@@ -199,13 +186,7 @@
                     settings->links);
         return KC_ERR_INVALID;
     }
-    role->parts.admin = KcAdmin_Create(&admin);
-    if (role->parts.admin == NULL) {
-        KcLog_Write(KC_LOG_ERROR, &fields,
-                    "cannot listen on [listen] admin = %s", settings->admin);
-        return KC_ERR_INVALID;
-    }
-    return 0;
+    return KcParts_OpenAdmin(&role->parts, &admin_ops, role);
 }
 
 static void
@@ -214,9 +195,6 @@
     if (role->listener != NULL) {
         KcTcpListener_Free(role->listener);
     }
-    if (role->parts.admin != NULL) {
-        KcAdmin_Free(role->parts.admin);
-    }
     KcAgent_Free(role->agent);
     KcBackendHttp_Free(role->backend);
     KcParts_Clear(&role->parts);
--- a/programs/process/entry_role.c
+++ b/programs/process/entry_role.c
@@ -169,13 +169,6 @@
 
 /* ---- set-up ------------------------------------------------------------- */
 
-static KcTime
-clock_now(void *context)
-{
-    (void)context;
-    return KcLoop_Now();
-}
-
 static void
 create_entry(EntryRole *role)
 {
@@ -194,7 +187,7 @@
     options.timers = role->parts.loop->timers;
     options.events = role->parts.events;
     options.counters = &role->parts.counters;
-    options.clock = clock_now;
+    options.clock = KcParts_Clock;
     options.policy = KcRoute_Policy(settings->policy);
     options.attempts_max = (uint32_t)settings->attempts_max;
     options.requests_max = (uint32_t)settings->requests_max;
@@ -216,12 +209,6 @@
 {
     const KcSettings *settings = role->parts.settings;
     KcFrontOptions front = {role->parts.loop, settings, role->entry};
-    KcAdminOptions admin = {.loop = role->parts.loop,
-                            .settings = settings,
-                            .counters = &role->parts.counters,
-                            .events = role->parts.events,
-                            .ops = &admin_ops,
-                            .context = role};
     KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
 
     role->front = KcFront_Create(&front);
@@ -232,13 +219,7 @@
                     settings->callers);
         return KC_ERR_INVALID;
     }
-    role->parts.admin = KcAdmin_Create(&admin);
-    if (role->parts.admin == NULL) {
-        KcLog_Write(KC_LOG_ERROR, &fields,
-                    "cannot listen on [listen] admin = %s", settings->admin);
-        return KC_ERR_INVALID;
-    }
-    return 0;
+    return KcParts_OpenAdmin(&role->parts, &admin_ops, role);
 }
 
 static void
@@ -271,9 +252,6 @@
     if (role->front != NULL) {
         KcFront_Free(role->front);
     }
-    if (role->parts.admin != NULL) {
-        KcAdmin_Free(role->parts.admin);
-    }
     KcEntry_Abort(role->entry, KcLoop_Now());
     KcEntry_Free(role->entry);
     KcParts_Clear(&role->parts);
--- a/programs/process/role.c
+++ b/programs/process/role.c
@@ -36,10 +36,41 @@
     return 0;
 }
 
+KcTime
+KcParts_Clock(void *context)
+{
+    (void)context;
+    return KcLoop_Now();
+}
+
+int
+KcParts_OpenAdmin(KcParts *parts, const KcAdminOps *ops, void *role)
+{
+    KcAdminOptions options = {.loop = parts->loop,
+                              .settings = parts->settings,
+                              .counters = &parts->counters,
+                              .events = parts->events,
+                              .ops = ops,
+                              .context = role};
+    KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
+
+    parts->admin = KcAdmin_Create(&options);
+    if (parts->admin == NULL) {
+        KcLog_Write(KC_LOG_ERROR, &fields,
+                    "cannot listen on [listen] admin = %s",
+                    parts->settings->admin);
+        return KC_ERR_INVALID;
+    }
+    return 0;
+}
+
 void
 KcParts_Clear(KcParts *parts)
 {
     KcTimers_Clear(parts->loop->timers, &parts->drain_timer);
+    if (parts->admin != NULL) {
+        KcAdmin_Free(parts->admin);
+    }
     for (int i = 0; i < 2; i++) {
         if (parts->signals[i] != NULL) {
             event_free(parts->signals[i]);
--- a/programs/process/role.h
+++ b/programs/process/role.h
@@ -4,6 +4,7 @@
 #ifndef KCC_ROLE_H
 #define KCC_ROLE_H
 
+#include "admin_http.h"
 #include "loop.h"
 #include "settings.h"
 
@@ -40,6 +41,12 @@
 int KcParts_Init(KcParts *parts, const KcSettings *settings);
 void KcParts_Clear(KcParts *parts);
 
+/* Opens the administrators' address.  Returns 0 or KC_ERR_INVALID, logged. */
+int KcParts_OpenAdmin(KcParts *parts, const KcAdminOps *ops, void *role);
+
+/* The monotonic clock, for the library's options. */
+KcTime KcParts_Clock(void *context);
+
 /* Handles SIGTERM and SIGINT by a planned stop of the role. */
 void KcParts_HandleSignals(KcParts *parts, const KcRoleOps *ops, void *role);
 
--- a/tests/run-tests.sh
+++ b/tests/run-tests.sh
@@ -26,7 +26,9 @@
     out=$("$program" --tap 2>&1)
     count "$(basename "$program")" $? "$out"
 done
-out=$(sh ./check-docs.sh "$BUILD" .. 2>&1)
-count check-docs $? "$out"
+for script in check-docs check-apply; do
+    out=$(sh ./$script.sh "$BUILD" .. 2>&1)
+    count $script $? "$out"
+done
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
