Drop the horizons of entry processes that are gone

Cause: an agent kept, for each entry process that ever asked it, the highest sequence it had forgotten; after 4,096 restarts of entries nothing could be excluded any more. Change: when an entry connects with a new incarnation, what was kept of its earlier processes goes. Conclusion: the state is bounded by the number of entries.

--- a/lib/process/agent_internal.h
+++ b/lib/process/agent_internal.h
@@ -15,6 +15,7 @@
     UT_hash_handle hh;
     uint64_t nonce;
     uint64_t sequence;
+    char entry[KC_NAME_MAX]; /* whose process it was */
 } KcHorizon;
 
 struct KcAgent {
--- a/lib/process/agent_work.c
+++ b/lib/process/agent_work.c
@@ -45,8 +45,9 @@
 
 /* Notes that the record of a work that ran is being dropped. */
 static void
-raise_horizon(KcAgent *agent, const KcRequestId *id)
+raise_horizon(KcAgent *agent, const KcWork *work)
 {
+    const KcRequestId *id = &work->key.request;
     KcHorizon *horizon;
 
     HASH_FIND(hh, agent->horizons, &id->nonce, sizeof(id->nonce), horizon);
@@ -57,6 +58,7 @@
         }
         horizon = KcMem_New(sizeof(*horizon));
         horizon->nonce = id->nonce;
+        KcName_Copy(horizon->entry, work->entry, KC_NAME_MAX);
         HASH_ADD(hh, agent->horizons, nonce, sizeof(horizon->nonce), horizon);
         agent->horizon_count++;
     }
@@ -112,7 +114,7 @@
         agent->options.ops->cancel(agent->options.backend, work);
     }
     if (work->ran) {
-        raise_horizon(agent, &work->key.request);
+        raise_horizon(agent, work);
     }
     leave_list(agent, work);
     KcTimers_Clear(agent->options.timers, &work->timer);
@@ -474,6 +476,24 @@
     }
 }
 
+/* Of an earlier process of an entry nothing will be asked again. */
+static void
+drop_horizons_of(KcAgent *agent, const char *entry, uint64_t incarnation)
+{
+    KcHorizon *horizon;
+    KcHorizon *next;
+
+    HASH_ITER(hh, agent->horizons, horizon, next)
+    {
+        if (horizon->nonce != incarnation &&
+            strcmp(horizon->entry, entry) == 0) {
+            HASH_DEL(agent->horizons, horizon);
+            agent->horizon_count--;
+            free(horizon);
+        }
+    }
+}
+
 void
 KcAgentWork_AbandonOf(KcAgent *agent, const char *entry, uint64_t incarnation,
                       KcTime now)
@@ -488,6 +508,7 @@
             abandon(agent, work, now);
         }
     }
+    drop_horizons_of(agent, entry, incarnation);
     KcAgentSchedule_Pump(agent, now);
 }
 
