Free the connection of every HTTP call, also of one that never connected

Cause: evhttp frees a connection by itself after an answer, not after a failed connect: each call during an outage of the object API left 1.4 KB behind, and cancelled calls were left at the end of a process. Change: a call and its connection are taken down together after the round of the loop in which the call ended.

--- a/programs/kcc/call_command.c
+++ b/programs/kcc/call_command.c
@@ -84,7 +84,7 @@
         arguments->model != NULL ? model_body(arguments, text) : strdup(text);
     options.body = (KcBytes){body, strlen(body)};
     printing.loop = KcLoop_Create();
-    options.base = printing.loop->base;
+    options.loop = printing.loop;
     if (KcHttpCall_Start(&options) != NULL) {
         KcLoop_Run(printing.loop);
     }
--- a/programs/kcc/client.c
+++ b/programs/kcc/client.c
@@ -39,7 +39,7 @@
     Waiting waiting = {KcLoop_Create(), answer};
 
     memset(answer, 0, sizeof(*answer));
-    copy.base = waiting.loop->base;
+    copy.loop = waiting.loop;
     if (copy.timeout == 0) {
         copy.timeout = TIMEOUT;
     }
--- a/programs/process/instances_http.c
+++ b/programs/process/instances_http.c
@@ -115,7 +115,7 @@
 poll_list(KcTimer *timer, KcTime now)
 {
     KcInstances *instances = timer->owner;
-    KcHttpOptions options = {.base = instances->options.loop->base,
+    KcHttpOptions options = {.loop = instances->options.loop,
                              .address = instances->address,
                              .method = "GET",
                              .path = "/v1/instances",
--- a/programs/process/loop.c
+++ b/programs/process/loop.c
@@ -42,15 +42,34 @@
         free(loop);
         return NULL;
     }
+    TAILQ_INIT(&loop->retired);
     loop->timers = KcTimers_Create(KcLoop_Now());
     loop->wake = evtimer_new(loop->base, on_wake, loop);
     loop->wall_offset = read_clock(CLOCK_REALTIME) - KcLoop_Now();
     return loop;
 }
 
+void
+KcLoop_Retire(KcLoop *loop, KcRetired *retired)
+{
+    TAILQ_INSERT_TAIL(&loop->retired, retired, link);
+}
+
+static void
+take_down_retired(KcLoop *loop)
+{
+    KcRetired *retired;
+
+    while ((retired = TAILQ_FIRST(&loop->retired)) != NULL) {
+        TAILQ_REMOVE(&loop->retired, retired, link);
+        retired->take_down(retired);
+    }
+}
+
 void
 KcLoop_Free(KcLoop *loop)
 {
+    take_down_retired(loop);
     event_free(loop->wake);
     KcTimers_Free(loop->timers);
     event_base_free(loop->base);
@@ -84,6 +103,7 @@
         KcTimers_Run(loop->timers, KcLoop_Now());
         arm_wake(loop);
         event_base_loop(loop->base, EVLOOP_ONCE);
+        take_down_retired(loop);
     }
 }
 
--- a/programs/process/loop.h
+++ b/programs/process/loop.h
@@ -9,11 +9,20 @@
 
 #include <kcc.h>
 
+/* Something to be taken down when no callback of it can be running. */
+typedef struct KcRetired {
+    TAILQ_ENTRY(KcRetired) link;
+    void (*take_down)(struct KcRetired *retired);
+} KcRetired;
+
+TAILQ_HEAD(KcRetiredList, KcRetired);
+
 typedef struct KcLoop {
     struct event_base *base;
     KcTimers *timers;
     struct event *wake;  /* due when the next timer is */
     int64_t wall_offset; /* wall clock minus monotonic clock */
+    struct KcRetiredList retired;
     bool stop;
 } KcLoop;
 
@@ -28,6 +37,10 @@
 void KcLoop_Run(KcLoop *loop);
 void KcLoop_Stop(KcLoop *loop);
 
+/* Takes something down after the present round of the loop, at the latest
+ * by KcLoop_Free(). */
+void KcLoop_Retire(KcLoop *loop, KcRetired *retired);
+
 /* Random bits for names that must not repeat, from the operating system. */
 uint64_t KcLoop_Random(void);
 
--- a/programs/process/objects_http.c
+++ b/programs/process/objects_http.c
@@ -124,7 +124,7 @@
     ObjectCall *call = KcMem_New(sizeof(*call));
     struct timeval at_once = {0, 0};
 
-    options->base = objects->options.loop->base;
+    options->loop = objects->options.loop;
     options->address = objects->address;
     call->objects = objects;
     call->done = done;
@@ -133,8 +133,8 @@
     TAILQ_INSERT_TAIL(&objects->calls, call, link);
     call->http = KcHttpCall_Fetch(options, on_answer, call);
     if (call->http == NULL) {
-        event_base_once(options->base, -1, EV_TIMEOUT, on_not_started, call,
-                        &at_once);
+        event_base_once(options->loop->base, -1, EV_TIMEOUT, on_not_started,
+                        call, &at_once);
     }
 }
 
--- a/programs/request/backend_call.c
+++ b/programs/request/backend_call.c
@@ -96,7 +96,7 @@
 {
     Order *order = KcMem_New(sizeof(*order));
     char *text = json_dumps(json, JSON_COMPACT);
-    KcHttpOptions options = {.base = backend->loop->base,
+    KcHttpOptions options = {.loop = backend->loop,
                              .address = backend->settings->backend,
                              .method = "POST",
                              .path = path,
@@ -167,7 +167,7 @@
     KcBackendHttp *backend = context;
     json_t *json = eviction("", fence);
     char *text = json_dumps(json, JSON_COMPACT);
-    KcHttpOptions options = {.base = backend->loop->base,
+    KcHttpOptions options = {.loop = backend->loop,
                              .address = backend->settings->backend,
                              .method = "POST",
                              .path = "/v1/unload_lora_adapter",
@@ -242,7 +242,7 @@
 inspect(void *context)
 {
     KcBackendHttp *backend = context;
-    KcHttpOptions options = {.base = backend->loop->base,
+    KcHttpOptions options = {.loop = backend->loop,
                              .address = backend->settings->backend,
                              .method = "GET",
                              .path = "/v1/adapters",
--- a/programs/request/engine_call.c
+++ b/programs/request/engine_call.c
@@ -217,7 +217,7 @@
     KcBackendCall *call = KcBackendCall_Create(backend, work);
     char *text = engine_body(work);
     char id[KC_REQUEST_ID_TEXT];
-    KcHttpOptions options = {.base = backend->loop->base,
+    KcHttpOptions options = {.loop = backend->loop,
                              .address = backend->settings->backend,
                              .method = "POST",
                              .path = work->path,
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -1,9 +1,9 @@
 /*
  * One HTTP request as a client, over evhttp.
  *
- * Each call has a connection of its own, which evhttp frees with it.  A call
- * that is cancelled from within one of its own callbacks is taken down from
- * the event loop, since evhttp still uses it until the callback returns.
+ * Each call has a connection of its own.  Both are taken down after the round
+ * of the loop in which the call ended or was cancelled, since evhttp still
+ * uses them until its callback returns.
  */
 #include "http_call.h"
 
@@ -15,19 +15,19 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../process/loop.h"
-
 struct KcHttpCall {
     KcHttpOps ops;
     void *context;
-    struct event_base *base;
+    KcLoop *loop;
+    KcRetired retired;
     struct evhttp_connection *connection;
     struct evhttp_request *request;
-    bool sent;      /* a byte of the request has left */
-    bool cancelled; /* nothing more is reported */
-    bool failed;    /* evhttp reported an error */
-    bool starting;  /* within KcHttpCall_Start() */
-    bool over;      /* evhttp is done with the request */
+    bool sent;       /* a byte of the request has left */
+    bool cancelled;  /* nothing more is reported */
+    bool failed;     /* evhttp reported an error */
+    bool starting;   /* within KcHttpCall_Start() */
+    bool over;       /* evhttp is done with the request */
+    bool unreported; /* it failed while it was being started */
 };
 
 /* A call whose answer is collected. */
@@ -114,15 +114,15 @@
     bool whole = request != NULL && !call->failed &&
                  evhttp_request_get_response_code(request) != 0;
 
-    if (request != NULL && whole) {
+    if (whole) {
         on_chunk(request, call);
     }
     call->over = true;
     if (call->cancelled || call->starting) {
-        return; /* freed by take_down() or report_later() */
+        return; /* it is retired already, or about to be */
     }
     call->ops.done(call->context, whole ? 0 : KC_ERR_LOST, call->sent);
-    free(call);
+    KcLoop_Retire(call->loop, &call->retired);
 }
 
 /* Bytes have left the connection's buffer for the socket. */
@@ -166,7 +166,6 @@
     struct timeval wait = {timeout / KC_SECOND, timeout % KC_SECOND};
 
     evhttp_connection_set_timeout_tv(call->connection, &wait);
-    evhttp_connection_free_on_completion(call->connection);
     evbuffer_add_cb(bufferevent_get_output(bev), on_output, call);
 }
 
@@ -181,24 +180,29 @@
     return request;
 }
 
-/* Reports a call that failed while it was being started. */
+/* Frees a call; one that failed while it was being started is reported. */
 static void
-report_failure(evutil_socket_t fd, short what, void *context)
+take_down(KcRetired *retired)
 {
-    KcHttpCall *call = context;
+    KcHttpCall *call =
+        (KcHttpCall *)((char *)retired - offsetof(KcHttpCall, retired));
 
-    (void)fd;
-    (void)what;
-    if (!call->cancelled) {
+    if (call->unreported && !call->cancelled) {
         call->ops.done(call->context, KC_ERR_LOST, false);
-        free(call);
     }
+    if (!call->over) {
+        evhttp_cancel_request(call->request);
+    }
+    evhttp_connection_free(call->connection);
+    if (call->cancelled && call->ops.dropped != NULL) {
+        call->ops.dropped(call->context);
+    }
+    free(call);
 }
 
 KcHttpCall *
 KcHttpCall_Start(const KcHttpOptions *options)
 {
-    struct timeval at_once = {0, 0};
     enum evhttp_cmd_type method;
     char host[KC_ADDRESS_MAX];
     uint16_t port;
@@ -211,9 +215,10 @@
     call = KcMem_New(sizeof(*call));
     call->ops = *options->ops;
     call->context = options->context;
-    call->base = options->base;
+    call->loop = options->loop;
+    call->retired.take_down = take_down;
     call->connection = evhttp_connection_base_bufferevent_new(
-        options->base, NULL, NULL, host, port);
+        options->loop->base, NULL, NULL, host, port);
     set_up_connection(call, options->timeout);
     call->request = new_request(call);
     set_headers(call->request, options);
@@ -224,35 +229,19 @@
     }
     call->starting = false;
     if (call->over) {
-        event_base_once(call->base, -1, EV_TIMEOUT, report_failure, call,
-                        &at_once);
+        call->unreported = true;
+        KcLoop_Retire(call->loop, &call->retired);
     }
     return call;
 }
 
-static void
-take_down(evutil_socket_t fd, short what, void *context)
-{
-    KcHttpCall *call = context;
-
-    (void)fd;
-    (void)what;
-    if (!call->over) {
-        evhttp_cancel_request(call->request);
-    }
-    if (call->ops.dropped != NULL) {
-        call->ops.dropped(call->context);
-    }
-    free(call);
-}
-
 void
 KcHttpCall_Cancel(KcHttpCall *call)
 {
-    struct timeval at_once = {0, 0};
-
     call->cancelled = true;
-    event_base_once(call->base, -1, EV_TIMEOUT, take_down, call, &at_once);
+    if (!call->unreported) {
+        KcLoop_Retire(call->loop, &call->retired);
+    }
 }
 
 void
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -5,9 +5,7 @@
 #ifndef KCC_HTTP_CALL_H
 #define KCC_HTTP_CALL_H
 
-#include <event2/event.h>
-
-#include <kcc.h>
+#include "../process/loop.h"
 
 typedef struct KcHttpCall KcHttpCall;
 
@@ -40,7 +38,7 @@
 #define KC_HTTP_HEADERS_MAX 6
 
 typedef struct KcHttpOptions {
-    struct event_base *base;
+    KcLoop *loop;
     const char *address; /* "address:port" */
     const char *method;
     const char *path;
--- a/programs/request/service_call.c
+++ b/programs/request/service_call.c
@@ -48,7 +48,7 @@
     KcBackendCall *call = KcBackendCall_Create(backend, work);
     char id[KC_REQUEST_ID_TEXT];
     KcHttpOptions options = {
-        .base = backend->loop->base,
+        .loop = backend->loop,
         .address = backend->settings->backend,
         .method = work->method,
         .path = work->path,
--- a/tests/bench/bench_daemons.c
+++ b/tests/bench/bench_daemons.c
@@ -120,7 +120,7 @@
 {
     Timing *timing = KcMem_New(sizeof(*timing));
     char body[256];
-    KcHttpOptions options = {.base = batch->loop->base,
+    KcHttpOptions options = {.loop = batch->loop,
                              .address = address,
                              .method = "POST",
                              .path = "/v1/completions",
--- a/tests/daemons/load.c
+++ b/tests/daemons/load.c
@@ -82,7 +82,7 @@
           const char *body)
 {
     KcHttpOptions options = {
-        .base = load->loop->base,
+        .loop = load->loop,
         .address = Fleet_Address(load->fleet, FLEET_ENTRY, entry),
         .method = "POST",
         .path = path,
