Let the daemons' tests notice a process that did not start

Cause: stand-ins left over from a test that was killed answered in place of new ones, and 68 calls were told duplicate. Change: after the start every process must still run. Conclusion: such a run now stops with the address that was taken.

--- a/tests/daemons/fleet.c
+++ b/tests/daemons/fleet.c
@@ -345,6 +345,22 @@
     g_free(list);
 }
 
+/* A process that ended at once found its address taken: what answers there
+ * is not ours. */
+static void
+check_running(Fleet *fleet)
+{
+    for (uint32_t i = 0; i < fleet->count; i++) {
+        Process *process = &fleet->processes[i];
+        int status;
+
+        if (waitpid(process->pid, &status, WNOHANG) != 0) {
+            g_error("process %d %u did not start on %s", (int)process->role,
+                    process->number, process->address);
+        }
+    }
+}
+
 Fleet *
 Fleet_Start(const FleetOptions *options)
 {
@@ -369,6 +385,7 @@
     apply[2] = fleet->directory;
     g_assert_cmpint(Fleet_Kcc(fleet, apply, NULL, 0), ==, 0);
     await_in_force(fleet);
+    check_running(fleet);
     return fleet;
 }
 
