Try broken frames and every operator's command against running daemons

Cause: broken frames were tried against the decoder only; timeline, explain, call and drain were run by the demo only. Change: six kinds of bytes that no entry sends, each while a stream of another connection goes on; fifteen commands with their status and output; what was drained ends by itself with status 0.

--- a/tests/daemons/test_callers.c
+++ b/tests/daemons/test_callers.c
@@ -228,11 +228,136 @@
     Fleet_Stop(fleet);
 }
 
+/* Bytes that no entry sends: the agent ends that connection and no other. */
+static const struct {
+    const char *name;
+    const char *bytes;
+    size_t size;
+} frame_cases[] = {
+    {"empty frame", "\0\0\0\0", 4},
+    {"oversized frame", "\x7f\xff\xff\xff", 4},
+    {"not msgpack", "\0\0\0\x02\xc1\xc1", 6},
+    {"unknown type", "\0\0\0\x05\x94\x7f\0\0\0", 9},
+    {"message before hello", "\0\0\0\x05\x94\x0f\0\0\0", 9},
+    {"HTTP", "GET / HTTP/1.1\r\n\r\n", 18},
+};
+
+static void
+test_bad_frames(void)
+{
+    FleetOptions options = {.port = 22400,
+                            .entries = 1,
+                            .model_agents = 1,
+                            .plain_agents = 1,
+                            .engine_knobs = "token_ms=100"};
+    Fleet *fleet = Fleet_Start(&options);
+    const char *entry = Fleet_Address(fleet, FLEET_ENTRY, 0);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(frame_cases); i++) {
+        int stream = connect_to(entry);
+        int fd = connect_to(Fleet_Address(fleet, FLEET_AGENT, 0));
+        GString *answer;
+
+        g_test_message("%s", frame_cases[i].name);
+        send(stream, GOOD, strlen(GOOD), MSG_NOSIGNAL);
+        send(fd, frame_cases[i].bytes, frame_cases[i].size, MSG_NOSIGNAL);
+        answer = read_answer(fd, "never", 1); /* until it is closed */
+        g_string_free(answer, TRUE);
+        close(fd);
+        answer = read_answer(stream, "\"finish_reason\":\"stop\"", 1);
+        g_assert_nonnull(strstr(answer->str, "\"finish_reason\":\"stop\""));
+        g_string_free(answer, TRUE);
+        close(stream);
+    }
+    Fleet_Stop(fleet);
+}
+
+/* The operators' commands against a running service. */
+static const struct {
+    const char *name;
+    const char *arguments[6];
+    int status;
+    const char *expected; /* in what is printed */
+} command_cases[] = {
+    {"status", {"status"}, 0, "in force"},
+    {"get", {"get", "capacity"}, 0, "slots = 8"},
+    {"call", {"call", "--model", "a3@2", "hello"}, 0, "a3@2/"},
+    {"call, streamed",
+     {"call", "--model", "a3", "--stream", "hello"},
+     0,
+     "[DONE]"},
+    {"call of nothing",
+     {"call", "--model", "zz", "hello"},
+     1,
+     "unknown_model"},
+    {"plain call",
+     {"call", "--path", "/print/x", "--key", "k1", "hello"},
+     0,
+     "accepted"},
+    {"the same key",
+     {"call", "--path", "/print/x", "--key", "k1", "hello"},
+     1,
+     "\"earlier_call\":\"answered\""},
+    {"time line", {"timeline", "--adapter", "a3"}, 0, "first_byte"},
+    {"time line of a generation",
+     {"timeline", "--generation", "1"},
+     0,
+     "adopt"},
+    {"time line for viewers", {"timeline", "--json"}, 0, "\"traceEvents\""},
+    {"time line of nothing", {"timeline", "--adapter", "yy"}, 1, ""},
+    {"explain an adapter", {"explain", "--adapter", "a3"}, 0, "a3@2 is ready"},
+    {"explain one that is nowhere",
+     {"explain", "--adapter", "a9"},
+     1,
+     "loaded nowhere"},
+    {"drain nobody", {"drain", "nobody"}, 1, ""},
+    {"drain", {"drain", "agent-0"}, 0, "draining"},
+};
+
+static void
+run_command(Fleet *fleet, size_t i)
+{
+    static char output[65536];
+    const char *arguments[10];
+    int count = 0;
+    int status;
+
+    for (int j = 0; j < 6 && command_cases[i].arguments[j] != NULL; j++) {
+        arguments[count++] = command_cases[i].arguments[j];
+    }
+    if (strcmp(arguments[0], "call") == 0) {
+        arguments[count++] = "--entry";
+        arguments[count++] = Fleet_Address(fleet, FLEET_ENTRY, 0);
+    }
+    arguments[count] = NULL;
+    status = Fleet_Kcc(fleet, arguments, output, sizeof(output));
+    g_test_message("%s: %d", command_cases[i].name, status);
+    g_assert_cmpint(status, ==, command_cases[i].status);
+    g_assert_nonnull(strstr(output, command_cases[i].expected));
+}
+
+static void
+test_commands(void)
+{
+    FleetOptions options = {
+        .port = 22500, .entries = 1, .model_agents = 1, .plain_agents = 1};
+    Fleet *fleet = Fleet_Start(&options);
+
+    for (size_t i = 0; i < G_N_ELEMENTS(command_cases); i++) {
+        run_command(fleet, i);
+    }
+    /* What was drained ends by itself, cleanly. */
+    g_assert_cmpint(Fleet_Wait(fleet, FLEET_AGENT, 0), ==, 0);
+    Fleet_Stop(fleet);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/callers/cases", test_cases);
     g_test_add_func("/callers/slow", test_slow_callers);
+    g_test_add_func("/callers/bad_frames", test_bad_frames);
+    g_test_add_func("/callers/commands", test_commands);
     return g_test_run();
 }
