Catch the mutant that sends no credit after a resume

Change: a case that cuts the connection at eight times of a slow reader's pace and keeps it away until the reader has taken everything.

--- a/tests/cases/test_faults.c
+++ b/tests/cases/test_faults.c
@@ -382,6 +382,39 @@
     World_Free(world);
 }
 
+/*
+ * A reader takes all it has while its connection is away: what it took must
+ * be credited on the new one, or the agent would wait for ever.  The times
+ * of the cut sweep over the reader's pace.
+ */
+static void
+test_credit_while_away(void)
+{
+    for (int i = 0; i < 8; i++) {
+        WorldOptions options;
+        WorldCaller *caller;
+        World *world;
+
+        WorldOptions_Init(&options);
+        options.entries = 1;
+        options.model_agents = 1;
+        options.tokens = 60;
+        world = World_Create(&options);
+        World_Advance(world, KC_SECOND);
+        caller = World_CallModel(World_Entry(world, 0), 0, 2, 4);
+        World_SetSlowReader(caller, true);
+        World_Advance(world, KC_SECOND + i * 50 * KC_MS);
+        World_Stall(World_Entry(world, 0), World_Agent(world, 0), true);
+        World_Cut(World_Entry(world, 0), World_Agent(world, 0));
+        World_Advance(world, 700 * KC_MS);
+        World_Stall(World_Entry(world, 0), World_Agent(world, 0), false);
+        World_Advance(world, REST);
+        g_assert_cmpstr(Oracle_CheckAtRest(world, false), ==, NULL);
+        g_assert_cmpuint(count_answered(world), ==, 1);
+        World_Free(world);
+    }
+}
+
 int
 main(int argc, char **argv)
 {
@@ -390,5 +423,6 @@
     g_test_add_func("/faults/twice", test_twice);
     g_test_add_func("/faults/in_pairs", test_in_pairs);
     g_test_add_func("/faults/late_eviction", test_late_eviction);
+    g_test_add_func("/faults/credit_while_away", test_credit_while_away);
     return g_test_run();
 }
