Split the tests of lib/process by job

Change: test_routing.c (routing, limits), test_residency.c (victims, failed loads, slots, pace), test_process.c (leases, events).

--- /dev/null
+++ b/tests/process/test_residency.c
@@ -0,0 +1,212 @@
+/*
+ * Tests of residency: victims, failed loads, slots, the pace of loads.
+ */
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <kcc.h>
+
+/* ---- residency ---------------------------------------------------------- */
+
+static KcSlot *
+load_model(KcResidency *residency, const char *name, KcTime now)
+{
+    KcModelRef ref = {.version = 1};
+    KcModelState *model;
+    KcSlot *slot = KcResidency_Victim(residency, false, now);
+
+    KcName_Copy(ref.adapter, name, KC_NAME_MAX);
+    model = KcResidency_Model(residency, &ref, now);
+    if (slot->state != KC_SLOT_EMPTY) {
+        KcResidency_BeginEvict(residency, slot, now);
+        KcResidency_EndEvict(slot);
+    }
+    KcResidency_BeginLoad(residency, slot, model, 1, now);
+    KcResidency_EndLoad(slot, 0, now);
+    return slot;
+}
+
+/* Uses of three loaded adapters a, b, c; which one each policy gives up. */
+static const struct {
+    const char *policy;
+    const char *uses; /* one letter a second */
+    const char *pinned;
+    char victim; /* '-': none */
+} victim_cases[] = {
+    {"lru", "abc", "", 'a'},    {"lru", "abca", "", 'b'},
+    {"lfu", "aabbc", "", 'c'},  {"lfu", "aaabccc", "", 'b'},
+    {"gdsf", "aabbc", "", 'c'}, {"kcc", "aaaabbbbc", "", 'c'},
+    {"kcc", "abc", "a", 'b'},   {"kcc", "abc", "ab", 'c'},
+    {"kcc", "abc", "abc", '-'}, {"lru", "abc", "abc", '-'},
+};
+
+static void
+test_victims(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(victim_cases); i++) {
+        KcResidency residency;
+        KcSlot *slots[3];
+        KcSlot *victim;
+        KcTime now = KC_SECOND;
+
+        KcResidency_Init(&residency, 3,
+                         KcVictim_Policy(victim_cases[i].policy));
+        for (int j = 0; j < 3; j++) {
+            char name[2] = {(char)('a' + j), '\0'};
+
+            slots[j] = load_model(&residency, name, now);
+        }
+        for (const char *use = victim_cases[i].uses; *use != '\0'; use++) {
+            KcSlot *slot = slots[*use - 'a'];
+
+            now += KC_SECOND;
+            KcResidency_Use(slot->model, now);
+            KcResidency_Pin(&residency, slot, now);
+            KcResidency_Unpin(slot);
+        }
+        for (const char *pin = victim_cases[i].pinned; *pin != '\0'; pin++) {
+            KcResidency_Pin(&residency, slots[*pin - 'a'], now);
+        }
+        victim = KcResidency_Victim(&residency, false, now + KC_SECOND);
+        g_test_message("%s after %s", victim_cases[i].policy,
+                       victim_cases[i].uses);
+        g_assert_cmpint(victim != NULL ? victim->model->key[0] : '-', ==,
+                        victim_cases[i].victim);
+        KcResidency_Clear(&residency);
+    }
+}
+
+/* Failed loads: the delay before the next try. */
+static const struct {
+    int failures;
+    KcTime delay;
+} failure_cases[] = {
+    {1, 500 * KC_MS},
+    {2, KC_SECOND},
+    {3, 2 * KC_SECOND},
+    {30, 60 * KC_SECOND},
+};
+
+static void
+test_failed_loads(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(failure_cases); i++) {
+        KcResidency residency;
+        KcModelRef ref = {"a", 1};
+        KcModelState *model;
+
+        KcResidency_Init(&residency, 1, KcVictim_Policy("kcc"));
+        model = KcResidency_Model(&residency, &ref, 0);
+        for (int j = 0; j < failure_cases[i].failures; j++) {
+            KcSlot *slot = KcResidency_Victim(&residency, false, 0);
+
+            KcResidency_BeginLoad(&residency, slot, model, 1, 0);
+            KcResidency_EndLoad(slot, KC_ERR_BACKEND, 0);
+        }
+        g_assert_cmpint(model->retry_at, ==, failure_cases[i].delay);
+        KcResidency_Clear(&residency);
+    }
+}
+
+/* The number of slots follows the document, but never under a pin. */
+static void
+test_resize(void)
+{
+    KcResidency residency;
+    KcSlot *slot;
+
+    KcResidency_Init(&residency, 2, KcVictim_Policy("kcc"));
+    slot = load_model(&residency, "a", KC_SECOND);
+    KcResidency_Pin(&residency, slot, KC_SECOND);
+    KcResidency_Resize(&residency, 3);
+    g_assert_cmpuint(residency.slot_count, ==, 3);
+    KcResidency_Resize(&residency, 1);
+    g_assert_null(KcResidency_Trim(&residency, KC_SECOND));
+    g_assert_cmpuint(residency.slot_count, ==, 1);
+    g_assert_cmpint(slot->state, ==, KC_SLOT_READY);
+    KcResidency_Unpin(slot);
+    KcResidency_Clear(&residency);
+}
+
+/* What the engine lost stays pinned until its calls have ended. */
+static void
+test_forget_pinned(void)
+{
+    KcResidency residency;
+    KcSlot *slot;
+
+    KcResidency_Init(&residency, 1, KcVictim_Policy("kcc"));
+    slot = load_model(&residency, "a", KC_SECOND);
+    KcResidency_Pin(&residency, slot, KC_SECOND);
+    KcResidency_Forget(slot);
+    g_assert_false(KcResidency_Ready(slot->model));
+    g_assert_null(KcResidency_Victim(&residency, false, KC_SECOND));
+    KcResidency_Unpin(slot);
+    g_assert_cmpint(slot->state, ==, KC_SLOT_EMPTY);
+    KcResidency_Clear(&residency);
+}
+
+/* Ends of loads one after the other, and the interval that follows. */
+static const struct {
+    const char *ends; /* g: good, f: failed */
+    KcTime interval;
+} pace_cases[] = {
+    {"", 0},
+    {"g", 0},
+    {"f", 250 * KC_MS},
+    {"ff", 500 * KC_MS},
+    {"ffg", 250 * KC_MS},
+    {"ffgggg", 0},
+    {"ffffffffffff", 8 * KC_SECOND},
+};
+
+static void
+test_pace(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(pace_cases); i++) {
+        KcTime now = KC_SECOND;
+        KcPace pace;
+
+        KcPace_Init(&pace, 250 * KC_MS, 2 * KC_SECOND);
+        for (const char *end = pace_cases[i].ends; *end != '\0'; end++) {
+            now = pace.next > now ? pace.next : now;
+            g_assert_true(KcPace_Allows(&pace, now));
+            KcPace_Begin(&pace, now);
+            KcPace_End(&pace, *end == 'f' ? KC_ERR_BACKEND : 0, now);
+        }
+        g_assert_cmpint(pace.interval, ==, pace_cases[i].interval);
+        if (pace.interval > 0) {
+            g_assert_false(KcPace_Allows(&pace, now));
+        }
+    }
+}
+
+/* Two loads at once, and no more. */
+static void
+test_pace_in_flight(void)
+{
+    KcPace pace;
+
+    KcPace_Init(&pace, 250 * KC_MS, 2 * KC_SECOND);
+    KcPace_Begin(&pace, 0);
+    g_assert_true(KcPace_Allows(&pace, 0));
+    KcPace_Begin(&pace, 0);
+    g_assert_false(KcPace_Allows(&pace, 60 * KC_SECOND));
+    KcPace_End(&pace, 0, KC_SECOND);
+    g_assert_true(KcPace_Allows(&pace, KC_SECOND));
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    g_test_add_func("/process/victims", test_victims);
+    g_test_add_func("/process/failed_loads", test_failed_loads);
+    g_test_add_func("/process/resize", test_resize);
+    g_test_add_func("/process/forget_pinned", test_forget_pinned);
+    g_test_add_func("/process/pace", test_pace);
+    g_test_add_func("/process/pace_in_flight", test_pace_in_flight);
+    return g_test_run();
+}
