--- a/tests/daemons/test_callers.c
+++ b/tests/daemons/test_callers.c
@@ -318,14 +318,14 @@
 run_command(Fleet *fleet, size_t i)
 {
     static char output[65536];
-    const char *arguments[10];
+    const char *arguments[10] = {NULL};
     int count = 0;
     int status;
 
     for (int j = 0; j < 6 && command_cases[i].arguments[j] != NULL; j++) {
         arguments[count++] = command_cases[i].arguments[j];
     }
-    if (strcmp(arguments[0], "call") == 0) {
+    if (g_strcmp0(arguments[0], "call") == 0) {
         arguments[count++] = "--entry";
         arguments[count++] = Fleet_Address(fleet, FLEET_ENTRY, 0);
     }
