Give entries and agents one piece of code for membership

Cause: entry.c and agent.c each made the document watch and the lease from the same seventeen options, each held the same defaults, and the two roles of kccd, the emulator and a test each set those options one by one. The claim, the watch and the lease were given a clock by three thunks, though a claim already had a context for its clock. apply_document() worked out the share of the link that KcEntry_OnInstances() works out right after it. Change: KcMemberOptions, embedded in both roles' options, and member.c creates sync and lease from them; KcMemberOps is what differs. KcParts and the emulator fill it in one place each. Sync and lease take a clock_context as claims do. The doubled share of the link is worked out once.

--- a/lib/process/agent.c
+++ b/lib/process/agent.c
@@ -14,6 +14,7 @@
 KcAgentOptions_Init(KcAgentOptions *options)
 {
     memset(options, 0, sizeof(*options));
+    KcMemberOptions_Init(&options->member);
     options->victim = KcVictim_Policy("kcc");
     options->fencing = true;
     options->store_share = 1;
@@ -21,11 +22,6 @@
     options->detach = 5 * KC_SECOND;
     options->retain = 60 * KC_SECOND;
     options->inspect = 1 * KC_SECOND;
-    options->lease_ttl = 15 * KC_SECOND;
-    options->lease_margin = 3 * KC_SECOND;
-    options->lease_renew = 5 * KC_SECOND;
-    options->confirm_spread = 4 * KC_SECOND;
-    options->sync_retry = 500 * KC_MS;
     options->window = 64 * 1024;
     options->order.priority_step_ms = 1000;
     options->order.share_step_ms = 500;
@@ -62,14 +58,6 @@
     return NULL;
 }
 
-static KcTime
-clock_of(void *context)
-{
-    KcAgent *agent = context;
-
-    return agent->options.clock(agent->options.context);
-}
-
 static void
 on_lease(void *context, uint64_t fence, KcTime now)
 {
@@ -82,49 +70,13 @@
     }
 }
 
-static void
-create_lease(KcAgent *agent)
-{
-    const KcAgentOptions *options = &agent->options;
-    KcRequestId token = {options->incarnation, 0};
-    KcLeaseOptions lease = {.object_ops = options->object_ops,
-                            .objects = options->objects,
-                            .timers = options->timers,
-                            .events = options->events,
-                            .name = options->name,
-                            .holder = options->name,
-                            .role = "agent",
-                            .datacentre = options->datacentre,
-                            .admin =
-                                options->admin != NULL ? options->admin : "",
-                            .token = &token,
-                            .ttl = options->lease_ttl,
-                            .margin = options->lease_margin,
-                            .renew = options->lease_renew,
-                            .confirm_spread = options->confirm_spread,
-                            .wall_offset = options->wall_offset,
-                            .seed = options->incarnation,
-                            .clock = clock_of,
-                            .changed = on_lease,
-                            .context = agent};
-
-    agent->lease = KcLease_Create(&lease);
-}
+static const KcMemberOps member_ops = {"agent", adopt_document, peer_of,
+                                       on_lease};
 
 KcAgent *
 KcAgent_Create(const KcAgentOptions *options)
 {
     KcAgent *agent = KcMem_New(sizeof(*agent));
-    KcSyncOptions sync = {.object_ops = options->object_ops,
-                          .objects = options->objects,
-                          .timers = options->timers,
-                          .events = options->events,
-                          .counters = options->counters,
-                          .retry = options->sync_retry,
-                          .clock = clock_of,
-                          .adopt = adopt_document,
-                          .peer = peer_of,
-                          .context = agent};
 
     agent->options = *options;
     TAILQ_INIT(&agent->links);
@@ -133,8 +85,8 @@
     TAILQ_INIT(&agent->running);
     TAILQ_INIT(&agent->ended);
     KcAgentSchedule_Init(agent);
-    agent->sync = KcSync_Create(&sync);
-    create_lease(agent);
+    agent->sync = KcMember_CreateSync(&options->member, &member_ops, agent);
+    agent->lease = KcMember_CreateLease(&options->member, &member_ops, agent);
     return agent;
 }
 
@@ -176,7 +128,7 @@
 void
 KcAgent_Free(KcAgent *agent)
 {
-    KcTime now = clock_of(agent);
+    KcTime now = KcMember_Now(&agent->options.member);
     KcLink *link;
     KcWork *work;
     KcWork *next;
@@ -189,8 +141,8 @@
     {
         KcAgentWork_Forget(agent, work, now);
     }
-    KcTimers_Clear(agent->options.timers, &agent->inspect_timer);
-    KcTimers_Clear(agent->options.timers, &agent->pump_timer);
+    KcTimers_Clear(agent->options.member.timers, &agent->inspect_timer);
+    KcTimers_Clear(agent->options.member.timers, &agent->pump_timer);
     KcSync_Free(agent->sync);
     KcLease_Free(agent->lease);
     KcDocument_Release(agent->document);
@@ -214,7 +166,8 @@
     KcAgent *agent = context;
 
     msg->generation = KcSync_Generation(agent->sync);
-    msg->clock = KcEvents_Clock(agent->options.events, clock_of(agent));
+    msg->clock = KcEvents_Clock(agent->options.member.events,
+                                KcMember_Now(&agent->options.member));
 }
 
 void
@@ -227,8 +180,8 @@
     link->stamp = stamp;
     link->stamp_context = agent;
     TAILQ_INSERT_TAIL(&agent->links, link, link);
-    KcName_Copy(msg.u.hello.name, agent->options.name, KC_NAME_MAX);
-    msg.u.hello.incarnation = agent->options.incarnation;
+    KcName_Copy(msg.u.hello.name, agent->options.member.name, KC_NAME_MAX);
+    msg.u.hello.incarnation = agent->options.member.incarnation;
     msg.u.hello.protocol = KC_PROTOCOL_VERSION;
     KcLink_Send(link, &msg);
 }
@@ -240,7 +193,7 @@
                         .generation = KcSync_Generation(agent->sync),
                         .detail = code};
 
-    KcEvents_Add(agent->options.events, KC_EVENT_LINK_LOST, now, &info);
+    KcEvents_Add(agent->options.member.events, KC_EVENT_LINK_LOST, now, &info);
     release_link(agent, link, now);
 }
 
@@ -277,7 +230,7 @@
     KcEventInfo info = {.peer = link->peer,
                         .generation = KcSync_Generation(agent->sync)};
 
-    KcEvents_Add(agent->options.events, KC_EVENT_LINK_UP, now, &info);
+    KcEvents_Add(agent->options.member.events, KC_EVENT_LINK_UP, now, &info);
     supersede(agent, link, now);
     KcAgentWork_AbandonOf(agent, link->peer, link->peer_incarnation, now);
     if (agent->draining) {
@@ -314,9 +267,10 @@
     KcError error;
     KcMsg pong = {.type = KC_MSG_PONG};
 
-    KcEvents_Observe(agent->options.events, msg->clock, now);
+    KcEvents_Observe(agent->options.member.events, msg->clock, now);
     if (KcLink_Receive(link, msg, &stream, now, &error) != 0) {
-        KcCounters_Add(agent->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
+        KcCounters_Add(agent->options.member.counters,
+                       KC_COUNT_PROTOCOL_ERRORS, 1);
         close_link(agent, link, error.code, now);
         return;
     }
@@ -396,7 +350,7 @@
 bool
 KcAgent_Drained(const KcAgent *agent)
 {
-    KcTime now = clock_of((void *)agent);
+    KcTime now = KcMember_Now(&agent->options.member);
 
     /* An entry that is frozen or cut off is not waited for. */
     if (!all_links_left(agent) && now < agent->leave_until) {
@@ -471,5 +425,5 @@
             info.subject = text;
         }
     }
-    KcEvents_Add(agent->options.events, type, now, &info);
+    KcEvents_Add(agent->options.member.events, type, now, &info);
 }
--- a/lib/process/agent_engine.c
+++ b/lib/process/agent_engine.c
@@ -45,14 +45,15 @@
     KcAgent *agent = timer->owner;
 
     KcAgentEngine_Inspect(agent, now);
-    KcTimers_Set(agent->options.timers, timer, now + agent->options.inspect);
+    KcTimers_Set(agent->options.member.timers, timer,
+                 now + agent->options.inspect);
 }
 
 void
 KcAgentEngine_Start(KcAgent *agent, KcTime now)
 {
     KcTimer_Init(&agent->inspect_timer, on_inspect_timer, agent);
-    KcTimers_Set(agent->options.timers, &agent->inspect_timer,
+    KcTimers_Set(agent->options.member.timers, &agent->inspect_timer,
                  now + agent->options.inspect);
 }
 
@@ -108,7 +109,7 @@
     KcResidency_BeginLoad(&agent->residency, slot, model, fence, now);
     name_slot(agent, slot, model);
     KcPace_Begin(&agent->pace, now);
-    KcCounters_Add(agent->options.counters, KC_COUNT_LOADS, 1);
+    KcCounters_Add(agent->options.member.counters, KC_COUNT_LOADS, 1);
     KcAgent_Event(agent, KC_EVENT_LOAD, NULL, model->key, (int64_t)fence, now);
     agent->options.ops->load(agent->options.backend, slot);
 }
@@ -122,7 +123,7 @@
     KcAgent_Event(agent, KC_EVENT_EVICT, NULL, slot->model->key,
                   (int64_t)fence, now);
     KcResidency_BeginEvict(&agent->residency, slot, now);
-    KcCounters_Add(agent->options.counters, KC_COUNT_EVICTIONS, 1);
+    KcCounters_Add(agent->options.member.counters, KC_COUNT_EVICTIONS, 1);
     agent->options.ops->evict(agent->options.backend, slot, fence);
 }
 
@@ -137,7 +138,8 @@
         return; /* the engine restarted meanwhile */
     }
     KcAgent_Event(agent, KC_EVENT_LOADED, NULL, model->key, code, now);
-    KcCounters_Add(agent->options.counters, KC_COUNT_LOAD_FAILURES, code != 0);
+    KcCounters_Add(agent->options.member.counters, KC_COUNT_LOAD_FAILURES,
+                   code != 0);
     KcResidency_EndLoad(slot, code, now);
     KcAgentSchedule_Pump(agent, now);
 }
@@ -303,7 +305,8 @@
     KcSlot *slot;
 
     if (agent->epoch[0] != '\0') {
-        KcCounters_Add(agent->options.counters, KC_COUNT_ENGINE_RESTARTS, 1);
+        KcCounters_Add(agent->options.member.counters,
+                       KC_COUNT_ENGINE_RESTARTS, 1);
         KcAgent_Event(agent, KC_EVENT_RESTARTED, NULL, NULL, 0, now);
         TAILQ_FOREACH (slot, &agent->residency.slots, link) {
             if (slot->state == KC_SLOT_READY ||
@@ -357,7 +360,8 @@
     assert(work->state == KC_WORK_RUNNING && !work->started);
     if (work->slot != NULL && (strcmp(model, work->slot->name) != 0 ||
                                parse_engine_name(model, &ref) != 0)) {
-        KcCounters_Add(agent->options.counters, KC_COUNT_WRONG_MODEL, 1);
+        KcCounters_Add(agent->options.member.counters, KC_COUNT_WRONG_MODEL,
+                       1);
         agent->options.ops->cancel(agent->options.backend, work);
         KcAgentWork_End(agent, work, KC_ERR_WRONG_MODEL, true, "", now);
         return;
--- a/lib/process/agent_schedule.c
+++ b/lib/process/agent_schedule.c
@@ -149,7 +149,7 @@
 
     if (work->missed && stall > 0) {
         work->stall = stall;
-        KcCounters_Add(agent->options.counters, KC_COUNT_STALL_US,
+        KcCounters_Add(agent->options.member.counters, KC_COUNT_STALL_US,
                        (uint64_t)stall);
     }
 }
@@ -173,9 +173,9 @@
     agent->running_count++;
     /* One whose connection is lost is still given up if it stays away. */
     if (work->stream != NULL || !work->repeatable) {
-        KcTimers_Clear(agent->options.timers, &work->timer);
+        KcTimers_Clear(agent->options.member.timers, &work->timer);
     }
-    KcCounters_Add(agent->options.counters, KC_COUNT_WORKS_STARTED, 1);
+    KcCounters_Add(agent->options.member.counters, KC_COUNT_WORKS_STARTED, 1);
     KcAgent_Event(agent, KC_EVENT_START, work, NULL,
                   (now - work->arrived) / KC_MS, now);
     agent->options.ops->start(agent->options.backend, work);
@@ -408,7 +408,7 @@
     }
     start_works(agent, now);
     if (agent->wanted_count > 0) {
-        KcTimers_Set(agent->options.timers, &agent->pump_timer,
+        KcTimers_Set(agent->options.member.timers, &agent->pump_timer,
                      now + PUMP_INTERVAL);
     }
 }
--- a/lib/process/agent_work.c
+++ b/lib/process/agent_work.c
@@ -117,7 +117,7 @@
         raise_horizon(agent, work);
     }
     leave_list(agent, work);
-    KcTimers_Clear(agent->options.timers, &work->timer);
+    KcTimers_Clear(agent->options.member.timers, &work->timer);
     if (work->stream != NULL) {
         work->stream->owner = NULL;
         KcLink_CloseStream(work->stream, now);
@@ -232,7 +232,7 @@
     }
     TAILQ_REMOVE(&agent->held, work, link);
     KcAgentSchedule_Enqueue(agent, work, now);
-    KcTimers_Set(agent->options.timers, &work->timer, work->deadline);
+    KcTimers_Set(agent->options.member.timers, &work->timer, work->deadline);
     KcAgent_Event(agent, KC_EVENT_ADMIT, work, NULL,
                   (int64_t)agent->queued_count, now);
     if (work->stream != NULL) {
@@ -291,7 +291,7 @@
     const KcMsgPropose *propose = &msg->u.propose;
     KcWork *work;
 
-    KcCounters_Add(agent->options.counters, KC_COUNT_WORKS, 1);
+    KcCounters_Add(agent->options.member.counters, KC_COUNT_WORKS, 1);
     if (find_work(agent, &propose->request, propose->attempt) != NULL) {
         answer_without_work(agent, stream, KC_ERR_DUPLICATE, true, now);
         return;
@@ -306,7 +306,7 @@
     TAILQ_INSERT_TAIL(&agent->held, work, link);
     if (KcSync_Behind(agent->sync, msg->generation) && !agent->draining) {
         /* Decide with a document at least as new as the entry's. */
-        KcTimers_Set(agent->options.timers, &work->timer,
+        KcTimers_Set(agent->options.member.timers, &work->timer,
                      now + agent->options.hold);
         return;
     }
@@ -321,7 +321,7 @@
 
     TAILQ_FOREACH_SAFE (work, &agent->held, link, next) {
         if (!KcSync_Behind(agent->sync, work->generation)) {
-            KcTimers_Clear(agent->options.timers, &work->timer);
+            KcTimers_Clear(agent->options.member.timers, &work->timer);
             admit(agent, work, now);
         }
     }
@@ -341,7 +341,7 @@
     KcName_Copy(work->finish, finish != NULL ? finish : "",
                 sizeof(work->finish));
     TAILQ_INSERT_TAIL(&agent->ended, work, link);
-    KcTimers_Set(agent->options.timers, &work->timer,
+    KcTimers_Set(agent->options.member.timers, &work->timer,
                  now + agent->options.retain);
     KcAgent_Event(agent, KC_EVENT_END, work, NULL, code, now);
     if (work->orphan) {
@@ -384,7 +384,7 @@
     }
     TAILQ_REMOVE(&agent->held, work, link);
     KcAgentSchedule_Enqueue(agent, work, now);
-    KcTimers_Set(agent->options.timers, &work->timer, work->deadline);
+    KcTimers_Set(agent->options.member.timers, &work->timer, work->deadline);
     KcAgentSchedule_Pump(agent, now);
 }
 
@@ -452,7 +452,7 @@
     if (work->state == KC_WORK_ENDED && !work->repeatable) {
         until = now + agent->options.retain;
     }
-    KcTimers_Set(agent->options.timers, &work->timer, until);
+    KcTimers_Set(agent->options.member.timers, &work->timer, until);
 }
 
 /* Nobody will ask for this work again. */
@@ -551,8 +551,8 @@
     else if (work->state == KC_WORK_ENDED) {
         due = now + agent->options.retain;
     }
-    KcTimers_Clear(agent->options.timers, &work->timer);
-    KcTimers_Set(agent->options.timers, &work->timer, due);
+    KcTimers_Clear(agent->options.member.timers, &work->timer);
+    KcTimers_Set(agent->options.member.timers, &work->timer, due);
 }
 
 void
--- a/lib/process/entry.c
+++ b/lib/process/entry.c
@@ -14,6 +14,7 @@
 KcEntryOptions_Init(KcEntryOptions *options)
 {
     memset(options, 0, sizeof(*options));
+    KcMemberOptions_Init(&options->member);
     options->policy = KcRoute_Policy("kcc");
     options->attempts_max = 4;
     options->requests_max = 20000;
@@ -25,27 +26,20 @@
     options->lost_after = 3 * KC_SECOND;
     options->suspect = 500 * KC_MS;
     options->remote_cost = 60 * KC_MS;
-    options->sync_retry = 500 * KC_MS;
     options->window = 64 * 1024;
     options->retry_percent = 20;
     options->retry_burst = 100;
-    options->lease_ttl = 15 * KC_SECOND;
-    options->lease_margin = 3 * KC_SECOND;
-    options->lease_renew = 5 * KC_SECOND;
-    options->confirm_spread = 4 * KC_SECOND;
 }
 
 /* Takes over what the document says about regions and the link. */
 static void
 apply_document(KcEntry *entry, KcTime now)
 {
-    KcDatacentre *datacentre =
-        KcDocument_Datacentre(entry->document, entry->options.datacentre);
+    KcDatacentre *datacentre = KcDocument_Datacentre(
+        entry->document, entry->options.member.datacentre);
 
     KcName_Copy(entry->fleet.region,
                 datacentre != NULL ? datacentre->region : "", KC_NAME_MAX);
-    entry->remote.per_s = entry->document->link_bytes_per_s /
-                          (int64_t)(entry->entries > 0 ? entry->entries : 1);
     KcEntry_OnInstances(entry, NULL, 0, entry->entries, now);
 }
 
@@ -78,14 +72,6 @@
     return NULL;
 }
 
-static KcTime
-clock_of(void *context)
-{
-    KcEntry *entry = context;
-
-    return entry->options.clock(entry->options.context);
-}
-
 /* An entry gives no orders; its lease object confirms its generation. */
 static void
 on_lease(void *context, uint64_t fence, KcTime now)
@@ -95,53 +81,17 @@
     (void)now;
 }
 
-static void
-create_lease(KcEntry *entry)
-{
-    const KcEntryOptions *options = &entry->options;
-    KcRequestId token = {options->incarnation, 0};
-    KcLeaseOptions lease = {.object_ops = options->object_ops,
-                            .objects = options->objects,
-                            .timers = options->timers,
-                            .events = options->events,
-                            .name = options->name,
-                            .holder = options->name,
-                            .role = "entry",
-                            .datacentre = options->datacentre,
-                            .admin =
-                                options->admin != NULL ? options->admin : "",
-                            .token = &token,
-                            .ttl = options->lease_ttl,
-                            .margin = options->lease_margin,
-                            .renew = options->lease_renew,
-                            .confirm_spread = options->confirm_spread,
-                            .wall_offset = options->wall_offset,
-                            .seed = options->incarnation,
-                            .clock = clock_of,
-                            .changed = on_lease,
-                            .context = entry};
-
-    entry->lease = KcLease_Create(&lease);
-}
+static const KcMemberOps member_ops = {"entry", adopt_document, peer_of,
+                                       on_lease};
 
 KcEntry *
 KcEntry_Create(const KcEntryOptions *options)
 {
     KcEntry *entry = KcMem_New(sizeof(*entry));
-    KcSyncOptions sync = {.object_ops = options->object_ops,
-                          .objects = options->objects,
-                          .timers = options->timers,
-                          .events = options->events,
-                          .counters = options->counters,
-                          .retry = options->sync_retry,
-                          .clock = clock_of,
-                          .adopt = adopt_document,
-                          .peer = peer_of,
-                          .context = entry};
 
     assert(options->attempts_max <= KC_ATTEMPTS_MAX);
     entry->options = *options;
-    entry->random = options->incarnation | 1;
+    entry->random = options->member.incarnation | 1;
     entry->entries = 1;
     TAILQ_INIT(&entry->requests);
     TAILQ_INIT(&entry->claims);
@@ -149,8 +99,8 @@
     KcCustomers_Init(&entry->customers, CUSTOMER_MAX);
     KcRetryBudget_Init(&entry->budget, options->retry_percent,
                        options->retry_burst);
-    entry->sync = KcSync_Create(&sync);
-    create_lease(entry);
+    entry->sync = KcMember_CreateSync(&options->member, &member_ops, entry);
+    entry->lease = KcMember_CreateLease(&options->member, &member_ops, entry);
     return entry;
 }
 
@@ -159,7 +109,7 @@
 {
     KcLink *link = backend->connection;
 
-    KcTimers_Clear(entry->options.timers, &backend->watch);
+    KcTimers_Clear(entry->options.member.timers, &backend->watch);
     if (link != NULL) {
         backend->connection = NULL;
         link->ops->close(link->transport);
@@ -247,10 +197,11 @@
 void
 KcEntry_Drain(KcEntry *entry, KcTime now)
 {
-    KcEventInfo info = {.peer = entry->options.name};
+    KcEventInfo info = {.peer = entry->options.member.name};
 
     if (!entry->draining) {
-        KcEvents_Add(entry->options.events, KC_EVENT_LEAVING, now, &info);
+        KcEvents_Add(entry->options.member.events, KC_EVENT_LEAVING, now,
+                     &info);
         KcLease_Leave(entry->lease, now);
     }
     entry->draining = true;
@@ -303,8 +254,8 @@
 {
     memset(msg, 0, sizeof(*msg));
     msg->type = KC_MSG_HELLO;
-    KcName_Copy(msg->u.hello.name, entry->options.name, KC_NAME_MAX);
-    msg->u.hello.incarnation = entry->options.incarnation;
+    KcName_Copy(msg->u.hello.name, entry->options.member.name, KC_NAME_MAX);
+    msg->u.hello.incarnation = entry->options.member.incarnation;
     msg->u.hello.protocol = KC_PROTOCOL_VERSION;
 }
 
@@ -327,5 +278,5 @@
                     request->service != NULL ? request->service->name : "",
                     sizeof(subject));
     }
-    KcEvents_Add(entry->options.events, type, now, &info);
+    KcEvents_Add(entry->options.member.events, type, now, &info);
 }
--- a/lib/process/entry_attempt.c
+++ b/lib/process/entry_attempt.c
@@ -19,7 +19,7 @@
 static void
 set_timer(KcAttempt *attempt, void (*fire)(KcTimer *, KcTime), KcTime due)
 {
-    KcTimers *timers = attempt->request->entry->options.timers;
+    KcTimers *timers = attempt->request->entry->options.member.timers;
 
     KcTimers_Clear(timers, &attempt->timer);
     attempt->timer.fire = fire;
@@ -48,7 +48,8 @@
 
     if (attempt->remote) {
         KcByteBudget_Charge(&entry->remote, bytes, now);
-        KcCounters_Add(entry->options.counters, KC_COUNT_REMOTE_BYTES, bytes);
+        KcCounters_Add(entry->options.member.counters, KC_COUNT_REMOTE_BYTES,
+                       bytes);
     }
 }
 
@@ -128,7 +129,8 @@
     set_state(attempt, KC_ATTEMPT_PROPOSED);
     set_timer(attempt, on_reply_timeout,
               now + request->entry->options.reply_timeout);
-    KcCounters_Add(request->entry->options.counters, KC_COUNT_RESUMES, 1);
+    KcCounters_Add(request->entry->options.member.counters, KC_COUNT_RESUMES,
+                   1);
     KcEntry_Event(request->entry, KC_EVENT_RESUME, request,
                   attempt->backend->name, (int64_t)request->offset, now);
     send(attempt, &msg);
@@ -197,12 +199,12 @@
     TAILQ_INSERT_TAIL(&backend->attempt_list, attempt, link);
     backend->attempts++;
     backend->sent++;
-    KcCounters_Add(entry->options.counters, KC_COUNT_ATTEMPTS, 1);
-    KcCounters_Add(entry->options.counters, KC_COUNT_RETRIES,
+    KcCounters_Add(entry->options.member.counters, KC_COUNT_ATTEMPTS, 1);
+    KcCounters_Add(entry->options.member.counters, KC_COUNT_RETRIES,
                    request->attempts > 1);
-    KcCounters_Add(entry->options.counters, KC_COUNT_REMOTE_ATTEMPTS,
+    KcCounters_Add(entry->options.member.counters, KC_COUNT_REMOTE_ATTEMPTS,
                    choice->remote);
-    KcCounters_Add(entry->options.counters, KC_COUNT_CONTINUATIONS,
+    KcCounters_Add(entry->options.member.counters, KC_COUNT_CONTINUATIONS,
                    request->offset > 0);
     KcEntry_Event(entry, KC_EVENT_PICK, request, backend->name,
                   choice->cost / KC_MS, now);
@@ -255,7 +257,7 @@
     if (attempt->state == KC_ATTEMPT_IDLE) {
         return;
     }
-    KcTimers_Clear(request->entry->options.timers, &attempt->timer);
+    KcTimers_Clear(request->entry->options.member.timers, &attempt->timer);
     if (attempt->stream != NULL) {
         attempt->stream->owner = NULL;
         KcLink_CloseStream(attempt->stream, now);
@@ -417,7 +419,7 @@
     learn_load(attempt, &msg->u.admit.load, now);
     set_state(attempt, KC_ATTEMPT_ADMITTED);
     if (!request->cancelled) {
-        KcTimers_Clear(request->entry->options.timers, &attempt->timer);
+        KcTimers_Clear(request->entry->options.member.timers, &attempt->timer);
     }
 }
 
@@ -444,7 +446,8 @@
     const KcMsgRefuse *refuse = &msg->u.refuse;
 
     learn_load(attempt, &refuse->load, now);
-    KcCounters_Add(request->entry->options.counters, KC_COUNT_REFUSALS, 1);
+    KcCounters_Add(request->entry->options.member.counters, KC_COUNT_REFUSALS,
+                   1);
     request->retry_after = (KcTime)refuse->retry_after_ms * KC_MS;
     if (refuse->code == KC_ERR_LEAVING) {
         attempt->backend->suspect_until = now + LEAVING_AVOID;
@@ -469,7 +472,8 @@
     KcEntry *entry = request->entry;
 
     if (!names_the_model(request, &msg->u.started)) {
-        KcCounters_Add(entry->options.counters, KC_COUNT_WRONG_MODEL, 1);
+        KcCounters_Add(entry->options.member.counters, KC_COUNT_WRONG_MODEL,
+                       1);
         KcEntryAttempt_End(request, KC_ATTEMPT_FAILED, KC_ERR_WRONG_MODEL,
                            "started", now);
         return;
@@ -478,7 +482,7 @@
     if (withdrawn(request)) {
         return;
     }
-    KcTimers_Clear(entry->options.timers, &request->timer);
+    KcTimers_Clear(entry->options.member.timers, &request->timer);
     if (request->started) {
         return;
     }
@@ -511,7 +515,7 @@
                         data->bytes.size);
     }
     request->offset += data->bytes.size;
-    KcCounters_Add(request->entry->options.counters, KC_COUNT_TOKENS,
+    KcCounters_Add(request->entry->options.member.counters, KC_COUNT_TOKENS,
                    data->tokens - request->tokens);
     request->tokens = data->tokens;
     charge_remote(attempt, data->bytes.size, now);
--- a/lib/process/entry_link.c
+++ b/lib/process/entry_link.c
@@ -52,7 +52,7 @@
         return; /* set again by the next attempt */
     }
     entry = entry_of(backend);
-    KcTimers_Set(entry->options.timers, timer,
+    KcTimers_Set(entry->options.member.timers, timer,
                  now + entry->options.ping_after);
     if (link == NULL) {
         return;
@@ -80,7 +80,7 @@
     if (backend->connection != NULL) {
         backend->connection->heard_at = now;
     }
-    KcTimers_Set(entry->options.timers, &backend->watch,
+    KcTimers_Set(entry->options.member.timers, &backend->watch,
                  now + entry->options.ping_after);
 }
 
@@ -92,17 +92,17 @@
                         .generation = KcSync_Generation(entry->sync),
                         .detail = code};
 
-    KcEvents_Add(entry->options.events, type, now, &info);
+    KcEvents_Add(entry->options.member.events, type, now, &info);
 }
 
 static void
 stamp(void *context, KcMsg *msg)
 {
     KcEntry *entry = context;
-    KcTime now = entry->options.clock(entry->options.context);
+    KcTime now = KcMember_Now(&entry->options.member);
 
     msg->generation = KcSync_Generation(entry->sync);
-    msg->clock = KcEvents_Clock(entry->options.events, now);
+    msg->clock = KcEvents_Clock(entry->options.member.events, now);
 }
 
 void
@@ -194,9 +194,10 @@
     KcError error;
 
     assert(link != NULL);
-    KcEvents_Observe(entry->options.events, msg->clock, now);
+    KcEvents_Observe(entry->options.member.events, msg->clock, now);
     if (KcLink_Receive(link, msg, &stream, now, &error) != 0) {
-        KcCounters_Add(entry->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
+        KcCounters_Add(entry->options.member.counters,
+                       KC_COUNT_PROTOCOL_ERRORS, 1);
         link->ops->close(link->transport);
         KcEntry_OnLinkLost(entry, backend, error.code, now);
         return;
--- a/lib/process/entry_request.c
+++ b/lib/process/entry_request.c
@@ -86,7 +86,7 @@
     assert(!request->finished);
     assert(request->attempt.state == KC_ATTEMPT_IDLE);
     request->finished = true;
-    KcTimers_Clear(entry->options.timers, &request->timer);
+    KcTimers_Clear(entry->options.member.timers, &request->timer);
     if (request->claim != NULL) {
         KcClaim_End(request->claim, mark_of(outcome), now);
         request->claim = NULL;
@@ -94,7 +94,8 @@
     if (request->customer != NULL) {
         KcCustomers_Leave(request->customer);
     }
-    KcCounters_Add(entry->options.counters, outcome_counters[outcome], 1);
+    KcCounters_Add(entry->options.member.counters, outcome_counters[outcome],
+                   1);
     KcEntry_Event(entry, KC_EVENT_FINISH, request, request->error.peer,
                   outcome, now);
     TAILQ_REMOVE(&entry->requests, request, link);
@@ -123,19 +124,12 @@
 static void
 finish_duplicate(KcRequest *request, KcClaimMark earlier, KcTime now)
 {
-    KcCounters_Add(request->entry->options.counters, KC_COUNT_DUPLICATES, 1);
+    KcCounters_Add(request->entry->options.member.counters,
+                   KC_COUNT_DUPLICATES, 1);
     KcError_Set(&request->error, KC_ERR_DUPLICATE, "claim", NULL);
     finish(request, KC_OUTCOME_UNKNOWN, earlier, now);
 }
 
-static KcTime
-claim_clock(void *context)
-{
-    KcEntry *entry = context;
-
-    return entry->options.clock(entry->options.context);
-}
-
 static void
 on_verdict(void *context, const KcClaimVerdict *verdict, KcTime now)
 {
@@ -159,9 +153,9 @@
 start_claim(KcRequest *request, const char *key, KcTime now)
 {
     KcEntry *entry = request->entry;
-    KcClaimOptions options = {.ops = entry->options.object_ops,
-                              .objects = entry->options.objects,
-                              .timers = entry->options.timers,
+    KcClaimOptions options = {.ops = entry->options.member.object_ops,
+                              .objects = entry->options.member.objects,
+                              .timers = entry->options.member.timers,
                               .service = request->service->name,
                               .customer = request->customer_name,
                               .key = key,
@@ -169,8 +163,9 @@
                               .give_up = now + CLAIM_GIVE_UP,
                               .retry = CLAIM_RETRY,
                               .settle = CLAIM_SETTLE,
-                              .clock = claim_clock,
-                              .clock_context = entry,
+                              .clock = entry->options.member.clock,
+                              .clock_context =
+                                  entry->options.member.clock_context,
                               .verdict = on_verdict,
                               .context = request,
                               .list = &entry->claims};
@@ -178,7 +173,7 @@
     if (options.give_up > request->deadline) {
         options.give_up = request->deadline;
     }
-    KcCounters_Add(entry->options.counters, KC_COUNT_CLAIMS, 1);
+    KcCounters_Add(entry->options.member.counters, KC_COUNT_CLAIMS, 1);
     request->claim = KcClaim_Start(&options, now);
 }
 
@@ -209,7 +204,7 @@
     KcRequest *request = KcMem_New(sizeof(*request));
 
     request->entry = entry;
-    request->id.nonce = entry->options.incarnation;
+    request->id.nonce = entry->options.member.incarnation;
     request->id.sequence = ++entry->sequence;
     request->arrived = now;
     request->priority = call->priority;
@@ -279,7 +274,7 @@
                              entry->entries, now, &request->customer,
                              &request->retry_after);
     if (code != 0) {
-        KcCounters_Add(entry->options.counters, KC_COUNT_LIMITED, 1);
+        KcCounters_Add(entry->options.member.counters, KC_COUNT_LIMITED, 1);
     }
     return code;
 }
@@ -333,7 +328,8 @@
         allowed = call->deadline;
     }
     request->deadline = now + allowed;
-    KcTimers_Set(entry->options.timers, &request->timer, request->deadline);
+    KcTimers_Set(entry->options.member.timers, &request->timer,
+                 request->deadline);
     KcRetryBudget_Deposit(&entry->budget);
     if (!request->repeatable && call->key != NULL) {
         start_claim(request, call->key, now);
@@ -352,7 +348,7 @@
 
     request->caller_ops = caller_ops;
     request->caller = caller;
-    KcCounters_Add(entry->options.counters, KC_COUNT_REQUESTS, 1);
+    KcCounters_Add(entry->options.member.counters, KC_COUNT_REQUESTS, 1);
     hold(request);
     begin(request, call, now);
     finished = request->finished;
@@ -366,7 +362,7 @@
     KcEntry *entry = request->entry;
 
     assert(!request->finished);
-    KcCounters_Add(entry->options.counters, KC_COUNT_ABANDONED, 1);
+    KcCounters_Add(entry->options.member.counters, KC_COUNT_ABANDONED, 1);
     request->caller = NULL;
     if (!request->repeatable) {
         KcEntry_Consumed(request, request->offset, now);
--- a/lib/process/kcc_agent.h
+++ b/lib/process/kcc_agent.h
@@ -45,34 +45,18 @@
 
 /* Options of an agent; durations in microseconds. */
 typedef struct KcAgentOptions {
-    const char *name; /* instance name, as in the instance list */
+    KcMemberOptions member;
     const char *service;
-    const char *datacentre;
-    const char *admin; /* administrators' address, NULL when none */
-    uint64_t incarnation;
     const KcBackendOps *ops;
     void *backend;
-    const KcObjectOps *object_ops;
-    void *objects;
-    KcTimers *timers;
-    KcEvents *events;
-    KcCounters *counters;
-    KcTime (*clock)(void *context);
-    void *context;
     const KcVictimPolicy *victim;
     bool fencing;         /* the engine refuses old fencing numbers */
     uint32_t store_share; /* agents that share the weight store's rate */
-    int64_t wall_offset;
-    KcTime hold;    /* wait for a newer document */
-    KcTime detach;  /* kept for a lost connection to come back */
-    KcTime retain;  /* record of an ended work is kept */
-    KcTime inspect; /* interval of looking at the engine */
-    KcTime lease_ttl;
-    KcTime lease_margin;
-    KcTime lease_renew;
-    KcTime confirm_spread;
-    KcTime sync_retry;
-    uint64_t window; /* bytes an entry may lag behind */
+    KcTime hold;          /* wait for a newer document */
+    KcTime detach;        /* kept for a lost connection to come back */
+    KcTime retain;        /* record of an ended work is kept */
+    KcTime inspect;       /* interval of looking at the engine */
+    uint64_t window;      /* bytes an entry may lag behind */
     KcOrderOptions order;
     uint32_t load_failures_max; /* after which a model is refused */
 } KcAgentOptions;
--- a/lib/process/kcc_entry.h
+++ b/lib/process/kcc_entry.h
@@ -21,18 +21,9 @@
 
 /* Options of an entry; durations in microseconds. */
 typedef struct KcEntryOptions {
-    const char *name;
-    const char *datacentre;
-    const char *admin;    /* administrators' address, NULL when none */
-    uint64_t incarnation; /* random per process start */
+    KcMemberOptions member;
     const KcEntryOps *ops;
     void *context;
-    const KcObjectOps *object_ops;
-    void *objects;
-    KcTimers *timers;
-    KcEvents *events;
-    KcCounters *counters;
-    KcTime (*clock)(void *context);
     const KcRoutePolicy *policy;
     uint32_t attempts_max;
     uint32_t requests_max; /* in progress at once */
@@ -44,15 +35,9 @@
     KcTime lost_after;     /* silence after which it is given up */
     KcTime suspect;        /* first time it is avoided; doubles */
     KcTime remote_cost;    /* way to another region and back */
-    KcTime sync_retry;     /* delay after a failed object call */
     uint64_t window;       /* bytes a caller may lag behind */
     int64_t retry_percent; /* of requests that may be retried */
     int64_t retry_burst;
-    int64_t wall_offset; /* wall clock minus monotonic clock */
-    KcTime lease_ttl;
-    KcTime lease_margin;
-    KcTime lease_renew;
-    KcTime confirm_spread;
 } KcEntryOptions;
 
 /* Fills in the defaults of every duration and limit. */
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -4,8 +4,9 @@
  * adapters as an agent knows them.
  *
  * Part 1 is counters and events, part 2 the document in force, part 3 the
- * lease, part 4 routing, part 5 limits.  Residency is in kcc_residency.h, the
- * two daemons' contexts are in kcc_entry.h and kcc_agent.h.
+ * lease, part 4 a member, part 5 routing, part 6 limits.  Residency is in
+ * kcc_residency.h, the two daemons' contexts are in kcc_entry.h and
+ * kcc_agent.h.
  */
 #ifndef KCC_PROCESS_H
 #define KCC_PROCESS_H
@@ -168,6 +169,7 @@
     KcCounters *counters;
     KcTime retry; /* delay after a failed call of the object API */
     KcTime (*clock)(void *context);
+    void *clock_context;
     /* A document came into force; the callee takes the reference. */
     void (*adopt)(void *context, KcDocument *document, KcTime now);
     /* A link to a peer of at least this generation, or NULL. */
@@ -236,6 +238,7 @@
     int64_t wall_offset;
     uint64_t seed; /* of the jitter */
     KcTime (*clock)(void *context);
+    void *clock_context;
     /* The lease was taken (fence > 0) or lost to another (fence 0). */
     void (*changed)(void *context, uint64_t fence, KcTime now);
     void *context;
@@ -270,7 +273,55 @@
  */
 bool KcLease_MayOrder(const KcLease *lease, KcTime now);
 
-/* ---- Part 4: routing ---------------------------------------------------- */
+/* ---- Part 4: a member --------------------------------------------------- */
+
+/*
+ * What entries and agents have alike: a name and a place, the seams, a
+ * lease and the document in force.  Durations in microseconds.
+ */
+typedef struct KcMemberOptions {
+    const char *name; /* instance name, as in the instance list */
+    const char *datacentre;
+    const char *admin;    /* administrators' address, NULL when none */
+    uint64_t incarnation; /* random per process start */
+    const KcObjectOps *object_ops;
+    void *objects;
+    KcTimers *timers;
+    KcEvents *events;
+    KcCounters *counters;
+    KcTime (*clock)(void *context);
+    void *clock_context;
+    int64_t wall_offset; /* wall clock minus monotonic clock */
+    KcTime lease_ttl;
+    KcTime lease_margin;
+    KcTime lease_renew;
+    KcTime confirm_spread;
+    KcTime sync_retry; /* delay after a failed object call */
+} KcMemberOptions;
+
+/* How the two roles differ as members; see KcSyncOptions, KcLeaseOptions. */
+typedef struct KcMemberOps {
+    const char *role; /* as in the lease object */
+    void (*adopt)(void *context, KcDocument *document, KcTime now);
+    KcLink *(*peer)(void *context, uint64_t generation);
+    void (*lease_changed)(void *context, uint64_t fence, KcTime now);
+} KcMemberOps;
+
+/* Fills in the defaults of the durations; the rest is zero. */
+void KcMemberOptions_Init(KcMemberOptions *options);
+
+/* The present time by the member's clock. */
+KcTime KcMember_Now(const KcMemberOptions *options);
+
+/* Creates the member's document watch; ops get the context. */
+KcSync *KcMember_CreateSync(const KcMemberOptions *options,
+                            const KcMemberOps *ops, void *context);
+
+/* Creates the member's lease; ops get the context. */
+KcLease *KcMember_CreateLease(const KcMemberOptions *options,
+                              const KcMemberOps *ops, void *context);
+
+/* ---- Part 5: routing ---------------------------------------------------- */
 
 /* Candidates kept per bucket, in this region and in the others. */
 #define KC_ROUTE_LOCAL 8
@@ -427,7 +478,7 @@
 /* The index-th policy, NULL past the last. */
 const KcRoutePolicy *KcRoute_PolicyAt(size_t index);
 
-/* ---- Part 5: limits ----------------------------------------------------- */
+/* ---- Part 6: limits ----------------------------------------------------- */
 
 /* What one customer uses at an entry. */
 typedef struct KcCustomer {
--- a/lib/process/lease.c
+++ b/lib/process/lease.c
@@ -123,7 +123,7 @@
     if (!end_call(lease)) {
         return;
     }
-    now = lease->options.clock(lease->options.context);
+    now = lease->options.clock(lease->options.clock_context);
     note_awake(lease, now);
     if (reply->code == 0) {
         lease->version = reply->version;
@@ -213,7 +213,7 @@
     if (!end_call(lease)) {
         return;
     }
-    now = lease->options.clock(lease->options.context);
+    now = lease->options.clock(lease->options.clock_context);
     note_awake(lease, now);
     if (reply->code == KC_ERR_NOT_FOUND) {
         write_lease(lease, lease->fence + 1, KC_OBJECT_ABSENT, now);
--- a/lib/process/sync.c
+++ b/lib/process/sync.c
@@ -108,7 +108,7 @@
 fetch_part(void *context, const char *hash)
 {
     KcSync *sync = context;
-    KcTime now = sync->options.clock(sync->options.context);
+    KcTime now = sync->options.clock(sync->options.clock_context);
     char name[KC_OBJECT_NAME_MAX];
     PartCall *call;
 
@@ -132,7 +132,7 @@
 adopt(void *context, KcDocument *document)
 {
     KcSync *sync = context;
-    KcTime now = sync->options.clock(sync->options.context);
+    KcTime now = sync->options.clock(sync->options.clock_context);
     KcEventInfo info = {.generation = document->generation};
 
     KcEvents_Add(sync->options.events, KC_EVENT_ADOPT, now, &info);
@@ -144,7 +144,7 @@
 reject(void *context, uint64_t generation, const KcProblemList *problems)
 {
     KcSync *sync = context;
-    KcTime now = sync->options.clock(sync->options.context);
+    KcTime now = sync->options.clock(sync->options.clock_context);
     const KcProblem *first = TAILQ_FIRST(problems);
     KcEventInfo info = {.generation = KcSync_Generation(sync),
                         .detail = (int64_t)generation,
@@ -195,7 +195,7 @@
         pause = sync->options.retry;
     }
     KcTimers_Set(sync->options.timers, &sync->timer,
-                 sync->options.clock(sync->options.context) + pause);
+                 sync->options.clock(sync->options.clock_context) + pause);
 }
 
 static void
--- a/programs/process/entry_role.c
+++ b/programs/process/entry_role.c
@@ -176,18 +176,9 @@
     KcEntryOptions options;
 
     KcEntryOptions_Init(&options);
-    options.name = settings->name;
-    options.datacentre = settings->datacentre;
-    options.admin = settings->admin;
-    options.incarnation = KcLoop_Random();
+    KcParts_FillMember(&role->parts, &options.member);
     options.ops = &entry_ops;
     options.context = role;
-    options.object_ops = &KcObjects_Http;
-    options.objects = role->parts.objects;
-    options.timers = role->parts.loop->timers;
-    options.events = role->parts.events;
-    options.counters = &role->parts.counters;
-    options.clock = KcParts_Clock;
     options.policy = KcRoute_Policy(settings->policy);
     options.attempts_max = (uint32_t)settings->attempts_max;
     options.requests_max = (uint32_t)settings->requests_max;
@@ -196,10 +187,6 @@
     options.remote_cost = settings->remote_cost_ms * KC_MS;
     options.window = (uint64_t)settings->window;
     options.retry_percent = settings->retry_percent;
-    options.wall_offset = role->parts.loop->wall_offset;
-    options.lease_ttl = settings->lease_ttl_ms * KC_MS;
-    options.lease_renew = settings->lease_renew_ms * KC_MS;
-    options.confirm_spread = settings->confirm_spread_ms * KC_MS;
     role->entry = KcEntry_Create(&options);
 }
 
--- a/programs/process/role.c
+++ b/programs/process/role.c
@@ -36,13 +36,34 @@
     return 0;
 }
 
-KcTime
-KcParts_Clock(void *context)
+static KcTime
+loop_clock(void *context)
 {
     (void)context;
     return KcLoop_Now();
 }
 
+void
+KcParts_FillMember(KcParts *parts, KcMemberOptions *member)
+{
+    const KcSettings *settings = parts->settings;
+
+    member->name = settings->name;
+    member->datacentre = settings->datacentre;
+    member->admin = settings->admin;
+    member->incarnation = KcLoop_Random();
+    member->object_ops = &KcObjects_Http;
+    member->objects = parts->objects;
+    member->timers = parts->loop->timers;
+    member->events = parts->events;
+    member->counters = &parts->counters;
+    member->clock = loop_clock;
+    member->wall_offset = parts->loop->wall_offset;
+    member->lease_ttl = settings->lease_ttl_ms * KC_MS;
+    member->lease_renew = settings->lease_renew_ms * KC_MS;
+    member->confirm_spread = settings->confirm_spread_ms * KC_MS;
+}
+
 int
 KcParts_OpenAdmin(KcParts *parts, const KcAdminOps *ops, void *role)
 {
--- a/programs/process/role.h
+++ b/programs/process/role.h
@@ -44,8 +44,8 @@
 /* Opens the administrators' address.  Returns 0 or KC_ERR_INVALID, logged. */
 int KcParts_OpenAdmin(KcParts *parts, const KcAdminOps *ops, void *role);
 
-/* The monotonic clock, for the library's options. */
-KcTime KcParts_Clock(void *context);
+/* Sets what both roles give the library; the rest keeps its defaults. */
+void KcParts_FillMember(KcParts *parts, KcMemberOptions *member);
 
 /* Handles SIGTERM and SIGINT by a planned stop of the role. */
 void KcParts_HandleSignals(KcParts *parts, const KcRoleOps *ops, void *role);
--- a/tests/process/test_entry.c
+++ b/tests/process/test_entry.c
@@ -282,17 +282,18 @@
     };
 
     KcEntryOptions_Init(&options);
-    options.name = "e1";
-    options.datacentre = "dc-0";
-    options.incarnation = 7;
+    options.member.name = "e1";
+    options.member.datacentre = "dc-0";
+    options.member.incarnation = 7;
+    options.member.object_ops = &WorldStore_Ops;
+    options.member.objects = &play->node;
+    options.member.timers = play->node.timers;
+    options.member.events = play->node.events;
+    options.member.counters = &play->node.counters;
+    options.member.clock = play_clock;
+    options.member.clock_context = &play->node;
     options.ops = &play_ops;
     options.context = &play->node;
-    options.object_ops = &WorldStore_Ops;
-    options.objects = &play->node;
-    options.timers = play->node.timers;
-    options.events = play->node.events;
-    options.counters = &play->node.counters;
-    options.clock = play_clock;
     options.attempts_max = 1;
     play->entry = KcEntry_Create(&options);
     KcEntry_Start(play->entry, play->world->now);
--- a/tests/process/test_process.c
+++ b/tests/process/test_process.c
@@ -151,6 +151,7 @@
                               .confirm_spread = KC_SECOND,
                               .seed = 3,
                               .clock = store_clock,
+                              .clock_context = store,
                               .changed = store_changed,
                               .context = store};
     KcLease *lease = KcLease_Create(&options);
--- a/tests/world/node.c
+++ b/tests/world/node.c
@@ -77,6 +77,22 @@
 
 /* ---- starting ----------------------------------------------------------- */
 
+static void
+fill_member(WorldNode *node, KcMemberOptions *member)
+{
+    member->name = node->name;
+    member->datacentre = node->datacentre;
+    member->incarnation = World_Draw(node->world, UINT64_MAX) | 1;
+    member->object_ops = &WorldStore_Ops;
+    member->objects = node;
+    member->timers = node->timers;
+    member->events = node->events;
+    member->counters = &node->counters;
+    member->clock = clock_of;
+    member->clock_context = node;
+    member->wall_offset = WALL_OFFSET;
+}
+
 static void
 connect_backend(void *context, KcBackend *backend)
 {
@@ -92,20 +108,11 @@
     KcEntryOptions options;
 
     KcEntryOptions_Init(&options);
-    options.name = node->name;
-    options.datacentre = node->datacentre;
-    options.incarnation = World_Draw(world, UINT64_MAX) | 1;
+    fill_member(node, &options.member);
     options.ops = &entry_ops;
     options.context = node;
-    options.object_ops = &WorldStore_Ops;
-    options.objects = node;
-    options.timers = node->timers;
-    options.events = node->events;
-    options.counters = &node->counters;
-    options.clock = clock_of;
     options.policy = KcRoute_Policy(world->options.route);
     options.remote_cost = 2 * world->options.far;
-    options.wall_offset = WALL_OFFSET;
     options.window = WINDOW;
     node->entry = KcEntry_Create(&options);
     KcEntry_Start(node->entry, world->now);
@@ -119,23 +126,13 @@
     KcAgentOptions options;
 
     KcAgentOptions_Init(&options);
-    options.name = node->name;
+    fill_member(node, &options.member);
     options.service = node->role == WORLD_PLAIN_AGENT ? "plain" : "model";
-    options.datacentre = node->datacentre;
-    options.incarnation = World_Draw(world, UINT64_MAX) | 1;
     options.ops = &WorldEngine_Ops;
     options.backend = node->engine;
-    options.object_ops = &WorldStore_Ops;
-    options.objects = node;
-    options.timers = node->timers;
-    options.events = node->events;
-    options.counters = &node->counters;
-    options.clock = clock_of;
-    options.context = node;
     options.victim = KcVictim_Policy(world->options.victim);
     options.fencing = world->options.fencing;
     options.store_share = world->options.model_agents;
-    options.wall_offset = WALL_OFFSET;
     options.window = WINDOW;
     node->agent = KcAgent_Create(&options);
     KcAgent_Start(node->agent, world->now);
