Remove what nothing calls, and twins in the programs

Cause: KcMsg_Name, KcRequestId_Parse, KcVictim_PolicyAt, KcObjects_List, World_IsRetired and World_AcceptedGeneration had no caller. kcc and kccd each turned an HTTP status of the object API into an error number and each read its ETag; the document's parser checked [service NAME] in two places; two benchmarks described the same fleet. Change: the six are removed; kcc calls KcObjects_Code() and KcObjects_Version(); service_name() and fast_fleet serve both places. kcc now also reads an ETag without quotes, as kccd did.

--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -156,9 +156,6 @@
 #define KC_PRIORITY_MAX 9
 #define KC_PRIORITY_DEFAULT 4
 
-/* Name of a message type in lower case. */
-const char *KcMsg_Name(KcMsgType type);
-
 /* ---- Part 2: encoding --------------------------------------------------- */
 
 /* An encoder that is reused from message to message. */
--- a/lib/connection/message_table.c
+++ b/lib/connection/message_table.c
@@ -105,10 +105,3 @@
     [KC_MSG_PING] = EMPTY("ping", KC_RULE_ANY),
     [KC_MSG_PONG] = EMPTY("pong", KC_RULE_ANY),
 };
-
-const char *
-KcMsg_Name(KcMsgType type)
-{
-    return (unsigned)type < KC_MSG_COUNT ? KcMsg_Layouts[type].name
-                                         : "unknown_message";
-}
--- a/lib/kcc_types.h
+++ b/lib/kcc_types.h
@@ -124,9 +124,6 @@
 /* Writes id as 32 hexadecimal digits into text. */
 void KcRequestId_Format(const KcRequestId *id, char text[KC_REQUEST_ID_TEXT]);
 
-/* Parses 32 hexadecimal digits.  Returns 0 or KC_ERR_PARSE. */
-int KcRequestId_Parse(const char *text, KcRequestId *id);
-
 /* Returns true when both ids name the same request. */
 bool KcRequestId_Equal(const KcRequestId *a, const KcRequestId *b);
 
--- a/lib/process/error.c
+++ b/lib/process/error.c
@@ -88,23 +88,6 @@
              id->sequence);
 }
 
-int
-KcRequestId_Parse(const char *text, KcRequestId *id)
-{
-    char half[17];
-    char *end;
-
-    if (strlen(text) != KC_REQUEST_ID_TEXT - 1 ||
-        strspn(text, "0123456789abcdef") != KC_REQUEST_ID_TEXT - 1) {
-        return KC_ERR_PARSE;
-    }
-    memcpy(half, text, 16);
-    half[16] = '\0';
-    id->nonce = strtoull(half, &end, 16);
-    id->sequence = strtoull(text + 16, &end, 16);
-    return 0;
-}
-
 bool
 KcRequestId_Equal(const KcRequestId *a, const KcRequestId *b)
 {
--- a/lib/process/kcc_residency.h
+++ b/lib/process/kcc_residency.h
@@ -71,9 +71,6 @@
 /* Finds a policy by name; "kcc" is ours.  NULL when there is none. */
 const KcVictimPolicy *KcVictim_Policy(const char *name);
 
-/* The index-th policy, NULL past the last. */
-const KcVictimPolicy *KcVictim_PolicyAt(size_t index);
-
 typedef struct KcResidency {
     struct KcSlotList slots;
     uint32_t slot_count;
--- a/lib/process/victim.c
+++ b/lib/process/victim.c
@@ -48,12 +48,6 @@
 
 #define POLICY_COUNT (sizeof(policies) / sizeof(policies[0]))
 
-const KcVictimPolicy *
-KcVictim_PolicyAt(size_t index)
-{
-    return index < POLICY_COUNT ? &policies[index] : NULL;
-}
-
 const KcVictimPolicy *
 KcVictim_Policy(const char *name)
 {
--- a/lib/version/document_parse.c
+++ b/lib/version/document_parse.c
@@ -201,15 +201,26 @@
     }
 }
 
+/* The name in [service NAME]; NULL, reported, in another section. */
+static const char *
+service_name(const KcIniItem *item, KcProblemList *problems)
+{
+    const char *name = section_of(item, "service");
+
+    if (name == NULL) {
+        problem_at(item, problems, "expected a section [service NAME]");
+    }
+    return name;
+}
+
 static void
 visit_service(void *context, const KcIniItem *item, KcProblemList *problems)
 {
     Parser *parser = context;
-    const char *name = section_of(item, "service");
+    const char *name = service_name(item, problems);
     KcService *service;
 
     if (name == NULL) {
-        problem_at(item, problems, "expected a section [service NAME]");
         return;
     }
     service = find_or_add_service(parser, item, name);
@@ -240,11 +251,10 @@
 visit_capacity(void *context, const KcIniItem *item, KcProblemList *problems)
 {
     Parser *parser = context;
-    const char *name = section_of(item, "service");
+    const char *name = service_name(item, problems);
     KcService *service;
 
     if (name == NULL) {
-        problem_at(item, problems, "expected a section [service NAME]");
         return;
     }
     service = KcDocument_Service(parser->document, name);
--- a/programs/kcc/store.c
+++ b/programs/kcc/store.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../process/objects_http.h"
 #include "client.h"
 
 #define PATH_SIZE (KC_OBJECT_NAME_MAX + 32)
@@ -21,23 +22,6 @@
     memset(stored, 0, sizeof(*stored));
 }
 
-static int
-code_of(int status)
-{
-    switch (status) {
-    case 200:
-    case 201:
-        return 0;
-    case 404:
-        return KC_ERR_NOT_FOUND;
-    case 409:
-    case 412:
-        return KC_ERR_CONFLICT;
-    default:
-        return KC_ERR_UNAVAILABLE;
-    }
-}
-
 static int
 get_object(const char *objects, const char *name, KcAnswerText *answer)
 {
@@ -45,7 +29,7 @@
 
     snprintf(path, sizeof(path), "/v1/objects/%s", name);
     KcClient_Get(objects, path, answer);
-    return code_of(answer->status);
+    return KcObjects_Code(answer->status);
 }
 
 /* Appends one part to a section, checking its hash. */
@@ -102,7 +86,7 @@
     memset(stored, 0, sizeof(*stored));
     code = get_object(objects, KC_OBJECT_HEAD, &answer);
     if (code == 0) {
-        stored->version = strtoull(answer.etag + 1, NULL, 10);
+        stored->version = KcObjects_Version(answer.etag);
         code = KcHead_Decode(KcBuffer_Data(&answer.body),
                              KcBuffer_Size(&answer.body), &stored->head);
     }
@@ -188,7 +172,7 @@
         options.headers[0] = (KcHttpHeader){"If-Match", match};
     }
     KcClient_Call(&options, &answer);
-    code = code_of(answer.status);
+    code = KcObjects_Code(answer.status);
     KcAnswerText_Clear(&answer);
     return code;
 }
--- a/programs/process/objects_http.c
+++ b/programs/process/objects_http.c
@@ -58,8 +58,8 @@
     free(objects);
 }
 
-static int
-code_of(int status)
+int
+KcObjects_Code(int status)
 {
     switch (status) {
     case 200:
@@ -75,9 +75,8 @@
     }
 }
 
-/* Parses an ETag such as "17" with its quotes. */
-static uint64_t
-version_of(const char *etag)
+uint64_t
+KcObjects_Version(const char *etag)
 {
     return strtoull(etag[0] == '"' ? etag + 1 : etag, NULL, 10);
 }
@@ -99,8 +98,9 @@
 on_answer(void *context, int status, const char *etag, KcBytes body)
 {
     ObjectCall *call = context;
-    KcObjectReply reply = {
-        .code = code_of(status), .version = version_of(etag), .value = body};
+    KcObjectReply reply = {.code = KcObjects_Code(status),
+                           .version = KcObjects_Version(etag),
+                           .value = body};
 
     call->http = NULL;
     finish(call, &reply);
@@ -190,15 +190,3 @@
 }
 
 const KcObjectOps KcObjects_Http = {get, put, watch};
-
-void
-KcObjects_List(KcObjects *objects, const char *prefix, KcObjectDone done,
-               void *context)
-{
-    char path[PATH_SIZE];
-    KcHttpOptions options = {
-        .method = "GET", .path = path, .timeout = objects->options.timeout};
-
-    snprintf(path, sizeof(path), "/v1/list?prefix=%s", prefix);
-    start(objects, &options, done, context);
-}
--- a/programs/process/objects_http.h
+++ b/programs/process/objects_http.h
@@ -39,8 +39,10 @@
 /* The seam's table for this implementation. */
 extern const KcObjectOps KcObjects_Http;
 
-/* Lists the objects below a prefix as JSON; for the command line. */
-void KcObjects_List(KcObjects *objects, const char *prefix, KcObjectDone done,
-                    void *context);
+/* What a status says of a call: 0 or a KC_ERR_ number. */
+int KcObjects_Code(int status);
+
+/* Parses an ETag such as "17" with its quotes. */
+uint64_t KcObjects_Version(const char *etag);
 
 #endif
--- a/tests/bench/bench_daemons.c
+++ b/tests/bench/bench_daemons.c
@@ -298,15 +298,17 @@
     batch_clear(&batch);
 }
 
+/* One entry and one engine that gives tokens as fast as it can. */
+static const FleetOptions fast_fleet = {.port = PORT,
+                                        .entries = 1,
+                                        .model_agents = 1,
+                                        .capacity = WIDE,
+                                        .engine_knobs = "token_ms=0"};
+
 static void
 bench_relay(void)
 {
-    FleetOptions options = {.port = PORT,
-                            .entries = 1,
-                            .model_agents = 1,
-                            .capacity = WIDE,
-                            .engine_knobs = "token_ms=0"};
-    Fleet *fleet = Fleet_Start(&options);
+    Fleet *fleet = Fleet_Start(&fast_fleet);
 
     Fleet_Set(fleet, FLEET_ENGINE, 0, "batch=4096");
     bench_latency(fleet);
@@ -383,12 +385,7 @@
 static void
 bench_slow_reader(void)
 {
-    FleetOptions options = {.port = PORT,
-                            .entries = 1,
-                            .model_agents = 1,
-                            .capacity = WIDE,
-                            .engine_knobs = "token_ms=0"};
-    Fleet *fleet = Fleet_Start(&options);
+    Fleet *fleet = Fleet_Start(&fast_fleet);
     const char *address = Fleet_Address(fleet, FLEET_ENTRY, 0);
     pid_t entry = Fleet_Pid(fleet, FLEET_ENTRY, 0);
     int64_t memory;
--- a/tests/world/document.c
+++ b/tests/world/document.c
@@ -163,15 +163,3 @@
     }
     return code;
 }
-
-bool
-World_IsRetired(const World *world, uint32_t adapter)
-{
-    return world->retired[adapter];
-}
-
-uint64_t
-World_AcceptedGeneration(const World *world)
-{
-    return world->accepted;
-}
--- a/tests/world/world.h
+++ b/tests/world/world.h
@@ -126,9 +126,6 @@
 
 /* ---- operators ---------------------------------------------------------- */
 
-/* What the operators have said of each adapter's version 1. */
-bool World_IsRetired(const World *world, uint32_t adapter);
-
 /*
  * Retires version 1 of an adapter, or brings it back, by one conditional
  * update.  With stale, the update is based on an older head and must fail.
@@ -137,7 +134,4 @@
 int World_EditRetirement(World *world, uint32_t adapter, bool retired,
                          bool stale);
 
-/* Generation of the last accepted document. */
-uint64_t World_AcceptedGeneration(const World *world);
-
 #endif
