Split the emulator's engine by job

Change: engine_orders.c, engine_calls.c and engine.c (the whole and its faults) with engine_internal.h; drop_order(), which only called free(), and a field of calls that was never read are gone.

--- /dev/null
+++ b/tests/world/engine_calls.c
@@ -0,0 +1,328 @@
+/*
+ * Calls at a fake engine or plain service, token by token.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "engine_internal.h"
+
+/* A call whose agent is gone goes on for this long. */
+#define ORPHAN_TIME (1500 * KC_MS)
+
+void
+WorldEngine_FreeCall(WorldEngineCall *call)
+{
+    WorldEngine *engine = call->engine;
+
+    WorldEngine_Integrate(engine);
+    TAILQ_REMOVE(&engine->calls, call, link);
+    engine->running--;
+    if (call->adapter != NULL) {
+        call->adapter->active--;
+    }
+    if (call->work != NULL) {
+        call->work->call = NULL;
+    }
+    free(call);
+}
+
+/* An event of a call: it may have been freed or cancelled meanwhile. */
+typedef struct CallEvent {
+    WorldEngine *engine;
+    WorldEngineCall *call;
+    uint64_t id;
+} CallEvent;
+
+static bool
+still_there(const CallEvent *event)
+{
+    const WorldEngineCall *call;
+
+    TAILQ_FOREACH (call, &event->engine->calls, link) {
+        if (call == event->call && call->id == event->id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void step_model(void *context);
+static void finish_plain(void *context);
+
+static void
+schedule_call(WorldEngineCall *call, KcTime delay, void (*run)(void *context))
+{
+    World *world = call->engine->world;
+    CallEvent *event = KcMem_New(sizeof(*event));
+
+    event->engine = call->engine;
+    event->call = call;
+    event->id = call->id;
+    /* Delivered to the agent: a frozen agent reads nothing. */
+    WorldSchedule_Add(world, world->now + delay, call->node, run, free, event);
+}
+
+static void
+end_call(WorldEngineCall *call, int code, bool ran, const char *finish)
+{
+    WorldNode *node = call->node;
+    KcWork *work = call->work;
+
+    call->work = NULL;
+    work->call = NULL;
+    WorldEngine_FreeCall(call);
+    KcAgent_OnEnd(node->agent, work, code, ran, finish, node->world->now);
+}
+
+/* Tells the agent which model answers; it may cancel the call. */
+static void
+report_start(WorldEngineCall *call)
+{
+    WorldNode *node = call->node;
+    const char *name = call->wrong ? "another@1#1.1" : call->adapter->name;
+
+    if (!call->work->started) {
+        KcAgent_OnStarted(node->agent, call->work, name, 200, "",
+                          node->world->now);
+    }
+}
+
+/* Gives the agent one token. */
+static void
+give_token(WorldEngineCall *call)
+{
+    WorldNode *node = call->node;
+    char token[160];
+    size_t length = WorldCaller_Token(call->model, call->caller->number,
+                                      call->next, token, sizeof(token));
+    KcBytes bytes = {token + call->skip, length - call->skip};
+
+    call->next++;
+    call->skip = 0;
+    KcAgent_OnData(node->agent, call->work, bytes, call->work->tokens + 1,
+                   node->world->now);
+}
+
+/* Passes over tokens that the caller already has. */
+static void
+skip_delivered(WorldEngineCall *call)
+{
+    char token[160];
+
+    while (call->skip > 0) {
+        size_t length = WorldCaller_Token(call->model, call->caller->number,
+                                          call->next, token, sizeof(token));
+
+        if (call->skip < length) {
+            return;
+        }
+        call->skip -= length;
+        call->next++;
+    }
+}
+
+static void
+step_model(void *context)
+{
+    CallEvent event = *(CallEvent *)context;
+    WorldEngineCall *call = event.call;
+    WorldEngine *engine = event.engine;
+    World *world = engine->world;
+
+    free(context);
+    if (!still_there(&event)) {
+        return;
+    }
+    if (call->throttled) {
+        call->waiting = true;
+        return;
+    }
+    if (call->adapter == NULL) {
+        end_call(call, KC_ERR_LOST, true, ""); /* the engine restarted */
+        return;
+    }
+    report_start(call);
+    if (!still_there(&event)) {
+        return; /* the agent would not have this answer */
+    }
+    if (call->next >= world->options.tokens) {
+        end_call(call, 0, true, "stop");
+        return;
+    }
+    give_token(call);
+    if (!still_there(&event)) {
+        return;
+    }
+    if (engine->cut_answers > 0) {
+        engine->cut_answers--;
+        end_call(call, KC_ERR_LOST, true, "");
+        return;
+    }
+    schedule_call(call, world->options.token_time, step_model);
+}
+
+static void
+finish_plain(void *context)
+{
+    CallEvent event = *(CallEvent *)context;
+    WorldEngineCall *call = event.call;
+    WorldNode *node;
+    char text[128];
+    KcBytes bytes = {text, 0};
+
+    free(context);
+    if (!still_there(&event)) {
+        return;
+    }
+    node = call->node;
+    if (event.engine->cut_answers > 0) {
+        event.engine->cut_answers--;
+        end_call(call, KC_ERR_LOST, true, "");
+        return;
+    }
+
+    KcAgent_OnStarted(node->agent, call->work, "", 200, "text/plain",
+                      node->world->now);
+    /* All at once, whatever the window. */
+    for (uint32_t i = 0; i < WORLD_PLAIN_PIECES; i++) {
+        bytes.size =
+            WorldCaller_Piece(call->caller->number, i, text, sizeof(text));
+        KcAgent_OnData(node->agent, call->work, bytes, 0, node->world->now);
+    }
+    end_call(call, 0, true, "");
+}
+
+static void
+refuse_unloaded(void *context)
+{
+    CallEvent event = *(CallEvent *)context;
+
+    free(context);
+    if (still_there(&event)) {
+        end_call(event.call, KC_ERR_NOT_FOUND, false, "");
+    }
+}
+
+static WorldEngineCall *
+new_call(WorldEngine *engine, KcWork *work)
+{
+    WorldEngineCall *call = KcMem_New(sizeof(*call));
+    char body[32];
+
+    WorldEngine_Integrate(engine);
+    engine->running++;
+    call->id = ++engine->call_ids;
+    call->engine = engine;
+    call->node = engine->node;
+    call->work = work;
+    work->call = call;
+    assert(KcBuffer_Size(&work->body) < sizeof(body));
+    memcpy(body, KcBuffer_Data(&work->body), KcBuffer_Size(&work->body));
+    body[KcBuffer_Size(&work->body)] = '\0';
+    call->caller =
+        WorldCaller_Find(engine->world, (uint32_t)strtoul(body, NULL, 10));
+    TAILQ_INSERT_TAIL(&engine->calls, call, link);
+    return call;
+}
+
+static void
+start_model(WorldEngine *engine, WorldEngineCall *call)
+{
+    World *world = engine->world;
+    KcWork *work = call->work;
+    WorldAdapter *adapter = WorldEngine_FindAdapter(engine, work->slot->name);
+
+    if (adapter == NULL || !adapter->ready) {
+        schedule_call(call, LATENCY, refuse_unloaded);
+        return;
+    }
+    call->adapter = adapter;
+    adapter->active++;
+    KcModelRef_Format(&work->model, call->model);
+    call->skip = KcBuffer_Size(&work->delivered);
+    skip_delivered(call);
+    if (engine->wrong_models > 0) {
+        engine->wrong_models--;
+        call->wrong = true;
+    }
+    call->caller->executions++;
+    schedule_call(call, world->options.token_time, step_model);
+}
+
+void
+WorldEngine_Start(void *backend, KcWork *work)
+{
+    WorldEngine *engine = backend;
+    WorldEngineCall *call = new_call(engine, work);
+
+    call->caller->stall = work->stall;
+    engine->starts++;
+    engine->last_start = engine->world->now;
+    if (!engine->plain) {
+        start_model(engine, call);
+        return;
+    }
+    call->caller->executions++;
+    schedule_call(call, engine->world->options.execute_time, finish_plain);
+}
+
+void
+WorldEngine_Cancel(void *backend, KcWork *work)
+{
+    (void)backend;
+    if (work->call != NULL) {
+        WorldEngineCall *call = work->call;
+
+        WorldEngine_FreeCall(call);
+    }
+}
+
+void
+WorldEngine_Throttle(void *backend, KcWork *work, bool paused)
+{
+    WorldEngineCall *call = work->call;
+
+    (void)backend;
+    if (call == NULL) {
+        return;
+    }
+    call->throttled = paused;
+    if (!paused && call->waiting) {
+        call->waiting = false;
+        schedule_call(call, 0, step_model);
+    }
+}
+
+static void
+end_orphan(void *context)
+{
+    CallEvent event = *(CallEvent *)context;
+
+    free(context);
+    if (still_there(&event)) {
+        WorldEngine_FreeCall(event.call);
+    }
+}
+
+/* An engine notices only after a while that nobody reads an answer. */
+void
+WorldEngine_AgentGone(WorldEngine *engine)
+{
+    World *world = engine->world;
+    WorldEngineCall *call;
+
+    TAILQ_FOREACH (call, &engine->calls, link) {
+        CallEvent *event;
+
+        if (call->work == NULL) {
+            continue;
+        }
+        call->work->call = NULL;
+        call->work = NULL;
+        event = KcMem_New(sizeof(*event));
+        *event = (CallEvent){engine, call, call->id};
+        WorldSchedule_Add(world, world->now + ORPHAN_TIME, NULL, end_orphan,
+                          free, event);
+    }
+}
--- a/tests/world/world_internal.h
+++ b/tests/world/world_internal.h
@@ -155,7 +155,6 @@
     uint64_t id;
     WorldEngine *engine;
     WorldNode *node;
-    uint64_t incarnation;
     KcWork *work;          /* NULL once cancelled or its agent is gone */
     WorldAdapter *adapter; /* NULL for a plain call */
     WorldCaller *caller;   /* whose call it is, by prompt */
