--- a/config.mk
+++ b/config.mk
@@ -21,6 +21,6 @@
 
 # Libraries of libkcc, and those that only the programs use.
 LIB_LIBS = -lmsgpackc -linih -ljansson -lxxhash -lm
-PROGRAM_LIBS = -levhtp -levent -levent_openssl -lssl -lcrypto -llog4c
+PROGRAM_LIBS = -levhtp -lhttp_parser -levent -levent_openssl -lssl -lcrypto -llog4c
 
 .DEFAULT_GOAL := all
--- a/install-deps.sh
+++ b/install-deps.sh
@@ -2,7 +2,7 @@
 # Installs the libraries and tools that the build and the tests need.
 set -e
 PACKAGES="gcc make pkg-config curl clang clang-format clang-tidy cppcheck valgrind \
-libevent-dev libevhtp-dev libmsgpack-dev libinih-dev liblog4c-dev \
+libevent-dev libevhtp-dev libhttp-parser-dev libmsgpack-dev libinih-dev liblog4c-dev \
 libglib2.0-dev libjansson-dev libxxhash-dev uthash-dev libssl-dev \
 libclang-rt-14-dev"
 missing=""
--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -37,6 +37,9 @@
     KC_MSG_PART,         /* either: a part */
     KC_MSG_PING,         /* entry: is the agent running? */
     KC_MSG_PONG,         /* agent: yes */
+    KC_MSG_WANT,         /* gateway: asks the keeper to load an adapter */
+    KC_MSG_USED,         /* gateway: tells the keeper what it uses */
+    KC_MSG_HELD,         /* keeper: tells what its engine holds */
     KC_MSG_COUNT
 } KcMsgType;
 
@@ -131,6 +134,28 @@
     KcBytes bytes; /* empty in a request */
 } KcMsgPart;
 
+typedef struct KcMsgWant {
+    char server[KC_NAME_MAX]; /* id of the engine that is meant */
+    char model[KC_NAME_MAX];
+    char adapter[KC_NAME_MAX];
+    uint32_t version;  /* at least; 0: any */
+    uint32_t priority; /* 0 is the most urgent */
+} KcMsgWant;
+
+typedef struct KcMsgUsed {
+    char model[KC_NAME_MAX];
+    char adapter[KC_NAME_MAX];
+    uint32_t uses;      /* since the gateway last told */
+    uint32_t in_flight; /* requests of the gateway that use it */
+} KcMsgUsed;
+
+typedef struct KcMsgHeld {
+    char model[KC_NAME_MAX];
+    char adapter[KC_NAME_MAX];
+    uint32_t version;
+    uint32_t state; /* KcHeldState */
+} KcMsgHeld;
+
 /* One message.  Pointers in it are borrowed. */
 typedef struct KcMsg {
     KcMsgType type;
@@ -149,6 +174,9 @@
         KcMsgEnd end;
         KcMsgHead head;
         KcMsgPart part;
+        KcMsgWant want;
+        KcMsgUsed used;
+        KcMsgHeld held;
     } u;
 } KcMsg;
 
--- a/lib/connection/message_table.c
+++ b/lib/connection/message_table.c
@@ -77,6 +77,28 @@
 
 static const KcField part_fields[] = {NAME(part.hash), BYTES(part.bytes)};
 
+static const KcField want_fields[] = {
+    NAME(want.server),
+    NAME(want.model),
+    NAME(want.adapter),
+    U32(want.version),
+    U32(want.priority),
+};
+
+static const KcField used_fields[] = {
+    NAME(used.model),
+    NAME(used.adapter),
+    U32(used.uses),
+    U32(used.in_flight),
+};
+
+static const KcField held_fields[] = {
+    NAME(held.model),
+    NAME(held.adapter),
+    U32(held.version),
+    U32(held.state),
+};
+
 #define LAYOUT(name, rule, fields)                                            \
     {                                                                         \
         name, rule, sizeof(fields) / sizeof((fields)[0]), fields              \
@@ -104,4 +126,7 @@
     [KC_MSG_PART] = LAYOUT("part", KC_RULE_ANY, part_fields),
     [KC_MSG_PING] = EMPTY("ping", KC_RULE_ANY),
     [KC_MSG_PONG] = EMPTY("pong", KC_RULE_ANY),
+    [KC_MSG_WANT] = LAYOUT("want", KC_RULE_ANY, want_fields),
+    [KC_MSG_USED] = LAYOUT("used", KC_RULE_ANY, used_fields),
+    [KC_MSG_HELD] = LAYOUT("held", KC_RULE_ANY, held_fields),
 };
--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -28,11 +28,16 @@
 #include "kcc_version.h"
 #include "kcc_entry.h"
 #include "kcc_agent.h"
+#include "kcc_gateway.h"
+#include "kcc_keeper.h"
 
 /* Advanced use. */
 #include "kcc_connection.h"
+#include "kcc_feed.h"
+#include "kcc_forward.h"
 #include "kcc_process.h"
 #include "kcc_request.h"
 #include "kcc_residency.h"
+#include "kcc_routing.h"
 
 #endif
--- /dev/null
+++ b/lib/process/gateway.c
@@ -0,0 +1,123 @@
+/*
+ * The gateway's context: the routing in force, and the bounds that the
+ * gateways share.
+ */
+#include <assert.h>
+#include <stdlib.h>
+
+#include "gateway_internal.h"
+
+/* Gateways are taken to be so many until it is known. */
+#define GATEWAYS_UNKNOWN 8
+/* Default time for which a server's missing record counts as present; the
+ * platform brings records back within two seconds of an outage. */
+#define MISSING (2200 * KC_MS)
+
+void
+KcGatewayOptions_Init(KcGatewayOptions *options)
+{
+    *options = (KcGatewayOptions){.retry_percent = 20,
+                                  .retry_burst = 10,
+                                  .missing = MISSING};
+}
+
+KcGateway *
+KcGateway_Create(const KcGatewayOptions *options)
+{
+    KcGateway *gateway = KcMem_New(sizeof(*gateway));
+
+    gateway->options = *options;
+    gateway->gateways = GATEWAYS_UNKNOWN;
+    gateway->draws = options->seed;
+    KcName_Copy(gateway->datacentre, options->datacentre, KC_NAME_MAX);
+    KcName_Copy(gateway->region,
+                options->region_of(options->context, options->datacentre),
+                KC_NAME_MAX);
+    TAILQ_INIT(&gateway->forwards);
+    KcGateway_InitServers(gateway);
+    return gateway;
+}
+
+void
+KcGateway_Free(KcGateway *gateway)
+{
+    assert(TAILQ_EMPTY(&gateway->forwards));
+    KcGateway_ClearServers(gateway);
+    KcRouting_Unref(gateway->routing);
+    free(gateway);
+}
+
+void
+KcGateway_SetRouting(KcGateway *gateway, KcRouting *routing)
+{
+    if (gateway->routing != NULL &&
+        gateway->routing->version >= routing->version) {
+        KcRouting_Unref(routing);
+        return;
+    }
+    KcRouting_Unref(gateway->routing);
+    gateway->routing = routing;
+}
+
+const KcRouting *
+KcGateway_Routing(const KcGateway *gateway)
+{
+    return gateway->routing;
+}
+
+void
+KcGateway_SetPeers(KcGateway *gateway, uint32_t gateways, KcTime now)
+{
+    KcServerPool *pool;
+    KcServerPool *next;
+
+    (void)now;
+    if (gateways == 0) {
+        return;
+    }
+    gateway->gateways = gateways;
+    HASH_ITER(hh, gateway->pools, pool, next)
+    {
+        int64_t tokens = pool->budget.tokens;
+
+        KcRetryBudget_Init(&pool->budget, gateway->options.retry_percent,
+                           gateway->options.retry_burst / gateways);
+        if (pool->budget.tokens > tokens) {
+            pool->budget.tokens = tokens;
+        }
+    }
+}
+
+void
+KcGateway_SetRetry(KcGateway *gateway, int64_t percent, int64_t burst,
+                   KcTime now)
+{
+    gateway->options.retry_percent = percent;
+    gateway->options.retry_burst = burst;
+    KcGateway_SetPeers(gateway, gateway->gateways, now);
+}
+
+void
+KcGateway_Abort(KcGateway *gateway, KcTime now)
+{
+    KcForward *forward;
+
+    while ((forward = TAILQ_FIRST(&gateway->forwards)) != NULL) {
+        KcForward_Abandon(forward, now);
+    }
+}
+
+int
+KcGateway_Ready(const KcGateway *gateway)
+{
+    if (gateway->routing == NULL) {
+        return KC_ERR_NO_DOCUMENT;
+    }
+    return gateway->listed ? 0 : KC_ERR_NO_BACKEND;
+}
+
+uint32_t
+KcGateway_InFlight(const KcGateway *gateway)
+{
+    return gateway->in_flight;
+}
--- /dev/null
+++ b/lib/process/gateway_choose.c
@@ -0,0 +1,326 @@
+/*
+ * Which backend server a gateway sends a request to.
+ *
+ * Every way has an expected cost in time; the cheapest is taken.  Work per
+ * decision grows with the servers of one service only where an adapter must
+ * be loaded, else with the servers that hold it.
+ */
+#include <xxhash.h>
+
+#include "gateway_internal.h"
+
+/* Cost of the way to a server, by distance; traffic across is priced. */
+static const KcTime distance_cost[KC_DISTANCE_COUNT] = {
+    [KC_DISTANCE_DATACENTRE] = 0,
+    [KC_DISTANCE_REGION] = 60 * KC_MS,
+    [KC_DISTANCE_REMOTE] = 200 * KC_MS,
+};
+
+/* Cost of a server all of whose places are taken, and of each such load
+ * beyond: about the time a place is held. */
+#define LOAD_COST (150 * KC_MS)
+#define OVERLOAD_COST (800 * KC_MS)
+/* Cost of a server whose sendings all fail. */
+#define FAILURE_COST (1 * KC_SECOND)
+/* Cost of a server whose record is missing. */
+#define GONE_COST (500 * KC_MS)
+/* Homes of different adapters are spread over servers of like cost. */
+#define SPREAD_COST (50 * KC_MS)
+/* Reported load counts in full for so long, then fades. */
+#define LOAD_FRESH (500 * KC_MS)
+#define LOAD_STALE (3 * KC_SECOND)
+/* A server takes this many requests for a place before a gateway queues. */
+#define FILL_PERCENT 125
+/* Share of an engine's memory that is given out, in percent. */
+#define MEMORY_PERCENT 90
+/* A further copy is loaded when the best holder is filled above this. */
+#define COPY_PERCENT 60
+/* A copy in this data centre is loaded above this aged count of uses. */
+#define COPY_RATE 3.0
+/* Time between two requests for a further copy of one adapter. */
+#define COPY_INTERVAL (500 * KC_MS)
+
+uint32_t
+KcServer_Load(const KcServer *server, KcTime now)
+{
+    KcTime age = now - server->load_at;
+    uint64_t others = server->others;
+
+    if (server->load_at == 0 || age >= LOAD_STALE) {
+        others = 0;
+    }
+    else if (age > LOAD_FRESH) {
+        others = others * (uint64_t)(LOAD_STALE - age) /
+                 (uint64_t)(LOAD_STALE - LOAD_FRESH);
+    }
+    return server->in_flight + (uint32_t)others;
+}
+
+static bool
+was_tried(const KcForward *forward, const KcServer *server)
+{
+    for (uint32_t i = 0; i < forward->tried_count; i++) {
+        if (forward->tried[i] == server) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool
+may_use(const KcForward *forward, const KcServer *server)
+{
+    return !server->leaving && !was_tried(forward, server);
+}
+
+/* Prompts and answers at the server against its memory, in percent. */
+static uint64_t
+memory_percent(const KcForward *forward, const KcServer *server, uint32_t load)
+{
+    const KcRoutedService *service =
+        KcRouting_Service(forward->routing, server->pool->service);
+    uint64_t tokens = server->tokens + forward->tokens;
+
+    if (service == NULL || service->engine.memory_tokens == 0) {
+        return 0;
+    }
+    /* Requests of other gateways are taken to be like those of this one. */
+    if (server->in_flight > 0 && load > server->in_flight) {
+        tokens += server->tokens * (load - server->in_flight) /
+                  server->in_flight;
+    }
+    return tokens * 100 / service->engine.memory_tokens;
+}
+
+/* True when a further request would only wait there. */
+static bool
+is_full(const KcForward *forward, const KcServer *server, KcTime now)
+{
+    uint32_t load = KcServer_Load(server, now);
+
+    if (load == 0) {
+        return false; /* what does not fit there fits nowhere */
+    }
+    return load * 100 >= server->places * FILL_PERCENT ||
+           memory_percent(forward, server, load) > MEMORY_PERCENT;
+}
+
+static KcTime
+load_cost(uint32_t load, uint32_t places)
+{
+    if (load <= places) {
+        return LOAD_COST * load / places * load / places;
+    }
+    return LOAD_COST + OVERLOAD_COST * (load - places) / places;
+}
+
+static KcTime
+cost_of(const KcServer *server, KcTime now)
+{
+    KcTime cost = distance_cost[server->distance] +
+                  load_cost(KcServer_Load(server, now), server->places) +
+                  (KcTime)(server->failure_share * FAILURE_COST);
+
+    if (server->suspect_until > now) {
+        cost += FAILURE_COST + (server->suspect_until - now);
+    }
+    if (server->gone_at != 0) {
+        cost += GONE_COST;
+    }
+    return cost;
+}
+
+/* ---- requests without a model -------------------------------------------- */
+
+static void
+choose_plain(const KcForward *forward, KcTime now, KcChoice *choice)
+{
+    KcServer *server;
+    KcTime lowest = 0;
+    bool any = false;
+
+    TAILQ_FOREACH (server, &forward->pool->servers, link) {
+        KcTime cost;
+
+        if (!may_use(forward, server)) {
+            continue;
+        }
+        any = true;
+        cost = cost_of(server, now);
+        if (is_full(forward, server, now) ||
+            (choice->server != NULL && cost >= lowest)) {
+            continue;
+        }
+        choice->server = server;
+        lowest = cost;
+    }
+    if (choice->server != NULL) {
+        choice->action = KC_CHOICE_SEND;
+    }
+    else if (any) {
+        choice->action = KC_CHOICE_QUEUE;
+    }
+}
+
+/* ---- requests for a model ------------------------------------------------ */
+
+/* The cheapest server that has the adapter; any of them full or not. */
+static KcHolding *
+best_holding(const KcForward *forward, KcTime now, KcTime *lowest)
+{
+    KcHolding *holding;
+    KcHolding *best = NULL;
+
+    TAILQ_FOREACH (holding, &forward->adapter->holdings, of_adapter) {
+        KcTime cost;
+
+        if (holding->server->pool != forward->pool ||
+            !KcHolding_Usable(holding) ||
+            !may_use(forward, holding->server)) {
+            continue;
+        }
+        cost = cost_of(holding->server, now);
+        if (is_full(forward, holding->server, now)) {
+            cost += OVERLOAD_COST;
+        }
+        if (best == NULL || cost < *lowest) {
+            best = holding;
+            *lowest = cost;
+        }
+    }
+    return best;
+}
+
+static KcHolding *
+coming_holding(const KcForward *forward)
+{
+    KcHolding *holding;
+
+    TAILQ_FOREACH (holding, &forward->adapter->holdings, of_adapter) {
+        if (holding->coming && holding->server->pool == forward->pool &&
+            may_use(forward, holding->server)) {
+            return holding;
+        }
+    }
+    return NULL;
+}
+
+static bool
+has_current(const KcForward *forward, const KcServer *server)
+{
+    const KcHolding *holding;
+
+    TAILQ_FOREACH (holding, &forward->adapter->holdings, of_adapter) {
+        if (holding->server == server &&
+            (holding->coming || KcHolding_Usable(holding))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Does the server hold the adapter's base model? */
+static bool
+has_model(const KcServer *server, const char *model)
+{
+    const KcHolding *holding;
+
+    TAILQ_FOREACH (holding, &server->holdings, of_server) {
+        if (holding->adapter->name[0] == '\0' && !holding->gone &&
+            !holding->coming && strcmp(holding->adapter->model, model) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Where the adapter is best loaded; NULL when nowhere. */
+static KcServer *
+home_of(const KcForward *forward, KcTime now)
+{
+    KcServer *server;
+    KcServer *home = NULL;
+    KcTime lowest = 0;
+
+    TAILQ_FOREACH (server, &forward->pool->servers, link) {
+        uint64_t draw;
+        KcTime cost;
+
+        if (!may_use(forward, server) || server->gone_at != 0 ||
+            is_full(forward, server, now) || has_current(forward, server) ||
+            !has_model(server, forward->adapter->model)) {
+            continue;
+        }
+        draw = XXH3_64bits_withSeed(&server->hash, sizeof(server->hash),
+                                    forward->adapter->hash);
+        cost = cost_of(server, now) + (KcTime)(draw % SPREAD_COST);
+        if (home == NULL || cost < lowest) {
+            home = server;
+            lowest = cost;
+        }
+    }
+    return home;
+}
+
+/* Is a further copy worth while beside this holder? */
+static bool
+copy_wanted(const KcForward *forward, const KcServer *holder, KcTime now)
+{
+    const KcAdapterState *adapter = forward->adapter;
+
+    if (adapter->name[0] == '\0' || coming_holding(forward) != NULL ||
+        now - adapter->wanted_at < COPY_INTERVAL) {
+        return false;
+    }
+    return KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT ||
+           (holder->distance != KC_DISTANCE_DATACENTRE &&
+            adapter->rate > COPY_RATE);
+}
+
+static void
+choose_model(const KcForward *forward, KcTime now, KcChoice *choice)
+{
+    KcTime lowest = 0;
+    KcHolding *best = best_holding(forward, now, &lowest);
+    KcHolding *coming;
+
+    if (best != NULL && copy_wanted(forward, best->server, now)) {
+        choice->copy_at = home_of(forward, now);
+    }
+    if (best != NULL && !is_full(forward, best->server, now)) {
+        choice->action = KC_CHOICE_SEND;
+        choice->server = best->server;
+        choice->holding = best;
+        return;
+    }
+    coming = coming_holding(forward);
+    if (coming != NULL) {
+        choice->action = KC_CHOICE_AWAIT;
+        choice->server = coming->server;
+        return;
+    }
+    choice->server = choice->copy_at != NULL ? choice->copy_at
+                                             : home_of(forward, now);
+    choice->copy_at = NULL;
+    if (choice->server != NULL && forward->adapter->name[0] != '\0') {
+        choice->action = KC_CHOICE_LOAD;
+    }
+    else if (!TAILQ_EMPTY(&forward->pool->servers)) {
+        choice->server = NULL;
+        choice->action = KC_CHOICE_QUEUE;
+    }
+}
+
+void
+KcGateway_Choose(const KcGateway *gateway, const KcForward *forward,
+                 KcTime now, KcChoice *choice)
+{
+    (void)gateway;
+    *choice = (KcChoice){.action = KC_CHOICE_NONE};
+    if (forward->adapter != NULL) {
+        choose_model(forward, now, choice);
+    }
+    else {
+        choose_plain(forward, now, choice);
+    }
+}
--- /dev/null
+++ b/lib/process/gateway_forward.c
@@ -0,0 +1,633 @@
+/*
+ * The life of a request that a gateway passes on.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway_internal.h"
+
+/* A request waits for a place this part of its objective, then is refused:
+ * the platform prices refusals that come later. */
+#define QUEUE_PART 8
+#define QUEUE_LEAST (20 * KC_MS)
+/* Longest wait for one server to load an adapter. */
+#define LOAD_WAIT (1500 * KC_MS)
+/* Hint to a caller that was refused for lack of places. */
+#define RETRY_AFTER (400 * KC_MS)
+/* Requests tried for each place that becomes free. */
+#define QUEUE_LOOK 16
+
+static void on_timer(KcTimer *timer, KcTime now);
+
+/* ---- lists --------------------------------------------------------------- */
+
+static void
+leave_list(KcForward *forward)
+{
+    if (!forward->in_list) {
+        return;
+    }
+    forward->in_list = false;
+    if (forward->state == KC_FORWARD_LOADING) {
+        TAILQ_REMOVE(&forward->adapter->waiting, forward, waiting);
+    }
+    else {
+        TAILQ_REMOVE(&forward->pool->queue, forward, waiting);
+    }
+}
+
+/* Queues by urgency, then by arrival. */
+static void
+join_queue(KcForward *forward)
+{
+    KcForward *at;
+
+    TAILQ_FOREACH (at, &forward->pool->queue, waiting) {
+        if (at->rule->priority > forward->rule->priority ||
+            (at->rule->priority == forward->rule->priority &&
+             at->arrived > forward->arrived)) {
+            break;
+        }
+    }
+    if (at != NULL) {
+        TAILQ_INSERT_BEFORE(at, forward, waiting);
+    }
+    else {
+        TAILQ_INSERT_TAIL(&forward->pool->queue, forward, waiting);
+    }
+    forward->state = KC_FORWARD_QUEUED;
+    forward->in_list = true;
+}
+
+static void
+set_timer(KcForward *forward, KcTime due)
+{
+    if (due > forward->give_up) {
+        due = forward->give_up;
+    }
+    KcTimers_Set(forward->gateway->options.timers, &forward->timer, due);
+}
+
+/* ---- ends ---------------------------------------------------------------- */
+
+/* Lets go of the server and the adapter that a sending used. */
+static void
+release(KcForward *forward)
+{
+    KcServer *server = forward->server;
+
+    if (forward->sending == NULL) {
+        return;
+    }
+    forward->sending = NULL;
+    assert(server->in_flight > 0 && server->tokens >= forward->tokens);
+    server->in_flight--;
+    server->tokens -= forward->tokens;
+    if (forward->holding != NULL) {
+        KcHolding_End(forward->gateway, forward->holding);
+        forward->holding = NULL;
+    }
+}
+
+static void
+withdraw(KcForward *forward)
+{
+    KcGateway *gateway = forward->gateway;
+
+    if (forward->sending != NULL) {
+        gateway->options.ops->withdraw(gateway->options.context,
+                                       forward->sending);
+        release(forward);
+    }
+}
+
+/* Takes the request out of everything and frees it. */
+static void
+dispose(KcForward *forward, const char *outcome, int status,
+        const KcError *error, KcTime now)
+{
+    KcGateway *gateway = forward->gateway;
+    KcServerPool *pool = forward->pool;
+    KcForwardRecord record = {.forward = forward,
+                              .outcome = outcome,
+                              .status = status,
+                              .error = error,
+                              .now = now};
+
+    gateway->options.ops->record(gateway->options.context, &record);
+    leave_list(forward);
+    withdraw(forward);
+    KcTimers_Clear(gateway->options.timers, &forward->timer);
+    TAILQ_REMOVE(&gateway->forwards, forward, link);
+    gateway->in_flight--;
+    KcRouting_Unref(forward->routing);
+    free(forward);
+    KcGateway_DispatchQueue(pool, now);
+}
+
+static void
+finish_end(KcForward *forward, int status, KcTime now)
+{
+    const KcForwardOps *ops = forward->ops;
+    void *caller = forward->caller;
+
+    KcCounters_Add(forward->gateway->options.counters, KC_COUNT_ANSWERED, 1);
+    dispose(forward, "answered", status, NULL, now);
+    ops->end(caller);
+}
+
+/* Ends a request without a whole answer; forward->error says why. */
+static void
+finish_failed(KcForward *forward, bool may_have_run, KcTime now)
+{
+    const KcForwardOps *ops = forward->ops;
+    void *caller = forward->caller;
+    bool begun = forward->begun;
+    KcForwardRefusal refusal = {.error = forward->error,
+                                .may_have_run = may_have_run};
+
+    if (refusal.error.code == KC_ERR_BUSY ||
+        refusal.error.code == KC_ERR_NO_BACKEND) {
+        refusal.retry_after = RETRY_AFTER;
+    }
+    KcCounters_Add(forward->gateway->options.counters,
+                   may_have_run ? KC_COUNT_UNKNOWN : KC_COUNT_NOT_RUN, 1);
+    dispose(forward,
+            begun ? "broken"
+                  : (may_have_run ? "failed, may have run" : "not run"),
+            0, &refusal.error, now);
+    if (begun) {
+        ops->broken(caller, &refusal.error);
+    }
+    else {
+        ops->refuse(caller, &refusal);
+    }
+}
+
+static void
+fail(KcForward *forward, int code, const char *step, KcTime now)
+{
+    KcError_Set(&forward->error, code, step,
+                forward->server != NULL ? forward->server->id : "");
+    finish_failed(forward,
+                  forward->may_have_run || forward->sending != NULL, now);
+}
+
+/* ---- sending ------------------------------------------------------------- */
+
+static void
+note_tried(KcForward *forward, KcServer *server)
+{
+    if (forward->tried_count < KC_FORWARD_TRIED_MAX) {
+        forward->tried[forward->tried_count++] = server;
+    }
+}
+
+/* Sends to the chosen server.  False when it could not even be begun. */
+static bool
+send(KcForward *forward, const KcChoice *choice, KcTime now)
+{
+    KcGateway *gateway = forward->gateway;
+    const KcGatewayOptions *options = &gateway->options;
+    KcServer *server = choice->server;
+    KcSend sending = {.server = server,
+                      .left = forward->give_up - now,
+                      .priority = forward->rule->priority,
+                      .resumes = forward->has_event,
+                      .last_event = forward->last_event,
+                      .fresh = forward->rule->kind == KC_KIND_UNSAFE};
+
+    if (choice->holding != NULL && forward->adapter->newest > 0) {
+        sending.version = choice->holding->version;
+    }
+    leave_list(forward);
+    forward->state = KC_FORWARD_SENT;
+    forward->server = server;
+    forward->sent_at = now;
+    forward->sends++;
+    server->in_flight++;
+    server->tokens += forward->tokens;
+    forward->holding = choice->holding;
+    if (choice->holding != NULL) {
+        KcHolding_Begin(gateway, choice->holding, now);
+    }
+    KcCounters_Add(options->counters, KC_COUNT_ATTEMPTS, 1);
+    if (server->distance == KC_DISTANCE_REMOTE) {
+        KcCounters_Add(options->counters, KC_COUNT_REMOTE_ATTEMPTS, 1);
+    }
+    set_timer(forward, forward->give_up);
+    forward->sending = options->ops->send(options->context, forward, &sending);
+    if (forward->sending == NULL) {
+        forward->sending = forward; /* released like one that was begun */
+        release(forward);
+        return false;
+    }
+    return true;
+}
+
+/* Asks a server's keeper to load the request's adapter.  False when it
+ * cannot be asked. */
+static bool
+want(KcForward *forward, KcServer *server, KcTime now)
+{
+    KcGateway *gateway = forward->gateway;
+    const KcGatewayOptions *options = &gateway->options;
+    KcWant request = {.server = server,
+                      .adapter = forward->adapter,
+                      .version = forward->adapter->newest,
+                      .priority = forward->rule->priority};
+
+    forward->adapter->wanted_at = now;
+    if (!options->ops->want(options->context, &request)) {
+        return false;
+    }
+    KcHolding_Expect(server, forward->adapter);
+    return true;
+}
+
+static void
+await_adapter(KcForward *forward, KcServer *server, KcTime now)
+{
+    forward->state = KC_FORWARD_LOADING;
+    forward->server = server;
+    forward->in_list = true;
+    TAILQ_INSERT_TAIL(&forward->adapter->waiting, forward, waiting);
+    set_timer(forward, now + LOAD_WAIT);
+}
+
+static void
+enqueue(KcForward *forward, int code, KcTime now)
+{
+    if (now >= forward->choose_until ||
+        forward->tried_count == KC_FORWARD_TRIED_MAX) {
+        if (forward->error.code == 0) {
+            KcError_Set(&forward->error, code, "choose", "");
+        }
+        finish_failed(forward, forward->may_have_run, now);
+        return;
+    }
+    if (forward->error.code == 0) {
+        KcError_Set(&forward->error, code, "queue", "");
+    }
+    join_queue(forward);
+    set_timer(forward, forward->choose_until);
+}
+
+/* Carries out a choice.  False when its server cannot be reached. */
+static bool
+take(KcForward *forward, const KcChoice *choice, KcTime now)
+{
+    switch (choice->action) {
+    case KC_CHOICE_SEND:
+        return send(forward, choice, now);
+    case KC_CHOICE_LOAD:
+        if (!want(forward, choice->server, now)) {
+            return false;
+        }
+        await_adapter(forward, choice->server, now);
+        return true;
+    case KC_CHOICE_AWAIT:
+        await_adapter(forward, choice->server, now);
+        return true;
+    case KC_CHOICE_QUEUE:
+        enqueue(forward, KC_ERR_BUSY, now);
+        return true;
+    case KC_CHOICE_NONE:
+        break;
+    }
+    enqueue(forward, KC_ERR_NO_BACKEND, now);
+    return true;
+}
+
+void
+KcForward_Dispatch(KcForward *forward, KcTime now)
+{
+    KcChoice choice;
+
+    leave_list(forward);
+    if (now >= forward->give_up) {
+        fail(forward, KC_ERR_DEADLINE, "choose", now);
+        return;
+    }
+    for (;;) {
+        KcGateway_Choose(forward->gateway, forward, now, &choice);
+        if (choice.copy_at != NULL) {
+            want(forward, choice.copy_at, now);
+        }
+        if (take(forward, &choice, now)) {
+            return;
+        }
+        /* The server could not even be asked: the next one is. */
+        note_tried(forward, choice.server);
+    }
+}
+
+void
+KcGateway_DispatchQueue(KcServerPool *pool, KcTime now)
+{
+    KcForward *forward;
+    KcForward *next;
+    int looked = 0;
+
+    if (pool->dispatching) {
+        return;
+    }
+    pool->dispatching = true;
+    TAILQ_FOREACH_SAFE (forward, &pool->queue, waiting, next) {
+        KcChoice choice;
+
+        if (++looked > QUEUE_LOOK) {
+            break;
+        }
+        KcGateway_Choose(forward->gateway, forward, now, &choice);
+        if (choice.action == KC_CHOICE_QUEUE ||
+            choice.action == KC_CHOICE_NONE) {
+            continue;
+        }
+        KcForward_Dispatch(forward, now);
+    }
+    pool->dispatching = false;
+}
+
+void
+KcGateway_DispatchWaiting(KcAdapterState *adapter, KcServer *refused, KcTime now)
+{
+    KcForward *forward;
+    KcForward *last = TAILQ_LAST(&adapter->waiting, KcForwardList);
+    bool is_last = last == NULL;
+
+    while (!is_last) {
+        forward = TAILQ_FIRST(&adapter->waiting);
+        is_last = forward == last;
+        if (refused != NULL && forward->server == refused) {
+            note_tried(forward, refused);
+        }
+        KcForward_Dispatch(forward, now);
+    }
+}
+
+/* ---- a request arrives --------------------------------------------------- */
+
+static KcForward *
+create(KcGateway *gateway, const KcForwardCall *call, const KcRouteRule *rule,
+       KcTime now)
+{
+    KcForward *forward = KcMem_New(sizeof(*forward));
+    const KcRouteTarget *target;
+    KcTime wait = rule->objective / QUEUE_PART;
+
+    gateway->draws = gateway->draws * 6364136223846793005ULL + 1;
+    target = KcRouting_Target(rule, gateway->draws >> 33);
+    forward->gateway = gateway;
+    forward->routing = KcRouting_Ref(gateway->routing);
+    forward->rule = rule;
+    forward->pool = KcGateway_Pool(gateway, target->service);
+    if (call->model[0] != '\0') {
+        forward->adapter =
+            KcGateway_Adapter(gateway, call->model, call->adapter, now);
+    }
+    KcName_Copy(forward->id, call->id, sizeof(forward->id));
+    forward->arrived = now;
+    forward->give_up = now + rule->timeout;
+    if (call->deadline > 0 && call->deadline < rule->timeout) {
+        forward->give_up = now + call->deadline;
+    }
+    forward->choose_until = now + (wait > QUEUE_LEAST ? wait : QUEUE_LEAST);
+    forward->tokens = call->tokens_in + call->tokens_out;
+    forward->repeatable =
+        rule->kind == KC_KIND_SAFE ||
+        (rule->kind == KC_KIND_STREAM && rule->resumable);
+    forward->has_event = call->resumes;
+    forward->last_event = call->last_event;
+    KcTimer_Init(&forward->timer, on_timer, forward);
+    return forward;
+}
+
+static void
+refuse_at_once(KcGateway *gateway, const KcForwardOps *ops, void *caller,
+               int code, const char *step)
+{
+    KcForwardRefusal refusal = {.retry_after = RETRY_AFTER};
+
+    KcError_Set(&refusal.error, code, step, "");
+    KcCounters_Add(gateway->options.counters, KC_COUNT_NOT_RUN, 1);
+    ops->refuse(caller, &refusal);
+}
+
+void
+KcGateway_Submit(KcGateway *gateway, const KcForwardCall *call,
+                 const KcForwardOps *ops, void *caller, KcForward **slot,
+                 KcTime now)
+{
+    const KcRouteRule *rule;
+    KcForward *forward;
+
+    *slot = NULL;
+    KcCounters_Add(gateway->options.counters, KC_COUNT_REQUESTS, 1);
+    if (gateway->routing == NULL) {
+        refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route");
+        return;
+    }
+    rule = KcRouting_Find(gateway->routing, call->host, call->path);
+    if (rule == NULL) {
+        refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route");
+        return;
+    }
+    forward = create(gateway, call, rule, now);
+    forward->ops = ops;
+    forward->caller = caller;
+    KcRetryBudget_Deposit(&forward->pool->budget);
+    TAILQ_INSERT_TAIL(&gateway->forwards, forward, link);
+    gateway->in_flight++;
+    *slot = forward;
+    KcForward_Dispatch(forward, now);
+}
+
+void
+KcForward_Abandon(KcForward *forward, KcTime now)
+{
+    KcCounters_Add(forward->gateway->options.counters, KC_COUNT_ABANDONED, 1);
+    dispose(forward, "abandoned", 0, NULL, now);
+}
+
+static void
+on_timer(KcTimer *timer, KcTime now)
+{
+    KcForward *forward = timer->owner;
+
+    if (now >= forward->give_up) {
+        fail(forward, KC_ERR_DEADLINE,
+             forward->sending != NULL ? "await answer" : "await place", now);
+        return;
+    }
+    switch (forward->state) {
+    case KC_FORWARD_QUEUED:
+        finish_failed(forward, forward->may_have_run, now);
+        break;
+    case KC_FORWARD_LOADING:
+        /* Another server is asked; this one may be cut off or crowded. */
+        leave_list(forward);
+        KcError_Set(&forward->error, KC_ERR_LOAD_FAILED, "load",
+                    forward->server->id);
+        note_tried(forward, forward->server);
+        KcForward_Dispatch(forward, now);
+        break;
+    case KC_FORWARD_SENT:
+    case KC_FORWARD_STREAMING:
+        break;
+    }
+}
+
+/* ---- what the sending side reports --------------------------------------- */
+
+/* Decides what follows a sending without a whole answer. */
+static void
+go_on(KcForward *forward, KcAttemptEnd end, int code, const char *step,
+      KcTime now)
+{
+    KcServer *server = forward->server;
+    KcRetryInput input = {.end = end,
+                          .code = code == KC_ERR_DEADLINE ? code : 0,
+                          .repeatable = forward->repeatable,
+                          .may_have_run = forward->may_have_run,
+                          .cancelled = now >= forward->give_up,
+                          .continues = forward->rule->resumable,
+                          .part_delivered = forward->begun,
+                          .refusals_count = true,
+                          .attempts_max = forward->rule->attempts_max};
+    bool ran = end == KC_ATTEMPT_FAILED || end == KC_ATTEMPT_LOST;
+
+    KcError_Set(&forward->error, code, step, server->id);
+    KcServer_NoteFailure(server, end, now);
+    release(forward);
+    note_tried(forward, server);
+    forward->runs += ran ? 1 : 0;
+    input.attempts = forward->runs;
+    switch (KcRetry_Decide(&input, &forward->pool->budget)) {
+    case KC_RETRY_NEXT:
+        forward->may_have_run = forward->may_have_run || ran;
+        KcCounters_Add(forward->gateway->options.counters, KC_COUNT_RETRIES,
+                       1);
+        KcForward_Dispatch(forward, now);
+        break;
+    case KC_RETRY_NOT_RUN:
+        finish_failed(forward, false, now);
+        break;
+    case KC_RETRY_UNKNOWN:
+        finish_failed(forward, true, now);
+        break;
+    }
+}
+
+void
+KcForward_OnFailed(KcForward *forward, KcAttemptEnd end, int code, KcTime now)
+{
+    assert(forward->sending != NULL);
+    go_on(forward, end, code,
+          forward->state == KC_FORWARD_STREAMING ? "stream" : "send", now);
+}
+
+/* The server did not run the request. */
+static void
+on_not_run(KcForward *forward, const KcReply *reply, KcTime now)
+{
+    KcCounters_Add(forward->gateway->options.counters, KC_COUNT_REFUSALS, 1);
+    if (reply->other_server && forward->holding != NULL) {
+        KcHolding_Drop(forward->gateway, forward->holding);
+    }
+    go_on(forward, KC_ATTEMPT_REFUSED,
+          reply->other_server ? KC_ERR_WRONG_MODEL : KC_ERR_BUSY, "refused",
+          now);
+}
+
+/* May an answer that says failure be replaced by another server's? */
+static bool
+worth_retry(const KcForward *forward, const KcReply *reply, KcTime now)
+{
+    return reply->status >= 500 && forward->rule->kind == KC_KIND_SAFE &&
+           forward->runs + 1 < forward->rule->attempts_max &&
+           now < forward->give_up && KcRetryBudget_Has(&forward->pool->budget);
+}
+
+void
+KcForward_OnReply(KcForward *forward, const KcReply *reply, KcTime now)
+{
+    const KcForwardOps *ops = forward->ops;
+
+    assert(forward->sending != NULL);
+    if (reply->not_run) {
+        on_not_run(forward, reply, now);
+        return;
+    }
+    if (worth_retry(forward, reply, now)) {
+        go_on(forward, KC_ATTEMPT_FAILED, KC_ERR_BACKEND, "answer", now);
+        return;
+    }
+    if (forward->begun) {
+        /* A stream cannot go on as an answer of another kind. */
+        go_on(forward, KC_ATTEMPT_FAILED, KC_ERR_BACKEND, "resume", now);
+        return;
+    }
+    if (reply->status >= 500) {
+        KcServer_NoteFailure(forward->server, KC_ATTEMPT_FAILED, now);
+    }
+    else {
+        KcServer_NoteSuccess(forward->server, now - forward->sent_at);
+    }
+    release(forward);
+    ops->begin(forward->caller, reply->head, false);
+    ops->data(forward->caller, reply->body);
+    finish_end(forward, reply->status, now);
+}
+
+void
+KcForward_OnBegin(KcForward *forward, const KcReply *reply, KcTime now)
+{
+    (void)now;
+    assert(forward->sending != NULL && !reply->not_run);
+    forward->state = KC_FORWARD_STREAMING;
+    forward->head = reply->head;
+}
+
+/* The head is passed on with the first event: until then another server's
+ * answer can take its place. */
+static void
+begin_stream(KcForward *forward, KcTime now)
+{
+    if (forward->begun) {
+        return;
+    }
+    forward->begun = true;
+    forward->first_event_at = now;
+    forward->ops->begin(forward->caller, forward->head, true);
+}
+
+void
+KcForward_OnEvent(KcForward *forward, bool has_id, uint64_t id, KcBytes bytes,
+                  KcTime now)
+{
+    assert(forward->sending != NULL);
+    if (has_id && forward->has_event && id != forward->last_event + 1) {
+        withdraw(forward);
+        go_on(forward, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL, "event id", now);
+        return;
+    }
+    begin_stream(forward, now);
+    if (has_id) {
+        forward->has_event = true;
+        forward->last_event = id;
+    }
+    forward->ops->data(forward->caller, bytes);
+}
+
+void
+KcForward_OnEnd(KcForward *forward, KcTime now)
+{
+    assert(forward->sending != NULL);
+    begin_stream(forward, now);
+    KcServer_NoteSuccess(forward->server,
+                         forward->first_event_at - forward->sent_at);
+    release(forward);
+    finish_end(forward, 200, now);
+}
--- /dev/null
+++ b/lib/process/gateway_internal.h
@@ -0,0 +1,93 @@
+/*
+ * The gateway's context, and what its files use of each other.
+ *
+ * The calls go one way: gateway_forward.c (requests) uses gateway_choose.c
+ * (decisions), which uses gateway_servers.c (what is known of servers and
+ * adapters).
+ */
+#ifndef KCC_GATEWAY_INTERNAL_H
+#define KCC_GATEWAY_INTERNAL_H
+
+#include "kcc_gateway.h"
+
+struct KcGateway {
+    KcGatewayOptions options;
+    char datacentre[KC_NAME_MAX];
+    char region[KC_NAME_MAX];
+    KcRouting *routing;
+    KcServer *servers;
+    KcServerPool *pools;
+    KcAdapterState *adapters;
+    struct KcAdapterStateList adapter_list;
+    uint32_t adapter_count;
+    TAILQ_HEAD(, KcHolding) untold;
+    struct KcForwardList forwards;
+    uint32_t in_flight;
+    uint32_t list_epoch; /* of the list of servers being told */
+    bool listed;         /* a whole list was told */
+    uint32_t gateways;   /* that share the retry budget */
+    uint64_t draws;      /* state of the random numbers */
+    KcTimer sweep;       /* forgets servers that stay missing */
+};
+
+/* ---- servers and adapters (gateway_servers.c) ---------------------------- */
+
+KcServerPool *KcGateway_Pool(KcGateway *gateway, const char *service);
+KcAdapterState *KcGateway_Adapter(KcGateway *gateway, const char *model,
+                             const char *name, KcTime now);
+
+/* True when the holding can serve a request now. */
+bool KcHolding_Usable(const KcHolding *holding);
+/* Counts a request in and out. */
+void KcHolding_Begin(KcGateway *gateway, KcHolding *holding, KcTime now);
+void KcHolding_End(KcGateway *gateway, KcHolding *holding);
+/* The server's keeper was asked for the adapter. */
+void KcHolding_Expect(KcServer *server, KcAdapterState *adapter);
+/* The server said that it does not have it. */
+void KcHolding_Drop(KcGateway *gateway, KcHolding *holding);
+
+/* Notes how a sending to the server ended. */
+void KcServer_NoteSuccess(KcServer *server, KcTime took);
+void KcServer_NoteFailure(KcServer *server, KcAttemptEnd end, KcTime now);
+
+void KcGateway_ClearServers(KcGateway *gateway);
+void KcGateway_InitServers(KcGateway *gateway);
+
+/* ---- decisions (gateway_choose.c) ---------------------------------------- */
+
+typedef enum KcChoiceAction {
+    KC_CHOICE_NONE = 0, /* no server is known that could be used */
+    KC_CHOICE_SEND,
+    KC_CHOICE_AWAIT, /* the adapter is on its way to the server */
+    KC_CHOICE_LOAD,  /* the server's keeper must load the adapter */
+    KC_CHOICE_QUEUE  /* every place is taken */
+} KcChoiceAction;
+
+typedef struct KcChoice {
+    KcChoiceAction action;
+    KcServer *server;
+    KcHolding *holding; /* NULL when the request names no model */
+    KcServer *copy_at;  /* a further copy is worth while here; may be NULL */
+} KcChoice;
+
+/* Decides what becomes of a request now. */
+void KcGateway_Choose(const KcGateway *gateway, const KcForward *forward,
+                      KcTime now, KcChoice *choice);
+
+/* Requests at the server, of all gateways, as far as is known. */
+uint32_t KcServer_Load(const KcServer *server, KcTime now);
+
+/* ---- requests (gateway_forward.c) ---------------------------------------- */
+
+/* Finds a way for a request that has none. */
+void KcForward_Dispatch(KcForward *forward, KcTime now);
+/* Tries those that wait for a place, the most urgent first. */
+void KcGateway_DispatchQueue(KcServerPool *pool, KcTime now);
+/*
+ * Tries those that wait for an adapter.  refused, when not NULL, is a server
+ * that will not load it: those that wait for it look elsewhere.
+ */
+void KcGateway_DispatchWaiting(KcAdapterState *adapter, KcServer *refused,
+                               KcTime now);
+
+#endif
--- /dev/null
+++ b/lib/process/kcc_gateway.h
@@ -0,0 +1,267 @@
+/*
+ * The gateway: an entry that passes callers' requests on unchanged, straight
+ * to backend servers, by the routes of a routing configuration.
+ *
+ * Part 1 is the backend servers it knows, part 2 the adapters they hold,
+ * part 3 the gateway itself.
+ */
+#ifndef KCC_GATEWAY_H
+#define KCC_GATEWAY_H
+
+#include <uthash.h>
+
+#include "kcc_forward.h"
+#include "kcc_process.h"
+#include "kcc_routing.h"
+
+/* ---- Part 1: backend servers --------------------------------------------- */
+
+/* Longest name of a model with its adapter, with its NUL. */
+#define KC_ADAPTER_KEY_MAX (2 * KC_NAME_MAX)
+
+/* Something that a backend server says it holds. */
+typedef struct KcHeldInfo {
+    TAILQ_ENTRY(KcHeldInfo) link;
+    char model[KC_NAME_MAX];
+    char adapter[KC_NAME_MAX]; /* "" for the base model */
+    uint32_t version;
+    bool coming; /* being loaded */
+} KcHeldInfo;
+
+TAILQ_HEAD(KcHeldInfoList, KcHeldInfo);
+
+/* What a backend server says of itself. */
+typedef struct KcServerInfo {
+    char id[KC_NAME_MAX];
+    char service[KC_NAME_MAX];
+    char address[KC_ADDRESS_MAX];
+    char datacentre[KC_NAME_MAX];
+    uint32_t places; /* requests it runs at once */
+    bool leaving;
+    KcTime leaves_in; /* short notice; 0: none given */
+    KcTime cold_left; /* it is slow for so much longer */
+    int64_t born;     /* wall clock of its start, ms; 0: not given */
+    struct KcHeldInfoList held;
+} KcServerInfo;
+
+void KcServerInfo_Init(KcServerInfo *info);
+/* Adds what it holds; the strings are copied. */
+void KcServerInfo_AddHeld(KcServerInfo *info, const char *model,
+                          const char *adapter, uint32_t version, bool coming);
+void KcServerInfo_Clear(KcServerInfo *info);
+
+/* How far a backend server is from a gateway. */
+typedef enum KcDistance {
+    KC_DISTANCE_DATACENTRE = 0, /* in the same one */
+    KC_DISTANCE_REGION,         /* in another one of the region */
+    KC_DISTANCE_REMOTE,         /* in another region */
+    KC_DISTANCE_COUNT
+} KcDistance;
+
+typedef struct KcServer {
+    UT_hash_handle hh;          /* KcGateway, by id */
+    TAILQ_ENTRY(KcServer) link; /* KcServerPool */
+    struct KcServerPool *pool;
+    char id[KC_NAME_MAX];
+    char address[KC_ADDRESS_MAX];
+    char datacentre[KC_NAME_MAX];
+    uint64_t hash;
+    uint64_t revision; /* of its record */
+    int64_t born;
+    KcDistance distance;
+    uint32_t places;
+    bool leaving;    /* takes no new request */
+    KcTime gone_at;  /* its record has been missing since; 0: it is there */
+    uint32_t epoch;  /* of the list that it was in */
+    uint32_t in_flight; /* requests of this gateway */
+    uint64_t tokens;    /* of these */
+    uint32_t others;    /* requests of other gateways, as reported */
+    KcTime load_at;     /* time of that report; 0: none */
+    uint32_t failures;  /* in a row */
+    double failure_share; /* aged share of sendings that failed */
+    KcTime slow;          /* aged time to an answer; 0: not known */
+    KcTime suspect_until; /* not chosen before this time */
+    bool keeper;          /* its keeper's word is known and counts */
+    void *peer;           /* the program's: connections to it */
+    TAILQ_HEAD(, KcHolding) holdings;
+} KcServer;
+
+TAILQ_HEAD(KcServerList, KcServer);
+
+/* The backend servers of one service. */
+typedef struct KcServerPool {
+    UT_hash_handle hh; /* KcGateway, by service */
+    char service[KC_NAME_MAX];
+    struct KcServerList servers;
+    struct KcForwardList queue; /* the most urgent first */
+    bool dispatching;           /* the queue is being looked through */
+    KcRetryBudget budget;       /* of sendings beyond the first */
+} KcServerPool;
+
+/* ---- Part 2: adapters ----------------------------------------------------- */
+
+/* An adapter, or a base model, at a backend server. */
+typedef struct KcHolding {
+    TAILQ_ENTRY(KcHolding) of_server;
+    TAILQ_ENTRY(KcHolding) of_adapter;
+    TAILQ_ENTRY(KcHolding) untold; /* KcGateway, while is_untold */
+    bool is_untold;                /* its keeper does not know of a use */
+    KcServer *server;
+    struct KcAdapterState *adapter;
+    uint32_t version;
+    bool coming;        /* on its way, not usable yet */
+    bool gone;          /* kept for the requests that still use it */
+    uint32_t in_flight; /* requests of this gateway that use it */
+    uint32_t uses;      /* since the keeper was last told */
+} KcHolding;
+
+typedef struct KcAdapterState {
+    UT_hash_handle hh;        /* KcGateway, by key */
+    TAILQ_ENTRY(KcAdapterState) link; /* least recently used first */
+    char key[KC_ADAPTER_KEY_MAX]; /* model/adapter; model/ for a base */
+    char model[KC_NAME_MAX];
+    char name[KC_NAME_MAX]; /* "" for the base model */
+    uint64_t hash;
+    uint32_t newest;        /* version announced; 0: none */
+    double rate;            /* aged count of uses by this gateway */
+    KcTime rate_at;
+    KcTime wanted_at;       /* a further copy was last asked for */
+    TAILQ_HEAD(, KcHolding) holdings;
+    struct KcForwardList waiting; /* until it is loaded */
+} KcAdapterState;
+
+TAILQ_HEAD(KcAdapterStateList, KcAdapterState);
+
+/* ---- Part 3: the gateway -------------------------------------------------- */
+
+typedef struct KcGateway KcGateway;
+
+/* A request to a server's keeper to load an adapter. */
+typedef struct KcWant {
+    KcServer *server;
+    const KcAdapterState *adapter;
+    uint32_t version;  /* at least; 0: the newest */
+    uint32_t priority; /* 0 is the most urgent */
+} KcWant;
+
+/* One finished request, for the log. */
+typedef struct KcForwardRecord {
+    const KcForward *forward;
+    const char *outcome; /* "answered", "refused", "broken", "abandoned" */
+    int status;          /* of the backend server's answer; 0: none */
+    const KcError *error;
+    KcTime now;
+} KcForwardRecord;
+
+/* Outward calls. */
+typedef struct KcGatewayOps {
+    /* Starts a sending; nothing is reported before it returns. */
+    void *(*send)(void *context, KcForward *forward, const KcSend *send);
+    /* Ends a sending: nothing is reported for it afterwards. */
+    void (*withdraw)(void *context, void *sending);
+    /* Asks a keeper; false when it cannot be asked now. */
+    bool (*want)(void *context, const KcWant *want);
+    /* A server is forgotten: its connections are to be closed. */
+    void (*forget)(void *context, KcServer *server);
+    void (*record)(void *context, const KcForwardRecord *record);
+} KcGatewayOps;
+
+typedef struct KcGatewayOptions {
+    const KcGatewayOps *ops;
+    void *context;
+    KcTimers *timers;
+    KcCounters *counters;
+    const char *datacentre; /* of this gateway */
+    /* The region of a data centre, "" when it is not known. */
+    const char *(*region_of)(void *context, const char *datacentre);
+    uint64_t seed;           /* of the draws among targets */
+    int64_t retry_percent;   /* sendings beyond the first, of requests */
+    int64_t retry_burst;     /* the same, fixed part for all gateways */
+    KcTime missing;          /* a record that is missing counts this long */
+} KcGatewayOptions;
+
+void KcGatewayOptions_Init(KcGatewayOptions *options);
+
+KcGateway *KcGateway_Create(const KcGatewayOptions *options);
+/* Every request must have been ended, see KcGateway_Abort(). */
+void KcGateway_Free(KcGateway *gateway);
+
+/* Takes over a routing configuration and its reference; older is dropped. */
+void KcGateway_SetRouting(KcGateway *gateway, KcRouting *routing);
+const KcRouting *KcGateway_Routing(const KcGateway *gateway);
+
+/* Changes the bounds of the retry budget, as in KcGatewayOptions. */
+void KcGateway_SetRetry(KcGateway *gateway, int64_t percent, int64_t burst,
+                        KcTime now);
+
+/* How many gateways share the fixed part of the retry budget. */
+void KcGateway_SetPeers(KcGateway *gateway, uint32_t gateways, KcTime now);
+
+/* A whole list of servers begins, and has ended. */
+void KcGateway_ServersBegin(KcGateway *gateway);
+void KcGateway_ServersEnd(KcGateway *gateway, KcTime now);
+/* The record of a server as of a revision. */
+void KcGateway_OnServer(KcGateway *gateway, const KcServerInfo *info,
+                        uint64_t revision, KcTime now);
+/* A record is gone, or names no server that could be used. */
+void KcGateway_OnServerGone(KcGateway *gateway, const char *id, KcTime now);
+
+/* A new version of an adapter was announced. */
+void KcGateway_OnVersion(KcGateway *gateway, const char *model,
+                         const char *adapter, uint32_t version, KcTime now);
+
+/* ---- what a server's keeper says ------------------------------------------ */
+
+typedef enum KcHeldState {
+    KC_HELD_GONE = 0,
+    KC_HELD_COMING,
+    KC_HELD_LOADED,
+    KC_HELD_NOTHING, /* forget all: the server started anew */
+    KC_HELD_STATE_COUNT
+} KcHeldState;
+
+void KcGateway_OnHeld(KcGateway *gateway, KcServer *server, const char *model,
+                      const char *adapter, uint32_t version,
+                      KcHeldState state, KcTime now);
+/* The keeper can no longer be heard. */
+void KcGateway_OnKeeperLost(KcGateway *gateway, KcServer *server, KcTime now);
+
+/* A server told its load along with an answer. */
+void KcGateway_OnLoad(KcServer *server, uint32_t running, uint32_t waiting,
+                      uint32_t places, KcTime now);
+
+/* ---- requests -------------------------------------------------------------- */
+
+/*
+ * Takes a request.  *slot is set before any call of ops, which may come
+ * before the return: to the request, or to NULL for one that is refused
+ * without having become one.
+ */
+void KcGateway_Submit(KcGateway *gateway, const KcForwardCall *call,
+                      const KcForwardOps *ops, void *caller,
+                      KcForward **slot, KcTime now);
+
+/* Ends every request, as when the process stops. */
+void KcGateway_Abort(KcGateway *gateway, KcTime now);
+
+/* 0 when requests can be served, else why not. */
+int KcGateway_Ready(const KcGateway *gateway);
+uint32_t KcGateway_InFlight(const KcGateway *gateway);
+
+/* Finds a server by id; NULL when it is not known. */
+KcServer *KcGateway_Server(const KcGateway *gateway, const char *id);
+
+/*
+ * Visits every holding whose use its keeper has not been told yet; they
+ * count as told afterwards.
+ */
+void KcGateway_TellUses(KcGateway *gateway,
+                        void (*tell)(void *context, KcHolding *holding),
+                        void *context);
+
+/* Visits every server. */
+void KcGateway_EachServer(KcGateway *gateway,
+                          void (*visit)(void *context, KcServer *server),
+                          void *context);
+
+#endif
--- /dev/null
+++ b/lib/process/kcc_keeper.h
@@ -0,0 +1,96 @@
+/*
+ * The keeper: an agent that keeps the adapters of one engine, while requests
+ * reach the engine straight from gateways.
+ *
+ * It alone orders its engine.  Gateways ask it for adapters and tell it what
+ * they use; it tells them what the engine holds.
+ */
+#ifndef KCC_KEEPER_H
+#define KCC_KEEPER_H
+
+#include "kcc_gateway.h"
+#include "kcc_process.h"
+#include "kcc_residency.h"
+
+typedef struct KcKeeper KcKeeper;
+
+/* One order to the engine. */
+typedef struct KcOrder {
+    bool unload;
+    char model[KC_NAME_MAX];
+    char adapter[KC_NAME_MAX];
+    uint32_t version;  /* of a load; 0: the newest */
+    uint64_t fence;    /* of the holder */
+    uint64_t sequence; /* number of orders the engine has accepted */
+} KcOrder;
+
+/* What an engine answers to an order. */
+typedef enum KcOrderEnd {
+    KC_ORDER_ACCEPTED = 0, /* it is being carried out */
+    KC_ORDER_HOLDS,        /* it held already, or is done */
+    KC_ORDER_REFUSED,      /* not carried out: state was another */
+    KC_ORDER_UNKNOWN       /* no answer: it may be carried out, also later */
+} KcOrderEnd;
+
+/* What an engine says of itself; see KcServerInfo.held for its adapters. */
+typedef struct KcEngineReport {
+    uint64_t sequence;
+    KcServerInfo info; /* id, born and held */
+} KcEngineReport;
+
+typedef struct KcKeeperOps {
+    /* Orders the engine; answered by KcKeeper_OnOrder(), later. */
+    void (*order)(void *context, const KcOrder *order);
+    /* Asks the engine; answered by KcKeeper_OnReport(), later. */
+    void (*report)(void *context);
+    /* Tells every gateway, or one link when it is given. */
+    void (*tell)(void *context, KcLink *link, const char *model,
+                 const char *adapter, uint32_t version, KcHeldState state);
+    void (*record)(void *context, const char *decision, const KcOrder *order,
+                   int code, KcTime now);
+} KcKeeperOps;
+
+typedef struct KcKeeperOptions {
+    const KcKeeperOps *ops;
+    void *context;
+    KcTimers *timers;
+    KcCounters *counters;
+    KcTime inspect; /* between reports while nothing is loading */
+    KcTime watch;   /* between reports while something is */
+} KcKeeperOptions;
+
+void KcKeeperOptions_Init(KcKeeperOptions *options);
+KcKeeper *KcKeeper_Create(const KcKeeperOptions *options);
+void KcKeeper_Free(KcKeeper *keeper);
+
+/* Begins to ask the engine. */
+void KcKeeper_Start(KcKeeper *keeper, KcTime now);
+
+/* The right to order: a fencing number above any earlier holder's. */
+void KcKeeper_SetFence(KcKeeper *keeper, uint64_t fence, KcTime now);
+uint64_t KcKeeper_Fence(const KcKeeper *keeper);
+
+/* Places for adapters that the engine has. */
+void KcKeeper_SetSlots(KcKeeper *keeper, uint32_t slots, KcTime now);
+
+/* report NULL: no answer. */
+void KcKeeper_OnReport(KcKeeper *keeper, const KcEngineReport *report,
+                       KcTime now);
+void KcKeeper_OnOrder(KcKeeper *keeper, KcOrderEnd end, KcTime now);
+
+/* A gateway asks for an adapter; version 0: any. */
+void KcKeeper_OnWant(KcKeeper *keeper, const char *model, const char *adapter,
+                     uint32_t version, uint32_t priority, KcTime now);
+/* A gateway tells of uses since it last did, and requests in flight. */
+void KcKeeper_OnUsed(KcKeeper *keeper, KcLink *link, const char *model,
+                     const char *adapter, uint32_t uses, uint32_t in_flight,
+                     KcTime now);
+/* A gateway connected: it is told everything. */
+void KcKeeper_OnGateway(KcKeeper *keeper, KcLink *link, KcTime now);
+/* A gateway's link ended: what it said is in flight no longer counts. */
+void KcKeeper_OnGatewayLost(KcKeeper *keeper, KcLink *link, KcTime now);
+
+/* 0 when it can order its engine, else why not. */
+int KcKeeper_Ready(const KcKeeper *keeper);
+
+#endif
--- /dev/null
+++ b/lib/process/keeper.c
@@ -0,0 +1,729 @@
+/*
+ * The keeper of one engine's adapters.
+ *
+ * One call to the engine is outstanding at a time, an order or a question,
+ * so that each answer tells of a known state.
+ */
+#include "kcc_keeper.h"
+
+#include <assert.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Adapters on their way to the engine at once. */
+#define COMING_MAX 3
+/* An accepted load that the engine does not tell of has failed by then. */
+#define LOAD_GRACE (400 * KC_MS)
+/* An adapter is not evicted so soon after it was loaded: the gateway that
+ * asked for it has not told of its use yet. */
+#define FRESH (1 * KC_SECOND)
+/* Delay before the engine is asked again after a call without an answer. */
+#define RETRY (100 * KC_MS)
+/* Requests for adapters that are remembered; more are refused. */
+#define WANTS_MAX 256
+/* Time of an undisturbed load, for the pace; the platform's sheet. */
+#define NOMINAL_LOAD (250 * KC_MS)
+
+#define KEY_MAX KC_NAME_MAX
+
+/* A gateway's request for an adapter. */
+typedef struct Want {
+    TAILQ_ENTRY(Want) link;
+    char model[KC_NAME_MAX];
+    char adapter[KC_NAME_MAX];
+    uint32_t version;
+    uint32_t priority;
+} Want;
+
+TAILQ_HEAD(WantList, Want);
+
+/* Requests in flight by one gateway for one adapter. */
+typedef struct UseKey {
+    KcLink *link;
+    char key[KEY_MAX];
+} UseKey;
+
+typedef struct Use {
+    UT_hash_handle hh;
+    TAILQ_ENTRY(Use) link;
+    UseKey key;
+    uint32_t in_flight;
+} Use;
+
+TAILQ_HEAD(UseList, Use);
+
+struct KcKeeper {
+    KcKeeperOptions options;
+    KcResidency residency;
+    KcPace pace;
+    struct WantList wants;
+    uint32_t want_count;
+    Use *uses;
+    struct UseList use_list;
+    uint64_t fence; /* 0: no right to order */
+    uint64_t sequence;
+    int64_t born;
+    bool known;       /* the engine has told its state */
+    bool asking;      /* a report is outstanding */
+    bool ordering;    /* an order is outstanding */
+    KcOrder order;    /* the outstanding one */
+    KcSlot *slot;     /* that it concerns */
+    KcTimer timer;    /* the next report */
+};
+
+static void pump(KcKeeper *keeper, KcTime now);
+
+void
+KcKeeperOptions_Init(KcKeeperOptions *options)
+{
+    *options =
+        (KcKeeperOptions){.inspect = 1 * KC_SECOND, .watch = 40 * KC_MS};
+}
+
+static void
+on_timer(KcTimer *timer, KcTime now)
+{
+    KcKeeper *keeper = timer->owner;
+
+    (void)now;
+    if (keeper->asking || keeper->ordering) {
+        return;
+    }
+    keeper->asking = true;
+    keeper->options.ops->report(keeper->options.context);
+}
+
+KcKeeper *
+KcKeeper_Create(const KcKeeperOptions *options)
+{
+    KcKeeper *keeper = KcMem_New(sizeof(*keeper));
+
+    keeper->options = *options;
+    TAILQ_INIT(&keeper->wants);
+    TAILQ_INIT(&keeper->use_list);
+    KcResidency_Init(&keeper->residency, 0, KcVictim_Policy("kcc"));
+    KcPace_Init(&keeper->pace, NOMINAL_LOAD, NOMINAL_LOAD);
+    keeper->pace.in_flight_max = COMING_MAX;
+    KcTimer_Init(&keeper->timer, on_timer, keeper);
+    return keeper;
+}
+
+static void
+free_want(KcKeeper *keeper, Want *want)
+{
+    TAILQ_REMOVE(&keeper->wants, want, link);
+    keeper->want_count--;
+    free(want);
+}
+
+static void
+free_use(KcKeeper *keeper, Use *use)
+{
+    HASH_DEL(keeper->uses, use);
+    TAILQ_REMOVE(&keeper->use_list, use, link);
+    free(use);
+}
+
+void
+KcKeeper_Free(KcKeeper *keeper)
+{
+    Want *want;
+    Use *use;
+
+    KcTimers_Clear(keeper->options.timers, &keeper->timer);
+    while ((want = TAILQ_FIRST(&keeper->wants)) != NULL) {
+        free_want(keeper, want);
+    }
+    while ((use = TAILQ_FIRST(&keeper->use_list)) != NULL) {
+        free_use(keeper, use);
+    }
+    KcResidency_Clear(&keeper->residency);
+    free(keeper);
+}
+
+void
+KcKeeper_Start(KcKeeper *keeper, KcTime now)
+{
+    on_timer(&keeper->timer, now);
+}
+
+void
+KcKeeper_SetFence(KcKeeper *keeper, uint64_t fence, KcTime now)
+{
+    if (fence > keeper->fence) {
+        keeper->fence = fence;
+    }
+    pump(keeper, now);
+}
+
+uint64_t
+KcKeeper_Fence(const KcKeeper *keeper)
+{
+    return keeper->fence;
+}
+
+void
+KcKeeper_SetSlots(KcKeeper *keeper, uint32_t slots, KcTime now)
+{
+    KcResidency_Resize(&keeper->residency, slots);
+    pump(keeper, now);
+}
+
+int
+KcKeeper_Ready(const KcKeeper *keeper)
+{
+    if (keeper->fence == 0) {
+        return KC_ERR_NO_LEASE;
+    }
+    return keeper->known ? 0 : KC_ERR_NO_BACKEND;
+}
+
+/* ---- names --------------------------------------------------------------- */
+
+/* Names an adapter in the residency: model/adapter.  False: too long. */
+static bool
+make_key(const char *model, const char *adapter, char key[KEY_MAX])
+{
+    size_t length = strlen(model);
+
+    if (length + 1 + strlen(adapter) >= KEY_MAX) {
+        return false;
+    }
+    KcName_Copy(key, model, KEY_MAX);
+    key[length] = '/';
+    KcName_Copy(key + length + 1, adapter, KEY_MAX - length - 1);
+    return true;
+}
+
+static KcModelState *
+model_state(KcKeeper *keeper, const char *key, KcTime now)
+{
+    KcModelRef ref = {.version = 0};
+
+    KcName_Copy(ref.adapter, key, KC_NAME_MAX);
+    return KcResidency_Model(&keeper->residency, &ref, now);
+}
+
+/* Splits the key of a slot's adapter. */
+static void
+split_key(const KcSlot *slot, char model[KC_NAME_MAX],
+          char adapter[KC_NAME_MAX])
+{
+    const char *key = slot->model->ref.adapter;
+    const char *slash = strchr(key, '/');
+
+    assert(slash != NULL);
+    KcName_Copy(model, key, (size_t)(slash - key) + 1);
+    KcName_Copy(adapter, slash + 1, KC_NAME_MAX);
+}
+
+/* The version of a slot's adapter stands in its name at the engine. */
+static uint32_t
+slot_version(const KcSlot *slot)
+{
+    const char *at = strrchr(slot->name, '@');
+
+    return at != NULL ? (uint32_t)strtoul(at + 1, NULL, 10) : 0;
+}
+
+static void
+set_version(KcSlot *slot, uint32_t version)
+{
+    snprintf(slot->name, sizeof(slot->name), "%s@%" PRIu32,
+             slot->model->ref.adapter, version);
+}
+
+static void
+tell(KcKeeper *keeper, KcLink *link, const KcSlot *slot, KcHeldState state)
+{
+    char model[KC_NAME_MAX];
+    char adapter[KC_NAME_MAX];
+
+    split_key(slot, model, adapter);
+    keeper->options.ops->tell(keeper->options.context, link, model, adapter,
+                              slot_version(slot), state);
+}
+
+static void
+record(KcKeeper *keeper, const char *decision, int code, KcTime now)
+{
+    keeper->options.ops->record(keeper->options.context, decision,
+                                &keeper->order, code, now);
+}
+
+/* ---- orders -------------------------------------------------------------- */
+
+static void
+order(KcKeeper *keeper, KcSlot *slot, bool unload, uint32_t version,
+      KcTime now)
+{
+    keeper->order = (KcOrder){.unload = unload,
+                              .version = version,
+                              .fence = keeper->fence,
+                              .sequence = keeper->sequence};
+    split_key(slot, keeper->order.model, keeper->order.adapter);
+    keeper->ordering = true;
+    keeper->slot = slot;
+    record(keeper, unload ? "unload" : "load", 0, now);
+    keeper->options.ops->order(keeper->options.context, &keeper->order);
+}
+
+static void
+order_load(KcKeeper *keeper, KcSlot *slot, const Want *want, KcTime now)
+{
+    char key[KEY_MAX];
+
+    make_key(want->model, want->adapter, key);
+    KcResidency_BeginLoad(&keeper->residency, slot,
+                          model_state(keeper, key, now), keeper->fence, now);
+    set_version(slot, want->version);
+    KcPace_Begin(&keeper->pace, now);
+    KcCounters_Add(keeper->options.counters, KC_COUNT_LOADS, 1);
+    tell(keeper, NULL, slot, KC_HELD_COMING);
+    order(keeper, slot, false, want->version, now);
+}
+
+static void
+end_load(KcKeeper *keeper, KcSlot *slot, int code, KcTime now)
+{
+    KcPace_End(&keeper->pace, code, now);
+    if (code != 0) {
+        KcCounters_Add(keeper->options.counters, KC_COUNT_LOAD_FAILURES, 1);
+        tell(keeper, NULL, slot, KC_HELD_GONE);
+    }
+    else {
+        tell(keeper, NULL, slot, KC_HELD_LOADED);
+    }
+    KcResidency_EndLoad(slot, code, now);
+}
+
+/* The slot to load into; NULL when an eviction must come first, or when
+ * nothing can be evicted (then *stuck is set). */
+static KcSlot *
+make_place(KcKeeper *keeper, bool *stuck, KcTime now)
+{
+    KcResidency *residency = &keeper->residency;
+    KcSlot *slot;
+
+    residency->pass++;
+    TAILQ_FOREACH (slot, &residency->slots, link) {
+        if (slot->state == KC_SLOT_READY && now - slot->ordered < FRESH) {
+            slot->model->needed = residency->pass;
+        }
+    }
+    slot = KcResidency_Victim(residency, true, now);
+    if (slot == NULL) {
+        *stuck = true;
+        return NULL;
+    }
+    if (slot->state == KC_SLOT_EMPTY) {
+        return slot;
+    }
+    KcResidency_BeginEvict(residency, slot, now);
+    KcCounters_Add(keeper->options.counters, KC_COUNT_EVICTIONS, 1);
+    tell(keeper, NULL, slot, KC_HELD_GONE);
+    order(keeper, slot, true, 0, now);
+    return NULL;
+}
+
+static bool
+any_evicting(const KcKeeper *keeper)
+{
+    const KcSlot *slot;
+
+    TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
+        if (slot->state == KC_SLOT_EVICTING) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void
+tell_want(KcKeeper *keeper, const Want *want, KcHeldState state)
+{
+    keeper->options.ops->tell(keeper->options.context, NULL, want->model,
+                              want->adapter, want->version, state);
+}
+
+/* Serves one want; true when it is done with. */
+static bool
+serve(KcKeeper *keeper, Want *want, KcTime now)
+{
+    char key[KEY_MAX];
+    KcModelState *model;
+    KcSlot *slot;
+    bool stuck = false;
+
+    make_key(want->model, want->adapter, key);
+    model = model_state(keeper, key, now);
+    slot = model->slot;
+    if (slot != NULL && slot->state == KC_SLOT_LOADING) {
+        return true; /* everyone is told when it is there */
+    }
+    if (slot != NULL && slot->state == KC_SLOT_EVICTING) {
+        return false; /* it must go before it can come back */
+    }
+    if (slot != NULL && slot_version(slot) >= want->version) {
+        tell(keeper, NULL, slot, KC_HELD_LOADED);
+        return true;
+    }
+    if (!KcPace_Allows(&keeper->pace, now)) {
+        return false;
+    }
+    if (slot != NULL) {
+        /* A newer version takes the place of the old one in one order; the
+         * engine lets requests on the old one finish first. */
+        slot->foreign = 0;
+        KcResidency_BeginEvict(&keeper->residency, slot, now);
+        KcResidency_EndEvict(slot);
+        order_load(keeper, slot, want, now);
+        return true;
+    }
+    slot = make_place(keeper, &stuck, now);
+    if (stuck) {
+        tell_want(keeper, want, KC_HELD_GONE);
+        return true;
+    }
+    if (slot != NULL) {
+        order_load(keeper, slot, want, now);
+    }
+    return slot != NULL;
+}
+
+static void
+pump(KcKeeper *keeper, KcTime now)
+{
+    Want *want;
+    Want *next;
+
+    if (!keeper->known || keeper->fence == 0 ||
+        keeper->residency.slot_target == 0) {
+        return;
+    }
+    TAILQ_FOREACH_SAFE (want, &keeper->wants, link, next) {
+        if (keeper->ordering || keeper->asking || any_evicting(keeper)) {
+            break;
+        }
+        if (serve(keeper, want, now)) {
+            free_want(keeper, want);
+        }
+    }
+}
+
+/* Plans the next report. */
+static void
+plan(KcKeeper *keeper, KcTime now)
+{
+    bool moving = keeper->pace.in_flight > 0 || any_evicting(keeper);
+
+    if (!keeper->ordering && !keeper->asking) {
+        KcTimers_Set(keeper->options.timers, &keeper->timer,
+                     now + (!keeper->known ? RETRY
+                            : moving       ? keeper->options.watch
+                                           : keeper->options.inspect));
+    }
+}
+
+void
+KcKeeper_OnOrder(KcKeeper *keeper, KcOrderEnd end, KcTime now)
+{
+    KcSlot *slot = keeper->slot;
+
+    assert(keeper->ordering);
+    keeper->ordering = false;
+    keeper->slot = NULL;
+    switch (end) {
+    case KC_ORDER_ACCEPTED:
+        keeper->sequence++;
+        break;
+    case KC_ORDER_HOLDS:
+        keeper->sequence++;
+        if (keeper->order.unload) {
+            KcResidency_EndEvict(slot);
+        }
+        break;
+    case KC_ORDER_REFUSED:
+    case KC_ORDER_UNKNOWN:
+        /* What holds is read from the engine before anything else. */
+        record(keeper, end == KC_ORDER_REFUSED ? "refused" : "no answer",
+               end == KC_ORDER_REFUSED ? KC_ERR_CONFLICT : KC_ERR_LOST, now);
+        if (end == KC_ORDER_REFUSED && !keeper->order.unload) {
+            end_load(keeper, slot, KC_ERR_LOAD_FAILED, now);
+        }
+        keeper->known = false;
+        on_timer(&keeper->timer, now);
+        return;
+    }
+    pump(keeper, now);
+    plan(keeper, now);
+}
+
+/* ---- reports ------------------------------------------------------------- */
+
+static const KcHeldInfo *
+find_held(const KcEngineReport *report, const KcSlot *slot)
+{
+    const KcHeldInfo *held;
+    char key[KEY_MAX];
+
+    TAILQ_FOREACH (held, &report->info.held, link) {
+        if (held->adapter[0] != '\0' &&
+            make_key(held->model, held->adapter, key) &&
+            strcmp(key, slot->model->ref.adapter) == 0) {
+            return held;
+        }
+    }
+    return NULL;
+}
+
+/* Brings one slot in line with what the engine says. */
+static void
+compare_slot(KcKeeper *keeper, KcSlot *slot, const KcEngineReport *report,
+             KcTime now)
+{
+    const KcHeldInfo *held;
+
+    if (slot->state == KC_SLOT_EMPTY) {
+        return;
+    }
+    held = find_held(report, slot);
+    switch (slot->state) {
+    case KC_SLOT_LOADING:
+        if (held != NULL && !held->coming &&
+            held->version >= slot_version(slot)) {
+            set_version(slot, held->version);
+            end_load(keeper, slot, 0, now);
+        }
+        else if (held == NULL && now - slot->ordered > LOAD_GRACE) {
+            end_load(keeper, slot, KC_ERR_LOAD_FAILED, now);
+        }
+        break;
+    case KC_SLOT_EVICTING:
+        if (held == NULL) {
+            KcResidency_EndEvict(slot);
+        }
+        else if (now - slot->ordered > LOAD_GRACE) {
+            /* The order was lost or still waits for requests: the adapter
+             * is there, whoever uses it. */
+            slot->state = KC_SLOT_READY;
+            tell(keeper, NULL, slot, KC_HELD_LOADED);
+        }
+        break;
+    case KC_SLOT_READY:
+    case KC_SLOT_CLOSING:
+        if (held == NULL) {
+            tell(keeper, NULL, slot, KC_HELD_GONE);
+            slot->foreign = 0;
+            KcResidency_Forget(slot);
+        }
+        else if (held->version != slot_version(slot)) {
+            set_version(slot, held->version);
+            tell(keeper, NULL, slot, KC_HELD_LOADED);
+        }
+        break;
+    case KC_SLOT_EMPTY:
+        break;
+    }
+}
+
+/* Takes over an adapter that the engine holds without an order of ours. */
+static void
+adopt(KcKeeper *keeper, const KcHeldInfo *held, KcTime now)
+{
+    char key[KEY_MAX];
+    KcModelState *model;
+    KcSlot *slot;
+
+    if (held->adapter[0] == '\0' || held->coming ||
+        !make_key(held->model, held->adapter, key)) {
+        return;
+    }
+    model = model_state(keeper, key, now);
+    if (model->slot != NULL) {
+        return;
+    }
+    TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
+        if (slot->state == KC_SLOT_EMPTY) {
+            break;
+        }
+    }
+    if (slot == NULL) {
+        return; /* the number of places is not known yet */
+    }
+    KcResidency_BeginLoad(&keeper->residency, slot, model, 0, now);
+    set_version(slot, held->version);
+    KcResidency_EndLoad(slot, 0, now);
+    slot->ordered = now - FRESH;
+    tell(keeper, NULL, slot, KC_HELD_LOADED);
+}
+
+/* The engine started anew: it holds nothing of before. */
+static void
+start_anew(KcKeeper *keeper, const KcEngineReport *report, KcTime now)
+{
+    KcSlot *slot;
+
+    if (keeper->born != 0) {
+        KcCounters_Add(keeper->options.counters, KC_COUNT_ENGINE_RESTARTS, 1);
+    }
+    keeper->born = report->info.born;
+    keeper->options.ops->tell(keeper->options.context, NULL, "", "", 0,
+                              KC_HELD_NOTHING);
+    TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
+        if (slot->state == KC_SLOT_LOADING) {
+            end_load(keeper, slot, KC_ERR_LOAD_FAILED, now);
+        }
+        else {
+            slot->foreign = 0;
+            KcResidency_Forget(slot);
+        }
+    }
+}
+
+void
+KcKeeper_OnReport(KcKeeper *keeper, const KcEngineReport *report, KcTime now)
+{
+    const KcHeldInfo *held;
+    KcSlot *slot;
+
+    assert(keeper->asking);
+    keeper->asking = false;
+    if (report == NULL) {
+        keeper->known = false;
+        plan(keeper, now);
+        return;
+    }
+    keeper->sequence = report->sequence;
+    if (report->info.born != keeper->born) {
+        start_anew(keeper, report, now);
+    }
+    TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
+        compare_slot(keeper, slot, report, now);
+    }
+    TAILQ_FOREACH (held, &report->info.held, link) {
+        adopt(keeper, held, now);
+    }
+    keeper->known = true;
+    pump(keeper, now);
+    plan(keeper, now);
+}
+
+/* ---- gateways ------------------------------------------------------------ */
+
+void
+KcKeeper_OnWant(KcKeeper *keeper, const char *model, const char *adapter,
+                uint32_t version, uint32_t priority, KcTime now)
+{
+    char key[KEY_MAX];
+    Want *want;
+
+    TAILQ_FOREACH (want, &keeper->wants, link) {
+        if (strcmp(want->model, model) == 0 &&
+            strcmp(want->adapter, adapter) == 0) {
+            want->version = version > want->version ? version : want->version;
+            return;
+        }
+    }
+    if (!make_key(model, adapter, key) || keeper->want_count >= WANTS_MAX) {
+        keeper->options.ops->tell(keeper->options.context, NULL, model,
+                                  adapter, version, KC_HELD_GONE);
+        return;
+    }
+    want = KcMem_New(sizeof(*want));
+    KcName_Copy(want->model, model, KC_NAME_MAX);
+    KcName_Copy(want->adapter, adapter, KC_NAME_MAX);
+    want->version = version;
+    want->priority = priority;
+    TAILQ_INSERT_TAIL(&keeper->wants, want, link);
+    keeper->want_count++;
+    pump(keeper, now);
+    plan(keeper, now);
+}
+
+static Use *
+find_use(KcKeeper *keeper, KcLink *link, const char *key)
+{
+    UseKey wanted;
+    Use *use;
+
+    memset(&wanted, 0, sizeof(wanted));
+    wanted.link = link;
+    KcName_Copy(wanted.key, key, KEY_MAX);
+    HASH_FIND(hh, keeper->uses, &wanted, sizeof(wanted), use);
+    if (use == NULL) {
+        use = KcMem_New(sizeof(*use));
+        use->key = wanted;
+        HASH_ADD(hh, keeper->uses, key, sizeof(use->key), use);
+        TAILQ_INSERT_TAIL(&keeper->use_list, use, link);
+    }
+    return use;
+}
+
+/* Requests in flight keep a slot from being evicted. */
+static void
+set_in_flight(KcKeeper *keeper, Use *use, uint32_t in_flight, KcTime now)
+{
+    KcSlot *slot = model_state(keeper, use->key.key, now)->slot;
+
+    if (slot != NULL) {
+        slot->foreign += in_flight;
+        slot->foreign -=
+            use->in_flight < slot->foreign ? use->in_flight : slot->foreign;
+        slot->used = now;
+    }
+    use->in_flight = in_flight;
+    if (in_flight == 0) {
+        free_use(keeper, use);
+    }
+}
+
+void
+KcKeeper_OnUsed(KcKeeper *keeper, KcLink *link, const char *model,
+                const char *adapter, uint32_t uses, uint32_t in_flight,
+                KcTime now)
+{
+    char key[KEY_MAX];
+
+    if (adapter[0] == '\0' || !make_key(model, adapter, key)) {
+        return;
+    }
+    for (uint32_t i = 0; i < uses; i++) {
+        KcResidency_Use(model_state(keeper, key, now), now);
+    }
+    set_in_flight(keeper, find_use(keeper, link, key), in_flight, now);
+}
+
+void
+KcKeeper_OnGateway(KcKeeper *keeper, KcLink *link, KcTime now)
+{
+    KcSlot *slot;
+
+    (void)now;
+    keeper->options.ops->tell(keeper->options.context, link, "", "", 0,
+                              KC_HELD_NOTHING);
+    TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
+        if (slot->state == KC_SLOT_READY) {
+            tell(keeper, link, slot, KC_HELD_LOADED);
+        }
+        else if (slot->state == KC_SLOT_LOADING) {
+            tell(keeper, link, slot, KC_HELD_COMING);
+        }
+    }
+}
+
+void
+KcKeeper_OnGatewayLost(KcKeeper *keeper, KcLink *link, KcTime now)
+{
+    Use *use;
+    Use *next;
+
+    TAILQ_FOREACH_SAFE (use, &keeper->use_list, link, next) {
+        if (use->key.link == link) {
+            set_in_flight(keeper, use, 0, now);
+        }
+    }
+    pump(keeper, now);
+}
--- a/lib/request/kcc_request.h
+++ b/lib/request/kcc_request.h
@@ -193,6 +193,9 @@
 /* Credits the budget for one new request. */
 void KcRetryBudget_Deposit(KcRetryBudget *budget);
 
+/* True when a retry could be taken. */
+bool KcRetryBudget_Has(const KcRetryBudget *budget);
+
 /* Takes one retry; false when the budget is spent. */
 bool KcRetryBudget_Take(KcRetryBudget *budget);
 
@@ -213,6 +216,7 @@
     bool cancelled;      /* the caller is gone or the deadline passed */
     bool continues;      /* a partial answer can be continued elsewhere */
     bool part_delivered; /* the caller has part of the answer */
+    bool refusals_count; /* a refused attempt takes from the budget, too */
     uint32_t attempts;   /* made so far */
     uint32_t attempts_max;
 } KcRetryInput;
--- a/lib/request/retry.c
+++ b/lib/request/retry.c
@@ -23,10 +23,16 @@
     }
 }
 
+bool
+KcRetryBudget_Has(const KcRetryBudget *budget)
+{
+    return budget->tokens >= RETRY_COST;
+}
+
 bool
 KcRetryBudget_Take(KcRetryBudget *budget)
 {
-    if (budget->tokens < RETRY_COST) {
+    if (!KcRetryBudget_Has(budget)) {
         return false;
     }
     budget->tokens -= RETRY_COST;
@@ -64,6 +70,7 @@
     bool ran =
         input->end == KC_ATTEMPT_FAILED || input->end == KC_ATTEMPT_LOST;
     bool may_have_run = input->may_have_run || ran;
+    bool costs;
 
     if (input->cancelled || is_final(input->code) ||
         input->attempts >= input->attempts_max) {
@@ -75,8 +82,9 @@
     if (input->part_delivered && !input->continues) {
         return give_up(input, may_have_run);
     }
-    /* A refusal cost the backend server nothing; only real work counts. */
-    if (ran && !KcRetryBudget_Take(budget)) {
+    /* Mostly a refusal costs the backend server nothing. */
+    costs = ran || (input->refusals_count && input->end == KC_ATTEMPT_REFUSED);
+    if (costs && !KcRetryBudget_Take(budget)) {
         return give_up(input, may_have_run);
     }
     return KC_RETRY_NEXT;
--- /dev/null
+++ b/lib/version/feed.c
@@ -0,0 +1,189 @@
+/*
+ * A collection of objects, listed and watched.
+ */
+#include <assert.h>
+#include <stdlib.h>
+
+#include "kcc_feed.h"
+
+typedef enum FeedState {
+    FEED_IDLE = 0, /* waits for its timer */
+    FEED_LISTING,
+    FEED_WATCHING
+} FeedState;
+
+struct KcFeed {
+    KcFeedOptions options;
+    FeedState state;
+    char after[KC_OBJECT_NAME_MAX]; /* next page begins after it */
+    bool must_list;
+    bool listed;
+    bool lost;
+    uint64_t revision; /* next watch begins after it */
+    uint64_t first;    /* revision of the first page of a list */
+    KcTime heard_at;
+    KcTime listed_at;
+    KcTimer timer;
+};
+
+static void
+call(KcFeed *feed, KcTime now)
+{
+    const KcFeedOptions *options = &feed->options;
+
+    if (options->relist > 0 && feed->listed &&
+        now - feed->listed_at >= options->relist) {
+        feed->must_list = true;
+    }
+    if (feed->must_list) {
+        feed->state = FEED_LISTING;
+        if (feed->after[0] == '\0') {
+            options->begins(options->context);
+        }
+        options->ops->list(options->store, feed, options->kind, feed->after);
+    }
+    else {
+        feed->state = FEED_WATCHING;
+        options->ops->watch(options->store, feed, options->kind,
+                            feed->revision);
+    }
+}
+
+static void
+on_timer(KcTimer *timer, KcTime now)
+{
+    call(timer->owner, now);
+}
+
+KcFeed *
+KcFeed_Create(const KcFeedOptions *options)
+{
+    KcFeed *feed = KcMem_New(sizeof(*feed));
+
+    feed->options = *options;
+    feed->must_list = true;
+    KcTimer_Init(&feed->timer, on_timer, feed);
+    return feed;
+}
+
+void
+KcFeed_Free(KcFeed *feed)
+{
+    KcTimers_Clear(feed->options.timers, &feed->timer);
+    if (feed->state != FEED_IDLE) {
+        feed->options.ops->cancel(feed->options.store, feed);
+    }
+    free(feed);
+}
+
+void
+KcFeed_Start(KcFeed *feed, KcTime now)
+{
+    call(feed, now);
+}
+
+bool
+KcFeed_Listed(const KcFeed *feed)
+{
+    return feed->listed;
+}
+
+bool
+KcFeed_InContact(const KcFeed *feed)
+{
+    return feed->listed && !feed->lost;
+}
+
+KcTime
+KcFeed_HeardAt(const KcFeed *feed)
+{
+    return feed->heard_at;
+}
+
+const char *
+KcFeed_Kind(const KcFeed *feed)
+{
+    return feed->options.kind;
+}
+
+static void
+heard(KcFeed *feed, KcTime now)
+{
+    feed->heard_at = now;
+    if (feed->lost) {
+        feed->lost = false;
+        feed->options.contact(feed->options.context, 0, now);
+    }
+}
+
+/* The next call follows after a delay, or at once. */
+static void
+go_on(KcFeed *feed, KcTime delay, KcTime now)
+{
+    feed->state = FEED_IDLE;
+    if (delay > 0) {
+        KcTimers_Set(feed->options.timers, &feed->timer, now + delay);
+    }
+    else {
+        call(feed, now);
+    }
+}
+
+void
+KcFeed_OnItem(KcFeed *feed, const KcFeedItem *item, KcTime now)
+{
+    assert(feed->state != FEED_IDLE);
+    feed->options.item(feed->options.context, item, now);
+}
+
+void
+KcFeed_OnPage(KcFeed *feed, const char *after, uint64_t revision, KcTime now)
+{
+    assert(feed->state == FEED_LISTING);
+    heard(feed, now);
+    if (feed->after[0] == '\0') {
+        feed->first = revision;
+    }
+    KcName_Copy(feed->after, after, sizeof(feed->after));
+    if (after[0] != '\0') {
+        go_on(feed, 0, now);
+        return;
+    }
+    /* What changed while later pages were read is watched from the first. */
+    feed->revision = feed->first;
+    feed->must_list = false;
+    feed->listed = true;
+    feed->listed_at = now;
+    feed->options.listed(feed->options.context, now);
+    go_on(feed, feed->options.gather, now);
+}
+
+void
+KcFeed_OnWatched(KcFeed *feed, uint64_t revision, KcTime now)
+{
+    assert(feed->state == FEED_WATCHING);
+    heard(feed, now);
+    if (revision > feed->revision) {
+        feed->revision = revision;
+    }
+    go_on(feed, feed->options.gather, now);
+}
+
+void
+KcFeed_OnFailed(KcFeed *feed, int code, KcTime now)
+{
+    assert(feed->state != FEED_IDLE);
+    /* A list that broke off begins again: its first pages may be old. */
+    feed->after[0] = '\0';
+    if (code == KC_ERR_NOT_FOUND) {
+        feed->must_list = true;
+        heard(feed, now);
+        go_on(feed, feed->options.gather, now);
+        return;
+    }
+    if (!feed->lost) {
+        feed->lost = true;
+        feed->options.contact(feed->options.context, code, now);
+    }
+    go_on(feed, feed->options.retry, now);
+}
--- /dev/null
+++ b/lib/version/kcc_feed.h
@@ -0,0 +1,80 @@
+/*
+ * A collection of objects in the object API, followed without gaps: listed
+ * page by page, then watched from the revision of the list; listed anew when
+ * the history that the watch needs is gone.
+ */
+#ifndef KCC_FEED_H
+#define KCC_FEED_H
+
+#include "kcc_request.h"
+#include "kcc_types.h"
+
+typedef struct KcFeed KcFeed;
+
+/* Outward calls; each is answered by exactly one KcFeed_On function. */
+typedef struct KcFeedOps {
+    /* Asks for the page after a name ("" for the first). */
+    void (*list)(void *store, KcFeed *feed, const char *kind,
+                 const char *after);
+    /* Asks for what changed after a revision, as soon as something does. */
+    void (*watch)(void *store, KcFeed *feed, const char *kind,
+                  uint64_t revision);
+    /* Withdraws the outstanding call; it is not answered then. */
+    void (*cancel)(void *store, KcFeed *feed);
+} KcFeedOps;
+
+/* One object; body is whatever the decoder of its kind understands. */
+typedef struct KcFeedItem {
+    const char *name;
+    uint64_t revision;
+    bool deleted;
+    const void *body; /* borrowed for the call; NULL when deleted */
+} KcFeedItem;
+
+typedef struct KcFeedOptions {
+    const KcFeedOps *ops;
+    void *store;
+    KcTimers *timers;
+    const char *kind; /* static text */
+    KcTime retry;     /* delay after a call that failed */
+    KcTime gather;    /* delay between two watches, to take changes together */
+    KcTime relist;    /* the list is read anew after this time; 0: never */
+    /* A list begins: what it does not tell of is gone when it has ended. */
+    void (*begins)(void *context);
+    /* An object is as item says; called for each listed object, too. */
+    void (*item)(void *context, const KcFeedItem *item, KcTime now);
+    /* A whole list has been told. */
+    void (*listed)(void *context, KcTime now);
+    /* The store was lost (code negative) or regained (0). */
+    void (*contact)(void *context, int code, KcTime now);
+    void *context;
+} KcFeedOptions;
+
+KcFeed *KcFeed_Create(const KcFeedOptions *options);
+void KcFeed_Free(KcFeed *feed);
+void KcFeed_Start(KcFeed *feed, KcTime now);
+
+/* True once a whole list has been told. */
+bool KcFeed_Listed(const KcFeed *feed);
+/* True while the last call was answered. */
+bool KcFeed_InContact(const KcFeed *feed);
+/* Time at which the store last answered, 0 if never. */
+KcTime KcFeed_HeardAt(const KcFeed *feed);
+const char *KcFeed_Kind(const KcFeed *feed);
+
+/* ---- answers of the store ----------------------------------------------- */
+
+/* One object of a page, or one event of a watch. */
+void KcFeed_OnItem(KcFeed *feed, const KcFeedItem *item, KcTime now);
+
+/* The page ended.  after: name to go on from, "" when it was the last. */
+void KcFeed_OnPage(KcFeed *feed, const char *after, uint64_t revision,
+                   KcTime now);
+
+/* The watch ended, with or without events before. */
+void KcFeed_OnWatched(KcFeed *feed, uint64_t revision, KcTime now);
+
+/* The call failed: KC_ERR_NOT_FOUND when the history is gone. */
+void KcFeed_OnFailed(KcFeed *feed, int code, KcTime now);
+
+#endif
--- /dev/null
+++ b/lib/version/kcc_routing.h
@@ -0,0 +1,145 @@
+/*
+ * One accepted version of the routing configuration: which request goes to
+ * which service, within which bounds.
+ *
+ * It is built by whoever decodes it (KcRouting_Create(), the KcRouting_Add
+ * functions, KcRouting_Seal()) and not changed afterwards; requests keep the
+ * version that they were decided with by a reference.
+ */
+#ifndef KCC_ROUTING_H
+#define KCC_ROUTING_H
+
+#include <uthash.h>
+
+#include "kcc_types.h"
+
+/* Longest host and path prefix of a route, with their NUL. */
+#define KC_HOST_MAX 128
+#define KC_PREFIX_MAX 256
+
+/* ---- Part 1: contents --------------------------------------------------- */
+
+/* What may be repeated. */
+typedef enum KcRequestKind {
+    KC_KIND_SAFE = 0, /* may run more than once */
+    KC_KIND_UNSAFE,   /* runs at most once */
+    KC_KIND_STREAM,   /* events; runs at most once unless it may be resumed */
+    KC_KIND_COUNT
+} KcRequestKind;
+
+/* One of the services among which a route's requests are divided. */
+typedef struct KcRouteTarget {
+    TAILQ_ENTRY(KcRouteTarget) link;
+    char service[KC_NAME_MAX];
+    uint32_t weight; /* share relative to the other targets */
+} KcRouteTarget;
+
+TAILQ_HEAD(KcRouteTargetList, KcRouteTarget);
+
+typedef struct KcRouteRule {
+    TAILQ_ENTRY(KcRouteRule) link; /* KcRouteHost, longest prefix first */
+    char name[KC_NAME_MAX];
+    char host[KC_HOST_MAX];
+    char prefix[KC_PREFIX_MAX]; /* begins and ends with a slash */
+    KcRequestKind kind;
+    KcTime timeout;        /* longest time without a final answer */
+    KcTime objective;      /* an answer within it earns its full worth */
+    KcTime pause_max;      /* between events of a stream; 0: not given */
+    uint32_t priority;     /* 0 is the most urgent */
+    uint32_t attempts_max; /* backend servers a request may be sent to */
+    bool affinity;         /* requests share parts of their prompts */
+    bool resumable;        /* a stream may go on at another server */
+    struct KcRouteTargetList targets;
+    uint32_t weight_sum;
+} KcRouteRule;
+
+TAILQ_HEAD(KcRouteRuleList, KcRouteRule);
+
+/* The routes of one host. */
+typedef struct KcRouteHost {
+    UT_hash_handle hh;
+    char name[KC_HOST_MAX];
+    struct KcRouteRuleList rules;
+} KcRouteHost;
+
+/* What an engine can hold; all zero for a plain service. */
+typedef struct KcEngineCapacity {
+    bool present;
+    uint32_t adapter_slots; /* adapters loaded or on their way */
+    uint32_t places;        /* requests that run at once */
+    uint64_t memory_tokens; /* of running requests and cached prompts */
+} KcEngineCapacity;
+
+typedef struct KcRoutedService {
+    UT_hash_handle hh;
+    TAILQ_ENTRY(KcRoutedService) link;
+    char name[KC_NAME_MAX];
+    char health_path[KC_PREFIX_MAX];
+    uint32_t connections_max; /* of all callers of one backend server */
+    KcEngineCapacity engine;
+} KcRoutedService;
+
+TAILQ_HEAD(KcRoutedServiceList, KcRoutedService);
+
+/* What callers may send, and how long they may take. */
+typedef struct KcCallerLimits {
+    size_t header_max; /* bytes */
+    size_t body_max;   /* bytes */
+    KcTime header_timeout;
+    KcTime idle_timeout;
+} KcCallerLimits;
+
+typedef struct KcRouting {
+    uint32_t references;
+    uint64_t version;
+    KcCallerLimits limits;
+    KcRouteHost *hosts;
+    KcRoutedService *services;
+    struct KcRoutedServiceList service_list;
+    uint32_t rule_count;
+} KcRouting;
+
+/* ---- Part 2: building --------------------------------------------------- */
+
+/* Creates an empty configuration with one reference. */
+KcRouting *KcRouting_Create(uint64_t version);
+
+/* Adds a rule; the caller fills it in, then adds its targets. */
+KcRouteRule *KcRouting_AddRule(KcRouting *routing, const char *host,
+                               const char *prefix);
+void KcRouting_AddTarget(KcRouteRule *rule, const char *service,
+                         uint32_t weight);
+
+/* Adds a service, or returns the one of that name. */
+KcRoutedService *KcRouting_AddService(KcRouting *routing, const char *name);
+
+/*
+ * Checks what was built: every route has a target and a time-out, and its
+ * prefix begins and ends with a slash.  Returns 0, or KC_ERR_INVALID with
+ * the peer of err naming the route.
+ */
+int KcRouting_Seal(KcRouting *routing, KcError *err);
+
+KcRouting *KcRouting_Ref(KcRouting *routing);
+void KcRouting_Unref(KcRouting *routing); /* NULL is left alone */
+
+/* ---- Part 3: use -------------------------------------------------------- */
+
+/*
+ * Finds the rule of a host with the longest prefix that begins path; a port
+ * in host and a query in path are left out.  NULL when there is none.
+ */
+const KcRouteRule *KcRouting_Find(const KcRouting *routing, const char *host,
+                                  const char *path);
+
+/* Chooses a target by weight; draw is a random number. */
+const KcRouteTarget *KcRouting_Target(const KcRouteRule *rule, uint64_t draw);
+
+/* Finds a service by name; NULL when there is none. */
+const KcRoutedService *KcRouting_Service(const KcRouting *routing,
+                                         const char *name);
+
+/* Names a kind: "safe", "unsafe" or "stream". */
+const char *KcRequestKind_Name(KcRequestKind kind);
+
+#endif
--- /dev/null
+++ b/lib/version/routing.c
@@ -0,0 +1,242 @@
+/*
+ * One accepted version of the routing configuration.
+ */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "kcc_routing.h"
+
+KcRouting *
+KcRouting_Create(uint64_t version)
+{
+    KcRouting *routing = KcMem_New(sizeof(*routing));
+
+    routing->references = 1;
+    routing->version = version;
+    TAILQ_INIT(&routing->service_list);
+    return routing;
+}
+
+static void
+lower(char *text)
+{
+    for (; *text != '\0'; text++) {
+        if (*text >= 'A' && *text <= 'Z') {
+            *text = (char)(*text - 'A' + 'a');
+        }
+    }
+}
+
+static KcRouteHost *
+find_host(const KcRouting *routing, const char *name)
+{
+    KcRouteHost *host;
+
+    HASH_FIND_STR(routing->hosts, name, host);
+    return host;
+}
+
+KcRouteRule *
+KcRouting_AddRule(KcRouting *routing, const char *host_name,
+                  const char *prefix)
+{
+    KcRouteRule *rule = KcMem_New(sizeof(*rule));
+    KcRouteHost *host;
+    KcRouteRule *at;
+
+    KcName_Copy(rule->host, host_name, sizeof(rule->host));
+    KcName_Copy(rule->prefix, prefix, sizeof(rule->prefix));
+    lower(rule->host);
+    TAILQ_INIT(&rule->targets);
+    host = find_host(routing, rule->host);
+    if (host == NULL) {
+        host = KcMem_New(sizeof(*host));
+        KcName_Copy(host->name, rule->host, sizeof(host->name));
+        TAILQ_INIT(&host->rules);
+        HASH_ADD_STR(routing->hosts, name, host);
+    }
+    TAILQ_FOREACH (at, &host->rules, link) {
+        if (strlen(at->prefix) < strlen(rule->prefix)) {
+            break;
+        }
+    }
+    if (at != NULL) {
+        TAILQ_INSERT_BEFORE(at, rule, link);
+    }
+    else {
+        TAILQ_INSERT_TAIL(&host->rules, rule, link);
+    }
+    routing->rule_count++;
+    return rule;
+}
+
+void
+KcRouting_AddTarget(KcRouteRule *rule, const char *service, uint32_t weight)
+{
+    KcRouteTarget *target = KcMem_New(sizeof(*target));
+
+    KcName_Copy(target->service, service, KC_NAME_MAX);
+    target->weight = weight;
+    rule->weight_sum += weight;
+    TAILQ_INSERT_TAIL(&rule->targets, target, link);
+}
+
+KcRoutedService *
+KcRouting_AddService(KcRouting *routing, const char *name)
+{
+    KcRoutedService *service;
+
+    HASH_FIND_STR(routing->services, name, service);
+    if (service == NULL) {
+        service = KcMem_New(sizeof(*service));
+        KcName_Copy(service->name, name, KC_NAME_MAX);
+        HASH_ADD_STR(routing->services, name, service);
+        TAILQ_INSERT_TAIL(&routing->service_list, service, link);
+    }
+    return service;
+}
+
+static bool
+rule_valid(const KcRouteRule *rule)
+{
+    size_t length = strlen(rule->prefix);
+
+    return rule->weight_sum > 0 && rule->timeout > 0 &&
+           rule->attempts_max > 0 && length > 0 && rule->prefix[0] == '/' &&
+           rule->prefix[length - 1] == '/';
+}
+
+int
+KcRouting_Seal(KcRouting *routing, KcError *err)
+{
+    KcRouteHost *host;
+    KcRouteHost *next_host;
+    KcRouteRule *rule;
+
+    HASH_ITER(hh, routing->hosts, host, next_host)
+    {
+        TAILQ_FOREACH (rule, &host->rules, link) {
+            if (!rule_valid(rule)) {
+                return KcError_Set(err, KC_ERR_INVALID, "route", rule->name);
+            }
+        }
+    }
+    return 0;
+}
+
+KcRouting *
+KcRouting_Ref(KcRouting *routing)
+{
+    routing->references++;
+    return routing;
+}
+
+static void
+free_rule(KcRouteRule *rule)
+{
+    KcRouteTarget *target;
+
+    while ((target = TAILQ_FIRST(&rule->targets)) != NULL) {
+        TAILQ_REMOVE(&rule->targets, target, link);
+        free(target);
+    }
+    free(rule);
+}
+
+static void
+free_host(KcRouteHost *host)
+{
+    KcRouteRule *rule;
+
+    while ((rule = TAILQ_FIRST(&host->rules)) != NULL) {
+        TAILQ_REMOVE(&host->rules, rule, link);
+        free_rule(rule);
+    }
+    free(host);
+}
+
+void
+KcRouting_Unref(KcRouting *routing)
+{
+    KcRouteHost *host;
+    KcRouteHost *next_host;
+    KcRoutedService *service;
+
+    if (routing == NULL || --routing->references > 0) {
+        return;
+    }
+    HASH_ITER(hh, routing->hosts, host, next_host)
+    {
+        HASH_DEL(routing->hosts, host);
+        free_host(host);
+    }
+    HASH_CLEAR(hh, routing->services);
+    while ((service = TAILQ_FIRST(&routing->service_list)) != NULL) {
+        TAILQ_REMOVE(&routing->service_list, service, link);
+        free(service);
+    }
+    free(routing);
+}
+
+const KcRouteRule *
+KcRouting_Find(const KcRouting *routing, const char *host_text,
+               const char *path)
+{
+    char name[KC_HOST_MAX];
+    size_t length = strcspn(path, "?");
+    KcRouteHost *host;
+    KcRouteRule *rule;
+
+    KcName_Copy(name, host_text, sizeof(name));
+    name[strcspn(name, ":")] = '\0';
+    lower(name);
+    host = find_host(routing, name);
+    if (host == NULL) {
+        return NULL;
+    }
+    TAILQ_FOREACH (rule, &host->rules, link) {
+        size_t prefix = strlen(rule->prefix);
+
+        if (prefix <= length && memcmp(rule->prefix, path, prefix) == 0) {
+            return rule;
+        }
+    }
+    return NULL;
+}
+
+const KcRouteTarget *
+KcRouting_Target(const KcRouteRule *rule, uint64_t draw)
+{
+    const KcRouteTarget *target;
+    uint64_t at = draw % rule->weight_sum;
+
+    TAILQ_FOREACH (target, &rule->targets, link) {
+        if (at < target->weight) {
+            return target;
+        }
+        at -= target->weight;
+    }
+    assert(false);
+    return TAILQ_FIRST(&rule->targets);
+}
+
+const KcRoutedService *
+KcRouting_Service(const KcRouting *routing, const char *name)
+{
+    KcRoutedService *service;
+
+    HASH_FIND_STR(routing->services, name, service);
+    return service;
+}
+
+const char *
+KcRequestKind_Name(KcRequestKind kind)
+{
+    static const char *const names[KC_KIND_COUNT] = {"safe", "unsafe",
+                                                     "stream"};
+
+    assert(kind < KC_KIND_COUNT);
+    return names[kind];
+}
--- /dev/null
+++ b/programs/connection/http_peer.h
@@ -0,0 +1,111 @@
+/*
+ * One HTTP/1.1 connection, of a caller or to a backend server, read strictly
+ * with http_parser.
+ *
+ * Each message is reported by head, body and end; then the connection stops
+ * reading until KcHttpPeer_Next(), so that what follows a message is never
+ * taken for a part of it.
+ */
+#ifndef KCC_HTTP_PEER_H
+#define KCC_HTTP_PEER_H
+
+#include <event2/buffer.h>
+
+#include "../process/loop.h"
+
+typedef struct KcHttpPeer KcHttpPeer;
+
+/* Headers of one message at the most. */
+#define KC_HTTP_FIELDS_MAX 64
+
+/* One header.  Both texts end with a NUL. */
+typedef struct KcHttpField {
+    const char *name;
+    const char *value;
+} KcHttpField;
+
+/* The head of a message; valid until KcHttpPeer_Next(). */
+typedef struct KcHttpMessage {
+    const char *method; /* of a request */
+    const char *target; /* of a request */
+    int status;         /* of a response */
+    bool old;           /* of a version before HTTP/1.1 */
+    KcHttpField fields[KC_HTTP_FIELDS_MAX];
+    size_t field_count;
+    bool keep_alive;  /* the connection may be used again */
+    bool has_length;  /* Content-Length was given */
+    uint64_t length;  /* valid with has_length */
+    bool chunked;
+    size_t head_size; /* bytes */
+} KcHttpMessage;
+
+/* The value of the first header of this name, NULL when there is none. */
+const char *KcHttpMessage_Find(const KcHttpMessage *message, const char *name);
+
+/* Does a list header, such as Connection, name this token? */
+bool KcHttpMessage_Lists(const KcHttpMessage *message, const char *name,
+                         const char *token);
+
+/* What happens on a connection.  Each call may close it. */
+typedef struct KcHttpPeerOps {
+    void (*connected)(void *owner); /* connecting side; may be NULL */
+    void (*begins)(void *owner);    /* first byte of a head; may be NULL */
+    void (*head)(void *owner, const KcHttpMessage *message);
+    void (*body)(void *owner, KcBytes bytes);
+    void (*end)(void *owner);
+    /*
+     * The connection is over: KC_ERR_LOST, KC_ERR_PARSE for bytes that are
+     * no message, KC_ERR_TOO_LARGE for a head above its bound.
+     */
+    void (*failed)(void *owner, int code);
+    /* Everything written has left; may be NULL. */
+    void (*drained)(void *owner);
+} KcHttpPeerOps;
+
+typedef struct KcHttpPeerOptions {
+    KcLoop *loop;
+    const KcHttpPeerOps *ops;
+    void *owner;
+    size_t header_max; /* bytes of a head */
+    KcTime silence;    /* unanswered keep-alive probes end it after this */
+} KcHttpPeerOptions;
+
+/* A connection that a listener accepted: it reads requests. */
+KcHttpPeer *KcHttpPeer_Accept(const KcHttpPeerOptions *options,
+                              evutil_socket_t fd);
+
+/*
+ * Connects and reads responses.  Returns NULL when the address is not valid
+ * or there is no socket to be had.
+ */
+KcHttpPeer *KcHttpPeer_Connect(const KcHttpPeerOptions *options,
+                               const char *address);
+
+/* Ends a connection; nothing is reported for it afterwards. */
+void KcHttpPeer_Close(KcHttpPeer *peer);
+/* As KcHttpPeer_Close(), when everything written has left. */
+void KcHttpPeer_CloseWhenSent(KcHttpPeer *peer);
+
+/* Reads the next message. */
+void KcHttpPeer_Next(KcHttpPeer *peer);
+/* The next message is the response to a HEAD request: it has no body. */
+void KcHttpPeer_ExpectNoBody(KcHttpPeer *peer);
+/* Changes the owner and what it is told, as when a connection is pooled. */
+void KcHttpPeer_SetOwner(KcHttpPeer *peer, const KcHttpPeerOps *ops,
+                         void *owner);
+void KcHttpPeer_SetHeaderMax(KcHttpPeer *peer, size_t header_max);
+
+/* Bytes to be written go here. */
+struct evbuffer *KcHttpPeer_Output(KcHttpPeer *peer);
+/* Bytes written that have not left yet. */
+size_t KcHttpPeer_Pending(const KcHttpPeer *peer);
+/* Bytes received that have not been read as a message yet. */
+size_t KcHttpPeer_Unread(const KcHttpPeer *peer);
+/* Pauses or resumes reading. */
+void KcHttpPeer_Pause(KcHttpPeer *peer, bool paused);
+/* True once any byte has left on a connection that was connected. */
+bool KcHttpPeer_Sent(const KcHttpPeer *peer);
+/* True when bytes of the present message have arrived. */
+bool KcHttpPeer_Started(const KcHttpPeer *peer);
+
+#endif
--- a/programs/connection/tcp.c
+++ b/programs/connection/tcp.c
@@ -8,12 +8,14 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "socket.h"
+
 #define PREFIX_SIZE 4
+/* A connection that falls silent is noticed after this. */
+#define SILENCE (3 * KC_SECOND)
 
 struct KcTcp {
     KcTcpOptions options;
@@ -190,22 +192,13 @@
     }
 }
 
-static void
-set_no_delay(struct bufferevent *bev)
-{
-    int on = 1;
-
-    setsockopt(bufferevent_getfd(bev), IPPROTO_TCP, TCP_NODELAY, &on,
-               sizeof(on));
-}
-
 static void
 on_event(struct bufferevent *bev, short events, void *context)
 {
     KcTcp *tcp = context;
 
     if (events & BEV_EVENT_CONNECTED) {
-        set_no_delay(bev);
+        KcSocket_Prepare(bufferevent_getfd(bev), SILENCE);
         send_message(tcp, &tcp->hello);
         bufferevent_enable(bev, EV_READ | EV_WRITE);
     }
@@ -251,7 +244,7 @@
     (void)evlistener;
     (void)address;
     (void)size;
-    set_no_delay(tcp->bev);
+    KcSocket_Prepare(fd, SILENCE);
     tcp->ready = true;
     bufferevent_enable(tcp->bev, EV_READ | EV_WRITE);
     listener->accepted(listener->options.context, tcp->link);
--- a/programs/kccd/main.c
+++ b/programs/kccd/main.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 
 #include "../process/log.h"
+#include "../process/platform.h"
 #include "../process/role.h"
 #include "../process/settings.h"
 
@@ -18,11 +19,14 @@
 #define EXIT_SETTINGS 2
 
 #define KEY_REFERENCE 0x100
+#define KEY_PLATFORM 0x101
 
 static const struct argp_option options[] = {
     {"check", 'c', NULL, 0, "Only check the settings", 0},
     {"reference", KEY_REFERENCE, NULL, 0, "Print the reference of settings",
      0},
+    {"platform", KEY_PLATFORM, NULL, 0,
+     "Take the settings from where the platform put them", 0},
     {NULL, 0, NULL, 0, NULL, 0},
 };
 
@@ -45,6 +49,9 @@
     case KEY_REFERENCE:
         arguments->reference = true;
         return 0;
+    case KEY_PLATFORM:
+        arguments->file = KcPlatform_Here.settings_path();
+        return 0;
     case ARGP_KEY_ARG:
         if (arguments->file != NULL) {
             argp_usage(state);
@@ -64,9 +71,11 @@
 static const struct argp argp = {options, parse, "FILE", doc,
                                  NULL,    NULL,  NULL};
 
-static int (*const roles[])(const KcSettings *settings) = {
+static int (*const roles[KC_ROLE_COUNT])(const KcSettings *settings) = {
     [KC_ROLE_ENTRY] = KcEntryRole_Run,
     [KC_ROLE_AGENT] = KcAgentRole_Run,
+    [KC_ROLE_GATEWAY] = KcGatewayRole_Run,
+    [KC_ROLE_KEEPER] = KcKeeperRole_Run,
 };
 
 static int
--- a/programs/process/admin_http.c
+++ b/programs/process/admin_http.c
@@ -106,7 +106,7 @@
     int code = admin->options.ops->ready(owner);
     json_t *state =
         json_pack("{s:s, s:s, s:s, s:I, s:s}", "process", settings->name,
-                  "role", settings->role == KC_ROLE_ENTRY ? "entry" : "agent",
+                  "role", KcSettings_RoleName(settings),
                   "datacentre", settings->datacentre, "generation",
                   (json_int_t)admin->options.ops->generation(owner), "ready",
                   code == 0 ? "yes" : KcError_Name(code));
@@ -143,7 +143,10 @@
     evhtp_set_cb(admin->http, "/debug/events", on_events, admin);
     evhtp_set_cb(admin->http, "/debug/state", on_state, admin);
     evhtp_set_cb(admin->http, "/admin/drain", on_drain, admin);
-    if (KcAddress_Parse(options->settings->admin, host, &port) != 0 ||
+    if (options->ready_path != NULL) {
+        evhtp_set_cb(admin->http, options->ready_path, on_ready, admin);
+    }
+    if (KcAddress_Parse(options->address, host, &port) != 0 ||
         evhtp_bind_socket(admin->http, host, port, BACKLOG) != 0) {
         KcAdmin_Free(admin);
         return NULL;
--- a/programs/process/admin_http.h
+++ b/programs/process/admin_http.h
@@ -31,6 +31,8 @@
 typedef struct KcAdminOptions {
     KcLoop *loop;
     const KcSettings *settings;
+    const char *address;
+    const char *ready_path; /* as well as /readyz */
     const KcCounters *counters;
     const KcEvents *events;
     const KcAdminOps *ops;
--- a/programs/process/agent_role.c
+++ b/programs/process/agent_role.c
@@ -127,7 +127,7 @@
     return KcAgent_Drained(((AgentRole *)context)->agent);
 }
 
-static const KcRoleOps role_ops = {drain, drained};
+static const KcRoleOps role_ops = {drain, drained, NULL};
 
 /* ---- set-up ------------------------------------------------------------- */
 
--- a/programs/process/entry_role.c
+++ b/programs/process/entry_role.c
@@ -165,7 +165,7 @@
     return KcEntry_Drained(((EntryRole *)context)->entry);
 }
 
-static const KcRoleOps role_ops = {drain, drained};
+static const KcRoleOps role_ops = {drain, drained, NULL};
 
 /* ---- set-up ------------------------------------------------------------- */
 
--- /dev/null
+++ b/programs/process/keeper_role.c
@@ -0,0 +1,465 @@
+/*
+ * The keeper as a process: its engine, the gateways' connections, and the
+ * record that gives it its fencing number.
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../connection/tcp.h"
+#include "admin_http.h"
+#include "log.h"
+#include "platform.h"
+#include "role.h"
+
+/* Delay after a failed call of the store. */
+#define STORE_RETRY (200 * KC_MS)
+/* The capacity of the engine hardly changes. */
+#define GATHER (2 * KC_SECOND)
+/* Wait for an answer of the engine, on the same machine. */
+#define ENGINE_TIMEOUT (500 * KC_MS)
+/* Collection of the keepers' records. */
+#define KEEPERS "kcc-keepers"
+
+typedef struct KeeperRole {
+    KcParts parts;
+    const KcPlatform *platform;
+    KcKeeper *keeper;
+    KcEngineClient *engine;
+    KcStore *store;
+    KcFeed *routing;
+    KcTcpListener *listener;
+    struct KcLinkList links;
+    KcTimer fence_timer;
+    uint64_t incarnation;
+    uint64_t generation; /* of the configuration last read */
+} KeeperRole;
+
+/* ---- gateways ------------------------------------------------------------ */
+
+static void
+on_accepted(void *context, KcLink *link)
+{
+    KeeperRole *role = context;
+
+    link->owner = role;
+    TAILQ_INSERT_TAIL(&role->links, link, link);
+}
+
+static void
+close_link(KeeperRole *role, KcLink *link)
+{
+    KcKeeper_OnGatewayLost(role->keeper, link, KcLoop_Now());
+    TAILQ_REMOVE(&role->links, link, link);
+    KcLink_Free(link);
+}
+
+static void
+greet(KeeperRole *role, KcLink *link)
+{
+    KcMsg hello = {.type = KC_MSG_HELLO,
+                   .u.hello = {.incarnation = role->incarnation,
+                               .protocol = KC_PROTOCOL_VERSION}};
+
+    KcName_Copy(hello.u.hello.name, role->parts.settings->name, KC_NAME_MAX);
+    KcLink_Send(link, &hello);
+    KcKeeper_OnGateway(role->keeper, link, KcLoop_Now());
+}
+
+static void
+on_message(void *context, KcLink *link, const KcMsg *msg)
+{
+    KeeperRole *role = context;
+    KcTime now = KcLoop_Now();
+    KcStream *stream;
+    KcError error;
+    KcLogFields fields = {.peer = link->peer, .step = "link"};
+
+    if (KcLink_Receive(link, msg, &stream, now, &error) != 0) {
+        fields.step = error.step;
+        fields.code = error.code;
+        KcLog_Write(KC_LOG_WARN, &fields, "gateway broke the link's rules");
+        link->ops->close(link->transport);
+        close_link(role, link);
+        return;
+    }
+    switch (msg->type) {
+    case KC_MSG_HELLO:
+        greet(role, link);
+        break;
+    case KC_MSG_WANT:
+        role->platform->name_engine(role->engine, msg->u.want.server);
+        KcKeeper_OnWant(role->keeper, msg->u.want.model, msg->u.want.adapter,
+                        msg->u.want.version, msg->u.want.priority, now);
+        break;
+    case KC_MSG_USED:
+        KcKeeper_OnUsed(role->keeper, link, msg->u.used.model,
+                        msg->u.used.adapter, msg->u.used.uses,
+                        msg->u.used.in_flight, now);
+        break;
+    default:
+        KcLog_Write(KC_LOG_WARN, &fields, "unexpected message");
+        break;
+    }
+}
+
+static void
+on_closed(void *context, void *peer, KcLink *link, int code)
+{
+    KcLogFields fields = {.peer = link->peer, .step = "link", .code = code};
+
+    (void)peer;
+    KcLog_Write(KC_LOG_INFO, &fields, "connection of the gateway ended");
+    close_link(context, link);
+}
+
+static const KcTcpOps tcp_ops = {NULL, on_message, on_closed};
+
+static void
+tell(void *context, KcLink *link, const char *model, const char *adapter,
+     uint32_t version, KcHeldState state)
+{
+    KeeperRole *role = context;
+    KcMsg msg = {.type = KC_MSG_HELD,
+                 .u.held = {.version = version, .state = (uint32_t)state}};
+    KcLink *at;
+
+    KcName_Copy(msg.u.held.model, model, KC_NAME_MAX);
+    KcName_Copy(msg.u.held.adapter, adapter, KC_NAME_MAX);
+    if (link != NULL) {
+        KcLink_Send(link, &msg);
+        return;
+    }
+    TAILQ_FOREACH (at, &role->links, link) {
+        if (at->greeted) {
+            KcLink_Send(at, &msg);
+        }
+    }
+}
+
+/* ---- the engine ---------------------------------------------------------- */
+
+static void
+order(void *context, const KcOrder *request)
+{
+    KeeperRole *role = context;
+
+    role->platform->order(role->engine, request);
+}
+
+static void
+report(void *context)
+{
+    KeeperRole *role = context;
+
+    role->platform->report(role->engine);
+}
+
+static void
+on_ordered(void *context, KcOrderEnd end)
+{
+    KcKeeper_OnOrder(((KeeperRole *)context)->keeper, end, KcLoop_Now());
+}
+
+static void
+on_reported(void *context, const KcEngineReport *engine_report)
+{
+    KcKeeper_OnReport(((KeeperRole *)context)->keeper, engine_report,
+                      KcLoop_Now());
+}
+
+/* One line for every order and its end. */
+static void
+record(void *context, const char *decision, const KcOrder *request, int code,
+       KcTime now)
+{
+    KcLogFields fields = {.step = decision, .code = code};
+
+    (void)context;
+    (void)now;
+    KcLog_Write(KC_LOG_INFO, &fields,
+                "order model=%s adapter=%s version=%u fence=%" PRIu64
+                " sequence=%" PRIu64,
+                request->model, request->adapter, request->version,
+                request->fence, request->sequence);
+}
+
+static const KcKeeperOps keeper_ops = {order, report, tell, record};
+
+/* ---- the store ----------------------------------------------------------- */
+
+static void
+begins(void *context)
+{
+    (void)context;
+}
+
+static void
+listed(void *context, KcTime now)
+{
+    (void)context;
+    (void)now;
+}
+
+/* The configuration says how many adapters the engine takes. */
+static void
+on_routing(void *context, const KcFeedItem *item, KcTime now)
+{
+    KeeperRole *role = context;
+    KcLogFields fields = {.step = "routing"};
+    const KcRoutedService *service;
+    KcRouting *routing;
+    KcError error = {0};
+
+    if (item->deleted) {
+        return;
+    }
+    routing = role->platform->read_routing(item->body, &error);
+    if (routing == NULL) {
+        fields.step = error.step;
+        fields.code = error.code;
+        KcLog_Write(KC_LOG_WARN, &fields, "record cannot be used");
+        return;
+    }
+    service = KcRouting_Service(routing, role->parts.settings->service);
+    if (routing->version > role->generation && service != NULL) {
+        role->generation = routing->version;
+        fields.generation = routing->version;
+        KcLog_Write(KC_LOG_INFO, &fields, "engine takes %u adapters",
+                    service->engine.adapter_slots);
+        KcKeeper_SetSlots(role->keeper, service->engine.adapter_slots, now);
+    }
+    KcRouting_Unref(routing);
+}
+
+static void
+on_contact(void *context, int code, KcTime now)
+{
+    KcLogFields fields = {.step = "store", .code = code};
+
+    (void)context;
+    (void)now;
+    KcLog_Write(code == 0 ? KC_LOG_INFO : KC_LOG_WARN, &fields,
+                code == 0 ? "store answers again" : "store does not answer");
+}
+
+static void take_fence(KeeperRole *role, uint64_t expected);
+
+/* The revision of the record just written is above any earlier one. */
+static void
+on_fence(void *context, const KcObjectReply *reply)
+{
+    KeeperRole *role = context;
+    KcLogFields fields = {.step = "fence", .code = reply->code};
+
+    if (reply->code == 0 && reply->version > 0) {
+        KcLog_Write(KC_LOG_INFO, &fields, "fencing number %" PRIu64,
+                    reply->version);
+        KcKeeper_SetFence(role->keeper, reply->version, KcLoop_Now());
+    }
+    else if (reply->code == KC_ERR_NOT_FOUND) {
+        take_fence(role, KC_OBJECT_ABSENT);
+    }
+    else {
+        KcLog_Write(KC_LOG_WARN, &fields, "no fencing number yet");
+        KcTimers_Set(role->parts.loop->timers, &role->fence_timer,
+                     KcLoop_Now() + STORE_RETRY);
+    }
+}
+
+static void
+take_fence(KeeperRole *role, uint64_t expected)
+{
+    const KcSettings *settings = role->parts.settings;
+    char name[KC_OBJECT_NAME_MAX];
+    char value[64];
+
+    snprintf(name, sizeof(name), KEEPERS "/%s", settings->name);
+    snprintf(value, sizeof(value), "{\"incarnation\":\"%016" PRIx64 "\"}",
+             role->incarnation);
+    role->platform->objects->put(role->store, name,
+                                 (KcBytes){value, strlen(value)}, expected,
+                                 on_fence, role);
+}
+
+static void
+on_fence_timer(KcTimer *timer, KcTime now)
+{
+    (void)now;
+    take_fence(timer->owner, KC_OBJECT_ANY);
+}
+
+/* ---- administration ------------------------------------------------------ */
+
+static int
+ready(void *context)
+{
+    return KcKeeper_Ready(((KeeperRole *)context)->keeper);
+}
+
+static uint64_t
+generation(void *context)
+{
+    return ((KeeperRole *)context)->generation;
+}
+
+static void
+add_state(void *context, json_t *state)
+{
+    KeeperRole *role = context;
+
+    json_object_set_new(state, "service",
+                        json_string(role->parts.settings->service));
+    json_object_set_new(
+        state, "fence",
+        json_integer((json_int_t)KcKeeper_Fence(role->keeper)));
+}
+
+static void
+admin_drain(void *context)
+{
+    KcParts_Drain(&((KeeperRole *)context)->parts);
+}
+
+static const KcAdminOps admin_ops = {ready, generation, add_state,
+                                     admin_drain};
+
+static void
+drain(void *context)
+{
+    (void)context;
+}
+
+/* No request passes through a keeper: it may stop at any time. */
+static bool
+drained(void *context)
+{
+    (void)context;
+    return true;
+}
+
+static const KcRoleOps role_ops = {drain, drained, NULL};
+
+/* ---- set-up -------------------------------------------------------------- */
+
+static void
+create_keeper(KeeperRole *role)
+{
+    const KcSettings *settings = role->parts.settings;
+    KcKeeperOptions options;
+    KcEngineOptions engine = {.loop = role->parts.loop,
+                              .address = settings->backend,
+                              .holder = settings->name,
+                              .timeout = ENGINE_TIMEOUT,
+                              .counters = &role->parts.counters,
+                              .ordered = on_ordered,
+                              .reported = on_reported,
+                              .context = role};
+
+    role->engine = role->platform->open_engine(&engine);
+    KcKeeperOptions_Init(&options);
+    options.ops = &keeper_ops;
+    options.context = role;
+    options.timers = role->parts.loop->timers;
+    options.counters = &role->parts.counters;
+    role->keeper = KcKeeper_Create(&options);
+}
+
+static int
+listen_all(KeeperRole *role)
+{
+    const KcSettings *settings = role->parts.settings;
+    KcTcpOptions tcp = {.loop = role->parts.loop,
+                        .counters = &role->parts.counters,
+                        .ops = &tcp_ops,
+                        .context = role};
+    KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
+
+    role->listener = KcTcp_Listen(&tcp, settings->links, on_accepted);
+    if (role->listener == NULL) {
+        KcLog_Write(KC_LOG_ERROR, &fields,
+                    "cannot listen on [listen] links = %s", settings->links);
+        return KC_ERR_INVALID;
+    }
+    return KcParts_OpenAdmin(&role->parts, &admin_ops, role);
+}
+
+static void
+start_all(KeeperRole *role)
+{
+    const KcSettings *settings = role->parts.settings;
+    KcStoreOptions store = {.loop = role->parts.loop,
+                            .address = settings->objects,
+                            .timeout = settings->object_timeout_ms * KC_MS,
+                            .wait = settings->watch_ms * KC_MS,
+                            .counters = &role->parts.counters};
+    KcFeedOptions feed = {
+        .ops = role->platform->feed,
+        .timers = role->parts.loop->timers,
+        .kind = role->platform->collections[KC_COLLECTION_ROUTING],
+        .retry = STORE_RETRY,
+        .gather = GATHER,
+        .begins = begins,
+        .item = on_routing,
+        .listed = listed,
+        .contact = on_contact,
+        .context = role};
+
+    role->store = role->platform->open_store(&store);
+    feed.store = role->store;
+    role->routing = KcFeed_Create(&feed);
+    KcFeed_Start(role->routing, KcLoop_Now());
+    KcTimer_Init(&role->fence_timer, on_fence_timer, role);
+    take_fence(role, KC_OBJECT_ANY);
+    KcKeeper_Start(role->keeper, KcLoop_Now());
+    KcParts_HandleSignals(&role->parts, &role_ops, role);
+}
+
+static void
+free_all(KeeperRole *role)
+{
+    KcLink *link;
+
+    if (role->store != NULL) {
+        KcTimers_Clear(role->parts.loop->timers, &role->fence_timer);
+        KcFeed_Free(role->routing);
+        role->platform->close_store(role->store);
+    }
+    while ((link = TAILQ_FIRST(&role->links)) != NULL) {
+        link->ops->close(link->transport);
+        close_link(role, link);
+    }
+    if (role->listener != NULL) {
+        KcTcpListener_Free(role->listener);
+    }
+    KcKeeper_Free(role->keeper);
+    role->platform->close_engine(role->engine);
+    KcParts_Clear(&role->parts);
+}
+
+int
+KcKeeperRole_Run(const KcSettings *settings)
+{
+    KeeperRole role;
+    int status = 1;
+
+    memset(&role, 0, sizeof(role));
+    role.platform = &KcPlatform_Here;
+    TAILQ_INIT(&role.links);
+    if (KcParts_Init(&role.parts, settings) != 0) {
+        return 1;
+    }
+    role.incarnation = KcLoop_Random();
+    role.parts.drain_time = (KcTime)(settings->grace_s * KC_SECOND);
+    create_keeper(&role);
+    if (listen_all(&role) == 0) {
+        start_all(&role);
+        KcLog_Write(KC_LOG_INFO, NULL, "keeper of %s listens on %s",
+                    settings->backend, settings->links);
+        KcLoop_Run(role.parts.loop);
+        KcLog_Write(KC_LOG_INFO, NULL, "keeper stops");
+        status = 0;
+    }
+    free_all(&role);
+    return status;
+}
--- a/programs/process/log.c
+++ b/programs/process/log.c
@@ -6,14 +6,20 @@
  */
 #include "log.h"
 
+#include <fcntl.h>
 #include <inttypes.h>
 #include <log4c.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define LINE_SIZE 1024
+/* Lines are gathered up to this many bytes before they are written. */
+#define GATHER_SIZE 16384
+/* Lines a second at the most; the rest is dropped and counted. */
+#define LINES_PER_SECOND 2000
 
 static const struct {
     const char *name;
@@ -27,6 +33,15 @@
 
 #define LEVEL_COUNT ((int)(sizeof(levels) / sizeof(levels[0])))
 
+static struct {
+    char text[GATHER_SIZE];
+    size_t used;
+    time_t second; /* in which lines are counted */
+    unsigned lines;
+    uint64_t dropped;
+    uint64_t told; /* of these, told of in the log */
+} gathered;
+
 static log4c_category_t *category;
 static char process[KC_NAME_MAX];
 
@@ -54,6 +69,48 @@
 
 static const log4c_layout_type_t layout_type = {"kcc", format_line};
 
+/* Writes without blocking; what does not fit is dropped. */
+void
+KcLog_Flush(void)
+{
+    ssize_t written;
+
+    if (gathered.used == 0) {
+        return;
+    }
+    written = write(STDOUT_FILENO, gathered.text, gathered.used);
+    if (written < (ssize_t)gathered.used) {
+        for (size_t i = written > 0 ? (size_t)written : 0; i < gathered.used;
+             i++) {
+            gathered.dropped += gathered.text[i] == '\n' ? 1 : 0;
+        }
+    }
+    gathered.used = 0;
+}
+
+uint64_t
+KcLog_Dropped(void)
+{
+    return gathered.dropped;
+}
+
+/* log4c's appender: gathers the rendered line. */
+static int
+gather(log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+    size_t size = strlen(event->evt_rendered_msg);
+
+    (void)appender;
+    if (gathered.used + size > GATHER_SIZE) {
+        KcLog_Flush();
+    }
+    memcpy(gathered.text + gathered.used, event->evt_rendered_msg, size);
+    gathered.used += size;
+    return 0;
+}
+
+static const log4c_appender_type_t appender_type = {"kcc", NULL, gather, NULL};
+
 int
 KcLog_Open(const char *process_name, KcLogLevel level)
 {
@@ -67,7 +124,11 @@
     log4c_layout_type_set(&layout_type);
     layout = log4c_layout_get("kcc");
     log4c_layout_set_type(layout, &layout_type);
-    appender = log4c_appender_get("stderr");
+    log4c_appender_type_set(&appender_type);
+    appender = log4c_appender_get("kcc");
+    log4c_appender_set_type(appender, &appender_type);
+    fcntl(STDOUT_FILENO, F_SETFL,
+          fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     log4c_appender_set_layout(appender, layout);
     category = log4c_category_get("kcc");
     log4c_category_set_appender(category, appender);
@@ -79,6 +140,7 @@
 void
 KcLog_Close(void)
 {
+    KcLog_Flush();
     category = NULL;
     log4c_fini();
 }
@@ -119,6 +181,9 @@
         KcRequestId_Format(fields->request, id);
         used = append(line, used, " request=%s", id);
     }
+    if (fields->id != NULL && fields->id[0] != '\0') {
+        used = append(line, used, " id=%s", fields->id);
+    }
     if (fields->generation != 0) {
         used = append(line, used, " generation=%" PRIu64, fields->generation);
     }
@@ -135,6 +200,41 @@
     return used;
 }
 
+/* Is there room for a further line in this second? */
+static bool
+within_bound(void)
+{
+    time_t now = time(NULL);
+
+    if (now != gathered.second) {
+        gathered.second = now;
+        gathered.lines = 0;
+    }
+    if (gathered.lines++ < LINES_PER_SECOND) {
+        return true;
+    }
+    gathered.dropped++;
+    return false;
+}
+
+/* Tells of lines that were dropped, with the next one that is not. */
+static void
+tell_dropped(void)
+{
+    char line[LINE_SIZE];
+    size_t used = append_time(line, 0);
+
+    if (gathered.dropped == gathered.told) {
+        return;
+    }
+    append(line, used,
+           " level=warn process=%s dropped=%" PRIu64
+           " msg=\"log lines were dropped\"",
+           process, gathered.dropped - gathered.told);
+    gathered.told = gathered.dropped;
+    log4c_category_log(category, LOG4C_PRIORITY_WARN, "%s", line);
+}
+
 void
 KcLog_Write(KcLogLevel level, const KcLogFields *fields, const char *format,
             ...)
@@ -145,9 +245,11 @@
     va_list args;
 
     if (category == NULL || !log4c_category_is_priority_enabled(
-                                category, levels[level].priority)) {
+                                category, levels[level].priority) ||
+        !within_bound()) {
         return;
     }
+    tell_dropped();
     va_start(args, format);
     vsnprintf(text, sizeof(text), format, args);
     va_end(args);
--- a/programs/process/log.h
+++ b/programs/process/log.h
@@ -16,13 +16,24 @@
 /* Finds a level by name.  Returns it, or KC_ERR_NOT_FOUND. */
 int KcLog_Level(const char *name);
 
-/* Opens the log on standard error.  Returns 0 or KC_ERR_INVALID. */
+/*
+ * Opens the log on standard output.  Returns 0 or KC_ERR_INVALID.  A line
+ * that cannot be written at once, or that is beyond the bound of lines a
+ * second, is dropped and counted.
+ */
 int KcLog_Open(const char *process_name, KcLogLevel level);
 void KcLog_Close(void);
 
+/* Writes what has been gathered; called once a round of the loop. */
+void KcLog_Flush(void);
+
+/* Lines dropped since the log was opened. */
+uint64_t KcLog_Dropped(void);
+
 /* What a line says besides its text; unset fields are left out. */
 typedef struct KcLogFields {
     const KcRequestId *request;
+    const char *id; /* a caller's name for its request */
     uint64_t generation;
     const char *peer;
     const char *step;
--- a/programs/process/loop.c
+++ b/programs/process/loop.c
@@ -104,6 +104,9 @@
         arm_wake(loop);
         event_base_loop(loop->base, EVLOOP_ONCE);
         take_down_retired(loop);
+        if (loop->after_round != NULL) {
+            loop->after_round();
+        }
     }
 }
 
--- a/programs/process/loop.h
+++ b/programs/process/loop.h
@@ -23,6 +23,7 @@
     struct event *wake;  /* due when the next timer is */
     int64_t wall_offset; /* wall clock minus monotonic clock */
     struct KcRetiredList retired;
+    void (*after_round)(void); /* called after every round; may be NULL */
     bool stop;
 } KcLoop;
 
--- /dev/null
+++ b/programs/process/platform.h
@@ -0,0 +1,73 @@
+/*
+ * The platform that a gateway and a keeper stand on: one table of function
+ * pointers, in the project's own words.  platform/ implements it.
+ */
+#ifndef KCC_PLATFORM_H
+#define KCC_PLATFORM_H
+
+#include "../request/dialect.h"
+#include "loop.h"
+
+typedef struct KcStore KcStore;
+
+typedef struct KcStoreOptions {
+    KcLoop *loop;
+    const char *address;
+    KcTime timeout; /* of a call that does not wait */
+    KcTime wait;    /* longest wait of one watch */
+    KcCounters *counters;
+} KcStoreOptions;
+
+/* Collections of the store that the project reads. */
+typedef enum KcCollection {
+    KC_COLLECTION_ROUTING = 0, /* the routing configuration */
+    KC_COLLECTION_SERVERS,     /* backend servers */
+    KC_COLLECTION_VERSIONS,    /* announced versions of adapters */
+    KC_COLLECTION_GATEWAYS,    /* our own records, one a gateway */
+    KC_COLLECTION_COUNT
+} KcCollection;
+
+/* How the keeper reaches its engine. */
+typedef struct KcEngineOptions {
+    KcLoop *loop;
+    const char *address;
+    const char *holder; /* name under which orders are given */
+    KcTime timeout;
+    KcCounters *counters;
+    void (*ordered)(void *context, KcOrderEnd end);
+    /* report NULL: no answer. */
+    void (*reported)(void *context, const KcEngineReport *report);
+    void *context;
+} KcEngineOptions;
+
+typedef struct KcEngineClient KcEngineClient;
+
+typedef struct KcPlatform {
+    /* Where the platform put the settings of this process. */
+    const char *(*settings_path)(void);
+    const KcDialect *dialect;
+    /* Names of the collections. */
+    const char *const *collections;
+    /* The store: collections by KcFeedOps, single objects by KcObjectOps,
+     * where a name is collection/object. */
+    KcStore *(*open_store)(const KcStoreOptions *options);
+    void (*close_store)(KcStore *store);
+    const KcFeedOps *feed;
+    const KcObjectOps *objects;
+    /* Decoders; body is a feed item's.  Errors name the field at fault. */
+    KcRouting *(*read_routing)(const void *body, KcError *err);
+    int (*read_server)(const KcFeedItem *item, KcServerInfo *info,
+                       KcError *err);
+    int (*read_version)(const void *body, KcHeldInfo *version, KcError *err);
+    /* The engine beside a keeper. */
+    KcEngineClient *(*open_engine)(const KcEngineOptions *options);
+    void (*close_engine)(KcEngineClient *engine);
+    /* Names the engine that is meant by the orders that follow. */
+    void (*name_engine)(KcEngineClient *engine, const char *id);
+    void (*order)(KcEngineClient *engine, const KcOrder *order);
+    void (*report)(KcEngineClient *engine);
+} KcPlatform;
+
+extern const KcPlatform KcPlatform_Here;
+
+#endif
--- a/programs/process/role.c
+++ b/programs/process/role.c
@@ -6,12 +6,15 @@
 #include <event2/event.h>
 #include <signal.h>
 #include <string.h>
+#include <sys/stat.h>
 
 #include "log.h"
 #include "objects_http.h"
 
 /* While draining, completion is looked for this often. */
 #define DRAIN_INTERVAL (50 * KC_MS)
+/* The settings file is looked at this often: it may change unannounced. */
+#define RELOAD_INTERVAL (2 * KC_SECOND)
 
 int
 KcParts_Init(KcParts *parts, const KcSettings *settings)
@@ -20,10 +23,12 @@
 
     memset(parts, 0, sizeof(*parts));
     parts->settings = settings;
+    parts->drain_time = settings->drain_ms * KC_MS;
     parts->loop = KcLoop_Create();
     if (parts->loop == NULL) {
         return KC_ERR_INVALID;
     }
+    parts->loop->after_round = KcLog_Flush;
     parts->events =
         KcEvents_Create((size_t)settings->events, parts->loop->wall_offset);
     objects =
@@ -69,6 +74,7 @@
 {
     KcAdminOptions options = {.loop = parts->loop,
                               .settings = parts->settings,
+                              .address = parts->settings->admin,
                               .counters = &parts->counters,
                               .events = parts->events,
                               .ops = ops,
@@ -89,6 +95,10 @@
 KcParts_Clear(KcParts *parts)
 {
     KcTimers_Clear(parts->loop->timers, &parts->drain_timer);
+    KcTimers_Clear(parts->loop->timers, &parts->reload_timer);
+    if (parts->reload != NULL) {
+        event_free(parts->reload);
+    }
     if (parts->admin != NULL) {
         KcAdmin_Free(parts->admin);
     }
@@ -130,7 +140,7 @@
         return;
     }
     parts->draining = true;
-    parts->drain_until = now + parts->settings->drain_ms * KC_MS;
+    parts->drain_until = now + parts->drain_time;
     KcLog_Write(KC_LOG_INFO, NULL, "planned stop begins");
     parts->ops->drain(parts->role);
     KcTimers_Set(parts->loop->timers, &parts->drain_timer,
@@ -145,6 +155,71 @@
     KcParts_Drain(context);
 }
 
+/* ---- changed settings ---------------------------------------------------- */
+
+static time_t
+time_stamp(const char *path)
+{
+    struct stat status;
+
+    return stat(path, &status) == 0 ? status.st_mtime : 0;
+}
+
+static void
+reload(KcParts *parts)
+{
+    KcProblemList problems = TAILQ_HEAD_INITIALIZER(problems);
+    KcSettings changed;
+    KcProblem *problem;
+
+    parts->settings_time = time_stamp(parts->settings->path);
+    if (KcSettings_Read(parts->settings->path, &changed, &problems) == 0) {
+        KcLog_Write(KC_LOG_INFO, NULL, "settings read again");
+        parts->ops->reload(parts->role, &changed);
+    }
+    TAILQ_FOREACH (problem, &problems, link) {
+        KcLog_Write(KC_LOG_ERROR, NULL,
+                    "settings kept as they were: line %d %s %s", problem->line,
+                    problem->key, problem->text);
+    }
+    KcProblem_Clear(&problems);
+    KcSettings_Clear(&changed);
+}
+
+static void
+on_reload_signal(evutil_socket_t number, short what, void *context)
+{
+    (void)number;
+    (void)what;
+    reload(context);
+}
+
+static void
+on_reload_timer(KcTimer *timer, KcTime now)
+{
+    KcParts *parts = timer->owner;
+
+    if (time_stamp(parts->settings->path) != parts->settings_time) {
+        reload(parts);
+    }
+    KcTimers_Set(parts->loop->timers, timer, now + RELOAD_INTERVAL);
+}
+
+static void
+handle_reload(KcParts *parts)
+{
+    KcTimer_Init(&parts->reload_timer, on_reload_timer, parts);
+    if (parts->ops->reload == NULL) {
+        return;
+    }
+    parts->settings_time = time_stamp(parts->settings->path);
+    parts->reload =
+        evsignal_new(parts->loop->base, SIGHUP, on_reload_signal, parts);
+    evsignal_add(parts->reload, NULL);
+    KcTimers_Set(parts->loop->timers, &parts->reload_timer,
+                 KcLoop_Now() + RELOAD_INTERVAL);
+}
+
 void
 KcParts_HandleSignals(KcParts *parts, const KcRoleOps *ops, void *role)
 {
@@ -154,6 +229,7 @@
     parts->role = role;
     KcTimer_Init(&parts->drain_timer, check_drained, parts);
     signal(SIGPIPE, SIG_IGN);
+    handle_reload(parts);
     for (int i = 0; i < 2; i++) {
         parts->signals[i] =
             evsignal_new(parts->loop->base, numbers[i], on_signal, parts);
--- a/programs/process/role.h
+++ b/programs/process/role.h
@@ -12,6 +12,9 @@
 typedef struct KcRoleOps {
     void (*drain)(void *role);
     bool (*drained)(void *role);
+    /* The settings file has changed and is valid; NULL: it is not read
+     * again while the process runs. */
+    void (*reload)(void *role, const KcSettings *settings);
 } KcRoleOps;
 
 /* Parts that both roles have. */
@@ -25,7 +28,11 @@
     const KcRoleOps *ops;
     void *role;
     struct event *signals[2];
+    struct event *reload; /* SIGHUP; NULL where the role cannot reload */
+    KcTimer reload_timer; /* looks at the time stamp of the settings */
+    time_t settings_time;
     KcTimer drain_timer;
+    KcTime drain_time; /* a planned stop ends after it */
     KcTime drain_until;
     bool draining;
 } KcParts;
@@ -36,6 +43,8 @@
  */
 int KcEntryRole_Run(const KcSettings *settings);
 int KcAgentRole_Run(const KcSettings *settings);
+int KcGatewayRole_Run(const KcSettings *settings);
+int KcKeeperRole_Run(const KcSettings *settings);
 
 /* Sets up loop, events and object API.  Returns 0 or KC_ERR_INVALID. */
 int KcParts_Init(KcParts *parts, const KcSettings *settings);
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -4,6 +4,7 @@
 #include "settings.h"
 
 #include <inttypes.h>
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -12,16 +13,24 @@
 
 typedef enum SettingKind {
     KIND_NUMBER,
+    KIND_DECIMAL,
     KIND_BOOL,
     KIND_NAME,    /* as KcName_Check() */
     KIND_ADDRESS, /* "address:port" */
+    KIND_PATH,    /* begins with a slash */
     KIND_CHOICE   /* one of a list; stored as text, role as number */
 } SettingKind;
 
 /* Roles to which a setting applies. */
 #define FOR_ENTRY (1 << KC_ROLE_ENTRY)
 #define FOR_AGENT (1 << KC_ROLE_AGENT)
+#define FOR_GATEWAY (1 << KC_ROLE_GATEWAY)
+#define FOR_KEEPER (1 << KC_ROLE_KEEPER)
+/* Roles that serve the /v1 front end by the document. */
 #define FOR_BOTH (FOR_ENTRY | FOR_AGENT)
+/* Roles that stand on the users' platform. */
+#define FOR_PLATFORM (FOR_GATEWAY | FOR_KEEPER)
+#define FOR_ALL (FOR_BOTH | FOR_PLATFORM)
 
 typedef struct Setting {
     const char *section;
@@ -47,6 +56,11 @@
         section, key, KIND_NUMBER, roles, AT(field), initial, low, high,      \
             NULL, help                                                        \
     }
+#define DECIMAL(section, key, roles, field, initial, low, high, help)         \
+    {                                                                         \
+        section, key, KIND_DECIMAL, roles, AT(field), initial, low, high,     \
+            NULL, help                                                        \
+    }
 #define CHOICE(section, key, roles, field, initial, choices, help)            \
     {                                                                         \
         section, key, KIND_CHOICE, roles, AT(field), initial, 0, 0, choices,  \
@@ -54,31 +68,32 @@
     }
 
 static const Setting settings_table[] = {
-    CHOICE("process", "role", FOR_BOTH, role, NULL, "entry agent",
+    CHOICE("process", "role", FOR_ALL, role, NULL,
+           "entry agent gateway keeper",
            "What this process is."),
-    TEXT("process", "name", KIND_NAME, FOR_BOTH, name, NULL,
+    TEXT("process", "name", KIND_NAME, FOR_ALL, name, NULL,
          "Name of the instance, as in the instance list."),
-    TEXT("process", "datacentre", KIND_NAME, FOR_BOTH, datacentre, NULL,
+    TEXT("process", "datacentre", KIND_NAME, FOR_ALL, datacentre, NULL,
          "Data centre in which the instance stands."),
-    CHOICE("process", "log_level", FOR_BOTH, log_level, "info",
+    CHOICE("process", "log_level", FOR_ALL, log_level, "info",
            "error warn info debug", "Lowest level that is logged."),
-    NUMBER("process", "events", FOR_BOTH, events, "8192", 16, 1048576,
+    NUMBER("process", "events", FOR_ALL, events, "8192", 16, 1048576,
            "Events kept for the time line."),
     NUMBER("process", "drain_ms", FOR_BOTH, drain_ms, "600000", 0, DAY_MS,
            "Longest time a planned stop waits for running requests."),
-    TEXT("listen", "callers", KIND_ADDRESS, FOR_ENTRY, callers, NULL,
+    TEXT("listen", "callers", KIND_ADDRESS, FOR_ENTRY | FOR_GATEWAY, callers, NULL,
          "Address for callers (HTTP)."),
-    TEXT("listen", "links", KIND_ADDRESS, FOR_AGENT, links, NULL,
+    TEXT("listen", "links", KIND_ADDRESS, FOR_AGENT | FOR_KEEPER, links, NULL,
          "Address for connections from entries."),
-    TEXT("listen", "admin", KIND_ADDRESS, FOR_BOTH, admin, NULL,
+    TEXT("listen", "admin", KIND_ADDRESS, FOR_ALL, admin, NULL,
          "Address for metrics, health and events (HTTP)."),
-    TEXT("platform", "objects", KIND_ADDRESS, FOR_BOTH, objects, NULL,
+    TEXT("platform", "objects", KIND_ADDRESS, FOR_ALL, objects, NULL,
          "Address of the object API."),
     TEXT("platform", "instances", KIND_ADDRESS, FOR_ENTRY, instances, NULL,
          "Address of the instance list."),
-    NUMBER("platform", "object_timeout_ms", FOR_BOTH, object_timeout_ms,
+    NUMBER("platform", "object_timeout_ms", FOR_ALL, object_timeout_ms,
            "2000", 10, 60000, "Wait for an answer of the object API."),
-    NUMBER("platform", "watch_ms", FOR_BOTH, watch_ms, "30000", 100, 600000,
+    NUMBER("platform", "watch_ms", FOR_ALL, watch_ms, "30000", 100, 600000,
            "Longest wait of one watch."),
     NUMBER("platform", "instances_poll_ms", FOR_ENTRY, instances_poll_ms,
            "2000", 50, 60000, "Interval of asking for the instance list."),
@@ -99,7 +114,7 @@
            "Share of requests that may be sent again after they ran."),
     NUMBER("limits", "requests_max", FOR_ENTRY, requests_max, "20000", 1,
            1000000, "Requests in progress at once."),
-    NUMBER("limits", "connections_max", FOR_ENTRY, connections_max, "24000", 1,
+    NUMBER("limits", "connections_max", FOR_ENTRY | FOR_GATEWAY, connections_max, "24000", 1,
            1000000, "Callers' connections at once."),
     NUMBER("limits", "header_max", FOR_ENTRY, header_max, "16384", 256,
            1048576, "Bytes of all headers of a request."),
@@ -119,9 +134,9 @@
            60000, "Wait for a connection to an agent."),
     NUMBER("timeouts", "link_idle_ms", FOR_ENTRY, link_idle_ms, "60000", 100,
            DAY_MS, "Idle connections to agents are closed after this."),
-    TEXT("backend", "address", KIND_ADDRESS, FOR_AGENT, backend, NULL,
+    TEXT("backend", "address", KIND_ADDRESS, FOR_AGENT | FOR_KEEPER, backend, NULL,
          "Address of the backend server."),
-    TEXT("backend", "service", KIND_NAME, FOR_AGENT, service, NULL,
+    TEXT("backend", "service", KIND_NAME, FOR_AGENT | FOR_KEEPER, service, NULL,
          "Service of the backend server."),
     TEXT("backend", "fencing", KIND_BOOL, FOR_AGENT, fencing, "yes",
          "Whether the engine refuses old fencing numbers."),
@@ -139,11 +154,29 @@
            "Work is kept this long for a lost connection."),
     NUMBER("backend", "retain_ms", FOR_AGENT, retain_ms, "60000", 10, DAY_MS,
            "The record of an ended call is kept this long."),
+    TEXT("listen", "ready", KIND_ADDRESS, FOR_GATEWAY, ready, NULL,
+         "Address at which the balancer asks whether requests are served."),
+    TEXT("listen", "ready_path", KIND_PATH, FOR_PLATFORM, ready_path,
+         "/readyz", "Path of that question."),
+    DECIMAL("process", "grace_s", FOR_PLATFORM, grace_s, "8", 0, 86400,
+            "A planned stop ends by then, in seconds."),
+    DECIMAL("retry", "share", FOR_GATEWAY, retry_share, "0.2", 0, 1,
+            "Sendings beyond the first, as a share of requests."),
+    NUMBER("retry", "burst", FOR_GATEWAY, retry_burst, "10", 0, 1000000,
+           "The same, fixed part, for all gateways together."),
+    NUMBER("keeper", "port", FOR_GATEWAY, keeper_port, NULL, 1, 65535,
+           "Port of the keepers, on the address of their engines."),
+    NUMBER("timeouts", "silence_ms", FOR_PLATFORM, silence_ms, "3000", 1000,
+           60000, "A connection that falls silent is given up after this."),
 };
 
+/* Section whose keys are data centres, and whose values are regions. */
+#define REGIONS "regions"
+
 #define SETTING_COUNT (sizeof(settings_table) / sizeof(settings_table[0]))
 
-static const char *const role_names[] = {"entry", "agent"};
+static const char *const role_names[KC_ROLE_COUNT] = {"entry", "agent",
+                                                      "gateway", "keeper"};
 
 /* State of one read. */
 typedef struct Reader {
@@ -183,15 +216,30 @@
         return KC_ERR_INVALID;
     }
     if (setting->offset == AT(role)) {
-        settings->role = strcmp(value, role_names[KC_ROLE_AGENT]) == 0
-                             ? KC_ROLE_AGENT
-                             : KC_ROLE_ENTRY;
+        settings->role = 0;
+        while (strcmp(value, role_names[settings->role]) != 0) {
+            settings->role++;
+        }
         return 0;
     }
     KcName_Copy(field_of(setting, settings), value, KC_NAME_MAX);
     return 0;
 }
 
+static int
+store_decimal(const Setting *setting, KcSettings *settings, const char *value)
+{
+    char *end;
+    double number = strtod(value, &end);
+
+    if (end == value || *end != '\0' || !isfinite(number) ||
+        number < (double)setting->low || number > (double)setting->high) {
+        return KC_ERR_INVALID;
+    }
+    *(double *)field_of(setting, settings) = number;
+    return 0;
+}
+
 /* Stores a value.  Returns 0 or a negative error number. */
 static int
 store(const Setting *setting, KcSettings *settings, const char *value)
@@ -204,6 +252,14 @@
     case KIND_NUMBER:
         return KcIni_Number(value, setting->low, setting->high,
                             field_of(setting, settings));
+    case KIND_DECIMAL:
+        return store_decimal(setting, settings, value);
+    case KIND_PATH:
+        if (value[0] != '/' || strlen(value) >= KC_NAME_MAX) {
+            return KC_ERR_INVALID;
+        }
+        KcName_Copy(field_of(setting, settings), value, KC_NAME_MAX);
+        return 0;
     case KIND_BOOL:
         return KcIni_Bool(value, field_of(setting, settings));
     case KIND_NAME:
@@ -233,6 +289,14 @@
                  "expected a whole number from %" PRId64 " to %" PRId64,
                  setting->low, setting->high);
         break;
+    case KIND_DECIMAL:
+        snprintf(text, size,
+                 "expected a number from %" PRId64 " to %" PRId64,
+                 setting->low, setting->high);
+        break;
+    case KIND_PATH:
+        snprintf(text, size, "expected a path, /...");
+        break;
     case KIND_BOOL:
         snprintf(text, size, "expected yes or no");
         break;
@@ -248,6 +312,24 @@
     }
 }
 
+/* Adds a line of [regions]. */
+static void
+add_region(Reader *reader, const KcIniItem *item, const char *key,
+           KcProblemList *problems)
+{
+    KcRegionSetting *region;
+
+    if (KcName_Check(item->key) != 0 || KcName_Check(item->value) != 0) {
+        KcProblem_Add(problems, item->file, item->line, key,
+                      "expected DATACENTRE = REGION");
+        return;
+    }
+    region = KcMem_New(sizeof(*region));
+    KcName_Copy(region->datacentre, item->key, KC_NAME_MAX);
+    KcName_Copy(region->region, item->value, KC_NAME_MAX);
+    TAILQ_INSERT_TAIL(&reader->settings->regions, region, link);
+}
+
 static void
 visit(void *context, const KcIniItem *item, KcProblemList *problems)
 {
@@ -256,6 +338,10 @@
     char text[160];
 
     snprintf(key, sizeof(key), "[%.60s] %.60s", item->section, item->key);
+    if (strcmp(item->section, REGIONS) == 0) {
+        add_region(reader, item, key, problems);
+        return;
+    }
     for (size_t i = 0; i < SETTING_COUNT; i++) {
         const Setting *setting = &settings_table[i];
 
@@ -320,6 +406,7 @@
     KcProblem *last = TAILQ_LAST(problems, KcProblemList);
 
     memset(settings, 0, sizeof(*settings));
+    TAILQ_INIT(&settings->regions);
     for (size_t i = 0; i < SETTING_COUNT; i++) {
         if (settings_table[i].initial != NULL) {
             store(&settings_table[i], settings, settings_table[i].initial);
@@ -331,6 +418,36 @@
     return TAILQ_LAST(problems, KcProblemList) == last ? 0 : KC_ERR_INVALID;
 }
 
+const char *
+KcSettings_RoleName(const KcSettings *settings)
+{
+    return role_names[settings->role];
+}
+
+void
+KcSettings_Clear(KcSettings *settings)
+{
+    KcRegionSetting *region;
+
+    while ((region = TAILQ_FIRST(&settings->regions)) != NULL) {
+        TAILQ_REMOVE(&settings->regions, region, link);
+        free(region);
+    }
+}
+
+const char *
+KcSettings_Region(const KcSettings *settings, const char *datacentre)
+{
+    const KcRegionSetting *region;
+
+    TAILQ_FOREACH (region, &settings->regions, link) {
+        if (strcmp(region->datacentre, datacentre) == 0) {
+            return region->region;
+        }
+    }
+    return "";
+}
+
 char *
 KcFile_Read(const char *path, size_t *size)
 {
@@ -370,27 +487,40 @@
     int code;
 
     if (text == NULL) {
+        memset(settings, 0, sizeof(*settings));
+        TAILQ_INIT(&settings->regions);
         KcProblem_Add(problems, path, 0, "", "cannot be read");
         return KC_ERR_NOT_FOUND;
     }
     code = KcSettings_Parse(path, text, size, settings, problems);
+    KcName_Copy(settings->path, path, sizeof(settings->path));
     free(text);
     return code;
 }
 
+/* Names the roles of a setting in a buffer of the caller's. */
 static const char *
-roles_text(const Setting *setting)
+roles_text(const Setting *setting, char *text, size_t size)
 {
-    if (setting->roles == FOR_BOTH) {
-        return "both";
+    size_t used = 0;
+
+    if (setting->roles == FOR_ALL) {
+        return "all";
     }
-    return setting->roles == FOR_ENTRY ? "entry" : "agent";
+    for (int i = 0; i < KC_ROLE_COUNT; i++) {
+        if ((setting->roles & (1 << i)) != 0) {
+            used += (size_t)snprintf(text + used, size - used, "%s%s",
+                                     used > 0 ? " " : "", role_names[i]);
+        }
+    }
+    return text;
 }
 
 void
 KcSettings_PrintReference(FILE *out)
 {
     char text[160];
+    char roles[64];
 
     fprintf(out, "| section | key | role | default | value | meaning |\n");
     fprintf(out, "| --- | --- | --- | --- | --- | --- |\n");
@@ -399,10 +529,13 @@
 
         expectation(setting, text, sizeof(text));
         fprintf(out, "| %s | %s | %s | %s | %s | %s |\n", setting->section,
-                setting->key, roles_text(setting),
+                setting->key, roles_text(setting, roles, sizeof(roles)),
                 setting->initial != NULL ? setting->initial : "(required)",
                 text + strlen("expected "), setting->help);
     }
+    fprintf(out,
+            "| " REGIONS " | (data centre) | gateway keeper | (none) | a name "
+            "| Region of the data centre; one line for each. |\n");
 }
 
 void
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -11,11 +11,24 @@
 
 typedef enum KcRole {
     KC_ROLE_ENTRY = 0, /* takes callers' requests */
-    KC_ROLE_AGENT = 1  /* stands beside one backend server */
+    KC_ROLE_AGENT,     /* stands beside one backend server */
+    KC_ROLE_GATEWAY,   /* passes requests on unchanged, by routes */
+    KC_ROLE_KEEPER,    /* keeps the adapters of one engine */
+    KC_ROLE_COUNT
 } KcRole;
 
+/* The region of one data centre. */
+typedef struct KcRegionSetting {
+    TAILQ_ENTRY(KcRegionSetting) link;
+    char datacentre[KC_NAME_MAX];
+    char region[KC_NAME_MAX];
+} KcRegionSetting;
+
+TAILQ_HEAD(KcRegionSettingList, KcRegionSetting);
+
 /* Settings with every default filled in.  Durations in milliseconds. */
 typedef struct KcSettings {
+    char path[256]; /* of the file that was read */
     int64_t role; /* KcRole */
     char name[KC_NAME_MAX];
     char datacentre[KC_NAME_MAX];
@@ -60,6 +73,15 @@
     int64_t silence_timeout_ms;
     int64_t detach_ms;
     int64_t retain_ms;
+    /* gateway and keeper */
+    char ready[KC_ADDRESS_MAX];
+    char ready_path[KC_NAME_MAX];
+    struct KcRegionSettingList regions;
+    double grace_s;     /* a planned stop ends by then */
+    double retry_share; /* sendings beyond the first, of requests */
+    int64_t retry_burst;
+    int64_t keeper_port;
+    int64_t silence_ms;
 } KcSettings;
 
 /*
@@ -74,6 +96,16 @@
 int KcSettings_Parse(const char *file, const char *text, size_t size,
                      KcSettings *settings, KcProblemList *problems);
 
+/* "entry", "agent", "gateway" or "keeper". */
+const char *KcSettings_RoleName(const KcSettings *settings);
+
+/* Frees what settings hold. */
+void KcSettings_Clear(KcSettings *settings);
+
+/* The region of a data centre, "" when it is not known. */
+const char *KcSettings_Region(const KcSettings *settings,
+                              const char *datacentre);
+
 /* Prints the reference of all settings as a table in Markdown. */
 void KcSettings_PrintReference(FILE *out);
 
--- a/programs/program.mk
+++ b/programs/program.mk
@@ -2,7 +2,8 @@
 include $(dir $(lastword $(MAKEFILE_LIST)))../config.mk
 
 SHARED_SOURCES := $(wildcard $(ROOT)programs/request/*.c \
-    $(ROOT)programs/connection/*.c $(ROOT)programs/process/*.c)
+    $(ROOT)programs/connection/*.c $(ROOT)programs/process/*.c \
+    $(ROOT)platform/*.c)
 SHARED_OBJECTS := $(patsubst $(ROOT)%.c,$(BUILD)/%.o,$(SHARED_SOURCES))
 OWN_OBJECTS := $(patsubst %.c,$(BUILD)/programs/$(NAME)/%.o,$(wildcard *.c))
 
@@ -19,4 +20,8 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS_ALL) -c $< -o $@
 
+$(BUILD)/platform/%.o: $(ROOT)platform/%.c
+	@mkdir -p $(dir $@)
+	$(CC) $(CFLAGS_ALL) -c $< -o $@
+
 -include $(OWN_OBJECTS:.o=.d) $(SHARED_OBJECTS:.o=.d)
--- /dev/null
+++ b/programs/request/event_stream.c
@@ -0,0 +1,110 @@
+/*
+ * Cuts a text/event-stream into whole events.
+ */
+#include "event_stream.h"
+
+#include <string.h>
+
+void
+KcEventStream_Add(KcEventStream *stream, KcBytes bytes)
+{
+    KcBuffer_Append(&stream->held, bytes.data, bytes.size);
+}
+
+/* Size of the event at the front with its blank line, 0 when not whole. */
+static size_t
+event_size(const char *data, size_t size)
+{
+    size_t at = 0;
+
+    while (at < size) {
+        const char *end = memchr(data + at, '\n', size - at);
+        size_t length;
+
+        if (end == NULL) {
+            return 0;
+        }
+        length = (size_t)(end - data) - at;
+        if (length == 0 || (length == 1 && data[at] == '\r')) {
+            return (size_t)(end - data) + 1;
+        }
+        at = (size_t)(end - data) + 1;
+    }
+    return 0;
+}
+
+/* Reads the number of an "id:" line.  Returns 0 or KC_ERR_PARSE. */
+static int
+read_id(const char *text, size_t size, KcStreamEvent *event)
+{
+    uint64_t id = 0;
+
+    while (size > 0 && *text == ' ') {
+        text++;
+        size--;
+    }
+    if (size > 0 && text[size - 1] == '\r') {
+        size--;
+    }
+    if (size == 0 || size > 18) {
+        return KC_ERR_PARSE;
+    }
+    for (size_t i = 0; i < size; i++) {
+        if (text[i] < '0' || text[i] > '9') {
+            return KC_ERR_PARSE;
+        }
+        id = id * 10 + (uint64_t)(text[i] - '0');
+    }
+    event->has_id = true;
+    event->id = id;
+    return 0;
+}
+
+static int
+find_id(KcStreamEvent *event)
+{
+    const char *data = event->bytes.data;
+    size_t size = event->bytes.size;
+    size_t at = 0;
+
+    while (at < size) {
+        const char *end = memchr(data + at, '\n', size - at);
+        size_t length = (size_t)(end - data) - at;
+
+        if (length >= 3 && memcmp(data + at, "id:", 3) == 0) {
+            return read_id(data + at + 3, length - 3, event);
+        }
+        at += length + 1;
+    }
+    return 0;
+}
+
+int
+KcEventStream_Take(KcEventStream *stream, KcStreamEvent *event)
+{
+    const char *data = KcBuffer_Data(&stream->held);
+    size_t size = event_size(data, KcBuffer_Size(&stream->held));
+    int code;
+
+    if (size == 0) {
+        return KcBuffer_Size(&stream->held) > KC_EVENT_MAX ? KC_ERR_TOO_LARGE
+                                                           : 0;
+    }
+    *event = (KcStreamEvent){.bytes = {data, size}};
+    code = find_id(event);
+    /* The bytes stay where they are until the next one is added. */
+    KcBuffer_Drop(&stream->held, size);
+    return code != 0 ? code : 1;
+}
+
+size_t
+KcEventStream_Rest(const KcEventStream *stream)
+{
+    return KcBuffer_Size(&stream->held);
+}
+
+void
+KcEventStream_Clear(KcEventStream *stream)
+{
+    KcBuffer_Clear(&stream->held);
+}
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -1,33 +1,43 @@
 /*
- * One HTTP request as a client, over evhttp.
+ * One HTTP request of our own as a client.
  *
- * Each call has a connection of its own.  Both are taken down after the round
- * of the loop in which the call ended or was cancelled, since evhttp still
- * uses them until its callback returns.
+ * Without a pool each call has a connection of its own.  A kept connection
+ * may have been closed meanwhile: a call that may be repeated is then made
+ * once more on a new one.
  */
 #include "http_call.h"
 
-#include <event2/buffer.h>
-#include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
 #include <stdlib.h>
 #include <string.h>
 
+/* Bytes of the head of an answer. */
+#define HEAD_MAX 65536
+/* A connection is kept this long for the next call. */
+#define KEEP (4 * KC_SECOND)
+/* A connection that falls silent is noticed after this. */
+#define SILENCE (3 * KC_SECOND)
+
 struct KcHttpCall {
+    KcRetired retired;
     KcHttpOps ops;
     void *context;
     KcLoop *loop;
-    KcRetired retired;
-    struct evhttp_connection *connection;
-    struct evhttp_request *request;
-    bool sent;       /* a byte of the request has left */
-    bool cancelled;  /* nothing more is reported */
-    bool failed;     /* evhttp reported an error */
-    bool starting;   /* within KcHttpCall_Start() */
-    bool over;       /* evhttp is done with the request */
-    bool unreported; /* it failed while it was being started */
+    KcHttpPool *pool;
+    char address[KC_ADDRESS_MAX];
+    KcTime timeout;
+    KcTimer timer;
+    KcHttpPeer *peer;
+    struct evbuffer *request; /* kept while it may be sent once more */
+    bool may_repeat;
+    bool reused;    /* the connection had been kept */
+    bool connected;
+    bool answered;  /* bytes of an answer have arrived */
+    bool interim;   /* the present answer is only a first word */
+    bool sent;      /* a byte of the request has left */
+    bool keep_alive;
+    bool head_only; /* the answer has no body */
+    bool cancelled; /* nothing more is reported */
+    bool over;
 };
 
 /* A call whose answer is collected. */
@@ -39,176 +49,205 @@
     KcBuffer body;
 } Collected;
 
-static const struct {
-    const char *name;
-    enum evhttp_cmd_type type;
-} methods[] = {
-    {"GET", EVHTTP_REQ_GET},         {"POST", EVHTTP_REQ_POST},
-    {"PUT", EVHTTP_REQ_PUT},         {"DELETE", EVHTTP_REQ_DELETE},
-    {"PATCH", EVHTTP_REQ_PATCH},     {"HEAD", EVHTTP_REQ_HEAD},
-    {"OPTIONS", EVHTTP_REQ_OPTIONS},
-};
-
-static int
-find_method(const char *name, enum evhttp_cmd_type *type)
+static void
+take_down(KcRetired *retired)
 {
-    for (size_t i = 0; i < sizeof(methods) / sizeof(methods[0]); i++) {
-        if (strcmp(methods[i].name, name) == 0) {
-            *type = methods[i].type;
-            return 0;
-        }
+    KcHttpCall *call = (KcHttpCall *)retired;
+
+    if (call->cancelled && call->ops.dropped != NULL) {
+        call->ops.dropped(call->context);
     }
-    return KC_ERR_INVALID;
+    evbuffer_free(call->request);
+    free(call);
 }
 
-static const char *
-header_of(struct evhttp_request *request, const char *name)
+/* The call is over; its connection has been dealt with. */
+static void
+finish(KcHttpCall *call)
 {
-    const char *value =
-        evhttp_find_header(evhttp_request_get_input_headers(request), name);
+    call->over = true;
+    call->peer = NULL;
+    KcTimers_Clear(call->loop->timers, &call->timer);
+    KcLoop_Retire(call->loop, &call->retired);
+}
 
-    return value != NULL ? value : "";
+static void
+set_timer(KcHttpCall *call)
+{
+    KcTimers_Set(call->loop->timers, &call->timer,
+                 KcLoop_Now() + call->timeout);
 }
 
-static int
-on_head(struct evhttp_request *request, void *context)
+static void
+report(KcHttpCall *call, int code)
 {
-    KcHttpCall *call = context;
-    KcHttpHead head = {.status = evhttp_request_get_response_code(request),
-                       .content_type = header_of(request, "Content-Type"),
-                       .etag = header_of(request, "ETag")};
+    bool sent = call->sent;
 
-    if (!call->cancelled && call->ops.head != NULL) {
-        call->ops.head(call->context, &head);
-    }
-    return 0;
+    finish(call);
+    call->ops.done(call->context, code, sent);
 }
 
 static void
-on_chunk(struct evhttp_request *request, void *context)
+write_request(KcHttpCall *call)
 {
-    KcHttpCall *call = context;
-    struct evbuffer *input = evhttp_request_get_input_buffer(request);
-    size_t size = evbuffer_get_length(input);
-    KcBytes bytes = {(const char *)evbuffer_pullup(input, -1), size};
+    struct evbuffer *out = KcHttpPeer_Output(call->peer);
 
-    if (!call->cancelled && call->ops.data != NULL && size > 0) {
-        call->ops.data(call->context, bytes);
+    call->sent = true;
+    if (call->head_only) {
+        KcHttpPeer_ExpectNoBody(call->peer);
     }
-    evbuffer_drain(input, size);
+    evbuffer_add_buffer_reference(out, call->request);
 }
 
 static void
-on_error(enum evhttp_request_error error, void *context)
+on_connected(void *owner)
 {
-    KcHttpCall *call = context;
+    KcHttpCall *call = owner;
 
-    (void)error;
-    call->failed = true;
+    call->connected = true;
+    set_timer(call);
+    write_request(call);
 }
 
 static void
-on_done(struct evhttp_request *request, void *context)
+on_head(void *owner, const KcHttpMessage *message)
 {
-    KcHttpCall *call = context;
-    bool whole = request != NULL && !call->failed &&
-                 evhttp_request_get_response_code(request) != 0;
-
-    if (whole) {
-        on_chunk(request, call);
-    }
-    call->over = true;
-    if (call->cancelled || call->starting) {
-        return; /* it is retired already, or about to be */
+    KcHttpCall *call = owner;
+    const char *type = KcHttpMessage_Find(message, "Content-Type");
+    const char *etag = KcHttpMessage_Find(message, "ETag");
+    KcHttpHead head = {.status = message->status,
+                       .content_type = type != NULL ? type : "",
+                       .etag = etag != NULL ? etag : ""};
+
+    set_timer(call);
+    call->answered = true;
+    call->interim = message->status < 200;
+    call->keep_alive = message->keep_alive;
+    if (!call->interim && call->ops.head != NULL) {
+        call->ops.head(call->context, &head);
     }
-    call->ops.done(call->context, whole ? 0 : KC_ERR_LOST, call->sent);
-    KcLoop_Retire(call->loop, &call->retired);
 }
 
-/* Bytes have left the connection's buffer for the socket. */
 static void
-on_output(struct evbuffer *buffer, const struct evbuffer_cb_info *info,
-          void *context)
+on_body(void *owner, KcBytes bytes)
 {
-    KcHttpCall *call = context;
+    KcHttpCall *call = owner;
 
-    (void)buffer;
-    if (info->n_deleted > 0) {
-        call->sent = true;
+    set_timer(call);
+    if (!call->interim && call->ops.data != NULL) {
+        call->ops.data(call->context, bytes);
     }
 }
 
 static void
-set_headers(struct evhttp_request *request, const KcHttpOptions *options)
+on_end(void *owner)
 {
-    struct evkeyvalq *headers = evhttp_request_get_output_headers(request);
+    KcHttpCall *call = owner;
+    KcHttpPeer *peer = call->peer;
 
-    evhttp_add_header(headers, "Host", options->address);
-    evhttp_add_header(headers, "Connection", "close");
-    for (int i = 0; i < KC_HTTP_HEADERS_MAX; i++) {
-        const KcHttpHeader *header = &options->headers[i];
+    if (call->interim) {
+        KcHttpPeer_Next(peer);
+        return;
+    }
+    if (call->pool != NULL && call->keep_alive &&
+        KcHttpPeer_Pending(peer) == 0 && KcHttpPeer_Unread(peer) == 0) {
+        KcHttpPool_Put(call->pool, peer, KEEP);
+    }
+    else {
+        KcHttpPeer_Close(peer);
+    }
+    report(call, 0);
+}
 
-        if (header->name != NULL && header->value != NULL) {
-            evhttp_add_header(headers, header->name, header->value);
+static void on_failed(void *owner, int code);
+
+static const KcHttpPeerOps peer_ops = {.connected = on_connected,
+                                       .head = on_head,
+                                       .body = on_body,
+                                       .end = on_end,
+                                       .failed = on_failed};
+
+/* Opens a new connection.  Returns 0 or KC_ERR_INVALID. */
+static int
+connect_peer(KcHttpCall *call)
+{
+    KcHttpPeerOptions options = {.loop = call->loop,
+                                 .ops = &peer_ops,
+                                 .owner = call,
+                                 .header_max = HEAD_MAX,
+                                 .silence = SILENCE};
+
+    call->peer = KcHttpPeer_Connect(&options, call->address);
+    return call->peer != NULL ? 0 : KC_ERR_INVALID;
+}
+
+static void
+on_failed(void *owner, int code)
+{
+    KcHttpCall *call = owner;
+
+    KcHttpPeer_Close(call->peer);
+    if (call->reused && !call->answered && call->may_repeat) {
+        call->reused = false;
+        if (connect_peer(call) == 0) {
+            return;
         }
     }
-    if (options->body.size > 0) {
-        evbuffer_add(evhttp_request_get_output_buffer(request),
-                     options->body.data, options->body.size);
-    }
+    report(call, code == KC_ERR_PARSE ? code : KC_ERR_LOST);
 }
 
 static void
-set_up_connection(KcHttpCall *call, KcTime timeout)
+on_timer(KcTimer *timer, KcTime now)
 {
-    struct bufferevent *bev =
-        evhttp_connection_get_bufferevent(call->connection);
-    struct timeval wait = {timeout / KC_SECOND, timeout % KC_SECOND};
+    KcHttpCall *call = timer->owner;
 
-    evhttp_connection_set_timeout_tv(call->connection, &wait);
-    evbuffer_add_cb(bufferevent_get_output(bev), on_output, call);
+    (void)now;
+    KcHttpPeer_Close(call->peer);
+    report(call, KC_ERR_LOST);
 }
 
-static struct evhttp_request *
-new_request(KcHttpCall *call)
+static bool
+is_method(const char *name)
 {
-    struct evhttp_request *request = evhttp_request_new(on_done, call);
+    size_t length = strspn(name, "ABCDEFGHIJKLMNOPQRSTUVWXYZ");
 
-    evhttp_request_set_header_cb(request, on_head);
-    evhttp_request_set_chunked_cb(request, on_chunk);
-    evhttp_request_set_error_cb(request, on_error);
-    return request;
+    return length > 0 && name[length] == '\0';
 }
 
-/* Frees a call; one that failed while it was being started is reported. */
 static void
-take_down(KcRetired *retired)
+compose(KcHttpCall *call, const KcHttpOptions *options)
 {
-    KcHttpCall *call =
-        (KcHttpCall *)((char *)retired - offsetof(KcHttpCall, retired));
+    struct evbuffer *out = call->request;
 
-    if (call->unreported && !call->cancelled) {
-        call->ops.done(call->context, KC_ERR_LOST, false);
+    evbuffer_add_printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n",
+                        options->method, options->path, options->address);
+    if (call->pool == NULL) {
+        evbuffer_add_printf(out, "Connection: close\r\n");
     }
-    if (!call->over) {
-        evhttp_cancel_request(call->request);
+    for (int i = 0; i < KC_HTTP_HEADERS_MAX; i++) {
+        const KcHttpHeader *header = &options->headers[i];
+
+        if (header->name != NULL && header->value != NULL) {
+            evbuffer_add_printf(out, "%s: %s\r\n", header->name,
+                                header->value);
+        }
     }
-    evhttp_connection_free(call->connection);
-    if (call->cancelled && call->ops.dropped != NULL) {
-        call->ops.dropped(call->context);
+    if (options->body.size > 0 || strcmp(options->method, "GET") != 0) {
+        evbuffer_add_printf(out, "Content-Length: %zu\r\n",
+                            options->body.size);
     }
-    free(call);
+    evbuffer_add(out, "\r\n", 2);
+    evbuffer_add(out, options->body.data, options->body.size);
 }
 
 KcHttpCall *
 KcHttpCall_Start(const KcHttpOptions *options)
 {
-    enum evhttp_cmd_type method;
     char host[KC_ADDRESS_MAX];
     uint16_t port;
     KcHttpCall *call;
 
-    if (find_method(options->method, &method) != 0 ||
+    if (!is_method(options->method) ||
         KcAddress_Parse(options->address, host, &port) != 0) {
         return NULL;
     }
@@ -216,21 +255,29 @@
     call->ops = *options->ops;
     call->context = options->context;
     call->loop = options->loop;
+    call->pool = options->pool;
+    call->timeout = options->timeout;
     call->retired.take_down = take_down;
-    call->connection = evhttp_connection_base_bufferevent_new(
-        options->loop->base, NULL, NULL, host, port);
-    set_up_connection(call, options->timeout);
-    call->request = new_request(call);
-    set_headers(call->request, options);
-    call->starting = true;
-    if (evhttp_make_request(call->connection, call->request, method,
-                            options->path) != 0) {
-        call->over = true;
+    call->may_repeat = strcmp(options->method, "GET") == 0;
+    call->head_only = strcmp(options->method, "HEAD") == 0;
+    KcName_Copy(call->address, options->address, KC_ADDRESS_MAX);
+    KcTimer_Init(&call->timer, on_timer, call);
+    call->request = evbuffer_new();
+    compose(call, options);
+    set_timer(call);
+    if (call->pool != NULL) {
+        call->peer = KcHttpPool_Take(call->pool, KC_NEVER);
     }
-    call->starting = false;
-    if (call->over) {
-        call->unreported = true;
-        KcLoop_Retire(call->loop, &call->retired);
+    if (call->peer != NULL) {
+        call->reused = true;
+        KcHttpPeer_SetOwner(call->peer, &peer_ops, call);
+        write_request(call);
+    }
+    else if (connect_peer(call) != 0) {
+        KcTimers_Clear(call->loop->timers, &call->timer);
+        evbuffer_free(call->request);
+        free(call);
+        return NULL;
     }
     return call;
 }
@@ -238,23 +285,19 @@
 void
 KcHttpCall_Cancel(KcHttpCall *call)
 {
-    call->cancelled = true;
-    if (!call->unreported) {
-        KcLoop_Retire(call->loop, &call->retired);
+    if (call->over) {
+        return;
     }
+    call->cancelled = true;
+    KcHttpPeer_Close(call->peer);
+    finish(call);
 }
 
 void
 KcHttpCall_Throttle(KcHttpCall *call, bool paused)
 {
-    struct bufferevent *bev =
-        evhttp_connection_get_bufferevent(call->connection);
-
-    if (paused) {
-        bufferevent_disable(bev, EV_READ);
-    }
-    else {
-        bufferevent_enable(bev, EV_READ);
+    if (!call->over) {
+        KcHttpPeer_Pause(call->peer, paused);
     }
 }
 
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -1,11 +1,11 @@
 /*
- * One HTTP request as a client, over evhttp: to the object API, the instance
+ * One HTTP request of our own as a client: to the object API, the instance
  * list, an engine or a plain service.
  */
 #ifndef KCC_HTTP_CALL_H
 #define KCC_HTTP_CALL_H
 
-#include "../process/loop.h"
+#include "../connection/http_pool.h"
 
 typedef struct KcHttpCall KcHttpCall;
 
@@ -45,6 +45,7 @@
     KcHttpHeader headers[KC_HTTP_HEADERS_MAX];
     KcBytes body;
     KcTime timeout; /* without progress */
+    KcHttpPool *pool; /* connections to address; NULL: one for this call */
     const KcHttpOps *ops;
     void *context;
 } KcHttpOptions;
