Load the base model of an engine that restarted empty; match places first

Change: a change of capacity asks the engine again before anything is ordered; adapters beyond the places get surplus slots; megabytes are counted; an engine without any base model is ordered to load the last one.

--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -234,10 +234,28 @@
     return false;
 }
 
-/* Where the adapter is best loaded; NULL when nowhere. */
+/* Is the model at any server that may be used? */
+static bool
+model_is_held(const KcForward *forward)
+{
+    const KcServer *server;
+
+    TAILQ_FOREACH (server, &forward->pool->servers, link) {
+        if (!server->leaving && has_model(server, forward->adapter->model)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/*
+ * Where the adapter is best loaded; NULL when nowhere.  A model that no
+ * server holds is loaded with it, at any of them.
+ */
 static KcServer *
 home_of(const KcForward *forward, KcTime now)
 {
+    bool held = model_is_held(forward);
     KcServer *server;
     KcServer *home = NULL;
     KcTime lowest = 0;
@@ -248,7 +266,7 @@
 
         if (!may_use(forward, server) || server->gone_at != 0 ||
             is_full(forward, server, now) || has_current(forward, server) ||
-            !has_model(server, forward->adapter->model)) {
+            (held && !has_model(server, forward->adapter->model))) {
             continue;
         }
         draw = XXH3_64bits_withSeed(&server->hash, sizeof(server->hash),
@@ -302,7 +320,8 @@
     choice->server = choice->copy_at != NULL ? choice->copy_at
                                              : home_of(forward, now);
     choice->copy_at = NULL;
-    if (choice->server != NULL && forward->adapter->name[0] != '\0') {
+    if (choice->server != NULL &&
+        (forward->adapter->name[0] != '\0' || !model_is_held(forward))) {
         choice->action = KC_CHOICE_LOAD;
     }
     else if (!TAILQ_EMPTY(&forward->pool->servers)) {
--- a/lib/process/kcc_keeper.h
+++ b/lib/process/kcc_keeper.h
@@ -18,7 +18,7 @@
 typedef struct KcOrder {
     bool unload;
     char model[KC_NAME_MAX];
-    char adapter[KC_NAME_MAX];
+    char adapter[KC_NAME_MAX]; /* "" for the base model itself */
     uint32_t version;  /* of a load; 0: the newest */
     uint64_t fence;    /* of the holder */
     uint64_t sequence; /* number of orders the engine has accepted */
@@ -35,7 +35,8 @@
 /* What an engine says of itself; see KcServerInfo.held for its adapters. */
 typedef struct KcEngineReport {
     uint64_t sequence;
-    KcServerInfo info; /* id, born and held */
+    bool busy;         /* it is loading or unloading a base model */
+    KcServerInfo info; /* born and held */
 } KcEngineReport;
 
 typedef struct KcKeeperOps {
@@ -70,8 +71,9 @@
 void KcKeeper_SetFence(KcKeeper *keeper, uint64_t fence, KcTime now);
 uint64_t KcKeeper_Fence(const KcKeeper *keeper);
 
-/* Places for adapters that the engine has. */
-void KcKeeper_SetSlots(KcKeeper *keeper, uint32_t slots, KcTime now);
+/* What the engine can hold; copied. */
+void KcKeeper_SetCapacity(KcKeeper *keeper, const KcEngineCapacity *capacity,
+                          KcTime now);
 
 /* report NULL: no answer. */
 void KcKeeper_OnReport(KcKeeper *keeper, const KcEngineReport *report,
--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -39,6 +39,18 @@
 
 TAILQ_HEAD(WantList, Want);
 
+/* A base model at the engine. */
+typedef struct Base {
+    TAILQ_ENTRY(Base) link;
+    char name[KC_NAME_MAX];
+    uint32_t version;
+    bool loading;
+    KcTime ordered; /* time of the order, valid while loading */
+    bool seen;      /* in the report being read */
+} Base;
+
+TAILQ_HEAD(BaseList, Base);
+
 /* Requests in flight by one gateway for one adapter. */
 typedef struct UseKey {
     KcLink *link;
@@ -56,8 +68,12 @@
 
 struct KcKeeper {
     KcKeeperOptions options;
+    KcEngineCapacity capacity;
     KcResidency residency;
     KcPace pace;
+    struct BaseList bases;
+    char last_base[KC_NAME_MAX]; /* loaded again after a restart */
+    bool busy;                   /* the engine works on a base model */
     struct WantList wants;
     uint32_t want_count;
     Use *uses;
@@ -69,7 +85,7 @@
     bool asking;      /* a report is outstanding */
     bool ordering;    /* an order is outstanding */
     KcOrder order;    /* the outstanding one */
-    KcSlot *slot;     /* that it concerns */
+    KcSlot *slot;     /* that it concerns; NULL for a base model */
     KcTimer timer;    /* the next report */
 };
 
@@ -103,6 +119,8 @@
     keeper->options = *options;
     TAILQ_INIT(&keeper->wants);
     TAILQ_INIT(&keeper->use_list);
+    TAILQ_INIT(&keeper->bases);
+    KcEngineCapacity_Init(&keeper->capacity);
     KcResidency_Init(&keeper->residency, 0, KcVictim_Policy("kcc"));
     KcPace_Init(&keeper->pace, NOMINAL_LOAD, NOMINAL_LOAD);
     keeper->pace.in_flight_max = COMING_MAX;
@@ -126,11 +144,19 @@
     free(use);
 }
 
+static void
+free_base(KcKeeper *keeper, Base *base)
+{
+    TAILQ_REMOVE(&keeper->bases, base, link);
+    free(base);
+}
+
 void
 KcKeeper_Free(KcKeeper *keeper)
 {
     Want *want;
     Use *use;
+    Base *base;
 
     KcTimers_Clear(keeper->options.timers, &keeper->timer);
     while ((want = TAILQ_FIRST(&keeper->wants)) != NULL) {
@@ -139,6 +165,10 @@
     while ((use = TAILQ_FIRST(&keeper->use_list)) != NULL) {
         free_use(keeper, use);
     }
+    while ((base = TAILQ_FIRST(&keeper->bases)) != NULL) {
+        free_base(keeper, base);
+    }
+    KcEngineCapacity_Clear(&keeper->capacity);
     KcResidency_Clear(&keeper->residency);
     free(keeper);
 }
@@ -165,10 +195,15 @@
 }
 
 void
-KcKeeper_SetSlots(KcKeeper *keeper, uint32_t slots, KcTime now)
-{
-    KcResidency_Resize(&keeper->residency, slots);
-    pump(keeper, now);
+KcKeeper_SetCapacity(KcKeeper *keeper, const KcEngineCapacity *capacity,
+                     KcTime now)
+{
+    KcEngineCapacity_Clear(&keeper->capacity);
+    KcEngineCapacity_Copy(&keeper->capacity, capacity);
+    KcResidency_Resize(&keeper->residency, capacity->adapter_slots);
+    /* What the engine holds is matched with the new places first. */
+    keeper->known = false;
+    on_timer(&keeper->timer, now);
 }
 
 int
@@ -299,6 +334,93 @@
     KcResidency_EndLoad(slot, code, now);
 }
 
+static void
+order_base(KcKeeper *keeper, const char *name, KcTime now)
+{
+    Base *base = KcMem_New(sizeof(*base));
+
+    KcName_Copy(base->name, name, KC_NAME_MAX);
+    base->loading = true;
+    base->ordered = now;
+    TAILQ_INSERT_TAIL(&keeper->bases, base, link);
+    keeper->order =
+        (KcOrder){.fence = keeper->fence, .sequence = keeper->sequence};
+    KcName_Copy(keeper->order.model, name, KC_NAME_MAX);
+    keeper->ordering = true;
+    keeper->slot = NULL;
+    record(keeper, "load", 0, now);
+    keeper->options.ops->order(keeper->options.context, &keeper->order);
+}
+
+static Base *
+find_base(const KcKeeper *keeper, const char *name)
+{
+    Base *base;
+
+    TAILQ_FOREACH (base, &keeper->bases, link) {
+        if (strcmp(base->name, name) == 0) {
+            return base;
+        }
+    }
+    return NULL;
+}
+
+/* Megabytes of everything that the engine holds or is loading. */
+static double
+used_megabytes(const KcKeeper *keeper)
+{
+    const Base *base;
+    const KcSlot *slot;
+    double used = 0;
+
+    TAILQ_FOREACH (base, &keeper->bases, link) {
+        const KcEngineModel *model =
+            KcEngineCapacity_Model(&keeper->capacity, base->name);
+
+        used += model != NULL ? model->megabytes : 0;
+    }
+    TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
+        char name[KC_NAME_MAX];
+        char adapter[KC_NAME_MAX];
+        const KcEngineModel *model;
+
+        if (slot->state == KC_SLOT_EMPTY) {
+            continue;
+        }
+        split_key(slot, name, adapter);
+        model = KcEngineCapacity_Model(&keeper->capacity, name);
+        used += model != NULL ? model->adapter_megabytes : 0;
+    }
+    return used;
+}
+
+static bool
+fits(const KcKeeper *keeper, double megabytes)
+{
+    return used_megabytes(keeper) + megabytes <= keeper->capacity.megabytes;
+}
+
+/* The base model that an engine without any is to load; NULL: unknown. */
+static const char *
+missing_base(const KcKeeper *keeper)
+{
+    const KcEngineModel *first = TAILQ_FIRST(&keeper->capacity.models);
+    const Want *wanted = TAILQ_FIRST(&keeper->wants);
+
+    if (!TAILQ_EMPTY(&keeper->bases)) {
+        return NULL;
+    }
+    if (KcEngineCapacity_Model(&keeper->capacity, keeper->last_base) !=
+        NULL) {
+        return keeper->last_base;
+    }
+    if (wanted != NULL) {
+        return wanted->model;
+    }
+    return first != NULL && TAILQ_NEXT(first, link) == NULL ? first->name
+                                                            : NULL;
+}
+
 /* The slot to load into; NULL when an eviction must come first, or when
  * nothing can be evicted (then *stuck is set). */
 static KcSlot *
@@ -318,9 +440,15 @@
         *stuck = true;
         return NULL;
     }
-    if (slot->state == KC_SLOT_EMPTY) {
+    if (slot->state == KC_SLOT_EMPTY &&
+        residency->slot_count <= residency->slot_target) {
         return slot;
     }
+    if (slot->state == KC_SLOT_EMPTY) {
+        /* A surplus slot: it goes, and nothing is loaded this time. */
+        KcResidency_Trim(residency, now);
+        return NULL;
+    }
     KcResidency_BeginEvict(residency, slot, now);
     KcCounters_Add(keeper->options.counters, KC_COUNT_EVICTIONS, 1);
     tell(keeper, NULL, slot, KC_HELD_GONE);
@@ -356,7 +484,24 @@
     KcModelState *model;
     KcSlot *slot;
     bool stuck = false;
+    const Base *base = find_base(keeper, want->model);
+    const KcEngineModel *kind =
+        KcEngineCapacity_Model(&keeper->capacity, want->model);
 
+    if (kind == NULL || (base == NULL && !fits(keeper, kind->megabytes))) {
+        tell_want(keeper, want, KC_HELD_GONE);
+        return true;
+    }
+    if (base == NULL && !keeper->busy) {
+        order_base(keeper, want->model, now);
+    }
+    if (base == NULL || base->loading) {
+        return false;
+    }
+    if (want->adapter[0] == '\0') {
+        tell_want(keeper, want, KC_HELD_LOADED);
+        return true;
+    }
     make_key(want->model, want->adapter, key);
     model = model_state(keeper, key, now);
     slot = model->slot;
@@ -383,7 +528,7 @@
         return true;
     }
     slot = make_place(keeper, &stuck, now);
-    if (stuck) {
+    if (stuck || (slot != NULL && !fits(keeper, kind->adapter_megabytes))) {
         tell_want(keeper, want, KC_HELD_GONE);
         return true;
     }
@@ -398,11 +543,17 @@
 {
     Want *want;
     Want *next;
+    const char *base;
 
     if (!keeper->known || keeper->fence == 0 ||
-        keeper->residency.slot_target == 0) {
+        keeper->residency.slot_target == 0 || keeper->ordering ||
+        keeper->asking) {
         return;
     }
+    base = missing_base(keeper);
+    if (base != NULL && !keeper->busy) {
+        order_base(keeper, base, now);
+    }
     TAILQ_FOREACH_SAFE (want, &keeper->wants, link, next) {
         if (keeper->ordering || keeper->asking || any_evicting(keeper)) {
             break;
@@ -413,11 +564,25 @@
     }
 }
 
+static bool
+any_base_loading(const KcKeeper *keeper)
+{
+    const Base *base;
+
+    TAILQ_FOREACH (base, &keeper->bases, link) {
+        if (base->loading) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Plans the next report. */
 static void
 plan(KcKeeper *keeper, KcTime now)
 {
-    bool moving = keeper->pace.in_flight > 0 || any_evicting(keeper);
+    bool moving = keeper->pace.in_flight > 0 || any_evicting(keeper) ||
+                  any_base_loading(keeper);
 
     if (!keeper->ordering && !keeper->asking) {
         KcTimers_Set(keeper->options.timers, &keeper->timer,
@@ -441,7 +606,7 @@
         break;
     case KC_ORDER_HOLDS:
         keeper->sequence++;
-        if (keeper->order.unload) {
+        if (keeper->order.unload && slot != NULL) {
             KcResidency_EndEvict(slot);
         }
         break;
@@ -450,7 +615,10 @@
         /* What holds is read from the engine before anything else. */
         record(keeper, end == KC_ORDER_REFUSED ? "refused" : "no answer",
                end == KC_ORDER_REFUSED ? KC_ERR_CONFLICT : KC_ERR_LOST, now);
-        if (end == KC_ORDER_REFUSED && !keeper->order.unload) {
+        if (end == KC_ORDER_REFUSED && slot == NULL) {
+            free_base(keeper, find_base(keeper, keeper->order.model));
+        }
+        else if (end == KC_ORDER_REFUSED && !keeper->order.unload) {
             end_load(keeper, slot, KC_ERR_LOAD_FAILED, now);
         }
         keeper->known = false;
@@ -529,6 +697,25 @@
     }
 }
 
+/* An empty slot.  An engine that holds more than it should gets a surplus
+ * one, so that nothing is loaded until there is room. */
+static KcSlot *
+empty_slot(KcKeeper *keeper)
+{
+    KcResidency *residency = &keeper->residency;
+    uint32_t target = residency->slot_target;
+    KcSlot *slot;
+
+    TAILQ_FOREACH (slot, &residency->slots, link) {
+        if (slot->state == KC_SLOT_EMPTY) {
+            return slot;
+        }
+    }
+    KcResidency_Resize(residency, residency->slot_count + 1);
+    residency->slot_target = target;
+    return TAILQ_LAST(&residency->slots, KcSlotList);
+}
+
 /* Takes over an adapter that the engine holds without an order of ours. */
 static void
 adopt(KcKeeper *keeper, const KcHeldInfo *held, KcTime now)
@@ -545,14 +732,7 @@
     if (model->slot != NULL) {
         return;
     }
-    TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
-        if (slot->state == KC_SLOT_EMPTY) {
-            break;
-        }
-    }
-    if (slot == NULL) {
-        return; /* the number of places is not known yet */
-    }
+    slot = empty_slot(keeper);
     KcResidency_BeginLoad(&keeper->residency, slot, model, 0, now);
     set_version(slot, held->version);
     KcResidency_EndLoad(slot, 0, now);
@@ -560,6 +740,53 @@
     tell(keeper, NULL, slot, KC_HELD_LOADED);
 }
 
+/* Brings the base models in line with what the engine says. */
+static void
+compare_bases(KcKeeper *keeper, const KcEngineReport *report, KcTime now)
+{
+    const KcHeldInfo *held;
+    Base *base;
+    Base *next;
+
+    TAILQ_FOREACH (base, &keeper->bases, link) {
+        base->seen = false;
+    }
+    TAILQ_FOREACH (held, &report->info.held, link) {
+        bool told;
+
+        if (held->adapter[0] != '\0') {
+            continue;
+        }
+        base = find_base(keeper, held->model);
+        told = base != NULL && !base->loading &&
+               base->version == held->version;
+        if (base == NULL) {
+            base = KcMem_New(sizeof(*base));
+            KcName_Copy(base->name, held->model, KC_NAME_MAX);
+            TAILQ_INSERT_TAIL(&keeper->bases, base, link);
+        }
+        base->seen = true;
+        base->loading = false;
+        base->version = held->version;
+        KcName_Copy(keeper->last_base, base->name, KC_NAME_MAX);
+        if (!told) {
+            keeper->options.ops->tell(keeper->options.context, NULL,
+                                      base->name, "", base->version,
+                                      KC_HELD_LOADED);
+        }
+    }
+    TAILQ_FOREACH_SAFE (base, &keeper->bases, link, next) {
+        bool begun = base->loading && (report->busy || now - base->ordered <
+                                                           LOAD_GRACE);
+
+        if (!base->seen && !begun) {
+            keeper->options.ops->tell(keeper->options.context, NULL,
+                                      base->name, "", 0, KC_HELD_GONE);
+            free_base(keeper, base);
+        }
+    }
+}
+
 /* The engine started anew: it holds nothing of before. */
 static void
 start_anew(KcKeeper *keeper, const KcEngineReport *report, KcTime now)
@@ -600,6 +827,8 @@
     if (report->info.born != keeper->born) {
         start_anew(keeper, report, now);
     }
+    keeper->busy = report->busy;
+    compare_bases(keeper, report, now);
     TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
         compare_slot(keeper, slot, report, now);
     }
@@ -627,6 +856,10 @@
             return;
         }
     }
+    if (adapter[0] == '\0' && find_base(keeper, model) == NULL) {
+        keeper->options.ops->tell(keeper->options.context, NULL, model, "", 0,
+                                  KC_HELD_COMING);
+    }
     if (!make_key(model, adapter, key) || keeper->want_count >= WANTS_MAX) {
         keeper->options.ops->tell(keeper->options.context, NULL, model,
                                   adapter, version, KC_HELD_GONE);
@@ -701,9 +934,16 @@
 {
     KcSlot *slot;
 
+    const Base *base;
+
     (void)now;
     keeper->options.ops->tell(keeper->options.context, link, "", "", 0,
                               KC_HELD_NOTHING);
+    TAILQ_FOREACH (base, &keeper->bases, link) {
+        keeper->options.ops->tell(
+            keeper->options.context, link, base->name, "", base->version,
+            base->loading ? KC_HELD_COMING : KC_HELD_LOADED);
+    }
     TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
         if (slot->state == KC_SLOT_READY) {
             tell(keeper, link, slot, KC_HELD_LOADED);
--- a/lib/version/kcc_routing.h
+++ b/lib/version/kcc_routing.h
@@ -62,9 +62,21 @@
     struct KcRouteRuleList rules;
 } KcRouteHost;
 
-/* What an engine can hold; all zero for a plain service. */
+/* A base model that the engines of a service can load. */
+typedef struct KcEngineModel {
+    TAILQ_ENTRY(KcEngineModel) link;
+    char name[KC_NAME_MAX];
+    double megabytes;         /* of its weights */
+    double adapter_megabytes; /* of one adapter of it */
+} KcEngineModel;
+
+TAILQ_HEAD(KcEngineModelList, KcEngineModel);
+
+/* What an engine can hold; zero and empty for a plain service. */
 typedef struct KcEngineCapacity {
     bool present;
+    struct KcEngineModelList models;
+    double megabytes;       /* of weights and adapters together */
     uint32_t adapter_slots; /* adapters loaded or on their way */
     uint32_t places;        /* requests that run at once */
     uint64_t memory_tokens; /* of running requests and cached prompts */
@@ -110,6 +122,15 @@
 void KcRouting_AddTarget(KcRouteRule *rule, const char *service,
                          uint32_t weight);
 
+void KcEngineCapacity_Init(KcEngineCapacity *capacity);
+void KcEngineCapacity_AddModel(KcEngineCapacity *capacity, const char *name,
+                               double megabytes, double adapter_megabytes);
+void KcEngineCapacity_Copy(KcEngineCapacity *to, const KcEngineCapacity *from);
+void KcEngineCapacity_Clear(KcEngineCapacity *capacity);
+/* Finds a model by name; NULL when there is none. */
+const KcEngineModel *KcEngineCapacity_Model(const KcEngineCapacity *capacity,
+                                            const char *name);
+
 /* Adds a service, or returns the one of that name. */
 KcRoutedService *KcRouting_AddService(KcRouting *routing, const char *name);
 
--- a/lib/version/routing.c
+++ b/lib/version/routing.c
@@ -83,6 +83,62 @@
     TAILQ_INSERT_TAIL(&rule->targets, target, link);
 }
 
+void
+KcEngineCapacity_Init(KcEngineCapacity *capacity)
+{
+    memset(capacity, 0, sizeof(*capacity));
+    TAILQ_INIT(&capacity->models);
+}
+
+void
+KcEngineCapacity_AddModel(KcEngineCapacity *capacity, const char *name,
+                          double megabytes, double adapter_megabytes)
+{
+    KcEngineModel *model = KcMem_New(sizeof(*model));
+
+    KcName_Copy(model->name, name, KC_NAME_MAX);
+    model->megabytes = megabytes;
+    model->adapter_megabytes = adapter_megabytes;
+    TAILQ_INSERT_TAIL(&capacity->models, model, link);
+}
+
+void
+KcEngineCapacity_Copy(KcEngineCapacity *to, const KcEngineCapacity *from)
+{
+    const KcEngineModel *model;
+
+    *to = *from;
+    TAILQ_INIT(&to->models);
+    TAILQ_FOREACH (model, &from->models, link) {
+        KcEngineCapacity_AddModel(to, model->name, model->megabytes,
+                                  model->adapter_megabytes);
+    }
+}
+
+void
+KcEngineCapacity_Clear(KcEngineCapacity *capacity)
+{
+    KcEngineModel *model;
+
+    while ((model = TAILQ_FIRST(&capacity->models)) != NULL) {
+        TAILQ_REMOVE(&capacity->models, model, link);
+        free(model);
+    }
+}
+
+const KcEngineModel *
+KcEngineCapacity_Model(const KcEngineCapacity *capacity, const char *name)
+{
+    const KcEngineModel *model;
+
+    TAILQ_FOREACH (model, &capacity->models, link) {
+        if (strcmp(model->name, name) == 0) {
+            return model;
+        }
+    }
+    return NULL;
+}
+
 KcRoutedService *
 KcRouting_AddService(KcRouting *routing, const char *name)
 {
@@ -92,6 +148,7 @@
     if (service == NULL) {
         service = KcMem_New(sizeof(*service));
         KcName_Copy(service->name, name, KC_NAME_MAX);
+        KcEngineCapacity_Init(&service->engine);
         HASH_ADD_STR(routing->services, name, service);
         TAILQ_INSERT_TAIL(&routing->service_list, service, link);
     }
@@ -175,6 +232,7 @@
     HASH_CLEAR(hh, routing->services);
     while ((service = TAILQ_FIRST(&routing->service_list)) != NULL) {
         TAILQ_REMOVE(&routing->service_list, service, link);
+        KcEngineCapacity_Clear(&service->engine);
         free(service);
     }
     free(routing);
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -227,7 +227,7 @@
         fields.generation = routing->version;
         KcLog_Write(KC_LOG_INFO, &fields, "engine takes %u adapters",
                     service->engine.adapter_slots);
-        KcKeeper_SetSlots(role->keeper, service->engine.adapter_slots, now);
+        KcKeeper_SetCapacity(role->keeper, &service->engine, now);
     }
     KcRouting_Unref(routing);
 }
