--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -12,8 +12,8 @@
 /* Cost of the way to a server, by distance; traffic across is priced. */
 static const KcTime distance_cost[KC_DISTANCE_COUNT] = {
     [KC_DISTANCE_DATACENTRE] = 0,
-    [KC_DISTANCE_REGION] = 60 * KC_MS,
-    [KC_DISTANCE_REMOTE] = 200 * KC_MS,
+    [KC_DISTANCE_REGION] = 10 * KC_MS,
+    [KC_DISTANCE_REMOTE] = 80 * KC_MS,
 };
 
 /* Cost of a server all of whose places are taken, and of each such load
@@ -24,8 +24,8 @@
 #define FAILURE_COST (1 * KC_SECOND)
 /* Cost of a server whose record is missing. */
 #define GONE_COST (500 * KC_MS)
-/* Homes of different adapters are spread over servers of like cost. */
-#define SPREAD_COST (50 * KC_MS)
+/* An adapter's home is not at a server that is filled above this. */
+#define HOME_PERCENT 70
 /* Reported load counts in full for so long, then fades. */
 #define LOAD_FRESH (500 * KC_MS)
 #define LOAD_STALE (3 * KC_SECOND)
@@ -35,8 +35,8 @@
 #define MEMORY_PERCENT 90
 /* A further copy is loaded when the best holder is filled above this. */
 #define COPY_PERCENT 60
-/* A copy in this data centre is loaded above this aged count of uses. */
-#define COPY_RATE 3.0
+/* A copy is loaded nearer to this gateway above this aged count of uses. */
+#define COPY_RATE 20.0
 /* Time between two requests for a further copy of one adapter. */
 #define COPY_INTERVAL (500 * KC_MS)
 
@@ -248,34 +248,42 @@
     return false;
 }
 
+/* Rendezvous hashing: all gateways rank the homes of an adapter alike. */
+static uint64_t
+rank_at(const KcForward *forward, const KcServer *server)
+{
+    return XXH3_64bits_withSeed(&server->hash, sizeof(server->hash),
+                                forward->adapter->hash);
+}
+
 /*
- * Where the adapter is best loaded; NULL when nowhere.  A model that no
- * server holds is loaded with it, at any of them.
+ * Where the adapter is best loaded, at most as far as given; NULL when
+ * nowhere.  An engine that had an adapter before loads it from its own memory,
+ * so an adapter keeps its home wherever that has room.  A model that no server
+ * holds is loaded with it, at any of them.
  */
 static KcServer *
-home_of(const KcForward *forward, KcTime now)
+home_of(const KcForward *forward, KcDistance farthest, KcTime now)
 {
     bool held = model_is_held(forward);
     KcServer *server;
     KcServer *home = NULL;
-    KcTime lowest = 0;
+    uint64_t highest = 0;
 
     TAILQ_FOREACH (server, &forward->pool->servers, link) {
-        uint64_t draw;
-        KcTime cost;
+        uint64_t rank = rank_at(forward, server);
 
-        if (!may_use(forward, server) || server->gone_at != 0 ||
+        if ((home != NULL && rank <= highest) ||
+            server->distance > farthest || !may_use(forward, server) ||
+            server->gone_at != 0 || server->suspect_until > now ||
+            KcServer_Load(server, now) * 100 >=
+                server->places * HOME_PERCENT ||
             is_full(forward, server, now) || has_current(forward, server) ||
             (held && !has_model(server, forward->adapter->model))) {
             continue;
         }
-        draw = XXH3_64bits_withSeed(&server->hash, sizeof(server->hash),
-                                    forward->adapter->hash);
-        cost = cost_of(server, now) + (KcTime)(draw % SPREAD_COST);
-        if (home == NULL || cost < lowest) {
-            home = server;
-            lowest = cost;
-        }
+        home = server;
+        highest = rank;
     }
     return home;
 }
@@ -295,6 +303,20 @@
             adapter->rate > COPY_RATE);
 }
 
+/* A copy for being near is nearer than the holder; one for its load is
+ * anywhere. */
+static KcDistance
+copy_distance(const KcServer *holder, KcTime now)
+{
+    bool filled =
+        KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT;
+
+    if (filled || holder->distance == KC_DISTANCE_DATACENTRE) {
+        return KC_DISTANCE_REMOTE;
+    }
+    return (KcDistance)(holder->distance - 1);
+}
+
 static void
 choose_model(const KcForward *forward, KcTime now, KcChoice *choice)
 {
@@ -303,7 +325,8 @@
     KcHolding *coming;
 
     if (best != NULL && copy_wanted(forward, best->server, now)) {
-        choice->copy_at = home_of(forward, now);
+        choice->copy_at = home_of(forward, copy_distance(best->server, now),
+                                  now);
     }
     if (best != NULL && !is_full(forward, best->server, now)) {
         choice->action = KC_CHOICE_SEND;
@@ -318,7 +341,8 @@
         return;
     }
     choice->server = choice->copy_at != NULL ? choice->copy_at
-                                             : home_of(forward, now);
+                                             : home_of(forward,
+                                                       KC_DISTANCE_REMOTE, now);
     choice->copy_at = NULL;
     if (choice->server != NULL &&
         (forward->adapter->name[0] != '\0' || !model_is_held(forward))) {
--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -23,6 +23,9 @@
 #define RETRY (100 * KC_MS)
 /* Requests for adapters that are remembered; more are refused. */
 #define WANTS_MAX 256
+/* A request for an adapter is given up when it could not be begun for so
+ * long: those that waited for it look elsewhere by then. */
+#define WANT_LIFE (1 * KC_SECOND)
 /* Time of an undisturbed load, for the pace; the platform's sheet. */
 #define NOMINAL_LOAD (250 * KC_MS)
 
@@ -35,6 +38,7 @@
     char adapter[KC_NAME_MAX];
     uint32_t version;
     uint32_t priority;
+    KcTime since;
 } Want;
 
 TAILQ_HEAD(WantList, Want);
@@ -555,6 +559,11 @@
         order_base(keeper, base, now);
     }
     TAILQ_FOREACH_SAFE (want, &keeper->wants, link, next) {
+        if (now - want->since > WANT_LIFE) {
+            tell_want(keeper, want, KC_HELD_GONE);
+            free_want(keeper, want);
+            continue;
+        }
         if (keeper->ordering || keeper->asking || any_evicting(keeper)) {
             break;
         }
@@ -870,6 +879,7 @@
     KcName_Copy(want->adapter, adapter, KC_NAME_MAX);
     want->version = version;
     want->priority = priority;
+    want->since = now;
     TAILQ_INSERT_TAIL(&keeper->wants, want, link);
     keeper->want_count++;
     pump(keeper, now);
--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -82,6 +82,13 @@
     call(feed, now);
 }
 
+void
+KcFeed_SetPace(KcFeed *feed, KcTime gather, KcTime relist)
+{
+    feed->options.gather = gather;
+    feed->options.relist = relist;
+}
+
 bool
 KcFeed_Listed(const KcFeed *feed)
 {
@@ -173,10 +180,12 @@
 KcFeed_OnFailed(KcFeed *feed, int code, KcTime now)
 {
     assert(feed->state != FEED_IDLE);
-    /* A list that broke off begins again: its first pages may be old. */
+    /* A list that broke off begins again: its first pages may be old.  After
+     * a failure a list is asked for, since it is answered at once, while a
+     * watch that is never answered looks like one that has nothing to tell. */
     feed->after[0] = '\0';
+    feed->must_list = true;
     if (code == KC_ERR_NOT_FOUND) {
-        feed->must_list = true;
         heard(feed, now);
         go_on(feed, feed->options.gather, now);
         return;
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -54,6 +54,10 @@
 void KcFeed_Free(KcFeed *feed);
 void KcFeed_Start(KcFeed *feed, KcTime now);
 
+/* Changes the delay between two calls, and the age at which a list is read
+ * anew, from the next call on. */
+void KcFeed_SetPace(KcFeed *feed, KcTime gather, KcTime relist);
+
 /* True once a whole list has been told. */
 bool KcFeed_Listed(const KcFeed *feed);
 /* True while the last call was answered. */
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -15,10 +15,11 @@
 
 /* Delay after a failed call of the store. */
 #define STORE_RETRY (200 * KC_MS)
-/* Changes of servers and versions are taken together for this long. */
-#define GATHER (100 * KC_MS)
-/* The same of the records of gateways, which matter less. */
-#define GATHER_GATEWAYS (2 * KC_SECOND)
+/* Changes of servers and versions are taken together for this long: each
+ * call of the store is priced. */
+#define GATHER (500 * KC_MS)
+/* The records of gateways are only listed, this often. */
+#define GATHER_GATEWAYS (20 * KC_SECOND)
 /* Keepers are told of uses at most this often. */
 #define TELL_INTERVAL (200 * KC_MS)
 /* A keeper that could not be reached is left alone for so long. */
@@ -464,8 +465,6 @@
     GatewayRole *role = context;
 
     (void)now;
-    /* Counted while they are listed; a change makes the list be read anew
-     * only after a while, which the reserve of the budget covers. */
     role->gateways += item->deleted ? 0 : 1;
 }
 
@@ -480,16 +479,17 @@
 /* How each collection is followed. */
 static const struct {
     KcTime gather;
+    KcTime relist;
     void (*begins)(void *context);
     void (*item)(void *context, const KcFeedItem *item, KcTime now);
     void (*listed)(void *context, KcTime now);
 } feed_rows[KC_COLLECTION_COUNT] = {
-    [KC_COLLECTION_ROUTING] = {0, begins_nothing, on_routing, listed_nothing},
-    [KC_COLLECTION_SERVERS] = {GATHER, servers_begin, on_server,
+    [KC_COLLECTION_ROUTING] = {0, 0, begins_nothing, on_routing, listed_nothing},
+    [KC_COLLECTION_SERVERS] = {GATHER, 0, servers_begin, on_server,
                                servers_listed},
-    [KC_COLLECTION_VERSIONS] = {GATHER, begins_nothing, on_version,
+    [KC_COLLECTION_VERSIONS] = {GATHER, 0, begins_nothing, on_version,
                                 listed_nothing},
-    [KC_COLLECTION_GATEWAYS] = {GATHER_GATEWAYS, gateways_begin, on_gateway,
+    [KC_COLLECTION_GATEWAYS] = {GATHER_GATEWAYS, GATHER_GATEWAYS, gateways_begin, on_gateway,
                                 gateways_listed},
 };
 
@@ -503,6 +503,7 @@
                                  .kind = role->platform->collections[i],
                                  .retry = STORE_RETRY,
                                  .gather = feed_rows[i].gather,
+                                 .relist = feed_rows[i].relist,
                                  .begins = feed_rows[i].begins,
                                  .item = feed_rows[i].item,
                                  .listed = feed_rows[i].listed,
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -14,8 +14,10 @@
 
 /* Delay after a failed call of the store. */
 #define STORE_RETRY (200 * KC_MS)
-/* The capacity of the engine hardly changes. */
-#define GATHER (2 * KC_SECOND)
+/* The configuration is only listed: of it a keeper needs the capacity of the
+ * engine, which hardly changes.  Until it is known, and afterwards. */
+#define RELIST_UNKNOWN (500 * KC_MS)
+#define RELIST_KNOWN (15 * KC_SECOND)
 /* Wait for an answer of the engine, on the same machine. */
 #define ENGINE_TIMEOUT (500 * KC_MS)
 /* Collection of the keepers' records. */
@@ -227,6 +229,7 @@
         fields.generation = routing->version;
         KcLog_Write(KC_LOG_INFO, &fields, "engine takes %u adapters",
                     service->engine.adapter_slots);
+        KcFeed_SetPace(role->routing, RELIST_KNOWN, RELIST_KNOWN);
         KcKeeper_SetCapacity(role->keeper, &service->engine, now);
     }
     KcRouting_Unref(routing);
@@ -398,7 +401,8 @@
         .timers = role->parts.loop->timers,
         .kind = role->platform->collections[KC_COLLECTION_ROUTING],
         .retry = STORE_RETRY,
-        .gather = GATHER,
+        .gather = RELIST_UNKNOWN,
+        .relist = RELIST_UNKNOWN,
         .begins = begins,
         .item = on_routing,
         .listed = listed,
--- a/programs/request/front.c
+++ b/programs/request/front.c
@@ -152,6 +152,11 @@
         refuse_early(connection, KC_ERR_DEADLINE, "read request");
         break;
     case CONNECTION_IDLE:
+        /* The end of the last answer may still be on its way. */
+        connection->state = CONNECTION_CLOSING;
+        set_timer(connection, limits_of(connection->front)->idle_timeout);
+        KcHttpPeer_CloseWhenSent(connection->peer);
+        break;
     case CONNECTION_WAITING:
     case CONNECTION_CLOSING:
         dispose(connection);
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -25,12 +25,12 @@
     KcHttpPool *pool;
     char address[KC_ADDRESS_MAX];
     KcTime timeout;
+    KcTime connect;
     KcTimer timer;
     KcHttpPeer *peer;
     struct evbuffer *request; /* kept while it may be sent once more */
     bool may_repeat;
     bool reused;    /* the connection had been kept */
-    bool connected;
     bool answered;  /* bytes of an answer have arrived */
     bool interim;   /* the present answer is only a first word */
     bool sent;      /* a byte of the request has left */
@@ -104,7 +104,6 @@
 {
     KcHttpCall *call = owner;
 
-    call->connected = true;
     set_timer(call);
     write_request(call);
 }
@@ -177,6 +176,8 @@
                                  .header_max = HEAD_MAX,
                                  .silence = SILENCE};
 
+    KcTimers_Set(call->loop->timers, &call->timer,
+                 KcLoop_Now() + call->connect);
     call->peer = KcHttpPeer_Connect(&options, call->address);
     return call->peer != NULL ? 0 : KC_ERR_INVALID;
 }
@@ -257,6 +258,7 @@
     call->loop = options->loop;
     call->pool = options->pool;
     call->timeout = options->timeout;
+    call->connect = options->connect > 0 ? options->connect : options->timeout;
     call->retired.take_down = take_down;
     call->may_repeat = strcmp(options->method, "GET") == 0;
     call->head_only = strcmp(options->method, "HEAD") == 0;
@@ -264,13 +266,13 @@
     KcTimer_Init(&call->timer, on_timer, call);
     call->request = evbuffer_new();
     compose(call, options);
-    set_timer(call);
     if (call->pool != NULL) {
         call->peer = KcHttpPool_Take(call->pool, KC_NEVER);
     }
     if (call->peer != NULL) {
         call->reused = true;
         KcHttpPeer_SetOwner(call->peer, &peer_ops, call);
+        set_timer(call);
         write_request(call);
     }
     else if (connect_peer(call) != 0) {
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -45,6 +45,7 @@
     KcHttpHeader headers[KC_HTTP_HEADERS_MAX];
     KcBytes body;
     KcTime timeout; /* without progress */
+    KcTime connect; /* for connecting; 0: timeout */
     KcHttpPool *pool; /* connections to address; NULL: one for this call */
     const KcHttpOps *ops;
     void *context;
