--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -29,6 +29,7 @@
     gateway->options = *options;
     gateway->gateways = GATEWAYS_UNKNOWN;
     gateway->draws = options->seed;
+    gateway->refuse_from = KC_NEVER;
     KcName_Copy(gateway->datacentre, options->datacentre, KC_NAME_MAX);
     KcName_Copy(gateway->region,
                 options->region_of(options->context, options->datacentre),
@@ -97,6 +98,12 @@
     KcGateway_SetPeers(gateway, gateway->gateways, now);
 }
 
+void
+KcGateway_Drain(KcGateway *gateway, KcTime refuse_from)
+{
+    gateway->refuse_from = refuse_from;
+}
+
 void
 KcGateway_Abort(KcGateway *gateway, KcTime now)
 {
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -320,6 +320,10 @@
         }
         /* The server could not even be asked: the next one is. */
         note_tried(forward, choice.server);
+        if (forward->tried_count == KC_FORWARD_TRIED_MAX) {
+            enqueue(forward, KC_ERR_NO_BACKEND, now);
+            return;
+        }
     }
 }
 
@@ -434,6 +438,10 @@
         refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route");
         return;
     }
+    if (rule->kind == KC_KIND_STREAM && now >= gateway->refuse_from) {
+        refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route");
+        return;
+    }
     forward = create(gateway, call, rule, now);
     forward->ops = ops;
     forward->caller = caller;
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -27,6 +27,7 @@
     bool listed;         /* a whole list was told */
     uint32_t gateways;   /* that share the retry budget */
     uint64_t draws;      /* state of the random numbers */
+    KcTime refuse_from;  /* streams are refused from this time */
     KcTimer sweep;       /* forgets servers that stay missing */
 };
 
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -241,6 +241,12 @@
                       const KcForwardOps *ops, void *caller,
                       KcForward **slot, KcTime now);
 
+/*
+ * A planned stop: streams that arrive from the given time on are refused, as
+ * they might last longer than the process.
+ */
+void KcGateway_Drain(KcGateway *gateway, KcTime refuse_from);
+
 /* Ends every request, as when the process stops. */
 void KcGateway_Abort(KcGateway *gateway, KcTime now);
 
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -26,7 +26,13 @@
 #define KEEPER_RETRY (500 * KC_MS)
 /* Idle callers' connections stay open so long after a stop began: the
  * balancer sends no new ones after two questions, a second apart. */
-#define DRAIN_IDLE (3 * KC_SECOND)
+#define DRAIN_IDLE (2500 * KC_MS)
+/* Streams are refused so long after a stop began: the platform excuses what
+ * a stop cuts only for requests that were sent before. */
+#define DRAIN_REFUSE (2800 * KC_MS)
+/* A process without requests ends so long after a stop began, whoever still
+ * connects to it. */
+#define DRAIN_END (3200 * KC_MS)
 /* A stop is over this long before the platform ends the process. */
 #define DRAIN_MARGIN (300 * KC_MS)
 /* Limits on callers until a configuration is in force. */
@@ -67,6 +73,7 @@
     KcTimer tell_timer;
     KcTimer member_timer;
     uint64_t incarnation;
+    KcTime drain_began;
 } GatewayRole;
 
 /* ---- connections to keepers ---------------------------------------------- */
@@ -170,9 +177,11 @@
     if (link != NULL) {
         KcLink_Free(link);
     }
+    else {
+        peer->retry_at = KcLoop_Now() + KEEPER_RETRY;
+    }
     peer->tcp = NULL;
     peer->link = NULL;
-    peer->retry_at = KcLoop_Now() + KEEPER_RETRY;
     drop_pending(peer);
     KcGateway_OnKeeperLost(role->gateway, peer->server, KcLoop_Now());
 }
@@ -619,7 +628,9 @@
 {
     GatewayRole *role = context;
 
-    KcGatewayFront_Drain(role->front, KcLoop_Now() + DRAIN_IDLE);
+    role->drain_began = KcLoop_Now();
+    KcGateway_Drain(role->gateway, role->drain_began + DRAIN_REFUSE);
+    KcGatewayFront_Drain(role->front, role->drain_began + DRAIN_IDLE);
 }
 
 static bool
@@ -627,8 +638,9 @@
 {
     GatewayRole *role = context;
 
-    return KcGatewayFront_Empty(role->front) &&
-           KcGateway_InFlight(role->gateway) == 0;
+    return KcGateway_InFlight(role->gateway) == 0 &&
+           (KcGatewayFront_Empty(role->front) ||
+            KcLoop_Now() >= role->drain_began + DRAIN_END);
 }
 
 static void
