Avoid mute servers, reset what is withdrawn, go elsewhere in time

Ruled out: the gateway had closed the connection within 2 ms.

Change: a withdrawn sending is reset; a server with requests that says nothing for 400 ms is avoided and its adapters loaded elsewhere; requests that may be repeated are withdrawn and sent to another server in time.

--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -22,6 +22,10 @@
 #define OVERLOAD_COST (800 * KC_MS)
 /* Cost of a server whose sendings all fail. */
 #define FAILURE_COST (1 * KC_SECOND)
+/* A server that has requests and says nothing for so long is avoided: with
+ * several streams, events come every few tens of milliseconds. */
+#define MUTE_AFTER (400 * KC_MS)
+#define MUTE_COST (2 * KC_SECOND)
 /* Cost of a server whose record is missing. */
 #define GONE_COST (500 * KC_MS)
 /* An adapter's home is not at a server that is filled above this. */
@@ -56,6 +60,12 @@
     return server->in_flight + (uint32_t)others;
 }
 
+bool
+KcServer_IsMute(const KcServer *server, KcTime now)
+{
+    return server->in_flight > 0 && now - server->heard_at > MUTE_AFTER;
+}
+
 static bool
 was_tried(const KcForward *forward, const KcServer *server)
 {
@@ -127,6 +137,9 @@
     if (server->gone_at != 0) {
         cost += GONE_COST;
     }
+    if (KcServer_IsMute(server, now)) {
+        cost += MUTE_COST;
+    }
     return cost;
 }
 
@@ -276,6 +289,7 @@
         if ((home != NULL && rank <= highest) ||
             server->distance > farthest || !may_use(forward, server) ||
             server->gone_at != 0 || server->suspect_until > now ||
+            KcServer_IsMute(server, now) ||
             KcServer_Load(server, now) * 100 >=
                 server->places * HOME_PERCENT ||
             is_full(forward, server, now) || has_current(forward, server) ||
@@ -288,6 +302,14 @@
     return home;
 }
 
+/* Would requests better go elsewhere, if they could? */
+static bool
+in_trouble(const KcServer *server, KcTime now)
+{
+    return server->suspect_until > now || server->gone_at != 0 ||
+           KcServer_IsMute(server, now);
+}
+
 /* Is a further copy worth while beside this holder? */
 static bool
 copy_wanted(const KcForward *forward, const KcServer *holder, KcTime now)
@@ -299,6 +321,7 @@
         return false;
     }
     return KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT ||
+           in_trouble(holder, now) ||
            (holder->distance != KC_DISTANCE_DATACENTRE &&
             adapter->rate > COPY_RATE);
 }
@@ -311,7 +334,8 @@
     bool filled =
         KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT;
 
-    if (filled || holder->distance == KC_DISTANCE_DATACENTRE) {
+    if (filled || in_trouble(holder, now) ||
+        holder->distance == KC_DISTANCE_DATACENTRE) {
         return KC_DISTANCE_REMOTE;
     }
     return (KcDistance)(holder->distance - 1);
@@ -328,7 +352,8 @@
         choice->copy_at = home_of(forward, copy_distance(best->server, now),
                                   now);
     }
-    if (best != NULL && !is_full(forward, best->server, now)) {
+    if (best != NULL && !is_full(forward, best->server, now) &&
+        !(in_trouble(best->server, now) && choice->copy_at != NULL)) {
         choice->action = KC_CHOICE_SEND;
         choice->server = best->server;
         choice->holding = best;
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -11,6 +11,9 @@
  * the platform prices refusals that come later. */
 #define QUEUE_PART 8
 #define QUEUE_LEAST (20 * KC_MS)
+/* A request that may be repeated waits this part of its objective for the
+ * first byte of an answer from one server. */
+#define PATIENCE_PERCENT 75
 /* Longest wait for one server to load an adapter. */
 #define LOAD_WAIT (1500 * KC_MS)
 /* Hint to a caller that was refused for lack of places. */
@@ -19,6 +22,8 @@
 #define QUEUE_LOOK 16
 
 static void on_timer(KcTimer *timer, KcTime now);
+static void go_on(KcForward *forward, KcAttemptEnd end, int code,
+                  const char *step, KcTime now);
 
 /* ---- lists --------------------------------------------------------------- */
 
@@ -184,6 +189,13 @@
     }
 }
 
+/* Wait for the first byte of an answer that may also come from elsewhere. */
+static KcTime
+patience(const KcForward *forward)
+{
+    return forward->rule->objective * PATIENCE_PERCENT / 100;
+}
+
 /* Sends to the chosen server.  False when it could not even be begun. */
 static bool
 send(KcForward *forward, const KcChoice *choice, KcTime now)
@@ -206,6 +218,9 @@
     forward->server = server;
     forward->sent_at = now;
     forward->sends++;
+    if (server->in_flight == 0) {
+        server->heard_at = now;
+    }
     server->in_flight++;
     server->tokens += forward->tokens;
     forward->holding = choice->holding;
@@ -216,7 +231,8 @@
     if (server->distance == KC_DISTANCE_REMOTE) {
         KcCounters_Add(options->counters, KC_COUNT_REMOTE_ATTEMPTS, 1);
     }
-    set_timer(forward, forward->give_up);
+    set_timer(forward, forward->repeatable ? now + patience(forward)
+                                           : forward->give_up);
     forward->sending = options->ops->send(options->context, forward, &sending);
     if (forward->sending == NULL) {
         forward->sending = forward; /* released like one that was begun */
@@ -459,6 +475,24 @@
     dispose(forward, "abandoned", 0, NULL, now);
 }
 
+/* A server that has not begun to answer, to a request that may be repeated:
+ * it is withdrawn and sent to another one, within the budget. */
+static void
+try_elsewhere(KcForward *forward, KcTime now)
+{
+    KcServer *server = forward->server;
+    bool silent = forward->rule->kind != KC_KIND_STREAM ||
+                  KcServer_IsMute(server, now);
+
+    if (!silent || forward->runs + 1 >= forward->rule->attempts_max ||
+        !KcRetryBudget_Has(&forward->pool->budget)) {
+        set_timer(forward, silent ? forward->give_up : now + patience(forward));
+        return;
+    }
+    withdraw(forward);
+    go_on(forward, KC_ATTEMPT_LOST, KC_ERR_DEADLINE, "first byte", now);
+}
+
 static void
 on_timer(KcTimer *timer, KcTime now)
 {
@@ -482,7 +516,10 @@
         KcForward_Dispatch(forward, now);
         break;
     case KC_FORWARD_SENT:
+        try_elsewhere(forward, now);
+        break;
     case KC_FORWARD_STREAMING:
+        set_timer(forward, forward->give_up);
         break;
     }
 }
@@ -496,7 +533,6 @@
 {
     KcServer *server = forward->server;
     KcRetryInput input = {.end = end,
-                          .code = code == KC_ERR_DEADLINE ? code : 0,
                           .repeatable = forward->repeatable,
                           .may_have_run = forward->may_have_run,
                           .cancelled = now >= forward->give_up,
@@ -564,6 +600,7 @@
     const KcForwardOps *ops = forward->ops;
 
     assert(forward->sending != NULL);
+    forward->server->heard_at = now;
     if (reply->not_run) {
         on_not_run(forward, reply, now);
         return;
@@ -592,8 +629,8 @@
 void
 KcForward_OnBegin(KcForward *forward, const KcReply *reply, KcTime now)
 {
-    (void)now;
     assert(forward->sending != NULL && !reply->not_run);
+    forward->server->heard_at = now;
     forward->state = KC_FORWARD_STREAMING;
     forward->head = reply->head;
 }
@@ -616,6 +653,7 @@
                   KcTime now)
 {
     assert(forward->sending != NULL);
+    forward->server->heard_at = now;
     if (has_id && forward->has_event && id != forward->last_event + 1) {
         withdraw(forward);
         go_on(forward, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL, "event id", now);
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -75,6 +75,9 @@
 void KcGateway_Choose(const KcGateway *gateway, const KcForward *forward,
                       KcTime now, KcChoice *choice);
 
+/* True when requests are at the server and nothing was heard for too long. */
+bool KcServer_IsMute(const KcServer *server, KcTime now);
+
 /* Requests at the server, of all gateways, as far as is known. */
 uint32_t KcServer_Load(const KcServer *server, KcTime now);
 
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -77,6 +77,8 @@
     uint64_t tokens;    /* of these */
     uint32_t others;    /* requests of other gateways, as reported */
     KcTime load_at;     /* time of that report; 0: none */
+    KcTime heard_at;    /* last byte of an answer, or first request since
+                         * there was none in flight */
     uint32_t failures;  /* in a row */
     double failure_share; /* aged share of sendings that failed */
     KcTime slow;          /* aged time to an answer; 0: not known */
--- a/programs/connection/http_peer.c
+++ b/programs/connection/http_peer.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 #include "socket.h"
 
@@ -339,6 +340,18 @@
     KcLoop_Retire(peer->options.loop, &peer->retired);
 }
 
+void
+KcHttpPeer_Reset(KcHttpPeer *peer)
+{
+    struct linger at_once = {.l_onoff = 1, .l_linger = 0};
+
+    if (!peer->closed) {
+        setsockopt(bufferevent_getfd(peer->bev), SOL_SOCKET, SO_LINGER,
+                   &at_once, sizeof(at_once));
+        KcHttpPeer_Close(peer);
+    }
+}
+
 static void
 fail(KcHttpPeer *peer, int code)
 {
--- a/programs/connection/http_peer.h
+++ b/programs/connection/http_peer.h
@@ -83,6 +83,11 @@
 
 /* Ends a connection; nothing is reported for it afterwards. */
 void KcHttpPeer_Close(KcHttpPeer *peer);
+/*
+ * As KcHttpPeer_Close(), by a reset: what the other side has not read of it
+ * yet, it shall not read.
+ */
+void KcHttpPeer_Reset(KcHttpPeer *peer);
 /* As KcHttpPeer_Close(), when everything written has left. */
 void KcHttpPeer_CloseWhenSent(KcHttpPeer *peer);
 
--- a/programs/request/sending.c
+++ b/programs/request/sending.c
@@ -62,7 +62,7 @@
     if (sending->over) {
         return;
     }
-    KcHttpPeer_Close(sending->peer);
+    KcHttpPeer_Reset(sending->peer);
     finish(sending);
 }
 
