--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -29,7 +29,8 @@
     gateway->options = *options;
     gateway->gateways = GATEWAYS_UNKNOWN;
     gateway->draws = options->seed;
-    gateway->refuse_from = KC_NEVER;
+    gateway->refuse_streams = KC_NEVER;
+    gateway->refuse_all = KC_NEVER;
     KcName_Copy(gateway->datacentre, options->datacentre, KC_NAME_MAX);
     KcName_Copy(gateway->region,
                 options->region_of(options->context, options->datacentre),
@@ -99,9 +100,10 @@
 }
 
 void
-KcGateway_Drain(KcGateway *gateway, KcTime refuse_from)
+KcGateway_Drain(KcGateway *gateway, KcTime refuse_streams, KcTime refuse_all)
 {
-    gateway->refuse_from = refuse_from;
+    gateway->refuse_streams = refuse_streams;
+    gateway->refuse_all = refuse_all;
 }
 
 void
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -454,7 +454,8 @@
         refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route");
         return;
     }
-    if (rule->kind == KC_KIND_STREAM && now >= gateway->refuse_from) {
+    if (now >= gateway->refuse_all ||
+        (rule->kind == KC_KIND_STREAM && now >= gateway->refuse_streams)) {
         refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route");
         return;
     }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -27,7 +27,8 @@
     bool listed;         /* a whole list was told */
     uint32_t gateways;   /* that share the retry budget */
     uint64_t draws;      /* state of the random numbers */
-    KcTime refuse_from;  /* streams are refused from this time */
+    KcTime refuse_streams; /* no stream is accepted from this time */
+    KcTime refuse_all;     /* nor anything else from this one */
     KcTimer sweep;       /* forgets servers that stay missing */
 };
 
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -244,10 +244,11 @@
                       KcForward **slot, KcTime now);
 
 /*
- * A planned stop: streams that arrive from the given time on are refused, as
- * they might last longer than the process.
+ * A planned stop: streams, and later all requests, that arrive from the given
+ * times on are refused, as they might last longer than the process.
  */
-void KcGateway_Drain(KcGateway *gateway, KcTime refuse_from);
+void KcGateway_Drain(KcGateway *gateway, KcTime refuse_streams,
+                     KcTime refuse_all);
 
 /* Ends every request, as when the process stops. */
 void KcGateway_Abort(KcGateway *gateway, KcTime now);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -30,6 +30,8 @@
 /* Streams are refused so long after a stop began: the platform excuses what
  * a stop cuts only for requests that were sent before. */
 #define DRAIN_REFUSE (2800 * KC_MS)
+/* Everything is refused so long before the end of a stop. */
+#define DRAIN_LAST (1500 * KC_MS)
 /* A process without requests ends so long after a stop began, whoever still
  * connects to it. */
 #define DRAIN_END (3200 * KC_MS)
@@ -629,7 +631,8 @@
     GatewayRole *role = context;
 
     role->drain_began = KcLoop_Now();
-    KcGateway_Drain(role->gateway, role->drain_began + DRAIN_REFUSE);
+    KcGateway_Drain(role->gateway, role->drain_began + DRAIN_REFUSE,
+                    role->drain_began + role->parts.drain_time - DRAIN_LAST);
     KcGatewayFront_Drain(role->front, role->drain_began + DRAIN_IDLE);
 }
 
--- a/programs/request/front.c
+++ b/programs/request/front.c
@@ -11,6 +11,8 @@
 /* A caller that reads slowly holds its backend server back above this many
  * bytes, until half of them have left. */
 #define LAG_MAX (256 * 1024)
+/* Wait for a request on a connection accepted during a planned stop. */
+#define DRAIN_ACCEPT (1 * KC_SECOND)
 
 struct KcGatewayFront {
     KcGatewayFrontOptions options;
@@ -119,8 +121,10 @@
     KcGatewayFront *front = connection->front;
     KcTime due = KcLoop_Now() + limits_of(front)->idle_timeout;
 
-    if (front->draining && due > front->idle_until) {
-        due = front->idle_until;
+    if (front->draining) {
+        /* Who connects to a stopping process has nowhere else to go. */
+        due = KcLoop_Now() + DRAIN_ACCEPT;
+        due = due > front->idle_until ? due : front->idle_until;
     }
     connection->state = CONNECTION_IDLE;
     KcTimers_Set(front->options.loop->timers, &connection->timer, due);
