--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -13,6 +13,19 @@
  * platform brings records back within two seconds of an outage. */
 #define MISSING (2200 * KC_MS)
 
+/* A gap between two calls above this is taken for a pause of the process;
+ * without requests it means nothing. */
+#define PAUSE (100 * KC_MS)
+
+void
+KcGateway_Note(KcGateway *gateway, KcTime now)
+{
+    if (now - gateway->seen_at > PAUSE) {
+        gateway->awake_at = now;
+    }
+    gateway->seen_at = now;
+}
+
 void
 KcGatewayOptions_Init(KcGatewayOptions *options)
 {
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -22,9 +22,11 @@
 #define OVERLOAD_COST (800 * KC_MS)
 /* Cost of a server whose sendings all fail. */
 #define FAILURE_COST (1 * KC_SECOND)
-/* A server that has requests and says nothing for so long is avoided: with
+/* A server that has requests and says nothing for so long is avoided; with
  * several streams, events come every few tens of milliseconds. */
 #define MUTE_AFTER (400 * KC_MS)
+#define MUTE_AFTER_BUSY (200 * KC_MS)
+#define MUTE_BUSY 3
 #define MUTE_COST (2 * KC_SECOND)
 /* Cost of a server whose record is missing. */
 #define GONE_COST (500 * KC_MS)
@@ -63,7 +65,14 @@
 bool
 KcServer_IsMute(const KcServer *server, KcTime now)
 {
-    return server->in_flight > 0 && now - server->heard_at > MUTE_AFTER;
+    KcTime since = server->heard_at;
+
+    if (since < server->pool->gateway->awake_at) {
+        since = server->pool->gateway->awake_at;
+    }
+    return server->in_flight > 0 &&
+           now - since > (server->in_flight >= MUTE_BUSY ? MUTE_AFTER_BUSY
+                                                         : MUTE_AFTER);
 }
 
 static bool
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -444,6 +444,7 @@
     KcForward *forward;
 
     *slot = NULL;
+    KcGateway_Note(gateway, now);
     KcCounters_Add(gateway->options.counters, KC_COUNT_REQUESTS, 1);
     if (gateway->routing == NULL) {
         refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route");
@@ -499,6 +500,7 @@
 {
     KcForward *forward = timer->owner;
 
+    KcGateway_Note(forward->gateway, now);
     if (now >= forward->give_up) {
         fail(forward, KC_ERR_DEADLINE,
              forward->sending != NULL ? "await answer" : "await place", now);
@@ -573,6 +575,14 @@
           forward->state == KC_FORWARD_STREAMING ? "stream" : "send", now);
 }
 
+/* Bytes of an answer have come. */
+static void
+hear(KcForward *forward, KcTime now)
+{
+    KcGateway_Note(forward->gateway, now);
+    forward->server->heard_at = now;
+}
+
 /* The server did not run the request. */
 static void
 on_not_run(KcForward *forward, const KcReply *reply, KcTime now)
@@ -601,7 +611,7 @@
     const KcForwardOps *ops = forward->ops;
 
     assert(forward->sending != NULL);
-    forward->server->heard_at = now;
+    hear(forward, now);
     if (reply->not_run) {
         on_not_run(forward, reply, now);
         return;
@@ -631,7 +641,7 @@
 KcForward_OnBegin(KcForward *forward, const KcReply *reply, KcTime now)
 {
     assert(forward->sending != NULL && !reply->not_run);
-    forward->server->heard_at = now;
+    hear(forward, now);
     forward->state = KC_FORWARD_STREAMING;
     forward->head = reply->head;
 }
@@ -654,7 +664,7 @@
                   KcTime now)
 {
     assert(forward->sending != NULL);
-    forward->server->heard_at = now;
+    hear(forward, now);
     if (has_id && forward->has_event && id != forward->last_event + 1) {
         withdraw(forward);
         go_on(forward, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL, "event id", now);
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -29,9 +29,17 @@
     uint64_t draws;      /* state of the random numbers */
     KcTime refuse_streams; /* no stream is accepted from this time */
     KcTime refuse_all;     /* nor anything else from this one */
+    KcTime seen_at;      /* time of the last call */
+    KcTime awake_at;     /* this process was awake ever since */
     KcTimer sweep;       /* forgets servers that stay missing */
 };
 
+/*
+ * Notes the present time.  A process that was not run for a while knows
+ * nothing of what its servers did meanwhile.
+ */
+void KcGateway_Note(KcGateway *gateway, KcTime now);
+
 /* ---- servers and adapters (gateway_servers.c) ---------------------------- */
 
 KcServerPool *KcGateway_Pool(KcGateway *gateway, const char *service);
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -331,21 +331,36 @@
     }
 }
 
+static KcHolding *
+first_lost(const KcServer *server)
+{
+    KcHolding *holding;
+
+    TAILQ_FOREACH (holding, &server->holdings, of_server) {
+        if (holding->lost) {
+            return holding;
+        }
+    }
+    return NULL;
+}
+
 void
 KcGateway_OnKeeperLost(KcGateway *gateway, KcServer *server, KcTime now)
 {
     KcHolding *holding;
-    KcHolding *next;
 
     server->keeper = false;
-    /* What was on its way will not be told of any more. */
-    TAILQ_FOREACH_SAFE (holding, &server->holdings, of_server, next) {
+    /* What was on its way will not be told of any more.  Marked first: those
+     * that waited may ask the same keeper again, on a new connection. */
+    TAILQ_FOREACH (holding, &server->holdings, of_server) {
+        holding->lost = holding->coming;
+    }
+    while ((holding = first_lost(server)) != NULL) {
         KcAdapterState *adapter = holding->adapter;
 
-        if (holding->coming) {
-            KcHolding_Drop(gateway, holding);
-            KcGateway_DispatchWaiting(adapter, server, now);
-        }
+        holding->lost = false;
+        KcHolding_Drop(gateway, holding);
+        KcGateway_DispatchWaiting(adapter, server, now);
     }
 }
 
@@ -360,6 +375,7 @@
     if (pool == NULL) {
         pool = KcMem_New(sizeof(*pool));
         KcName_Copy(pool->service, service, KC_NAME_MAX);
+        pool->gateway = gateway;
         TAILQ_INIT(&pool->servers);
         TAILQ_INIT(&pool->queue);
         KcRetryBudget_Init(&pool->budget, gateway->options.retry_percent,
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -93,6 +93,7 @@
 /* The backend servers of one service. */
 typedef struct KcServerPool {
     UT_hash_handle hh; /* KcGateway, by service */
+    struct KcGateway *gateway;
     char service[KC_NAME_MAX];
     struct KcServerList servers;
     struct KcForwardList queue; /* the most urgent first */
@@ -112,6 +113,7 @@
     struct KcAdapterState *adapter;
     uint32_t version;
     bool coming;        /* on its way, not usable yet */
+    bool lost;          /* its keeper was lost while it was on its way */
     bool gone;          /* kept for the requests that still use it */
     uint32_t in_flight; /* requests of this gateway that use it */
     uint32_t uses;      /* since the keeper was last told */
--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -460,6 +460,18 @@
     return NULL;
 }
 
+static bool
+has_empty(const KcKeeper *keeper)
+{
+    const KcSlot *slot;
+    uint32_t used = 0;
+
+    TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
+        used += slot->state != KC_SLOT_EMPTY ? 1 : 0;
+    }
+    return used < keeper->residency.slot_target;
+}
+
 static bool
 any_evicting(const KcKeeper *keeper)
 {
@@ -522,6 +534,14 @@
     if (!KcPace_Allows(&keeper->pace, now)) {
         return false;
     }
+    if (slot != NULL && !has_empty(keeper)) {
+        /* Until the old version has gone, both take a place. */
+        make_place(keeper, &stuck, now);
+        if (stuck) {
+            tell_want(keeper, want, KC_HELD_GONE);
+        }
+        return stuck;
+    }
     if (slot != NULL) {
         /* A newer version takes the place of the old one in one order; the
          * engine lets requests on the old one finish first. */
@@ -733,7 +753,7 @@
     KcModelState *model;
     KcSlot *slot;
 
-    if (held->adapter[0] == '\0' || held->coming ||
+    if (held->adapter[0] == '\0' ||
         !make_key(held->model, held->adapter, key)) {
         return;
     }
@@ -744,6 +764,12 @@
     slot = empty_slot(keeper);
     KcResidency_BeginLoad(&keeper->residency, slot, model, 0, now);
     set_version(slot, held->version);
+    if (held->coming) {
+        /* An order that had no answer is being carried out after all. */
+        KcPace_Begin(&keeper->pace, now);
+        tell(keeper, NULL, slot, KC_HELD_COMING);
+        return;
+    }
     KcResidency_EndLoad(slot, 0, now);
     slot->ordered = now - FRESH;
     tell(keeper, NULL, slot, KC_HELD_LOADED);
