--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -13,17 +13,31 @@
  * platform brings records back within two seconds of an outage. */
 #define MISSING (2200 * KC_MS)
 
-/* A gap between two calls above this is taken for a pause of the process;
- * without requests it means nothing. */
-#define PAUSE (100 * KC_MS)
+/* While requests are in flight a timer fires this often; when it is late by
+ * more than the second, the process was not run for a while, and knows
+ * nothing of what its servers did meanwhile. */
+#define TICK (100 * KC_MS)
+#define TICK_LATE (60 * KC_MS)
+
+static void
+on_tick(KcTimer *timer, KcTime now)
+{
+    KcGateway *gateway = timer->owner;
+
+    if (now - timer->due > TICK_LATE) {
+        gateway->awake_at = now;
+    }
+    if (gateway->in_flight > 0) {
+        KcTimers_Set(gateway->options.timers, timer, now + TICK);
+    }
+}
 
 void
-KcGateway_Note(KcGateway *gateway, KcTime now)
+KcGateway_Watch(KcGateway *gateway, KcTime now)
 {
-    if (now - gateway->seen_at > PAUSE) {
-        gateway->awake_at = now;
+    if (!gateway->tick.set) {
+        KcTimers_Set(gateway->options.timers, &gateway->tick, now + TICK);
     }
-    gateway->seen_at = now;
 }
 
 void
@@ -49,6 +63,7 @@
                 options->region_of(options->context, options->datacentre),
                 KC_NAME_MAX);
     TAILQ_INIT(&gateway->forwards);
+    KcTimer_Init(&gateway->tick, on_tick, gateway);
     KcGateway_InitServers(gateway);
     return gateway;
 }
@@ -57,6 +72,7 @@
 KcGateway_Free(KcGateway *gateway)
 {
     assert(TAILQ_EMPTY(&gateway->forwards));
+    KcTimers_Clear(gateway->options.timers, &gateway->tick);
     KcGateway_ClearServers(gateway);
     KcRouting_Unref(gateway->routing);
     free(gateway);
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -22,6 +22,8 @@
 #define OVERLOAD_COST (800 * KC_MS)
 /* Cost of a server whose sendings all fail. */
 #define FAILURE_COST (1 * KC_SECOND)
+/* Its failures are forgotten after this. */
+#define FAILURE_FADE (4 * KC_SECOND)
 /* A server that has requests and says nothing for so long is avoided; with
  * several streams, events come every few tens of milliseconds. */
 #define MUTE_AFTER (400 * KC_MS)
@@ -133,12 +135,25 @@
     return LOAD_COST + OVERLOAD_COST * (load - places) / places;
 }
 
+/* Failures count less with time, so that a server is tried again. */
+static KcTime
+failure_cost(const KcServer *server, KcTime now)
+{
+    KcTime age = now - server->failed_at;
+
+    if (server->failure_share == 0 || age >= FAILURE_FADE) {
+        return 0;
+    }
+    return (KcTime)(server->failure_share * FAILURE_COST) *
+           (FAILURE_FADE - age) / FAILURE_FADE;
+}
+
 static KcTime
 cost_of(const KcServer *server, KcTime now)
 {
     KcTime cost = distance_cost[server->distance] +
                   load_cost(KcServer_Load(server, now), server->places) +
-                  (KcTime)(server->failure_share * FAILURE_COST);
+                  failure_cost(server, now);
 
     if (server->suspect_until > now) {
         cost += FAILURE_COST + (server->suspect_until - now);
@@ -197,7 +212,7 @@
         KcTime cost;
 
         if (holding->server->pool != forward->pool ||
-            !KcHolding_Usable(holding) ||
+            !KcHolding_Usable(holding, now) ||
             !may_use(forward, holding->server)) {
             continue;
         }
@@ -228,13 +243,13 @@
 }
 
 static bool
-has_current(const KcForward *forward, const KcServer *server)
+has_current(const KcForward *forward, const KcServer *server, KcTime now)
 {
     const KcHolding *holding;
 
     TAILQ_FOREACH (holding, &forward->adapter->holdings, of_adapter) {
         if (holding->server == server &&
-            (holding->coming || KcHolding_Usable(holding))) {
+            (holding->coming || KcHolding_Usable(holding, now))) {
             return true;
         }
     }
@@ -301,7 +316,7 @@
             KcServer_IsMute(server, now) ||
             KcServer_Load(server, now) * 100 >=
                 server->places * HOME_PERCENT ||
-            is_full(forward, server, now) || has_current(forward, server) ||
+            is_full(forward, server, now) || has_current(forward, server, now) ||
             (held && !has_model(server, forward->adapter->model))) {
             continue;
         }
@@ -321,15 +336,17 @@
 
 /* Is a further copy worth while beside this holder? */
 static bool
-copy_wanted(const KcForward *forward, const KcServer *holder, KcTime now)
+copy_wanted(const KcForward *forward, const KcHolding *best, KcTime now)
 {
     const KcAdapterState *adapter = forward->adapter;
+    const KcServer *holder = best->server;
 
     if (adapter->name[0] == '\0' || coming_holding(forward) != NULL ||
         now - adapter->wanted_at < COPY_INTERVAL) {
         return false;
     }
-    return KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT ||
+    return best->version < adapter->newest ||
+           KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT ||
            in_trouble(holder, now) ||
            (holder->distance != KC_DISTANCE_DATACENTRE &&
             adapter->rate > COPY_RATE);
@@ -338,9 +355,11 @@
 /* A copy for being near is nearer than the holder; one for its load is
  * anywhere. */
 static KcDistance
-copy_distance(const KcServer *holder, KcTime now)
+copy_distance(const KcHolding *best, KcTime now)
 {
+    const KcServer *holder = best->server;
     bool filled =
+        best->version < best->adapter->newest ||
         KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT;
 
     if (filled || in_trouble(holder, now) ||
@@ -357,8 +376,8 @@
     KcHolding *best = best_holding(forward, now, &lowest);
     KcHolding *coming;
 
-    if (best != NULL && copy_wanted(forward, best->server, now)) {
-        choice->copy_at = home_of(forward, copy_distance(best->server, now),
+    if (best != NULL && copy_wanted(forward, best, now)) {
+        choice->copy_at = home_of(forward, copy_distance(best, now),
                                   now);
     }
     if (best != NULL && !is_full(forward, best->server, now) &&
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -152,8 +152,7 @@
     KcForwardRefusal refusal = {.error = forward->error,
                                 .may_have_run = may_have_run};
 
-    if (refusal.error.code == KC_ERR_BUSY ||
-        refusal.error.code == KC_ERR_NO_BACKEND) {
+    if (!may_have_run) {
         refusal.retry_after = RETRY_AFTER;
     }
     KcCounters_Add(forward->gateway->options.counters,
@@ -381,6 +380,8 @@
         forward = TAILQ_FIRST(&adapter->waiting);
         is_last = forward == last;
         if (refused != NULL && forward->server == refused) {
+            KcError_Set(&forward->error, KC_ERR_LOAD_FAILED, "load",
+                        refused->id);
             note_tried(forward, refused);
         }
         KcForward_Dispatch(forward, now);
@@ -444,7 +445,6 @@
     KcForward *forward;
 
     *slot = NULL;
-    KcGateway_Note(gateway, now);
     KcCounters_Add(gateway->options.counters, KC_COUNT_REQUESTS, 1);
     if (gateway->routing == NULL) {
         refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route");
@@ -466,6 +466,7 @@
     KcRetryBudget_Deposit(&forward->pool->budget);
     TAILQ_INSERT_TAIL(&gateway->forwards, forward, link);
     gateway->in_flight++;
+    KcGateway_Watch(gateway, now);
     *slot = forward;
     KcForward_Dispatch(forward, now);
 }
@@ -500,7 +501,6 @@
 {
     KcForward *forward = timer->owner;
 
-    KcGateway_Note(forward->gateway, now);
     if (now >= forward->give_up) {
         fail(forward, KC_ERR_DEADLINE,
              forward->sending != NULL ? "await answer" : "await place", now);
@@ -575,14 +575,6 @@
           forward->state == KC_FORWARD_STREAMING ? "stream" : "send", now);
 }
 
-/* Bytes of an answer have come. */
-static void
-hear(KcForward *forward, KcTime now)
-{
-    KcGateway_Note(forward->gateway, now);
-    forward->server->heard_at = now;
-}
-
 /* The server did not run the request. */
 static void
 on_not_run(KcForward *forward, const KcReply *reply, KcTime now)
@@ -611,7 +603,7 @@
     const KcForwardOps *ops = forward->ops;
 
     assert(forward->sending != NULL);
-    hear(forward, now);
+    forward->server->heard_at = now;
     if (reply->not_run) {
         on_not_run(forward, reply, now);
         return;
@@ -641,7 +633,7 @@
 KcForward_OnBegin(KcForward *forward, const KcReply *reply, KcTime now)
 {
     assert(forward->sending != NULL && !reply->not_run);
-    hear(forward, now);
+    forward->server->heard_at = now;
     forward->state = KC_FORWARD_STREAMING;
     forward->head = reply->head;
 }
@@ -664,7 +656,7 @@
                   KcTime now)
 {
     assert(forward->sending != NULL);
-    hear(forward, now);
+    forward->server->heard_at = now;
     if (has_id && forward->has_event && id != forward->last_event + 1) {
         withdraw(forward);
         go_on(forward, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL, "event id", now);
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -29,16 +29,13 @@
     uint64_t draws;      /* state of the random numbers */
     KcTime refuse_streams; /* no stream is accepted from this time */
     KcTime refuse_all;     /* nor anything else from this one */
-    KcTime seen_at;      /* time of the last call */
     KcTime awake_at;     /* this process was awake ever since */
+    KcTimer tick;        /* notices pauses while requests are in flight */
     KcTimer sweep;       /* forgets servers that stay missing */
 };
 
-/*
- * Notes the present time.  A process that was not run for a while knows
- * nothing of what its servers did meanwhile.
- */
-void KcGateway_Note(KcGateway *gateway, KcTime now);
+/* Makes sure that pauses of this process are noticed. */
+void KcGateway_Watch(KcGateway *gateway, KcTime now);
 
 /* ---- servers and adapters (gateway_servers.c) ---------------------------- */
 
@@ -47,7 +44,7 @@
                              const char *name, KcTime now);
 
 /* True when the holding can serve a request now. */
-bool KcHolding_Usable(const KcHolding *holding);
+bool KcHolding_Usable(const KcHolding *holding, KcTime now);
 /* Counts a request in and out. */
 void KcHolding_Begin(KcGateway *gateway, KcHolding *holding, KcTime now);
 void KcHolding_End(KcGateway *gateway, KcHolding *holding);
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -18,6 +18,9 @@
 #define SUSPECT_LAST (2 * KC_SECOND)
 /* Weight of the newest sending in aged shares and times. */
 #define AGING 0.1
+/* An older version goes on serving for so long after a newer one was
+ * announced, while that is being loaded; half of the platform's bound. */
+#define VERSION_SWITCH (2500 * KC_MS)
 /* The aged count of an adapter's uses halves in this time. */
 #define RATE_HALF_LIFE (5 * KC_SECOND)
 
@@ -123,6 +126,20 @@
     return adapter;
 }
 
+/* Once the newest version is loaded anywhere, the older ones serve no more. */
+static void
+note_held_version(KcAdapterState *adapter)
+{
+    const KcHolding *holding;
+
+    TAILQ_FOREACH (holding, &adapter->holdings, of_adapter) {
+        if (!holding->coming && !holding->gone &&
+            holding->version >= adapter->newest) {
+            adapter->required = adapter->newest;
+        }
+    }
+}
+
 void
 KcGateway_OnVersion(KcGateway *gateway, const char *model,
                     const char *adapter_name, uint32_t version, KcTime now)
@@ -131,17 +148,22 @@
 
     if (version > adapter->newest) {
         adapter->newest = version;
-        KcGateway_DispatchWaiting(adapter, NULL, now);
+        adapter->newest_at = now;
+        note_held_version(adapter);
     }
 }
 
 /* ---- holdings ------------------------------------------------------------ */
 
 bool
-KcHolding_Usable(const KcHolding *holding)
+KcHolding_Usable(const KcHolding *holding, KcTime now)
 {
+    const KcAdapterState *adapter = holding->adapter;
+    bool must_be_newest = now - adapter->newest_at >= VERSION_SWITCH;
+
     return !holding->coming && !holding->gone &&
-           holding->version >= holding->adapter->newest;
+           holding->version >=
+               (must_be_newest ? adapter->newest : adapter->required);
 }
 
 static KcHolding *
@@ -248,6 +270,7 @@
     holding->version = version;
     holding->coming = coming;
     holding->gone = false;
+    note_held_version(adapter);
 }
 
 void
@@ -622,6 +645,7 @@
         return;
     }
     server->failure_share += (1.0 - server->failure_share) * AGING;
+    server->failed_at = now;
     if (end == KC_ATTEMPT_FAILED) {
         return; /* it answers, if not well */
     }
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -81,6 +81,7 @@
                          * there was none in flight */
     uint32_t failures;  /* in a row */
     double failure_share; /* aged share of sendings that failed */
+    KcTime failed_at;     /* time of the last one; the share fades */
     KcTime slow;          /* aged time to an answer; 0: not known */
     KcTime suspect_until; /* not chosen before this time */
     bool keeper;          /* its keeper's word is known and counts */
@@ -127,6 +128,8 @@
     char name[KC_NAME_MAX]; /* "" for the base model */
     uint64_t hash;
     uint32_t newest;        /* version announced; 0: none */
+    KcTime newest_at;       /* when it was */
+    uint32_t required;      /* older versions serve no more */
     double rate;            /* aged count of uses by this gateway */
     KcTime rate_at;
     KcTime wanted_at;       /* a further copy was last asked for */
