Learn which instance the engine is, so that a restarted one gets its model

Besides, each order without an answer held the keeper for 500 ms, and an adapter was refused as soon as every place was in use.

Ruled out: the weight store's rate (15 of 32 adapters a second were brought).

Change: the id is asked for by the health path once a start of the worker, an order without an answer is looked up after 100 ms and given again, wants wait up to a second for a place, the most urgent first.

--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -135,7 +135,6 @@
 } KcMsgPart;
 
 typedef struct KcMsgWant {
-    char server[KC_NAME_MAX]; /* id of the engine that is meant */
     char model[KC_NAME_MAX];
     char adapter[KC_NAME_MAX];
     uint32_t version;  /* at least; 0: any */
--- a/lib/connection/message_table.c
+++ b/lib/connection/message_table.c
@@ -78,7 +78,6 @@
 static const KcField part_fields[] = {NAME(part.hash), BYTES(part.bytes)};
 
 static const KcField want_fields[] = {
-    NAME(want.server),
     NAME(want.model),
     NAME(want.adapter),
     U32(want.version),
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -313,7 +313,7 @@
         if ((home != NULL && rank <= highest) ||
             server->distance > farthest || !may_use(forward, server) ||
             server->gone_at != 0 || server->suspect_until > now ||
-            KcServer_IsMute(server, now) ||
+            server->crowded_until > now || KcServer_IsMute(server, now) ||
             KcServer_Load(server, now) * 100 >=
                 server->places * HOME_PERCENT ||
             is_full(forward, server, now) || has_current(forward, server, now) ||
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -16,6 +16,8 @@
 #define PATIENCE_PERCENT 75
 /* Longest wait for one server to load an adapter. */
 #define LOAD_WAIT (1500 * KC_MS)
+/* A server whose keeper could not load an adapter is not asked for so long. */
+#define CROWDED (200 * KC_MS)
 /* Hint to a caller that was refused for lack of places. */
 #define RETRY_AFTER (400 * KC_MS)
 /* Requests tried for each place that becomes free. */
@@ -376,6 +378,9 @@
     KcForward *last = TAILQ_LAST(&adapter->waiting, KcForwardList);
     bool is_last = last == NULL;
 
+    if (refused != NULL && !is_last) {
+        refused->crowded_until = now + CROWDED;
+    }
     while (!is_last) {
         forward = TAILQ_FIRST(&adapter->waiting);
         is_last = forward == last;
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -84,6 +84,7 @@
     KcTime failed_at;     /* time of the last one; the share fades */
     KcTime slow;          /* aged time to an answer; 0: not known */
     KcTime suspect_until; /* not chosen before this time */
+    KcTime crowded_until; /* its keeper has no place for an adapter */
     bool keeper;          /* its keeper's word is known and counts */
     void *peer;           /* the program's: connections to it */
     TAILQ_HEAD(, KcHolding) holdings;
--- a/lib/process/kcc_keeper.h
+++ b/lib/process/kcc_keeper.h
@@ -39,6 +39,17 @@
     KcServerInfo info; /* born and held */
 } KcEngineReport;
 
+/* One decision, for the log, with what decided it. */
+typedef struct KcKeeperRecord {
+    const char *decision; /* static text, e.g. "load" */
+    const KcOrder *order;
+    int code;
+    uint32_t places; /* for adapters */
+    uint32_t in_use; /* of these, by requests in flight */
+    uint32_t coming; /* adapters on their way */
+    uint32_t wants;  /* requests for adapters that wait */
+} KcKeeperRecord;
+
 typedef struct KcKeeperOps {
     /* Orders the engine; answered by KcKeeper_OnOrder(), later. */
     void (*order)(void *context, const KcOrder *order);
@@ -47,8 +58,7 @@
     /* Tells every gateway, or one link when it is given. */
     void (*tell)(void *context, KcLink *link, const char *model,
                  const char *adapter, uint32_t version, KcHeldState state);
-    void (*record)(void *context, const char *decision, const KcOrder *order,
-                   int code, KcTime now);
+    void (*record)(void *context, const KcKeeperRecord *record);
 } KcKeeperOps;
 
 typedef struct KcKeeperOptions {
--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -18,9 +18,11 @@
 #define LOAD_GRACE (400 * KC_MS)
 /* An adapter is not evicted so soon after it was loaded: the gateway that
  * asked for it has not told of its use yet. */
-#define FRESH (1 * KC_SECOND)
-/* Delay before the engine is asked again after a call without an answer. */
+#define FRESH (400 * KC_MS)
+/* Delay before the engine is asked again after a call without an answer, and
+ * before another order after one that was refused. */
 #define RETRY (100 * KC_MS)
+#define REFUSED_DELAY (50 * KC_MS)
 /* Requests for adapters that are remembered; more are refused. */
 #define WANTS_MAX 256
 /* A request for an adapter is given up when it could not be begun for so
@@ -86,10 +88,13 @@
     uint64_t sequence;
     int64_t born;
     bool known;       /* the engine has told its state */
+    KcTime not_before; /* no order before this time */
     bool asking;      /* a report is outstanding */
     bool ordering;    /* an order is outstanding */
     KcOrder order;    /* the outstanding one */
     KcSlot *slot;     /* that it concerns; NULL for a base model */
+    KcSlot *unsure;   /* its order had no answer; looked at with the next
+                       * report */
     KcTimer timer;    /* the next report */
 };
 
@@ -286,17 +291,33 @@
 }
 
 static void
-record(KcKeeper *keeper, const char *decision, int code, KcTime now)
+record_order(KcKeeper *keeper, const char *decision, const KcOrder *request,
+             int code)
 {
-    keeper->options.ops->record(keeper->options.context, decision,
-                                &keeper->order, code, now);
+    KcKeeperRecord entry = {.decision = decision,
+                            .order = request,
+                            .code = code,
+                            .places = keeper->residency.slot_target,
+                            .coming = keeper->pace.in_flight,
+                            .wants = keeper->want_count};
+    const KcSlot *slot;
+
+    TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
+        entry.in_use += slot->foreign > 0 ? 1 : 0;
+    }
+    keeper->options.ops->record(keeper->options.context, &entry);
+}
+
+static void
+record(KcKeeper *keeper, const char *decision, int code)
+{
+    record_order(keeper, decision, &keeper->order, code);
 }
 
 /* ---- orders -------------------------------------------------------------- */
 
 static void
-order(KcKeeper *keeper, KcSlot *slot, bool unload, uint32_t version,
-      KcTime now)
+order(KcKeeper *keeper, KcSlot *slot, bool unload, uint32_t version)
 {
     keeper->order = (KcOrder){.unload = unload,
                               .version = version,
@@ -305,7 +326,7 @@
     split_key(slot, keeper->order.model, keeper->order.adapter);
     keeper->ordering = true;
     keeper->slot = slot;
-    record(keeper, unload ? "unload" : "load", 0, now);
+    record(keeper, unload ? "unload" : "load", 0);
     keeper->options.ops->order(keeper->options.context, &keeper->order);
 }
 
@@ -321,13 +342,14 @@
     KcPace_Begin(&keeper->pace, now);
     KcCounters_Add(keeper->options.counters, KC_COUNT_LOADS, 1);
     tell(keeper, NULL, slot, KC_HELD_COMING);
-    order(keeper, slot, false, want->version, now);
+    order(keeper, slot, false, want->version);
 }
 
 static void
 end_load(KcKeeper *keeper, KcSlot *slot, int code, KcTime now)
 {
-    KcPace_End(&keeper->pace, code, now);
+    /* Loads only fail for reasons that a slower pace would not mend. */
+    KcPace_End(&keeper->pace, 0, now);
     if (code != 0) {
         KcCounters_Add(keeper->options.counters, KC_COUNT_LOAD_FAILURES, 1);
         tell(keeper, NULL, slot, KC_HELD_GONE);
@@ -352,7 +374,7 @@
     KcName_Copy(keeper->order.model, name, KC_NAME_MAX);
     keeper->ordering = true;
     keeper->slot = NULL;
-    record(keeper, "load", 0, now);
+    record(keeper, "load", 0);
     keeper->options.ops->order(keeper->options.context, &keeper->order);
 }
 
@@ -456,7 +478,7 @@
     KcResidency_BeginEvict(residency, slot, now);
     KcCounters_Add(keeper->options.counters, KC_COUNT_EVICTIONS, 1);
     tell(keeper, NULL, slot, KC_HELD_GONE);
-    order(keeper, slot, true, 0, now);
+    order(keeper, slot, true, 0);
     return NULL;
 }
 
@@ -492,14 +514,28 @@
                               want->adapter, want->version, state);
 }
 
-/* Serves one want; true when it is done with. */
+static void
+record_want(KcKeeper *keeper, const char *decision, const Want *want)
+{
+    KcOrder request = {.version = want->version,
+                       .fence = keeper->fence,
+                       .sequence = keeper->sequence};
+
+    KcName_Copy(request.model, want->model, KC_NAME_MAX);
+    KcName_Copy(request.adapter, want->adapter, KC_NAME_MAX);
+    record_order(keeper, decision, &request, KC_ERR_BUSY);
+}
+
+/*
+ * Serves one want; true when it is done with.  *stuck is set when every place
+ * is in use, and no place is looked for when it is set already.
+ */
 static bool
-serve(KcKeeper *keeper, Want *want, KcTime now)
+serve(KcKeeper *keeper, Want *want, bool *stuck, KcTime now)
 {
     char key[KEY_MAX];
     KcModelState *model;
     KcSlot *slot;
-    bool stuck = false;
     const Base *base = find_base(keeper, want->model);
     const KcEngineModel *kind =
         KcEngineCapacity_Model(&keeper->capacity, want->model);
@@ -531,16 +567,13 @@
         tell(keeper, NULL, slot, KC_HELD_LOADED);
         return true;
     }
-    if (!KcPace_Allows(&keeper->pace, now)) {
+    if (*stuck || !KcPace_Allows(&keeper->pace, now)) {
         return false;
     }
     if (slot != NULL && !has_empty(keeper)) {
         /* Until the old version has gone, both take a place. */
-        make_place(keeper, &stuck, now);
-        if (stuck) {
-            tell_want(keeper, want, KC_HELD_GONE);
-        }
-        return stuck;
+        make_place(keeper, stuck, now);
+        return false;
     }
     if (slot != NULL) {
         /* A newer version takes the place of the old one in one order; the
@@ -551,8 +584,9 @@
         order_load(keeper, slot, want, now);
         return true;
     }
-    slot = make_place(keeper, &stuck, now);
-    if (stuck || (slot != NULL && !fits(keeper, kind->adapter_megabytes))) {
+    slot = make_place(keeper, stuck, now);
+    if (slot != NULL && !fits(keeper, kind->adapter_megabytes)) {
+        record_want(keeper, "no memory", want);
         tell_want(keeper, want, KC_HELD_GONE);
         return true;
     }
@@ -568,10 +602,11 @@
     Want *want;
     Want *next;
     const char *base;
+    bool stuck = false;
 
     if (!keeper->known || keeper->fence == 0 ||
         keeper->residency.slot_target == 0 || keeper->ordering ||
-        keeper->asking) {
+        keeper->asking || now < keeper->not_before) {
         return;
     }
     base = missing_base(keeper);
@@ -580,6 +615,7 @@
     }
     TAILQ_FOREACH_SAFE (want, &keeper->wants, link, next) {
         if (now - want->since > WANT_LIFE) {
+            record_want(keeper, "expired", want);
             tell_want(keeper, want, KC_HELD_GONE);
             free_want(keeper, want);
             continue;
@@ -587,7 +623,7 @@
         if (keeper->ordering || keeper->asking || any_evicting(keeper)) {
             break;
         }
-        if (serve(keeper, want, now)) {
+        if (serve(keeper, want, &stuck, now)) {
             free_want(keeper, want);
         }
     }
@@ -611,7 +647,7 @@
 plan(KcKeeper *keeper, KcTime now)
 {
     bool moving = keeper->pace.in_flight > 0 || any_evicting(keeper) ||
-                  any_base_loading(keeper);
+                  any_base_loading(keeper) || !TAILQ_EMPTY(&keeper->wants);
 
     if (!keeper->ordering && !keeper->asking) {
         KcTimers_Set(keeper->options.timers, &keeper->timer,
@@ -643,13 +679,19 @@
     case KC_ORDER_UNKNOWN:
         /* What holds is read from the engine before anything else. */
         record(keeper, end == KC_ORDER_REFUSED ? "refused" : "no answer",
-               end == KC_ORDER_REFUSED ? KC_ERR_CONFLICT : KC_ERR_LOST, now);
+               end == KC_ORDER_REFUSED ? KC_ERR_CONFLICT : KC_ERR_LOST);
         if (end == KC_ORDER_REFUSED && slot == NULL) {
             free_base(keeper, find_base(keeper, keeper->order.model));
         }
         else if (end == KC_ORDER_REFUSED && !keeper->order.unload) {
             end_load(keeper, slot, KC_ERR_LOAD_FAILED, now);
         }
+        if (end == KC_ORDER_UNKNOWN) {
+            keeper->unsure = slot;
+        }
+        else {
+            keeper->not_before = now + REFUSED_DELAY;
+        }
         keeper->known = false;
         on_timer(&keeper->timer, now);
         return;
@@ -828,6 +870,7 @@
 {
     KcSlot *slot;
 
+    keeper->unsure = NULL;
     if (keeper->born != 0) {
         KcCounters_Add(keeper->options.counters, KC_COUNT_ENGINE_RESTARTS, 1);
     }
@@ -845,6 +888,32 @@
     }
 }
 
+/*
+ * An order that had no answer and, by the report, has not been carried out is
+ * given again.  Should the first one be carried out late, the number of orders
+ * that it expects is no longer right.
+ */
+static void
+order_again(KcKeeper *keeper, const KcEngineReport *report)
+{
+    KcSlot *slot = keeper->unsure;
+    bool held;
+
+    keeper->unsure = NULL;
+    if (slot == NULL || keeper->fence == 0 || slot->state == KC_SLOT_EMPTY) {
+        return;
+    }
+    held = find_held(report, slot) != NULL;
+    if ((slot->state == KC_SLOT_LOADING && !held) ||
+        (slot->state == KC_SLOT_EVICTING && held)) {
+        keeper->order.sequence = keeper->sequence;
+        keeper->order.fence = keeper->fence;
+        keeper->ordering = true;
+        keeper->slot = slot;
+        keeper->options.ops->order(keeper->options.context, &keeper->order);
+    }
+}
+
 void
 KcKeeper_OnReport(KcKeeper *keeper, const KcEngineReport *report, KcTime now)
 {
@@ -871,12 +940,28 @@
         adopt(keeper, held, now);
     }
     keeper->known = true;
+    order_again(keeper, report);
     pump(keeper, now);
     plan(keeper, now);
 }
 
 /* ---- gateways ------------------------------------------------------------ */
 
+/* The most urgent first, then the oldest. */
+static void
+insert_want(KcKeeper *keeper, Want *want)
+{
+    Want *at;
+
+    TAILQ_FOREACH (at, &keeper->wants, link) {
+        if (at->priority > want->priority) {
+            TAILQ_INSERT_BEFORE(at, want, link);
+            return;
+        }
+    }
+    TAILQ_INSERT_TAIL(&keeper->wants, want, link);
+}
+
 void
 KcKeeper_OnWant(KcKeeper *keeper, const char *model, const char *adapter,
                 uint32_t version, uint32_t priority, KcTime now)
@@ -906,7 +991,7 @@
     want->version = version;
     want->priority = priority;
     want->since = now;
-    TAILQ_INSERT_TAIL(&keeper->wants, want, link);
+    insert_want(keeper, want);
     keeper->want_count++;
     pump(keeper, now);
     plan(keeper, now);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -223,7 +223,6 @@
                  .u.want = {.version = request->version,
                             .priority = request->priority}};
 
-    KcName_Copy(msg.u.want.server, request->server->id, KC_NAME_MAX);
     KcName_Copy(msg.u.want.model, request->adapter->model, KC_NAME_MAX);
     KcName_Copy(msg.u.want.adapter, request->adapter->name, KC_NAME_MAX);
     if (peer->link != NULL) {
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -18,8 +18,9 @@
  * engine, which hardly changes.  Until it is known, and afterwards. */
 #define RELIST_UNKNOWN (500 * KC_MS)
 #define RELIST_KNOWN (15 * KC_SECOND)
-/* Wait for an answer of the engine, on the same machine. */
-#define ENGINE_TIMEOUT (500 * KC_MS)
+/* Wait for an answer of the engine, on the same machine: it answers within
+ * a few milliseconds or not at all. */
+#define ENGINE_TIMEOUT (100 * KC_MS)
 /* Collection of the keepers' records. */
 #define KEEPERS "kcc-keepers"
 
@@ -90,7 +91,6 @@
         greet(role, link);
         break;
     case KC_MSG_WANT:
-        role->platform->name_engine(role->engine, msg->u.want.server);
         KcKeeper_OnWant(role->keeper, msg->u.want.model, msg->u.want.adapter,
                         msg->u.want.version, msg->u.want.priority, now);
         break;
@@ -170,20 +170,21 @@
                       KcLoop_Now());
 }
 
-/* One line for every order and its end. */
+/* One line for every order, its end, and what could not be served. */
 static void
-record(void *context, const char *decision, const KcOrder *request, int code,
-       KcTime now)
+record(void *context, const KcKeeperRecord *entry)
 {
-    KcLogFields fields = {.step = decision, .code = code};
+    KcLogFields fields = {.step = entry->decision, .code = entry->code};
+    const KcOrder *request = entry->order;
 
     (void)context;
-    (void)now;
     KcLog_Write(KC_LOG_INFO, &fields,
-                "order model=%s adapter=%s version=%u fence=%" PRIu64
-                " sequence=%" PRIu64,
+                "model=%s adapter=%s version=%u fence=%" PRIu64
+                " sequence=%" PRIu64
+                " places=%u in_use=%u coming=%u wants=%u",
                 request->model, request->adapter, request->version,
-                request->fence, request->sequence);
+                request->fence, request->sequence, entry->places,
+                entry->in_use, entry->coming, entry->wants);
 }
 
 static const KcKeeperOps keeper_ops = {order, report, tell, record};
@@ -229,6 +230,7 @@
         fields.generation = routing->version;
         KcLog_Write(KC_LOG_INFO, &fields, "engine takes %u adapters",
                     service->engine.adapter_slots);
+        role->platform->set_health(role->engine, service->health_path);
         KcFeed_SetPace(role->routing, RELIST_KNOWN, RELIST_KNOWN);
         KcKeeper_SetCapacity(role->keeper, &service->engine, now);
     }
--- a/programs/process/platform.h
+++ b/programs/process/platform.h
@@ -62,8 +62,8 @@
     /* The engine beside a keeper. */
     KcEngineClient *(*open_engine)(const KcEngineOptions *options);
     void (*close_engine)(KcEngineClient *engine);
-    /* Names the engine that is meant by the orders that follow. */
-    void (*name_engine)(KcEngineClient *engine, const char *id);
+    /* Path at which the engine says which instance it is. */
+    void (*set_health)(KcEngineClient *engine, const char *path);
     void (*order)(KcEngineClient *engine, const KcOrder *order);
     void (*report)(KcEngineClient *engine);
 } KcPlatform;
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -24,6 +24,7 @@
     KcLoop *loop;
     KcHttpPool *pool;
     char address[KC_ADDRESS_MAX];
+    const char *report; /* static text */
     KcTime timeout;
     KcTime connect;
     KcTimer timer;
@@ -113,7 +114,7 @@
 {
     KcHttpCall *call = owner;
     const char *type = KcHttpMessage_Find(message, "Content-Type");
-    const char *etag = KcHttpMessage_Find(message, "ETag");
+    const char *etag = KcHttpMessage_Find(message, call->report);
     KcHttpHead head = {.status = message->status,
                        .content_type = type != NULL ? type : "",
                        .etag = etag != NULL ? etag : ""};
@@ -257,6 +258,7 @@
     call->context = options->context;
     call->loop = options->loop;
     call->pool = options->pool;
+    call->report = options->report != NULL ? options->report : "ETag";
     call->timeout = options->timeout;
     call->connect = options->connect > 0 ? options->connect : options->timeout;
     call->retired.take_down = take_down;
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -13,7 +13,7 @@
 typedef struct KcHttpHead {
     int status;
     const char *content_type; /* "" when absent */
-    const char *etag;         /* "" when absent */
+    const char *etag;         /* or the header asked for; "" when absent */
 } KcHttpHead;
 
 /* Progress of a call.  head and data may be NULL. */
@@ -43,6 +43,7 @@
     const char *method;
     const char *path;
     KcHttpHeader headers[KC_HTTP_HEADERS_MAX];
+    const char *report; /* header reported in place of ETag; NULL: ETag */
     KcBytes body;
     KcTime timeout; /* without progress */
     KcTime connect; /* for connecting; 0: timeout */
