--- a/programs/connection/http_peer.c
+++ b/programs/connection/http_peer.c
@@ -255,6 +255,10 @@
     return 0;
 }
 
+/* What the parser takes from on_headers_complete(). */
+#define HEADERS_STOP (-1)
+#define HEADERS_NO_BODY 1
+
 static int
 on_headers_complete(http_parser *parser)
 {
@@ -263,7 +267,8 @@
     int code = build_message(peer);
 
     if (code != 0) {
-        return stop(peer, code);
+        peer->error = code;
+        return HEADERS_STOP;
     }
     message->old = parser->http_major < 1 ||
                    (parser->http_major == 1 && parser->http_minor < 1);
@@ -274,7 +279,8 @@
     if (parser->type == HTTP_REQUEST) {
         message->method = http_method_str((enum http_method)parser->method);
         if (parser->upgrade) {
-            return stop(peer, KC_ERR_PARSE); /* no other protocol is spoken */
+            peer->error = KC_ERR_PARSE; /* no other protocol is spoken */
+            return HEADERS_STOP;
         }
     }
     else {
@@ -282,9 +288,9 @@
     }
     peer->options.ops->head(peer->options.owner, message);
     if (peer->closed) {
-        return 1;
+        return HEADERS_STOP;
     }
-    return peer->no_body ? 1 : 0;
+    return peer->no_body ? HEADERS_NO_BODY : 0;
 }
 
 static int
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -32,8 +32,9 @@
 #define DRAIN_REFUSE (2800 * KC_MS)
 /* Everything is refused so long before the end of a stop. */
 #define DRAIN_LAST (1500 * KC_MS)
-/* A process without requests ends so long after a stop began, whoever still
- * connects to it. */
+/* A process without requests ends so long after a stop began: until then the
+ * balancer may send new connections, and afterwards whoever still connects
+ * finds another. */
 #define DRAIN_END (3200 * KC_MS)
 /* A stop is over this long before the platform ends the process. */
 #define DRAIN_MARGIN (300 * KC_MS)
@@ -641,8 +642,7 @@
     GatewayRole *role = context;
 
     return KcGateway_InFlight(role->gateway) == 0 &&
-           (KcGatewayFront_Empty(role->front) ||
-            KcLoop_Now() >= role->drain_began + DRAIN_END);
+           KcLoop_Now() >= role->drain_began + DRAIN_END;
 }
 
 static void
--- a/programs/request/front.c
+++ b/programs/request/front.c
@@ -450,9 +450,3 @@
         }
     }
 }
-
-bool
-KcGatewayFront_Empty(const KcGatewayFront *front)
-{
-    return front->count == 0;
-}
--- a/programs/request/front.h
+++ b/programs/request/front.h
@@ -30,9 +30,6 @@
  * connections are closed after the given time.
  */
 void KcGatewayFront_Drain(KcGatewayFront *front, KcTime idle_until);
-/* True when no connection is left. */
-bool KcGatewayFront_Empty(const KcGatewayFront *front);
-
 /* The request of a caller, as given to KcForwardOps. */
 const KcHttpMessage *KcGatewayFront_Message(const void *caller);
 KcBytes KcGatewayFront_Body(const void *caller);
