--- a/programs/kccd/main.c
+++ b/programs/kccd/main.c
@@ -99,6 +99,7 @@
     Arguments arguments = {NULL, false, false};
     KcProblemList problems = TAILQ_HEAD_INITIALIZER(problems);
     KcSettings settings;
+    int status;
 
     argp_parse(&argp, argc, argv, 0, NULL, &arguments);
     if (arguments.reference) {
@@ -108,11 +109,15 @@
     if (KcSettings_Read(arguments.file, &settings, &problems) != 0) {
         KcProblem_Print(stderr, &problems);
         KcProblem_Clear(&problems);
+        KcSettings_Clear(&settings);
         return EXIT_SETTINGS;
     }
     if (arguments.check) {
         printf("%s: ok\n", arguments.file);
+        KcSettings_Clear(&settings);
         return 0;
     }
-    return run(&settings);
+    status = run(&settings);
+    KcSettings_Clear(&settings);
+    return status;
 }
