Soak real processes under random faults; ask the store less often

A soak of gateways, keepers and stand-ins: kills, stops, freezes, SIGHUP, misbehaving store and workers, loopback proxies that delay, reset, cut one way and silence, configurations and versions, overlapping and in series. It judges at most once, refusals, bytes, order of streams, places of engines, and recovery by the newest configuration.

It found: a feed that was poked within its own failure asked twice and asserted; a call that could not be started was reported after it had been withdrawn; a Model header on a plain service was taken for a model.

Keepers now tell first of a worker that leaves, so the watch of servers is taken up once in 1.5 s, and those of what seldom changes wait 10 s; a feed that loses or regains the store makes the others ask.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,9 @@
 fuzz-check: lib
 	$(MAKE) -C tests fuzz-check
 
+soak: programs
+	$(MAKE) -C tests soak
+
 mutants:
 	sh tests/mutants/run.sh
 
@@ -89,5 +92,5 @@
 	rm -rf build
 
 .PHONY: all lib programs tests-build deps demo check check-built fuzz \
-    fuzz-check mutants bench bench-control format format-check lint install \
+    fuzz-check soak mutants bench bench-control format format-check lint install \
     clean $(LIB_PACKAGES)
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -91,7 +91,8 @@
 static bool
 may_use(const KcForward *forward, const KcServer *server)
 {
-    return !server->leaving && !was_tried(forward, server);
+    return !server->leaving && !server->told_leaving &&
+           !was_tried(forward, server);
 }
 
 /* Prompts and answers at the server against its memory, in percent. */
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -400,6 +400,7 @@
        KcTime now)
 {
     KcForward *forward = KcMem_New(sizeof(*forward));
+    const KcRoutedService *service;
     const KcRouteTarget *target;
     KcTime wait = rule->objective / QUEUE_PART;
 
@@ -409,7 +410,9 @@
     forward->routing = KcRouting_Ref(gateway->routing);
     forward->rule = rule;
     forward->pool = KcGateway_Pool(gateway, target->service);
-    if (call->model[0] != '\0') {
+    service = KcRouting_Service(gateway->routing, target->service);
+    if (call->model[0] != '\0' && service != NULL &&
+        service->engine.present) {
         forward->adapter =
             KcGateway_Adapter(gateway, call->model, call->adapter, now);
     }
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -334,7 +334,12 @@
     KcHolding *holding;
 
     server->keeper = true;
+    if (state == KC_HELD_LEAVING) {
+        server->told_leaving = true;
+        return;
+    }
     if (state == KC_HELD_NOTHING) {
+        server->told_leaving = false;
         drop_all(gateway, server, false);
         return;
     }
@@ -456,6 +461,7 @@
 {
     drop_all(gateway, server, true);
     server->keeper = false;
+    server->told_leaving = false;
     server->others = 0;
     server->load_at = 0;
     server->failures = 0;
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -70,7 +70,8 @@
     int64_t born;
     KcDistance distance;
     uint32_t places;
-    bool leaving;    /* takes no new request */
+    bool leaving;    /* takes no new request, by its record */
+    bool told_leaving; /* the same, by its keeper */
     KcTime gone_at;  /* its record has been missing since; 0: it is there */
     uint32_t epoch;  /* of the list that it was in */
     uint32_t in_flight; /* requests of this gateway */
@@ -225,6 +226,7 @@
     KC_HELD_COMING,
     KC_HELD_LOADED,
     KC_HELD_NOTHING, /* forget all: the server started anew */
+    KC_HELD_LEAVING, /* the server itself takes no new requests */
     KC_HELD_STATE_COUNT
 } KcHeldState;
 
--- a/lib/process/kcc_keeper.h
+++ b/lib/process/kcc_keeper.h
@@ -35,6 +35,7 @@
 /* What an engine says of itself; see KcServerInfo.held for its adapters. */
 typedef struct KcEngineReport {
     uint64_t sequence;
+    bool leaving;      /* it takes no new requests */
     bool busy;         /* it is loading or unloading a base model */
     KcServerInfo info; /* born and held */
 } KcEngineReport;
--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -79,6 +79,7 @@
     KcPace pace;
     struct BaseList bases;
     char last_base[KC_NAME_MAX]; /* loaded again after a restart */
+    bool leaving;                /* the engine takes no new requests */
     bool busy;                   /* the engine works on a base model */
     struct WantList wants;
     uint32_t want_count;
@@ -104,7 +105,7 @@
 KcKeeperOptions_Init(KcKeeperOptions *options)
 {
     *options =
-        (KcKeeperOptions){.inspect = 1 * KC_SECOND, .watch = 40 * KC_MS};
+        (KcKeeperOptions){.inspect = 500 * KC_MS, .watch = 40 * KC_MS};
 }
 
 static void
@@ -932,6 +933,11 @@
         start_anew(keeper, report, now);
     }
     keeper->busy = report->busy;
+    if (report->leaving && !keeper->leaving) {
+        keeper->options.ops->tell(keeper->options.context, NULL, "", "", 0,
+                                  KC_HELD_LEAVING);
+    }
+    keeper->leaving = report->leaving;
     compare_bases(keeper, report, now);
     TAILQ_FOREACH (slot, &keeper->residency.slots, link) {
         compare_slot(keeper, slot, report, now);
@@ -1060,6 +1066,10 @@
     (void)now;
     keeper->options.ops->tell(keeper->options.context, link, "", "", 0,
                               KC_HELD_NOTHING);
+    if (keeper->leaving) {
+        keeper->options.ops->tell(keeper->options.context, link, "", "", 0,
+                                  KC_HELD_LEAVING);
+    }
     TAILQ_FOREACH (base, &keeper->bases, link) {
         keeper->options.ops->tell(
             keeper->options.context, link, base->name, "", base->version,
--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -45,7 +45,7 @@
     else {
         feed->state = FEED_WATCHING;
         options->ops->watch(options->store, feed, options->kind,
-                            feed->revision);
+                            feed->revision, options->wait);
     }
 }
 
@@ -89,6 +89,17 @@
     feed->options.relist = relist;
 }
 
+void
+KcFeed_Poke(KcFeed *feed, KcTime now)
+{
+    if (feed->state != FEED_WATCHING) {
+        return;
+    }
+    feed->options.ops->cancel(feed->options.store, feed);
+    feed->must_list = true;
+    call(feed, now);
+}
+
 bool
 KcFeed_Listed(const KcFeed *feed)
 {
@@ -113,9 +124,11 @@
     return feed->options.kind;
 }
 
+/* The call is over; what is told of it may poke the feed. */
 static void
 heard(KcFeed *feed, KcTime now)
 {
+    feed->state = FEED_IDLE;
     feed->heard_at = now;
     if (feed->lost) {
         feed->lost = false;
@@ -183,6 +196,7 @@
     /* A list that broke off begins again: its first pages may be old.  After
      * a failure a list is asked for, since it is answered at once, while a
      * watch that is never answered looks like one that has nothing to tell. */
+    feed->state = FEED_IDLE;
     feed->after[0] = '\0';
     feed->must_list = true;
     if (code == KC_ERR_NOT_FOUND) {
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -16,9 +16,10 @@
     /* Asks for the page after a name ("" for the first). */
     void (*list)(void *store, KcFeed *feed, const char *kind,
                  const char *after);
-    /* Asks for what changed after a revision, as soon as something does. */
+    /* Asks for what changed after a revision, as soon as something does, or
+     * for an empty answer after the wait. */
     void (*watch)(void *store, KcFeed *feed, const char *kind,
-                  uint64_t revision);
+                  uint64_t revision, KcTime wait);
     /* Withdraws the outstanding call; it is not answered then. */
     void (*cancel)(void *store, KcFeed *feed);
 } KcFeedOps;
@@ -37,6 +38,7 @@
     KcTimers *timers;
     const char *kind; /* static text */
     KcTime retry;     /* delay after a call that failed */
+    KcTime wait;      /* longest wait of one watch */
     KcTime gather;    /* delay between two watches, to take changes together */
     KcTime relist;    /* the list is read anew after this time; 0: never */
     /* A list begins: what it does not tell of is gone when it has ended. */
@@ -58,6 +60,10 @@
  * anew, from the next call on. */
 void KcFeed_SetPace(KcFeed *feed, KcTime gather, KcTime relist);
 
+/* Lists at once instead of going on to wait: the store was lost or is back,
+ * as another feed found out. */
+void KcFeed_Poke(KcFeed *feed, KcTime now);
+
 /* True once a whole list has been told. */
 bool KcFeed_Listed(const KcFeed *feed);
 /* True while the last call was answered. */
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -15,9 +15,14 @@
 
 /* Delay after a failed call of the store. */
 #define STORE_RETRY (200 * KC_MS)
-/* Changes of servers and versions are taken together for this long: each
- * call of the store is priced. */
-#define GATHER (500 * KC_MS)
+/* Changes of servers are taken together for this long: each call of the
+ * store is priced, and keepers tell first of servers that leave. */
+#define GATHER_SERVERS (1500 * KC_MS)
+/* The same of announced versions. */
+#define GATHER_VERSIONS (500 * KC_MS)
+/* Watches of what seldom changes wait so long; the watch of servers, which
+ * is answered all the time, is the one that notices a lost store. */
+#define WAIT_SELDOM (10 * KC_SECOND)
 /* The records of gateways are only listed, this often. */
 #define GATHER_GATEWAYS (20 * KC_SECOND)
 /* Keepers are told of uses at most this often. */
@@ -351,15 +356,21 @@
     KcLog_Write(KC_LOG_WARN, &fields, "record cannot be used");
 }
 
+/* The store was lost or regained: what still waits for an answer of before is
+ * asked again. */
 static void
 on_contact(void *context, int code, KcTime now)
 {
+    GatewayRole *role = context;
     KcLogFields fields = {.step = "store", .code = code};
 
-    (void)context;
-    (void)now;
     KcLog_Write(code == 0 ? KC_LOG_INFO : KC_LOG_WARN, &fields,
                 code == 0 ? "store answers again" : "store does not answer");
+    for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
+        if (role->feeds[i] != NULL) {
+            KcFeed_Poke(role->feeds[i], now);
+        }
+    }
 }
 
 static void
@@ -496,9 +507,9 @@
     void (*listed)(void *context, KcTime now);
 } feed_rows[KC_COLLECTION_COUNT] = {
     [KC_COLLECTION_ROUTING] = {0, 0, begins_nothing, on_routing, listed_nothing},
-    [KC_COLLECTION_SERVERS] = {GATHER, 0, servers_begin, on_server,
+    [KC_COLLECTION_SERVERS] = {GATHER_SERVERS, 0, servers_begin, on_server,
                                servers_listed},
-    [KC_COLLECTION_VERSIONS] = {GATHER, 0, begins_nothing, on_version,
+    [KC_COLLECTION_VERSIONS] = {GATHER_VERSIONS, 0, begins_nothing, on_version,
                                 listed_nothing},
     [KC_COLLECTION_GATEWAYS] = {GATHER_GATEWAYS, GATHER_GATEWAYS, gateways_begin, on_gateway,
                                 gateways_listed},
@@ -507,12 +518,17 @@
 static void
 start_feeds(GatewayRole *role)
 {
+    const KcSettings *settings = role->parts.settings;
+
     for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
         KcFeedOptions options = {.ops = role->platform->feed,
                                  .store = role->store,
                                  .timers = role->parts.loop->timers,
                                  .kind = role->platform->collections[i],
                                  .retry = STORE_RETRY,
+                                 .wait = i == KC_COLLECTION_SERVERS
+                                             ? settings->watch_ms * KC_MS
+                                             : WAIT_SELDOM,
                                  .gather = feed_rows[i].gather,
                                  .relist = feed_rows[i].relist,
                                  .begins = feed_rows[i].begins,
@@ -725,7 +741,6 @@
     KcStoreOptions store = {.loop = role->parts.loop,
                             .address = settings->objects,
                             .timeout = settings->object_timeout_ms * KC_MS,
-                            .wait = settings->watch_ms * KC_MS,
                             .counters = &role->parts.counters};
 
     role->store = role->platform->open_store(&store);
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -17,7 +17,7 @@
 /* The configuration is only listed: of it a keeper needs the capacity of the
  * engine, which hardly changes.  Until it is known, and afterwards. */
 #define RELIST_UNKNOWN (500 * KC_MS)
-#define RELIST_KNOWN (15 * KC_SECOND)
+#define RELIST_KNOWN (60 * KC_SECOND)
 /* Wait for an answer of the engine, on the same machine: it answers within
  * a few milliseconds or not at all. */
 #define ENGINE_TIMEOUT (100 * KC_MS)
@@ -396,13 +396,13 @@
     KcStoreOptions store = {.loop = role->parts.loop,
                             .address = settings->objects,
                             .timeout = settings->object_timeout_ms * KC_MS,
-                            .wait = settings->watch_ms * KC_MS,
                             .counters = &role->parts.counters};
     KcFeedOptions feed = {
         .ops = role->platform->feed,
         .timers = role->parts.loop->timers,
         .kind = role->platform->collections[KC_COLLECTION_ROUTING],
         .retry = STORE_RETRY,
+        .wait = settings->watch_ms * KC_MS,
         .gather = RELIST_UNKNOWN,
         .relist = RELIST_UNKNOWN,
         .begins = begins,
--- a/programs/process/platform.h
+++ b/programs/process/platform.h
@@ -14,7 +14,6 @@
     KcLoop *loop;
     const char *address;
     KcTime timeout; /* of a call that does not wait */
-    KcTime wait;    /* longest wait of one watch */
     KcCounters *counters;
 } KcStoreOptions;
 
--- a/tests/daemons/yard.c
+++ b/tests/daemons/yard.c
@@ -17,7 +17,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#define PORT 9100
+#define PORT YARD_PORT
 #define READY_PORT 9101
 #define ADMIN_PORT 9102
 #define KEEPER_PORT 9103
@@ -44,6 +44,12 @@
     return (Process *)&yard->processes[role][number];
 }
 
+const char *
+Yard_Folder(const Yard *yard)
+{
+    return yard->folder;
+}
+
 const char *
 Yard_Address(const Yard *yard, YardRole role, int number)
 {
@@ -269,9 +275,8 @@
     char program[TEXT * 2];
 
     snprintf(program, sizeof(program), "%s/%s", build_folder(), words[0]);
-    snprintf(log, sizeof(log), "%s/%d-%d.log",
-             yard->options.log != NULL ? yard->options.log : yard->folder,
-             (int)role, number);
+    snprintf(log, sizeof(log), "%s/%d-%d.log", yard->folder, (int)role,
+             number);
     process->pid = fork();
     if (process->pid == 0) {
         int fd = open(log, O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -300,7 +305,7 @@
 
     host_of(yard, YARD_STORE, 0, host);
     snprintf(address, TEXT, "%s:%d", host,
-             yard->options.store_port != 0 ? yard->options.store_port : PORT);
+             yard->options.proxies ? YARD_PROXY_PORT : PORT);
 }
 
 static const char *
@@ -351,6 +356,7 @@
     char store[HOST * 2];
     char seed[TEXT];
     char id[TEXT];
+    char told[TEXT];
     char host[HOST];
     const char *words[] = {"standin-worker",
                            process->address,
@@ -360,12 +366,16 @@
                            zone_of(number),
                            role == YARD_LLM ? "llm" : "plain",
                            seed,
+                           told,
                            NULL};
     const char *store_words[] = {"standin-store", process->address, seed,
                                  NULL};
 
     host_of(yard, YARD_STORE, 0, host);
     snprintf(store, sizeof(store), "%s:%d", host, PORT);
+    host_of(yard, role, number, host);
+    snprintf(told, sizeof(told), "%s:%d", host,
+             yard->options.proxies ? YARD_PROXY_PORT : PORT);
     snprintf(seed, sizeof(seed), "%llu",
              (unsigned long long)yard->options.seed + (uint64_t)number);
     snprintf(id, sizeof(id), "%s-%d", role == YARD_LLM ? "llm" : "plain",
@@ -482,7 +492,8 @@
             start(yard, order[i], number);
         }
     }
-    for (int number = 0; number < options->gateways; number++) {
+    for (int number = 0; !options->proxies && number < options->gateways;
+         number++) {
         if (!Yard_AwaitReady(yard, number)) {
             fprintf(stderr, "gateway %d is not ready, see %s\n", number,
                     yard->folder);
--- a/tests/daemons/yard.h
+++ b/tests/daemons/yard.h
@@ -25,14 +25,17 @@
     int plain;
     int gateways;
     uint64_t seed;
-    const char *log;     /* directory for the processes' output, or NULL */
-    uint16_t store_port; /* at which gateways and keepers look for the store;
-                          * 0: the store's own */
+    bool proxies; /* store and workers are reached through YARD_PROXY_PORT of
+                   * their machine, where the caller has a proxy */
 } YardOptions;
 
+/* Where the store and workers listen, and where their proxies do. */
+#define YARD_PORT 9100
+#define YARD_PROXY_PORT 9200
+
 typedef struct Yard Yard;
 
-/* Starts everything and waits until every gateway is ready. */
+/* Starts everything and, without proxies, waits for the gateways. */
 Yard *Yard_Start(const YardOptions *options);
 /* Ends every process and forgets the yard. */
 void Yard_Stop(Yard *yard);
@@ -47,6 +50,9 @@
 /* Waits until a gateway says that it is ready; false after 10 s. */
 bool Yard_AwaitReady(Yard *yard, int number);
 
+/* Folder with the output of each process, ROLE-NUMBER.log. */
+const char *Yard_Folder(const Yard *yard);
+
 /* Sets a knob of a stand-in, "NAME=VALUE". */
 void Yard_Set(Yard *yard, YardRole role, int number, const char *knob);
 /* State of a stand-in; the caller drops the reference. */
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -194,6 +194,8 @@
     KcRouting *routing = KcRouting_Create((uint64_t)atoi(words[1]));
     KcError error;
 
+    KcRouting_AddService(routing, "llm")->engine.present = true;
+    KcRouting_AddService(routing, "plain");
     add_rule(routing, "/s/", KC_KIND_SAFE, false);
     add_rule(routing, "/u/", KC_KIND_UNSAFE, false);
     add_rule(routing, "/t/", KC_KIND_STREAM, false);
@@ -379,7 +381,7 @@
 step_held(Script *script, char **words)
 {
     static const char *const names[KC_HELD_STATE_COUNT] = {
-        "gone", "coming", "loaded", "nothing"};
+        "gone", "coming", "loaded", "nothing", "leaving"};
     KcHeldState state = KC_HELD_GONE;
 
     while (strcmp(names[state], words[4]) != 0) {
@@ -565,6 +567,7 @@
      PLAIN "peers 10;req 1 /u/x;notrun 1;req 2 /u/x;notrun 2;req 3 /u/x;"
            "notrun 3",
      "1>a; 1>b; 2>a; 2>b; 3>a; 3:not run busy; "},
+    {"a plain service has no models", PLAIN "req 1 /s/x m/x", "1>a; "},
     /* adapters */
     {"a held adapter", LLM "req 1 /t/x m/x", "1>a; "},
     {"the base model", LLM "req 1 /t/x m", "1>a; "},
@@ -613,6 +616,11 @@
     {"a mute holder is left",
      LLM "req 1 /t/x m/x;wait 450;req 2 /t/x m/x;held b x 1 loaded",
      "1>a; ?b x@0; 2>b; "},
+    {"a server that its keeper says leaves",
+     "config 1;srv a llm 4 m x@1;srv b llm 4 at=near m x@1;held a x 1 leaving;"
+     "req 1 /t/x m/x;srv a llm 4 m x@1;req 2 /t/x m/x;"
+     "srv a llm 4 born=2 m x@1;req 3 /t/x m/x",
+     "1>b; 2>b; 3>a; "},
     /* streams */
     {"a stream", LLM "req 1 /t/x m/x;begin 1;event 1 0;event 1 1;end 1",
      "1>a; 1:begin; 1:0; 1:1; 1:end; "},
--- a/tests/process/test_keeper.c
+++ b/tests/process/test_keeper.c
@@ -62,7 +62,7 @@
         uint32_t version, KcHeldState state)
 {
     static const char *const names[KC_HELD_STATE_COUNT] = {
-        "gone", "coming", "loaded", "nothing"};
+        "gone", "coming", "loaded", "nothing", "leaving"};
     Script *script = context;
 
     (void)link;
@@ -119,7 +119,10 @@
         bool coming = (*word)[0] == '+';
         char **parts = g_strsplit(*word + (coming ? 1 : 0), "@", 2);
 
-        if (strcmp(*word, "busy") == 0) {
+        if (strcmp(*word, "leaving") == 0) {
+            report.leaving = true;
+        }
+        else if (strcmp(*word, "busy") == 0) {
             report.busy = true;
         }
         else if (parts[1] == NULL) {
@@ -318,6 +321,9 @@
      READY_TRACE "a=coming; L a@0 #0; a=gone; ?; ?; "},
     {"no answer stops orders", LOAD_A ";wait 1000;norep;want b 0;wait 100",
      LOAD_A_TRACE "?; ?; "},
+    {"an engine that leaves is told",
+     LOAD_A ";wait 1000;rep 1 1 m a@1 leaving;wait 500;rep 1 1 m a@1 leaving",
+     LOAD_A_TRACE "?; =leaving; ?; "},
     {"a lost adapter is told", LOAD_A ";wait 1000;rep 1 1 m",
      LOAD_A_TRACE "?; a=gone; "},
     {"a version that changed is told", LOAD_A ";wait 1000;rep 2 1 m a@3",
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -4,8 +4,9 @@
  * It remembers every request that it ran, for tests that ask whether one ran
  * twice, or after it was said not to run.
  *
- *   standin-worker ADDRESS STORE ID SERVICE ZONE KIND [SEED]
- * KIND is plain or llm.
+ *   standin-worker ADDRESS STORE ID SERVICE ZONE KIND [SEED [TOLD]]
+ * KIND is plain or llm; TOLD is the address that its record gives.  Each run
+ * is a line "run REQUEST" on standard output, which outlives the process.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -42,6 +43,7 @@
 
 static Raw raw;
 static const char *address;
+static const char *told; /* address in the record */
 static const char *store;
 static const char *id;
 static const char *service;
@@ -121,7 +123,7 @@
     bool create = strcmp(method, "POST") == 0;
     json_t *object = json_pack(
         "{s:{s:s}, s:{s:s, s:s, s:s, s:s, s:I, s:s, s:i, s:o, s:I, s:I}}",
-        "meta", "name", id, "spec", "service", service, "address", address,
+        "meta", "name", id, "spec", "service", service, "address", told,
         "zone", zone, "version", "v1", "slots",
         (json_int_t)Raw_Knob(&raw, "places"), "state",
         Raw_Knob(&raw, "draining") != 0 ? "draining" : "ready",
@@ -164,6 +166,8 @@
     Run *run;
 
     run_count++;
+    printf("run %s\n", request);
+    fflush(stdout);
     HASH_FIND_STR(runs, request, run);
     if (run == NULL) {
         run = KcMem_New(sizeof(*run));
@@ -506,10 +510,11 @@
 {
     if (argc < 7) {
         fprintf(stderr, "standin-worker ADDRESS STORE ID SERVICE ZONE KIND "
-                        "[SEED]\n");
+                        "[SEED [TOLD]]\n");
         return 2;
     }
     address = argv[1];
+    told = argc > 8 ? argv[8] : address;
     store = argv[2];
     id = argv[3];
     service = argv[4];
