--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -84,10 +84,70 @@
     return rows[counter].help;
 }
 
+static const struct {
+    const char *name;
+    const char *help;
+} time_rows[KC_TIME_MAX] = {
+    [KC_TIME_FIRST] = {"kcc_first_byte_seconds",
+                       "Time of requests until the first byte of an answer."},
+    [KC_TIME_TOTAL] = {"kcc_request_seconds", "Time of requests."},
+    [KC_TIME_PLACE] = {"kcc_place_seconds",
+                       "Time of requests until they were first sent."},
+    [KC_TIME_LOAD] = {"kcc_load_seconds", "Time of loads of adapters."},
+};
+
+/* Upper bounds of all buckets but the last, in milliseconds. */
+static const int bounds_ms[KC_TIME_BUCKETS - 1] = {
+    5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000};
+
+void
+KcCounters_Time(KcCounters *counters, KcTimeKind kind, KcTime time)
+{
+    KcTimes *times = &counters->times[kind];
+    size_t bucket = 0;
+
+    assert(kind < KC_TIME_MAX);
+    while (bucket < KC_TIME_BUCKETS - 1 && time > bounds_ms[bucket] * KC_MS) {
+        bucket++;
+    }
+    times->bucket[bucket]++;
+    times->count++;
+    times->sum += time;
+}
+
+/* Room for one line of text. */
+#define LINE_MAX_SIZE 160
+
+static size_t
+format_times(char *text, size_t capacity, const KcTimes *times, int kind)
+{
+    const char *name = time_rows[kind].name;
+    uint64_t below = 0;
+    size_t used = (size_t)snprintf(text, capacity,
+                                   "# HELP %s %s\n# TYPE %s histogram\n",
+                                   name, time_rows[kind].help, name);
+
+    for (int i = 0; i < KC_TIME_BUCKETS - 1; i++) {
+        below += times->bucket[i];
+        used += (size_t)snprintf(text + used, capacity - used,
+                                 "%s_bucket{le=\"%g\"} %" PRIu64 "\n", name,
+                                 bounds_ms[i] / 1000.0, below);
+    }
+    used += (size_t)snprintf(text + used, capacity - used,
+                             "%s_bucket{le=\"+Inf\"} %" PRIu64
+                             "\n%s_sum %g\n%s_count %" PRIu64 "\n",
+                             name, times->count, name,
+                             (double)times->sum / KC_SECOND, name,
+                             times->count);
+    assert(used < capacity);
+    return used;
+}
+
 char *
 KcCounters_Format(const KcCounters *counters)
 {
-    size_t capacity = (size_t)KC_COUNT_MAX * 256;
+    size_t lines = KC_COUNT_MAX * 3 + KC_TIME_MAX * (KC_TIME_BUCKETS + 4);
+    size_t capacity = lines * LINE_MAX_SIZE;
     char *text = KcMem_New(capacity);
     size_t used = 0;
 
@@ -98,5 +158,9 @@
             rows[i].help, rows[i].name, rows[i].name, counters->value[i]);
         assert(used < capacity);
     }
+    for (int i = 0; i < KC_TIME_MAX; i++) {
+        used += format_times(text + used, capacity - used, &counters->times[i],
+                             i);
+    }
     return text;
 }
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -109,6 +109,24 @@
     }
 }
 
+/* Adds the request's times to the distributions. */
+static void
+count_times(const KcForward *forward, KcTime now)
+{
+    KcCounters *counters = forward->gateway->options.counters;
+    KcTime first =
+        forward->first_event_at != 0 ? forward->first_event_at : now;
+
+    KcCounters_Time(counters, KC_TIME_TOTAL, now - forward->arrived);
+    if (forward->first_sent_at != 0) {
+        KcCounters_Time(counters, KC_TIME_PLACE,
+                        forward->first_sent_at - forward->arrived);
+    }
+    if (forward->begun) {
+        KcCounters_Time(counters, KC_TIME_FIRST, first - forward->arrived);
+    }
+}
+
 /* Takes the request out of everything and frees it. */
 static void
 dispose(KcForward *forward, const char *outcome, int status,
@@ -123,6 +141,7 @@
                               .now = now};
 
     gateway->options.ops->record(gateway->options.context, &record);
+    count_times(forward, now);
     leave_list(forward);
     withdraw(forward);
     KcTimers_Clear(gateway->options.timers, &forward->timer);
@@ -218,6 +237,7 @@
     forward->state = KC_FORWARD_SENT;
     forward->server = server;
     forward->sent_at = now;
+    forward->first_sent_at = forward->sends == 0 ? now : forward->first_sent_at;
     forward->sends++;
     if (server->in_flight == 0) {
         server->heard_at = now;
@@ -632,6 +652,7 @@
         KcServer_NoteSuccess(forward->server, now - forward->sent_at);
     }
     release(forward);
+    forward->begun = true;
     ops->begin(forward->caller, reply->head, false);
     ops->data(forward->caller, reply->body);
     finish_end(forward, reply->status, now);
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -57,10 +57,32 @@
     KC_COUNT_MAX
 } KcCounter;
 
+/* Times whose distribution is kept; see KcCounters_Time(). */
+typedef enum KcTimeKind {
+    KC_TIME_FIRST = 0, /* of a request, until the first byte of its answer */
+    KC_TIME_TOTAL,     /* of a request, until its end */
+    KC_TIME_PLACE,     /* of a request, until it was first sent */
+    KC_TIME_LOAD,      /* of an adapter, from the order until it was there */
+    KC_TIME_MAX
+} KcTimeKind;
+
+/* Buckets of a distribution; the last has no bound. */
+#define KC_TIME_BUCKETS 12
+
+typedef struct KcTimes {
+    uint64_t bucket[KC_TIME_BUCKETS];
+    uint64_t count;
+    KcTime sum;
+} KcTimes;
+
 typedef struct KcCounters {
     uint64_t value[KC_COUNT_MAX];
+    KcTimes times[KC_TIME_MAX];
 } KcCounters;
 
+/* Adds a time to a distribution. */
+void KcCounters_Time(KcCounters *counters, KcTimeKind kind, KcTime time);
+
 /* Name for scrapers, e.g. "kcc_requests_total". */
 const char *KcCounter_Name(KcCounter counter);
 
@@ -73,7 +95,10 @@
     counters->value[counter] += amount;
 }
 
-/* Writes all counters in the text form of scrapers; the caller frees it. */
+/*
+ * Writes all counters and distributions in the text form of scrapers; the
+ * caller frees it.
+ */
 char *KcCounters_Format(const KcCounters *counters);
 
 /* Kinds of events on the time line. */
--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -356,6 +356,8 @@
         tell(keeper, NULL, slot, KC_HELD_GONE);
     }
     else {
+        KcCounters_Time(keeper->options.counters, KC_TIME_LOAD,
+                        now - slot->ordered);
         tell(keeper, NULL, slot, KC_HELD_LOADED);
     }
     KcResidency_EndLoad(slot, code, now);
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -136,7 +136,8 @@
     struct KcServer *server;   /* of the sending in progress, or that loads */
     struct KcHolding *holding; /* of its adapter there, counted as used */
     void *sending;             /* of the sending side */
-    KcTime sent_at;
+    KcTime sent_at;       /* last */
+    KcTime first_sent_at; /* 0: never */
     uint32_t sends;
     uint32_t runs; /* sendings that may have run */
     struct KcServer *tried[KC_FORWARD_TRIED_MAX];
--- a/programs/process/admin_http.c
+++ b/programs/process/admin_http.c
@@ -4,9 +4,12 @@
 #include "admin_http.h"
 
 #include <evhtp.h>
+#include <inttypes.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "log.h"
+
 #define BACKLOG 64
 
 struct KcAdmin {
@@ -40,6 +43,10 @@
     KcAdmin *admin = context;
     char *text = KcCounters_Format(admin->options.counters);
 
+    evbuffer_add_printf(http->buffer_out,
+                        "# TYPE kcc_log_dropped_total counter\n"
+                        "kcc_log_dropped_total %" PRIu64 "\n",
+                        KcLog_Dropped());
     reply_text(http, EVHTP_RES_OK, "text/plain; version=0.0.4", text);
     free(text);
 }
