--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -123,9 +123,9 @@
 {
     const char *name = time_rows[kind].name;
     uint64_t below = 0;
-    size_t used = (size_t)snprintf(text, capacity,
-                                   "# HELP %s %s\n# TYPE %s histogram\n",
-                                   name, time_rows[kind].help, name);
+    size_t used =
+        (size_t)snprintf(text, capacity, "# HELP %s %s\n# TYPE %s histogram\n",
+                         name, time_rows[kind].help, name);
 
     for (int i = 0; i < KC_TIME_BUCKETS - 1; i++) {
         below += times->bucket[i];
@@ -133,12 +133,12 @@
                                  "%s_bucket{le=\"%g\"} %" PRIu64 "\n", name,
                                  bounds_ms[i] / 1000.0, below);
     }
-    used += (size_t)snprintf(text + used, capacity - used,
-                             "%s_bucket{le=\"+Inf\"} %" PRIu64
-                             "\n%s_sum %g\n%s_count %" PRIu64 "\n",
-                             name, times->count, name,
-                             (double)times->sum / KC_SECOND, name,
-                             times->count);
+    used +=
+        (size_t)snprintf(text + used, capacity - used,
+                         "%s_bucket{le=\"+Inf\"} %" PRIu64
+                         "\n%s_sum %g\n%s_count %" PRIu64 "\n",
+                         name, times->count, name,
+                         (double)times->sum / KC_SECOND, name, times->count);
     assert(used < capacity);
     return used;
 }
@@ -159,8 +159,8 @@
         assert(used < capacity);
     }
     for (int i = 0; i < KC_TIME_MAX; i++) {
-        used += format_times(text + used, capacity - used, &counters->times[i],
-                             i);
+        used +=
+            format_times(text + used, capacity - used, &counters->times[i], i);
     }
     return text;
 }
--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -43,9 +43,8 @@
 void
 KcGatewayOptions_Init(KcGatewayOptions *options)
 {
-    *options = (KcGatewayOptions){.retry_percent = 20,
-                                  .retry_burst = 10,
-                                  .missing = MISSING};
+    *options = (KcGatewayOptions){
+        .retry_percent = 20, .retry_burst = 10, .missing = MISSING};
 }
 
 KcGateway *
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -41,8 +41,12 @@
 #define FILL_PERCENT 125
 /* Share of an engine's memory that is given out, in percent. */
 #define MEMORY_PERCENT 90
-/* A further copy is loaded when the best holder is filled above this. */
+/* A further copy is loaded when the best holder is filled above this, */
 #define COPY_PERCENT 60
+/* or takes more than this part of the objective to the first byte. */
+#define SLOW_PERCENT 60
+/* What is known of a server's time to the first byte fades in this time. */
+#define SLOW_FADE (2 * KC_SECOND)
 /* A copy is loaded nearer to this gateway above this aged count of uses. */
 #define COPY_RATE 20.0
 /* Time between two requests for a further copy of one adapter. */
@@ -73,8 +77,8 @@
         since = server->pool->gateway->awake_at;
     }
     return server->in_flight > 0 &&
-           now - since > (server->in_flight >= MUTE_BUSY ? MUTE_AFTER_BUSY
-                                                         : MUTE_AFTER);
+           now - since >
+               (server->in_flight >= MUTE_BUSY ? MUTE_AFTER_BUSY : MUTE_AFTER);
 }
 
 static bool
@@ -108,8 +112,8 @@
     }
     /* Requests of other gateways are taken to be like those of this one. */
     if (server->in_flight > 0 && load > server->in_flight) {
-        tokens += server->tokens * (load - server->in_flight) /
-                  server->in_flight;
+        tokens +=
+            server->tokens * (load - server->in_flight) / server->in_flight;
     }
     return tokens * 100 / service->engine.memory_tokens;
 }
@@ -149,12 +153,32 @@
            (FAILURE_FADE - age) / FAILURE_FADE;
 }
 
+/* Expected time to the first byte of an answer, as far as is known. */
+static KcTime
+first_byte(const KcServer *server, KcTime now)
+{
+    KcTime age = now - server->slow_at;
+
+    if (server->slow == 0 || age >= SLOW_FADE) {
+        return 0;
+    }
+    return server->slow * (SLOW_FADE - age) / SLOW_FADE;
+}
+
+/* Does the server answer so late that objectives are in danger? */
+static bool
+is_slow(const KcForward *forward, const KcServer *server, KcTime now)
+{
+    return first_byte(server, now) * 100 >
+           forward->rule->objective * SLOW_PERCENT;
+}
+
 static KcTime
 cost_of(const KcServer *server, KcTime now)
 {
     KcTime cost = distance_cost[server->distance] +
                   load_cost(KcServer_Load(server, now), server->places) +
-                  failure_cost(server, now);
+                  failure_cost(server, now) + first_byte(server, now);
 
     if (server->suspect_until > now) {
         cost += FAILURE_COST + (server->suspect_until - now);
@@ -311,13 +335,15 @@
     TAILQ_FOREACH (server, &forward->pool->servers, link) {
         uint64_t rank = rank_at(forward, server);
 
-        if ((home != NULL && rank <= highest) ||
-            server->distance > farthest || !may_use(forward, server) ||
-            server->gone_at != 0 || server->suspect_until > now ||
-            server->crowded_until > now || KcServer_IsMute(server, now) ||
+        if ((home != NULL && rank <= highest) || server->distance > farthest ||
+            !may_use(forward, server) || server->gone_at != 0 ||
+            server->suspect_until > now || server->crowded_until > now ||
+            KcServer_IsMute(server, now) ||
             KcServer_Load(server, now) * 100 >=
                 server->places * HOME_PERCENT ||
-            is_full(forward, server, now) || has_current(forward, server, now) ||
+            is_slow(forward, server, now) ||
+            is_full(forward, server, now) ||
+            has_current(forward, server, now) ||
             (held && !has_model(server, forward->adapter->model))) {
             continue;
         }
@@ -348,7 +374,7 @@
     }
     return best->version < adapter->newest ||
            KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT ||
-           in_trouble(holder, now) ||
+           is_slow(forward, holder, now) || in_trouble(holder, now) ||
            (holder->distance != KC_DISTANCE_DATACENTRE &&
             adapter->rate > COPY_RATE);
 }
@@ -356,11 +382,12 @@
 /* A copy for being near is nearer than the holder; one for its load is
  * anywhere. */
 static KcDistance
-copy_distance(const KcHolding *best, KcTime now)
+copy_distance(const KcForward *forward, const KcHolding *best, KcTime now)
 {
     const KcServer *holder = best->server;
     bool filled =
-        best->version < best->adapter->newest ||
+        is_slow(forward, holder, now) ||
+                  best->version < best->adapter->newest ||
         KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT;
 
     if (filled || in_trouble(holder, now) ||
@@ -378,8 +405,7 @@
     KcHolding *coming;
 
     if (best != NULL && copy_wanted(forward, best, now)) {
-        choice->copy_at = home_of(forward, copy_distance(best, now),
-                                  now);
+        choice->copy_at = home_of(forward, copy_distance(forward, best, now), now);
     }
     if (best != NULL && !is_full(forward, best->server, now) &&
         !(in_trouble(best->server, now) && choice->copy_at != NULL)) {
@@ -394,9 +420,9 @@
         choice->server = coming->server;
         return;
     }
-    choice->server = choice->copy_at != NULL ? choice->copy_at
-                                             : home_of(forward,
-                                                       KC_DISTANCE_REMOTE, now);
+    choice->server = choice->copy_at != NULL
+                         ? choice->copy_at
+                         : home_of(forward, KC_DISTANCE_REMOTE, now);
     choice->copy_at = NULL;
     if (choice->server != NULL &&
         (forward->adapter->name[0] != '\0' || !model_is_held(forward))) {
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -195,8 +195,8 @@
 {
     KcError_Set(&forward->error, code, step,
                 forward->server != NULL ? forward->server->id : "");
-    finish_failed(forward,
-                  forward->may_have_run || forward->sending != NULL, now);
+    finish_failed(forward, forward->may_have_run || forward->sending != NULL,
+                  now);
 }
 
 /* ---- sending ------------------------------------------------------------- */
@@ -234,10 +234,12 @@
         sending.version = choice->holding->version;
     }
     leave_list(forward);
+    forward->heard = false;
     forward->state = KC_FORWARD_SENT;
     forward->server = server;
     forward->sent_at = now;
-    forward->first_sent_at = forward->sends == 0 ? now : forward->first_sent_at;
+    forward->first_sent_at =
+        forward->sends == 0 ? now : forward->first_sent_at;
     forward->sends++;
     if (server->in_flight == 0) {
         server->heard_at = now;
@@ -392,7 +394,8 @@
 }
 
 void
-KcGateway_DispatchWaiting(KcAdapterState *adapter, KcServer *refused, KcTime now)
+KcGateway_DispatchWaiting(KcAdapterState *adapter, KcServer *refused,
+                          KcTime now)
 {
     KcForward *forward;
     KcForward *last = TAILQ_LAST(&adapter->waiting, KcForwardList);
@@ -431,8 +434,7 @@
     forward->rule = rule;
     forward->pool = KcGateway_Pool(gateway, target->service);
     service = KcRouting_Service(gateway->routing, target->service);
-    if (call->model[0] != '\0' && service != NULL &&
-        service->engine.present) {
+    if (call->model[0] != '\0' && service != NULL && service->engine.present) {
         forward->adapter =
             KcGateway_Adapter(gateway, call->model, call->adapter, now);
     }
@@ -444,9 +446,8 @@
     }
     forward->choose_until = now + (wait > QUEUE_LEAST ? wait : QUEUE_LEAST);
     forward->tokens = call->tokens_in + call->tokens_out;
-    forward->repeatable =
-        rule->kind == KC_KIND_SAFE ||
-        (rule->kind == KC_KIND_STREAM && rule->resumable);
+    forward->repeatable = rule->kind == KC_KIND_SAFE ||
+                          (rule->kind == KC_KIND_STREAM && rule->resumable);
     forward->has_event = call->resumes;
     forward->last_event = call->last_event;
     KcTimer_Init(&forward->timer, on_timer, forward);
@@ -512,12 +513,13 @@
 try_elsewhere(KcForward *forward, KcTime now)
 {
     KcServer *server = forward->server;
-    bool silent = forward->rule->kind != KC_KIND_STREAM ||
-                  KcServer_IsMute(server, now);
+    bool silent =
+        forward->rule->kind != KC_KIND_STREAM || KcServer_IsMute(server, now);
 
     if (!silent || forward->runs + 1 >= forward->rule->attempts_max ||
         !KcRetryBudget_Has(&forward->pool->budget)) {
-        set_timer(forward, silent ? forward->give_up : now + patience(forward));
+        set_timer(forward,
+                  silent ? forward->give_up : now + patience(forward));
         return;
     }
     withdraw(forward);
@@ -645,11 +647,12 @@
         go_on(forward, KC_ATTEMPT_FAILED, KC_ERR_BACKEND, "resume", now);
         return;
     }
+    KcServer_NoteFirst(forward->server, now - forward->sent_at, now);
     if (reply->status >= 500) {
         KcServer_NoteFailure(forward->server, KC_ATTEMPT_FAILED, now);
     }
     else {
-        KcServer_NoteSuccess(forward->server, now - forward->sent_at);
+        KcServer_NoteSuccess(forward->server);
     }
     release(forward);
     forward->begun = true;
@@ -672,6 +675,10 @@
 static void
 begin_stream(KcForward *forward, KcTime now)
 {
+    if (!forward->heard) {
+        forward->heard = true;
+        KcServer_NoteFirst(forward->server, now - forward->sent_at, now);
+    }
     if (forward->begun) {
         return;
     }
@@ -704,8 +711,7 @@
 {
     assert(forward->sending != NULL);
     begin_stream(forward, now);
-    KcServer_NoteSuccess(forward->server,
-                         forward->first_event_at - forward->sent_at);
+    KcServer_NoteSuccess(forward->server);
     release(forward);
     finish_end(forward, 200, now);
 }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -23,15 +23,15 @@
     TAILQ_HEAD(, KcHolding) untold;
     struct KcForwardList forwards;
     uint32_t in_flight;
-    uint32_t list_epoch; /* of the list of servers being told */
-    bool listed;         /* a whole list was told */
-    uint32_t gateways;   /* that share the retry budget */
-    uint64_t draws;      /* state of the random numbers */
+    uint32_t list_epoch;   /* of the list of servers being told */
+    bool listed;           /* a whole list was told */
+    uint32_t gateways;     /* that share the retry budget */
+    uint64_t draws;        /* state of the random numbers */
     KcTime refuse_streams; /* no stream is accepted from this time */
     KcTime refuse_all;     /* nor anything else from this one */
-    KcTime awake_at;     /* this process was awake ever since */
-    KcTimer tick;        /* notices pauses while requests are in flight */
-    KcTimer sweep;       /* forgets servers that stay missing */
+    KcTime awake_at;       /* this process was awake ever since */
+    KcTimer tick;          /* notices pauses while requests are in flight */
+    KcTimer sweep;         /* forgets servers that stay missing */
 };
 
 /* Makes sure that pauses of this process are noticed. */
@@ -41,7 +41,7 @@
 
 KcServerPool *KcGateway_Pool(KcGateway *gateway, const char *service);
 KcAdapterState *KcGateway_Adapter(KcGateway *gateway, const char *model,
-                             const char *name, KcTime now);
+                                  const char *name, KcTime now);
 
 /* True when the holding can serve a request now. */
 bool KcHolding_Usable(const KcHolding *holding, KcTime now);
@@ -54,7 +54,9 @@
 void KcHolding_Drop(KcGateway *gateway, KcHolding *holding);
 
 /* Notes how a sending to the server ended. */
-void KcServer_NoteSuccess(KcServer *server, KcTime took);
+void KcServer_NoteSuccess(KcServer *server);
+/* Notes the time from a sending to the first byte of its answer. */
+void KcServer_NoteFirst(KcServer *server, KcTime took, KcTime now);
 void KcServer_NoteFailure(KcServer *server, KcAttemptEnd end, KcTime now);
 
 void KcGateway_ClearServers(KcGateway *gateway);
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -18,6 +18,8 @@
 #define SUSPECT_LAST (2 * KC_SECOND)
 /* Weight of the newest sending in aged shares and times. */
 #define AGING 0.1
+/* The same for times to the first byte, which tell of load. */
+#define FIRST_AGING 0.2
 /* An older version goes on serving for so long after a newer one was
  * announced, while that is being loaded; half of the platform's bound. */
 #define VERSION_SWITCH (2500 * KC_MS)
@@ -62,8 +64,8 @@
 static bool
 adapter_idle(const KcAdapterState *adapter)
 {
-    return TAILQ_EMPTY(&adapter->holdings) &&
-           TAILQ_EMPTY(&adapter->waiting) && adapter->newest == 0;
+    return TAILQ_EMPTY(&adapter->holdings) && TAILQ_EMPTY(&adapter->waiting) &&
+           adapter->newest == 0;
 }
 
 static void
@@ -144,7 +146,8 @@
 KcGateway_OnVersion(KcGateway *gateway, const char *model,
                     const char *adapter_name, uint32_t version, KcTime now)
 {
-    KcAdapterState *adapter = KcGateway_Adapter(gateway, model, adapter_name, now);
+    KcAdapterState *adapter =
+        KcGateway_Adapter(gateway, model, adapter_name, now);
 
     if (version > adapter->newest) {
         adapter->newest = version;
@@ -219,10 +222,10 @@
     holding->in_flight++;
     holding->uses++;
     mark_untold(gateway, holding);
-    adapter->rate = age >= 2 * RATE_HALF_LIFE
-                        ? 0
-                        : adapter->rate *
-                              (1.0 - (double)age / (2.0 * RATE_HALF_LIFE));
+    adapter->rate =
+        age >= 2 * RATE_HALF_LIFE
+            ? 0
+            : adapter->rate * (1.0 - (double)age / (2.0 * RATE_HALF_LIFE));
     adapter->rate += 1.0;
     adapter->rate_at = now;
 }
@@ -354,8 +357,8 @@
         set_holding(server, adapter, version, state == KC_HELD_COMING);
     }
     if (state != KC_HELD_COMING) {
-        KcGateway_DispatchWaiting(
-            adapter, state == KC_HELD_GONE ? server : NULL, now);
+        KcGateway_DispatchWaiting(adapter,
+                                  state == KC_HELD_GONE ? server : NULL, now);
     }
 }
 
@@ -406,10 +409,10 @@
         pool->gateway = gateway;
         TAILQ_INIT(&pool->servers);
         TAILQ_INIT(&pool->queue);
-        KcRetryBudget_Init(&pool->budget, gateway->options.retry_percent,
-                           gateway->options.retry_burst /
-                               (gateway->gateways > 0 ? gateway->gateways
-                                                      : 1));
+        KcRetryBudget_Init(
+            &pool->budget, gateway->options.retry_percent,
+            gateway->options.retry_burst /
+                (gateway->gateways > 0 ? gateway->gateways : 1));
         /* An earlier process of this gateway may have spent its part. */
         pool->budget.tokens /= 2;
         HASH_ADD_STR(gateway->pools, service, pool);
@@ -509,11 +512,16 @@
 }
 
 void
-KcGateway_OnServerGone(KcGateway *gateway, const char *id, KcTime now)
+KcGateway_OnServerGone(KcGateway *gateway, const char *id, bool sure,
+                       KcTime now)
 {
     KcServer *server = KcGateway_Server(gateway, id);
 
-    if (server == NULL || server->gone_at != 0) {
+    if (server == NULL) {
+        return;
+    }
+    server->leaving = server->leaving || sure;
+    if (server->gone_at != 0) {
         return;
     }
     server->gone_at = now;
@@ -596,7 +604,7 @@
     HASH_ITER(hh, gateway->servers, server, next)
     {
         if (server->epoch != gateway->list_epoch) {
-            KcGateway_OnServerGone(gateway, server->id, now);
+            KcGateway_OnServerGone(gateway, server->id, false, now);
         }
     }
 }
@@ -631,15 +639,19 @@
 }
 
 void
-KcServer_NoteSuccess(KcServer *server, KcTime took)
+KcServer_NoteSuccess(KcServer *server)
 {
     server->failures = 0;
     server->suspect_until = 0;
     server->failure_share *= 1.0 - AGING;
-    server->slow = server->slow == 0
-                       ? took
-                       : server->slow + (KcTime)((double)(took - server->slow) *
-                                                 AGING);
+}
+
+void
+KcServer_NoteFirst(KcServer *server, KcTime took, KcTime now)
+{
+    server->slow +=
+        (KcTime)((double)(took - server->slow) * FIRST_AGING);
+    server->slow_at = now;
 }
 
 void
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -70,10 +70,10 @@
     int64_t born;
     KcDistance distance;
     uint32_t places;
-    bool leaving;    /* takes no new request, by its record */
-    bool told_leaving; /* the same, by its keeper */
-    KcTime gone_at;  /* its record has been missing since; 0: it is there */
-    uint32_t epoch;  /* of the list that it was in */
+    bool leaving;       /* takes no new request, by its record */
+    bool told_leaving;  /* the same, by its keeper */
+    KcTime gone_at;     /* its record has been missing since; 0: it is there */
+    uint32_t epoch;     /* of the list that it was in */
     uint32_t in_flight; /* requests of this gateway */
     uint64_t tokens;    /* of these */
     uint32_t others;    /* requests of other gateways, as reported */
@@ -83,7 +83,8 @@
     uint32_t failures;  /* in a row */
     double failure_share; /* aged share of sendings that failed */
     KcTime failed_at;     /* time of the last one; the share fades */
-    KcTime slow;          /* aged time to an answer; 0: not known */
+    KcTime slow;          /* aged time to the first byte of an answer */
+    KcTime slow_at;       /* time of the last one; it fades */
     KcTime suspect_until; /* not chosen before this time */
     KcTime crowded_until; /* its keeper has no place for an adapter */
     bool keeper;          /* its keeper's word is known and counts */
@@ -123,18 +124,18 @@
 } KcHolding;
 
 typedef struct KcAdapterState {
-    UT_hash_handle hh;        /* KcGateway, by key */
+    UT_hash_handle hh;                /* KcGateway, by key */
     TAILQ_ENTRY(KcAdapterState) link; /* least recently used first */
-    char key[KC_ADAPTER_KEY_MAX]; /* model/adapter; model/ for a base */
+    char key[KC_ADAPTER_KEY_MAX];     /* model/adapter; model/ for a base */
     char model[KC_NAME_MAX];
     char name[KC_NAME_MAX]; /* "" for the base model */
     uint64_t hash;
-    uint32_t newest;        /* version announced; 0: none */
-    KcTime newest_at;       /* when it was */
-    uint32_t required;      /* older versions serve no more */
-    double rate;            /* aged count of uses by this gateway */
+    uint32_t newest;   /* version announced; 0: none */
+    KcTime newest_at;  /* when it was */
+    uint32_t required; /* older versions serve no more */
+    double rate;       /* aged count of uses by this gateway */
     KcTime rate_at;
-    KcTime wanted_at;       /* a further copy was last asked for */
+    KcTime wanted_at; /* a further copy was last asked for */
     TAILQ_HEAD(, KcHolding) holdings;
     struct KcForwardList waiting; /* until it is loaded */
 } KcAdapterState;
@@ -183,10 +184,10 @@
     const char *datacentre; /* of this gateway */
     /* The region of a data centre, "" when it is not known. */
     const char *(*region_of)(void *context, const char *datacentre);
-    uint64_t seed;           /* of the draws among targets */
-    int64_t retry_percent;   /* sendings beyond the first, of requests */
-    int64_t retry_burst;     /* the same, fixed part for all gateways */
-    KcTime missing;          /* a record that is missing counts this long */
+    uint64_t seed;         /* of the draws among targets */
+    int64_t retry_percent; /* sendings beyond the first, of requests */
+    int64_t retry_burst;   /* the same, fixed part for all gateways */
+    KcTime missing;        /* a record that is missing counts this long */
 } KcGatewayOptions;
 
 void KcGatewayOptions_Init(KcGatewayOptions *options);
@@ -212,8 +213,13 @@
 /* The record of a server as of a revision. */
 void KcGateway_OnServer(KcGateway *gateway, const KcServerInfo *info,
                         uint64_t revision, KcTime now);
-/* A record is gone, or names no server that could be used. */
-void KcGateway_OnServerGone(KcGateway *gateway, const char *id, KcTime now);
+/*
+ * A record is gone, or names no server that could be used.  sure: it was
+ * taken away; otherwise it may be back soon, as after an outage of the store,
+ * and the server is the last choice meanwhile.
+ */
+void KcGateway_OnServerGone(KcGateway *gateway, const char *id, bool sure,
+                            KcTime now);
 
 /* A new version of an adapter was announced. */
 void KcGateway_OnVersion(KcGateway *gateway, const char *model,
@@ -231,8 +237,8 @@
 } KcHeldState;
 
 void KcGateway_OnHeld(KcGateway *gateway, KcServer *server, const char *model,
-                      const char *adapter, uint32_t version,
-                      KcHeldState state, KcTime now);
+                      const char *adapter, uint32_t version, KcHeldState state,
+                      KcTime now);
 /* The keeper can no longer be heard. */
 void KcGateway_OnKeeperLost(KcGateway *gateway, KcServer *server, KcTime now);
 
@@ -248,8 +254,8 @@
  * without having become one.
  */
 void KcGateway_Submit(KcGateway *gateway, const KcForwardCall *call,
-                      const KcForwardOps *ops, void *caller,
-                      KcForward **slot, KcTime now);
+                      const KcForwardOps *ops, void *caller, KcForward **slot,
+                      KcTime now);
 
 /*
  * A planned stop: streams, and later all requests, that arrive from the given
--- a/lib/process/kcc_keeper.h
+++ b/lib/process/kcc_keeper.h
@@ -19,9 +19,9 @@
     bool unload;
     char model[KC_NAME_MAX];
     char adapter[KC_NAME_MAX]; /* "" for the base model itself */
-    uint32_t version;  /* of a load; 0: the newest */
-    uint64_t fence;    /* of the holder */
-    uint64_t sequence; /* number of orders the engine has accepted */
+    uint32_t version;          /* of a load; 0: the newest */
+    uint64_t fence;            /* of the holder */
+    uint64_t sequence;         /* number of orders the engine has accepted */
 } KcOrder;
 
 /* What an engine answers to an order. */
--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -88,15 +88,15 @@
     uint64_t fence; /* 0: no right to order */
     uint64_t sequence;
     int64_t born;
-    bool known;       /* the engine has told its state */
+    bool known;        /* the engine has told its state */
     KcTime not_before; /* no order before this time */
-    bool asking;      /* a report is outstanding */
-    bool ordering;    /* an order is outstanding */
-    KcOrder order;    /* the outstanding one */
-    KcSlot *slot;     /* that it concerns; NULL for a base model */
-    KcSlot *unsure;   /* its order had no answer; looked at with the next
-                       * report */
-    KcTimer timer;    /* the next report */
+    bool asking;       /* a report is outstanding */
+    bool ordering;     /* an order is outstanding */
+    KcOrder order;     /* the outstanding one */
+    KcSlot *slot;      /* that it concerns; NULL for a base model */
+    KcSlot *unsure;    /* its order had no answer; looked at with the next
+                        * report */
+    KcTimer timer;     /* the next report */
 };
 
 static void pump(KcKeeper *keeper, KcTime now);
@@ -104,8 +104,7 @@
 void
 KcKeeperOptions_Init(KcKeeperOptions *options)
 {
-    *options =
-        (KcKeeperOptions){.inspect = 500 * KC_MS, .watch = 40 * KC_MS};
+    *options = (KcKeeperOptions){.inspect = 500 * KC_MS, .watch = 40 * KC_MS};
 }
 
 static void
@@ -439,8 +438,7 @@
     if (!TAILQ_EMPTY(&keeper->bases)) {
         return NULL;
     }
-    if (KcEngineCapacity_Model(&keeper->capacity, keeper->last_base) !=
-        NULL) {
+    if (KcEngineCapacity_Model(&keeper->capacity, keeper->last_base) != NULL) {
         return keeper->last_base;
     }
     if (wanted != NULL) {
@@ -838,8 +836,8 @@
             continue;
         }
         base = find_base(keeper, held->model);
-        told = base != NULL && !base->loading &&
-               base->version == held->version;
+        told =
+            base != NULL && !base->loading && base->version == held->version;
         if (base == NULL) {
             base = KcMem_New(sizeof(*base));
             KcName_Copy(base->name, held->model, KC_NAME_MAX);
@@ -856,8 +854,8 @@
         }
     }
     TAILQ_FOREACH_SAFE (base, &keeper->bases, link, next) {
-        bool begun = base->loading && (report->busy || now - base->ordered <
-                                                           LOAD_GRACE);
+        bool begun = base->loading &&
+                     (report->busy || now - base->ordered < LOAD_GRACE);
 
         if (!base->seen && !begun) {
             keeper->options.ops->tell(keeper->options.context, NULL,
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -27,13 +27,13 @@
     const char *id; /* the caller's name for this attempt, for logs */
     const char *host;
     const char *path;
-    const char *model;    /* "" when none is named */
-    const char *adapter;  /* "" when none is named */
-    uint64_t tokens_in;   /* of the prompt; 0 when unknown */
-    uint64_t tokens_out;  /* at the most; 0 when unknown */
-    KcTime deadline;      /* duration; 0: none */
-    bool resumes;         /* the caller goes on after last_event */
-    uint64_t last_event;  /* valid when resumes */
+    const char *model;   /* "" when none is named */
+    const char *adapter; /* "" when none is named */
+    uint64_t tokens_in;  /* of the prompt; 0 when unknown */
+    uint64_t tokens_out; /* at the most; 0 when unknown */
+    KcTime deadline;     /* duration; 0: none */
+    bool resumes;        /* the caller goes on after last_event */
+    uint64_t last_event; /* valid when resumes */
 } KcForwardCall;
 
 /* ---- Part 2: what the caller is told ------------------------------------- */
@@ -41,7 +41,7 @@
 /* An answer of our own, in place of a backend server's. */
 typedef struct KcForwardRefusal {
     KcError error;
-    bool may_have_run; /* false promises: it has not run and never will */
+    bool may_have_run;  /* false promises: it has not run and never will */
     KcTime retry_after; /* 0: no hint */
 } KcForwardRefusal;
 
@@ -67,7 +67,7 @@
 /* What one sending is to say. */
 typedef struct KcSend {
     struct KcServer *server;
-    KcTime left;      /* until the request is given up */
+    KcTime left;       /* until the request is given up */
     uint32_t priority; /* 0 is the most urgent */
     bool resumes;
     uint64_t last_event; /* valid when resumes */
@@ -136,12 +136,13 @@
     struct KcServer *server;   /* of the sending in progress, or that loads */
     struct KcHolding *holding; /* of its adapter there, counted as used */
     void *sending;             /* of the sending side */
-    KcTime sent_at;       /* last */
-    KcTime first_sent_at; /* 0: never */
+    KcTime sent_at;            /* last */
+    KcTime first_sent_at;      /* 0: never */
     uint32_t sends;
     uint32_t runs; /* sendings that may have run */
     struct KcServer *tried[KC_FORWARD_TRIED_MAX];
     uint32_t tried_count;
+    bool heard; /* bytes of the present sending's answer have come */
     bool may_have_run;
     bool begun;       /* the caller has the head of an answer */
     const void *head; /* of the stream that is being received */
--- a/programs/connection/http_peer.c
+++ b/programs/connection/http_peer.c
@@ -37,12 +37,12 @@
     size_t target;
     size_t head_size;
     KcHttpMessage message;
-    int error;      /* why the parser was stopped by a callback */
-    bool started;   /* bytes of a message have arrived */
-    bool ended;     /* a message has ended; KcHttpPeer_Next() is awaited */
-    bool no_body;   /* the next response has none */
-    bool reading;   /* within read_input() */
-    bool closed;    /* freed when nothing of it is on the stack */
+    int error;    /* why the parser was stopped by a callback */
+    bool started; /* bytes of a message have arrived */
+    bool ended;   /* a message has ended; KcHttpPeer_Next() is awaited */
+    bool no_body; /* the next response has none */
+    bool reading; /* within read_input() */
+    bool closed;  /* freed when nothing of it is on the stack */
     bool connected;
     bool sent;
     bool paused;
@@ -212,8 +212,7 @@
     }
     if (!peer->in_value) {
         KcBuffer_Append(&peer->text, "", 1);
-        peer->places[peer->field_count - 1].value =
-            KcBuffer_Size(&peer->text);
+        peer->places[peer->field_count - 1].value = KcBuffer_Size(&peer->text);
         peer->in_value = true;
     }
     KcBuffer_Append(&peer->text, at, size);
@@ -377,8 +376,8 @@
     if (evbuffer_peek(input, -1, NULL, &piece, 1) < 1 || piece.iov_len == 0) {
         return false;
     }
-    used = http_parser_execute(&peer->parser, &parser_settings,
-                               piece.iov_base, piece.iov_len);
+    used = http_parser_execute(&peer->parser, &parser_settings, piece.iov_base,
+                               piece.iov_len);
     if (peer->closed) {
         return false;
     }
--- a/programs/connection/http_peer.h
+++ b/programs/connection/http_peer.h
@@ -32,9 +32,9 @@
     bool old;           /* of a version before HTTP/1.1 */
     KcHttpField fields[KC_HTTP_FIELDS_MAX];
     size_t field_count;
-    bool keep_alive;  /* the connection may be used again */
-    bool has_length;  /* Content-Length was given */
-    uint64_t length;  /* valid with has_length */
+    bool keep_alive; /* the connection may be used again */
+    bool has_length; /* Content-Length was given */
+    uint64_t length; /* valid with has_length */
     bool chunked;
     size_t head_size; /* bytes */
 } KcHttpMessage;
--- a/programs/process/admin_http.c
+++ b/programs/process/admin_http.c
@@ -111,12 +111,11 @@
     const KcSettings *settings = admin->options.settings;
     void *owner = admin->options.context;
     int code = admin->options.ops->ready(owner);
-    json_t *state =
-        json_pack("{s:s, s:s, s:s, s:I, s:s}", "process", settings->name,
-                  "role", KcSettings_RoleName(settings),
-                  "datacentre", settings->datacentre, "generation",
-                  (json_int_t)admin->options.ops->generation(owner), "ready",
-                  code == 0 ? "yes" : KcError_Name(code));
+    json_t *state = json_pack(
+        "{s:s, s:s, s:s, s:I, s:s}", "process", settings->name, "role",
+        KcSettings_RoleName(settings), "datacentre", settings->datacentre,
+        "generation", (json_int_t)admin->options.ops->generation(owner),
+        "ready", code == 0 ? "yes" : KcError_Name(code));
 
     admin->options.ops->state(owner, state);
     reply_json(http, state);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -25,6 +25,9 @@
 #define WAIT_SELDOM (10 * KC_SECOND)
 /* The records of gateways are only listed, this often. */
 #define GATHER_GATEWAYS (20 * KC_SECOND)
+/* Records that go so soon after the store was away may come back: it brings
+ * them within about two seconds. */
+#define STORE_SETTLES (3 * KC_SECOND)
 /* Keepers are told of uses at most this often. */
 #define TELL_INTERVAL (200 * KC_MS)
 /* A keeper that could not be reached is left alone for so long. */
@@ -82,6 +85,7 @@
     KcTimer member_timer;
     uint64_t incarnation;
     KcTime drain_began;
+    KcTime store_back_at; /* it was last lost or regained */
 } GatewayRole;
 
 /* ---- connections to keepers ---------------------------------------------- */
@@ -251,9 +255,9 @@
 tell_use(void *context, KcHolding *holding)
 {
     ServerPeer *peer = holding->server->peer;
-    KcMsg msg = {.type = KC_MSG_USED,
-                 .u.used = {.uses = holding->uses,
-                            .in_flight = holding->in_flight}};
+    KcMsg msg = {
+        .type = KC_MSG_USED,
+        .u.used = {.uses = holding->uses, .in_flight = holding->in_flight}};
 
     (void)context;
     if (peer == NULL || peer->link == NULL ||
@@ -343,7 +347,8 @@
         (int)load_age);
 }
 
-static const KcGatewayOps gateway_ops = {start_sending, withdraw, want, forget, record};
+static const KcGatewayOps gateway_ops = {start_sending, withdraw, want, forget,
+                                         record};
 
 /* ---- feeds --------------------------------------------------------------- */
 
@@ -366,6 +371,7 @@
 
     KcLog_Write(code == 0 ? KC_LOG_INFO : KC_LOG_WARN, &fields,
                 code == 0 ? "store answers again" : "store does not answer");
+    role->store_back_at = now;
     for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
         if (role->feeds[i] != NULL) {
             KcFeed_Poke(role->feeds[i], now);
@@ -421,14 +427,17 @@
     KcError error = {0};
 
     if (item->deleted) {
-        KcLog_Write(KC_LOG_INFO, &fields, "record of the server is gone");
-        KcGateway_OnServerGone(role->gateway, item->name, now);
+        bool sure = now - role->store_back_at > STORE_SETTLES;
+
+        KcLog_Write(KC_LOG_INFO, &fields, "record of the server is gone%s",
+                    sure ? "" : ", perhaps with the store's outage");
+        KcGateway_OnServerGone(role->gateway, item->name, sure, now);
         return;
     }
     KcServerInfo_Init(&info);
     if (role->platform->read_server(item, &info, &error) != 0) {
         log_invalid(item, &error);
-        KcGateway_OnServerGone(role->gateway, item->name, now);
+        KcGateway_OnServerGone(role->gateway, item->name, false, now);
     }
     else {
         if (known == NULL || info.leaving != was_leaving ||
@@ -506,13 +515,14 @@
     void (*item)(void *context, const KcFeedItem *item, KcTime now);
     void (*listed)(void *context, KcTime now);
 } feed_rows[KC_COLLECTION_COUNT] = {
-    [KC_COLLECTION_ROUTING] = {0, 0, begins_nothing, on_routing, listed_nothing},
+    [KC_COLLECTION_ROUTING] = {0, 0, begins_nothing, on_routing,
+                               listed_nothing},
     [KC_COLLECTION_SERVERS] = {GATHER_SERVERS, 0, servers_begin, on_server,
                                servers_listed},
     [KC_COLLECTION_VERSIONS] = {GATHER_VERSIONS, 0, begins_nothing, on_version,
                                 listed_nothing},
-    [KC_COLLECTION_GATEWAYS] = {GATHER_GATEWAYS, GATHER_GATEWAYS, gateways_begin, on_gateway,
-                                gateways_listed},
+    [KC_COLLECTION_GATEWAYS] = {GATHER_GATEWAYS, GATHER_GATEWAYS,
+                                gateways_begin, on_gateway, gateways_listed},
 };
 
 static void
@@ -705,14 +715,14 @@
 listen_all(GatewayRole *role)
 {
     const KcSettings *settings = role->parts.settings;
-    KcGatewayFrontOptions front = {
-        .loop = role->parts.loop,
-        .address = settings->callers,
-        .gateway = role->gateway,
-        .dialect = role->platform->dialect,
-        .connections_max = (uint32_t)settings->connections_max,
-        .limits = first_limits,
-        .silence = settings->silence_ms * KC_MS};
+    KcGatewayFrontOptions front = {.loop = role->parts.loop,
+                                   .address = settings->callers,
+                                   .gateway = role->gateway,
+                                   .dialect = role->platform->dialect,
+                                   .connections_max =
+                                       (uint32_t)settings->connections_max,
+                                   .limits = first_limits,
+                                   .silence = settings->silence_ms * KC_MS};
     KcAdminOptions balancer = {.loop = role->parts.loop,
                                .settings = settings,
                                .address = settings->ready,
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -180,8 +180,7 @@
     (void)context;
     KcLog_Write(KC_LOG_INFO, &fields,
                 "model=%s adapter=%s version=%u fence=%" PRIu64
-                " sequence=%" PRIu64
-                " places=%u in_use=%u coming=%u wants=%u",
+                " sequence=%" PRIu64 " places=%u in_use=%u coming=%u wants=%u",
                 request->model, request->adapter, request->version,
                 request->fence, request->sequence, entry->places,
                 entry->in_use, entry->coming, entry->wants);
--- a/programs/process/log.c
+++ b/programs/process/log.c
@@ -127,8 +127,7 @@
     log4c_appender_type_set(&appender_type);
     appender = log4c_appender_get("kcc");
     log4c_appender_set_type(appender, &appender_type);
-    fcntl(STDOUT_FILENO, F_SETFL,
-          fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+    fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
     log4c_appender_set_layout(appender, layout);
     category = log4c_category_get("kcc");
     log4c_category_set_appender(category, appender);
@@ -244,8 +243,9 @@
     size_t used = 0;
     va_list args;
 
-    if (category == NULL || !log4c_category_is_priority_enabled(
-                                category, levels[level].priority) ||
+    if (category == NULL ||
+        !log4c_category_is_priority_enabled(category,
+                                            levels[level].priority) ||
         !within_bound()) {
         return;
     }
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -69,8 +69,7 @@
 
 static const Setting settings_table[] = {
     CHOICE("process", "role", FOR_ALL, role, NULL,
-           "entry agent gateway keeper",
-           "What this process is."),
+           "entry agent gateway keeper", "What this process is."),
     TEXT("process", "name", KIND_NAME, FOR_ALL, name, NULL,
          "Name of the instance, as in the instance list."),
     TEXT("process", "datacentre", KIND_NAME, FOR_ALL, datacentre, NULL,
@@ -81,8 +80,8 @@
            "Events kept for the time line."),
     NUMBER("process", "drain_ms", FOR_BOTH, drain_ms, "600000", 0, DAY_MS,
            "Longest time a planned stop waits for running requests."),
-    TEXT("listen", "callers", KIND_ADDRESS, FOR_ENTRY | FOR_GATEWAY, callers, NULL,
-         "Address for callers (HTTP)."),
+    TEXT("listen", "callers", KIND_ADDRESS, FOR_ENTRY | FOR_GATEWAY, callers,
+         NULL, "Address for callers (HTTP)."),
     TEXT("listen", "links", KIND_ADDRESS, FOR_AGENT | FOR_KEEPER, links, NULL,
          "Address for connections from entries."),
     TEXT("listen", "admin", KIND_ADDRESS, FOR_ALL, admin, NULL,
@@ -91,8 +90,8 @@
          "Address of the object API."),
     TEXT("platform", "instances", KIND_ADDRESS, FOR_ENTRY, instances, NULL,
          "Address of the instance list."),
-    NUMBER("platform", "object_timeout_ms", FOR_ALL, object_timeout_ms,
-           "2000", 10, 60000, "Wait for an answer of the object API."),
+    NUMBER("platform", "object_timeout_ms", FOR_ALL, object_timeout_ms, "2000",
+           10, 60000, "Wait for an answer of the object API."),
     NUMBER("platform", "watch_ms", FOR_ALL, watch_ms, "30000", 100, 600000,
            "Longest wait of one watch."),
     NUMBER("platform", "instances_poll_ms", FOR_ENTRY, instances_poll_ms,
@@ -114,8 +113,9 @@
            "Share of requests that may be sent again after they ran."),
     NUMBER("limits", "requests_max", FOR_ENTRY, requests_max, "20000", 1,
            1000000, "Requests in progress at once."),
-    NUMBER("limits", "connections_max", FOR_ENTRY | FOR_GATEWAY, connections_max, "24000", 1,
-           1000000, "Callers' connections at once."),
+    NUMBER("limits", "connections_max", FOR_ENTRY | FOR_GATEWAY,
+           connections_max, "24000", 1, 1000000,
+           "Callers' connections at once."),
     NUMBER("limits", "header_max", FOR_ENTRY, header_max, "16384", 256,
            1048576, "Bytes of all headers of a request."),
     NUMBER("limits", "body_max", FOR_ENTRY, body_max, "1048576", 1024, 3145728,
@@ -134,10 +134,10 @@
            60000, "Wait for a connection to an agent."),
     NUMBER("timeouts", "link_idle_ms", FOR_ENTRY, link_idle_ms, "60000", 100,
            DAY_MS, "Idle connections to agents are closed after this."),
-    TEXT("backend", "address", KIND_ADDRESS, FOR_AGENT | FOR_KEEPER, backend, NULL,
-         "Address of the backend server."),
-    TEXT("backend", "service", KIND_NAME, FOR_AGENT | FOR_KEEPER, service, NULL,
-         "Service of the backend server."),
+    TEXT("backend", "address", KIND_ADDRESS, FOR_AGENT | FOR_KEEPER, backend,
+         NULL, "Address of the backend server."),
+    TEXT("backend", "service", KIND_NAME, FOR_AGENT | FOR_KEEPER, service,
+         NULL, "Service of the backend server."),
     TEXT("backend", "fencing", KIND_BOOL, FOR_AGENT, fencing, "yes",
          "Whether the engine refuses old fencing numbers."),
     CHOICE("backend", "victim", FOR_AGENT, victim, "kcc", "kcc lru lfu gdsf",
@@ -290,8 +290,7 @@
                  setting->low, setting->high);
         break;
     case KIND_DECIMAL:
-        snprintf(text, size,
-                 "expected a number from %" PRId64 " to %" PRId64,
+        snprintf(text, size, "expected a number from %" PRId64 " to %" PRId64,
                  setting->low, setting->high);
         break;
     case KIND_PATH:
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -29,7 +29,7 @@
 /* Settings with every default filled in.  Durations in milliseconds. */
 typedef struct KcSettings {
     char path[256]; /* of the file that was read */
-    int64_t role; /* KcRole */
+    int64_t role;   /* KcRole */
     char name[KC_NAME_MAX];
     char datacentre[KC_NAME_MAX];
     char log_level[KC_NAME_MAX];
--- a/programs/request/dialect.h
+++ b/programs/request/dialect.h
@@ -17,16 +17,16 @@
 
 /* What the head of a backend server's answer says. */
 typedef struct KcReplyHead {
-    bool ours;        /* the answer belongs to the request */
-    bool not_run;     /* the server did not run the request */
+    bool ours;    /* the answer belongs to the request */
+    bool not_run; /* the server did not run the request */
     bool other_server;
-    bool stream;      /* its body is a series of events */
-    bool unusable;    /* must not be passed on as it is */
+    bool stream;   /* its body is a series of events */
+    bool unusable; /* must not be passed on as it is */
     bool has_load;
     uint32_t running; /* valid with has_load, as the next two */
     uint32_t waiting;
     uint32_t places;
-    KcTime keep;      /* the connection may be idle so long; 0: not told */
+    KcTime keep; /* the connection may be idle so long; 0: not told */
 } KcReplyHead;
 
 typedef struct KcDialect {
--- a/programs/request/front.c
+++ b/programs/request/front.c
@@ -277,8 +277,7 @@
     connection->forward = NULL;
     decide_close(connection);
     connection->front->options.dialect->write_refusal(
-        KcHttpPeer_Output(connection->peer), refusal, NULL,
-        connection->close);
+        KcHttpPeer_Output(connection->peer), refusal, NULL, connection->close);
     finish_answer(connection);
 }
 
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -31,10 +31,10 @@
     KcHttpPeer *peer;
     struct evbuffer *request; /* kept while it may be sent once more */
     bool may_repeat;
-    bool reused;    /* the connection had been kept */
-    bool answered;  /* bytes of an answer have arrived */
-    bool interim;   /* the present answer is only a first word */
-    bool sent;      /* a byte of the request has left */
+    bool reused;   /* the connection had been kept */
+    bool answered; /* bytes of an answer have arrived */
+    bool interim;  /* the present answer is only a first word */
+    bool sent;     /* a byte of the request has left */
     bool keep_alive;
     bool head_only; /* the answer has no body */
     bool cancelled; /* nothing more is reported */
@@ -221,8 +221,8 @@
 {
     struct evbuffer *out = call->request;
 
-    evbuffer_add_printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-                        options->method, options->path, options->address);
+    evbuffer_add_printf(out, "%s %s HTTP/1.1\r\nHost: %s\r\n", options->method,
+                        options->path, options->address);
     if (call->pool == NULL) {
         evbuffer_add_printf(out, "Connection: close\r\n");
     }
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -45,8 +45,8 @@
     KcHttpHeader headers[KC_HTTP_HEADERS_MAX];
     const char *report; /* header reported in place of ETag; NULL: ETag */
     KcBytes body;
-    KcTime timeout; /* without progress */
-    KcTime connect; /* for connecting; 0: timeout */
+    KcTime timeout;   /* without progress */
+    KcTime connect;   /* for connecting; 0: timeout */
     KcHttpPool *pool; /* connections to address; NULL: one for this call */
     const KcHttpOps *ops;
     void *context;
--- a/programs/request/sending.c
+++ b/programs/request/sending.c
@@ -95,8 +95,7 @@
     KcReply begin = {.status = message->status, .head = message};
     KcTime now = KcLoop_Now();
 
-    sending->options.dialect->read_reply(message, sending->forward->id,
-                                         reply);
+    sending->options.dialect->read_reply(message, sending->forward->id, reply);
     sending->foreign = message->status < 200 || !reply->ours;
     if (sending->foreign) {
         return;
@@ -290,8 +289,8 @@
     sending->send = *send;
     sending->retired.take_down = take_down;
     KcTimer_Init(&sending->timer, on_timer, sending);
-    sending->peer = KcHttpPool_Take(options->pool,
-                                    send->fresh ? KEEP_FRESH : KC_NEVER);
+    sending->peer =
+        KcHttpPool_Take(options->pool, send->fresh ? KEEP_FRESH : KC_NEVER);
     if (sending->peer != NULL) {
         KcHttpPeer_SetOwner(sending->peer, &peer_ops, sending);
         write_request(sending);
--- a/programs/request/sending.h
+++ b/programs/request/sending.h
@@ -17,7 +17,7 @@
     KcTime connect_timeout;
     KcTime silence; /* a silent connection is noticed after it */
     size_t header_max;
-    size_t reply_max; /* bytes of an answer that is no stream */
+    size_t reply_max;             /* bytes of an answer that is no stream */
     const KcHttpMessage *message; /* the caller's request; outlives it */
     KcBytes body;
 } KcSendingOptions;
@@ -27,8 +27,8 @@
  * returns; the sending is over after OnReply, OnEnd and OnFailed.  NULL
  * when there is no connection to be had.
  */
-KcSending *KcSending_Start(const KcSendingOptions *options,
-                           KcForward *forward, const KcSend *send);
+KcSending *KcSending_Start(const KcSendingOptions *options, KcForward *forward,
+                           const KcSend *send);
 
 /* Ends it, with its connection; nothing more is reported. */
 void KcSending_Cancel(KcSending *sending);
--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -63,14 +63,15 @@
      "HTTP/1.1 200", 1, NULL},
     {"two pipelined requests", GET "\r\n" GET CLOSE, "HTTP/1.1 200", 2, NULL},
     {"a request within a body",
-     POST "Content-Length: 33\r\n" CLOSE "GET /safe/y HTTP/1.1\r\nHost: h\r\n\r\n",
+     POST "Content-Length: 33\r\n" CLOSE
+          "GET /safe/y HTTP/1.1\r\nHost: h\r\n\r\n",
      "HTTP/1.1 200", 1, NULL},
     {"length and chunks",
      POST "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n" CLOSE
           "3\r\nabc\r\n0\r\n\r\n",
      "HTTP/1.1 400", 1, NULL},
-    {"two lengths", POST "Content-Length: 3\r\nContent-Length: 4\r\n" CLOSE
-                         "abcd",
+    {"two lengths",
+     POST "Content-Length: 3\r\nContent-Length: 4\r\n" CLOSE "abcd",
      "HTTP/1.1 400", 1, NULL},
     {"the same length twice",
      POST "Content-Length: 3\r\nContent-Length: 3\r\n" CLOSE "abc",
@@ -93,9 +94,9 @@
      "HTTP/1.1 400", 1, NULL},
     {"a control character in a value", GET "A: b\001c\r\n" CLOSE,
      "HTTP/1.1 400", 1, NULL},
-    {"an unknown method", "FROB /safe/x HTTP/1.1\r\nHost: h\r\nA: %s\r\n"
-                          CLOSE,
-     "HTTP/1.1 400", 1, NULL},
+    {"an unknown method",
+     "FROB /safe/x HTTP/1.1\r\nHost: h\r\nA: %s\r\n" CLOSE, "HTTP/1.1 400", 1,
+     NULL},
     {"no HTTP at all", "hello %s\r\n\r\n", "HTTP/1.1 400", 1, NULL},
     {"an older version", "GET /safe/x HTTP/1.0\r\nHost: h\r\nA: %s\r\n\r\n",
      "HTTP/1.1 400", 1, NULL},
@@ -128,8 +129,8 @@
     int size;
 
     snprintf(id, sizeof(id), "raw%zu", index);
-    size = snprintf(request, sizeof(request), raw_cases[index].request, id,
-                    id);
+    size =
+        snprintf(request, sizeof(request), raw_cases[index].request, id, id);
     send_text(0, request, (size_t)size);
     g_test_message("%s", answer);
     g_assert_true(strncmp(answer, raw_cases[index].begins,
@@ -298,10 +299,12 @@
     const char *fault;
     const char *heal;
 } store_cases[] = {
-    {"healthy", "busy=0", "busy=0"},   {"busy", "busy=70", "busy=0"},
-    {"too many", "many=70", "many=0"}, {"resets", "reset=70", "reset=0"},
-    {"silent", "silent=50", "silent=0"}, {"history lost", "forget=1",
-                                          "forget=0"},
+    {"healthy", "busy=0", "busy=0"},
+    {"busy", "busy=70", "busy=0"},
+    {"too many", "many=70", "many=0"},
+    {"resets", "reset=70", "reset=0"},
+    {"silent", "silent=50", "silent=0"},
+    {"history lost", "forget=1", "forget=0"},
     {"small pages", "page=2", "page=50"},
 };
 
@@ -354,7 +357,8 @@
         json_decref(state);
         for (int worker = 0; worker < 2; worker++) {
             char report[8192];
-            static const char ask[] = "GET /report HTTP/1.1\r\nHost: w\r\n\r\n";
+            static const char ask[] =
+                "GET /report HTTP/1.1\r\nHost: w\r\n\r\n";
 
             Yard_Exchange(Yard_Address(yard, YARD_LLM, worker), ask,
                           sizeof(ask) - 1, report, sizeof(report), 1000);
@@ -477,8 +481,8 @@
           GTestDataFunc function)
 {
     for (size_t i = 0; i < number; i++) {
-        const char *name = *(const char *const *)((const char *)rows +
-                                                  i * size);
+        const char *name =
+            *(const char *const *)((const char *)rows + i * size);
         char *path = g_strdup_printf("/platform/%s/%s", group, name);
 
         g_test_add_data_func(path, GSIZE_TO_POINTER(i), function);
--- a/tests/daemons/yard.c
+++ b/tests/daemons/yard.c
@@ -229,11 +229,11 @@
 void
 Yard_Configure(Yard *yard, int version, bool extra)
 {
-    json_t *routes = json_pack(
-        "[o, o, o, o]", route("/safe/", "safe", "plain", 2, false),
-        route("/unsafe/", "unsafe", "plain", 1, false),
-        route("/stream/", "streaming", "llm", 1, false),
-        route("/resume/", "streaming", "llm", 2, true));
+    json_t *routes =
+        json_pack("[o, o, o, o]", route("/safe/", "safe", "plain", 2, false),
+                  route("/unsafe/", "unsafe", "plain", 1, false),
+                  route("/stream/", "streaming", "llm", 1, false),
+                  route("/resume/", "streaming", "llm", 2, true));
     json_t *services = json_pack(
         "[{s:s, s:s, s:i, s:{s:i, s:i, s:i, s:i, s:[{s:s, s:i, s:i}]}}, "
         "{s:s, s:s, s:i}]",
@@ -471,11 +471,10 @@
     static const YardRole order[] = {YARD_LLM, YARD_PLAIN, YARD_KEEPER,
                                      YARD_GATEWAY};
     Yard *yard = calloc(1, sizeof(*yard));
-    const int counts[YARD_ROLE_COUNT] = {
-        [YARD_LLM] = options->llm,
-        [YARD_KEEPER] = options->llm,
-        [YARD_PLAIN] = options->plain,
-        [YARD_GATEWAY] = options->gateways};
+    const int counts[YARD_ROLE_COUNT] = {[YARD_LLM] = options->llm,
+                                         [YARD_KEEPER] = options->llm,
+                                         [YARD_PLAIN] = options->plain,
+                                         [YARD_GATEWAY] = options->gateways};
 
     signal(SIGPIPE, SIG_IGN);
     yard->options = *options;
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -9,7 +9,7 @@
  *
  * Steps, separated by semicolons:
  *   config VERSION          srv ID SERVICE PLACES [at=DC] [leaving] ITEM...
- *   gone ID                 list ID...  a whole list names just these
+ *   gone ID [sure]          list ID...  a whole list names just these
  *   req N PATH [MODEL/ADAPTER]      abandon N
  *   reply N STATUS, notrun N, other N, begin N, event N ID, end N
  *   lost N, never N, failed N       how a sending ended
@@ -251,7 +251,8 @@
 static void
 step_gone(Script *script, char **words)
 {
-    KcGateway_OnServerGone(script->gateway, words[1], script->now);
+    KcGateway_OnServerGone(script->gateway, words[1], words[2] != NULL,
+                           script->now);
 }
 
 static void
@@ -456,17 +457,17 @@
     const char *name;
     void (*run)(Script *script, char **words);
 } steps[] = {
-    {"config", step_config},       {"srv", step_server},
-    {"gone", step_gone},           {"list", step_list},
-    {"req", step_request},         {"abandon", step_abandon},
-    {"reply", step_reply},         {"notrun", step_not_run},
-    {"other", step_other},         {"begin", step_begin},
-    {"event", step_event},         {"end", step_end},
-    {"lost", step_lost},           {"never", step_never},
-    {"held", step_held},           {"keeperlost", step_keeper_lost},
-    {"version", step_version},     {"load", step_load},
-    {"nokeeper", step_no_keeper},  {"nosend", step_no_send},
-    {"peers", step_peers},         {"drain", step_drain},
+    {"config", step_config},      {"srv", step_server},
+    {"gone", step_gone},          {"list", step_list},
+    {"req", step_request},        {"abandon", step_abandon},
+    {"reply", step_reply},        {"notrun", step_not_run},
+    {"other", step_other},        {"begin", step_begin},
+    {"event", step_event},        {"end", step_end},
+    {"lost", step_lost},          {"never", step_never},
+    {"held", step_held},          {"keeperlost", step_keeper_lost},
+    {"version", step_version},    {"load", step_load},
+    {"nokeeper", step_no_keeper}, {"nosend", step_no_send},
+    {"peers", step_peers},        {"drain", step_drain},
     {"wait", step_wait},
 };
 
@@ -503,8 +504,8 @@
      "config 2;config 1;srv a plain 4;req 1 /s/x", "1>a; "},
     /* plain services */
     {"nearest first", PLAIN "req 1 /s/x;reply 1 200", "1>a; 1:200; 1:end; "},
-    {"a filled server is passed over",
-     PLAIN "load a 4 1 4;req 1 /s/x", "1>b; "},
+    {"a filled server is passed over", PLAIN "load a 4 1 4;req 1 /s/x",
+     "1>b; "},
     {"a reported load fades", PLAIN "load a 4 1 4;wait 3000;req 1 /s/x",
      "1>a; "},
     {"a refused request goes elsewhere",
@@ -535,22 +536,27 @@
      "1>b; "},
     {"a server that is gone is the last choice",
      PLAIN "gone a;req 1 /s/x;gone b;req 2 /s/x", "1>b; 2>a; "},
+    {"a server whose record was taken away gets nothing",
+     PLAIN "gone a sure;gone b;req 1 /s/x", "1>b; "},
+    {"until it is back", PLAIN "gone a sure;srv a plain 4;req 1 /s/x",
+     "1>a; "},
     {"and then none", PLAIN "gone a;gone b;wait 2500;req 1 /s/x;wait 200",
      "1:not run no_backend; "},
     {"a list that lacks a server", PLAIN "list b;wait 2500;list b;req 1 /s/x",
      "1>b; "},
-    {"a record that comes back", PLAIN "gone a;wait 1000;srv a plain 4;"
-                                       "wait 3000;req 1 /s/x",
+    {"a record that comes back",
+     PLAIN "gone a;wait 1000;srv a plain 4;"
+           "wait 3000;req 1 /s/x",
      "1>a; "},
-    {"a server of another service",
-     PLAIN "srv a llm 4;req 1 /s/x", "1>b; "},
+    {"a server of another service", PLAIN "srv a llm 4;req 1 /s/x", "1>b; "},
     {"a suspect server is avoided", PLAIN "req 1 /u/x;lost 1;req 2 /u/x",
      "1>a; 1:unknown peer_lost; 2>b; "},
-    {"for a while", PLAIN "req 1 /u/x;never 1;reply 1 200;wait 5000;"
-                          "req 2 /u/x",
+    {"for a while",
+     PLAIN "req 1 /u/x;never 1;reply 1 200;wait 5000;"
+           "req 2 /u/x",
      "1>a; 1>b; 1:200; 1:end; 2>a; "},
-    {"a mute server is avoided",
-     PLAIN "req 1 /u/x;wait 450;req 2 /u/x", "1>a; 2>b; "},
+    {"a mute server is avoided", PLAIN "req 1 /u/x;wait 450;req 2 /u/x",
+     "1>a; 2>b; "},
     /* places */
     {"a request waits for a place",
      "config 1;srv a plain 1;req 1 /u/x;req 2 /u/x;req 3 /u/x;reply 1 200",
@@ -576,8 +582,7 @@
      "req 2 /t/x m/y;held a y 1 loaded",
      "?a y@0; 1>a; 2>a; "},
     {"a keeper that cannot be asked",
-     LLM "nokeeper b;req 1 /t/x m/q;nokeeper a;req 2 /t/x m/q",
-     "?a q@0; "},
+     LLM "nokeeper b;req 1 /t/x m/q;nokeeper a;req 2 /t/x m/q", "?a q@0; "},
     {"a keeper that refuses",
      "config 1;srv a llm 4 m;srv b llm 4 m;nokeeper b;req 1 /t/x m/q;"
      "nokeeper none;held a q 0 gone;held b q 1 loaded",
@@ -600,8 +605,7 @@
     {"a model that nobody holds is loaded",
      "config 1;srv a llm 4;req 1 /t/x m/q", "?a q@0; "},
     {"421 means that it is not there",
-     LLM "req 1 /t/x m/x;other 1;held b x 1 loaded",
-     "1>a; ?b x@0; 1>b; "},
+     LLM "req 1 /t/x m/x;other 1;held b x 1 loaded", "1>a; ?b x@0; 1>b; "},
     {"an old version serves no more",
      LLM "version x 2;wait 2500;req 1 /t/x m/x;held b x 2 loaded",
      "?b x@2; 1>b; "},
--- a/tests/process/test_keeper.c
+++ b/tests/process/test_keeper.c
@@ -68,8 +68,7 @@
     (void)link;
     (void)version;
     g_string_append_printf(script->trace, "%s=%s; ",
-                           adapter[0] != '\0' ? adapter : model,
-                           names[state]);
+                           adapter[0] != '\0' ? adapter : model, names[state]);
 }
 
 static void
@@ -150,7 +149,9 @@
 static void
 end_order(Script *script, KcOrderEnd end)
 {
-    if (!script->ordering) { g_error("no order: %s", script->trace->str); }
+    if (!script->ordering) {
+        g_error("no order: %s", script->trace->str);
+    }
     script->ordering = false;
     KcKeeper_OnOrder(script->keeper, end, script->now);
 }
@@ -216,12 +217,12 @@
     const char *name;
     void (*run)(Script *script, char **words);
 } steps[] = {
-    {"cap", step_capacity},     {"fence", step_fence},
-    {"rep", step_report},       {"norep", step_no_report},
-    {"acc", step_accepted},     {"holds", step_holds},
-    {"refused", step_refused},  {"unknown", step_unknown},
-    {"want", step_want},        {"used", step_used},
-    {"lost", step_lost},        {"wait", step_wait},
+    {"cap", step_capacity},    {"fence", step_fence},
+    {"rep", step_report},      {"norep", step_no_report},
+    {"acc", step_accepted},    {"holds", step_holds},
+    {"refused", step_refused}, {"unknown", step_unknown},
+    {"want", step_want},       {"used", step_used},
+    {"lost", step_lost},       {"wait", step_wait},
 };
 
 static void
@@ -255,10 +256,9 @@
     const char *trace;
 } cases[] = {
     {"load", LOAD_A, LOAD_A_TRACE},
-    {"no order without a fencing number",
-     "rep 0 1 m;cap 2;rep 0 1 m;want a 0", READY_TRACE},
-    {"no order before the engine was asked", "cap 2;fence 5;want a 0",
-     "?; "},
+    {"no order without a fencing number", "rep 0 1 m;cap 2;rep 0 1 m;want a 0",
+     READY_TRACE},
+    {"no order before the engine was asked", "cap 2;fence 5;want a 0", "?; "},
     {"no order before the capacity is known", "rep 0 1 m;fence 5;want a 0",
      "?; =nothing; m=loaded; "},
     {"what is held when the capacity is learnt takes places",
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -33,7 +33,8 @@
 static uint64_t
 draw(uint64_t below)
 {
-    random_state = random_state * 6364136223846793005ULL + 1442695040888963407ULL;
+    random_state =
+        random_state * 6364136223846793005ULL + 1442695040888963407ULL;
     return (random_state >> 33) % below;
 }
 
@@ -138,8 +139,7 @@
         return;
     }
     client->call->status = message->status;
-    client->call->wrong =
-        id != NULL && strcmp(id, client->call->id) != 0;
+    client->call->wrong = id != NULL && strcmp(id, client->call->id) != 0;
     KcName_Copy(client->call->seal, seal != NULL ? seal : "",
                 sizeof(client->call->seal));
 }
@@ -193,8 +193,7 @@
     client->peer = KcHttpPeer_Connect(
         &options, Yard_Address(soak.yard, YARD_GATEWAY, client->gateway));
     client->give_up = KcLoop_Now() + CALLER_WAIT;
-    KcTimers_Set(soak.loop->timers, &client->timer,
-                 client->give_up);
+    KcTimers_Set(soak.loop->timers, &client->timer, client->give_up);
 }
 
 static void
--- a/tests/standins/raw.c
+++ b/tests/standins/raw.c
@@ -43,7 +43,8 @@
 bool
 Raw_Chance(Raw *raw, const char *knob)
 {
-    raw->random = raw->random * 6364136223846793005ULL + 1442695040888963407ULL;
+    raw->random =
+        raw->random * 6364136223846793005ULL + 1442695040888963407ULL;
     return (int64_t)((raw->random >> 33) % 100) < Raw_Knob(raw, knob);
 }
 
@@ -266,10 +267,10 @@
     TAILQ_INIT(&raw->connections);
     if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&at, &size) ==
         0) {
-        raw->listener = evconnlistener_new_bind(
-            raw->loop->base, on_accept, raw,
-            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, SOMAXCONN,
-            (struct sockaddr *)&at, size);
+        raw->listener =
+            evconnlistener_new_bind(raw->loop->base, on_accept, raw,
+                                    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                    SOMAXCONN, (struct sockaddr *)&at, size);
     }
     if (raw->listener == NULL) {
         fprintf(stderr, "cannot listen on %s\n", address);
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -38,14 +38,14 @@
 static Raw raw;
 
 static RawKnob knobs[] = {
-    {"page", 50},    /* objects on a page */
-    {"busy", 0},     /* percent of calls answered 503 */
-    {"many", 0},     /* percent answered 429 */
-    {"silent", 0},   /* percent never answered */
-    {"reset", 0},    /* percent reset */
-    {"lost", 0},     /* percent of writes done and not answered */
-    {"slow_ms", 0},  /* delay of every answer */
-    {"forget", 0},   /* set to 1: the history is dropped */
+    {"page", 50},   /* objects on a page */
+    {"busy", 0},    /* percent of calls answered 503 */
+    {"many", 0},    /* percent answered 429 */
+    {"silent", 0},  /* percent never answered */
+    {"reset", 0},   /* percent reset */
+    {"lost", 0},    /* percent of writes done and not answered */
+    {"slow_ms", 0}, /* delay of every answer */
+    {"forget", 0},  /* set to 1: the history is dropped */
     {NULL, 0},
 };
 
@@ -156,9 +156,9 @@
     KcTimers_Clear(raw.loop->timers, &connection->timer);
     connection->owner = NULL;
     free(watch);
-    reply_json(connection, 200,
-               json_pack("{s:o, s:I}", "events", list, "at",
-                         (json_int_t)revision));
+    reply_json(
+        connection, 200,
+        json_pack("{s:o, s:I}", "events", list, "at", (json_int_t)revision));
 }
 
 static void
@@ -265,8 +265,8 @@
     json_t *body = json_loads(KcBuffer_Data(&connection->body), 0, NULL);
     json_t *meta = json_object_get(body, "meta");
     bool create = strcmp(connection->message->method, "POST") == 0;
-    const char *own = create ? json_string_value(json_object_get(meta, "name"))
-                             : name;
+    const char *own =
+        create ? json_string_value(json_object_get(meta, "name")) : name;
     json_t *expected = json_object_get(meta, "revision");
     Object *object;
     bool lost = Raw_Chance(&raw, "lost");
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -36,7 +36,7 @@
 
 /* The request that a connection is busy with. */
 typedef struct Job {
-    int64_t next;  /* event */
+    int64_t next; /* event */
     bool stream;
     char id[KC_CALLER_ID_MAX];
 } Job;
@@ -60,18 +60,18 @@
 static TAILQ_HEAD(, Adapter) adapters = TAILQ_HEAD_INITIALIZER(adapters);
 
 static RawKnob knobs[] = {
-    {"work_ms", 5},       /* time to an answer, or between two events */
-    {"load_ms", 30},      /* time to load an adapter */
-    {"places", 8},        /* requests at once; more are not run */
-    {"error", 0},         /* percent answered 500, having run */
-    {"refuse", 0},        /* percent not run, 503 */
-    {"reset", 0},         /* percent reset after they ran */
-    {"truncate", 0},      /* percent cut in the middle */
-    {"garbage", 0},       /* percent answered by bytes that are no answer */
-    {"extra", 0},         /* percent answered twice */
-    {"mute", 0},          /* percent never answered */
-    {"late_orders", 0},   /* percent of orders carried out unanswered */
-    {"draining", 0},      /* the record says so */
+    {"work_ms", 5},     /* time to an answer, or between two events */
+    {"load_ms", 30},    /* time to load an adapter */
+    {"places", 8},      /* requests at once; more are not run */
+    {"error", 0},       /* percent answered 500, having run */
+    {"refuse", 0},      /* percent not run, 503 */
+    {"reset", 0},       /* percent reset after they ran */
+    {"truncate", 0},    /* percent cut in the middle */
+    {"garbage", 0},     /* percent answered by bytes that are no answer */
+    {"extra", 0},       /* percent answered twice */
+    {"mute", 0},        /* percent never answered */
+    {"late_orders", 0}, /* percent of orders carried out unanswered */
+    {"draining", 0},    /* the record says so */
     {NULL, 0},
 };
 
@@ -100,10 +100,9 @@
     json_t *models = json_array();
 
     if (has_model) {
-        json_array_append_new(models,
-                              json_pack("{s:s, s:i, s:o}", "name", "m",
-                                        "version", 1, "adapters",
-                                        list_adapters(false)));
+        json_array_append_new(models, json_pack("{s:s, s:i, s:o}", "name", "m",
+                                                "version", 1, "adapters",
+                                                list_adapters(false)));
     }
     return models;
 }
@@ -126,9 +125,9 @@
         "meta", "name", id, "spec", "service", service, "address", told,
         "zone", zone, "version", "v1", "slots",
         (json_int_t)Raw_Knob(&raw, "places"), "state",
-        Raw_Knob(&raw, "draining") != 0 ? "draining" : "ready",
-        "cold_left_ms", 0, "models", list_models(), "sequence",
-        (json_int_t)sequence, "born", (json_int_t)born);
+        Raw_Knob(&raw, "draining") != 0 ? "draining" : "ready", "cold_left_ms",
+        0, "models", list_models(), "sequence", (json_int_t)sequence, "born",
+        (json_int_t)born);
     char *text = json_dumps(object, JSON_COMPACT);
     char path[KC_OBJECT_NAME_MAX];
     KcHttpOptions options = {.loop = raw.loop,
@@ -139,8 +138,8 @@
                              .body = {text, strlen(text)}};
 
     options.headers[0] = (KcHttpHeader){"X-Standin", "1"};
-    snprintf(path, sizeof(path), create ? "/objects/servers"
-                                        : "/objects/servers/%s", id);
+    snprintf(path, sizeof(path),
+             create ? "/objects/servers" : "/objects/servers/%s", id);
     KcHttpCall_Fetch(&options, on_written, NULL);
     free(text);
     json_decref(object);
@@ -181,11 +180,11 @@
 head(RawConnection *connection, const Job *job, int status, const char *rest)
 {
     char text[512];
-    int size = snprintf(text, sizeof(text),
-                        "HTTP/1.1 %d -\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\n"
-                        "Server-Load: %" PRId64 ",0,%" PRId64 "\r\n%s",
-                        status, job->id, id, running,
-                        Raw_Knob(&raw, "places"), rest);
+    int size =
+        snprintf(text, sizeof(text),
+                 "HTTP/1.1 %d -\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\n"
+                 "Server-Load: %" PRId64 ",0,%" PRId64 "\r\n%s",
+                 status, job->id, id, running, Raw_Knob(&raw, "places"), rest);
 
     Raw_Write(connection, text, (size_t)size);
 }
@@ -355,11 +354,11 @@
 static void
 report(RawConnection *connection)
 {
-    json_t *json = json_pack(
-        "{s:s, s:o, s:o, s:b, s:I, s:I, s:I}", "stage", "both", "models",
-        list_models(), "coming", list_adapters(true), "busy", 0, "sequence",
-        (json_int_t)sequence, "born", (json_int_t)born, "active",
-        (json_int_t)running);
+    json_t *json =
+        json_pack("{s:s, s:o, s:o, s:b, s:I, s:I, s:I}", "stage", "both",
+                  "models", list_models(), "coming", list_adapters(true),
+                  "busy", 0, "sequence", (json_int_t)sequence, "born",
+                  (json_int_t)born, "active", (json_int_t)running);
     char *text = json_dumps(json, JSON_COMPACT);
 
     Raw_Reply(connection, 200, "Content-Type: application/json\r\n", text);
@@ -433,8 +432,8 @@
     }
     sequence++;
     return strcmp(code, "load") == 0
-               ? load(name, json_integer_value(
-                                json_object_get(order, "version")))
+               ? load(name,
+                      json_integer_value(json_object_get(order, "version")))
                : unload(name);
 }
 
@@ -444,9 +443,9 @@
     const char *expected = Raw_Header(connection, "Expect-Instance");
     json_t *order = json_loads(KcBuffer_Data(&connection->body), 0, NULL);
     bool lost = Raw_Chance(&raw, "late_orders");
-    int status =
-        expected[0] != '\0' && strcmp(expected, id) != 0 ? 421
-                                                         : carry_out(order);
+    int status = expected[0] != '\0' && strcmp(expected, id) != 0
+                     ? 421
+                     : carry_out(order);
 
     json_decref(order);
     if (!lost) {
