--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -341,8 +341,7 @@
             KcServer_IsMute(server, now) ||
             KcServer_Load(server, now) * 100 >=
                 server->places * HOME_PERCENT ||
-            is_slow(forward, server, now) ||
-            is_full(forward, server, now) ||
+            is_slow(forward, server, now) || is_full(forward, server, now) ||
             has_current(forward, server, now) ||
             (held && !has_model(server, forward->adapter->model))) {
             continue;
@@ -387,7 +386,7 @@
     const KcServer *holder = best->server;
     bool filled =
         is_slow(forward, holder, now) ||
-                  best->version < best->adapter->newest ||
+        best->version < best->adapter->newest ||
         KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT;
 
     if (filled || in_trouble(holder, now) ||
@@ -405,7 +404,8 @@
     KcHolding *coming;
 
     if (best != NULL && copy_wanted(forward, best, now)) {
-        choice->copy_at = home_of(forward, copy_distance(forward, best, now), now);
+        choice->copy_at =
+            home_of(forward, copy_distance(forward, best, now), now);
     }
     if (best != NULL && !is_full(forward, best->server, now) &&
         !(in_trouble(best->server, now) && choice->copy_at != NULL)) {
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -71,6 +71,7 @@
 static void
 free_adapter(KcGateway *gateway, KcAdapterState *adapter)
 {
+    /* NOLINTNEXTLINE: within the macro of the hash */
     HASH_DEL(gateway->adapters, adapter);
     TAILQ_REMOVE(&gateway->adapter_list, adapter, link);
     gateway->adapter_count--;
@@ -537,6 +538,7 @@
     drop_all(gateway, server, true);
     gateway->options.ops->forget(gateway->options.context, server);
     assert(TAILQ_EMPTY(&server->holdings));
+    /* NOLINTNEXTLINE: within the macro of the hash */
     HASH_DEL(gateway->servers, server);
     TAILQ_REMOVE(&server->pool->servers, server, link);
     free(server);
@@ -649,8 +651,7 @@
 void
 KcServer_NoteFirst(KcServer *server, KcTime took, KcTime now)
 {
-    server->slow +=
-        (KcTime)((double)(took - server->slow) * FIRST_AGING);
+    server->slow += (KcTime)((double)(took - server->slow) * FIRST_AGING);
     server->slow_at = now;
 }
 
--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -148,6 +148,7 @@
 static void
 free_use(KcKeeper *keeper, Use *use)
 {
+    /* NOLINTNEXTLINE: within the macro of the hash */
     HASH_DEL(keeper->uses, use);
     TAILQ_REMOVE(&keeper->use_list, use, link);
     free(use);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -17,7 +17,7 @@
 #define STORE_RETRY (200 * KC_MS)
 /* Changes of servers are taken together for this long: each call of the
  * store is priced, and keepers tell first of servers that leave. */
-#define GATHER_SERVERS (1500 * KC_MS)
+#define GATHER_SERVERS (800 * KC_MS)
 /* The same of announced versions. */
 #define GATHER_VERSIONS (500 * KC_MS)
 /* Watches of what seldom changes wait so long; the watch of servers, which
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -4,6 +4,7 @@
  *
  *   standin-store ADDRESS [SEED]
  */
+#include <assert.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -56,6 +57,7 @@
 {
     Object *object;
 
+    assert(name != NULL);
     TAILQ_FOREACH (object, &objects, link) {
         if (strcmp(object->kind, kind) == 0 &&
             strcmp(object->name, name) == 0) {
