--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -134,6 +134,13 @@
         peer->link->ops->close(peer->link->transport);
         KcLink_Free(peer->link);
     }
+    peer->tcp = NULL;
+    peer->link = NULL;
+    if (server->in_flight > 0) {
+        /* Sendings in progress give their connections back to the pool. */
+        KcHttpPool_CloseAll(peer->pool);
+        return;
+    }
     KcHttpPool_Free(peer->pool);
     free(peer);
     server->peer = NULL;
--- a/tests/mutants/run.sh
+++ b/tests/mutants/run.sh
@@ -14,7 +14,7 @@
     dir=$WORK/$1
     mkdir -p "$dir"
     (cd "$ROOT" && git ls-files -z --cached --others --exclude-standard \
-        lib programs tests config.mk Makefile | xargs -0 cp --parents -t "$dir")
+        lib programs platform tests config.mk Makefile | xargs -0 cp --parents -t "$dir")
     BEFORE=$4 AFTER=$5 perl -0pi -e '
         BEGIN { $b = $ENV{BEFORE}; $a = $ENV{AFTER};
                 $b =~ s/\\n/\n/g; $a =~ s/\\n/\n/g;
