--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -342,7 +342,15 @@
     return true;
 }
 
-static const KcRoleOps role_ops = {drain, drained, NULL};
+/* Nothing that a keeper was started with may change while it runs. */
+static void
+reload(void *context, const KcSettings *settings)
+{
+    (void)context;
+    (void)settings;
+}
+
+static const KcRoleOps role_ops = {drain, drained, reload};
 
 /* ---- set-up -------------------------------------------------------------- */
 
--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/wait.h>
 
 #include "yard.h"
 
@@ -401,6 +402,23 @@
     serves(1);
 }
 
+/* SIGHUP means that the settings may have changed: nothing ends by it. */
+static void
+test_hang_up(void)
+{
+    for (int i = 0; i < 2; i++) {
+        Yard_Signal(yard, YARD_GATEWAY, i, SIGHUP);
+        Yard_Signal(yard, YARD_KEEPER, i, SIGHUP);
+    }
+    g_usleep(200000);
+    for (int i = 0; i < 2; i++) {
+        g_assert_cmpint(kill(Yard_Pid(yard, YARD_KEEPER, i), 0), ==, 0);
+        g_assert_cmpint(
+            waitpid(Yard_Pid(yard, YARD_KEEPER, i), NULL, WNOHANG), ==, 0);
+        serves(i);
+    }
+}
+
 static void
 test_keeper_killed(void)
 {
@@ -509,6 +527,7 @@
               store_cases, test_store);
     g_test_add_func("/platform/version", test_version);
     g_test_add_func("/platform/gateway stops", test_gateway_stops);
+    g_test_add_func("/platform/hang up", test_hang_up);
     g_test_add_func("/platform/keeper killed", test_keeper_killed);
     g_test_add_func("/platform/worker restarts", test_worker_restarts);
     g_test_add_func("/platform/no overload", test_no_overload);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -374,10 +374,11 @@
 static void
 hang_up_one(void)
 {
-    int number = (int)draw((uint64_t)soak.options.gateways);
+    YardRole role = draw(2) == 0 ? YARD_KEEPER : YARD_GATEWAY;
+    int number = (int)draw((uint64_t)count_of(role));
 
-    say("hang up", YARD_GATEWAY, number);
-    Yard_Signal(soak.yard, YARD_GATEWAY, number, SIGHUP);
+    say("hang up", role, number);
+    Yard_Signal(soak.yard, role, number, SIGHUP);
 }
 
 /* Knobs with their healed values. */
