--- a/Makefile
+++ b/Makefile
@@ -53,6 +53,9 @@
 bench: tests-build
 	$(MAKE) -C tests bench
 
+bench-platform: programs
+	$(MAKE) -C tests bench-platform
+
 bench-control: tests-build
 	$(MAKE) -C tests bench-control
 
@@ -92,5 +95,5 @@
 	rm -rf build
 
 .PHONY: all lib programs tests-build deps demo check check-built fuzz \
-    fuzz-check soak mutants bench bench-control format format-check lint install \
+    fuzz-check soak mutants bench bench-platform bench-control format format-check lint install \
     clean $(LIB_PACKAGES)
--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -413,8 +413,8 @@
     g_usleep(200000);
     for (int i = 0; i < 2; i++) {
         g_assert_cmpint(kill(Yard_Pid(yard, YARD_KEEPER, i), 0), ==, 0);
-        g_assert_cmpint(
-            waitpid(Yard_Pid(yard, YARD_KEEPER, i), NULL, WNOHANG), ==, 0);
+        g_assert_cmpint(waitpid(Yard_Pid(yard, YARD_KEEPER, i), NULL, WNOHANG),
+                        ==, 0);
         serves(i);
     }
 }
--- a/tests/platform/test_records.c
+++ b/tests/platform/test_records.c
@@ -26,8 +26,9 @@
      "'adapters':['a1@3','a2']}],'born':17}",
      NULL, 3},
     {"fields that are not known", "{" WORKER ",'new':{'x':[1]}}", NULL, 0},
-    {"no service", "{'address':'1.2.3.4:5','zone':'z','slots':1,"
-                   "'state':'ready'}",
+    {"no service",
+     "{'address':'1.2.3.4:5','zone':'z','slots':1,"
+     "'state':'ready'}",
      "service", 0},
     {"an address without a port",
      "{'service':'s','address':'1.2.3.4','zone':'z','slots':1,"
@@ -40,8 +41,9 @@
      "{'service':'s','address':'1.2.3.4:5','zone':'z','slots':1,"
      "'state':'busy'}",
      "state", 0},
-    {"no slots", "{'service':'s','address':'1.2.3.4:5','zone':'z',"
-                 "'state':'ready'}",
+    {"no slots",
+     "{'service':'s','address':'1.2.3.4:5','zone':'z',"
+     "'state':'ready'}",
      "slots", 0},
     {"slots of another type",
      "{'service':'s','address':'1.2.3.4:5','zone':'z','slots':'8',"
@@ -187,7 +189,8 @@
         KcError error = {0};
         int code = KcPlatform_Here.read_version(json, &version, &error);
 
-        g_assert_cmpint(code, ==, versions[i].fault != NULL ? KC_ERR_PARSE : 0);
+        g_assert_cmpint(code, ==,
+                        versions[i].fault != NULL ? KC_ERR_PARSE : 0);
         g_assert_cmpstr(error.step, ==, versions[i].fault);
         json_decref(json);
     }
--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -232,9 +232,9 @@
     const char *path;
     const char *rule; /* NULL: none */
 } routes[] = {
-    {"h", "/a/x", "a"},      {"h", "/a/b/x", "ab"}, {"H:80", "/a/b/", "ab"},
-    {"h", "/a/b", "a"},      {"h", "/c/x", "root"}, {"h", "x", NULL},
-    {"g", "/a/x", NULL},     {"h", "/a/?q=/b/", "a"}, {"", "/a/x", NULL},
+    {"h", "/a/x", "a"},  {"h", "/a/b/x", "ab"},   {"H:80", "/a/b/", "ab"},
+    {"h", "/a/b", "a"},  {"h", "/c/x", "root"},   {"h", "x", NULL},
+    {"g", "/a/x", NULL}, {"h", "/a/?q=/b/", "a"}, {"", "/a/x", NULL},
 };
 
 static void
