--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -24,8 +24,6 @@
 #define QUEUE_LOOK 16
 
 static void on_timer(KcTimer *timer, KcTime now);
-static void go_on(KcForward *forward, KcAttemptEnd end, int code,
-                  const char *step, KcTime now);
 
 /* ---- lists --------------------------------------------------------------- */
 
@@ -78,9 +76,8 @@
 
 /* ---- ends ---------------------------------------------------------------- */
 
-/* Lets go of the server and the adapter that a sending used. */
-static void
-release(KcForward *forward)
+void
+KcForward_Release(KcForward *forward)
 {
     KcServer *server = forward->server;
 
@@ -97,15 +94,15 @@
     }
 }
 
-static void
-withdraw(KcForward *forward)
+void
+KcForward_Withdraw(KcForward *forward)
 {
     KcGateway *gateway = forward->gateway;
 
     if (forward->sending != NULL) {
         gateway->options.ops->withdraw(gateway->options.context,
                                        forward->sending);
-        release(forward);
+        KcForward_Release(forward);
     }
 }
 
@@ -143,7 +140,7 @@
     gateway->options.ops->record(gateway->options.context, &record);
     count_times(forward, now);
     leave_list(forward);
-    withdraw(forward);
+    KcForward_Withdraw(forward);
     KcTimers_Clear(gateway->options.timers, &forward->timer);
     TAILQ_REMOVE(&gateway->forwards, forward, link);
     gateway->in_flight--;
@@ -152,8 +149,8 @@
     KcGateway_DispatchQueue(pool, now);
 }
 
-static void
-finish_end(KcForward *forward, int status, KcTime now)
+void
+KcForward_FinishEnd(KcForward *forward, int status, KcTime now)
 {
     const KcForwardOps *ops = forward->ops;
     void *caller = forward->caller;
@@ -163,9 +160,8 @@
     ops->end(caller);
 }
 
-/* Ends a request without a whole answer; forward->error says why. */
-static void
-finish_failed(KcForward *forward, bool may_have_run, KcTime now)
+void
+KcForward_FinishFailed(KcForward *forward, bool may_have_run, KcTime now)
 {
     const KcForwardOps *ops = forward->ops;
     void *caller = forward->caller;
@@ -195,14 +191,14 @@
 {
     KcError_Set(&forward->error, code, step,
                 forward->server != NULL ? forward->server->id : "");
-    finish_failed(forward, forward->may_have_run || forward->sending != NULL,
-                  now);
+    KcForward_FinishFailed(
+        forward, forward->may_have_run || forward->sending != NULL, now);
 }
 
 /* ---- sending ------------------------------------------------------------- */
 
-static void
-note_tried(KcForward *forward, KcServer *server)
+void
+KcForward_NoteTried(KcForward *forward, KcServer *server)
 {
     if (forward->tried_count < KC_FORWARD_TRIED_MAX) {
         forward->tried[forward->tried_count++] = server;
@@ -259,7 +255,7 @@
     forward->sending = options->ops->send(options->context, forward, &sending);
     if (forward->sending == NULL) {
         forward->sending = forward; /* released like one that was begun */
-        release(forward);
+        KcForward_Release(forward);
         return false;
     }
     return true;
@@ -303,7 +299,7 @@
         if (forward->error.code == 0) {
             KcError_Set(&forward->error, code, "choose", "");
         }
-        finish_failed(forward, forward->may_have_run, now);
+        KcForward_FinishFailed(forward, forward->may_have_run, now);
         return;
     }
     if (forward->error.code == 0) {
@@ -358,7 +354,7 @@
             return;
         }
         /* The server could not even be asked: the next one is. */
-        note_tried(forward, choice.server);
+        KcForward_NoteTried(forward, choice.server);
         if (forward->tried_count == KC_FORWARD_TRIED_MAX) {
             enqueue(forward, KC_ERR_NO_BACKEND, now);
             return;
@@ -410,7 +406,7 @@
         if (refused != NULL && forward->server == refused) {
             KcError_Set(&forward->error, KC_ERR_LOAD_FAILED, "load",
                         refused->id);
-            note_tried(forward, refused);
+            KcForward_NoteTried(forward, refused);
         }
         KcForward_Dispatch(forward, now);
     }
@@ -522,8 +518,9 @@
                   silent ? forward->give_up : now + patience(forward));
         return;
     }
-    withdraw(forward);
-    go_on(forward, KC_ATTEMPT_LOST, KC_ERR_DEADLINE, "first byte", now);
+    KcForward_Withdraw(forward);
+    KcForward_GoOn(forward, KC_ATTEMPT_LOST, KC_ERR_DEADLINE, "first byte",
+                   now);
 }
 
 static void
@@ -538,14 +535,14 @@
     }
     switch (forward->state) {
     case KC_FORWARD_QUEUED:
-        finish_failed(forward, forward->may_have_run, now);
+        KcForward_FinishFailed(forward, forward->may_have_run, now);
         break;
     case KC_FORWARD_LOADING:
         /* Another server is asked; this one may be cut off or crowded. */
         leave_list(forward);
         KcError_Set(&forward->error, KC_ERR_LOAD_FAILED, "load",
                     forward->server->id);
-        note_tried(forward, forward->server);
+        KcForward_NoteTried(forward, forward->server);
         KcForward_Dispatch(forward, now);
         break;
     case KC_FORWARD_SENT:
@@ -556,162 +553,3 @@
         break;
     }
 }
-
-/* ---- what the sending side reports --------------------------------------- */
-
-/* Decides what follows a sending without a whole answer. */
-static void
-go_on(KcForward *forward, KcAttemptEnd end, int code, const char *step,
-      KcTime now)
-{
-    KcServer *server = forward->server;
-    KcRetryInput input = {.end = end,
-                          .repeatable = forward->repeatable,
-                          .may_have_run = forward->may_have_run,
-                          .cancelled = now >= forward->give_up,
-                          .continues = forward->rule->resumable,
-                          .part_delivered = forward->begun,
-                          .refusals_count = true,
-                          .attempts_max = forward->rule->attempts_max};
-    bool ran = end == KC_ATTEMPT_FAILED || end == KC_ATTEMPT_LOST;
-
-    KcError_Set(&forward->error, code, step, server->id);
-    KcServer_NoteFailure(server, end, now);
-    release(forward);
-    note_tried(forward, server);
-    forward->runs += ran ? 1 : 0;
-    input.attempts = forward->runs;
-    switch (KcRetry_Decide(&input, &forward->pool->budget)) {
-    case KC_RETRY_NEXT:
-        forward->may_have_run = forward->may_have_run || ran;
-        KcCounters_Add(forward->gateway->options.counters, KC_COUNT_RETRIES,
-                       1);
-        KcForward_Dispatch(forward, now);
-        break;
-    case KC_RETRY_NOT_RUN:
-        finish_failed(forward, false, now);
-        break;
-    case KC_RETRY_UNKNOWN:
-        finish_failed(forward, true, now);
-        break;
-    }
-}
-
-void
-KcForward_OnFailed(KcForward *forward, KcAttemptEnd end, int code, KcTime now)
-{
-    assert(forward->sending != NULL);
-    go_on(forward, end, code,
-          forward->state == KC_FORWARD_STREAMING ? "stream" : "send", now);
-}
-
-/* The server did not run the request. */
-static void
-on_not_run(KcForward *forward, const KcReply *reply, KcTime now)
-{
-    KcCounters_Add(forward->gateway->options.counters, KC_COUNT_REFUSALS, 1);
-    if (reply->other_server && forward->holding != NULL) {
-        KcHolding_Drop(forward->gateway, forward->holding);
-    }
-    go_on(forward, KC_ATTEMPT_REFUSED,
-          reply->other_server ? KC_ERR_WRONG_MODEL : KC_ERR_BUSY, "refused",
-          now);
-}
-
-/* May an answer that says failure be replaced by another server's? */
-static bool
-worth_retry(const KcForward *forward, const KcReply *reply, KcTime now)
-{
-    return reply->status >= 500 && forward->rule->kind == KC_KIND_SAFE &&
-           forward->runs + 1 < forward->rule->attempts_max &&
-           now < forward->give_up && KcRetryBudget_Has(&forward->pool->budget);
-}
-
-void
-KcForward_OnReply(KcForward *forward, const KcReply *reply, KcTime now)
-{
-    const KcForwardOps *ops = forward->ops;
-
-    assert(forward->sending != NULL);
-    forward->server->heard_at = now;
-    if (reply->not_run) {
-        on_not_run(forward, reply, now);
-        return;
-    }
-    if (worth_retry(forward, reply, now)) {
-        go_on(forward, KC_ATTEMPT_FAILED, KC_ERR_BACKEND, "answer", now);
-        return;
-    }
-    if (forward->begun) {
-        /* A stream cannot go on as an answer of another kind. */
-        go_on(forward, KC_ATTEMPT_FAILED, KC_ERR_BACKEND, "resume", now);
-        return;
-    }
-    KcServer_NoteFirst(forward->server, now - forward->sent_at, now);
-    if (reply->status >= 500) {
-        KcServer_NoteFailure(forward->server, KC_ATTEMPT_FAILED, now);
-    }
-    else {
-        KcServer_NoteSuccess(forward->server);
-    }
-    release(forward);
-    forward->begun = true;
-    ops->begin(forward->caller, reply->head, false);
-    ops->data(forward->caller, reply->body);
-    finish_end(forward, reply->status, now);
-}
-
-void
-KcForward_OnBegin(KcForward *forward, const KcReply *reply, KcTime now)
-{
-    assert(forward->sending != NULL && !reply->not_run);
-    forward->server->heard_at = now;
-    forward->state = KC_FORWARD_STREAMING;
-    forward->head = reply->head;
-}
-
-/* The head is passed on with the first event: until then another server's
- * answer can take its place. */
-static void
-begin_stream(KcForward *forward, KcTime now)
-{
-    if (!forward->heard) {
-        forward->heard = true;
-        KcServer_NoteFirst(forward->server, now - forward->sent_at, now);
-    }
-    if (forward->begun) {
-        return;
-    }
-    forward->begun = true;
-    forward->first_event_at = now;
-    forward->ops->begin(forward->caller, forward->head, true);
-}
-
-void
-KcForward_OnEvent(KcForward *forward, bool has_id, uint64_t id, KcBytes bytes,
-                  KcTime now)
-{
-    assert(forward->sending != NULL);
-    forward->server->heard_at = now;
-    if (has_id && forward->has_event && id != forward->last_event + 1) {
-        withdraw(forward);
-        go_on(forward, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL, "event id", now);
-        return;
-    }
-    begin_stream(forward, now);
-    if (has_id) {
-        forward->has_event = true;
-        forward->last_event = id;
-    }
-    forward->ops->data(forward->caller, bytes);
-}
-
-void
-KcForward_OnEnd(KcForward *forward, KcTime now)
-{
-    assert(forward->sending != NULL);
-    begin_stream(forward, now);
-    KcServer_NoteSuccess(forward->server);
-    release(forward);
-    finish_end(forward, 200, now);
-}
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -2,8 +2,9 @@
  * The gateway's context, and what its files use of each other.
  *
  * The calls go one way: gateway_forward.c (requests) uses gateway_choose.c
- * (decisions), which uses gateway_servers.c (what is known of servers and
- * adapters).
+ * (decisions), which uses gateway_servers.c and gateway_adapters.c (what is
+ * known of servers, and of adapters and who holds them).  gateway_answer.c
+ * takes what the sending side reports to requests.
  */
 #ifndef KCC_GATEWAY_INTERNAL_H
 #define KCC_GATEWAY_INTERNAL_H
@@ -37,11 +38,20 @@
 /* Makes sure that pauses of this process are noticed. */
 void KcGateway_Watch(KcGateway *gateway, KcTime now);
 
-/* ---- servers and adapters (gateway_servers.c) ---------------------------- */
+/* ---- adapters (gateway_adapters.c) --------------------------------------- */
 
-KcServerPool *KcGateway_Pool(KcGateway *gateway, const char *service);
 KcAdapterState *KcGateway_Adapter(KcGateway *gateway, const char *model,
                                   const char *name, KcTime now);
+void KcGateway_ClearAdapters(KcGateway *gateway);
+
+/*
+ * Takes over what a record says that its server holds.  Records lag: where
+ * the keeper is heard, its word on adapters goes first.
+ */
+void KcServer_SetHeld(KcGateway *gateway, KcServer *server,
+                      const KcServerInfo *info, KcTime now);
+/* The server holds no adapter any more, or with_models nothing at all. */
+void KcServer_DropHeld(KcGateway *gateway, KcServer *server, bool with_models);
 
 /* True when the holding can serve a request now. */
 bool KcHolding_Usable(const KcHolding *holding, KcTime now);
@@ -53,6 +63,10 @@
 /* The server said that it does not have it. */
 void KcHolding_Drop(KcGateway *gateway, KcHolding *holding);
 
+/* ---- servers (gateway_servers.c) ----------------------------------------- */
+
+KcServerPool *KcGateway_Pool(KcGateway *gateway, const char *service);
+
 /* Notes how a sending to the server ended. */
 void KcServer_NoteSuccess(KcServer *server);
 /* Notes the time from a sending to the first byte of its answer. */
@@ -101,5 +115,20 @@
  */
 void KcGateway_DispatchWaiting(KcAdapterState *adapter, KcServer *refused,
                                KcTime now);
+/* Lets go of the server and the adapter that a sending used. */
+void KcForward_Release(KcForward *forward);
+/* Takes the request back from the server that it is at. */
+void KcForward_Withdraw(KcForward *forward);
+/* The server is not tried for this request again while there are others. */
+void KcForward_NoteTried(KcForward *forward, KcServer *server);
+/* Ends: whole, and with an error; may_have_run tells the caller so. */
+void KcForward_FinishEnd(KcForward *forward, int status, KcTime now);
+void KcForward_FinishFailed(KcForward *forward, bool may_have_run, KcTime now);
+
+/* ---- answers (gateway_answer.c) ------------------------------------------ */
+
+/* Decides what follows a sending without a whole answer. */
+void KcForward_GoOn(KcForward *forward, KcAttemptEnd end, int code,
+                    const char *step, KcTime now);
 
 #endif
--- /dev/null
+++ b/programs/process/gateway_feeds.c
@@ -0,0 +1,282 @@
+/*
+ * What the gateway hears from the store, and the record that it keeps there of
+ * itself.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gateway_role_internal.h"
+
+/* Changes of servers are taken together for this long: each call of the
+ * store is priced, and keepers tell first of servers that leave. */
+#define GATHER_SERVERS (800 * KC_MS)
+/* The same of announced versions. */
+#define GATHER_VERSIONS (500 * KC_MS)
+/* Watches of what seldom changes wait so long; the watch of servers, which
+ * is answered all the time, is the one that notices a lost store. */
+#define WAIT_SELDOM (10 * KC_SECOND)
+/* The records of gateways are only listed, this often. */
+#define GATHER_GATEWAYS (20 * KC_SECOND)
+/* Records that go so soon after the store was away may come back: it brings
+ * them within about two seconds. */
+#define STORE_SETTLES (3 * KC_SECOND)
+
+/* ---- feeds --------------------------------------------------------------- */
+
+static void
+log_invalid(const KcFeedItem *item, const KcError *error)
+{
+    KcLogFields fields = {
+        .peer = item->name, .step = error->step, .code = error->code};
+
+    KcLog_Write(KC_LOG_WARN, &fields, "record cannot be used");
+}
+
+/* The store was lost or regained: what still waits for an answer of before is
+ * asked again. */
+static void
+on_contact(void *context, int code, KcTime now)
+{
+    GatewayRole *role = context;
+    KcLogFields fields = {.step = "store", .code = code};
+
+    KcLog_Write(code == 0 ? KC_LOG_INFO : KC_LOG_WARN, &fields,
+                code == 0 ? "store answers again" : "store does not answer");
+    role->store_back_at = now;
+    for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
+        if (role->feeds[i] != NULL) {
+            KcFeed_Poke(role->feeds[i], now);
+        }
+    }
+}
+
+static void
+begins_nothing(void *context)
+{
+    (void)context;
+}
+
+static void
+listed_nothing(void *context, KcTime now)
+{
+    (void)context;
+    (void)now;
+}
+
+static void
+on_routing(void *context, const KcFeedItem *item, KcTime now)
+{
+    GatewayRole *role = context;
+    KcLogFields fields = {.step = "routing"};
+    KcRouting *routing;
+    KcError error = {0};
+
+    (void)now;
+    if (item->deleted) {
+        return; /* the last one stays in force */
+    }
+    routing = role->platform->read_routing(item->body, &error);
+    if (routing == NULL) {
+        log_invalid(item, &error);
+        return;
+    }
+    fields.generation = routing->version;
+    KcLog_Write(KC_LOG_INFO, &fields, "configuration read, %u routes",
+                routing->rule_count);
+    KcCounters_Add(&role->parts.counters, KC_COUNT_ADOPTIONS, 1);
+    KcGateway_SetRouting(role->gateway, routing);
+}
+
+static void
+on_server(void *context, const KcFeedItem *item, KcTime now)
+{
+    GatewayRole *role = context;
+    KcLogFields fields = {.peer = item->name, .step = "servers"};
+    KcServerInfo info;
+    KcServer *known = KcGateway_Server(role->gateway, item->name);
+    bool was_leaving = known != NULL && known->leaving;
+    KcError error = {0};
+
+    if (item->deleted) {
+        bool sure = now - role->store_back_at > STORE_SETTLES;
+
+        KcLog_Write(KC_LOG_INFO, &fields, "record of the server is gone%s",
+                    sure ? "" : ", perhaps with the store's outage");
+        KcGateway_OnServerGone(role->gateway, item->name, sure, now);
+        return;
+    }
+    KcServerInfo_Init(&info);
+    if (role->platform->read_server(item, &info, &error) != 0) {
+        log_invalid(item, &error);
+        KcGateway_OnServerGone(role->gateway, item->name, false, now);
+    }
+    else {
+        if (known == NULL || info.leaving != was_leaving ||
+            info.born != known->born) {
+            KcLog_Write(KC_LOG_INFO, &fields, "server is %s, service %s at %s",
+                        info.leaving ? "leaving" : "ready", info.service,
+                        info.address);
+        }
+        KcGateway_OnServer(role->gateway, &info, item->revision, now);
+    }
+    KcServerInfo_Clear(&info);
+}
+
+static void
+servers_begin(void *context)
+{
+    KcGateway_ServersBegin(((GatewayRole *)context)->gateway);
+}
+
+static void
+servers_listed(void *context, KcTime now)
+{
+    KcGateway_ServersEnd(((GatewayRole *)context)->gateway, now);
+}
+
+static void
+on_version(void *context, const KcFeedItem *item, KcTime now)
+{
+    GatewayRole *role = context;
+    KcLogFields fields = {.step = "versions", .peer = item->name};
+    KcHeldInfo version;
+    KcError error = {0};
+
+    if (item->deleted) {
+        return;
+    }
+    if (role->platform->read_version(item->body, &version, &error) != 0) {
+        log_invalid(item, &error);
+        return;
+    }
+    KcLog_Write(KC_LOG_INFO, &fields, "version %u is announced",
+                version.version);
+    KcGateway_OnVersion(role->gateway, version.model, version.adapter,
+                        version.version, now);
+}
+
+static void
+gateways_begin(void *context)
+{
+    ((GatewayRole *)context)->gateways = 0;
+}
+
+static void
+on_gateway(void *context, const KcFeedItem *item, KcTime now)
+{
+    GatewayRole *role = context;
+
+    (void)now;
+    role->gateways += item->deleted ? 0 : 1;
+}
+
+static void
+gateways_listed(void *context, KcTime now)
+{
+    GatewayRole *role = context;
+
+    KcGateway_SetPeers(role->gateway, role->gateways, now);
+}
+
+/* How each collection is followed. */
+static const struct {
+    KcTime gather;
+    KcTime relist;
+    void (*begins)(void *context);
+    void (*item)(void *context, const KcFeedItem *item, KcTime now);
+    void (*listed)(void *context, KcTime now);
+} feed_rows[KC_COLLECTION_COUNT] = {
+    [KC_COLLECTION_ROUTING] = {0, 0, begins_nothing, on_routing,
+                               listed_nothing},
+    [KC_COLLECTION_SERVERS] = {GATHER_SERVERS, 0, servers_begin, on_server,
+                               servers_listed},
+    [KC_COLLECTION_VERSIONS] = {GATHER_VERSIONS, 0, begins_nothing, on_version,
+                                listed_nothing},
+    [KC_COLLECTION_GATEWAYS] = {GATHER_GATEWAYS, GATHER_GATEWAYS,
+                                gateways_begin, on_gateway, gateways_listed},
+};
+
+void
+KcGatewayRole_StartFeeds(GatewayRole *role)
+{
+    const KcSettings *settings = role->parts.settings;
+
+    for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
+        KcFeedOptions options = {.ops = role->platform->feed,
+                                 .store = role->store,
+                                 .timers = role->parts.loop->timers,
+                                 .kind = role->platform->collections[i],
+                                 .retry = STORE_RETRY,
+                                 .wait = i == KC_COLLECTION_SERVERS
+                                             ? settings->watch_ms * KC_MS
+                                             : WAIT_SELDOM,
+                                 .gather = feed_rows[i].gather,
+                                 .relist = feed_rows[i].relist,
+                                 .begins = feed_rows[i].begins,
+                                 .item = feed_rows[i].item,
+                                 .listed = feed_rows[i].listed,
+                                 .contact = on_contact,
+                                 .context = role};
+
+        role->feeds[i] = KcFeed_Create(&options);
+        KcFeed_Start(role->feeds[i], KcLoop_Now());
+    }
+}
+
+void
+KcGatewayRole_FreeFeeds(GatewayRole *role)
+{
+    for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
+        KcFeed_Free(role->feeds[i]);
+    }
+}
+
+/* ---- this gateway's own record ------------------------------------------- */
+
+static void write_member(GatewayRole *role, uint64_t expected);
+
+static void
+on_member_written(void *context, const KcObjectReply *reply)
+{
+    GatewayRole *role = context;
+
+    if (reply->code == KC_ERR_NOT_FOUND) {
+        write_member(role, KC_OBJECT_ABSENT);
+    }
+    else if (reply->code != 0 && reply->code != KC_ERR_CONFLICT) {
+        KcTimers_Set(role->parts.loop->timers, &role->member_timer,
+                     KcLoop_Now() + STORE_RETRY);
+    }
+}
+
+static void
+write_member(GatewayRole *role, uint64_t expected)
+{
+    const KcSettings *settings = role->parts.settings;
+    char name[KC_OBJECT_NAME_MAX];
+    char value[KC_NAME_MAX * 2];
+
+    snprintf(name, sizeof(name), "%s/%s",
+             role->platform->collections[KC_COLLECTION_GATEWAYS],
+             settings->name);
+    snprintf(value, sizeof(value), "{\"datacentre\":\"%s\"}",
+             settings->datacentre);
+    role->platform->objects->put(role->store, name,
+                                 (KcBytes){value, strlen(value)}, expected,
+                                 on_member_written, role);
+}
+
+static void
+on_member_timer(KcTimer *timer, KcTime now)
+{
+    (void)now;
+    write_member(timer->owner, KC_OBJECT_ANY);
+}
+
+void
+KcGatewayRole_WriteMember(GatewayRole *role)
+{
+    KcTimer_Init(&role->member_timer, on_member_timer, role);
+    write_member(role, KC_OBJECT_ANY);
+}
