--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -204,6 +204,15 @@
     KcGateway_SetRouting(script->gateway, routing);
 }
 
+/* The version in force. */
+static void
+step_version_in_force(Script *script, char **words)
+{
+    (void)words;
+    g_string_append_printf(script->trace, "v%d; ",
+                           (int)KcGateway_Routing(script->gateway)->version);
+}
+
 /* "x@1" is an adapter of model m, "m" the model itself. */
 static void
 add_item(KcServerInfo *info, const char *item)
@@ -457,17 +466,29 @@
     const char *name;
     void (*run)(Script *script, char **words);
 } steps[] = {
-    {"config", step_config},      {"srv", step_server},
-    {"gone", step_gone},          {"list", step_list},
-    {"req", step_request},        {"abandon", step_abandon},
-    {"reply", step_reply},        {"notrun", step_not_run},
-    {"other", step_other},        {"begin", step_begin},
-    {"event", step_event},        {"end", step_end},
-    {"lost", step_lost},          {"never", step_never},
-    {"held", step_held},          {"keeperlost", step_keeper_lost},
-    {"version", step_version},    {"load", step_load},
-    {"nokeeper", step_no_keeper}, {"nosend", step_no_send},
-    {"peers", step_peers},        {"drain", step_drain},
+    {"config", step_config},
+    {"inforce", step_version_in_force},
+    {"srv", step_server},
+    {"gone", step_gone},
+    {"list", step_list},
+    {"req", step_request},
+    {"abandon", step_abandon},
+    {"reply", step_reply},
+    {"notrun", step_not_run},
+    {"other", step_other},
+    {"begin", step_begin},
+    {"event", step_event},
+    {"end", step_end},
+    {"lost", step_lost},
+    {"never", step_never},
+    {"held", step_held},
+    {"keeperlost", step_keeper_lost},
+    {"version", step_version},
+    {"load", step_load},
+    {"nokeeper", step_no_keeper},
+    {"nosend", step_no_send},
+    {"peers", step_peers},
+    {"drain", step_drain},
     {"wait", step_wait},
 };
 
@@ -501,7 +522,8 @@
      "1:not run no_document; "},
     {"no route", PLAIN "req 1 /z/x", "1:not run not_found; "},
     {"an older configuration is not taken back",
-     "config 2;config 1;srv a plain 4;req 1 /s/x", "1>a; "},
+     "config 2;config 1;inforce;config 3;inforce;srv a plain 4;req 1 /s/x",
+     "v2; v3; 1>a; "},
     /* plain services */
     {"nearest first", PLAIN "req 1 /s/x;reply 1 200", "1>a; 1:200; 1:end; "},
     {"a filled server is passed over", PLAIN "load a 4 1 4;req 1 /s/x",
