Keep what a keeper tells from a link that is lost already

When a gateway's connection ended, its uses were given up before its link left the list: an adapter that could be evicted then was told of to every link, this one with its transport freed. The link leaves the list first now. The new test /platform/gateway lost fails under the sanitizer without the change.

--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -49,11 +49,13 @@
     TAILQ_INSERT_TAIL(&role->links, link, link);
 }
 
+/* The transport is gone already: what the keeper tells now must not reach it.
+ */
 static void
 close_link(KeeperRole *role, KcLink *link)
 {
-    KcKeeper_OnGatewayLost(role->keeper, link, KcLoop_Now());
     TAILQ_REMOVE(&role->links, link, link);
+    KcKeeper_OnGatewayLost(role->keeper, link, KcLoop_Now());
     KcLink_Free(link);
 }
 
--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -8,9 +8,11 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "kcc.h"
 #include "yard.h"
 
 #define ROOM 65536
@@ -421,6 +423,63 @@
     }
 }
 
+static void
+send_message(int fd, KcEncoder *encoder, const KcMsg *msg)
+{
+    KcBytes bytes;
+
+    g_assert_cmpint(KcEncoder_Pack(encoder, msg, &bytes), ==, 0);
+    g_assert_cmpint(send(fd, bytes.data, bytes.size, MSG_NOSIGNAL), ==,
+                    (ssize_t)bytes.size);
+}
+
+/* An adapter of a gateway of ours is in use, as far as it says. */
+static void
+send_used(int fd, KcEncoder *encoder, int number)
+{
+    KcMsg want = {.type = KC_MSG_WANT, .u.want = {.model = "m"}};
+    KcMsg used = {.type = KC_MSG_USED,
+                  .u.used = {.model = "m", .uses = 1, .in_flight = 1}};
+
+    snprintf(want.u.want.adapter, KC_NAME_MAX, "g%d", number);
+    snprintf(used.u.used.adapter, KC_NAME_MAX, "g%d", number);
+    send_message(fd, encoder, &want);
+    g_usleep(100000);
+    send_message(fd, encoder, &used);
+}
+
+/*
+ * A gateway that uses every adapter that the worker takes is lost while
+ * another is wanted: its adapters can be evicted then, and the keeper tells
+ * the gateways that are left.
+ */
+static void
+test_gateway_lost(void)
+{
+    KcEncoder *encoder = KcEncoder_Create();
+    KcMsg hello = {.type = KC_MSG_HELLO,
+                   .u.hello = {.name = "lost",
+                               .incarnation = 1,
+                               .protocol = KC_PROTOCOL_VERSION}};
+    char address[64];
+    int fd;
+
+    snprintf(address, sizeof(address), "%s", Yard_Address(yard, YARD_LLM, 0));
+    sprintf(strrchr(address, ':'), ":%d", YARD_KEEPER_PORT);
+    fd = Yard_Connect(address);
+    g_assert_cmpint(fd, >=, 0);
+    send_message(fd, encoder, &hello);
+    for (int i = 0; i < 16; i++) {
+        send_used(fd, encoder, i);
+    }
+    g_usleep(600000);
+    close(fd);
+    g_usleep(300000);
+    g_assert_cmpint(waitpid(Yard_Pid(yard, YARD_KEEPER, 0), NULL, WNOHANG), ==,
+                    0);
+    KcEncoder_Free(encoder);
+}
+
 static void
 test_keeper_killed(void)
 {
@@ -534,6 +593,7 @@
     g_test_add_func("/platform/version", test_version);
     g_test_add_func("/platform/gateway stops", test_gateway_stops);
     g_test_add_func("/platform/hang up", test_hang_up);
+    g_test_add_func("/platform/gateway lost", test_gateway_lost);
     g_test_add_func("/platform/keeper killed", test_keeper_killed);
     g_test_add_func("/platform/worker restarts", test_worker_restarts);
     g_test_add_func("/platform/no overload", test_no_overload);
--- a/tests/daemons/yard.c
+++ b/tests/daemons/yard.c
@@ -20,7 +20,6 @@
 #define PORT YARD_PORT
 #define READY_PORT 9101
 #define ADMIN_PORT 9102
-#define KEEPER_PORT 9103
 #define TEXT 128
 #define HOST 64
 #define PER_ROLE 64
@@ -81,8 +80,8 @@
 
 /* ---- exchanges ----------------------------------------------------------- */
 
-static int
-connect_to(const char *address)
+int
+Yard_Connect(const char *address)
 {
     char host[HOST];
     struct sockaddr_in to = {.sin_family = AF_INET};
@@ -130,7 +129,7 @@
 Yard_Exchange(const char *address, const char *bytes, size_t size,
               char *answer, size_t room, int milliseconds)
 {
-    int fd = connect_to(address);
+    int fd = Yard_Connect(address);
     size_t used = 0;
     struct pollfd wait = {.fd = fd, .events = POLLIN};
     bool until_close;
@@ -338,13 +337,13 @@
         fprintf(file,
                 "callers = %s:%d\nready = %s:%d\nready_path = /ready\n"
                 "[keeper]\nport = %d\n[retry]\nshare = 0.2\nburst = 20\n",
-                host, PORT, host, READY_PORT, KEEPER_PORT);
+                host, PORT, host, READY_PORT, YARD_KEEPER_PORT);
     }
     else {
         fprintf(file,
                 "links = %s:%d\n[backend]\naddress = %s:%d\n"
                 "service = llm\n",
-                host, KEEPER_PORT, host, PORT);
+                host, YARD_KEEPER_PORT, host, PORT);
     }
     fclose(file);
 }
--- a/tests/daemons/yard.h
+++ b/tests/daemons/yard.h
@@ -32,6 +32,8 @@
 /* Where the store and workers listen, and where their proxies do. */
 #define YARD_PORT 9100
 #define YARD_PROXY_PORT 9200
+/* Where keepers listen for gateways, on the machine of their worker. */
+#define YARD_KEEPER_PORT 9103
 
 typedef struct Yard Yard;
 
@@ -66,6 +68,9 @@
 /* Announces a version of an adapter of model m. */
 void Yard_Announce(Yard *yard, const char *adapter, int version);
 
+/* A connected socket, or -1. */
+int Yard_Connect(const char *address);
+
 /*
  * Sends bytes and reads until the other side closes, an answer of known
  * length is whole, or the time is over.  Returns the number of bytes read,
