--- a/tests/check-docs.sh
+++ b/tests/check-docs.sh
@@ -55,7 +55,10 @@
 every_counter_defined() {
     grep -oh 'kcc_[a-z_]*_total' "$ROOT/docs/OPERATIONS.md" | sort -u |
         while read -r counter; do
-            grep -q "\"$counter\"" "$ROOT/lib/process/counters.c" || exit 1
+            # The log's own counter is beside the page that shows it.
+            grep -q "\"$counter\"" "$ROOT/lib/process/counters.c" ||
+                grep -q "# TYPE $counter counter" \
+                    "$ROOT/programs/process/admin_http.c" || exit 1
         done
 }
 
