Say once how we listen, greet, log the store, and when a copy relieves a holder

Cause: reading the whole change again. Listening at an address stood four times (links, callers, stand-ins, proxies): KcSocket_Listen(). HELLO was put together in four places: KcMsg_Hello(). The gateway and the keeper had their own words for a lost store and a record that cannot be used, and empty functions for feeds that need not know of lists: KcLog_Contact(), KcLog_Invalid(), and begins and listed may be NULL. What makes a copy worth while was computed twice for one choice, in two orders: needs_relief(). Seven functions that nothing called are gone, with the state that only they read.

--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -179,6 +179,9 @@
     } u;
 } KcMsg;
 
+/* Makes the HELLO of a process; the rest of the message is cleared. */
+void KcMsg_Hello(KcMsg *msg, const char *name, uint64_t incarnation);
+
 /* Priorities run from 0 (batch work) to KC_PRIORITY_MAX (alarms). */
 #define KC_PRIORITY_MAX 9
 #define KC_PRIORITY_DEFAULT 4
--- a/lib/connection/link.c
+++ b/lib/connection/link.c
@@ -7,6 +7,16 @@
 
 #include "message_table_internal.h"
 
+void
+KcMsg_Hello(KcMsg *msg, const char *name, uint64_t incarnation)
+{
+    memset(msg, 0, sizeof(*msg));
+    msg->type = KC_MSG_HELLO;
+    KcName_Copy(msg->u.hello.name, name, KC_NAME_MAX);
+    msg->u.hello.incarnation = incarnation;
+    msg->u.hello.protocol = KC_PROTOCOL_VERSION;
+}
+
 KcLink *
 KcLink_Create(const KcLinkOps *ops, void *transport, bool initiator,
               KcTime now)
--- a/lib/process/agent.c
+++ b/lib/process/agent.c
@@ -173,16 +173,15 @@
 void
 KcAgent_OnConnected(KcAgent *agent, KcLink *link, KcTime now)
 {
-    KcMsg msg = {.type = KC_MSG_HELLO};
+    KcMsg msg;
 
     (void)now;
     link->owner = agent;
     link->stamp = stamp;
     link->stamp_context = agent;
     TAILQ_INSERT_TAIL(&agent->links, link, link);
-    KcName_Copy(msg.u.hello.name, agent->options.member.name, KC_NAME_MAX);
-    msg.u.hello.incarnation = agent->options.member.incarnation;
-    msg.u.hello.protocol = KC_PROTOCOL_VERSION;
+    KcMsg_Hello(&msg, agent->options.member.name,
+                agent->options.member.incarnation);
     KcLink_Send(link, &msg);
 }
 
--- a/lib/process/entry.c
+++ b/lib/process/entry.c
@@ -252,11 +252,8 @@
 void
 KcEntry_Hello(const KcEntry *entry, KcMsg *msg)
 {
-    memset(msg, 0, sizeof(*msg));
-    msg->type = KC_MSG_HELLO;
-    KcName_Copy(msg->u.hello.name, entry->options.member.name, KC_NAME_MAX);
-    msg->u.hello.incarnation = entry->options.member.incarnation;
-    msg->u.hello.protocol = KC_PROTOCOL_VERSION;
+    KcMsg_Hello(msg, entry->options.member.name,
+                entry->options.member.incarnation);
 }
 
 void
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -360,6 +360,17 @@
            KcServer_IsMute(server, now);
 }
 
+/* Is a copy elsewhere to take requests off this holder? */
+static bool
+needs_relief(const KcForward *forward, const KcHolding *holding, KcTime now)
+{
+    const KcServer *holder = holding->server;
+
+    return holding->version < holding->adapter->newest ||
+           KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT ||
+           is_slow(forward, holder, now) || in_trouble(holder, now);
+}
+
 /* Is a further copy worth while beside this holder? */
 static bool
 copy_wanted(const KcForward *forward, const KcHolding *best, KcTime now)
@@ -371,9 +382,7 @@
         now - adapter->wanted_at < COPY_INTERVAL) {
         return false;
     }
-    return best->version < adapter->newest ||
-           KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT ||
-           is_slow(forward, holder, now) || in_trouble(holder, now) ||
+    return needs_relief(forward, best, now) ||
            (holder->distance != KC_DISTANCE_DATACENTRE &&
             adapter->rate > COPY_RATE);
 }
@@ -383,17 +392,13 @@
 static KcDistance
 copy_distance(const KcForward *forward, const KcHolding *best, KcTime now)
 {
-    const KcServer *holder = best->server;
-    bool filled =
-        is_slow(forward, holder, now) ||
-        best->version < best->adapter->newest ||
-        KcServer_Load(holder, now) * 100 > holder->places * COPY_PERCENT;
+    KcDistance distance = best->server->distance;
 
-    if (filled || in_trouble(holder, now) ||
-        holder->distance == KC_DISTANCE_DATACENTRE) {
+    if (needs_relief(forward, best, now) ||
+        distance == KC_DISTANCE_DATACENTRE) {
         return KC_DISTANCE_REMOTE;
     }
-    return (KcDistance)(holder->distance - 1);
+    return (KcDistance)(distance - 1);
 }
 
 static void
@@ -435,10 +440,8 @@
 }
 
 void
-KcGateway_Choose(const KcGateway *gateway, const KcForward *forward,
-                 KcTime now, KcChoice *choice)
+KcGateway_Choose(const KcForward *forward, KcTime now, KcChoice *choice)
 {
-    (void)gateway;
     *choice = (KcChoice){.action = KC_CHOICE_NONE};
     if (forward->adapter != NULL) {
         choose_model(forward, now, choice);
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -346,7 +346,7 @@
         return;
     }
     for (;;) {
-        KcGateway_Choose(forward->gateway, forward, now, &choice);
+        KcGateway_Choose(forward, now, &choice);
         if (choice.copy_at != NULL) {
             want(forward, choice.copy_at, now);
         }
@@ -379,7 +379,7 @@
         if (++looked > QUEUE_LOOK) {
             break;
         }
-        KcGateway_Choose(forward->gateway, forward, now, &choice);
+        KcGateway_Choose(forward, now, &choice);
         if (choice.action == KC_CHOICE_QUEUE ||
             choice.action == KC_CHOICE_NONE) {
             continue;
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -94,8 +94,7 @@
 } KcChoice;
 
 /* Decides what becomes of a request now. */
-void KcGateway_Choose(const KcGateway *gateway, const KcForward *forward,
-                      KcTime now, KcChoice *choice);
+void KcGateway_Choose(const KcForward *forward, KcTime now, KcChoice *choice);
 
 /* True when requests are at the server and nothing was heard for too long. */
 bool KcServer_IsMute(const KcServer *server, KcTime now);
--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -21,7 +21,6 @@
     bool lost;
     uint64_t revision; /* next watch begins after it */
     uint64_t first;    /* revision of the first page of a list */
-    KcTime heard_at;
     KcTime listed_at;
     KcTimer timer;
 };
@@ -37,7 +36,7 @@
     }
     if (feed->must_list) {
         feed->state = FEED_LISTING;
-        if (feed->after[0] == '\0') {
+        if (feed->after[0] == '\0' && options->begins != NULL) {
             options->begins(options->context);
         }
         options->ops->list(options->store, feed, options->kind, feed->after);
@@ -100,36 +99,11 @@
     call(feed, now);
 }
 
-bool
-KcFeed_Listed(const KcFeed *feed)
-{
-    return feed->listed;
-}
-
-bool
-KcFeed_InContact(const KcFeed *feed)
-{
-    return feed->listed && !feed->lost;
-}
-
-KcTime
-KcFeed_HeardAt(const KcFeed *feed)
-{
-    return feed->heard_at;
-}
-
-const char *
-KcFeed_Kind(const KcFeed *feed)
-{
-    return feed->options.kind;
-}
-
 /* The call is over; what is told of it may poke the feed. */
 static void
 heard(KcFeed *feed, KcTime now)
 {
     feed->state = FEED_IDLE;
-    feed->heard_at = now;
     if (feed->lost) {
         feed->lost = false;
         feed->options.contact(feed->options.context, 0, now);
@@ -174,7 +148,9 @@
     feed->must_list = false;
     feed->listed = true;
     feed->listed_at = now;
-    feed->options.listed(feed->options.context, now);
+    if (feed->options.listed != NULL) {
+        feed->options.listed(feed->options.context, now);
+    }
     go_on(feed, feed->options.gather, now);
 }
 
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -41,11 +41,12 @@
     KcTime wait;      /* longest wait of one watch */
     KcTime gather;    /* delay between two watches, to take changes together */
     KcTime relist;    /* the list is read anew after this time; 0: never */
-    /* A list begins: what it does not tell of is gone when it has ended. */
+    /* A list begins: what it does not tell of is gone when it has ended; may
+     * be NULL. */
     void (*begins)(void *context);
     /* An object is as item says; called for each listed object, too. */
     void (*item)(void *context, const KcFeedItem *item, KcTime now);
-    /* A whole list has been told. */
+    /* A whole list has been told; may be NULL. */
     void (*listed)(void *context, KcTime now);
     /* The store was lost (code negative) or regained (0). */
     void (*contact)(void *context, int code, KcTime now);
@@ -64,14 +65,6 @@
  * as another feed found out. */
 void KcFeed_Poke(KcFeed *feed, KcTime now);
 
-/* True once a whole list has been told. */
-bool KcFeed_Listed(const KcFeed *feed);
-/* True while the last call was answered. */
-bool KcFeed_InContact(const KcFeed *feed);
-/* Time at which the store last answered, 0 if never. */
-KcTime KcFeed_HeardAt(const KcFeed *feed);
-const char *KcFeed_Kind(const KcFeed *feed);
-
 /* ---- answers of the store ----------------------------------------------- */
 
 /* One object of a page, or one event of a watch. */
--- a/programs/connection/http_peer.c
+++ b/programs/connection/http_peer.c
@@ -43,8 +43,6 @@
     bool no_body; /* the next response has none */
     bool reading; /* within read_input() */
     bool closed;  /* freed when nothing of it is on the stack */
-    bool connected;
-    bool sent;
     bool paused;
     bool close_when_sent;
     bool ended_by_peer; /* the peer sent its end of stream */
@@ -465,7 +463,6 @@
 
     (void)bev;
     if (events & BEV_EVENT_CONNECTED) {
-        peer->connected = true;
         if (peer->options.ops->connected != NULL) {
             peer->options.ops->connected(peer->options.owner);
         }
@@ -510,7 +507,6 @@
         evutil_closesocket(fd);
         return NULL;
     }
-    peer->connected = true;
     KcSocket_Prepare(fd, options->silence);
     bufferevent_enable(peer->bev, EV_READ | EV_WRITE);
     return peer;
@@ -588,16 +584,9 @@
     peer->options.owner = owner;
 }
 
-void
-KcHttpPeer_SetHeaderMax(KcHttpPeer *peer, size_t header_max)
-{
-    peer->options.header_max = header_max;
-}
-
 struct evbuffer *
 KcHttpPeer_Output(KcHttpPeer *peer)
 {
-    peer->sent = true;
     return bufferevent_get_output(peer->bev);
 }
 
@@ -628,15 +617,3 @@
         bufferevent_trigger(peer->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
     }
 }
-
-bool
-KcHttpPeer_Sent(const KcHttpPeer *peer)
-{
-    return peer->connected && peer->sent;
-}
-
-bool
-KcHttpPeer_Started(const KcHttpPeer *peer)
-{
-    return peer->started;
-}
--- a/programs/connection/http_peer.h
+++ b/programs/connection/http_peer.h
@@ -98,7 +98,6 @@
 /* Changes the owner and what it is told, as when a connection is pooled. */
 void KcHttpPeer_SetOwner(KcHttpPeer *peer, const KcHttpPeerOps *ops,
                          void *owner);
-void KcHttpPeer_SetHeaderMax(KcHttpPeer *peer, size_t header_max);
 
 /* Bytes to be written go here. */
 struct evbuffer *KcHttpPeer_Output(KcHttpPeer *peer);
@@ -108,9 +107,5 @@
 size_t KcHttpPeer_Unread(const KcHttpPeer *peer);
 /* Pauses or resumes reading. */
 void KcHttpPeer_Pause(KcHttpPeer *peer, bool paused);
-/* True once any byte has left on a connection that was connected. */
-bool KcHttpPeer_Sent(const KcHttpPeer *peer);
-/* True when bytes of the present message have arrived. */
-bool KcHttpPeer_Started(const KcHttpPeer *peer);
 
 #endif
--- a/programs/connection/socket.c
+++ b/programs/connection/socket.c
@@ -1,5 +1,5 @@
 /*
- * Options that every connection of ours has.
+ * Options that every connection of ours has, and listening.
  */
 #include "socket.h"
 
@@ -26,3 +26,20 @@
     setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
     setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unsent, sizeof(unsent));
 }
+
+struct evconnlistener *
+KcSocket_Listen(struct event_base *base, const char *address,
+                evconnlistener_cb accepted, void *context)
+{
+    struct sockaddr_storage at;
+    int size = sizeof(at);
+
+    if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&at, &size) !=
+        0) {
+        return NULL;
+    }
+    return evconnlistener_new_bind(
+        base, accepted, context,
+        LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+        SOMAXCONN, (struct sockaddr *)&at, size);
+}
--- a/programs/connection/socket.h
+++ b/programs/connection/socket.h
@@ -1,9 +1,10 @@
 /*
- * Options that every connection of ours has.
+ * Options that every connection of ours has, and listening.
  */
 #ifndef KCC_SOCKET_H
 #define KCC_SOCKET_H
 
+#include <event2/listener.h>
 #include <event2/util.h>
 
 #include <kcc.h>
@@ -15,4 +16,13 @@
  */
 void KcSocket_Prepare(evutil_socket_t fd, KcTime silence);
 
+/*
+ * Listens at "address:port".  Returns NULL when the address is invalid or
+ * cannot be bound.
+ */
+struct evconnlistener *KcSocket_Listen(struct event_base *base,
+                                       const char *address,
+                                       evconnlistener_cb accepted,
+                                       void *context);
+
 #endif
--- a/programs/connection/tcp.c
+++ b/programs/connection/tcp.c
@@ -255,18 +255,11 @@
              void (*accepted)(void *context, KcLink *link))
 {
     KcTcpListener *listener = KcMem_New(sizeof(*listener));
-    struct sockaddr_storage at;
-    int size = sizeof(at);
 
     listener->options = *options;
     listener->accepted = accepted;
-    if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&at, &size) ==
-        0) {
-        listener->listener = evconnlistener_new_bind(
-            options->loop->base, on_accept, listener,
-            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-            SOMAXCONN, (struct sockaddr *)&at, size);
-    }
+    listener->listener =
+        KcSocket_Listen(options->loop->base, address, on_accept, listener);
     if (listener->listener == NULL) {
         free(listener);
         return NULL;
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -24,25 +24,14 @@
 
 /* ---- feeds --------------------------------------------------------------- */
 
-static void
-log_invalid(const KcFeedItem *item, const KcError *error)
-{
-    KcLogFields fields = {
-        .peer = item->name, .step = error->step, .code = error->code};
-
-    KcLog_Write(KC_LOG_WARN, &fields, "record cannot be used");
-}
-
 /* The store was lost or regained: what still waits for an answer of before is
  * asked again. */
 static void
 on_contact(void *context, int code, KcTime now)
 {
     GatewayRole *role = context;
-    KcLogFields fields = {.step = "store", .code = code};
 
-    KcLog_Write(code == 0 ? KC_LOG_INFO : KC_LOG_WARN, &fields,
-                code == 0 ? "store answers again" : "store does not answer");
+    KcLog_Contact(code);
     role->store_back_at = now;
     for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
         if (role->feeds[i] != NULL) {
@@ -51,19 +40,6 @@
     }
 }
 
-static void
-begins_nothing(void *context)
-{
-    (void)context;
-}
-
-static void
-listed_nothing(void *context, KcTime now)
-{
-    (void)context;
-    (void)now;
-}
-
 static void
 on_routing(void *context, const KcFeedItem *item, KcTime now)
 {
@@ -78,7 +54,7 @@
     }
     routing = role->platform->read_routing(item->body, &error);
     if (routing == NULL) {
-        log_invalid(item, &error);
+        KcLog_Invalid(item->name, &error);
         return;
     }
     fields.generation = routing->version;
@@ -108,7 +84,7 @@
     }
     KcServerInfo_Init(&info);
     if (role->platform->read_server(item, &info, &error) != 0) {
-        log_invalid(item, &error);
+        KcLog_Invalid(item->name, &error);
         KcGateway_OnServerGone(role->gateway, item->name, false, now);
     }
     else {
@@ -147,7 +123,7 @@
         return;
     }
     if (role->platform->read_version(item->body, &version, &error) != 0) {
-        log_invalid(item, &error);
+        KcLog_Invalid(item->name, &error);
         return;
     }
     KcLog_Write(KC_LOG_INFO, &fields, "version %u is announced",
@@ -188,12 +164,11 @@
     void (*item)(void *context, const KcFeedItem *item, KcTime now);
     void (*listed)(void *context, KcTime now);
 } feed_rows[KC_COLLECTION_COUNT] = {
-    [KC_COLLECTION_ROUTING] = {WAIT_SELDOM, 0, 0, begins_nothing, on_routing,
-                               listed_nothing},
+    [KC_COLLECTION_ROUTING] = {WAIT_SELDOM, 0, 0, NULL, on_routing, NULL},
     [KC_COLLECTION_SERVERS] = {0, GATHER_SERVERS, 0, servers_begin, on_server,
                                servers_listed},
-    [KC_COLLECTION_VERSIONS] = {WAIT_SELDOM, GATHER_VERSIONS, 0,
-                                begins_nothing, on_version, listed_nothing},
+    [KC_COLLECTION_VERSIONS] = {WAIT_SELDOM, GATHER_VERSIONS, 0, NULL,
+                                on_version, NULL},
     [KC_COLLECTION_GATEWAYS] = {WAIT_SELDOM, GATHER_GATEWAYS, GATHER_GATEWAYS,
                                 gateways_begin, on_gateway, gateways_listed},
 };
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -160,14 +160,12 @@
                             .counters = &role->parts.counters,
                             .ops = &tcp_ops,
                             .context = role};
-    KcMsg hello = {.type = KC_MSG_HELLO,
-                   .u.hello = {.incarnation = role->incarnation,
-                               .protocol = KC_PROTOCOL_VERSION}};
+    KcMsg hello;
     char host[KC_ADDRESS_MAX];
     char address[KC_ADDRESS_MAX + 8];
     uint16_t port;
 
-    KcName_Copy(hello.u.hello.name, settings->name, KC_NAME_MAX);
+    KcMsg_Hello(&hello, settings->name, role->incarnation);
     KcAddress_Parse(peer->server->address, host, &port);
     snprintf(address, sizeof(address), "%s:%d", host,
              (int)settings->keeper_port);
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -62,11 +62,9 @@
 static void
 greet(KeeperRole *role, KcLink *link)
 {
-    KcMsg hello = {.type = KC_MSG_HELLO,
-                   .u.hello = {.incarnation = role->incarnation,
-                               .protocol = KC_PROTOCOL_VERSION}};
+    KcMsg hello;
 
-    KcName_Copy(hello.u.hello.name, role->parts.settings->name, KC_NAME_MAX);
+    KcMsg_Hello(&hello, role->parts.settings->name, role->incarnation);
     KcLink_Send(link, &hello);
     KcKeeper_OnGateway(role->keeper, link, KcLoop_Now());
 }
@@ -192,19 +190,6 @@
 
 /* ---- the store ----------------------------------------------------------- */
 
-static void
-begins(void *context)
-{
-    (void)context;
-}
-
-static void
-listed(void *context, KcTime now)
-{
-    (void)context;
-    (void)now;
-}
-
 /* The configuration says how many adapters the engine takes. */
 static void
 on_routing(void *context, const KcFeedItem *item, KcTime now)
@@ -220,9 +205,7 @@
     }
     routing = role->platform->read_routing(item->body, &error);
     if (routing == NULL) {
-        fields.step = error.step;
-        fields.code = error.code;
-        KcLog_Write(KC_LOG_WARN, &fields, "record cannot be used");
+        KcLog_Invalid(item->name, &error);
         return;
     }
     service = KcRouting_Service(routing, role->parts.settings->service);
@@ -241,12 +224,9 @@
 static void
 on_contact(void *context, int code, KcTime now)
 {
-    KcLogFields fields = {.step = "store", .code = code};
-
     (void)context;
     (void)now;
-    KcLog_Write(code == 0 ? KC_LOG_INFO : KC_LOG_WARN, &fields,
-                code == 0 ? "store answers again" : "store does not answer");
+    KcLog_Contact(code);
 }
 
 static void take_fence(KeeperRole *role, uint64_t expected);
@@ -414,9 +394,7 @@
         .wait = settings->watch_ms * KC_MS,
         .gather = RELIST_UNKNOWN,
         .relist = RELIST_UNKNOWN,
-        .begins = begins,
         .item = on_routing,
-        .listed = listed,
         .contact = on_contact,
         .context = role};
 
--- a/programs/process/log.c
+++ b/programs/process/log.c
@@ -267,3 +267,21 @@
     append(line, used, " msg=\"%s\"", text);
     log4c_category_log(category, levels[level].priority, "%s", line);
 }
+
+void
+KcLog_Invalid(const char *record, const KcError *error)
+{
+    KcLogFields fields = {
+        .peer = record, .step = error->step, .code = error->code};
+
+    KcLog_Write(KC_LOG_WARN, &fields, "record cannot be used");
+}
+
+void
+KcLog_Contact(int code)
+{
+    KcLogFields fields = {.step = "store", .code = code};
+
+    KcLog_Write(code == 0 ? KC_LOG_INFO : KC_LOG_WARN, &fields,
+                code == 0 ? "store answers again" : "store does not answer");
+}
--- a/programs/process/log.h
+++ b/programs/process/log.h
@@ -45,4 +45,9 @@
                  const char *format, ...)
     __attribute__((format(printf, 3, 4)));
 
+/* A record of the store cannot be used; error says why. */
+void KcLog_Invalid(const char *record, const KcError *error);
+/* The store was lost (code negative) or regained (0). */
+void KcLog_Contact(int code);
+
 #endif
--- a/programs/request/front.c
+++ b/programs/request/front.c
@@ -3,11 +3,12 @@
  */
 #include "front.h"
 
-#include <event2/listener.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "../connection/socket.h"
+
 /* A caller that reads slowly holds its backend server back above this many
  * bytes, until half of them have left. */
 #define LAG_MAX (256 * 1024)
@@ -115,6 +116,15 @@
                  KcLoop_Now() + delay);
 }
 
+/* Closes once what was written has left. */
+static void
+close_when_sent(Connection *connection)
+{
+    connection->state = CONNECTION_CLOSING;
+    set_timer(connection, limits_of(connection->front)->idle_timeout);
+    KcHttpPeer_CloseWhenSent(connection->peer);
+}
+
 static void
 wait_for_request(Connection *connection)
 {
@@ -157,9 +167,7 @@
         break;
     case CONNECTION_IDLE:
         /* The end of the last answer may still be on its way. */
-        connection->state = CONNECTION_CLOSING;
-        set_timer(connection, limits_of(connection->front)->idle_timeout);
-        KcHttpPeer_CloseWhenSent(connection->peer);
+        close_when_sent(connection);
         break;
     case CONNECTION_WAITING:
     case CONNECTION_CLOSING:
@@ -178,9 +186,7 @@
     connection->message = NULL;
     connection->throttled = false;
     if (connection->close) {
-        connection->state = CONNECTION_CLOSING;
-        set_timer(connection, limits_of(connection->front)->idle_timeout);
-        KcHttpPeer_CloseWhenSent(connection->peer);
+        close_when_sent(connection);
         return;
     }
     wait_for_request(connection);
@@ -405,18 +411,11 @@
 KcGatewayFront_Create(const KcGatewayFrontOptions *options)
 {
     KcGatewayFront *front = KcMem_New(sizeof(*front));
-    struct sockaddr_storage at;
-    int size = sizeof(at);
 
     front->options = *options;
     TAILQ_INIT(&front->connections);
-    if (evutil_parse_sockaddr_port(options->address, (struct sockaddr *)&at,
-                                   &size) == 0) {
-        front->listener = evconnlistener_new_bind(
-            options->loop->base, on_accept, front,
-            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-            SOMAXCONN, (struct sockaddr *)&at, size);
-    }
+    front->listener = KcSocket_Listen(options->loop->base, options->address,
+                                      on_accept, front);
     if (front->listener == NULL) {
         free(front);
         return NULL;
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -6,10 +6,11 @@
 
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <stdlib.h>
 #include <sys/socket.h>
 
+#include "../../programs/connection/socket.h"
+
 #define DELAY (150 * KC_MS)
 
 typedef struct Pair {
@@ -149,20 +150,14 @@
 Proxy_Create(KcLoop *loop, const char *listen, const char *target)
 {
     Proxy *proxy = KcMem_New(sizeof(*proxy));
-    struct sockaddr_storage at;
-    int size = sizeof(at);
 
     proxy->loop = loop;
     proxy->target_size = sizeof(proxy->target);
     TAILQ_INIT(&proxy->pairs);
     if (evutil_parse_sockaddr_port(target, (struct sockaddr *)&proxy->target,
-                                   &proxy->target_size) == 0 &&
-        evutil_parse_sockaddr_port(listen, (struct sockaddr *)&at, &size) ==
-            0) {
-        proxy->listener = evconnlistener_new_bind(
-            loop->base, on_accept, proxy,
-            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-            SOMAXCONN, (struct sockaddr *)&at, size);
+                                   &proxy->target_size) == 0) {
+        proxy->listener =
+            KcSocket_Listen(loop->base, listen, on_accept, proxy);
     }
     if (proxy->listener == NULL) {
         free(proxy);
--- a/tests/standins/raw.c
+++ b/tests/standins/raw.c
@@ -3,13 +3,14 @@
  */
 #include "raw.h"
 
-#include <event2/listener.h>
 #include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "../../programs/connection/socket.h"
+
 #define HEAD_MAX 65536
 #define SILENCE (10 * KC_SECOND)
 
@@ -257,21 +258,12 @@
 Raw_Init(Raw *raw, const RawOptions *options, const char *address,
          uint64_t seed)
 {
-    struct sockaddr_storage at;
-    int size = sizeof(at);
-
     memset(raw, 0, sizeof(*raw));
     raw->loop = KcLoop_Create();
     raw->options = options;
     raw->random = seed;
     TAILQ_INIT(&raw->connections);
-    if (evutil_parse_sockaddr_port(address, (struct sockaddr *)&at, &size) ==
-        0) {
-        raw->listener =
-            evconnlistener_new_bind(raw->loop->base, on_accept, raw,
-                                    LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-                                    SOMAXCONN, (struct sockaddr *)&at, size);
-    }
+    raw->listener = KcSocket_Listen(raw->loop->base, address, on_accept, raw);
     if (raw->listener == NULL) {
         fprintf(stderr, "cannot listen on %s\n", address);
         exit(2);
