Run cases of steps, and add tables of cases as tests, by one piece of code

The gateway's, the keeper's and the feed's tests had the same runner of steps, and with test_platform the same loop over a table: tests/steps.c. An unknown or empty step fails every test now; the feed's runner passed over unknown ones and the gateway's over empty ones.

--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -13,6 +13,7 @@
 #include <unistd.h>
 
 #include "kcc.h"
+#include "../steps.h"
 #include "yard.h"
 
 #define ROOM 65536
@@ -555,20 +556,6 @@
     }
 }
 
-static void
-add_cases(const char *group, size_t number, size_t size, const void *rows,
-          GTestDataFunc function)
-{
-    for (size_t i = 0; i < number; i++) {
-        const char *name =
-            *(const char *const *)((const char *)rows + i * size);
-        char *path = g_strdup_printf("/platform/%s/%s", group, name);
-
-        g_test_add_data_func(path, GSIZE_TO_POINTER(i), function);
-        g_free(path);
-    }
-}
-
 int
 main(int argc, char **argv)
 {
@@ -581,15 +568,15 @@
     int status;
 
     g_test_init(&argc, &argv, NULL);
-    add_cases("raw", G_N_ELEMENTS(raw_cases), sizeof(raw_cases[0]), raw_cases,
-              test_raw);
+    Steps_AddCases("/platform/raw", raw_cases, G_N_ELEMENTS(raw_cases),
+                   sizeof(raw_cases[0]), test_raw);
     g_test_add_func("/platform/raw/a large head", test_large_head);
     g_test_add_func("/platform/raw/NUL in a head", test_nul_in_head);
-    add_cases("fault", G_N_ELEMENTS(fault_cases), sizeof(fault_cases[0]),
-              fault_cases, test_fault);
+    Steps_AddCases("/platform/fault", fault_cases, G_N_ELEMENTS(fault_cases),
+                   sizeof(fault_cases[0]), test_fault);
     g_test_add_func("/platform/resume", test_resume);
-    add_cases("store", G_N_ELEMENTS(store_cases), sizeof(store_cases[0]),
-              store_cases, test_store);
+    Steps_AddCases("/platform/store", store_cases, G_N_ELEMENTS(store_cases),
+                   sizeof(store_cases[0]), test_store);
     g_test_add_func("/platform/version", test_version);
     g_test_add_func("/platform/gateway stops", test_gateway_stops);
     g_test_add_func("/platform/hang up", test_hang_up);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -26,6 +26,8 @@
 
 #include <kcc.h>
 
+#include "../steps.h"
+
 #define REQUESTS 100
 
 typedef struct Script Script;
@@ -462,10 +464,7 @@
     }
 }
 
-static const struct {
-    const char *name;
-    void (*run)(Script *script, char **words);
-} steps[] = {
+static const Step steps[] = {
     {"config", step_config},
     {"inforce", step_version_in_force},
     {"srv", step_server},
@@ -492,21 +491,6 @@
     {"wait", step_wait},
 };
 
-static void
-run_step(Script *script, const char *text)
-{
-    char **words = g_strsplit(text, " ", -1);
-
-    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
-        if (strcmp(steps[i].name, words[0]) == 0) {
-            steps[i].run(script, words);
-            g_strfreev(words);
-            return;
-        }
-    }
-    g_error("no step %s", words[0]);
-}
-
 /* ---- cases --------------------------------------------------------------- */
 
 #define PLAIN "config 1;srv a plain 4;srv b plain 4 at=near;"
@@ -686,7 +670,6 @@
     size_t index = GPOINTER_TO_SIZE(data);
     Script *script = g_new0(Script, 1);
     KcGatewayOptions options;
-    char **texts = g_strsplit(cases[index].steps, ";", -1);
 
     script->now = KC_SECOND;
     script->trace = g_string_new("");
@@ -701,17 +684,12 @@
     options.retry_burst = 20;
     script->gateway = KcGateway_Create(&options);
     KcGateway_SetPeers(script->gateway, 1, script->now);
-    for (char **text = texts; *text != NULL; text++) {
-        if (**text != '\0') {
-            run_step(script, *text);
-        }
-    }
+    Steps_Run(script, steps, G_N_ELEMENTS(steps), cases[index].steps);
     g_assert_cmpstr(script->trace->str, ==, cases[index].trace);
     KcGateway_Abort(script->gateway, script->now);
     KcGateway_Free(script->gateway);
     KcTimers_Free(script->timers);
     g_string_free(script->trace, TRUE);
-    g_strfreev(texts);
     g_free(script);
 }
 
@@ -719,11 +697,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        char *path = g_strdup_printf("/gateway/%s", cases[i].name);
-
-        g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_case);
-        g_free(path);
-    }
+    Steps_AddCases("/gateway", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
+                   test_case);
     return g_test_run();
 }
--- a/tests/process/test_keeper.c
+++ b/tests/process/test_keeper.c
@@ -21,6 +21,8 @@
 
 #include <kcc.h>
 
+#include "../steps.h"
+
 typedef struct Script {
     KcTimers *timers;
     KcCounters counters;
@@ -213,10 +215,7 @@
     KcTimers_Run(script->timers, script->now);
 }
 
-static const struct {
-    const char *name;
-    void (*run)(Script *script, char **words);
-} steps[] = {
+static const Step steps[] = {
     {"cap", step_capacity},    {"fence", step_fence},
     {"rep", step_report},      {"norep", step_no_report},
     {"acc", step_accepted},    {"holds", step_holds},
@@ -225,21 +224,6 @@
     {"lost", step_lost},       {"wait", step_wait},
 };
 
-static void
-run_step(Script *script, const char *text)
-{
-    char **words = g_strsplit(text, " ", -1);
-
-    for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
-        if (strcmp(steps[i].name, words[0]) == 0) {
-            steps[i].run(script, words);
-            g_strfreev(words);
-            return;
-        }
-    }
-    g_error("no step %s", words[0]);
-}
-
 /* ---- cases --------------------------------------------------------------- */
 
 /* A keeper that may order, of an engine with a base model and two places. */
@@ -336,7 +320,6 @@
     size_t index = GPOINTER_TO_SIZE(data);
     Script script = {.now = KC_SECOND};
     KcKeeperOptions options;
-    char **texts = g_strsplit(cases[index].steps, ";", -1);
 
     script.trace = g_string_new("");
     script.timers = KcTimers_Create(script.now);
@@ -347,25 +330,18 @@
     options.counters = &script.counters;
     script.keeper = KcKeeper_Create(&options);
     KcKeeper_Start(script.keeper, script.now);
-    for (char **text = texts; *text != NULL; text++) {
-        run_step(&script, *text);
-    }
+    Steps_Run(&script, steps, G_N_ELEMENTS(steps), cases[index].steps);
     g_assert_cmpstr(script.trace->str, ==, cases[index].trace);
     KcKeeper_Free(script.keeper);
     KcTimers_Free(script.timers);
     g_string_free(script.trace, TRUE);
-    g_strfreev(texts);
 }
 
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        char *path = g_strdup_printf("/keeper/%s", cases[i].name);
-
-        g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_case);
-        g_free(path);
-    }
+    Steps_AddCases("/keeper", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
+                   test_case);
     return g_test_run();
 }
--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -13,6 +13,8 @@
 
 #include <kcc.h>
 
+#include "../steps.h"
+
 typedef struct Script {
     KcTimers *timers;
     KcFeed *feed;
@@ -148,10 +150,7 @@
     KcTimers_Run(script->timers, script->now);
 }
 
-static const struct {
-    const char *name;
-    void (*run)(Script *script, char **words);
-} steps[] = {
+static const Step steps[] = {
     {"page", step_page}, {"watched", step_watched}, {"gone", step_gone},
     {"fail", step_fail}, {"poke", step_poke},       {"within", step_within},
     {"wait", step_wait},
@@ -201,28 +200,17 @@
                              .listed = on_listed,
                              .contact = on_contact,
                              .context = &script};
-    char **texts = g_strsplit(cases[index].steps, ";", -1);
 
     script.trace = g_string_new("");
     script.timers = KcTimers_Create(script.now);
     options.timers = script.timers;
     script.feed = KcFeed_Create(&options);
     KcFeed_Start(script.feed, script.now);
-    for (char **text = texts; *text != NULL; text++) {
-        char **words = g_strsplit(*text, " ", -1);
-
-        for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
-            if (strcmp(steps[i].name, words[0]) == 0) {
-                steps[i].run(&script, words);
-            }
-        }
-        g_strfreev(words);
-    }
+    Steps_Run(&script, steps, G_N_ELEMENTS(steps), cases[index].steps);
     g_assert_cmpstr(script.trace->str, ==, cases[index].trace);
     KcFeed_Free(script.feed);
     KcTimers_Free(script.timers);
     g_string_free(script.trace, TRUE);
-    g_strfreev(texts);
 }
 
 /* ---- the routing configuration ------------------------------------------- */
@@ -278,12 +266,8 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        char *path = g_strdup_printf("/feed/%s", cases[i].name);
-
-        g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_case);
-        g_free(path);
-    }
+    Steps_AddCases("/feed", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
+                   test_case);
     g_test_add_func("/routing/find", test_routes);
     return g_test_run();
 }
