End or move the streams of servers that say nothing

Ruled out: a reset that came too late (what is withdrawn is reset at once), sendings after the worker fell silent (avoided after 200 ms).

Change: a stream that may be resumed goes on elsewhere after two of the longest pauses that are on time. Any other stream is ended 250 ms before its caller would leave, and at once where the worker's record is missing and the worker was silent for 2 s. Seven cases of /gateway failed first; /records/patience is the reading of when callers leave.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -148,6 +148,7 @@
         return;
     }
     begin_stream(forward, now);
+    forward->told_at = now;
     if (has_id) {
         forward->has_event = true;
         forward->last_event = id;
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -68,17 +68,22 @@
     return server->in_flight + (uint32_t)others;
 }
 
-bool
-KcServer_IsMute(const KcServer *server, KcTime now)
+KcTime
+KcServer_Silence(const KcServer *server, KcTime now)
 {
     KcTime since = server->heard_at;
 
     if (since < server->pool->gateway->awake_at) {
         since = server->pool->gateway->awake_at;
     }
-    return server->in_flight > 0 &&
-           now - since >
-               (server->in_flight >= MUTE_BUSY ? MUTE_AFTER_BUSY : MUTE_AFTER);
+    return server->in_flight > 0 ? now - since : 0;
+}
+
+bool
+KcServer_IsMute(const KcServer *server, KcTime now)
+{
+    return KcServer_Silence(server, now) >
+           (server->in_flight >= MUTE_BUSY ? MUTE_AFTER_BUSY : MUTE_AFTER);
 }
 
 static bool
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -11,9 +11,6 @@
  * the platform prices refusals that come later. */
 #define QUEUE_PART 8
 #define QUEUE_LEAST (20 * KC_MS)
-/* A request that may be repeated waits this part of its objective for the
- * first byte of an answer from one server. */
-#define PATIENCE_PERCENT 75
 /* Longest wait for one server to load an adapter. */
 #define LOAD_WAIT (1500 * KC_MS)
 /* A server whose keeper could not load an adapter is not asked for so long. */
@@ -65,8 +62,8 @@
     forward->in_list = true;
 }
 
-static void
-set_timer(KcForward *forward, KcTime due)
+void
+KcForward_SetTimer(KcForward *forward, KcTime due)
 {
     if (due > forward->give_up) {
         due = forward->give_up;
@@ -205,13 +202,6 @@
     }
 }
 
-/* Wait for the first byte of an answer that may also come from elsewhere. */
-static KcTime
-patience(const KcForward *forward)
-{
-    return forward->rule->objective * PATIENCE_PERCENT / 100;
-}
-
 /* Sends to the chosen server.  False when it could not even be begun. */
 static bool
 send(KcForward *forward, const KcChoice *choice, KcTime now)
@@ -250,8 +240,7 @@
     if (server->distance == KC_DISTANCE_REMOTE) {
         KcCounters_Add(options->counters, KC_COUNT_REMOTE_ATTEMPTS, 1);
     }
-    set_timer(forward, forward->repeatable ? now + patience(forward)
-                                           : forward->give_up);
+    KcForward_AwaitWord(forward);
     forward->sending = options->ops->send(options->context, forward, &sending);
     if (forward->sending == NULL) {
         forward->sending = forward; /* released like one that was begun */
@@ -288,7 +277,7 @@
     forward->server = server;
     forward->in_list = true;
     TAILQ_INSERT_TAIL(&forward->adapter->waiting, forward, waiting);
-    set_timer(forward, now + LOAD_WAIT);
+    KcForward_SetTimer(forward, now + LOAD_WAIT);
 }
 
 static void
@@ -306,7 +295,7 @@
         KcError_Set(&forward->error, code, "queue", "");
     }
     join_queue(forward);
-    set_timer(forward, forward->choose_until);
+    KcForward_SetTimer(forward, forward->choose_until);
 }
 
 /* Carries out a choice.  False when its server cannot be reached. */
@@ -436,6 +425,7 @@
     }
     KcName_Copy(forward->id, call->id, sizeof(forward->id));
     forward->arrived = now;
+    forward->told_at = now;
     forward->give_up = now + rule->timeout;
     if (call->deadline > 0 && call->deadline < rule->timeout) {
         forward->give_up = now + call->deadline;
@@ -503,26 +493,6 @@
     dispose(forward, "abandoned", 0, NULL, now);
 }
 
-/* A server that has not begun to answer, to a request that may be repeated:
- * it is withdrawn and sent to another one, within the budget. */
-static void
-try_elsewhere(KcForward *forward, KcTime now)
-{
-    KcServer *server = forward->server;
-    bool silent =
-        forward->rule->kind != KC_KIND_STREAM || KcServer_IsMute(server, now);
-
-    if (!silent || forward->runs + 1 >= forward->rule->attempts_max ||
-        !KcRetryBudget_Has(&forward->pool->budget)) {
-        set_timer(forward,
-                  silent ? forward->give_up : now + patience(forward));
-        return;
-    }
-    KcForward_Withdraw(forward);
-    KcForward_GoOn(forward, KC_ATTEMPT_LOST, KC_ERR_DEADLINE, "first byte",
-                   now);
-}
-
 static void
 on_timer(KcTimer *timer, KcTime now)
 {
@@ -546,10 +516,8 @@
         KcForward_Dispatch(forward, now);
         break;
     case KC_FORWARD_SENT:
-        try_elsewhere(forward, now);
-        break;
     case KC_FORWARD_STREAMING:
-        set_timer(forward, forward->give_up);
+        KcForward_OnSilence(forward, now);
         break;
     }
 }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -4,7 +4,8 @@
  * The calls go one way: gateway_forward.c (requests) uses gateway_choose.c
  * (decisions), which uses gateway_servers.c and gateway_adapters.c (what is
  * known of servers, and of adapters and who holds them).  gateway_answer.c
- * takes what the sending side reports to requests.
+ * takes what the sending side reports to requests, gateway_silence.c acts
+ * where it reports nothing.
  */
 #ifndef KCC_GATEWAY_INTERNAL_H
 #define KCC_GATEWAY_INTERNAL_H
@@ -96,6 +97,8 @@
 /* Decides what becomes of a request now. */
 void KcGateway_Choose(const KcForward *forward, KcTime now, KcChoice *choice);
 
+/* How long nothing was heard of the server; 0 when no request is there. */
+KcTime KcServer_Silence(const KcServer *server, KcTime now);
 /* True when requests are at the server and nothing was heard for too long. */
 bool KcServer_IsMute(const KcServer *server, KcTime now);
 
@@ -124,6 +127,18 @@
 void KcForward_FinishEnd(KcForward *forward, int status, KcTime now);
 void KcForward_FinishFailed(KcForward *forward, bool may_have_run, KcTime now);
 
+/* The timer is set, at the latest to when the request is given up. */
+void KcForward_SetTimer(KcForward *forward, KcTime due);
+
+/* ---- silence (gateway_silence.c) ----------------------------------------- */
+
+/* The request is at a server: when it is looked at for silence. */
+void KcForward_AwaitWord(KcForward *forward);
+/* That time has come. */
+void KcForward_OnSilence(KcForward *forward, KcTime now);
+/* The record of the server is missing: its streams may be lost. */
+void KcGateway_EndLost(KcGateway *gateway, const KcServer *server, KcTime now);
+
 /* ---- answers (gateway_answer.c) ------------------------------------------ */
 
 /* Decides what follows a sending without a whole answer. */
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -233,6 +233,7 @@
             continue;
         }
         again = true;
+        KcGateway_EndLost(gateway, server, now);
         if (now - server->gone_at < gateway->options.missing) {
             continue;
         }
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -149,6 +149,7 @@
     bool has_event;
     uint64_t last_event; /* passed on to the caller, valid with has_event */
     KcTime first_event_at;
+    KcTime told_at;      /* last event passed on; the arrival before it */
     KcTime choose_until; /* refused when it has no place by then */
     KcError error;       /* of the last sending that failed */
     KcTimer timer;
--- a/lib/version/kcc_routing.h
+++ b/lib/version/kcc_routing.h
@@ -45,6 +45,8 @@
     KcTime timeout;        /* longest time without a final answer */
     KcTime objective;      /* an answer within it earns its full worth */
     KcTime pause_max;      /* between events of a stream; 0: not given */
+    KcTime caller_leaves;  /* its callers leave when a stream is silent for so
+                            * long; 0: not known */
     uint32_t priority;     /* 0 is the most urgent */
     uint32_t attempts_max; /* backend servers a request may be sent to */
     bool affinity;         /* requests share parts of their prompts */
--- a/tests/platform/test_records.c
+++ b/tests/platform/test_records.c
@@ -166,6 +166,38 @@
     }
 }
 
+/* When the callers of a stream leave it. */
+static const struct {
+    int objective; /* ms */
+    int pause;     /* ms; 0: not given */
+    int leaves;    /* ms */
+} patience[] = {
+    {100, 0, 2000},   {1000, 0, 4000},    {800, 400, 3200},
+    {600, 400, 3200}, {1000, 1000, 8000},
+};
+
+static void
+test_patience(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(patience); i++) {
+        char *text = g_strdup_printf(
+            "{'version':3,'routes':[{'name':'r','host':'h','path_prefix':"
+            "'/a/','kind':'streaming','timeout_ms':9000,'goal_ms':%d,"
+            "'gap_goal_ms':%d,'service':'s'}]}",
+            patience[i].objective, patience[i].pause);
+        json_t *json = parse(text);
+        KcError error = {0};
+        KcRouting *routing = KcPlatform_Here.read_routing(json, &error);
+
+        g_assert_nonnull(routing);
+        g_assert_cmpint(KcRouting_Find(routing, "h", "/a/")->caller_leaves, ==,
+                        patience[i].leaves * KC_MS);
+        KcRouting_Unref(routing);
+        json_decref(json);
+        g_free(text);
+    }
+}
+
 /* ---- announced versions -------------------------------------------------- */
 
 static const struct {
@@ -202,6 +234,7 @@
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/records/servers", test_servers);
     g_test_add_func("/records/configurations", test_configurations);
+    g_test_add_func("/records/patience", test_patience);
     g_test_add_func("/records/versions", test_versions);
     return g_test_run();
 }
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -5,7 +5,9 @@
  * Routes: /s/ safe, /u/ unsafe, /t/ a stream, /r/ a stream that may be
  * resumed; objective 1 s, time-out 4 s, two servers at the most where a
  * request may be repeated.  The streams go to service llm, the others to
- * plain.  Servers have the data centre of the gateway, unless it is given.
+ * plain.  Callers of streams leave after 3 s of silence; pauses up to 400 ms
+ * are on time.  Servers have the data centre of the gateway, unless it is
+ * given.
  *
  * Steps, separated by semicolons:
  *   config VERSION          srv ID SERVICE PLACES [at=DC] [leaving] ITEM...
@@ -185,6 +187,8 @@
     rule->kind = kind;
     rule->timeout = 4 * KC_SECOND;
     rule->objective = 1 * KC_SECOND;
+    rule->pause_max = 400 * KC_MS;
+    rule->caller_leaves = 3 * KC_SECOND;
     rule->resumable = resumable;
     rule->attempts_max = 2;
     KcRouting_AddTarget(rule, kind == KC_KIND_STREAM ? "llm" : "plain", 1);
@@ -655,6 +659,33 @@
     {"a stream is bounded by its time",
      LLM "req 1 /t/x m/x;begin 1;event 1 0;wait 4100",
      "1>a; 1:begin; 1:0; 1x; 1:broken; "},
+    /* streams at servers that say nothing */
+    {"a stream ends before its caller leaves a mute server",
+     LLM "req 1 /t/x m/x;begin 1;event 1 0;wait 2600;event 1 1;wait 2900",
+     "1>a; 1:begin; 1:0; 1:1; 1x; 1:broken; "},
+    {"also one that did not begin", LLM "req 1 /t/x m/x;wait 2900",
+     "1>a; 1x; 1:unknown deadline_exceeded; "},
+    {"but not where the server serves others",
+     LLM "req 1 /t/x m/x;req 2 /t/x m/x;begin 1;event 1 0;begin 2;event 2 0;"
+         "wait 1300;event 2 1;wait 1300;event 2 2;wait 250;event 1 1;end 1",
+     "1>a; 2>a; 1:begin; 1:0; 2:begin; 2:0; 2:1; 2:2; 1:1; 1:end; "},
+    {"a mute server whose record is gone has lost its streams",
+     LLM "req 1 /t/x m/x;begin 1;event 1 0;req 2 /t/x m/x;wait 2200;gone a;"
+         "wait 300",
+     "1>a; 1:begin; 1:0; 2>a; 1x; 1:broken; 2x; "
+     "2:unknown deadline_exceeded; "},
+    {"one that is heard has not",
+     LLM "req 1 /t/x m/x;begin 1;event 1 0;gone a;wait 800;event 1 1;"
+         "wait 800;event 1 2;end 1",
+     "1>a; 1:begin; 1:0; 1:1; 1:2; 1:end; "},
+    {"a stream is resumed where its server falls silent",
+     LLM "srv b llm 4 m x@1;req 1 /r/x m/x;begin 1;event 1 0;wait 900;"
+         "begin 1;event 1 1;end 1",
+     "1>a; 1:begin; 1:0; 1x; 1>b+0; 1:1; 1:end; "},
+    {"within the budget",
+     LLM "srv b llm 4 m x@1;peers 100;req 1 /r/x m/x;begin 1;event 1 0;"
+         "wait 2900",
+     "1>a; 1:begin; 1:0; 1x; 1:broken; "},
     /* planned stops */
     {"a stopping gateway goes on for a while",
      PLAIN "drain;req 1 /s/x;reply 1 200;wait 2000;req 2 /s/x;reply 2 200;"
