Choose engines by contention, and copies by an adapter's part of the requests

Load was weighed against 128 places, of which few are ever taken before prompts wait for each other; an engine that had told nothing for 3 s counted as idle; a hot adapter got a further copy only when its holder was 60% full or slow. Ruled out: the retry budget, adapters' loads (90 in 100 are sent within 0.3 s).

Change: the delay by contention is part of an engine's cost; unknown load fades to the mean of the service; copies of an adapter follow its part of this gateway's requests; homes avoid crowded engines. Four cases of /gateway failed first.

--- a/lib/process/gateway_adapters.c
+++ b/lib/process/gateway_adapters.c
@@ -14,8 +14,28 @@
 /* An older version goes on serving for so long after a newer one was
  * announced, while that is being loaded; half of the platform's bound. */
 #define VERSION_SWITCH (2500 * KC_MS)
-/* The aged count of an adapter's uses halves in this time. */
-#define RATE_HALF_LIFE (5 * KC_SECOND)
+/* A count of uses is forgotten after so long without one. */
+#define USES_AGE (10 * KC_SECOND)
+
+/* ---- counts of uses ------------------------------------------------------ */
+
+double
+KcUseCount_Value(const KcUseCount *count, KcTime now)
+{
+    KcTime age = now - count->at;
+
+    if (age >= USES_AGE) {
+        return 0;
+    }
+    return count->value * (1.0 - (double)age / USES_AGE);
+}
+
+void
+KcUseCount_Add(KcUseCount *count, KcTime now)
+{
+    count->value = KcUseCount_Value(count, now) + 1.0;
+    count->at = now;
+}
 
 /* ---- adapters ------------------------------------------------------------ */
 
@@ -58,8 +78,7 @@
 }
 
 KcAdapterState *
-KcGateway_Adapter(KcGateway *gateway, const char *model, const char *name,
-                  KcTime now)
+KcGateway_Adapter(KcGateway *gateway, const char *model, const char *name)
 {
     char key[KC_ADAPTER_KEY_MAX];
     KcAdapterState *adapter;
@@ -77,7 +96,6 @@
     KcName_Copy(adapter->model, model, KC_NAME_MAX);
     KcName_Copy(adapter->name, name, KC_NAME_MAX);
     adapter->hash = XXH3_64bits(key, strlen(key));
-    adapter->rate_at = now;
     adapter->wanted_at = -KC_SECOND;
     TAILQ_INIT(&adapter->holdings);
     TAILQ_INIT(&adapter->waiting);
@@ -105,8 +123,7 @@
 KcGateway_OnVersion(KcGateway *gateway, const char *model,
                     const char *adapter_name, uint32_t version, KcTime now)
 {
-    KcAdapterState *adapter =
-        KcGateway_Adapter(gateway, model, adapter_name, now);
+    KcAdapterState *adapter = KcGateway_Adapter(gateway, model, adapter_name);
 
     if (version > adapter->newest) {
         adapter->newest = version;
@@ -173,20 +190,11 @@
 }
 
 void
-KcHolding_Begin(KcGateway *gateway, KcHolding *holding, KcTime now)
+KcHolding_Begin(KcGateway *gateway, KcHolding *holding)
 {
-    KcAdapterState *adapter = holding->adapter;
-    KcTime age = now - adapter->rate_at;
-
     holding->in_flight++;
     holding->uses++;
     mark_untold(gateway, holding);
-    adapter->rate =
-        age >= 2 * RATE_HALF_LIFE
-            ? 0
-            : adapter->rate * (1.0 - (double)age / (2.0 * RATE_HALF_LIFE));
-    adapter->rate += 1.0;
-    adapter->rate_at = now;
 }
 
 void
@@ -279,7 +287,7 @@
         if (server->keeper && held->adapter[0] != '\0') {
             continue;
         }
-        adapter = KcGateway_Adapter(gateway, held->model, held->adapter, now);
+        adapter = KcGateway_Adapter(gateway, held->model, held->adapter);
         set_holding(server, adapter, held->version, held->coming);
         if (!held->coming) {
             KcGateway_DispatchWaiting(adapter, NULL, now);
@@ -305,7 +313,7 @@
         KcServer_DropHeld(gateway, server, false);
         return;
     }
-    adapter = KcGateway_Adapter(gateway, model, name, now);
+    adapter = KcGateway_Adapter(gateway, model, name);
     if (state == KC_HELD_GONE) {
         holding = find_holding(server, adapter);
         if (holding != NULL) {
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -34,9 +34,21 @@
 #define GONE_COST (500 * KC_MS)
 /* An adapter's home is not at a server that is filled above this. */
 #define HOME_PERCENT 70
-/* Reported load counts in full for so long, then fades. */
+/* Reported load counts in full for so long, then fades to that of the mean
+ * server of the service. */
 #define LOAD_FRESH (500 * KC_MS)
 #define LOAD_STALE (3 * KC_SECOND)
+/* The mean is as of so long ago at the most. */
+#define MEAN_AGE (100 * KC_MS)
+/* An engine delays the first token of a request by this times the square of
+ * its load (measured, docs/PLATFORM.md), */
+#define CONTENTION (KC_MS * 15 / 100)
+/* and once more for each so many tokens of the request. */
+#define CONTENTION_TOKENS 2500
+/* An engine is crowded when its load is above this part of the mean, */
+#define CROWD_PERCENT 150
+/* and so many requests above that. */
+#define CROWD_LEAST 6
 /* A server takes this many requests for a place before a gateway queues. */
 #define FILL_PERCENT 125
 /* Share of an engine's memory that is given out, in percent. */
@@ -49,25 +61,85 @@
 #define SLOW_FADE (2 * KC_SECOND)
 /* A copy is loaded nearer to this gateway above this aged count of uses. */
 #define COPY_RATE 20.0
-/* Time between two requests for a further copy of one adapter. */
+/* Time between two requests for a further copy of one adapter, */
 #define COPY_INTERVAL (500 * KC_MS)
+/* and when its requests are more than its copies' part of all. */
+#define SPREAD_INTERVAL (50 * KC_MS)
+/* Its part of all requests is taken to be less by so many uses, of so many
+ * more: few requests tell little. */
+#define SPREAD_DOUBT 2.0
+#define SPREAD_PRIOR 8.0
+
+/* Requests of other gateways at the server, as it said last. */
+static uint64_t
+others_told(const KcServer *server, KcTime now)
+{
+    KcTime age = now - server->load_at;
+
+    if (server->load_at == 0 || age >= LOAD_STALE) {
+        return 0;
+    }
+    if (age <= LOAD_FRESH) {
+        return server->others;
+    }
+    return server->others * (uint64_t)(LOAD_STALE - age) /
+           (uint64_t)(LOAD_STALE - LOAD_FRESH);
+}
+
+/* Requests of other gateways at the mean server of the service. */
+static uint64_t
+mean_others(KcServerPool *pool, KcTime now)
+{
+    const KcServer *server;
+    uint64_t sum = 0;
+    uint64_t count = 0;
+
+    if (pool->mean_at != 0 && now - pool->mean_at < MEAN_AGE) {
+        return pool->mean_others;
+    }
+    pool->mean_at = now;
+    pool->mean_load = 0;
+    TAILQ_FOREACH (server, &pool->servers, link) {
+        if (!server->leaving && server->gone_at == 0) {
+            sum += others_told(server, now);
+            pool->mean_load += server->in_flight;
+            count++;
+        }
+    }
+    pool->mean_load = count > 0 ? (pool->mean_load + sum) / count : 0;
+    pool->mean_others = count > 0 ? sum / count : 0;
+    pool->mean_of = (uint32_t)count;
+    return pool->mean_others;
+}
 
 uint32_t
 KcServer_Load(const KcServer *server, KcTime now)
 {
     KcTime age = now - server->load_at;
-    uint64_t others = server->others;
+    uint64_t others = others_told(server, now);
+    uint64_t mean;
 
-    if (server->load_at == 0 || age >= LOAD_STALE) {
-        others = 0;
+    if (server->load_at == 0 || age > LOAD_STALE) {
+        age = LOAD_STALE;
     }
-    else if (age > LOAD_FRESH) {
-        others = others * (uint64_t)(LOAD_STALE - age) /
-                 (uint64_t)(LOAD_STALE - LOAD_FRESH);
+    if (age > LOAD_FRESH) {
+        mean = mean_others(server->pool, now);
+        others += mean * (uint64_t)(age - LOAD_FRESH) /
+                  (uint64_t)(LOAD_STALE - LOAD_FRESH);
     }
     return server->in_flight + (uint32_t)others;
 }
 
+/* Has the engine far more requests than the others of its service? */
+static bool
+is_crowded(const KcServer *server, KcTime now)
+{
+    uint32_t load = KcServer_Load(server, now);
+
+    mean_others(server->pool, now);
+    return load > CROWD_LEAST + server->pool->mean_load * CROWD_PERCENT / 100;
+}
+
 KcTime
 KcServer_Silence(const KcServer *server, KcTime now)
 {
@@ -178,12 +250,26 @@
            forward->rule->objective * SLOW_PERCENT;
 }
 
+/* Expected delay of the first token by the other requests at an engine. */
 static KcTime
-cost_of(const KcServer *server, KcTime now)
+contention(const KcForward *forward, uint32_t load)
 {
+    KcTime delay = (KcTime)load * load * CONTENTION;
+
+    return delay + delay * (KcTime)forward->tokens / CONTENTION_TOKENS;
+}
+
+static KcTime
+cost_of(const KcForward *forward, const KcServer *server, KcTime now)
+{
+    uint32_t load = KcServer_Load(server, now);
     KcTime cost = distance_cost[server->distance] +
-                  load_cost(KcServer_Load(server, now), server->places) +
-                  failure_cost(server, now) + first_byte(server, now);
+                  load_cost(load, server->places) + failure_cost(server, now) +
+                  first_byte(server, now);
+
+    if (forward->adapter != NULL) {
+        cost += contention(forward, load);
+    }
 
     if (server->suspect_until > now) {
         cost += FAILURE_COST + (server->suspect_until - now);
@@ -213,7 +299,7 @@
             continue;
         }
         any = true;
-        cost = cost_of(server, now);
+        cost = cost_of(forward, server, now);
         if (is_full(forward, server, now) ||
             (choice->server != NULL && cost >= lowest)) {
             continue;
@@ -246,7 +332,7 @@
             !may_use(forward, holding->server)) {
             continue;
         }
-        cost = cost_of(holding->server, now);
+        cost = cost_of(forward, holding->server, now);
         if (is_full(forward, holding->server, now)) {
             cost += OVERLOAD_COST;
         }
@@ -336,11 +422,13 @@
     KcServer *server;
     KcServer *home = NULL;
     uint64_t highest = 0;
+    bool crowded = true; /* the best one so far is */
 
     TAILQ_FOREACH (server, &forward->pool->servers, link) {
         uint64_t rank = rank_at(forward, server);
+        bool crowd;
 
-        if ((home != NULL && rank <= highest) || server->distance > farthest ||
+        if (server->distance > farthest || (!crowded && rank <= highest) ||
             !may_use(forward, server) || server->gone_at != 0 ||
             server->suspect_until > now || server->crowded_until > now ||
             KcServer_IsMute(server, now) ||
@@ -351,8 +439,14 @@
             (held && !has_model(server, forward->adapter->model))) {
             continue;
         }
+        crowd = is_crowded(server, now);
+        if (home != NULL &&
+            (crowd > crowded || (crowd == crowded && rank <= highest))) {
+            continue;
+        }
         home = server;
         highest = rank;
+        crowded = crowd;
     }
     return home;
 }
@@ -376,6 +470,51 @@
            is_slow(forward, holder, now) || in_trouble(holder, now);
 }
 
+/* Copies among which the adapter's requests are no more to a server than
+ * those of all adapters to the mean one. */
+static uint32_t
+copies_due(const KcForward *forward, KcTime now)
+{
+    KcServerPool *pool = forward->pool;
+    double uses = KcUseCount_Value(&forward->adapter->uses, now);
+    double all = KcUseCount_Value(&pool->uses, now);
+
+    mean_others(pool, now);
+    if (uses <= SPREAD_DOUBT) {
+        return 1;
+    }
+    return 1 + (uint32_t)((uses - SPREAD_DOUBT) / (all + SPREAD_PRIOR) *
+                          pool->mean_of);
+}
+
+/* Copies of the adapter that serve, or will. */
+static uint32_t
+copies_of(const KcForward *forward, KcTime now)
+{
+    const KcHolding *holding;
+    uint32_t count = 0;
+
+    TAILQ_FOREACH (holding, &forward->adapter->holdings, of_adapter) {
+        if (holding->server->pool == forward->pool &&
+            (holding->coming || KcHolding_Usable(holding, now)) &&
+            may_use(forward, holding->server)) {
+            count++;
+        }
+    }
+    return count;
+}
+
+/* Does the adapter get more requests than its copies' part? */
+static bool
+spread_wanted(const KcForward *forward, KcTime now)
+{
+    const KcAdapterState *adapter = forward->adapter;
+
+    return adapter->name[0] != '\0' &&
+           now - adapter->wanted_at >= SPREAD_INTERVAL &&
+           copies_of(forward, now) < copies_due(forward, now);
+}
+
 /* Is a further copy worth while beside this holder? */
 static bool
 copy_wanted(const KcForward *forward, const KcHolding *best, KcTime now)
@@ -389,7 +528,7 @@
     }
     return needs_relief(forward, best, now) ||
            (holder->distance != KC_DISTANCE_DATACENTRE &&
-            adapter->rate > COPY_RATE);
+            KcUseCount_Value(&adapter->uses, now) > COPY_RATE);
 }
 
 /* A copy for being near is nearer than the holder; one for its load is
@@ -413,7 +552,11 @@
     KcHolding *best = best_holding(forward, now, &lowest);
     KcHolding *coming;
 
-    if (best != NULL && copy_wanted(forward, best, now)) {
+    if ((best != NULL || !TAILQ_EMPTY(&forward->adapter->holdings)) &&
+        spread_wanted(forward, now)) {
+        choice->copy_at = home_of(forward, KC_DISTANCE_REMOTE, now);
+    }
+    else if (best != NULL && copy_wanted(forward, best, now)) {
         choice->copy_at =
             home_of(forward, copy_distance(forward, best, now), now);
     }
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -234,7 +234,7 @@
     server->tokens += forward->tokens;
     forward->holding = choice->holding;
     if (choice->holding != NULL) {
-        KcHolding_Begin(gateway, choice->holding, now);
+        KcHolding_Begin(gateway, choice->holding);
     }
     KcCounters_Add(options->counters, KC_COUNT_ATTEMPTS, 1);
     if (server->distance == KC_DISTANCE_REMOTE) {
@@ -421,7 +421,9 @@
     service = KcRouting_Service(gateway->routing, target->service);
     if (call->model[0] != '\0' && service != NULL && service->engine.present) {
         forward->adapter =
-            KcGateway_Adapter(gateway, call->model, call->adapter, now);
+            KcGateway_Adapter(gateway, call->model, call->adapter);
+        KcUseCount_Add(&forward->adapter->uses, now);
+        KcUseCount_Add(&forward->pool->uses, now);
     }
     KcName_Copy(forward->id, call->id, sizeof(forward->id));
     forward->arrived = now;
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -41,8 +41,11 @@
 
 /* ---- adapters (gateway_adapters.c) --------------------------------------- */
 
+double KcUseCount_Value(const KcUseCount *count, KcTime now);
+void KcUseCount_Add(KcUseCount *count, KcTime now);
+
 KcAdapterState *KcGateway_Adapter(KcGateway *gateway, const char *model,
-                                  const char *name, KcTime now);
+                                  const char *name);
 void KcGateway_ClearAdapters(KcGateway *gateway);
 
 /*
@@ -57,7 +60,7 @@
 /* True when the holding can serve a request now. */
 bool KcHolding_Usable(const KcHolding *holding, KcTime now);
 /* Counts a request in and out. */
-void KcHolding_Begin(KcGateway *gateway, KcHolding *holding, KcTime now);
+void KcHolding_Begin(KcGateway *gateway, KcHolding *holding);
 void KcHolding_End(KcGateway *gateway, KcHolding *holding);
 /* The server's keeper was asked for the adapter. */
 void KcHolding_Expect(KcServer *server, KcAdapterState *adapter);
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -58,6 +58,12 @@
     KC_DISTANCE_COUNT
 } KcDistance;
 
+/* A count that ages: of the last 10 s, in effect. */
+typedef struct KcUseCount {
+    double value;
+    KcTime at; /* last addition */
+} KcUseCount;
+
 typedef struct KcServer {
     UT_hash_handle hh;          /* KcGateway, by id */
     TAILQ_ENTRY(KcServer) link; /* KcServerPool */
@@ -103,6 +109,11 @@
     struct KcForwardList queue; /* the most urgent first */
     bool dispatching;           /* the queue is being looked through */
     KcRetryBudget budget;       /* of sendings beyond the first */
+    KcTime mean_at;             /* time of the means; 0: none yet */
+    uint64_t mean_others;       /* requests of other gateways at a server */
+    uint64_t mean_load;         /* of all gateways */
+    uint32_t mean_of;           /* servers that the means are of */
+    KcUseCount uses;            /* requests for adapters */
 } KcServerPool;
 
 /* ---- Part 2: adapters ----------------------------------------------------- */
@@ -133,9 +144,8 @@
     uint32_t newest;   /* version announced; 0: none */
     KcTime newest_at;  /* when it was */
     uint32_t required; /* older versions serve no more */
-    double rate;       /* aged count of uses by this gateway */
-    KcTime rate_at;
-    KcTime wanted_at; /* a further copy was last asked for */
+    KcUseCount uses;   /* requests of this gateway */
+    KcTime wanted_at;  /* a further copy was last asked for */
     TAILQ_HEAD(, KcHolding) holdings;
     struct KcForwardList waiting; /* until it is loaded */
 } KcAdapterState;
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -630,6 +630,24 @@
     {"a mute holder is left",
      LLM "req 1 /t/x m/x;wait 450;req 2 /t/x m/x;held b x 1 loaded",
      "1>a; ?b x@0; 2>b; "},
+    {"an engine with fewer requests is worth some way",
+     "config 1;srv a llm 40 m x@1;srv b llm 40 at=near m x@1;load a 9 0 40;"
+     "req 1 /t/x m/x",
+     "1>b; "},
+    {"an engine that told nothing is taken for the mean one",
+     "config 1;srv a llm 40 m x@1;srv b llm 40 at=near m x@1;"
+     "srv c llm 40 at=near m x@1;load b 44 0 60;load c 1 0 40;req 1 /t/x m/x",
+     "1>c; "},
+    {"an adapter's home is not at a crowded engine",
+     "config 1;srv a llm 40 m;srv b llm 40 m;load a 26 0 40;req 1 /t/x m/q",
+     "?b q@0; "},
+    {"copies follow an adapter's part of the requests",
+     "config 1;srv a llm 40 m x@1;srv b llm 40 at=near m;req 1 /t/x m/x;"
+     "req 2 /t/x m/x;req 3 /t/x m/x;req 4 /t/x m/x;req 5 /t/x m/x;"
+     "req 6 /t/x m/x;req 7 /t/x m/x;req 8 /t/x m/x;req 9 /t/x m/x;"
+     "req 10 /t/x m/x;req 11 /t/x m/x;req 12 /t/x m/x",
+     "1>a; 2>a; 3>a; 4>a; 5>a; 6>a; 7>a; 8>a; 9>a; 10>a; 11>a; ?b x@0; "
+     "12>a; "},
     {"a server that its keeper says leaves",
      "config 1;srv a llm 4 m x@1;srv b llm 4 at=near m x@1;held a x 1 leaving;"
      "req 1 /t/x m/x;srv a llm 4 m x@1;req 2 /t/x m/x;"
