Fewer calls of the store: one piece for a process's own record, later retries

Change: changes of servers are gathered for half of the platform's drain bound (new setting leave_ms), 2 s at the most. own_record.[ch] takes the place of the two copies in gateway_feeds.c and keeper_role.c and creates first. A feed's retries come ever later, from 200 ms to 1 s, counted from the beginning of the call that failed.

Failed tries: watches of 30 s and no new list at a loss took the configuration past 16 s when 40 calls in a row are lost (/platform/store/calls lost), taken back; the same with a delay counted from the failure.

--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -22,6 +22,8 @@
     uint64_t revision; /* next watch begins after it */
     uint64_t first;    /* revision of the first page of a list */
     KcTime listed_at;
+    KcTime called_at;
+    KcTime delay; /* between a call that fails and the next */
     KcTimer timer;
 };
 
@@ -30,6 +32,7 @@
 {
     const KcFeedOptions *options = &feed->options;
 
+    feed->called_at = now;
     if (options->relist > 0 && feed->listed &&
         now - feed->listed_at >= options->relist) {
         feed->must_list = true;
@@ -61,6 +64,7 @@
 
     feed->options = *options;
     feed->must_list = true;
+    feed->delay = options->retry;
     KcTimer_Init(&feed->timer, on_timer, feed);
     return feed;
 }
@@ -104,6 +108,7 @@
 heard(KcFeed *feed, KcTime now)
 {
     feed->state = FEED_IDLE;
+    feed->delay = feed->options.retry;
     if (feed->lost) {
         feed->lost = false;
         feed->options.contact(feed->options.context, 0, now);
@@ -184,5 +189,9 @@
         feed->lost = true;
         feed->options.contact(feed->options.context, code, now);
     }
-    go_on(feed, feed->options.retry, now);
+    go_on(feed, feed->called_at + feed->delay - now, now);
+    feed->delay *= 2;
+    if (feed->delay > feed->options.retry_max) {
+        feed->delay = feed->options.retry_max;
+    }
 }
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -37,7 +37,8 @@
     void *store;
     KcTimers *timers;
     const char *kind; /* static text */
-    KcTime retry;     /* delay after a call that failed */
+    KcTime retry;     /* from a call that fails to the next; doubles */
+    KcTime retry_max; /* up to this */
     KcTime wait;      /* longest wait of one watch */
     KcTime gather;    /* delay between two watches, to take changes together */
     KcTime relist;    /* the list is read anew after this time; 0: never */
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -8,9 +8,12 @@
 
 #include "gateway_role_internal.h"
 
-/* Changes of servers are taken together for this long: each call of the
- * store is priced, and keepers tell first of servers that leave. */
-#define GATHER_SERVERS (800 * KC_MS)
+/* Changes of servers are taken together for this part of the time within
+ * which a leaving server must get no more requests, and for so long at the
+ * most: each call of the store is priced, and keepers tell first of servers
+ * that leave. */
+#define GATHER_PART 2
+#define GATHER_MAX (2 * KC_SECOND)
 /* The same of announced versions. */
 #define GATHER_VERSIONS (500 * KC_MS)
 /* Watches of what seldom changes wait so long; the watch of servers, which
@@ -165,7 +168,7 @@
     void (*listed)(void *context, KcTime now);
 } feed_rows[KC_COLLECTION_COUNT] = {
     [KC_COLLECTION_ROUTING] = {WAIT_SELDOM, 0, 0, NULL, on_routing, NULL},
-    [KC_COLLECTION_SERVERS] = {0, GATHER_SERVERS, 0, servers_begin, on_server,
+    [KC_COLLECTION_SERVERS] = {0, 0, 0, servers_begin, on_server,
                                servers_listed},
     [KC_COLLECTION_VERSIONS] = {WAIT_SELDOM, GATHER_VERSIONS, 0, NULL,
                                 on_version, NULL},
@@ -183,7 +186,8 @@
                                  .store = role->store,
                                  .timers = role->parts.loop->timers,
                                  .kind = role->platform->collections[i],
-                                 .retry = STORE_RETRY,
+                                 .retry = KC_STORE_RETRY,
+                                 .retry_max = KC_STORE_RETRY_MAX,
                                  .wait = feed_rows[i].wait != 0
                                              ? feed_rows[i].wait
                                              : settings->watch_ms * KC_MS,
@@ -195,6 +199,11 @@
                                  .contact = on_contact,
                                  .context = role};
 
+        if (i == KC_COLLECTION_SERVERS) {
+            options.gather = settings->leave_ms * KC_MS / GATHER_PART;
+            options.gather =
+                options.gather < GATHER_MAX ? options.gather : GATHER_MAX;
+        }
         role->feeds[i] = KcFeed_Create(&options);
         KcFeed_Start(role->feeds[i], KcLoop_Now());
     }
@@ -210,49 +219,19 @@
 
 /* ---- this gateway's own record ------------------------------------------- */
 
-static void write_member(GatewayRole *role, uint64_t expected);
-
-static void
-on_member_written(void *context, const KcObjectReply *reply)
-{
-    GatewayRole *role = context;
-
-    if (reply->code == KC_ERR_NOT_FOUND) {
-        write_member(role, KC_OBJECT_ABSENT);
-    }
-    else if (reply->code != 0 && reply->code != KC_ERR_CONFLICT) {
-        KcTimers_Set(role->parts.loop->timers, &role->member_timer,
-                     KcLoop_Now() + STORE_RETRY);
-    }
-}
-
-static void
-write_member(GatewayRole *role, uint64_t expected)
+void
+KcGatewayRole_WriteMember(GatewayRole *role)
 {
     const KcSettings *settings = role->parts.settings;
-    char name[KC_OBJECT_NAME_MAX];
+    KcOwnRecordOptions options = {
+        .ops = role->platform->objects,
+        .objects = role->store,
+        .timers = role->parts.loop->timers,
+        .collection = role->platform->collections[KC_COLLECTION_GATEWAYS],
+        .name = settings->name};
     char value[KC_NAME_MAX * 2];
 
-    snprintf(name, sizeof(name), "%s/%s",
-             role->platform->collections[KC_COLLECTION_GATEWAYS],
-             settings->name);
     snprintf(value, sizeof(value), "{\"datacentre\":\"%s\"}",
              settings->datacentre);
-    role->platform->objects->put(role->store, name,
-                                 (KcBytes){value, strlen(value)}, expected,
-                                 on_member_written, role);
-}
-
-static void
-on_member_timer(KcTimer *timer, KcTime now)
-{
-    (void)now;
-    write_member(timer->owner, KC_OBJECT_ANY);
-}
-
-void
-KcGatewayRole_WriteMember(GatewayRole *role)
-{
-    KcTimer_Init(&role->member_timer, on_member_timer, role);
-    write_member(role, KC_OBJECT_ANY);
+    KcOwnRecord_Write(&role->member, &options, value);
 }
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -198,7 +198,7 @@
 
     if (role->store != NULL) {
         KcTimers_Clear(timers, &role->tell_timer);
-        KcTimers_Clear(timers, &role->member_timer);
+        KcOwnRecord_Clear(&role->member);
         KcGatewayRole_FreeFeeds(role);
         role->platform->close_store(role->store);
     }
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -12,12 +12,10 @@
 #include "../request/front.h"
 #include "admin_http.h"
 #include "log.h"
+#include "own_record.h"
 #include "platform.h"
 #include "role.h"
 
-/* Delay after a failed call of the store. */
-#define STORE_RETRY (200 * KC_MS)
-
 typedef struct GatewayRole {
     KcParts parts;
     const KcPlatform *platform;
@@ -28,7 +26,7 @@
     KcFeed *feeds[KC_COLLECTION_COUNT];
     uint32_t gateways; /* told by the list being read */
     KcTimer tell_timer;
-    KcTimer member_timer;
+    KcOwnRecord member; /* in the store */
     uint64_t incarnation;
     KcTime drain_began;
     KcTime store_back_at; /* it was last lost or regained */
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -9,11 +9,10 @@
 #include "../connection/tcp.h"
 #include "admin_http.h"
 #include "log.h"
+#include "own_record.h"
 #include "platform.h"
 #include "role.h"
 
-/* Delay after a failed call of the store. */
-#define STORE_RETRY (200 * KC_MS)
 /* The configuration is only listed: of it a keeper needs the capacity of the
  * engine, which hardly changes.  Until it is known, and afterwards. */
 #define RELIST_UNKNOWN (500 * KC_MS)
@@ -33,7 +32,7 @@
     KcFeed *routing;
     KcTcpListener *listener;
     struct KcLinkList links;
-    KcTimer fence_timer;
+    KcOwnRecord fence; /* in the store; its revision is the number */
     uint64_t incarnation;
     uint64_t generation; /* of the configuration last read */
 } KeeperRole;
@@ -229,50 +228,32 @@
     KcLog_Contact(code);
 }
 
-static void take_fence(KeeperRole *role, uint64_t expected);
-
 /* The revision of the record just written is above any earlier one. */
 static void
-on_fence(void *context, const KcObjectReply *reply)
+on_fence(void *context, uint64_t revision)
 {
     KeeperRole *role = context;
-    KcLogFields fields = {.step = "fence", .code = reply->code};
+    KcLogFields fields = {.step = "fence"};
 
-    if (reply->code == 0 && reply->version > 0) {
-        KcLog_Write(KC_LOG_INFO, &fields, "fencing number %" PRIu64,
-                    reply->version);
-        KcKeeper_SetFence(role->keeper, reply->version, KcLoop_Now());
-    }
-    else if (reply->code == KC_ERR_NOT_FOUND) {
-        take_fence(role, KC_OBJECT_ABSENT);
-    }
-    else {
-        KcLog_Write(KC_LOG_WARN, &fields, "no fencing number yet");
-        KcTimers_Set(role->parts.loop->timers, &role->fence_timer,
-                     KcLoop_Now() + STORE_RETRY);
-    }
+    KcLog_Write(KC_LOG_INFO, &fields, "fencing number %" PRIu64, revision);
+    KcKeeper_SetFence(role->keeper, revision, KcLoop_Now());
 }
 
 static void
-take_fence(KeeperRole *role, uint64_t expected)
+take_fence(KeeperRole *role)
 {
-    const KcSettings *settings = role->parts.settings;
-    char name[KC_OBJECT_NAME_MAX];
+    KcOwnRecordOptions options = {.ops = role->platform->objects,
+                                  .objects = role->store,
+                                  .timers = role->parts.loop->timers,
+                                  .collection = KEEPERS,
+                                  .name = role->parts.settings->name,
+                                  .written = on_fence,
+                                  .context = role};
     char value[64];
 
-    snprintf(name, sizeof(name), KEEPERS "/%s", settings->name);
     snprintf(value, sizeof(value), "{\"incarnation\":\"%016" PRIx64 "\"}",
              role->incarnation);
-    role->platform->objects->put(role->store, name,
-                                 (KcBytes){value, strlen(value)}, expected,
-                                 on_fence, role);
-}
-
-static void
-on_fence_timer(KcTimer *timer, KcTime now)
-{
-    (void)now;
-    take_fence(timer->owner, KC_OBJECT_ANY);
+    KcOwnRecord_Write(&role->fence, &options, value);
 }
 
 /* ---- administration ------------------------------------------------------ */
@@ -390,7 +371,8 @@
         .ops = role->platform->feed,
         .timers = role->parts.loop->timers,
         .kind = role->platform->collections[KC_COLLECTION_ROUTING],
-        .retry = STORE_RETRY,
+        .retry = KC_STORE_RETRY,
+        .retry_max = KC_STORE_RETRY_MAX,
         .wait = settings->watch_ms * KC_MS,
         .gather = RELIST_UNKNOWN,
         .relist = RELIST_UNKNOWN,
@@ -402,8 +384,7 @@
     feed.store = role->store;
     role->routing = KcFeed_Create(&feed);
     KcFeed_Start(role->routing, KcLoop_Now());
-    KcTimer_Init(&role->fence_timer, on_fence_timer, role);
-    take_fence(role, KC_OBJECT_ANY);
+    take_fence(role);
     KcKeeper_Start(role->keeper, KcLoop_Now());
     KcParts_HandleSignals(&role->parts, &role_ops, role);
 }
@@ -414,7 +395,7 @@
     KcLink *link;
 
     if (role->store != NULL) {
-        KcTimers_Clear(role->parts.loop->timers, &role->fence_timer);
+        KcOwnRecord_Clear(&role->fence);
         KcFeed_Free(role->routing);
         role->platform->close_store(role->store);
     }
--- a/programs/process/platform.h
+++ b/programs/process/platform.h
@@ -8,6 +8,11 @@
 #include "../request/dialect.h"
 #include "loop.h"
 
+/* Delay after a call of the store that failed; doubles up to the second:
+ * every call is priced, and the store is back unannounced. */
+#define KC_STORE_RETRY (200 * KC_MS)
+#define KC_STORE_RETRY_MAX (1 * KC_SECOND)
+
 typedef struct KcStore KcStore;
 
 typedef struct KcStoreOptions {
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -94,6 +94,8 @@
            10, 60000, "Wait for an answer of the object API."),
     NUMBER("platform", "watch_ms", FOR_ALL, watch_ms, "30000", 100, 600000,
            "Longest wait of one watch."),
+    NUMBER("platform", "leave_ms", FOR_GATEWAY, leave_ms, "3000", 100, 60000,
+           "A leaving server gets no new request after this time."),
     NUMBER("platform", "instances_poll_ms", FOR_ENTRY, instances_poll_ms,
            "2000", 50, 60000, "Interval of asking for the instance list."),
     NUMBER("lease", "ttl_ms", FOR_BOTH, lease_ttl_ms, "30000", 1000, 600000,
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -41,6 +41,7 @@
     char instances[KC_ADDRESS_MAX];
     int64_t object_timeout_ms;
     int64_t watch_ms;
+    int64_t leave_ms;
     int64_t instances_poll_ms;
     int64_t lease_ttl_ms;
     int64_t lease_renew_ms;
--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -481,18 +481,47 @@
     KcEncoder_Free(encoder);
 }
 
+/* The fencing number that the keeper took last, 0 for none. */
+static long
+last_fence(void)
+{
+    static const char words[] = "fencing number ";
+    char *path =
+        g_strdup_printf("%s/%d-0.log", Yard_Folder(yard), YARD_KEEPER);
+    char *text = NULL;
+    const char *found;
+    long fence = 0;
+
+    g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    found = g_strrstr(text, words);
+    if (found != NULL) {
+        fence = strtol(found + strlen(words), NULL, 10);
+    }
+    g_free(text);
+    g_free(path);
+    return fence;
+}
+
+/* Streams go on without it; the next one takes a higher fencing number. */
 static void
 test_keeper_killed(void)
 {
+    long fence = last_fence();
     char request[1024];
     int size;
 
+    g_assert_cmpint(fence, >, 0);
+
     Yard_Signal(yard, YARD_KEEPER, 0, SIGKILL);
     Yard_Wait(yard, YARD_KEEPER, 0);
     size = snprintf(request, sizeof(request), STREAM, "kk1");
     send_text(0, request, (size_t)size);
     g_assert_true(g_str_has_suffix(answer, "0\r\n\r\n"));
     Yard_Restart(yard, YARD_KEEPER, 0);
+    for (int i = 0; i < 100 && last_fence() == fence; i++) {
+        g_usleep(50000);
+    }
+    g_assert_cmpint(last_fence(), >, fence);
 }
 
 static void
