Split what a server costs from the choice of one

gateway_choose.c had grown to 600 lines: load, silence, fullness and cost of a server are gateway_cost.c now, and the means of a service are brought up to date by a function of their own name. No decision changes; 72 cases of /gateway pass. Mutants for silent servers, unknown load, copies and later retries.

--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -2,8 +2,9 @@
  * The gateway's context, and what its files use of each other.
  *
  * The calls go one way: gateway_forward.c (requests) uses gateway_choose.c
- * (decisions), which uses gateway_servers.c and gateway_adapters.c (what is
- * known of servers, and of adapters and who holds them).  gateway_answer.c
+ * (decisions), which uses gateway_cost.c (what a server costs) and
+ * gateway_servers.c and gateway_adapters.c (what is known of servers, and of
+ * adapters and who holds them).  gateway_answer.c
  * takes what the sending side reports to requests, gateway_silence.c acts
  * where it reports nothing.
  */
@@ -80,6 +81,28 @@
 void KcGateway_ClearServers(KcGateway *gateway);
 void KcGateway_InitServers(KcGateway *gateway);
 
+/* ---- costs (gateway_cost.c) ---------------------------------------------- */
+
+/* Brings the means of a service's servers up to date. */
+void KcServerPool_RefreshMeans(KcServerPool *pool, KcTime now);
+/* Requests at the server, of all gateways, as far as is known. */
+uint32_t KcServer_Load(const KcServer *server, KcTime now);
+/* Expected time that the way to the server adds to the request. */
+KcTime KcServer_Cost(const KcServer *server, const KcForward *forward,
+                     KcTime now);
+/* True when a further request would only wait there. */
+bool KcServer_IsFull(const KcServer *server, const KcForward *forward,
+                     KcTime now);
+/* True when it has far more requests than the others of its service. */
+bool KcServer_IsCrowded(const KcServer *server, KcTime now);
+/* True when it answers so late that objectives are in danger. */
+bool KcServer_IsSlow(const KcServer *server, const KcForward *forward,
+                     KcTime now);
+/* How long nothing was heard of the server; 0 when no request is there. */
+KcTime KcServer_Silence(const KcServer *server, KcTime now);
+/* True when requests are at the server and nothing was heard for too long. */
+bool KcServer_IsMute(const KcServer *server, KcTime now);
+
 /* ---- decisions (gateway_choose.c) ---------------------------------------- */
 
 typedef enum KcChoiceAction {
@@ -100,14 +123,6 @@
 /* Decides what becomes of a request now. */
 void KcGateway_Choose(const KcForward *forward, KcTime now, KcChoice *choice);
 
-/* How long nothing was heard of the server; 0 when no request is there. */
-KcTime KcServer_Silence(const KcServer *server, KcTime now);
-/* True when requests are at the server and nothing was heard for too long. */
-bool KcServer_IsMute(const KcServer *server, KcTime now);
-
-/* Requests at the server, of all gateways, as far as is known. */
-uint32_t KcServer_Load(const KcServer *server, KcTime now);
-
 /* ---- requests (gateway_forward.c) ---------------------------------------- */
 
 /* Finds a way for a request that has none. */
