Let a call that cannot be started report itself

Change: Fetch reports such a call from the loop as one without an answer; the callers' ways are gone. The test of whether a connection is at rest, which stood in http_call.c and sending.c, is made by KcHttpPool_Put() itself.

--- a/programs/connection/http_pool.c
+++ b/programs/connection/http_pool.c
@@ -124,8 +124,15 @@
 void
 KcHttpPool_Put(KcHttpPool *pool, KcHttpPeer *peer, KcTime keep)
 {
-    Idle *idle = KcMem_New(sizeof(*idle));
+    Idle *idle;
 
+    /* With a request that has not left whole, the server would take the
+     * next one for its rest. */
+    if (KcHttpPeer_Pending(peer) > 0 || KcHttpPeer_Unread(peer) > 0) {
+        KcHttpPeer_Close(peer);
+        return;
+    }
+    idle = KcMem_New(sizeof(*idle));
     idle->pool = pool;
     idle->peer = peer;
     idle->since = KcLoop_Now();
--- a/programs/connection/http_pool.h
+++ b/programs/connection/http_pool.h
@@ -17,7 +17,10 @@
  */
 KcHttpPeer *KcHttpPool_Take(KcHttpPool *pool, KcTime idle_max);
 
-/* Keeps a connection whose last answer is whole, for the given time. */
+/*
+ * Keeps a connection whose last answer is whole, for the given time; closes
+ * it when bytes are still on their way, in or out.
+ */
 void KcHttpPool_Put(KcHttpPool *pool, KcHttpPeer *peer, KcTime keep);
 
 /* Closes every connection. */
--- a/programs/kcc/client.c
+++ b/programs/kcc/client.c
@@ -43,9 +43,8 @@
     if (copy.timeout == 0) {
         copy.timeout = TIMEOUT;
     }
-    if (KcHttpCall_Fetch(&copy, on_answer, &waiting) != NULL) {
-        KcLoop_Run(waiting.loop);
-    }
+    KcHttpCall_Fetch(&copy, on_answer, &waiting);
+    KcLoop_Run(waiting.loop);
     KcLoop_Free(waiting.loop);
 }
 
--- a/programs/process/instances_http.c
+++ b/programs/process/instances_http.c
@@ -121,14 +121,11 @@
                              .path = "/v1/instances",
                              .timeout = instances->options.timeout};
 
+    (void)now;
     if (instances->etag[0] != '\0') {
         options.headers[0] = (KcHttpHeader){"If-None-Match", instances->etag};
     }
     instances->call = KcHttpCall_Fetch(&options, on_answer, instances);
-    if (instances->call == NULL) {
-        KcTimers_Set(instances->options.loop->timers, timer,
-                     now + instances->options.interval);
-    }
 }
 
 KcInstances *
--- a/programs/process/objects_http.c
+++ b/programs/process/objects_http.c
@@ -19,7 +19,6 @@
     KcHttpCall *http;
     KcObjectDone done;
     void *context;
-
 } ObjectCall;
 
 TAILQ_HEAD(ObjectCallList, ObjectCall);
@@ -49,9 +48,7 @@
 
     while ((call = TAILQ_FIRST(&objects->calls)) != NULL) {
         TAILQ_REMOVE(&objects->calls, call, link);
-        if (call->http != NULL) {
-            KcHttpCall_Cancel(call->http);
-        }
+        KcHttpCall_Cancel(call->http);
         call->done(call->context, &reply);
         free(call);
     }
@@ -81,40 +78,21 @@
     return strtoull(etag[0] == '"' ? etag + 1 : etag, NULL, 10);
 }
 
-static void
-finish(ObjectCall *call, const KcObjectReply *reply)
-{
-    KcObjects *objects = call->objects;
-
-    TAILQ_REMOVE(&objects->calls, call, link);
-    if (reply->code == KC_ERR_UNAVAILABLE) {
-        KcCounters_Add(objects->options.counters, KC_COUNT_OBJECT_FAILURES, 1);
-    }
-    call->done(call->context, reply);
-    free(call);
-}
-
 static void
 on_answer(void *context, int status, const char *etag, KcBytes body)
 {
     ObjectCall *call = context;
+    KcObjects *objects = call->objects;
     KcObjectReply reply = {.code = KcObjects_Code(status),
                            .version = KcObjects_Version(etag),
                            .value = body};
 
-    call->http = NULL;
-    finish(call, &reply);
-}
-
-/* The call could not be started; reported from the loop. */
-static void
-on_not_started(evutil_socket_t fd, short what, void *context)
-{
-    KcObjectReply reply = {.code = KC_ERR_UNAVAILABLE};
-
-    (void)fd;
-    (void)what;
-    finish(context, &reply);
+    TAILQ_REMOVE(&objects->calls, call, link);
+    if (reply.code == KC_ERR_UNAVAILABLE) {
+        KcCounters_Add(objects->options.counters, KC_COUNT_OBJECT_FAILURES, 1);
+    }
+    call->done(call->context, &reply);
+    free(call);
 }
 
 static void
@@ -122,7 +100,6 @@
       void *context)
 {
     ObjectCall *call = KcMem_New(sizeof(*call));
-    struct timeval at_once = {0, 0};
 
     options->loop = objects->options.loop;
     options->address = objects->address;
@@ -132,10 +109,6 @@
     KcCounters_Add(objects->options.counters, KC_COUNT_OBJECT_CALLS, 1);
     TAILQ_INSERT_TAIL(&objects->calls, call, link);
     call->http = KcHttpCall_Fetch(options, on_answer, call);
-    if (call->http == NULL) {
-        event_base_once(options->loop->base, -1, EV_TIMEOUT, on_not_started,
-                        call, &at_once);
-    }
 }
 
 static void
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -62,12 +62,15 @@
     free(call);
 }
 
-/* The call is over; its connection has been dealt with. */
+/* The call is over, and its connection, unless that was pooled. */
 static void
 finish(KcHttpCall *call)
 {
     call->over = true;
-    call->peer = NULL;
+    if (call->peer != NULL) {
+        KcHttpPeer_Close(call->peer);
+        call->peer = NULL;
+    }
     KcTimers_Clear(call->loop->timers, &call->timer);
     KcLoop_Retire(call->loop, &call->retired);
 }
@@ -149,13 +152,10 @@
         KcHttpPeer_Next(peer);
         return;
     }
-    if (call->pool != NULL && call->keep_alive &&
-        KcHttpPeer_Pending(peer) == 0 && KcHttpPeer_Unread(peer) == 0) {
+    if (call->pool != NULL && call->keep_alive) {
+        call->peer = NULL;
         KcHttpPool_Put(call->pool, peer, KEEP);
     }
-    else {
-        KcHttpPeer_Close(peer);
-    }
     report(call, 0);
 }
 
@@ -204,7 +204,6 @@
     KcHttpCall *call = timer->owner;
 
     (void)now;
-    KcHttpPeer_Close(call->peer);
     report(call, KC_ERR_LOST);
 }
 
@@ -242,18 +241,11 @@
     evbuffer_add(out, options->body.data, options->body.size);
 }
 
-KcHttpCall *
-KcHttpCall_Start(const KcHttpOptions *options)
+static KcHttpCall *
+create(const KcHttpOptions *options)
 {
-    char host[KC_ADDRESS_MAX];
-    uint16_t port;
-    KcHttpCall *call;
+    KcHttpCall *call = KcMem_New(sizeof(*call));
 
-    if (!is_method(options->method) ||
-        KcAddress_Parse(options->address, host, &port) != 0) {
-        return NULL;
-    }
-    call = KcMem_New(sizeof(*call));
     call->ops = *options->ops;
     call->context = options->context;
     call->loop = options->loop;
@@ -267,17 +259,40 @@
     KcName_Copy(call->address, options->address, KC_ADDRESS_MAX);
     KcTimer_Init(&call->timer, on_timer, call);
     call->request = evbuffer_new();
+    return call;
+}
+
+/* Finds a connection.  Returns 0 or KC_ERR_INVALID. */
+static int
+begin(KcHttpCall *call, const KcHttpOptions *options)
+{
+    char host[KC_ADDRESS_MAX];
+    uint16_t port;
+
+    if (!is_method(options->method) ||
+        KcAddress_Parse(options->address, host, &port) != 0) {
+        return KC_ERR_INVALID;
+    }
     compose(call, options);
     if (call->pool != NULL) {
         call->peer = KcHttpPool_Take(call->pool, KC_NEVER);
     }
-    if (call->peer != NULL) {
-        call->reused = true;
-        KcHttpPeer_SetOwner(call->peer, &peer_ops, call);
-        set_timer(call);
-        write_request(call);
+    if (call->peer == NULL) {
+        return connect_peer(call);
     }
-    else if (connect_peer(call) != 0) {
+    call->reused = true;
+    KcHttpPeer_SetOwner(call->peer, &peer_ops, call);
+    set_timer(call);
+    write_request(call);
+    return 0;
+}
+
+KcHttpCall *
+KcHttpCall_Start(const KcHttpOptions *options)
+{
+    KcHttpCall *call = create(options);
+
+    if (begin(call, options) != 0) {
         KcTimers_Clear(call->loop->timers, &call->timer);
         evbuffer_free(call->request);
         free(call);
@@ -293,7 +308,6 @@
         return;
     }
     call->cancelled = true;
-    KcHttpPeer_Close(call->peer);
     finish(call);
 }
 
@@ -362,9 +376,10 @@
     collected->context = context;
     copy.ops = &collect_ops;
     copy.context = collected;
-    call = KcHttpCall_Start(&copy);
-    if (call == NULL) {
-        free(collected);
+    call = create(&copy);
+    if (begin(call, &copy) != 0) {
+        /* Reported from the loop, like any call that is lost. */
+        KcTimers_Set(call->loop->timers, &call->timer, KcLoop_Now());
     }
     return call;
 }
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -68,7 +68,11 @@
 typedef void (*KcHttpWhole)(void *context, int status, const char *etag,
                             KcBytes body);
 
-/* Starts a call whose answer is collected; options->ops is not used. */
+/*
+ * Starts a call whose answer is collected; options->ops is not used.  One
+ * that cannot be started is reported like one that has no answer, never
+ * before the return.
+ */
 KcHttpCall *KcHttpCall_Fetch(const KcHttpOptions *options, KcHttpWhole whole,
                              void *context);
 
--- a/programs/request/sending.c
+++ b/programs/request/sending.c
@@ -154,19 +154,16 @@
 static void
 give_back(KcSending *sending)
 {
-    KcHttpPeer *peer = sending->peer;
     KcTime keep = sending->reply.keep > 0
                       ? sending->reply.keep * KEEP_PERCENT / 100
                       : KEEP_UNTOLD;
 
-    /* With a request that has not left whole, the server would take the
-     * next one for its rest. */
-    if (!sending->head->keep_alive || KcHttpPeer_Pending(peer) > 0 ||
-        KcHttpPeer_Unread(peer) > 0) {
-        KcHttpPeer_Close(peer);
-        return;
+    if (sending->head->keep_alive) {
+        KcHttpPool_Put(sending->options.pool, sending->peer, keep);
+    }
+    else {
+        KcHttpPeer_Close(sending->peer);
     }
-    KcHttpPool_Put(sending->options.pool, peer, keep);
 }
 
 static void
