Say once what the second reading found said twice; drop what nothing reads

Where a copy goes is one function: whether one is wanted and how far it may be were two, which both asked whether the holder needs relief; best_holding() no longer returns a cost that nobody took. KcForward_HasTried(), KcKeeper_GiveOrder() and KcParts_ListenLinks() each take the place of two or three copies. A refusal before the request is whole is written by one piece, whose timer is set in every case: before, it was cleared where the size was over, so that a caller that never read kept its connection.

Gone, as nothing read them: affinity and connections_max of the routing, leaves_in and cold_left of a server (their fields in records are checked as before), the id that write_refusal() was handed as NULL, a flag of a sending. How long changes of servers are gathered stands in the table of feeds, not in an exception beside it.

--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -26,22 +26,11 @@
 #define SPREAD_DOUBT 2.0
 #define SPREAD_PRIOR 8.0
 
-static bool
-was_tried(const KcForward *forward, const KcServer *server)
-{
-    for (uint32_t i = 0; i < forward->tried_count; i++) {
-        if (forward->tried[i] == server) {
-            return true;
-        }
-    }
-    return false;
-}
-
 static bool
 may_use(const KcForward *forward, const KcServer *server)
 {
     return !server->leaving && !server->told_leaving &&
-           !was_tried(forward, server);
+           !KcForward_HasTried(forward, server);
 }
 
 /* ---- requests without a model -------------------------------------------- */
@@ -80,10 +69,11 @@
 
 /* The cheapest server that has the adapter; any of them full or not. */
 static KcHolding *
-best_holding(const KcForward *forward, KcTime now, KcTime *lowest)
+best_holding(const KcForward *forward, KcTime now)
 {
     KcHolding *holding;
     KcHolding *best = NULL;
+    KcTime lowest = 0;
 
     TAILQ_FOREACH (holding, &forward->adapter->holdings, of_adapter) {
         KcTime cost;
@@ -97,9 +87,9 @@
         if (KcServer_IsFull(holding->server, forward, now)) {
             cost += FULL_COST;
         }
-        if (best == NULL || cost < *lowest) {
+        if (best == NULL || cost < lowest) {
             best = holding;
-            *lowest = cost;
+            lowest = cost;
         }
     }
     return best;
@@ -119,14 +109,20 @@
     return NULL;
 }
 
+/* Does the holding serve, or will it? */
+static bool
+is_current(const KcHolding *holding, KcTime now)
+{
+    return holding->coming || KcHolding_Usable(holding, now);
+}
+
 static bool
 has_current(const KcForward *forward, const KcServer *server, KcTime now)
 {
     const KcHolding *holding;
 
     TAILQ_FOREACH (holding, &forward->adapter->holdings, of_adapter) {
-        if (holding->server == server &&
-            (holding->coming || KcHolding_Usable(holding, now))) {
+        if (holding->server == server && is_current(holding, now)) {
             return true;
         }
     }
@@ -258,8 +254,7 @@
 
     TAILQ_FOREACH (holding, &forward->adapter->holdings, of_adapter) {
         if (holding->server->pool == forward->pool &&
-            (holding->coming || KcHolding_Usable(holding, now)) &&
-            may_use(forward, holding->server)) {
+            is_current(holding, now) && may_use(forward, holding->server)) {
             count++;
         }
     }
@@ -272,56 +267,46 @@
 {
     const KcAdapterState *adapter = forward->adapter;
 
-    return adapter->name[0] != '\0' &&
-           now - adapter->wanted_at >= SPREAD_INTERVAL &&
+    return now - adapter->wanted_at >= SPREAD_INTERVAL &&
            copies_of(forward, now) < copies_due(forward, now);
 }
 
-/* Is a further copy worth while beside this holder? */
-static bool
-copy_wanted(const KcForward *forward, const KcHolding *best, KcTime now)
+/*
+ * Where a further copy is worth while; NULL when it is not, or nowhere.  One
+ * for being near is nearer than the best holder; others are anywhere.
+ */
+static KcServer *
+copy_home(const KcForward *forward, const KcHolding *best, KcTime now)
 {
     const KcAdapterState *adapter = forward->adapter;
-    const KcServer *holder = best->server;
 
-    if (adapter->name[0] == '\0' || coming_holding(forward) != NULL ||
+    if (adapter->name[0] == '\0' || TAILQ_EMPTY(&adapter->holdings)) {
+        return NULL;
+    }
+    if (spread_wanted(forward, now)) {
+        return home_of(forward, KC_DISTANCE_REMOTE, now);
+    }
+    if (best == NULL || coming_holding(forward) != NULL ||
         now - adapter->wanted_at < COPY_INTERVAL) {
-        return false;
+        return NULL;
     }
-    return needs_relief(forward, best, now) ||
-           (holder->distance != KC_DISTANCE_DATACENTRE &&
-            KcUseCount_Value(&adapter->uses, now) > COPY_RATE);
-}
-
-/* A copy for being near is nearer than the holder; one for its load is
- * anywhere. */
-static KcDistance
-copy_distance(const KcForward *forward, const KcHolding *best, KcTime now)
-{
-    KcDistance distance = best->server->distance;
-
-    if (needs_relief(forward, best, now) ||
-        distance == KC_DISTANCE_DATACENTRE) {
-        return KC_DISTANCE_REMOTE;
+    if (needs_relief(forward, best, now)) {
+        return home_of(forward, KC_DISTANCE_REMOTE, now);
     }
-    return (KcDistance)(distance - 1);
+    if (best->server->distance != KC_DISTANCE_DATACENTRE &&
+        KcUseCount_Value(&adapter->uses, now) > COPY_RATE) {
+        return home_of(forward, (KcDistance)(best->server->distance - 1), now);
+    }
+    return NULL;
 }
 
 static void
 choose_model(const KcForward *forward, KcTime now, KcChoice *choice)
 {
-    KcTime lowest = 0;
-    KcHolding *best = best_holding(forward, now, &lowest);
+    KcHolding *best = best_holding(forward, now);
     KcHolding *coming;
 
-    if ((best != NULL || !TAILQ_EMPTY(&forward->adapter->holdings)) &&
-        spread_wanted(forward, now)) {
-        choice->copy_at = home_of(forward, KC_DISTANCE_REMOTE, now);
-    }
-    else if (best != NULL && copy_wanted(forward, best, now)) {
-        choice->copy_at =
-            home_of(forward, copy_distance(forward, best, now), now);
-    }
+    choice->copy_at = copy_home(forward, best, now);
     if (best != NULL && !KcServer_IsFull(best->server, forward, now) &&
         !(in_trouble(best->server, now) && choice->copy_at != NULL)) {
         choice->action = KC_CHOICE_SEND;
--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -232,7 +232,6 @@
     if (forward->adapter != NULL) {
         cost += contention(forward, load);
     }
-
     if (server->suspect_until > now) {
         cost += FAILURE_COST + (server->suspect_until - now);
     }
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -202,6 +202,17 @@
     }
 }
 
+bool
+KcForward_HasTried(const KcForward *forward, const KcServer *server)
+{
+    for (uint32_t i = 0; i < forward->tried_count; i++) {
+        if (forward->tried[i] == server) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Sends to the chosen server.  False when it could not even be begun. */
 static bool
 send(KcForward *forward, const KcChoice *choice, KcTime now)
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -141,6 +141,7 @@
 void KcForward_Withdraw(KcForward *forward);
 /* The server is not tried for this request again while there are others. */
 void KcForward_NoteTried(KcForward *forward, KcServer *server);
+bool KcForward_HasTried(const KcForward *forward, const KcServer *server);
 /* Ends: whole, and with an error; may_have_run tells the caller so. */
 void KcForward_FinishEnd(KcForward *forward, int status, KcTime now);
 void KcForward_FinishFailed(KcForward *forward, bool may_have_run, KcTime now);
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -207,14 +207,9 @@
     const KcForward *forward;
 
     TAILQ_FOREACH (forward, &gateway->forwards, link) {
-        if (forward->server == server) {
+        if (forward->server == server || KcForward_HasTried(forward, server)) {
             return true;
         }
-        for (uint32_t i = 0; i < forward->tried_count; i++) {
-            if (forward->tried[i] == server) {
-                return true;
-            }
-        }
     }
     return false;
 }
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -38,9 +38,7 @@
     char datacentre[KC_NAME_MAX];
     uint32_t places; /* requests it runs at once */
     bool leaving;
-    KcTime leaves_in; /* short notice; 0: none given */
-    KcTime cold_left; /* it is slow for so much longer */
-    int64_t born;     /* wall clock of its start, ms; 0: not given */
+    int64_t born; /* wall clock of its start, ms; 0: not given */
     struct KcHeldInfoList held;
 } KcServerInfo;
 
--- a/lib/process/keeper_internal.h
+++ b/lib/process/keeper_internal.h
@@ -112,6 +112,8 @@
 
 /* Gives the next order, if one may be given. */
 void KcKeeper_Pump(KcKeeper *keeper, KcTime now);
+/* Gives keeper->order, which concerns the slot; NULL for a base model. */
+void KcKeeper_GiveOrder(KcKeeper *keeper, KcSlot *slot);
 /* Plans the next report. */
 void KcKeeper_Plan(KcKeeper *keeper, KcTime now);
 void KcKeeper_EndLoad(KcKeeper *keeper, KcSlot *slot, int code, KcTime now);
--- a/lib/process/keeper_order.c
+++ b/lib/process/keeper_order.c
@@ -14,6 +14,14 @@
  * long: those that waited for it look elsewhere by then. */
 #define WANT_LIFE (1 * KC_SECOND)
 
+void
+KcKeeper_GiveOrder(KcKeeper *keeper, KcSlot *slot)
+{
+    keeper->ordering = true;
+    keeper->slot = slot;
+    keeper->options.ops->order(keeper->options.context, &keeper->order);
+}
+
 static void
 order(KcKeeper *keeper, KcSlot *slot, bool unload, uint32_t version)
 {
@@ -22,10 +30,8 @@
                               .fence = keeper->fence,
                               .sequence = keeper->sequence};
     KcKeeper_SplitKey(slot, keeper->order.model, keeper->order.adapter);
-    keeper->ordering = true;
-    keeper->slot = slot;
     KcKeeper_Record(keeper, unload ? "unload" : "load", 0);
-    keeper->options.ops->order(keeper->options.context, &keeper->order);
+    KcKeeper_GiveOrder(keeper, slot);
 }
 
 static void
@@ -74,10 +80,8 @@
     keeper->order =
         (KcOrder){.fence = keeper->fence, .sequence = keeper->sequence};
     KcName_Copy(keeper->order.model, name, KC_NAME_MAX);
-    keeper->ordering = true;
-    keeper->slot = NULL;
     KcKeeper_Record(keeper, "load", 0);
-    keeper->options.ops->order(keeper->options.context, &keeper->order);
+    KcKeeper_GiveOrder(keeper, NULL);
 }
 
 KcKeeperBase *
@@ -208,6 +212,7 @@
     return false;
 }
 
+/* Tells every gateway of what was asked for. */
 static void
 tell_want(KcKeeper *keeper, const KcKeeperWant *want, KcHeldState state)
 {
--- a/lib/process/keeper_report.c
+++ b/lib/process/keeper_report.c
@@ -212,9 +212,7 @@
         (slot->state == KC_SLOT_EVICTING && held)) {
         keeper->order.sequence = keeper->sequence;
         keeper->order.fence = keeper->fence;
-        keeper->ordering = true;
-        keeper->slot = slot;
-        keeper->options.ops->order(keeper->options.context, &keeper->order);
+        KcKeeper_GiveOrder(keeper, slot);
     }
 }
 
--- a/lib/version/kcc_routing.h
+++ b/lib/version/kcc_routing.h
@@ -49,7 +49,6 @@
                             * long; 0: not known */
     uint32_t priority;     /* 0 is the most urgent */
     uint32_t attempts_max; /* backend servers a request may be sent to */
-    bool affinity;         /* requests share parts of their prompts */
     bool resumable;        /* a stream may go on at another server */
     struct KcRouteTargetList targets;
     uint32_t weight_sum;
@@ -89,7 +88,6 @@
     TAILQ_ENTRY(KcRoutedService) link;
     char name[KC_NAME_MAX];
     char health_path[KC_PREFIX_MAX];
-    uint32_t connections_max; /* of all callers of one backend server */
     KcEngineCapacity engine;
 } KcRoutedService;
 
--- a/programs/connection/http_peer.h
+++ b/programs/connection/http_peer.h
@@ -12,40 +12,10 @@
 #include <event2/buffer.h>
 
 #include "../process/loop.h"
+#include "http_message.h"
 
 typedef struct KcHttpPeer KcHttpPeer;
 
-/* Headers of one message at the most. */
-#define KC_HTTP_FIELDS_MAX 64
-
-/* One header.  Both texts end with a NUL. */
-typedef struct KcHttpField {
-    const char *name;
-    const char *value;
-} KcHttpField;
-
-/* The head of a message; valid until KcHttpPeer_Next(). */
-typedef struct KcHttpMessage {
-    const char *method; /* of a request */
-    const char *target; /* of a request */
-    int status;         /* of a response */
-    bool old;           /* of a version before HTTP/1.1 */
-    KcHttpField fields[KC_HTTP_FIELDS_MAX];
-    size_t field_count;
-    bool keep_alive; /* the connection may be used again */
-    bool has_length; /* Content-Length was given */
-    uint64_t length; /* valid with has_length */
-    bool chunked;
-    size_t head_size; /* bytes */
-} KcHttpMessage;
-
-/* The value of the first header of this name, NULL when there is none. */
-const char *KcHttpMessage_Find(const KcHttpMessage *message, const char *name);
-
-/* Does a list header, such as Connection, name this token? */
-bool KcHttpMessage_Lists(const KcHttpMessage *message, const char *name,
-                         const char *token);
-
 /* What happens on a connection.  Each call may close it. */
 typedef struct KcHttpPeerOps {
     void (*connected)(void *owner); /* connecting side; may be NULL */
--- a/programs/process/agent_role.c
+++ b/programs/process/agent_role.c
@@ -157,20 +157,10 @@
 static int
 listen_all(AgentRole *role)
 {
-    const KcSettings *settings = role->parts.settings;
-    KcTcpOptions tcp = {.loop = role->parts.loop,
-                        .counters = &role->parts.counters,
-                        .ops = &tcp_ops,
-                        .context = role};
-    KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
-
     /* The slot's own address is the lock against a second agent. */
-    role->listener = KcTcp_Listen(&tcp, settings->links, on_accepted);
+    role->listener =
+        KcParts_ListenLinks(&role->parts, &tcp_ops, role, on_accepted);
     if (role->listener == NULL) {
-        KcLog_Write(KC_LOG_ERROR, &fields,
-                    "cannot listen on [listen] links "
-                    "= %s: is another agent in this slot?",
-                    settings->links);
         return KC_ERR_INVALID;
     }
     return KcParts_OpenAdmin(&role->parts, &admin_ops, role);
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -158,6 +158,9 @@
     KcGateway_SetPeers(role->gateway, role->gateways, now);
 }
 
+/* In the table: a part of the setting. */
+#define GATHER_SERVERS (-1)
+
 /* How each collection is followed. */
 static const struct {
     KcTime wait; /* of a watch; 0: the setting */
@@ -168,7 +171,7 @@
     void (*listed)(void *context, KcTime now);
 } feed_rows[KC_COLLECTION_COUNT] = {
     [KC_COLLECTION_ROUTING] = {WAIT_SELDOM, 0, 0, NULL, on_routing, NULL},
-    [KC_COLLECTION_SERVERS] = {0, 0, 0, servers_begin, on_server,
+    [KC_COLLECTION_SERVERS] = {0, GATHER_SERVERS, 0, servers_begin, on_server,
                                servers_listed},
     [KC_COLLECTION_VERSIONS] = {WAIT_SELDOM, GATHER_VERSIONS, 0, NULL,
                                 on_version, NULL},
@@ -176,34 +179,39 @@
                                 gateways_begin, on_gateway, gateways_listed},
 };
 
+static KcTime
+gather_servers(const KcSettings *settings)
+{
+    KcTime gather = settings->leave_ms * KC_MS / GATHER_PART;
+
+    return gather < GATHER_MAX ? gather : GATHER_MAX;
+}
+
 void
 KcGatewayRole_StartFeeds(GatewayRole *role)
 {
     const KcSettings *settings = role->parts.settings;
 
     for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
-        KcFeedOptions options = {.ops = role->platform->feed,
-                                 .store = role->store,
-                                 .timers = role->parts.loop->timers,
-                                 .kind = role->platform->collections[i],
-                                 .retry = KC_STORE_RETRY,
-                                 .retry_max = KC_STORE_RETRY_MAX,
-                                 .wait = feed_rows[i].wait != 0
-                                             ? feed_rows[i].wait
-                                             : settings->watch_ms * KC_MS,
-                                 .gather = feed_rows[i].gather,
-                                 .relist = feed_rows[i].relist,
-                                 .begins = feed_rows[i].begins,
-                                 .item = feed_rows[i].item,
-                                 .listed = feed_rows[i].listed,
-                                 .contact = on_contact,
-                                 .context = role};
-
-        if (i == KC_COLLECTION_SERVERS) {
-            options.gather = settings->leave_ms * KC_MS / GATHER_PART;
-            options.gather =
-                options.gather < GATHER_MAX ? options.gather : GATHER_MAX;
-        }
+        KcFeedOptions options = {
+            .ops = role->platform->feed,
+            .store = role->store,
+            .timers = role->parts.loop->timers,
+            .kind = role->platform->collections[i],
+            .retry = KC_STORE_RETRY,
+            .retry_max = KC_STORE_RETRY_MAX,
+            .wait = feed_rows[i].wait != 0 ? feed_rows[i].wait
+                                           : settings->watch_ms * KC_MS,
+            .gather = feed_rows[i].gather == GATHER_SERVERS
+                          ? gather_servers(settings)
+                          : feed_rows[i].gather,
+            .relist = feed_rows[i].relist,
+            .begins = feed_rows[i].begins,
+            .item = feed_rows[i].item,
+            .listed = feed_rows[i].listed,
+            .contact = on_contact,
+            .context = role};
+
         role->feeds[i] = KcFeed_Create(&options);
         KcFeed_Start(role->feeds[i], KcLoop_Now());
     }
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -343,17 +343,9 @@
 static int
 listen_all(KeeperRole *role)
 {
-    const KcSettings *settings = role->parts.settings;
-    KcTcpOptions tcp = {.loop = role->parts.loop,
-                        .counters = &role->parts.counters,
-                        .ops = &tcp_ops,
-                        .context = role};
-    KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
-
-    role->listener = KcTcp_Listen(&tcp, settings->links, on_accepted);
+    role->listener =
+        KcParts_ListenLinks(&role->parts, &tcp_ops, role, on_accepted);
     if (role->listener == NULL) {
-        KcLog_Write(KC_LOG_ERROR, &fields,
-                    "cannot listen on [listen] links = %s", settings->links);
         return KC_ERR_INVALID;
     }
     return KcParts_OpenAdmin(&role->parts, &admin_ops, role);
--- a/programs/process/role.c
+++ b/programs/process/role.c
@@ -1,5 +1,5 @@
 /*
- * Parts that both roles have, and the planned stop.
+ * Parts that all roles have, and the planned stop.
  */
 #include "role.h"
 
@@ -91,6 +91,28 @@
     return 0;
 }
 
+KcTcpListener *
+KcParts_ListenLinks(KcParts *parts, const KcTcpOps *ops, void *role,
+                    void (*accepted)(void *context, KcLink *link))
+{
+    KcTcpOptions options = {.loop = parts->loop,
+                            .counters = &parts->counters,
+                            .ops = ops,
+                            .context = role};
+    KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
+    KcTcpListener *listener =
+        KcTcp_Listen(&options, parts->settings->links, accepted);
+
+    if (listener == NULL) {
+        KcLog_Write(KC_LOG_ERROR, &fields,
+                    "cannot listen on [listen] links = %s: is another %s in "
+                    "this slot?",
+                    parts->settings->links,
+                    KcSettings_RoleName(parts->settings));
+    }
+    return listener;
+}
+
 void
 KcParts_Clear(KcParts *parts)
 {
--- a/programs/process/role.h
+++ b/programs/process/role.h
@@ -1,9 +1,10 @@
 /*
- * The two roles of a process.
+ * The roles of a process, and what they have alike.
  */
 #ifndef KCC_ROLE_H
 #define KCC_ROLE_H
 
+#include "../connection/tcp.h"
 #include "admin_http.h"
 #include "loop.h"
 #include "settings.h"
@@ -17,7 +18,7 @@
     void (*reload)(void *role, const KcSettings *settings);
 } KcRoleOps;
 
-/* Parts that both roles have. */
+/* Parts that all roles have. */
 typedef struct KcParts {
     KcLoop *loop;
     const KcSettings *settings;
@@ -53,7 +54,15 @@
 /* Opens the administrators' address.  Returns 0 or KC_ERR_INVALID, logged. */
 int KcParts_OpenAdmin(KcParts *parts, const KcAdminOps *ops, void *role);
 
-/* Sets what both roles give the library; the rest keeps its defaults. */
+/*
+ * Listens for the connections of entries or gateways.  Returns NULL when the
+ * address cannot be bound, logged.
+ */
+KcTcpListener *
+KcParts_ListenLinks(KcParts *parts, const KcTcpOps *ops, void *role,
+                    void (*accepted)(void *context, KcLink *link));
+
+/* Sets what the roles of /v1 give the library; the rest keeps its defaults. */
 void KcParts_FillMember(KcParts *parts, KcMemberOptions *member);
 
 /* Handles SIGTERM and SIGINT by a planned stop of the role. */
--- a/programs/request/dialect.h
+++ b/programs/request/dialect.h
@@ -47,8 +47,7 @@
                          bool close);
     /* Writes a whole answer of our own. */
     void (*write_refusal)(struct evbuffer *out,
-                          const KcForwardRefusal *refusal, const char *id,
-                          bool close);
+                          const KcForwardRefusal *refusal, bool close);
 } KcDialect;
 
 #endif
--- a/programs/request/front.c
+++ b/programs/request/front.c
@@ -85,6 +85,26 @@
     free(connection);
 }
 
+static void
+set_timer(Connection *connection, KcTime delay)
+{
+    KcTimers_Set(connection->front->options.loop->timers, &connection->timer,
+                 KcLoop_Now() + delay);
+}
+
+/* Answers for ourselves before the request is whole, and closes. */
+static void
+refuse_early(Connection *connection, int code, const char *step)
+{
+    KcForwardRefusal refusal = {.error = {.code = code, .step = step}};
+
+    connection->state = CONNECTION_CLOSING;
+    set_timer(connection, limits_of(connection->front)->header_timeout);
+    connection->front->options.dialect->write_refusal(
+        KcHttpPeer_Output(connection->peer), &refusal, true);
+    KcHttpPeer_CloseWhenSent(connection->peer);
+}
+
 /* The caller is gone: so is its request. */
 static void
 on_failed(void *owner, int code)
@@ -98,24 +118,12 @@
     }
     if ((code == KC_ERR_PARSE || code == KC_ERR_TOO_LARGE) &&
         connection->state < CONNECTION_WAITING) {
-        KcForwardRefusal refusal = {.error = {.code = code, .step = "read"}};
-
-        connection->state = CONNECTION_CLOSING;
-        connection->front->options.dialect->write_refusal(
-            KcHttpPeer_Output(connection->peer), &refusal, NULL, true);
-        KcHttpPeer_CloseWhenSent(connection->peer);
+        refuse_early(connection, code, "read");
         return;
     }
     dispose(connection);
 }
 
-static void
-set_timer(Connection *connection, KcTime delay)
-{
-    KcTimers_Set(connection->front->options.loop->timers, &connection->timer,
-                 KcLoop_Now() + delay);
-}
-
 /* Closes once what was written has left. */
 static void
 close_when_sent(Connection *connection)
@@ -140,20 +148,6 @@
     KcTimers_Set(front->options.loop->timers, &connection->timer, due);
 }
 
-/* Answers for ourselves before the request is whole, and closes. */
-static void
-refuse_early(Connection *connection, int code, const char *step)
-{
-    KcForwardRefusal refusal = {.error = {.code = code, .step = step}};
-
-    connection->state = CONNECTION_CLOSING;
-    KcTimers_Clear(connection->front->options.loop->timers,
-                   &connection->timer);
-    connection->front->options.dialect->write_refusal(
-        KcHttpPeer_Output(connection->peer), &refusal, NULL, true);
-    KcHttpPeer_CloseWhenSent(connection->peer);
-}
-
 static void
 on_timer(KcTimer *timer, KcTime now)
 {
@@ -283,7 +277,7 @@
     connection->forward = NULL;
     decide_close(connection);
     connection->front->options.dialect->write_refusal(
-        KcHttpPeer_Output(connection->peer), refusal, NULL, connection->close);
+        KcHttpPeer_Output(connection->peer), refusal, connection->close);
     finish_answer(connection);
 }
 
--- a/programs/request/sending.c
+++ b/programs/request/sending.c
@@ -32,7 +32,6 @@
     bool over;
     const KcHttpMessage *head; /* of the answer */
     KcReplyHead reply;
-    bool has_head;
     KcBuffer body;
     KcEventStream events;
 };
@@ -101,7 +100,6 @@
         return;
     }
     sending->head = message;
-    sending->has_head = true;
     if (reply->has_load) {
         KcGateway_OnLoad(sending->send.server, reply->running, reply->waiting,
                          reply->places, now);
