Test that a store that stays away is not called again without delay

Cause: the feed tests traced calls in order but not when they came, so a feed whose retry delay fell to 0 after the first failure left the same trace.

The step 'mark' shows in the trace what had happened by then; the new case checks each delay from both sides.

--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -8,6 +8,7 @@
  *   discarded               the watch's history is discarded
  *   fail                    the call fails
  *   relist, wait MS
+ *   mark                    adds "|" to the trace
  *   relistwithin            every later on_store_status call relists
  *
  * Trace: "L(after)" and "W(revision)" calls to the store, "x" a cancelled
@@ -154,6 +155,13 @@
     fixture->relist_within = true;
 }
 
+static void
+step_mark(Fixture *fixture, char **words)
+{
+    (void)words;
+    g_string_append(fixture->trace, "| ");
+}
+
 static void
 step_wait(Fixture *fixture, char **words)
 {
@@ -165,7 +173,7 @@
     {"page", step_page},           {"watched", step_watched},
     {"discarded", step_discarded}, {"fail", step_fail},
     {"relist", step_relist},       {"relistwithin", step_relist_within},
-    {"wait", step_wait},
+    {"wait", step_wait},           {"mark", step_mark},
 };
 
 static const struct {
@@ -194,6 +202,11 @@
      "wait 500;page a;wait 20;fail;wait 200",
      "begins L() lost begins L() begins L() begins L() begins L() +a back "
      "listed W(5) lost begins L() "},
+    {"a store that stays away is called again only after the retry delay",
+     "mark;fail;wait 190;mark;wait 10;mark;fail;wait 390;mark;wait 10;mark;"
+     "fail;wait 490;mark;wait 10;mark;fail;wait 490;mark;wait 10",
+     "begins L() | lost | begins L() | | begins L() | | begins L() | | begins "
+     "L() "},
     {"a list that fails midway begins again",
      "page a more;fail;wait 200;page a",
      "begins L() +a L(a) lost begins L() +a back listed "},
