--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -200,7 +200,7 @@
 static KcTime
 servers_watch_delay(const KcSettings *settings)
 {
-    KcTime delay = settings->server_leave_timeout_ms * KC_MS /
+    KcTime delay = (KcTime)(settings->server_leave_timeout_ms * KC_MS) /
                    SERVERS_WATCH_DELAY_DIVISOR;
 
     return delay < SERVERS_WATCH_DELAY_MAX ? delay : SERVERS_WATCH_DELAY_MAX;
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -117,14 +117,20 @@
            KcLoop_Now() >= role->drain_started_at + DRAIN_DURATION_MIN;
 }
 
+/* The percentage of retries, rounded down; 0.29 has no exact binary form. */
+static int64_t
+retry_percent(const KcSettings *settings)
+{
+    return (int64_t)(settings->retry_fraction * 100 + 1e-6);
+}
+
 static void
 apply_settings(void *context, const KcSettings *settings)
 {
     GatewayRole *role = context;
 
-    KcGateway_SetRetryBudget(role->gateway,
-                             (int64_t)(settings->retry_fraction * 100),
-                             settings->retry_burst, KcLoop_Now());
+    KcGateway_SetRetryBudget(role->gateway, retry_percent(settings),
+                             (int64_t)settings->retry_burst, KcLoop_Now());
 }
 
 static const KcRoleOps role_ops = {begin_drain, is_drained, apply_settings};
@@ -152,8 +158,8 @@
     options.datacentre = settings->datacentre;
     options.region_of = find_region;
     options.seed = KcLoop_GetRandomBits();
-    options.retry_percent = (int64_t)(settings->retry_fraction * 100);
-    options.retry_burst = settings->retry_burst;
+    options.retry_percent = retry_percent(settings);
+    options.retry_burst = (int64_t)settings->retry_burst;
     role->gateway = KcGateway_Create(&options);
 }
 
@@ -246,6 +252,9 @@
     role.incarnation = KcLoop_GetRandomBits();
     role.common.drain_timeout =
         (KcTime)(settings->grace_period_s * KC_SECOND) - GRACE_PERIOD_MARGIN;
+    if (role.common.drain_timeout < 0) {
+        role.common.drain_timeout = 0;
+    }
     create_gateway(&role);
     if (listen_all(&role) == 0) {
         start_all(&role);
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -102,9 +102,9 @@
                    "Wait for an answer of the object API."),
     NUMBER_SETTING("platform", "watch_ms", ROLES_ALL, watch_timeout_ms,
                    "30000", 100, 600000, "Longest wait of one watch."),
-    NUMBER_SETTING("platform", "leave_ms", ROLES_GATEWAY,
-                   server_leave_timeout_ms, "3000", 100, 60000,
-                   "A leaving server gets no new request after this time."),
+    DECIMAL_SETTING("platform", "leave_ms", ROLES_GATEWAY,
+                    server_leave_timeout_ms, "3000", 100, 60000,
+                    "A leaving server gets no new request after this time."),
     NUMBER_SETTING("platform", "instances_poll_ms", ROLES_ENTRY,
                    instances_poll_interval_ms, "2000", 50, 60000,
                    "Interval of asking for the instance list."),
@@ -180,6 +180,9 @@
     NUMBER_SETTING("backend", "silence_timeout_ms", ROLES_AGENT,
                    backend_silence_timeout_ms, "60000", 100, DAY_MS,
                    "Wait for the next piece of an answer."),
+    NUMBER_SETTING("backend", "answer_timeout_ms", ROLES_AGENT,
+                   backend_answer_timeout_ms, "3600000", 100, DAY_MS,
+                   "Longest time of a whole answer."),
     NUMBER_SETTING("backend", "detach_ms", ROLES_AGENT, detach_timeout_ms,
                    "5000", 10, 600000,
                    "Work is kept this long after its connection was lost."),
@@ -196,8 +199,8 @@
                     "Longest duration of a planned stop, in seconds."),
     DECIMAL_SETTING("retry", "share", ROLES_GATEWAY, retry_fraction, "0.2", 0,
                     1, "Retries allowed, as a fraction of the requests."),
-    NUMBER_SETTING("retry", "burst", ROLES_GATEWAY, retry_burst, "10", 0,
-                   1000000, "Additional retries, shared by all gateways."),
+    DECIMAL_SETTING("retry", "burst", ROLES_GATEWAY, retry_burst, "10", 0,
+                    1000000, "Additional retries, shared by all gateways."),
     NUMBER_SETTING("keeper", "port", ROLES_GATEWAY, keeper_port, NULL, 1,
                    65535,
                    "Port of the keepers, on the address of their engines."),
@@ -234,6 +237,9 @@
     size_t length = strlen(value);
     const char *match = setting->choices;
 
+    if (strchr(value, ' ') != NULL) {
+        return false; /* two choices in a row */
+    }
     while (length > 0 && (match = strstr(match, value)) != NULL) {
         bool starts_word = match == setting->choices || match[-1] == ' ';
         bool ends_word = match[length] == '\0' || match[length] == ' ';
@@ -430,7 +436,8 @@
         KcProblemList_Add(problems, reader->file, 0, "[lease] renew_ms",
                           "must be at most a third of ttl_ms");
     }
-    if (settings->requests_max > settings->connections_max) {
+    if (settings->role == KC_ROLE_ENTRY &&
+        settings->requests_max > settings->connections_max) {
         KcProblemList_Add(problems, reader->file, 0, "[limits] requests_max",
                           "must not exceed connections_max");
     }
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -45,7 +45,7 @@
     char instances_address[KC_ADDRESS_MAX];
     int64_t object_timeout_ms;
     int64_t watch_timeout_ms;
-    int64_t server_leave_timeout_ms;
+    double server_leave_timeout_ms;
     int64_t instances_poll_interval_ms;
     int64_t lease_ttl_ms;
     int64_t lease_renew_interval_ms;
@@ -76,6 +76,7 @@
     int64_t inspect_interval_ms;
     int64_t order_timeout_ms;
     int64_t backend_silence_timeout_ms;
+    int64_t backend_answer_timeout_ms;
     int64_t detach_timeout_ms;
     int64_t retain_timeout_ms;
     /* gateway and keeper */
@@ -84,7 +85,7 @@
     struct KcRegionSettingList regions;
     double grace_period_s; /* longest duration of a planned stop */
     double retry_fraction; /* retries allowed per request */
-    int64_t retry_burst;   /* additional retries, shared by all gateways */
+    double retry_burst;   /* additional retries, shared by all gateways */
     int64_t keeper_port;
     int64_t connection_silence_timeout_ms;
 } KcSettings;
--- a/tests/process/test_settings.c
+++ b/tests/process/test_settings.c
@@ -18,6 +18,12 @@
     "[platform]\nobjects = 127.0.0.1:3\n"                                     \
     "[backend]\naddress = 127.0.0.1:5\nservice = llm\n"
 
+#define GATEWAY                                                               \
+    "[process]\nrole = gateway\nname = g1\ndatacentre = d\n"                  \
+    "[listen]\ncallers = 127.0.0.1:1\nready = 127.0.0.1:2\n"                  \
+    "admin = 127.0.0.1:3\n[platform]\nobjects = 127.0.0.1:4\n"                \
+    "[keeper]\nport = 5\n"
+
 static const struct {
     const char *name;
     const char *text;
@@ -48,6 +54,18 @@
     {"lease renewed too late",
      ENTRY "[lease]\nttl_ms = 3000\nrenew_ms = 2000\n", 1, 0,
      "[lease] renew_ms", "a third"},
+    {"gateway", GATEWAY, 0, 0, NULL, NULL},
+    {"bounds of the platform with a fraction",
+     GATEWAY "[retry]\nburst = 44.7\n[platform]\nleave_ms = 2500.5\n", 0, 0,
+     NULL, NULL},
+    {"burst below its range", GATEWAY "[retry]\nburst = -0.5\n", 1, 14,
+     "[retry] burst", "from 0 to"},
+    {"few connections of a gateway",
+     GATEWAY "[limits]\nconnections_max = 1000\n", 0, 0, NULL, NULL},
+    {"few connections of an entry", ENTRY "[limits]\nconnections_max = 1000\n",
+     1, 0, "[limits] requests_max", "connections_max"},
+    {"two choices", "[process]\nrole = entry agent\n", 7, 2, "[process] role",
+     "one of: entry agent"},
     {"empty file", "", 7, 0, "[process] role", "must be given"},
     {"bad name", "[process]\nname = a b\n", 7, 2, "[process] name",
      "letters, digits"},
