Limit what is read of a server's answer in bytes, messages, memory and time

Cause: a server in trouble may send bytes that are no answer until its caller closes. KcHttpCall restarted its timer at each byte and kept any body, so a keeper took 48 MB in 8 s; interim answers were read for ever; a gateway read answers to earlier requests until the caller's deadline (18 MB in 3 s each) and kept 4 MB for each attempt; an engine's line and an event had no limit together.

Change: lib/request/intake.c decides, without network or clock, how much of one answer is read: body, skipped answers, events (Token-Count gives their number), comments, time of the whole answer, and memory, which all answers of a process share so that each may have what no other one uses. KcHttpConnection limits what is not body: heads, interim answers, framing of chunks, trailers. Both HTTP readers report to it. What is cut off counts as lost, so the attempt may have run; the line 'answer cut off' names step, peer, received, limit and unit. New setting [backend] answer_timeout_ms. A gateway takes whole answers of up to 2 MB (4 MB before) and keeps 4 MB of them in all.

Weighed: an equal fixed part of memory for each answer (wastes it when one is large), and the pool without the answer's own bytes (leaves no room for new answers while servers in trouble fill it).

--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -13,7 +13,7 @@
  *
  * Advanced use: single modules, by the lifetime of their data: messages and
  * links (kcc_connection.h), claims, retries and the order of work
- * (kcc_request.h), a gateway's requests (kcc_forward.h), documents and
+ * (kcc_request.h), limits of the answers that are read (kcc_intake.h), a gateway's requests (kcc_forward.h), documents and
  * fetching newer versions (kcc_version.h), the routing configuration of
  * gateways (kcc_routing.h), collections of the object API (kcc_feed.h),
  * backend servers, limits and leases (kcc_process.h), adapters loaded at an
@@ -39,6 +39,7 @@
 #include "kcc_connection.h"
 #include "kcc_feed.h"
 #include "kcc_forward.h"
+#include "kcc_intake.h"
 #include "kcc_process.h"
 #include "kcc_request.h"
 #include "kcc_residency.h"
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -231,6 +231,7 @@
                               .priority = forward->rule->priority,
                               .has_last_event = forward->has_last_event,
                               .last_event_id = forward->last_event_id,
+                              .events_max = forward->events_max,
                               .needs_fresh_connection =
                                   forward->rule->kind ==
                                   KC_REQUEST_KIND_UNSAFE};
@@ -460,6 +461,7 @@
         now + (queue_timeout > QUEUE_TIMEOUT_MIN ? queue_timeout
                                                  : QUEUE_TIMEOUT_MIN);
     forward->tokens_max = call->prompt_tokens + call->answer_tokens_max;
+    forward->events_max = call->answer_events_max;
     forward->repeatable =
         rule->kind == KC_REQUEST_KIND_SAFE ||
         (rule->kind == KC_REQUEST_KIND_STREAM && rule->resumable);
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -30,7 +30,8 @@
     const char *model;          /* "" when none is named */
     const char *adapter;        /* "" when none is named */
     uint64_t prompt_tokens;     /* 0: unknown */
-    uint64_t answer_tokens_max; /* 0: unknown */
+    uint64_t answer_tokens_max; /* expected at the most; 0: unknown */
+    uint64_t answer_events_max; /* a stream has no more; 0: unknown */
     KcTime timeout;             /* can only shorten the route's; 0: none */
     bool has_last_event;        /* the stream goes on after an earlier event */
     uint64_t last_event_id;     /* valid with has_last_event */
@@ -71,7 +72,8 @@
     uint32_t priority;   /* 0 is the most urgent */
     bool has_last_event; /* the stream goes on after an earlier event */
     uint64_t last_event_id;
-    uint32_t version; /* of the adapter that the server must use; 0: any */
+    uint32_t version;    /* of the adapter that the server must use; 0: any */
+    uint64_t events_max; /* the stream has no more; 0: unknown */
     bool needs_fresh_connection; /* not on a connection that has been idle for
                                   * long: the server may have closed it, and
                                   * the request may not be repeated */
@@ -139,6 +141,7 @@
     KcTime arrived_at;
     KcTime deadline;           /* the request has ended by then */
     uint64_t tokens_max;       /* of the prompt and the longest answer */
+    uint64_t events_max;       /* as KcForwardCall.answer_events_max */
     bool repeatable;           /* may run more than once */
     bool in_wait_list;         /* linked by wait_link */
     struct KcServer *server;   /* of the last attempt; while LOADING, the one
--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -22,6 +22,12 @@
  */
 #define READ_AHEAD_BYTES_MAX 65536
 
+/*
+ * Bytes of framing that a response may have for each byte of its body: enough
+ * for chunks of a single byte.
+ */
+#define FRAMING_BYTES_PER_BODY_BYTE 8
+
 /* Offsets in head_text of one header; value is 0 when the header has none. */
 typedef struct FieldOffsets {
     size_t name;
@@ -39,6 +45,8 @@
     bool in_field_value; /* the parser reports a value, not a name */
     size_t target;       /* unused */
     size_t head_bytes;
+    size_t parsed_bytes; /* for the present owner */
+    size_t body_bytes;   /* of these */
     KcHttpMessage message;
     int callback_error;   /* KcErrorCode of the callback that failed, or 0 */
     bool message_started; /* a byte of the current message has been parsed */
@@ -232,6 +240,7 @@
 {
     KcHttpConnection *connection = parser->data;
 
+    connection->body_bytes += size;
     connection->options.ops->on_body(connection->options.owner,
                                      (KcBytes){text, size});
     return connection->is_closed ? 1 : 0;
@@ -301,6 +310,19 @@
     }
 }
 
+/*
+ * Returns whether a response has more around its body than its limit. The
+ * parser limits only single parts, such as one head or one chunk's extension.
+ */
+static bool
+has_excessive_framing(const KcHttpConnection *connection)
+{
+    return connection->parser.type == HTTP_RESPONSE &&
+           KcHttpConnection_FramingBytes(connection) >
+               connection->options.head_bytes_max +
+                   FRAMING_BYTES_PER_BODY_BYTE * connection->body_bytes;
+}
+
 /*
  * Parses the first contiguous extent of the input. Returns false when parsing
  * must stop for now: end of a message, error, closed, no input.
@@ -323,6 +345,11 @@
     }
     parser_error = HTTP_PARSER_ERRNO(&connection->parser);
     evbuffer_drain(input, parsed_bytes);
+    connection->parsed_bytes += parsed_bytes;
+    if (has_excessive_framing(connection)) {
+        report_failed(connection, KC_ERR_TOO_LARGE);
+        return false;
+    }
     if (parser_error == HPE_PAUSED) {
         connection->options.ops->on_message_end(connection->options.owner);
         return false;
@@ -545,6 +572,8 @@
 {
     connection->options.ops = ops;
     connection->options.owner = owner;
+    connection->parsed_bytes = 0;
+    connection->body_bytes = 0;
 }
 
 struct evbuffer *
@@ -559,6 +588,14 @@
     return evbuffer_get_length(bufferevent_get_output(connection->bev));
 }
 
+size_t
+KcHttpConnection_FramingBytes(const KcHttpConnection *connection)
+{
+    return connection->parsed_bytes > connection->body_bytes
+               ? connection->parsed_bytes - connection->body_bytes
+               : 0;
+}
+
 size_t
 KcHttpConnection_UnparsedBytes(const KcHttpConnection *connection)
 {
--- a/programs/connection/http_connection.h
+++ b/programs/connection/http_connection.h
@@ -32,7 +32,8 @@
     /*
      * The connection cannot be used further: KC_ERR_PEER_LOST when it ended,
      * KC_ERR_PARSE for bytes that are not a valid message, KC_ERR_TOO_LARGE
-     * for a head above its limit, KC_ERR_PROTOCOL for bytes after a response.
+     * for a head, or framing around a response's body, above its limit,
+     * KC_ERR_PROTOCOL for bytes after a response.
      * The owner still has to close it.
      */
     void (*on_failed)(void *owner, int code);
@@ -44,7 +45,8 @@
     KcLoop *loop;
     const KcHttpConnectionOps *ops;
     void *owner;
-    size_t head_bytes_max;  /* bytes of target, header names and values */
+    size_t head_bytes_max;  /* bytes of target, header names and values; of
+                               responses also of all that is not body */
     KcTime silence_timeout; /* see KcSocket_SetConnectionOptions() */
 } KcHttpConnectionOptions;
 
@@ -91,7 +93,7 @@
 void KcHttpConnection_ExpectNoBody(KcHttpConnection *connection);
 /*
  * Gives the connection another owner with its own callbacks, for example when
- * it enters or leaves a pool.
+ * it enters or leaves a pool. The framing of responses is counted anew.
  */
 void KcHttpConnection_SetOwner(KcHttpConnection *connection,
                                const KcHttpConnectionOps *ops, void *owner);
@@ -103,6 +105,11 @@
 struct evbuffer *KcHttpConnection_Output(KcHttpConnection *connection);
 /* Returns the number of output bytes not yet passed to the kernel. */
 size_t KcHttpConnection_UnsentBytes(const KcHttpConnection *connection);
+/*
+ * Returns the number of bytes received for the present owner that were not
+ * body: heads, interim responses, framing of chunks, trailers.
+ */
+size_t KcHttpConnection_FramingBytes(const KcHttpConnection *connection);
 /* Returns the number of received bytes not yet parsed. */
 size_t KcHttpConnection_UnparsedBytes(const KcHttpConnection *connection);
 /*
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -13,9 +13,17 @@
 /* Delay before a new connection to a keeper that could not be reached. */
 #define KEEPER_RETRY_DELAY (500 * KC_MS)
 /* Largest body of a server's reply that is not a stream. */
-#define REPLY_BODY_BYTES_MAX (4 * 1024 * 1024)
-/* Largest head of a server's reply. */
+#define REPLY_BODY_BYTES_MAX ((size_t)2 * 1024 * 1024)
+/* Largest head of a server's reply, with all else that is not its body. */
 #define REPLY_HEAD_BYTES_MAX 65536
+/*
+ * Replies that one attempt skips, interim or to earlier requests, and the
+ * bytes of their bodies.
+ */
+#define SKIPPED_REPLIES_MAX 4
+#define SKIPPED_BYTES_MAX ((size_t)256 * 1024)
+/* Comments and events without an id that one attempt passes on. */
+#define UNNUMBERED_EVENTS_MAX 1024
 
 /* A load request that waits for the connection to the keeper. */
 typedef struct PendingLoadRequest {
@@ -250,7 +258,11 @@
         .connect_timeout = settings->connect_timeout_ms * KC_MS,
         .silence_timeout = settings->connection_silence_timeout_ms * KC_MS,
         .head_bytes_max = REPLY_HEAD_BYTES_MAX,
-        .reply_body_bytes_max = REPLY_BODY_BYTES_MAX,
+        .limits = {.body_bytes_max = REPLY_BODY_BYTES_MAX,
+                   .skipped_bytes_max = SKIPPED_BYTES_MAX,
+                   .skipped_max = SKIPPED_REPLIES_MAX,
+                   .unnumbered_events_max = UNNUMBERED_EVENTS_MAX,
+                   .pool = &role->intake_pool},
         .request_head = KcGatewayFrontEnd_RequestHead(forward->caller),
         .request_body = KcGatewayFrontEnd_RequestBody(forward->caller)};
 
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -29,6 +29,12 @@
 /* A stop ends this long before the platform kills the process. */
 #define GRACE_PERIOD_MARGIN (300 * KC_MS)
 
+/*
+ * Memory of servers' replies that are not complete, beyond a small part for
+ * each.
+ */
+#define KEPT_REPLY_BYTES_MAX ((size_t)4 * 1024 * 1024)
+
 /* Limits on callers until a routing configuration is in force. */
 static const KcCallerLimits initial_caller_limits = {
     .header_bytes_max = 16384,
@@ -245,6 +251,7 @@
     int status = 1;
 
     memset(&role, 0, sizeof(role));
+    role.intake_pool.kept_bytes_max = KEPT_REPLY_BYTES_MAX;
     role.platform = &KcPlatform_Current;
     if (KcRoleCommon_Init(&role.common, settings) != 0) {
         return 1;
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -25,6 +25,7 @@
     KcStore *store;
     KcFeed *feeds[KC_COLLECTION_COUNT];
     uint32_t listed_gateway_count; /* in the list being read */
+    KcIntakePool intake_pool;      /* of replies that are not complete */
     KcTimer use_report_timer;
     KcOwnRecord own_record; /* of this gateway, in the store */
     uint64_t incarnation;
--- a/programs/process/objects_http.c
+++ b/programs/process/objects_http.c
@@ -160,7 +160,10 @@
     KcHttpCallOptions options = {
         .method = "GET",
         .path = path,
-        .progress_timeout = client->options.watch_timeout + WATCH_MARGIN};
+        .progress_timeout = client->options.watch_timeout + WATCH_MARGIN,
+        .limits.timeout =
+            client->options.watch_timeout + WATCH_MARGIN +
+            KC_HTTP_CALL_TIMEOUT_FACTOR * client->options.call_timeout};
 
     snprintf(path, sizeof(path),
              "/v1/objects/%s?above=%" PRIu64 "&wait_ms=%" PRId64, name,
--- a/programs/request/engine_call.c
+++ b/programs/request/engine_call.c
@@ -7,9 +7,14 @@
 #include <string.h>
 
 #include "backend_call_internal.h"
+#include "intake_log.h"
 
 #define EVENT_PREFIX "data:"
 #define EVENT_STREAM_END "[DONE]"
+/* Largest answer of an engine, with the JSON around each token. */
+#define ANSWER_BYTES_MAX ((size_t)32 * 1024 * 1024)
+/* Largest line of an answer. */
+#define LINE_BYTES_MAX ((size_t)1024 * 1024)
 
 /* ---- the request -------------------------------------------------------- */
 
@@ -147,6 +152,20 @@
     call->http_status = head->status;
 }
 
+/* Ends a call whose answer has a line without end. */
+static void
+cut_off_line(KcBackendCall *call)
+{
+    KcHttpCall *http_call = call->http_call;
+
+    KcIntakeLog_WriteBytes("answer line", KcBuffer_Size(&call->partial_line),
+                           LINE_BYTES_MAX,
+                           call->client->settings->backend_address);
+    call->http_call = NULL;
+    KcHttpCall_Cancel(http_call);
+    KcBackendCall_End(call, KC_ERR_TOO_LARGE, true, "");
+}
+
 static void
 on_data(void *context, KcBytes bytes)
 {
@@ -158,6 +177,10 @@
         return;
     }
     KcBuffer_Append(&call->partial_line, bytes.data, bytes.size);
+    if (KcBuffer_Size(&call->partial_line) > LINE_BYTES_MAX) {
+        cut_off_line(call);
+        return;
+    }
     while ((newline = memchr(KcBuffer_Data(&call->partial_line), '\n',
                              KcBuffer_Size(&call->partial_line))) != NULL) {
         size_t size = (size_t)(newline - KcBuffer_Data(&call->partial_line));
@@ -244,6 +267,9 @@
                     {"X-Kcc-Request-Id", id}},
         .progress_timeout =
             client->settings->backend_silence_timeout_ms * KC_MS,
+        .limits = {.body_bytes_max = ANSWER_BYTES_MAX,
+                   .timeout =
+                       client->settings->backend_answer_timeout_ms * KC_MS},
         .ops = &engine_call_ops,
         .context = call};
 
--- a/programs/request/entry_front_end.c
+++ b/programs/request/entry_front_end.c
@@ -19,11 +19,6 @@
 #define DEFAULT_CUSTOMER "anonymous"
 /* Longest deadline that a caller may request. */
 #define DEADLINE_MS_MAX 3600000
-/*
- * Largest answer of a plain service, which is collected before it is passed
- * on. It is not enforced.
- */
-#define PLAIN_ANSWER_BYTES_MAX ((size_t)16 * 1024 * 1024)
 
 struct KcEntryFrontEnd {
     KcEntryFrontEndOptions options;
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "event_stream.h"
+#include "intake_log.h"
 
 /*
  * How long a connection stays in the pool when the server does not say how
@@ -26,11 +27,6 @@
  * timeout.
  */
 #define FRESH_IDLE_AGE_MAX (50 * KC_MS)
-/*
- * Largest number of replies, interim or to earlier requests, that one attempt
- * skips.
- */
-#define SKIPPED_REPLIES_MAX 4
 
 struct KcHttpAttempt {
     KcDeferredFree deferred_free;
@@ -41,8 +37,8 @@
     KcTimer connect_timer; /* limits connecting */
     bool request_written;  /* the request was given to the connection */
     bool skip_reply;       /* interim, or the reply to an earlier request */
-    uint32_t skipped_replies;
     bool is_finished;
+    KcIntake intake;                    /* of the reply */
     const KcHttpMessage *reply_message; /* owned by connection */
     KcReplyHead reply_head;
     KcBuffer reply_body;
@@ -67,6 +63,7 @@
 finish_attempt(KcHttpAttempt *attempt)
 {
     attempt->is_finished = true;
+    KcIntake_End(&attempt->intake);
     KcTimers_Clear(attempt->options.loop->timers, &attempt->connect_timer);
     KcLoop_DeferFree(attempt->options.loop, &attempt->deferred_free);
 }
@@ -100,6 +97,14 @@
     KcForward_OnAttemptFailed(forward, end, code, KcLoop_Now());
 }
 
+/* Fails the attempt, as its reply exceeds a limit. */
+static void
+cut_off(KcHttpAttempt *attempt, int code)
+{
+    KcIntakeLog_Write(&attempt->intake, attempt->parameters.server->id, code);
+    fail_attempt(attempt, KC_ATTEMPT_LOST, code);
+}
+
 /* ---- the reply ----------------------------------------------------------- */
 
 static void
@@ -109,10 +114,21 @@
     KcReplyHead *reply = &attempt->reply_head;
     KcReply stream_reply = {.status = message->status, .head = message};
     KcTime now = KcLoop_Now();
+    uint64_t length =
+        strcmp(attempt->options.request_head->method, "HEAD") == 0
+            ? 0
+            : message->content_length;
+    int code;
 
     attempt->options.dialect->parse_reply_head(message, attempt->forward->id,
                                                reply);
     attempt->skip_reply = message->status < 200 || !reply->matches_request;
+    code = KcIntake_AddHead(&attempt->intake, reply->is_stream ? 0 : length,
+                            attempt->skip_reply);
+    if (code != 0) {
+        cut_off(attempt, code);
+        return;
+    }
     if (attempt->skip_reply) {
         return;
     }
@@ -131,6 +147,17 @@
     }
 }
 
+/* Notes how much of the reply is kept. */
+static void
+keep(KcHttpAttempt *attempt, size_t bytes)
+{
+    int code = KcIntake_Keep(&attempt->intake, bytes);
+
+    if (code != 0) {
+        cut_off(attempt, code);
+    }
+}
+
 static void
 forward_events(KcHttpAttempt *attempt)
 {
@@ -140,32 +167,53 @@
     while (!attempt->is_finished &&
            (code = KcEventStream_TakeEvent(&attempt->event_stream, &event)) >
                0) {
+        code = KcIntake_AddEvent(&attempt->intake, event.has_id);
+        if (code != 0) {
+            cut_off(attempt, code);
+            return;
+        }
         KcForward_OnStreamEvent(attempt->forward, event.has_id, event.id,
                                 event.bytes, KcLoop_Now());
     }
-    if (!attempt->is_finished && code < 0) {
-        fail_attempt(attempt, KC_ATTEMPT_LOST, code);
+    if (attempt->is_finished || code == 0) {
+        return;
     }
+    if (code == KC_ERR_TOO_LARGE) {
+        KcIntakeLog_WriteBytes(
+            "stream event",
+            KcEventStream_IncompleteBytes(&attempt->event_stream),
+            KC_STREAM_EVENT_BYTES_MAX, attempt->parameters.server->id);
+    }
+    fail_attempt(attempt, KC_ATTEMPT_LOST, code);
 }
 
 static void
 on_body(void *owner, KcBytes bytes)
 {
     KcHttpAttempt *attempt = owner;
+    bool is_stream = !attempt->skip_reply && attempt->reply_head.is_stream;
+    int code = is_stream ? 0
+                         : KcIntake_AddBody(&attempt->intake, bytes.size,
+                                            attempt->skip_reply);
 
+    if (code != 0) {
+        cut_off(attempt, code);
+        return;
+    }
     if (attempt->skip_reply) {
         return;
     }
-    if (attempt->reply_head.is_stream) {
+    if (is_stream) {
         KcEventStream_Append(&attempt->event_stream, bytes);
         forward_events(attempt);
+        if (!attempt->is_finished) {
+            keep(attempt,
+                 KcEventStream_IncompleteBytes(&attempt->event_stream));
+        }
         return;
     }
     KcBuffer_Append(&attempt->reply_body, bytes.data, bytes.size);
-    if (KcBuffer_Size(&attempt->reply_body) >
-        attempt->options.reply_body_bytes_max) {
-        fail_attempt(attempt, KC_ATTEMPT_LOST, KC_ERR_TOO_LARGE);
-    }
+    keep(attempt, KcBuffer_Size(&attempt->reply_body));
 }
 
 /*
@@ -212,10 +260,6 @@
 
     if (attempt->skip_reply) {
         /* A late reply to an earlier request, or an interim one. */
-        if (++attempt->skipped_replies > SKIPPED_REPLIES_MAX) {
-            fail_attempt(attempt, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL);
-            return;
-        }
         KcHttpConnection_ReadNextMessage(attempt->connection);
         return;
     }
@@ -238,6 +282,11 @@
 {
     KcHttpAttempt *attempt = owner;
 
+    if (code == KC_ERR_TOO_LARGE) {
+        KcIntakeLog_WriteBytes(
+            "answer head", KcHttpConnection_FramingBytes(attempt->connection),
+            attempt->options.head_bytes_max, attempt->parameters.server->id);
+    }
     fail_attempt(attempt,
                  attempt->request_written ? KC_ATTEMPT_LOST
                                           : KC_ATTEMPT_NEVER_SENT,
@@ -312,6 +361,8 @@
     attempt->options = *options;
     attempt->forward = forward;
     attempt->parameters = *params;
+    attempt->options.limits.events_max = params->events_max;
+    KcIntake_Begin(&attempt->intake, &attempt->options.limits, KcLoop_Now());
     attempt->deferred_free.free_owner = free_attempt;
     KcTimer_Init(&attempt->connect_timer, on_connect_timeout, attempt);
     attempt->connection = KcHttpConnectionPool_Take(
--- a/programs/request/http_attempt.h
+++ b/programs/request/http_attempt.h
@@ -15,10 +15,13 @@
     const KcHttpDialect *dialect;
     KcHttpConnectionPool *pool; /* of connections to the server */
     KcTime connect_timeout;
-    KcTime silence_timeout;      /* see KcSocket_SetConnectionOptions() */
-    size_t head_bytes_max;       /* bytes of the head of a reply */
-    size_t reply_body_bytes_max; /* bytes of the body of a reply that is not a
-                                    stream */
+    KcTime silence_timeout; /* see KcSocket_SetConnectionOptions() */
+    size_t head_bytes_max;  /* bytes of replies that are not body */
+    /*
+     * Limits of a reply. The body's is that of a reply that is not a stream;
+     * the request's deadline limits the time, its parameters the events.
+     */
+    KcIntakeLimits limits;
     /* Head and body of the caller's request; must outlive the attempt. */
     const KcHttpMessage *request_head;
     KcBytes request_body;
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -11,8 +11,14 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Largest head of a response. */
+#include "intake_log.h"
+
+/* Largest head of a response, with all else that is not its body. */
 #define RESPONSE_HEAD_BYTES_MAX 65536
+/* Defaults of the limits of a response. */
+#define RESPONSE_BODY_BYTES_MAX ((size_t)16 * 1024 * 1024)
+#define SKIPPED_BYTES_MAX 65536
+#define SKIPPED_RESPONSES_MAX 8
 /* How long a connection stays in the pool for the next call. */
 #define POOLED_IDLE_TIMEOUT (4 * KC_SECOND)
 /* The kernel ends a connection whose peer has not answered for this long. */
@@ -28,7 +34,9 @@
     const char *reported_field; /* static string */
     KcTime progress_timeout;
     KcTime connect_timeout;
-    KcTimer timer; /* for connecting, then for progress */
+    KcIntake intake; /* of the response */
+    KcTimer timer;   /* for connecting, then for progress; due at the end of
+                        the whole call at the latest */
     KcHttpConnection *connection;
     struct evbuffer *request_bytes; /* kept, as it may be sent again */
     bool may_repeat;
@@ -71,6 +79,7 @@
 finish_call(KcHttpCall *call)
 {
     call->is_finished = true;
+    KcIntake_End(&call->intake);
     if (call->connection != NULL) {
         KcHttpConnection_Close(call->connection);
         call->connection = NULL;
@@ -79,11 +88,21 @@
     KcLoop_DeferFree(call->loop, &call->deferred_free);
 }
 
+/* Sets the timer; progress never moves it past the end of the whole call. */
 static void
-restart_progress_timer(KcHttpCall *call)
+set_timer(KcHttpCall *call, KcTime timeout)
 {
+    KcTime due_at = KcLoop_Now() + timeout;
+
     KcTimers_Set(call->loop->timers, &call->timer,
-                 KcLoop_Now() + call->progress_timeout);
+                 due_at < call->intake.ends_at ? due_at
+                                               : call->intake.ends_at);
+}
+
+static void
+restart_progress_timer(KcHttpCall *call)
+{
+    set_timer(call, call->progress_timeout);
 }
 
 static void
@@ -95,6 +114,14 @@
     call->ops.on_done(call->context, code, sent);
 }
 
+/* Ends the call, as its response exceeds a limit. */
+static void
+cut_off(KcHttpCall *call, int code)
+{
+    KcIntakeLog_Write(&call->intake, call->address, code);
+    report_done(call, code);
+}
+
 static void
 write_request(KcHttpCall *call)
 {
@@ -125,11 +152,19 @@
     KcHttpResponseHead head = {.status = message->status,
                                .content_type = type != NULL ? type : "",
                                .reported_value = value != NULL ? value : ""};
+    int code;
 
     restart_progress_timer(call);
     call->response_started = true;
     call->response_is_interim = message->status < 200;
     call->keep_alive = message->keep_alive;
+    code = KcIntake_AddHead(
+        &call->intake, call->is_head_request ? 0 : message->content_length,
+        call->response_is_interim);
+    if (code != 0) {
+        cut_off(call, code);
+        return;
+    }
     if (!call->response_is_interim && call->ops.on_head != NULL) {
         call->ops.on_head(call->context, &head);
     }
@@ -139,8 +174,14 @@
 on_body(void *owner, KcBytes bytes)
 {
     KcHttpCall *call = owner;
+    int code =
+        KcIntake_AddBody(&call->intake, bytes.size, call->response_is_interim);
 
     restart_progress_timer(call);
+    if (code != 0) {
+        cut_off(call, code);
+        return;
+    }
     if (!call->response_is_interim && call->ops.on_data != NULL) {
         call->ops.on_data(call->context, bytes);
     }
@@ -183,8 +224,7 @@
                                            RESPONSE_HEAD_BYTES_MAX,
                                        .silence_timeout = SILENCE_TIMEOUT};
 
-    KcTimers_Set(call->loop->timers, &call->timer,
-                 KcLoop_Now() + call->connect_timeout);
+    set_timer(call, call->connect_timeout);
     call->connection = KcHttpConnection_Connect(&options, call->address);
     return call->connection != NULL ? 0 : KC_ERR_INVALID;
 }
@@ -194,6 +234,13 @@
 {
     KcHttpCall *call = owner;
 
+    if (code == KC_ERR_TOO_LARGE) {
+        KcIntakeLog_WriteBytes("answer head",
+                               KcHttpConnection_FramingBytes(call->connection),
+                               RESPONSE_HEAD_BYTES_MAX, call->address);
+        report_done(call, code);
+        return;
+    }
     KcHttpConnection_Close(call->connection);
     if (call->connection_reused && !call->response_started &&
         call->may_repeat) {
@@ -209,8 +256,12 @@
 on_timeout(KcTimer *timer, KcTime now)
 {
     KcHttpCall *call = timer->owner;
+    int code = KcIntake_CheckTime(&call->intake, now);
 
-    (void)now;
+    if (code != 0) {
+        cut_off(call, code);
+        return;
+    }
     report_done(call, KC_ERR_PEER_LOST);
 }
 
@@ -248,11 +299,35 @@
     evbuffer_add(out, options->body.data, options->body.size);
 }
 
+/* Returns the limits of a call, with defaults for those that are zero. */
+static KcIntakeLimits
+effective_limits(const KcHttpCallOptions *options)
+{
+    KcIntakeLimits limits = options->limits;
+
+    if (limits.body_bytes_max == 0) {
+        limits.body_bytes_max = RESPONSE_BODY_BYTES_MAX;
+    }
+    if (limits.skipped_bytes_max == 0) {
+        limits.skipped_bytes_max = SKIPPED_BYTES_MAX;
+    }
+    if (limits.skipped_max == 0) {
+        limits.skipped_max = SKIPPED_RESPONSES_MAX;
+    }
+    if (limits.timeout == 0) {
+        limits.timeout =
+            KC_HTTP_CALL_TIMEOUT_FACTOR * options->progress_timeout;
+    }
+    return limits;
+}
+
 static KcHttpCall *
 create_call(const KcHttpCallOptions *options)
 {
     KcHttpCall *call = KcMem_New(sizeof(*call));
+    KcIntakeLimits limits = effective_limits(options);
 
+    KcIntake_Begin(&call->intake, &limits, KcLoop_Now());
     call->ops = *options->ops;
     call->context = options->context;
     call->loop = options->loop;
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -22,7 +22,9 @@
     void (*on_data)(void *context, KcBytes bytes);
     /*
      * The call has ended and its pointer is not valid afterwards. code is 0
-     * when the response is complete, else KC_ERR_PARSE or KC_ERR_PEER_LOST.
+     * when the response is complete, KC_ERR_PARSE, KC_ERR_PEER_LOST, or the
+     * error of a response that was cut off: KC_ERR_TOO_LARGE,
+     * KC_ERR_PROTOCOL or KC_ERR_DEADLINE_EXCEEDED, which is logged.
      * sent is false when no byte of the request was passed to a connection.
      */
     void (*on_done)(void *context, int code, bool sent);
@@ -33,6 +35,9 @@
     void (*on_cancelled)(void *context);
 } KcHttpCallOps;
 
+/* Default of limits.timeout, in progress_timeouts. */
+#define KC_HTTP_CALL_TIMEOUT_FACTOR 4
+
 /* A request header. */
 typedef struct KcHttpRequestHeader {
     const char *name;
@@ -53,6 +58,11 @@
     KcBytes body;
     KcTime progress_timeout; /* longest time without progress */
     KcTime connect_timeout;  /* 0: as progress_timeout */
+    /*
+     * Limits of the response. Zero fields have defaults; that of the timeout
+     * is KC_HTTP_CALL_TIMEOUT_FACTOR times progress_timeout.
+     */
+    KcIntakeLimits limits;
     /* Connections to address; NULL: the call opens one of its own. */
     KcHttpConnectionPool *pool;
     const KcHttpCallOps *ops;
--- a/programs/request/service_call.c
+++ b/programs/request/service_call.c
@@ -7,6 +7,9 @@
 
 #include "backend_call_internal.h"
 
+/* Largest answer of a plain service; the entry collects it. */
+#define ANSWER_BYTES_MAX ((size_t)16 * 1024 * 1024)
+
 static void
 on_head(void *context, const KcHttpResponseHead *head)
 {
@@ -61,6 +64,9 @@
         .body = {KcBuffer_Data(&work->body), KcBuffer_Size(&work->body)},
         .progress_timeout =
             client->settings->backend_silence_timeout_ms * KC_MS,
+        .limits = {.body_bytes_max = ANSWER_BYTES_MAX,
+                   .timeout =
+                       client->settings->backend_answer_timeout_ms * KC_MS},
         .ops = &service_call_ops,
         .context = call};
 
--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -240,6 +240,45 @@
      "POST /stream/x HTTP/1.1\r\nHost: h\r\nModel: m/a7\r\nAttempt-Id: %s\r\n"
      "Content-Length: 0\r\n" CLOSE_FIELD,
      "HTTP/1.1 200", "0\r\n\r\n", 1, 1},
+    /* Numbers of patterns in ../standins/endless.c. */
+    {"unsafe request, head without end", GATEWAY_CLUSTER_PLAIN_WORKER,
+     "endless_kind=1&endless=100", "endless=0",
+     POST_HEAD "Content-Length: 0\r\n" CLOSE_FIELD, "HTTP/1.1 502", NULL, 1,
+     1},
+    {"unsafe request, interim answers without end",
+     GATEWAY_CLUSTER_PLAIN_WORKER, "endless_kind=6&endless=100", "endless=0",
+     POST_HEAD "Content-Length: 0\r\n" CLOSE_FIELD, "HTTP/1.1 502", NULL, 1,
+     1},
+    {"unsafe request, length without end", GATEWAY_CLUSTER_PLAIN_WORKER,
+     "endless_kind=8&endless=100", "endless=0",
+     POST_HEAD "Content-Length: 0\r\n" CLOSE_FIELD, "HTTP/1.1 502", NULL, 1,
+     1},
+    {"unsafe request, chunks without end", GATEWAY_CLUSTER_PLAIN_WORKER,
+     "endless_kind=10&endless=100", "endless=0",
+     POST_HEAD "Content-Length: 0\r\n" CLOSE_FIELD, "HTTP/1.1 502", NULL, 1,
+     1},
+    {"unsafe request, bytes that come slowly without end",
+     GATEWAY_CLUSTER_PLAIN_WORKER, "endless_kind=16&endless=100", "endless=0",
+     POST_HEAD "Deadline-Ms: 1000\r\nContent-Length: 0\r\n" CLOSE_FIELD,
+     "HTTP/1.1 504", NULL, 1, 1},
+    {"unsafe request, late answer without end", GATEWAY_CLUSTER_PLAIN_WORKER,
+     "endless_kind=18&endless=100", "endless=0",
+     POST_HEAD "Content-Length: 0\r\n" CLOSE_FIELD, "HTTP/1.1 502", NULL, 1,
+     1},
+    {"stream, one event without end", GATEWAY_CLUSTER_LLM_WORKER,
+     "endless_kind=21&endless=100", "endless=0", STREAM_REQUEST,
+     "HTTP/1.1 502", NULL, 1, 1},
+    {"stream, events without end", GATEWAY_CLUSTER_LLM_WORKER,
+     "endless_kind=23&endless=100", "endless=0", STREAM_REQUEST,
+     "HTTP/1.1 200", "id: 000025\ndata: 0123456\n\n\r\n", 1, 1},
+    {"reports without end", GATEWAY_CLUSTER_LLM_WORKER,
+     "endless_kind=9&endless_report=100", "endless_report=0", STREAM_REQUEST,
+     "HTTP/1.1 200", "0\r\n\r\n", 1, 1},
+    {"stream after reports without end", GATEWAY_CLUSTER_LLM_WORKER,
+     "work_ms=2", "work_ms=5",
+     "POST /stream/x HTTP/1.1\r\nHost: h\r\nModel: m/a9\r\nAttempt-Id: %s\r\n"
+     "Content-Length: 0\r\n" CLOSE_FIELD,
+     "HTTP/1.1 200", "0\r\n\r\n", 1, 1},
 };
 
 static void
@@ -291,6 +330,73 @@
     g_assert_cmpint(count_runs(role, id), >=, fault_cases[index].runs_min);
 }
 
+/* Memory that a process has needed at the most, in kB. */
+static int64_t
+read_peak_memory(pid_t pid)
+{
+    char path[64];
+    char *text = NULL;
+    const char *line;
+    int64_t peak = 0;
+
+    snprintf(path, sizeof(path), "/proc/%d/status", (int)pid);
+    if (g_file_get_contents(path, &text, NULL, NULL)) {
+        line = strstr(text, "VmHWM:");
+        peak = line != NULL ? strtoll(line + 6, NULL, 10) : 0;
+    }
+    g_free(text);
+    return peak;
+}
+
+#define ENDLESS_ANSWERS 48
+/* Memory that so many endless answers may take at once. */
+#define ENDLESS_MEMORY_KB_MAX (10 * 1024)
+
+/*
+ * Dozens of answers without end at once: each is cut off, together they take
+ * little memory, and callers of other workers are served meanwhile.
+ */
+static void
+test_many_endless(void)
+{
+    static const char request[] =
+        "POST /unsafe/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: many\r\n"
+        "Content-Length: 0\r\n" CLOSE_FIELD;
+    char stream_request[1024];
+    int size = snprintf(stream_request, sizeof(stream_request), STREAM_REQUEST,
+                        "beside");
+    pid_t pid = GatewayCluster_GetPid(cluster, GATEWAY_CLUSTER_GATEWAY, 0);
+    int64_t peak_before = read_peak_memory(pid);
+    int64_t growth;
+    int fds[ENDLESS_ANSWERS];
+
+    set_knob_of_all(GATEWAY_CLUSTER_PLAIN_WORKER,
+                    "places=100&endless_kind=9&endless=100");
+    for (int i = 0; i < ENDLESS_ANSWERS; i++) {
+        fds[i] = GatewayCluster_Connect(
+            GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_GATEWAY, 0));
+        g_assert_cmpint(send(fds[i], request, sizeof(request) - 1, 0), ==,
+                        sizeof(request) - 1);
+    }
+    send_text(0, stream_request, (size_t)size);
+    g_assert_true(strncmp(answer, "HTTP/1.1 200", 12) == 0);
+    g_assert_true(g_str_has_suffix(answer, "0\r\n\r\n"));
+    for (int i = 0; i < ENDLESS_ANSWERS; i++) {
+        char status[16] = "";
+
+        g_assert_cmpint(recv(fds[i], status, 12, MSG_WAITALL), ==, 12);
+        g_assert_true(strcmp(status, "HTTP/1.1 502") == 0 ||
+                      strcmp(status, "HTTP/1.1 503") == 0);
+        close(fds[i]);
+    }
+    set_knob_of_all(GATEWAY_CLUSTER_PLAIN_WORKER, "endless=0&places=8");
+    growth = read_peak_memory(pid) - peak_before;
+    g_test_message("%d kB", (int)growth);
+#ifndef __SANITIZE_ADDRESS__
+    g_assert_cmpint(growth, <=, ENDLESS_MEMORY_KB_MAX);
+#endif
+}
+
 /*
  * A resumable stream that one worker truncates continues at the other.  Guards
  * against events that are repeated or lost across the two attempts.
@@ -664,6 +770,7 @@
     Steps_AddCases("/platform/fault", fault_cases, G_N_ELEMENTS(fault_cases),
                    sizeof(fault_cases[0]), test_fault);
     g_test_add_func("/platform/resume", test_resume);
+    g_test_add_func("/platform/many_endless", test_many_endless);
     Steps_AddCases("/platform/store", store_cases, G_N_ELEMENTS(store_cases),
                    sizeof(store_cases[0]), test_store);
     g_test_add_func("/platform/version", test_version);
--- a/tests/standins/raw_server.c
+++ b/tests/standins/raw_server.c
@@ -59,6 +59,68 @@
                  size);
 }
 
+/* Writes the next bytes of an endless answer. */
+static void
+continue_endless(RawConnection *connection)
+{
+    const EndlessPattern *pattern = connection->endless;
+    KcBuffer bytes = {0};
+
+    Endless_AppendFiller(pattern, &connection->endless_counter, &bytes);
+    RawConnection_Write(connection, KcBuffer_Data(&bytes),
+                        KcBuffer_Size(&bytes));
+    KcBuffer_Clear(&bytes);
+    if (pattern->interval > 0) {
+        KcTimers_Set(connection->server->loop->timers,
+                     &connection->endless_timer,
+                     KcLoop_Now() + pattern->interval);
+    }
+}
+
+static void
+on_endless_timer(KcTimer *timer, KcTime now)
+{
+    (void)now;
+    continue_endless(timer->owner);
+}
+
+/* What was written has been sent. */
+static void
+on_output_sent(void *owner)
+{
+    RawConnection *connection = owner;
+
+    if (connection->endless != NULL && connection->endless->interval == 0) {
+        continue_endless(connection);
+    }
+}
+
+void
+RawConnection_SendEndless(RawConnection *connection,
+                          const EndlessPattern *pattern)
+{
+    connection->endless = pattern;
+    RawConnection_Write(connection, pattern->start, strlen(pattern->start));
+    continue_endless(connection);
+}
+
+bool
+RawConnection_DrawEndless(RawConnection *connection, const char *knob)
+{
+    RawServer *server = connection->server;
+    size_t number;
+
+    if (!RawServer_DrawFault(server, knob)) {
+        return false;
+    }
+    number = (size_t)RawServer_GetKnob(server, "endless_kind");
+    if (number == 0) {
+        number = 1 + (server->random_state >> 40) % Endless_PatternCount();
+    }
+    RawConnection_SendEndless(connection, Endless_Pattern(number));
+    return true;
+}
+
 void
 RawConnection_ReadNextRequest(RawConnection *connection)
 {
@@ -89,6 +151,7 @@
         server->options->on_connection_lost(connection);
     }
     KcTimers_Clear(server->loop->timers, &connection->timer);
+    KcTimers_Clear(server->loop->timers, &connection->endless_timer);
     TAILQ_REMOVE(&server->connections, connection, link);
     KcBuffer_Clear(&connection->body);
     free(connection);
@@ -229,6 +292,7 @@
     .on_head = on_head,
     .on_body = on_body,
     .on_message_end = on_message_end,
+    .on_output_sent = on_output_sent,
     .on_failed = on_failed};
 
 static void
@@ -253,6 +317,7 @@
         return;
     }
     KcTimer_Init(&connection->timer, server->options->on_timer, connection);
+    KcTimer_Init(&connection->endless_timer, on_endless_timer, connection);
     TAILQ_INSERT_TAIL(&server->connections, connection, link);
 }
 
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -12,6 +12,7 @@
 #include <jansson.h>
 
 #include "../../programs/connection/http_connection.h"
+#include "endless.h"
 
 /* A number that tests may set.  A knob that injects a fault is 0 when off. */
 typedef struct RawKnob {
@@ -30,6 +31,10 @@
     /* The stand-in's state of the request; NULL between requests. */
     void *request_state;
     uint32_t head_sent; /* 1: the stand-in has sent the answer's head */
+    /* Sent until the caller closes; NULL: none. */
+    const EndlessPattern *endless;
+    uint64_t endless_counter;
+    KcTimer endless_timer;
 } RawConnection;
 
 typedef struct RawServerOptions {
@@ -69,6 +74,14 @@
  * lines with CRLF, or "". */
 void RawConnection_Reply(RawConnection *connection, int status,
                          const char *headers, const char *body);
+/* Answers by bytes that end only when the caller closes the connection.  The
+ * request state must be NULL. */
+void RawConnection_SendEndless(RawConnection *connection,
+                               const EndlessPattern *pattern);
+/* If the knob `knob` (percent) draws it, answers by the pattern whose number
+ * the knob "endless_kind" gives, by any one when that is 0, and returns
+ * true. */
+bool RawConnection_DrawEndless(RawConnection *connection, const char *knob);
 /* Writes bytes to the connection unchanged. */
 void RawConnection_Write(RawConnection *connection, const char *bytes,
                          size_t size);
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -40,15 +40,17 @@
 static RawServer server;
 
 static RawKnob knobs[] = {
-    {"page", 50},   /* objects on a page */
-    {"busy", 0},    /* percent of calls answered 503 */
-    {"many", 0},    /* percent of calls answered 429 */
-    {"silent", 0},  /* percent of calls never answered */
-    {"drop", 0},    /* number of the next calls that are never answered */
-    {"reset", 0},   /* percent of calls whose connection is reset */
-    {"lost", 0},    /* percent of writes that take effect unanswered */
-    {"slow_ms", 0}, /* not used */
-    {"forget", 0},  /* 1: the next list or watch drops the history first */
+    {"page", 50},        /* objects on a page */
+    {"busy", 0},         /* percent of calls answered 503 */
+    {"many", 0},         /* percent of calls answered 429 */
+    {"silent", 0},       /* percent of calls never answered */
+    {"drop", 0},         /* number of the next calls that are never answered */
+    {"reset", 0},        /* percent of calls whose connection is reset */
+    {"lost", 0},         /* percent of writes that take effect unanswered */
+    {"slow_ms", 0},      /* not used */
+    {"endless", 0},      /* percent of calls answered by bytes without end */
+    {"endless_kind", 0}, /* pattern of endless.c; 0: any */
+    {"forget", 0}, /* 1: the next list or watch drops the history first */
     {NULL, 0},
 };
 
@@ -382,6 +384,10 @@
         RawConnection_Reply(connection, 429, "", "{}");
         return true;
     }
+    if (RawServer_GetKnob(&server, "endless") > 0 &&
+        RawConnection_DrawEndless(connection, "endless")) {
+        return true;
+    }
     return false;
 }
 
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -77,6 +77,9 @@
     {"mute", 0},        /* percent run and never answered */
     {"late_orders", 0}, /* percent of orders executed but not answered */
     {"draining", 0},    /* 1: record and health check say draining */
+    {"endless", 0},     /* percent run and answered by bytes without end */
+    {"endless_report", 0}, /* the same for reports, orders and health */
+    {"endless_kind", 0},   /* pattern of endless.c; 0: any */
     {NULL, 0},
 };
 
@@ -358,6 +361,11 @@
         reply_not_run(connection, 503);
         return;
     }
+    if (RawServer_GetKnob(&server, "endless") > 0 &&
+        RawConnection_DrawEndless(connection, "endless")) {
+        count_run(RawConnection_FindHeader(connection, "Attempt-Id"));
+        return;
+    }
     job = KcMem_New(sizeof(*job));
     KcText_Copy(job->attempt_id,
                 RawConnection_FindHeader(connection, "Attempt-Id"),
@@ -500,7 +508,14 @@
 on_request(RawConnection *connection)
 {
     const char *target = connection->message->target;
+    bool is_own_call = strcmp(target, "/report") == 0 ||
+                       strcmp(target, "/order") == 0 ||
+                       strcmp(target, "/health") == 0;
 
+    if (is_own_call && RawServer_GetKnob(&server, "endless_report") > 0 &&
+        RawConnection_DrawEndless(connection, "endless_report")) {
+        return;
+    }
     if (strcmp(target, "/report") == 0) {
         reply_report(connection);
     }
