--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -13,10 +13,11 @@
  *
  * Advanced use: single modules, by the lifetime of their data: messages and
  * links (kcc_connection.h), claims, retries and the order of work
- * (kcc_request.h), limits of the answers that are read (kcc_intake.h), a gateway's requests (kcc_forward.h), documents and
- * fetching newer versions (kcc_version.h), the routing configuration of
- * gateways (kcc_routing.h), collections of the object API (kcc_feed.h),
- * backend servers, limits and leases (kcc_process.h), adapters loaded at an
+ * (kcc_request.h), limits of answers that are read (kcc_intake.h), a gateway's
+ * requests (kcc_forward.h), documents and fetching newer versions
+ * (kcc_version.h), the routing configuration of gateways (kcc_routing.h),
+ * collections of the object API (kcc_feed.h), backend servers, limits and
+ * leases (kcc_process.h), adapters loaded at an
  * engine (kcc_residency.h).
  *
  * Unstable: the fields of structures other than option structs may change
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -85,7 +85,7 @@
     struct KcRegionSettingList regions;
     double grace_period_s; /* longest duration of a planned stop */
     double retry_fraction; /* retries allowed per request */
-    double retry_burst;   /* additional retries, shared by all gateways */
+    double retry_burst;    /* additional retries, shared by all gateways */
     int64_t keeper_port;
     int64_t connection_silence_timeout_ms;
 } KcSettings;
