Let calls to the store lag behind where a time bound leaves room

The store answers a call that may lag behind at a tenth of the price, but says no more than that it may be seconds old.

Change: a feed has a lag_timeout. Calls may lag until so long after an answer that did not; a watch that lags is then replaced by one that may not, so that each change is known in that time and the time of one call, however far the copy lags, and also when it never answers. After a failure, a discarded history or a relist nothing lags. Servers: three quarters of the time in which a leaving one must be known, watched every 30% of it. Lists of gateways and the keepers' read of the capacity bound nothing and may always lag. Configuration and versions never lag; their watches, which keep-alives guard, wait 30 s instead of 10.

Weighed: one gateway that follows for others needs links between gateways, a lease on the follower, and each gateway's own watch whenever that ends; with a bound of 5 s the lease would be renewed as often as these watches come.

--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -18,8 +18,10 @@
     char page_after[KC_OBJECT_NAME_MAX]; /* next page begins after this name;
                                           * "" for the first */
     bool needs_list;                     /* the next call is a list */
-    bool has_list;           /* a list was completed at least once */
-    bool store_unavailable;  /* the last call had no valid answer */
+    bool has_list;          /* a list was completed at least once */
+    bool store_unavailable; /* the last call had no valid answer */
+    bool call_may_lag; /* the last call may be answered by a lagging copy */
+    KcTime lag_until;  /* calls may lag until then */
     uint64_t watch_revision; /* the next watch begins after it */
     uint64_t list_revision;  /* of the first page of the list */
     KcTime listed_at;        /* end of the last complete list */
@@ -35,6 +37,7 @@
     const KcFeedOptions *options = &feed->options;
 
     feed->called_at = now;
+    feed->call_may_lag = now < feed->lag_until;
     if (options->relist_interval > 0 && feed->has_list &&
         now - feed->listed_at >= options->relist_interval) {
         feed->needs_list = true;
@@ -45,19 +48,29 @@
             options->on_list_begin(options->context);
         }
         options->ops->list(options->store, feed, options->collection,
-                           feed->page_after);
+                           feed->page_after, feed->call_may_lag);
     }
     else {
         feed->state = FEED_WATCHING;
         options->ops->watch(options->store, feed, options->collection,
-                            feed->watch_revision, options->watch_timeout);
+                            feed->watch_revision, options->watch_timeout,
+                            feed->call_may_lag);
+        if (feed->call_may_lag) {
+            KcTimers_Set(options->timers, &feed->timer, feed->lag_until);
+        }
     }
 }
 
 static void
 on_timer(KcTimer *timer, KcTime now)
 {
-    start_call(timer->owner, now);
+    KcFeed *feed = timer->owner;
+
+    if (feed->state == FEED_WATCHING) {
+        /* A lagging copy might never report what the store knows. */
+        feed->options.ops->cancel(feed->options.store, feed);
+    }
+    start_call(feed, now);
 }
 
 KcFeed *
@@ -85,6 +98,8 @@
 void
 KcFeed_Start(KcFeed *feed, KcTime now)
 {
+    /* What a new process has read before it knows every change may lag. */
+    feed->lag_until = now + feed->options.lag_timeout;
     start_call(feed, now);
 }
 
@@ -102,7 +117,9 @@
         return;
     }
     feed->options.ops->cancel(feed->options.store, feed);
+    KcTimers_Clear(feed->options.timers, &feed->timer);
     feed->needs_list = true;
+    feed->lag_until = 0;
     start_call(feed, now);
 }
 
@@ -113,6 +130,10 @@
 {
     feed->state = FEED_IDLE;
     feed->retry_delay = feed->options.retry_delay;
+    KcTimers_Clear(feed->options.timers, &feed->timer);
+    if (!feed->call_may_lag) {
+        feed->lag_until = now + feed->options.lag_timeout;
+    }
     if (feed->store_unavailable) {
         feed->store_unavailable = false;
         feed->options.on_store_status(feed->options.context, 0, now);
@@ -187,11 +208,14 @@
     feed->state = FEED_IDLE;
     feed->page_after[0] = '\0';
     feed->needs_list = true;
+    feed->lag_until = 0;
     if (code == KC_ERR_NOT_FOUND) {
         on_call_answered(feed, now);
+        feed->lag_until = 0;
         schedule_call(feed, feed->options.watch_delay, now);
         return;
     }
+    KcTimers_Clear(feed->options.timers, &feed->timer);
     if (!feed->store_unavailable) {
         feed->store_unavailable = true;
         feed->options.on_store_status(feed->options.context, code, now);
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -18,13 +18,15 @@
  * KcFeed_OnFailure().
  */
 typedef struct KcFeedOps {
-    /* Requests the page of objects after a name, "" for the first page. */
+    /* Requests the page of objects after a name, "" for the first page.
+     * may_lag: the answer may be from a copy that lags behind, which is
+     * cheaper. */
     void (*list)(void *store, KcFeed *feed, const char *collection,
-                 const char *after);
+                 const char *after, bool may_lag);
     /* Requests the changes after a revision: the store answers as soon as
      * there is one, or without events when the timeout has passed. */
     void (*watch)(void *store, KcFeed *feed, const char *collection,
-                  uint64_t revision, KcTime timeout);
+                  uint64_t revision, KcTime timeout, bool may_lag);
     /* Cancels the outstanding call; the store doesn't answer it any more. */
     void (*cancel)(void *store, KcFeed *feed);
 } KcFeedOps;
@@ -49,6 +51,10 @@
     KcTime retry_delay_max; /* largest value of retry_delay */
     KcTime watch_timeout;   /* a watch without changes ends after this time */
     KcTime watch_delay;     /* delay before the next watch, to batch changes */
+    /* So long after an answer that did not lag, or after the start, a call
+     * begins that may not lag; calls before it may.  The feed knows each
+     * change within this time and that of a call.  0: no call may lag. */
+    KcTime lag_timeout;
     KcTime relist_interval; /* age at which a list is read again; 0: never */
     /* A list begins: objects that it doesn't contain no longer exist when it
      * has ended.  May be NULL. */
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -9,14 +9,15 @@
 #include "gateway_role_internal.h"
 
 /*
- * The delay between two watches of the servers is leave_ms divided by this. A
- * leaving server must get no new request after leave_ms; keepers usually
- * report it earlier than the store does. A delay saves calls, as each one is
- * charged.
+ * The delay between two watches of the servers, and the time after which a
+ * watch may not lag, in percent of leave_ms: a leaving server must get no new
+ * request after leave_ms. Both save calls, as each one is charged.
  */
-#define SERVERS_WATCH_DELAY_DIVISOR 2
-/* Longest delay between two watches of the servers. */
+#define SERVERS_WATCH_DELAY_PERCENT 30
+#define SERVERS_LAG_PERCENT 75
+/* Limits of both. */
 #define SERVERS_WATCH_DELAY_MAX (2 * KC_SECOND)
+#define SERVERS_LAG_MAX (10 * KC_SECOND)
 /* Delay between two watches of the announced versions. */
 #define VERSIONS_WATCH_DELAY (500 * KC_MS)
 /*
@@ -24,9 +25,11 @@
  * notice an unavailable store: the watch of the servers, which is answered all
  * the time, does.
  */
-#define RARE_CHANGE_WATCH_TIMEOUT (10 * KC_SECOND)
+#define RARE_CHANGE_WATCH_TIMEOUT (30 * KC_SECOND)
 /* Gateways' records are only listed, never watched, at this interval. */
 #define GATEWAYS_LIST_INTERVAL (20 * KC_SECOND)
+/* Lists of the gateways' records may lag, unless the store failed. */
+#define GATEWAYS_LAG_TIMEOUT (3600 * KC_SECOND)
 /*
  * A record that is missing this soon after the store was unavailable may
  * reappear: the store restores records within about two seconds.
@@ -171,39 +174,46 @@
     KcGateway_SetGatewayCount(role->gateway, role->listed_gateway_count, now);
 }
 
-/* Marks a watch_delay below that servers_watch_delay() computes. */
-#define WATCH_DELAY_FROM_SETTINGS (-1)
+/* Marks a time below that time_or_part() computes. */
+#define FROM_SETTINGS (-1)
 
 /* Feed options of each collection. */
 static const struct {
     KcTime watch_timeout; /* 0: the watch_ms setting */
     KcTime watch_delay;
+    KcTime lag_timeout;     /* 0: no call may lag */
     KcTime relist_interval; /* 0: none */
     void (*on_list_begin)(void *context);
     void (*on_item)(void *context, const KcFeedItem *item, KcTime now);
     void (*on_list_end)(void *context, KcTime now);
 } collection_feeds[KC_COLLECTION_COUNT] = {
-    [KC_COLLECTION_ROUTING] = {RARE_CHANGE_WATCH_TIMEOUT, 0, 0, NULL,
+    [KC_COLLECTION_ROUTING] = {RARE_CHANGE_WATCH_TIMEOUT, 0, 0, 0, NULL,
                                on_routing, NULL},
-    [KC_COLLECTION_SERVERS] = {0, WATCH_DELAY_FROM_SETTINGS, 0,
+    [KC_COLLECTION_SERVERS] = {0, FROM_SETTINGS, FROM_SETTINGS, 0,
                                on_servers_list_begin, on_server,
                                on_servers_list_end},
     [KC_COLLECTION_VERSIONS] = {RARE_CHANGE_WATCH_TIMEOUT,
-                                VERSIONS_WATCH_DELAY, 0, NULL, on_version,
+                                VERSIONS_WATCH_DELAY, 0, 0, NULL, on_version,
                                 NULL},
     [KC_COLLECTION_GATEWAYS] = {RARE_CHANGE_WATCH_TIMEOUT,
-                                GATEWAYS_LIST_INTERVAL, GATEWAYS_LIST_INTERVAL,
-                                on_gateways_list_begin, on_gateway,
-                                on_gateways_list_end},
+                                GATEWAYS_LIST_INTERVAL, GATEWAYS_LAG_TIMEOUT,
+                                GATEWAYS_LIST_INTERVAL, on_gateways_list_begin,
+                                on_gateway, on_gateways_list_end},
 };
 
+/* A time of the table above, or if that is FROM_SETTINGS a part of the time in
+ * which a leaving server must be known. */
 static KcTime
-servers_watch_delay(const KcSettings *settings)
+time_or_part(const KcSettings *settings, KcTime time, int64_t percent,
+             KcTime maximum)
 {
-    KcTime delay = (KcTime)(settings->server_leave_timeout_ms * KC_MS) /
-                   SERVERS_WATCH_DELAY_DIVISOR;
+    KcTime part =
+        (KcTime)(settings->server_leave_timeout_ms * KC_MS) * percent / 100;
 
-    return delay < SERVERS_WATCH_DELAY_MAX ? delay : SERVERS_WATCH_DELAY_MAX;
+    if (time != FROM_SETTINGS) {
+        return time;
+    }
+    return part < maximum ? part : maximum;
 }
 
 void
@@ -222,10 +232,12 @@
             .watch_timeout = collection_feeds[i].watch_timeout != 0
                                  ? collection_feeds[i].watch_timeout
                                  : settings->watch_timeout_ms * KC_MS,
-            .watch_delay =
-                collection_feeds[i].watch_delay == WATCH_DELAY_FROM_SETTINGS
-                    ? servers_watch_delay(settings)
-                    : collection_feeds[i].watch_delay,
+            .watch_delay = time_or_part(
+                settings, collection_feeds[i].watch_delay,
+                SERVERS_WATCH_DELAY_PERCENT, SERVERS_WATCH_DELAY_MAX),
+            .lag_timeout =
+                time_or_part(settings, collection_feeds[i].lag_timeout,
+                             SERVERS_LAG_PERCENT, SERVERS_LAG_MAX),
             .relist_interval = collection_feeds[i].relist_interval,
             .on_list_begin = collection_feeds[i].on_list_begin,
             .on_item = collection_feeds[i].on_item,
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -25,6 +25,8 @@
  * not at all.
  */
 #define ENGINE_CALL_TIMEOUT (100 * KC_MS)
+/* These reads may lag, unless the store failed. */
+#define ROUTING_LAG_TIMEOUT (3600 * KC_SECOND)
 /* Collection of the keepers' own records. */
 #define KEEPERS_COLLECTION "kcc-keepers"
 
@@ -382,6 +384,7 @@
         .retry_delay_max = KC_STORE_RETRY_DELAY_MAX,
         .watch_timeout = settings->watch_timeout_ms * KC_MS,
         .watch_delay = ROUTING_POLL_INTERVAL_INITIAL,
+        .lag_timeout = ROUTING_LAG_TIMEOUT,
         .relist_interval = ROUTING_POLL_INTERVAL_INITIAL,
         .on_item = on_routing,
         .on_store_status = on_store_status,
--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -11,7 +11,8 @@
  *   mark                    adds "|" to the trace
  *   relistwithin            every later on_store_status call relists
  *
- * Trace: "L(after)" and "W(revision)" calls to the store, "x" a cancelled
+ * Trace: "L(after)" and "W(revision)" calls to the store, in small letters if
+ * they may lag, "x" a cancelled
  * call; "begins", "+name", "-name", "listed", "lost", "back" what the feed
  * reports.
  */
@@ -34,22 +35,23 @@
 
 static void
 request_list(void *store, KcFeed *feed, const char *collection,
-             const char *after)
+             const char *after, bool may_lag)
 {
     (void)feed;
     g_assert_cmpstr(collection, ==, "things");
-    g_string_append_printf(((Fixture *)store)->trace, "L(%s) ", after);
+    g_string_append_printf(((Fixture *)store)->trace, "%c(%s) ",
+                           may_lag ? 'l' : 'L', after);
 }
 
 static void
 request_watch(void *store, KcFeed *feed, const char *collection,
-              uint64_t revision, KcTime timeout)
+              uint64_t revision, KcTime timeout, bool may_lag)
 {
     (void)feed;
     (void)collection;
     g_assert_cmpint(timeout, ==, KC_SECOND);
-    g_string_append_printf(((Fixture *)store)->trace, "W(%" PRIu64 ") ",
-                           revision);
+    g_string_append_printf(((Fixture *)store)->trace, "%c(%" PRIu64 ") ",
+                           may_lag ? 'w' : 'W', revision);
 }
 
 static void
@@ -176,11 +178,13 @@
     {"wait", step_wait},           {"mark", step_mark},
 };
 
-static const struct {
+typedef struct FeedCase {
     const char *name;
     const char *steps;
     const char *trace;
-} cases[] = {
+} FeedCase;
+
+static const FeedCase cases[] = {
     {"list and watch", "page a b;wait 20;watched 7 c -a;wait 20",
      "begins L() +a +b listed W(5) +c -a W(7) "},
     {"pages", "page a b more;page c;wait 20",
@@ -219,10 +223,33 @@
      "begins L() +a listed W(5) lost begins L() +a back listed W(5) "},
 };
 
+/* Calls may lag for 100 ms after one that may not. */
+static const FeedCase lag_cases[] = {
+    {"calls may lag until the timeout after one that may not",
+     "page a;wait 20;watched 6;wait 20;watched 7;wait 20;watched 8;wait 40;"
+     "watched 9;wait 20",
+     "begins l() +a listed w(5) w(6) w(7) W(8) w(9) "},
+    {"a watch that may lag is replaced when the timeout has passed",
+     "page a;wait 20;mark;wait 70;mark;wait 10;mark;watched 6;wait 20",
+     "begins l() +a listed w(5) | | x W(5) | w(6) "},
+    {"a watch that may not lag is left alone",
+     "page a;wait 120;mark;wait 500;mark", "begins l() +a listed W(5) | | "},
+    {"after a failure nothing may lag",
+     "page a;wait 20;fail;wait 200;page a;wait 20",
+     "begins l() +a listed w(5) lost begins L() +a back listed w(5) "},
+    {"after a discarded history nothing may lag",
+     "page a;wait 20;discarded;wait 20;page b;wait 20",
+     "begins l() +a listed w(5) begins L() +b listed w(5) "},
+    {"a relist may not lag and ends the timeout of the watch",
+     "page a;wait 20;relist;wait 200;page a;wait 20",
+     "begins l() +a listed w(5) x begins L() +a listed w(5) "},
+    {"a revision that lags does not set the watch back",
+     "page a;wait 20;watched 3;wait 20", "begins l() +a listed w(5) w(5) "},
+};
+
 static void
-test_case(gconstpointer data)
+run_case(const FeedCase *feed_case, KcTime lag_timeout)
 {
-    size_t index = GPOINTER_TO_SIZE(data);
     Fixture fixture = {.now = KC_SECOND};
     KcFeedOptions options = {.ops = &feed_ops,
                              .store = &fixture,
@@ -231,6 +258,7 @@
                              .retry_delay_max = 500 * KC_MS,
                              .watch_timeout = KC_SECOND,
                              .watch_delay = 20 * KC_MS,
+                             .lag_timeout = lag_timeout,
                              .on_list_begin = on_list_begin,
                              .on_item = on_item,
                              .on_list_end = on_list_end,
@@ -243,13 +271,25 @@
     fixture.feed = KcFeed_Create(&options);
     KcFeed_Start(fixture.feed, fixture.now);
     Steps_Run(&fixture, step_handlers, G_N_ELEMENTS(step_handlers),
-              cases[index].steps);
-    g_assert_cmpstr(fixture.trace->str, ==, cases[index].trace);
+              feed_case->steps);
+    g_assert_cmpstr(fixture.trace->str, ==, feed_case->trace);
     KcFeed_Free(fixture.feed);
     KcTimers_Free(fixture.timers);
     g_string_free(fixture.trace, TRUE);
 }
 
+static void
+test_case(gconstpointer data)
+{
+    run_case(&cases[GPOINTER_TO_SIZE(data)], 0);
+}
+
+static void
+test_lag_case(gconstpointer data)
+{
+    run_case(&lag_cases[GPOINTER_TO_SIZE(data)], 100 * KC_MS);
+}
+
 /* ---- routes of the routing configuration -------------------------------- */
 
 static const struct {
@@ -308,6 +348,8 @@
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/feed", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
                    test_case);
+    Steps_AddCases("/feed/lag", lag_cases, G_N_ELEMENTS(lag_cases),
+                   sizeof(lag_cases[0]), test_lag_case);
     g_test_add_func("/routing/find", test_find_rule);
     return g_test_run();
 }
