--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -223,17 +223,17 @@
      "begins L() +a listed W(5) lost begins L() +a back listed W(5) "},
 };
 
-/* Calls may lag for 100 ms after one that may not. */
+/* Calls may lag for 500 ms after one that may not. */
 static const FeedCase lag_cases[] = {
     {"calls may lag until the timeout after one that may not",
-     "page a;wait 20;watched 6;wait 20;watched 7;wait 20;watched 8;wait 40;"
+     "page a;wait 20;watched 6;wait 20;watched 7;wait 20;watched 8;wait 440;"
      "watched 9;wait 20",
      "begins l() +a listed w(5) w(6) w(7) W(8) w(9) "},
     {"a watch that may lag is replaced when the timeout has passed",
-     "page a;wait 20;mark;wait 70;mark;wait 10;mark;watched 6;wait 20",
+     "page a;wait 20;mark;wait 470;mark;wait 10;mark;watched 6;wait 20",
      "begins l() +a listed w(5) | | x W(5) | w(6) "},
     {"a watch that may not lag is left alone",
-     "page a;wait 120;mark;wait 500;mark", "begins l() +a listed W(5) | | "},
+     "page a;wait 520;mark;wait 500;mark", "begins l() +a listed W(5) | | "},
     {"after a failure nothing may lag",
      "page a;wait 20;fail;wait 200;page a;wait 20",
      "begins l() +a listed w(5) lost begins L() +a back listed w(5) "},
@@ -287,7 +287,7 @@
 static void
 test_lag_case(gconstpointer data)
 {
-    run_case(&lag_cases[GPOINTER_TO_SIZE(data)], 100 * KC_MS);
+    run_case(&lag_cases[GPOINTER_TO_SIZE(data)], 500 * KC_MS);
 }
 
 /* ---- routes of the routing configuration -------------------------------- */
