Drop a server whose address belongs to a later one; read the servers after a 421

The workers restarted too, under new ids; their records came with the next watch at 36.6 s, beside the old ones, whose adapters gateways went on to prefer until 38.1 s. Each such attempt is answered 421, which the retry budget is charged for, so that nearly every stream from 35.1 to 38 s was refused after its first attempt. Ruled out: the start (1.0 s), the store (records in 0.1 s), the base model (0.8 s from disk), keepers (fence at 35.14 s).

Change: of two servers with one address that of the older record has ended: it is not chosen, its replicas and loads are dropped, and its record cannot bring it back. After a 421 a watch of the servers that waits for its delay comes at once, 300 ms after the last one at the earliest.

Tests: six cases of the gateway, three of feeds; four planted faults, caught. test_endless takes an address by its process id: several at once, as the planted faults run it, met on one address, and two faults counted as caught by that.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -58,8 +58,13 @@
 on_not_run(KcForward *forward, const KcReply *reply, KcTime now)
 {
     KcCounters_Add(forward->gateway->options.counters, KC_COUNT_REFUSALS, 1);
-    if (reply->is_misdirected && forward->replica != NULL) {
-        KcReplica_Drop(forward->gateway, forward->replica);
+    if (reply->is_misdirected) {
+        const KcGatewayOptions *options = &forward->gateway->options;
+
+        options->ops->refresh_servers(options->context);
+        if (forward->replica != NULL) {
+            KcReplica_Drop(forward->gateway, forward->replica);
+        }
     }
     KcForward_RetryOrFinish(forward, KC_ATTEMPT_REFUSED,
                             reply->is_misdirected ? KC_ERR_WRONG_MODEL
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -18,6 +18,7 @@
     char region[KC_NAME_MAX];
     KcRouting *routing; /* in force; NULL: none yet */
     KcServer *servers;  /* hash table by id */
+    KcServer *servers_by_address;
     KcServerPool *pools;
     KcAdapterState *adapters;
     struct KcAdapterStateList adapter_list;
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -118,6 +118,57 @@
     return server;
 }
 
+static void
+release_address(KcGateway *gateway, KcServer *server)
+{
+    if (server->has_address) {
+        server->has_address = false;
+        HASH_DELETE(hh_address, gateway->servers_by_address, server);
+    }
+}
+
+/* Handles the end of a server whose address belongs to a later one, although
+ * its record may stay for seconds. */
+static void
+end_superseded_server(KcGateway *gateway, KcServer *server, KcTime now)
+{
+    bool was_missing = server->missing_at != 0;
+
+    KcGateway_OnServerRecordMissing(gateway, server->id, true, now);
+    if (was_missing) {
+        return;
+    }
+    gateway->options.ops->close_connections(gateway->options.context, server);
+    KcGateway_OnKeeperLost(gateway, server, now);
+    KcServer_DropReplicas(gateway, server, true);
+}
+
+/* Gives the server its address, unless a later server has that.  Returns
+ * whether it has it. */
+static bool
+claim_address(KcGateway *gateway, KcServer *server, KcTime now)
+{
+    KcServer *other;
+
+    HASH_FIND(hh_address, gateway->servers_by_address, server->address,
+              strlen(server->address), other);
+    if (other == server) {
+        return true;
+    }
+    if (other != NULL && other->record_revision > server->record_revision) {
+        end_superseded_server(gateway, server, now);
+        return false;
+    }
+    if (other != NULL) {
+        release_address(gateway, other);
+        end_superseded_server(gateway, other, now);
+    }
+    HASH_ADD(hh_address, gateway->servers_by_address, address[0],
+             strlen(server->address), server);
+    server->has_address = true;
+    return true;
+}
+
 /* Forgets what belongs to an earlier server of the same id: the server has
  * restarted or has another address. */
 static void
@@ -162,12 +213,18 @@
     }
     server->record_revision = revision;
     server->started_at_ms = info->started_at_ms;
-    KcText_Copy(server->address, info->address, KC_ADDRESS_MAX);
+    if (strcmp(server->address, info->address) != 0) {
+        release_address(gateway, server);
+        KcText_Copy(server->address, info->address, KC_ADDRESS_MAX);
+    }
     KcText_Copy(server->datacentre, info->datacentre, KC_NAME_MAX);
     server->distance = distance_to(gateway, info->datacentre);
     server->concurrency_max =
         info->concurrency_max > 0 ? info->concurrency_max : 1;
     server->leaving = info->leaving;
+    if (!claim_address(gateway, server, now)) {
+        return;
+    }
     server->missing_at = 0;
     KcServer_SetReplicas(gateway, server, info, now);
     KcGateway_DispatchQueue(server->pool, now);
@@ -196,6 +253,7 @@
 static void
 free_server(KcGateway *gateway, KcServer *server)
 {
+    release_address(gateway, server);
     KcServer_DropReplicas(gateway, server, true);
     gateway->options.ops->close_connections(gateway->options.context, server);
     assert(TAILQ_EMPTY(&server->replicas));
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -70,6 +70,9 @@
  * and from its answers to this gateway's requests. */
 typedef struct KcServer {
     UT_hash_handle hh;          /* KcGateway.servers, by id */
+    UT_hash_handle hh_address;  /* KcGateway.servers_by_address */
+    bool has_address;           /* it is in that table: no later server has
+                                 * taken over its address */
     TAILQ_ENTRY(KcServer) link; /* KcServerPool.servers */
     struct KcServerPool *pool;
     char id[KC_NAME_MAX];
@@ -193,6 +196,9 @@
     void (*cancel_attempt)(void *context, void *attempt);
     /* Sends a load request; false when the keeper cannot be reached. */
     bool (*request_load)(void *context, const KcLoadRequest *request);
+    /* A server did not know the request's model or itself: the records of the
+     * servers may be out of date, and are to be read soon. */
+    void (*refresh_servers)(void *context);
     /* Closes the connections to a server that was removed or replaced. */
     void (*close_connections)(void *context, KcServer *server);
     /* Called once for each request when it ends. */
@@ -245,8 +251,11 @@
  */
 void KcGateway_BeginServerList(KcGateway *gateway);
 void KcGateway_EndServerList(KcGateway *gateway, KcTime now);
-/* Adds a server or updates it; a revision older than the known one is
- * ignored. */
+/*
+ * Adds a server or updates it; a revision older than the known one is ignored.
+ * Of two servers with one address that of the older revision has ended: a
+ * server registers after its predecessor at the address has gone.
+ */
 void KcGateway_OnServerRecord(KcGateway *gateway, const KcServerInfo *info,
                               uint64_t revision, KcTime now);
 /*
--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -110,6 +110,19 @@
     feed->options.relist_interval = relist_interval;
 }
 
+void
+KcFeed_Hurry(KcFeed *feed, KcTime min_interval, KcTime now)
+{
+    KcTime due_at = feed->called_at + min_interval;
+
+    if (feed->state != FEED_IDLE || feed->needs_list ||
+        feed->timer.due_at <= due_at) {
+        return; /* a call is outstanding, or due soon, or to be retried */
+    }
+    KcTimers_Set(feed->options.timers, &feed->timer,
+                 due_at > now ? due_at : now);
+}
+
 void
 KcFeed_Relist(KcFeed *feed, KcTime now)
 {
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -80,6 +80,10 @@
 void KcFeed_SetIntervals(KcFeed *feed, KcTime watch_delay,
                          KcTime relist_interval);
 
+/* Makes the next watch at once instead of after its delay, but not sooner than
+ * min_interval after the last call: what was read may be out of date. */
+void KcFeed_Hurry(KcFeed *feed, KcTime min_interval, KcTime now);
+
 /* Replaces a watch in progress by a list, which is answered at once: another
  * feed found the store lost or regained. */
 void KcFeed_Relist(KcFeed *feed, KcTime now);
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -25,6 +25,9 @@
 /* Comments and events without an id that one attempt passes on. */
 #define UNNUMBERED_EVENTS_MAX 1024
 
+/* Least interval between reads of the servers that requests cause. */
+#define SERVERS_REFRESH_INTERVAL (300 * KC_MS)
+
 /* A load request that waits for the connection to the keeper. */
 typedef struct PendingLoadRequest {
     TAILQ_ENTRY(PendingLoadRequest) link;
@@ -273,6 +276,15 @@
     return KcHttpAttempt_Start(&options, forward, params);
 }
 
+static void
+refresh_servers(void *context)
+{
+    GatewayRole *role = context;
+
+    KcFeed_Hurry(role->feeds[KC_COLLECTION_SERVERS], SERVERS_REFRESH_INTERVAL,
+                 KcLoop_Now());
+}
+
 static void
 cancel_attempt(void *context, void *attempt)
 {
@@ -319,6 +331,6 @@
         (int)load_age_ms);
 }
 
-const KcGatewayOps KcGatewayRole_Ops = {start_attempt, cancel_attempt,
-                                        send_load_request, forget_server,
-                                        log_request};
+const KcGatewayOps KcGatewayRole_Ops = {start_attempt,     cancel_attempt,
+                                        send_load_request, refresh_servers,
+                                        forget_server,     log_request};
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -12,28 +12,26 @@
  * Steps, separated by semicolons:
  *   config VERSION          takes a routing configuration
  *   inforce                 traces the version in force, as "v2"
- *   server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [leaving] REPLICA...
- *                           a server's record; born is its start time, x@1 is
- *                           version 1 of adapter x, m the base model of all
- *                           adapters
- *   missing ID [deleted]    the record is missing, or known to be deleted
- *   list ID...              a complete list, with these records only
- *   request N PATH [MODEL[/ADAPTER]], abandon N
- *   reply N STATUS, notrun N, misdirected N, begin N, event N ID, end N
- *                           answers to an attempt
- *   lost N, neversent N     the attempt failed after or before it was sent
- *   report SERVER ADAPTER VERSION STATE     from the keeper; see state_names
- *   keeperlost SERVER       the keeper's link ended
- *   version ADAPTER VERSION announces a version
- *   load SERVER RUNNING WAITING CONCURRENCY_MAX
+ *   server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [port=N] [leaving]
+ *   REPLICA...              a server's record; born is its start time, each
+ * has a port of its own unless one is given, x@1 is version 1 of adapter x, m
+ * the base model of all adapters missing ID [deleted]    the record is
+ * missing, or known to be deleted list ID...              a complete list,
+ * with these records only request N PATH [MODEL[/ADAPTER]], abandon N reply N
+ * STATUS, notrun N, misdirected N, begin N, event N ID, end N answers to an
+ * attempt lost N, neversent N     the attempt failed after or before it was
+ * sent report SERVER ADAPTER VERSION STATE     from the keeper; see
+ * state_names keeperlost SERVER       the keeper's link ended version ADAPTER
+ * VERSION announces a version load SERVER RUNNING WAITING CONCURRENCY_MAX
  *   nokeeper SERVER, nosend SERVER     the keeper or server is unreachable
  *   gateways N              number of gateways that share the retry budget
  *   drain, wait MS
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
  * after event 5, "1x" attempt cancelled, "?a x@2" load request to a's keeper;
- * "1:begin", "1:200", "1:7" (an event), "1:end", "1:broken", "1:not run CODE",
- * "1:unknown CODE" what the caller gets.
+ * "refresh" the servers' records are to be read, "1:begin", "1:200", "1:7" (an
+ * event), "1:end", "1:broken", "1:not run CODE", "1:unknown CODE" what the
+ * caller gets.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -111,6 +109,12 @@
     return true;
 }
 
+static void
+refresh_servers(void *context)
+{
+    g_string_append(((Fixture *)context)->trace, "refresh; ");
+}
+
 static void
 close_connections(void *context, KcServer *server)
 {
@@ -125,9 +129,9 @@
     g_assert_nonnull(record->outcome);
 }
 
-static const KcGatewayOps gateway_ops = {start_attempt, cancel_attempt,
-                                         request_load, close_connections,
-                                         record_request};
+static const KcGatewayOps gateway_ops = {start_attempt,     cancel_attempt,
+                                         request_load,      refresh_servers,
+                                         close_connections, record_request};
 
 static void
 on_answer_begin(void *context, const void *head, bool stream)
@@ -249,6 +253,10 @@
     else if (strncmp(server_word, "born=", 5) == 0) {
         info->started_at_ms = atoi(server_word + 5);
     }
+    else if (strncmp(server_word, "port=", 5) == 0) {
+        snprintf(info->address, sizeof(info->address), "127.0.0.1:%s",
+                 server_word + 5);
+    }
     else if (strcmp(server_word, "leaving") == 0) {
         info->leaving = true;
     }
@@ -270,7 +278,7 @@
     KcServerInfo_Init(&info);
     KcText_Copy(info.id, words[1], KC_NAME_MAX);
     KcText_Copy(info.service, words[2], KC_NAME_MAX);
-    KcText_Copy(info.address, "127.0.0.1:1", KC_ADDRESS_MAX);
+    snprintf(info.address, sizeof(info.address), "127.0.0.1:%d", words[1][0]);
     KcText_Copy(info.datacentre, "here", KC_NAME_MAX);
     info.concurrency_max = (uint32_t)atoi(words[3]);
     for (char **word = words + 4; *word != NULL; word++) {
@@ -590,6 +598,30 @@
      "1>a; "},
     {"a server that changed service is not chosen",
      PLAIN "server a llm 4;request 1 /s/x", "1>b; "},
+    {"a server whose address has a later one is not chosen",
+     "config 1;server a plain 4;server c plain 4 at=near port=97;"
+     "request 1 /s/x",
+     "1>c; "},
+    {"an earlier server does not come back by its old record",
+     "config 1;server a plain 4;server b plain 4 at=near;"
+     "server c plain 4 at=far port=97;list a b c;request 1 /s/x",
+     "1>b; "},
+    {"a server that moved away leaves its address",
+     "config 1;server a plain 4;server a plain 4 port=7;"
+     "server b plain 4 at=near port=97;request 1 /s/x",
+     "1>a; "},
+    {"after the end of a later server its address can be used",
+     "config 1;server a plain 4;server c plain 4 port=97;missing c deleted;"
+     "wait 10000;server d plain 4 port=97;request 1 /s/x",
+     "1>d; "},
+    {"requests that wait for a load at a server that ended go elsewhere",
+     "config 1;server a llm 4 m;server b llm 4 at=near m;"
+     "request 1 /t/x m/q;server c llm 4 at=far m port=97;report b q 1 loaded",
+     "?a q@0; ?b q@0; 1>b; "},
+    {"replicas at a server that ended are not used",
+     "config 1;server a llm 4 m x@1;server c llm 4 m port=97;"
+     "request 1 /t/x m/x;report c x 1 loaded",
+     "?c x@0; 1>c; "},
     {"a suspect server is avoided",
      PLAIN "request 1 /u/x;lost 1;request 2 /u/x",
      "1>a; 1:unknown peer_lost; 2>b; "},
@@ -652,7 +684,7 @@
      "config 1;server a llm 4;request 1 /t/x m/q", "?a q@0; "},
     {"a misdirected attempt (421) drops the replica",
      LLM "request 1 /t/x m/x;misdirected 1;report b x 1 loaded",
-     "1>a; ?b x@0; 1>b; "},
+     "1>a; refresh; ?b x@0; 1>b; "},
     {"an older version is not served for ever",
      LLM "version x 2;wait 2500;request 1 /t/x m/x;report b x 2 loaded",
      "?b x@2; 1>b; "},
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -5,6 +5,7 @@
  */
 #include <glib.h>
 #include <signal.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -15,7 +16,6 @@
 #include "../../programs/request/http_attempt.h"
 #include "../standins/raw_server.h"
 
-#define SERVER_ADDRESS "127.0.77.1:9177"
 /* Progress of calls, and the deadline of requests. */
 #define CALL_TIMEOUT (400 * KC_MS)
 /* By then each call must have ended by itself. */
@@ -28,6 +28,8 @@
 
 static RawServer server;
 static size_t pattern_number;
+/* Differs between test processes that run at the same time. */
+static char server_address[KC_ADDRESS_MAX];
 
 static void
 on_request(RawConnection *connection)
@@ -58,7 +60,7 @@
         /* A test that fails ends without stop_server(). */
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         pattern_number = number;
-        RawServer_Init(&server, &options, SERVER_ADDRESS, 1);
+        RawServer_Init(&server, &options, server_address, 1);
         if (write(ready[1], &byte, 1) != 1) {
             _exit(1);
         }
@@ -134,7 +136,7 @@
 read_report(Reading *reading)
 {
     KcEngineOptions options = {.loop = reading->loop,
-                               .address = SERVER_ADDRESS,
+                               .address = server_address,
                                .keeper_name = "k",
                                .call_timeout = CALL_TIMEOUT,
                                .counters = &reading->counters,
@@ -159,7 +161,7 @@
 read_object(Reading *reading)
 {
     KcStoreOptions options = {.loop = reading->loop,
-                              .address = SERVER_ADDRESS,
+                              .address = server_address,
                               .call_timeout = CALL_TIMEOUT,
                               .counters = &reading->counters};
     KcStore *store = KcPlatform_Current.open_store(&options);
@@ -190,7 +192,7 @@
 read_collection(Reading *reading)
 {
     KcStoreOptions options = {.loop = reading->loop,
-                              .address = SERVER_ADDRESS,
+                              .address = server_address,
                               .call_timeout = CALL_TIMEOUT,
                               .counters = &reading->counters};
     KcStore *store = KcPlatform_Current.open_store(&options);
@@ -216,7 +218,7 @@
 static void
 read_by_command_line(Reading *reading)
 {
-    KcHttpCallOptions options = {.address = SERVER_ADDRESS,
+    KcHttpCallOptions options = {.address = server_address,
                                  .method = "GET",
                                  .path = "/",
                                  .progress_timeout = CALL_TIMEOUT};
@@ -240,7 +242,7 @@
 {
     static const KcHttpCallOps ops = {.on_done = on_call_done};
     KcHttpCallOptions options = {.loop = reading->loop,
-                                 .address = SERVER_ADDRESS,
+                                 .address = server_address,
                                  .method = "POST",
                                  .path = "/",
                                  .progress_timeout = CALL_TIMEOUT,
@@ -299,6 +301,12 @@
     return false;
 }
 
+static void
+refresh_servers(void *context)
+{
+    (void)context;
+}
+
 static void
 close_connections(void *context, KcServer *server_to_close)
 {
@@ -384,7 +392,7 @@
     KcServerInfo_Init(&info);
     KcText_Copy(info.id, "w", KC_NAME_MAX);
     KcText_Copy(info.service, "s", KC_NAME_MAX);
-    KcText_Copy(info.address, SERVER_ADDRESS, KC_ADDRESS_MAX);
+    KcText_Copy(info.address, server_address, KC_ADDRESS_MAX);
     info.concurrency_max = 8;
     KcGateway_OnServerRecord(gateway, &info, 1, KcLoop_Now());
     KcServerInfo_Clear(&info);
@@ -394,9 +402,9 @@
 static void
 read_worker_answer(Reading *reading)
 {
-    static const KcGatewayOps ops = {start_attempt, cancel_attempt,
-                                     request_load, close_connections,
-                                     record_request};
+    static const KcGatewayOps ops = {start_attempt,     cancel_attempt,
+                                     request_load,      refresh_servers,
+                                     close_connections, record_request};
     KcForwardCall call = {.id = "this-request",
                           .host = "h",
                           .path = "/r/x",
@@ -523,7 +531,11 @@
 int
 main(int argc, char **argv)
 {
+    int number = (int)getpid();
+
     g_test_init(&argc, &argv, NULL);
+    snprintf(server_address, sizeof(server_address), "127.77.%d.%d:9177",
+             number / 250 % 250, number % 250 + 1);
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         char *path = g_strdup_printf("/endless/%s", cases[i].pattern);
 
--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -7,7 +7,7 @@
  *   watched REVISION NAME...    answers a watch; -NAME is a deletion
  *   discarded               the watch's history is discarded
  *   fail                    the call fails
- *   relist, wait MS
+ *   relist, wait MS, hurry MS
  *   mark                    adds "|" to the trace
  *   relistwithin            every later on_store_status call relists
  *
@@ -157,6 +157,12 @@
     fixture->relist_within = true;
 }
 
+static void
+step_hurry(Fixture *fixture, char **words)
+{
+    KcFeed_Hurry(fixture->feed, atoi(words[1]) * KC_MS, fixture->now);
+}
+
 static void
 step_mark(Fixture *fixture, char **words)
 {
@@ -176,6 +182,7 @@
     {"discarded", step_discarded}, {"fail", step_fail},
     {"relist", step_relist},       {"relistwithin", step_relist_within},
     {"wait", step_wait},           {"mark", step_mark},
+    {"hurry", step_hurry},
 };
 
 typedef struct FeedCase {
@@ -214,6 +221,15 @@
     {"a list that fails midway begins again",
      "page a more;fail;wait 200;page a",
      "begins L() +a L(a) lost begins L() +a back listed "},
+    {"a hurried watch comes at once when the last call is old enough",
+     "page a;hurry 0;wait 1;mark;watched 6;wait 8;hurry 5;wait 1;mark",
+     "begins L() +a listed W(5) | W(6) | "},
+    {"a hurried watch comes its interval after the last call",
+     "page a;wait 2;hurry 6;wait 2;mark;wait 3;mark",
+     "begins L() +a listed | W(5) | "},
+    {"hurrying changes nothing while a call is outstanding or to be retried",
+     "hurry 0;page a;wait 20;hurry 0;fail;hurry 0;wait 190;mark;wait 10",
+     "begins L() +a listed W(5) lost | begins L() "},
     {"a relist replaces the watch at once", "page a;wait 20;relist;page a",
      "begins L() +a listed W(5) x begins L() +a listed "},
     {"a relist while listing or waiting changes nothing",
