Keep the time after which a call to the store may not lag

Now the delay ends at lag_until. Test: a case that failed before, a planted fault.

Also: the end of a server whose address has a later one no longer passes over one that was missing before; the contract of KcIntake_Keep() says what it does.

--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -132,12 +132,7 @@
 static void
 end_superseded_server(KcGateway *gateway, KcServer *server, KcTime now)
 {
-    bool was_missing = server->missing_at != 0;
-
     KcGateway_OnServerRecordMissing(gateway, server->id, true, now);
-    if (was_missing) {
-        return;
-    }
     gateway->options.ops->close_connections(gateway->options.context, server);
     KcGateway_OnKeeperLost(gateway, server, now);
     KcServer_DropReplicas(gateway, server, true);
--- a/lib/request/intake.c
+++ b/lib/request/intake.c
@@ -7,7 +7,7 @@
 
 /* Each answer may keep so much even when the pool is exhausted, so that
  * servers in trouble cannot stop the small answers of others. */
-#define UNPOOLED_BYTES (size_t)(16 * 1024)
+#define UNPOOLED_BYTES ((size_t)16 * 1024)
 
 void
 KcIntake_Begin(KcIntake *intake, const KcIntakeLimits *limits, KcTime now)
--- a/lib/request/kcc_intake.h
+++ b/lib/request/kcc_intake.h
@@ -68,9 +68,9 @@
 
 /*
  * The reader keeps so many bytes of the answer in memory now.  Returns 0, or
- * KC_ERR_TOO_LARGE when they are more than the answers of the process may
- * take: each may have what no other one uses, so that many large answers share
- * the pool evenly and a small one always finds room.
+ * KC_ERR_TOO_LARGE when they are more than all answers together, this one
+ * included, leave of the pool, and a small part beyond: many large answers
+ * share the pool evenly, and a small one always finds room.
  */
 int KcIntake_Keep(KcIntake *intake, size_t kept_bytes);
 
--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -153,11 +153,15 @@
     }
 }
 
-/* Starts the next call after a delay, immediately if it is not positive. */
+/* Starts the next call after a delay, immediately if it is not positive, and
+ * at the latest when calls may not lag any more. */
 static void
 schedule_call(KcFeed *feed, KcTime delay, KcTime now)
 {
     feed->state = FEED_IDLE;
+    if (feed->lag_until > now && now + delay > feed->lag_until) {
+        delay = feed->lag_until - now;
+    }
     if (delay > 0) {
         KcTimers_Set(feed->options.timers, &feed->timer, now + delay);
     }
--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -245,6 +245,9 @@
      "page a;wait 20;watched 6;wait 20;watched 7;wait 20;watched 8;wait 440;"
      "watched 9;wait 20",
      "begins l() +a listed w(5) w(6) w(7) W(8) w(9) "},
+    {"the delay of a watch does not put off the call that may not lag",
+     "page a;wait 20;wait 470;watched 6;wait 9;mark;wait 1;mark",
+     "begins l() +a listed w(5) | W(6) | "},
     {"a watch that may lag is replaced when the timeout has passed",
      "page a;wait 20;mark;wait 470;mark;wait 10;mark;watched 6;wait 20",
      "begins l() +a listed w(5) | | x W(5) | w(6) "},
