Do not resume a stream that has had all the events it may have

A worker answered by well-formed events without end; after the 36 that Token-Count allows the gateway cut it off and, as the route may be resumed, went on after event 35 at another worker, which had nothing left to send and ended the stream: the caller got a complete answer of wrong events.

Change: the events passed on are counted over all attempts of a request; a stream that has had as many as it may have is broken off.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -6,6 +6,16 @@
 
 #include "gateway_internal.h"
 
+/* May the stream be continued at another server?  One that has had all the
+ * events it may have should have ended: its server sent wrong ones. */
+static bool
+can_continue(const KcForward *forward)
+{
+    return forward->rule->resumable &&
+           (forward->events_max == 0 ||
+            forward->event_count < forward->events_max);
+}
+
 void
 KcForward_RetryOrFinish(KcForward *forward, KcAttemptEnd end, int code,
                         const char *step, KcTime now)
@@ -15,7 +25,7 @@
                           .repeatable = forward->repeatable,
                           .may_have_run = forward->may_have_run,
                           .cancelled = now >= forward->deadline,
-                          .can_continue = forward->rule->resumable,
+                          .can_continue = can_continue(forward),
                           .part_delivered = forward->answer_begun,
                           .charge_refusals = true,
                           .attempts_max = forward->rule->attempts_max};
@@ -165,6 +175,7 @@
     if (has_id) {
         forward->has_last_event = true;
         forward->last_event_id = id;
+        forward->event_count++;
     }
     forward->ops->on_data(forward->caller, bytes);
 }
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -142,6 +142,7 @@
     KcTime deadline;           /* the request has ended by then */
     uint64_t tokens_max;       /* of the prompt and the longest answer */
     uint64_t events_max;       /* as KcForwardCall.answer_events_max */
+    uint64_t event_count;      /* numbered events passed on to the caller */
     bool repeatable;           /* may run more than once */
     bool in_wait_list;         /* linked by wait_link */
     struct KcServer *server;   /* of the last attempt; while LOADING, the one
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -13,25 +13,28 @@
  *   config VERSION          takes a routing configuration
  *   inforce                 traces the version in force, as "v2"
  *   server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [port=N] [leaving]
- *   REPLICA...              a server's record; born is its start time, each
- * has a port of its own unless one is given, x@1 is version 1 of adapter x, m
- * the base model of all adapters missing ID [deleted]    the record is
- * missing, or known to be deleted list ID...              a complete list,
- * with these records only request N PATH [MODEL[/ADAPTER]], abandon N reply N
- * STATUS, notrun N, misdirected N, begin N, event N ID, end N answers to an
- * attempt lost N, neversent N     the attempt failed after or before it was
- * sent report SERVER ADAPTER VERSION STATE     from the keeper; see
- * state_names keeperlost SERVER       the keeper's link ended version ADAPTER
- * VERSION announces a version load SERVER RUNNING WAITING CONCURRENCY_MAX
+ *          REPLICA...       a server's record; born is its start time, x@1 is
+ *                           version 1 of adapter x, m the base model of all
+ *                           adapters; each ID has a port unless one is given
+ *   missing ID [deleted]    the record is missing, or known to be deleted
+ *   list ID...              a complete list, with these records only
+ *   request N PATH [MODEL[/ADAPTER] [EVENTS_MAX]], abandon N
+ *   reply N STATUS, notrun N, misdirected N, begin N, event N ID, end N
+ *                           answers to an attempt
+ *   lost N, neversent N     the attempt failed after or before it was sent
+ *   report SERVER ADAPTER VERSION STATE     from the keeper; see state_names
+ *   keeperlost SERVER       the keeper's link ended
+ *   version ADAPTER VERSION announces a version
+ *   load SERVER RUNNING WAITING CONCURRENCY_MAX
  *   nokeeper SERVER, nosend SERVER     the keeper or server is unreachable
  *   gateways N              number of gateways that share the retry budget
  *   drain, wait MS
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
- * after event 5, "1x" attempt cancelled, "?a x@2" load request to a's keeper;
- * "refresh" the servers' records are to be read, "1:begin", "1:200", "1:7" (an
- * event), "1:end", "1:broken", "1:not run CODE", "1:unknown CODE" what the
- * caller gets.
+ * after event 5, "1x" attempt cancelled, "?a x@2" load request to a's keeper,
+ * "refresh" the servers' records are to be read;
+ * "1:begin", "1:200", "1:7" (an event), "1:end", "1:broken", "1:not run CODE",
+ * "1:unknown CODE" what the caller gets.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -331,6 +334,8 @@
     if (parts != NULL) {
         call.model = parts[0];
         call.adapter = parts[1] != NULL ? parts[1] : "";
+        call.answer_events_max =
+            words[4] != NULL ? (uint64_t)atoi(words[4]) : 0;
     }
     caller->fixture = fixture;
     caller->number = atoi(words[1]);
@@ -737,6 +742,14 @@
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;"
          "event 1 1;lost 1;begin 1;event 1 2;end 1",
      "1>a; 1:begin; 1:0; 1:1; 1>b+1; 1:2; 1:end; "},
+    {"a stream is resumed while events may still come",
+     LLM "server b llm 4 at=near m x@1;request 1 /r/x m/x 3;begin 1;"
+         "event 1 0;event 1 1;lost 1",
+     "1>a; 1:begin; 1:0; 1:1; 1>b+1; "},
+    {"a stream that has had all its events is not resumed",
+     LLM "server b llm 4 at=near m x@1;request 1 /r/x m/x 3;begin 1;"
+         "event 1 0;event 1 1;event 1 2;lost 1",
+     "1>a; 1:begin; 1:0; 1:1; 1:2; 1:broken; "},
     {"a resumed stream that skips an event is broken",
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;"
          "lost 1;begin 1;event 1 2",
