--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -611,6 +611,10 @@
      "config 1;server a plain 4;server b plain 4 at=near;"
      "server c plain 4 at=far port=97;list a b c;request 1 /s/x",
      "1>b; "},
+    {"an old record after the later one does not bring a server back",
+     "config 1;server a plain 4;server b plain 4 at=near;"
+     "server c plain 4 at=far port=97;list c b a;request 1 /s/x",
+     "1>b; "},
     {"a server that moved away leaves its address",
      "config 1;server a plain 4;server a plain 4 port=7;"
      "server b plain 4 at=near port=97;request 1 /s/x",
