--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -72,6 +72,14 @@
     [KC_COUNT_WRONG_MODEL] =
         {"kcc_wrong_model_total",
          "Answers stopped because they name another model."},
+    [KC_COUNT_SILENT_ATTEMPTS] =
+        {"kcc_silent_attempts_total",
+         "Attempts cancelled because their server was silent."},
+    [KC_COUNT_EARLY_REFUSALS] =
+        {"kcc_early_refusals_total",
+         "Requests refused before they were received completely."},
+    [KC_COUNT_IDLE_CLOSES] = {"kcc_idle_closes_total",
+                              "Callers' connections closed while idle."},
 };
 
 const char *
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -85,6 +85,9 @@
     const char *step =
         forward->state == KC_FORWARD_STREAMING ? "next event" : "first byte";
 
+    forward->server_silence = KcServer_Silence(forward->server, now);
+    KcCounters_Add(forward->gateway->options.counters,
+                   KC_COUNT_SILENT_ATTEMPTS, 1);
     KcForward_CancelAttempt(forward);
     KcForward_RetryOrFinish(forward, KC_ATTEMPT_LOST, KC_ERR_DEADLINE_EXCEEDED,
                             step, now);
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -53,6 +53,9 @@
     KC_COUNT_ADOPTIONS,         /* documents that came into force */
     KC_COUNT_TOKENS,            /* tokens delivered */
     KC_COUNT_WRONG_MODEL,       /* answers that named another model */
+    KC_COUNT_SILENT_ATTEMPTS,   /* attempts cancelled, the server was silent */
+    KC_COUNT_EARLY_REFUSALS,    /* requests refused before they were read */
+    KC_COUNT_IDLE_CLOSES,       /* callers' connections closed while idle */
     KC_COUNTER_COUNT
 } KcCounter;
 
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -165,6 +165,8 @@
     KcTime first_event_at;  /* first event of a stream; 0: none */
     KcTime last_event_at;   /* last event passed on; at first the arrival */
     KcTime dispatch_until;  /* refused when it has no server by then */
+    KcTime server_silence;  /* of the last server whose attempt was cancelled
+                             * for its silence, at that time; 0: none */
     KcError error;          /* of the last attempt that failed */
     KcTimer timer; /* next check: of the queue, the load, the server's silence
                     * or the deadline */
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -314,7 +314,8 @@
     KcLog_Write(
         KC_LOG_INFO, &fields,
         "%s route=%s kind=%s status=%d sends=%u runs=%u total_ms=%d "
-        "sent_ms=%d first_ms=%d adapter=%s server_load=%u load_age_ms=%d",
+        "sent_ms=%d first_ms=%d silent_ms=%d server_silent_ms=%d adapter=%s "
+        "server_load=%u load_age_ms=%d",
         record->outcome, forward->rule->name,
         KcRequestKind_Name(forward->rule->kind), record->status,
         forward->attempt_count, forward->possible_runs,
@@ -326,6 +327,8 @@
         forward->first_event_at != 0
             ? (int)((forward->first_event_at - forward->arrived_at) / KC_MS)
             : -1,
+        (int)((record->ended_at - forward->last_event_at) / KC_MS),
+        (int)(forward->server_silence / KC_MS),
         forward->adapter != NULL ? forward->adapter->key : "",
         server != NULL ? server->in_flight + server->others_in_flight : 0,
         (int)load_age_ms);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -179,6 +179,7 @@
         .address = settings->callers_address,
         .gateway = role->gateway,
         .dialect = role->platform->dialect,
+        .counters = &role->common.counters,
         .connections_max = (uint32_t)settings->connections_max,
         .initial_limits = initial_caller_limits,
         .silence_timeout = settings->connection_silence_timeout_ms * KC_MS};
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "../connection/socket.h"
+#include "../process/log.h"
 
 /*
  * Unsent bytes of a streamed answer above which reading from the backend
@@ -108,7 +109,13 @@
 refuse_early(CallerConnection *connection, int code, const char *step)
 {
     KcForwardRefusal refusal = {.error = {.code = code, .step = step}};
+    KcLogFields fields = {.step = step, .code = code};
 
+    KcCounters_Add(connection->front_end->options.counters,
+                   KC_COUNT_EARLY_REFUSALS, 1);
+    KcLog_Write(KC_LOG_INFO, &fields,
+                "request refused while it was received, body_bytes=%zu",
+                KcBuffer_Size(&connection->request_body));
     connection->state = CONNECTION_CLOSING;
     start_timer(connection,
                 current_limits(connection->front_end)->header_timeout);
@@ -184,6 +191,8 @@
         refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
         break;
     case CONNECTION_IDLE:
+        KcCounters_Add(connection->front_end->options.counters,
+                       KC_COUNT_IDLE_CLOSES, 1);
         /* The end of the last answer may not have been sent yet. */
         close_when_sent(connection);
         break;
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -15,6 +15,7 @@
     const char *address;
     KcGateway *gateway;
     const KcHttpDialect *dialect;
+    KcCounters *counters;
     uint32_t connections_max;
     KcCallerLimits initial_limits; /* while no configuration is in force */
     KcTime silence_timeout;        /* see KcSocket_SetConnectionOptions() */
