--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -798,6 +798,29 @@
      LLM "server b llm 4 m x@1;gateways 100;request 1 /r/x m/x;begin 1;"
          "event 1 0;wait 2900",
      "1>a; 1:begin; 1:0; 1x; 1:broken; "},
+    {"a stream is not broken by a pause of its server",
+     LLM "request 1 /t/x m/x;request 2 /t/x m/x;begin 1;event 1 0;begin 2;"
+         "event 2 0;wait 1800;event 2 1;wait 1050;event 1 1;end 1",
+     "1>a; 2>a; 1:begin; 1:0; 2:begin; 2:0; 2:1; 1:1; 1:end; "},
+    {"a stream that has not begun is not refused for a pause of its server",
+     LLM "request 1 /t/x m/x;request 2 /t/x m/x;begin 2;wait 1800;event 2 0;"
+         "wait 1050;begin 1;event 1 0;end 1",
+     "1>a; 2>a; 2:begin; 2:0; 1:begin; 1:0; 1:end; "},
+    {"a stream is not broken while its server has no record",
+     LLM "request 1 /t/x m/x;begin 1;event 1 0;wait 2200;missing a;wait 300;"
+         "event 1 1;end 1",
+     "1>a; 1:begin; 1:0; 1:1; 1:end; "},
+    {"a stream is not broken for want of a server to resume it",
+     LLM "load b 9 0 4;request 1 /r/x m/x;begin 1;event 1 0;wait 1200;"
+         "event 1 1;end 1",
+     "1>a; 1:begin; 1:0; 1:1; 1:end; "},
+    {"a safe request is not failed for want of a second server",
+     PLAIN "load b 9 0 4;request 1 /s/x;wait 1000;reply 1 200",
+     "1>a; 1:200; 1:end; "},
+    {"a refused resumption waits for a server",
+     LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;lost 1;"
+         "notrun 1;wait 300;server c llm 4 m x@1;begin 1;event 1 1;end 1",
+     "1>a; 1:begin; 1:0; 1>b+0; 1>c+0; 1:1; 1:end; "},
     /* planned stops */
     {"a draining gateway goes on for a time",
      PLAIN "drain;request 1 /s/x;reply 1 200;wait 2000;request 2 /s/x;"
