End a stream for silence only where its server has been silent for two seconds

What callers saw: a stream of a sound server was broken off, or refused with 504, when its own last event was old and its server had sent nothing for 200 ms. With a record missing, streams ended after 2 s of silence, seconds before their callers would leave.

Cause: the bound by which new requests avoid a silent server (200 or 400 ms) also decided whether answers in progress end.

Why this works: the end of a stream now needs a silence of the whole server that a sound server does not reach, and its caller about to leave; a missing record alone, which leaving servers have too, ends nothing.

--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -169,10 +169,6 @@
 void KcForward_SetSilenceTimer(KcForward *forward);
 /* Handles that timer: retries, ends a stream, or sets it again. */
 void KcForward_OnSilenceTimer(KcForward *forward, KcTime now);
-/* Ends the attempts of streams at a server whose record is missing, if it has
- * been silent for so long that they must be lost. */
-void KcGateway_EndLostStreams(KcGateway *gateway, const KcServer *server,
-                              KcTime now);
 
 /* ---- answers (gateway_answer.c) ------------------------------------------ */
 
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -286,7 +286,6 @@
             continue;
         }
         any_missing = true;
-        KcGateway_EndLostStreams(gateway, server, now);
         if (now - server->missing_at < gateway->options.missing_timeout) {
             continue;
         }
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -1,9 +1,10 @@
 /*
  * Attempts whose server is silent.
  *
- * A request that may be repeated is retried at another server.  A stream that
- * may not is ended shortly before its caller would time out: otherwise a
- * frozen server would keep the work of callers that have disconnected.
+ * A request that may be repeated is retried at another server.  A stream is
+ * ended shortly before its caller would time out, if its server is taken to be
+ * lost: otherwise a frozen server would keep the work of callers that have
+ * disconnected.
  */
 #include "gateway_internal.h"
 
@@ -16,9 +17,8 @@
 /* A stream is ended this long before its caller would time out: covers the
  * round trip to the caller across regions, and delays in a busy gateway. */
 #define CALLER_TIMEOUT_MARGIN (250 * KC_MS)
-/* A server whose record is missing is taken to have lost its streams after
- * this silence, which is longer than an engine takes to read the longest
- * prompt. */
+/* A server is taken to be lost after this silence: longer than an engine takes
+ * to read the longest prompt, and than a sound server pauses. */
 #define LOST_SILENCE_MIN (2 * KC_SECOND)
 /* An overdue attempt is checked again at this interval. */
 #define SILENCE_CHECK_INTERVAL (100 * KC_MS)
@@ -107,42 +107,13 @@
     /* A stream may wait for its turn at a server that serves others. */
     bool is_silent =
         !is_stream(forward) || KcServer_IsSilent(forward->server, now);
+    bool is_lost =
+        KcServer_Silence(forward->server, now) >= LOST_SILENCE_MIN;
 
-    if (is_silent && ((now >= retry_at(forward) && can_retry(forward)) ||
-                      now >= end_stream_at(forward))) {
+    if ((is_silent && now >= retry_at(forward) && can_retry(forward)) ||
+        (is_lost && now >= end_stream_at(forward))) {
         cancel_silent_attempt(forward, now);
         return;
     }
     set_timer(forward, now + SILENCE_CHECK_INTERVAL);
 }
-
-/* Finds a stream with an attempt at the server; NULL when there is none. */
-static KcForward *
-find_stream(const KcGateway *gateway, const KcServer *server)
-{
-    KcForward *forward;
-
-    TAILQ_FOREACH (forward, &gateway->forwards, link) {
-        if (forward->attempt != NULL && forward->server == server &&
-            is_stream(forward)) {
-            return forward;
-        }
-    }
-    return NULL;
-}
-
-void
-KcGateway_EndLostStreams(KcGateway *gateway, const KcServer *server,
-                         KcTime now)
-{
-    KcForward *forward;
-
-    if (KcServer_Silence(server, now) < LOST_SILENCE_MIN) {
-        return;
-    }
-    /* Searches from the start each time, as ending one request may end others
-     * too. */
-    while ((forward = find_stream(gateway, server)) != NULL) {
-        cancel_silent_attempt(forward, now);
-    }
-}
