Keep an attempt at a silent server until another server takes its request

What callers saw: a resumable stream was broken off in the middle, and a safe request failed with 502 or 504, after a silence of 0.8 s or of three quarters of the objective, though the server went on a moment later.

Cause: the attempt was cancelled first and a place sought afterwards. With every other server full, without the adapter or refusing, the request could not wait either: the time for which it may queue counts from its arrival and was long over.

Why this works: the attempt is cancelled only when a server that is not failing would be sent the request in the same moment. Where only the adapter is missing, its load is requested meanwhile, and the request moves when it is loaded. A resumption that is refused all the same waits for as long as its caller does.

--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -224,14 +224,6 @@
     return home;
 }
 
-/* Should requests rather go to another server, if there is one? */
-static bool
-is_failing(const KcServer *server, KcTime now)
-{
-    return server->suspect_until > now || server->missing_at != 0 ||
-           KcServer_IsSilent(server, now);
-}
-
 /* Should another server take over some of this replica's requests? */
 static bool
 needs_further_replica(const KcForward *forward, const KcReplica *replica,
@@ -242,7 +234,8 @@
     return replica->version < replica->adapter->newest_version ||
            KcServer_Load(server, now) * 100 >
                server->concurrency_max * REPLICA_LOAD_MAX_PERCENT ||
-           KcServer_IsSlow(server, forward, now) || is_failing(server, now);
+           KcServer_IsSlow(server, forward, now) ||
+           KcServer_IsFailing(server, now);
 }
 
 /* Number of replicas with which a server gets no more requests for this
@@ -330,7 +323,7 @@
 
     choice->new_replica_server = find_new_replica_server(forward, best, now);
     if (best != NULL && !KcServer_IsFull(best->server, forward, now) &&
-        !(is_failing(best->server, now) &&
+        !(KcServer_IsFailing(best->server, now) &&
           choice->new_replica_server != NULL)) {
         choice->action = KC_CHOICE_SEND;
         choice->server = best->server;
--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -150,6 +150,13 @@
                                                            : SILENCE_MAX);
 }
 
+bool
+KcServer_IsFailing(const KcServer *server, KcTime now)
+{
+    return server->suspect_until > now || server->missing_at != 0 ||
+           KcServer_IsSilent(server, now);
+}
+
 /* ---- cost ---------------------------------------------------------------- */
 
 /* Tokens of the requests at the server, with this one, as a percentage of its
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -18,6 +18,9 @@
 /* After it did not load an adapter a server gets no load requests for this
  * long. */
 #define LOAD_REFUSED_DELAY (200 * KC_MS)
+/* Least time between load requests for an adapter whose requests are to leave
+ * their server. */
+#define MOVE_LOAD_INTERVAL (500 * KC_MS)
 /* Retry hint to a caller whose request did not run. */
 #define RETRY_AFTER (400 * KC_MS)
 /* Queued requests for which a server is sought when capacity may be free. */
@@ -302,12 +305,21 @@
     KcForward_SetTimer(forward, now + LOAD_TIMEOUT);
 }
 
+/* When a queued request is refused.  An answer that has begun is resumed as
+ * long as its caller waits for it. */
+static KcTime
+wait_until(const KcForward *forward)
+{
+    return forward->answer_begun ? KcForward_EndStreamAt(forward)
+                                 : forward->dispatch_until;
+}
+
 /* Queues the request, or fails it when it has waited or tried too long; code
  * is the error if no attempt has failed before. */
 static void
 enqueue_or_refuse(KcForward *forward, int code, KcTime now)
 {
-    if (now >= forward->dispatch_until ||
+    if (now >= wait_until(forward) ||
         forward->tried_count == KC_FORWARD_TRIED_MAX) {
         if (forward->error.code == 0) {
             KcError_Set(&forward->error, code, "choose", "");
@@ -319,7 +331,7 @@
         KcError_Set(&forward->error, code, "queue", "");
     }
     join_queue(forward);
-    KcForward_SetTimer(forward, forward->dispatch_until);
+    KcForward_SetTimer(forward, wait_until(forward));
 }
 
 /* Carries out a choice; false when its server cannot be reached. */
@@ -375,6 +387,29 @@
     }
 }
 
+bool
+KcForward_CanMove(KcForward *forward, KcTime now)
+{
+    uint32_t tried_count = forward->tried_count;
+    KcServer *load_server;
+    KcChoice choice;
+
+    if (tried_count == KC_FORWARD_TRIED_MAX) {
+        return false;
+    }
+    KcForward_NoteTried(forward, forward->server);
+    KcGateway_Choose(forward, now, &choice);
+    forward->tried_count = tried_count;
+    load_server = choice.action == KC_CHOICE_LOAD ? choice.server
+                                                  : choice.new_replica_server;
+    if (load_server != NULL &&
+        now - forward->adapter->load_requested_at >= MOVE_LOAD_INTERVAL) {
+        send_load_request(forward, load_server, now);
+    }
+    return choice.action == KC_CHOICE_SEND &&
+           !KcServer_IsFailing(choice.server, now);
+}
+
 void
 KcGateway_DispatchQueue(KcServerPool *pool, KcTime now)
 {
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -113,6 +113,8 @@
 KcTime KcServer_Silence(const KcServer *server, KcTime now);
 /* True when requests are in flight and the silence is too long. */
 bool KcServer_IsSilent(const KcServer *server, KcTime now);
+/* True when requests should rather go to another server, if there is one. */
+bool KcServer_IsFailing(const KcServer *server, KcTime now);
 
 /* ---- decisions (gateway_choose.c) ---------------------------------------- */
 
@@ -139,6 +141,9 @@
 
 /* Chooses a server for a request that has none, and carries that out. */
 void KcForward_Dispatch(KcForward *forward, KcTime now);
+/* True when a request that has an attempt could be sent to another server at
+ * once.  If it needs its adapter there, a load is requested. */
+bool KcForward_CanMove(KcForward *forward, KcTime now);
 /* Dispatches requests of the pool's queue, the most urgent first. */
 void KcGateway_DispatchQueue(KcServerPool *pool, KcTime now);
 /*
@@ -167,6 +172,9 @@
 
 /* Sets the timer that checks the attempt's server for silence. */
 void KcForward_SetSilenceTimer(KcForward *forward);
+/* When a stream must be ended, as its caller would time out soon after; of
+ * other requests the deadline. */
+KcTime KcForward_EndStreamAt(const KcForward *forward);
 /* Handles that timer: retries, ends a stream, or sets it again. */
 void KcForward_OnSilenceTimer(KcForward *forward, KcTime now);
 
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -1,7 +1,8 @@
 /*
  * Attempts whose server is silent.
  *
- * A request that may be repeated is retried at another server.  A stream is
+ * A request that may be repeated is retried at another server, once there is
+ * one that takes it: the silent one may still answer.  A stream is
  * ended shortly before its caller would time out, if its server is taken to be
  * lost: otherwise a frozen server would keep the work of callers that have
  * disconnected.
@@ -49,9 +50,8 @@
            rule->latency_objective * FIRST_BYTE_TIMEOUT_PERCENT / 100;
 }
 
-/* When a stream must be ended, as its caller would time out soon after. */
-static KcTime
-end_stream_at(const KcForward *forward)
+KcTime
+KcForward_EndStreamAt(const KcForward *forward)
 {
     if (!is_stream(forward) ||
         forward->rule->caller_silence_timeout <= CALLER_TIMEOUT_MARGIN) {
@@ -66,7 +66,7 @@
 set_timer(KcForward *forward, KcTime earliest)
 {
     KcTime retry = retry_at(forward);
-    KcTime end = end_stream_at(forward);
+    KcTime end = KcForward_EndStreamAt(forward);
     KcTime due = retry < end ? retry : end;
 
     KcForward_SetTimer(forward, due > earliest ? due : earliest);
@@ -94,11 +94,12 @@
 }
 
 static bool
-can_retry(const KcForward *forward)
+can_retry(KcForward *forward, KcTime now)
 {
     return forward->repeatable &&
            forward->possible_runs + 1 < forward->rule->attempts_max &&
-           KcRetryBudget_CanTake(&forward->pool->retry_budget);
+           KcRetryBudget_CanTake(&forward->pool->retry_budget) &&
+           KcForward_CanMove(forward, now);
 }
 
 void
@@ -107,11 +108,10 @@
     /* A stream may wait for its turn at a server that serves others. */
     bool is_silent =
         !is_stream(forward) || KcServer_IsSilent(forward->server, now);
-    bool is_lost =
-        KcServer_Silence(forward->server, now) >= LOST_SILENCE_MIN;
+    bool is_lost = KcServer_Silence(forward->server, now) >= LOST_SILENCE_MIN;
 
-    if ((is_silent && now >= retry_at(forward) && can_retry(forward)) ||
-        (is_lost && now >= end_stream_at(forward))) {
+    if ((is_silent && now >= retry_at(forward) && can_retry(forward, now)) ||
+        (is_lost && now >= KcForward_EndStreamAt(forward))) {
         cancel_silent_attempt(forward, now);
         return;
     }
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -821,6 +821,10 @@
     {"a safe request is not failed for want of a second server",
      PLAIN "load b 9 0 4;request 1 /s/x;wait 1000;reply 1 200",
      "1>a; 1:200; 1:end; "},
+    {"an adapter is loaded elsewhere before its stream leaves a silent server",
+     LLM "request 1 /r/x m/x;begin 1;event 1 0;wait 1200;report b x 1 loaded;"
+         "wait 100;begin 1;event 1 1;end 1",
+     "1>a; 1:begin; 1:0; ?b x@0; 1x; 1>b+0; 1:1; 1:end; "},
     {"a refused resumption waits for a server",
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;lost 1;"
          "notrun 1;wait 300;server c llm 4 m x@1;begin 1;event 1 1;end 1",
