Do not cancel a stream that has had all its events

Cause: an attempt at a silent server is cancelled when the request could be sent elsewhere, but whether its stream may still be continued was asked only after that. A stream that has had as many events as it may have, and whose server pauses before it ends the answer, was cancelled and then broken off.

Change: such a stream is not moved; it waits for its end as others do.

Evidence: the new case of test_gateway failed before: the trace ended with '1x; 1:broken' 0.8 s after the last event.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -6,10 +6,8 @@
 
 #include "gateway_internal.h"
 
-/* May the stream be continued at another server?  One that has had all the
- * events it may have should have ended: its server sent wrong ones. */
-static bool
-can_continue(const KcForward *forward)
+bool
+KcForward_CanContinue(const KcForward *forward)
 {
     return forward->rule->resumable &&
            (forward->events_max == 0 ||
@@ -25,7 +23,7 @@
                           .repeatable = forward->repeatable,
                           .may_have_run = forward->may_have_run,
                           .cancelled = now >= forward->deadline,
-                          .can_continue = can_continue(forward),
+                          .can_continue = KcForward_CanContinue(forward),
                           .part_delivered = forward->answer_begun,
                           .charge_refusals = true,
                           .attempts_max = forward->rule->attempts_max};
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -180,6 +180,10 @@
 
 /* ---- answers (gateway_answer.c) ------------------------------------------ */
 
+/* May the stream be continued at another server?  One that has had all the
+ * events it may have should have ended: its server sent wrong ones. */
+bool KcForward_CanContinue(const KcForward *forward);
+
 /* Ends an attempt without a complete answer: retries, or fails the request.
  * step is where it failed, static text. */
 void KcForward_RetryOrFinish(KcForward *forward, KcAttemptEnd end, int code,
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -97,6 +97,7 @@
 can_retry(KcForward *forward, KcTime now)
 {
     return forward->repeatable &&
+           (!forward->answer_begun || KcForward_CanContinue(forward)) &&
            forward->possible_runs + 1 < forward->rule->attempts_max &&
            KcRetryBudget_CanTake(&forward->pool->retry_budget) &&
            KcForward_CanMove(forward, now);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -829,6 +829,10 @@
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;lost 1;"
          "notrun 1;wait 300;server c llm 4 m x@1;begin 1;event 1 1;end 1",
      "1>a; 1:begin; 1:0; 1>b+0; 1>c+0; 1:1; 1:end; "},
+    {"a stream that has had all its events waits for its end",
+     LLM "server b llm 4 at=near m x@1;request 1 /r/x m/x 2;begin 1;"
+         "event 1 0;event 1 1;wait 1200;end 1",
+     "1>a; 1:begin; 1:0; 1:1; 1:end; "},
     /* planned stops */
     {"a draining gateway goes on for a time",
      PLAIN "drain;request 1 /s/x;reply 1 200;wait 2000;request 2 /s/x;"
