Count the end of a stream as a sign of life of its server

Cause: the end of a stream did not update the time of the server's last byte, unlike its events and whole answers. A server whose only recent byte was such an end counted as silent for longer than it had been, and as lost after two seconds: another stream there was ended 0.6 s after it.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -182,6 +182,7 @@
 KcForward_OnStreamEnd(KcForward *forward, KcTime now)
 {
     assert(forward->attempt != NULL);
+    forward->server->last_activity_at = now;
     start_caller_stream(forward, now);
     KcServer_NoteSuccess(forward->server);
     KcForward_ReleaseServer(forward);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -829,6 +829,10 @@
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;lost 1;"
          "notrun 1;wait 300;server c llm 4 m x@1;begin 1;event 1 1;end 1",
      "1>a; 1:begin; 1:0; 1>b+0; 1>c+0; 1:1; 1:end; "},
+    {"the end of a stream is a sign of life of its server",
+     LLM "request 1 /t/x m/x;request 2 /t/x m/x;begin 1;event 1 0;begin 2;"
+         "event 2 0;wait 1800;end 2;wait 1050;event 1 1;end 1",
+     "1>a; 2>a; 1:begin; 1:0; 2:begin; 2:0; 2:end; 1:1; 1:end; "},
     {"a stream that has had all its events waits for its end",
      LLM "server b llm 4 at=near m x@1;request 1 /r/x m/x 2;begin 1;"
          "event 1 0;event 1 1;wait 1200;end 1",
