Give each cluster of the tests a network that no other one has

Cause: the network of a cluster was its process id modulo 100. At 04:59:55 a second cluster with 127.223 started on the machine ('cannot listen on 127.223.0.1:9100') and wrote its configuration, version 1, into the store of the first; the gateway's log shows 'configuration read' with generation 17 and then 1. Ruled out: the load on the machine (eight runs of the case, four at once, at a load of 19, took 14.6 to 16.7 s each for two waits of 16 s and passed).

Why this works: a listening socket at an address of the network that no process of a cluster has is the reservation; it ends with the process, and a taken network is passed over. No check or bound has changed.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -499,6 +499,31 @@
     }
 }
 
+uint8_t
+GatewayCluster_ReserveNetwork(uint8_t first, uint8_t last)
+{
+    int count = last - first + 1;
+
+    for (int i = 0; i < count; i++) {
+        uint8_t octet = (uint8_t)(first + (getpid() + i) % count);
+        struct sockaddr_in address = {
+            .sin_family = AF_INET,
+            .sin_port = htons(GATEWAY_CLUSTER_HTTP_PORT),
+            /* No process of a cluster has this address. */
+            .sin_addr.s_addr = htonl(0x7f00ff01U | (uint32_t)octet << 16)};
+        /* Stays open: it is the reservation. */
+        int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+        if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
+            listen(fd, 1) == 0) {
+            return octet;
+        }
+        close(fd);
+    }
+    fprintf(stderr, "no free network from 127.%d to 127.%d\n", first, last);
+    exit(1);
+}
+
 GatewayCluster *
 GatewayCluster_Start(const GatewayClusterOptions *options)
 {
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -42,6 +42,12 @@
 
 typedef struct GatewayCluster GatewayCluster;
 
+/*
+ * Reserves a network_octet from first to last that no other process has
+ * reserved, until this process ends.  Exits when there is none.
+ */
+uint8_t GatewayCluster_ReserveNetwork(uint8_t first, uint8_t last);
+
 /*
  * Starts every process, writes configuration version 1 and, without proxies,
  * waits until the gateways are ready; prints those that are not after 10 s.
--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -777,13 +777,12 @@
 int
 main(int argc, char **argv)
 {
-    /* Concurrent runs on a machine use different networks. */
-    GatewayClusterOptions options = {.network_octet =
-                                         (uint8_t)(128 + getpid() % 100),
-                                     .llm_workers = 2,
-                                     .plain_workers = 2,
-                                     .gateways = 2,
-                                     .seed = 7};
+    GatewayClusterOptions options = {
+        .network_octet = GatewayCluster_ReserveNetwork(128, 227),
+        .llm_workers = 2,
+        .plain_workers = 2,
+        .gateways = 2,
+        .seed = 7};
     int status;
 
     g_test_init(&argc, &argv, NULL);
