Let a refused resumption wait for the retry budget and be offered again

Cause: an answer that has begun was broken off at once when a server refused its resumption and the retry budget was empty, or when six servers had refused it. After a refusal by every server it waited for as long as its caller, but no server was asked again, not even one that had gone on.

Change: such a request waits in the queue until its caller leaves. Every 400 ms, the hint that callers get too, its list of tried servers is forgotten. What the budget did not pay at the refusal is taken before the next attempt, so BUDGET counts as before.

Evidence: three cases of test_gateway. The first two ended with '1:broken' at the refusal; in the third there was no second attempt. Requests whose answer has not begun are refused as before.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -14,6 +14,17 @@
             forward->event_count < forward->events_max);
 }
 
+/* May a refused request wait for the retry budget?  Only an answer that has
+ * begun does: any other caller can repeat its request. */
+static bool
+may_await_budget(const KcForward *forward, KcAttemptEnd end, KcTime now)
+{
+    return end == KC_ATTEMPT_REFUSED && forward->answer_begun &&
+           KcForward_CanContinue(forward) &&
+           forward->possible_runs < forward->rule->attempts_max &&
+           now < forward->deadline;
+}
+
 void
 KcForward_RetryOrFinish(KcForward *forward, KcAttemptEnd end, int code,
                         const char *step, KcTime now)
@@ -46,6 +57,11 @@
         KcForward_FinishFailed(forward, false, now);
         break;
     case KC_RETRY_UNKNOWN:
+        if (may_await_budget(forward, end, now)) {
+            forward->owes_retry = true;
+            KcForward_AwaitPlace(forward, now);
+            break;
+        }
         KcForward_FinishFailed(forward, true, now);
         break;
     }
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -21,6 +21,8 @@
 /* Least time between load requests for an adapter whose requests are to leave
  * their server. */
 #define MOVE_LOAD_INTERVAL (500 * KC_MS)
+/* Interval at which a place is sought again for an answer that has begun. */
+#define RESUME_RETRY_INTERVAL (400 * KC_MS)
 /* Retry hint to a caller whose request did not run. */
 #define RETRY_AFTER (400 * KC_MS)
 /* Queued requests for which a server is sought when capacity may be free. */
@@ -314,13 +316,27 @@
                                  : forward->dispatch_until;
 }
 
+/* When the timer of a queued request is due: of an answer that has begun, when
+ * servers that refused it are asked again. */
+static KcTime
+next_queue_check(const KcForward *forward, KcTime now)
+{
+    KcTime end = wait_until(forward);
+
+    if (forward->answer_begun && now + RESUME_RETRY_INTERVAL < end) {
+        return now + RESUME_RETRY_INTERVAL;
+    }
+    return end;
+}
+
 /* Queues the request, or fails it when it has waited or tried too long; code
  * is the error if no attempt has failed before. */
 static void
 enqueue_or_refuse(KcForward *forward, int code, KcTime now)
 {
     if (now >= wait_until(forward) ||
-        forward->tried_count == KC_FORWARD_TRIED_MAX) {
+        (forward->tried_count == KC_FORWARD_TRIED_MAX &&
+         !forward->answer_begun)) {
         if (forward->error.code == 0) {
             KcError_Set(&forward->error, code, "choose", "");
         }
@@ -331,7 +347,13 @@
         KcError_Set(&forward->error, code, "queue", "");
     }
     join_queue(forward);
-    KcForward_SetTimer(forward, wait_until(forward));
+    KcForward_SetTimer(forward, next_queue_check(forward, now));
+}
+
+void
+KcForward_AwaitPlace(KcForward *forward, KcTime now)
+{
+    enqueue_or_refuse(forward, KC_ERR_BUSY, now);
 }
 
 /* Carries out a choice; false when its server cannot be reached. */
@@ -340,6 +362,12 @@
 {
     switch (choice->action) {
     case KC_CHOICE_SEND:
+        if (forward->owes_retry &&
+            !KcRetryBudget_Take(&forward->pool->retry_budget)) {
+            enqueue_or_refuse(forward, KC_ERR_BUSY, now);
+            return true;
+        }
+        forward->owes_retry = false;
         return begin_attempt(forward, choice, now);
     case KC_CHOICE_LOAD:
         if (!send_load_request(forward, choice->server, now)) {
@@ -574,7 +602,13 @@
     }
     switch (forward->state) {
     case KC_FORWARD_QUEUED:
-        KcForward_FinishFailed(forward, forward->may_have_run, now);
+        if (now >= wait_until(forward)) {
+            KcForward_FinishFailed(forward, forward->may_have_run, now);
+            break;
+        }
+        /* A server that refused may have capacity by now. */
+        forward->tried_count = 0;
+        KcForward_Dispatch(forward, now);
         break;
     case KC_FORWARD_LOADING:
         /* Try another server; this one may be unreachable or overloaded. */
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -144,6 +144,9 @@
 /* True when a request that has an attempt could be sent to another server at
  * once.  If it needs its adapter there, a load is requested. */
 bool KcForward_CanMove(KcForward *forward, KcTime now);
+/* Queues a request whose attempt was refused, or fails it when it has waited
+ * too long. */
+void KcForward_AwaitPlace(KcForward *forward, KcTime now);
 /* Dispatches requests of the pool's queue, the most urgent first. */
 void KcGateway_DispatchQueue(KcServerPool *pool, KcTime now);
 /*
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -155,6 +155,7 @@
     uint32_t possible_runs;    /* ended attempts that may have run */
     struct KcServer *tried_servers[KC_FORWARD_TRIED_MAX];
     uint32_t tried_count;
+    bool owes_retry;         /* the next attempt takes from the retry budget */
     bool has_first_event;    /* an event of the attempt's stream has arrived */
     bool may_have_run;       /* an earlier attempt may have run */
     bool answer_begun;       /* the caller has the head of an answer */
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -837,6 +837,21 @@
      LLM "server b llm 4 at=near m x@1;request 1 /r/x m/x 2;begin 1;"
          "event 1 0;event 1 1;wait 1200;end 1",
      "1>a; 1:begin; 1:0; 1:1; 1:end; "},
+    {"a refused resumption waits for the retry budget",
+     LLM "server b llm 4 m x@1;gateways 20;request 1 /r/x m/x;begin 1;"
+         "event 1 0;wait 900;notrun 1;wait 500;request 2 /t/x m/x;"
+         "request 3 /t/x m/x;request 4 /t/x m/x;request 5 /t/x m/x;"
+         "request 6 /t/x m/x;wait 300;begin 1;event 1 1;end 1",
+     "1>a; 1:begin; 1:0; 1x; 1>b+0; 2>b; 3>b; 4>b; 5>b; 6>a; 1>a+0; 1:1; "
+     "1:end; "},
+    {"a refused resumption is not sent beyond the budget",
+     LLM "server b llm 4 m x@1;gateways 20;request 1 /r/x m/x;begin 1;"
+         "event 1 0;wait 900;notrun 1;wait 1800;inforce;wait 100",
+     "1>a; 1:begin; 1:0; 1x; 1>b+0; v1; 1:broken; "},
+    {"a resumption that all servers refused is offered again",
+     LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;lost 1;"
+         "notrun 1;wait 300;inforce;wait 200;begin 1;event 1 1;end 1",
+     "1>a; 1:begin; 1:0; 1>b+0; v1; 1>b+0; 1:1; 1:end; "},
     /* planned stops */
     {"a draining gateway goes on for a time",
      PLAIN "drain;request 1 /s/x;reply 1 200;wait 2000;request 2 /s/x;"
