Take no silence for a server's until what came in a pause is read

Cause: the loop runs timers before it reads sockets. After this process was paused, the timer of an attempt could be run before the one that detects the pause, and saw a silence that was the process's own; an attempt of a safe request was not compared with the silence at all. Answers that had arrived meanwhile were cancelled: streams broken off or moved, safe requests sent twice.

--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -42,6 +42,16 @@
     }
 }
 
+bool
+KcGateway_HasPaused(const KcGateway *gateway, KcTime now)
+{
+    const KcTimer *timer = &gateway->pause_timer;
+
+    return (timer->is_set && now - timer->due_at > PAUSE_MIN) ||
+           (gateway->last_pause_at != 0 &&
+            now - gateway->last_pause_at < PAUSE_CHECK_INTERVAL);
+}
+
 void
 KcGatewayOptions_Init(KcGatewayOptions *options)
 {
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -39,6 +39,9 @@
 
 /* Starts to detect pauses of this process, until no request is in flight. */
 void KcGateway_DetectPauses(KcGateway *gateway, KcTime now);
+/* True just after a pause of this process, in whatever order timers are run:
+ * what its servers sent meanwhile may not have been read yet. */
+bool KcGateway_HasPaused(const KcGateway *gateway, KcTime now);
 
 /* ---- adapters (gateway_adapters.c) --------------------------------------- */
 
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -111,6 +111,10 @@
         !is_stream(forward) || KcServer_IsSilent(forward->server, now);
     bool is_lost = KcServer_Silence(forward->server, now) >= LOST_SILENCE_MIN;
 
+    if (KcGateway_HasPaused(forward->gateway, now)) {
+        set_timer(forward, now + SILENCE_CHECK_INTERVAL);
+        return;
+    }
     if ((is_silent && now >= retry_at(forward) && can_retry(forward, now)) ||
         (is_lost && now >= KcForward_EndStreamAt(forward))) {
         cancel_silent_attempt(forward, now);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -29,6 +29,7 @@
  *   nokeeper SERVER, nosend SERVER     the keeper or server is unreachable
  *   gateways N              number of gateways that share the retry budget
  *   drain, wait MS
+ *   pause MS                the gateway's process stands still
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
  * after event 5, "1x" attempt cancelled, "?a x@2" load request to a's keeper,
@@ -504,6 +505,13 @@
     }
 }
 
+static void
+step_pause(Fixture *fixture, char **words)
+{
+    fixture->now += atoi(words[1]) * KC_MS;
+    KcTimers_Run(fixture->timers, fixture->now);
+}
+
 static const StepHandler step_handlers[] = {
     {"config", step_config},
     {"inforce", step_in_force},
@@ -529,6 +537,7 @@
     {"gateways", step_gateway_count},
     {"drain", step_drain},
     {"wait", step_wait},
+    {"pause", step_pause},
 };
 
 /* ---- cases -------------------------------------------------------------- */
@@ -852,6 +861,21 @@
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;lost 1;"
          "notrun 1;wait 300;inforce;wait 200;begin 1;event 1 1;end 1",
      "1>a; 1:begin; 1:0; 1>b+0; v1; 1>b+0; 1:1; 1:end; "},
+    /* pauses of this process: what its servers sent is not read yet */
+    {"a safe request is not sent again for a pause of this process",
+     PLAIN "request 1 /s/x;wait 700;pause 200;reply 1 200",
+     "1>a; 1:200; 1:end; "},
+    {"a safe request is sent again some time after a pause of this process",
+     PLAIN "request 1 /s/x;wait 700;pause 200;wait 200;reply 1 200",
+     "1>a; 1x; 1>b; 1:200; 1:end; "},
+    {"a stream is not resumed elsewhere for a pause of this process",
+     LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;wait 50;event 1 0;"
+         "wait 750;pause 200;event 1 1;end 1",
+     "1>a; 1:begin; 1:0; 1:1; 1:end; "},
+    {"a stream is not broken for a pause of this process",
+     LLM "request 1 /t/x m/x;begin 1;event 1 0;wait 2710;pause 200;event 1 1;"
+         "end 1",
+     "1>a; 1:begin; 1:0; 1:1; 1:end; "},
     /* planned stops */
     {"a draining gateway goes on for a time",
      PLAIN "drain;request 1 /s/x;reply 1 200;wait 2000;request 2 /s/x;"
