Ask a silent server for a sign of life before its streams are ended

What callers saw: a stream that waited in the queue of a busy, sound server was ended with 504, or broken off when it had been resumed there, 250 ms before its caller would have left.

Cause: a gateway that has only waiting streams at a server hears nothing from it, so two seconds of silence say nothing about the server. Nothing told it from a frozen one, whose runs outlive their callers if its streams are not ended.

The cases of test_gateway 'a stream waits on at a silent server that answers a check' and 'an answer to a check counts for two seconds' could not pass before, as nothing was asked.

Why this works: from two seconds before a stream would be ended, a server without a sign of life for half a second is asked for its report, which it gives without a free place. An answer, also a late one, counts as a sign of life for two seconds; a frozen or unreachable server gives none. At most one check of a server is unanswered.

--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -75,6 +75,8 @@
     [KC_COUNT_SILENT_ATTEMPTS] =
         {"kcc_silent_attempts_total",
          "Attempts cancelled because their server was silent."},
+    [KC_COUNT_CHECKS] = {"kcc_server_checks_total",
+                         "Silent servers asked for a sign of life."},
     [KC_COUNT_EARLY_REFUSALS] =
         {"kcc_early_refusals_total",
          "Requests refused before they were received completely."},
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -178,6 +178,7 @@
     server->failure_ewma = 0;
     server->first_byte_ewma = 0;
     server->suspect_until = 0;
+    server->alive_at = 0;
     gateway->options.ops->close_connections(gateway->options.context, server);
 }
 
@@ -351,6 +352,12 @@
     }
 }
 
+void
+KcGateway_OnServerAlive(KcServer *server, KcTime now)
+{
+    server->alive_at = now;
+}
+
 void
 KcServer_NoteSuccess(KcServer *server)
 {
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -18,9 +18,14 @@
 /* A stream is ended this long before its caller would time out: covers the
  * round trip to the caller across regions, and delays in a busy gateway. */
 #define CALLER_TIMEOUT_MARGIN (250 * KC_MS)
-/* A server is taken to be lost after this silence: longer than an engine takes
- * to read the longest prompt, and than a sound server pauses. */
+/* A server is taken to be lost when it has given no sign of life for this
+ * long: longer than an engine takes to read the longest prompt, and than a
+ * sound server pauses. */
 #define LOST_SILENCE_MIN (2 * KC_SECOND)
+/* A server that has given no sign of life for this long is asked for one, from
+ * LOST_SILENCE_MIN before a stream there must be ended: one that has only
+ * waiting streams of this gateway is silent, however sound it is. */
+#define CHECK_SILENCE_MIN (500 * KC_MS)
 /* An overdue attempt is checked again at this interval. */
 #define SILENCE_CHECK_INTERVAL (100 * KC_MS)
 
@@ -61,13 +66,21 @@
            CALLER_TIMEOUT_MARGIN;
 }
 
+/* When it begins to matter whether the server lives. */
+static KcTime
+check_server_at(const KcForward *forward)
+{
+    return KcForward_EndStreamAt(forward) -
+           (is_stream(forward) ? LOST_SILENCE_MIN : 0);
+}
+
 /* Sets the timer to the next of these times, but not before earliest. */
 static void
 set_timer(KcForward *forward, KcTime earliest)
 {
     KcTime retry = retry_at(forward);
-    KcTime end = KcForward_EndStreamAt(forward);
-    KcTime due = retry < end ? retry : end;
+    KcTime check = check_server_at(forward);
+    KcTime due = retry < check ? retry : check;
 
     KcForward_SetTimer(forward, due > earliest ? due : earliest);
 }
@@ -103,22 +116,41 @@
            KcForward_CanMove(forward, now);
 }
 
+/* Time since the server's last byte or its last answer to a check. */
+static KcTime
+time_without_sign(const KcServer *server, KcTime now)
+{
+    KcTime silence = KcServer_Silence(server, now);
+
+    if (server->alive_at != 0 && now - server->alive_at < silence) {
+        return now - server->alive_at;
+    }
+    return silence;
+}
+
 void
 KcForward_OnSilenceTimer(KcForward *forward, KcTime now)
 {
+    const KcGatewayOptions *options = &forward->gateway->options;
+    KcTime silence = time_without_sign(forward->server, now);
+
     /* A stream may wait for its turn at a server that serves others. */
     bool is_silent =
         !is_stream(forward) || KcServer_IsSilent(forward->server, now);
-    bool is_lost = KcServer_Silence(forward->server, now) >= LOST_SILENCE_MIN;
 
     if (KcGateway_HasPaused(forward->gateway, now)) {
         set_timer(forward, now + SILENCE_CHECK_INTERVAL);
         return;
     }
     if ((is_silent && now >= retry_at(forward) && can_retry(forward, now)) ||
-        (is_lost && now >= KcForward_EndStreamAt(forward))) {
+        (silence >= LOST_SILENCE_MIN &&
+         now >= KcForward_EndStreamAt(forward))) {
         cancel_silent_attempt(forward, now);
         return;
     }
+    if (is_stream(forward) && now >= check_server_at(forward) &&
+        silence >= CHECK_SILENCE_MIN) {
+        options->ops->check_server(options->context, forward->server);
+    }
     set_timer(forward, now + SILENCE_CHECK_INTERVAL);
 }
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -93,6 +93,8 @@
     KcTime load_reported_at;   /* when it last reported its load; 0: never */
     KcTime last_activity_at;   /* last byte of an answer; or the start of the
                                 * first attempt since none was in flight */
+    KcTime alive_at; /* last answer to a check, see KcGateway_OnServerAlive();
+                      * 0: none */
     uint32_t consecutive_failures; /* not connected or lost, in a row */
     double failure_ewma;           /* fraction of attempts that failed */
     KcTime last_failure_at;        /* failure_ewma fades from then on */
@@ -196,6 +198,10 @@
     void (*cancel_attempt)(void *context, void *attempt);
     /* Sends a load request; false when the keeper cannot be reached. */
     bool (*request_load)(void *context, const KcLoadRequest *request);
+    /* Asks a silent server for a sign of life; nothing happens while an
+     * earlier check is unanswered.  Its answer goes to
+     * KcGateway_OnServerAlive(). */
+    void (*check_server)(void *context, KcServer *server);
     /* A server did not know the request's model or itself: the records of the
      * servers may be out of date, and are to be read soon. */
     void (*refresh_servers)(void *context);
@@ -293,6 +299,9 @@
 /* The connection to a server's keeper was lost or could not be made. */
 void KcGateway_OnKeeperLost(KcGateway *gateway, KcServer *server, KcTime now);
 
+/* A server has answered a check: it lives, whatever became of its requests. */
+void KcGateway_OnServerAlive(KcServer *server, KcTime now);
+
 /*
  * Takes the load that a server reported with an answer, counted in requests of
  * all gateways; concurrency_max is 0 when it did not report that.
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -54,6 +54,7 @@
     KC_COUNT_TOKENS,            /* tokens delivered */
     KC_COUNT_WRONG_MODEL,       /* answers that named another model */
     KC_COUNT_SILENT_ATTEMPTS,   /* attempts cancelled, the server was silent */
+    KC_COUNT_CHECKS,            /* silent servers asked for a sign of life */
     KC_COUNT_EARLY_REFUSALS,    /* requests refused before they were read */
     KC_COUNT_IDLE_CLOSES,       /* callers' connections closed while idle */
     KC_COUNTER_COUNT
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../request/http_call.h"
 #include "gateway_role_internal.h"
 
 /* Shortest interval between reports of uses to the keepers. */
@@ -25,6 +26,14 @@
 /* Comments and events without an id that one attempt passes on. */
 #define UNNUMBERED_EVENTS_MAX 1024
 
+/*
+ * How long a server may take to answer a check. It may be late, as a pause of
+ * a sound server lasts at most about this long.
+ */
+#define CHECK_TIMEOUT (2 * KC_SECOND)
+/* Largest answer to a check. */
+#define CHECK_ANSWER_BYTES_MAX ((size_t)64 * 1024)
+
 /* Least interval between reads of the servers that requests cause. */
 #define SERVERS_REFRESH_INTERVAL (300 * KC_MS)
 
@@ -39,6 +48,7 @@
     struct GatewayRole *role;
     KcServer *server;
     KcHttpConnectionPool *http_pool;
+    KcHttpCall *check;                  /* unanswered; NULL: none */
     KcTcpConnection *keeper_connecting; /* until on_ready(), else NULL */
     KcLink *keeper_link;                /* NULL when not connected */
     KcTime keeper_retry_at;
@@ -86,6 +96,10 @@
         return;
     }
     drop_pending_load_requests(connections);
+    if (connections->check != NULL) {
+        KcHttpCall_Cancel(connections->check);
+        connections->check = NULL;
+    }
     if (connections->keeper_connecting != NULL) {
         KcTcpConnection_Close(connections->keeper_connecting);
     }
@@ -285,6 +299,40 @@
                  KcLoop_Now());
 }
 
+static void
+on_check_done(void *context, int status, const char *reported_value,
+              KcBytes body)
+{
+    ServerConnections *connections = context;
+
+    (void)reported_value;
+    (void)body;
+    connections->check = NULL;
+    if (status != 0) {
+        KcGateway_OnServerAlive(connections->server, KcLoop_Now());
+    }
+}
+
+static void
+check_server(void *context, KcServer *server)
+{
+    GatewayRole *role = context;
+    ServerConnections *connections = get_or_create_connections(role, server);
+    KcHttpCallOptions options = {
+        .loop = role->common.loop,
+        .address = server->address,
+        .method = "GET",
+        .path = role->platform->status_path,
+        .progress_timeout = CHECK_TIMEOUT,
+        .limits = {.body_bytes_max = CHECK_ANSWER_BYTES_MAX}};
+
+    if (connections->check == NULL) {
+        KcCounters_Add(&role->common.counters, KC_COUNT_CHECKS, 1);
+        connections->check =
+            KcHttpCall_Fetch(&options, on_check_done, connections);
+    }
+}
+
 static void
 cancel_attempt(void *context, void *attempt)
 {
@@ -334,6 +382,6 @@
         (int)load_age_ms);
 }
 
-const KcGatewayOps KcGatewayRole_Ops = {start_attempt,     cancel_attempt,
-                                        send_load_request, refresh_servers,
-                                        forget_server,     log_request};
+const KcGatewayOps KcGatewayRole_Ops = {
+    start_attempt,   cancel_attempt, send_load_request, check_server,
+    refresh_servers, forget_server,  log_request};
--- a/programs/process/platform.h
+++ b/programs/process/platform.h
@@ -77,6 +77,9 @@
                        KcError *err);
     int (*read_version)(const void *body, KcReplicaInfo *version,
                         KcError *err);
+    /* Path at which a model server answers a GET without waiting for a place,
+     * as long as it lives. */
+    const char *status_path;
     /* The engine of a keeper; closed with close_engine. */
     KcEngineClient *(*open_engine)(const KcEngineOptions *options);
     void (*close_engine)(KcEngineClient *engine);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -28,14 +28,16 @@
  *   load SERVER RUNNING WAITING CONCURRENCY_MAX
  *   nokeeper SERVER, nosend SERVER     the keeper or server is unreachable
  *   gateways N              number of gateways that share the retry budget
+ *   checks                  traces checks of servers from now on
+ *   alive SERVER            the server answers a check
  *   drain, wait MS
  *   pause MS                the gateway's process stands still
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
  * after event 5, "1x" attempt cancelled, "?a x@2" load request to a's keeper,
- * "refresh" the servers' records are to be read;
- * "1:begin", "1:200", "1:7" (an event), "1:end", "1:broken", "1:not run CODE",
- * "1:unknown CODE" what the caller gets.
+ * "check a" a is asked for a sign of life, "refresh" the servers' records are
+ * to be read; "1:begin", "1:200", "1:7" (an event), "1:end", "1:broken",
+ * "1:not run CODE", "1:unknown CODE" what the caller gets.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -64,6 +66,8 @@
     KcTime now;
     uint64_t revision;
     Caller callers[REQUEST_COUNT_MAX];
+    bool traces_checks;        /* checks of servers are traced */
+    bool is_checking;          /* a check is unanswered */
     char no_keeper_server[16]; /* its keeper is unreachable */
     char no_send_server[16];   /* no attempt can be sent to it */
 };
@@ -113,6 +117,18 @@
     return true;
 }
 
+static void
+check_server(void *context, KcServer *server)
+{
+    Fixture *fixture = context;
+
+    /* As the program, not again while a check is unanswered. */
+    if (fixture->traces_checks && !fixture->is_checking) {
+        fixture->is_checking = true;
+        g_string_append_printf(fixture->trace, "check %s; ", server->id);
+    }
+}
+
 static void
 refresh_servers(void *context)
 {
@@ -133,9 +149,9 @@
     g_assert_nonnull(record->outcome);
 }
 
-static const KcGatewayOps gateway_ops = {start_attempt,     cancel_attempt,
-                                         request_load,      refresh_servers,
-                                         close_connections, record_request};
+static const KcGatewayOps gateway_ops = {
+    start_attempt,   cancel_attempt,    request_load,  check_server,
+    refresh_servers, close_connections, record_request};
 
 static void
 on_answer_begin(void *context, const void *head, bool stream)
@@ -486,6 +502,21 @@
                               fixture->now);
 }
 
+static void
+step_checks(Fixture *fixture, char **words)
+{
+    (void)words;
+    fixture->traces_checks = true;
+}
+
+static void
+step_alive(Fixture *fixture, char **words)
+{
+    fixture->is_checking = false;
+    KcGateway_OnServerAlive(KcGateway_FindServer(fixture->gateway, words[1]),
+                            fixture->now);
+}
+
 static void
 step_drain(Fixture *fixture, char **words)
 {
@@ -535,6 +566,8 @@
     {"nokeeper", step_no_keeper},
     {"nosend", step_no_send},
     {"gateways", step_gateway_count},
+    {"checks", step_checks},
+    {"alive", step_alive},
     {"drain", step_drain},
     {"wait", step_wait},
     {"pause", step_pause},
@@ -838,6 +871,20 @@
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;lost 1;"
          "notrun 1;wait 300;server c llm 4 m x@1;begin 1;event 1 1;end 1",
      "1>a; 1:begin; 1:0; 1>b+0; 1>c+0; 1:1; 1:end; "},
+    {"a stream waits on at a silent server that answers a check",
+     LLM
+     "checks;request 1 /t/x m/x;wait 800;alive a;wait 1400;alive a;wait 700;"
+     "begin 1;event 1 0;end 1",
+     "1>a; check a; check a; check a; 1:begin; 1:0; 1:end; "},
+    {"a server that answers others is not checked",
+     LLM "checks;request 1 /t/x m/x;request 2 /t/x m/x;begin 2;wait 700;"
+         "event 2 0;wait 300;event 2 1;wait 300;event 2 2;wait 300;end 2;"
+         "begin 1;event 1 0;end 1",
+     "1>a; 2>a; 2:begin; 2:0; 2:1; 2:2; 2:end; 1:begin; 1:0; 1:end; "},
+    {"an answer to a check counts for two seconds",
+     LLM
+     "checks;request 1 /t/x m/x;wait 800;alive a;wait 1900;inforce;wait 200",
+     "1>a; check a; check a; v1; 1x; 1:unknown deadline_exceeded; "},
     {"the end of a stream is a sign of life of its server",
      LLM "request 1 /t/x m/x;request 2 /t/x m/x;begin 1;event 1 0;begin 2;"
          "event 2 0;wait 1800;end 2;wait 1050;event 1 1;end 1",
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -301,6 +301,13 @@
     return false;
 }
 
+static void
+check_server(void *context, KcServer *checked)
+{
+    (void)context;
+    (void)checked;
+}
+
 static void
 refresh_servers(void *context)
 {
@@ -402,9 +409,9 @@
 static void
 read_worker_answer(Reading *reading)
 {
-    static const KcGatewayOps ops = {start_attempt,     cancel_attempt,
-                                     request_load,      refresh_servers,
-                                     close_connections, record_request};
+    static const KcGatewayOps ops = {
+        start_attempt,   cancel_attempt,    request_load,  check_server,
+        refresh_servers, close_connections, record_request};
     KcForwardCall call = {.id = "this-request",
                           .host = "h",
                           .path = "/r/x",
