Take from servers' answers that they leave or ask to wait

A backend server can say with any answer that it leaves, and with a refusal that it wants no requests for a while. Both become facts about the server: leaving_by_answer, which ends only with a later instance, and closed_until, after which requests come back one by one. The choice of a server, queued requests, those that wait for a load and those whose connection is still being made follow them.

--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -80,6 +80,15 @@
          "Requests refused before they were received completely."},
     [KC_COUNT_IDLE_CLOSES] = {"kcc_idle_closes_total",
                               "Callers' connections closed while idle."},
+    [KC_COUNT_LEAVING_NOTICES] =
+        {"kcc_leaving_notices_total",
+         "Backend servers that said that they leave."},
+    [KC_COUNT_WAIT_NOTICES] =
+        {"kcc_wait_notices_total",
+         "Answers of backend servers that asked to wait."},
+    [KC_COUNT_UNREAD_NOTICES] =
+        {"kcc_unread_notices_total",
+         "Answers with a notice that was not readable."},
 };
 
 const char *
--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -30,11 +30,19 @@
                           .charge_refusals = true,
                           .attempts_max = forward->rule->attempts_max};
     bool ran = end == KC_ATTEMPT_FAILED || end == KC_ATTEMPT_LOST;
+    bool is_withdrawn = end == KC_ATTEMPT_NEVER_SENT &&
+                        (code == KC_ERR_LEAVING || code == KC_ERR_BUSY);
 
     KcError_Set(&forward->error, code, step, server->id);
-    KcServer_NoteFailure(server, end, now);
+    if (!is_withdrawn) {
+        KcServer_NoteFailure(server, end, now);
+    }
     KcForward_ReleaseServer(forward);
-    KcForward_NoteTried(forward, server);
+    /* Of a server that is closed it is known when to try it again. */
+    if (!is_withdrawn &&
+        (end != KC_ATTEMPT_REFUSED || KcServer_TakesRequests(server, now))) {
+        KcForward_NoteTried(forward, server);
+    }
     forward->possible_runs += ran ? 1 : 0;
     input.attempt_count = forward->possible_runs;
     switch (KcRetry_Decide(&input, &forward->pool->retry_budget)) {
@@ -100,6 +108,7 @@
 
     assert(forward->attempt != NULL);
     forward->server->last_activity_at = now;
+    KcServer_NoteAnswer(forward->server, forward, now);
     if (reply->not_run) {
         on_not_run(forward, reply, now);
         return;
@@ -135,6 +144,7 @@
 {
     assert(forward->attempt != NULL && !reply->not_run);
     forward->server->last_activity_at = now;
+    KcServer_NoteAnswer(forward->server, forward, now);
     forward->state = KC_FORWARD_STREAMING;
     forward->stream_head = reply->head;
 }
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -35,12 +35,108 @@
 
 /* May the request be sent to the server, or wait for a load there? */
 static bool
-is_eligible(const KcForward *forward, const KcServer *server)
+is_eligible(const KcForward *forward, const KcServer *server, KcTime now)
 {
-    return !server->leaving && !server->leaving_by_keeper &&
+    return KcServer_TakesRequests(server, now) &&
            !KcForward_HasTried(forward, server);
 }
 
+/* Does the server hold the adapter's base model? */
+static bool
+has_base_model(const KcServer *server, const char *model)
+{
+    const KcReplica *replica;
+
+    TAILQ_FOREACH (replica, &server->replicas, server_link) {
+        if (replica->adapter->name[0] == '\0' && !replica->dropped &&
+            !replica->loading && strcmp(replica->adapter->model, model) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Is the adapter's base model at any server that is not leaving? */
+static bool
+is_base_model_held(const KcForward *forward)
+{
+    const KcServer *server;
+
+    TAILQ_FOREACH (server, &forward->pool->servers, link) {
+        if (!KcServer_IsLeaving(server) &&
+            has_base_model(server, forward->adapter->model)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* ---- when no server takes the request now -------------------------------- */
+
+/* What a request may expect of the servers of its service. */
+typedef struct Prospect {
+    bool any_staying;      /* some server is not leaving */
+    bool any_open;         /* some server takes requests and could take this */
+    KcTime first_opens_at; /* of closed servers that could; KC_NEVER: none */
+} Prospect;
+
+/* with_tried: as if the request had not been tried anywhere. */
+static Prospect
+survey_servers(const KcForward *forward, bool with_tried, KcTime now)
+{
+    Prospect prospect = {.first_opens_at = KC_NEVER};
+    bool needs_base_model =
+        forward->adapter != NULL && is_base_model_held(forward);
+    const KcServer *server;
+
+    TAILQ_FOREACH (server, &forward->pool->servers, link) {
+        if (KcServer_IsLeaving(server)) {
+            continue;
+        }
+        prospect.any_staying = true;
+        if ((!with_tried && KcForward_HasTried(forward, server)) ||
+            (needs_base_model &&
+             !has_base_model(server, forward->adapter->model))) {
+            continue;
+        }
+        if (KcServer_TakesRequests(server, now)) {
+            prospect.any_open = true;
+        }
+        else if (server->closed_until < prospect.first_opens_at) {
+            prospect.first_opens_at = server->closed_until;
+        }
+    }
+    return prospect;
+}
+
+KcTime
+KcGateway_FirstOpening(const KcForward *forward, KcTime now)
+{
+    Prospect prospect = survey_servers(forward, true, now);
+
+    return prospect.any_open || prospect.first_opens_at == KC_NEVER
+               ? 0
+               : prospect.first_opens_at;
+}
+
+/* Chooses how to wait; otherwise is the action if no server is closed. */
+static void
+choose_wait(const KcForward *forward, KcChoiceAction otherwise, KcTime now,
+            KcChoice *choice)
+{
+    Prospect prospect = survey_servers(forward, false, now);
+
+    choice->server = NULL;
+    choice->action = otherwise;
+    if (!prospect.any_staying && !TAILQ_EMPTY(&forward->pool->servers)) {
+        choice->action = KC_CHOICE_REFUSE;
+    }
+    else if (!prospect.any_open && prospect.first_opens_at != KC_NEVER) {
+        choice->action = KC_CHOICE_AWAIT_OPENING;
+        choice->opens_at = prospect.first_opens_at;
+    }
+}
+
 /* ---- requests without a model -------------------------------------------- */
 
 static void
@@ -53,7 +149,7 @@
     TAILQ_FOREACH (server, &forward->pool->servers, link) {
         KcTime cost;
 
-        if (!is_eligible(forward, server)) {
+        if (!is_eligible(forward, server, now)) {
             continue;
         }
         any_eligible = true;
@@ -68,8 +164,9 @@
     if (choice->server != NULL) {
         choice->action = KC_CHOICE_SEND;
     }
-    else if (any_eligible) {
-        choice->action = KC_CHOICE_QUEUE;
+    else {
+        choose_wait(forward, any_eligible ? KC_CHOICE_QUEUE : KC_CHOICE_NONE,
+                    now, choice);
     }
 }
 
@@ -88,7 +185,7 @@
 
         if (replica->server->pool != forward->pool ||
             !KcReplica_IsUsable(replica, now) ||
-            !is_eligible(forward, replica->server)) {
+            !is_eligible(forward, replica->server, now)) {
             continue;
         }
         cost = KcServer_Cost(replica->server, forward, now);
@@ -104,13 +201,13 @@
 }
 
 static KcReplica *
-find_loading_replica(const KcForward *forward)
+find_loading_replica(const KcForward *forward, KcTime now)
 {
     KcReplica *replica;
 
     TAILQ_FOREACH (replica, &forward->adapter->replicas, adapter_link) {
         if (replica->loading && replica->server->pool == forward->pool &&
-            is_eligible(forward, replica->server)) {
+            is_eligible(forward, replica->server, now)) {
             return replica;
         }
     }
@@ -138,36 +235,6 @@
     return false;
 }
 
-/* Does the server hold the adapter's base model? */
-static bool
-has_base_model(const KcServer *server, const char *model)
-{
-    const KcReplica *replica;
-
-    TAILQ_FOREACH (replica, &server->replicas, server_link) {
-        if (replica->adapter->name[0] == '\0' && !replica->dropped &&
-            !replica->loading && strcmp(replica->adapter->model, model) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Is the adapter's base model at any server that is not leaving? */
-static bool
-is_base_model_held(const KcForward *forward)
-{
-    const KcServer *server;
-
-    TAILQ_FOREACH (server, &forward->pool->servers, link) {
-        if (!server->leaving &&
-            has_base_model(server, forward->adapter->model)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Rendezvous hashing: an adapter's home, the preferred server to load it, is
  * the one of the highest rank, the same for all gateways. */
 static uint64_t
@@ -199,7 +266,7 @@
 
         if (server->distance > farthest ||
             (!home_is_crowded && rank <= highest_rank) ||
-            !is_eligible(forward, server) || server->missing_at != 0 ||
+            !is_eligible(forward, server, now) || server->missing_at != 0 ||
             server->suspect_until > now || server->no_loads_until > now ||
             KcServer_IsSilent(server, now) ||
             KcServer_Load(server, now) * 100 >=
@@ -266,7 +333,7 @@
     TAILQ_FOREACH (replica, &forward->adapter->replicas, adapter_link) {
         if (replica->server->pool == forward->pool &&
             is_current(replica, now) &&
-            is_eligible(forward, replica->server)) {
+            is_eligible(forward, replica->server, now)) {
             count++;
         }
     }
@@ -300,7 +367,7 @@
     if (should_spread(forward, now)) {
         return find_home(forward, KC_DISTANCE_REMOTE, now);
     }
-    if (best == NULL || find_loading_replica(forward) != NULL ||
+    if (best == NULL || find_loading_replica(forward, now) != NULL ||
         now - adapter->load_requested_at < REPLICA_LOAD_INTERVAL) {
         return NULL;
     }
@@ -330,7 +397,7 @@
         choice->replica = best;
         return;
     }
-    loading_replica = find_loading_replica(forward);
+    loading_replica = find_loading_replica(forward, now);
     if (loading_replica != NULL) {
         choice->action = KC_CHOICE_AWAIT_LOAD;
         choice->server = loading_replica->server;
@@ -344,9 +411,11 @@
         (forward->adapter->name[0] != '\0' || !is_base_model_held(forward))) {
         choice->action = KC_CHOICE_LOAD;
     }
-    else if (!TAILQ_EMPTY(&forward->pool->servers)) {
-        choice->server = NULL;
-        choice->action = KC_CHOICE_QUEUE;
+    else {
+        choose_wait(forward,
+                    TAILQ_EMPTY(&forward->pool->servers) ? KC_CHOICE_NONE
+                                                         : KC_CHOICE_QUEUE,
+                    now, choice);
     }
 }
 
--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -92,7 +92,7 @@
     pool->means_computed_at = now;
     pool->mean_load = 0;
     TAILQ_FOREACH (server, &pool->servers, link) {
-        if (!server->leaving && server->missing_at == 0) {
+        if (!KcServer_IsLeaving(server) && server->missing_at == 0) {
             others_sum += reported_others_in_flight(server, now);
             pool->mean_load += server->in_flight;
             count++;
@@ -185,6 +185,9 @@
 {
     uint32_t load = KcServer_Load(server, now);
 
+    if (server->trial != NULL) {
+        return true; /* see KcServer.closed_until */
+    }
     if (load == 0) {
         return false; /* a request that is too large here fits no server */
     }
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -28,6 +28,14 @@
 
 static void on_timer(KcTimer *timer, KcTime now);
 
+static KcTime
+queue_timeout(const KcRouteRule *rule)
+{
+    KcTime timeout = rule->latency_objective / QUEUE_TIMEOUT_DIVISOR;
+
+    return timeout > QUEUE_TIMEOUT_MIN ? timeout : QUEUE_TIMEOUT_MIN;
+}
+
 /* ---- waiting ------------------------------------------------------------- */
 
 static void
@@ -88,6 +96,7 @@
         return;
     }
     forward->attempt = NULL;
+    KcServer_EndTrial(server, forward);
     assert(server->in_flight > 0 &&
            server->in_flight_tokens >= forward->tokens_max);
     server->in_flight--;
@@ -165,6 +174,15 @@
     ops->on_end(caller);
 }
 
+/* When it is of use that the caller tries again. */
+static KcTime
+retry_after(const KcForward *forward, KcTime now)
+{
+    KcTime opens_at = KcGateway_FirstOpening(forward, now);
+
+    return opens_at != 0 ? opens_at - now : RETRY_AFTER;
+}
+
 void
 KcForward_FinishFailed(KcForward *forward, bool may_have_run, KcTime now)
 {
@@ -175,7 +193,7 @@
                                 .may_have_run = may_have_run};
 
     if (!may_have_run) {
-        refusal.retry_after = RETRY_AFTER;
+        refusal.retry_after = retry_after(forward, now);
     }
     KcCounters_Add(forward->gateway->options.counters,
                    may_have_run ? KC_COUNT_UNKNOWN : KC_COUNT_NOT_RUN, 1);
@@ -255,6 +273,7 @@
     }
     server->in_flight++;
     server->in_flight_tokens += forward->tokens_max;
+    KcServer_BeginTrial(server, forward);
     forward->replica = choice->replica;
     if (choice->replica != NULL) {
         KcReplica_BeginUse(gateway, choice->replica);
@@ -314,6 +333,41 @@
                                  : forward->dispatch_until;
 }
 
+/* Fails a request that did not find a server; code is the error if no attempt
+ * has failed before. */
+static void
+refuse(KcForward *forward, int code, KcTime now)
+{
+    if (forward->error.code == 0) {
+        KcError_Set(&forward->error, code, "choose", "");
+    }
+    KcForward_FinishFailed(forward, forward->may_have_run, now);
+}
+
+/*
+ * For a request that waits, or is about to: true if that is in vain, as every
+ * server leaves, or none opens before its deadline.  Otherwise it may wait for
+ * a server that opens, and then for its turn there.  A caller that has the
+ * beginning of an answer gains nothing by an earlier end.
+ */
+static bool
+is_wait_vain(KcForward *forward, const KcChoice *choice)
+{
+    KcTime until = choice->opens_at + queue_timeout(forward->rule);
+
+    if (forward->answer_begun) {
+        return false;
+    }
+    if (choice->action == KC_CHOICE_REFUSE) {
+        return true;
+    }
+    if (choice->action == KC_CHOICE_AWAIT_OPENING &&
+        forward->dispatch_until < until) {
+        forward->dispatch_until = until;
+    }
+    return choice->opens_at >= forward->deadline;
+}
+
 /* Queues the request, or fails it when it has waited or tried too long; code
  * is the error if no attempt has failed before. */
 static void
@@ -321,10 +375,7 @@
 {
     if (now >= wait_until(forward) ||
         forward->tried_count == KC_FORWARD_TRIED_MAX) {
-        if (forward->error.code == 0) {
-            KcError_Set(&forward->error, code, "choose", "");
-        }
-        KcForward_FinishFailed(forward, forward->may_have_run, now);
+        refuse(forward, code, now);
         return;
     }
     if (forward->error.code == 0) {
@@ -338,6 +389,8 @@
 static bool
 execute_choice(KcForward *forward, const KcChoice *choice, KcTime now)
 {
+    int code = KC_ERR_NO_BACKEND;
+
     switch (choice->action) {
     case KC_CHOICE_SEND:
         return begin_attempt(forward, choice, now);
@@ -351,12 +404,19 @@
         await_adapter(forward, choice->server, now);
         return true;
     case KC_CHOICE_QUEUE:
-        enqueue_or_refuse(forward, KC_ERR_BUSY, now);
-        return true;
+    case KC_CHOICE_AWAIT_OPENING:
+        code = KC_ERR_BUSY;
+        break;
+    case KC_CHOICE_REFUSE:
     case KC_CHOICE_NONE:
         break;
     }
-    enqueue_or_refuse(forward, KC_ERR_NO_BACKEND, now);
+    if (is_wait_vain(forward, choice)) {
+        refuse(forward, code, now);
+    }
+    else {
+        enqueue_or_refuse(forward, code, now);
+    }
     return true;
 }
 
@@ -410,33 +470,85 @@
            !KcServer_IsFailing(choice.server, now);
 }
 
-void
-KcGateway_DispatchQueue(KcServerPool *pool, KcTime now)
+/* Dispatches a queued request, or decides again how long it waits. */
+static void
+dispatch_queued(KcForward *forward, KcTime now)
+{
+    KcChoice choice;
+
+    KcGateway_Choose(forward, now, &choice);
+    switch (choice.action) {
+    case KC_CHOICE_NONE:
+    case KC_CHOICE_QUEUE:
+        break;
+    case KC_CHOICE_REFUSE:
+    case KC_CHOICE_AWAIT_OPENING:
+        if (is_wait_vain(forward, &choice)) {
+            refuse(forward, KC_ERR_NO_BACKEND, now);
+        }
+        else {
+            KcForward_SetTimer(forward, wait_until(forward));
+        }
+        break;
+    case KC_CHOICE_SEND:
+    case KC_CHOICE_AWAIT_LOAD:
+    case KC_CHOICE_LOAD:
+        KcForward_Dispatch(forward, now);
+        break;
+    }
+}
+
+static void
+dispatch_queue(KcServerPool *pool, uint32_t scan_max, KcTime now)
 {
     KcForward *forward;
     KcForward *next;
-    int visited = 0;
+    uint32_t visited = 0;
 
     if (pool->is_dispatching) {
         return;
     }
     pool->is_dispatching = true;
     TAILQ_FOREACH_SAFE (forward, &pool->queue, wait_link, next) {
-        KcChoice choice;
-
-        if (++visited > QUEUE_SCAN_MAX) {
+        if (++visited > scan_max) {
             break;
         }
-        KcGateway_Choose(forward, now, &choice);
-        if (choice.action == KC_CHOICE_QUEUE ||
-            choice.action == KC_CHOICE_NONE) {
-            continue;
-        }
-        KcForward_Dispatch(forward, now);
+        dispatch_queued(forward, now);
     }
     pool->is_dispatching = false;
 }
 
+void
+KcGateway_DispatchQueue(KcServerPool *pool, KcTime now)
+{
+    dispatch_queue(pool, QUEUE_SCAN_MAX, now);
+}
+
+void
+KcGateway_DispatchWholeQueue(KcServerPool *pool, KcTime now)
+{
+    dispatch_queue(pool, UINT32_MAX, now);
+}
+
+void
+KcGateway_MoveWaiting(KcServer *server, KcTime now)
+{
+    KcServerPool *pool = server->pool;
+    bool was_dispatching = pool->is_dispatching;
+    KcForward *forward;
+    KcForward *next;
+
+    pool->is_dispatching = true; /* ends no other request meanwhile */
+    TAILQ_FOREACH_SAFE (forward, &pool->gateway->forwards, link, next) {
+        if (forward->state == KC_FORWARD_LOADING &&
+            forward->server == server) {
+            KcForward_Dispatch(forward, now);
+        }
+    }
+    pool->is_dispatching = was_dispatching;
+    KcGateway_DispatchWholeQueue(pool, now);
+}
+
 void
 KcGateway_DispatchForAdapter(KcAdapterState *adapter, KcServer *refused,
                              KcTime now)
@@ -469,7 +581,6 @@
     KcForward *forward = KcMem_New(sizeof(*forward));
     const KcRoutedService *service;
     const KcRouteTarget *target;
-    KcTime queue_timeout = rule->latency_objective / QUEUE_TIMEOUT_DIVISOR;
 
     gateway->random_state = gateway->random_state * 6364136223846793005ULL + 1;
     target = KcRouting_ChooseTarget(rule, gateway->random_state >> 33);
@@ -492,9 +603,7 @@
     if (call->timeout > 0 && call->timeout < rule->request_timeout) {
         forward->deadline = now + call->timeout;
     }
-    forward->dispatch_until =
-        now + (queue_timeout > QUEUE_TIMEOUT_MIN ? queue_timeout
-                                                 : QUEUE_TIMEOUT_MIN);
+    forward->dispatch_until = now + queue_timeout(rule);
     forward->tokens_max = call->prompt_tokens + call->answer_tokens_max;
     forward->events_max = call->answer_events_max;
     forward->repeatable =
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -91,6 +91,21 @@
 /* Frees all servers, pools and adapters. */
 void KcGateway_ClearServers(KcGateway *gateway);
 
+/* ---- notices (gateway_notice.c) ------------------------------------------ */
+
+/* Starts to handle a server's notices; ends it, before the server is freed. */
+void KcServer_InitNotices(KcServer *server);
+void KcServer_ClearNotices(KcServer *server);
+/* Forgets the notices if a record with this start time is of a later instance
+ * than the one that gave them. */
+void KcServer_ReviewNotices(KcServer *server, int64_t started_at_ms);
+/* Note an attempt that starts, the head of an answer to it that is passed on
+ * or handled, and its end. */
+void KcServer_BeginTrial(KcServer *server, const KcForward *forward);
+void KcServer_NoteAnswer(KcServer *server, const KcForward *forward,
+                         KcTime now);
+void KcServer_EndTrial(KcServer *server, const KcForward *forward);
+
 /* ---- costs (gateway_cost.c) ---------------------------------------------- */
 
 /* Recomputes the means over a pool's servers when they are out of date. */
@@ -119,11 +134,13 @@
 /* ---- decisions (gateway_choose.c) ---------------------------------------- */
 
 typedef enum KcChoiceAction {
-    KC_CHOICE_NONE = 0,   /* no server can be used */
-    KC_CHOICE_SEND,       /* start an attempt at the server */
-    KC_CHOICE_AWAIT_LOAD, /* the adapter is being loaded at the server */
-    KC_CHOICE_LOAD,       /* request the server's keeper to load the adapter */
-    KC_CHOICE_QUEUE       /* wait: no server can take it at present */
+    KC_CHOICE_NONE = 0,      /* no server can be used */
+    KC_CHOICE_REFUSE,        /* every server is leaving: waiting is in vain */
+    KC_CHOICE_AWAIT_OPENING, /* every server that could take it is closed */
+    KC_CHOICE_SEND,          /* start an attempt at the server */
+    KC_CHOICE_AWAIT_LOAD,    /* the adapter is being loaded at the server */
+    KC_CHOICE_LOAD, /* request the server's keeper to load the adapter */
+    KC_CHOICE_QUEUE /* wait: no server can take it at present */
 } KcChoiceAction;
 
 typedef struct KcChoice {
@@ -132,10 +149,14 @@
     KcReplica *replica;           /* to use for SEND; NULL without a model */
     KcServer *new_replica_server; /* where to load a further replica of the
                                    * adapter besides; NULL: nowhere */
+    KcTime opens_at; /* of AWAIT_OPENING: the first end of a wait */
 } KcChoice;
 
 /* Chooses what to do with a request now. */
 void KcGateway_Choose(const KcForward *forward, KcTime now, KcChoice *choice);
+/* When the first server opens that could take a request like this one, if all
+ * are closed; 0 otherwise. */
+KcTime KcGateway_FirstOpening(const KcForward *forward, KcTime now);
 
 /* ---- requests (gateway_forward.c) ---------------------------------------- */
 
@@ -144,8 +165,13 @@
 /* True when a request that has an attempt could be sent to another server at
  * once.  If it needs its adapter there, a load is requested. */
 bool KcForward_CanMove(KcForward *forward, KcTime now);
-/* Dispatches requests of the pool's queue, the most urgent first. */
+/* Dispatches requests of the pool's queue, the most urgent first; ends those
+ * for which waiting is in vain. */
 void KcGateway_DispatchQueue(KcServerPool *pool, KcTime now);
+/* The same for the whole queue. */
+void KcGateway_DispatchWholeQueue(KcServerPool *pool, KcTime now);
+/* Dispatches the requests that wait for the server, and its pool's queue. */
+void KcGateway_MoveWaiting(KcServer *server, KcTime now);
 /*
  * Dispatches the requests that wait for an adapter.  refused, when not NULL,
  * is a server that will not load it, and is not tried again for those that
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -21,6 +21,10 @@
 /* Weight of the latest attempt in first_byte_ewma; higher, as the time to the
  * first byte follows the server's load. */
 #define FIRST_BYTE_EWMA_WEIGHT 0.2
+/* A server that said that it leaves is remembered for this long without a
+ * record: a store that comes back may still have an old one.  Longer than
+ * regions lose each other. */
+#define LEFT_SERVER_KEPT_TIME (2 * 3600 * KC_SECOND)
 
 /* ---- decoded records ----------------------------------------------------- */
 
@@ -113,6 +117,7 @@
     server->id_hash = XXH3_64bits(info->id, strlen(info->id));
     server->pool = KcGateway_GetPool(gateway, info->service);
     TAILQ_INIT(&server->replicas);
+    KcServer_InitNotices(server);
     HASH_ADD_STR(gateway->servers, id, server);
     TAILQ_INSERT_TAIL(&server->pool->servers, server, link);
     return server;
@@ -200,6 +205,7 @@
     else if (strcmp(server->address, info->address) != 0 ||
              server->started_at_ms != info->started_at_ms) {
         reset_server(gateway, server);
+        KcServer_ReviewNotices(server, info->started_at_ms);
     }
     if (strcmp(server->pool->service, info->service) != 0) {
         TAILQ_REMOVE(&server->pool->servers, server, link);
@@ -225,6 +231,17 @@
     KcGateway_DispatchQueue(server->pool, now);
 }
 
+/* Makes the timer of missing records fire at due_at or before. */
+static void
+check_missing_at(KcGateway *gateway, KcTime due_at)
+{
+    KcTimer *timer = &gateway->missing_timer;
+
+    if (!timer->is_set || timer->due_at > due_at) {
+        KcTimers_Set(gateway->options.timers, timer, due_at);
+    }
+}
+
 void
 KcGateway_OnServerRecordMissing(KcGateway *gateway, const char *id,
                                 bool is_deleted, KcTime now)
@@ -239,18 +256,23 @@
         return;
     }
     server->missing_at = now;
-    if (!gateway->missing_timer.is_set) {
-        KcTimers_Set(gateway->options.timers, &gateway->missing_timer,
-                     now + MISSING_CHECK_INTERVAL);
-    }
+    check_missing_at(gateway, now + MISSING_CHECK_INTERVAL);
 }
 
+/* Frees what belongs to a server that has ended. */
 static void
-free_server(KcGateway *gateway, KcServer *server)
+retire_server(KcGateway *gateway, KcServer *server)
 {
     release_address(gateway, server);
     KcServer_DropReplicas(gateway, server, true);
     gateway->options.ops->close_connections(gateway->options.context, server);
+}
+
+static void
+free_server(KcGateway *gateway, KcServer *server)
+{
+    retire_server(gateway, server);
+    KcServer_ClearNotices(server);
     assert(TAILQ_EMPTY(&server->replicas));
     /* NOLINTNEXTLINE: within the macro of the hash */
     HASH_DEL(gateway->servers, server);
@@ -272,32 +294,43 @@
     return false;
 }
 
+/* Until when the server must not be forgotten, as its notices would be too. */
+static KcTime
+remembered_until(const KcServer *server)
+{
+    return server->leaving_by_answer
+               ? server->missing_at + LEFT_SERVER_KEPT_TIME
+               : server->closed_until;
+}
+
 static void
 on_missing_timer(KcTimer *timer, KcTime now)
 {
     KcGateway *gateway = timer->owner;
     KcServer *server;
     KcServer *next;
-    bool any_missing = false;
 
     HASH_ITER(hh, gateway->servers, server, next)
     {
         if (server->missing_at == 0) {
             continue;
         }
-        any_missing = true;
         if (now - server->missing_at < gateway->options.missing_timeout) {
+            check_missing_at(gateway, now + MISSING_CHECK_INTERVAL);
             continue;
         }
         server->leaving = true;
-        if (!is_referenced(gateway, server)) {
+        if (is_referenced(gateway, server)) {
+            check_missing_at(gateway, now + MISSING_CHECK_INTERVAL);
+        }
+        else if (now < remembered_until(server)) {
+            retire_server(gateway, server);
+            check_missing_at(gateway, remembered_until(server));
+        }
+        else {
             free_server(gateway, server);
         }
     }
-    if (any_missing) {
-        KcTimers_Set(gateway->options.timers, timer,
-                     now + MISSING_CHECK_INTERVAL);
-    }
 }
 
 void
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -66,6 +66,22 @@
     KcTime updated_at;
 } KcUseCount;
 
+/*
+ * What a server says of itself in the head of an answer.  An answer that says
+ * nothing has all fields zero.
+ */
+typedef struct KcServerNotice {
+    bool is_leaving;       /* it will end, and takes no new requests */
+    KcTime retry_after;    /* takes no requests of this process for this long;
+                            * 0: not said */
+    int64_t started_at_ms; /* KcServer.started_at_ms when the request was sent;
+                            * 0: unknown */
+    /* A statement that could not be read and is ignored: its name, static
+     * text, and its value, borrowed; NULL: none. */
+    const char *unread_name;
+    const char *unread_value;
+} KcServerNotice;
+
 /* A backend server as one gateway knows it: from its record, from its keeper,
  * and from its answers to this gateway's requests. */
 typedef struct KcServer {
@@ -82,9 +98,20 @@
     uint64_t record_revision; /* of its record in the store */
     int64_t started_at_ms;    /* as in KcServerInfo */
     KcDistance distance;
-    uint32_t concurrency_max;  /* requests that it runs at once */
-    bool leaving;              /* takes no new requests, by its record */
-    bool leaving_by_keeper;    /* takes no new requests, by its keeper */
+    uint32_t concurrency_max; /* requests that it runs at once */
+    bool leaving;             /* takes no new requests, by its record */
+    bool leaving_by_keeper;   /* takes no new requests, by its keeper */
+    bool leaving_by_answer;   /* takes no new requests, by an answer to this
+                               * gateway; ends only with a later instance */
+    int64_t noticed_started_at_ms; /* latest start time that is known of the
+                                    * instance whose notice this is */
+    KcTime closed_until; /* takes nothing from this gateway until then,
+                          * by its answer; afterwards one request at a
+                          * time until one is answered; 0: open */
+    const struct KcForward *trial; /* the one request that tries the server
+                                    * after closed_until; NULL: none */
+    KcTimer opening_timer;         /* dispatches queued requests again */
+    KcTime unread_logged_at;       /* last line about an unread notice */
     KcTime missing_at;         /* when its record went missing; 0: present */
     uint32_t list_epoch;       /* number of the last list that contained it */
     uint32_t in_flight;        /* attempts of this gateway in progress */
@@ -186,6 +213,23 @@
     KcTime ended_at;
 } KcForwardRecord;
 
+/* What a gateway learned from a server's notice. */
+typedef enum KcNoticeKind {
+    KC_NOTICE_LEAVING = 0, /* the server takes no new requests */
+    KC_NOTICE_CLOSED,      /* it takes none until closed_until */
+    KC_NOTICE_OPEN,        /* it takes requests again, by its answer */
+    KC_NOTICE_UNREAD       /* a statement could not be read */
+} KcNoticeKind;
+
+/* The same for the log; valid during the call. */
+typedef struct KcNoticeRecord {
+    KcNoticeKind kind;
+    const KcServer *server;
+    const char *request_id;       /* of the request that was answered */
+    KcTime duration;              /* for which CLOSED holds */
+    const KcServerNotice *notice; /* NULL for OPEN */
+} KcNoticeRecord;
+
 /* Calls of a gateway to its program. */
 typedef struct KcGatewayOps {
     /* Starts an attempt and returns its handle, NULL when it cannot be
@@ -203,6 +247,8 @@
     void (*close_connections)(void *context, KcServer *server);
     /* Called once for each request when it ends. */
     void (*record_request)(void *context, const KcForwardRecord *record);
+    /* Called when the gateway learned something from a notice. */
+    void (*record_notice)(void *context, const KcNoticeRecord *record);
 } KcGatewayOps;
 
 typedef struct KcGatewayOptions {
@@ -253,6 +299,7 @@
 void KcGateway_EndServerList(KcGateway *gateway, KcTime now);
 /*
  * Adds a server or updates it; a revision older than the known one is ignored.
+ * A later start time is another instance, to which no earlier notice applies.
  * Of two servers with one address that of the older revision has ended: a
  * server registers after its predecessor at the address has gone.
  */
@@ -301,6 +348,24 @@
                             uint32_t waiting, uint32_t concurrency_max,
                             KcTime now);
 
+/*
+ * Takes a server's notice from the head of any answer to this gateway, also of
+ * one that is not passed on.  A server that leaves gets no new request from
+ * then on; only a later instance of it ends that, see
+ * KcGateway_OnServerRecord().  One that asks to wait gets none for that long,
+ * and then one at a time until it has answered one; the longest wait counts.
+ * Requests that wait for the server are dispatched again.  request_id is the
+ * id of the request that was answered, for the log; "": none.
+ */
+void KcGateway_OnServerNotice(KcGateway *gateway, KcServer *server,
+                              const KcServerNotice *notice,
+                              const char *request_id, KcTime now);
+
+/* True when the server takes no new requests until it is replaced. */
+bool KcServer_IsLeaving(const KcServer *server);
+/* True when requests may be sent to the server now, as far as it has said. */
+bool KcServer_TakesRequests(const KcServer *server, KcTime now);
+
 /* ---- requests -------------------------------------------------------------- */
 
 /*
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -56,6 +56,9 @@
     KC_COUNT_SILENT_ATTEMPTS,   /* attempts cancelled, the server was silent */
     KC_COUNT_EARLY_REFUSALS,    /* requests refused before they were read */
     KC_COUNT_IDLE_CLOSES,       /* callers' connections closed while idle */
+    KC_COUNT_LEAVING_NOTICES,   /* servers that said that they leave */
+    KC_COUNT_WAIT_NOTICES,      /* answers that asked to wait */
+    KC_COUNT_UNREAD_NOTICES,    /* answers whose notice was not readable */
     KC_COUNTER_COUNT
 } KcCounter;
 
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -103,6 +103,14 @@
 /* The stream is complete; ends the attempt. */
 void KcForward_OnStreamEnd(KcForward *forward, KcTime now);
 
+/*
+ * To be called before the request is written to a connection that was not yet
+ * open when the attempt started.  Returns 0, or KC_ERR_LEAVING or KC_ERR_BUSY
+ * when the server has said meanwhile that it takes no requests: the attempt
+ * must then be ended as KC_ATTEMPT_NEVER_SENT with that code.
+ */
+int KcForward_CheckSend(const KcForward *forward, KcTime now);
+
 /* The attempt failed: how far it came, and a KcErrorCode.  Ends it. */
 void KcForward_OnAttemptFailed(KcForward *forward, KcAttemptEnd end, int code,
                                KcTime now);
--- a/programs/connection/http_connection_pool.c
+++ b/programs/connection/http_connection_pool.c
@@ -9,17 +9,25 @@
  * Idle connections kept per pool; above it the least recently used is closed.
  */
 #define IDLE_CONNECTIONS_MAX 16
+/*
+ * How long a connection with bytes that belong to no request is kept, to read
+ * the head that they may be part of.
+ */
+#define SPOILED_TIMEOUT (100 * KC_MS)
 
 typedef struct IdleConnection {
     TAILQ_ENTRY(IdleConnection) link;
     KcHttpConnectionPool *pool;
     KcHttpConnection *connection;
     KcTime released_at;
+    bool is_spoiled; /* has received bytes, and is not given out again */
     KcTimer idle_timer;
 } IdleConnection;
 
 struct KcHttpConnectionPool {
     KcLoop *loop;
+    void (*on_head)(void *context, const KcHttpMessage *message);
+    void *context; /* of on_head */
     uint32_t idle_count;
     TAILQ_HEAD(IdleConnectionList, IdleConnection) idle_connections;
 };
@@ -58,8 +66,13 @@
 static void
 on_head(void *owner, const KcHttpMessage *message)
 {
-    (void)message;
-    close_idle_connection(owner);
+    IdleConnection *idle = owner;
+    KcHttpConnectionPool *pool = idle->pool;
+
+    if (pool->on_head != NULL) {
+        pool->on_head(pool->context, message);
+    }
+    close_idle_connection(idle);
 }
 
 static void
@@ -97,6 +110,16 @@
     return pool;
 }
 
+void
+KcHttpConnectionPool_SetHeadCallback(
+    KcHttpConnectionPool *pool,
+    void (*callback)(void *context, const KcHttpMessage *message),
+    void *context)
+{
+    pool->on_head = callback;
+    pool->context = context;
+}
+
 void
 KcHttpConnectionPool_CloseAll(KcHttpConnectionPool *pool)
 {
@@ -120,7 +143,9 @@
     IdleConnection *idle = TAILQ_FIRST(&pool->idle_connections);
     KcHttpConnection *connection;
 
-    if (idle == NULL || KcLoop_Now() - idle->released_at > idle_age_max) {
+    /* Spoiled ones are at the end of the list. */
+    if (idle == NULL || idle->is_spoiled ||
+        KcLoop_Now() - idle->released_at > idle_age_max) {
         return NULL;
     }
     connection = idle->connection;
@@ -136,10 +161,9 @@
 
     /*
      * After a request that was not sent completely, the server would read the
-     * next one as its rest. Received bytes belong to no request.
+     * next one as its rest.
      */
-    if (KcHttpConnection_UnsentBytes(connection) > 0 ||
-        KcHttpConnection_UnparsedBytes(connection) > 0) {
+    if (KcHttpConnection_UnsentBytes(connection) > 0) {
         KcHttpConnection_Close(connection);
         return;
     }
@@ -147,10 +171,17 @@
     idle->pool = pool;
     idle->connection = connection;
     idle->released_at = KcLoop_Now();
+    idle->is_spoiled = KcHttpConnection_UnparsedBytes(connection) > 0;
     KcTimer_Init(&idle->idle_timer, on_idle_timeout, idle);
     KcTimers_Set(pool->loop->timers, &idle->idle_timer,
-                 idle->released_at + idle_timeout);
-    TAILQ_INSERT_HEAD(&pool->idle_connections, idle, link);
+                 idle->released_at +
+                     (idle->is_spoiled ? SPOILED_TIMEOUT : idle_timeout));
+    if (idle->is_spoiled) {
+        TAILQ_INSERT_TAIL(&pool->idle_connections, idle, link);
+    }
+    else {
+        TAILQ_INSERT_HEAD(&pool->idle_connections, idle, link);
+    }
     pool->idle_count++;
     KcHttpConnection_SetOwner(connection, &idle_ops, idle);
     KcHttpConnection_ReadNextMessage(connection);
--- a/programs/connection/http_connection_pool.h
+++ b/programs/connection/http_connection_pool.h
@@ -11,6 +11,16 @@
 KcHttpConnectionPool *KcHttpConnectionPool_Create(KcLoop *loop);
 void KcHttpConnectionPool_Free(KcHttpConnectionPool *pool);
 
+/*
+ * Sets a function that is called for each head of a response that arrives on
+ * an idle connection, where no request is outstanding; the connection is
+ * closed afterwards. May be NULL. The function must not use the pool.
+ */
+void KcHttpConnectionPool_SetHeadCallback(
+    KcHttpConnectionPool *pool,
+    void (*callback)(void *context, const KcHttpMessage *message),
+    void *context);
+
 /*
  * Takes the most recently used connection out of the pool, if it has been idle
  * for at most idle_age_max. The caller then owns it and must set itself as its
@@ -22,7 +32,8 @@
 /*
  * Puts a connection into the pool after a complete response. The pool owns it
  * then and closes it after idle_timeout. Closes it at once when it has unsent
- * or unparsed bytes.
+ * bytes, and once the head of the response that they belong to was read when
+ * it has unparsed ones.
  */
 void KcHttpConnectionPool_Put(KcHttpConnectionPool *pool,
                               KcHttpConnection *connection,
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -2,6 +2,7 @@
  * The gateway's connections to backend servers and their keepers: HTTP
  * attempts, load requests and usage reports.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -47,6 +48,19 @@
 
 /* ---- connections to keepers ---------------------------------------------- */
 
+/* Takes the notice of a reply that no request waits for. */
+static void
+on_unexpected_head(void *context, const KcHttpMessage *message)
+{
+    ServerConnections *connections = context;
+    GatewayRole *role = connections->role;
+    KcReplyHead head;
+
+    role->platform->dialect->parse_reply_head(message, "", &head);
+    KcGateway_OnServerNotice(role->gateway, connections->server, &head.notice,
+                             "", KcLoop_Now());
+}
+
 static ServerConnections *
 get_or_create_connections(GatewayRole *role, KcServer *server)
 {
@@ -58,6 +72,8 @@
         connections->server = server;
         connections->http_pool =
             KcHttpConnectionPool_Create(role->common.loop);
+        KcHttpConnectionPool_SetHeadCallback(connections->http_pool,
+                                             on_unexpected_head, connections);
         TAILQ_INIT(&connections->pending_load_requests);
         server->connections = connections;
     }
@@ -334,6 +350,47 @@
         (int)load_age_ms);
 }
 
-const KcGatewayOps KcGatewayRole_Ops = {start_attempt,     cancel_attempt,
-                                        send_load_request, refresh_servers,
-                                        forget_server,     log_request};
+/* Longest part of a value from a server that is logged. */
+#define LOGGED_VALUE_MAX 40
+
+/* Logs what a server said of itself, and until when it holds. */
+static void
+log_notice(void *context, const KcNoticeRecord *record)
+{
+    const KcLoop *loop = ((GatewayRole *)context)->common.loop;
+    const KcServer *server = record->server;
+    KcLogFields fields = {.caller_request_id = record->request_id,
+                          .peer = server->id,
+                          .step = "notice"};
+
+    switch (record->kind) {
+    case KC_NOTICE_LEAVING:
+        KcLog_Write(KC_LOG_INFO, &fields,
+                    "server says that it leaves, started_at_ms=%" PRId64
+                    " until=replaced",
+                    server->started_at_ms);
+        break;
+    case KC_NOTICE_CLOSED:
+        KcLog_Write(KC_LOG_INFO, &fields,
+                    "server asks to wait, started_at_ms=%" PRId64
+                    " wait_ms=%" PRId64 " until_ms=%" PRId64,
+                    server->started_at_ms, record->duration / KC_MS,
+                    (server->closed_until + loop->wall_offset) / KC_MS);
+        break;
+    case KC_NOTICE_OPEN:
+        KcLog_Write(KC_LOG_INFO, &fields,
+                    "server takes requests again, started_at_ms=%" PRId64,
+                    server->started_at_ms);
+        break;
+    case KC_NOTICE_UNREAD:
+        KcLog_Write(KC_LOG_WARN, &fields,
+                    "header of an answer ignored, header=%s value='%.*s'",
+                    record->notice->unread_name, LOGGED_VALUE_MAX,
+                    record->notice->unread_value);
+        break;
+    }
+}
+
+const KcGatewayOps KcGatewayRole_Ops = {
+    start_attempt, cancel_attempt, send_load_request, refresh_servers,
+    forget_server, log_request,    log_notice};
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -65,16 +65,26 @@
 static void
 add_server_state(void *context, KcServer *server)
 {
+    KcTime now = KcLoop_Now();
+
     json_array_append_new(
         context,
         json_pack(
-            "{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:I}", "id", server->id,
-            "service", server->pool->service, "address", server->address,
-            "leaving", (int)server->leaving, "missing",
+            "{s:s, s:s, s:s, s:I, s:b, s:b, s:b, s:I, s:b, s:b, s:i, s:i, "
+            "s:I}",
+            "id", server->id, "service", server->pool->service, "address",
+            server->address, "started_at_ms",
+            (json_int_t)server->started_at_ms, "leaving", (int)server->leaving,
+            "leaving_by_keeper", (int)server->leaving_by_keeper,
+            "leaving_by_answer", (int)server->leaving_by_answer, "closed_ms",
+            (json_int_t)(server->closed_until > now
+                             ? (server->closed_until - now) / KC_MS
+                             : 0),
+            "opening", (int)(server->closed_until != 0), "missing",
             (int)(server->missing_at != 0), "in_flight",
             (int)server->in_flight, "others", (int)server->others_in_flight,
             "load_age_ms",
-            (json_int_t)((KcLoop_Now() - server->load_reported_at) / KC_MS)));
+            (json_int_t)((now - server->load_reported_at) / KC_MS)));
 }
 
 static void
--- a/programs/request/dialect.h
+++ b/programs/request/dialect.h
@@ -33,6 +33,8 @@
     uint32_t running_requests; /* requests that run */
     uint32_t waiting_requests; /* requests in the server's queue */
     uint32_t concurrency_max;  /* concurrency limit of the server */
+    KcServerNotice notice; /* its value that was not read is borrowed from the
+                              message; started_at_ms is left 0 */
     KcTime keep_alive_timeout; /* how long the server keeps an idle connection;
                                   0: unknown */
 } KcReplyHead;
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -34,9 +34,10 @@
     KcForward *forward;
     KcAttemptParams parameters;
     KcHttpConnection *connection;
-    KcTimer connect_timer; /* limits connecting */
-    bool request_written;  /* the request was given to the connection */
-    bool skip_reply;       /* interim, or the reply to an earlier request */
+    int64_t server_started_at_ms; /* as known when the attempt started */
+    KcTimer connect_timer;        /* limits connecting */
+    bool request_written;         /* the request was given to the connection */
+    bool skip_reply; /* interim, or the reply to an earlier request */
     bool is_finished;
     KcIntake intake;                    /* of the reply */
     const KcHttpMessage *reply_message; /* owned by connection */
@@ -107,6 +108,19 @@
 
 /* ---- the reply ----------------------------------------------------------- */
 
+/* Reports what the server says of itself, whichever request the reply is to.
+ */
+static void
+report_notice(KcHttpAttempt *attempt, KcTime now)
+{
+    KcServerNotice notice = attempt->reply_head.notice;
+
+    notice.started_at_ms = attempt->server_started_at_ms;
+    KcGateway_OnServerNotice(attempt->forward->gateway,
+                             attempt->parameters.server, &notice,
+                             attempt->forward->id, now);
+}
+
 static void
 on_head(void *owner, const KcHttpMessage *message)
 {
@@ -123,6 +137,7 @@
     attempt->options.dialect->parse_reply_head(message, attempt->forward->id,
                                                reply);
     attempt->skip_reply = message->status < 200 || !reply->matches_request;
+    report_notice(attempt, now);
     code = KcIntake_AddHead(&attempt->intake, reply->is_stream ? 0 : length,
                             attempt->skip_reply);
     if (code != 0) {
@@ -316,8 +331,13 @@
 on_connected(void *owner)
 {
     KcHttpAttempt *attempt = owner;
+    int code = KcForward_CheckSend(attempt->forward, KcLoop_Now());
 
     KcTimers_Clear(attempt->options.loop->timers, &attempt->connect_timer);
+    if (code != 0) {
+        fail_attempt(attempt, KC_ATTEMPT_NEVER_SENT, code);
+        return;
+    }
     write_request(attempt);
 }
 
@@ -361,6 +381,7 @@
     attempt->options = *options;
     attempt->forward = forward;
     attempt->parameters = *params;
+    attempt->server_started_at_ms = params->server->started_at_ms;
     attempt->options.limits.events_max = params->events_max;
     KcIntake_Begin(&attempt->intake, &attempt->options.limits, KcLoop_Now());
     attempt->deferred_free.free_owner = free_attempt;
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -28,13 +28,20 @@
  *   load SERVER RUNNING WAITING CONCURRENCY_MAX
  *   nokeeper SERVER, nosend SERVER     the keeper or server is unreachable
  *   gateways N              number of gateways that share the retry budget
+ *   notice SERVER leaving [BORN], notice SERVER wait MS, notice SERVER unread
+ *                           a server's notice, from the instance of that start
+ *   written N               the connection of an attempt was made: its request
+ *                           is written, unless the server takes none by now
  *   drain, wait MS
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
  * after event 5, "1x" attempt cancelled, "?a x@2" load request to a's keeper,
  * "refresh" the servers' records are to be read;
  * "1:begin", "1:200", "1:7" (an event), "1:end", "1:broken", "1:not run CODE",
- * "1:unknown CODE" what the caller gets.
+ * "1:unknown CODE" what the caller gets, with the time after which it may try
+ * again if that is not 400 ms; "a:leaving", "a:closed MS", "a:open",
+ * "a:unread" what is learned from notices, "1 written" a request that is
+ * written.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -132,9 +139,26 @@
     g_assert_nonnull(record->outcome);
 }
 
-static const KcGatewayOps gateway_ops = {start_attempt,     cancel_attempt,
-                                         request_load,      refresh_servers,
-                                         close_connections, record_request};
+static void
+record_notice(void *context, const KcNoticeRecord *record)
+{
+    static const char *const kind_names[] = {[KC_NOTICE_LEAVING] = "leaving",
+                                             [KC_NOTICE_CLOSED] = "closed",
+                                             [KC_NOTICE_OPEN] = "open",
+                                             [KC_NOTICE_UNREAD] = "unread"};
+    GString *trace = ((Fixture *)context)->trace;
+
+    g_string_append_printf(trace, "%s:%s", record->server->id,
+                           kind_names[record->kind]);
+    if (record->kind == KC_NOTICE_CLOSED) {
+        g_string_append_printf(trace, " %d", (int)(record->duration / KC_MS));
+    }
+    g_string_append(trace, "; ");
+}
+
+static const KcGatewayOps gateway_ops = {
+    start_attempt,     cancel_attempt, request_load, refresh_servers,
+    close_connections, record_request, record_notice};
 
 static void
 on_answer_begin(void *context, const void *head, bool stream)
@@ -183,10 +207,14 @@
     Caller *caller = context;
 
     caller->forward = NULL;
-    g_string_append_printf(caller->fixture->trace, "%d:%s %s; ",
-                           caller->number,
+    g_string_append_printf(caller->fixture->trace, "%d:%s %s", caller->number,
                            refusal->may_have_run ? "unknown" : "not run",
                            KcError_Name(refusal->error.code));
+    if (refusal->retry_after != 0 && refusal->retry_after != 400 * KC_MS) {
+        g_string_append_printf(caller->fixture->trace, " after %d",
+                               (int)(refusal->retry_after / KC_MS));
+    }
+    g_string_append(caller->fixture->trace, "; ");
 }
 
 static const KcForwardOps caller_ops = {on_answer_begin, on_data, on_end,
@@ -313,6 +341,7 @@
         KcText_Copy(info.address, server->address, KC_ADDRESS_MAX);
         KcText_Copy(info.datacentre, server->datacentre, KC_NAME_MAX);
         info.concurrency_max = server->concurrency_max;
+        info.started_at_ms = server->started_at_ms;
         KcGateway_OnServerRecord(fixture->gateway, &info,
                                  server->record_revision, fixture->now);
     }
@@ -485,6 +514,40 @@
                               fixture->now);
 }
 
+static void
+step_notice(Fixture *fixture, char **words)
+{
+    KcServer *server = KcGateway_FindServer(fixture->gateway, words[1]);
+    KcServerNotice notice = {.is_leaving = strcmp(words[2], "leaving") == 0};
+
+    if (strcmp(words[2], "wait") == 0) {
+        notice.retry_after = atoi(words[3]) * KC_MS;
+    }
+    else if (strcmp(words[2], "unread") == 0) {
+        notice.unread_name = "name";
+        notice.unread_value = "value";
+    }
+    else if (words[3] != NULL) {
+        notice.started_at_ms = atoi(words[3]);
+    }
+    KcGateway_OnServerNotice(fixture->gateway, server, &notice, "0",
+                             fixture->now);
+}
+
+static void
+step_written(Fixture *fixture, char **words)
+{
+    KcForward *forward = find_forward(fixture, words[1]);
+    int code = KcForward_CheckSend(forward, fixture->now);
+
+    if (code != 0) {
+        KcForward_OnAttemptFailed(forward, KC_ATTEMPT_NEVER_SENT, code,
+                                  fixture->now);
+        return;
+    }
+    g_string_append_printf(fixture->trace, "%s written; ", words[1]);
+}
+
 static void
 step_drain(Fixture *fixture, char **words)
 {
@@ -527,6 +590,8 @@
     {"nokeeper", step_no_keeper},
     {"nosend", step_no_send},
     {"gateways", step_gateway_count},
+    {"notice", step_notice},
+    {"written", step_written},
     {"drain", step_drain},
     {"wait", step_wait},
 };
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -314,6 +314,13 @@
     (void)server_to_close;
 }
 
+static void
+record_notice(void *context, const KcNoticeRecord *record)
+{
+    (void)context;
+    (void)record;
+}
+
 static void
 record_request(void *context, const KcForwardRecord *record)
 {
@@ -402,9 +409,9 @@
 static void
 read_worker_answer(Reading *reading)
 {
-    static const KcGatewayOps ops = {start_attempt,     cancel_attempt,
-                                     request_load,      refresh_servers,
-                                     close_connections, record_request};
+    static const KcGatewayOps ops = {
+        start_attempt,     cancel_attempt, request_load, refresh_servers,
+        close_connections, record_request, record_notice};
     KcForwardCall call = {.id = "this-request",
                           .host = "h",
                           .path = "/r/x",
