--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -541,7 +541,7 @@
     pool->is_dispatching = true; /* ends no other request meanwhile */
     TAILQ_FOREACH_SAFE (forward, &pool->gateway->forwards, link, next) {
         if (forward->state == KC_FORWARD_LOADING &&
-            forward->server == server) {
+            forward->server == server && forward->pool == pool) {
             KcForward_Dispatch(forward, now);
         }
     }
