--- /dev/null
+++ b/tests/platform/test_dialect.c
@@ -0,0 +1,156 @@
+/*
+ * Tests of the platform's HTTP headers: what is read from the heads of
+ * workers' answers about the worker itself.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "../../programs/process/platform.h"
+#include "../steps.h"
+
+#define HUGE_NUMBER "99999999999999999999999999999999"
+
+/* Longest wait that is taken from an answer. */
+#define RETRY_AFTER_MAX_S 300
+
+/* Headers are separated by bars.  A header that is not readable gives nothing
+ * and is reported with its last value; the rest of the answer counts. */
+static const struct {
+    const char *name;
+    int status;
+    const char *headers;
+    bool is_leaving;
+    int retry_after_s;
+    const char *unread; /* header; NULL: all were read */
+    const char *unread_value;
+} notice_cases[] = {
+    {"no header", 200, "Content-Type: text/plain", false, 0, NULL, NULL},
+    /* leaving */
+    {"leaving with 200", 200, "Server-Leaving: 1", true, 0, NULL, NULL},
+    {"leaving with 103", 103, "Server-Leaving: 1", true, 0, NULL, NULL},
+    {"leaving with 400", 400, "Server-Leaving: 1", true, 0, NULL, NULL},
+    {"leaving with 421", 421, "Not-Executed: 1|Server-Leaving: 1", true, 0,
+     NULL, NULL},
+    {"leaving with 500", 500, "Server-Leaving: 1", true, 0, NULL, NULL},
+    {"leaving with a stream", 200,
+     "Content-Type: text/event-stream|Server-Leaving: 1", true, 0, NULL, NULL},
+    {"leaving in lower case", 200, "server-leaving: 1", true, 0, NULL, NULL},
+    {"leaving with a blank behind", 200, "Server-Leaving: 1 ", true, 0, NULL,
+     NULL},
+    {"leaving 0", 200, "Server-Leaving: 0", false, 0, "Server-Leaving", "0"},
+    {"leaving 2", 200, "Server-Leaving: 2", false, 0, "Server-Leaving", "2"},
+    {"leaving true", 200, "Server-Leaving: true", false, 0, "Server-Leaving",
+     "true"},
+    {"leaving empty", 200, "Server-Leaving: ", false, 0, "Server-Leaving", ""},
+    {"leaving 1.0", 200, "Server-Leaving: 1.0", false, 0, "Server-Leaving",
+     "1.0"},
+    {"leaving -1", 200, "Server-Leaving: -1", false, 0, "Server-Leaving",
+     "-1"},
+    {"leaving 11", 200, "Server-Leaving: 11", false, 0, "Server-Leaving",
+     "11"},
+    {"leaving a huge number", 200, "Server-Leaving: " HUGE_NUMBER, false, 0,
+     "Server-Leaving", HUGE_NUMBER},
+    {"leaving a list", 200, "Server-Leaving: 1, 1", false, 0, "Server-Leaving",
+     "1, 1"},
+    {"leaving twice", 200, "Server-Leaving: 1|Server-Leaving: 1", false, 0,
+     "Server-Leaving", "1"},
+    {"leaving and not", 200, "Server-Leaving: 1|Server-Leaving: 0", false, 0,
+     "Server-Leaving", "0"},
+    /* asked to wait */
+    {"wait", 503, "Not-Executed: 1|Retry-After: 3", false, 3, NULL, NULL},
+    {"wait without a promise", 503, "Retry-After: 3", false, 3, NULL, NULL},
+    {"wait and leaving", 503, "Server-Leaving: 1|Retry-After: 3", true, 3,
+     NULL, NULL},
+    {"wait 0", 503, "Retry-After: 0", false, 0, NULL, NULL},
+    {"wait with leading zeros", 503, "Retry-After: 007", false, 7, NULL, NULL},
+    {"wait with a blank behind", 503, "Retry-After: 3\t", false, 3, NULL,
+     NULL},
+    {"wait with 200", 200, "Retry-After: 3", false, 0, NULL, NULL},
+    {"wait with 429", 429, "Not-Executed: 1|Retry-After: 3", false, 0, NULL,
+     NULL},
+    {"wait at the longest", 503, "Retry-After: 300", false, 300, NULL, NULL},
+    {"wait longer than the longest", 503, "Retry-After: 301", false,
+     RETRY_AFTER_MAX_S, NULL, NULL},
+    {"wait 2^63", 503, "Retry-After: 9223372036854775808", false,
+     RETRY_AFTER_MAX_S, NULL, NULL},
+    {"wait a huge number", 503, "Retry-After: " HUGE_NUMBER, false,
+     RETRY_AFTER_MAX_S, NULL, NULL},
+    {"wait negative", 503, "Retry-After: -3", false, 0, "Retry-After", "-3"},
+    {"wait with a sign", 503, "Retry-After: +3", false, 0, "Retry-After",
+     "+3"},
+    {"wait empty", 503, "Retry-After: ", false, 0, "Retry-After", ""},
+    {"wait blank", 503, "Retry-After: \t", false, 0, "Retry-After", "\t"},
+    {"wait fractional", 503, "Retry-After: 0.5", false, 0, "Retry-After",
+     "0.5"},
+    {"wait with an exponent", 503, "Retry-After: 3e2", false, 0, "Retry-After",
+     "3e2"},
+    {"wait hexadecimal", 503, "Retry-After: 0x3", false, 0, "Retry-After",
+     "0x3"},
+    {"wait with a unit", 503, "Retry-After: 3s", false, 0, "Retry-After",
+     "3s"},
+    {"wait a word", 503, "Retry-After: soon", false, 0, "Retry-After", "soon"},
+    {"wait a date", 503, "Retry-After: Fri, 31 Dec 1999 23:59:59 GMT", false,
+     0, "Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT"},
+    {"wait twice", 503, "Retry-After: 3|Retry-After: 4", false, 0,
+     "Retry-After", "4"},
+    {"wait twice the same", 503, "Retry-After: 3|Retry-After: 3", false, 0,
+     "Retry-After", "3"},
+    {"wait a list", 503, "Retry-After: 3, 4", false, 0, "Retry-After", "3, 4"},
+    {"leaving with a wait that is not readable", 503,
+     "Server-Leaving: 1|Retry-After: soon", true, 0, "Retry-After", "soon"},
+    {"a wait with a leaving that is not readable", 503,
+     "Server-Leaving: yes|Retry-After: 3", false, 3, "Server-Leaving", "yes"},
+};
+
+/* Splits "Name: value|Name: value"; the message points into lines. */
+static void
+fill_message(KcHttpMessage *message, int status, char **lines)
+{
+    message->status = status;
+    for (char **line = lines; *line != NULL; line++) {
+        char *colon = strstr(*line, ": ");
+
+        *colon = '\0';
+        message->fields[message->field_count++] =
+            (KcHttpField){*line, colon + 2};
+    }
+}
+
+static void
+test_notice(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    char **lines = g_strsplit(notice_cases[index].headers, "|", 0);
+    KcHttpMessage message = {.status = 0};
+    KcReplyHead head;
+
+    fill_message(&message, notice_cases[index].status, lines);
+    message.fields[message.field_count++] =
+        (KcHttpField){"Server-Load", "1,2,3"};
+    KcPlatform_Current.dialect->parse_reply_head(&message, "id", &head);
+    g_assert_cmpint(head.notice.is_leaving, ==,
+                    notice_cases[index].is_leaving);
+    g_assert_cmpint(head.notice.retry_after / KC_SECOND, ==,
+                    notice_cases[index].retry_after_s);
+    g_assert_cmpint(head.notice.started_at_ms, ==, 0);
+    g_assert_cmpstr(head.notice.unread_name, ==, notice_cases[index].unread);
+    g_assert_cmpstr(head.notice.unread_value, ==,
+                    notice_cases[index].unread_value);
+    /* The rest of the answer counts. */
+    g_assert_true(head.has_load);
+    g_assert_cmpuint(head.waiting_requests, ==, 2);
+    g_assert_cmpint(head.not_run, ==,
+                    strstr(notice_cases[index].headers, "Not-Executed") !=
+                            NULL ||
+                        notice_cases[index].status == 421);
+    g_strfreev(lines);
+}
+
+int
+main(int argc, char **argv)
+{
+    g_test_init(&argc, &argv, NULL);
+    Steps_AddCases("/dialect/notice", notice_cases, G_N_ELEMENTS(notice_cases),
+                   sizeof(notice_cases[0]), test_notice);
+    return g_test_run();
+}
