--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -73,50 +73,75 @@
 
 /* ---- when no server takes the request now -------------------------------- */
 
-/* What a request may expect of the servers of its service. */
-typedef struct Prospect {
-    bool any_staying;      /* some server is not leaving */
-    bool any_open;         /* some server takes requests and could take this */
-    KcTime first_opens_at; /* of closed servers that could; KC_NEVER: none */
-} Prospect;
-
-/* with_tried: as if the request had not been tried anywhere. */
-static Prospect
-survey_servers(const KcForward *forward, bool with_tried, KcTime now)
+/* Is some server of the service closed and not leaving?  Seldom, so that the
+ * servers are seldom surveyed. */
+static bool
+any_closed(const KcServerPool *pool, KcTime now)
 {
-    Prospect prospect = {.first_opens_at = KC_NEVER};
-    bool needs_base_model =
-        forward->adapter != NULL && is_base_model_held(forward);
     const KcServer *server;
 
-    TAILQ_FOREACH (server, &forward->pool->servers, link) {
-        if (KcServer_IsLeaving(server)) {
-            continue;
+    TAILQ_FOREACH (server, &pool->servers, link) {
+        if (server->closed_until > now && !KcServer_IsLeaving(server)) {
+            return true;
         }
-        prospect.any_staying = true;
-        if ((!with_tried && KcForward_HasTried(forward, server)) ||
-            (needs_base_model &&
-             !has_base_model(server, forward->adapter->model))) {
+    }
+    return false;
+}
+
+/* Could the server take the request, or one like it, if it were open? */
+static bool
+is_candidate(const KcForward *forward, const KcServer *server,
+             bool needs_base_model)
+{
+    return !KcServer_IsLeaving(server) &&
+           (!needs_base_model ||
+            has_base_model(server, forward->adapter->model));
+}
+
+/* When the first server opens that could take the request; 0 if none is closed
+ * or another one is open.  with_tried: as if it had not been tried anywhere.
+ */
+static KcTime
+first_opening(const KcForward *forward, bool with_tried, KcTime now)
+{
+    const KcServer *server;
+    bool needs_base_model;
+    KcTime first = KC_NEVER;
+
+    if (!any_closed(forward->pool, now)) {
+        return 0;
+    }
+    needs_base_model = forward->adapter != NULL && is_base_model_held(forward);
+    TAILQ_FOREACH (server, &forward->pool->servers, link) {
+        if (!is_candidate(forward, server, needs_base_model) ||
+            (!with_tried && KcForward_HasTried(forward, server))) {
             continue;
         }
-        if (KcServer_TakesRequests(server, now)) {
-            prospect.any_open = true;
-        }
-        else if (server->closed_until < prospect.first_opens_at) {
-            prospect.first_opens_at = server->closed_until;
+        if (server->closed_until <= now) {
+            return 0;
         }
+        first = server->closed_until < first ? server->closed_until : first;
     }
-    return prospect;
+    return first != KC_NEVER ? first : 0;
 }
 
 KcTime
 KcGateway_FirstOpening(const KcForward *forward, KcTime now)
 {
-    Prospect prospect = survey_servers(forward, true, now);
+    return first_opening(forward, true, now);
+}
+
+static bool
+are_all_leaving(const KcServerPool *pool)
+{
+    const KcServer *server;
 
-    return prospect.any_open || prospect.first_opens_at == KC_NEVER
-               ? 0
-               : prospect.first_opens_at;
+    TAILQ_FOREACH (server, &pool->servers, link) {
+        if (!KcServer_IsLeaving(server)) {
+            return false;
+        }
+    }
+    return !TAILQ_EMPTY(&pool->servers);
 }
 
 /* Chooses how to wait; otherwise is the action if no server is closed. */
@@ -124,16 +149,14 @@
 choose_wait(const KcForward *forward, KcChoiceAction otherwise, KcTime now,
             KcChoice *choice)
 {
-    Prospect prospect = survey_servers(forward, false, now);
-
     choice->server = NULL;
     choice->action = otherwise;
-    if (!prospect.any_staying && !TAILQ_EMPTY(&forward->pool->servers)) {
+    choice->opens_at = first_opening(forward, false, now);
+    if (are_all_leaving(forward->pool)) {
         choice->action = KC_CHOICE_REFUSE;
     }
-    else if (!prospect.any_open && prospect.first_opens_at != KC_NEVER) {
+    else if (choice->opens_at != 0) {
         choice->action = KC_CHOICE_AWAIT_OPENING;
-        choice->opens_at = prospect.first_opens_at;
     }
 }
 
