--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -321,6 +321,13 @@
     (void)server_to_close;
 }
 
+static void
+record_notice(void *context, const KcNoticeRecord *record)
+{
+    (void)context;
+    (void)record;
+}
+
 static void
 record_request(void *context, const KcForwardRecord *record)
 {
@@ -410,8 +417,8 @@
 read_worker_answer(Reading *reading)
 {
     static const KcGatewayOps ops = {
-        start_attempt,   cancel_attempt,    request_load,  check_server,
-        refresh_servers, close_connections, record_request};
+        start_attempt,   cancel_attempt,    request_load,   check_server,
+        refresh_servers, close_connections, record_request, record_notice};
     KcForwardCall call = {.id = "this-request",
                           .host = "h",
                           .path = "/r/x",
