Respect servers that asked to wait when a silent server is left or checked

Cause: a server whose wait was over, but that had not been tried since, counted as a place for a request that still ran at a silent server: it was cancelled there, sent as the trial and refused (502). A check of a silent server was sent during its wait, and the notices in the answer to a check were not read.

The timer of a queued resumption was set to the end of its wait when the queue was walked, so that servers which had refused it were not asked again.

--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -494,7 +494,9 @@
         now - forward->adapter->load_requested_at >= MOVE_LOAD_INTERVAL) {
         send_load_request(forward, load_server, now);
     }
+    /* A server that asked to wait may refuse its first request after that. */
     return choice.action == KC_CHOICE_SEND &&
+           choice.server->closed_until == 0 &&
            !KcServer_IsFailing(choice.server, now);
 }
 
@@ -515,7 +517,7 @@
             refuse(forward, KC_ERR_NO_BACKEND, now);
         }
         else {
-            KcForward_SetTimer(forward, wait_until(forward));
+            KcForward_SetTimer(forward, next_queue_check(forward, now));
         }
         break;
     case KC_CHOICE_SEND:
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -149,7 +149,7 @@
         return;
     }
     if (is_stream(forward) && now >= check_server_at(forward) &&
-        silence >= CHECK_SILENCE_MIN) {
+        silence >= CHECK_SILENCE_MIN && forward->server->closed_until <= now) {
         options->ops->check_server(options->context, forward->server);
     }
     set_timer(forward, now + SILENCE_CHECK_INTERVAL);
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -58,7 +58,7 @@
 
 /* ---- connections to keepers ---------------------------------------------- */
 
-/* Takes the notice of a reply that no request waits for. */
+/* Takes the notice of a reply that no caller's request waits for. */
 static void
 on_unexpected_head(void *context, const KcHttpMessage *message)
 {
@@ -316,19 +316,25 @@
 }
 
 static void
-on_check_done(void *context, int status, const char *reported_value,
-              KcBytes body)
+on_check_head(void *context, const KcHttpResponseHead *head)
 {
     ServerConnections *connections = context;
 
-    (void)reported_value;
-    (void)body;
-    connections->check = NULL;
-    if (status != 0) {
-        KcGateway_OnServerAlive(connections->server, KcLoop_Now());
-    }
+    KcGateway_OnServerAlive(connections->server, KcLoop_Now());
+    on_unexpected_head(connections, head->message);
+}
+
+static void
+on_check_done(void *context, int code, bool sent)
+{
+    (void)code;
+    (void)sent;
+    ((ServerConnections *)context)->check = NULL;
 }
 
+static const KcHttpCallOps check_ops = {.on_head = on_check_head,
+                                        .on_done = on_check_done};
+
 static void
 check_server(void *context, KcServer *server)
 {
@@ -340,12 +346,13 @@
         .method = "GET",
         .path = role->platform->status_path,
         .progress_timeout = CHECK_TIMEOUT,
-        .limits = {.body_bytes_max = CHECK_ANSWER_BYTES_MAX}};
+        .limits = {.body_bytes_max = CHECK_ANSWER_BYTES_MAX},
+        .ops = &check_ops,
+        .context = connections};
 
     if (connections->check == NULL) {
         KcCounters_Add(&role->common.counters, KC_COUNT_CHECKS, 1);
-        connections->check =
-            KcHttpCall_Fetch(&options, on_check_done, connections);
+        connections->check = KcHttpCall_Start(&options);
     }
 }
 
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -151,7 +151,8 @@
     const char *value = KcHttpMessage_FindField(message, call->reported_field);
     KcHttpResponseHead head = {.status = message->status,
                                .content_type = type != NULL ? type : "",
-                               .reported_value = value != NULL ? value : ""};
+                               .reported_value = value != NULL ? value : "",
+                               .message = message};
     int code;
 
     restart_progress_timer(call);
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -14,6 +14,7 @@
     int status;
     const char *content_type;   /* "" when absent */
     const char *reported_value; /* ETag or the reported header; "" if absent */
+    const KcHttpMessage *message;
 } KcHttpResponseHead;
 
 /* Callbacks of a call. on_head and on_data may be NULL. */
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -1008,6 +1008,12 @@
     {"a request does not leave a silent server for one that leaves",
      PLAIN "request 1 /s/x;notice b leaving;wait 1000;reply 1 200",
      "1>a; b:leaving; 1:200; 1:end; "},
+    {"a request does not leave a silent server for one to be tried again",
+     PLAIN "notice b wait 500;request 1 /s/x;wait 1000;reply 1 200",
+     "b:closed 500; 1>a; 1:200; 1:end; "},
+    {"a server that asked to wait is not checked",
+     LLM "checks;request 1 /t/x m/x;notice a wait 3000;wait 2700",
+     "1>a; a:closed 3000; "},
     {"a queued request does not go to a server that leaves",
      "config 1;server a plain 1;server b plain 1 at=near;load b 2 0 1;"
      "request 1 /u/x;request 2 /u/x;notice a leaving;reply 1 200;"
