Add plays with several gateways in virtual time, and an oracle

Purpose: test_gateway drives one gateway by steps and tests/world has no gateways, so nothing played several of them against servers that pause, queue and refuse.

Change: tests/plays has real gateways, and fakes of their callers, backend servers, keepers and store, all on one wheel of timers with a clock of its own and random by seed. Plays are rows of a table; the oracle checks that each request ends once, events come in order, a request that must not be repeated runs once, nothing is sent for a caller that left, and no gateway ends an answer while its server is sound (it pauses for 1.5 s at the most), before the route's timeout or its caller's leaving.

--- /dev/null
+++ b/tests/plays/gateway.c
@@ -0,0 +1,235 @@
+/*
+ * The program around a gateway: it sends attempts, delivers answers, and asks
+ * keepers to load adapters.
+ */
+#include <stdlib.h>
+#include <string.h>
+
+#include "play.h"
+
+#define LATENCY_NEAR (1 * KC_MS)
+#define LATENCY_REGION (5 * KC_MS)
+
+static const KcTime never_stopped;
+
+KcTime
+Play_Latency(const PlayGateway *gateway, const PlayServer *server)
+{
+    return strcmp(gateway->datacentre, server->datacentre) == 0
+               ? LATENCY_NEAR
+               : LATENCY_REGION;
+}
+
+static PlayServer *
+find_server(Play *play, const KcServer *server)
+{
+    return &play->servers[atoi(server->id + 1)];
+}
+
+/* ---- calls made by the gateway ------------------------------------------ */
+
+static void *
+start_attempt(void *context, KcForward *forward, const KcAttemptParams *params)
+{
+    PlayGateway *gateway = context;
+    Play *play = gateway->play;
+    PlayCaller *caller = forward->caller;
+    PlayAttempt *attempt = KcMem_New(sizeof(*attempt));
+    PlayMessage message = {.deliver = PlayServer_OnRequest,
+                           .attempt = attempt};
+
+    attempt->caller = caller;
+    attempt->server = find_server(play, params->server);
+    attempt->forward = forward;
+    attempt->next_event_id =
+        params->has_last_event ? params->last_event_id + 1 : 1;
+    attempt->sent_at = play->now;
+    PlayPipe_Init(&attempt->requests, play, &attempt->server->paused_until);
+    PlayPipe_Init(&attempt->answers, play, &never_stopped);
+    TAILQ_INSERT_TAIL(&caller->attempts, attempt, link);
+    Play_Trace(play, "g%u sends %u to %s from event %d", gateway->number,
+               caller->number, attempt->server->id,
+               (int)attempt->next_event_id);
+    Oracle_OnStart(attempt);
+    PlayPipe_Send(&attempt->requests, &message,
+                  Play_Latency(gateway, attempt->server));
+    return attempt;
+}
+
+/* How long the gateway has heard nothing of the attempt's server. */
+static KcTime
+silence_of(const PlayGateway *gateway, const PlayAttempt *attempt)
+{
+    KcTime since = attempt->server->last_byte_at[gateway->number];
+
+    return gateway->play->now -
+           (since > attempt->sent_at ? since : attempt->sent_at);
+}
+
+static void
+cancel_attempt(void *context, void *handle)
+{
+    PlayGateway *gateway = context;
+    PlayAttempt *attempt = handle;
+    PlayMessage message = {.deliver = PlayServer_OnCancel, .attempt = attempt};
+
+    attempt->cancelled_at = gateway->play->now;
+    attempt->silence = silence_of(gateway, attempt);
+    Play_Trace(gateway->play, "g%u cancels %u at %s, silent for %d ms",
+               gateway->number, attempt->caller->number, attempt->server->id,
+               (int)(attempt->silence / KC_MS));
+    PlayPipe_Clear(&attempt->answers);
+    PlayPipe_Send(&attempt->requests, &message,
+                  Play_Latency(gateway, attempt->server));
+}
+
+static bool
+request_load(void *context, const KcLoadRequest *load_request)
+{
+    PlayGateway *gateway = context;
+    PlayServer *server = find_server(gateway->play, load_request->server);
+    unsigned adapter = (unsigned)atoi(load_request->adapter->name + 1);
+
+    Play_Trace(gateway->play, "g%u requests a%u at %s", gateway->number,
+               adapter, server->id);
+    PlayServer_Load(server, adapter, gateway->play->now);
+    return true;
+}
+
+static void
+refresh_servers(void *context)
+{
+    PlayStore_SendList(context, 100 * KC_MS);
+}
+
+static void
+close_connections(void *context, KcServer *server)
+{
+    (void)context;
+    (void)server;
+}
+
+static void
+record_request(void *context, const KcForwardRecord *record)
+{
+    PlayGateway *gateway = context;
+    PlayCaller *caller = record->forward->caller;
+
+    caller->error_step = record->error != NULL ? record->error->step : "";
+    Play_Trace(gateway->play, "g%u ends %u: %s%s%s", gateway->number,
+               caller->number, record->outcome,
+               record->error != NULL ? ", " : "", caller->error_step);
+}
+
+static const KcGatewayOps gateway_ops = {
+    .start_attempt = start_attempt,
+    .cancel_attempt = cancel_attempt,
+    .request_load = request_load,
+    .refresh_servers = refresh_servers,
+    .close_connections = close_connections,
+    .record_request = record_request,
+};
+
+/* ---- answers ------------------------------------------------------------- */
+
+static void
+end_attempt(PlayAttempt *attempt, const KcReply *reply, KcTime now)
+{
+    attempt->is_ended = true;
+    if (reply != NULL) {
+        KcForward_OnReply(attempt->forward, reply, now);
+    }
+    else {
+        KcForward_OnStreamEnd(attempt->forward, now);
+    }
+}
+
+void
+PlayGateway_OnAnswer(PlayMessage *message, KcTime now)
+{
+    PlayAttempt *attempt = message->attempt;
+    KcForward *forward = attempt->forward;
+    char text[24];
+    KcReply reply = {.status = (int)message->number, .head = attempt};
+
+    if (attempt->cancelled_at != 0) {
+        return; /* its connection was closed */
+    }
+    snprintf(text, sizeof(text), "%d", (int)message->number);
+    reply.body = (KcBytes){text, strlen(text)};
+    attempt->server->last_byte_at[attempt->caller->gateway->number] = now;
+    if (message->is_head) {
+        KcGateway_OnLoadReport(forward->server, message->running,
+                               message->waiting, attempt->server->slots, now);
+    }
+    if (message->is_last && message->number == 0) {
+        end_attempt(attempt, NULL, now);
+    }
+    else if (message->is_last) {
+        reply.not_run = reply.status != 200;
+        reply.is_misdirected = reply.status == 421;
+        end_attempt(attempt, &reply, now);
+    }
+    else if (message->is_head) {
+        reply.status = 200;
+        KcForward_OnStreamBegin(forward, &reply, now);
+    }
+    else {
+        KcForward_OnStreamEvent(forward, true, message->number, reply.body,
+                                now);
+    }
+}
+
+/* ---- set-up and end ------------------------------------------------------ */
+
+static const char *
+region_of(void *context, const char *datacentre)
+{
+    (void)context;
+    (void)datacentre;
+    return "north";
+}
+
+void
+PlayGateway_Init(Play *play, unsigned number)
+{
+    PlayGateway *gateway = &play->gateways[number];
+    KcGatewayOptions options;
+
+    gateway->play = play;
+    gateway->number = number;
+    gateway->datacentre = number % 2 == 0 ? "here" : "near";
+    KcGatewayOptions_Init(&options);
+    options.ops = &gateway_ops;
+    options.context = gateway;
+    options.timers = play->timers;
+    options.counters = &gateway->counters;
+    options.datacentre = gateway->datacentre;
+    options.region_of = region_of;
+    options.seed = Play_Random(play, UINT32_MAX);
+    gateway->gateway = KcGateway_Create(&options);
+    KcGateway_SetGatewayCount(gateway->gateway, play->plan->gateway_count,
+                              play->now);
+    PlayPipe_Init(&gateway->news, play, &gateway->store_away_until);
+    PlayPipe_Init(&gateway->reports, play, &never_stopped);
+    PlayStore_SendRouting(gateway, 0);
+    PlayStore_SendList(gateway, 0);
+    for (unsigned i = 0; i < play->server_count; i++) {
+        PlayServer *server = &play->servers[i];
+
+        for (unsigned k = 0; k < PLAY_ADAPTER_COUNT; k++) {
+            if ((server->held >> k) & 1) {
+                PlayStore_SendReport(server, gateway, k, KC_HELD_LOADED);
+            }
+        }
+    }
+}
+
+void
+PlayGateway_Free(PlayGateway *gateway)
+{
+    KcGateway_Abort(gateway->gateway, gateway->play->now);
+    KcGateway_Free(gateway->gateway);
+    PlayPipe_Clear(&gateway->news);
+    PlayPipe_Clear(&gateway->reports);
+}
