Narrow the class of known failures of the plays, and reconnect keepers

Purpose: "requests in a queue are kept" also took in plain requests, and streams that had begun to run at a server that paused, so a new fault of these would have passed as known.

Change: that class is only of streams that wait in their server's queue, or were given up after more silence than a pause makes; the others count as "answers are kept". Keepers reconnect in the plays and report their server as ready. After a wait, one request at a time is asked for unless the gateway removed the server when the wait was over.

--- a/tests/plays/caller.c
+++ b/tests/plays/caller.c
@@ -66,6 +66,12 @@
     return routing;
 }
 
+bool
+PlayCaller_IsStream(const PlayCaller *caller)
+{
+    return caller->route->kind == KC_REQUEST_KIND_STREAM;
+}
+
 /* ---- patience ------------------------------------------------------------ */
 
 static void
@@ -73,8 +79,7 @@
 {
     KcTime due_at = caller->deadline + END_DELAY_MAX;
 
-    if (caller->route->kind == KC_REQUEST_KIND_STREAM &&
-        now + CALLER_SILENCE_TIMEOUT < due_at) {
+    if (PlayCaller_IsStream(caller) && now + CALLER_SILENCE_TIMEOUT < due_at) {
         due_at = now + CALLER_SILENCE_TIMEOUT;
     }
     if (caller->patience_until < due_at) {
@@ -117,8 +122,7 @@
     PlayCaller *caller = context;
 
     (void)head;
-    if (caller->has_begun ||
-        stream != (caller->route->kind == KC_REQUEST_KIND_STREAM)) {
+    if (caller->has_begun || stream != PlayCaller_IsStream(caller)) {
         Oracle_Break(caller->gateway->play, PLAY_ORDER, caller,
                      "has a second beginning");
     }
@@ -194,7 +198,7 @@
     KcGateway *gateway = caller->gateway->gateway;
     const KcRouteRule *rule = KcRouting_FindRule(KcGateway_GetRouting(gateway),
                                                  "h", caller->route->path);
-    bool is_stream = caller->route->kind == KC_REQUEST_KIND_STREAM;
+    bool is_stream = PlayCaller_IsStream(caller);
     char adapter[8] = "";
     KcForwardCall call = {.id = caller->id,
                           .host = "h",
--- a/tests/plays/gateway.c
+++ b/tests/plays/gateway.c
@@ -148,9 +148,13 @@
 close_connections(void *context, KcServer *server)
 {
     PlayGateway *gateway = context;
+    PlayLink *link =
+        &find_server(gateway->play, server)->links[gateway->number];
 
-    find_server(gateway->play, server)->links[gateway->number].is_removed =
-        true;
+    /* The server is removed: if it comes back, it is a new one. */
+    if (gateway->play->now >= link->closed_until) {
+        link->closed_until = 0;
+    }
 }
 
 static void
@@ -189,18 +193,6 @@
 
 /* ---- answers ------------------------------------------------------------- */
 
-static void
-end_attempt(PlayAttempt *attempt, const KcReply *reply, KcTime now)
-{
-    attempt->is_ended = true;
-    if (reply != NULL) {
-        KcForward_OnReply(attempt->forward, reply, now);
-    }
-    else {
-        KcForward_OnStreamEnd(attempt->forward, now);
-    }
-}
-
 void
 PlayGateway_OnAnswer(PlayMessage *message, KcTime now)
 {
@@ -224,13 +216,14 @@
         KcGateway_OnLoadReport(forward->server, message->running,
                                message->waiting, attempt->server->slots, now);
     }
+    attempt->is_ended = message->is_last;
     if (message->is_last && message->number == 0) {
-        end_attempt(attempt, NULL, now);
+        KcForward_OnStreamEnd(forward, now);
     }
     else if (message->is_last) {
         reply.not_run = reply.status != 200;
         reply.is_misdirected = reply.status == 421;
-        end_attempt(attempt, &reply, now);
+        KcForward_OnReply(forward, &reply, now);
     }
     else if (message->is_head) {
         reply.status = 200;
@@ -277,15 +270,6 @@
     PlayPipe_Init(&gateway->reports, play, &never_stopped);
     PlayStore_SendRouting(gateway, 0);
     PlayStore_SendList(gateway, 0);
-    for (unsigned i = 0; i < play->server_count; i++) {
-        PlayServer *server = &play->servers[i];
-
-        for (unsigned k = 0; k < PLAY_ADAPTER_COUNT; k++) {
-            if ((server->held >> k) & 1) {
-                PlayStore_SendReport(server, gateway, k, KC_HELD_LOADED);
-            }
-        }
-    }
 }
 
 void
--- a/tests/plays/oracle.c
+++ b/tests/plays/oracle.c
@@ -89,9 +89,6 @@
         break_at(attempt, PLAY_WAITING,
                  "was sent to a server that asked to wait");
     }
-    else if (link->is_removed) {
-        link->closed_until = 0; /* it is back as a new one */
-    }
     else if (link->closed_until != 0) {
         if (link->trial != NULL && is_open(link->trial)) {
             break_at(
@@ -134,7 +131,6 @@
     }
     if (now + notice->retry_after > link->closed_until) {
         link->closed_until = now + notice->retry_after;
-        link->is_removed = false;
         link->trial = NULL;
     }
 }
@@ -195,8 +191,7 @@
     if (caller->has_left || caller->end_count > 0) {
         Oracle_Break(play, PLAY_ENDS, caller, "has data after its end");
     }
-    if (caller->route->kind == KC_REQUEST_KIND_STREAM &&
-        event_id != caller->last_event_id + 1) {
+    if (PlayCaller_IsStream(caller) && event_id != caller->last_event_id + 1) {
         Oracle_Break(play, PLAY_ORDER, caller, "has an event out of order");
     }
     caller->last_event_id = event_id;
@@ -221,7 +216,7 @@
 Oracle_OnAnswered(const PlayCaller *caller)
 {
     Oracle_OnClosed(caller);
-    if (caller->route->kind == KC_REQUEST_KIND_STREAM &&
+    if (PlayCaller_IsStream(caller) &&
         caller->last_event_id != caller->event_count) {
         Oracle_Break(caller->gateway->play, PLAY_ORDER, caller,
                      "has ended before its last event");
@@ -240,7 +235,8 @@
     if (attempt->cancelled_at < play->now) {
         promise = PLAY_MOVED;
     }
-    else if (!attempt->has_answered) {
+    else if (PlayCaller_IsStream(caller) && !attempt->has_answered &&
+             (!attempt->has_run || attempt->silence > PLAY_SOUND_PAUSE_MAX)) {
         promise = PLAY_QUEUED;
     }
     snprintf(problem, sizeof(problem),
--- a/tests/plays/play.c
+++ b/tests/plays/play.c
@@ -203,6 +203,9 @@
     for (unsigned i = 0; i < plan->gateway_count; i++) {
         PlayGateway_Init(play, i);
     }
+    for (unsigned i = 0; i < play->server_count; i++) {
+        PlayStore_SendAllReports(&play->servers[i]);
+    }
     KcTimer_Init(&play->request_timer, on_request_timer, play);
     KcTimers_Set(play->timers, &play->request_timer, play->now + KC_SECOND);
     KcTimer_Init(&play->beat_timer, on_beat_timer, play);
--- a/tests/plays/play.h
+++ b/tests/plays/play.h
@@ -15,7 +15,7 @@
 
 #define PLAY_GATEWAYS_MAX 8
 #define PLAY_SERVERS_MAX 12
-#define PLAY_TROUBLES_MAX 9
+#define PLAY_TROUBLES_MAX 10
 /* Adapters of model "m", named a0, a1, ... */
 #define PLAY_ADAPTER_COUNT 6
 /* A server that pauses for no longer is sound. */
@@ -58,10 +58,10 @@
     /* No gateway ends an answer while its server is sound, before the route's
      * timeout or the caller's leaving. */
     PLAY_KEPT,
-    PLAY_QUEUED,  /* the same of an attempt without an event, which may wait
-                   * in its server's queue */
-    PLAY_MOVED,   /* the same of a request without an answer that was to move,
-                   * as its server was silent */
+    PLAY_QUEUED,  /* the same of a stream's attempt without an event, which
+                   * waits in its server's queue, or did for long */
+    PLAY_MOVED,   /* the same of a request that was to move, as its server was
+                   * silent, and found no place */
     PLAY_LEAVING, /* nothing is sent to a server that has said that it leaves;
                    * where all servers do, requests are refused at once */
     PLAY_WAITING, /* nothing is sent to a server that has asked to wait before
@@ -133,7 +133,6 @@
     KcTime last_byte_at;      /* that the gateway has read */
     bool has_left;            /* the gateway has read that it leaves */
     KcTime closed_until;      /* or that it is to wait; 0: not, or over */
-    bool is_removed;          /* the gateway has removed it since */
     const PlayAttempt *trial; /* the first one after the wait */
     KcTime turned_away_at;    /* when the server asked the gateway to wait */
     KcTime turned_away_until;
@@ -145,7 +144,6 @@
 
 struct PlayServer {
     Play *play;
-    unsigned number;
     char id[8];
     char address[24];
     const char *service;
@@ -208,6 +206,7 @@
     bool resumable;
 } PlayRoute;
 
+/* A request and its caller. */
 struct PlayCaller {
     TAILQ_ENTRY(PlayCaller) link; /* Play.callers */
     PlayGateway *gateway;
@@ -218,7 +217,6 @@
     unsigned adapter;
     uint64_t event_count; /* of the whole stream */
     KcTime service_time;  /* of a whole answer */
-    KcTime submitted_at;
     KcTime deadline;
     KcTime patience_until; /* leaves at the latest */
     KcTimer leave_timer;
@@ -274,6 +272,7 @@
 KcRouting *Play_CreateRouting(Play *play);
 void Play_SubmitRequest(Play *play, KcTime now);
 void PlayCaller_Free(PlayCaller *caller);
+bool PlayCaller_IsStream(const PlayCaller *caller);
 
 /* ---- gateway.c ----------------------------------------------------------- */
 
@@ -304,9 +303,11 @@
 void PlayStore_SendList(PlayGateway *gateway, KcTime delay);
 /* Sends the newest routing configuration. */
 void PlayStore_SendRouting(PlayGateway *gateway, KcTime delay);
-/* A keeper's report to one gateway, or to all with NULL. */
-void PlayStore_SendReport(PlayServer *server, PlayGateway *gateway,
-                          unsigned adapter, KcHeldState state);
+/* A keeper's report to all gateways. */
+void PlayStore_SendReport(PlayServer *server, unsigned adapter,
+                          KcHeldState state);
+/* The same on a new connection: all that the server holds. */
+void PlayStore_SendAllReports(PlayServer *server);
 
 /* ---- oracle.c ------------------------------------------------------------ */
 
@@ -336,6 +337,7 @@
 void Trouble_Pause(Play *play, KcTime now);
 void Trouble_Fill(Play *play, KcTime now);
 void Trouble_Unload(Play *play, KcTime now);
+void Trouble_ReconnectKeeper(Play *play, KcTime now);
 void Trouble_Configure(Play *play, KcTime now);
 void Trouble_LoseRecord(Play *play, KcTime now);
 void Trouble_StopStore(Play *play, KcTime now);
--- a/tests/plays/server.c
+++ b/tests/plays/server.c
@@ -10,10 +10,15 @@
 
 static void start_next(PlayServer *server, KcTime now);
 
+/* While the server pauses: makes the timer fire at the end of the pause. */
 static bool
-is_paused(const PlayServer *server, KcTime now)
+defer(const PlayServer *server, KcTimer *timer, KcTime now)
 {
-    return now < server->paused_until;
+    if (now < server->paused_until) {
+        KcTimers_Set(server->play->timers, timer, server->paused_until);
+        return true;
+    }
+    return false;
 }
 
 /* ---- answers ------------------------------------------------------------- */
@@ -39,12 +44,6 @@
                   Play_Latency(attempt->caller->gateway, attempt->server));
 }
 
-static bool
-is_stream(const PlayAttempt *attempt)
-{
-    return attempt->caller->route->kind == KC_REQUEST_KIND_STREAM;
-}
-
 static void
 leave_server(PlayAttempt *attempt, KcTime now)
 {
@@ -69,11 +68,10 @@
     PlayAttempt *attempt = timer->owner;
     PlayServer *server = attempt->server;
 
-    if (is_paused(server, now)) {
-        KcTimers_Set(server->play->timers, timer, server->paused_until);
+    if (defer(server, timer, now)) {
         return;
     }
-    if (!is_stream(attempt)) {
+    if (!PlayCaller_IsStream(attempt->caller)) {
         send_answer(attempt, 200, true, true);
         leave_server(attempt, now);
         return;
@@ -100,12 +98,12 @@
     server->running_count++;
     Play_Trace(play, "%s runs %u", server->id, attempt->caller->number);
     Oracle_OnRun(attempt);
-    if (is_stream(attempt)) {
+    if (PlayCaller_IsStream(attempt->caller)) {
         send_answer(attempt, 0, true, false);
     }
     KcTimer_Init(&attempt->step_timer, on_step_timer, attempt);
     KcTimers_Set(play->timers, &attempt->step_timer,
-                 now + (is_stream(attempt)
+                 now + (PlayCaller_IsStream(attempt->caller)
                             ? Play_RandomTime(play, 20 * KC_MS, 300 * KC_MS)
                             : attempt->caller->service_time));
 }
@@ -203,7 +201,7 @@
 {
     if ((server->held & (1U << adapter)) != 0 && !is_in_use(server, adapter)) {
         server->held &= ~(1U << adapter);
-        PlayStore_SendReport(server, NULL, adapter, KC_HELD_NOT_LOADED);
+        PlayStore_SendReport(server, adapter, KC_HELD_NOT_LOADED);
     }
 }
 
@@ -212,8 +210,7 @@
 {
     PlayServer *server = timer->owner;
 
-    if (is_paused(server, now)) {
-        KcTimers_Set(server->play->timers, timer, server->paused_until);
+    if (defer(server, timer, now)) {
         return;
     }
     for (unsigned i = 0; i < PLAY_ADAPTER_COUNT; i++) {
@@ -229,7 +226,7 @@
 
         if ((server->loading >> i) & 1) {
             server->held |= has_room ? 1U << i : 0;
-            PlayStore_SendReport(server, NULL, i,
+            PlayStore_SendReport(server, i,
                                  (server->held >> i) & 1 ? KC_HELD_LOADED
                                                          : KC_HELD_NOT_LOADED);
         }
@@ -241,7 +238,7 @@
 PlayServer_Load(PlayServer *server, unsigned adapter, KcTime now)
 {
     if ((server->held >> adapter) & 1) {
-        PlayStore_SendReport(server, NULL, adapter, KC_HELD_LOADED);
+        PlayStore_SendReport(server, adapter, KC_HELD_LOADED);
         return;
     }
     if (server->loading == 0) {
@@ -267,8 +264,7 @@
 {
     PlayServer *server = timer->owner;
 
-    if (is_paused(server, now)) {
-        KcTimers_Set(server->play->timers, timer, server->paused_until);
+    if (defer(server, timer, now)) {
         return;
     }
     server->foreign_count = 0;
@@ -290,7 +286,6 @@
     PlayServer *server = &play->servers[number];
 
     server->play = play;
-    server->number = number;
     server->is_engine = number < play->plan->model_server_count;
     snprintf(server->id, sizeof(server->id), "s%u", number);
     snprintf(server->address, sizeof(server->address), "10.0.0.%u:80", number);
--- a/tests/plays/store.c
+++ b/tests/plays/store.c
@@ -152,8 +152,7 @@
 }
 
 void
-PlayStore_SendReport(PlayServer *server, PlayGateway *gateway,
-                     unsigned adapter, KcHeldState state)
+PlayStore_SendReport(PlayServer *server, unsigned adapter, KcHeldState state)
 {
     Play *play = server->play;
     PlayMessage message = {.deliver = on_report,
@@ -163,9 +162,18 @@
 
     for (unsigned i = 0; i < play->plan->gateway_count; i++) {
         message.gateway = &play->gateways[i];
-        if (gateway == NULL || gateway == message.gateway) {
-            PlayPipe_Send(&message.gateway->reports, &message,
-                          Play_Latency(message.gateway, server));
+        PlayPipe_Send(&message.gateway->reports, &message,
+                      Play_Latency(message.gateway, server));
+    }
+}
+
+void
+PlayStore_SendAllReports(PlayServer *server)
+{
+    PlayStore_SendReport(server, 0, KC_HELD_SERVER_RESTARTED);
+    for (unsigned i = 0; i < PLAY_ADAPTER_COUNT; i++) {
+        if ((server->held >> i) & 1) {
+            PlayStore_SendReport(server, i, KC_HELD_LOADED);
         }
     }
 }
--- a/tests/plays/test_plays.c
+++ b/tests/plays/test_plays.c
@@ -53,6 +53,7 @@
      .troubles = {{Trouble_LoseStore, 3 * KC_SECOND, 0},
                   {Trouble_Leave, 4 * KC_SECOND, 3 * KC_SECOND},
                   {Trouble_Unload, 0, 100 * KC_MS},
+                  {Trouble_ReconnectKeeper, 0, 200 * KC_MS},
                   {Trouble_LoseRecord, 0, 2 * KC_SECOND},
                   {Trouble_OldNews, 0, 300 * KC_MS}}},
     {"all servers of a service leave", BUSY,
@@ -66,6 +67,7 @@
                   {Trouble_Configure, 0, 500 * KC_MS},
                   {Trouble_Fill, 0, KC_SECOND},
                   {Trouble_Unload, 0, 200 * KC_MS},
+                  {Trouble_ReconnectKeeper, 0, KC_SECOND},
                   {Trouble_LoseRecord, 0, KC_SECOND},
                   {Trouble_StopStore, 0, 4 * KC_SECOND},
                   {Trouble_OldNews, 0, 500 * KC_MS},
@@ -106,6 +108,7 @@
     PlayFindings findings;
 
     Play_Run(&plans[row], seed, trace, &findings);
+    fflush(stdout);
     for (size_t i = 0; i < PLAY_PROMISE_COUNT; i++) {
         if (findings.first[i][0] != '\0') {
             promises[i].broken_count++;
--- a/tests/plays/troubles.c
+++ b/tests/plays/troubles.c
@@ -38,6 +38,14 @@
                       (unsigned)Play_Random(play, PLAY_ADAPTER_COUNT));
 }
 
+void
+Trouble_ReconnectKeeper(Play *play, KcTime now)
+{
+    (void)now;
+    PlayStore_SendAllReports(
+        pick_server(play, play->plan->model_server_count));
+}
+
 void
 Trouble_Configure(Play *play, KcTime now)
 {
