--- a/tests/plays/gateway.c
+++ b/tests/plays/gateway.c
@@ -138,6 +138,42 @@
     return true;
 }
 
+/* The answer to a check arrives; it waits for the end of a pause. */
+static void
+on_check_timer(KcTimer *timer, KcTime now)
+{
+    PlayLink *link = timer->owner;
+    KcServer *server =
+        KcGateway_FindServer(link->gateway->gateway, link->server->id);
+
+    if (now < link->server->paused_until) {
+        KcTimers_Set(link->gateway->play->timers, timer,
+                     link->server->paused_until +
+                         Play_Latency(link->gateway, link->server));
+        return;
+    }
+    if (server != NULL) {
+        KcGateway_OnServerAlive(server, now);
+    }
+}
+
+static void
+check_server(void *context, KcServer *server)
+{
+    PlayGateway *gateway = context;
+    Play *play = gateway->play;
+    PlayServer *checked = find_server(play, server);
+    PlayLink *link = &checked->links[gateway->number];
+
+    if (!link->check_timer.is_set) {
+        link->gateway = gateway;
+        link->server = checked;
+        KcTimer_Init(&link->check_timer, on_check_timer, link);
+        KcTimers_Set(play->timers, &link->check_timer,
+                     play->now + 2 * Play_Latency(gateway, checked));
+    }
+}
+
 static void
 refresh_servers(void *context)
 {
@@ -185,6 +221,7 @@
     .start_attempt = start_attempt,
     .cancel_attempt = cancel_attempt,
     .request_load = request_load,
+    .check_server = check_server,
     .refresh_servers = refresh_servers,
     .close_connections = close_connections,
     .record_request = record_request,
--- a/tests/plays/play.h
+++ b/tests/plays/play.h
@@ -130,9 +130,12 @@
 
 /* A server and a gateway, from what passes between them. */
 typedef struct PlayLink {
-    KcTime last_byte_at;      /* that the gateway has read */
-    bool has_left;            /* the gateway has read that it leaves */
-    KcTime closed_until;      /* or that it is to wait; 0: not, or over */
+    PlayGateway *gateway;
+    const PlayServer *server;
+    KcTimer check_timer; /* answers a check; set while one is unanswered */
+    KcTime last_byte_at; /* that the gateway has read */
+    bool has_left;       /* the gateway has read that it leaves */
+    KcTime closed_until; /* or that it is to wait; 0: not, or over */
     const PlayAttempt *trial; /* the first one after the wait */
     KcTime turned_away_at;    /* when the server asked the gateway to wait */
     KcTime turned_away_until;
