Stop the loop without waiting for another event

Cause: KcLoop_Stop() from a timer did not keep the loop from one more iteration, as libevent forgets a loopbreak when its loop is entered. That iteration waited for whatever came next, and read and accepted requests that were then closed without an answer.

Change: after a stop the loop makes one pass that does not wait, which still sends what is ready to be sent.

Evidence: the new case of test_loop did not end before, as nothing else happened.

--- a/programs/process/loop.c
+++ b/programs/process/loop.c
@@ -121,7 +121,9 @@
         read_before_late_timers(loop);
         KcTimers_Run(loop->timers, KcLoop_Now());
         arm_wake_timer(loop);
-        event_base_loop(loop->base, EVLOOP_ONCE);
+        /* A last pass when stopped sends what is ready to be sent. */
+        event_base_loop(loop->base,
+                        loop->stop_requested ? EVLOOP_NONBLOCK : EVLOOP_ONCE);
         run_deferred_frees(loop);
         if (loop->on_iteration_end != NULL) {
             loop->on_iteration_end();
--- a/tests/process/test_loop.c
+++ b/tests/process/test_loop.c
@@ -1,5 +1,6 @@
 /*
- * Tests the order in which the event loop runs timers and reads sockets.
+ * Tests the order in which the event loop runs timers and reads sockets, and
+ * its end.
  */
 #include <event2/event.h>
 #include <glib.h>
@@ -24,6 +25,8 @@
 } cases[] = {
     {"what arrived is read before a timer that had to wait", 100 * KC_MS, true,
      "read; timer; "},
+    {"a loop stops at once when nothing else happens", 100 * KC_MS, false,
+     "timer; "},
 };
 
 static void
