End a planned stop only when no caller is being served

Cause: a stopping gateway ended as soon as the core had no request in progress. Requests that were still being received, and answers that callers had not read completely, were cut off by the end of the process, seconds before the grace period ended.

Change: the stop also waits for connections that are not idle or have unsent output, at most until it times out.

--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -120,6 +120,7 @@
     GatewayRole *role = context;
 
     return KcGateway_CountInFlight(role->gateway) == 0 &&
+           KcGatewayFrontEnd_IsQuiet(role->front_end) &&
            KcLoop_Now() >= role->drain_started_at + DRAIN_DURATION_MIN;
 }
 
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -516,3 +516,17 @@
         }
     }
 }
+
+bool
+KcGatewayFrontEnd_IsQuiet(const KcGatewayFrontEnd *front_end)
+{
+    const CallerConnection *connection;
+
+    TAILQ_FOREACH (connection, &front_end->connections, link) {
+        if (connection->state != CONNECTION_IDLE ||
+            KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
+            return false;
+        }
+    }
+    return true;
+}
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -36,6 +36,8 @@
  * they became idle or this call if that is later.
  */
 void KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until);
+/* Returns whether no request is being received and no answer being sent. */
+bool KcGatewayFrontEnd_IsQuiet(const KcGatewayFrontEnd *front_end);
 /*
  * Return head and body of the request of a caller, as given to KcForwardOps;
  * valid until its answer has ended.
--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -580,6 +580,38 @@
     wait_until_served(1);
 }
 
+/* A request whose body is still being received when a stopping gateway has
+ * nothing else to do is answered before the process ends; here with a refusal,
+ * as the grace period is about to end. */
+static void
+test_body_during_stop(void)
+{
+    static const char head[] = "POST /unsafe/x HTTP/1.1\r\nHost: h\r\n"
+                               "Attempt-Id: slow\r\nContent-Length: 3\r\n\r\n";
+    int fd = GatewayCluster_Connect(
+        GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_GATEWAY, 1));
+    char bytes[64] = "";
+
+    g_assert_cmpint(fd, >=, 0);
+    GatewayCluster_SendSignal(cluster, GATEWAY_CLUSTER_GATEWAY, 1, SIGTERM);
+    g_assert_cmpint(send(fd, head, sizeof(head) - 1, MSG_NOSIGNAL), >, 0);
+    for (int i = 0; i < 3; i++) {
+        /* 1.8 s later each, within the idle timeout; 3.6 s in all, while a
+         * stop without requests lasts 3.2 s. */
+        g_usleep(i > 0 ? 1800000 : 0);
+        g_assert_cmpint(send(fd, "b", 1, MSG_NOSIGNAL), ==, 1);
+    }
+    g_assert_cmpint(recv(fd, bytes, sizeof(bytes) - 1, 0), >, 0);
+    g_assert_true(strncmp(bytes, "HTTP/1.1 503", 12) == 0);
+    close(fd);
+    g_assert_cmpint(
+        GatewayCluster_WaitForExit(cluster, GATEWAY_CLUSTER_GATEWAY, 1), ==,
+        0);
+    GatewayCluster_RestartProcess(cluster, GATEWAY_CLUSTER_GATEWAY, 1);
+    g_assert_true(GatewayCluster_WaitUntilReady(cluster, 1));
+    wait_until_served(1);
+}
+
 /* SIGHUP makes a process read its settings again; it must go on serving. */
 static void
 test_sighup(void)
@@ -800,6 +832,8 @@
                    sizeof(store_cases[0]), test_store);
     g_test_add_func("/platform/version", test_version);
     g_test_add_func("/platform/gateway stopped by SIGTERM", test_gateway_stop);
+    g_test_add_func("/platform/body received during a stop",
+                    test_body_during_stop);
     g_test_add_func("/platform/SIGHUP", test_sighup);
     g_test_add_func("/platform/gateway lost", test_gateway_lost);
     g_test_add_func("/platform/keeper killed", test_keeper_killed);
