Keep a request that left a silent server when the next one refuses it

Cause: a request whose answer has not begun was cancelled at a silent server when another one would be sent it. If that refused, the request failed at once, as the time for which it may queue counts from its arrival, though the first server could have answered.

Change: such a request waits and is offered again, like an answer that has begun, until its deadline, or until the caller of a stream leaves. Requests whose server was lost in other ways fail as before.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -14,13 +14,12 @@
             forward->event_count < forward->events_max);
 }
 
-/* May a refused request wait for the retry budget?  Only an answer that has
- * begun does: any other caller can repeat its request. */
+/* May a refused request wait for the retry budget? */
 static bool
 may_await_budget(const KcForward *forward, KcAttemptEnd end, KcTime now)
 {
-    return end == KC_ATTEMPT_REFUSED && forward->answer_begun &&
-           KcForward_CanContinue(forward) &&
+    return end == KC_ATTEMPT_REFUSED && KcForward_IsKept(forward) &&
+           (!forward->answer_begun || KcForward_CanContinue(forward)) &&
            forward->possible_runs < forward->rule->attempts_max &&
            now < forward->deadline;
 }
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -21,7 +21,7 @@
 /* Least time between load requests for an adapter whose requests are to leave
  * their server. */
 #define MOVE_LOAD_INTERVAL (500 * KC_MS)
-/* Interval at which a place is sought again for an answer that has begun. */
+/* Interval at which a place is sought again for a request that is kept. */
 #define RESUME_RETRY_INTERVAL (400 * KC_MS)
 /* Retry hint to a caller whose request did not run. */
 #define RETRY_AFTER (400 * KC_MS)
@@ -307,23 +307,28 @@
     KcForward_SetTimer(forward, now + LOAD_TIMEOUT);
 }
 
-/* When a queued request is refused.  An answer that has begun is resumed as
- * long as its caller waits for it. */
+bool
+KcForward_IsKept(const KcForward *forward)
+{
+    return forward->answer_begun || forward->was_moved;
+}
+
+/* When a queued request is refused. */
 static KcTime
 wait_until(const KcForward *forward)
 {
-    return forward->answer_begun ? KcForward_EndStreamAt(forward)
-                                 : forward->dispatch_until;
+    return KcForward_IsKept(forward) ? KcForward_EndStreamAt(forward)
+                                     : forward->dispatch_until;
 }
 
-/* When the timer of a queued request is due: of an answer that has begun, when
- * servers that refused it are asked again. */
+/* When the timer of a queued request is due: of one that is kept, when servers
+ * that refused it are asked again. */
 static KcTime
 next_queue_check(const KcForward *forward, KcTime now)
 {
     KcTime end = wait_until(forward);
 
-    if (forward->answer_begun && now + RESUME_RETRY_INTERVAL < end) {
+    if (KcForward_IsKept(forward) && now + RESUME_RETRY_INTERVAL < end) {
         return now + RESUME_RETRY_INTERVAL;
     }
     return end;
@@ -336,7 +341,7 @@
 {
     if (now >= wait_until(forward) ||
         (forward->tried_count == KC_FORWARD_TRIED_MAX &&
-         !forward->answer_begun)) {
+         !KcForward_IsKept(forward))) {
         if (forward->error.code == 0) {
             KcError_Set(&forward->error, code, "choose", "");
         }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -147,6 +147,10 @@
 /* True when a request that has an attempt could be sent to another server at
  * once.  If it needs its adapter there, a load is requested. */
 bool KcForward_CanMove(KcForward *forward, KcTime now);
+/* Is the request kept for as long as its caller waits, also without a server?
+ * So is an answer that has begun, as only this gateway can resume it, and a
+ * request that left a silent server, as that could still have answered. */
+bool KcForward_IsKept(const KcForward *forward);
 /* Queues a request whose attempt was refused, or fails it when it has waited
  * too long. */
 void KcForward_AwaitPlace(KcForward *forward, KcTime now);
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -102,6 +102,7 @@
     KcCounters_Add(forward->gateway->options.counters,
                    KC_COUNT_SILENT_ATTEMPTS, 1);
     KcForward_CancelAttempt(forward);
+    forward->was_moved = true;
     KcForward_RetryOrFinish(forward, KC_ATTEMPT_LOST, KC_ERR_DEADLINE_EXCEEDED,
                             step, now);
 }
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -155,10 +155,11 @@
     uint32_t possible_runs;    /* ended attempts that may have run */
     struct KcServer *tried_servers[KC_FORWARD_TRIED_MAX];
     uint32_t tried_count;
-    bool owes_retry;         /* the next attempt takes from the retry budget */
-    bool has_first_event;    /* an event of the attempt's stream has arrived */
-    bool may_have_run;       /* an earlier attempt may have run */
-    bool answer_begun;       /* the caller has the head of an answer */
+    bool was_moved;       /* an attempt was cancelled to try another server */
+    bool owes_retry;      /* the next attempt takes from the retry budget */
+    bool has_first_event; /* an event of the attempt's stream has arrived */
+    bool may_have_run;    /* an earlier attempt may have run */
+    bool answer_begun;    /* the caller has the head of an answer */
     const void *stream_head; /* KcReply.head of the attempt's stream */
     bool has_last_event;
     uint64_t last_event_id; /* passed on to the caller, or that it had before;
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -908,6 +908,10 @@
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;lost 1;"
          "notrun 1;wait 300;inforce;wait 200;begin 1;event 1 1;end 1",
      "1>a; 1:begin; 1:0; 1>b+0; v1; 1>b+0; 1:1; 1:end; "},
+    {"a safe request is not failed for the refusal of a second server",
+     PLAIN "request 1 /s/x;wait 800;notrun 1;wait 300;inforce;wait 200;"
+           "reply 1 200",
+     "1>a; 1x; 1>b; v1; 1>b; 1:200; 1:end; "},
     /* pauses of this process: what its servers sent is not read yet */
     {"a safe request is not sent again for a pause of this process",
      PLAIN "request 1 /s/x;wait 700;pause 200;reply 1 200",
