Do not let kept requests hold up the queue

Cause: when capacity may be free, a server is sought for the first 16 requests of a queue. Requests that wait for as long as their callers stay at its front for seconds, as it is in order of arrival; 16 of them that no server takes kept all later ones from servers with free capacity, until they were refused.

Change: requests that are kept do not count among the 16.

Evidence: in the new case of test_gateway request 20 was not sent before.

--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -25,7 +25,8 @@
 #define RESUME_RETRY_INTERVAL (400 * KC_MS)
 /* Retry hint to a caller whose request did not run. */
 #define RETRY_AFTER (400 * KC_MS)
-/* Queued requests for which a server is sought when capacity may be free. */
+/* Queued requests for which a server is sought when capacity may be free,
+ * besides those that are kept, which the retry budget limits. */
 #define QUEUE_SCAN_MAX 16
 
 static void on_timer(KcTimer *timer, KcTime now);
@@ -457,7 +458,8 @@
     TAILQ_FOREACH_SAFE (forward, &pool->queue, wait_link, next) {
         KcChoice choice;
 
-        if (++visited > QUEUE_SCAN_MAX) {
+        /* Those that are kept may all wait for one server. */
+        if (!KcForward_IsKept(forward) && ++visited > QUEUE_SCAN_MAX) {
             break;
         }
         KcGateway_Choose(forward, now, &choice);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -31,6 +31,8 @@
  *   checks                  traces checks of servers from now on
  *   alive SERVER            the server answers a check
  *   drain, wait MS
+ *   cleartrace              forgets what was traced so far
+ *   each FIRST LAST STEP [WORD...]     the step for each of these numbers
  *   pause MS                the gateway's process stands still
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
@@ -543,6 +545,15 @@
     KcTimers_Run(fixture->timers, fixture->now);
 }
 
+static void
+step_clear_trace(Fixture *fixture, char **words)
+{
+    (void)words;
+    g_string_truncate(fixture->trace, 0);
+}
+
+static void step_each(Fixture *fixture, char **words);
+
 static const StepHandler step_handlers[] = {
     {"config", step_config},
     {"inforce", step_in_force},
@@ -571,8 +582,24 @@
     {"drain", step_drain},
     {"wait", step_wait},
     {"pause", step_pause},
+    {"cleartrace", step_clear_trace},
+    {"each", step_each},
 };
 
+static void
+step_each(Fixture *fixture, char **words)
+{
+    for (int number = atoi(words[1]); number <= atoi(words[2]); number++) {
+        char *rest = g_strjoinv(" ", words + 4);
+        char *step = g_strdup_printf("%s %d %s", words[3], number, rest);
+
+        Steps_Run(fixture, step_handlers, G_N_ELEMENTS(step_handlers),
+                  g_strchomp(step));
+        g_free(step);
+        g_free(rest);
+    }
+}
+
 /* ---- cases -------------------------------------------------------------- */
 
 #define PLAIN "config 1;server a plain 4;server b plain 4 at=near;"
@@ -912,6 +939,13 @@
      PLAIN "request 1 /s/x;wait 800;notrun 1;wait 300;inforce;wait 200;"
            "reply 1 200",
      "1>a; 1x; 1>b; v1; 1>b; 1:200; 1:end; "},
+    {"requests that are kept do not hold up those after them",
+     "config 1;server a plain 80;each 30 61 request /s/x;"
+     "each 30 61 reply 200;each 1 17 request /s/x;"
+     "server b plain 80 at=near;wait 800;each 1 17 notrun;cleartrace;"
+     "load a 100 0 80;load b 100 0 80;request 20 /s/x;load a 0 0 80;"
+     "server a plain 80",
+     "20>a; "},
     /* pauses of this process: what its servers sent is not read yet */
     {"a safe request is not sent again for a pause of this process",
      PLAIN "request 1 /s/x;wait 700;pause 200;reply 1 200",
