--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -35,6 +35,8 @@
  *   written N               the connection of an attempt was made: its request
  *                           is written, unless the server takes none by now
  *   drain, wait MS
+ *   cleartrace              forgets what was traced so far
+ *   each FIRST LAST STEP [WORD...]     the step for each of these numbers
  *   pause MS                the gateway's process stands still
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
@@ -606,6 +608,15 @@
     KcTimers_Run(fixture->timers, fixture->now);
 }
 
+static void
+step_clear_trace(Fixture *fixture, char **words)
+{
+    (void)words;
+    g_string_truncate(fixture->trace, 0);
+}
+
+static void step_each(Fixture *fixture, char **words);
+
 static const StepHandler step_handlers[] = {
     {"config", step_config},
     {"inforce", step_in_force},
@@ -636,8 +647,24 @@
     {"drain", step_drain},
     {"wait", step_wait},
     {"pause", step_pause},
+    {"cleartrace", step_clear_trace},
+    {"each", step_each},
 };
 
+static void
+step_each(Fixture *fixture, char **words)
+{
+    for (int number = atoi(words[1]); number <= atoi(words[2]); number++) {
+        char *rest = g_strjoinv(" ", words + 4);
+        char *step = g_strdup_printf("%s %d %s", words[3], number, rest);
+
+        Steps_Run(fixture, step_handlers, G_N_ELEMENTS(step_handlers),
+                  g_strchomp(step));
+        g_free(step);
+        g_free(rest);
+    }
+}
+
 /* ---- cases -------------------------------------------------------------- */
 
 #define PLAIN "config 1;server a plain 4;server b plain 4 at=near;"
@@ -973,6 +1000,17 @@
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;lost 1;"
          "notrun 1;wait 300;inforce;wait 200;begin 1;event 1 1;end 1",
      "1>a; 1:begin; 1:0; 1>b+0; v1; 1>b+0; 1:1; 1:end; "},
+    {"a safe request is not failed for the refusal of a second server",
+     PLAIN "request 1 /s/x;wait 800;notrun 1;wait 300;inforce;wait 200;"
+           "reply 1 200",
+     "1>a; 1x; 1>b; v1; 1>b; 1:200; 1:end; "},
+    {"requests that are kept do not hold up those after them",
+     "config 1;server a plain 80;each 30 61 request /s/x;"
+     "each 30 61 reply 200;each 1 17 request /s/x;"
+     "server b plain 80 at=near;wait 800;each 1 17 notrun;cleartrace;"
+     "load a 100 0 80;load b 100 0 80;request 20 /s/x;load a 0 0 80;"
+     "server a plain 80",
+     "20>a; "},
     /* pauses of this process: what its servers sent is not read yet */
     {"a safe request is not sent again for a pause of this process",
      PLAIN "request 1 /s/x;wait 700;pause 200;reply 1 200",
