Let requests that waited for a server outlast the one that tries it

After a wait one request tries the server until it is answered, which may take as long as the route's objective. The others were refused after their usual time in the queue, an eighth of it, although the server was about to take them; they now wait up to the objective.

"requests that waited for a server wait for the one that tries it" failed before; that they do not wait for ever held and is a case as well.

--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -353,7 +353,8 @@
 static bool
 is_wait_vain(KcForward *forward, const KcChoice *choice)
 {
-    KcTime until = choice->opens_at + queue_timeout(forward->rule);
+    /* The one request that tries the server is answered by then. */
+    KcTime until = choice->opens_at + forward->rule->latency_objective;
 
     if (forward->answer_begun) {
         return false;
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -1048,6 +1048,14 @@
      "config 1;server a plain 4;notice a wait 1000;request 1 /u/x;"
      "request 2 /u/x;request 3 /u/x;wait 1100;reply 1 200;wait 10",
      "a:closed 1000; 1>a; a:open; 1:200; 2>a; 3>a; 1:end; "},
+    {"requests that waited for a server wait for the one that tries it",
+     "config 1;server a plain 4;notice a wait 1000;request 1 /u/x;"
+     "request 2 /u/x;request 3 /u/x;wait 1900;reply 1 200;wait 10",
+     "a:closed 1000; 1>a; a:open; 1:200; 2>a; 3>a; 1:end; "},
+    {"requests that waited for a server do not wait for ever",
+     "config 1;server a plain 4;notice a wait 1000;request 1 /u/x;"
+     "request 2 /u/x;wait 2010",
+     "a:closed 1000; 1>a; 2:not run busy; "},
     {"the beginning of a stream is an answer after a wait",
      "config 1;server a llm 4 m x@1;notice a wait 1000;request 1 /t/x m/x;"
      "request 2 /t/x m/x;wait 1100;begin 1;wait 10",
