Name the prolonging of a wait as what it does

The predicate that says whether waiting is in vain also moved the time until which the request waits.

--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -345,28 +345,30 @@
 }
 
 /*
- * For a request that waits, or is about to: true if that is in vain, as every
- * server leaves, or none opens before its deadline.  Otherwise it may wait for
- * a server that opens, and then for its turn there.  A caller that has the
- * beginning of an answer gains nothing by an earlier end.
+ * For a request that waits, or is about to: false if that is in vain, as every
+ * server leaves, or none opens before its deadline.  Otherwise prolongs the
+ * time until which it waits for a server that opens, and for its turn there.
+ * A caller that has the beginning of an answer gains nothing by an earlier
+ * end.
  */
 static bool
-is_wait_vain(KcForward *forward, const KcChoice *choice)
+prolong_wait(KcForward *forward, const KcChoice *choice)
 {
     /* The one request that tries the server is answered by then. */
     KcTime until = choice->opens_at + forward->rule->latency_objective;
 
     if (forward->answer_begun) {
-        return false;
-    }
-    if (choice->action == KC_CHOICE_REFUSE) {
         return true;
     }
+    if (choice->action == KC_CHOICE_REFUSE ||
+        choice->opens_at >= forward->deadline) {
+        return false;
+    }
     if (choice->action == KC_CHOICE_AWAIT_OPENING &&
         forward->dispatch_until < until) {
         forward->dispatch_until = until;
     }
-    return choice->opens_at >= forward->deadline;
+    return true;
 }
 
 /* Queues the request, or fails it when it has waited or tried too long; code
@@ -412,11 +414,11 @@
     case KC_CHOICE_NONE:
         break;
     }
-    if (is_wait_vain(forward, choice)) {
-        refuse(forward, code, now);
+    if (prolong_wait(forward, choice)) {
+        enqueue_or_refuse(forward, code, now);
     }
     else {
-        enqueue_or_refuse(forward, code, now);
+        refuse(forward, code, now);
     }
     return true;
 }
@@ -484,11 +486,11 @@
         break;
     case KC_CHOICE_REFUSE:
     case KC_CHOICE_AWAIT_OPENING:
-        if (is_wait_vain(forward, &choice)) {
-            refuse(forward, KC_ERR_NO_BACKEND, now);
+        if (prolong_wait(forward, &choice)) {
+            KcForward_SetTimer(forward, wait_until(forward));
         }
         else {
-            KcForward_SetTimer(forward, wait_until(forward));
+            refuse(forward, KC_ERR_NO_BACKEND, now);
         }
         break;
     case KC_CHOICE_SEND:
--- a/lib/process/gateway_notice.c
+++ b/lib/process/gateway_notice.c
@@ -6,8 +6,6 @@
  * with one request; others follow once that one is answered, as many that
  * waited would else arrive together.
  */
-#include <stdio.h>
-
 #include "gateway_internal.h"
 
 /* Least interval between lines about unreadable notices of one server. */
