Leave a silent server with a begun stream only after two seconds

What callers saw: a resumable stream that had left a server after 0.8 s of silence found no place, or was refused where it went, and was broken off, though its server was sound and went on a moment later.

Cause: twice the longest interval between events that is on time was taken as the time after which a stream should move. By then the stream is late in any case, so that moving early wins nothing for its caller, and a sound server may pause for longer.

Change: such a stream moves after the silence by which a server is taken to be lost. A stream that has not begun still moves early enough to be on time.

The four cases of test_gateway in which a begun stream moves wait for two seconds in place of 0.8; the first of them now checks both sides of that time, and a new one that a stream which has not begun does not wait for it.

--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -48,8 +48,11 @@
         KcTime since = forward->last_event_at > forward->attempt_started_at
                            ? forward->last_event_at
                            : forward->attempt_started_at;
+        KcTime timeout = EVENT_TIMEOUT_INTERVALS * rule->event_interval_max;
 
-        return since + EVENT_TIMEOUT_INTERVALS * rule->event_interval_max;
+        /* It is late by then, so that nothing is won by less. */
+        return since +
+               (timeout > LOST_SILENCE_MIN ? timeout : LOST_SILENCE_MIN);
     }
     return forward->attempt_started_at +
            rule->latency_objective * FIRST_BYTE_TIMEOUT_PERCENT / 100;
