Do not end a stream at a server that may not be checked

A server that asked to wait must not be asked for a sign of life, so that its silence proves nothing meanwhile.

--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -120,41 +120,46 @@
            KcForward_CanMove(forward, now);
 }
 
-/* Time since the server's last byte or its last answer to a check. */
+/* Time since the server's last byte or its last answer to a check; negative
+ * while it may not be checked, as it has asked to wait. */
 static KcTime
 time_without_sign(const KcServer *server, KcTime now)
 {
-    KcTime silence = KcServer_Silence(server, now);
+    KcTime since = now - KcServer_Silence(server, now);
 
-    if (server->alive_at != 0 && now - server->alive_at < silence) {
-        return now - server->alive_at;
-    }
-    return silence;
+    since = server->alive_at > since ? server->alive_at : since;
+    return now - (server->closed_until > since ? server->closed_until : since);
 }
 
-void
-KcForward_OnSilenceTimer(KcForward *forward, KcTime now)
+static bool
+should_move(KcForward *forward, KcTime now)
 {
-    const KcGatewayOptions *options = &forward->gateway->options;
-    KcTime silence = time_without_sign(forward->server, now);
-
     /* A stream may wait for its turn at a server that serves others. */
     bool is_silent =
         !is_stream(forward) || KcServer_IsSilent(forward->server, now);
 
+    return is_silent && now >= retry_at(forward) && can_retry(forward, now);
+}
+
+void
+KcForward_OnSilenceTimer(KcForward *forward, KcTime now)
+{
+    const KcGatewayOptions *options = &forward->gateway->options;
+    KcServer *server = forward->server;
+    KcTime silence = time_without_sign(server, now);
+
     if (KcGateway_HasPaused(forward->gateway, now)) {
         set_timer(forward, now + SILENCE_CHECK_INTERVAL);
         return;
     }
-    if ((is_silent && now >= retry_at(forward) && can_retry(forward, now)) ||
-        (silence >= LOST_SILENCE_MIN &&
-         now >= KcForward_EndStreamAt(forward))) {
+    if (should_move(forward, now) || (silence >= LOST_SILENCE_MIN &&
+                                      now >= KcForward_EndStreamAt(forward))) {
         cancel_silent_attempt(forward, now);
         return;
     }
-    if (is_stream(forward) && now >= check_server_at(forward) &&
-        silence >= CHECK_SILENCE_MIN && forward->server->closed_until <= now) {
-        options->ops->check_server(options->context, forward->server);
+    if (is_stream(forward) && silence >= CHECK_SILENCE_MIN &&
+        now >= check_server_at(forward)) {
+        options->ops->check_server(options->context, server);
     }
     set_timer(forward, now + SILENCE_CHECK_INTERVAL);
 }
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -1053,6 +1053,10 @@
     {"a request does not leave a silent server for one to be tried again",
      PLAIN "notice b wait 500;request 1 /s/x;wait 1000;reply 1 200",
      "b:closed 500; 1>a; 1:200; 1:end; "},
+    {"a stream is not ended at a server that may not be checked",
+     LLM "request 1 /t/x m/x;notice a wait 1000;wait 2900;begin 1;event 1 0;"
+         "end 1",
+     "1>a; a:closed 1000; 1:begin; 1:0; 1:end; "},
     {"a server that asked to wait is not checked",
      LLM "checks;request 1 /t/x m/x;notice a wait 3000;wait 2700",
      "1>a; a:closed 3000; "},
