Let random faults of the store stand-in end after a number of calls

What was seen: '/platform/store/connections reset' failed in 1 of 9 runs of its program: gateway 0 had not read a configuration within 16 s, gateway 1 had. The logs show only reset calls in between.

Cause: 70 of 100 calls are reset by chance, and a process calls about once a second, so that all of its calls within 16 s fail in about 2 of 1,000 waits. The case has three siblings and two waits each.

Change: the faults of each wait may hit the next 100 calls of all processes, at the same rates as before; then the store is well. The bound of 16 s stays.

--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -474,6 +474,10 @@
     {"pages of two objects", "page=2", "page=50"},
 };
 
+/* Random faults end after so many calls of all processes: else the calls of
+ * one gateway could by chance fail for longer than 16 s. */
+#define FAULTY_CALLS "faulty_calls=100"
+
 /* Polls /extra/ every 50 ms for 16 s, in which a configuration must come into
  * force, until the answer has the prefix. */
 static bool
@@ -497,12 +501,16 @@
 
     GatewayCluster_SetKnob(cluster, GATEWAY_CLUSTER_STORE, 0,
                            store_cases[index].fault_on);
+    GatewayCluster_SetKnob(cluster, GATEWAY_CLUSTER_STORE, 0, FAULTY_CALLS);
     GatewayCluster_WriteConfig(cluster, version++, true);
     g_assert_true(wait_for_extra_route("HTTP/1.1 200"));
+    GatewayCluster_SetKnob(cluster, GATEWAY_CLUSTER_STORE, 0, FAULTY_CALLS);
     GatewayCluster_WriteConfig(cluster, version++, false);
     g_assert_true(wait_for_extra_route("HTTP/1.1 404"));
     GatewayCluster_SetKnob(cluster, GATEWAY_CLUSTER_STORE, 0,
                            store_cases[index].fault_off);
+    GatewayCluster_SetKnob(cluster, GATEWAY_CLUSTER_STORE, 0,
+                           "faulty_calls=0");
 }
 
 /* An announced version is loaded while requests go on to be answered. */
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -43,6 +43,8 @@
     {"page", 50},        /* objects on a page */
     {"busy", 0},         /* percent of calls answered 503 */
     {"many", 0},         /* percent of calls answered 429 */
+    {"faulty_calls", 0}, /* number of the next calls that busy, many and reset
+                          * may hit; 0: any number, -1: no further call */
     {"silent", 0},       /* percent of calls never answered */
     {"drop", 0},         /* number of the next calls that are never answered */
     {"reset", 0},        /* percent of calls whose connection is reset */
@@ -360,18 +362,23 @@
     reply_json(connection, 200, encode_object(object));
 }
 
-/* Injects a fault in place of a call.  Returns false when none is due. */
+/* Counts a call against the number that random faults may hit. */
 static bool
-inject_fault(RawConnection *connection)
+may_fail_call(void)
 {
-    if (RawServer_DrawFault(&server, "silent")) {
-        return true;
-    }
-    if (RawServer_GetKnob(&server, "drop") > 0) {
-        RawServer_SetKnob(&server, "drop",
-                          RawServer_GetKnob(&server, "drop") - 1);
-        return true;
+    int64_t left = RawServer_GetKnob(&server, "faulty_calls");
+
+    if (left > 0) {
+        RawServer_SetKnob(&server, "faulty_calls", left > 1 ? left - 1 : -1);
     }
+    return left >= 0;
+}
+
+/* Injects a random fault in place of a call.  Returns false when none is
+ * drawn. */
+static bool
+inject_random_fault(RawConnection *connection)
+{
     if (RawServer_DrawFault(&server, "reset")) {
         RawConnection_Reset(connection);
         return true;
@@ -384,6 +391,24 @@
         RawConnection_Reply(connection, 429, "", "{}");
         return true;
     }
+    return false;
+}
+
+/* Injects a fault in place of a call.  Returns false when none is due. */
+static bool
+inject_fault(RawConnection *connection)
+{
+    if (RawServer_DrawFault(&server, "silent")) {
+        return true;
+    }
+    if (RawServer_GetKnob(&server, "drop") > 0) {
+        RawServer_SetKnob(&server, "drop",
+                          RawServer_GetKnob(&server, "drop") - 1);
+        return true;
+    }
+    if (may_fail_call() && inject_random_fault(connection)) {
+        return true;
+    }
     if (RawServer_GetKnob(&server, "endless") > 0 &&
         RawConnection_DrawEndless(connection, "endless")) {
         return true;
