--- a/programs/process/loop.c
+++ b/programs/process/loop.c
@@ -8,12 +8,6 @@
 #include <sys/random.h>
 #include <time.h>
 
-/*
- * A timer that is later than this has waited for other work. Sockets are read
- * before it is run, as what arrived meanwhile may be what it would time out.
- */
-#define TIMER_DELAY_MAX (10 * KC_MS)
-
 static KcTime
 read_clock(clockid_t id)
 {
@@ -102,23 +96,10 @@
     evtimer_add(loop->wake_timer, &delay_timeval);
 }
 
-/* Handles what has arrived if timers are late. */
-static void
-read_before_late_timers(KcLoop *loop)
-{
-    KcTime next = KcTimers_NextDue(loop->timers);
-
-    if (next != KC_NEVER && KcLoop_Now() - next > TIMER_DELAY_MAX) {
-        event_base_loop(loop->base, EVLOOP_NONBLOCK);
-        run_deferred_frees(loop);
-    }
-}
-
 void
 KcLoop_Run(KcLoop *loop)
 {
     while (!loop->stop_requested) {
-        read_before_late_timers(loop);
         KcTimers_Run(loop->timers, KcLoop_Now());
         arm_wake_timer(loop);
         /* A last pass when stopped sends what is ready to be sent. */
