Let the worker stand-in say that it leaves or asks to wait

Purpose: daemon tests and the soak need workers that leave by header only, that turn requests away for a while, and that send values which can't be read.

Change: the knobs "leaving", "retry_after" and "raw_notice". The first puts "Server-Leaving: 1" into every answer, also refusals, reports and the answer to an order, while the record stays as the knob "draining" says. The second turns requests away with 503, Not-Executed and Retry-After until its time is over. The third adds a line of a table. The log has a line with a time stamp for the start, each arrival and each such answer. Connections of gateways come from 127.0.0.1, so it is the Attempt-Id that tells which gateway sent a request.

A cluster starts its tests only when every stand-in answers: a knob that was set before a worker listened was lost. The settings of its gateways name leave_ms, with the value that was the default.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -360,9 +360,10 @@
     if (is_gateway) {
         fprintf(file,
                 "callers = %s:%d\nready = %s:%d\nready_path = /ready\n"
+                "[platform]\nleave_ms = %d\n"
                 "[keeper]\nport = %d\n[retry]\nshare = 0.2\nburst = 20\n",
                 host, GATEWAY_CLUSTER_HTTP_PORT, host, READY_PORT,
-                GATEWAY_CLUSTER_KEEPER_PORT);
+                GATEWAY_CLUSTER_LEAVE_MS, GATEWAY_CLUSTER_KEEPER_PORT);
     }
     else {
         fprintf(file,
@@ -484,15 +485,15 @@
     return false;
 }
 
+/* Waits until a stand-in answers, so that its knobs can be set. */
 static void
-wait_for_store(GatewayCluster *cluster)
+wait_for_standin(GatewayCluster *cluster, GatewayClusterRole role, int number)
 {
     char answer[512];
 
     for (int i = 0; i < READY_TIMEOUT_MS / 20; i++) {
-        if (call_http(
-                GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_STORE, 0),
-                "GET", "/standin/state", "", answer, sizeof(answer)) == 200) {
+        if (call_http(GatewayCluster_GetAddress(cluster, role, number), "GET",
+                      "/standin/state", "", answer, sizeof(answer)) == 200) {
             return;
         }
         sleep_ms(20);
@@ -521,13 +522,19 @@
         exit(1);
     }
     start_process(cluster, GATEWAY_CLUSTER_STORE, 0);
-    wait_for_store(cluster);
+    wait_for_standin(cluster, GATEWAY_CLUSTER_STORE, 0);
     GatewayCluster_WriteConfig(cluster, 1, false);
     for (size_t i = 0; i < sizeof(start_order) / sizeof(start_order[0]); i++) {
         for (int number = 0; number < counts[start_order[i]]; number++) {
             start_process(cluster, start_order[i], number);
         }
     }
+    for (int number = 0; number < options->llm_workers; number++) {
+        wait_for_standin(cluster, GATEWAY_CLUSTER_LLM_WORKER, number);
+    }
+    for (int number = 0; number < options->plain_workers; number++) {
+        wait_for_standin(cluster, GATEWAY_CLUSTER_PLAIN_WORKER, number);
+    }
     for (int number = 0; !options->has_proxies && number < options->gateways;
          number++) {
         if (!GatewayCluster_WaitUntilReady(cluster, number)) {
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -39,12 +39,15 @@
 #define GATEWAY_CLUSTER_PROXY_PORT 9200
 /* Port at which a keeper accepts gateways, on its worker's machine. */
 #define GATEWAY_CLUSTER_KEEPER_PORT 9103
+/* A gateway sends a leaving worker no new request after this time. */
+#define GATEWAY_CLUSTER_LEAVE_MS 3000
 
 typedef struct GatewayCluster GatewayCluster;
 
 /*
- * Starts every process, writes configuration version 1 and, without proxies,
- * waits until the gateways are ready; prints those that are not after 10 s.
+ * Starts every process, writes configuration version 1, waits until the
+ * stand-ins answer and, without proxies, until the gateways are ready; prints
+ * the gateways that are not after 10 s.
  * The caller ends it with GatewayCluster_Stop().
  */
 GatewayCluster *GatewayCluster_Start(const GatewayClusterOptions *options);
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -7,9 +7,21 @@
  *   standin-worker ADDRESS STORE ID SERVICE ZONE KIND [SEED [RECORD_ADDRESS]]
  *
  * KIND is plain or llm.  RECORD_ADDRESS is the address in its record, such as
- * that of a proxy; ADDRESS if absent.  Each run is written as a line "run
- * ATTEMPT_ID" to standard output, so that the runs are known even after the
- * process was killed.
+ * that of a proxy; ADDRESS if absent.
+ *
+ * Lines on standard output, which are complete even after the process was
+ * killed; TIME is KcLoop_Now(), so that it can be compared with that of other
+ * processes on the machine:
+ *
+ *   start TIME
+ *   arrival ATTEMPT_ID TIME       a request, before it is looked at
+ *   run ATTEMPT_ID                follows the arrival, if the request runs
+ *   leaving ATTEMPT_ID TIME       answered with "Server-Leaving: 1"
+ *   wait ATTEMPT_ID TIME SECONDS  answered 503 with "Retry-After: SECONDS"
+ *   notice ATTEMPT_ID TIME        answered with a line of raw_notices
+ *
+ * Gateways don't bind their connections to an address of their own: the id
+ * tells through which one a request came.
  */
 #include <inttypes.h>
 #include <stdio.h>
@@ -20,6 +32,7 @@
 #include "raw_server.h"
 
 #define STREAM_EVENTS 10
+#define NOTICE_SIZE 128 /* of the lines that tell the worker's state */
 #define ADAPTERS_MAX 15
 
 /* Number of runs with one Attempt-Id. */
@@ -60,6 +73,8 @@
 static int64_t repeated_run_count;
 static int64_t running_count;
 static int64_t overload_count; /* loads beyond ADAPTERS_MAX adapters */
+/* Requests are turned away until then, by the knob retry_after; 0: not yet. */
+static KcTime wait_until;
 static TAILQ_HEAD(, Adapter) adapters = TAILQ_HEAD_INITIALIZER(adapters);
 
 /* Percentages are drawn once for a plain request; those of reset, truncate,
@@ -77,12 +92,37 @@
     {"mute", 0},        /* percent run and never answered */
     {"late_orders", 0}, /* percent of orders executed but not answered */
     {"draining", 0},    /* 1: record and health check say draining */
-    {"endless", 0},     /* percent run and answered by bytes without end */
+    {"leaving", 0},     /* 1: all answers have "Server-Leaving: 1" */
+    /* Seconds for which requests are answered 503 with Retry-After, from the
+     * first one on; then 0 by itself. */
+    {"retry_after", 0},
+    {"raw_notice", 0},     /* number of a row of raw_notices; 0: none */
+    {"endless", 0},        /* percent run and answered by bytes without end */
     {"endless_report", 0}, /* the same for reports, orders and health */
     {"endless_kind", 0},   /* pattern of endless.c; 0: any */
     {NULL, 0},
 };
 
+/* Header lines that a caller should ignore; knob raw_notice. */
+static const struct {
+    const char *lines;
+    bool turns_away; /* with 503 */
+} raw_notices[] = {
+    {"", false},
+    {"Server-Leaving: 0\r\n", false},
+    {"Server-Leaving: yes\r\n", false},
+    {"Server-Leaving:\r\n", false},
+    {"Server-Leaving: 11\r\n", false},
+    {"Retry-After: 3600\r\n", false}, /* not in a 503 */
+    {"Retry-After: -5\r\n", true},
+    {"Retry-After:\r\n", true},
+    {"Retry-After: 3600.5\r\n", true},
+    {"Retry-After: soon\r\n", true},
+    {"Retry-After: 3600 s\r\n", true},
+    {"Retry-After: Wed, 21 Oct 2065 07:28:00 GMT\r\n", true},
+    {"Retry-After: 3600\r\nRetry-After: 7200\r\n", true},
+};
+
 /* ---- the record in the store --------------------------------------------- */
 
 /* Lists the adapters that are loading, or those that are loaded. */
@@ -168,6 +208,89 @@
     KcTimers_Set(server.loop->timers, timer, now + RECORD_INTERVAL);
 }
 
+/* ---- the state of the worker in its answers ------------------------------ */
+
+/* Time left for which requests are turned away with Retry-After. */
+static KcTime
+get_wait_left(void)
+{
+    KcTime now = KcLoop_Now();
+    int64_t seconds = RawServer_GetKnob(&server, "retry_after");
+
+    if (seconds == 0) {
+        wait_until = 0;
+        return 0;
+    }
+    if (wait_until == 0) {
+        wait_until = now + seconds * KC_SECOND;
+    }
+    if (now >= wait_until) {
+        RawServer_SetKnob(&server, "retry_after", 0);
+        wait_until = 0;
+        return 0;
+    }
+    return wait_until - now;
+}
+
+static bool
+has_raw_notice(void)
+{
+    return RawServer_GetKnob(&server, "raw_notice") != 0;
+}
+
+/* The row of raw_notices for the present answers; the first is empty. */
+static size_t
+get_raw_notice(void)
+{
+    return (size_t)RawServer_GetKnob(&server, "raw_notice") %
+           (sizeof(raw_notices) / sizeof(raw_notices[0]));
+}
+
+/* Writes the header lines of an answer that tell the worker's state, and logs
+ * them; attempt_id is that of the request, "" for other calls.  wait_left is
+ * that of a request that is turned away, else 0. */
+static void
+tell_state(char text[NOTICE_SIZE], const char *attempt_id, KcTime wait_left)
+{
+    bool is_leaving = RawServer_GetKnob(&server, "leaving") != 0;
+    int64_t seconds = (wait_left + KC_SECOND - 1) / KC_SECOND;
+    KcTime now = KcLoop_Now();
+    int size = snprintf(text, NOTICE_SIZE, "%s%s",
+                        is_leaving ? "Server-Leaving: 1\r\n" : "",
+                        raw_notices[get_raw_notice()].lines);
+
+    if (seconds > 0) {
+        snprintf(text + size, NOTICE_SIZE - (size_t)size,
+                 "Retry-After: %" PRId64 "\r\n", seconds);
+    }
+    if (attempt_id[0] == '\0') {
+        return;
+    }
+    if (is_leaving) {
+        printf("leaving %s %" PRId64 "\n", attempt_id, now);
+    }
+    if (seconds > 0) {
+        printf("wait %s %" PRId64 " %" PRId64 "\n", attempt_id, now, seconds);
+    }
+    if (has_raw_notice()) {
+        printf("notice %s %" PRId64 "\n", attempt_id, now);
+    }
+    fflush(stdout);
+}
+
+/* Replies to a call that is no request. */
+static void
+reply_own_call(RawConnection *connection, int status, const char *headers,
+               const char *body)
+{
+    char lines[2 * NOTICE_SIZE];
+    char notice[NOTICE_SIZE];
+
+    tell_state(notice, "", 0);
+    snprintf(lines, sizeof(lines), "%s%s", headers, notice);
+    RawConnection_Reply(connection, status, lines, body);
+}
+
 /* ---- requests ------------------------------------------------------------ */
 
 static void
@@ -193,13 +316,16 @@
            const char *further_lines)
 {
     char text[512];
-    int size =
+    char notice[NOTICE_SIZE];
+    int size;
+
+    tell_state(notice, job->attempt_id, 0);
+    size =
         snprintf(text, sizeof(text),
                  "HTTP/1.1 %d -\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\n"
-                 "Server-Load: %" PRId64 ",0,%" PRId64 "\r\n%s",
+                 "Server-Load: %" PRId64 ",0,%" PRId64 "\r\n%s%s",
                  status, job->attempt_id, instance_id, running_count,
-                 RawServer_GetKnob(&server, "places"), further_lines);
-
+                 RawServer_GetKnob(&server, "places"), notice, further_lines);
     RawConnection_Write(connection, text, (size_t)size);
 }
 
@@ -335,10 +461,17 @@
     return false;
 }
 
+/* wait_left: see tell_state(). */
 static void
-reply_not_run(RawConnection *connection, int status)
+reply_not_run(RawConnection *connection, int status, KcTime wait_left)
 {
-    RawConnection_Reply(connection, status, "Not-Executed: 1\r\n", "");
+    char lines[2 * NOTICE_SIZE];
+    char notice[NOTICE_SIZE];
+
+    tell_state(notice, RawConnection_FindHeader(connection, "Attempt-Id"),
+               wait_left);
+    snprintf(lines, sizeof(lines), "Not-Executed: 1\r\n%s", notice);
+    RawConnection_Reply(connection, status, lines, "");
 }
 
 static void
@@ -348,17 +481,22 @@
         RawConnection_FindHeader(connection, "Expect-Instance");
     const char *last_event_id =
         RawConnection_FindHeader(connection, "Last-Event-Id");
+    KcTime wait_left = get_wait_left();
     Job *job;
 
+    printf("arrival %s %" PRId64 "\n",
+           RawConnection_FindHeader(connection, "Attempt-Id"), KcLoop_Now());
+    fflush(stdout);
     if ((expected_instance[0] != '\0' &&
          strcmp(expected_instance, instance_id) != 0) ||
         !is_model_loaded(RawConnection_FindHeader(connection, "Model"))) {
-        reply_not_run(connection, 421);
+        reply_not_run(connection, 421, 0);
         return;
     }
     if (running_count >= RawServer_GetKnob(&server, "places") ||
-        RawServer_DrawFault(&server, "refuse")) {
-        reply_not_run(connection, 503);
+        RawServer_DrawFault(&server, "refuse") || wait_left > 0 ||
+        raw_notices[get_raw_notice()].turns_away) {
+        reply_not_run(connection, 503, wait_left);
         return;
     }
     if (RawServer_GetKnob(&server, "endless") > 0 &&
@@ -393,8 +531,8 @@
         "active", (json_int_t)running_count);
     char *text = json_dumps(json, JSON_COMPACT);
 
-    RawConnection_Reply(connection, 200, "Content-Type: application/json\r\n",
-                        text);
+    reply_own_call(connection, 200, "Content-Type: application/json\r\n",
+                   text);
     free(text);
     json_decref(json);
 }
@@ -489,7 +627,7 @@
 
     json_decref(order);
     if (!reply_lost) {
-        RawConnection_Reply(connection, status, "", "{}");
+        reply_own_call(connection, status, "", "{}");
     }
 }
 
@@ -499,9 +637,9 @@
     char headers[128];
 
     snprintf(headers, sizeof(headers), "Instance-Id: %s\r\n", instance_id);
-    RawConnection_Reply(
-        connection, RawServer_GetKnob(&server, "draining") != 0 ? 503 : 200,
-        headers, "");
+    reply_own_call(connection,
+                   RawServer_GetKnob(&server, "draining") != 0 ? 503 : 200,
+                   headers, "");
 }
 
 static void
@@ -571,6 +709,8 @@
     has_model = is_llm;
     RawServer_Init(&server, &server_options, address,
                    argc > 7 ? strtoull(argv[7], NULL, 10) : 1);
+    printf("start %" PRId64 "\n", KcLoop_Now());
+    fflush(stdout);
     started_at_ms = (KcLoop_Now() + server.loop->wall_offset) / KC_MS;
     KcTimer_Init(&record_timer, on_record_due, NULL);
     KcTimers_Set(server.loop->timers, &record_timer, KcLoop_Now());
