Check in the soak that gateways heed workers that leave or ask to wait

Change: three faults more. A worker leaves by header, in one of two cases also by record, and is replaced four to seven seconds later; a worker turns requests away with Retry-After for one to three seconds; a worker stops for about a second. The soak keeps a history of what it did to each process. The checks read the workers' logs. No request that a client sent later than leave_ms after a gateway passed on an answer with Server-Leaving may arrive through that gateway, unless it was restarted or frozen since. No more than two may arrive from half a second after an answer with Retry-After until that time is over, unless the gateway was restarted or frozen, the path was cut, or the worker had stopped and read late what had reached it before. A call that may not be repeated and ran when its worker stopped is to be answered whole, if nothing else was done to worker, path or gateway while it lasted. A paused worker goes on before a knob is set; the print of a proxy's fault names its process.

--- /dev/null
+++ b/tests/soak/rules.c
@@ -0,0 +1,224 @@
+/*
+ * Reads the log of a worker line by line, see ../standins/worker.c.
+ */
+#include "rules.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "history.h"
+#include "soak.h"
+
+#define GATEWAYS_MAX 64
+#define DRAIN_TIME (GATEWAY_CLUSTER_LEAVE_MS * KC_MS)
+/* Requests that are on their way when a worker asks to wait may arrive for so
+ * long, and so many later. */
+#define WAIT_BEGINS_AFTER (500 * KC_MS)
+#define WAIT_ARRIVALS_MAX 2
+/* A proxy's fault can hold back an answer for as long as a call lasts. */
+#define CUT_EFFECT_MAX (3 * KC_SECOND)
+/* Gateways end streams shortly before the deadline of 3 s. */
+#define DEADLINE_MARGIN (500 * KC_MS)
+#define CALL_TIME_MAX (3 * KC_SECOND - DEADLINE_MARGIN)
+/* A longer pause may be taken for the loss of the worker. */
+#define PAUSE_MAX (1500 * KC_MS)
+
+/* An answer that asked a gateway to wait. */
+typedef struct Wait {
+    TAILQ_ENTRY(Wait) link;
+    int gateway;
+    KcTime answered_at;
+    KcTime ends_at;
+    int arrivals;
+} Wait;
+
+/* What one worker process has said and received so far. */
+typedef struct Worker {
+    GatewayClusterRole role;
+    int number;
+    /* When a gateway passed on that the worker leaves; 0: not yet. */
+    KcTime leaving_known_at[GATEWAYS_MAX];
+    TAILQ_HEAD(, Wait) waits;
+    KcTime arrived_at; /* the latest request */
+    RuleCounts *counts;
+} Worker;
+
+static void
+clear_waits(Worker *worker)
+{
+    Wait *wait;
+
+    while ((wait = TAILQ_FIRST(&worker->waits)) != NULL) {
+        TAILQ_REMOVE(&worker->waits, wait, link);
+        free(wait);
+    }
+}
+
+/* Has the gateway been restarted or frozen? */
+static bool
+has_forgotten(int gateway, KcTime from, KcTime until)
+{
+    return History_Find(DISTURBANCE_RESTART | DISTURBANCE_FREEZE,
+                        GATEWAY_CLUSTER_GATEWAY, gateway, from, until) != NULL;
+}
+
+/* ---- lines --------------------------------------------------------------- */
+
+static void
+on_start(Worker *worker)
+{
+    memset(worker->leaving_known_at, 0, sizeof(worker->leaving_known_at));
+    clear_waits(worker);
+}
+
+/* Does an arrival count against the wait?  Not if the gateway may not have the
+ * answer, or if the worker paused and read late what had reached it before. */
+static bool
+is_within_wait(const Worker *worker, const Wait *wait, const Call *call,
+               KcTime at)
+{
+    return wait->gateway == call->gateway &&
+           at > wait->answered_at + WAIT_BEGINS_AFTER && at < wait->ends_at &&
+           !has_forgotten(call->gateway, wait->answered_at, at) &&
+           History_Find(DISTURBANCE_CUT, worker->role, worker->number,
+                        wait->answered_at - CUT_EFFECT_MAX, at) == NULL &&
+           History_Find(DISTURBANCE_FREEZE, worker->role, worker->number,
+                        wait->answered_at, at) == NULL;
+}
+
+static void
+on_arrival(Worker *worker, const Call *call, KcTime at)
+{
+    KcTime known_at = worker->leaving_known_at[call->gateway];
+    Wait *wait;
+
+    worker->arrived_at = at;
+    if (known_at != 0 && call->sent_at > known_at + DRAIN_TIME &&
+        !has_forgotten(call->gateway, known_at, at)) {
+        Soak_ReportViolation("sent to a worker that said it leaves", call);
+    }
+    TAILQ_FOREACH (wait, &worker->waits, link) {
+        if (is_within_wait(worker, wait, call, at) &&
+            ++wait->arrivals == WAIT_ARRIVALS_MAX + 1) {
+            Soak_ReportViolation("sent to a worker that asked to wait", call);
+        }
+    }
+}
+
+/* The answer counts as passed on when the client has received its head. */
+static void
+on_leaving(Worker *worker, const Call *call, const char *worker_id)
+{
+    KcTime *known_at = &worker->leaving_known_at[call->gateway];
+
+    if (call->answered_at == 0 || strcmp(call->server_seal, worker_id) != 0) {
+        return;
+    }
+    if (*known_at == 0 ||
+        has_forgotten(call->gateway, *known_at, call->answered_at)) {
+        *known_at = call->answered_at;
+        worker->counts->leavings++;
+    }
+}
+
+static void
+on_wait(Worker *worker, const Call *call, KcTime at, int64_t seconds)
+{
+    Wait *wait = KcMem_New(sizeof(*wait));
+
+    wait->gateway = call->gateway;
+    wait->answered_at = at;
+    wait->ends_at = at + seconds * KC_SECOND;
+    TAILQ_INSERT_TAIL(&worker->waits, wait, link);
+    worker->counts->waits++;
+}
+
+/* Could anything but the pause have ended the call? */
+static bool
+is_disturbed(const Worker *worker, const Call *call)
+{
+    return History_Find(DISTURBANCE_RESTART | DISTURBANCE_KNOB, worker->role,
+                        worker->number, call->sent_at,
+                        call->ended_at) != NULL ||
+           History_Find(DISTURBANCE_CUT, worker->role, worker->number,
+                        call->sent_at - CUT_EFFECT_MAX,
+                        call->ended_at) != NULL ||
+           History_Find(DISTURBANCE_RESTART | DISTURBANCE_STOP |
+                            DISTURBANCE_FREEZE,
+                        GATEWAY_CLUSTER_GATEWAY, call->gateway, call->sent_at,
+                        call->ended_at) != NULL;
+}
+
+/* A call that may not be repeated has begun to run: a pause of the worker
+ * alone must not break off its answer. */
+static void
+check_pause(const Worker *worker, const Call *call)
+{
+    KcTime began_at = worker->arrived_at;
+    const Disturbance *pause =
+        History_Find(DISTURBANCE_FREEZE, worker->role, worker->number,
+                     began_at, call->ended_at);
+
+    if (call->is_repeatable || pause == NULL || pause->begins_at < began_at ||
+        pause->ends_at - pause->begins_at > PAUSE_MAX ||
+        call->ended_at - call->sent_at > CALL_TIME_MAX ||
+        is_disturbed(worker, call)) {
+        return;
+    }
+    worker->counts->pauses++;
+    if (!call->is_abandoned && (!call->is_complete || call->status != 200)) {
+        Soak_ReportViolation("broken off while its worker paused", call);
+    }
+}
+
+/* ---- the log ------------------------------------------------------------- */
+
+void
+Rules_CheckWorker(const char *log_path, GatewayClusterRole role, int number,
+                  RuleCounts *counts)
+{
+    Worker worker = {.role = role, .number = number, .counts = counts};
+    char worker_id[64];
+    char line[256];
+    FILE *file = fopen(log_path, "r");
+
+    snprintf(worker_id, sizeof(worker_id), "%s-%d",
+             role == GATEWAY_CLUSTER_LLM_WORKER ? "llm" : "plain", number);
+    TAILQ_INIT(&worker.waits);
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        char event[16] = "";
+        char id[32] = "";
+        KcTime at = 0;
+        int64_t seconds = 0;
+        Call *call;
+
+        sscanf(line, "%15s %31s %" SCNd64 " %" SCNd64, event, id, &at,
+               &seconds);
+        call = Soak_FindCall(id);
+        if (strcmp(event, "start") == 0) {
+            on_start(&worker);
+        }
+        else if (call == NULL) {
+            continue;
+        }
+        else if (strcmp(event, "arrival") == 0) {
+            on_arrival(&worker, call, at);
+        }
+        else if (strcmp(event, "run") == 0) {
+            call->run_count++;
+            check_pause(&worker, call);
+        }
+        else if (strcmp(event, "leaving") == 0) {
+            on_leaving(&worker, call, worker_id);
+        }
+        else if (strcmp(event, "wait") == 0) {
+            on_wait(&worker, call, at, seconds);
+        }
+    }
+    if (file != NULL) {
+        fclose(file);
+    }
+    clear_waits(&worker);
+}
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -18,7 +18,10 @@
 
 #include "../../programs/connection/http_connection.h"
 #include "../daemons/gateway_cluster.h"
+#include "history.h"
 #include "proxy.h"
+#include "rules.h"
+#include "soak.h"
 
 #define CLIENT_COUNT 24
 #define EVENTS_PER_STREAM 10 /* as the workers send them */
@@ -51,26 +54,19 @@
     int gateway;
 } Client;
 
-/* A call and its answer. */
-typedef struct Call {
-    UT_hash_handle hh;
-    char id[32]; /* its Attempt-Id */
-    bool is_repeatable;
-    bool is_stream;
-    int status; /* of HTTP; 0 before an answer */
-    bool is_complete;
-    bool is_misattributed; /* the answer names another request */
-    KcBuffer body;
-    char server_seal[64]; /* id of the worker that answered */
-    int run_count;        /* counted in the workers' logs */
-} Call;
+/* A proxy and the process before which it stands. */
+typedef struct ProxiedProcess {
+    Proxy *proxy;
+    GatewayClusterRole role;
+    int number;
+} ProxiedProcess;
 
 typedef struct Soak {
     KcLoop *loop;
     GatewayCluster *cluster;
     GatewayClusterOptions options;
     Client clients[CLIENT_COUNT];
-    Proxy *proxies[PROXIES_MAX];
+    ProxiedProcess proxies[PROXIES_MAX];
     int proxy_count;
     Call *calls;
     int call_count;
@@ -85,8 +81,17 @@
 
 static Soak soak;
 
-static void
-report_violation(const char *violation, const Call *call)
+Call *
+Soak_FindCall(const char *id)
+{
+    Call *call;
+
+    HASH_FIND_STR(soak.calls, id, call);
+    return call;
+}
+
+void
+Soak_ReportViolation(const char *violation, const Call *call)
 {
     soak.violation_count++;
     printf("BROKEN %s: request %s status %d runs %d whole %d\n", violation,
@@ -116,7 +121,10 @@
 {
     KcTime pause = (KcTime)draw_below(60) * KC_MS;
 
-    client->call = NULL;
+    if (client->call != NULL) {
+        client->call->ended_at = KcLoop_Now();
+        client->call = NULL;
+    }
     if (!keep_connection && client->connection != NULL) {
         KcHttpConnection_Close(client->connection);
         client->connection = NULL;
@@ -138,9 +146,10 @@
     const char *server_seal = KcHttpMessage_FindField(message, "Server-Seal");
 
     if (client->call == NULL) {
-        report_violation("an answer that nobody asked for", NULL);
+        Soak_ReportViolation("an answer that nobody asked for", NULL);
         return;
     }
+    client->call->answered_at = KcLoop_Now();
     client->call->status = message->status;
     client->call->is_misattributed =
         id != NULL && strcmp(id, client->call->id) != 0;
@@ -210,6 +219,9 @@
 
     snprintf(call->id, sizeof(call->id), "c%d-%d", client->number,
              soak.call_count++);
+    call->gateway = client->gateway;
+    call->sent_at = KcLoop_Now();
+    call->ended_at = KC_NEVER;
     call->is_repeatable = call_kinds[kind_index].is_repeatable;
     call->is_stream = call_kinds[kind_index].is_stream;
     HASH_ADD_STR(soak.calls, id, call);
@@ -232,6 +244,9 @@
     (void)now;
     if (client->call != NULL ||
         (client->connection != NULL && draw_below(8) == 0)) {
+        if (client->call != NULL) {
+            client->call->is_abandoned = true;
+        }
         end_call(client, false); /* the caller disconnects */
     }
     else if (soak.faults_ended) {
@@ -257,15 +272,37 @@
     Proxy *proxy;     /* to set to PROXY_PASS, or NULL */
     int signal;       /* to send, or 0 */
     bool restart;     /* kills the process, if it runs, and starts it */
+    Disturbance *disturbance;
 } FaultEnd;
 
 static TAILQ_HEAD(FaultEndList, FaultEnd)
     pending_fault_ends = TAILQ_HEAD_INITIALIZER(pending_fault_ends);
 
+static void end_fault(FaultEnd *fault_end);
+
+/* Sets a knob of a stand-in.  A paused one goes on first, as it could not set
+ * its knobs. */
+static void
+set_knob(GatewayClusterRole role, int number, const char *knob)
+{
+    FaultEnd *fault_end;
+    FaultEnd *next;
+
+    TAILQ_FOREACH_SAFE (fault_end, &pending_fault_ends, link, next) {
+        if (fault_end->role == role && fault_end->number == number &&
+            fault_end->signal == SIGCONT) {
+            end_fault(fault_end);
+        }
+    }
+    GatewayCluster_SetKnob(soak.cluster, role, number, knob);
+}
+
 /* Ends a fault and frees its entry. */
 static void
 end_fault(FaultEnd *fault_end)
 {
+    KcTime now = KcLoop_Now();
+
     TAILQ_REMOVE(&pending_fault_ends, fault_end, link);
     KcTimers_Clear(soak.loop->timers, &fault_end->timer);
     if (fault_end->signal != 0) {
@@ -273,8 +310,7 @@
                                   fault_end->number, fault_end->signal);
     }
     if (fault_end->knob != NULL) {
-        GatewayCluster_SetKnob(soak.cluster, fault_end->role,
-                               fault_end->number, fault_end->knob);
+        set_knob(fault_end->role, fault_end->number, fault_end->knob);
     }
     if (fault_end->proxy != NULL) {
         Proxy_SetMode(fault_end->proxy, PROXY_PASS);
@@ -286,7 +322,11 @@
                                    fault_end->number);
         GatewayCluster_RestartProcess(soak.cluster, fault_end->role,
                                       fault_end->number);
+        History_Begin(DISTURBANCE_RESTART, fault_end->role, fault_end->number,
+                      now)
+            ->ends_at = KcLoop_Now();
     }
+    fault_end->disturbance->ends_at = KcLoop_Now();
     free(fault_end);
 }
 
@@ -297,12 +337,16 @@
     end_fault(timer->owner);
 }
 
-/* Schedules the end of a fault; the caller sets what ends it. */
+/* Notes that a fault begins, and schedules its end; the caller sets what ends
+ * it. */
 static FaultEnd *
-schedule_fault_end(GatewayClusterRole role, int number, KcTime delay)
+schedule_fault_end(DisturbanceKind kind, GatewayClusterRole role, int number,
+                   KcTime delay)
 {
     FaultEnd *fault_end = KcMem_New(sizeof(*fault_end));
 
+    fault_end->disturbance = History_Begin(kind, role, number, KcLoop_Now());
+
     fault_end->role = role;
     fault_end->number = number;
     KcTimer_Init(&fault_end->timer, on_fault_end_due, fault_end);
@@ -362,7 +406,9 @@
 
     print_fault("kill", role, number);
     GatewayCluster_SendSignal(soak.cluster, role, number, SIGKILL);
-    schedule_fault_end(role, number, draw_fault_duration())->restart = true;
+    schedule_fault_end(DISTURBANCE_RESTART, role, number,
+                       draw_fault_duration())
+        ->restart = true;
 }
 
 /* A planned stop has 5.5 s, longer than grace_s, before the restart kills it.
@@ -375,11 +421,12 @@
     print_fault("stop", GATEWAY_CLUSTER_GATEWAY, number);
     GatewayCluster_SendSignal(soak.cluster, GATEWAY_CLUSTER_GATEWAY, number,
                               SIGTERM);
-    schedule_fault_end(GATEWAY_CLUSTER_GATEWAY, number, 5500 * KC_MS)
+    schedule_fault_end(DISTURBANCE_STOP, GATEWAY_CLUSTER_GATEWAY, number,
+                       5500 * KC_MS)
         ->restart = true;
 }
 
-/* Only keepers and gateways: a frozen stand-in could not set its knobs. */
+/* Only keepers and gateways; workers pause, see pause_worker(). */
 static void
 freeze_process(void)
 {
@@ -389,7 +436,8 @@
 
     print_fault("freeze", role, number);
     GatewayCluster_SendSignal(soak.cluster, role, number, SIGSTOP);
-    schedule_fault_end(role, number, draw_fault_duration())->signal = SIGCONT;
+    schedule_fault_end(DISTURBANCE_FREEZE, role, number, draw_fault_duration())
+        ->signal = SIGCONT;
 }
 
 static void
@@ -444,22 +492,23 @@
     int number = (int)draw_below((uint64_t)count_processes(role));
 
     print_fault(knob_faults[index].fault_on, role, number);
-    GatewayCluster_SetKnob(soak.cluster, role, number,
-                           knob_faults[index].fault_on);
-    schedule_fault_end(role, number, draw_fault_duration())->knob =
-        knob_faults[index].fault_off;
+    set_knob(role, number, knob_faults[index].fault_on);
+    schedule_fault_end(DISTURBANCE_KNOB, role, number, draw_fault_duration())
+        ->knob = knob_faults[index].fault_off;
 }
 
 static void
 set_proxy_fault(void)
 {
-    Proxy *proxy = soak.proxies[draw_below((uint64_t)soak.proxy_count)];
+    const ProxiedProcess *proxied =
+        &soak.proxies[draw_below((uint64_t)soak.proxy_count)];
     ProxyMode mode = (ProxyMode)(1 + draw_below(PROXY_MODE_COUNT - 1));
 
-    print_fault(ProxyMode_GetName(mode), GATEWAY_CLUSTER_STORE, 0);
-    Proxy_SetMode(proxy, mode);
-    schedule_fault_end(GATEWAY_CLUSTER_STORE, 0, draw_fault_duration())
-        ->proxy = proxy;
+    print_fault(ProxyMode_GetName(mode), proxied->role, proxied->number);
+    Proxy_SetMode(proxied->proxy, mode);
+    schedule_fault_end(DISTURBANCE_CUT, proxied->role, proxied->number,
+                       draw_fault_duration())
+        ->proxy = proxied->proxy;
 }
 
 static void
@@ -481,11 +530,66 @@
                                    ++soak.adapter_version);
 }
 
+static GatewayClusterRole
+draw_worker_role(void)
+{
+    return draw_below(2) == 0 ? GATEWAY_CLUSTER_LLM_WORKER
+                              : GATEWAY_CLUSTER_PLAIN_WORKER;
+}
+
+/* A worker says in its answers that it leaves, in one of two cases also in its
+ * record, and goes on serving; another instance takes its place. */
+static void
+leave_worker(void)
+{
+    GatewayClusterRole role = draw_worker_role();
+    int number = (int)draw_below((uint64_t)count_processes(role));
+    const char *knob =
+        draw_below(2) == 0 ? "leaving=1" : "leaving=1&draining=1";
+    KcTime delay =
+        (KcTime)(GATEWAY_CLUSTER_LEAVE_MS + 1000 + draw_below(3000)) * KC_MS;
+
+    print_fault(knob, role, number);
+    set_knob(role, number, knob);
+    schedule_fault_end(DISTURBANCE_NOTICE, role, number, delay)->restart =
+        true;
+}
+
+/* A worker turns requests away for one to three seconds, which ends by
+ * itself. */
+static void
+close_worker(void)
+{
+    GatewayClusterRole role = draw_worker_role();
+    int number = (int)draw_below((uint64_t)count_processes(role));
+    int seconds = 1 + (int)draw_below(3);
+    char knob[32];
+
+    snprintf(knob, sizeof(knob), "retry_after=%d", seconds);
+    print_fault(knob, role, number);
+    set_knob(role, number, knob);
+    schedule_fault_end(DISTURBANCE_NOTICE, role, number, seconds * KC_SECOND);
+}
+
+static void
+pause_worker(void)
+{
+    GatewayClusterRole role = draw_worker_role();
+    int number = (int)draw_below((uint64_t)count_processes(role));
+
+    print_fault("pause", role, number);
+    GatewayCluster_SendSignal(soak.cluster, role, number, SIGSTOP);
+    schedule_fault_end(DISTURBANCE_FREEZE, role, number,
+                       (KcTime)(800 + draw_below(400)) * KC_MS)
+        ->signal = SIGCONT;
+}
+
 static void (*const fault_functions[])(void) = {
     kill_process,     kill_process,    stop_gateway,   freeze_process,
     send_hangup,      set_fault_knob,  set_fault_knob, set_fault_knob,
     set_fault_knob,   set_proxy_fault, change_config,  set_proxy_fault,
-    announce_version,
+    announce_version, leave_worker,    close_worker,   pause_worker,
+    pause_worker,
 };
 
 static void
@@ -506,31 +610,16 @@
 
 /* ---- checks -------------------------------------------------------------- */
 
-/* Counts the lines "run ID" in a worker's log for each call. */
+/* Checks the logs of the workers of a role, which also counts their runs. */
 static void
-count_runs(GatewayClusterRole role, int number)
+check_workers(GatewayClusterRole role, RuleCounts *counts)
 {
-    char path[256];
-    char line[256];
-    FILE *file;
-
-    snprintf(path, sizeof(path), "%s/%d-%d.log",
-             GatewayCluster_GetDirectory(soak.cluster), (int)role, number);
-    file = fopen(path, "r");
-    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
-        Call *call;
+    for (int i = 0; i < count_processes(role); i++) {
+        char path[256];
 
-        line[strcspn(line, "\n")] = '\0';
-        if (strncmp(line, "run ", 4) != 0) {
-            continue;
-        }
-        HASH_FIND_STR(soak.calls, line + 4, call);
-        if (call != NULL) {
-            call->run_count++;
-        }
-    }
-    if (file != NULL) {
-        fclose(file);
+        snprintf(path, sizeof(path), "%s/%d-%d.log",
+                 GatewayCluster_GetDirectory(soak.cluster), (int)role, i);
+        Rules_CheckWorker(path, role, i, counts);
     }
 }
 
@@ -571,24 +660,24 @@
 
     KcBuffer_Append(&call->body, "", 1);
     if (!call->is_repeatable && call->run_count > 1) {
-        report_violation("at most once", call);
+        Soak_ReportViolation("at most once", call);
     }
     if (call->is_repeatable && call->run_count > 2) {
-        report_violation("more workers than allowed", call);
+        Soak_ReportViolation("more workers than allowed", call);
     }
     if (claims_not_run && !call->is_repeatable && call->run_count > 0) {
-        report_violation("said not to run", call);
+        Soak_ReportViolation("said not to run", call);
     }
     if (call->is_misattributed) {
-        report_violation("another request's answer", call);
+        Soak_ReportViolation("another request's answer", call);
     }
     if (call->status == 404 || call->status == 400) {
-        report_violation("denied", call);
+        Soak_ReportViolation("denied", call);
     }
     if (call->status == 200 && call->is_complete &&
         !(call->is_stream ? is_stream_correct(call)
                           : is_plain_answer_correct(call))) {
-        report_violation("wrong bytes", call);
+        Soak_ReportViolation("wrong bytes", call);
     }
 }
 
@@ -598,20 +687,19 @@
     Call *call;
     Call *next;
     int outcome_counts[3] = {0, 0, 0};
+    RuleCounts rule_counts = {0};
 
     for (int i = 0; i < soak.options.llm_workers; i++) {
         json_t *state = GatewayCluster_ReadState(
             soak.cluster, GATEWAY_CLUSTER_LLM_WORKER, i);
 
         if (json_integer_value(json_object_get(state, "overloads")) > 0) {
-            report_violation("ordered beyond its places", NULL);
+            Soak_ReportViolation("ordered beyond its places", NULL);
         }
         json_decref(state);
-        count_runs(GATEWAY_CLUSTER_LLM_WORKER, i);
-    }
-    for (int i = 0; i < soak.options.plain_workers; i++) {
-        count_runs(GATEWAY_CLUSTER_PLAIN_WORKER, i);
     }
+    check_workers(GATEWAY_CLUSTER_LLM_WORKER, &rule_counts);
+    check_workers(GATEWAY_CLUSTER_PLAIN_WORKER, &rule_counts);
     HASH_ITER(hh, soak.calls, call, next)
     {
         check_call(call);
@@ -622,8 +710,10 @@
         KcBuffer_Clear(&call->body);
         free(call);
     }
-    printf("%d answered, %d other answers, %d without\n", outcome_counts[0],
-           outcome_counts[1], outcome_counts[2]);
+    printf("%d answered, %d other answers, %d without; "
+           "%d workers left, %d waits, %d held by a pause\n",
+           outcome_counts[0], outcome_counts[1], outcome_counts[2],
+           rule_counts.leavings, rule_counts.waits, rule_counts.pauses);
 }
 
 /* Waits until a gateway serves every route of the newest configuration; false
@@ -687,7 +777,7 @@
         usleep(2000);
     }
     if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
-        report_violation("not recovered", NULL);
+        Soak_ReportViolation("not recovered", NULL);
     }
 }
 
@@ -702,8 +792,9 @@
 
     snprintf(listen, sizeof(listen), "%.*s:%d", (int)(colon - target), target,
              GATEWAY_CLUSTER_PROXY_PORT);
-    soak.proxies[soak.proxy_count] = Proxy_Create(soak.loop, listen, target);
-    if (soak.proxies[soak.proxy_count] == NULL) {
+    soak.proxies[soak.proxy_count] = (ProxiedProcess){
+        Proxy_Create(soak.loop, listen, target), role, number};
+    if (soak.proxies[soak.proxy_count].proxy == NULL) {
         fprintf(stderr, "cannot listen on %s\n", listen);
         exit(2);
     }
@@ -777,8 +868,9 @@
     }
     check_calls();
     for (int i = 0; i < soak.proxy_count; i++) {
-        Proxy_Free(soak.proxies[i]);
+        Proxy_Free(soak.proxies[i].proxy);
     }
+    History_Clear();
     if (soak.violation_count > 0) {
         printf("the processes' output: %s\n",
                GatewayCluster_GetDirectory(soak.cluster));
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,34 @@
+/*
+ * The calls of the soak, for its checks.
+ */
+#ifndef KCC_SOAK_H
+#define KCC_SOAK_H
+
+#include <kcc.h>
+
+/* A call and its answer.  Times are those of KcLoop_Now(). */
+typedef struct Call {
+    UT_hash_handle hh;
+    char id[32]; /* its Attempt-Id */
+    int gateway; /* number of the gateway that it was sent to */
+    bool is_repeatable;
+    bool is_stream;
+    KcTime sent_at;
+    KcTime answered_at; /* the answer's head came; 0: none did */
+    KcTime ended_at;    /* the answer was complete or broken off */
+    bool is_abandoned;  /* the client closed the connection */
+    int status;         /* of HTTP; 0 before an answer */
+    bool is_complete;
+    bool is_misattributed; /* the answer names another request */
+    KcBuffer body;
+    char server_seal[64]; /* id of the worker that answered */
+    int run_count;        /* counted in the workers' logs */
+} Call;
+
+/* Returns the call with this Attempt-Id, or NULL. */
+Call *Soak_FindCall(const char *id);
+
+/* Prints and counts a violation; call may be NULL. */
+void Soak_ReportViolation(const char *violation, const Call *call);
+
+#endif
