Give the faults of the soak a file of their own

Purpose: soak.c had grown to 885 lines and held the clients, the faults and the checks.

Change: faults.c holds the table of faults, the proxies and what ends a fault; soak.c the clients, the checks of calls and the run. The order of draws stays the same.

Evidence: what moved is unchanged but for the names of its state.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,7 +9,6 @@
  * without violations, 1 with some, 2 when a proxy cannot listen.
  */
 #include <inttypes.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,14 +17,13 @@
 
 #include "../../programs/connection/http_connection.h"
 #include "../daemons/gateway_cluster.h"
+#include "faults.h"
 #include "history.h"
-#include "proxy.h"
 #include "rules.h"
 #include "soak.h"
 
 #define CLIENT_COUNT 24
-#define EVENTS_PER_STREAM 10 /* as the workers send them */
-#define PROXIES_MAX 64
+#define EVENTS_PER_STREAM 10              /* as the workers send them */
 #define RECOVERY_TIMEOUT (12 * KC_SECOND) /* recover_s of the platform */
 #define CALL_TIMEOUT (6 * KC_SECOND)
 
@@ -33,10 +31,8 @@
 
 static uint64_t random_state;
 
-/* The next number of the seeded sequence, from 0 to limit - 1.  A seed replays
- * the same faults only while the order of draws stays the same. */
-static uint64_t
-draw_below(uint64_t limit)
+uint64_t
+Soak_DrawBelow(uint64_t limit)
 {
     random_state =
         random_state * 6364136223846793005ULL + 1442695040888963407ULL;
@@ -54,28 +50,14 @@
     int gateway;
 } Client;
 
-/* A proxy and the process before which it stands. */
-typedef struct ProxiedProcess {
-    Proxy *proxy;
-    GatewayClusterRole role;
-    int number;
-} ProxiedProcess;
-
 typedef struct Soak {
     KcLoop *loop;
     GatewayCluster *cluster;
     GatewayClusterOptions options;
     Client clients[CLIENT_COUNT];
-    ProxiedProcess proxies[PROXIES_MAX];
-    int proxy_count;
     Call *calls;
     int call_count;
     bool faults_ended; /* clients begin no more calls */
-    KcTime faults_end_at;
-    KcTimer fault_timer;
-    int config_version; /* latest version written */
-    bool has_extra_route;
-    int adapter_version; /* latest version announced */
     int violation_count;
 } Soak;
 
@@ -119,7 +101,7 @@
 static void
 end_call(Client *client, bool keep_connection)
 {
-    KcTime pause = (KcTime)draw_below(60) * KC_MS;
+    KcTime pause = (KcTime)Soak_DrawBelow(60) * KC_MS;
 
     if (client->call != NULL) {
         client->call->ended_at = KcLoop_Now();
@@ -203,7 +185,7 @@
                                        .head_bytes_max = 16384,
                                        .silence_timeout = CALL_TIMEOUT};
 
-    client->gateway = (int)draw_below((uint64_t)soak.options.gateways);
+    client->gateway = (int)Soak_DrawBelow((uint64_t)soak.options.gateways);
     client->connection = KcHttpConnection_Connect(
         &options, GatewayCluster_GetAddress(
                       soak.cluster, GATEWAY_CLUSTER_GATEWAY, client->gateway));
@@ -214,7 +196,8 @@
 static void
 begin_call(Client *client)
 {
-    size_t kind_index = draw_below(sizeof(call_kinds) / sizeof(call_kinds[0]));
+    size_t kind_index =
+        Soak_DrawBelow(sizeof(call_kinds) / sizeof(call_kinds[0]));
     Call *call = KcMem_New(sizeof(*call));
 
     snprintf(call->id, sizeof(call->id), "c%d-%d", client->number,
@@ -233,7 +216,8 @@
         "%s %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\n"
         "Token-Count: 20,20\r\n%s%d%sContent-Length: 0\r\n\r\n",
         call_kinds[kind_index].method, call_kinds[kind_index].path, call->id,
-        call->is_stream ? "Model: m/a" : "X: ", (int)draw_below(40), "\r\n");
+        call->is_stream ? "Model: m/a" : "X: ", (int)Soak_DrawBelow(40),
+        "\r\n");
 }
 
 static void
@@ -243,7 +227,7 @@
 
     (void)now;
     if (client->call != NULL ||
-        (client->connection != NULL && draw_below(8) == 0)) {
+        (client->connection != NULL && Soak_DrawBelow(8) == 0)) {
         if (client->call != NULL) {
             client->call->is_abandoned = true;
         }
@@ -260,103 +244,10 @@
     }
 }
 
-/* ---- faults -------------------------------------------------------------- */
-
-/* What ends a fault, and when. */
-typedef struct FaultEnd {
-    TAILQ_ENTRY(FaultEnd) link;
-    KcTimer timer;
-    GatewayClusterRole role;
-    int number;
-    const char *knob; /* to set, or NULL */
-    Proxy *proxy;     /* to set to PROXY_PASS, or NULL */
-    int signal;       /* to send, or 0 */
-    bool restart;     /* kills the process, if it runs, and starts it */
-    Disturbance *disturbance;
-} FaultEnd;
-
-static TAILQ_HEAD(FaultEndList, FaultEnd)
-    pending_fault_ends = TAILQ_HEAD_INITIALIZER(pending_fault_ends);
-
-static void end_fault(FaultEnd *fault_end);
-
-/* Sets a knob of a stand-in.  A paused one goes on first, as it could not set
- * its knobs. */
-static void
-set_knob(GatewayClusterRole role, int number, const char *knob)
-{
-    FaultEnd *fault_end;
-    FaultEnd *next;
-
-    TAILQ_FOREACH_SAFE (fault_end, &pending_fault_ends, link, next) {
-        if (fault_end->role == role && fault_end->number == number &&
-            fault_end->signal == SIGCONT) {
-            end_fault(fault_end);
-        }
-    }
-    GatewayCluster_SetKnob(soak.cluster, role, number, knob);
-}
-
-/* Ends a fault and frees its entry. */
-static void
-end_fault(FaultEnd *fault_end)
-{
-    KcTime now = KcLoop_Now();
-
-    TAILQ_REMOVE(&pending_fault_ends, fault_end, link);
-    KcTimers_Clear(soak.loop->timers, &fault_end->timer);
-    if (fault_end->signal != 0) {
-        GatewayCluster_SendSignal(soak.cluster, fault_end->role,
-                                  fault_end->number, fault_end->signal);
-    }
-    if (fault_end->knob != NULL) {
-        set_knob(fault_end->role, fault_end->number, fault_end->knob);
-    }
-    if (fault_end->proxy != NULL) {
-        Proxy_SetMode(fault_end->proxy, PROXY_PASS);
-    }
-    if (fault_end->restart) {
-        GatewayCluster_SendSignal(soak.cluster, fault_end->role,
-                                  fault_end->number, SIGKILL);
-        GatewayCluster_WaitForExit(soak.cluster, fault_end->role,
-                                   fault_end->number);
-        GatewayCluster_RestartProcess(soak.cluster, fault_end->role,
-                                      fault_end->number);
-        History_Begin(DISTURBANCE_RESTART, fault_end->role, fault_end->number,
-                      now)
-            ->ends_at = KcLoop_Now();
-    }
-    fault_end->disturbance->ends_at = KcLoop_Now();
-    free(fault_end);
-}
-
-static void
-on_fault_end_due(KcTimer *timer, KcTime now)
-{
-    (void)now;
-    end_fault(timer->owner);
-}
-
-/* Notes that a fault begins, and schedules its end; the caller sets what ends
- * it. */
-static FaultEnd *
-schedule_fault_end(DisturbanceKind kind, GatewayClusterRole role, int number,
-                   KcTime delay)
-{
-    FaultEnd *fault_end = KcMem_New(sizeof(*fault_end));
-
-    fault_end->disturbance = History_Begin(kind, role, number, KcLoop_Now());
-
-    fault_end->role = role;
-    fault_end->number = number;
-    KcTimer_Init(&fault_end->timer, on_fault_end_due, fault_end);
-    TAILQ_INSERT_TAIL(&pending_fault_ends, fault_end, link);
-    KcTimers_Set(soak.loop->timers, &fault_end->timer, KcLoop_Now() + delay);
-    return fault_end;
-}
+/* ---- checks -------------------------------------------------------------- */
 
-static int
-count_processes(GatewayClusterRole role)
+int
+Soak_CountProcesses(GatewayClusterRole role)
 {
     switch (role) {
     case GATEWAY_CLUSTER_LLM_WORKER:
@@ -371,250 +262,11 @@
     }
 }
 
-static const char *const role_names[GATEWAY_CLUSTER_ROLE_COUNT] = {
-    "store", "model worker", "keeper", "plain worker", "gateway"};
-
-static KcTime
-draw_fault_duration(void)
-{
-    return (KcTime)(200 + draw_below(2000)) * KC_MS;
-}
-
-static void
-print_fault(const char *fault, GatewayClusterRole role, int number)
-{
-    printf("%7.3f %s: %s %d\n",
-           (double)(KcLoop_Now() % (1000 * KC_SECOND)) / KC_SECOND, fault,
-           role_names[role], number);
-}
-
-static GatewayClusterRole
-draw_role(void)
-{
-    static const GatewayClusterRole roles[] = {
-        GATEWAY_CLUSTER_LLM_WORKER, GATEWAY_CLUSTER_KEEPER,
-        GATEWAY_CLUSTER_PLAIN_WORKER, GATEWAY_CLUSTER_GATEWAY};
-
-    return roles[draw_below(4)];
-}
-
-static void
-kill_process(void)
-{
-    GatewayClusterRole role = draw_role();
-    int number = (int)draw_below((uint64_t)count_processes(role));
-
-    print_fault("kill", role, number);
-    GatewayCluster_SendSignal(soak.cluster, role, number, SIGKILL);
-    schedule_fault_end(DISTURBANCE_RESTART, role, number,
-                       draw_fault_duration())
-        ->restart = true;
-}
-
-/* A planned stop has 5.5 s, longer than grace_s, before the restart kills it.
- */
-static void
-stop_gateway(void)
-{
-    int number = (int)draw_below((uint64_t)soak.options.gateways);
-
-    print_fault("stop", GATEWAY_CLUSTER_GATEWAY, number);
-    GatewayCluster_SendSignal(soak.cluster, GATEWAY_CLUSTER_GATEWAY, number,
-                              SIGTERM);
-    schedule_fault_end(DISTURBANCE_STOP, GATEWAY_CLUSTER_GATEWAY, number,
-                       5500 * KC_MS)
-        ->restart = true;
-}
-
-/* Only keepers and gateways; workers pause, see pause_worker(). */
-static void
-freeze_process(void)
-{
-    GatewayClusterRole role =
-        draw_below(2) == 0 ? GATEWAY_CLUSTER_KEEPER : GATEWAY_CLUSTER_GATEWAY;
-    int number = (int)draw_below((uint64_t)count_processes(role));
-
-    print_fault("freeze", role, number);
-    GatewayCluster_SendSignal(soak.cluster, role, number, SIGSTOP);
-    schedule_fault_end(DISTURBANCE_FREEZE, role, number, draw_fault_duration())
-        ->signal = SIGCONT;
-}
-
-static void
-send_hangup(void)
-{
-    GatewayClusterRole role =
-        draw_below(2) == 0 ? GATEWAY_CLUSTER_KEEPER : GATEWAY_CLUSTER_GATEWAY;
-    int number = (int)draw_below((uint64_t)count_processes(role));
-
-    print_fault("hang up", role, number);
-    GatewayCluster_SendSignal(soak.cluster, role, number, SIGHUP);
-}
-
-/* Knobs that start and end a fault of a stand-in. */
-static const struct {
-    GatewayClusterRole role;
-    const char *fault_on;
-    const char *fault_off;
-} knob_faults[] = {
-    {GATEWAY_CLUSTER_STORE, "busy=80", "busy=0"},
-    {GATEWAY_CLUSTER_STORE, "many=80", "many=0"},
-    {GATEWAY_CLUSTER_STORE, "silent=100", "silent=0"},
-    {GATEWAY_CLUSTER_STORE, "reset=80", "reset=0"},
-    {GATEWAY_CLUSTER_STORE, "lost=60", "lost=0"},
-    {GATEWAY_CLUSTER_STORE, "forget=1", "forget=0"},
-    {GATEWAY_CLUSTER_STORE, "endless=80", "endless=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "refuse=60", "refuse=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "reset=20", "reset=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "truncate=20", "truncate=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "garbage=20", "garbage=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "mute=30", "mute=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "late_orders=50", "late_orders=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "load_ms=400", "load_ms=30"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "draining=1", "draining=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "endless=30", "endless=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "endless_report=60", "endless_report=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "endless=50", "endless=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "refuse=60", "refuse=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "error=50", "error=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "reset=50", "reset=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "truncate=50", "truncate=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "garbage=50", "garbage=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "extra=60", "extra=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "mute=50", "mute=0"},
-};
-
-static void
-set_fault_knob(void)
-{
-    size_t index = draw_below(sizeof(knob_faults) / sizeof(knob_faults[0]));
-    GatewayClusterRole role = knob_faults[index].role;
-    int number = (int)draw_below((uint64_t)count_processes(role));
-
-    print_fault(knob_faults[index].fault_on, role, number);
-    set_knob(role, number, knob_faults[index].fault_on);
-    schedule_fault_end(DISTURBANCE_KNOB, role, number, draw_fault_duration())
-        ->knob = knob_faults[index].fault_off;
-}
-
-static void
-set_proxy_fault(void)
-{
-    const ProxiedProcess *proxied =
-        &soak.proxies[draw_below((uint64_t)soak.proxy_count)];
-    ProxyMode mode = (ProxyMode)(1 + draw_below(PROXY_MODE_COUNT - 1));
-
-    print_fault(ProxyMode_GetName(mode), proxied->role, proxied->number);
-    Proxy_SetMode(proxied->proxy, mode);
-    schedule_fault_end(DISTURBANCE_CUT, proxied->role, proxied->number,
-                       draw_fault_duration())
-        ->proxy = proxied->proxy;
-}
-
-static void
-change_config(void)
-{
-    soak.has_extra_route = !soak.has_extra_route;
-    printf("        configuration %d\n", ++soak.config_version);
-    GatewayCluster_WriteConfig(soak.cluster, soak.config_version,
-                               soak.has_extra_route);
-}
-
-static void
-announce_version(void)
-{
-    char adapter[16];
-
-    snprintf(adapter, sizeof(adapter), "a%d", (int)draw_below(40));
-    GatewayCluster_AnnounceVersion(soak.cluster, adapter,
-                                   ++soak.adapter_version);
-}
-
-static GatewayClusterRole
-draw_worker_role(void)
-{
-    return draw_below(2) == 0 ? GATEWAY_CLUSTER_LLM_WORKER
-                              : GATEWAY_CLUSTER_PLAIN_WORKER;
-}
-
-/* A worker says in its answers that it leaves, in one of two cases also in its
- * record, and goes on serving; another instance takes its place. */
-static void
-leave_worker(void)
-{
-    GatewayClusterRole role = draw_worker_role();
-    int number = (int)draw_below((uint64_t)count_processes(role));
-    const char *knob =
-        draw_below(2) == 0 ? "leaving=1" : "leaving=1&draining=1";
-    KcTime delay =
-        (KcTime)(GATEWAY_CLUSTER_LEAVE_MS + 1000 + draw_below(3000)) * KC_MS;
-
-    print_fault(knob, role, number);
-    set_knob(role, number, knob);
-    schedule_fault_end(DISTURBANCE_NOTICE, role, number, delay)->restart =
-        true;
-}
-
-/* A worker turns requests away for one to three seconds, which ends by
- * itself. */
-static void
-close_worker(void)
-{
-    GatewayClusterRole role = draw_worker_role();
-    int number = (int)draw_below((uint64_t)count_processes(role));
-    int seconds = 1 + (int)draw_below(3);
-    char knob[32];
-
-    snprintf(knob, sizeof(knob), "retry_after=%d", seconds);
-    print_fault(knob, role, number);
-    set_knob(role, number, knob);
-    schedule_fault_end(DISTURBANCE_NOTICE, role, number, seconds * KC_SECOND);
-}
-
-static void
-pause_worker(void)
-{
-    GatewayClusterRole role = draw_worker_role();
-    int number = (int)draw_below((uint64_t)count_processes(role));
-
-    print_fault("pause", role, number);
-    GatewayCluster_SendSignal(soak.cluster, role, number, SIGSTOP);
-    schedule_fault_end(DISTURBANCE_FREEZE, role, number,
-                       (KcTime)(800 + draw_below(400)) * KC_MS)
-        ->signal = SIGCONT;
-}
-
-static void (*const fault_functions[])(void) = {
-    kill_process,     kill_process,    stop_gateway,   freeze_process,
-    send_hangup,      set_fault_knob,  set_fault_knob, set_fault_knob,
-    set_fault_knob,   set_proxy_fault, change_config,  set_proxy_fault,
-    announce_version, leave_worker,    close_worker,   pause_worker,
-    pause_worker,
-};
-
-static void
-on_fault(KcTimer *timer, KcTime now)
-{
-    if (now >= soak.faults_end_at) {
-        KcLoop_Stop(soak.loop);
-        return;
-    }
-    fault_functions[draw_below(sizeof(fault_functions) /
-                               sizeof(fault_functions[0]))]();
-    /* One in three follows within 20 ms, so that faults overlap. */
-    KcTimers_Set(
-        soak.loop->timers, timer,
-        now +
-            (KcTime)(draw_below(3) == 0 ? 20 : 100 + draw_below(700)) * KC_MS);
-}
-
-/* ---- checks -------------------------------------------------------------- */
-
 /* Checks the logs of the workers of a role, which also counts their runs. */
 static void
 check_workers(GatewayClusterRole role, RuleCounts *counts)
 {
-    for (int i = 0; i < count_processes(role); i++) {
+    for (int i = 0; i < Soak_CountProcesses(role); i++) {
         char path[256];
 
         snprintf(path, sizeof(path), "%s/%d-%d.log",
@@ -730,7 +382,7 @@
     while (served_paths < 5 && KcLoop_Now() < give_up_at) {
         char request[512];
         char answer[8192];
-        int expected = served_paths < 4 || soak.has_extra_route ? 200 : 404;
+        int expected = served_paths < 4 || Faults_HasExtraRoute() ? 200 : 404;
         int size =
             snprintf(request, sizeof(request),
                      "GET %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: r%d-%" PRId64
@@ -784,26 +436,10 @@
 /* ---- set-up -------------------------------------------------------------- */
 
 static void
-add_proxy(GatewayClusterRole role, int number)
+set_up(uint64_t seed, int seconds, int workers)
 {
-    const char *target = GatewayCluster_GetAddress(soak.cluster, role, number);
-    char listen[128];
-    const char *colon = strrchr(target, ':');
-
-    snprintf(listen, sizeof(listen), "%.*s:%d", (int)(colon - target), target,
-             GATEWAY_CLUSTER_PROXY_PORT);
-    soak.proxies[soak.proxy_count] = (ProxiedProcess){
-        Proxy_Create(soak.loop, listen, target), role, number};
-    if (soak.proxies[soak.proxy_count].proxy == NULL) {
-        fprintf(stderr, "cannot listen on %s\n", listen);
-        exit(2);
-    }
-    soak.proxy_count++;
-}
+    FaultsOptions faults_options;
 
-static void
-set_up(uint64_t seed, int workers)
-{
     soak.options =
         (GatewayClusterOptions){.network_octet = (uint8_t)(60 + seed % 60),
                                 .llm_workers = workers,
@@ -813,13 +449,13 @@
                                 .has_proxies = true};
     soak.loop = KcLoop_Create();
     soak.cluster = GatewayCluster_Start(&soak.options);
-    soak.config_version = 1;
-    soak.adapter_version = 1;
-    add_proxy(GATEWAY_CLUSTER_STORE, 0);
-    for (int i = 0; i < workers && i < 20; i++) {
-        add_proxy(GATEWAY_CLUSTER_LLM_WORKER, i);
-        add_proxy(GATEWAY_CLUSTER_PLAIN_WORKER, i);
-    }
+    faults_options =
+        (FaultsOptions){.loop = soak.loop,
+                        .cluster = soak.cluster,
+                        .cluster_options = &soak.options,
+                        .begin_at = KcLoop_Now() + 2 * KC_SECOND,
+                        .end_at = KcLoop_Now() + (seconds + 2) * KC_SECOND};
+    Faults_Start(&faults_options);
     for (int i = 0; i < CLIENT_COUNT; i++) {
         Client *client = &soak.clients[i];
 
@@ -828,21 +464,6 @@
         KcTimers_Set(soak.loop->timers, &client->timer,
                      KcLoop_Now() + KC_SECOND + i * 10 * KC_MS);
     }
-    KcTimer_Init(&soak.fault_timer, on_fault, NULL);
-    KcTimers_Set(soak.loop->timers, &soak.fault_timer,
-                 KcLoop_Now() + 2 * KC_SECOND);
-}
-
-/* Ends every fault at once and stops new calls. */
-static void
-end_all_faults(void)
-{
-    FaultEnd *fault_end;
-
-    soak.faults_ended = true;
-    while ((fault_end = TAILQ_FIRST(&pending_fault_ends)) != NULL) {
-        end_fault(fault_end);
-    }
 }
 
 int
@@ -855,10 +476,10 @@
     printf("seed %" PRIu64 ", %d s, %d workers of a kind\n", seed, seconds,
            workers);
     random_state = seed * 2654435761u + 1;
-    set_up(seed, workers);
-    soak.faults_end_at = KcLoop_Now() + (seconds + 2) * KC_SECOND;
+    set_up(seed, seconds, workers);
     KcLoop_Run(soak.loop);
-    end_all_faults();
+    soak.faults_ended = true;
+    Faults_EndAll();
     check_recovery();
     for (int i = 0; i < CLIENT_COUNT; i++) {
         KcTimers_Clear(soak.loop->timers, &soak.clients[i].timer);
@@ -867,9 +488,7 @@
         }
     }
     check_calls();
-    for (int i = 0; i < soak.proxy_count; i++) {
-        Proxy_Free(soak.proxies[i].proxy);
-    }
+    Faults_FreeProxies();
     History_Clear();
     if (soak.violation_count > 0) {
         printf("the processes' output: %s\n",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,11 +1,21 @@
 /*
- * The calls of the soak, for its checks.
+ * What the parts of the soak share: its random numbers, its processes and its
+ * calls.
  */
 #ifndef KCC_SOAK_H
 #define KCC_SOAK_H
 
 #include <kcc.h>
 
+#include "../daemons/gateway_cluster.h"
+
+/* The next number of the seeded sequence, from 0 to limit - 1.  A seed replays
+ * the same faults only while the order of draws stays the same. */
+uint64_t Soak_DrawBelow(uint64_t limit);
+
+/* Number of processes in a role. */
+int Soak_CountProcesses(GatewayClusterRole role);
+
 /* A call and its answer.  Times are those of KcLoop_Now(). */
 typedef struct Call {
     UT_hash_handle hh;
