--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -24,6 +24,7 @@
 
 #define CLIENT_COUNT 24
 #define EVENTS_PER_STREAM 10              /* as the workers send them */
+#define PRINTED_BYTES_MAX 400             /* of an answer with wrong bytes */
 #define RECOVERY_TIMEOUT (12 * KC_SECOND) /* recover_s of the platform */
 #define CALL_TIMEOUT (6 * KC_SECOND)
 
@@ -330,6 +331,8 @@
         !(call->is_stream ? is_stream_correct(call)
                           : is_plain_answer_correct(call))) {
         Soak_ReportViolation("wrong bytes", call);
+        printf("%zu bytes: %.*s\n", KcBuffer_Size(&call->body) - 1,
+               PRINTED_BYTES_MAX, KcBuffer_Data(&call->body));
     }
 }
 
