--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -9,7 +9,6 @@
  * without violations, 1 with some, 2 when a proxy cannot listen.
  */
 #include <inttypes.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -18,11 +17,14 @@
 
 #include "../../programs/connection/http_connection.h"
 #include "../daemons/gateway_cluster.h"
-#include "proxy.h"
+#include "faults.h"
+#include "history.h"
+#include "rules.h"
+#include "soak.h"
 
 #define CLIENT_COUNT 24
-#define EVENTS_PER_STREAM 10 /* as the workers send them */
-#define PROXIES_MAX 64
+#define EVENTS_PER_STREAM 10              /* as the workers send them */
+#define PRINTED_BYTES_MAX 400             /* of an answer with wrong bytes */
 #define RECOVERY_TIMEOUT (12 * KC_SECOND) /* recover_s of the platform */
 #define CALL_TIMEOUT (6 * KC_SECOND)
 
@@ -30,10 +32,8 @@
 
 static uint64_t random_state;
 
-/* The next number of the seeded sequence, from 0 to limit - 1.  A seed replays
- * the same faults only while the order of draws stays the same. */
-static uint64_t
-draw_below(uint64_t limit)
+uint64_t
+Soak_DrawBelow(uint64_t limit)
 {
     random_state =
         random_state * 6364136223846793005ULL + 1442695040888963407ULL;
@@ -51,42 +51,30 @@
     int gateway;
 } Client;
 
-/* A call and its answer. */
-typedef struct Call {
-    UT_hash_handle hh;
-    char id[32]; /* its Attempt-Id */
-    bool is_repeatable;
-    bool is_stream;
-    int status; /* of HTTP; 0 before an answer */
-    bool is_complete;
-    bool is_misattributed; /* the answer names another request */
-    KcBuffer body;
-    char server_seal[64]; /* id of the worker that answered */
-    int run_count;        /* counted in the workers' logs */
-} Call;
-
 typedef struct Soak {
     KcLoop *loop;
     GatewayCluster *cluster;
     GatewayClusterOptions options;
     Client clients[CLIENT_COUNT];
-    Proxy *proxies[PROXIES_MAX];
-    int proxy_count;
     Call *calls;
     int call_count;
     bool faults_ended; /* clients begin no more calls */
-    KcTime faults_end_at;
-    KcTimer fault_timer;
-    int config_version; /* latest version written */
-    bool has_extra_route;
-    int adapter_version; /* latest version announced */
     int violation_count;
 } Soak;
 
 static Soak soak;
 
-static void
-report_violation(const char *violation, const Call *call)
+Call *
+Soak_FindCall(const char *id)
+{
+    Call *call;
+
+    HASH_FIND_STR(soak.calls, id, call);
+    return call;
+}
+
+void
+Soak_ReportViolation(const char *violation, const Call *call)
 {
     soak.violation_count++;
     printf("BROKEN %s: request %s status %d runs %d whole %d\n", violation,
@@ -114,9 +102,12 @@
 static void
 end_call(Client *client, bool keep_connection)
 {
-    KcTime pause = (KcTime)draw_below(60) * KC_MS;
+    KcTime pause = (KcTime)Soak_DrawBelow(60) * KC_MS;
 
-    client->call = NULL;
+    if (client->call != NULL) {
+        client->call->ended_at = KcLoop_Now();
+        client->call = NULL;
+    }
     if (!keep_connection && client->connection != NULL) {
         KcHttpConnection_Close(client->connection);
         client->connection = NULL;
@@ -138,9 +129,10 @@
     const char *server_seal = KcHttpMessage_FindField(message, "Server-Seal");
 
     if (client->call == NULL) {
-        report_violation("an answer that nobody asked for", NULL);
+        Soak_ReportViolation("an answer that nobody asked for", NULL);
         return;
     }
+    client->call->answered_at = KcLoop_Now();
     client->call->status = message->status;
     client->call->is_misattributed =
         id != NULL && strcmp(id, client->call->id) != 0;
@@ -194,7 +186,7 @@
                                        .head_bytes_max = 16384,
                                        .silence_timeout = CALL_TIMEOUT};
 
-    client->gateway = (int)draw_below((uint64_t)soak.options.gateways);
+    client->gateway = (int)Soak_DrawBelow((uint64_t)soak.options.gateways);
     client->connection = KcHttpConnection_Connect(
         &options, GatewayCluster_GetAddress(
                       soak.cluster, GATEWAY_CLUSTER_GATEWAY, client->gateway));
@@ -205,11 +197,15 @@
 static void
 begin_call(Client *client)
 {
-    size_t kind_index = draw_below(sizeof(call_kinds) / sizeof(call_kinds[0]));
+    size_t kind_index =
+        Soak_DrawBelow(sizeof(call_kinds) / sizeof(call_kinds[0]));
     Call *call = KcMem_New(sizeof(*call));
 
     snprintf(call->id, sizeof(call->id), "c%d-%d", client->number,
              soak.call_count++);
+    call->gateway = client->gateway;
+    call->sent_at = KcLoop_Now();
+    call->ended_at = KC_NEVER;
     call->is_repeatable = call_kinds[kind_index].is_repeatable;
     call->is_stream = call_kinds[kind_index].is_stream;
     HASH_ADD_STR(soak.calls, id, call);
@@ -221,7 +217,8 @@
         "%s %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\n"
         "Token-Count: 20,20\r\n%s%d%sContent-Length: 0\r\n\r\n",
         call_kinds[kind_index].method, call_kinds[kind_index].path, call->id,
-        call->is_stream ? "Model: m/a" : "X: ", (int)draw_below(40), "\r\n");
+        call->is_stream ? "Model: m/a" : "X: ", (int)Soak_DrawBelow(40),
+        "\r\n");
 }
 
 static void
@@ -231,7 +228,10 @@
 
     (void)now;
     if (client->call != NULL ||
-        (client->connection != NULL && draw_below(8) == 0)) {
+        (client->connection != NULL && Soak_DrawBelow(8) == 0)) {
+        if (client->call != NULL) {
+            client->call->is_abandoned = true;
+        }
         end_call(client, false); /* the caller disconnects */
     }
     else if (soak.faults_ended) {
@@ -245,74 +245,10 @@
     }
 }
 
-/* ---- faults -------------------------------------------------------------- */
-
-/* What ends a fault, and when. */
-typedef struct FaultEnd {
-    TAILQ_ENTRY(FaultEnd) link;
-    KcTimer timer;
-    GatewayClusterRole role;
-    int number;
-    const char *knob; /* to set, or NULL */
-    Proxy *proxy;     /* to set to PROXY_PASS, or NULL */
-    int signal;       /* to send, or 0 */
-    bool restart;     /* kills the process, if it runs, and starts it */
-} FaultEnd;
-
-static TAILQ_HEAD(FaultEndList, FaultEnd)
-    pending_fault_ends = TAILQ_HEAD_INITIALIZER(pending_fault_ends);
-
-/* Ends a fault and frees its entry. */
-static void
-end_fault(FaultEnd *fault_end)
-{
-    TAILQ_REMOVE(&pending_fault_ends, fault_end, link);
-    KcTimers_Clear(soak.loop->timers, &fault_end->timer);
-    if (fault_end->signal != 0) {
-        GatewayCluster_SendSignal(soak.cluster, fault_end->role,
-                                  fault_end->number, fault_end->signal);
-    }
-    if (fault_end->knob != NULL) {
-        GatewayCluster_SetKnob(soak.cluster, fault_end->role,
-                               fault_end->number, fault_end->knob);
-    }
-    if (fault_end->proxy != NULL) {
-        Proxy_SetMode(fault_end->proxy, PROXY_PASS);
-    }
-    if (fault_end->restart) {
-        GatewayCluster_SendSignal(soak.cluster, fault_end->role,
-                                  fault_end->number, SIGKILL);
-        GatewayCluster_WaitForExit(soak.cluster, fault_end->role,
-                                   fault_end->number);
-        GatewayCluster_RestartProcess(soak.cluster, fault_end->role,
-                                      fault_end->number);
-    }
-    free(fault_end);
-}
-
-static void
-on_fault_end_due(KcTimer *timer, KcTime now)
-{
-    (void)now;
-    end_fault(timer->owner);
-}
-
-/* Schedules the end of a fault; the caller sets what ends it. */
-static FaultEnd *
-schedule_fault_end(GatewayClusterRole role, int number, KcTime delay)
-{
-    FaultEnd *fault_end = KcMem_New(sizeof(*fault_end));
-
-    fault_end->role = role;
-    fault_end->number = number;
-    KcTimer_Init(&fault_end->timer, on_fault_end_due, fault_end);
-    TAILQ_INSERT_TAIL(&pending_fault_ends, fault_end, link);
-    KcTimers_Set(soak.loop->timers, &fault_end->timer, KcLoop_Now() + delay);
-    return fault_end;
-}
+/* ---- checks -------------------------------------------------------------- */
 
-static int
-count_processes(GatewayClusterRole role)
+int
+Soak_CountProcesses(GatewayClusterRole role)
 {
     switch (role) {
     case GATEWAY_CLUSTER_LLM_WORKER:
@@ -327,210 +263,16 @@
     }
 }
 
-static const char *const role_names[GATEWAY_CLUSTER_ROLE_COUNT] = {
-    "store", "model worker", "keeper", "plain worker", "gateway"};
-
-static KcTime
-draw_fault_duration(void)
-{
-    return (KcTime)(200 + draw_below(2000)) * KC_MS;
-}
-
-static void
-print_fault(const char *fault, GatewayClusterRole role, int number)
-{
-    printf("%7.3f %s: %s %d\n",
-           (double)(KcLoop_Now() % (1000 * KC_SECOND)) / KC_SECOND, fault,
-           role_names[role], number);
-}
-
-static GatewayClusterRole
-draw_role(void)
-{
-    static const GatewayClusterRole roles[] = {
-        GATEWAY_CLUSTER_LLM_WORKER, GATEWAY_CLUSTER_KEEPER,
-        GATEWAY_CLUSTER_PLAIN_WORKER, GATEWAY_CLUSTER_GATEWAY};
-
-    return roles[draw_below(4)];
-}
-
-static void
-kill_process(void)
-{
-    GatewayClusterRole role = draw_role();
-    int number = (int)draw_below((uint64_t)count_processes(role));
-
-    print_fault("kill", role, number);
-    GatewayCluster_SendSignal(soak.cluster, role, number, SIGKILL);
-    schedule_fault_end(role, number, draw_fault_duration())->restart = true;
-}
-
-/* A planned stop has 5.5 s, longer than grace_s, before the restart kills it.
- */
-static void
-stop_gateway(void)
-{
-    int number = (int)draw_below((uint64_t)soak.options.gateways);
-
-    print_fault("stop", GATEWAY_CLUSTER_GATEWAY, number);
-    GatewayCluster_SendSignal(soak.cluster, GATEWAY_CLUSTER_GATEWAY, number,
-                              SIGTERM);
-    schedule_fault_end(GATEWAY_CLUSTER_GATEWAY, number, 5500 * KC_MS)
-        ->restart = true;
-}
-
-/* Only keepers and gateways: a frozen stand-in could not set its knobs. */
-static void
-freeze_process(void)
-{
-    GatewayClusterRole role =
-        draw_below(2) == 0 ? GATEWAY_CLUSTER_KEEPER : GATEWAY_CLUSTER_GATEWAY;
-    int number = (int)draw_below((uint64_t)count_processes(role));
-
-    print_fault("freeze", role, number);
-    GatewayCluster_SendSignal(soak.cluster, role, number, SIGSTOP);
-    schedule_fault_end(role, number, draw_fault_duration())->signal = SIGCONT;
-}
-
+/* Checks the logs of the workers of a role, which also counts their runs. */
 static void
-send_hangup(void)
+check_workers(GatewayClusterRole role, RuleCounts *counts)
 {
-    GatewayClusterRole role =
-        draw_below(2) == 0 ? GATEWAY_CLUSTER_KEEPER : GATEWAY_CLUSTER_GATEWAY;
-    int number = (int)draw_below((uint64_t)count_processes(role));
-
-    print_fault("hang up", role, number);
-    GatewayCluster_SendSignal(soak.cluster, role, number, SIGHUP);
-}
-
-/* Knobs that start and end a fault of a stand-in. */
-static const struct {
-    GatewayClusterRole role;
-    const char *fault_on;
-    const char *fault_off;
-} knob_faults[] = {
-    {GATEWAY_CLUSTER_STORE, "busy=80", "busy=0"},
-    {GATEWAY_CLUSTER_STORE, "many=80", "many=0"},
-    {GATEWAY_CLUSTER_STORE, "silent=100", "silent=0"},
-    {GATEWAY_CLUSTER_STORE, "reset=80", "reset=0"},
-    {GATEWAY_CLUSTER_STORE, "lost=60", "lost=0"},
-    {GATEWAY_CLUSTER_STORE, "forget=1", "forget=0"},
-    {GATEWAY_CLUSTER_STORE, "endless=80", "endless=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "refuse=60", "refuse=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "reset=20", "reset=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "truncate=20", "truncate=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "garbage=20", "garbage=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "mute=30", "mute=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "late_orders=50", "late_orders=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "load_ms=400", "load_ms=30"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "draining=1", "draining=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "endless=30", "endless=0"},
-    {GATEWAY_CLUSTER_LLM_WORKER, "endless_report=60", "endless_report=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "endless=50", "endless=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "refuse=60", "refuse=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "error=50", "error=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "reset=50", "reset=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "truncate=50", "truncate=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "garbage=50", "garbage=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "extra=60", "extra=0"},
-    {GATEWAY_CLUSTER_PLAIN_WORKER, "mute=50", "mute=0"},
-};
-
-static void
-set_fault_knob(void)
-{
-    size_t index = draw_below(sizeof(knob_faults) / sizeof(knob_faults[0]));
-    GatewayClusterRole role = knob_faults[index].role;
-    int number = (int)draw_below((uint64_t)count_processes(role));
-
-    print_fault(knob_faults[index].fault_on, role, number);
-    GatewayCluster_SetKnob(soak.cluster, role, number,
-                           knob_faults[index].fault_on);
-    schedule_fault_end(role, number, draw_fault_duration())->knob =
-        knob_faults[index].fault_off;
-}
-
-static void
-set_proxy_fault(void)
-{
-    Proxy *proxy = soak.proxies[draw_below((uint64_t)soak.proxy_count)];
-    ProxyMode mode = (ProxyMode)(1 + draw_below(PROXY_MODE_COUNT - 1));
-
-    print_fault(ProxyMode_GetName(mode), GATEWAY_CLUSTER_STORE, 0);
-    Proxy_SetMode(proxy, mode);
-    schedule_fault_end(GATEWAY_CLUSTER_STORE, 0, draw_fault_duration())
-        ->proxy = proxy;
-}
-
-static void
-change_config(void)
-{
-    soak.has_extra_route = !soak.has_extra_route;
-    printf("        configuration %d\n", ++soak.config_version);
-    GatewayCluster_WriteConfig(soak.cluster, soak.config_version,
-                               soak.has_extra_route);
-}
-
-static void
-announce_version(void)
-{
-    char adapter[16];
-
-    snprintf(adapter, sizeof(adapter), "a%d", (int)draw_below(40));
-    GatewayCluster_AnnounceVersion(soak.cluster, adapter,
-                                   ++soak.adapter_version);
-}
-
-static void (*const fault_functions[])(void) = {
-    kill_process,     kill_process,    stop_gateway,   freeze_process,
-    send_hangup,      set_fault_knob,  set_fault_knob, set_fault_knob,
-    set_fault_knob,   set_proxy_fault, change_config,  set_proxy_fault,
-    announce_version,
-};
+    for (int i = 0; i < Soak_CountProcesses(role); i++) {
+        char path[256];
 
-static void
-on_fault(KcTimer *timer, KcTime now)
-{
-    if (now >= soak.faults_end_at) {
-        KcLoop_Stop(soak.loop);
-        return;
-    }
-    fault_functions[draw_below(sizeof(fault_functions) /
-                               sizeof(fault_functions[0]))]();
-    /* One in three follows within 20 ms, so that faults overlap. */
-    KcTimers_Set(
-        soak.loop->timers, timer,
-        now +
-            (KcTime)(draw_below(3) == 0 ? 20 : 100 + draw_below(700)) * KC_MS);
-}
-
-/* ---- checks -------------------------------------------------------------- */
-
-/* Counts the lines "run ID" in a worker's log for each call. */
-static void
-count_runs(GatewayClusterRole role, int number)
-{
-    char path[256];
-    char line[256];
-    FILE *file;
-
-    snprintf(path, sizeof(path), "%s/%d-%d.log",
-             GatewayCluster_GetDirectory(soak.cluster), (int)role, number);
-    file = fopen(path, "r");
-    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
-        Call *call;
-
-        line[strcspn(line, "\n")] = '\0';
-        if (strncmp(line, "run ", 4) != 0) {
-            continue;
-        }
-        HASH_FIND_STR(soak.calls, line + 4, call);
-        if (call != NULL) {
-            call->run_count++;
-        }
-    }
-    if (file != NULL) {
-        fclose(file);
+        snprintf(path, sizeof(path), "%s/%d-%d.log",
+                 GatewayCluster_GetDirectory(soak.cluster), (int)role, i);
+        Rules_CheckWorker(path, role, i, counts);
     }
 }
 
@@ -571,24 +313,26 @@
 
     KcBuffer_Append(&call->body, "", 1);
     if (!call->is_repeatable && call->run_count > 1) {
-        report_violation("at most once", call);
+        Soak_ReportViolation("at most once", call);
     }
     if (call->is_repeatable && call->run_count > 2) {
-        report_violation("more workers than allowed", call);
+        Soak_ReportViolation("more workers than allowed", call);
     }
     if (claims_not_run && !call->is_repeatable && call->run_count > 0) {
-        report_violation("said not to run", call);
+        Soak_ReportViolation("said not to run", call);
     }
     if (call->is_misattributed) {
-        report_violation("another request's answer", call);
+        Soak_ReportViolation("another request's answer", call);
     }
     if (call->status == 404 || call->status == 400) {
-        report_violation("denied", call);
+        Soak_ReportViolation("denied", call);
     }
     if (call->status == 200 && call->is_complete &&
         !(call->is_stream ? is_stream_correct(call)
                           : is_plain_answer_correct(call))) {
-        report_violation("wrong bytes", call);
+        Soak_ReportViolation("wrong bytes", call);
+        printf("%zu bytes: %.*s\n", KcBuffer_Size(&call->body) - 1,
+               PRINTED_BYTES_MAX, KcBuffer_Data(&call->body));
     }
 }
 
@@ -598,20 +342,19 @@
     Call *call;
     Call *next;
     int outcome_counts[3] = {0, 0, 0};
+    RuleCounts rule_counts = {0};
 
     for (int i = 0; i < soak.options.llm_workers; i++) {
         json_t *state = GatewayCluster_ReadState(
             soak.cluster, GATEWAY_CLUSTER_LLM_WORKER, i);
 
         if (json_integer_value(json_object_get(state, "overloads")) > 0) {
-            report_violation("ordered beyond its places", NULL);
+            Soak_ReportViolation("ordered beyond its places", NULL);
         }
         json_decref(state);
-        count_runs(GATEWAY_CLUSTER_LLM_WORKER, i);
-    }
-    for (int i = 0; i < soak.options.plain_workers; i++) {
-        count_runs(GATEWAY_CLUSTER_PLAIN_WORKER, i);
     }
+    check_workers(GATEWAY_CLUSTER_LLM_WORKER, &rule_counts);
+    check_workers(GATEWAY_CLUSTER_PLAIN_WORKER, &rule_counts);
     HASH_ITER(hh, soak.calls, call, next)
     {
         check_call(call);
@@ -622,8 +365,10 @@
         KcBuffer_Clear(&call->body);
         free(call);
     }
-    printf("%d answered, %d other answers, %d without\n", outcome_counts[0],
-           outcome_counts[1], outcome_counts[2]);
+    printf("%d answered, %d other answers, %d without; "
+           "%d workers left, %d waits, %d held by a pause\n",
+           outcome_counts[0], outcome_counts[1], outcome_counts[2],
+           rule_counts.leavings, rule_counts.waits, rule_counts.pauses);
 }
 
 /* Waits until a gateway serves every route of the newest configuration; false
@@ -640,7 +385,7 @@
     while (served_paths < 5 && KcLoop_Now() < give_up_at) {
         char request[512];
         char answer[8192];
-        int expected = served_paths < 4 || soak.has_extra_route ? 200 : 404;
+        int expected = served_paths < 4 || Faults_HasExtraRoute() ? 200 : 404;
         int size =
             snprintf(request, sizeof(request),
                      "GET %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: r%d-%" PRId64
@@ -687,48 +432,33 @@
         usleep(2000);
     }
     if (!WIFEXITED(status) || WEXITSTATUS(status) != 0) {
-        report_violation("not recovered", NULL);
+        Soak_ReportViolation("not recovered", NULL);
     }
 }
 
 /* ---- set-up -------------------------------------------------------------- */
 
 static void
-add_proxy(GatewayClusterRole role, int number)
+set_up(uint64_t seed, int seconds, int workers)
 {
-    const char *target = GatewayCluster_GetAddress(soak.cluster, role, number);
-    char listen[128];
-    const char *colon = strrchr(target, ':');
-
-    snprintf(listen, sizeof(listen), "%.*s:%d", (int)(colon - target), target,
-             GATEWAY_CLUSTER_PROXY_PORT);
-    soak.proxies[soak.proxy_count] = Proxy_Create(soak.loop, listen, target);
-    if (soak.proxies[soak.proxy_count] == NULL) {
-        fprintf(stderr, "cannot listen on %s\n", listen);
-        exit(2);
-    }
-    soak.proxy_count++;
-}
+    FaultsOptions faults_options;
 
-static void
-set_up(uint64_t seed, int workers)
-{
-    soak.options =
-        (GatewayClusterOptions){.network_octet = (uint8_t)(60 + seed % 60),
-                                .llm_workers = workers,
-                                .plain_workers = workers,
-                                .gateways = workers > 4 ? workers / 2 : 2,
-                                .seed = seed,
-                                .has_proxies = true};
+    soak.options = (GatewayClusterOptions){
+        .network_octet = GatewayCluster_ReserveNetwork(60, 119),
+        .llm_workers = workers,
+        .plain_workers = workers,
+        .gateways = workers > 4 ? workers / 2 : 2,
+        .seed = seed,
+        .has_proxies = true};
     soak.loop = KcLoop_Create();
     soak.cluster = GatewayCluster_Start(&soak.options);
-    soak.config_version = 1;
-    soak.adapter_version = 1;
-    add_proxy(GATEWAY_CLUSTER_STORE, 0);
-    for (int i = 0; i < workers && i < 20; i++) {
-        add_proxy(GATEWAY_CLUSTER_LLM_WORKER, i);
-        add_proxy(GATEWAY_CLUSTER_PLAIN_WORKER, i);
-    }
+    faults_options =
+        (FaultsOptions){.loop = soak.loop,
+                        .cluster = soak.cluster,
+                        .cluster_options = &soak.options,
+                        .begin_at = KcLoop_Now() + 2 * KC_SECOND,
+                        .end_at = KcLoop_Now() + (seconds + 2) * KC_SECOND};
+    Faults_Start(&faults_options);
     for (int i = 0; i < CLIENT_COUNT; i++) {
         Client *client = &soak.clients[i];
 
@@ -737,21 +467,6 @@
         KcTimers_Set(soak.loop->timers, &client->timer,
                      KcLoop_Now() + KC_SECOND + i * 10 * KC_MS);
     }
-    KcTimer_Init(&soak.fault_timer, on_fault, NULL);
-    KcTimers_Set(soak.loop->timers, &soak.fault_timer,
-                 KcLoop_Now() + 2 * KC_SECOND);
-}
-
-/* Ends every fault at once and stops new calls. */
-static void
-end_all_faults(void)
-{
-    FaultEnd *fault_end;
-
-    soak.faults_ended = true;
-    while ((fault_end = TAILQ_FIRST(&pending_fault_ends)) != NULL) {
-        end_fault(fault_end);
-    }
 }
 
 int
@@ -764,10 +479,10 @@
     printf("seed %" PRIu64 ", %d s, %d workers of a kind\n", seed, seconds,
            workers);
     random_state = seed * 2654435761u + 1;
-    set_up(seed, workers);
-    soak.faults_end_at = KcLoop_Now() + (seconds + 2) * KC_SECOND;
+    set_up(seed, seconds, workers);
     KcLoop_Run(soak.loop);
-    end_all_faults();
+    soak.faults_ended = true;
+    Faults_EndAll();
     check_recovery();
     for (int i = 0; i < CLIENT_COUNT; i++) {
         KcTimers_Clear(soak.loop->timers, &soak.clients[i].timer);
@@ -776,9 +491,8 @@
         }
     }
     check_calls();
-    for (int i = 0; i < soak.proxy_count; i++) {
-        Proxy_Free(soak.proxies[i]);
-    }
+    Faults_FreeProxies();
+    History_Clear();
     if (soak.violation_count > 0) {
         printf("the processes' output: %s\n",
                GatewayCluster_GetDirectory(soak.cluster));
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,44 @@
+/*
+ * What the parts of the soak share: its random numbers, its processes and its
+ * calls.
+ */
+#ifndef KCC_SOAK_H
+#define KCC_SOAK_H
+
+#include <kcc.h>
+
+#include "../daemons/gateway_cluster.h"
+
+/* The next number of the seeded sequence, from 0 to limit - 1.  A seed replays
+ * the same faults only while the order of draws stays the same. */
+uint64_t Soak_DrawBelow(uint64_t limit);
+
+/* Number of processes in a role. */
+int Soak_CountProcesses(GatewayClusterRole role);
+
+/* A call and its answer.  Times are those of KcLoop_Now(). */
+typedef struct Call {
+    UT_hash_handle hh;
+    char id[32]; /* its Attempt-Id */
+    int gateway; /* number of the gateway that it was sent to */
+    bool is_repeatable;
+    bool is_stream;
+    KcTime sent_at;
+    KcTime answered_at; /* the answer's head came; 0: none did */
+    KcTime ended_at;    /* the answer was complete or broken off */
+    bool is_abandoned;  /* the client closed the connection */
+    int status;         /* of HTTP; 0 before an answer */
+    bool is_complete;
+    bool is_misattributed; /* the answer names another request */
+    KcBuffer body;
+    char server_seal[64]; /* id of the worker that answered */
+    int run_count;        /* counted in the workers' logs */
+} Call;
+
+/* Returns the call with this Attempt-Id, or NULL. */
+Call *Soak_FindCall(const char *id);
+
+/* Prints and counts a violation; call may be NULL. */
+void Soak_ReportViolation(const char *violation, const Call *call);
+
+#endif
