Keep a notice that a new instance may have given before its record was read

Cause: the answer was taken for one of the instance that the gateway knew. The record of a later instance ended every notice, also one that the later instance had given itself.

Why this works: a notice ends only with an instance that started after the notice was read, by the wall clock. Clocks that differ matter only if an instance ends and its successor starts within their difference after the first notice.

--- a/lib/process/gateway_notice.c
+++ b/lib/process/gateway_notice.c
@@ -69,6 +69,12 @@
         started_at_ms <= server->noticed_started_at_ms) {
         return;
     }
+    if (started_at_ms <= server->noticed_at_ms) {
+        /* It may be the later instance's, which answered before its record
+         * was read. */
+        server->noticed_started_at_ms = started_at_ms;
+        return;
+    }
     server->noticed_started_at_ms = 0;
     server->leaving_by_answer = false;
     server->closed_until = 0;
@@ -148,9 +154,10 @@
     record_notice(gateway, record);
 }
 
-/* Notes the instance that gave a notice. */
+/* Notes the instance that gave a notice, and when. */
 static void
-note_instance(KcServer *server, const KcServerNotice *notice)
+note_instance(KcServer *server, const KcServerNotice *notice,
+              int64_t noticed_at_ms)
 {
     int64_t started_at_ms = notice->started_at_ms > server->started_at_ms
                                 ? notice->started_at_ms
@@ -160,6 +167,10 @@
         started_at_ms > server->noticed_started_at_ms) {
         server->noticed_started_at_ms = started_at_ms;
     }
+    if ((notice->is_leaving || notice->retry_after > 0) &&
+        !server->leaving_by_answer) {
+        server->noticed_at_ms = noticed_at_ms;
+    }
 }
 
 /* Closes the server; false when a longer wait is known. */
@@ -197,7 +208,8 @@
         notice->started_at_ms < server->started_at_ms) {
         return; /* of an earlier instance */
     }
-    note_instance(server, notice);
+    note_instance(server, notice,
+                  (now + gateway->options.wall_offset) / KC_MS);
     if (notice->is_leaving && !server->leaving_by_answer) {
         record.kind = KC_NOTICE_LEAVING;
         note_leaving(gateway, server, &record);
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -105,9 +105,11 @@
                                * gateway; ends only with a later instance */
     int64_t noticed_started_at_ms; /* latest start time that is known of the
                                     * instance whose notice this is */
-    KcTime closed_until; /* takes nothing from this gateway until then,
-                          * by its answer; afterwards one request at a
-                          * time until one is answered; 0: open */
+    int64_t noticed_at_ms; /* wall clock of its notice, ms: of the first that
+                            * it leaves, else of the last to wait */
+    KcTime closed_until;   /* takes nothing from this gateway until then,
+                            * by its answer; afterwards one request at a
+                            * time until one is answered; 0: open */
     const struct KcForward *trial; /* the one request that tries the server
                                     * after closed_until; NULL: none */
     KcTimer opening_timer;         /* dispatches queued requests again */
@@ -265,6 +267,7 @@
     const char *datacentre; /* of this gateway */
     /* The region of a data centre, "" when it is unknown. */
     const char *(*region_of)(void *context, const char *datacentre);
+    KcTime wall_offset;     /* wall clock minus the time passed to functions */
     uint64_t seed;          /* of the random choice among a route's targets */
     int64_t retry_percent;  /* retries allowed per 100 requests */
     int64_t retry_burst;    /* retries of a service that may be saved up, by
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -174,6 +174,7 @@
     options.counters = &role->common.counters;
     options.datacentre = settings->datacentre;
     options.region_of = find_region;
+    options.wall_offset = role->common.loop->wall_offset;
     options.seed = KcLoop_GetRandomBits();
     options.retry_percent = retry_percent(settings);
     options.retry_burst = (int64_t)settings->retry_burst;
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -1097,6 +1097,14 @@
      PLAIN "server a plain 4 born=5;notice a leaving;missing a deleted;"
            "wait 60000;server a plain 4 born=5;request 1 /s/x",
      "a:leaving; 1>b; "},
+    {"a leaving said before the record of the instance was read stays",
+     PLAIN "server a plain 4 born=5;wait 3000;notice a leaving;"
+           "server a plain 4 born=1500;request 1 /s/x",
+     "a:leaving; 1>b; "},
+    {"a wait said before the record of the instance was read stays",
+     PLAIN "server a plain 4 born=5;wait 3000;notice a wait 5000;"
+           "server a plain 4 born=1500;request 1 /s/x",
+     "a:closed 5000; 1>b; "},
     {"a later instance ends a server's leaving",
      PLAIN "server a plain 4 born=5;notice a leaving;server a plain 4 born=6;"
            "request 1 /s/x",
@@ -1276,6 +1284,9 @@
     options.counters = &fixture->counters;
     options.datacentre = "here";
     options.region_of = find_region;
+    /* So that instances with small start times began after the first notices.
+     */
+    options.wall_offset = -2 * KC_SECOND;
     options.retry_burst = 20;
     fixture->gateway = KcGateway_Create(&options);
     KcGateway_SetGatewayCount(fixture->gateway, 1, fixture->now);
