Let the soak pass over comments between the events of a stream

Comments belong to no event; a caller ignores them. Each event is still compared byte by byte, and nothing else may stand between.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -277,6 +277,17 @@
 }
 
 /* A complete stream has each event once and in order. */
+/* Comments of a stream belong to no event, and may be passed on. */
+static const char *
+skip_comments(const char *unread)
+{
+    while (unread != NULL && *unread == ':') {
+        unread = strchr(unread, '\n');
+        unread = unread != NULL ? unread + strspn(unread, "\n") : NULL;
+    }
+    return unread;
+}
+
 static bool
 is_stream_correct(const Call *call)
 {
@@ -285,13 +296,14 @@
     for (int i = 0; i < EVENTS_PER_STREAM; i++) {
         char event[64];
 
+        unread = skip_comments(unread);
         snprintf(event, sizeof(event), "id: %d\ndata: piece %d\n\n", i, i);
         if (unread == NULL || strncmp(unread, event, strlen(event)) != 0) {
             return false;
         }
         unread += strlen(event);
     }
-    return *unread == '\0';
+    return *skip_comments(unread) == '\0';
 }
 
 static bool
