Give the search for a server a file of its own

What a request does until it has an attempt (choices carried out, waiting lists, queues) is in gateway_dispatch.c now; its arrival, its end and its timer stay.

--- /dev/null
+++ b/lib/process/gateway_dispatch.c
@@ -0,0 +1,489 @@
+/*
+ * Requests that seek a server: what is done with a choice, the start of
+ * attempts, the waiting lists and their queues.
+ */
+#include <assert.h>
+
+#include "gateway_internal.h"
+
+/* A request waits in the queue for its route's objective divided by this, but
+ * at least QUEUE_TIMEOUT_MIN, and is then refused: the platform prices later
+ * refusals. */
+#define QUEUE_TIMEOUT_DIVISOR 8
+#define QUEUE_TIMEOUT_MIN (20 * KC_MS)
+/* A request waits at most this long for one server to load its adapter. */
+#define LOAD_TIMEOUT (1500 * KC_MS)
+/* After it did not load an adapter a server gets no load requests for this
+ * long. */
+#define LOAD_REFUSED_DELAY (200 * KC_MS)
+/* Least time between load requests for an adapter whose requests are to leave
+ * their server. */
+#define MOVE_LOAD_INTERVAL (500 * KC_MS)
+/* Interval at which a place is sought again for a request that is kept. */
+#define RESUME_RETRY_INTERVAL (400 * KC_MS)
+/* Queued requests for which a server is sought when capacity may be free,
+ * besides those that are kept, which the retry budget limits. */
+#define QUEUE_SCAN_MAX 16
+
+KcTime
+KcForward_QueueTimeout(const KcRouteRule *rule)
+{
+    KcTime timeout = rule->latency_objective / QUEUE_TIMEOUT_DIVISOR;
+
+    return timeout > QUEUE_TIMEOUT_MIN ? timeout : QUEUE_TIMEOUT_MIN;
+}
+
+/* ---- waiting ------------------------------------------------------------- */
+
+void
+KcForward_LeaveWaitList(KcForward *forward)
+{
+    if (!forward->in_wait_list) {
+        return;
+    }
+    forward->in_wait_list = false;
+    if (forward->state == KC_FORWARD_LOADING) {
+        TAILQ_REMOVE(&forward->adapter->waiting_requests, forward, wait_link);
+    }
+    else {
+        TAILQ_REMOVE(&forward->pool->queue, forward, wait_link);
+    }
+}
+
+/* Inserts the request into the queue by priority, then by arrival. */
+static void
+join_queue(KcForward *forward)
+{
+    KcForward *later;
+
+    TAILQ_FOREACH (later, &forward->pool->queue, wait_link) {
+        if (later->rule->priority > forward->rule->priority ||
+            (later->rule->priority == forward->rule->priority &&
+             later->arrived_at > forward->arrived_at)) {
+            break;
+        }
+    }
+    if (later != NULL) {
+        TAILQ_INSERT_BEFORE(later, forward, wait_link);
+    }
+    else {
+        TAILQ_INSERT_TAIL(&forward->pool->queue, forward, wait_link);
+    }
+    forward->state = KC_FORWARD_QUEUED;
+    forward->in_wait_list = true;
+}
+
+/* ---- attempts ------------------------------------------------------------ */
+
+void
+KcForward_NoteTried(KcForward *forward, KcServer *server)
+{
+    if (forward->tried_count < KC_FORWARD_TRIED_MAX) {
+        forward->tried_servers[forward->tried_count++] = server;
+    }
+}
+
+bool
+KcForward_HasTried(const KcForward *forward, const KcServer *server)
+{
+    for (uint32_t i = 0; i < forward->tried_count; i++) {
+        if (forward->tried_servers[i] == server) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Starts an attempt at the chosen server; false when that is impossible. */
+static bool
+begin_attempt(KcForward *forward, const KcChoice *choice, KcTime now)
+{
+    KcGateway *gateway = forward->gateway;
+    const KcGatewayOptions *options = &gateway->options;
+    KcServer *server = choice->server;
+    KcAttemptParams params = {.server = server,
+                              .time_left = forward->deadline - now,
+                              .priority = forward->rule->priority,
+                              .has_last_event = forward->has_last_event,
+                              .last_event_id = forward->last_event_id,
+                              .events_max = forward->events_max,
+                              .needs_fresh_connection =
+                                  forward->rule->kind ==
+                                  KC_REQUEST_KIND_UNSAFE};
+
+    if (choice->replica != NULL && forward->adapter->newest_version > 0) {
+        params.version = choice->replica->version;
+    }
+    KcForward_LeaveWaitList(forward);
+    forward->has_first_event = false;
+    forward->state = KC_FORWARD_SENT;
+    forward->server = server;
+    forward->attempt_started_at = now;
+    forward->first_attempt_at =
+        forward->attempt_count == 0 ? now : forward->first_attempt_at;
+    forward->attempt_count++;
+    if (server->in_flight == 0) {
+        server->last_activity_at = now;
+    }
+    server->in_flight++;
+    server->in_flight_tokens += forward->tokens_max;
+    KcServer_BeginTrial(server, forward);
+    forward->replica = choice->replica;
+    if (choice->replica != NULL) {
+        KcReplica_BeginUse(gateway, choice->replica);
+    }
+    KcCounters_Add(options->counters, KC_COUNT_ATTEMPTS, 1);
+    if (server->distance == KC_DISTANCE_REMOTE) {
+        KcCounters_Add(options->counters, KC_COUNT_REMOTE_ATTEMPTS, 1);
+    }
+    KcForward_SetSilenceTimer(forward);
+    forward->attempt =
+        options->ops->start_attempt(options->context, forward, &params);
+    if (forward->attempt == NULL) {
+        forward->attempt = forward; /* else it would not be released */
+        KcForward_ReleaseServer(forward);
+        return false;
+    }
+    return true;
+}
+
+/* Requests a server's keeper to load the request's adapter; false when the
+ * keeper cannot be reached. */
+static bool
+send_load_request(KcForward *forward, KcServer *server, KcTime now)
+{
+    KcGateway *gateway = forward->gateway;
+    const KcGatewayOptions *options = &gateway->options;
+    KcLoadRequest load_request = {.server = server,
+                                  .adapter = forward->adapter,
+                                  .version_min =
+                                      forward->adapter->newest_version,
+                                  .priority = forward->rule->priority};
+
+    forward->adapter->load_requested_at = now;
+    if (!options->ops->request_load(options->context, &load_request)) {
+        return false;
+    }
+    KcReplica_AddLoading(server, forward->adapter);
+    return true;
+}
+
+static void
+await_adapter(KcForward *forward, KcServer *server, KcTime now)
+{
+    forward->state = KC_FORWARD_LOADING;
+    forward->server = server;
+    forward->in_wait_list = true;
+    TAILQ_INSERT_TAIL(&forward->adapter->waiting_requests, forward, wait_link);
+    KcForward_SetTimer(forward, now + LOAD_TIMEOUT);
+}
+
+bool
+KcForward_IsKept(const KcForward *forward)
+{
+    return forward->answer_begun || forward->was_moved;
+}
+
+/* When a queued request is refused. */
+static KcTime
+wait_until(const KcForward *forward)
+{
+    return KcForward_IsKept(forward) ? KcForward_EndStreamAt(forward)
+                                     : forward->dispatch_until;
+}
+
+/* When the timer of a queued request is due: of one that is kept, when servers
+ * that refused it are asked again. */
+static KcTime
+next_queue_check(const KcForward *forward, KcTime now)
+{
+    KcTime end = wait_until(forward);
+
+    if (KcForward_IsKept(forward) && now + RESUME_RETRY_INTERVAL < end) {
+        return now + RESUME_RETRY_INTERVAL;
+    }
+    return end;
+}
+
+/* Fails a request that did not find a server; code is the error if no attempt
+ * has failed before. */
+static void
+refuse(KcForward *forward, int code, KcTime now)
+{
+    if (forward->error.code == 0) {
+        KcError_Set(&forward->error, code, "choose", "");
+    }
+    KcForward_FinishFailed(forward, forward->may_have_run, now);
+}
+
+/*
+ * For a request that waits, or is about to: false if that is in vain, as every
+ * server leaves, or none opens before its deadline.  Otherwise prolongs the
+ * time until which it waits for a server that opens, and for its turn there.
+ * A caller that has the beginning of an answer gains nothing by an earlier
+ * end.
+ */
+static bool
+prolong_wait(KcForward *forward, const KcChoice *choice)
+{
+    /* The one request that tries the server is answered by then. */
+    KcTime until = choice->opens_at + forward->rule->latency_objective;
+
+    if (forward->answer_begun) {
+        return true;
+    }
+    if (choice->action == KC_CHOICE_REFUSE ||
+        choice->opens_at >= forward->deadline) {
+        return false;
+    }
+    if (choice->action == KC_CHOICE_AWAIT_OPENING &&
+        forward->dispatch_until < until) {
+        forward->dispatch_until = until;
+    }
+    return true;
+}
+
+/* Queues the request, or fails it when it has waited or tried too long; code
+ * is the error if no attempt has failed before. */
+static void
+enqueue_or_refuse(KcForward *forward, int code, KcTime now)
+{
+    if (now >= wait_until(forward) ||
+        (forward->tried_count == KC_FORWARD_TRIED_MAX &&
+         !KcForward_IsKept(forward))) {
+        refuse(forward, code, now);
+        return;
+    }
+    if (forward->error.code == 0) {
+        KcError_Set(&forward->error, code, "queue", "");
+    }
+    join_queue(forward);
+    KcForward_SetTimer(forward, next_queue_check(forward, now));
+}
+
+void
+KcForward_AwaitPlace(KcForward *forward, KcTime now)
+{
+    enqueue_or_refuse(forward, KC_ERR_BUSY, now);
+}
+
+/* Carries out a choice; false when its server cannot be reached. */
+static bool
+execute_choice(KcForward *forward, const KcChoice *choice, KcTime now)
+{
+    int code = KC_ERR_NO_BACKEND;
+
+    switch (choice->action) {
+    case KC_CHOICE_SEND:
+        if (forward->owes_retry &&
+            !KcRetryBudget_Take(&forward->pool->retry_budget)) {
+            enqueue_or_refuse(forward, KC_ERR_BUSY, now);
+            return true;
+        }
+        forward->owes_retry = false;
+        return begin_attempt(forward, choice, now);
+    case KC_CHOICE_LOAD:
+        if (!send_load_request(forward, choice->server, now)) {
+            return false;
+        }
+        await_adapter(forward, choice->server, now);
+        return true;
+    case KC_CHOICE_AWAIT_LOAD:
+        await_adapter(forward, choice->server, now);
+        return true;
+    case KC_CHOICE_QUEUE:
+    case KC_CHOICE_AWAIT_OPENING:
+        code = KC_ERR_BUSY;
+        break;
+    case KC_CHOICE_REFUSE:
+    case KC_CHOICE_NONE:
+        break;
+    }
+    if (prolong_wait(forward, choice)) {
+        enqueue_or_refuse(forward, code, now);
+    }
+    else {
+        refuse(forward, code, now);
+    }
+    return true;
+}
+
+void
+KcForward_Dispatch(KcForward *forward, KcTime now)
+{
+    KcChoice choice;
+
+    KcForward_LeaveWaitList(forward);
+    if (now >= forward->deadline) {
+        KcForward_Fail(forward, KC_ERR_DEADLINE_EXCEEDED, "choose", now);
+        return;
+    }
+    for (;;) {
+        KcGateway_Choose(forward, now, &choice);
+        if (choice.new_replica_server != NULL) {
+            send_load_request(forward, choice.new_replica_server, now);
+        }
+        if (execute_choice(forward, &choice, now)) {
+            return;
+        }
+        /* The server cannot be reached: choose another one. */
+        KcForward_NoteTried(forward, choice.server);
+        if (forward->tried_count == KC_FORWARD_TRIED_MAX) {
+            enqueue_or_refuse(forward, KC_ERR_NO_BACKEND, now);
+            return;
+        }
+    }
+}
+
+bool
+KcForward_CanMove(KcForward *forward, KcTime now)
+{
+    uint32_t tried_count = forward->tried_count;
+    KcServer *load_server;
+    KcChoice choice;
+
+    if (tried_count == KC_FORWARD_TRIED_MAX) {
+        return false;
+    }
+    KcForward_NoteTried(forward, forward->server);
+    KcGateway_Choose(forward, now, &choice);
+    forward->tried_count = tried_count;
+    load_server = choice.action == KC_CHOICE_LOAD ? choice.server
+                                                  : choice.new_replica_server;
+    if (load_server != NULL &&
+        now - forward->adapter->load_requested_at >= MOVE_LOAD_INTERVAL) {
+        send_load_request(forward, load_server, now);
+    }
+    /* A server that asked to wait may refuse its first request after that. */
+    return choice.action == KC_CHOICE_SEND &&
+           choice.server->closed_until == 0 &&
+           !KcServer_IsFailing(choice.server, now);
+}
+
+/* Dispatches a queued request, or decides again how long it waits. */
+static void
+dispatch_queued(KcForward *forward, KcTime now)
+{
+    KcChoice choice;
+
+    KcGateway_Choose(forward, now, &choice);
+    switch (choice.action) {
+    case KC_CHOICE_NONE:
+    case KC_CHOICE_QUEUE:
+        break;
+    case KC_CHOICE_REFUSE:
+    case KC_CHOICE_AWAIT_OPENING:
+        if (prolong_wait(forward, &choice)) {
+            KcForward_SetTimer(forward, next_queue_check(forward, now));
+        }
+        else {
+            refuse(forward, KC_ERR_NO_BACKEND, now);
+        }
+        break;
+    case KC_CHOICE_SEND:
+    case KC_CHOICE_AWAIT_LOAD:
+    case KC_CHOICE_LOAD:
+        KcForward_Dispatch(forward, now);
+        break;
+    }
+}
+
+static void
+dispatch_queue(KcServerPool *pool, uint32_t scan_max, KcTime now)
+{
+    KcForward *forward;
+    KcForward *next;
+    uint32_t visited = 0;
+
+    if (pool->is_dispatching) {
+        return;
+    }
+    pool->is_dispatching = true;
+    TAILQ_FOREACH_SAFE (forward, &pool->queue, wait_link, next) {
+        /* Those that are kept may all wait for one server. */
+        if (!KcForward_IsKept(forward) && ++visited > scan_max) {
+            break;
+        }
+        dispatch_queued(forward, now);
+    }
+    pool->is_dispatching = false;
+}
+
+void
+KcGateway_DispatchQueue(KcServerPool *pool, KcTime now)
+{
+    dispatch_queue(pool, QUEUE_SCAN_MAX, now);
+}
+
+void
+KcGateway_DispatchWholeQueue(KcServerPool *pool, KcTime now)
+{
+    dispatch_queue(pool, UINT32_MAX, now);
+}
+
+void
+KcGateway_MoveWaiting(KcServer *server, KcTime now)
+{
+    KcServerPool *pool = server->pool;
+    bool was_dispatching = pool->is_dispatching;
+    KcForward *forward;
+    KcForward *next;
+
+    pool->is_dispatching = true; /* ends no other request meanwhile */
+    TAILQ_FOREACH_SAFE (forward, &pool->gateway->forwards, link, next) {
+        if (forward->state == KC_FORWARD_LOADING &&
+            forward->server == server && forward->pool == pool) {
+            KcForward_Dispatch(forward, now);
+        }
+    }
+    pool->is_dispatching = was_dispatching;
+    KcGateway_DispatchWholeQueue(pool, now);
+}
+
+void
+KcGateway_DispatchForAdapter(KcAdapterState *adapter, KcServer *refused,
+                             KcTime now)
+{
+    KcForward *forward;
+    KcForward *last = TAILQ_LAST(&adapter->waiting_requests, KcForwardList);
+    bool is_last = last == NULL;
+
+    if (refused != NULL && !is_last) {
+        refused->no_loads_until = now + LOAD_REFUSED_DELAY;
+    }
+    while (!is_last) {
+        forward = TAILQ_FIRST(&adapter->waiting_requests);
+        is_last = forward == last;
+        if (refused != NULL && forward->server == refused) {
+            KcError_Set(&forward->error, KC_ERR_LOAD_FAILED, "load",
+                        refused->id);
+            KcForward_NoteTried(forward, refused);
+        }
+        KcForward_Dispatch(forward, now);
+    }
+}
+
+/* ---- timers -------------------------------------------------------------- */
+
+void
+KcForward_OnQueueTimer(KcForward *forward, KcTime now)
+{
+    if (now >= wait_until(forward)) {
+        KcForward_FinishFailed(forward, forward->may_have_run, now);
+        return;
+    }
+    /* A server that refused may have capacity by now. */
+    forward->tried_count = 0;
+    KcForward_Dispatch(forward, now);
+}
+
+void
+KcForward_OnLoadTimer(KcForward *forward, KcTime now)
+{
+    /* Try another server; this one may be unreachable or overloaded. */
+    KcForward_LeaveWaitList(forward);
+    KcError_Set(&forward->error, KC_ERR_LOAD_FAILED, "load",
+                forward->server->id);
+    KcForward_NoteTried(forward, forward->server);
+    KcForward_Dispatch(forward, now);
+}
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -1,7 +1,8 @@
 /*
  * The gateway's state, and the functions that its source files share.
  *
- * gateway_forward.c (requests) calls gateway_choose.c (decisions), which calls
+ * gateway_forward.c (requests) calls gateway_dispatch.c (seeking a server) and
+ * that gateway_choose.c (decisions), which calls
  * gateway_cost.c (costs of servers), gateway_servers.c (servers) and
  * gateway_adapters.c (adapters and their replicas).  gateway_answer.c handles
  * the reports of attempts, gateway_silence.c handles attempts whose server
@@ -161,7 +162,7 @@
  * are closed; 0 otherwise. */
 KcTime KcGateway_FirstOpening(const KcForward *forward, KcTime now);
 
-/* ---- requests (gateway_forward.c) ---------------------------------------- */
+/* ---- seeking a server (gateway_dispatch.c) ------------------------------- */
 
 /* Chooses a server for a request that has none, and carries that out. */
 void KcForward_Dispatch(KcForward *forward, KcTime now);
@@ -189,17 +190,30 @@
  */
 void KcGateway_DispatchForAdapter(KcAdapterState *adapter, KcServer *refused,
                                   KcTime now);
+/* How long a request of the route waits in the queue. */
+KcTime KcForward_QueueTimeout(const KcRouteRule *rule);
+/* Removes the request from the list that it waits in, if any. */
+void KcForward_LeaveWaitList(KcForward *forward);
+/* Handle the timer of a request in the queue, or one that waits for its
+ * adapter. */
+void KcForward_OnQueueTimer(KcForward *forward, KcTime now);
+void KcForward_OnLoadTimer(KcForward *forward, KcTime now);
+/* Excludes the server from further attempts for this request. */
+void KcForward_NoteTried(KcForward *forward, KcServer *server);
+bool KcForward_HasTried(const KcForward *forward, const KcServer *server);
+
+/* ---- requests (gateway_forward.c) ---------------------------------------- */
+
 /* Ends the attempt's use of its server and its replica. */
 void KcForward_ReleaseServer(KcForward *forward);
 /* Cancels the attempt in progress, if any. */
 void KcForward_CancelAttempt(KcForward *forward);
-/* Excludes the server from further attempts for this request. */
-void KcForward_NoteTried(KcForward *forward, KcServer *server);
-bool KcForward_HasTried(const KcForward *forward, const KcServer *server);
-/* End the request and free it: with a complete answer, or with
- * forward->error. */
+/* End the request and free it: with a complete answer, with forward->error, or
+ * with this error; step is where it failed, static text. */
 void KcForward_FinishAnswered(KcForward *forward, int status, KcTime now);
 void KcForward_FinishFailed(KcForward *forward, bool may_have_run, KcTime now);
+void KcForward_Fail(KcForward *forward, int code, const char *step,
+                    KcTime now);
 
 /* Sets the request's timer to due_at, at the latest to its deadline. */
 void KcForward_SetTimer(KcForward *forward, KcTime due_at);
