--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 check: deps
 	$(MAKE) check-built
+	$(MAKE) soak SEEDS=2
 	$(MAKE) SANITIZE=1 check-built
 
 # Every test, without installing the dependencies first.
