Close a connection with unread bytes at once where nobody reads their head

Cause: since a pool keeps such a connection for 100 ms, to read the head of what has arrived. The pool of an engine has no use for it; its owner was closed meanwhile, and a callback that was still deferred held the connection when the loop was freed.

Why this works: without a head callback the connection is closed as before. test_endless and test_notices pass under ASan.

--- a/programs/connection/http_connection_pool.c
+++ b/programs/connection/http_connection_pool.c
@@ -161,9 +161,12 @@
 
     /*
      * After a request that was not sent completely, the server would read the
-     * next one as its rest.
+     * next one as its rest. Received bytes belong to no request, and only a
+     * head callback has a use for them.
      */
-    if (KcHttpConnection_UnsentBytes(connection) > 0) {
+    if (KcHttpConnection_UnsentBytes(connection) > 0 ||
+        (KcHttpConnection_UnparsedBytes(connection) > 0 &&
+         pool->on_head == NULL)) {
         KcHttpConnection_Close(connection);
         return;
     }
