--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -2,9 +2,9 @@
  * The gateway's state, and the functions that its source files share.
  *
  * gateway_forward.c (requests) calls gateway_dispatch.c (seeking a server),
- * which calls gateway_choose.c (decisions), which calls gateway_cost.c (costs of
- * servers), gateway_servers.c (servers) and gateway_adapters.c (adapters and
- * their replicas).  gateway_answer.c handles the reports of attempts,
+ * which calls gateway_choose.c (decisions), which calls gateway_cost.c (costs
+ * of servers), gateway_servers.c (servers) and gateway_adapters.c (adapters
+ * and their replicas).  gateway_answer.c handles the reports of attempts,
  * gateway_silence.c attempts whose server reports nothing, gateway_notice.c
  * what servers say of themselves.
  */
