Count and log callers' connections that end with unread or unsent bytes

What callers saw: a closed connection in place of an answer, for which no line and no counter of a gateway told what it was: a request that had not been read, an answer that had not been sent, or a caller that had left.

Two counters and one line with the state of the connection and both figures tell these apart. No behaviour changes.

--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -82,6 +82,12 @@
          "Requests refused before they were received completely."},
     [KC_COUNT_IDLE_CLOSES] = {"kcc_idle_closes_total",
                               "Callers' connections closed while idle."},
+    [KC_COUNT_UNREAD_CLOSES] =
+        {"kcc_unread_closes_total",
+         "Callers' connections closed with bytes that were not read."},
+    [KC_COUNT_UNSENT_CLOSES] =
+        {"kcc_unsent_closes_total",
+         "Callers' connections closed with bytes that were not sent."},
     [KC_COUNT_LEAVING_NOTICES] =
         {"kcc_leaving_notices_total",
          "Backend servers that said that they leave."},
--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include "socket.h"
@@ -596,6 +597,21 @@
                : 0;
 }
 
+size_t
+KcHttpConnection_UnreadBytes(const KcHttpConnection *connection)
+{
+    int kernel_bytes = 0;
+
+    if (connection->is_closed) {
+        return 0;
+    }
+    if (ioctl(bufferevent_getfd(connection->bev), FIONREAD, &kernel_bytes) !=
+        0) {
+        kernel_bytes = 0;
+    }
+    return KcHttpConnection_UnparsedBytes(connection) + (size_t)kernel_bytes;
+}
+
 size_t
 KcHttpConnection_UnparsedBytes(const KcHttpConnection *connection)
 {
--- a/programs/connection/http_connection.h
+++ b/programs/connection/http_connection.h
@@ -110,6 +110,11 @@
  * body: heads, interim responses, framing of chunks, trailers.
  */
 size_t KcHttpConnection_FramingBytes(const KcHttpConnection *connection);
+/*
+ * Returns the number of bytes that have arrived and were not parsed, with
+ * those that the kernel holds; 0 for a closed connection.
+ */
+size_t KcHttpConnection_UnreadBytes(const KcHttpConnection *connection);
 /* Returns the number of received bytes not yet parsed. */
 size_t KcHttpConnection_UnparsedBytes(const KcHttpConnection *connection);
 /*
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -45,6 +45,14 @@
     CONNECTION_CLOSING       /* closed when the output is sent */
 } ConnectionState;
 
+/* Names of the states in the log. */
+static const char *const state_names[] = {
+    [CONNECTION_IDLE] = "idle",
+    [CONNECTION_READING_HEAD] = "reading head",
+    [CONNECTION_READING_BODY] = "reading body",
+    [CONNECTION_SUBMITTED] = "submitted",
+    [CONNECTION_CLOSING] = "closing"};
+
 /* A caller's connection and its current request. */
 typedef struct CallerConnection {
     TAILQ_ENTRY(CallerConnection) link;
@@ -88,11 +96,36 @@
 
 /* ---- connections and their timers ---------------------------------------- */
 
+/*
+ * Counts and logs the end of a connection by which its caller may miss an
+ * answer: with bytes that were not read or not sent, or inside a request.
+ */
+static void
+record_end(const CallerConnection *connection)
+{
+    KcCounters *counters = connection->front_end->options.counters;
+    size_t unread = KcHttpConnection_UnreadBytes(connection->http_connection);
+    size_t unsent = KcHttpConnection_UnsentBytes(connection->http_connection);
+    KcLogFields fields = {.step = state_names[connection->state]};
+
+    KcCounters_Add(counters, KC_COUNT_UNREAD_CLOSES, unread > 0 ? 1 : 0);
+    KcCounters_Add(counters, KC_COUNT_UNSENT_CLOSES, unsent > 0 ? 1 : 0);
+    if (unread > 0 || unsent > 0 ||
+        connection->state == CONNECTION_READING_HEAD ||
+        connection->state == CONNECTION_READING_BODY) {
+        KcLog_Write(KC_LOG_INFO, &fields,
+                    "connection of a caller ends, unread_bytes=%zu "
+                    "unsent_bytes=%zu",
+                    unread, unsent);
+    }
+}
+
 static void
 free_connection(CallerConnection *connection)
 {
     KcGatewayFrontEnd *front_end = connection->front_end;
 
+    record_end(connection);
     KcTimers_Clear(front_end->options.loop->timers, &connection->timer);
     TAILQ_REMOVE(&front_end->connections, connection, link);
     front_end->connection_count--;
