Answer every request that a planned stop of a gateway ends

What callers saw: a plain request that reached a stopping gateway between 3 and 6.2 s after SIGTERM (grace_s = 8) and still ran at 7.7 s got a bare close, although it had been sent to a worker; so did every other request that ran or waited then.

Cause: until 1.5 s before the end of a stop each plain request was taken, whatever its deadline, and at the end KcGateway_Abort() dropped those in progress.

Evidence: test_gateway_stop on the code before, 7 of 13 rows failed: "" in place of "unknown leaving at 7400" (a request at work), of "not run leaving at 7400" (one that waits for its server) and of "not run leaving at 2900" (a late one with its route's time), "begun, " in place of "begun, broken at 7400", "200 at 3550" in place of "not run leaving at 3500", and "not run leaving at 7000" in place of "200 at 7100". test_stops, with real processes: a request at work at the end received 0 bytes.

Why this works: from 2.8 s on a request is taken only if its deadline lies before the end of the stop, so that none of these can be cut; a short one is now taken until the end. 0.3 s before the process ends the gateway ends what was sent earlier and still runs: 502, or 503 where it was not sent to a worker, and the answer is sent before the process ends.

The drain step of test_gateway passes the new end of the stop, at which the old bound of its rows, 1.5 s before, stays as it was; no row has changed.

--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -52,6 +52,17 @@
             now - gateway->last_pause_at < PAUSE_CHECK_INTERVAL);
 }
 
+static void
+on_end_timer(KcTimer *timer, KcTime now)
+{
+    KcGateway *gateway = timer->owner;
+    KcForward *forward;
+
+    while ((forward = TAILQ_FIRST(&gateway->forwards)) != NULL) {
+        KcForward_Fail(forward, KC_ERR_LEAVING, "planned stop", now);
+    }
+}
+
 void
 KcGatewayOptions_Init(KcGatewayOptions *options)
 {
@@ -68,14 +79,15 @@
     gateway->options = *options;
     gateway->gateway_count = GATEWAY_COUNT_DEFAULT;
     gateway->random_state = options->seed;
-    gateway->refuse_streams_at = KC_NEVER;
-    gateway->refuse_all_at = KC_NEVER;
+    gateway->refuse_at = KC_NEVER;
+    gateway->end_at = KC_NEVER;
     KcText_Copy(gateway->datacentre, options->datacentre, KC_NAME_MAX);
     KcText_Copy(gateway->region,
                 options->region_of(options->context, options->datacentre),
                 KC_NAME_MAX);
     TAILQ_INIT(&gateway->forwards);
     KcTimer_Init(&gateway->pause_timer, on_pause_timer, gateway);
+    KcTimer_Init(&gateway->end_timer, on_end_timer, gateway);
     KcGateway_InitServers(gateway);
     return gateway;
 }
@@ -85,6 +97,7 @@
 {
     assert(TAILQ_EMPTY(&gateway->forwards));
     KcTimers_Clear(gateway->options.timers, &gateway->pause_timer);
+    KcTimers_Clear(gateway->options.timers, &gateway->end_timer);
     KcGateway_ClearServers(gateway);
     KcRouting_Release(gateway->routing);
     free(gateway);
@@ -142,11 +155,11 @@
 }
 
 void
-KcGateway_Drain(KcGateway *gateway, KcTime refuse_streams_at,
-                KcTime refuse_all_at)
+KcGateway_Drain(KcGateway *gateway, KcTime refuse_at, KcTime end_at)
 {
-    gateway->refuse_streams_at = refuse_streams_at;
-    gateway->refuse_all_at = refuse_all_at;
+    gateway->refuse_at = refuse_at;
+    gateway->end_at = end_at;
+    KcTimers_Set(gateway->options.timers, &gateway->end_timer, end_at);
 }
 
 void
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -395,7 +395,7 @@
     KcForward *next;
     uint32_t visited = 0;
 
-    if (pool->is_dispatching) {
+    if (pool->is_dispatching || now >= pool->gateway->end_at) {
         return;
     }
     pool->is_dispatching = true;
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -148,6 +148,25 @@
 
 /* ---- arrival ------------------------------------------------------------- */
 
+static KcTime
+find_deadline(const KcForwardCall *call, const KcRouteRule *rule, KcTime now)
+{
+    return now + (call->timeout > 0 && call->timeout < rule->request_timeout
+                      ? call->timeout
+                      : rule->request_timeout);
+}
+
+/* Might the request outlast a planned stop? */
+static bool
+comes_too_late(const KcGateway *gateway, const KcForwardCall *call,
+               const KcRouteRule *rule, KcTime now)
+{
+    return now >= gateway->end_at ||
+           (now >= gateway->refuse_at &&
+            (rule->kind == KC_REQUEST_KIND_STREAM ||
+             find_deadline(call, rule, now) > gateway->end_at));
+}
+
 static KcForward *
 create_forward(KcGateway *gateway, const KcForwardCall *call,
                const KcRouteRule *rule, KcTime now)
@@ -173,10 +192,7 @@
     KcText_Copy(forward->id, call->id, sizeof(forward->id));
     forward->arrived_at = now;
     forward->last_event_at = now;
-    forward->deadline = now + rule->request_timeout;
-    if (call->timeout > 0 && call->timeout < rule->request_timeout) {
-        forward->deadline = now + call->timeout;
-    }
+    forward->deadline = find_deadline(call, rule, now);
     forward->dispatch_until = now + KcForward_QueueTimeout(rule);
     forward->tokens_max = call->prompt_tokens + call->answer_tokens_max;
     forward->events_max = call->answer_events_max;
@@ -220,9 +236,7 @@
         refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route");
         return;
     }
-    if (now >= gateway->refuse_all_at ||
-        (rule->kind == KC_REQUEST_KIND_STREAM &&
-         now >= gateway->refuse_streams_at)) {
+    if (comes_too_late(gateway, call, rule, now)) {
         refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route");
         return;
     }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -2,9 +2,9 @@
  * The gateway's state, and the functions that its source files share.
  *
  * gateway_forward.c (requests) calls gateway_dispatch.c (seeking a server),
- * which calls gateway_choose.c (decisions), which calls gateway_cost.c (costs of
- * servers), gateway_servers.c (servers) and gateway_adapters.c (adapters and
- * their replicas).  gateway_answer.c handles the reports of attempts,
+ * which calls gateway_choose.c (decisions), which calls gateway_cost.c (costs
+ * of servers), gateway_servers.c (servers) and gateway_adapters.c (adapters
+ * and their replicas).  gateway_answer.c handles the reports of attempts,
  * gateway_silence.c attempts whose server reports nothing, gateway_notice.c
  * what servers say of themselves.
  */
@@ -31,8 +31,9 @@
     bool server_list_known;      /* a complete list was received */
     uint32_t gateway_count;      /* gateways that share the retry budget */
     uint64_t random_state;
-    KcTime refuse_streams_at; /* streams are refused from this time on */
-    KcTime refuse_all_at;     /* all requests are refused from this time on */
+    KcTime refuse_at; /* of a planned stop, see KcGateway_Drain() */
+    KcTime end_at;
+    KcTimer end_timer;     /* ends the requests in progress at end_at */
     KcTime last_pause_at;  /* when this process last went on after a pause */
     KcTimer pause_timer;   /* detects pauses while requests are in flight */
     KcTimer missing_timer; /* checks servers whose record is missing */
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -390,12 +390,11 @@
                       KcForward **forward_out, KcTime now);
 
 /*
- * Begins a planned stop: refuses streams that arrive from refuse_streams_at
- * on, and all requests from refuse_all_at on, as they might outlast the
- * process.
+ * Begins a planned stop.  From refuse_at on, streams are refused, and requests
+ * whose deadline lies after end_at.  At end_at the requests in progress are
+ * ended with an answer, as the process will end; all later ones are refused.
  */
-void KcGateway_Drain(KcGateway *gateway, KcTime refuse_streams_at,
-                     KcTime refuse_all_at);
+void KcGateway_Drain(KcGateway *gateway, KcTime refuse_at, KcTime end_at);
 
 /* Ends every request without an answer, as when the process stops. */
 void KcGateway_Abort(KcGateway *gateway, KcTime now);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -15,12 +15,16 @@
  */
 #define DRAIN_IDLE_CLOSE_DELAY (2500 * KC_MS)
 /*
- * Streams are refused from this long after a planned stop began: the platform
- * accepts that a stop cuts off a stream only if it was requested earlier.
+ * Requests that might outlast a planned stop are refused from this long after
+ * it began: the platform accepts that a stop cuts one off only if it was sent
+ * earlier.
  */
-#define DRAIN_STREAM_REFUSAL_DELAY (2800 * KC_MS)
-/* All requests are refused from this long before the end of a stop. */
-#define DRAIN_REFUSAL_BEFORE_END (1500 * KC_MS)
+#define DRAIN_REFUSAL_DELAY (2800 * KC_MS)
+/*
+ * Requests in progress are answered this long before the end of a planned
+ * stop, so that the answers can be sent.
+ */
+#define DRAIN_ANSWER_TIME (300 * KC_MS)
 /*
  * Shortest planned stop, also without requests: until then the load balancer
  * may open new connections, later it chooses another gateway.
@@ -114,14 +118,12 @@
 begin_drain(void *context)
 {
     GatewayRole *role = context;
+    KcTime now = KcLoop_Now();
+    KcTime end_at = now + role->common.drain_timeout - DRAIN_ANSWER_TIME;
 
-    role->drain_started_at = KcLoop_Now();
-    KcGateway_Drain(role->gateway,
-                    role->drain_started_at + DRAIN_STREAM_REFUSAL_DELAY,
-                    role->drain_started_at + role->common.drain_timeout -
-                        DRAIN_REFUSAL_BEFORE_END);
-    KcGatewayFrontEnd_Drain(role->front_end,
-                            role->drain_started_at + DRAIN_IDLE_CLOSE_DELAY);
+    role->drain_started_at = now;
+    KcGateway_Drain(role->gateway, now + DRAIN_REFUSAL_DELAY, end_at);
+    KcGatewayFrontEnd_Drain(role->front_end, now + DRAIN_IDLE_CLOSE_DELAY);
 }
 
 static bool
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -587,7 +587,7 @@
 {
     (void)words;
     KcGateway_Drain(fixture->gateway, fixture->now + 2 * KC_SECOND,
-                    fixture->now + 6 * KC_SECOND);
+                    fixture->now + 7500 * KC_MS);
 }
 
 static void
