Keep the callers of test_stops further from the bounds of the stop

Two of its four callers were 0.2 and 0.3 s from a bound, less than a busy machine may take to send; they are 0.7 and 1 s from it now. What is expected of each is unchanged.

--- a/tests/daemons/test_stops.c
+++ b/tests/daemons/test_stops.c
@@ -28,10 +28,10 @@
 } callers[] = {
     {"a request that is done in time", 500, "work_ms=1000", HEAD("1") "\r\n",
      "HTTP/1.1 200"},
-    {"a request that runs when the stop ends", 2500, "work_ms=3000",
+    {"a request that runs when the stop ends", 1800, "work_ms=4000",
      HEAD("2") "\r\n", "HTTP/1.1 502"},
     {"a late request whose time ends before the stop", 3300, "work_ms=5",
-     HEAD("4") "Deadline-Ms: 900\r\n\r\n", "HTTP/1.1 200"},
+     HEAD("4") "Deadline-Ms: 400\r\n\r\n", "HTTP/1.1 200"},
     {"a late request whose time may outlast the stop", 3400, "work_ms=5",
      HEAD("5") "Deadline-Ms: 2000\r\n\r\n", "HTTP/1.1 503"},
 };
