Refuse requests that are not received when a planned stop ends

What callers saw: a caller that was still sending the head or the body of a request when the process of a stopping gateway ended got a bare close, and could not tell whether the request had run.

Cause: their connections wait for the header or the idle timeout, 1 s and 3 s or more, whatever the end of the stop.

--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -123,7 +123,8 @@
 
     role->drain_started_at = now;
     KcGateway_Drain(role->gateway, now + DRAIN_REFUSAL_DELAY, end_at);
-    KcGatewayFrontEnd_Drain(role->front_end, now + DRAIN_IDLE_CLOSE_DELAY);
+    KcGatewayFrontEnd_Drain(role->front_end, now + DRAIN_IDLE_CLOSE_DELAY,
+                            end_at);
 }
 
 static bool
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -34,6 +34,7 @@
     uint32_t connection_count;
     bool is_leaving;
     KcTime idle_until; /* when leaving, idle connections are closed then */
+    KcTime end_at;     /* requests must have been received by then */
     TAILQ_HEAD(, CallerConnection) connections;
 };
 
@@ -108,6 +109,17 @@
                  &connection->timer, KcLoop_Now() + delay);
 }
 
+/* Limits the time for the next part of a request. */
+static void
+start_receipt_timer(CallerConnection *connection, KcTime delay)
+{
+    KcGatewayFrontEnd *front_end = connection->front_end;
+    KcTime due_at = KcLoop_Now() + delay;
+
+    KcTimers_Set(front_end->options.loop->timers, &connection->timer,
+                 due_at < front_end->end_at ? due_at : front_end->end_at);
+}
+
 /*
  * Answers with an error before the request is complete, and closes the
  * connection.
@@ -360,8 +372,8 @@
     CallerConnection *connection = owner;
 
     connection->state = CONNECTION_READING_HEAD;
-    start_timer(connection,
-                current_limits(connection->front_end)->header_timeout);
+    start_receipt_timer(connection,
+                        current_limits(connection->front_end)->header_timeout);
 }
 
 static void
@@ -387,7 +399,7 @@
             "HTTP/1.1 100 Continue\r\n\r\n");
     }
     connection->state = CONNECTION_READING_BODY;
-    start_timer(connection, limits->idle_timeout);
+    start_receipt_timer(connection, limits->idle_timeout);
 }
 
 static void
@@ -404,8 +416,8 @@
         return;
     }
     KcBuffer_Append(&connection->request_body, bytes.data, bytes.size);
-    start_timer(connection,
-                current_limits(connection->front_end)->idle_timeout);
+    start_receipt_timer(connection,
+                        current_limits(connection->front_end)->idle_timeout);
 }
 
 static void
@@ -481,6 +493,7 @@
     KcGatewayFrontEnd *front_end = KcMem_New(sizeof(*front_end));
 
     front_end->options = *options;
+    front_end->end_at = KC_NEVER;
     TAILQ_INIT(&front_end->connections);
     front_end->listener = KcSocket_Listen(
         options->loop->base, options->address, on_accept, front_end);
@@ -504,16 +517,23 @@
 }
 
 void
-KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until)
+KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until,
+                        KcTime end_at)
 {
     CallerConnection *connection;
 
     front_end->is_leaving = true;
     front_end->idle_until = idle_until;
+    front_end->end_at = end_at;
     TAILQ_FOREACH (connection, &front_end->connections, link) {
         if (connection->state == CONNECTION_IDLE) {
             wait_for_request(connection);
         }
+        else if (connection->state < CONNECTION_SUBMITTED &&
+                 connection->timer.due_at > end_at) {
+            KcTimers_Set(front_end->options.loop->timers, &connection->timer,
+                         end_at);
+        }
     }
 }
 
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -33,9 +33,11 @@
 /*
  * Starts a planned stop: answers that begin from now on close their
  * connection. Idle connections are closed at idle_until, or a second after
- * they became idle or this call if that is later.
+ * they became idle or this call if that is later. Requests that have not been
+ * received completely by end_at are refused.
  */
-void KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until);
+void KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until,
+                             KcTime end_at);
 /* Returns whether no request is being received and no answer being sent. */
 bool KcGatewayFrontEnd_IsQuiet(const KcGatewayFrontEnd *front_end);
 /*
--- a/tests/daemons/test_stops.c
+++ b/tests/daemons/test_stops.c
@@ -30,10 +30,14 @@
      "HTTP/1.1 200"},
     {"a request that runs when the stop ends", 2500, "work_ms=3000",
      HEAD("2") "\r\n", "HTTP/1.1 502"},
+    {"a body that is not complete when the stop ends", 2700, "work_ms=5",
+     HEAD("3") "Content-Length: 3\r\n\r\nab", "HTTP/1.1 503"},
     {"a late request whose time ends before the stop", 3300, "work_ms=5",
      HEAD("4") "Deadline-Ms: 900\r\n\r\n", "HTTP/1.1 200"},
     {"a late request whose time may outlast the stop", 3400, "work_ms=5",
      HEAD("5") "Deadline-Ms: 2000\r\n\r\n", "HTTP/1.1 503"},
+    {"a head that is not complete when the stop ends", 4000, "work_ms=5",
+     "POST /unsafe/x HT", "HTTP/1.1 503"},
 };
 
 static GatewayCluster *cluster;
--- a/tests/request/test_gateway_front_end.c
+++ b/tests/request/test_gateway_front_end.c
@@ -16,6 +16,8 @@
 /* Bounds the duration when a step does not end. */
 #define GUARD_TIMEOUT (10 * KC_SECOND)
 #define CHECK_INTERVAL (5 * KC_MS)
+/* Of a planned stop. */
+#define STOP_DURATION (200 * KC_MS)
 /* More answers than the sockets' buffers hold. */
 #define MANY_REQUESTS 40000
 
@@ -38,16 +40,24 @@
     int request_count;
     bool caller_reads;
     bool is_quiet;
+    int stop_ms; /* when a planned stop begins, after the caller connects; -1:
+                  * before; 0: never */
 } cases[] = {
-    {"an idle connection", "", 1, true, true},
-    {"a head that is being received", "POST /x HT", 1, true, false},
+    {"an idle connection", "", 1, true, true, 0},
+    {"a head that is being received", "POST /x HT", 1, true, false, 0},
     {"a body that is being received", HEAD "Content-Length: 9\r\n\r\nabc", 1,
-     true, false},
-    {"an answer that was sent", HEAD "\r\n", 1, true, true},
+     true, false, 0},
+    {"an answer that was sent", HEAD "\r\n", 1, true, true, 0},
     {"answers that their caller does not read", HEAD "\r\n", MANY_REQUESTS,
-     false, false},
-    {"answers that their caller reads", HEAD "\r\n", MANY_REQUESTS, true,
-     true},
+     false, false, 0},
+    {"answers that their caller reads", HEAD "\r\n", MANY_REQUESTS, true, true,
+     0},
+    {"a head that is being received when a stop ends", "POST /x HT", 1, true,
+     true, -1},
+    {"a head that is being received when a stop begins", "POST /x HT", 1, true,
+     true, 100},
+    {"a body that is being received when a stop ends",
+     HEAD "Content-Length: 9\r\n\r\nabc", 1, true, true, -1},
 };
 
 static const char *
@@ -87,6 +97,14 @@
     g_error("the front end is not as awaited");
 }
 
+static void
+on_stop_timer(KcTimer *timer, KcTime now)
+{
+    Fixture *fixture = timer->owner;
+
+    KcGatewayFrontEnd_Drain(fixture->front_end, now, now + STOP_DURATION);
+}
+
 static void
 on_read(struct bufferevent *bev, void *context)
 {
@@ -138,6 +156,7 @@
         .silence_timeout = KC_SECOND * 60};
     KcTimer check_timer;
     KcTimer guard_timer;
+    KcTimer stop_timer;
 
     KcGatewayOptions_Init(&options);
     options.timers = fixture.loop->timers;
@@ -152,6 +171,14 @@
     }
     g_assert_nonnull(fixture.front_end);
     g_assert_true(KcGatewayFrontEnd_IsQuiet(fixture.front_end));
+    KcTimer_Init(&stop_timer, on_stop_timer, &fixture);
+    if (cases[index].stop_ms > 0) {
+        KcTimers_Set(fixture.loop->timers, &stop_timer,
+                     KcLoop_Now() + cases[index].stop_ms * KC_MS);
+    }
+    else if (cases[index].stop_ms < 0) {
+        on_stop_timer(&stop_timer, KcLoop_Now());
+    }
     connect_caller(&fixture, address, cases[index].caller_reads);
     for (int i = 0; i < cases[index].request_count; i++) {
         evbuffer_add(bufferevent_get_output(fixture.caller),
@@ -166,6 +193,7 @@
     bufferevent_free(fixture.caller);
     KcTimers_Clear(fixture.loop->timers, &check_timer);
     KcTimers_Clear(fixture.loop->timers, &guard_timer);
+    KcTimers_Clear(fixture.loop->timers, &stop_timer);
     KcGatewayFrontEnd_Free(fixture.front_end);
     KcGateway_Free(fixture.gateway);
     KcLoop_Free(fixture.loop);
