Close callers' connections in stages, so that no refusal or last answer is reset

What callers saw: a caller that still sent when its request was refused, or behind the last answer of its connection, got a reset: an error while it wrote, and at worst not the whole answer.

Cause: CloseWhenSent stopped reading and closed as soon as the output had left. The kernel answers unread and later bytes with a reset, and the peer then drops what it has not read.

Why this works: RFC 9112, 9.6. The output is sent, the sending side shut down, and input is read and dropped until the peer closes, for 2 s and 8 MB at most. Dropped bytes are not kept, the connection counts until it is closed, and a planned stop does not wait for it once its output is sent. Invalid bytes behind a refused head no longer end the connection before the refusal is sent. An idle connection is closed as before: a request that crosses the close must not be read and then dropped.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -14,6 +14,7 @@
 #include <strings.h>
 #include <sys/socket.h>
 
+#include "lingering_close.h"
 #include "socket.h"
 
 /*
@@ -55,7 +56,8 @@
     bool is_parsing;      /* parse_input() is on the stack */
     bool is_closed; /* freed by the loop when its callbacks have returned */
     bool read_paused;
-    bool close_when_sent;
+    bool close_when_sent; /* the connection belongs to closing */
+    KcLingeringClose closing;
     bool end_of_stream_received; /* the peer has shut down its sending side */
 };
 
@@ -285,6 +287,7 @@
         return;
     }
     connection->is_closed = true;
+    KcLingeringClose_Clear(&connection->closing);
     bufferevent_free(connection->bev);
     connection->bev = NULL;
     KcLoop_DeferFree(connection->options.loop, &connection->deferred_free);
@@ -346,6 +349,9 @@
     parser_error = HTTP_PARSER_ERRNO(&connection->parser);
     evbuffer_drain(input, parsed_bytes);
     connection->parsed_bytes += parsed_bytes;
+    if (connection->close_when_sent) {
+        return false;
+    }
     if (has_excessive_framing(connection)) {
         report_failed(connection, KC_ERR_TOO_LARGE);
         return false;
@@ -376,6 +382,9 @@
         continue;
     }
     connection->is_parsing = false;
+    if (!connection->is_closed && connection->close_when_sent) {
+        KcLingeringClose_DropInput(&connection->closing);
+    }
 }
 
 static void
@@ -404,11 +413,7 @@
     KcHttpConnection *connection = context;
 
     (void)bev;
-    if (connection->close_when_sent) {
-        report_failed(connection, KC_ERR_PEER_LOST);
-        KcHttpConnection_Close(connection);
-    }
-    else if (connection->options.ops->on_output_sent != NULL) {
+    if (connection->options.ops->on_output_sent != NULL) {
         connection->options.ops->on_output_sent(connection->options.owner);
     }
 }
@@ -528,22 +533,34 @@
     return connection;
 }
 
+static void
+on_closing_end(void *owner)
+{
+    KcHttpConnection *connection = owner;
+
+    report_failed(connection, KC_ERR_PEER_LOST);
+    KcHttpConnection_Close(connection);
+}
+
 void
 KcHttpConnection_CloseWhenSent(KcHttpConnection *connection)
 {
-    if (KcHttpConnection_UnsentBytes(connection) == 0) {
-        report_failed(connection, KC_ERR_PEER_LOST);
-        KcHttpConnection_Close(connection);
+    if (connection->is_closed || connection->close_when_sent) {
         return;
     }
     connection->close_when_sent = true;
-    bufferevent_disable(connection->bev, EV_READ);
+    KcLingeringClose_Begin(&connection->closing, connection->options.loop,
+                           connection->bev, on_closing_end, connection);
+    if (!connection->is_parsing) {
+        KcLingeringClose_DropInput(&connection->closing);
+    }
 }
 
 void
 KcHttpConnection_ReadNextMessage(KcHttpConnection *connection)
 {
-    if (connection->is_closed || !connection->message_ended) {
+    if (connection->is_closed || connection->close_when_sent ||
+        !connection->message_ended) {
         return;
     }
     connection->message_ended = false;
@@ -605,7 +622,8 @@
 void
 KcHttpConnection_SetReadPaused(KcHttpConnection *connection, bool paused)
 {
-    if (connection->is_closed || connection->read_paused == paused) {
+    if (connection->is_closed || connection->close_when_sent ||
+        connection->read_paused == paused) {
         return;
     }
     connection->read_paused = paused;
--- a/programs/connection/http_connection.h
+++ b/programs/connection/http_connection.h
@@ -75,9 +75,9 @@
  */
 void KcHttpConnection_Reset(KcHttpConnection *connection);
 /*
- * Stops reading and closes the connection when all output has been passed to
- * the kernel. Reports KC_ERR_PEER_LOST to the owner just before closing, at
- * once when no output is left.
+ * Reads no further message, and closes the connection in stages, see
+ * lingering_close.h. Reports KC_ERR_PEER_LOST to the owner just before
+ * closing, from the loop.
  */
 void KcHttpConnection_CloseWhenSent(KcHttpConnection *connection);
 
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -42,7 +42,7 @@
     CONNECTION_READING_HEAD, /* the head is being received */
     CONNECTION_READING_BODY, /* the body is being received */
     CONNECTION_SUBMITTED,    /* the request was submitted to the gateway */
-    CONNECTION_CLOSING       /* closed when the output is sent */
+    CONNECTION_CLOSING       /* the last output is sent, then it is closed */
 } ConnectionState;
 
 /* A caller's connection and its current request. */
@@ -204,7 +204,10 @@
     case CONNECTION_IDLE:
         KcCounters_Add(connection->front_end->options.counters,
                        KC_COUNT_IDLE_CLOSES, 1);
-        /* The end of the last answer may not have been sent yet. */
+        if (KcHttpConnection_UnsentBytes(connection->http_connection) == 0) {
+            free_connection(connection);
+            break;
+        }
         close_when_sent(connection);
         break;
     case CONNECTION_SUBMITTED:
@@ -523,7 +526,8 @@
     const CallerConnection *connection;
 
     TAILQ_FOREACH (connection, &front_end->connections, link) {
-        if (connection->state != CONNECTION_IDLE ||
+        if ((connection->state != CONNECTION_IDLE &&
+             connection->state != CONNECTION_CLOSING) ||
             KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
             return false;
         }
