Keep the limits of a request from its first byte to its end

What callers saw: a request that kept to the limits when it began was refused with 413 or 503 in the middle of its body, as the next version of the configuration lowered a limit. A kept connection had the head limit of the version under which it was opened: a head that the newer version allows got 431.

Cause: the limits in force were asked anew for each piece of a body and each timer, but those of the head only when the connection was accepted.

Evidence: five rows of test_caller_closes failed before: body limit lowered during a body and during its head, idle timeout lowered during a body (a refusal, so that no request reached the server), head limit raised and lowered for the next request of a kept connection. Two rows passed and guard the rest: a lower body limit holds for the next request, and the time for a head is not changed while it is received.

Why this works: the limits are copied when the first byte of a request arrives and hold until its end, as its route's version does. The head limit is taken with them.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -577,6 +577,13 @@
     }
 }
 
+void
+KcHttpConnection_SetHeadBytesMax(KcHttpConnection *connection,
+                                 size_t head_bytes_max)
+{
+    connection->options.head_bytes_max = head_bytes_max;
+}
+
 void
 KcHttpConnection_ExpectNoBody(KcHttpConnection *connection)
 {
--- a/programs/connection/http_connection.h
+++ b/programs/connection/http_connection.h
@@ -86,6 +86,9 @@
  * present one.
  */
 void KcHttpConnection_ReadNextMessage(KcHttpConnection *connection);
+/* Changes KcHttpConnectionOptions.head_bytes_max, from this message on. */
+void KcHttpConnection_SetHeadBytesMax(KcHttpConnection *connection,
+                                      size_t head_bytes_max);
 /*
  * Announces that the next message is the response to a HEAD request, which has
  * no body whatever its headers say.
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -51,7 +51,8 @@
     KcGatewayFrontEnd *front_end;
     KcHttpConnection *http_connection;
     ConnectionState state;
-    KcTimer timer; /* ends a state that lasts too long */
+    KcTimer timer;         /* ends a state that lasts too long */
+    KcCallerLimits limits; /* of the request, from its first byte to its end */
     const KcHttpMessage *request_head;
     KcBuffer request_body;
     KcForward *forward;
@@ -108,6 +109,15 @@
                  &connection->timer, KcLoop_Now() + delay);
 }
 
+/* Takes the limits in force for the next request. */
+static void
+take_limits(CallerConnection *connection)
+{
+    connection->limits = *current_limits(connection->front_end);
+    KcHttpConnection_SetHeadBytesMax(connection->http_connection,
+                                     connection->limits.header_bytes_max);
+}
+
 /*
  * Answers with an error before the request is complete, and closes the
  * connection.
@@ -124,8 +134,7 @@
                 "request refused while it was received, body_bytes=%zu",
                 KcBuffer_Size(&connection->request_body));
     connection->state = CONNECTION_CLOSING;
-    start_timer(connection,
-                current_limits(connection->front_end)->header_timeout);
+    start_timer(connection, connection->limits.header_timeout);
     connection->front_end->options.dialect->write_refusal(
         KcHttpConnection_Output(connection->http_connection), &refusal, 0);
     KcHttpConnection_CloseWhenSent(connection->http_connection);
@@ -170,12 +179,15 @@
 wait_for_request(CallerConnection *connection)
 {
     KcGatewayFrontEnd *front_end = connection->front_end;
-    KcTime idle_timeout = current_limits(front_end)->idle_timeout;
     KcTime promised_timeout = connection->idle_time * 100 / IDLE_TIME_PERCENT;
-    KcTime close_at =
+    KcTime idle_timeout;
+    KcTime close_at;
+
+    take_limits(connection);
+    idle_timeout = connection->limits.idle_timeout;
+    close_at =
         KcLoop_Now() +
         (promised_timeout > idle_timeout ? promised_timeout : idle_timeout);
-
     if (front_end->is_leaving) {
         /*
          * A caller may connect to a stopping gateway because it reaches no
@@ -363,15 +375,14 @@
     CallerConnection *connection = owner;
 
     connection->state = CONNECTION_READING_HEAD;
-    start_timer(connection,
-                current_limits(connection->front_end)->header_timeout);
+    take_limits(connection);
+    start_timer(connection, connection->limits.header_timeout);
 }
 
 static void
 on_head(void *owner, const KcHttpMessage *message)
 {
     CallerConnection *connection = owner;
-    const KcCallerLimits *limits = current_limits(connection->front_end);
     const char *host = KcHttpMessage_FindField(message, "Host");
 
     connection->request_head = message;
@@ -380,7 +391,7 @@
         return;
     }
     if (message->has_content_length &&
-        message->content_length > limits->body_bytes_max) {
+        message->content_length > connection->limits.body_bytes_max) {
         refuse_early(connection, KC_ERR_TOO_LARGE, "body");
         return;
     }
@@ -390,7 +401,7 @@
             "HTTP/1.1 100 Continue\r\n\r\n");
     }
     connection->state = CONNECTION_READING_BODY;
-    start_timer(connection, limits->idle_timeout);
+    start_timer(connection, connection->limits.idle_timeout);
 }
 
 static void
@@ -402,13 +413,12 @@
         return;
     }
     if (KcBuffer_Size(&connection->request_body) + bytes.size >
-        current_limits(connection->front_end)->body_bytes_max) {
+        connection->limits.body_bytes_max) {
         refuse_early(connection, KC_ERR_TOO_LARGE, "body");
         return;
     }
     KcBuffer_Append(&connection->request_body, bytes.data, bytes.size);
-    start_timer(connection,
-                current_limits(connection->front_end)->idle_timeout);
+    start_timer(connection, connection->limits.idle_timeout);
 }
 
 static void
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -236,6 +236,9 @@
     {"get-and-close",
      "GET /x/a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"},
     {"half-a-head", "GET /x/a HTTP/1.1\r\nHos"},
+    {"rest-of-head", "t: h\r\n\r\n"},
+    {"half-a-post", "POST /x/a HTTP/1.1\r\nHost: h\r\nContent-Len"},
+    {"rest-of-post", "gth: 900\r\n\r\n"},
     {"no-request", "what is this?\r\n\r\n"},
     {"no-host", "POST /x/a HTTP/1.1\r\nContent-Length: 9\r\n\r\n"},
     {"bad-chunk", "POST /x/a HTTP/1.1\r\nHost: h\r\n"
@@ -244,11 +247,12 @@
      "POST /x/a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n"},
 };
 
-/* send TEXT, or send post BYTES: the head of a request with such a body. */
+/* send TEXT; or send post BYTES, the head of a request with such a body; or
+ * send head BYTES, a request whose head has about so many bytes. */
 static void
 step_send(Fixture *fixture, char **words)
 {
-    char head[128];
+    char head[8192];
     const char *text = NULL;
 
     if (strcmp(words[1], "post") == 0) {
@@ -257,6 +261,12 @@
                  words[2]);
         text = head;
     }
+    if (strcmp(words[1], "head") == 0) {
+        snprintf(head, sizeof(head),
+                 "GET /x/a HTTP/1.1\r\nHost: h\r\nFiller: %0*d\r\n\r\n",
+                 atoi(words[2]), 0);
+        text = head;
+    }
     for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
         if (strcmp(words[1], texts[i].name) == 0) {
             text = texts[i].text;
@@ -483,6 +493,27 @@
      "connect;send no-request;wait 20;flood"},
     {"a refused caller that never closes",
      "connect;send no-request;wait 20;read 400;end 500;trickle 1000 3000"},
+    {"the limit of a body is lowered while it is received",
+     "connect;send post 900;wait 50;filler 400;wait 50;config 1 body=500;"
+     "filler 500;answer 10;read 200"},
+    {"the limit of a body is lowered before its length is received",
+     "connect;send half-a-post;wait 50;config 1 body=500;send rest-of-post;"
+     "filler 900;answer 10;read 200"},
+    {"the idle timeout is lowered while a body is received",
+     "connect;send post 900;wait 50;config 1 idle_ms=200;filler 400;wait 400;"
+     "filler 500;answer 10;read 200"},
+    {"the time for a head is lowered while it is received",
+     "connect;send half-a-head;wait 50;config 1 head_ms=100;wait 200;"
+     "send rest-of-head;answer 10;read 200"},
+    {"the limit of a body is lowered for the next request",
+     "connect;send post 900;filler 900;answer 10;read 200;config 1 body=500;"
+     "send post 900;read 413;end 1000"},
+    {"the limit of a head is raised for the next request",
+     "connect;send get;answer 10;read 200;config 1 head=5000;send head 4000;"
+     "answer 10;read 200"},
+    {"the limit of a head is lowered for the next request",
+     "connect;send get;answer 10;read 200;config 1 head=500;send head 1000;"
+     "read 431;end 1000"},
     {"a planned stop does not wait for a caller that was refused",
      "connect;send no-request;wait 50;quiet;read 400;end 500"},
 };
