Do not take a server for silent while its answer is not read

What callers saw: a caller that left 256 kB of its stream unread for some seconds had the stream broken, or moved to another server and run twice; and requests of other callers avoided or left a sound server.

Cause: the gateway then stops reading the stream from the server. The silence that follows is its own, but counted as the server's: in the choice of servers, in moves, in checks and in the end of a stream before its caller would time out.

Why this works: KcForward_SetReadPaused() tells the library. A paused stream ends at its deadline only, as its caller has events to read. Its server is not taken to be silent, also after the pause, for as long as any of its answers is not read; another stream there ends before its caller leaves only if the server has not answered a check, as with one that has only waiting streams. A stream that goes on at another server is read there: the state of the pause belongs to the attempt now, and ends with it.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -45,7 +45,7 @@
     if (!is_withdrawn) {
         KcServer_NoteFailure(server, end, now);
     }
-    KcForward_ReleaseServer(forward);
+    KcForward_ReleaseServer(forward, now);
     /* Of a server that is closed it is known when to try it again. */
     if (!is_withdrawn &&
         (end != KC_ATTEMPT_REFUSED || KcServer_TakesRequests(server, now))) {
@@ -145,7 +145,7 @@
     else {
         KcServer_NoteSuccess(forward->server);
     }
-    KcForward_ReleaseServer(forward);
+    KcForward_ReleaseServer(forward, now);
     forward->answer_begun = true;
     ops->on_begin(forward->caller, reply->head, false);
     ops->on_data(forward->caller, reply->body);
@@ -188,7 +188,7 @@
     forward->server->last_activity_at = now;
     if (has_id && forward->has_last_event &&
         id != forward->last_event_id + 1) {
-        KcForward_CancelAttempt(forward);
+        KcForward_CancelAttempt(forward, now);
         KcForward_RetryOrFinish(forward, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL,
                                 "event id", now);
         return;
@@ -210,6 +210,6 @@
     forward->server->last_activity_at = now;
     start_caller_stream(forward, now);
     KcServer_NoteSuccess(forward->server);
-    KcForward_ReleaseServer(forward);
+    KcForward_ReleaseServer(forward, now);
     KcForward_FinishAnswered(forward, 200, now);
 }
--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -145,9 +145,11 @@
 bool
 KcServer_IsSilent(const KcServer *server, KcTime now)
 {
-    return KcServer_Silence(server, now) >
-           (server->in_flight >= SILENCE_BUSY_REQUESTS_MIN ? SILENCE_MAX_BUSY
-                                                           : SILENCE_MAX);
+    return server->paused_count == 0 &&
+           KcServer_Silence(server, now) >
+               (server->in_flight >= SILENCE_BUSY_REQUESTS_MIN
+                    ? SILENCE_MAX_BUSY
+                    : SILENCE_MAX);
 }
 
 bool
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -141,7 +141,7 @@
         options->ops->start_attempt(options->context, forward, &params);
     if (forward->attempt == NULL) {
         forward->attempt = forward; /* else it would not be released */
-        KcForward_ReleaseServer(forward);
+        KcForward_ReleaseServer(forward, now);
         return false;
     }
     return true;
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -15,13 +15,14 @@
 /* ---- ends ---------------------------------------------------------------- */
 
 void
-KcForward_ReleaseServer(KcForward *forward)
+KcForward_ReleaseServer(KcForward *forward, KcTime now)
 {
     KcServer *server = forward->server;
 
     if (forward->attempt == NULL) {
         return;
     }
+    KcForward_SetReadPaused(forward, false, now);
     forward->attempt = NULL;
     KcServer_EndTrial(server, forward);
     assert(server->in_flight > 0 &&
@@ -35,14 +36,14 @@
 }
 
 void
-KcForward_CancelAttempt(KcForward *forward)
+KcForward_CancelAttempt(KcForward *forward, KcTime now)
 {
     KcGateway *gateway = forward->gateway;
 
     if (forward->attempt != NULL) {
         gateway->options.ops->cancel_attempt(gateway->options.context,
                                              forward->attempt);
-        KcForward_ReleaseServer(forward);
+        KcForward_ReleaseServer(forward, now);
     }
 }
 
@@ -81,7 +82,7 @@
     gateway->options.ops->record_request(gateway->options.context, &record);
     record_times(forward, now);
     KcForward_LeaveWaitList(forward);
-    KcForward_CancelAttempt(forward);
+    KcForward_CancelAttempt(forward, now);
     KcTimers_Clear(gateway->options.timers, &forward->timer);
     TAILQ_REMOVE(&gateway->forwards, forward, link);
     gateway->in_flight--;
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -131,7 +131,9 @@
 /* Time since last_activity_at, or since the end of this process's last pause
  * if that is later; 0 when no request is in flight. */
 KcTime KcServer_Silence(const KcServer *server, KcTime now);
-/* True when requests are in flight and the silence is too long. */
+/* True when requests are in flight and the silence is too long; not while the
+ * answer to one of them is not read, as its bytes would be the sign of life.
+ */
 bool KcServer_IsSilent(const KcServer *server, KcTime now);
 /* True when requests should rather go to another server, if there is one. */
 bool KcServer_IsFailing(const KcServer *server, KcTime now);
@@ -206,9 +208,9 @@
 /* ---- requests (gateway_forward.c) ---------------------------------------- */
 
 /* Ends the attempt's use of its server and its replica. */
-void KcForward_ReleaseServer(KcForward *forward);
+void KcForward_ReleaseServer(KcForward *forward, KcTime now);
 /* Cancels the attempt in progress, if any. */
-void KcForward_CancelAttempt(KcForward *forward);
+void KcForward_CancelAttempt(KcForward *forward, KcTime now);
 /* End the request and free it: with a complete answer, with forward->error, or
  * with this error; step is where it failed, static text. */
 void KcForward_FinishAnswered(KcForward *forward, int status, KcTime now);
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -104,7 +104,7 @@
     forward->server_silence = KcServer_Silence(forward->server, now);
     KcCounters_Add(forward->gateway->options.counters,
                    KC_COUNT_SILENT_ATTEMPTS, 1);
-    KcForward_CancelAttempt(forward);
+    KcForward_CancelAttempt(forward, now);
     forward->was_moved = true;
     KcForward_RetryOrFinish(forward, KC_ATTEMPT_LOST, KC_ERR_DEADLINE_EXCEEDED,
                             step, now);
@@ -148,6 +148,10 @@
     KcServer *server = forward->server;
     KcTime silence = time_without_sign(server, now);
 
+    if (forward->read_paused) {
+        KcForward_SetTimer(forward, forward->deadline);
+        return;
+    }
     if (KcGateway_HasPaused(forward->gateway, now)) {
         set_timer(forward, now + SILENCE_CHECK_INTERVAL);
         return;
@@ -163,3 +167,20 @@
     }
     set_timer(forward, now + SILENCE_CHECK_INTERVAL);
 }
+
+void
+KcForward_SetReadPaused(KcForward *forward, bool paused, KcTime now)
+{
+    if (forward->attempt == NULL || forward->read_paused == paused) {
+        return;
+    }
+    forward->read_paused = paused;
+    if (paused) {
+        forward->server->paused_count++;
+        return;
+    }
+    forward->server->paused_count--;
+    forward->server->last_activity_at = now;
+    forward->last_event_at = now; /* the caller has it only by now */
+    KcForward_SetSilenceTimer(forward);
+}
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -115,6 +115,13 @@
 void KcForward_OnAttemptFailed(KcForward *forward, KcAttemptEnd end, int code,
                                KcTime now);
 
+/*
+ * Reading the answer of the attempt in progress is paused, as the caller does
+ * not read it, or goes on.  Meanwhile nothing is known of the server by it,
+ * and the stream ends at the request's deadline only.
+ */
+void KcForward_SetReadPaused(KcForward *forward, bool paused, KcTime now);
+
 /* The caller has gone: ends the request without any report; the pointer is
  * not valid afterwards. */
 void KcForward_Abandon(KcForward *forward, KcTime now);
@@ -167,6 +174,7 @@
     bool owes_retry;      /* the next attempt takes from the retry budget */
     bool has_first_event; /* an event of the attempt's stream has arrived */
     bool may_have_run;    /* an earlier attempt may have run */
+    bool read_paused;     /* see KcForward_SetReadPaused() */
     bool answer_begun;    /* the caller has the head of an answer */
     const void *stream_head; /* KcReply.head of the attempt's stream */
     bool has_last_event;
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -58,8 +58,7 @@
     KcForward *forward;
     bool answer_is_chunked; /* a stream, sent with chunked encoding */
     bool close_after_answer;
-    KcTime idle_time;       /* promised with the last answer; 0: none */
-    bool reply_read_paused; /* reading from the backend server is paused */
+    KcTime idle_time; /* promised with the last answer; 0: none */
 } CallerConnection;
 
 static const KcCallerLimits *
@@ -235,7 +234,6 @@
     KcBuffer_DropFront(&connection->request_body,
                        KcBuffer_Size(&connection->request_body));
     connection->request_head = NULL;
-    connection->reply_read_paused = false;
     if (connection->close_after_answer) {
         close_when_sent(connection);
         return;
@@ -280,6 +278,16 @@
     }
 }
 
+/* Pauses or resumes reading the answer from the backend server. */
+static void
+set_reply_read_paused(KcForward *forward, bool paused)
+{
+    if (forward->attempt != NULL && forward->read_paused != paused) {
+        KcHttpAttempt_SetReadPaused(forward->attempt, paused);
+        KcForward_SetReadPaused(forward, paused, KcLoop_Now());
+    }
+}
+
 static void
 on_answer_data(void *caller, KcBytes bytes)
 {
@@ -298,12 +306,9 @@
     evbuffer_add_printf(out, "%zx\r\n", bytes.size);
     evbuffer_add(out, bytes.data, bytes.size);
     evbuffer_add(out, "\r\n", 2);
-    if (!connection->reply_read_paused &&
-        connection->forward->attempt != NULL &&
-        KcHttpConnection_UnsentBytes(connection->http_connection) >
-            UNSENT_BYTES_MAX) {
-        connection->reply_read_paused = true;
-        KcHttpAttempt_SetReadPaused(connection->forward->attempt, true);
+    if (KcHttpConnection_UnsentBytes(connection->http_connection) >
+        UNSENT_BYTES_MAX) {
+        set_reply_read_paused(connection->forward, true);
     }
 }
 
@@ -312,10 +317,8 @@
 {
     CallerConnection *connection = owner;
 
-    if (connection->reply_read_paused && connection->forward != NULL &&
-        connection->forward->attempt != NULL) {
-        connection->reply_read_paused = false;
-        KcHttpAttempt_SetReadPaused(connection->forward->attempt, false);
+    if (connection->forward != NULL) {
+        set_reply_read_paused(connection->forward, false);
     }
 }
 
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -34,10 +34,11 @@
  *                           a server's notice, from the instance of that start
  *   written N               the connection of an attempt was made: its request
  *                           is written, unless the server takes none by now
- *   drain, wait MS
- *   cleartrace              forgets what was traced so far
- *   each FIRST LAST STEP [WORD...]     the step for each of these numbers
- *   pause MS                the gateway's process stands still
+ *   unread N, read N        the caller stops reading its answer, so that
+ * reading the server's is paused, and reads on drain, wait MS cleartrace
+ * forgets what was traced so far each FIRST LAST STEP [WORD...]     the step
+ * for each of these numbers pause MS                the gateway's process
+ * stands still
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
  * after event 5, "1x" attempt cancelled, "?a x@2" load request to a's keeper,
@@ -582,6 +583,13 @@
     g_string_append_printf(fixture->trace, "%s written; ", words[1]);
 }
 
+static void
+step_unread(Fixture *fixture, char **words)
+{
+    KcForward_SetReadPaused(find_forward(fixture, words[1]),
+                            strcmp(words[0], "unread") == 0, fixture->now);
+}
+
 static void
 step_drain(Fixture *fixture, char **words)
 {
@@ -644,6 +652,8 @@
     {"alive", step_alive},
     {"notice", step_notice},
     {"written", step_written},
+    {"unread", step_unread},
+    {"read", step_unread},
     {"drain", step_drain},
     {"wait", step_wait},
     {"pause", step_pause},
@@ -1030,6 +1040,54 @@
      LLM "request 1 /t/x m/x;begin 1;event 1 0;wait 2710;pause 200;event 1 1;"
          "end 1",
      "1>a; 1:begin; 1:0; 1:1; 1:end; "},
+    /* reading is paused, as a caller does not read: its server is not silent
+     */
+    {"a stream that its caller does not read stays where it is",
+     LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;unread 1;"
+         "wait 3900;read 1;event 1 1;end 1",
+     "1>a; 1:begin; 1:0; 1:1; 1:end; "},
+    {"a stream that its caller does not read is not ended before its timeout",
+     LLM "checks;request 1 /t/x m/x;begin 1;event 1 0;unread 1;wait 3900;"
+         "cleartrace;wait 100",
+     "1x; 1:broken; "},
+    {"a stream that its caller does not read causes no checks",
+     LLM "checks;request 1 /t/x m/x;begin 1;event 1 0;unread 1;wait 3900",
+     "1>a; 1:begin; 1:0; "},
+    {"requests do not avoid a server whose answer is not read",
+     LLM "server b llm 4 at=near m x@1;request 1 /t/x m/x;begin 1;event 1 0;"
+         "unread 1;wait 2000;request 2 /t/x m/x",
+     "1>a; 1:begin; 1:0; 2>a; "},
+    {"a stream does not leave a server whose other answer is not read",
+     LLM "server b llm 4 at=near m x@1;request 1 /t/x m/x;begin 1;event 1 0;"
+         "request 2 /r/x m/x;unread 1;wait 1500",
+     "1>a; 1:begin; 1:0; 2>a; "},
+    {"it is ended if its server does not answer a check",
+     LLM "checks;request 1 /t/x m/x;begin 1;event 1 0;request 2 /t/x m/x;"
+         "unread 1;wait 2750",
+     "1>a; 1:begin; 1:0; 2>a; check a; 2x; 2:unknown deadline_exceeded; "},
+    {"a server whose answer is read again is silent only later",
+     LLM "server b llm 4 at=near m x@1;request 1 /t/x m/x;begin 1;event 1 0;"
+         "unread 1;wait 1000;read 1;wait 400;request 2 /t/x m/x;wait 10;"
+         "request 3 /t/x m/x",
+     "1>a; 1:begin; 1:0; 2>a; 3>b; "},
+    {"a stream that is read again is lost only later",
+     LLM "request 1 /t/x m/x;begin 1;event 1 0;unread 1;wait 1100;read 1;"
+         "wait 2700;event 1 1;end 1",
+     "1>a; 1:begin; 1:0; 1:1; 1:end; "},
+    {"a server is not silent for an answer that nobody reads any more",
+     LLM "server b llm 4 at=far m x@1;request 1 /t/x m/x;begin 1;event 1 0;"
+         "request 2 /t/x m/x;unread 1;wait 1000;abandon 1;request 3 /t/x m/x;"
+         "wait 410;request 4 /t/x m/x",
+     "1>a; 1:begin; 1:0; 2>a; 1x; 3>a; 4>b; "},
+    {"one that is still not read counts after another is read",
+     LLM "server b llm 4 at=far m x@1;request 1 /t/x m/x;begin 1;event 1 0;"
+         "request 2 /t/x m/x;begin 2;event 2 0;unread 1;unread 2;wait 1000;"
+         "read 1;wait 1000;request 3 /t/x m/x",
+     "1>a; 1:begin; 1:0; 2>a; 2:begin; 2:0; 3>a; "},
+    {"a stream that is resumed elsewhere is read there",
+     LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;unread 1;"
+         "lost 1;wait 2100;notrun 1",
+     "1>a; 1:begin; 1:0; 1>b+0; "},
     /* a server that says that it leaves */
     {"a server that says that it leaves is not chosen, and finishes its work",
      PLAIN "request 1 /u/x;notice a leaving;request 2 /u/x;reply 1 200",
