Check that a stream resumed after a pause in reading is watched again

The row passed with a pause that outlives its attempt; now it awaits the check of the second server, and fails then ("1>b+0" in place of "1>b+0; check b").

--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -1085,9 +1085,9 @@
          "read 1;wait 1000;request 3 /t/x m/x",
      "1>a; 1:begin; 1:0; 2>a; 2:begin; 2:0; 3>a; "},
     {"a stream that is resumed elsewhere is read there",
-     LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;unread 1;"
-         "lost 1;wait 2100;notrun 1",
-     "1>a; 1:begin; 1:0; 1>b+0; "},
+     LLM "checks;server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;"
+         "unread 1;lost 1;wait 1500",
+     "1>a; 1:begin; 1:0; 1>b+0; check b; "},
     /* a server that says that it leaves */
     {"a server that says that it leaves is not chosen, and finishes its work",
      PLAIN "request 1 /u/x;notice a leaving;request 2 /u/x;reply 1 200",
