Judge in the soak how each call ends, and let callers trickle and stall

The soak counted calls without an answer and judged none of them: a bare close or a reset passed at any time. It judged a broken answer only of calls that may not be repeated, at a worker that paused.

Now every call is answered or refused, unless its gateway was killed since the connection was begun, or the request crossed the close of an idle connection in a planned stop (no worker saw it, 100 ms at most), or the planned stop ended while the caller was still sending or a worker still at work on a request of the first 3 s, as the platform allows. A kill counts from the beginning of the connection, as its reset may be read after the next call was written. A change of the configuration or a SIGTERM alone excuses nothing. An answer that has begun ends complete, unless a worker was disturbed or the deadline is near. The soak waits for the calls that are in progress at its end, and prints how many were excused, and why.

Callers have a file of their own. Habits are rows of a table: most send at once as before; some send head and body in pieces with pauses of up to half of the limits, with a length or chunked; some read nothing for up to a second, with answers of 1 MB and streams of 3.2 MB.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -238,9 +238,23 @@
                      (int)is_resumable);
 }
 
+const GatewayClusterLimits GatewayCluster_UsualLimits = {
+    .body_bytes_max = 65536,
+    .header_timeout_ms = 1000,
+    .idle_timeout_ms = 3000};
+
 void
 GatewayCluster_WriteConfig(GatewayCluster *cluster, int version,
                            bool has_extra_route)
+{
+    GatewayCluster_WriteLimits(cluster, version, has_extra_route,
+                               &GatewayCluster_UsualLimits);
+}
+
+void
+GatewayCluster_WriteLimits(GatewayCluster *cluster, int version,
+                           bool has_extra_route,
+                           const GatewayClusterLimits *limits)
 {
     json_t *routes = json_pack(
         "[o, o, o, o]", make_route("/safe/", "safe", "plain", 2, false),
@@ -263,8 +277,9 @@
                  json_pack("{s:i, s:o, s:o, s:{s:i, s:i, s:i, s:i}}",
                            "version", version, "routes", routes, "services",
                            services, "limits", "max_header_bytes", 4096,
-                           "max_body_bytes", 65536, "header_timeout_ms", 1000,
-                           "idle_timeout_ms", 3000));
+                           "max_body_bytes", limits->body_bytes_max,
+                           "header_timeout_ms", limits->header_timeout_ms,
+                           "idle_timeout_ms", limits->idle_timeout_ms));
 }
 
 void
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -91,6 +91,16 @@
 json_t *GatewayCluster_ReadState(GatewayCluster *cluster,
                                  GatewayClusterRole role, int number);
 
+/* What a configuration bounds for callers. */
+typedef struct GatewayClusterLimits {
+    int body_bytes_max;
+    int header_timeout_ms;
+    int idle_timeout_ms;
+} GatewayClusterLimits;
+
+/* The limits of GatewayCluster_WriteConfig(). */
+extern const GatewayClusterLimits GatewayCluster_UsualLimits;
+
 /*
  * Writes the routing configuration with this version to the store: host h
  * with the routes /safe/, /unsafe/, /stream/, /resume/ and, when
@@ -98,6 +108,9 @@
  */
 void GatewayCluster_WriteConfig(GatewayCluster *cluster, int version,
                                 bool has_extra_route);
+void GatewayCluster_WriteLimits(GatewayCluster *cluster, int version,
+                                bool has_extra_route,
+                                const GatewayClusterLimits *limits);
 /* Announces a version of an adapter of model m in the store. */
 void GatewayCluster_AnnounceVersion(GatewayCluster *cluster,
                                     const char *adapter, int version);
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -416,6 +416,12 @@
     return faults.has_extra_route;
 }
 
+const GatewayClusterLimits *
+Faults_GetLimits(void)
+{
+    return &GatewayCluster_UsualLimits;
+}
+
 void
 Faults_EndAll(void)
 {
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -25,5 +25,7 @@
 
 /* Does the newest configuration have the extra route? */
 bool Faults_HasExtraRoute(void);
+/* Limits of the newest configuration; no older one has lower limits. */
+const GatewayClusterLimits *Faults_GetLimits(void);
 
 #endif
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -15,8 +15,10 @@
     DISTURBANCE_FREEZE = 4,  /* SIGSTOP, until SIGCONT */
     DISTURBANCE_KNOB = 8,    /* a stand-in had a fault */
     DISTURBANCE_CUT = 16,    /* the proxy before the process had a fault */
-    DISTURBANCE_NOTICE = 32  /* a stand-in said that it leaves or asked to
+    DISTURBANCE_NOTICE = 32, /* a stand-in said that it leaves or asked to
                               * wait; what runs there goes on */
+    DISTURBANCE_LIMITS = 64  /* a configuration with lower limits was written
+                              * to the store */
 } DisturbanceKind;
 
 typedef struct Disturbance {
--- a/tests/soak/rules.c
+++ b/tests/soak/rules.c
@@ -25,6 +25,15 @@
 /* A longer pause may be taken for the loss of the worker. */
 #define PAUSE_MAX (1500 * KC_MS)
 
+/* Requests that cross the close of an idle connection end so soon. */
+#define CROSSING_TIME_MAX (100 * KC_MS)
+/* Five sixths of the 5 s that a planned stop has. */
+#define STOP_TIME_MIN (4160 * KC_MS)
+/* Requests that are sent later in it are not excused by their worker. */
+#define STOP_ARRIVALS_TIME (3 * KC_SECOND)
+/* A head, which comes in two pieces, has been read after it at the latest. */
+#define HEAD_TIME_MAX (700 * KC_MS)
+
 /* An answer that asked a gateway to wait. */
 typedef struct Wait {
     TAILQ_ENTRY(Wait) link;
@@ -222,3 +231,127 @@
     }
     clear_waits(&worker);
 }
+
+/* ---- the end of a call --------------------------------------------------- */
+
+/* Was its gateway killed since its connection was begun? */
+static bool
+has_lost_gateway(const Call *call)
+{
+    return History_Find(DISTURBANCE_RESTART, GATEWAY_CLUSTER_GATEWAY,
+                        call->gateway, call->connected_at,
+                        call->ended_at) != NULL;
+}
+
+static bool
+was_frozen(const Call *call)
+{
+    return History_Find(DISTURBANCE_FREEZE, GATEWAY_CLUSTER_GATEWAY,
+                        call->gateway, call->began_at - CUT_EFFECT_MAX,
+                        call->ended_at) != NULL;
+}
+
+static bool
+was_any_worker_disturbed(const Call *call, GatewayClusterRole role, int kinds)
+{
+    for (int i = 0; i < Soak_CountProcesses(role); i++) {
+        if (History_Find(kinds, role, i, call->began_at - CUT_EFFECT_MAX,
+                         call->ended_at) != NULL) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Could anything have ended its answer?  A plain one is passed on when it is
+ * complete, unless a worker with a fault answers by a stream. */
+static bool
+may_be_broken_off(const Call *call)
+{
+    if (!call->is_stream) {
+        return was_any_worker_disturbed(call, GATEWAY_CLUSTER_PLAIN_WORKER,
+                                        DISTURBANCE_KNOB);
+    }
+    return call->ended_at - call->sent_at > CALL_TIME_MAX ||
+           was_frozen(call) ||
+           was_any_worker_disturbed(call, GATEWAY_CLUSTER_LLM_WORKER,
+                                    DISTURBANCE_RESTART | DISTURBANCE_KNOB |
+                                        DISTURBANCE_FREEZE | DISTURBANCE_CUT |
+                                        DISTURBANCE_NOTICE);
+}
+
+/* Was its gateway stopping, and no worker had it yet? */
+static bool
+has_crossed_close(const Call *call)
+{
+    return call->run_count == 0 &&
+           call->ended_at - call->began_at < CROSSING_TIME_MAX &&
+           History_Find(DISTURBANCE_STOP, GATEWAY_CLUSTER_GATEWAY,
+                        call->gateway, call->began_at, call->ended_at) != NULL;
+}
+
+/* Did its gateway's planned stop end before the caller had sent all of it, or
+ * while its worker was still at work?  The platform allows both. */
+static bool
+has_outlasted_stop(const Call *call)
+{
+    const Disturbance *stop =
+        History_Find(DISTURBANCE_STOP, GATEWAY_CLUSTER_GATEWAY, call->gateway,
+                     call->began_at, call->ended_at);
+
+    return stop != NULL && call->ended_at - stop->begins_at > STOP_TIME_MIN &&
+           (call->sent_at == KC_NEVER ||
+            (call->run_count > 0 &&
+             call->sent_at - stop->begins_at < STOP_ARRIVALS_TIME));
+}
+
+/* The limits at its beginning allowed the call. */
+static bool
+is_refused_by_limits(const Call *call)
+{
+    return (call->status == 413 || call->status == 408 ||
+            call->status == 431) &&
+           !call->is_excessive;
+}
+
+/* Reports a call without an answer, or counts what excuses it. */
+static void
+check_unanswered(const Call *call, RuleCounts *counts)
+{
+    if (has_lost_gateway(call)) {
+        counts->killed++;
+    }
+    else if (has_crossed_close(call)) {
+        counts->crossed++;
+    }
+    else if (has_outlasted_stop(call)) {
+        counts->outlasted++;
+    }
+    else {
+        Soak_ReportViolation(
+            call->is_abandoned ? "no answer in time" : "no answer", call);
+    }
+}
+
+void
+Rules_CheckEnd(const Call *call, RuleCounts *counts)
+{
+    if (call->ended_at == KC_NEVER) {
+        return;
+    }
+    if (call->status == 0) {
+        check_unanswered(call, counts);
+    }
+    if (call->status != 0 && !call->is_complete && !has_lost_gateway(call) &&
+        !may_be_broken_off(call)) {
+        Soak_ReportViolation("broken off", call);
+    }
+    if (is_refused_by_limits(call) &&
+        History_Find(DISTURBANCE_LIMITS, GATEWAY_CLUSTER_STORE, 0,
+                     call->began_at, call->began_at + HEAD_TIME_MAX) == NULL) {
+        Soak_ReportViolation("refused by limits that came later", call);
+    }
+    if (call->is_excessive && call->status == 200) {
+        Soak_ReportViolation("above the limits", call);
+    }
+}
--- a/tests/soak/rules.h
+++ b/tests/soak/rules.h
@@ -8,6 +8,7 @@
 #define KCC_RULES_H
 
 #include "../daemons/gateway_cluster.h"
+#include "soak.h"
 
 /* How often the rules applied, over all workers. */
 typedef struct RuleCounts {
@@ -15,11 +16,21 @@
     int waits;    /* answers that asked to wait */
     int pauses;   /* calls that ran at a worker when it paused, and whose end
                    * nothing else disturbed */
+    /* Calls without an answer: */
+    int killed;  /* their gateway was killed */
+    int crossed; /* they crossed the close of a connection in a planned stop */
+    int outlasted; /* not over in the time of a planned stop */
 } RuleCounts;
 
 /* Reads the log of a worker, adds to the run counts of the calls, and reports
  * violations. */
 void Rules_CheckWorker(const char *log_path, GatewayClusterRole role,
                        int number, RuleCounts *counts);
+/*
+ * Reports a call that ended without an answer or a refusal, or by a part of
+ * one, or refused under limits that came after its head. The logs of the
+ * workers must have been read.
+ */
+void Rules_CheckEnd(const Call *call, RuleCounts *counts);
 
 #endif
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -15,18 +15,16 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "../../programs/connection/http_connection.h"
 #include "../daemons/gateway_cluster.h"
+#include "callers.h"
 #include "faults.h"
 #include "history.h"
 #include "rules.h"
 #include "soak.h"
 
-#define CLIENT_COUNT 24
 #define EVENTS_PER_STREAM 10              /* as the workers send them */
 #define PRINTED_BYTES_MAX 400             /* of an answer with wrong bytes */
 #define RECOVERY_TIMEOUT (12 * KC_SECOND) /* recover_s of the platform */
-#define CALL_TIMEOUT (6 * KC_SECOND)
 
 /* ---- random numbers ------------------------------------------------------ */
 
@@ -42,28 +40,22 @@
 
 /* ---- the run ------------------------------------------------------------- */
 
-typedef struct Client {
-    int number;
-    KcHttpConnection *connection; /* NULL between connections */
-    KcTimer timer;                /* ends the call or begins the next one */
-    KcTime deadline;
-    struct Call *call; /* in progress, or NULL */
-    int gateway;
-} Client;
-
 typedef struct Soak {
     KcLoop *loop;
     GatewayCluster *cluster;
     GatewayClusterOptions options;
-    Client clients[CLIENT_COUNT];
     Call *calls;
-    int call_count;
-    bool faults_ended; /* clients begin no more calls */
     int violation_count;
 } Soak;
 
 static Soak soak;
 
+void
+Soak_AddCall(Call *call)
+{
+    HASH_ADD_STR(soak.calls, id, call);
+}
+
 Call *
 Soak_FindCall(const char *id)
 {
@@ -73,176 +65,33 @@
     return call;
 }
 
+/* Time from the beginning of a call; -1 before KC_NEVER. */
+static double
+get_seconds_after(const Call *call, KcTime at)
+{
+    return at == KC_NEVER ? -1 : (double)(at - call->began_at) / KC_SECOND;
+}
+
 void
 Soak_ReportViolation(const char *violation, const Call *call)
 {
     soak.violation_count++;
-    printf("BROKEN %s: request %s status %d runs %d whole %d\n", violation,
+    printf("BROKEN %s: request %s status %d runs %d whole %d", violation,
            call != NULL ? call->id : "", call != NULL ? call->status : 0,
            call != NULL ? call->run_count : 0,
            call != NULL ? call->is_complete : 0);
-}
-
-/* ---- callers ------------------------------------------------------------- */
-
-static const struct {
-    const char *path;
-    const char *method;
-    bool is_repeatable;
-    bool is_stream;
-} call_kinds[] = {
-    {"/safe/x", "GET", true, false},
-    {"/unsafe/x", "POST", false, false},
-    {"/stream/x", "POST", false, true},
-    {"/resume/x", "POST", true, true},
-};
-
-static void begin_call(Client *client);
-
-static void
-end_call(Client *client, bool keep_connection)
-{
-    KcTime pause = (KcTime)Soak_DrawBelow(60) * KC_MS;
-
-    if (client->call != NULL) {
-        client->call->ended_at = KcLoop_Now();
-        client->call = NULL;
-    }
-    if (!keep_connection && client->connection != NULL) {
-        KcHttpConnection_Close(client->connection);
-        client->connection = NULL;
-    }
-    KcTimers_Set(soak.loop->timers, &client->timer, KcLoop_Now() + pause);
-}
-
-static void
-on_connected(void *owner)
-{
-    begin_call(owner);
-}
-
-static void
-on_head(void *owner, const KcHttpMessage *message)
-{
-    Client *client = owner;
-    const char *id = KcHttpMessage_FindField(message, "Attempt-Id");
-    const char *server_seal = KcHttpMessage_FindField(message, "Server-Seal");
-
-    if (client->call == NULL) {
-        Soak_ReportViolation("an answer that nobody asked for", NULL);
-        return;
-    }
-    client->call->answered_at = KcLoop_Now();
-    client->call->status = message->status;
-    client->call->is_misattributed =
-        id != NULL && strcmp(id, client->call->id) != 0;
-    KcText_Copy(client->call->server_seal,
-                server_seal != NULL ? server_seal : "",
-                sizeof(client->call->server_seal));
-}
-
-static void
-on_body(void *owner, KcBytes bytes)
-{
-    Client *client = owner;
-
-    if (client->call != NULL) {
-        KcBuffer_Append(&client->call->body, bytes.data, bytes.size);
-    }
-}
-
-static void
-on_end(void *owner)
-{
-    Client *client = owner;
-
-    if (client->call != NULL) {
-        client->call->is_complete = true;
-    }
-    /* Kept until the gateway closes it or the client's timer does. */
-    KcHttpConnection_ReadNextMessage(client->connection);
-    end_call(client, true);
-}
-
-static void
-on_failed(void *owner, int code)
-{
-    (void)code;
-    end_call(owner, false);
-}
-
-static const KcHttpConnectionOps client_ops = {.on_connected = on_connected,
-                                               .on_head = on_head,
-                                               .on_body = on_body,
-                                               .on_message_end = on_end,
-                                               .on_failed = on_failed};
-
-static void
-connect_client(Client *client)
-{
-    KcHttpConnectionOptions options = {.loop = soak.loop,
-                                       .ops = &client_ops,
-                                       .owner = client,
-                                       .head_bytes_max = 16384,
-                                       .silence_timeout = CALL_TIMEOUT};
-
-    client->gateway = (int)Soak_DrawBelow((uint64_t)soak.options.gateways);
-    client->connection = KcHttpConnection_Connect(
-        &options, GatewayCluster_GetAddress(
-                      soak.cluster, GATEWAY_CLUSTER_GATEWAY, client->gateway));
-    client->deadline = KcLoop_Now() + CALL_TIMEOUT;
-    KcTimers_Set(soak.loop->timers, &client->timer, client->deadline);
-}
-
-static void
-begin_call(Client *client)
-{
-    size_t kind_index =
-        Soak_DrawBelow(sizeof(call_kinds) / sizeof(call_kinds[0]));
-    Call *call = KcMem_New(sizeof(*call));
-
-    snprintf(call->id, sizeof(call->id), "c%d-%d", client->number,
-             soak.call_count++);
-    call->gateway = client->gateway;
-    call->sent_at = KcLoop_Now();
-    call->ended_at = KC_NEVER;
-    call->is_repeatable = call_kinds[kind_index].is_repeatable;
-    call->is_stream = call_kinds[kind_index].is_stream;
-    HASH_ADD_STR(soak.calls, id, call);
-    client->call = call;
-    client->deadline = KcLoop_Now() + CALL_TIMEOUT;
-    KcTimers_Set(soak.loop->timers, &client->timer, client->deadline);
-    evbuffer_add_printf(
-        KcHttpConnection_Output(client->connection),
-        "%s %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\n"
-        "Token-Count: 20,20\r\n%s%d%sContent-Length: 0\r\n\r\n",
-        call_kinds[kind_index].method, call_kinds[kind_index].path, call->id,
-        call->is_stream ? "Model: m/a" : "X: ", (int)Soak_DrawBelow(40),
-        "\r\n");
-}
-
-static void
-on_client_timer(KcTimer *timer, KcTime now)
-{
-    Client *client = timer->owner;
-
-    (void)now;
-    if (client->call != NULL ||
-        (client->connection != NULL && Soak_DrawBelow(8) == 0)) {
-        if (client->call != NULL) {
-            client->call->is_abandoned = true;
-        }
-        end_call(client, false); /* the caller disconnects */
-    }
-    else if (soak.faults_ended) {
-        return;
-    }
-    else if (client->connection == NULL) {
-        connect_client(client);
-    }
-    else {
-        begin_call(client);
+    if (call != NULL) {
+        printf(
+            " gateway %d at %.3f, connected %.3f sent %.3f ended %.3f after "
+            "it, code %d, %s",
+            call->gateway,
+            (double)(call->began_at % (1000 * KC_SECOND)) / KC_SECOND,
+            get_seconds_after(call, call->connected_at),
+            get_seconds_after(call, call->sent_at),
+            get_seconds_after(call, call->ended_at), call->failure,
+            Callers_GetHabitName(call->habit));
     }
+    printf("\n");
 }
 
 /* ---- checks -------------------------------------------------------------- */
@@ -276,7 +125,6 @@
     }
 }
 
-/* A complete stream has each event once and in order. */
 /* Comments of a stream belong to no event, and may be passed on. */
 static const char *
 skip_comments(const char *unread)
@@ -288,6 +136,14 @@
     return unread;
 }
 
+/* Skips the filling that a call asked its worker for. */
+static const char *
+skip_padding(const char *unread)
+{
+    return unread + strspn(unread, ".");
+}
+
+/* A complete stream has each event once and in order. */
 static bool
 is_stream_correct(const Call *call)
 {
@@ -297,11 +153,15 @@
         char event[64];
 
         unread = skip_comments(unread);
-        snprintf(event, sizeof(event), "id: %d\ndata: piece %d\n\n", i, i);
+        snprintf(event, sizeof(event), "id: %d\ndata: piece %d", i, i);
         if (unread == NULL || strncmp(unread, event, strlen(event)) != 0) {
             return false;
         }
-        unread += strlen(event);
+        unread = skip_padding(unread + strlen(event));
+        if (strncmp(unread, "\n\n", 2) != 0) {
+            return false;
+        }
+        unread += 2;
     }
     return *skip_comments(unread) == '\0';
 }
@@ -309,21 +169,36 @@
 static bool
 is_plain_answer_correct(const Call *call)
 {
+    const char *bytes = KcBuffer_Data(&call->body);
     char body[128];
+    int size = snprintf(body, sizeof(body), "answer %s of %s", call->id,
+                        call->server_seal);
 
-    snprintf(body, sizeof(body), "answer %s of %s", call->id,
-             call->server_seal);
     return call->server_seal[0] != '\0' &&
-           strcmp(KcBuffer_Data(&call->body), body) == 0;
+           strncmp(bytes, body, (size_t)size) == 0 &&
+           *skip_padding(bytes + size) == '\0';
+}
+
+void
+Soak_CheckBody(Call *call)
+{
+    KcBuffer_Append(&call->body, "", 1);
+    if (call->status == 200 && call->is_complete &&
+        !(call->is_stream ? is_stream_correct(call)
+                          : is_plain_answer_correct(call))) {
+        Soak_ReportViolation("wrong bytes", call);
+        printf("%zu bytes: %.*s\n", KcBuffer_Size(&call->body) - 1,
+               PRINTED_BYTES_MAX, KcBuffer_Data(&call->body));
+    }
+    KcBuffer_Clear(&call->body);
 }
 
 static void
-check_call(Call *call)
+check_call(Call *call, RuleCounts *counts)
 {
     bool claims_not_run = call->status == 408 || call->status == 421 ||
                           call->status == 429 || call->status == 503;
 
-    KcBuffer_Append(&call->body, "", 1);
     if (!call->is_repeatable && call->run_count > 1) {
         Soak_ReportViolation("at most once", call);
     }
@@ -339,13 +214,7 @@
     if (call->status == 404 || call->status == 400) {
         Soak_ReportViolation("denied", call);
     }
-    if (call->status == 200 && call->is_complete &&
-        !(call->is_stream ? is_stream_correct(call)
-                          : is_plain_answer_correct(call))) {
-        Soak_ReportViolation("wrong bytes", call);
-        printf("%zu bytes: %.*s\n", KcBuffer_Size(&call->body) - 1,
-               PRINTED_BYTES_MAX, KcBuffer_Data(&call->body));
-    }
+    Rules_CheckEnd(call, counts);
 }
 
 static void
@@ -369,18 +238,20 @@
     check_workers(GATEWAY_CLUSTER_PLAIN_WORKER, &rule_counts);
     HASH_ITER(hh, soak.calls, call, next)
     {
-        check_call(call);
+        check_call(call, &rule_counts);
         outcome_counts[call->status == 200 && call->is_complete ? 0
                        : call->status == 0                      ? 2
                                                                 : 1]++;
         HASH_DEL(soak.calls, call);
-        KcBuffer_Clear(&call->body);
         free(call);
     }
-    printf("%d answered, %d other answers, %d without; "
-           "%d workers left, %d waits, %d held by a pause\n",
-           outcome_counts[0], outcome_counts[1], outcome_counts[2],
-           rule_counts.leavings, rule_counts.waits, rule_counts.pauses);
+    printf(
+        "%d answered, %d other answers, %d without (%d by a kill, %d crossed "
+        "a close, %d outlasted a stop); "
+        "%d workers left, %d waits, %d held by a pause\n",
+        outcome_counts[0], outcome_counts[1], outcome_counts[2],
+        rule_counts.killed, rule_counts.crossed, rule_counts.outlasted,
+        rule_counts.leavings, rule_counts.waits, rule_counts.pauses);
 }
 
 /* Waits until a gateway serves every route of the newest configuration; false
@@ -420,7 +291,8 @@
     return served_paths == 5;
 }
 
-/* Runs has_recovered() in a child process, and the proxies meanwhile. */
+/* Runs has_recovered() in a child process, and meanwhile the proxies and what
+ * is left of the callers' calls. */
 static void
 check_recovery(void)
 {
@@ -438,7 +310,7 @@
         fflush(stdout);
         _exit(all_recovered ? 0 : 1);
     }
-    while (waitpid(child, &status, WNOHANG) == 0) {
+    while (waitpid(child, &status, WNOHANG) == 0 || Callers_HaveCalls()) {
         KcTimers_Run(soak.loop->timers, KcLoop_Now());
         event_base_loop(soak.loop->base, EVLOOP_NONBLOCK);
         usleep(2000);
@@ -471,14 +343,10 @@
                         .begin_at = KcLoop_Now() + 2 * KC_SECOND,
                         .end_at = KcLoop_Now() + (seconds + 2) * KC_SECOND};
     Faults_Start(&faults_options);
-    for (int i = 0; i < CLIENT_COUNT; i++) {
-        Client *client = &soak.clients[i];
-
-        client->number = i;
-        KcTimer_Init(&client->timer, on_client_timer, client);
-        KcTimers_Set(soak.loop->timers, &client->timer,
-                     KcLoop_Now() + KC_SECOND + i * 10 * KC_MS);
-    }
+    Callers_Start(&(CallersOptions){.loop = soak.loop,
+                                    .cluster = soak.cluster,
+                                    .gateways = soak.options.gateways,
+                                    .begin_at = KcLoop_Now() + KC_SECOND});
 }
 
 int
@@ -493,15 +361,10 @@
     random_state = seed * 2654435761u + 1;
     set_up(seed, seconds, workers);
     KcLoop_Run(soak.loop);
-    soak.faults_ended = true;
+    Callers_EndCalls();
     Faults_EndAll();
     check_recovery();
-    for (int i = 0; i < CLIENT_COUNT; i++) {
-        KcTimers_Clear(soak.loop->timers, &soak.clients[i].timer);
-        if (soak.clients[i].connection != NULL) {
-            KcHttpConnection_Close(soak.clients[i].connection);
-        }
-    }
+    Callers_Close();
     check_calls();
     Faults_FreeProxies();
     History_Clear();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,18 +23,28 @@
     int gateway; /* number of the gateway that it was sent to */
     bool is_repeatable;
     bool is_stream;
-    KcTime sent_at;
+    bool is_excessive; /* its body is above the limit */
+    const struct CallHabit *habit;
+    GatewayClusterLimits limits; /* at its beginning, if its body trickles */
+    KcTime connected_at;         /* when its connection was begun */
+    KcTime began_at;
+    KcTime sent_at;     /* all of it; KC_NEVER: not yet */
     KcTime answered_at; /* the answer's head came; 0: none did */
     KcTime ended_at;    /* the answer was complete or broken off */
     bool is_abandoned;  /* the client closed the connection */
     int status;         /* of HTTP; 0 before an answer */
     bool is_complete;
+    int failure;           /* KcErrorCode of its connection, or 0 */
     bool is_misattributed; /* the answer names another request */
     KcBuffer body;
     char server_seal[64]; /* id of the worker that answered */
     int run_count;        /* counted in the workers' logs */
 } Call;
 
+/* Adds a call; it belongs to the soak. */
+void Soak_AddCall(Call *call);
+/* Checks the bytes of a call's answer, which has ended, and drops them. */
+void Soak_CheckBody(Call *call);
 /* Returns the call with this Attempt-Id, or NULL. */
 Call *Soak_FindCall(const char *id);
 
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -20,6 +20,9 @@
  *   wait ATTEMPT_ID TIME SECONDS  answered 503 with "Retry-After: SECONDS"
  *   notice ATTEMPT_ID TIME        answered with a line of raw_notices
  *
+ * A request's header Answer-Bytes gives the padding of its answer, or of each
+ * event of it.
+ *
  * Gateways don't bind their connections to an address of their own: the id
  * tells through which one a request came.
  */
@@ -54,6 +57,7 @@
 typedef struct Job {
     int64_t next_event;
     bool is_stream;
+    int64_t padding_bytes; /* of the answer, or of each event */
     char attempt_id[KC_CALLER_ID_MAX];
 } Job;
 
@@ -338,6 +342,21 @@
     running_count--;
 }
 
+static void
+write_padding(RawConnection *connection, int64_t size)
+{
+    char padding[16384];
+    const int64_t part_max = sizeof(padding);
+
+    memset(padding, '.', sizeof(padding));
+    while (size > 0) {
+        int64_t part = size < part_max ? size : part_max;
+
+        RawConnection_Write(connection, padding, (size_t)part);
+        size -= part;
+    }
+}
+
 /* Answers a plain request. */
 static void
 answer_plain(RawConnection *connection, const Job *job)
@@ -350,7 +369,8 @@
 
     if (RawServer_DrawFault(&server, "truncate")) {
         snprintf(further_lines, sizeof(further_lines),
-                 "Content-Length: %d\r\n\r\n", size + 9);
+                 "Content-Length: %" PRId64 "\r\n\r\n",
+                 size + job->padding_bytes + 9);
         write_head(connection, job, status, further_lines);
         RawConnection_Write(connection, body, (size_t)size);
         free_job(connection);
@@ -358,10 +378,11 @@
         return;
     }
     snprintf(further_lines, sizeof(further_lines),
-             "Content-Length: %d\r\n\r\n", size);
+             "Content-Length: %" PRId64 "\r\n\r\n", size + job->padding_bytes);
     for (int i = RawServer_DrawFault(&server, "extra") ? 2 : 1; i > 0; i--) {
         write_head(connection, job, status, further_lines);
         RawConnection_Write(connection, body, (size_t)size);
+        write_padding(connection, job->padding_bytes);
     }
     free_job(connection);
     RawConnection_ReadNextRequest(connection);
@@ -369,17 +390,20 @@
 
 /* Writes an event of a stream as one HTTP chunk. */
 static void
-write_event(RawConnection *connection, int64_t number)
+write_event(RawConnection *connection, const Job *job)
 {
     char event[128];
     char chunk[160];
-    int size = snprintf(event, sizeof(event),
-                        "id: %" PRId64 "\ndata: piece %" PRId64 "\n\n", number,
-                        number);
-    int total =
-        snprintf(chunk, sizeof(chunk), "%x\r\n%s\r\n", (unsigned)size, event);
-
-    RawConnection_Write(connection, chunk, (size_t)total);
+    int size =
+        snprintf(event, sizeof(event), "id: %" PRId64 "\ndata: piece %" PRId64,
+                 job->next_event, job->next_event);
+    int start_size =
+        snprintf(chunk, sizeof(chunk), "%" PRIx64 "\r\n%s",
+                 (uint64_t)(size + job->padding_bytes + 2), event);
+
+    RawConnection_Write(connection, chunk, (size_t)start_size);
+    write_padding(connection, job->padding_bytes);
+    RawConnection_Write(connection, "\n\n\r\n", 4);
 }
 
 /* Writes the next event of a stream, or its end. */
@@ -387,7 +411,8 @@
 continue_stream(RawConnection *connection, Job *job, KcTime now)
 {
     if (job->next_event < STREAM_EVENTS) {
-        write_event(connection, job->next_event++);
+        write_event(connection, job);
+        job->next_event++;
         if (RawServer_DrawFault(&server, "truncate")) {
             RawConnection_Write(connection, "20\r\nid: ", 8);
             free_job(connection);
@@ -509,6 +534,8 @@
                 RawConnection_FindHeader(connection, "Attempt-Id"),
                 sizeof(job->attempt_id));
     job->is_stream = is_llm;
+    job->padding_bytes = strtoll(
+        RawConnection_FindHeader(connection, "Answer-Bytes"), NULL, 10);
     job->next_event =
         last_event_id[0] != '\0' ? strtoll(last_event_id, NULL, 10) + 1 : 0;
     connection->request_state = job;
