Read what had arrived before a timer that was due by then

What callers saw: neither an answer nor a refusal. The loop ran all due timers before it read any socket. After work that kept it busy, such as a changed configuration, an idle timer closed a connection whose next request had arrived, and the kernel reset it; a deadline ended what was answered.

Change: an iteration polls first. After that, only those timers run that were due when the poll began (KcTimers_RunUntil()); those due since wait for the next poll, which doesn't sleep. One poll of libevent returns 32 sockets or more, not all: when timers are due and it may have left some, it is repeated, at most so often that all sockets could have been returned. So sockets that are always ready keep no timer from running.

--- a/lib/request/timers.c
+++ b/lib/request/timers.c
@@ -93,9 +93,10 @@
     timers->occupied[index / WORD_BITS] &= ~(1ULL << (index % WORD_BITS));
 }
 
-/* Fires the due timers of one list and puts the others back. */
+/* Fires the timers of one list that were due by due_until and puts the others
+ * back. */
 static void
-run_list(KcTimers *timers, int64_t index, KcTime now)
+run_list(KcTimers *timers, int64_t index, KcTime due_until, KcTime now)
 {
     struct KcTimerList detached;
     KcTimer *timer;
@@ -105,7 +106,7 @@
         KcTime due = timer->due_at;
 
         KcTimers_Clear(timers, timer);
-        if (due <= now) {
+        if (due <= due_until) {
             timer->on_due(timer, now);
         }
         else {
@@ -117,17 +118,23 @@
 void
 KcTimers_Run(KcTimers *timers, KcTime now)
 {
-    int64_t now_tick = now / TICK_DURATION;
+    KcTimers_RunUntil(timers, now, now);
+}
+
+void
+KcTimers_RunUntil(KcTimers *timers, KcTime due_until, KcTime now)
+{
+    int64_t until_tick = due_until / TICK_DURATION;
 
     /* After a long pause each list needs one visit, not one per tick. */
-    if (now_tick - timers->last_tick > WHEEL_LIST_COUNT) {
-        timers->last_tick = now_tick - WHEEL_LIST_COUNT;
+    if (until_tick - timers->last_tick > WHEEL_LIST_COUNT) {
+        timers->last_tick = until_tick - WHEEL_LIST_COUNT;
     }
-    while (timers->last_tick < now_tick) {
+    while (timers->last_tick < until_tick) {
         int64_t index = ++timers->last_tick & (WHEEL_LIST_COUNT - 1);
 
         if ((timers->occupied[index / WORD_BITS] >> (index % WORD_BITS)) & 1) {
-            run_list(timers, index, now);
+            run_list(timers, index, due_until, now);
         }
     }
 }
--- a/programs/process/loop.c
+++ b/programs/process/loop.c
@@ -8,6 +8,12 @@
 #include <sys/random.h>
 #include <time.h>
 
+/*
+ * libevent's poll returns all sockets that are ready, or at least so many. It
+ * returns twice as many the next time.
+ */
+#define SOCKETS_PER_POLL_MIN 32
+
 static KcTime
 read_clock(clockid_t id)
 {
@@ -26,7 +32,7 @@
 static void
 on_wake_timer(evutil_socket_t fd, short what, void *context)
 {
-    /* KcLoop_Run() runs the timers at the start of each iteration. */
+    /* KcLoop_Run() runs the timers at the end of each iteration. */
     (void)fd;
     (void)what;
     (void)context;
@@ -96,16 +102,72 @@
     evtimer_add(loop->wake_timer, &delay_timeval);
 }
 
+/* Waits for a timer or a socket and handles the sockets that are ready. */
+static void
+run_sockets(KcLoop *loop)
+{
+    arm_wake_timer(loop);
+    event_base_loop(loop->base, EVLOOP_ONCE);
+    run_deferred_frees(loop);
+}
+
+/* Returns the most events that were active at once since the last call. */
+static int
+take_most_active(KcLoop *loop)
+{
+    return event_base_get_max_events(loop->base, EVENT_BASE_COUNT_ACTIVE,
+                                     true);
+}
+
+/*
+ * Handles what else had arrived when the poll of the last run_sockets() began:
+ * one poll doesn't return all sockets if there are many. The number of polls
+ * is limited, as some sockets may always be ready. Called when timers are due,
+ * so that it doesn't wait.
+ */
+static void
+run_remaining_sockets(KcLoop *loop)
+{
+    int events = event_base_get_num_events(loop->base, EVENT_BASE_COUNT_ADDED);
+
+    for (int polled = SOCKETS_PER_POLL_MIN;
+         polled < events && !loop->stop_requested &&
+         take_most_active(loop) >= SOCKETS_PER_POLL_MIN;
+         polled += polled + SOCKETS_PER_POLL_MIN) {
+        run_sockets(loop);
+    }
+}
+
+static void
+run_timers(KcLoop *loop, KcTime due_until)
+{
+    KcTimers_RunUntil(loop->timers, due_until, KcLoop_Now());
+    if (loop->stop_requested) {
+        /* Sends what is ready to be sent. */
+        event_base_loop(loop->base, EVLOOP_NONBLOCK);
+        run_deferred_frees(loop);
+    }
+}
+
+/*
+ * What had arrived by some time is read before a timer that was due then is
+ * run, as it may be what the timer waits for. This matters when other work has
+ * kept the loop from both.
+ */
 void
 KcLoop_Run(KcLoop *loop)
 {
     while (!loop->stop_requested) {
-        KcTimers_Run(loop->timers, KcLoop_Now());
-        arm_wake_timer(loop);
-        /* A last pass when stopped sends what is ready to be sent. */
-        event_base_loop(loop->base,
-                        loop->stop_requested ? EVLOOP_NONBLOCK : EVLOOP_ONCE);
-        run_deferred_frees(loop);
+        KcTime polled_at = KcLoop_Now();
+
+        take_most_active(loop);
+        run_sockets(loop);
+        if (KcTimers_NextDue(loop->timers) <= polled_at) {
+            run_remaining_sockets(loop);
+        }
+        if (!loop->stop_requested) {
+            run_timers(loop, polled_at);
+        }
         if (loop->on_iteration_end != NULL) {
             loop->on_iteration_end();
         }
--- a/tests/process/test_loop.c
+++ b/tests/process/test_loop.c
@@ -10,34 +10,84 @@
 
 #include "../../programs/process/loop.h"
 
-typedef struct Fixture {
+#define SOCKETS_MAX 200
+#define TIMERS_MAX 2
+
+typedef struct Fixture Fixture;
+
+/* A pair of sockets; what is sent on [1] can be read on [0]. */
+typedef struct Pair {
+    Fixture *fixture;
+    int sockets[2];
+    struct event *readable;
+} Pair;
+
+struct Fixture {
     KcLoop *loop;
+    size_t index; /* of the case */
     GString *trace;
-    int sockets[2];
-} Fixture;
+    int reads;
+    KcTime due_at; /* of the first timer */
+    int timers_run;
+    Pair pairs[SOCKETS_MAX];
+    KcTimer timers[TIMERS_MAX];
+};
 
-/* Bytes that have arrived and a timer that is due when the loop is run. */
+/* Bytes that have arrived and timers that are due when the loop is run. */
 static const struct {
     const char *name;
-    KcTime blocked; /* from the time at which the timer was due */
-    bool has_bytes;
+    KcTime blocked;    /* from the time at which the first timer was due */
+    int sockets;       /* with a byte to read */
+    KcTime read_delay; /* the first read lasts so long after that time, and
+                        * causes a byte to arrive at one socket more */
+    int timers;        /* due one after the other; the last stops the loop */
+    int reads;         /* before that */
     const char *trace;
 } cases[] = {
-    {"what arrived is read before a timer that had to wait", 100 * KC_MS, true,
-     "read; timer; "},
-    {"a loop stops at once when nothing else happens", 100 * KC_MS, false,
+    {"what arrived is read before a timer that had to wait", 100 * KC_MS, 1, 0,
+     1, 1, "read; timer; "},
+    {"a loop stops at once when nothing else happens", 100 * KC_MS, 0, 0, 1, 0,
      "timer; "},
+    {"what arrived is read before a timer that is late by a millisecond",
+     1 * KC_MS, 1, 0, 1, 1, "read; timer; "},
+    {"what arrived at many sockets is read before a timer that had to wait",
+     100 * KC_MS, SOCKETS_MAX, 0, 1, SOCKETS_MAX, "read; timer; "},
+    {"what arrived during a long read is read before a timer due meanwhile", 0,
+     1, 50 * KC_MS, 1, 2, "read; timer; "},
+    {"timers that had to wait run in the order in which they were due",
+     100 * KC_MS, 1, 0, 2, 1, "read; timer; timer; "},
 };
 
+static void
+send_byte(const Pair *pair)
+{
+    g_assert_cmpint(send(pair->sockets[1], "x", 1, 0), ==, 1);
+}
+
+static void
+wait_until(KcTime until)
+{
+    while (KcLoop_Now() < until) {
+        g_usleep(1000);
+    }
+}
+
 static void
 on_readable(evutil_socket_t fd, short what, void *context)
 {
-    Fixture *fixture = context;
+    Pair *pair = context;
+    Fixture *fixture = pair->fixture;
     char byte;
 
     (void)what;
     g_assert_cmpint(recv(fd, &byte, 1, 0), ==, 1);
-    g_string_append(fixture->trace, "read; ");
+    if (!g_str_has_suffix(fixture->trace->str, "read; ")) {
+        g_string_append(fixture->trace, "read; ");
+    }
+    if (fixture->reads++ == 0 && cases[fixture->index].read_delay > 0) {
+        wait_until(fixture->due_at + cases[fixture->index].read_delay);
+        send_byte(pair + 1);
+    }
 }
 
 static void
@@ -46,37 +96,62 @@
     Fixture *fixture = timer->owner;
 
     g_assert_cmpint(now, >=, timer->due_at);
+    g_assert_true(timer == &fixture->timers[fixture->timers_run]);
     g_string_append(fixture->trace, "timer; ");
-    KcLoop_Stop(fixture->loop);
+    g_assert_cmpint(fixture->reads, ==, cases[fixture->index].reads);
+    if (++fixture->timers_run == cases[fixture->index].timers) {
+        KcLoop_Stop(fixture->loop);
+    }
+}
+
+static void
+open_pair(Fixture *fixture, Pair *pair)
+{
+    pair->fixture = fixture;
+    g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, pair->sockets), ==, 0);
+    pair->readable = event_new(fixture->loop->base, pair->sockets[0],
+                               EV_READ | EV_PERSIST, on_readable, pair);
+    event_add(pair->readable, NULL);
+}
+
+static void
+close_pair(Pair *pair)
+{
+    event_free(pair->readable);
+    close(pair->sockets[0]);
+    close(pair->sockets[1]);
 }
 
 static void
 test_case(gconstpointer data)
 {
     size_t index = GPOINTER_TO_SIZE(data);
-    Fixture fixture = {.loop = KcLoop_Create(), .trace = g_string_new("")};
-    KcTime due_at = KcLoop_Now() + 5 * KC_MS;
-    struct event *readable;
-    KcTimer timer;
-
-    g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, fixture.sockets), ==,
-                    0);
-    readable = event_new(fixture.loop->base, fixture.sockets[0],
-                         EV_READ | EV_PERSIST, on_readable, &fixture);
-    event_add(readable, NULL);
-    KcTimer_Init(&timer, on_timer, &fixture);
-    KcTimers_Set(fixture.loop->timers, &timer, due_at);
-    if (cases[index].has_bytes) {
-        g_assert_cmpint(send(fixture.sockets[1], "x", 1, 0), ==, 1);
+    int sockets = cases[index].sockets;
+    /* One more that has nothing to read at first. */
+    int pairs = sockets < SOCKETS_MAX ? sockets + 1 : sockets;
+    Fixture fixture = {
+        .loop = KcLoop_Create(), .index = index, .trace = g_string_new("")};
+
+    for (int i = 0; i < pairs; i++) {
+        open_pair(&fixture, &fixture.pairs[i]);
+        if (i < sockets) {
+            send_byte(&fixture.pairs[i]);
+        }
     }
-    while (KcLoop_Now() < due_at + cases[index].blocked) {
-        g_usleep(1000);
+    fixture.due_at = KcLoop_Now() + 5 * KC_MS;
+    for (int i = 0; i < cases[index].timers; i++) {
+        KcTimer_Init(&fixture.timers[i], on_timer, &fixture);
+        KcTimers_Set(fixture.loop->timers, &fixture.timers[i],
+                     fixture.due_at + i * 20 * KC_MS);
+    }
+    if (cases[index].blocked > 0) {
+        wait_until(fixture.due_at + cases[index].blocked);
     }
     KcLoop_Run(fixture.loop);
     g_assert_cmpstr(fixture.trace->str, ==, cases[index].trace);
-    event_free(readable);
-    close(fixture.sockets[0]);
-    close(fixture.sockets[1]);
+    for (int i = 0; i < pairs; i++) {
+        close_pair(&fixture.pairs[i]);
+    }
     KcLoop_Free(fixture.loop);
     g_string_free(fixture.trace, TRUE);
 }
