Let the progress of a caller decide when its connection is closed, not the idle time

What callers saw: one that took longer over a complete answer than the idle timeout in force lost the rest of it, or lost the next request that it sent on a kept connection; with an idle timeout below a second, with which each answer closes its connection, any slow caller did.

Cause: close_when_sent() and the idle timer freed the connection at their time with all that was unsent, and the idle time began when the answer was written, not when it was taken.

Evidence: four rows of test_caller_closes failed before. Two with "1998848 bytes of an answer, then the end" of 16,000,000 bytes; two as the next request did not reach the server or the connection ended before its idle time. The two rows of an answer of which nothing is taken failed as well, as nothing but TCP_USER_TIMEOUT bounded it (3.26 s).

Why this works: output_watch looks at the connection while output may be untaken: bytes passed to the kernel or, where the kernel tells, acknowledged since the last look are progress. A caller that takes nothing for 15 s is given up, which bounds the memory of answers in place of the idle timeout. The idle time begins when the answer is sent, and an answer that the kernel still holds prolongs it. Times are summed up from look to look, so a pause of the gateway counts as one look.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -15,6 +15,7 @@
 #include <sys/socket.h>
 
 #include "lingering_close.h"
+#include "output_watch.h"
 #include "socket.h"
 
 /*
@@ -58,6 +59,7 @@
     bool read_paused;
     bool close_when_sent; /* the connection belongs to closing */
     KcLingeringClose closing;
+    KcOutputWatch output_watch;
     bool end_of_stream_received; /* the peer has shut down its sending side */
 };
 
@@ -288,6 +290,7 @@
     }
     connection->is_closed = true;
     KcLingeringClose_Clear(&connection->closing);
+    KcOutputWatch_Clear(&connection->output_watch);
     bufferevent_free(connection->bev);
     connection->bev = NULL;
     KcLoop_DeferFree(connection->options.loop, &connection->deferred_free);
@@ -484,6 +487,12 @@
     return connection;
 }
 
+static void
+on_stalled(void *owner)
+{
+    report_failed(owner, KC_ERR_PEER_LOST);
+}
+
 KcHttpConnection *
 KcHttpConnection_Accept(const KcHttpConnectionOptions *options,
                         evutil_socket_t fd)
@@ -496,6 +505,16 @@
         return NULL;
     }
     KcSocket_SetConnectionOptions(fd, options->silence_timeout);
+    if (options->stall_timeout > 0) {
+        KcOutputWatchOptions watch_options = {.loop = options->loop,
+                                              .bev = connection->bev,
+                                              .stall_timeout =
+                                                  options->stall_timeout,
+                                              .on_stalled = on_stalled,
+                                              .owner = connection};
+
+        KcOutputWatch_Begin(&connection->output_watch, &watch_options);
+    }
     bufferevent_enable(connection->bev, EV_READ | EV_WRITE);
     return connection;
 }
@@ -606,6 +625,14 @@
     return bufferevent_get_output(connection->bev);
 }
 
+bool
+KcHttpConnection_IsOutputTaken(const KcHttpConnection *connection)
+{
+    return KcHttpConnection_UnsentBytes(connection) == 0 &&
+           (connection->options.stall_timeout == 0 ||
+            KcOutputWatch_IsTaken(&connection->output_watch));
+}
+
 size_t
 KcHttpConnection_UnsentBytes(const KcHttpConnection *connection)
 {
--- a/programs/connection/http_connection.h
+++ b/programs/connection/http_connection.h
@@ -48,6 +48,8 @@
     size_t head_bytes_max;  /* bytes of target, header names and values; of
                                responses also of all that is not body */
     KcTime silence_timeout; /* see KcSocket_SetConnectionOptions() */
+    KcTime stall_timeout;   /* longest time in which an accepted connection's
+                               peer takes no output; 0: not limited */
 } KcHttpConnectionOptions;
 
 /*
@@ -106,6 +108,8 @@
  * sent.
  */
 struct evbuffer *KcHttpConnection_Output(KcHttpConnection *connection);
+/* Returns whether the peer has acknowledged all output, as far as known. */
+bool KcHttpConnection_IsOutputTaken(const KcHttpConnection *connection);
 /* Returns the number of output bytes not yet passed to the kernel. */
 size_t KcHttpConnection_UnsentBytes(const KcHttpConnection *connection);
 /*
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -35,6 +35,9 @@
  */
 #define KEPT_REPLY_BYTES_MAX ((size_t)4 * 1024 * 1024)
 
+/* Longest time in which a caller takes nothing of an answer. */
+#define CALLER_STALL_TIMEOUT (15 * KC_SECOND)
+
 /* Limits on callers until a routing configuration is in force. */
 static const KcCallerLimits initial_caller_limits = {
     .header_bytes_max = 16384,
@@ -194,7 +197,8 @@
         .counters = &role->common.counters,
         .connections_max = (uint32_t)settings->connections_max,
         .initial_limits = initial_caller_limits,
-        .silence_timeout = settings->connection_silence_timeout_ms * KC_MS};
+        .silence_timeout = settings->connection_silence_timeout_ms * KC_MS,
+        .stall_timeout = CALLER_STALL_TIMEOUT};
     KcAdminServerOptions readiness_options = {
         .loop = role->common.loop,
         .settings = settings,
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -118,6 +118,19 @@
                                      connection->limits.header_bytes_max);
 }
 
+/*
+ * Closes the connection when its output is sent. The HTTP connection sets the
+ * time limits.
+ */
+static void
+close_when_sent(CallerConnection *connection)
+{
+    connection->state = CONNECTION_CLOSING;
+    KcTimers_Clear(connection->front_end->options.loop->timers,
+                   &connection->timer);
+    KcHttpConnection_CloseWhenSent(connection->http_connection);
+}
+
 /*
  * Answers with an error before the request is complete, and closes the
  * connection.
@@ -133,11 +146,9 @@
     KcLog_Write(KC_LOG_INFO, &fields,
                 "request refused while it was received, body_bytes=%zu",
                 KcBuffer_Size(&connection->request_body));
-    connection->state = CONNECTION_CLOSING;
-    start_timer(connection, connection->limits.header_timeout);
     connection->front_end->options.dialect->write_refusal(
         KcHttpConnection_Output(connection->http_connection), &refusal, 0);
-    KcHttpConnection_CloseWhenSent(connection->http_connection);
+    close_when_sent(connection);
 }
 
 /*
@@ -162,19 +173,6 @@
     free_connection(connection);
 }
 
-/*
- * Closes the connection when its output is sent, at the latest after the idle
- * timeout.
- */
-static void
-close_when_sent(CallerConnection *connection)
-{
-    connection->state = CONNECTION_CLOSING;
-    start_timer(connection,
-                current_limits(connection->front_end)->idle_timeout);
-    KcHttpConnection_CloseWhenSent(connection->http_connection);
-}
-
 static void
 wait_for_request(CallerConnection *connection)
 {
@@ -214,13 +212,13 @@
         refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
         break;
     case CONNECTION_IDLE:
-        KcCounters_Add(connection->front_end->options.counters,
-                       KC_COUNT_IDLE_CLOSES, 1);
-        if (KcHttpConnection_UnsentBytes(connection->http_connection) == 0) {
-            free_connection(connection);
+        if (!KcHttpConnection_IsOutputTaken(connection->http_connection)) {
+            wait_for_request(connection);
             break;
         }
-        close_when_sent(connection);
+        KcCounters_Add(connection->front_end->options.counters,
+                       KC_COUNT_IDLE_CLOSES, 1);
+        free_connection(connection);
         break;
     case CONNECTION_SUBMITTED:
     case CONNECTION_CLOSING:
@@ -315,6 +313,9 @@
 {
     CallerConnection *connection = owner;
 
+    if (connection->state == CONNECTION_IDLE) {
+        wait_for_request(connection); /* idle from now on */
+    }
     if (connection->reply_read_paused && connection->forward != NULL &&
         connection->forward->attempt != NULL) {
         connection->reply_read_paused = false;
@@ -464,7 +465,8 @@
         .loop = front_end->options.loop,
         .ops = &connection_ops,
         .head_bytes_max = current_limits(front_end)->header_bytes_max,
-        .silence_timeout = front_end->options.silence_timeout};
+        .silence_timeout = front_end->options.silence_timeout,
+        .stall_timeout = front_end->options.stall_timeout};
     CallerConnection *connection;
 
     (void)listener;
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -19,6 +19,8 @@
     uint32_t connections_max;
     KcCallerLimits initial_limits; /* while no configuration is in force */
     KcTime silence_timeout;        /* see KcSocket_SetConnectionOptions() */
+    KcTime stall_timeout; /* longest time in which a caller takes nothing of an
+                             answer */
 } KcGatewayFrontEndOptions;
 
 /*
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -28,6 +28,8 @@
     KcCounters counters;
     KcGateway *gateway;
     KcGatewayFrontEnd *front_end;
+    KcTime silence_timeout; /* of the front end */
+    KcTime stall_timeout;
     char address[32];
     int caller;         /* its socket */
     GString *received;  /* not yet taken by a step */
@@ -175,6 +177,36 @@
     KcGateway_SetRouting(fixture->gateway, routing);
 }
 
+/* timeouts SILENCE STALL: of the front end, in ms. */
+static void
+step_timeouts(Fixture *fixture, char **words)
+{
+    fixture->silence_timeout = atoi(words[1]) * KC_MS;
+    fixture->stall_timeout = atoi(words[2]) * KC_MS;
+}
+
+static void
+create_front_end(Fixture *fixture)
+{
+    KcGatewayFrontEndOptions options = {
+        .loop = fixture->loop,
+        .address = fixture->address,
+        .gateway = fixture->gateway,
+        .dialect = KcPlatform_Current.dialect,
+        .counters = &fixture->counters,
+        .connections_max = 1,
+        .silence_timeout = fixture->silence_timeout,
+        .stall_timeout = fixture->stall_timeout};
+
+    for (int port = 22000; port < 23000 && fixture->front_end == NULL;
+         port++) {
+        snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d",
+                 port);
+        fixture->front_end = KcGatewayFrontEnd_Create(&options);
+    }
+    g_assert_nonnull(fixture->front_end);
+}
+
 /* connect [BYTES]: the caller connects, with a receive buffer of BYTES. */
 static void
 step_connect(Fixture *fixture, char **words)
@@ -183,6 +215,9 @@
     int size = sizeof(remote);
     int receive_bytes = words[1] != NULL ? atoi(words[1]) : 0;
 
+    if (fixture->front_end == NULL) {
+        create_front_end(fixture);
+    }
     g_assert_cmpint(evutil_parse_sockaddr_port(
                         fixture->address, (struct sockaddr *)&remote, &size),
                     ==, 0);
@@ -439,6 +474,39 @@
     g_assert_cmpint(KcLoop_Now() - begun_at, <=, atoi(words[2]) * KC_MS);
 }
 
+/* sip COUNT BYTES MS: the caller reads so many bytes every MS. */
+static void
+step_sip(Fixture *fixture, char **words)
+{
+    size_t size = (size_t)atoi(words[2]);
+    char *bytes = g_malloc(size);
+
+    for (int i = atoi(words[1]); i > 0; i--) {
+        ssize_t received;
+
+        run_loop(fixture, atoi(words[3]) * KC_MS);
+        received = recv(fixture->caller, bytes, size, 0);
+        g_assert_cmpint(received, >, 0);
+        g_string_append_len(fixture->received, bytes, received);
+    }
+    g_free(bytes);
+}
+
+/* dropped FROM TO: the answer that the caller does not read is given up after
+ * FROM to TO ms. */
+static void
+step_dropped(Fixture *fixture, char **words)
+{
+    KcTime begun_at = KcLoop_Now();
+
+    do {
+        run_loop(fixture, POLL_INTERVAL);
+        g_assert_cmpint(KcLoop_Now() - begun_at, <, GUARD_TIMEOUT);
+    } while (!KcGatewayFrontEnd_IsQuiet(fixture->front_end));
+    g_assert_cmpint(KcLoop_Now() - begun_at, >=, atoi(words[1]) * KC_MS);
+    g_assert_cmpint(KcLoop_Now() - begun_at, <=, atoi(words[2]) * KC_MS);
+}
+
 /* quiet: a planned stop may end now. */
 static void
 step_quiet(Fixture *fixture, char **words)
@@ -448,12 +516,14 @@
 }
 
 static const StepHandler handlers[] = {
-    {"config", step_config}, {"connect", step_connect},
-    {"send", step_send},     {"filler", step_filler},
-    {"wait", step_wait},     {"read", step_read},
-    {"answer", step_answer}, {"end", step_end},
-    {"open", step_open},     {"trickle", step_trickle},
-    {"flood", step_flood},   {"quiet", step_quiet},
+    {"config", step_config},     {"connect", step_connect},
+    {"send", step_send},         {"filler", step_filler},
+    {"wait", step_wait},         {"read", step_read},
+    {"answer", step_answer},     {"end", step_end},
+    {"open", step_open},         {"trickle", step_trickle},
+    {"flood", step_flood},       {"quiet", step_quiet},
+    {"timeouts", step_timeouts}, {"sip", step_sip},
+    {"dropped", step_dropped},
 };
 
 /* ---- cases -------------------------------------------------------------------- */
@@ -514,6 +584,34 @@
     {"the limit of a head is lowered for the next request",
      "connect;send get;answer 10;read 200;config 1 head=500;send head 1000;"
      "read 431;end 1000"},
+    {"the last answer is taken for longer than a short idle timeout",
+     "connect 4096;send get;config 1 idle_ms=300;answer 16000000;wait 1000;"
+     "read 200;end 1000"},
+    {"the last answer is taken for longer than the idle timeout",
+     "config 1 idle_ms=1300;connect 4096;send get-and-close;answer 16000000;"
+     "wait 1800;read 200;end 1000"},
+    {"a connection whose answer is being taken is not idle",
+     "config 1 idle_ms=1300;connect 4096;send get;answer 16000000;wait 1800;"
+     "read 200;wait 1000;send get;answer 10;read 200"},
+    {"the idle time begins when the answer was taken",
+     "config 1 idle_ms=1300;connect 4096;send get;answer 16000000;wait 900;"
+     "read 200;open 800;send get;answer 10;read 200"},
+    {"an answer that is taken slowly",
+     "timeouts 3000 1000;connect 4096;send get;answer 16000000;sip 30 50000 "
+     "100;read 200"},
+    {"an answer that only the kernel holds is taken slowly",
+     "timeouts 3000 1000;connect 4096;send get;answer 1500000;"
+     "sip 40 4000 50;read 200;send get;answer 10;read 200"},
+    {"the last answer is taken slowly",
+     "timeouts 3000 1000;connect 4096;send get-and-close;answer 16000000;sip "
+     "30 50000 100;"
+     "read 200;end 1000"},
+    {"an answer of which nothing is taken",
+     "timeouts 3000 1000;connect 4096;send get;answer 16000000;dropped 1000 "
+     "2000"},
+    {"a last answer of which nothing is taken",
+     "timeouts 3000 1000;connect 4096;send get-and-close;answer "
+     "16000000;dropped 1000 2000"},
     {"a planned stop does not wait for a caller that was refused",
      "connect;send no-request;wait 50;quiet;read 400;end 500"},
 };
@@ -521,16 +619,12 @@
 static void
 test_case(gconstpointer data)
 {
-    Fixture fixture = {
-        .loop = KcLoop_Create(), .caller = -1, .received = g_string_new(NULL)};
+    Fixture fixture = {.loop = KcLoop_Create(),
+                       .silence_timeout = 3 * KC_SECOND,
+                       .stall_timeout = 3 * KC_SECOND,
+                       .caller = -1,
+                       .received = g_string_new(NULL)};
     KcGatewayOptions options;
-    KcGatewayFrontEndOptions front_end_options = {
-        .loop = fixture.loop,
-        .address = fixture.address,
-        .dialect = KcPlatform_Current.dialect,
-        .counters = &fixture.counters,
-        .connections_max = 1,
-        .silence_timeout = 3 * KC_SECOND};
 
     KcGatewayOptions_Init(&options);
     options.ops = &gateway_ops;
@@ -543,13 +637,6 @@
     fixture.gateway = KcGateway_Create(&options);
     add_server(&fixture);
     Steps_Run(&fixture, handlers, 1, "config 0");
-    front_end_options.gateway = fixture.gateway;
-    for (int port = 22000; port < 23000 && fixture.front_end == NULL; port++) {
-        snprintf(fixture.address, sizeof(fixture.address), "127.0.0.1:%d",
-                 port);
-        fixture.front_end = KcGatewayFrontEnd_Create(&front_end_options);
-    }
-    g_assert_nonnull(fixture.front_end);
     Steps_Run(&fixture, handlers, G_N_ELEMENTS(handlers),
               cases[GPOINTER_TO_SIZE(data)].steps);
     close(fixture.caller);
--- a/tests/request/test_gateway_front_end.c
+++ b/tests/request/test_gateway_front_end.c
@@ -135,7 +135,8 @@
                            .body_bytes_max = 1000,
                            .header_timeout = KC_SECOND * 60,
                            .idle_timeout = KC_SECOND * 60},
-        .silence_timeout = KC_SECOND * 60};
+        .silence_timeout = KC_SECOND * 60,
+        .stall_timeout = KC_SECOND * 60};
     KcTimer check_timer;
     KcTimer guard_timer;
 
