--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -81,6 +81,7 @@
  * garbage and mute are drawn for each event of a stream. */
 static RawKnob knobs[] = {
     {"work_ms", 5},     /* time to an answer, or between two events */
+    {"event_bytes", 0}, /* further bytes of each event of a stream */
     {"load_ms", 30},    /* time to load an adapter */
     {"places", 8},      /* concurrency limit; requests beyond it aren't run */
     {"error", 0},       /* percent of plain requests run and answered 500 */
@@ -371,15 +372,22 @@
 static void
 write_event(RawConnection *connection, int64_t number)
 {
-    char event[128];
-    char chunk[160];
-    int size = snprintf(event, sizeof(event),
-                        "id: %" PRId64 "\ndata: piece %" PRId64 "\n\n", number,
-                        number);
-    int total =
-        snprintf(chunk, sizeof(chunk), "%x\r\n%s\r\n", (unsigned)size, event);
-
-    RawConnection_Write(connection, chunk, (size_t)total);
+    char start[128];
+    char chunk_size[32];
+    size_t padding_size = (size_t)RawServer_GetKnob(&server, "event_bytes");
+    char *padding = KcMem_New(padding_size + 1);
+    int size =
+        snprintf(start, sizeof(start), "id: %" PRId64 "\ndata: piece %" PRId64,
+                 number, number);
+    int digits = snprintf(chunk_size, sizeof(chunk_size), "%zx\r\n",
+                          (size_t)size + padding_size + 2);
+
+    memset(padding, ' ', padding_size);
+    RawConnection_Write(connection, chunk_size, (size_t)digits);
+    RawConnection_Write(connection, start, (size_t)size);
+    RawConnection_Write(connection, padding, padding_size);
+    RawConnection_Write(connection, "\n\n\r\n", 4);
+    free(padding);
 }
 
 /* Writes the next event of a stream, or its end. */
