--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -135,13 +135,6 @@
     free(connection);
 }
 
-static void
-start_timer(CallerConnection *connection, KcTime delay)
-{
-    KcTimers_Set(connection->front_end->options.loop->timers,
-                 &connection->timer, KcLoop_Now() + delay);
-}
-
 /* Limits the time for the next part of a request. */
 static void
 start_receipt_timer(CallerConnection *connection, KcTime delay)
