Read from connections to servers again when they are pooled

What callers saw: after a caller had been slow to read the end of a long stream, the next request on the same connection to that worker got no answer: 504 at its deadline, or a move, and the worker was taken to be silent, although it had answered.

Cause: the bytes that led the gateway to pause reading may contain the end of the answer. The attempt is over then, nobody resumes reading, and the connection goes into the pool and to the next request as it is.

The new table of test_http_call fails without chance: "a pause that the end of the answer does not end", code -16 (deadline exceeded) of the second call.

--- a/programs/connection/http_connection_pool.c
+++ b/programs/connection/http_connection_pool.c
@@ -188,6 +188,8 @@
     pool->idle_count++;
     KcHttpConnection_SetOwner(connection, &idle_ops, idle);
     KcHttpConnection_ReadNextMessage(connection);
+    /* The end of a response may come with the bytes that led to a pause. */
+    KcHttpConnection_SetReadPaused(connection, false);
     if (pool->idle_count > IDLE_CONNECTIONS_MAX) {
         close_idle_connection(
             TAILQ_LAST(&pool->idle_connections, IdleConnectionList));
--- a/tests/daemons/test_slow_reader.c
+++ b/tests/daemons/test_slow_reader.c
@@ -25,10 +25,11 @@
     const char *name;
     const char *path;
     int unread_ms; /* from the request on */
+    int count;     /* streams, one after the other */
 } cases[] = {
-    {"read at once", "/resume/x", 0},
-    {"a stream that may be resumed", "/resume/x", 2500},
-    {"a stream that may not be resumed", "/stream/x", 2500},
+    {"a stream read at once", "/resume/x", 0, 1},
+    {"streams that may be resumed", "/resume/x", 2500, 2},
+    {"streams that may not be resumed", "/stream/x", 2500, 2},
 };
 
 static GatewayCluster *cluster;
@@ -88,14 +89,13 @@
 }
 
 static void
-test_case(gconstpointer data)
+test_stream(size_t index, int number)
 {
-    size_t index = GPOINTER_TO_SIZE(data);
-    char *id = g_strdup_printf("slow%zu", index);
+    char *id = g_strdup_printf("slow%zu-%d", index, number);
     GString *answer = call(cases[index].path, id, cases[index].unread_ms);
     const char *event = answer->str;
 
-    g_test_message("%zu bytes", answer->len);
+    g_test_message("%zu bytes: %.200s", answer->len, answer->str);
     for (int i = 0; i < STREAM_EVENTS; i++) {
         char *start = g_strdup_printf("id: %d\ndata: piece %d ", i, i);
 
@@ -109,6 +109,16 @@
     g_free(id);
 }
 
+static void
+test_case(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+
+    for (int i = 0; i < cases[index].count; i++) {
+        test_stream(index, i);
+    }
+}
+
 /* Waits until a stream is served, and makes the events large. */
 static void
 prepare_workers(void)
--- a/tests/request/test_http_call.c
+++ b/tests/request/test_http_call.c
@@ -1,11 +1,18 @@
 /*
- * Tests of HTTP calls that cannot be started: the callback gets no answer
- * (status 0) exactly once, and only after KcHttpCall_Fetch() has returned.
+ * Tests of HTTP calls.  One that cannot be started: the callback gets no
+ * answer (status 0) exactly once, and only after KcHttpCall_Fetch() has
+ * returned.  One whose reading is paused: it and the next call on its
+ * connection get the whole answer.
  */
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
 #include <glib.h>
+#include <stdio.h>
 #include <string.h>
 
+#include "../../programs/connection/socket.h"
 #include "../../programs/request/http_call.h"
+#include "../steps.h"
 
 typedef struct CallRecord {
     KcLoop *loop;
@@ -75,10 +82,168 @@
     }
 }
 
+/* ---- paused reading ------------------------------------------------------ */
+
+#define ANSWER "HTTP/1.1 200 -\r\nContent-Length: 3\r\n\r\nabc"
+#define ANSWER_SIZE (sizeof(ANSWER) - 1)
+#define REST_DELAY (20 * KC_MS)
+#define PROGRESS_TIMEOUT (300 * KC_MS)
+#define CALL_COUNT 2
+
+/* A server with one connection, and calls to it, one after the other. */
+typedef struct PauseFixture {
+    size_t index; /* of the case */
+    KcLoop *loop;
+    KcHttpConnectionPool *pool;
+    char address[32];
+    struct evconnlistener *listener;
+    struct bufferevent *server;
+    KcTimer rest_timer; /* sends the rest of the answer */
+    KcHttpCall *call;
+    KcTimer resume_timer;
+    size_t body_size; /* of the present call */
+    int done_count;
+} PauseFixture;
+
+static const struct {
+    const char *name;
+    size_t first_size;  /* bytes of the answer sent before the others */
+    KcTime paused_time; /* from the first byte of the body on; 0: not paused;
+                         * KC_NEVER: until the call ends */
+} pause_cases[] = {
+    {"no pause", ANSWER_SIZE, 0},
+    {"a pause that the end of the answer does not end", ANSWER_SIZE, KC_NEVER},
+    {"a pause shorter than the timeout", ANSWER_SIZE - 2, 100 * KC_MS},
+};
+
+static void
+on_request(struct bufferevent *bev, void *context)
+{
+    PauseFixture *fixture = context;
+    struct evbuffer *input = bufferevent_get_input(bev);
+
+    evbuffer_drain(input, evbuffer_get_length(input));
+    bufferevent_write(bev, ANSWER, pause_cases[fixture->index].first_size);
+    KcTimers_Set(fixture->loop->timers, &fixture->rest_timer,
+                 KcLoop_Now() + REST_DELAY);
+}
+
+static void
+on_rest_timer(KcTimer *timer, KcTime now)
+{
+    PauseFixture *fixture = timer->owner;
+    size_t first_size = pause_cases[fixture->index].first_size;
+
+    (void)now;
+    bufferevent_write(fixture->server, ANSWER + first_size,
+                      ANSWER_SIZE - first_size);
+}
+
+static void
+on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+          struct sockaddr *address, int size, void *context)
+{
+    PauseFixture *fixture = context;
+
+    (void)listener;
+    (void)address;
+    (void)size;
+    g_assert_null(fixture->server);
+    fixture->server =
+        bufferevent_socket_new(fixture->loop->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(fixture->server, on_request, NULL, NULL, fixture);
+    bufferevent_enable(fixture->server, EV_READ | EV_WRITE);
+}
+
+static void
+on_resume_timer(KcTimer *timer, KcTime now)
+{
+    (void)now;
+    KcHttpCall_SetReadPaused(((PauseFixture *)timer->owner)->call, false);
+}
+
+static void
+on_data(void *context, KcBytes bytes)
+{
+    PauseFixture *fixture = context;
+    KcTime paused_time = pause_cases[fixture->index].paused_time;
+
+    if (fixture->body_size == 0 && paused_time > 0) {
+        KcHttpCall_SetReadPaused(fixture->call, true);
+        KcTimers_Set(fixture->loop->timers, &fixture->resume_timer,
+                     paused_time == KC_NEVER ? KC_NEVER
+                                             : KcLoop_Now() + paused_time);
+    }
+    fixture->body_size += bytes.size;
+}
+
+static void start_call(PauseFixture *fixture);
+
+static void
+on_done(void *context, int code, bool sent)
+{
+    PauseFixture *fixture = context;
+
+    g_assert_true(sent);
+    g_assert_cmpint(code, ==, 0);
+    g_assert_cmpuint(fixture->body_size, ==, 3);
+    if (++fixture->done_count == CALL_COUNT) {
+        KcLoop_Stop(fixture->loop);
+        return;
+    }
+    start_call(fixture);
+}
+
+static void
+start_call(PauseFixture *fixture)
+{
+    static const KcHttpCallOps ops = {.on_data = on_data, .on_done = on_done};
+    KcHttpCallOptions options = {.loop = fixture->loop,
+                                 .address = fixture->address,
+                                 .method = "GET",
+                                 .path = "/",
+                                 .progress_timeout = PROGRESS_TIMEOUT,
+                                 .pool = fixture->pool,
+                                 .ops = &ops,
+                                 .context = fixture};
+
+    fixture->body_size = 0;
+    fixture->call = KcHttpCall_Start(&options);
+    g_assert_nonnull(fixture->call);
+}
+
+static void
+test_paused(gconstpointer data)
+{
+    PauseFixture fixture = {.index = GPOINTER_TO_SIZE(data),
+                            .loop = KcLoop_Create()};
+
+    fixture.pool = KcHttpConnectionPool_Create(fixture.loop);
+    KcTimer_Init(&fixture.rest_timer, on_rest_timer, &fixture);
+    KcTimer_Init(&fixture.resume_timer, on_resume_timer, &fixture);
+    for (int port = 22000; port < 23000 && fixture.listener == NULL; port++) {
+        snprintf(fixture.address, sizeof(fixture.address), "127.0.0.1:%d",
+                 port);
+        fixture.listener = KcSocket_Listen(fixture.loop->base, fixture.address,
+                                           on_accept, &fixture);
+    }
+    g_assert_nonnull(fixture.listener);
+    start_call(&fixture);
+    KcLoop_Run(fixture.loop);
+    KcTimers_Clear(fixture.loop->timers, &fixture.rest_timer);
+    KcTimers_Clear(fixture.loop->timers, &fixture.resume_timer);
+    bufferevent_free(fixture.server);
+    evconnlistener_free(fixture.listener);
+    KcHttpConnectionPool_Free(fixture.pool);
+    KcLoop_Free(fixture.loop);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/http_call/not_started", test_not_started);
+    Steps_AddCases("/http_call", pause_cases, G_N_ELEMENTS(pause_cases),
+                   sizeof(pause_cases[0]), test_paused);
     return g_test_run();
 }
