Let callers of the soak send too much, and go on after they were refused

The soak had no caller whose body is above the limit. The new habit sends all of such a body, in 16 pieces, before it reads, with a length or chunked, and must get the refusal in place of a reset, unless it needs longer than 1.9 s, which the loop of the soak can cause.

Callers also leave a connection after the time that Keep-Alive named, which they must when the loop of the soak was blocked for long.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -16,6 +16,9 @@
 /* From the end of the request, without the time in which the caller itself
  * does not read. */
 #define CALL_TIMEOUT (6 * KC_SECOND)
+/* A body that no configuration allows. */
+#define EXCESSIVE_BODY_BYTES (192 * 1024)
+#define EXCESSIVE_BODY_PIECES 16
 /* More than the kernel takes from a gateway whose caller does not read. */
 #define LONG_ANSWER_BYTES (1024 * 1024)
 #define LONG_EVENT_BYTES (320 * 1024)
@@ -31,6 +34,7 @@
     Call *call;                   /* in progress, or NULL */
     int gateway;
     bool is_last_call; /* the gateway closes the connection */
+    KcTime idle_until; /* for which the gateway keeps it, as it said */
     KcBuffer request;  /* what is not sent yet */
     int pieces_left;   /* in which it is sent */
 } Caller;
@@ -163,6 +167,29 @@
     }
 }
 
+/* Sends all of a body above the limit before it reads. */
+static void
+begin_excess(Caller *caller, const CallKind *kind)
+{
+    caller->call->is_excessive = true;
+    write_request(caller, kind, EXCESSIVE_BODY_BYTES, 0);
+    caller->pieces_left = EXCESSIVE_BODY_PIECES;
+    KcHttpConnection_SetReadPaused(caller->connection, true);
+    set_timer(&caller->habit_timer, 0);
+}
+
+static void
+continue_excess(Caller *caller)
+{
+    send_piece(caller);
+    if (caller->pieces_left > 0) {
+        set_timer(&caller->habit_timer, draw_delay(50 * KC_MS));
+    }
+    else {
+        KcHttpConnection_SetReadPaused(caller->connection, false);
+    }
+}
+
 /* Reads nothing for a while. */
 static void
 stop_reading(Caller *caller, const CallKind *kind)
@@ -188,8 +215,9 @@
     void (*begin)(Caller *caller, const CallKind *kind);
     void (*on_timer)(Caller *caller); /* the next step */
 } call_habits[] = {
-    {"sends at once", 88, send_at_once, NULL},
+    {"sends at once", 85, send_at_once, NULL},
     {"trickles", 8, begin_trickle, continue_trickle},
+    {"sends too much", 3, begin_excess, continue_excess},
     {"stops reading", 4, stop_reading, read_on},
 };
 
@@ -262,6 +290,19 @@
     begin_call(owner);
 }
 
+/* Time for which the gateway keeps the connection after its answer. */
+static KcTime
+find_idle_time(const KcHttpMessage *message)
+{
+    const char *value = KcHttpMessage_FindField(message, "Keep-Alive");
+    int64_t seconds = 0;
+
+    if (value != NULL) {
+        sscanf(value, "timeout=%" SCNd64, &seconds);
+    }
+    return seconds * KC_SECOND;
+}
+
 static void
 on_head(void *owner, const KcHttpMessage *message)
 {
@@ -275,6 +316,7 @@
     }
     caller->is_last_call =
         !message->keep_alive || KcBuffer_Size(&caller->request) > 0;
+    caller->idle_until = KcLoop_Now() + find_idle_time(message);
     caller->call->answered_at = KcLoop_Now();
     caller->call->status = message->status;
     caller->call->is_misattributed =
@@ -346,9 +388,9 @@
 {
     Caller *caller = timer->owner;
 
-    (void)now;
     if (caller->call != NULL ||
-        (caller->connection != NULL && Soak_DrawBelow(8) == 0)) {
+        (caller->connection != NULL &&
+         (Soak_DrawBelow(8) == 0 || now > caller->idle_until))) {
         if (caller->call != NULL) {
             caller->call->is_abandoned = true;
         }
--- a/tests/soak/rules.c
+++ b/tests/soak/rules.c
@@ -31,6 +31,8 @@
 #define STOP_TIME_MIN (4160 * KC_MS)
 /* Requests that are sent later in it are not excused by their worker. */
 #define STOP_ARRIVALS_TIME (3 * KC_SECOND)
+/* For which a caller may go on sending after it was refused. */
+#define EXCESS_TIME_MAX (1900 * KC_MS)
 /* A head, which comes in two pieces, has been read after it at the latest. */
 #define HEAD_TIME_MAX (700 * KC_MS)
 
@@ -305,6 +307,15 @@
              call->sent_at - stop->begins_at < STOP_ARRIVALS_TIME));
 }
 
+/* Has the caller sent for so long that the gateway, which has refused it long
+ * ago, need not wait any more? */
+static bool
+is_refused_too_long(const Call *call)
+{
+    return call->is_excessive && call->sent_at == KC_NEVER &&
+           call->ended_at - call->began_at > EXCESS_TIME_MAX;
+}
+
 /* The limits at its beginning allowed the call. */
 static bool
 is_refused_by_limits(const Call *call)
@@ -324,6 +335,9 @@
     else if (has_crossed_close(call)) {
         counts->crossed++;
     }
+    else if (is_refused_too_long(call)) {
+        counts->slow++;
+    }
     else if (has_outlasted_stop(call)) {
         counts->outlasted++;
     }
--- a/tests/soak/rules.h
+++ b/tests/soak/rules.h
@@ -20,6 +20,7 @@
     int killed;  /* their gateway was killed */
     int crossed; /* they crossed the close of a connection in a planned stop */
     int outlasted; /* not over in the time of a planned stop */
+    int slow;      /* refused, and still sending 1.9 s later */
 } RuleCounts;
 
 /* Reads the log of a worker, adds to the run counts of the calls, and reports
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -247,11 +247,12 @@
     }
     printf(
         "%d answered, %d other answers, %d without (%d by a kill, %d crossed "
-        "a close, %d outlasted a stop); "
+        "a close, %d outlasted a stop, %d too slow); "
         "%d workers left, %d waits, %d held by a pause\n",
         outcome_counts[0], outcome_counts[1], outcome_counts[2],
         rule_counts.killed, rule_counts.crossed, rule_counts.outlasted,
-        rule_counts.leavings, rule_counts.waits, rule_counts.pauses);
+        rule_counts.slow, rule_counts.leavings, rule_counts.waits,
+        rule_counts.pauses);
 }
 
 /* Waits until a gateway serves every route of the newest configuration; false
