Lower the limits of callers with each configuration of the soak

The operator's configurations now have lower and lower limits: what the latest allows was allowed by every version that a gateway may still use, so a refusal by a limit is wrong unless a version came while the head was sent.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -30,7 +30,8 @@
     KcTimer fault_timer;
     int config_version; /* latest version written */
     bool has_extra_route;
-    int adapter_version; /* latest version announced */
+    GatewayClusterLimits limits; /* of the latest version */
+    int adapter_version;         /* latest version announced */
 } Faults;
 
 static Faults faults;
@@ -272,13 +273,27 @@
         ->proxy = proxied->proxy;
 }
 
+static int
+lower_limit(int limit, int step, int min)
+{
+    return limit - step > min ? limit - step : min;
+}
+
+/* The limits only fall: what the latest version allows was allowed by every
+ * one that a gateway may still use. */
 static void
 change_config(void)
 {
     faults.has_extra_route = !faults.has_extra_route;
+    faults.limits = (GatewayClusterLimits){
+        lower_limit(faults.limits.body_bytes_max, 4096, 4096),
+        lower_limit(faults.limits.header_timeout_ms, 50, 500),
+        lower_limit(faults.limits.idle_timeout_ms, 200, 1000)};
+    History_Begin(DISTURBANCE_LIMITS, GATEWAY_CLUSTER_STORE, 0, KcLoop_Now())
+        ->ends_at = KcLoop_Now();
     printf("        configuration %d\n", ++faults.config_version);
-    GatewayCluster_WriteConfig(faults.options.cluster, faults.config_version,
-                               faults.has_extra_route);
+    GatewayCluster_WriteLimits(faults.options.cluster, faults.config_version,
+                               faults.has_extra_route, &faults.limits);
 }
 
 static void
@@ -399,6 +414,7 @@
 
     faults.options = *options;
     faults.config_version = 1;
+    faults.limits = GatewayCluster_UsualLimits;
     faults.adapter_version = 1;
     add_proxy(GATEWAY_CLUSTER_STORE, 0);
     for (int i = 0; i < workers && i < PROXIED_WORKERS_MAX; i++) {
@@ -419,7 +435,7 @@
 const GatewayClusterLimits *
 Faults_GetLimits(void)
 {
-    return &GatewayCluster_UsualLimits;
+    return &faults.limits;
 }
 
 void
