Keep a request at its silent server until another one's answer begins

What callers saw: a request that may be repeated leaves a silent server, which is sound, for one that refuses it; no other has a place, and when its caller is about to leave the request fails with 502.

Cause: the first place was given up when another server was expected to take the request. What that rests on is some hundred milliseconds old, and a server that closes says so only in its refusal.

Why this works: the attempt at the silent server stays while another one is made, and the first answer to begin (the head of a stream, a whole answer) ends the others at once. A refusal or a loss ends only its own attempt. For this an attempt has a type of its own, KcForwardAttempt, in an intrusive list of the request, and each report names the attempt it is about. Attempts in progress count against attempts_max, each further one takes from the retry budget when it starts, and a server with an attempt is not chosen again. Servers that refused meanwhile are asked again after 400 ms, as those of a request in the queue. An answer that has begun moves as before, after 2 s of silence and with its attempt cancelled first: no two servers go on with one stream.

The check "was sent twice at a time" of the plays forbade what is now meant. It still holds for requests that may not be repeated and for answers that have begun. In its place there are three: no other attempt is open once the gateway has read a stream's head, two servers work on a stream for 400 ms at the most, and no request runs more often than its route allows, which nothing checked.

--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -19,7 +19,8 @@
 /* Least time between load requests for an adapter whose requests are to leave
  * their server. */
 #define MOVE_LOAD_INTERVAL (500 * KC_MS)
-/* Interval at which a place is sought again for a request that is kept. */
+/* Interval at which servers that refused a request that is kept, or one that
+ * another server may still answer, are asked again. */
 #define RESUME_RETRY_INTERVAL (400 * KC_MS)
 /* Queued requests for which a server is sought when capacity may be free,
  * besides those that are kept, which the retry budget limits. */
@@ -86,6 +87,13 @@
 bool
 KcForward_HasTried(const KcForward *forward, const KcServer *server)
 {
+    const KcForwardAttempt *attempt;
+
+    TAILQ_FOREACH (attempt, &forward->attempts, link) {
+        if (attempt->server == server) {
+            return true;
+        }
+    }
     for (uint32_t i = 0; i < forward->tried_count; i++) {
         if (forward->tried_servers[i] == server) {
             return true;
@@ -101,6 +109,7 @@
     KcGateway *gateway = forward->gateway;
     const KcGatewayOptions *options = &gateway->options;
     KcServer *server = choice->server;
+    KcForwardAttempt *attempt = KcMem_New(sizeof(*attempt));
     KcAttemptParams params = {.server = server,
                               .time_left = forward->deadline - now,
                               .priority = forward->rule->priority,
@@ -115,7 +124,11 @@
         params.version = choice->replica->version;
     }
     KcForward_LeaveWaitList(forward);
-    forward->has_first_event = false;
+    attempt->forward = forward;
+    attempt->server = server;
+    attempt->replica = choice->replica;
+    attempt->started_at = now;
+    TAILQ_INSERT_TAIL(&forward->attempts, attempt, link);
     forward->state = KC_FORWARD_SENT;
     forward->server = server;
     forward->attempt_started_at = now;
@@ -128,7 +141,6 @@
     server->in_flight++;
     server->in_flight_tokens += forward->tokens_max;
     KcServer_BeginTrial(server, forward);
-    forward->replica = choice->replica;
     if (choice->replica != NULL) {
         KcReplica_BeginUse(gateway, choice->replica);
     }
@@ -137,11 +149,10 @@
         KcCounters_Add(options->counters, KC_COUNT_REMOTE_ATTEMPTS, 1);
     }
     KcForward_SetSilenceTimer(forward);
-    forward->attempt =
-        options->ops->start_attempt(options->context, forward, &params);
-    if (forward->attempt == NULL) {
-        forward->attempt = forward; /* else it would not be released */
-        KcForward_ReleaseServer(forward);
+    attempt->handle =
+        options->ops->start_attempt(options->context, attempt, &params);
+    if (attempt->handle == NULL) {
+        KcForwardAttempt_Release(attempt);
         return false;
     }
     return true;
@@ -335,29 +346,57 @@
     }
 }
 
-bool
-KcForward_CanMove(KcForward *forward, KcTime now)
+/* Chooses a server besides those of the attempts in progress; false when none
+ * is likely to take the request at once. */
+static bool
+choose_other(KcForward *forward, KcTime now, KcChoice *choice)
 {
-    uint32_t tried_count = forward->tried_count;
     KcServer *load_server;
-    KcChoice choice;
 
-    if (tried_count == KC_FORWARD_TRIED_MAX) {
+    if (forward->refused_at != 0 &&
+        now >= forward->refused_at + RESUME_RETRY_INTERVAL) {
+        forward->refused_at = 0;
+        forward->tried_count = 0;
+    }
+    if (forward->tried_count == KC_FORWARD_TRIED_MAX) {
         return false;
     }
-    KcForward_NoteTried(forward, forward->server);
-    KcGateway_Choose(forward, now, &choice);
-    forward->tried_count = tried_count;
-    load_server = choice.action == KC_CHOICE_LOAD ? choice.server
-                                                  : choice.new_replica_server;
+    KcGateway_Choose(forward, now, choice);
+    load_server = choice->action == KC_CHOICE_LOAD
+                      ? choice->server
+                      : choice->new_replica_server;
     if (load_server != NULL &&
         now - forward->adapter->load_requested_at >= MOVE_LOAD_INTERVAL) {
         send_load_request(forward, load_server, now);
     }
     /* A server that asked to wait may refuse its first request after that. */
-    return choice.action == KC_CHOICE_SEND &&
-           choice.server->closed_until == 0 &&
-           !KcServer_IsFailing(choice.server, now);
+    return choice->action == KC_CHOICE_SEND &&
+           choice->server->closed_until == 0 &&
+           !KcServer_IsFailing(choice->server, now);
+}
+
+bool
+KcForward_CanMove(KcForward *forward, KcTime now)
+{
+    KcChoice choice;
+
+    return choose_other(forward, now, &choice);
+}
+
+bool
+KcForward_TryElsewhere(KcForward *forward, KcTime now)
+{
+    KcChoice choice;
+
+    if (!KcRetryBudget_CanTake(&forward->pool->retry_budget) ||
+        !choose_other(forward, now, &choice)) {
+        return false;
+    }
+    if (!begin_attempt(forward, &choice, now)) {
+        KcForward_NoteTried(forward, choice.server);
+        return false;
+    }
+    return KcRetryBudget_Take(&forward->pool->retry_budget);
 }
 
 /* Dispatches a queued request, or decides again how long it waits. */
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -15,35 +15,34 @@
 /* ---- ends ---------------------------------------------------------------- */
 
 void
-KcForward_ReleaseServer(KcForward *forward)
+KcForwardAttempt_Release(KcForwardAttempt *attempt)
 {
-    KcServer *server = forward->server;
+    KcForward *forward = attempt->forward;
+    KcServer *server = attempt->server;
 
-    if (forward->attempt == NULL) {
-        return;
+    TAILQ_REMOVE(&forward->attempts, attempt, link);
+    if (!TAILQ_EMPTY(&forward->attempts)) {
+        forward->server =
+            TAILQ_LAST(&forward->attempts, KcForwardAttemptList)->server;
     }
-    forward->attempt = NULL;
     KcServer_EndTrial(server, forward);
     assert(server->in_flight > 0 &&
            server->in_flight_tokens >= forward->tokens_max);
     server->in_flight--;
     server->in_flight_tokens -= forward->tokens_max;
-    if (forward->replica != NULL) {
-        KcReplica_EndUse(forward->gateway, forward->replica);
-        forward->replica = NULL;
+    if (attempt->replica != NULL) {
+        KcReplica_EndUse(forward->gateway, attempt->replica);
     }
+    free(attempt);
 }
 
 void
-KcForward_CancelAttempt(KcForward *forward)
+KcForwardAttempt_Cancel(KcForwardAttempt *attempt)
 {
-    KcGateway *gateway = forward->gateway;
+    const KcGatewayOptions *options = &attempt->forward->gateway->options;
 
-    if (forward->attempt != NULL) {
-        gateway->options.ops->cancel_attempt(gateway->options.context,
-                                             forward->attempt);
-        KcForward_ReleaseServer(forward);
-    }
+    options->ops->cancel_attempt(options->context, attempt->handle);
+    KcForwardAttempt_Release(attempt);
 }
 
 /* Adds the request's times to the histograms of the metrics. */
@@ -77,11 +76,14 @@
                               .status = status,
                               .error = error,
                               .ended_at = now};
+    KcForwardAttempt *attempt;
 
     gateway->options.ops->record_request(gateway->options.context, &record);
     record_times(forward, now);
     KcForward_LeaveWaitList(forward);
-    KcForward_CancelAttempt(forward);
+    while ((attempt = TAILQ_FIRST(&forward->attempts)) != NULL) {
+        KcForwardAttempt_Cancel(attempt);
+    }
     KcTimers_Clear(gateway->options.timers, &forward->timer);
     TAILQ_REMOVE(&gateway->forwards, forward, link);
     gateway->in_flight--;
@@ -143,7 +145,8 @@
     KcError_Set(&forward->error, code, step,
                 forward->server != NULL ? forward->server->id : "");
     KcForward_FinishFailed(
-        forward, forward->may_have_run || forward->attempt != NULL, now);
+        forward, forward->may_have_run || !TAILQ_EMPTY(&forward->attempts),
+        now);
 }
 
 /* ---- arrival ------------------------------------------------------------- */
@@ -185,6 +188,7 @@
         (rule->kind == KC_REQUEST_KIND_STREAM && rule->resumable);
     forward->has_last_event = call->has_last_event;
     forward->last_event_id = call->last_event_id;
+    TAILQ_INIT(&forward->attempts);
     KcTimer_Init(&forward->timer, on_timer, forward);
     return forward;
 }
@@ -259,9 +263,10 @@
     KcForward *forward = timer->owner;
 
     if (now >= forward->deadline) {
-        KcForward_Fail(
-            forward, KC_ERR_DEADLINE_EXCEEDED,
-            forward->attempt != NULL ? "await answer" : "await place", now);
+        KcForward_Fail(forward, KC_ERR_DEADLINE_EXCEEDED,
+                       TAILQ_EMPTY(&forward->attempts) ? "await place"
+                                                       : "await answer",
+                       now);
         return;
     }
     switch (forward->state) {
@@ -272,7 +277,6 @@
         KcForward_OnLoadTimer(forward, now);
         break;
     case KC_FORWARD_SENT:
-    case KC_FORWARD_STREAMING:
         KcForward_OnSilenceTimer(forward, now);
         break;
     }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -2,9 +2,9 @@
  * The gateway's state, and the functions that its source files share.
  *
  * gateway_forward.c (requests) calls gateway_dispatch.c (seeking a server),
- * which calls gateway_choose.c (decisions), which calls gateway_cost.c (costs of
- * servers), gateway_servers.c (servers) and gateway_adapters.c (adapters and
- * their replicas).  gateway_answer.c handles the reports of attempts,
+ * which calls gateway_choose.c (decisions), which calls gateway_cost.c (costs
+ * of servers), gateway_servers.c (servers) and gateway_adapters.c (adapters
+ * and their replicas).  gateway_answer.c handles the reports of attempts,
  * gateway_silence.c attempts whose server reports nothing, gateway_notice.c
  * what servers say of themselves.
  */
@@ -169,9 +169,13 @@
 /* True when a request that has an attempt could be sent to another server at
  * once.  If it needs its adapter there, a load is requested. */
 bool KcForward_CanMove(KcForward *forward, KcTime now);
+/* Starts a further attempt at that server, and takes it from the retry budget;
+ * false when that is impossible. */
+bool KcForward_TryElsewhere(KcForward *forward, KcTime now);
 /* Is the request kept for as long as its caller waits, also without a server?
  * So is an answer that has begun, as only this gateway can resume it, and a
- * request that left a silent server, as that could still have answered. */
+ * request that was tried elsewhere for its server's silence, as that server
+ * could still have answered. */
 bool KcForward_IsKept(const KcForward *forward);
 /* Queues a request whose attempt was refused, or fails it when it has waited
  * too long. */
@@ -198,16 +202,17 @@
  * adapter. */
 void KcForward_OnQueueTimer(KcForward *forward, KcTime now);
 void KcForward_OnLoadTimer(KcForward *forward, KcTime now);
-/* Excludes the server from further attempts for this request. */
+/* Excludes the server from further attempts for this request, as are those of
+ * the attempts in progress. */
 void KcForward_NoteTried(KcForward *forward, KcServer *server);
 bool KcForward_HasTried(const KcForward *forward, const KcServer *server);
 
 /* ---- requests (gateway_forward.c) ---------------------------------------- */
 
-/* Ends the attempt's use of its server and its replica. */
-void KcForward_ReleaseServer(KcForward *forward);
-/* Cancels the attempt in progress, if any. */
-void KcForward_CancelAttempt(KcForward *forward);
+/* Ends the attempt's use of its server and its replica, and frees it. */
+void KcForwardAttempt_Release(KcForwardAttempt *attempt);
+/* Cancels the attempt and frees it. */
+void KcForwardAttempt_Cancel(KcForwardAttempt *attempt);
 /* End the request and free it: with a complete answer, with forward->error, or
  * with this error; step is where it failed, static text. */
 void KcForward_FinishAnswered(KcForward *forward, int status, KcTime now);
@@ -234,9 +239,15 @@
  * events it may have should have ended: its server sent wrong ones. */
 bool KcForward_CanContinue(const KcForward *forward);
 
-/* Ends an attempt without a complete answer: retries, or fails the request.
- * step is where it failed, static text. */
-void KcForward_RetryOrFinish(KcForward *forward, KcAttemptEnd end, int code,
+/* Ends an attempt without a complete answer: goes on with the others, retries,
+ * or fails the request.  step is where it failed, static text. */
+void KcForwardAttempt_RetryOrFinish(KcForwardAttempt *attempt,
+                                    KcAttemptEnd end, int code,
+                                    const char *step, KcTime now);
+/* Cancels an attempt, which may have run, and does the same. */
+void KcForwardAttempt_GiveUp(KcForwardAttempt *attempt, int code,
                              const char *step, KcTime now);
+/* Gives an attempt up for the silence of its server. */
+void KcForwardAttempt_GiveUpSilent(KcForwardAttempt *attempt, KcTime now);
 
 #endif
--- a/lib/process/gateway_notice.c
+++ b/lib/process/gateway_notice.c
@@ -25,15 +25,15 @@
 }
 
 int
-KcForward_CheckSend(const KcForward *forward, KcTime now)
+KcForwardAttempt_CheckSend(const KcForwardAttempt *attempt, KcTime now)
 {
-    const KcServer *server = forward->server;
+    const KcServer *server = attempt->server;
 
     if (KcServer_IsLeaving(server)) {
         return KC_ERR_LEAVING;
     }
-    return server->closed_until > now ||
-                   (server->closed_until != 0 && server->trial != forward)
+    return server->closed_until > now || (server->closed_until != 0 &&
+                                          server->trial != attempt->forward)
                ? KC_ERR_BUSY
                : 0;
 }
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -1,8 +1,11 @@
 /*
  * Attempts whose server is silent.
  *
- * A request that may be repeated is retried at another server, once there is
- * one that takes it: the silent one may still answer.  A stream is
+ * A request that may be repeated is tried at another server too: the silent
+ * one may still answer, and the other one refuse, so the attempt there is
+ * given up only when the other one's answer begins.  An answer that has begun
+ * goes on elsewhere only once its server is taken to be lost, which ends the
+ * attempt there first: no two servers work on the same rest.  A stream is
  * ended shortly before its caller would time out, if its server is taken to be
  * lost: otherwise a frozen server would keep the work of callers that have
  * disconnected.
@@ -35,26 +38,33 @@
     return forward->rule->kind == KC_REQUEST_KIND_STREAM;
 }
 
-/* When the request should be retried at another server. */
+static const KcForwardAttempt *
+newest_attempt(const KcForward *forward)
+{
+    return TAILQ_LAST(&forward->attempts, KcForwardAttemptList);
+}
+
+/* When the request should be tried at another server. */
 static KcTime
 retry_at(const KcForward *forward)
 {
     const KcRouteRule *rule = forward->rule;
+    const KcForwardAttempt *newest = newest_attempt(forward);
 
     if (!forward->repeatable) {
         return forward->deadline;
     }
     if (forward->answer_begun && rule->event_interval_max > 0) {
-        KcTime since = forward->last_event_at > forward->attempt_started_at
+        KcTime since = forward->last_event_at > newest->started_at
                            ? forward->last_event_at
-                           : forward->attempt_started_at;
+                           : newest->started_at;
         KcTime timeout = EVENT_TIMEOUT_INTERVALS * rule->event_interval_max;
 
         /* It is late by then, so that nothing is won by less. */
         return since +
                (timeout > LOST_SILENCE_MIN ? timeout : LOST_SILENCE_MIN);
     }
-    return forward->attempt_started_at +
+    return newest->started_at +
            rule->latency_objective * FIRST_BYTE_TIMEOUT_PERCENT / 100;
 }
 
@@ -94,30 +104,19 @@
     set_timer(forward, 0);
 }
 
-/* Cancels the attempt, which may have run; retries or fails the request. */
-static void
-cancel_silent_attempt(KcForward *forward, KcTime now)
-{
-    const char *step =
-        forward->state == KC_FORWARD_STREAMING ? "next event" : "first byte";
-
-    forward->server_silence = KcServer_Silence(forward->server, now);
-    KcCounters_Add(forward->gateway->options.counters,
-                   KC_COUNT_SILENT_ATTEMPTS, 1);
-    KcForward_CancelAttempt(forward);
-    forward->was_moved = true;
-    KcForward_RetryOrFinish(forward, KC_ATTEMPT_LOST, KC_ERR_DEADLINE_EXCEEDED,
-                            step, now);
-}
-
 static bool
-can_retry(KcForward *forward, KcTime now)
+may_run_again(const KcForward *forward)
 {
+    const KcForwardAttempt *attempt;
+    uint32_t runs = forward->possible_runs;
+
+    TAILQ_FOREACH (attempt, &forward->attempts, link) {
+        runs++;
+    }
     return forward->repeatable &&
            (!forward->answer_begun || KcForward_CanContinue(forward)) &&
-           forward->possible_runs + 1 < forward->rule->attempts_max &&
-           KcRetryBudget_CanTake(&forward->pool->retry_budget) &&
-           KcForward_CanMove(forward, now);
+           runs < forward->rule->attempts_max &&
+           KcRetryBudget_CanTake(&forward->pool->retry_budget);
 }
 
 /* Time since the server's last byte or its last answer to a check; negative
@@ -132,34 +131,100 @@
 }
 
 static bool
-should_move(KcForward *forward, KcTime now)
+should_try_elsewhere(const KcForward *forward, KcTime now)
 {
     /* A stream may wait for its turn at a server that serves others. */
-    bool is_silent =
-        !is_stream(forward) || KcServer_IsSilent(forward->server, now);
+    bool is_silent = !is_stream(forward) ||
+                     KcServer_IsSilent(newest_attempt(forward)->server, now);
 
-    return is_silent && now >= retry_at(forward) && can_retry(forward, now);
+    return is_silent && now >= retry_at(forward) && may_run_again(forward);
 }
 
-void
-KcForward_OnSilenceTimer(KcForward *forward, KcTime now)
+/* Tries another server too, once there is one that may take the request. */
+static void
+try_elsewhere(KcForward *forward, KcTime now)
 {
-    const KcGatewayOptions *options = &forward->gateway->options;
     KcServer *server = forward->server;
-    KcTime silence = time_without_sign(server, now);
 
+    if (!should_try_elsewhere(forward, now) ||
+        !KcForward_TryElsewhere(forward, now)) {
+        return;
+    }
+    forward->server_silence = KcServer_Silence(server, now);
+    forward->was_moved = true;
+}
+
+/* Is every server with an attempt of the request taken to be lost? */
+static bool
+are_servers_lost(const KcForward *forward, KcTime now)
+{
+    const KcForwardAttempt *attempt;
+
+    TAILQ_FOREACH (attempt, &forward->attempts, link) {
+        if (time_without_sign(attempt->server, now) < LOST_SILENCE_MIN) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* Must the attempts be given up, at the end or to go on elsewhere? */
+static bool
+should_leave(KcForward *forward, KcTime now)
+{
+    if (now >= KcForward_EndStreamAt(forward) &&
+        are_servers_lost(forward, now)) {
+        return true;
+    }
+    return forward->answer_begun && should_try_elsewhere(forward, now) &&
+           KcForward_CanMove(forward, now);
+}
+
+/* Gives up all attempts; retries or fails the request. */
+static void
+leave_servers(KcForward *forward, KcTime now)
+{
+    bool is_last = false;
+
+    forward->was_moved = true;
+    while (!is_last) {
+        KcForwardAttempt *attempt = TAILQ_FIRST(&forward->attempts);
+
+        is_last = TAILQ_NEXT(attempt, link) == NULL;
+        KcForwardAttempt_GiveUpSilent(attempt, now);
+    }
+}
+
+/* Asks the silent servers for a sign of life. */
+static void
+check_servers(const KcForward *forward, KcTime now)
+{
+    const KcGatewayOptions *options = &forward->gateway->options;
+    const KcForwardAttempt *attempt;
+
+    TAILQ_FOREACH (attempt, &forward->attempts, link) {
+        if (time_without_sign(attempt->server, now) >= CHECK_SILENCE_MIN) {
+            options->ops->check_server(options->context, attempt->server);
+        }
+    }
+}
+
+void
+KcForward_OnSilenceTimer(KcForward *forward, KcTime now)
+{
     if (KcGateway_HasPaused(forward->gateway, now)) {
         set_timer(forward, now + SILENCE_CHECK_INTERVAL);
         return;
     }
-    if (should_move(forward, now) || (silence >= LOST_SILENCE_MIN &&
-                                      now >= KcForward_EndStreamAt(forward))) {
-        cancel_silent_attempt(forward, now);
+    if (should_leave(forward, now)) {
+        leave_servers(forward, now);
         return;
     }
-    if (is_stream(forward) && silence >= CHECK_SILENCE_MIN &&
-        now >= check_server_at(forward)) {
-        options->ops->check_server(options->context, server);
+    if (!forward->answer_begun) {
+        try_elsewhere(forward, now);
+    }
+    if (is_stream(forward) && now >= check_server_at(forward)) {
+        check_servers(forward, now);
     }
     set_timer(forward, now + SILENCE_CHECK_INTERVAL);
 }
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -238,10 +238,10 @@
 typedef struct KcGatewayOps {
     /* Starts an attempt and returns its handle, NULL when it cannot be
      * started; reports nothing before it returns. */
-    void *(*start_attempt)(void *context, KcForward *forward,
+    void *(*start_attempt)(void *context, KcForwardAttempt *attempt,
                            const KcAttemptParams *params);
     /* Ends an attempt, which reports nothing afterwards. */
-    void (*cancel_attempt)(void *context, void *attempt);
+    void (*cancel_attempt)(void *context, void *handle);
     /* Sends a load request; false when the keeper cannot be reached. */
     bool (*request_load)(void *context, const KcLoadRequest *request);
     /* Asks a silent server for a sign of life; nothing happens while an
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -4,6 +4,10 @@
  *
  * Part 1 is what the front end submits, part 2 what it gets back, part 3 an
  * attempt at a backend server and its reports, part 4 the request's state.
+ *
+ * A request that may be repeated may have further attempts in progress while
+ * its server is silent.  The first answer to begin is the request's, and ends
+ * the others.
  */
 #ifndef KCC_FORWARD_H
 #define KCC_FORWARD_H
@@ -16,6 +20,7 @@
 struct KcServer;
 struct KcAdapterState;
 typedef struct KcForward KcForward;
+typedef struct KcForwardAttempt KcForwardAttempt;
 
 /* Size of the id that a caller gives its request, with its NUL. */
 #define KC_CALLER_ID_MAX 72
@@ -88,20 +93,36 @@
     KcBytes body;        /* the whole body; empty for a stream */
 } KcReply;
 
+/* An attempt in progress; the gateway owns it, and frees it when it ends. */
+struct KcForwardAttempt {
+    TAILQ_ENTRY(KcForwardAttempt) link; /* KcForward.attempts */
+    KcForward *forward;
+    struct KcServer *server;
+    struct KcReplica *replica; /* that it uses; NULL without a model */
+    void *handle; /* of KcGatewayOps.start_attempt; NULL: not started yet */
+    KcTime started_at;
+    const void *stream_head; /* KcReply.head of its stream; NULL: not begun */
+    bool has_first_event;    /* an event of its stream has arrived */
+};
+
+/* In the order of their start. */
+TAILQ_HEAD(KcForwardAttemptList, KcForwardAttempt);
+
 /* The complete answer, not a stream, has arrived; ends the attempt. */
-void KcForward_OnReply(KcForward *forward, const KcReply *reply, KcTime now);
+void KcForwardAttempt_OnReply(KcForwardAttempt *attempt, const KcReply *reply,
+                              KcTime now);
 
 /* The head of a stream has arrived; reply->head must stay valid until the
  * attempt ends. */
-void KcForward_OnStreamBegin(KcForward *forward, const KcReply *reply,
-                             KcTime now);
+void KcForwardAttempt_OnStreamBegin(KcForwardAttempt *attempt,
+                                    const KcReply *reply, KcTime now);
 
 /* One whole event of the stream has arrived; comments have no id. */
-void KcForward_OnStreamEvent(KcForward *forward, bool has_id, uint64_t id,
-                             KcBytes bytes, KcTime now);
+void KcForwardAttempt_OnStreamEvent(KcForwardAttempt *attempt, bool has_id,
+                                    uint64_t id, KcBytes bytes, KcTime now);
 
 /* The stream is complete; ends the attempt. */
-void KcForward_OnStreamEnd(KcForward *forward, KcTime now);
+void KcForwardAttempt_OnStreamEnd(KcForwardAttempt *attempt, KcTime now);
 
 /*
  * To be called before the request is written to a connection that was not yet
@@ -109,11 +130,11 @@
  * when the server has said meanwhile that it takes no requests: the attempt
  * must then be ended as KC_ATTEMPT_NEVER_SENT with that code.
  */
-int KcForward_CheckSend(const KcForward *forward, KcTime now);
+int KcForwardAttempt_CheckSend(const KcForwardAttempt *attempt, KcTime now);
 
 /* The attempt failed: how far it came, and a KcErrorCode.  Ends it. */
-void KcForward_OnAttemptFailed(KcForward *forward, KcAttemptEnd end, int code,
-                               KcTime now);
+void KcForwardAttempt_OnFailed(KcForwardAttempt *attempt, KcAttemptEnd end,
+                               int code, KcTime now);
 
 /* The caller has gone: ends the request without any report; the pointer is
  * not valid afterwards. */
@@ -124,8 +145,7 @@
 typedef enum KcForwardState {
     KC_FORWARD_QUEUED = 0, /* waits for a server with free capacity */
     KC_FORWARD_LOADING,    /* waits for its adapter to be loaded */
-    KC_FORWARD_SENT,       /* an attempt is in progress, no stream yet */
-    KC_FORWARD_STREAMING   /* the head of a stream has arrived */
+    KC_FORWARD_SENT        /* attempts are in progress */
 } KcForwardState;
 
 /* Most backend servers that are tried for one request. */
@@ -147,36 +167,35 @@
                                      * or the service has no engine */
     char id[KC_CALLER_ID_MAX];
     KcTime arrived_at;
-    KcTime deadline;           /* the request has ended by then */
-    uint64_t tokens_max;       /* of the prompt and the longest answer */
-    uint64_t events_max;       /* as KcForwardCall.answer_events_max */
-    uint64_t event_count;      /* numbered events passed on to the caller */
-    bool repeatable;           /* may run more than once */
-    bool in_wait_list;         /* linked by wait_link */
-    struct KcServer *server;   /* of the last attempt; while LOADING, the one
-                                * that loads the adapter */
-    struct KcReplica *replica; /* used by the attempt; may be NULL */
-    void *attempt; /* handle of the attempt in progress; NULL: none */
+    KcTime deadline;         /* the request has ended by then */
+    uint64_t tokens_max;     /* of the prompt and the longest answer */
+    uint64_t events_max;     /* as KcForwardCall.answer_events_max */
+    uint64_t event_count;    /* numbered events passed on to the caller */
+    bool repeatable;         /* may run more than once */
+    bool in_wait_list;       /* linked by wait_link */
+    struct KcServer *server; /* of the last attempt; while LOADING, the one
+                              * that loads the adapter */
+    struct KcForwardAttemptList attempts; /* in progress */
     KcTime attempt_started_at; /* start of the last attempt; 0: none */
     KcTime first_attempt_at;   /* start of the first attempt; 0: none */
     uint32_t attempt_count;    /* attempts started so far */
     uint32_t possible_runs;    /* ended attempts that may have run */
     struct KcServer *tried_servers[KC_FORWARD_TRIED_MAX];
     uint32_t tried_count;
-    bool was_moved;       /* an attempt was cancelled to try another server */
-    bool owes_retry;      /* the next attempt takes from the retry budget */
-    bool has_first_event; /* an event of the attempt's stream has arrived */
-    bool may_have_run;    /* an earlier attempt may have run */
-    bool answer_begun;    /* the caller has the head of an answer */
-    const void *stream_head; /* KcReply.head of the attempt's stream */
+    KcTime refused_at; /* when one of them last ended an attempt while
+                        * another was in progress; 0: none */
+    bool was_moved;    /* another server was tried, as one was silent */
+    bool owes_retry;   /* the next attempt takes from the retry budget */
+    bool may_have_run; /* an earlier attempt may have run */
+    bool answer_begun; /* the caller has the head of an answer */
     bool has_last_event;
     uint64_t last_event_id; /* passed on to the caller, or that it had before;
                              * valid with has_last_event */
     KcTime first_event_at;  /* first event of a stream; 0: none */
     KcTime last_event_at;   /* last event passed on; at first the arrival */
     KcTime dispatch_until;  /* refused when it has no server by then */
-    KcTime server_silence;  /* of the last server whose attempt was cancelled
-                             * for its silence, at that time; 0: none */
+    KcTime server_silence;  /* of the last server that was left, or another
+                             * one tried, for its silence; 0: none */
     KcError error;          /* of the last attempt that failed */
     KcTimer timer; /* next check: of the queue, the load, the server's silence
                     * or the deadline */
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -280,7 +280,8 @@
 /* ---- attempts ------------------------------------------------------------ */
 
 static void *
-start_attempt(void *context, KcForward *forward, const KcAttemptParams *params)
+start_attempt(void *context, KcForwardAttempt *attempt,
+              const KcAttemptParams *params)
 {
     GatewayRole *role = context;
     const KcSettings *settings = role->common.settings;
@@ -296,14 +297,16 @@
                    .skipped_max = SKIPPED_REPLIES_MAX,
                    .unnumbered_events_max = UNNUMBERED_EVENTS_MAX,
                    .pool = &role->intake_pool},
-        .request_head = KcGatewayFrontEnd_RequestHead(forward->caller),
-        .request_body = KcGatewayFrontEnd_RequestBody(forward->caller)};
+        .request_head =
+            KcGatewayFrontEnd_RequestHead(attempt->forward->caller),
+        .request_body =
+            KcGatewayFrontEnd_RequestBody(attempt->forward->caller)};
 
     if (!role->use_report_timer.is_set) {
         KcTimers_Set(role->common.loop->timers, &role->use_report_timer,
                      KcLoop_Now() + USE_REPORT_INTERVAL);
     }
-    return KcHttpAttempt_Start(&options, forward, params);
+    return KcHttpAttempt_Start(&options, attempt, params);
 }
 
 static void
@@ -357,10 +360,10 @@
 }
 
 static void
-cancel_attempt(void *context, void *attempt)
+cancel_attempt(void *context, void *handle)
 {
     (void)context;
-    KcHttpAttempt_Cancel(attempt);
+    KcHttpAttempt_Cancel(handle);
 }
 
 /* Logs one line per request, with its outcome and the reasons for it. */
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -268,6 +268,19 @@
     }
 }
 
+/* Pauses or resumes the answer that has begun, which has the only attempt. */
+static void
+set_reply_read_paused(CallerConnection *connection, bool paused)
+{
+    const KcForwardAttempt *attempt =
+        TAILQ_FIRST(&connection->forward->attempts);
+
+    if (attempt != NULL) {
+        connection->reply_read_paused = paused;
+        KcHttpAttempt_SetReadPaused(attempt->handle, paused);
+    }
+}
+
 static void
 on_answer_data(void *caller, KcBytes bytes)
 {
@@ -287,11 +300,9 @@
     evbuffer_add(out, bytes.data, bytes.size);
     evbuffer_add(out, "\r\n", 2);
     if (!connection->reply_read_paused &&
-        connection->forward->attempt != NULL &&
         KcHttpConnection_UnsentBytes(connection->http_connection) >
             UNSENT_BYTES_MAX) {
-        connection->reply_read_paused = true;
-        KcHttpAttempt_SetReadPaused(connection->forward->attempt, true);
+        set_reply_read_paused(connection, true);
     }
 }
 
@@ -300,10 +311,8 @@
 {
     CallerConnection *connection = owner;
 
-    if (connection->reply_read_paused && connection->forward != NULL &&
-        connection->forward->attempt != NULL) {
-        connection->reply_read_paused = false;
-        KcHttpAttempt_SetReadPaused(connection->forward->attempt, false);
+    if (connection->reply_read_paused && connection->forward != NULL) {
+        set_reply_read_paused(connection, false);
     }
 }
 
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -31,7 +31,7 @@
 struct KcHttpAttempt {
     KcDeferredFree deferred_free;
     KcHttpAttemptOptions options;
-    KcForward *forward;
+    KcForwardAttempt *forwarded; /* reported to */
     KcAttemptParams parameters;
     KcHttpConnection *connection;
     int64_t server_started_at_ms; /* as known when the attempt started */
@@ -91,11 +91,11 @@
 static void
 fail_attempt(KcHttpAttempt *attempt, KcAttemptEnd end, int code)
 {
-    KcForward *forward = attempt->forward;
+    KcForwardAttempt *forwarded = attempt->forwarded;
 
     KcHttpConnection_Close(attempt->connection);
     finish_attempt(attempt);
-    KcForward_OnAttemptFailed(forward, end, code, KcLoop_Now());
+    KcForwardAttempt_OnFailed(forwarded, end, code, KcLoop_Now());
 }
 
 /* Fails the attempt, as its reply exceeds a limit. */
@@ -116,9 +116,9 @@
     KcServerNotice notice = attempt->reply_head.notice;
 
     notice.started_at_ms = attempt->server_started_at_ms;
-    KcGateway_OnServerNotice(attempt->forward->gateway,
+    KcGateway_OnServerNotice(attempt->forwarded->forward->gateway,
                              attempt->parameters.server, &notice,
-                             attempt->forward->id, now);
+                             attempt->forwarded->forward->id, now);
 }
 
 static void
@@ -134,8 +134,8 @@
             : message->content_length;
     int code;
 
-    attempt->options.dialect->parse_reply_head(message, attempt->forward->id,
-                                               reply);
+    attempt->options.dialect->parse_reply_head(
+        message, attempt->forwarded->forward->id, reply);
     attempt->skip_reply = message->status < 200 || !reply->matches_request;
     report_notice(attempt, now);
     code = KcIntake_AddHead(&attempt->intake, reply->is_stream ? 0 : length,
@@ -158,7 +158,7 @@
         return;
     }
     if (reply->is_stream) {
-        KcForward_OnStreamBegin(attempt->forward, &stream_reply, now);
+        KcForwardAttempt_OnStreamBegin(attempt->forwarded, &stream_reply, now);
     }
 }
 
@@ -187,8 +187,8 @@
             cut_off(attempt, code);
             return;
         }
-        KcForward_OnStreamEvent(attempt->forward, event.has_id, event.id,
-                                event.bytes, KcLoop_Now());
+        KcForwardAttempt_OnStreamEvent(attempt->forwarded, event.has_id,
+                                       event.id, event.bytes, KcLoop_Now());
     }
     if (attempt->is_finished || code == 0) {
         return;
@@ -255,7 +255,7 @@
 static void
 end_stream(KcHttpAttempt *attempt)
 {
-    KcForward *forward = attempt->forward;
+    KcForwardAttempt *forwarded = attempt->forwarded;
 
     if (KcEventStream_IncompleteBytes(&attempt->event_stream) > 0) {
         fail_attempt(attempt, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL);
@@ -263,14 +263,14 @@
     }
     finish_attempt(attempt);
     release_connection(attempt);
-    KcForward_OnStreamEnd(forward, KcLoop_Now());
+    KcForwardAttempt_OnStreamEnd(forwarded, KcLoop_Now());
 }
 
 static void
 on_end(void *owner)
 {
     KcHttpAttempt *attempt = owner;
-    KcForward *forward = attempt->forward;
+    KcForwardAttempt *forwarded = attempt->forwarded;
     KcReply reply = {.head = attempt->reply_message};
 
     if (attempt->skip_reply) {
@@ -289,7 +289,7 @@
                            KcBuffer_Size(&attempt->reply_body)};
     finish_attempt(attempt);
     release_connection(attempt);
-    KcForward_OnReply(forward, &reply, KcLoop_Now());
+    KcForwardAttempt_OnReply(forwarded, &reply, KcLoop_Now());
 }
 
 static void
@@ -318,7 +318,8 @@
     KcAttemptParams parameters = attempt->parameters;
 
     attempt->request_written = true;
-    parameters.time_left = attempt->forward->deadline - KcLoop_Now();
+    parameters.time_left =
+        attempt->forwarded->forward->deadline - KcLoop_Now();
     if (strcmp(options->request_head->method, "HEAD") == 0) {
         KcHttpConnection_ExpectNoBody(attempt->connection);
     }
@@ -331,7 +332,7 @@
 on_connected(void *owner)
 {
     KcHttpAttempt *attempt = owner;
-    int code = KcForward_CheckSend(attempt->forward, KcLoop_Now());
+    int code = KcForwardAttempt_CheckSend(attempt->forwarded, KcLoop_Now());
 
     KcTimers_Clear(attempt->options.loop->timers, &attempt->connect_timer);
     if (code != 0) {
@@ -373,13 +374,13 @@
 }
 
 KcHttpAttempt *
-KcHttpAttempt_Start(const KcHttpAttemptOptions *options, KcForward *forward,
-                    const KcAttemptParams *params)
+KcHttpAttempt_Start(const KcHttpAttemptOptions *options,
+                    KcForwardAttempt *forwarded, const KcAttemptParams *params)
 {
     KcHttpAttempt *attempt = KcMem_New(sizeof(*attempt));
 
     attempt->options = *options;
-    attempt->forward = forward;
+    attempt->forwarded = forwarded;
     attempt->parameters = *params;
     attempt->server_started_at_ms = params->server->started_at_ms;
     attempt->options.limits.events_max = params->events_max;
--- a/programs/request/http_attempt.h
+++ b/programs/request/http_attempt.h
@@ -28,13 +28,14 @@
 } KcHttpAttemptOptions;
 
 /*
- * Starts an attempt. Progress is reported to forward, never before this
+ * Starts an attempt. Progress is reported to forwarded, never before this
  * returns. The attempt is over, and its pointer not valid, after
- * KcForward_OnReply(), KcForward_OnStreamEnd() or KcForward_OnAttemptFailed().
+ * KcForwardAttempt_OnReply(), KcForwardAttempt_OnStreamEnd() or
+ * KcForwardAttempt_OnFailed().
  * Returns NULL when no connection can be opened.
  */
 KcHttpAttempt *KcHttpAttempt_Start(const KcHttpAttemptOptions *options,
-                                   KcForward *forward,
+                                   KcForwardAttempt *forwarded,
                                    const KcAttemptParams *params);
 
 /* Cancels the attempt and resets its connection; nothing more is reported. */
--- a/tests/plays/caller.c
+++ b/tests/plays/caller.c
@@ -213,6 +213,7 @@
         snprintf(adapter, sizeof(adapter), "a%u", caller->adapter);
     }
     caller->deadline = now + rule->request_timeout;
+    caller->attempts_max = rule->attempts_max;
     Play_Trace(play, "caller %u comes to g%u: %s %s, %d events, timeout %d ms",
                caller->number, caller->gateway->number, caller->route->path,
                adapter, is_stream ? (int)caller->event_count : 0,
--- a/tests/plays/server.c
+++ b/tests/plays/server.c
@@ -95,6 +95,7 @@
 
     attempt->state = PLAY_ATTEMPT_RUNNING;
     attempt->has_run = true;
+    attempt->run_at = now;
     server->running_count++;
     Play_Trace(play, "%s runs %u", server->id, attempt->caller->number);
     Oracle_OnRun(attempt);
