Check a silent server often enough that a sound pause does not look like its loss

What callers saw: a stream that waits in the queue of a sound server is ended 250 ms before its caller would leave, with 504, as the server is taken to be lost.

The new row of test_gateway failed before: "1>a; check a; v1; ..." for "1>a; check a; check a; v1; ...".

Cause: a server is asked again once it has been silent for 500 ms, at the next of the checks every 100 ms. With a pause of 1.5 s from then on that is 2.1 s, but 2 s are a loss.

Why this works: it is asked after 300 ms, so that a pause of 1.5 s leaves 100 ms for the round trip.

--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -27,8 +27,10 @@
 #define LOST_SILENCE_MIN (2 * KC_SECOND)
 /* A server that has given no sign of life for this long is asked for one, from
  * LOST_SILENCE_MIN before a stream there must be ended: one that has only
- * waiting streams of this gateway is silent, however sound it is. */
-#define CHECK_SILENCE_MIN (500 * KC_MS)
+ * waiting streams of this gateway is silent, however sound it is.  With a
+ * pause of a sound server (1.5 s) that begins just then, and
+ * SILENCE_CHECK_INTERVAL, it is less than LOST_SILENCE_MIN. */
+#define CHECK_SILENCE_MIN (300 * KC_MS)
 /* An overdue attempt is checked again at this interval. */
 #define SILENCE_CHECK_INTERVAL (100 * KC_MS)
 
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -1005,6 +1005,10 @@
      "checks;request 1 /t/x m/x;wait 800;alive a;wait 1400;alive a;wait 700;"
      "begin 1;event 1 0;end 1",
      "1>a; check a; check a; check a; 1:begin; 1:0; 1:end; "},
+    {"a server is asked again before a sound pause could make it lost",
+     LLM "checks;request 1 /t/x m/x;wait 750;alive a;wait 400;inforce;"
+         "begin 1;event 1 0;end 1",
+     "1>a; check a; check a; v1; 1:begin; 1:0; 1:end; "},
     {"a server that answers others is not checked",
      LLM "checks;request 1 /t/x m/x;request 2 /t/x m/x;begin 2;wait 700;"
          "event 2 0;wait 300;event 2 1;wait 300;event 2 2;wait 300;end 2;"
