--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -317,12 +317,14 @@
     }
 }
 
-/* Pauses or resumes reading the answer from the backend server. */
+/* Pauses or resumes the answer that has begun, which has the only attempt. */
 static void
 set_reply_read_paused(KcForward *forward, bool paused)
 {
-    if (forward->attempt != NULL && forward->read_paused != paused) {
-        KcHttpAttempt_SetReadPaused(forward->attempt, paused);
+    const KcForwardAttempt *attempt = TAILQ_FIRST(&forward->attempts);
+
+    if (attempt != NULL && forward->read_paused != paused) {
+        KcHttpAttempt_SetReadPaused(attempt->handle, paused);
         KcForward_SetReadPaused(forward, paused, KcLoop_Now());
     }
 }
--- a/tests/process/test_gateway_stop.c
+++ b/tests/process/test_gateway_stop.c
@@ -29,9 +29,10 @@
 /* A caller with its one request. */
 typedef struct Caller {
     Fixture *fixture;
-    KcForward *forward; /* NULL: the request has ended */
-    KcTime started_at;  /* of the attempt in progress; 0: none */
-    bool has_begun;     /* the attempt's stream has */
+    KcForward *forward;        /* NULL: the request has ended */
+    KcForwardAttempt *attempt; /* the newest */
+    KcTime started_at;         /* of the attempt in progress; 0: none */
+    bool has_begun;            /* the attempt's stream has */
 } Caller;
 
 struct Fixture {
@@ -85,20 +86,22 @@
 /* ---- calls made by the gateway ------------------------------------------ */
 
 static void *
-start_attempt(void *context, KcForward *forward, const KcAttemptParams *params)
+start_attempt(void *context, KcForwardAttempt *attempt,
+              const KcAttemptParams *params)
 {
-    Caller *caller = forward->caller;
+    Caller *caller = attempt->forward->caller;
 
     (void)params;
+    caller->attempt = attempt;
     caller->started_at = ((Fixture *)context)->now;
     return caller;
 }
 
 static void
-cancel_attempt(void *context, void *attempt)
+cancel_attempt(void *context, void *handle)
 {
     (void)context;
-    ((Caller *)attempt)->started_at = 0;
+    ((Caller *)handle)->started_at = 0;
 }
 
 static bool
@@ -278,18 +281,18 @@
     }
     if (is_stream && !caller->has_begun && elapsed >= EVENT_DELAY) {
         caller->has_begun = true;
-        KcForward_OnStreamBegin(caller->forward, &reply, now);
-        KcForward_OnStreamEvent(caller->forward, true, 1, (KcBytes){"1", 1},
-                                now);
+        KcForwardAttempt_OnStreamBegin(caller->attempt, &reply, now);
+        KcForwardAttempt_OnStreamEvent(caller->attempt, true, 1,
+                                       (KcBytes){"1", 1}, now);
     }
     if (elapsed < work_time) {
         return;
     }
     if (is_stream) {
-        KcForward_OnStreamEnd(caller->forward, now);
+        KcForwardAttempt_OnStreamEnd(caller->attempt, now);
     }
     else {
-        KcForward_OnReply(caller->forward, &reply, now);
+        KcForwardAttempt_OnReply(caller->attempt, &reply, now);
     }
 }
 
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -34,24 +34,25 @@
     int caller;         /* its socket */
     GString *received;  /* not yet taken by a step */
     int received_error; /* of recv(), 0 at the end of the stream, or -1 */
-    KcForward *forward; /* request at the backend server; NULL: none */
+    KcForwardAttempt *attempt; /* at the backend server; NULL: none */
 } Fixture;
 
 /* ---- the gateway and its backend server ----------------------------------- */
 
 static void *
-start_attempt(void *context, KcForward *forward, const KcAttemptParams *params)
+start_attempt(void *context, KcForwardAttempt *attempt,
+              const KcAttemptParams *params)
 {
     (void)params;
-    ((Fixture *)context)->forward = forward;
+    ((Fixture *)context)->attempt = attempt;
     return context;
 }
 
 static void
-cancel_attempt(void *context, void *attempt)
+cancel_attempt(void *context, void *handle)
 {
-    (void)attempt;
-    ((Fixture *)context)->forward = NULL;
+    (void)handle;
+    ((Fixture *)context)->attempt = NULL;
 }
 
 static bool
@@ -338,17 +339,17 @@
     size_t size = (size_t)atoll(words[1]);
     KcTime guard_at = KcLoop_Now() + GUARD_TIMEOUT;
     char *body = g_malloc(size);
-    KcForward *forward;
+    KcForwardAttempt *attempt;
     KcReply reply = {.status = 200, .head = &head, .body = {body, size}};
 
-    while (fixture->forward == NULL) {
+    while (fixture->attempt == NULL) {
         run_loop(fixture, POLL_INTERVAL);
         g_assert_cmpint(KcLoop_Now(), <, guard_at);
     }
     memset(body, 'b', size);
-    forward = fixture->forward;
-    fixture->forward = NULL;
-    KcForward_OnReply(forward, &reply, KcLoop_Now());
+    attempt = fixture->attempt;
+    fixture->attempt = NULL;
+    KcForwardAttempt_OnReply(attempt, &reply, KcLoop_Now());
     g_free(body);
 }
 
