Do not count a pause in reading as a lack of progress

What callers saw: a caller of /v1 that left its answer unread for longer than the silence limit of backend servers had it broken off, although the server was ready to send.

Cause: an agent then stops reading the answer, but the timer of the call for the server's progress went on.

Evidence: a new row of test_http_call, "a pause longer than the timeout", failed: code -16 (deadline exceeded) in place of 0.

Why this works: while reading is paused only the end of the whole call is awaited; the progress is timed from where reading goes on.

The end of a pause schedules a callback only if there are bytes to parse. The test listens on ports that no other test uses.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -614,6 +614,9 @@
     }
     else {
         bufferevent_enable(connection->bev, EV_READ);
-        bufferevent_trigger(connection->bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+        if (KcHttpConnection_UnparsedBytes(connection) > 0) {
+            bufferevent_trigger(connection->bev, EV_READ,
+                                BEV_OPT_DEFER_CALLBACKS);
+        }
     }
 }
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -40,6 +40,7 @@
     KcHttpConnection *connection;
     struct evbuffer *request_bytes; /* kept, as it may be sent again */
     bool may_repeat;
+    bool read_paused;         /* meanwhile the server can make no progress */
     bool connection_reused;   /* the connection came from the pool */
     bool response_started;    /* the head of a response has arrived */
     bool response_is_interim; /* the current response has a 1xx status */
@@ -102,7 +103,12 @@
 static void
 restart_progress_timer(KcHttpCall *call)
 {
-    set_timer(call, call->progress_timeout);
+    if (call->read_paused) {
+        KcTimers_Set(call->loop->timers, &call->timer, call->intake.ends_at);
+    }
+    else {
+        set_timer(call, call->progress_timeout);
+    }
 }
 
 static void
@@ -403,8 +409,10 @@
 void
 KcHttpCall_SetReadPaused(KcHttpCall *call, bool paused)
 {
-    if (!call->is_finished) {
+    if (!call->is_finished && call->read_paused != paused) {
+        call->read_paused = paused;
         KcHttpConnection_SetReadPaused(call->connection, paused);
+        restart_progress_timer(call);
     }
 }
 
--- a/tests/request/test_http_call.c
+++ b/tests/request/test_http_call.c
@@ -114,6 +114,7 @@
     {"no pause", ANSWER_SIZE, 0},
     {"a pause that the end of the answer does not end", ANSWER_SIZE, KC_NEVER},
     {"a pause shorter than the timeout", ANSWER_SIZE - 2, 100 * KC_MS},
+    {"a pause longer than the timeout", ANSWER_SIZE - 2, 600 * KC_MS},
 };
 
 static void
@@ -221,7 +222,7 @@
     fixture.pool = KcHttpConnectionPool_Create(fixture.loop);
     KcTimer_Init(&fixture.rest_timer, on_rest_timer, &fixture);
     KcTimer_Init(&fixture.resume_timer, on_resume_timer, &fixture);
-    for (int port = 22000; port < 23000 && fixture.listener == NULL; port++) {
+    for (int port = 27000; port < 28000 && fixture.listener == NULL; port++) {
         snprintf(fixture.address, sizeof(fixture.address), "127.0.0.1:%d",
                  port);
         fixture.listener = KcSocket_Listen(fixture.loop->base, fixture.address,
