--- a/tests/request/test_late_timers.c
+++ b/tests/request/test_late_timers.c
@@ -98,7 +98,7 @@
     options.region_of = find_region;
     fixture->gateway = KcGateway_Create(&options);
     front_end_options.gateway = fixture->gateway;
-    for (int port = 22000; port < 23000 && fixture->front_end == NULL;
+    for (int port = 24000; port < 25000 && fixture->front_end == NULL;
          port++) {
         snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d",
                  port);
