Count a reply in the pool until its memory is freed

Cause: an attempt that ended gave its part of the pool back at once, but its reply stayed in memory until the end of the loop's iteration. Within an iteration, other answers could take the same bytes again, so that the pool limited memory only as far as iterations were short.

Change: the part is given back where the reply is freed.

test_endless: a new column, answers that are in memory when they are cut off.

--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -53,6 +53,8 @@
 
     KcBuffer_Clear(&attempt->reply_body);
     KcEventStream_Clear(&attempt->event_stream);
+    /* Not before: what the reply takes of the pool is in memory until now. */
+    KcIntake_End(&attempt->intake);
     free(attempt);
 }
 
@@ -64,7 +66,6 @@
 finish_attempt(KcHttpAttempt *attempt)
 {
     attempt->is_finished = true;
-    KcIntake_End(&attempt->intake);
     KcTimers_Clear(attempt->options.loop->timers, &attempt->connect_timer);
     KcLoop_DeferFree(attempt->options.loop, &attempt->deferred_free);
 }
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -80,14 +80,18 @@
     g_assert_cmpint(waitpid(pid, NULL, 0), ==, pid);
 }
 
+/* Of the gateway's answers. */
+static KcIntakePool pool = {.kept_bytes_max = BODY_BYTES_MAX};
+
 /* ---- readers ------------------------------------------------------------- */
 
 /* A call in progress. */
 typedef struct Reading {
     KcLoop *loop;
     KcCounters counters;
-    int code;  /* error of the call; 1: not ended */
-    int parts; /* of the answer that the gateway passed on */
+    int code;            /* error of the call; 1: not ended */
+    int parts;           /* of the answer that the gateway passed on */
+    bool has_pool_bytes; /* the answer counted as kept when the call ended */
 } Reading;
 
 static void
@@ -95,6 +99,7 @@
 {
     g_assert_cmpint(reading->code, ==, 1);
     reading->code = code;
+    reading->has_pool_bytes = pool.kept_bytes > 0;
     KcLoop_Stop(reading->loop);
 }
 
@@ -257,7 +262,6 @@
 /* ---- the gateway as a reader ---------------------------------------------- */
 
 static Reading *gateway_reading;
-static KcIntakePool pool = {.kept_bytes_max = BODY_BYTES_MAX};
 static KcHttpConnectionPool *connection_pool;
 
 static void *
@@ -472,30 +476,32 @@
     const char *pattern;
     int service_code;
     int worker_code;
+    bool is_kept; /* the worker's answer is in memory when it is cut off, and
+                   * counts in the pool until it is freed */
 } cases[] = {
-    {"head", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"reason", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"nothing", KC_ERR_PEER_LOST, KC_ERR_DEADLINE_EXCEEDED},
-    {"blank lines", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"fields", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"interim", KC_ERR_PROTOCOL, KC_ERR_PROTOCOL},
-    {"interim with fields", KC_ERR_PROTOCOL, KC_ERR_PROTOCOL},
-    {"length", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"none", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"chunks", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"one chunk", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"extension", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"extensions", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"trailer", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"trailers", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"slow length", KC_ERR_DEADLINE_EXCEEDED, KC_ERR_DEADLINE_EXCEEDED},
-    {"slow head", KC_ERR_PEER_LOST, KC_ERR_DEADLINE_EXCEEDED},
-    {"late answer", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"late length", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"late answers", 0, KC_ERR_PROTOCOL},
-    {"event", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE},
-    {"comments", KC_ERR_TOO_LARGE, KC_ERR_PROTOCOL},
-    {"events", KC_ERR_TOO_LARGE, KC_ERR_PROTOCOL},
+    {"head", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"reason", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"nothing", KC_ERR_PEER_LOST, KC_ERR_DEADLINE_EXCEEDED, false},
+    {"blank lines", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"fields", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"interim", KC_ERR_PROTOCOL, KC_ERR_PROTOCOL, false},
+    {"interim with fields", KC_ERR_PROTOCOL, KC_ERR_PROTOCOL, false},
+    {"length", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"none", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, true},
+    {"chunks", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, true},
+    {"one chunk", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, true},
+    {"extension", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"extensions", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, true},
+    {"trailer", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"trailers", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"slow length", KC_ERR_DEADLINE_EXCEEDED, KC_ERR_DEADLINE_EXCEEDED, true},
+    {"slow head", KC_ERR_PEER_LOST, KC_ERR_DEADLINE_EXCEEDED, false},
+    {"late answer", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"late length", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, false},
+    {"late answers", 0, KC_ERR_PROTOCOL, false},
+    {"event", KC_ERR_TOO_LARGE, KC_ERR_TOO_LARGE, true},
+    {"comments", KC_ERR_TOO_LARGE, KC_ERR_PROTOCOL, false},
+    {"events", KC_ERR_TOO_LARGE, KC_ERR_PROTOCOL, false},
 };
 
 static void
@@ -529,6 +535,9 @@
         readers[i].read(&reading);
         KcLoop_Free(reading.loop);
         check_code(i, index, reading.code);
+        if (i == WORKER_ANSWER && cases[index].is_kept) {
+            g_assert_true(reading.has_pool_bytes);
+        }
         if (strcmp(cases[index].pattern, "events") == 0) {
             g_assert_cmpint(reading.parts, <=, EVENTS_MAX);
         }
