End the repeated callback of test_loop with its last timer

LeakSanitizer reported the row's bufferevent: a callback that is still pending when the base is freed holds it.

--- a/tests/process/test_loop.c
+++ b/tests/process/test_loop.c
@@ -90,12 +90,19 @@
     }
 }
 
-/* Asks to be called again, as for the next of many requests at once. */
+/*
+ * Asks to be called again, as for the next of many requests at once, until all
+ * timers have run.
+ */
 static void
 on_repeat(struct bufferevent *bev, void *context)
 {
-    note_read(context);
-    bufferevent_trigger(bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+    Fixture *fixture = context;
+
+    note_read(fixture);
+    if (fixture->timers_run < cases[fixture->index].timers) {
+        bufferevent_trigger(bev, EV_READ, BEV_OPT_DEFER_CALLBACKS);
+    }
 }
 
 static void
