Do not take a caller that reads nothing for one that is lost

What callers saw: one that read nothing of an answer for the silence timeout (3 s) got the start of it and a reset.

Cause: TCP_USER_TIMEOUT also counts the time for which a peer keeps its window closed, though its kernel answers each probe.

Evidence: two rows of test_caller_closes failed before: "4096 bytes of an answer, then Connection reset by peer" of 16,000,000, with a silence timeout of 1 s and 3.5 s without a read. They pass now, and so do two rows of callers that are cut off (a socket filter drops all that arrives) in the middle of an answer and behind a closed window.

Why this works: for callers' connections output_watch decides from TCP_INFO: a peer is silent that has bytes in flight, or two unanswered probes of its window, and has acknowledged nothing for the silence timeout. One unanswered probe is no sign: a kernel limits such answers to two a second. Keep-alive still finds idle peers.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -488,7 +488,7 @@
 }
 
 static void
-on_stalled(void *owner)
+on_peer_lost(void *owner)
 {
     report_failed(owner, KC_ERR_PEER_LOST);
 }
@@ -506,12 +506,13 @@
     }
     KcSocket_SetConnectionOptions(fd, options->silence_timeout);
     if (options->stall_timeout > 0) {
-        KcOutputWatchOptions watch_options = {.loop = options->loop,
-                                              .bev = connection->bev,
-                                              .stall_timeout =
-                                                  options->stall_timeout,
-                                              .on_stalled = on_stalled,
-                                              .owner = connection};
+        KcOutputWatchOptions watch_options = {
+            .loop = options->loop,
+            .bev = connection->bev,
+            .silence_timeout = options->silence_timeout,
+            .stall_timeout = options->stall_timeout,
+            .on_lost = on_peer_lost,
+            .owner = connection};
 
         KcOutputWatch_Begin(&connection->output_watch, &watch_options);
     }
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -6,6 +6,7 @@
  */
 #include <errno.h>
 #include <fcntl.h>
+#include <linux/filter.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -474,6 +475,19 @@
     g_assert_cmpint(KcLoop_Now() - begun_at, <=, atoi(words[2]) * KC_MS);
 }
 
+/* cut: from now on nothing reaches the caller, nor its kernel. */
+static void
+step_cut(Fixture *fixture, char **words)
+{
+    struct sock_filter drop_all = BPF_STMT(BPF_RET | BPF_K, 0);
+    struct sock_fprog program = {1, &drop_all};
+
+    (void)words;
+    g_assert_cmpint(setsockopt(fixture->caller, SOL_SOCKET, SO_ATTACH_FILTER,
+                               &program, sizeof(program)),
+                    ==, 0);
+}
+
 /* sip COUNT BYTES MS: the caller reads so many bytes every MS. */
 static void
 step_sip(Fixture *fixture, char **words)
@@ -522,8 +536,8 @@
     {"answer", step_answer},     {"end", step_end},
     {"open", step_open},         {"trickle", step_trickle},
     {"flood", step_flood},       {"quiet", step_quiet},
-    {"timeouts", step_timeouts}, {"sip", step_sip},
-    {"dropped", step_dropped},
+    {"timeouts", step_timeouts}, {"cut", step_cut},
+    {"sip", step_sip},           {"dropped", step_dropped},
 };
 
 /* ---- cases -------------------------------------------------------------------- */
@@ -612,6 +626,18 @@
     {"a last answer of which nothing is taken",
      "timeouts 3000 1000;connect 4096;send get-and-close;answer "
      "16000000;dropped 1000 2000"},
+    {"a caller that reads nothing for longer than a lost peer is silent",
+     "timeouts 1000 10000;connect 4096;send get;answer 16000000;wait 3500;"
+     "read 200;send get;answer 10;read 200"},
+    {"a caller that reads nothing of a last answer for as long",
+     "timeouts 1000 10000;connect 4096;send get-and-close;answer 16000000;"
+     "wait 3500;read 200;end 1000"},
+    {"a caller that is cut off while it takes an answer",
+     "timeouts 1000 10000;connect;send get;wait 50;cut;answer 16000000;"
+     "dropped 1000 3000"},
+    {"a caller that is cut off and reads nothing",
+     "timeouts 1000 10000;connect 4096;send get;answer 16000000;wait 500;cut;"
+     "dropped 200 4000"},
     {"a planned stop does not wait for a caller that was refused",
      "connect;send no-request;wait 50;quiet;read 400;end 500"},
 };
