Leave a silent agent only if another one can take the request

What callers saw: a repeatable request at the entry failed, or waited for an agent that could not be reached, because an agent had not replied for 1 s that was sound and went on.

Cause: at the reply timeout the attempt was cancelled first and another backend server chosen after it. Without one the request ended, with one that was not connected it hung on the connection.

The attempt ends now only if the retry rules allow a further one and a connected backend server can take it. One that is not connected is connected meanwhile, and the question asked again at every ping_interval. Otherwise the attempt goes on until the caller's deadline, and a late reply counts. Requests that may not be repeated wait as before.

Failed before: /entry/cases "silent and sound, the only agent", outcome `(3 == 1)`, unknown in place of answered. Planted again, both halves are caught by test_entry ("... the only agent", "... another is not reached").

What remains: when the next agent refuses, the first has already been cancelled; that needs two attempts of a request at a time.

--- a/lib/process/entry_attempt.c
+++ b/lib/process/entry_attempt.c
@@ -53,18 +53,32 @@
     }
 }
 
+/*
+ * The agent has not replied yet. It may be sound and go on, so the attempt
+ * ends only if another backend server can take the request.
+ */
 static void
-on_reply_timeout(KcTimer *timer, KcTime now)
+on_reply_overdue(KcTimer *timer, KcTime now)
 {
     KcAttempt *attempt = timer->owner;
     KcRequest *request = attempt->request;
 
-    KcEntryLink_MarkSuspect(request->entry, attempt->backend, now);
-    /* A call that may not be repeated goes on waiting until its deadline. */
-    if (request->repeatable) {
+    if (KcEntryRetry_CanLeave(request, now)) {
         KcEntryAttempt_End(request, KC_ATTEMPT_LOST, KC_ERR_PEER_LOST,
                            "propose", now);
+        return;
     }
+    set_timer(attempt, on_reply_overdue,
+              now + request->entry->options.ping_interval);
+}
+
+static void
+on_reply_timeout(KcTimer *timer, KcTime now)
+{
+    KcAttempt *attempt = timer->owner;
+
+    KcEntryLink_MarkSuspect(attempt->request->entry, attempt->backend, now);
+    on_reply_overdue(timer, now);
 }
 
 /*
@@ -299,17 +313,7 @@
 {
     KcEntry *entry = request->entry;
     KcAttempt *attempt = &request->attempt;
-    KcRetryInput input = {.end = end,
-                          .code = code,
-                          .repeatable = request->repeatable,
-                          .may_have_run = request->may_have_run,
-                          .cancelled = request->cancelled,
-                          .can_continue =
-                              request->service->kind == KC_SERVICE_MODEL,
-                          .part_delivered = request->delivered_bytes > 0 ||
-                                            request->answer_started,
-                          .attempt_count = request->attempt_count,
-                          .attempts_max = entry->options.attempts_max};
+    KcRetryInput input = KcEntryRetry_DescribeEnd(request, end, code);
     KcRetryDecision decision;
 
     KcError_Set(&request->error, code, step, attempt->backend->name);
--- a/lib/process/entry_internal.h
+++ b/lib/process/entry_internal.h
@@ -37,6 +37,16 @@
 void KcEntryChoose_Backend(KcRequest *request, KcTime now,
                            KcRouteChoice *choice);
 
+/* entry_retry.c: describes an attempt that ends so for KcRetry_Decide(). */
+KcRetryInput KcEntryRetry_DescribeEnd(const KcRequest *request,
+                                      KcAttemptEnd end, int code);
+
+/*
+ * Returns whether a connected backend server can take the request from one
+ * that is silent; connects to one if none is.
+ */
+bool KcEntryRetry_CanLeave(KcRequest *request, KcTime now);
+
 /*
  * entry_attempt.c: starts an attempt at the next backend server, or finishes
  * the request when none is left.
--- a/tests/process/test_entry.c
+++ b/tests/process/test_entry.c
@@ -33,6 +33,13 @@
     int code;
 } AgentStep;
 
+/* Another agent of the service. */
+typedef enum OtherAgent {
+    OTHER_NONE = 0,
+    OTHER_UNREACHABLE,
+    OTHER_CONNECTED
+} OtherAgent;
+
 static const struct {
     const char *name;
     bool plain; /* to a plain service, not repeatable; else to a model */
@@ -41,6 +48,7 @@
     int code;             /* of the error that the caller gets, 0: none */
     const char *received; /* data that the caller gets */
     uint32_t proposal_count;
+    OtherAgent other;
 } cases[] = {
     {"answered",
      false,
@@ -52,91 +60,104 @@
      KC_OUTCOME_ANSWERED,
      0,
      "abcdabcd",
-     1},
+     1,
+     OTHER_NONE},
     {"answered without admission",
      false,
      {{STEP_STARTED, 0}, {STEP_DATA, 0}, {STEP_DONE, 0}},
      KC_OUTCOME_ANSWERED,
      0,
      "abcd",
-     1},
+     1,
+     OTHER_NONE},
     {"started by another adapter",
      false,
      {{STEP_ADMIT, 0}, {STEP_STARTED_BY_ANOTHER, 0}},
      KC_OUTCOME_UNKNOWN,
      KC_ERR_WRONG_MODEL,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"started by an older version",
      false,
      {{STEP_ADMIT, 0}, {STEP_STARTED_BY_OLDER, 0}},
      KC_OUTCOME_UNKNOWN,
      KC_ERR_WRONG_MODEL,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"data before the start",
      false,
      {{STEP_ADMIT, 0}, {STEP_DATA, 0}},
      KC_OUTCOME_UNKNOWN,
      KC_ERR_PROTOCOL,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"end before the start",
      false,
      {{STEP_ADMIT, 0}, {STEP_DONE, 0}},
      KC_OUTCOME_UNKNOWN,
      KC_ERR_PROTOCOL,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"refused",
      false,
      {{STEP_REFUSE, KC_ERR_BUSY}},
      KC_OUTCOME_NOT_RUN,
      KC_ERR_BUSY,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"refused after admission",
      true,
      {{STEP_ADMIT, 0}, {STEP_REFUSE, KC_ERR_LEAVING}},
      KC_OUTCOME_NOT_RUN,
      KC_ERR_LEAVING,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"not run by the service",
      true,
      {{STEP_ADMIT, 0}, {STEP_UNRUN, KC_ERR_BACKEND}},
      KC_OUTCOME_NOT_RUN,
      KC_ERR_BACKEND,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"failed while it ran",
      true,
      {{STEP_ADMIT, 0}, {STEP_FAILED, KC_ERR_PEER_LOST}},
      KC_OUTCOME_UNKNOWN,
      KC_ERR_PEER_LOST,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"failed after part of the answer",
      false,
      {{STEP_STARTED, 0}, {STEP_DATA, 0}, {STEP_FAILED, KC_ERR_PEER_LOST}},
      KC_OUTCOME_UNKNOWN,
      KC_ERR_PEER_LOST,
      "abcd",
-     1},
+     1,
+     OTHER_NONE},
     {"connection lost and not restored",
      true,
      {{STEP_ADMIT, 0}, {STEP_LOSE_LINK, 0}},
      KC_OUTCOME_UNKNOWN,
      KC_ERR_DEADLINE_EXCEEDED,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"cancelled at the deadline, not run",
      false,
      {{STEP_ADMIT, 0}, {STEP_WAIT, 5000}, {STEP_REFUSE, KC_ERR_CANCELLED}},
      KC_OUTCOME_NOT_RUN,
      KC_ERR_DEADLINE_EXCEEDED,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"cancelled at the deadline, already started",
      false,
      {{STEP_ADMIT, 0},
@@ -147,7 +168,8 @@
      KC_OUTCOME_UNKNOWN,
      KC_ERR_DEADLINE_EXCEEDED,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"cancelled at the deadline, already complete",
      false,
      {{STEP_ADMIT, 0},
@@ -158,14 +180,56 @@
      KC_OUTCOME_UNKNOWN,
      KC_ERR_DEADLINE_EXCEEDED,
      "",
-     1},
+     1,
+     OTHER_NONE},
     {"cancelled at the deadline, no reply",
      true,
      {{STEP_ADMIT, 0}, {STEP_WAIT, 5600}},
      KC_OUTCOME_UNKNOWN,
      KC_ERR_DEADLINE_EXCEEDED,
      "",
-     1},
+     1,
+     OTHER_NONE},
+    {"silent and sound, the only agent",
+     false,
+     {{STEP_WAIT, 2000}, {STEP_STARTED, 0}, {STEP_DATA, 0}, {STEP_DONE, 0}},
+     KC_OUTCOME_ANSWERED,
+     0,
+     "abcd",
+     1,
+     OTHER_NONE},
+    {"silent and sound, another is not reached",
+     false,
+     {{STEP_WAIT, 2000}, {STEP_STARTED, 0}, {STEP_DATA, 0}, {STEP_DONE, 0}},
+     KC_OUTCOME_ANSWERED,
+     0,
+     "abcd",
+     1,
+     OTHER_UNREACHABLE},
+    {"silent, another takes the request",
+     false,
+     {{STEP_WAIT, 2000}, {STEP_STARTED, 0}, {STEP_DATA, 0}, {STEP_DONE, 0}},
+     KC_OUTCOME_ANSWERED,
+     0,
+     "abcd",
+     2,
+     OTHER_CONNECTED},
+    {"silent until the deadline",
+     false,
+     {{STEP_WAIT, 5600}},
+     KC_OUTCOME_UNKNOWN,
+     KC_ERR_DEADLINE_EXCEEDED,
+     "",
+     1,
+     OTHER_UNREACHABLE},
+    {"not repeatable, silent and sound",
+     true,
+     {{STEP_WAIT, 2000}, {STEP_STARTED, 0}, {STEP_DATA, 0}, {STEP_DONE, 0}},
+     KC_OUTCOME_ANSWERED,
+     0,
+     "abcd",
+     1,
+     OTHER_CONNECTED},
 };
 
 /* An entry with a scripted agent and a caller of one request. */
@@ -173,7 +237,6 @@
     World *world;   /* only for its object API and clock */
     WorldNode node; /* the entry's process */
     KcEntry *entry;
-    KcLink *link;       /* the entry's; NULL when it is closed or lost */
     uint32_t stream_id; /* of the last proposal */
     uint64_t offset;    /* of the agent's next data */
     uint32_t proposal_count;
@@ -203,7 +266,7 @@
 static void
 on_entry_close(void *transport)
 {
-    ((Fixture *)transport)->link = NULL;
+    (void)transport;
 }
 
 static const KcLinkOps link_ops = {on_entry_message, on_entry_close};
@@ -255,32 +318,47 @@
     return ((WorldNode *)context)->world->now;
 }
 
+static void
+answer_pings(Fixture *fixture)
+{
+    KcMsg pong = {.type = KC_MSG_PONG};
+    KcBackend *backend;
+
+    fixture->ping_pending = false;
+    TAILQ_FOREACH (backend, &KcEntry_Fleet(fixture->entry)->backends, link) {
+        if (backend->connection != NULL) {
+            KcEntry_OnMessage(fixture->entry, backend, &pong,
+                              fixture->world->now);
+        }
+    }
+}
+
 /* Advances the time of the entry alone, and answers PING. */
 static void
 advance_time(Fixture *fixture, KcTime duration)
 {
     KcTime until = fixture->world->now + duration;
-    KcMsg pong = {.type = KC_MSG_PONG};
 
     while (fixture->world->now < until) {
         fixture->world->now += 4 * KC_MS;
         KcTimers_Run(fixture->node.timers, fixture->world->now);
-        if (fixture->ping_pending && fixture->link != NULL) {
-            KcEntry_OnMessage(fixture->entry, fixture->link->owner, &pong,
-                              fixture->world->now);
+        if (fixture->ping_pending) {
+            answer_pings(fixture);
         }
-        fixture->ping_pending = false;
     }
 }
 
 static void
-create_entry(Fixture *fixture)
+create_entry(Fixture *fixture, OtherAgent other)
 {
     KcEntryOptions options;
-    KcInstance instances[2] = {
+    KcInstance instances[4] = {
         {"m1", "model", "dc-0", "127.0.0.1:1", false},
         {"p1", "plain", "dc-0", "127.0.0.1:2", false},
+        {"m2", "model", "dc-0", "127.0.0.1:3", false},
+        {"p2", "plain", "dc-0", "127.0.0.1:4", false},
     };
+    size_t instance_count = other != OTHER_NONE ? 4 : 2;
 
     KcEntryOptions_Init(&options);
     options.member.name = "e1";
@@ -295,16 +373,17 @@
     options.member.clock_context = &fixture->node;
     options.ops = &entry_ops;
     options.ops_context = &fixture->node;
-    options.attempts_max = 1;
+    options.attempts_max = other != OTHER_NONE ? 2 : 1;
     fixture->entry = KcEntry_Create(&options);
     KcEntry_Start(fixture->entry, fixture->world->now);
-    KcEntry_OnInstances(fixture->entry, instances, 2, 1, fixture->world->now);
+    KcEntry_OnInstances(fixture->entry, instances, instance_count, 1,
+                        fixture->world->now);
 }
 
 /* Creates an entry that is ready; a world without processes is its object
  * API. */
 static void
-set_up(Fixture *fixture)
+set_up(Fixture *fixture, OtherAgent other)
 {
     WorldOptions options;
 
@@ -320,7 +399,7 @@
     TAILQ_INIT(&fixture->node.backlog);
     fixture->node.timers = KcTimers_Create(fixture->world->now);
     fixture->node.events = KcEvents_Create(16, 0);
-    create_entry(fixture);
+    create_entry(fixture, other);
     World_Advance(fixture->world, 100 * KC_MS); /* the document arrives */
     KcTimers_Run(fixture->node.timers, fixture->world->now);
     g_assert_cmpint(KcEntry_CheckReady(fixture->entry), ==, 0);
@@ -338,29 +417,41 @@
     World_Free(fixture->world);
 }
 
+/* The agent to which the request was sent last. */
 static KcBackend *
-find_backend(Fixture *fixture, bool plain)
+find_backend(const Fixture *fixture)
 {
-    return KcFleet_FindBackend(KcEntry_Fleet(fixture->entry),
-                               plain ? "p1" : "m1");
+    return fixture->request->attempt.backend;
 }
 
-/* The agent accepts the connection that the entry requested. */
+/* An agent accepts the connection that the entry requested. */
 static void
-accept_connection(Fixture *fixture, bool plain)
+accept_connection(Fixture *fixture, KcBackend *backend)
 {
     KcMsg hello = {.type = KC_MSG_HELLO,
                    .u.hello = {"agent", 5, KC_PROTOCOL_VERSION}};
+    KcLink *link =
+        KcLink_Create(&link_ops, fixture, true, fixture->world->now);
     KcStream *stream;
     KcError error;
 
-    fixture->link =
-        KcLink_Create(&link_ops, fixture, true, fixture->world->now);
-    g_assert_cmpint(KcLink_Receive(fixture->link, &hello, &stream,
-                                   fixture->world->now, &error),
-                    ==, 0);
-    KcEntry_OnConnected(fixture->entry, find_backend(fixture, plain),
-                        fixture->link, fixture->world->now);
+    g_assert_cmpint(
+        KcLink_Receive(link, &hello, &stream, fixture->world->now, &error), ==,
+        0);
+    KcEntry_OnConnected(fixture->entry, backend, link, fixture->world->now);
+}
+
+/* Every agent but the one that has the request accepts a connection. */
+static void
+accept_others(Fixture *fixture)
+{
+    KcBackend *backend;
+
+    TAILQ_FOREACH (backend, &KcEntry_Fleet(fixture->entry)->backends, link) {
+        if (backend->connection == NULL && backend != find_backend(fixture)) {
+            accept_connection(fixture, backend);
+        }
+    }
 }
 
 static void
@@ -377,7 +468,7 @@
     fixture->request = KcEntry_Submit(fixture->entry, &call, &caller_ops,
                                       fixture, fixture->world->now);
     g_assert_nonnull(fixture->request);
-    accept_connection(fixture, plain);
+    accept_connection(fixture, find_backend(fixture));
 }
 
 static void
@@ -450,12 +541,11 @@
         advance_time(fixture, step->code * KC_MS);
     }
     else if (step->kind == STEP_LOSE_LINK) {
-        fixture->link = NULL;
-        KcEntry_OnLinkLost(fixture->entry, find_backend(fixture, plain),
+        KcEntry_OnLinkLost(fixture->entry, find_backend(fixture),
                            KC_ERR_PEER_LOST, fixture->world->now);
     }
     else if (fill_message(fixture, step, plain, &msg)) {
-        KcEntry_OnMessage(fixture->entry, find_backend(fixture, plain), &msg,
+        KcEntry_OnMessage(fixture->entry, find_backend(fixture), &msg,
                           fixture->world->now);
     }
 }
@@ -467,8 +557,11 @@
         Fixture fixture;
 
         g_test_message("%s", cases[i].name);
-        set_up(&fixture);
+        set_up(&fixture, cases[i].other);
         submit_request(&fixture, cases[i].plain);
+        if (cases[i].other == OTHER_CONNECTED) {
+            accept_others(&fixture);
+        }
         for (int j = 0; j < STEPS_MAX && !fixture.finished; j++) {
             run_step(&fixture, &cases[i].steps[j], cases[i].plain);
         }
