Let callers of the plays stop reading

The plays had no caller that stops reading its answer, which also makes the gateway stop reading at the server. The new trouble does so to every fourth stream that has begun, for 300 ms to 3 s; its row has pauses of servers, too.

--- a/tests/plays/caller.c
+++ b/tests/plays/caller.c
@@ -106,6 +106,35 @@
     Oracle_OnClosed(caller);
 }
 
+static void
+on_read_timer(KcTimer *timer, KcTime now)
+{
+    PlayCaller *caller = timer->owner;
+
+    if (caller->forward != NULL) {
+        KcForward_SetReadPaused(caller->forward, false, now);
+        set_leave_timer(caller, now);
+    }
+}
+
+void
+PlayCaller_StopReading(PlayCaller *caller, KcTime duration, KcTime now)
+{
+    Play *play = caller->gateway->play;
+    PlayAttempt *attempt = TAILQ_LAST(&caller->attempts, PlayAttemptList);
+
+    if (caller->forward == NULL || attempt == NULL || !attempt->has_answered ||
+        attempt->is_ended || attempt->cancelled_at != 0) {
+        return;
+    }
+    Play_Trace(play, "caller %u reads nothing for %d ms", caller->number,
+               (int)(duration / KC_MS));
+    KcForward_SetReadPaused(caller->forward, true, now);
+    set_leave_timer(caller, now + duration);
+    KcTimers_Set(play->timers, &caller->read_timer, now + duration);
+    attempt->unread_until = now + duration + KC_MS;
+}
+
 /* ---- answers ------------------------------------------------------------- */
 
 static void
@@ -114,6 +143,7 @@
     caller->end_count++;
     caller->forward = NULL;
     KcTimers_Clear(caller->gateway->play->timers, &caller->leave_timer);
+    KcTimers_Clear(caller->gateway->play->timers, &caller->read_timer);
 }
 
 static void
@@ -187,6 +217,7 @@
     }
     TAILQ_INIT(&caller->attempts);
     KcTimer_Init(&caller->leave_timer, on_leave_timer, caller);
+    KcTimer_Init(&caller->read_timer, on_read_timer, caller);
     TAILQ_INSERT_TAIL(&play->callers, caller, link);
     return caller;
 }
@@ -240,5 +271,6 @@
         free(attempt);
     }
     KcTimers_Clear(play->timers, &caller->leave_timer);
+    KcTimers_Clear(play->timers, &caller->read_timer);
     free(caller);
 }
--- a/tests/plays/gateway.c
+++ b/tests/plays/gateway.c
@@ -78,7 +78,7 @@
     attempt->next_event_id =
         params->has_last_event ? params->last_event_id + 1 : 1;
     PlayPipe_Init(&attempt->requests, play, &attempt->server->paused_until);
-    PlayPipe_Init(&attempt->answers, play, &never_stopped);
+    PlayPipe_Init(&attempt->answers, play, &attempt->unread_until);
     KcTimer_Init(&attempt->connect_timer, on_connected, attempt);
     TAILQ_INSERT_TAIL(&caller->attempts, attempt, link);
     Oracle_OnStart(attempt);
--- a/tests/plays/play.h
+++ b/tests/plays/play.h
@@ -190,8 +190,9 @@
     PlayServer *server;
     KcForward *forward;
     PlayAttemptState state;
-    PlayPipe requests; /* to the server */
-    PlayPipe answers;  /* from it */
+    PlayPipe requests;   /* to the server */
+    PlayPipe answers;    /* from it */
+    KcTime unread_until; /* its caller reads nothing, nor does the gateway */
     KcTimer connect_timer;
     KcTimer step_timer;
     uint64_t next_event_id;
@@ -223,6 +224,7 @@
     KcTime deadline;
     KcTime patience_until; /* leaves at the latest */
     KcTimer leave_timer;
+    KcTimer read_timer; /* when it reads on */
     unsigned end_count;
     bool has_left;
     bool has_begun;
@@ -276,6 +278,9 @@
 void Play_SubmitRequest(Play *play, KcTime now);
 void PlayCaller_Free(PlayCaller *caller);
 bool PlayCaller_IsStream(const PlayCaller *caller);
+/* Reads nothing for a while, if an answer has begun; its gateway reads nothing
+ * of the answer meanwhile. */
+void PlayCaller_StopReading(PlayCaller *caller, KcTime duration, KcTime now);
 
 /* ---- gateway.c ----------------------------------------------------------- */
 
@@ -346,6 +351,7 @@
 void Trouble_StopStore(Play *play, KcTime now);
 void Trouble_LoseStore(Play *play, KcTime now);
 void Trouble_OldNews(Play *play, KcTime now);
+void Trouble_StopReading(Play *play, KcTime now);
 /* A server says in its answers that it leaves; the others, once. */
 void Trouble_Leave(Play *play, KcTime now);
 void Trouble_AllPlainLeave(Play *play, KcTime now);
--- a/tests/plays/test_plays.c
+++ b/tests/plays/test_plays.c
@@ -73,6 +73,9 @@
                   {Trouble_OldNews, 0, 500 * KC_MS},
                   {Trouble_Leave, 0, 8 * KC_SECOND},
                   {Trouble_Shut, 0, KC_SECOND}}},
+    {"callers stop reading while servers pause", BUSY,
+     .troubles = {{Trouble_StopReading, 0, 300 * KC_MS},
+                  {Trouble_Pause, 0, 400 * KC_MS}}},
 };
 
 #define PLAN_COUNT (sizeof(plans) / sizeof(plans[0]))
--- a/tests/plays/troubles.c
+++ b/tests/plays/troubles.c
@@ -104,6 +104,22 @@
     PlayStore_SendOldRecord(pick_server(play, play->server_count));
 }
 
+/* Every fourth caller whose stream has begun reads nothing for a while. */
+void
+Trouble_StopReading(Play *play, KcTime now)
+{
+    PlayCaller *caller;
+
+    TAILQ_FOREACH (caller, &play->callers, link) {
+        if (caller->forward != NULL && PlayCaller_IsStream(caller) &&
+            Play_Random(play, 4) == 0) {
+            PlayCaller_StopReading(
+                caller, Play_RandomTime(play, 300 * KC_MS, 3 * KC_SECOND),
+                now);
+        }
+    }
+}
+
 static void
 say_leaving(PlayServer *server)
 {
