Excuse no whole request in the soak by the end of a planned stop

A gateway answers what its planned stop ends, so a worker that is still at work is no excuse any more, only a caller that has not sent all of its request.

--- a/tests/soak/rules.c
+++ b/tests/soak/rules.c
@@ -29,8 +29,6 @@
 #define CROSSING_TIME_MAX (100 * KC_MS)
 /* Five sixths of the 5 s that a planned stop has. */
 #define STOP_TIME_MIN (4160 * KC_MS)
-/* Requests that are sent later in it are not excused by their worker. */
-#define STOP_ARRIVALS_TIME (3 * KC_SECOND)
 /* For which a caller may go on sending after it was refused. */
 #define EXCESS_TIME_MAX (1900 * KC_MS)
 /* After its start a gateway may have no configuration, and so limits of its
@@ -295,8 +293,7 @@
                         call->gateway, call->began_at, call->ended_at) != NULL;
 }
 
-/* Did its gateway's planned stop end before the caller had sent all of it, or
- * while its worker was still at work?  The platform allows both. */
+/* Did its gateway's planned stop end before the caller had sent all of it? */
 static bool
 has_outlasted_stop(const Call *call)
 {
@@ -305,9 +302,7 @@
                      call->began_at, call->ended_at);
 
     return stop != NULL && call->ended_at - stop->begins_at > STOP_TIME_MIN &&
-           (call->sent_at == KC_NEVER ||
-            (call->run_count > 0 &&
-             call->sent_at - stop->begins_at < STOP_ARRIVALS_TIME));
+           call->sent_at == KC_NEVER;
 }
 
 /* Has the caller sent for so long that the gateway, which has refused it long
