Let callers of the soak read nothing for up to five seconds

Fails until the gateway waits longer for callers that read nothing: a plain answer of 1 MB is broken off once its caller has not read for connection_silence_timeout_ms (3 s) ("broken off: ... status 200 runs 1 whole 0 ... ended 4.939 after it, code -16, stops reading").

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -190,15 +190,18 @@
     }
 }
 
-/* Reads nothing for a while. */
+/* Reads nothing for a while, a plain answer that the gateway has also until
+ * after its deadline. */
 static void
 stop_reading(Caller *caller, const CallKind *kind)
 {
+    KcTime pause_max = kind->is_stream ? KC_SECOND : 5 * KC_SECOND;
+
     write_request(caller, kind, 0,
                   kind->is_stream ? LONG_EVENT_BYTES : LONG_ANSWER_BYTES);
     send_bytes(caller, KcBuffer_Size(&caller->request));
     KcHttpConnection_SetReadPaused(caller->connection, true);
-    set_timer(&caller->habit_timer, draw_delay(KC_SECOND));
+    set_timer(&caller->habit_timer, draw_delay(pause_max));
 }
 
 static void
