Drop the trailer of a chunked body, which moved the head that was kept

What callers saw: one request with a trailer of some hundred bytes ended the gateway, and with it every request in progress there.

Cause: fields of a trailer were appended to the text of the head. The buffer moves when it grows, but target and fields of the message point into it.

Evidence: found by review. 'a long trailer behind a chunked body' of test_caller_closes ended the program with a segmentation fault (status 139), under ASan as a use after free in KcHttpMessage_FindField.

Why this works: nothing reads the fields of a trailer, so they are counted against the limit of the head as before and not kept.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -46,6 +46,7 @@
     FieldOffsets field_offsets[KC_HTTP_MESSAGE_FIELDS_MAX];
     size_t field_count;
     bool in_field_value; /* the parser reports a value, not a name */
+    bool head_complete;  /* fields of a trailer follow, which are dropped */
     size_t target;       /* unused */
     size_t head_bytes;
     size_t parsed_bytes; /* for the present owner */
@@ -103,6 +104,7 @@
                        KcBuffer_Size(&connection->head_text));
     connection->field_count = 0;
     connection->in_field_value = false;
+    connection->head_complete = false;
     connection->head_bytes = 0;
     connection->message_started = true;
     if (connection->options.ops->on_message_begin != NULL) {
@@ -131,6 +133,9 @@
     if (check_head_bytes(connection, text, size) != 0) {
         return 1;
     }
+    if (connection->head_complete) {
+        return 0; /* message points into head_text */
+    }
     if (connection->in_field_value || connection->field_count == 0) {
         if (connection->field_count == KC_HTTP_MESSAGE_FIELDS_MAX) {
             return fail_parsing(connection, KC_ERR_TOO_LARGE);
@@ -153,6 +158,9 @@
         connection->field_count == 0) {
         return 1;
     }
+    if (connection->head_complete) {
+        return 0;
+    }
     if (!connection->in_field_value) {
         KcBuffer_Append(&connection->head_text, "", 1);
         connection->field_offsets[connection->field_count - 1].value =
@@ -210,6 +218,7 @@
     KcHttpMessage *message = &connection->message;
     int code = build_message(connection);
 
+    connection->head_complete = true;
     if (code != 0) {
         connection->callback_error = code;
         return HEADERS_STOP_PARSING;
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -45,7 +45,12 @@
 start_attempt(void *context, KcForwardAttempt *attempt,
               const KcAttemptParams *params)
 {
+    const KcHttpMessage *head =
+        KcGatewayFrontEnd_RequestHead(attempt->forward->caller);
+
     (void)params;
+    g_assert_cmpstr(head->target, ==, "/x/a");
+    g_assert_cmpstr(KcHttpMessage_FindField(head, "Host"), ==, "h");
     ((Fixture *)context)->attempt = attempt;
     return context;
 }
@@ -279,6 +284,8 @@
     {"rest-of-post", "gth: 900\r\n\r\n"},
     {"no-request", "what is this?\r\n\r\n"},
     {"no-host", "POST /x/a HTTP/1.1\r\nContent-Length: 9\r\n\r\n"},
+    {"chunked", "POST /x/a HTTP/1.1\r\nHost: h\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n"},
     {"bad-chunk", "POST /x/a HTTP/1.1\r\nHost: h\r\n"
                   "Transfer-Encoding: chunked\r\n\r\nno size\r\n"},
     {"no-host-bad-chunk",
@@ -524,6 +531,18 @@
     g_assert_cmpint(KcLoop_Now() - begun_at, <=, atoi(words[2]) * KC_MS);
 }
 
+/* trailer BYTES: the caller ends a chunked body with a trailer of this size.
+ */
+static void
+step_trailer(Fixture *fixture, char **words)
+{
+    char trailer[8192];
+
+    snprintf(trailer, sizeof(trailer), "1\r\nx\r\n0\r\nChecksum: %0*d\r\n\r\n",
+             atoi(words[1]), 0);
+    g_assert_cmpint(send_all(fixture, trailer, strlen(trailer)), ==, 0);
+}
+
 /* quiet: a planned stop may end now. */
 static void
 step_quiet(Fixture *fixture, char **words)
@@ -541,6 +560,7 @@
     {"flood", step_flood},       {"quiet", step_quiet},
     {"timeouts", step_timeouts}, {"cut", step_cut},
     {"sip", step_sip},           {"dropped", step_dropped},
+    {"trailer", step_trailer},
 };
 
 /* ---- cases -------------------------------------------------------------------- */
@@ -643,6 +663,10 @@
      "dropped 700 4500"},
     {"a planned stop does not wait for a caller that was refused",
      "connect;send no-request;wait 50;quiet;read 400;end 500"},
+    {"a short trailer behind a chunked body",
+     "connect;send chunked;wait 20;trailer 20;answer 10;read 200"},
+    {"a long trailer behind a chunked body",
+     "connect;send chunked;wait 20;trailer 1500;answer 10;read 200"},
 };
 
 static void
