Do not read a caller's next request while its answers are not taken

What callers saw: one that sends many requests and reads no answer filled the memory of a gateway, which ends the process and all its requests.

Cause: the next request was read as soon as an answer had been written. Only streams paused their server; answers in the output belong to no pool.

Evidence: found by review. 'a caller that sends requests and reads no answer' of test_caller_closes: of 200 requests with answers of 1 MB all 200,000,000 bytes were taken (bound 32,000,000).

Why this works: with more than 256 KB unsent the next request stays unread until all is sent, so that the caller waits in its own buffers.

--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -12,8 +12,8 @@
 #include "../process/log.h"
 
 /*
- * Unsent bytes of a streamed answer above which reading from the backend
- * server is paused until all of them are sent.
+ * Unsent bytes above which reading a streamed answer from its backend server
+ * is paused, or the caller's next request is not read, until all are sent.
  */
 #define UNSENT_BYTES_MAX (256 * 1024)
 /*
@@ -278,7 +278,10 @@
         return;
     }
     wait_for_request(connection);
-    KcHttpConnection_ReadNextMessage(connection->http_connection);
+    if (KcHttpConnection_UnsentBytes(connection->http_connection) <=
+        UNSENT_BYTES_MAX) {
+        KcHttpConnection_ReadNextMessage(connection->http_connection);
+    }
 }
 
 /*
@@ -360,6 +363,7 @@
 
     if (connection->state == CONNECTION_IDLE) {
         wait_for_request(connection); /* idle from now on */
+        KcHttpConnection_ReadNextMessage(connection->http_connection);
     }
     if (connection->forward != NULL) {
         set_reply_read_paused(connection->forward, false);
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -543,6 +543,31 @@
     g_assert_cmpint(send_all(fixture, trailer, strlen(trailer)), ==, 0);
 }
 
+/* pipeline COUNT BYTES MAX: the caller sends COUNT requests and reads nothing;
+ * the server answers each with BYTES.  At most MAX bytes of answers are asked
+ * of the server. */
+static void
+step_pipeline(Fixture *fixture, char **words)
+{
+    static const char request[] = "GET /x/a HTTP/1.1\r\nHost: h\r\n\r\n";
+    char *answer[] = {(char *)"answer", words[2], NULL};
+    long long taken = 0;
+
+    for (int i = atoi(words[1]); i > 0; i--) {
+        g_assert_cmpint(send_all(fixture, request, strlen(request)), ==, 0);
+    }
+    for (int waited = 0; waited < 100 && taken < 1000000000; waited++) {
+        run_loop(fixture, POLL_INTERVAL);
+        if (fixture->attempt != NULL) {
+            step_answer(fixture, answer);
+            taken += atoll(words[2]);
+            waited = 0;
+        }
+    }
+    g_test_message("%lld bytes of answers were taken", taken);
+    g_assert_cmpint(taken, <=, atoll(words[3]));
+}
+
 /* quiet: a planned stop may end now. */
 static void
 step_quiet(Fixture *fixture, char **words)
@@ -560,7 +585,7 @@
     {"flood", step_flood},       {"quiet", step_quiet},
     {"timeouts", step_timeouts}, {"cut", step_cut},
     {"sip", step_sip},           {"dropped", step_dropped},
-    {"trailer", step_trailer},
+    {"trailer", step_trailer},   {"pipeline", step_pipeline},
 };
 
 /* ---- cases -------------------------------------------------------------------- */
@@ -667,6 +692,8 @@
      "connect;send chunked;wait 20;trailer 20;answer 10;read 200"},
     {"a long trailer behind a chunked body",
      "connect;send chunked;wait 20;trailer 1500;answer 10;read 200"},
+    {"a caller that sends requests and reads no answer",
+     "connect 4096;pipeline 200 1000000 32000000"},
 };
 
 static void
