--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -206,7 +206,7 @@
         .silence_timeout = fixture->silence_timeout,
         .stall_timeout = fixture->stall_timeout};
 
-    for (int port = 22000; port < 23000 && fixture->front_end == NULL;
+    for (int port = 26000; port < 27000 && fixture->front_end == NULL;
          port++) {
         snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d",
                  port);
