Keep a stream that its caller resumes at one server at a time

What callers could see: two servers working on the rest of one stream, as a silent one is not given up before another one's answer begins. That is meant for requests that have no answer yet; one that the caller resumes after an event goes on like one whose answer has begun.

The new row of test_gateway gave '1>a+5; 1>b+5; 1x a' before, and gives '1>a+5; 1x; 1>b+5' now.

Why this works: both kinds are decided by one predicate.

--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -170,6 +170,14 @@
     return true;
 }
 
+/* Does the answer go on after an event?  No two servers may work on the same
+ * rest. */
+static bool
+goes_on(const KcForward *forward)
+{
+    return forward->answer_begun || forward->has_last_event;
+}
+
 /* Must the attempts be given up, at the end or to go on elsewhere? */
 static bool
 should_leave(KcForward *forward, KcTime now)
@@ -178,7 +186,7 @@
         are_servers_lost(forward, now)) {
         return true;
     }
-    return forward->answer_begun && should_try_elsewhere(forward, now) &&
+    return goes_on(forward) && should_try_elsewhere(forward, now) &&
            KcForward_CanMove(forward, now);
 }
 
@@ -226,7 +234,7 @@
         leave_servers(forward, now);
         return;
     }
-    if (!forward->answer_begun) {
+    if (!goes_on(forward)) {
         try_elsewhere(forward, now);
     }
     if (is_stream(forward) && now >= check_server_at(forward)) {
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -18,7 +18,7 @@
  *                           adapters; each ID has a port unless one is given
  *   missing ID [deleted]    the record is missing, or known to be deleted
  *   list ID...              a complete list, with these records only
- *   request N PATH [MODEL[/ADAPTER] [EVENTS_MAX]], abandon N
+ *   request N PATH [MODEL[/ADAPTER] [EVENTS_MAX [LAST_EVENT]]], abandon N
  *   reply N STATUS, notrun N, misdirected N, begin N, event N ID, end N
  *                           answers to an attempt: N is the latest one of
  *                           request N, N@SERVER the one at that server
@@ -395,6 +395,9 @@
         call.adapter = parts[1] != NULL ? parts[1] : "";
         call.answer_events_max =
             words[4] != NULL ? (uint64_t)atoi(words[4]) : 0;
+        call.has_last_event = words[4] != NULL && words[5] != NULL;
+        call.last_event_id =
+            call.has_last_event ? (uint64_t)atoi(words[5]) : 0;
     }
     caller->fixture = fixture;
     caller->number = atoi(words[1]);
@@ -1070,6 +1073,10 @@
      LLM "server b llm 4 m x@1;request 1 /r/x m/x;wait 800;notrun 1;begin 1;"
          "event 1 0;end 1",
      "1>a; 1>b; 1:begin; 1:0; 1:end; "},
+    {"a stream that its caller resumes is at one server at a time",
+     LLM "server b llm 4 m x@1;request 1 /r/x m/x 0 5;wait 800;begin 1;"
+         "event 1 6;end 1",
+     "1>a+5; 1x; 1>b+5; 1:begin; 1:6; 1:end; "},
     {"a request goes on at a silent server when the other one is lost",
      PLAIN "request 1 /s/x;wait 800;lost 1;reply 1 200",
      "1>a; 1>b; 1:200; 1:end; "},
