Send nothing to servers while a planned stop ends

The end of the intake also ends the gateway's time for requests. What is still read then would be refused and the refusal sent in the last pass, and requests that wait get no place that becomes free as others are ended: an outcome that is certain would become an unknown one.

Evidence: by reading, in review: KcGateway_Abort() dispatches the queue for each request that it ends, unless the end of the stop has come; a stop that is drained early had not reached it. test_gateway_stop has the row for the end of the stop itself; no case of its own was added.

--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -143,7 +143,11 @@
 static void
 end_intake(void *context)
 {
-    KcGatewayFrontEnd_EndIntake(((GatewayRole *)context)->front_end);
+    GatewayRole *role = context;
+    KcTime now = KcLoop_Now();
+
+    KcGateway_Drain(role->gateway, now, now); /* sends no more to servers */
+    KcGatewayFrontEnd_EndIntake(role->front_end);
 }
 
 /* The percentage of retries, rounded down; 0.29 has no exact binary form. */
