--- /dev/null
+++ b/tests/gateway_stubs.c
@@ -0,0 +1,46 @@
+/*
+ * Functions of a gateway's program that do nothing.
+ */
+#include "gateway_stubs.h"
+
+bool
+GatewayStubs_RequestLoad(void *context, const KcLoadRequest *request)
+{
+    (void)context;
+    (void)request;
+    return false;
+}
+
+void
+GatewayStubs_IgnoreServer(void *context, KcServer *server)
+{
+    (void)context;
+    (void)server;
+}
+
+void
+GatewayStubs_RefreshServers(void *context)
+{
+    (void)context;
+}
+
+void
+GatewayStubs_RecordRequest(void *context, const KcForwardRecord *record)
+{
+    (void)context;
+    (void)record;
+}
+
+void
+GatewayStubs_RecordNotice(void *context, const KcNoticeRecord *record)
+{
+    (void)context;
+    (void)record;
+}
+
+const char *
+GatewayStubs_FindRegion(void *context, const char *datacentre)
+{
+    (void)context;
+    return datacentre;
+}
--- /dev/null
+++ b/tests/gateway_stubs.h
@@ -0,0 +1,20 @@
+/*
+ * Functions of a gateway's program that do nothing, for tests that look at
+ * something else.
+ */
+#ifndef KCC_GATEWAY_STUBS_H
+#define KCC_GATEWAY_STUBS_H
+
+#include <kcc.h>
+
+/* Requests no load: the keeper can't be reached. */
+bool GatewayStubs_RequestLoad(void *context, const KcLoadRequest *request);
+void GatewayStubs_IgnoreServer(void *context, KcServer *server);
+void GatewayStubs_RefreshServers(void *context);
+void GatewayStubs_RecordRequest(void *context, const KcForwardRecord *record);
+void GatewayStubs_RecordNotice(void *context, const KcNoticeRecord *record);
+
+/* Each data centre is a region of its own. */
+const char *GatewayStubs_FindRegion(void *context, const char *datacentre);
+
+#endif
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -59,6 +59,7 @@
 #include <kcc.h>
 
 #include "../steps.h"
+#include "../gateway_stubs.h"
 
 #define REQUEST_COUNT_MAX 100
 
@@ -155,13 +156,6 @@
     g_string_append(((Fixture *)context)->trace, "refresh; ");
 }
 
-static void
-close_connections(void *context, KcServer *server)
-{
-    (void)context;
-    (void)server;
-}
-
 static void
 record_request(void *context, const KcForwardRecord *record)
 {
@@ -187,8 +181,9 @@
 }
 
 static const KcGatewayOps gateway_ops = {
-    start_attempt,   cancel_attempt,    request_load,   check_server,
-    refresh_servers, close_connections, record_request, record_notice};
+    start_attempt,  cancel_attempt,  request_load,
+    check_server,   refresh_servers, GatewayStubs_IgnoreServer,
+    record_request, record_notice};
 
 static void
 on_answer_begin(void *context, const void *head, bool stream)
--- a/tests/process/test_gateway_stop.c
+++ b/tests/process/test_gateway_stop.c
@@ -12,6 +12,7 @@
 #include <kcc.h>
 
 #include "../steps.h"
+#include "../gateway_stubs.h"
 
 /* Times after the start of the stop. */
 #define REFUSE_AT_MS 2800
@@ -104,44 +105,14 @@
     ((Caller *)handle)->started_at = 0;
 }
 
-static bool
-request_load(void *context, const KcLoadRequest *load_request)
-{
-    (void)context;
-    (void)load_request;
-    return false;
-}
-
-static void
-ignore_server(void *context, KcServer *server)
-{
-    (void)context;
-    (void)server;
-}
-
-static void
-refresh_servers(void *context)
-{
-    (void)context;
-}
-
-static void
-record_request(void *context, const KcForwardRecord *record)
-{
-    (void)context;
-    (void)record;
-}
-
-static void
-record_notice(void *context, const KcNoticeRecord *record)
-{
-    (void)context;
-    (void)record;
-}
-
-static const KcGatewayOps gateway_ops = {
-    start_attempt,   cancel_attempt, request_load,   ignore_server,
-    refresh_servers, ignore_server,  record_request, record_notice};
+static const KcGatewayOps gateway_ops = {start_attempt,
+                                         cancel_attempt,
+                                         GatewayStubs_RequestLoad,
+                                         GatewayStubs_IgnoreServer,
+                                         GatewayStubs_RefreshServers,
+                                         GatewayStubs_IgnoreServer,
+                                         GatewayStubs_RecordRequest,
+                                         GatewayStubs_RecordNotice};
 
 static int
 time_after_stop(const Fixture *fixture)
@@ -203,13 +174,6 @@
 static const KcForwardOps caller_ops = {on_answer_begin, on_data, on_end,
                                         on_broken, on_refusal};
 
-static const char *
-find_region(void *context, const char *datacentre)
-{
-    (void)context;
-    return datacentre;
-}
-
 /* ---- the case ------------------------------------------------------------ */
 
 static void
@@ -245,7 +209,7 @@
     options.timers = fixture->timers;
     options.counters = &fixture->counters;
     options.datacentre = "here";
-    options.region_of = find_region;
+    options.region_of = GatewayStubs_FindRegion;
     fixture->gateway = KcGateway_Create(&options);
     KcRouting_AddService(routing, "plain");
     add_rule(routing, "/s/", KC_REQUEST_KIND_SAFE);
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -17,6 +17,7 @@
 #include "../../programs/process/platform.h"
 #include "../../programs/request/gateway_front_end.h"
 #include "../steps.h"
+#include "../gateway_stubs.h"
 
 /* Bounds the duration when a step does not end. */
 #define GUARD_TIMEOUT (20 * KC_SECOND)
@@ -62,51 +63,14 @@
     ((Fixture *)context)->attempt = NULL;
 }
 
-static bool
-request_load(void *context, const KcLoadRequest *request)
-{
-    (void)context;
-    (void)request;
-    return false;
-}
-
-static void
-ignore_server(void *context, KcServer *server)
-{
-    (void)context;
-    (void)server;
-}
-
-static void
-refresh_servers(void *context)
-{
-    (void)context;
-}
-
-static void
-record_request(void *context, const KcForwardRecord *record)
-{
-    (void)context;
-    (void)record;
-}
-
-static void
-record_notice(void *context, const KcNoticeRecord *record)
-{
-    (void)context;
-    (void)record;
-}
-
-static const KcGatewayOps gateway_ops = {
-    start_attempt,   cancel_attempt, request_load,   ignore_server,
-    refresh_servers, ignore_server,  record_request, record_notice};
-
-static const char *
-find_region(void *context, const char *datacentre)
-{
-    (void)context;
-    return datacentre;
-}
+static const KcGatewayOps gateway_ops = {start_attempt,
+                                         cancel_attempt,
+                                         GatewayStubs_RequestLoad,
+                                         GatewayStubs_IgnoreServer,
+                                         GatewayStubs_RefreshServers,
+                                         GatewayStubs_IgnoreServer,
+                                         GatewayStubs_RecordRequest,
+                                         GatewayStubs_RecordNotice};
 
 static void
 add_server(Fixture *fixture)
@@ -712,7 +676,7 @@
     options.timers = fixture.loop->timers;
     options.counters = &fixture.counters;
     options.datacentre = "here";
-    options.region_of = find_region;
+    options.region_of = GatewayStubs_FindRegion;
     options.seed = 1;
     fixture.gateway = KcGateway_Create(&options);
     add_server(&fixture);
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -15,6 +15,7 @@
 #include "../../programs/process/platform.h"
 #include "../../programs/request/http_attempt.h"
 #include "../standins/raw_server.h"
+#include "../gateway_stubs.h"
 
 /* Progress of calls, and the deadline of requests. */
 #define CALL_TIMEOUT (400 * KC_MS)
@@ -298,48 +299,6 @@
     KcHttpAttempt_Cancel(handle);
 }
 
-static bool
-request_load(void *context, const KcLoadRequest *request)
-{
-    (void)context;
-    (void)request;
-    return false;
-}
-
-static void
-check_server(void *context, KcServer *checked)
-{
-    (void)context;
-    (void)checked;
-}
-
-static void
-refresh_servers(void *context)
-{
-    (void)context;
-}
-
-static void
-close_connections(void *context, KcServer *server_to_close)
-{
-    (void)context;
-    (void)server_to_close;
-}
-
-static void
-record_notice(void *context, const KcNoticeRecord *record)
-{
-    (void)context;
-    (void)record;
-}
-
-static void
-record_request(void *context, const KcForwardRecord *record)
-{
-    (void)context;
-    (void)record;
-}
-
 static const char *
 region_of(void *context, const char *datacentre)
 {
@@ -421,9 +380,14 @@
 static void
 read_worker_answer(Reading *reading)
 {
-    static const KcGatewayOps ops = {
-        start_attempt,   cancel_attempt,    request_load,   check_server,
-        refresh_servers, close_connections, record_request, record_notice};
+    static const KcGatewayOps ops = {start_attempt,
+                                     cancel_attempt,
+                                     GatewayStubs_RequestLoad,
+                                     GatewayStubs_IgnoreServer,
+                                     GatewayStubs_RefreshServers,
+                                     GatewayStubs_IgnoreServer,
+                                     GatewayStubs_RecordRequest,
+                                     GatewayStubs_RecordNotice};
     KcForwardCall call = {.id = "this-request",
                           .host = "h",
                           .path = "/r/x",
--- a/tests/request/test_gateway_front_end.c
+++ b/tests/request/test_gateway_front_end.c
@@ -12,6 +12,7 @@
 
 #include "../../programs/process/platform.h"
 #include "../../programs/request/gateway_front_end.h"
+#include "../gateway_stubs.h"
 
 /* Bounds the duration when a step does not end. */
 #define GUARD_TIMEOUT (10 * KC_SECOND)
@@ -60,13 +61,6 @@
      HEAD "Content-Length: 9\r\n\r\nabc", 1, true, true, -1},
 };
 
-static const char *
-find_region(void *context, const char *datacentre)
-{
-    (void)context;
-    return datacentre;
-}
-
 /* Stops the loop when the front end has been as awaited for a while. */
 static void
 on_check_timer(KcTimer *timer, KcTime now)
@@ -163,7 +157,7 @@
     options.timers = fixture.loop->timers;
     options.counters = &fixture.counters;
     options.datacentre = "here";
-    options.region_of = find_region;
+    options.region_of = GatewayStubs_FindRegion;
     fixture.gateway = KcGateway_Create(&options);
     front_end_options.gateway = fixture.gateway;
     for (int port = 21000; port < 22000 && fixture.front_end == NULL; port++) {
--- a/tests/request/test_late_timers.c
+++ b/tests/request/test_late_timers.c
@@ -14,6 +14,7 @@
 
 #include "../../programs/process/platform.h"
 #include "../../programs/request/gateway_front_end.h"
+#include "../gateway_stubs.h"
 
 #define STEP_TIMEOUT (20 * KC_MS)
 /* Timers of the front end: none is due within a few steps. */
@@ -68,13 +69,6 @@
      HEAD CLOSE_FIELD "Content-Length: 3\r\n\r\na", "b", "c", false, 1},
 };
 
-static const char *
-find_region(void *context, const char *datacentre)
-{
-    (void)context;
-    return datacentre;
-}
-
 static void
 create_front_end(Fixture *fixture, size_t index)
 {
@@ -95,7 +89,7 @@
     options.timers = fixture->loop->timers;
     options.counters = &fixture->counters;
     options.datacentre = "here";
-    options.region_of = find_region;
+    options.region_of = GatewayStubs_FindRegion;
     fixture->gateway = KcGateway_Create(&options);
     front_end_options.gateway = fixture->gateway;
     for (int port = 24000; port < 25000 && fixture->front_end == NULL;
--- a/tests/request/test_notices.c
+++ b/tests/request/test_notices.c
@@ -11,6 +11,7 @@
 #include "../../programs/connection/socket.h"
 #include "../../programs/process/platform.h"
 #include "../../programs/request/http_attempt.h"
+#include "../gateway_stubs.h"
 
 #define REQUEST_TIMEOUT (400 * KC_MS)
 /* From the end of the request to the later bytes, and to the end of a case. */
@@ -200,41 +201,6 @@
     KcHttpAttempt_Cancel(handle);
 }
 
-static bool
-request_load(void *context, const KcLoadRequest *request)
-{
-    (void)context;
-    (void)request;
-    return false;
-}
-
-static void
-check_server(void *context, KcServer *checked)
-{
-    (void)context;
-    (void)checked;
-}
-
-static void
-refresh_servers(void *context)
-{
-    (void)context;
-}
-
-static void
-close_connections(void *context, KcServer *server)
-{
-    (void)context;
-    (void)server;
-}
-
-static void
-record_request(void *context, const KcForwardRecord *record)
-{
-    (void)context;
-    (void)record;
-}
-
 static void
 record_notice(void *context, const KcNoticeRecord *record)
 {
@@ -259,9 +225,14 @@
     }
 }
 
-static const KcGatewayOps gateway_ops = {
-    start_attempt,   cancel_attempt,    request_load,   check_server,
-    refresh_servers, close_connections, record_request, record_notice};
+static const KcGatewayOps gateway_ops = {start_attempt,
+                                         cancel_attempt,
+                                         GatewayStubs_RequestLoad,
+                                         GatewayStubs_IgnoreServer,
+                                         GatewayStubs_RefreshServers,
+                                         GatewayStubs_IgnoreServer,
+                                         GatewayStubs_RecordRequest,
+                                         record_notice};
 
 static const char *
 region_of(void *context, const char *datacentre)
--- a/tests/request/test_stop_end.c
+++ b/tests/request/test_stop_end.c
@@ -13,6 +13,7 @@
 #include "../../programs/process/platform.h"
 #include "../../programs/process/role.h"
 #include "../../programs/request/gateway_front_end.h"
+#include "../gateway_stubs.h"
 
 #define REQUEST "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -111,13 +112,6 @@
     KcRoleCommon_BeginDrain(&fixture->common);
 }
 
-static const char *
-find_region(void *context, const char *datacentre)
-{
-    (void)context;
-    return datacentre;
-}
-
 /* ---- the case ------------------------------------------------------------ */
 
 static void
@@ -162,7 +156,7 @@
     options.timers = timers;
     options.counters = &common->counters;
     options.datacentre = "here";
-    options.region_of = find_region;
+    options.region_of = GatewayStubs_FindRegion;
     fixture.gateway = KcGateway_Create(&options);
     create_front_end(&fixture);
     KcRoleCommon_HandleSignals(common, &role_ops, &fixture);
