Split the tests of the gateway's decisions by job

The steps have a file of their own, which runs a case of a table; the cases stand by job: routes, servers, limits, retries, adapters and stops (64), streams and silent servers (71), notices (59), 194 as before.

--- /dev/null
+++ b/tests/process/gateway_steps.c
@@ -0,0 +1,741 @@
+/*
+ * Steps of cases on the gateway's decisions: which server each attempt goes
+ * to, what follows an answer, a refusal or a lost attempt, and what the caller
+ * gets.
+ *
+ * Routes: /s/ safe, /u/ unsafe, /t/ a stream, /r/ a resumable stream; latency
+ * objective 1 s, request timeout 4 s, two attempts at the most where a request
+ * may be repeated.  Streams go to service llm, the others to service plain.
+ * Callers leave a stream after 3 s of silence; intervals between events up to
+ * 400 ms are on time.  Servers are in the gateway's data centre "here" unless
+ * at= names another: "near" in the same region, "far" in another one.
+ *
+ * Steps, separated by semicolons:
+ *   config VERSION          takes a routing configuration
+ *   inforce                 traces the version in force, as "v2"
+ *   server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [port=N] [leaving]
+ *          REPLICA...       a server's record; born is its start time, x@1 is
+ *                           version 1 of adapter x, m the base model of all
+ *                           adapters; each ID has a port unless one is given
+ *   missing ID [deleted]    the record is missing, or known to be deleted
+ *   list ID...              a complete list, with these records only
+ *   request N PATH [MODEL[/ADAPTER] [EVENTS_MAX [LAST_EVENT]]], abandon N
+ *   reply N STATUS, notrun N, misdirected N, begin N, event N ID, end N
+ *                           answers to an attempt: N is the latest one of
+ *                           request N, N@SERVER the one at that server
+ *   lost N, neversent N     the attempt failed after or before it was sent
+ *   report SERVER ADAPTER VERSION STATE     from the keeper; see state_names
+ *   keeperlost SERVER       the keeper's link ended
+ *   version ADAPTER VERSION announces a version
+ *   load SERVER RUNNING WAITING CONCURRENCY_MAX
+ *   nokeeper SERVER, nosend SERVER     the keeper or server is unreachable
+ *   gateways N              number of gateways that share the retry budget
+ *   checks                  traces checks of servers from now on
+ *   alive SERVER            the server answers a check
+ *   notice SERVER leaving [BORN], notice SERVER wait MS, notice SERVER unread
+ *                           a server's notice, from the instance of that start
+ *   written N               the connection of an attempt was made: its request
+ *                           is written, unless the server takes none by now
+ *   unread N, read N        the caller stops reading its answer, or goes on
+ *   drain, wait MS
+ *   cleartrace              forgets what was traced so far
+ *   each FIRST LAST STEP [WORD...]     the step for each of these numbers
+ *   pause MS                the gateway's process stands still
+ *
+ * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
+ * after event 5, "1x" attempt cancelled, "1x a" the one at server a of
+ * several, "?a x@2" load request to a's keeper, "check a" a is asked for a
+ * sign of life, "refresh" the servers' records are to be read; "1:begin",
+ * "1:200", "1:7" (an event), "1:end", "1:broken", "1:not run CODE", "1:unknown
+ * CODE" what the caller gets, with the time after which it may try again if
+ * that is not 400 ms; "a:leaving", "a:closed MS", "a:open", "a:unread" what is
+ * learned from notices, "1 written" a request that is written.
+ */
+#include "gateway_steps.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <kcc.h>
+
+#include "../steps.h"
+#include "../gateway_stubs.h"
+
+#define REQUEST_COUNT_MAX 100
+
+typedef struct Fixture Fixture;
+
+/* A caller with its one request. */
+typedef struct Caller {
+    Fixture *fixture;
+    int number;
+    KcForward *forward; /* NULL once the request has ended */
+} Caller;
+
+struct Fixture {
+    KcTimers *timers;
+    KcCounters counters;
+    KcGateway *gateway;
+    GString *trace;
+    KcTime now;
+    uint64_t revision;
+    Caller callers[REQUEST_COUNT_MAX];
+    bool traces_checks;        /* checks of servers are traced */
+    bool is_checking;          /* a check is unanswered */
+    char no_keeper_server[16]; /* its keeper is unreachable */
+    char no_send_server[16];   /* no attempt can be sent to it */
+};
+
+/* ---- calls made by the gateway ------------------------------------------ */
+
+static void *
+start_attempt(void *context, KcForwardAttempt *attempt,
+              const KcAttemptParams *params)
+{
+    Fixture *fixture = context;
+    Caller *caller = attempt->forward->caller;
+
+    g_assert_cmpint(params->time_left, >, 0);
+    if (strcmp(fixture->no_send_server, params->server->id) == 0) {
+        return NULL;
+    }
+    g_string_append_printf(fixture->trace, "%d>%s", caller->number,
+                           params->server->id);
+    if (params->has_last_event) {
+        g_string_append_printf(fixture->trace, "+%d",
+                               (int)params->last_event_id);
+    }
+    g_string_append(fixture->trace, "; ");
+    return attempt;
+}
+
+static void
+cancel_attempt(void *context, void *handle)
+{
+    Fixture *fixture = context;
+    const KcForwardAttempt *attempt = handle;
+    const struct KcForwardAttemptList *attempts = &attempt->forward->attempts;
+    const Caller *caller = attempt->forward->caller;
+
+    g_string_append_printf(fixture->trace, "%dx", caller->number);
+    if (TAILQ_FIRST(attempts) != TAILQ_LAST(attempts, KcForwardAttemptList)) {
+        g_string_append_printf(fixture->trace, " %s", attempt->server->id);
+    }
+    g_string_append(fixture->trace, "; ");
+}
+
+static bool
+request_load(void *context, const KcLoadRequest *load_request)
+{
+    Fixture *fixture = context;
+
+    if (strcmp(fixture->no_keeper_server, load_request->server->id) == 0) {
+        return false;
+    }
+    g_string_append_printf(
+        fixture->trace, "?%s %s@%u; ", load_request->server->id,
+        load_request->adapter->name, load_request->version_min);
+    return true;
+}
+
+static void
+check_server(void *context, KcServer *server)
+{
+    Fixture *fixture = context;
+
+    /* As the program, not again while a check is unanswered. */
+    if (fixture->traces_checks && !fixture->is_checking) {
+        fixture->is_checking = true;
+        g_string_append_printf(fixture->trace, "check %s; ", server->id);
+    }
+}
+
+static void
+refresh_servers(void *context)
+{
+    g_string_append(((Fixture *)context)->trace, "refresh; ");
+}
+
+static void
+record_request(void *context, const KcForwardRecord *record)
+{
+    (void)context;
+    g_assert_nonnull(record->outcome);
+}
+
+static void
+record_notice(void *context, const KcNoticeRecord *record)
+{
+    static const char *const kind_names[] = {[KC_NOTICE_LEAVING] = "leaving",
+                                             [KC_NOTICE_CLOSED] = "closed",
+                                             [KC_NOTICE_OPEN] = "open",
+                                             [KC_NOTICE_UNREAD] = "unread"};
+    GString *trace = ((Fixture *)context)->trace;
+
+    g_string_append_printf(trace, "%s:%s", record->server->id,
+                           kind_names[record->kind]);
+    if (record->kind == KC_NOTICE_CLOSED) {
+        g_string_append_printf(trace, " %d", (int)(record->duration / KC_MS));
+    }
+    g_string_append(trace, "; ");
+}
+
+static const KcGatewayOps gateway_ops = {
+    start_attempt,  cancel_attempt,  request_load,
+    check_server,   refresh_servers, GatewayStubs_IgnoreServer,
+    record_request, record_notice};
+
+static void
+on_answer_begin(void *context, const void *head, bool stream)
+{
+    Caller *caller = context;
+
+    (void)head;
+    if (stream) {
+        g_string_append_printf(caller->fixture->trace, "%d:begin; ",
+                               caller->number);
+    }
+}
+
+static void
+on_data(void *context, KcBytes bytes)
+{
+    Caller *caller = context;
+
+    g_string_append_printf(caller->fixture->trace, "%d:%.*s; ", caller->number,
+                           (int)bytes.size, bytes.data);
+}
+
+static void
+on_end(void *context)
+{
+    Caller *caller = context;
+
+    caller->forward = NULL;
+    g_string_append_printf(caller->fixture->trace, "%d:end; ", caller->number);
+}
+
+static void
+on_broken(void *context, const KcError *error)
+{
+    Caller *caller = context;
+
+    (void)error;
+    caller->forward = NULL;
+    g_string_append_printf(caller->fixture->trace, "%d:broken; ",
+                           caller->number);
+}
+
+static void
+on_refused(void *context, const KcForwardRefusal *refusal)
+{
+    Caller *caller = context;
+
+    caller->forward = NULL;
+    g_string_append_printf(caller->fixture->trace, "%d:%s %s", caller->number,
+                           refusal->may_have_run ? "unknown" : "not run",
+                           KcError_Name(refusal->error.code));
+    if (refusal->retry_after != 0 && refusal->retry_after != 400 * KC_MS) {
+        g_string_append_printf(caller->fixture->trace, " after %d",
+                               (int)(refusal->retry_after / KC_MS));
+    }
+    g_string_append(caller->fixture->trace, "; ");
+}
+
+static const KcForwardOps caller_ops = {on_answer_begin, on_data, on_end,
+                                        on_broken, on_refused};
+
+static const char *
+find_region(void *context, const char *datacentre)
+{
+    (void)context;
+    return strcmp(datacentre, "far") == 0 ? "south" : "north";
+}
+
+/* ---- steps -------------------------------------------------------------- */
+
+static void
+add_rule(KcRouting *routing, const char *prefix, KcRequestKind kind,
+         bool resumable)
+{
+    KcRouteRule *rule = KcRouting_AddRule(routing, "h", prefix);
+
+    KcText_Copy(rule->name, prefix, KC_NAME_MAX);
+    rule->kind = kind;
+    rule->request_timeout = 4 * KC_SECOND;
+    rule->latency_objective = 1 * KC_SECOND;
+    rule->event_interval_max = 400 * KC_MS;
+    rule->caller_silence_timeout = 3 * KC_SECOND;
+    rule->resumable = resumable;
+    rule->attempts_max = 2;
+    KcRouting_AddTarget(rule, kind == KC_REQUEST_KIND_STREAM ? "llm" : "plain",
+                        1);
+}
+
+static void
+step_config(Fixture *fixture, char **words)
+{
+    KcRouting *routing = KcRouting_Create((uint64_t)atoi(words[1]));
+    KcError error;
+
+    KcRouting_AddService(routing, "llm")->engine.is_configured = true;
+    KcRouting_AddService(routing, "plain");
+    add_rule(routing, "/s/", KC_REQUEST_KIND_SAFE, false);
+    add_rule(routing, "/u/", KC_REQUEST_KIND_UNSAFE, false);
+    add_rule(routing, "/t/", KC_REQUEST_KIND_STREAM, false);
+    add_rule(routing, "/r/", KC_REQUEST_KIND_STREAM, true);
+    g_assert_cmpint(KcRouting_Validate(routing, &error), ==, 0);
+    KcGateway_SetRouting(fixture->gateway, routing);
+}
+
+static void
+step_in_force(Fixture *fixture, char **words)
+{
+    (void)words;
+    g_string_append_printf(
+        fixture->trace, "v%d; ",
+        (int)KcGateway_GetRouting(fixture->gateway)->version);
+}
+
+/* Applies an option or replica of a server step to the record. */
+static void
+apply_server_word(KcServerInfo *info, const char *server_word)
+{
+    char **parts = g_strsplit(server_word, "@", 2);
+
+    if (strncmp(server_word, "at=", 3) == 0) {
+        KcText_Copy(info->datacentre, server_word + 3, KC_NAME_MAX);
+    }
+    else if (strncmp(server_word, "born=", 5) == 0) {
+        info->started_at_ms = atoi(server_word + 5);
+    }
+    else if (strncmp(server_word, "port=", 5) == 0) {
+        snprintf(info->address, sizeof(info->address), "127.0.0.1:%s",
+                 server_word + 5);
+    }
+    else if (strcmp(server_word, "leaving") == 0) {
+        info->leaving = true;
+    }
+    else if (parts[1] != NULL) {
+        KcServerInfo_AddReplica(info, "m", parts[0], (uint32_t)atoi(parts[1]),
+                                false);
+    }
+    else {
+        KcServerInfo_AddReplica(info, parts[0], "", 1, false);
+    }
+    g_strfreev(parts);
+}
+
+static void
+step_server(Fixture *fixture, char **words)
+{
+    KcServerInfo info;
+
+    KcServerInfo_Init(&info);
+    KcText_Copy(info.id, words[1], KC_NAME_MAX);
+    KcText_Copy(info.service, words[2], KC_NAME_MAX);
+    snprintf(info.address, sizeof(info.address), "127.0.0.1:%d", words[1][0]);
+    KcText_Copy(info.datacentre, "here", KC_NAME_MAX);
+    info.concurrency_max = (uint32_t)atoi(words[3]);
+    for (char **word = words + 4; *word != NULL; word++) {
+        apply_server_word(&info, *word);
+    }
+    KcGateway_OnServerRecord(fixture->gateway, &info, ++fixture->revision,
+                             fixture->now);
+    KcServerInfo_Clear(&info);
+}
+
+static void
+step_missing(Fixture *fixture, char **words)
+{
+    KcGateway_OnServerRecordMissing(fixture->gateway, words[1],
+                                    words[2] != NULL, fixture->now);
+}
+
+static void
+step_list(Fixture *fixture, char **words)
+{
+    KcGateway_BeginServerList(fixture->gateway);
+    for (char **word = words + 1; *word != NULL; word++) {
+        KcServer *server = KcGateway_FindServer(fixture->gateway, *word);
+        KcServerInfo info;
+
+        KcServerInfo_Init(&info);
+        KcText_Copy(info.id, server->id, KC_NAME_MAX);
+        KcText_Copy(info.service, server->pool->service, KC_NAME_MAX);
+        KcText_Copy(info.address, server->address, KC_ADDRESS_MAX);
+        KcText_Copy(info.datacentre, server->datacentre, KC_NAME_MAX);
+        info.concurrency_max = server->concurrency_max;
+        info.started_at_ms = server->started_at_ms;
+        KcGateway_OnServerRecord(fixture->gateway, &info,
+                                 server->record_revision, fixture->now);
+    }
+    KcGateway_EndServerList(fixture->gateway, fixture->now);
+}
+
+static void
+step_request(Fixture *fixture, char **words)
+{
+    Caller *caller = &fixture->callers[atoi(words[1])];
+    KcForwardCall call = {.id = words[1],
+                          .host = "H:80",
+                          .path = words[2],
+                          .model = "",
+                          .adapter = "",
+                          .prompt_tokens = 10};
+    char **parts = words[3] != NULL ? g_strsplit(words[3], "/", 2) : NULL;
+
+    if (parts != NULL) {
+        call.model = parts[0];
+        call.adapter = parts[1] != NULL ? parts[1] : "";
+        call.answer_events_max =
+            words[4] != NULL ? (uint64_t)atoi(words[4]) : 0;
+        call.has_last_event = words[4] != NULL && words[5] != NULL;
+        call.last_event_id =
+            call.has_last_event ? (uint64_t)atoi(words[5]) : 0;
+    }
+    caller->fixture = fixture;
+    caller->number = atoi(words[1]);
+    KcGateway_Submit(fixture->gateway, &call, &caller_ops, caller,
+                     &caller->forward, fixture->now);
+    g_strfreev(parts);
+}
+
+static KcForward *
+find_forward(Fixture *fixture, const char *number)
+{
+    KcForward *forward = fixture->callers[atoi(number)].forward;
+
+    if (forward == NULL) {
+        g_error("request %s is over: %s", number, fixture->trace->str);
+    }
+    return forward;
+}
+
+/* Finds an attempt by "1", the latest one of request 1, or "1@a", the one at
+ * server a. */
+static KcForwardAttempt *
+find_attempt(Fixture *fixture, const char *name)
+{
+    KcForward *forward = find_forward(fixture, name);
+    const char *id = strchr(name, '@');
+    KcForwardAttempt *attempt;
+
+    TAILQ_FOREACH_REVERSE(attempt, &forward->attempts, KcForwardAttemptList,
+                          link)
+    {
+        if (id == NULL || strcmp(attempt->server->id, id + 1) == 0) {
+            return attempt;
+        }
+    }
+    g_error("no attempt %s: %s", name, fixture->trace->str);
+}
+
+static void
+step_abandon(Fixture *fixture, char **words)
+{
+    KcForward_Abandon(find_forward(fixture, words[1]), fixture->now);
+    fixture->callers[atoi(words[1])].forward = NULL;
+}
+
+static void
+step_reply(Fixture *fixture, char **words)
+{
+    KcReply reply = {.status = atoi(words[2]),
+                     .head = fixture,
+                     .body = {words[2], strlen(words[2])}};
+
+    KcForwardAttempt_OnReply(find_attempt(fixture, words[1]), &reply,
+                             fixture->now);
+}
+
+static void
+step_not_run(Fixture *fixture, char **words)
+{
+    KcReply reply = {.status = 503, .not_run = true};
+
+    KcForwardAttempt_OnReply(find_attempt(fixture, words[1]), &reply,
+                             fixture->now);
+}
+
+static void
+step_misdirected(Fixture *fixture, char **words)
+{
+    KcReply reply = {.status = 421, .not_run = true, .is_misdirected = true};
+
+    KcForwardAttempt_OnReply(find_attempt(fixture, words[1]), &reply,
+                             fixture->now);
+}
+
+static void
+step_begin(Fixture *fixture, char **words)
+{
+    KcReply reply = {.status = 200, .head = fixture};
+
+    KcForwardAttempt_OnStreamBegin(find_attempt(fixture, words[1]), &reply,
+                                   fixture->now);
+}
+
+static void
+step_event(Fixture *fixture, char **words)
+{
+    KcForwardAttempt_OnStreamEvent(
+        find_attempt(fixture, words[1]), true, (uint64_t)atoi(words[2]),
+        (KcBytes){words[2], strlen(words[2])}, fixture->now);
+}
+
+static void
+step_end(Fixture *fixture, char **words)
+{
+    KcForwardAttempt_OnStreamEnd(find_attempt(fixture, words[1]),
+                                 fixture->now);
+}
+
+static void
+step_lost(Fixture *fixture, char **words)
+{
+    KcForwardAttempt_OnFailed(find_attempt(fixture, words[1]), KC_ATTEMPT_LOST,
+                              KC_ERR_PEER_LOST, fixture->now);
+}
+
+static void
+step_never_sent(Fixture *fixture, char **words)
+{
+    KcForwardAttempt_OnFailed(find_attempt(fixture, words[1]),
+                              KC_ATTEMPT_NEVER_SENT, KC_ERR_PEER_LOST,
+                              fixture->now);
+}
+
+static void
+step_keeper_report(Fixture *fixture, char **words)
+{
+    static const char *const state_names[KC_HELD_STATE_COUNT] = {
+        "not_loaded", "loading", "loaded", "restarted", "leaving"};
+    KcHeldState state = KC_HELD_NOT_LOADED;
+
+    while (strcmp(state_names[state], words[4]) != 0) {
+        state++;
+    }
+    KcGateway_OnKeeperReport(
+        fixture->gateway, KcGateway_FindServer(fixture->gateway, words[1]),
+        "m", words[2], (uint32_t)atoi(words[3]), state, fixture->now);
+}
+
+static void
+step_keeper_lost(Fixture *fixture, char **words)
+{
+    KcGateway_OnKeeperLost(fixture->gateway,
+                           KcGateway_FindServer(fixture->gateway, words[1]),
+                           fixture->now);
+}
+
+static void
+step_version(Fixture *fixture, char **words)
+{
+    KcGateway_OnVersionAnnounced(fixture->gateway, "m", words[1],
+                                 (uint32_t)atoi(words[2]), fixture->now);
+}
+
+static void
+step_load(Fixture *fixture, char **words)
+{
+    KcGateway_OnLoadReport(KcGateway_FindServer(fixture->gateway, words[1]),
+                           (uint32_t)atoi(words[2]), (uint32_t)atoi(words[3]),
+                           (uint32_t)atoi(words[4]), fixture->now);
+}
+
+static void
+step_no_keeper(Fixture *fixture, char **words)
+{
+    KcText_Copy(fixture->no_keeper_server, words[1],
+                sizeof(fixture->no_keeper_server));
+}
+
+static void
+step_no_send(Fixture *fixture, char **words)
+{
+    KcText_Copy(fixture->no_send_server, words[1],
+                sizeof(fixture->no_send_server));
+}
+
+static void
+step_gateway_count(Fixture *fixture, char **words)
+{
+    KcGateway_SetGatewayCount(fixture->gateway, (uint32_t)atoi(words[1]),
+                              fixture->now);
+}
+
+static void
+step_checks(Fixture *fixture, char **words)
+{
+    (void)words;
+    fixture->traces_checks = true;
+}
+
+static void
+step_alive(Fixture *fixture, char **words)
+{
+    fixture->is_checking = false;
+    KcGateway_OnServerAlive(KcGateway_FindServer(fixture->gateway, words[1]),
+                            fixture->now);
+}
+
+static void
+step_notice(Fixture *fixture, char **words)
+{
+    KcServer *server = KcGateway_FindServer(fixture->gateway, words[1]);
+    KcServerNotice notice = {.is_leaving = strcmp(words[2], "leaving") == 0};
+
+    if (strcmp(words[2], "wait") == 0) {
+        notice.retry_after = atoi(words[3]) * KC_MS;
+    }
+    else if (strcmp(words[2], "unread") == 0) {
+        notice.unread_name = "name";
+        notice.unread_value = "value";
+    }
+    else if (words[3] != NULL) {
+        notice.started_at_ms = atoi(words[3]);
+    }
+    KcGateway_OnServerNotice(fixture->gateway, server, &notice, "0",
+                             fixture->now);
+}
+
+static void
+step_written(Fixture *fixture, char **words)
+{
+    KcForwardAttempt *attempt = find_attempt(fixture, words[1]);
+    int code = KcForwardAttempt_CheckSend(attempt, fixture->now);
+
+    if (code != 0) {
+        KcForwardAttempt_OnFailed(attempt, KC_ATTEMPT_NEVER_SENT, code,
+                                  fixture->now);
+        return;
+    }
+    g_string_append_printf(fixture->trace, "%s written; ", words[1]);
+}
+
+static void
+step_unread(Fixture *fixture, char **words)
+{
+    KcForward_SetReadPaused(find_forward(fixture, words[1]),
+                            strcmp(words[0], "unread") == 0, fixture->now);
+}
+
+static void
+step_drain(Fixture *fixture, char **words)
+{
+    (void)words;
+    KcGateway_Drain(fixture->gateway, fixture->now + 2 * KC_SECOND,
+                    fixture->now + 7500 * KC_MS);
+}
+
+static void
+step_wait(Fixture *fixture, char **words)
+{
+    KcTime until = fixture->now + atoi(words[1]) * KC_MS;
+
+    while (fixture->now < until) {
+        fixture->now += 10 * KC_MS;
+        KcTimers_Run(fixture->timers, fixture->now);
+    }
+}
+
+static void
+step_pause(Fixture *fixture, char **words)
+{
+    fixture->now += atoi(words[1]) * KC_MS;
+    KcTimers_Run(fixture->timers, fixture->now);
+}
+
+static void
+step_clear_trace(Fixture *fixture, char **words)
+{
+    (void)words;
+    g_string_truncate(fixture->trace, 0);
+}
+
+static void step_each(Fixture *fixture, char **words);
+
+static const StepHandler step_handlers[] = {
+    {"config", step_config},
+    {"inforce", step_in_force},
+    {"server", step_server},
+    {"missing", step_missing},
+    {"list", step_list},
+    {"request", step_request},
+    {"abandon", step_abandon},
+    {"reply", step_reply},
+    {"notrun", step_not_run},
+    {"misdirected", step_misdirected},
+    {"begin", step_begin},
+    {"event", step_event},
+    {"end", step_end},
+    {"lost", step_lost},
+    {"neversent", step_never_sent},
+    {"report", step_keeper_report},
+    {"keeperlost", step_keeper_lost},
+    {"version", step_version},
+    {"load", step_load},
+    {"nokeeper", step_no_keeper},
+    {"nosend", step_no_send},
+    {"gateways", step_gateway_count},
+    {"checks", step_checks},
+    {"alive", step_alive},
+    {"notice", step_notice},
+    {"written", step_written},
+    {"unread", step_unread},
+    {"read", step_unread},
+    {"drain", step_drain},
+    {"wait", step_wait},
+    {"pause", step_pause},
+    {"cleartrace", step_clear_trace},
+    {"each", step_each},
+};
+
+static void
+step_each(Fixture *fixture, char **words)
+{
+    for (int number = atoi(words[1]); number <= atoi(words[2]); number++) {
+        char *rest = g_strjoinv(" ", words + 4);
+        char *step = g_strdup_printf("%s %d %s", words[3], number, rest);
+
+        Steps_Run(fixture, step_handlers, G_N_ELEMENTS(step_handlers),
+                  g_strchomp(step));
+        g_free(step);
+        g_free(rest);
+    }
+}
+
+/* ---- running -------------------------------------------------------------- */
+
+void
+GatewaySteps_Run(const char *steps, const char *trace)
+{
+    Fixture *fixture = g_new0(Fixture, 1);
+    KcGatewayOptions options;
+
+    fixture->now = KC_SECOND;
+    fixture->trace = g_string_new("");
+    fixture->timers = KcTimers_Create(fixture->now);
+    KcGatewayOptions_Init(&options);
+    options.ops = &gateway_ops;
+    options.context = fixture;
+    options.timers = fixture->timers;
+    options.counters = &fixture->counters;
+    options.datacentre = "here";
+    options.region_of = find_region;
+    /* So that instances with small start times began after the first notices.
+     */
+    options.wall_offset = -2 * KC_SECOND;
+    options.retry_burst = 20;
+    fixture->gateway = KcGateway_Create(&options);
+    KcGateway_SetGatewayCount(fixture->gateway, 1, fixture->now);
+    Steps_Run(fixture, step_handlers, G_N_ELEMENTS(step_handlers), steps);
+    g_assert_cmpstr(fixture->trace->str, ==, trace);
+    KcGateway_Abort(fixture->gateway, fixture->now);
+    KcGateway_Free(fixture->gateway);
+    KcTimers_Free(fixture->timers);
+    g_string_free(fixture->trace, TRUE);
+    g_free(fixture);
+}
