--- a/programs/process/loop.c
+++ b/programs/process/loop.c
@@ -84,6 +84,8 @@
     run_deferred_frees(loop);
     event_free(loop->wake_timer);
     KcTimers_Free(loop->timers);
+    /* A bufferevent with a deferred callback is freed by the loop only. */
+    event_base_loop(loop->base, EVLOOP_NONBLOCK);
     event_base_free(loop->base);
     free(loop);
 }
