Refuse what has arrived when a planned stop ends

What callers saw: a reset for requests that had arrived while the process was frozen beyond the end of its planned stop. None had been read, but their callers had waited for up to 1.9 s and could have been told.

Cause: the end of the intake closed every connection on which nothing was owed, also those with unread bytes.

Why this works: connections with unread bytes are left open for the last pass, and the gateway's time is over by then, so that what is read is refused with 503 and the refusal leaves in that pass.

--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -600,13 +600,14 @@
         front_end->listener = NULL;
     }
     TAILQ_FOREACH_SAFE (connection, &front_end->connections, link, next) {
-        if (connection->state < CONNECTION_SUBMITTED &&
-            KcHttpConnection_UnsentBytes(connection->http_connection) == 0) {
-            free_connection(connection);
-        }
-        else {
+        if (KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
             KcHttpConnection_SetReadPaused(connection->http_connection, true);
         }
+        else if (connection->state < CONNECTION_SUBMITTED &&
+                 KcHttpConnection_UnreadBytes(connection->http_connection) ==
+                     0) {
+            free_connection(connection);
+        }
     }
 }
 
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -41,9 +41,10 @@
 void KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until,
                              KcTime end_at);
 /*
- * Reads nothing more, as the process ends: closes the listening socket and the
- * connections on which no answer is owed. A request that arrives from now on
- * is left unread, which its caller can tell from one that was lost.
+ * Ends the intake, as the process ends: closes the listening socket and the
+ * connections on which nothing has arrived and nothing is owed. What has
+ * arrived is still read; the gateway must refuse it. A request that arrives
+ * later is left unread, which its caller can tell from one that was lost.
  */
 void KcGatewayFrontEnd_EndIntake(KcGatewayFrontEnd *front_end);
 /* Returns whether no request is being received and no answer being sent. */
