Answer load requests from a report that is newer than they are

Cause: the gateway handled the 421 rightly: it dropped the replica and sent the keeper a load request. The keeper still believed that its restarted engine held the adapter, answered "loaded" at once, and rescheduled its next report to half a second after the load request. So with a load request every few milliseconds the report that shows the restart was never requested, and each request was sent to the engine on the same old belief.

Both workers logged a start at 846.436 and 846.446 s, the first request 50 ms later; every request of both gateways was sent within 1 ms of its arrival, which takes an answer of the keeper each time, as a 421 drops the replica and the record of the store is read at most every 300 ms; neither keeper logged an order, though each had one or two gateways connected.

Now a load request for what the keeper believes to be loaded is answered by a report that was requested after it. Such reports are 40 ms apart at least, also when load requests come in between. A gateway that only crossed the news of the load has dispatched its requests on those already.

Ruled out: a connection to the keeper that never becomes ready (its set-up is bounded, and "no connection to the keeper" is not in the logs); the record in the store (would be read 40 times in 12 s, not 2,450 times); the silenced proxies (gateways reach keepers directly).

--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -29,20 +29,20 @@
 }
 
 void
-KcKeeper_RequestReport(KcKeeper *keeper)
+KcKeeper_RequestReport(KcKeeper *keeper, KcTime now)
 {
     if (keeper->report_pending || keeper->order_pending) {
         return;
     }
     keeper->report_pending = true;
+    keeper->report_requested_at = now;
     keeper->options.ops->request_report(keeper->options.context);
 }
 
 static void
 on_report_timer(KcTimer *timer, KcTime now)
 {
-    (void)now;
-    KcKeeper_RequestReport(timer->owner);
+    KcKeeper_RequestReport(timer->owner, now);
 }
 
 KcKeeper *
@@ -115,8 +115,7 @@
 void
 KcKeeper_Start(KcKeeper *keeper, KcTime now)
 {
-    (void)now;
-    KcKeeper_RequestReport(keeper);
+    KcKeeper_RequestReport(keeper, now);
 }
 
 void
@@ -138,13 +137,12 @@
 KcKeeper_SetCapacity(KcKeeper *keeper, const KcEngineCapacity *capacity,
                      KcTime now)
 {
-    (void)now;
     KcEngineCapacity_Clear(&keeper->capacity);
     KcEngineCapacity_Copy(&keeper->capacity, capacity);
     KcResidency_Resize(&keeper->residency, capacity->adapter_slots);
     /* No orders before a report has been compared with the new slots. */
     keeper->engine_state_known = false;
-    KcKeeper_RequestReport(keeper);
+    KcKeeper_RequestReport(keeper, now);
 }
 
 int
--- a/lib/process/keeper_ends.c
+++ b/lib/process/keeper_ends.c
@@ -56,7 +56,7 @@
     if (++keeper->lost_attempt_count > LOST_ATTEMPTS_MAX) {
         free_lost_attempt(keeper, TAILQ_FIRST(&keeper->lost_attempts));
     }
-    KcKeeper_RequestReport(keeper);
+    KcKeeper_RequestReport(keeper, now);
 }
 
 /* The instance that has ended, by the start time that is known best: gateways
--- a/lib/process/keeper_internal.h
+++ b/lib/process/keeper_internal.h
@@ -97,21 +97,22 @@
     struct KcLostAttemptList lost_attempts;
     uint32_t lost_attempt_count;
     KcSuspects suspects; /* parts of prompts that end engines like this one */
-    bool engine_state_known;  /* false: a report must come before orders */
-    KcTime next_order_at;     /* no order before this time */
-    bool report_pending;      /* a report was requested and not received */
-    bool order_pending;       /* an order was sent and not answered */
-    KcOrder pending_order;    /* the last order sent */
-    KcSlot *pending_slot;     /* of the pending order; NULL: a base model */
-    KcSlot *unconfirmed_slot; /* its order was not answered; the next report
-                               * shows whether it was carried out */
-    KcTimer report_timer;     /* requests the next report */
+    bool engine_state_known;    /* false: a report must come before orders */
+    KcTime next_order_at;       /* no order before this time */
+    bool report_pending;        /* a report was requested and not received */
+    KcTime report_requested_at; /* of the last one */
+    bool order_pending;         /* an order was sent and not answered */
+    KcOrder pending_order;      /* the last order sent */
+    KcSlot *pending_slot;       /* of the pending order; NULL: a base model */
+    KcSlot *unconfirmed_slot;   /* its order was not answered; the next report
+                                 * shows whether it was carried out */
+    KcTimer report_timer;       /* requests the next report */
 };
 
 /* ---- state and names (keeper.c) ------------------------------------------ */
 
 /* Requests a report of the engine, unless one or an order is pending. */
-void KcKeeper_RequestReport(KcKeeper *keeper);
+void KcKeeper_RequestReport(KcKeeper *keeper, KcTime now);
 /* Remove it from the keeper's list and free it. */
 void KcKeeper_FreeLoadRequest(KcKeeper *keeper,
                               KcPendingLoadRequest *load_request);
--- a/lib/process/keeper_order.c
+++ b/lib/process/keeper_order.c
@@ -247,6 +247,26 @@
     KcKeeper_LogOrder(keeper, decision, &order, KC_ERR_BUSY);
 }
 
+/*
+ * Does the last report date from after the load request?  A gateway that
+ * requests what it was told is loaded may have been refused by the engine.
+ * Otherwise sees to a report.
+ */
+static bool
+is_confirmed(KcKeeper *keeper, const KcPendingLoadRequest *load_request,
+             KcTime now)
+{
+    if (keeper->report_requested_at >= load_request->requested_at) {
+        return true;
+    }
+    /* Until then the timer is set: see KcKeeper_ScheduleReport(). */
+    if (now - keeper->report_requested_at >=
+        keeper->options.loading_report_interval) {
+        KcKeeper_RequestReport(keeper, now);
+    }
+    return false;
+}
+
 /*
  * Serves one load request; returns true when it can be freed.  Sets *no_victim
  * when every slot is in use; when it is set already, looks for no slot.
@@ -276,6 +296,9 @@
         return false;
     }
     if (load_request->adapter[0] == '\0') {
+        if (!is_confirmed(keeper, load_request, now)) {
+            return false;
+        }
         notify_requested_adapter(keeper, load_request, KC_HELD_LOADED);
         return true;
     }
@@ -290,6 +313,9 @@
     }
     if (slot != NULL &&
         KcKeeper_SlotVersion(slot) >= load_request->version_min) {
+        if (!is_confirmed(keeper, load_request, now)) {
+            return false;
+        }
         KcKeeper_NotifySlot(keeper, NULL, slot, KC_HELD_LOADED);
         return true;
     }
@@ -425,7 +451,7 @@
             keeper->next_order_at = now + ORDER_REFUSED_DELAY;
         }
         keeper->engine_state_known = false;
-        KcKeeper_RequestReport(keeper);
+        KcKeeper_RequestReport(keeper, now);
         return;
     }
     KcKeeper_GiveNextOrder(keeper, now);
