Let load requests bring a keeper's report forward, never put it off

Each load request and each order set the keeper's timer for the next report anew, 40 or 500 ms from then. So load requests that come faster keep the report away for as long as they last: a load that is complete is not told, a restart not seen.

Before, the new case "load requests in quick succession do not put off a report": "no report was requested: ... b=loaded;". The timer is now set earlier only, and cleared when a report is requested, so that the next one is timed from that. The regular reports do not become more frequent.

--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -34,6 +34,7 @@
     if (keeper->report_pending || keeper->order_pending) {
         return;
     }
+    KcTimers_Clear(keeper->options.timers, &keeper->report_timer);
     keeper->report_pending = true;
     keeper->report_requested_at = now;
     keeper->options.ops->request_report(keeper->options.context);
--- a/lib/process/keeper_order.c
+++ b/lib/process/keeper_order.c
@@ -403,12 +403,17 @@
         keeper->pace.loads_in_flight > 0 || is_any_slot_evicting(keeper) ||
         is_base_model_loading(keeper) || !TAILQ_EMPTY(&keeper->load_requests);
 
-    if (!keeper->order_pending && !keeper->report_pending) {
-        KcTimers_Set(keeper->options.timers, &keeper->report_timer,
-                     now + (!keeper->engine_state_known ? REPORT_RETRY_DELAY
-                            : is_changing
-                                ? keeper->options.loading_report_interval
-                                : keeper->options.idle_report_interval));
+    KcTime due_at =
+        now + (!keeper->engine_state_known ? REPORT_RETRY_DELAY
+               : is_changing ? keeper->options.loading_report_interval
+                             : keeper->options.idle_report_interval);
+
+    /* Events between two reports bring the next one forward, and never put it
+     * off. */
+    if (!keeper->order_pending && !keeper->report_pending &&
+        (!keeper->report_timer.is_set ||
+         due_at < keeper->report_timer.due_at)) {
+        KcTimers_Set(keeper->options.timers, &keeper->report_timer, due_at);
     }
 }
 
--- a/tests/daemons/test_restarts.c
+++ b/tests/daemons/test_restarts.c
@@ -10,8 +10,9 @@
 #include "gateway_cluster.h"
 
 #define ANSWER_SIZE 8192
-#define RECOVERY_TIMEOUT (12 * G_USEC_PER_SEC) /* recover_s of the platform   \
-                                                */
+#define RECOVERY_TIMEOUT                                                      \
+    (12 * G_USEC_PER_SEC) /* recover_s of the platform                        \
+                           */
 
 /* What is killed, by the roles; they are started again in this order. */
 static const struct {
--- a/tests/process/test_keeper.c
+++ b/tests/process/test_keeper.c
@@ -430,6 +430,13 @@
      LOAD_A ";wait 100;loadrequest a 0;report 1 1 m a@1;wait 4;"
             "loadrequest a 0;wait 4;loadrequest a 0;wait 40;report 1 1 m a@1",
      LOAD_A_TRACE "?; a=loaded; ?; a=loaded; "},
+    {"load requests in quick succession do not put off a report",
+     LOAD_AB ";usage a 1 1;usage b 1 1;loadrequest c 0;wait 30;"
+             "loadrequest d 0;wait 15;report 2 1 m a@1 b@1",
+     LOAD_AB_TRACE "?; "},
+    {"the next report is timed from the last one",
+     LOAD_A ";wait 400;lost 0 1 7;report 1 1 m a@1;wait 450;wait 55",
+     LOAD_A_TRACE "?; ?; "},
     {"a base model that is requested again is looked up in a report",
      READY ";wait 100;loadrequest  0;report 0 1 m",
      READY_TRACE "?; m=loaded; "},
