Take nothing from a record that was read before

A 421 ends a gateway's belief that the worker has an adapter, and makes it read the records anew. While no keeper reports, the same record, unchanged, brought the belief back, and the next request was sent there again: each read of the list cost refused attempts for as long as the record stayed, for three heartbeats of a worker that has ended, and without end while the store is away and its copy old.

Replicas are now set from each revision once; those of a server whose record was missing for too long are set again when it comes back. What the keeper said of base models since the record also stands.

--- a/lib/process/gateway_adapters.c
+++ b/lib/process/gateway_adapters.c
@@ -265,6 +265,9 @@
     KcReplica *replica;
     KcReplica *next;
 
+    if (with_models) {
+        server->held_revision = 0;
+    }
     TAILQ_FOREACH_SAFE (replica, &server->replicas, server_link, next) {
         if (with_models || replica->adapter->name[0] != '\0') {
             KcReplica_Drop(gateway, replica);
@@ -280,6 +283,10 @@
     KcReplica *replica;
     KcReplica *next;
 
+    if (server->held_revision == server->record_revision) {
+        return; /* an answer or the keeper may have said otherwise since */
+    }
+    server->held_revision = server->record_revision;
     TAILQ_FOREACH_SAFE (replica, &server->replicas, server_link, next) {
         /* A replica that was requested stays until the keeper answers. */
         if (!replica->loading && (!server->has_keeper_reports ||
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -59,8 +59,9 @@
 void KcGateway_ClearAdapters(KcGateway *gateway);
 
 /*
- * Sets a server's replicas from its record.  Records lag, so adapters are
- * taken from it only while the keeper sends no reports.
+ * Sets a server's replicas from its record, unless they were set from the same
+ * revision before.  Records lag, so adapters are taken from it only while the
+ * keeper sends no reports.
  */
 void KcServer_SetReplicas(KcGateway *gateway, KcServer *server,
                           const KcServerInfo *info, KcTime now);
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -97,6 +97,8 @@
     char datacentre[KC_NAME_MAX];
     uint64_t id_hash;         /* for rendezvous hashing */
     uint64_t record_revision; /* of its record in the store */
+    uint64_t held_revision;   /* of the record that its replicas were last
+                               * taken from; 0: none since they were dropped */
     int64_t started_at_ms;    /* as in KcServerInfo */
     KcDistance distance;
     uint32_t concurrency_max; /* requests that it runs at once */
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -14,9 +14,10 @@
  *   config VERSION          takes a routing configuration
  *   inforce                 traces the version in force, as "v2"
  *   server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [port=N] [leaving]
- *          REPLICA...       a server's record; born is its start time, x@1 is
- *                           version 1 of adapter x, m the base model of all
- *                           adapters; each ID has a port unless one is given
+ *          [again] REPLICA...  a server's record; born is its start time, x@1
+ *                           is version 1 of adapter x, m the base model of all
+ *                           adapters; each ID has a port unless one is given;
+ *                           again: the record has not changed
  *   missing ID [deleted]    the record is missing, or known to be deleted
  *   list ID...              a complete list, with these records only
  *   request N PATH [MODEL[/ADAPTER] [EVENTS_MAX [LAST_EVENT]]]
@@ -134,6 +135,9 @@
     else if (strcmp(server_word, "leaving") == 0) {
         info->leaving = true;
     }
+    else if (strcmp(server_word, "again") == 0) {
+        /* see step_server() */
+    }
     else if (parts[1] != NULL) {
         KcServerInfo_AddReplica(info, "m", parts[0], (uint32_t)atoi(parts[1]),
                                 false);
@@ -147,6 +151,8 @@
 static void
 step_server(Fixture *fixture, char **words)
 {
+    const KcServer *known = KcGateway_FindServer(fixture->gateway, words[1]);
+    bool is_again = g_strv_contains((const char *const *)words, "again");
     KcServerInfo info;
 
     KcServerInfo_Init(&info);
@@ -158,8 +164,9 @@
     for (char **word = words + 4; *word != NULL; word++) {
         apply_server_word(&info, *word);
     }
-    KcGateway_OnServerRecord(fixture->gateway, &info, ++fixture->revision,
-                             fixture->now);
+    KcGateway_OnServerRecord(
+        fixture->gateway, &info,
+        is_again ? known->record_revision : ++fixture->revision, fixture->now);
     KcServerInfo_Clear(&info);
 }
 
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -160,6 +160,16 @@
     {"a misdirected attempt (421) drops the replica",
      LLM "request 1 /t/x m/x;misdirected 1;report b x 1 loaded",
      "1>a; refresh; ?b x@0; 1>b; "},
+    {"a record that has not changed does not bring back what a 421 denied",
+     LLM "nokeeper b;request 1 /t/x m/x;misdirected 1;"
+         "server a llm 4 again m x@1;request 2 /t/x m/x;"
+         "server a llm 4 m x@1;request 3 /t/x m/x",
+     "1>a; refresh; ?a x@0; 2>a; 3>a; "},
+    {"a record that comes back unchanged counts again",
+     LLM "nokeeper b;notice a wait 90000;missing a;wait 60000;"
+         "server a llm 4 again m x@1;wait 40000;cleartrace;"
+         "request 1 /t/x m/x",
+     "1>a; "},
     {"an older version is not served for ever",
      LLM "version x 2;wait 2500;request 1 /t/x m/x;report b x 2 loaded",
      "?b x@2; 1>b; "},
