Give each test process a loopback host of its own

Two test runs on one machine fought for fixed ports: test_daemons, test_callers, bench-daemons, check-apply and the demo used them at 127.0.0.1, and tests of request/ and soak/ took the first free one of a range, which could be one of these. So a run failed because another one was in progress: with 127.0.0.1:21003 held on purpose, test_daemons ended with "process 2 1 did not start on 127.0.0.1:21003", and check-apply, with 24700 held, printed no case in 20 s.

Now Loopback_AssignAddress() reserves a host of 127.240/13 by a listening socket that stays open, as gateway_cluster does for its networks, and counts the ports there up. The scripts take a host from their process number. No check of a test changed: each address is still listened at, and a failure to do so still fails the test.

--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -9,6 +9,8 @@
 cd "$(dirname "$0")/.." || exit 1
 BIN=${BIN:-build/plain}
 DIR=$(mktemp -d)
+# A loopback host of this process alone, as it has its number.
+HOST=127.$(($$ / 62500 % 60)).$(($$ / 250 % 250)).$(($$ % 250 + 1))
 PIDS=""
 FAILED=0
 
@@ -42,11 +44,11 @@
 datacentre = $2
 log_level = info
 [listen]
-callers = 127.0.0.1:$3
-admin = 127.0.0.1:$4
+callers = $HOST:$3
+admin = $HOST:$4
 [platform]
-objects = 127.0.0.1:$OBJECTS
-instances = 127.0.0.1:$INSTANCES
+objects = $HOST:$OBJECTS
+instances = $HOST:$INSTANCES
 instances_poll_ms = 200
 [lease]
 confirm_spread_ms = 200
@@ -62,14 +64,14 @@
 name = $1
 datacentre = $2
 [listen]
-links = 127.0.0.1:$3
-admin = 127.0.0.1:$4
+links = $HOST:$3
+admin = $HOST:$4
 [platform]
-objects = 127.0.0.1:$OBJECTS
+objects = $HOST:$OBJECTS
 [lease]
 confirm_spread_ms = 200
 [backend]
-address = 127.0.0.1:$5
+address = $HOST:$5
 service = $6
 EOF
     start_process "$1" "$BIN/kccd" "$DIR/$1.ini"
@@ -100,7 +102,7 @@
 # from the expected model; a streamed answer also in at least 8 events
 call_model() {
     curl -sN -D "$DIR/head" -o "$DIR/body" -H 'Content-Type: application/json' \
-        -H 'X-Kcc-Customer: demo' "http://127.0.0.1:$2$3" -d "$5"
+        -H 'X-Kcc-Customer: demo' "http://$HOST:$2$3" -d "$5"
     echo "$1"
     case "$5" in
     *'"stream":true'*)
@@ -128,7 +130,7 @@
 call_plain_service() {
     status=$(curl -s -o "$DIR/body" -w '%{http_code}' -H "Idempotency-Key: $4" \
         -H 'X-Kcc-Customer: demo' -H 'Content-Type: text/plain' \
-        "http://127.0.0.1:$2$3" -d "$5")
+        "http://$HOST:$2$3" -d "$5")
     echo "$1"
     echo "    $status $(cat "$DIR/body")"
     [ "$status" = "$6" ] || record_failure "$1: expected status $6, got $status"
@@ -141,19 +143,19 @@
     OBJECTS=$2
     INSTANCES=$(($2 + 1))
     cat >"$DIR/instances.json" <<EOF
-[{"name":"$1-entry-1","service":"kcc-entry","datacentre":"$3","address":"127.0.0.1:$(($2 + 30))","state":"live"},
- {"name":"$1-entry-2","service":"kcc-entry","datacentre":"$4","address":"127.0.0.1:$(($2 + 31))","state":"live"},
- {"name":"$5-1","service":"$5","datacentre":"$3","address":"127.0.0.1:$(($2 + 20))","state":"live"},
- {"name":"$5-2","service":"$5","datacentre":"$4","address":"127.0.0.1:$(($2 + 21))","state":"live"},
- {"name":"$6-1","service":"$6","datacentre":"$3","address":"127.0.0.1:$(($2 + 22))","state":"live"}]
+[{"name":"$1-entry-1","service":"kcc-entry","datacentre":"$3","address":"$HOST:$(($2 + 30))","state":"live"},
+ {"name":"$1-entry-2","service":"kcc-entry","datacentre":"$4","address":"$HOST:$(($2 + 31))","state":"live"},
+ {"name":"$5-1","service":"$5","datacentre":"$3","address":"$HOST:$(($2 + 20))","state":"live"},
+ {"name":"$5-2","service":"$5","datacentre":"$4","address":"$HOST:$(($2 + 21))","state":"live"},
+ {"name":"$6-1","service":"$6","datacentre":"$3","address":"$HOST:$(($2 + 22))","state":"live"}]
 EOF
-    start_process objects "$BIN/standin-objects" -l 127.0.0.1:"$OBJECTS"
-    start_process instances "$BIN/standin-instances" -l 127.0.0.1:"$INSTANCES" \
+    start_process objects "$BIN/standin-objects" -l "$HOST:$OBJECTS"
+    start_process instances "$BIN/standin-instances" -l "$HOST:$INSTANCES" \
         "$DIR/instances.json"
-    start_process engine1 "$BIN/standin-engine" -l 127.0.0.1:$(($2 + 10)) -s load_ms=250
-    start_process engine2 "$BIN/standin-engine" -l 127.0.0.1:$(($2 + 11)) -s load_ms=250
-    start_process service "$BIN/standin-service" -l 127.0.0.1:$(($2 + 12))
-    export KCC_OBJECTS=127.0.0.1:$OBJECTS
+    start_process engine1 "$BIN/standin-engine" -l "$HOST:$(($2 + 10))" -s load_ms=250
+    start_process engine2 "$BIN/standin-engine" -l "$HOST:$(($2 + 11))" -s load_ms=250
+    start_process service "$BIN/standin-service" -l "$HOST:$(($2 + 12))"
+    export KCC_OBJECTS="$HOST:$OBJECTS"
     wait_until 5 curl -s "http://$KCC_OBJECTS/standin/state" ||
         record_failure "the object API stand-in did not start"
     "$BIN/kcc" apply --all "examples/$1/document" --author demo ||
@@ -207,7 +209,7 @@
 call_plain_service "Dispatch" 17231 /alarm/dispatch dispatch-9 "send guard to pump 3" 200 accepted
 call_plain_service "The same dispatch again" 17230 /alarm/dispatch dispatch-9 \
     "send guard to pump 3" 409 '"earlier_call":"answered"'
-SERVICE_STATE=$(curl -s http://127.0.0.1:17212/standin/state)
+SERVICE_STATE=$(curl -s "http://$HOST:17212/standin/state")
 echo "    state of the service: $SERVICE_STATE"
 echo "$SERVICE_STATE" | grep -q '"executions":2' ||
     record_failure "expected 2 executions by the service"
--- a/tests/bench/bench_daemons.c
+++ b/tests/bench/bench_daemons.c
@@ -16,7 +16,6 @@
 #include "../../programs/kcc/blocking_http.h"
 #include "../daemons/entry_cluster.h"
 
-#define FLEET_PORT 23000
 /* Service settings with limits high enough for all benchmarks here. */
 #define UNLIMITED_SERVICE                                                     \
     "[service llm]\nslots = 16\nbatch = 4096\nqueue_max = 65536\n"            \
@@ -318,8 +317,7 @@
 }
 
 /* One entry and one engine without a delay between tokens. */
-static const EntryClusterOptions fast_fleet = {.first_port = FLEET_PORT,
-                                               .entries = 1,
+static const EntryClusterOptions fast_fleet = {.entries = 1,
                                                .model_agents = 1,
                                                .capacity_section =
                                                    UNLIMITED_SERVICE,
@@ -345,8 +343,7 @@
 static void
 bench_streams(void)
 {
-    EntryClusterOptions options = {.first_port = FLEET_PORT,
-                                   .entries = 1,
+    EntryClusterOptions options = {.entries = 1,
                                    .model_agents = STREAM_AGENTS,
                                    .capacity_section = UNLIMITED_SERVICE,
                                    .engine_knobs = "token_ms=2500",
@@ -568,8 +565,7 @@
 static void
 bench_control_at(uint32_t agents)
 {
-    EntryClusterOptions options = {.first_port = FLEET_PORT,
-                                   .entries = 2,
+    EntryClusterOptions options = {.entries = 2,
                                    .model_agents = agents,
                                    .adapter_count = 3000,
                                    .lease_settings = DEFAULT_LEASE};
--- a/tests/bench/bench_platform.c
+++ b/tests/bench/bench_platform.c
@@ -192,7 +192,8 @@
 int
 main(int argc, char **argv)
 {
-    GatewayClusterOptions options = {.network_octet = 42,
+    GatewayClusterOptions options = {.network_octet =
+                                         GatewayCluster_ReserveNetwork(42, 59),
                                      .llm_workers = 2,
                                      .plain_workers = 2,
                                      .gateways = 1,
--- a/tests/check-apply.sh
+++ b/tests/check-apply.sh
@@ -5,8 +5,9 @@
 BUILD=$1
 ROOT=$2
 DIR=$(mktemp -d)
-PORT=24700
-export KCC_OBJECTS=127.0.0.1:$PORT
+# A loopback host of this process alone, as it has its number.
+HOST=127.$(($$ / 62500 % 60)).$(($$ / 250 % 250)).$(($$ % 250 + 1))
+export KCC_OBJECTS=$HOST:24700
 case_number=0
 exit_status=0
 
--- a/tests/daemons/entry_cluster.c
+++ b/tests/daemons/entry_cluster.c
@@ -16,6 +16,7 @@
 #include <unistd.h>
 
 #include "../../programs/kcc/blocking_http.h"
+#include "../loopback.h"
 
 #define PROCESS_COUNT_MAX 300
 #define WAIT_TIMEOUT_MS 30000 /* for a start or an end */
@@ -39,7 +40,6 @@
     const char *build_directory;
     Process processes[PROCESS_COUNT_MAX];
     uint32_t process_count;
-    uint16_t next_port;
 };
 
 /* ---- processes ---------------------------------------------------------- */
@@ -76,12 +76,6 @@
     g_free(log_path);
 }
 
-static void
-assign_address(EntryCluster *cluster, char *address)
-{
-    snprintf(address, KC_ADDRESS_MAX, "127.0.0.1:%u", cluster->next_port++);
-}
-
 static Process *
 add_process(EntryCluster *cluster, EntryClusterRole role, uint32_t number,
             const char *program)
@@ -91,7 +85,7 @@
     g_assert_cmpuint(cluster->process_count, <, PROCESS_COUNT_MAX);
     process->role = role;
     process->number = number;
-    assign_address(cluster, process->address);
+    Loopback_AssignAddress(process->address, KC_ADDRESS_MAX);
     process->arguments[0] =
         g_strdup_printf("%s/%s", cluster->build_directory, program);
     return process;
@@ -161,7 +155,7 @@
         add_process(cluster, ENTRY_CLUSTER_AGENT, number, "kccd");
     char name[32];
 
-    assign_address(cluster, process->admin_address);
+    Loopback_AssignAddress(process->admin_address, KC_ADDRESS_MAX);
     snprintf(name, sizeof(name), "agent-%u", number);
     write_settings_file(
         cluster, process, name,
@@ -185,7 +179,7 @@
         add_process(cluster, ENTRY_CLUSTER_ENTRY, number, "kccd");
     char name[32];
 
-    assign_address(cluster, process->admin_address);
+    Loopback_AssignAddress(process->admin_address, KC_ADDRESS_MAX);
     snprintf(name, sizeof(name), "entry-%u", number);
     write_settings_file(
         cluster, process, name,
@@ -390,7 +384,6 @@
     if (cluster->options.adapter_count == 0) {
         cluster->options.adapter_count = ADAPTER_COUNT_DEFAULT;
     }
-    cluster->next_port = options->first_port;
     cluster->build_directory =
         g_getenv("BUILD") != NULL ? g_getenv("BUILD") : "build/plain";
     cluster->directory = g_dir_make_tmp("kcc-XXXXXX", NULL);
--- a/tests/daemons/entry_cluster.h
+++ b/tests/daemons/entry_cluster.h
@@ -25,7 +25,6 @@
 } EntryClusterRole;
 
 typedef struct EntryClusterOptions {
-    uint16_t first_port; /* first of the consecutive ports that are used */
     uint32_t entries;
     uint32_t model_agents;
     uint32_t plain_agents;
--- a/tests/daemons/test_callers.c
+++ b/tests/daemons/test_callers.c
@@ -179,8 +179,7 @@
 static void
 test_requests(void)
 {
-    EntryClusterOptions options = {.first_port = 22200,
-                                   .entries = 1,
+    EntryClusterOptions options = {.entries = 1,
                                    .model_agents = 1,
                                    .plain_agents = 1,
                                    .entry_settings =
@@ -217,8 +216,7 @@
 static void
 test_slow_callers(void)
 {
-    EntryClusterOptions options = {.first_port = 22300,
-                                   .entries = 1,
+    EntryClusterOptions options = {.entries = 1,
                                    .model_agents = 1,
                                    .plain_agents = 1,
                                    .engine_knobs = "token_ms=400",
@@ -264,8 +262,7 @@
 static void
 test_bad_frames(void)
 {
-    EntryClusterOptions options = {.first_port = 22400,
-                                   .entries = 1,
+    EntryClusterOptions options = {.entries = 1,
                                    .model_agents = 1,
                                    .plain_agents = 1,
                                    .engine_knobs = "token_ms=100"};
@@ -366,10 +363,8 @@
 static void
 test_commands(void)
 {
-    EntryClusterOptions options = {.first_port = 22500,
-                                   .entries = 1,
-                                   .model_agents = 1,
-                                   .plain_agents = 1};
+    EntryClusterOptions options = {
+        .entries = 1, .model_agents = 1, .plain_agents = 1};
     EntryCluster *cluster = EntryCluster_Start(&options);
 
     for (size_t i = 0; i < G_N_ELEMENTS(command_cases); i++) {
--- a/tests/daemons/test_daemons.c
+++ b/tests/daemons/test_daemons.c
@@ -208,7 +208,6 @@
 test_faults(void)
 {
     EntryClusterOptions options = {
-        .first_port = 21000,
         .entries = 2,
         .model_agents = 2,
         .plain_agents = 2,
@@ -221,7 +220,6 @@
 
         run_case(cluster, i);
         EntryCluster_Stop(cluster);
-        options.first_port += 40;
     }
 }
 
@@ -230,8 +228,7 @@
 static void
 test_slow_reader(void)
 {
-    EntryClusterOptions options = {.first_port = 22000,
-                                   .entries = 2,
+    EntryClusterOptions options = {.entries = 2,
                                    .model_agents = 2,
                                    .plain_agents = 2,
                                    .engine_knobs = "token_ms=0"};
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -18,6 +18,7 @@
 #include "../../programs/request/gateway_front_end.h"
 #include "../steps.h"
 #include "../gateway_stubs.h"
+#include "../loopback.h"
 
 /* Bounds the duration when a step does not end. */
 #define GUARD_TIMEOUT (20 * KC_SECOND)
@@ -174,12 +175,8 @@
         .silence_timeout = fixture->silence_timeout,
         .stall_timeout = fixture->stall_timeout};
 
-    for (int port = 26000; port < 27000 && fixture->front_end == NULL;
-         port++) {
-        snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d",
-                 port);
-        fixture->front_end = KcGatewayFrontEnd_Create(&options);
-    }
+    Loopback_AssignAddress(fixture->address, sizeof(fixture->address));
+    fixture->front_end = KcGatewayFrontEnd_Create(&options);
     g_assert_nonnull(fixture->front_end);
 }
 
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -16,6 +16,7 @@
 #include "../../programs/request/http_attempt.h"
 #include "../standins/raw_server.h"
 #include "../gateway_stubs.h"
+#include "../loopback.h"
 
 /* Progress of calls, and the deadline of requests. */
 #define CALL_TIMEOUT (400 * KC_MS)
@@ -531,11 +532,8 @@
 int
 main(int argc, char **argv)
 {
-    int number = (int)getpid();
-
     g_test_init(&argc, &argv, NULL);
-    snprintf(server_address, sizeof(server_address), "127.77.%d.%d:9177",
-             number / 250 % 250, number % 250 + 1);
+    Loopback_AssignAddress(server_address, sizeof(server_address));
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         char *path = g_strdup_printf("/endless/%s", cases[i].pattern);
 
--- a/tests/request/test_gateway_front_end.c
+++ b/tests/request/test_gateway_front_end.c
@@ -13,6 +13,7 @@
 #include "../../programs/process/platform.h"
 #include "../../programs/request/gateway_front_end.h"
 #include "../gateway_stubs.h"
+#include "../loopback.h"
 
 /* Bounds the duration when a step does not end. */
 #define GUARD_TIMEOUT (10 * KC_SECOND)
@@ -160,10 +161,8 @@
     options.region_of = GatewayStubs_FindRegion;
     fixture.gateway = KcGateway_Create(&options);
     front_end_options.gateway = fixture.gateway;
-    for (int port = 21000; port < 22000 && fixture.front_end == NULL; port++) {
-        snprintf(address, sizeof(address), "127.0.0.1:%d", port);
-        fixture.front_end = KcGatewayFrontEnd_Create(&front_end_options);
-    }
+    Loopback_AssignAddress(address, sizeof(address));
+    fixture.front_end = KcGatewayFrontEnd_Create(&front_end_options);
     g_assert_nonnull(fixture.front_end);
     g_assert_true(KcGatewayFrontEnd_IsQuiet(fixture.front_end));
     KcTimer_Init(&stop_timer, on_stop_timer, &fixture);
--- a/tests/request/test_http_call.c
+++ b/tests/request/test_http_call.c
@@ -12,6 +12,7 @@
 
 #include "../../programs/connection/socket.h"
 #include "../../programs/request/http_call.h"
+#include "../loopback.h"
 #include "../steps.h"
 
 typedef struct CallRecord {
@@ -222,12 +223,9 @@
     fixture.pool = KcHttpConnectionPool_Create(fixture.loop);
     KcTimer_Init(&fixture.rest_timer, on_rest_timer, &fixture);
     KcTimer_Init(&fixture.resume_timer, on_resume_timer, &fixture);
-    for (int port = 27000; port < 28000 && fixture.listener == NULL; port++) {
-        snprintf(fixture.address, sizeof(fixture.address), "127.0.0.1:%d",
-                 port);
-        fixture.listener = KcSocket_Listen(fixture.loop->base, fixture.address,
-                                           on_accept, &fixture);
-    }
+    Loopback_AssignAddress(fixture.address, sizeof(fixture.address));
+    fixture.listener = KcSocket_Listen(fixture.loop->base, fixture.address,
+                                       on_accept, &fixture);
     g_assert_nonnull(fixture.listener);
     start_call(&fixture);
     KcLoop_Run(fixture.loop);
--- a/tests/request/test_late_timers.c
+++ b/tests/request/test_late_timers.c
@@ -15,6 +15,7 @@
 #include "../../programs/process/platform.h"
 #include "../../programs/request/gateway_front_end.h"
 #include "../gateway_stubs.h"
+#include "../loopback.h"
 
 #define STEP_TIMEOUT (20 * KC_MS)
 /* Timers of the front end: none is due within a few steps. */
@@ -92,12 +93,8 @@
     options.region_of = GatewayStubs_FindRegion;
     fixture->gateway = KcGateway_Create(&options);
     front_end_options.gateway = fixture->gateway;
-    for (int port = 24000; port < 25000 && fixture->front_end == NULL;
-         port++) {
-        snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d",
-                 port);
-        fixture->front_end = KcGatewayFrontEnd_Create(&front_end_options);
-    }
+    Loopback_AssignAddress(fixture->address, sizeof(fixture->address));
+    fixture->front_end = KcGatewayFrontEnd_Create(&front_end_options);
     g_assert_nonnull(fixture->front_end);
 }
 
--- a/tests/request/test_notices.c
+++ b/tests/request/test_notices.c
@@ -12,6 +12,7 @@
 #include "../../programs/process/platform.h"
 #include "../../programs/request/http_attempt.h"
 #include "../gateway_stubs.h"
+#include "../loopback.h"
 
 #define REQUEST_TIMEOUT (400 * KC_MS)
 /* From the end of the request to the later bytes, and to the end of a case. */
@@ -392,13 +393,10 @@
                        .loop = KcLoop_Create(),
                        .trace = g_string_new(""),
                        .intake_pool = {.kept_bytes_max = 65536}};
-    int number = (int)getpid();
     struct evconnlistener *listener;
     char address[KC_ADDRESS_MAX];
 
-    /* Differs between test processes that run at the same time. */
-    snprintf(address, sizeof(address), "127.78.%d.%d:9178", number / 250 % 250,
-             number % 250 + 1);
+    Loopback_AssignAddress(address, sizeof(address));
     listener =
         KcSocket_Listen(fixture.loop->base, address, on_accept, &fixture);
     g_assert_nonnull(listener);
--- a/tests/request/test_stop_end.c
+++ b/tests/request/test_stop_end.c
@@ -14,6 +14,7 @@
 #include "../../programs/process/role.h"
 #include "../../programs/request/gateway_front_end.h"
 #include "../gateway_stubs.h"
+#include "../loopback.h"
 
 #define REQUEST "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
 
@@ -178,12 +179,8 @@
         .silence_timeout = KC_SECOND * 60,
         .stall_timeout = KC_SECOND * 60};
 
-    for (int port = 25000; port < 26000 && fixture->front_end == NULL;
-         port++) {
-        snprintf(fixture->address, sizeof(fixture->address), "127.0.0.1:%d",
-                 port);
-        fixture->front_end = KcGatewayFrontEnd_Create(&options);
-    }
+    Loopback_AssignAddress(fixture->address, sizeof(fixture->address));
+    fixture->front_end = KcGatewayFrontEnd_Create(&options);
     g_assert_nonnull(fixture->front_end);
 }
 
--- a/tests/request/test_unframed.c
+++ b/tests/request/test_unframed.c
@@ -17,6 +17,7 @@
 #include "../../programs/process/platform.h"
 #include "../../programs/request/gateway_front_end.h"
 #include "../gateway_stubs.h"
+#include "../loopback.h"
 #include "../steps.h"
 
 /* Longest duration of a case. */
@@ -398,7 +399,6 @@
                        .loop = KcLoop_Create(),
                        .received = g_string_new(""),
                        .intake_pool = {.kept_bytes_max = 65536}};
-    int number = (int)getpid();
     char server_address[KC_ADDRESS_MAX];
     char address[KC_ADDRESS_MAX];
     KcGatewayFrontEndOptions options = {.loop = fixture.loop,
@@ -410,11 +410,8 @@
                                         .stall_timeout = KC_SECOND};
     char *answer;
 
-    /* Differ between test processes that run at the same time. */
-    snprintf(server_address, sizeof(server_address), "127.79.%d.%d:9179",
-             number / 250 % 250, number % 250 + 1);
-    snprintf(address, sizeof(address), "127.79.%d.%d:9180", number / 250 % 250,
-             number % 250 + 1);
+    Loopback_AssignAddress(server_address, sizeof(server_address));
+    Loopback_AssignAddress(address, sizeof(address));
     fixture.server = KcSocket_Listen(fixture.loop->base, server_address,
                                      on_accept, &fixture);
     g_assert_nonnull(fixture.server);
--- a/tests/soak/test_proxy.c
+++ b/tests/soak/test_proxy.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "../../programs/connection/socket.h"
+#include "../loopback.h"
 #include "../steps.h"
 #include "proxy.h"
 
@@ -102,19 +103,12 @@
     char target[32];
     char address[32];
 
-    for (int port = 25000; port < 26000 && fixture.proxy == NULL; port += 2) {
-        snprintf(target, sizeof(target), "127.0.0.1:%d", port);
-        snprintf(address, sizeof(address), "127.0.0.1:%d", port + 1);
-        fixture.listener =
-            KcSocket_Listen(fixture.loop->base, target, on_accept, &fixture);
-        if (fixture.listener == NULL) {
-            continue;
-        }
-        fixture.proxy = Proxy_Create(fixture.loop, address, target);
-        if (fixture.proxy == NULL) {
-            evconnlistener_free(fixture.listener);
-        }
-    }
+    Loopback_AssignAddress(target, sizeof(target));
+    Loopback_AssignAddress(address, sizeof(address));
+    fixture.listener =
+        KcSocket_Listen(fixture.loop->base, target, on_accept, &fixture);
+    g_assert_nonnull(fixture.listener);
+    fixture.proxy = Proxy_Create(fixture.loop, address, target);
     g_assert_nonnull(fixture.proxy);
     Proxy_SetMode(fixture.proxy, cases[fixture.index].mode);
     g_assert_cmpint(evutil_parse_sockaddr_port(
