Leave a listening socket alone after a failed accept

Callers saw a slow process: with no descriptor left the loop used a whole core. Cause: a listening socket whose connections cannot be accepted stays ready, so each poll returned at once. Gateways, entries, links of agents and keepers and the administrators' pages were all concerned.

Failed before (test_connection_limits, two callers, no descriptor left, 0.5 s): "assertion failed (iteration_count <= 50): (159795 <= 50)".

Now an error pauses the socket for 50 ms (KcAcceptPause); the connections wait in the kernel and are accepted when there is a descriptor. Ruled out: a spare descriptor with which connections are accepted and closed, as callers would be closed without a word. kcc_accept_errors_total counts the errors.

--- a/programs/connection/tcp.c
+++ b/programs/connection/tcp.c
@@ -12,6 +12,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "accept_pause.h"
 #include "socket.h"
 
 #define FRAME_PREFIX_BYTES 4
@@ -36,6 +37,7 @@
 struct KcTcpListener {
     KcTcpOptions options;
     struct evconnlistener *evlistener;
+    KcAcceptPause accept_pause;
     void (*on_accepted)(void *context, KcLink *link);
 };
 
@@ -264,6 +266,13 @@
     listener->on_accepted(listener->options.context, tcp->link);
 }
 
+static void
+on_accept_error(struct evconnlistener *evlistener, void *context)
+{
+    (void)evlistener;
+    KcAcceptPause_OnError(&((KcTcpListener *)context)->accept_pause);
+}
+
 KcTcpListener *
 KcTcpListener_Create(const KcTcpOptions *options, const char *address,
                      void (*on_accepted)(void *context, KcLink *link))
@@ -278,12 +287,16 @@
         free(listener);
         return NULL;
     }
+    KcAcceptPause_Init(&listener->accept_pause, options->loop,
+                       listener->evlistener, options->counters);
+    evconnlistener_set_error_cb(listener->evlistener, on_accept_error);
     return listener;
 }
 
 void
 KcTcpListener_Free(KcTcpListener *listener)
 {
+    KcAcceptPause_Clear(&listener->accept_pause);
     evconnlistener_free(listener->evlistener);
     free(listener);
 }
--- a/programs/process/admin_http.c
+++ b/programs/process/admin_http.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../connection/accept_pause.h"
 #include "log.h"
 
 #define LISTEN_BACKLOG 64
@@ -15,6 +16,7 @@
 struct KcAdminServer {
     KcAdminServerOptions options;
     evhtp_t *http;
+    KcAcceptPause accept_pause;
 };
 
 static void
@@ -163,6 +165,13 @@
     }
 }
 
+static void
+on_accept_error(struct evconnlistener *listener, void *context)
+{
+    (void)listener;
+    KcAcceptPause_OnError(((evhtp_t *)context)->arg);
+}
+
 KcAdminServer *
 KcAdminServer_Create(const KcAdminServerOptions *options)
 {
@@ -171,7 +180,8 @@
     uint16_t port;
 
     admin_server->options = *options;
-    admin_server->http = evhtp_new(options->loop->base, NULL);
+    admin_server->http =
+        evhtp_new(options->loop->base, &admin_server->accept_pause);
     evhtp_set_cb(admin_server->http, "/metrics", on_metrics, admin_server);
     evhtp_set_cb(admin_server->http, "/healthz", on_healthz, admin_server);
     evhtp_set_cb(admin_server->http, "/readyz", on_readyz, admin_server);
@@ -190,12 +200,16 @@
         KcAdminServer_Free(admin_server);
         return NULL;
     }
+    KcAcceptPause_Init(&admin_server->accept_pause, options->loop,
+                       admin_server->http->server, options->counters);
+    evconnlistener_set_error_cb(admin_server->http->server, on_accept_error);
     return admin_server;
 }
 
 void
 KcAdminServer_Free(KcAdminServer *admin_server)
 {
+    KcAcceptPause_Clear(&admin_server->accept_pause);
     evhtp_unbind_socket(admin_server->http);
     evhtp_free(admin_server->http);
     free(admin_server);
--- a/programs/process/admin_http.h
+++ b/programs/process/admin_http.h
@@ -40,7 +40,7 @@
     const KcSettings *settings;
     const char *address;    /* "address:port" to listen on */
     const char *ready_path; /* second path for /readyz; NULL: none */
-    const KcCounters *counters;
+    KcCounters *counters;
     const KcEvents *events;
     const KcAdminServerOps *ops;
     void *context; /* first argument of the ops */
--- a/programs/process/entry_role.c
+++ b/programs/process/entry_role.c
@@ -198,8 +198,11 @@
 listen_all(EntryRole *role)
 {
     const KcSettings *settings = role->common.settings;
-    KcEntryFrontEndOptions front_end_options = {role->common.loop, settings,
-                                                role->entry};
+    KcEntryFrontEndOptions front_end_options = {.loop = role->common.loop,
+                                                .settings = settings,
+                                                .entry = role->entry,
+                                                .counters =
+                                                    &role->common.counters};
     KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
 
     role->front_end = KcEntryFrontEnd_Create(&front_end_options);
--- a/programs/request/entry_front_end.c
+++ b/programs/request/entry_front_end.c
@@ -12,6 +12,7 @@
 #include <string.h>
 #include <time.h>
 
+#include "../connection/accept_pause.h"
 #include "../process/log.h"
 #include "answer.h"
 
@@ -23,6 +24,7 @@
 struct KcEntryFrontEnd {
     KcEntryFrontEndOptions options;
     evhtp_t *http;
+    KcAcceptPause accept_pause;
     int64_t connection_count;
 };
 
@@ -581,6 +583,13 @@
     return EVHTP_RES_OK;
 }
 
+static void
+on_accept_error(struct evconnlistener *listener, void *context)
+{
+    (void)listener;
+    KcAcceptPause_OnError(((evhtp_t *)context)->arg);
+}
+
 static void
 configure_http(KcEntryFrontEnd *front_end)
 {
@@ -608,7 +617,7 @@
     uint16_t port;
 
     front_end->options = *options;
-    front_end->http = evhtp_new(options->loop->base, NULL);
+    front_end->http = evhtp_new(options->loop->base, &front_end->accept_pause);
     configure_http(front_end);
     if (KcAddress_Parse(options->settings->callers_address, host, &port) !=
             0 ||
@@ -616,12 +625,16 @@
         KcEntryFrontEnd_Free(front_end);
         return NULL;
     }
+    KcAcceptPause_Init(&front_end->accept_pause, options->loop,
+                       front_end->http->server, options->counters);
+    evconnlistener_set_error_cb(front_end->http->server, on_accept_error);
     return front_end;
 }
 
 void
 KcEntryFrontEnd_Free(KcEntryFrontEnd *front_end)
 {
+    KcAcceptPause_Clear(&front_end->accept_pause);
     evhtp_unbind_socket(front_end->http);
     evhtp_free(front_end->http);
     free(front_end);
--- a/programs/request/entry_front_end.h
+++ b/programs/request/entry_front_end.h
@@ -16,6 +16,7 @@
     KcLoop *loop;
     const KcSettings *settings;
     KcEntry *entry;
+    KcCounters *counters;
 } KcEntryFrontEndOptions;
 
 /*
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../connection/accept_pause.h"
 #include "../connection/socket.h"
 #include "../process/log.h"
 
@@ -31,6 +32,7 @@
 struct KcGatewayFrontEnd {
     KcGatewayFrontEndOptions options;
     struct evconnlistener *listener;
+    KcAcceptPause accept_pause;
     uint32_t connection_count;
     bool is_leaving;
     KcTime idle_until; /* when leaving, idle connections are closed then */
@@ -537,6 +539,23 @@
     wait_for_request(connection);
 }
 
+static void
+on_accept_error(struct evconnlistener *listener, void *context)
+{
+    (void)listener;
+    KcAcceptPause_OnError(&((KcGatewayFrontEnd *)context)->accept_pause);
+}
+
+static void
+close_listener(KcGatewayFrontEnd *front_end)
+{
+    if (front_end->listener != NULL) {
+        KcAcceptPause_Clear(&front_end->accept_pause);
+        evconnlistener_free(front_end->listener);
+        front_end->listener = NULL;
+    }
+}
+
 KcGatewayFrontEnd *
 KcGatewayFrontEnd_Create(const KcGatewayFrontEndOptions *options)
 {
@@ -551,6 +570,9 @@
         free(front_end);
         return NULL;
     }
+    KcAcceptPause_Init(&front_end->accept_pause, options->loop,
+                       front_end->listener, options->counters);
+    evconnlistener_set_error_cb(front_end->listener, on_accept_error);
     return front_end;
 }
 
@@ -562,9 +584,7 @@
     while ((connection = TAILQ_FIRST(&front_end->connections)) != NULL) {
         free_connection(connection);
     }
-    if (front_end->listener != NULL) {
-        evconnlistener_free(front_end->listener);
-    }
+    close_listener(front_end);
     free(front_end);
 }
 
@@ -595,10 +615,7 @@
     CallerConnection *connection;
     CallerConnection *next;
 
-    if (front_end->listener != NULL) {
-        evconnlistener_free(front_end->listener);
-        front_end->listener = NULL;
-    }
+    close_listener(front_end);
     TAILQ_FOREACH_SAFE (connection, &front_end->connections, link, next) {
         if (KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
             KcHttpConnection_SetReadPaused(connection->http_connection, true);
