Bound callers' connections by the descriptors of the process

connections_max was 24,000 by default where the platform gives a process 4,100 descriptors and keeps 200 of them for files: the bound could never be reached, and callers' connections could take the descriptors that connections to backend servers need. 24,000 with 4,100 descriptors passed the check of the settings.

Now the number follows from RLIMIT_NOFILE, or from [limits] descriptors_max if that is lower: 256 are kept for what the process itself opens, a quarter of the others for backend servers, keepers and agents (4,100: 2,883 callers). connections_max may still be given; more than the descriptors allow is an error of the settings with descriptors_max, and lowered with a warning without it.

--- a/programs/process/entry_role.c
+++ b/programs/process/entry_role.c
@@ -7,6 +7,7 @@
 #include "../connection/tcp.h"
 #include "../request/entry_front_end.h"
 #include "admin_http.h"
+#include "descriptors.h"
 #include "instances_http.h"
 #include "log.h"
 #include "objects_http.h"
@@ -198,11 +199,12 @@
 listen_all(EntryRole *role)
 {
     const KcSettings *settings = role->common.settings;
-    KcEntryFrontEndOptions front_end_options = {.loop = role->common.loop,
-                                                .settings = settings,
-                                                .entry = role->entry,
-                                                .counters =
-                                                    &role->common.counters};
+    KcEntryFrontEndOptions front_end_options = {
+        .loop = role->common.loop,
+        .settings = settings,
+        .entry = role->entry,
+        .counters = &role->common.counters,
+        .connections_max = KcDescriptors_LimitConnections(settings)};
     KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
 
     role->front_end = KcEntryFrontEnd_Create(&front_end_options);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "descriptors.h"
 #include "gateway_role_internal.h"
 #include "suspects_json.h"
 
@@ -246,7 +247,7 @@
         .gateway = role->gateway,
         .dialect = role->platform->dialect,
         .counters = &role->common.counters,
-        .connections_max = (uint32_t)settings->connections_max,
+        .connections_max = (uint32_t)KcDescriptors_LimitConnections(settings),
         .initial_limits = initial_caller_limits,
         .silence_timeout = settings->connection_silence_timeout_ms * KC_MS,
         .stall_timeout = CALLER_STALL_TIMEOUT};
@@ -261,6 +262,8 @@
         .context = role};
     KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
 
+    KcLog_Write(KC_LOG_INFO, NULL, "up to %u connections of callers",
+                front_end_options.connections_max);
     role->front_end = KcGatewayFrontEnd_Create(&front_end_options);
     role->readiness_server = KcAdminServer_Create(&readiness_options);
     if (role->front_end == NULL || role->readiness_server == NULL) {
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "descriptors.h"
 #include "log.h"
 #include "loop.h"
 
@@ -130,8 +131,13 @@
     NUMBER_SETTING("limits", "requests_max", ROLES_ENTRY, requests_max,
                    "20000", 1, 1000000, "Requests in progress at once."),
     NUMBER_SETTING("limits", "connections_max", ROLES_ENTRY | ROLES_GATEWAY,
-                   connections_max, "24000", 1, 1000000,
-                   "Callers' connections at once."),
+                   connections_max, "0", 0, 1000000,
+                   "Callers' connections at once; 0: as many as the "
+                   "descriptors allow."),
+    NUMBER_SETTING("limits", "descriptors_max", ROLES_ENTRY | ROLES_GATEWAY,
+                   descriptors_max, "0", 0, 10000000,
+                   "Descriptors that the process may open; 0: its own limit, "
+                   "RLIMIT_NOFILE, which is never exceeded."),
     NUMBER_SETTING("limits", "header_max", ROLES_ENTRY, header_bytes_max,
                    "16384", 256, 1048576,
                    "Bytes of all headers of a request."),
@@ -453,11 +459,19 @@
         KcProblemList_Add(problems, reader->file, 0, "[lease] renew_ms",
                           "must be at most a third of ttl_ms");
     }
-    if (settings->role == KC_ROLE_ENTRY &&
+    if (settings->role == KC_ROLE_ENTRY && settings->connections_max > 0 &&
         settings->requests_max > settings->connections_max) {
         KcProblemList_Add(problems, reader->file, 0, "[limits] requests_max",
                           "must not exceed connections_max");
     }
+    if (settings->descriptors_max > 0 &&
+        settings->connections_max >
+            KcDescriptors_ConnectionsMax(settings->descriptors_max)) {
+        KcProblemList_Add(
+            problems, reader->file, 0, "[limits] connections_max",
+            "must not exceed %" PRId64 ", which descriptors_max allows",
+            KcDescriptors_ConnectionsMax(settings->descriptors_max));
+    }
 }
 
 int
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -55,7 +55,8 @@
     char route_policy[KC_NAME_MAX];
     int64_t attempts_max;
     int64_t requests_max;
-    int64_t connections_max;
+    int64_t connections_max; /* 0: as many as the descriptors allow */
+    int64_t descriptors_max; /* 0: RLIMIT_NOFILE */
     int64_t header_bytes_max;
     int64_t body_bytes_max;
     int64_t read_timeout_ms;
--- a/programs/request/entry_front_end.c
+++ b/programs/request/entry_front_end.c
@@ -572,7 +572,7 @@
     KcEntryFrontEnd *front_end = context;
 
     if (front_end->connection_count >=
-        front_end->options.settings->connections_max) {
+        front_end->options.connections_max) {
         return EVHTP_RES_ERROR;
     }
     front_end->connection_count++;
--- a/programs/request/entry_front_end.h
+++ b/programs/request/entry_front_end.h
@@ -17,6 +17,7 @@
     const KcSettings *settings;
     KcEntry *entry;
     KcCounters *counters;
+    int64_t connections_max;
 } KcEntryFrontEndOptions;
 
 /*
--- a/tests/request/test_connection_limits.c
+++ b/tests/request/test_connection_limits.c
@@ -16,6 +16,7 @@
 
 #include "../../programs/connection/tcp.h"
 #include "../../programs/process/admin_http.h"
+#include "../../programs/process/descriptors.h"
 #include "../../programs/process/platform.h"
 #include "../../programs/request/entry_front_end.h"
 #include "../../programs/request/gateway_front_end.h"
@@ -106,9 +107,9 @@
 {
     KcEntryFrontEndOptions options = {.loop = fixture->loop,
                                       .settings = &fixture->settings,
-                                      .counters = &fixture->counters};
+                                      .counters = &fixture->counters,
+                                      .connections_max = connections_max};
 
-    fixture->settings.connections_max = connections_max;
     fixture->settings.header_bytes_max = 1000;
     fixture->settings.body_bytes_max = 1000;
     fixture->settings.read_timeout_ms = 60000;
@@ -423,11 +424,50 @@
     KcLoop_Free(fixture.loop);
 }
 
+/* The settings and RLIMIT_NOFILE, and the callers' connections at once. */
+static const struct {
+    const char *name;
+    int64_t connections_max;
+    int64_t descriptors_max;
+    rlim_t own_limit;
+    int64_t expected;
+} connection_cases[] = {
+    {"the limit of the process", 0, 0, 1024, 576},
+    {"a lower number of descriptors", 0, 512, 1024, 192},
+    {"a higher number of descriptors", 0, 4100, 1024, 576},
+    {"fewer connections", 100, 0, 1024, 100},
+    {"more connections", 24000, 0, 1024, 576},
+    {"few descriptors", 0, 64, 1024, 24},
+    {"hardly a descriptor", 0, 1, 1024, 1},
+};
+
+static void
+test_connections(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    KcSettings settings = {
+        .connections_max = connection_cases[index].connections_max,
+        .descriptors_max = connection_cases[index].descriptors_max};
+    struct rlimit before;
+    struct rlimit limit;
+
+    g_assert_cmpint(getrlimit(RLIMIT_NOFILE, &before), ==, 0);
+    limit = before;
+    limit.rlim_cur = connection_cases[index].own_limit;
+    g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &limit), ==, 0);
+    g_assert_cmpint(KcDescriptors_LimitConnections(&settings), ==,
+                    connection_cases[index].expected);
+    g_assert_cmpint(setrlimit(RLIMIT_NOFILE, &before), ==, 0);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/connection limits", cases, G_N_ELEMENTS(cases),
                    sizeof(cases[0]), test_case);
+    Steps_AddCases("/connection limits/descriptors", connection_cases,
+                   G_N_ELEMENTS(connection_cases), sizeof(connection_cases[0]),
+                   test_connections);
     return g_test_run();
 }
