--- a/programs/request/entry_front_end.h
+++ b/programs/request/entry_front_end.h
@@ -16,6 +16,8 @@
     KcLoop *loop;
     const KcSettings *settings;
     KcEntry *entry;
+    KcCounters *counters;
+    int64_t connections_max;
 } KcEntryFrontEndOptions;
 
 /*
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -8,6 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../connection/connection_limit.h"
 #include "../connection/socket.h"
 #include "../process/log.h"
 
@@ -22,6 +23,13 @@
  * close.
  */
 #define IDLE_TIME_PERCENT 80
+/*
+ * Time that a connection above the limit has to send a request, which is
+ * refused.
+ */
+#define EXCESS_REQUEST_TIMEOUT (1 * KC_SECOND)
+/* Callers whose connection is refused are asked to come back after this. */
+#define EXCESS_RETRY_AFTER (400 * KC_MS)
 /*
  * Shortest time that a connection which is accepted or idle during a planned
  * stop has to send a request.
@@ -31,7 +39,8 @@
 struct KcGatewayFrontEnd {
     KcGatewayFrontEndOptions options;
     struct evconnlistener *listener;
-    uint32_t connection_count;
+    KcAcceptPause accept_pause;
+    KcConnectionLimit connection_limit;
     bool is_leaving;
     KcTime idle_until; /* when leaving, idle connections are closed then */
     KcTime end_at;     /* requests must have been received by then */
@@ -59,6 +68,7 @@
     TAILQ_ENTRY(CallerConnection) link;
     KcGatewayFrontEnd *front_end;
     KcHttpConnection *http_connection;
+    bool is_admitted; /* within the limit of connections */
     ConnectionState state;
     KcTimer timer;         /* ends a state that lasts too long */
     KcCallerLimits limits; /* of the request, from its first byte to its end */
@@ -129,7 +139,8 @@
     record_end(connection);
     KcTimers_Clear(front_end->options.loop->timers, &connection->timer);
     TAILQ_REMOVE(&front_end->connections, connection, link);
-    front_end->connection_count--;
+    KcConnectionLimit_Remove(&front_end->connection_limit,
+                             connection->is_admitted);
     KcBuffer_Clear(&connection->request_body);
     KcHttpConnection_Close(connection->http_connection);
     free(connection);
@@ -175,7 +186,9 @@
 static void
 refuse_early(CallerConnection *connection, int code, const char *step)
 {
-    KcForwardRefusal refusal = {.error = {.code = code, .step = step}};
+    KcForwardRefusal refusal = {
+        .error = {.code = code, .step = step},
+        .retry_after = connection->is_admitted ? 0 : EXCESS_RETRY_AFTER};
     KcLogFields fields = {.step = step, .code = code};
 
     KcCounters_Add(connection->front_end->options.counters,
@@ -210,6 +223,16 @@
     free_connection(connection);
 }
 
+/* Returns whether the connection is within the limit, by now. */
+static bool
+is_admitted(CallerConnection *connection)
+{
+    connection->is_admitted =
+        connection->is_admitted ||
+        KcConnectionLimit_Admit(&connection->front_end->connection_limit);
+    return connection->is_admitted;
+}
+
 static void
 wait_for_request(CallerConnection *connection)
 {
@@ -232,6 +255,9 @@
         close_at = close_at > front_end->idle_until ? close_at
                                                     : front_end->idle_until;
     }
+    if (!is_admitted(connection)) {
+        close_at = KcLoop_Now() + EXCESS_REQUEST_TIMEOUT;
+    }
     connection->state = CONNECTION_IDLE;
     KcTimers_Set(front_end->options.loop->timers, &connection->timer,
                  close_at);
@@ -249,7 +275,8 @@
         refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
         break;
     case CONNECTION_IDLE:
-        if (!KcHttpConnection_IsOutputTaken(connection->http_connection)) {
+        if (!KcHttpConnection_IsOutputTaken(connection->http_connection) ||
+            (!connection->is_admitted && is_admitted(connection))) {
             wait_for_request(connection);
             break;
         }
@@ -434,6 +461,12 @@
     const char *host = KcHttpMessage_FindField(message, "Host");
 
     connection->request_head = message;
+    if (!is_admitted(connection)) {
+        KcCounters_Add(connection->front_end->options.counters,
+                       KC_COUNT_EXCESS_CALLERS, 1);
+        refuse_early(connection, KC_ERR_BUSY, "connections");
+        return;
+    }
     if (message->is_before_http_1_1 || host == NULL || host[0] == '\0') {
         refuse_early(connection, KC_ERR_PARSE, "Host");
         return;
@@ -519,10 +552,6 @@
     (void)listener;
     (void)address;
     (void)size;
-    if (front_end->connection_count >= front_end->options.connections_max) {
-        evutil_closesocket(fd);
-        return;
-    }
     connection = KcMem_New(sizeof(*connection));
     options.owner = connection;
     connection->front_end = front_end;
@@ -533,10 +562,28 @@
     }
     KcTimer_Init(&connection->timer, on_timer, connection);
     TAILQ_INSERT_TAIL(&front_end->connections, connection, link);
-    front_end->connection_count++;
+    connection->is_admitted =
+        KcConnectionLimit_Add(&front_end->connection_limit);
     wait_for_request(connection);
 }
 
+static void
+on_accept_error(struct evconnlistener *listener, void *context)
+{
+    (void)listener;
+    KcAcceptPause_OnError(&((KcGatewayFrontEnd *)context)->accept_pause);
+}
+
+static void
+close_listener(KcGatewayFrontEnd *front_end)
+{
+    if (front_end->listener != NULL) {
+        KcAcceptPause_Clear(&front_end->accept_pause);
+        evconnlistener_free(front_end->listener);
+        front_end->listener = NULL;
+    }
+}
+
 KcGatewayFrontEnd *
 KcGatewayFrontEnd_Create(const KcGatewayFrontEndOptions *options)
 {
@@ -544,6 +591,9 @@
 
     front_end->options = *options;
     front_end->end_at = KC_NEVER;
+    front_end->connection_limit =
+        (KcConnectionLimit){.accept_pause = &front_end->accept_pause,
+                            .connections_max = options->connections_max};
     TAILQ_INIT(&front_end->connections);
     front_end->listener = KcSocket_Listen(
         options->loop->base, options->address, on_accept, front_end);
@@ -551,6 +601,9 @@
         free(front_end);
         return NULL;
     }
+    KcAcceptPause_Init(&front_end->accept_pause, options->loop,
+                       front_end->listener, options->counters);
+    evconnlistener_set_error_cb(front_end->listener, on_accept_error);
     return front_end;
 }
 
@@ -562,9 +615,7 @@
     while ((connection = TAILQ_FIRST(&front_end->connections)) != NULL) {
         free_connection(connection);
     }
-    if (front_end->listener != NULL) {
-        evconnlistener_free(front_end->listener);
-    }
+    close_listener(front_end);
     free(front_end);
 }
 
@@ -595,10 +646,7 @@
     CallerConnection *connection;
     CallerConnection *next;
 
-    if (front_end->listener != NULL) {
-        evconnlistener_free(front_end->listener);
-        front_end->listener = NULL;
-    }
+    close_listener(front_end);
     TAILQ_FOREACH_SAFE (connection, &front_end->connections, link, next) {
         if (KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
             KcHttpConnection_SetReadPaused(connection->http_connection, true);
