Move the planned stop of a gateway to a file of its own

gateway_role.c held the times of a planned stop beside the start of the process, where no test reached them. KcGatewayStop has them now, with options, so that a test can stop a front end as a process does. No change of behaviour.

--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -9,28 +9,6 @@
 #include "gateway_role_internal.h"
 #include "suspects_json.h"
 
-/*
- * Idle connections of callers are closed this long after a planned stop began.
- * By then the load balancer has made two readiness checks, a second apart, and
- * opens no new connections.
- */
-#define DRAIN_IDLE_CLOSE_DELAY (2500 * KC_MS)
-/*
- * Requests that might outlast a planned stop are refused from this long after
- * it began: the platform accepts that a stop cuts one off only if it was sent
- * earlier.
- */
-#define DRAIN_REFUSAL_DELAY (2800 * KC_MS)
-/*
- * Requests in progress are answered this long before the end of a planned
- * stop, so that the answers can be sent.
- */
-#define DRAIN_ANSWER_TIME (300 * KC_MS)
-/*
- * Shortest planned stop, also without requests: until then the load balancer
- * may open new connections, later it chooses another gateway.
- */
-#define DRAIN_DURATION_MIN (3200 * KC_MS)
 /* A stop ends this long before the platform kills the process. */
 #define GRACE_PERIOD_MARGIN (300 * KC_MS)
 
@@ -157,33 +135,25 @@
 begin_drain(void *context)
 {
     GatewayRole *role = context;
-    KcTime now = KcLoop_Now();
-    KcTime end_at = now + role->common.drain_timeout - DRAIN_ANSWER_TIME;
+    KcGatewayStopOptions options;
 
-    role->drain_started_at = now;
-    KcGateway_Drain(role->gateway, now + DRAIN_REFUSAL_DELAY, end_at);
-    KcGatewayFrontEnd_Drain(role->front_end, now + DRAIN_IDLE_CLOSE_DELAY,
-                            end_at);
+    KcGatewayStopOptions_Init(&options);
+    options.gateway = role->gateway;
+    options.front_end = role->front_end;
+    KcGatewayStop_Begin(&role->stop, &options, role->common.drain_timeout,
+                        KcLoop_Now());
 }
 
 static bool
 is_drained(void *context)
 {
-    GatewayRole *role = context;
-
-    return KcGateway_CountInFlight(role->gateway) == 0 &&
-           KcGatewayFrontEnd_IsQuiet(role->front_end) &&
-           KcLoop_Now() >= role->drain_started_at + DRAIN_DURATION_MIN;
+    return KcGatewayStop_IsDone(&((GatewayRole *)context)->stop, KcLoop_Now());
 }
 
 static void
 end_intake(void *context)
 {
-    GatewayRole *role = context;
-    KcTime now = KcLoop_Now();
-
-    KcGateway_Drain(role->gateway, now, now); /* sends no more to servers */
-    KcGatewayFrontEnd_EndIntake(role->front_end);
+    KcGatewayStop_EndIntake(&((GatewayRole *)context)->stop, KcLoop_Now());
 }
 
 /* The percentage of retries, rounded down; 0.29 has no exact binary form. */
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -13,6 +13,7 @@
 #include "../request/http_call.h"
 #include "../request/gateway_front_end.h"
 #include "admin_http.h"
+#include "gateway_stop.h"
 #include "log.h"
 #include "own_record.h"
 #include "platform.h"
@@ -32,7 +33,7 @@
     KcTimer hub_timer;      /* connects to the hubs */
     KcOwnRecord own_record; /* of this gateway, in the store */
     uint64_t incarnation;
-    KcTime drain_started_at;
+    KcGatewayStop stop; /* while a planned stop runs */
     KcTime store_status_changed_at; /* lost or regained; 0: never */
 } GatewayRole;
 
