End a planned stop of a gateway after its closes in stages

A caller that was refused while it still sent, as by 413, saw a reset in place of the refusal when the gateway ended a moment later. The front end counted a connection that is being closed in stages as quiet once its output was sent, so the process ended in the second stage, in which the caller's bytes are read and dropped; the kernel answered the next ones with a reset.

Now such a connection counts until it is closed, which its time limit of 2 s or the stop's bounds. For the same reason a request that is not received completely is refused 2 s (or a quarter of a short stop) before the end of the stop, and the intake ends 0.3 s before it, so that each refusal has that time to arrive. What is received in part when the intake ends is refused, no longer closed without a word.

Ruled out: ending the second stage once the kernel reports the output as acknowledged, as an acknowledged byte is not one that the caller has read.

--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -138,6 +138,7 @@
     KcGatewayStopOptions options;
 
     KcGatewayStopOptions_Init(&options);
+    options.timers = role->common.loop->timers;
     options.gateway = role->gateway;
     options.front_end = role->front_end;
     KcGatewayStop_Begin(&role->stop, &options, role->common.drain_timeout,
@@ -268,6 +269,7 @@
         KcGatewayRole_FreeFeeds(role);
         role->platform->close_store(role->store);
     }
+    KcGatewayStop_Clear(&role->stop);
     KcGateway_Abort(role->gateway, KcLoop_Now());
     if (role->front_end != NULL) {
         KcGatewayFrontEnd_Free(role->front_end);
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -33,7 +33,7 @@
     KcTimer hub_timer;      /* connects to the hubs */
     KcOwnRecord own_record; /* of this gateway, in the store */
     uint64_t incarnation;
-    KcGatewayStop stop; /* while a planned stop runs */
+    KcGatewayStop stop;             /* while a planned stop runs */
     KcTime store_status_changed_at; /* lost or regained; 0: never */
 } GatewayRole;
 
--- a/programs/process/gateway_stop.c
+++ b/programs/process/gateway_stop.c
@@ -3,6 +3,8 @@
  */
 #include "gateway_stop.h"
 
+#include "../connection/lingering_close.h"
+
 /*
  * Idle connections of callers are closed this long after a planned stop began.
  * By then the load balancer has made two readiness checks, a second apart, and
@@ -21,6 +23,8 @@
  */
 #define DURATION_MIN (3200 * KC_MS)
 #define ANSWER_TIME (300 * KC_MS)
+/* Part of a short stop that is kept for closes in stages. */
+#define CLOSING_PERCENT_MAX 25
 
 void
 KcGatewayStopOptions_Init(KcGatewayStopOptions *options)
@@ -31,17 +35,45 @@
                                       .answer_time = ANSWER_TIME};
 }
 
+/* Returns the time that refused callers have to read their refusals. */
+static KcTime
+get_closing_time(KcTime duration)
+{
+    KcTime closing_time_max = duration * CLOSING_PERCENT_MAX / 100;
+
+    return closing_time_max < KC_LINGERING_TIMEOUT ? closing_time_max
+                                                   : KC_LINGERING_TIMEOUT;
+}
+
+static void
+on_end_timer(KcTimer *timer, KcTime now)
+{
+    KcGatewayStop_EndIntake(timer->owner, now);
+}
+
 void
 KcGatewayStop_Begin(KcGatewayStop *stop, const KcGatewayStopOptions *options,
                     KcTime duration_max, KcTime now)
 {
-    KcTime end_at = now + duration_max - options->answer_time;
+    KcTime duration = duration_max - options->answer_time;
 
     stop->options = *options;
     stop->started_at = now;
-    KcGateway_Drain(options->gateway, now + options->refusal_delay, end_at);
+    KcTimer_Init(&stop->end_timer, on_end_timer, stop);
+    KcTimers_Set(options->timers, &stop->end_timer, now + duration);
+    KcGateway_Drain(options->gateway, now + options->refusal_delay,
+                    now + duration);
     KcGatewayFrontEnd_Drain(options->front_end,
-                            now + options->idle_close_delay, end_at);
+                            now + options->idle_close_delay,
+                            now + duration - get_closing_time(duration));
+}
+
+void
+KcGatewayStop_Clear(KcGatewayStop *stop)
+{
+    if (stop->options.timers != NULL) {
+        KcTimers_Clear(stop->options.timers, &stop->end_timer);
+    }
 }
 
 bool
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -33,8 +33,8 @@
     struct evconnlistener *listener;
     uint32_t connection_count;
     bool is_leaving;
-    KcTime idle_until; /* when leaving, idle connections are closed then */
-    KcTime end_at;     /* requests must have been received by then */
+    KcTime idle_until;    /* when leaving, idle connections are closed then */
+    KcTime receive_until; /* requests must have been received by then */
     TAILQ_HEAD(, CallerConnection) connections;
 };
 
@@ -143,7 +143,8 @@
     KcTime due_at = KcLoop_Now() + delay;
 
     KcTimers_Set(front_end->options.loop->timers, &connection->timer,
-                 due_at < front_end->end_at ? due_at : front_end->end_at);
+                 due_at < front_end->receive_until ? due_at
+                                                   : front_end->receive_until);
 }
 
 /* Takes the limits in force for the next request. */
@@ -237,6 +238,17 @@
                  close_at);
 }
 
+/* Ends the wait for a request, or for the rest of one. */
+static void
+end_receipt(CallerConnection *connection)
+{
+    if (connection->state == CONNECTION_IDLE) {
+        free_connection(connection);
+        return;
+    }
+    refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
+}
+
 static void
 on_timer(KcTimer *timer, KcTime now)
 {
@@ -246,7 +258,7 @@
     switch (connection->state) {
     case CONNECTION_READING_HEAD:
     case CONNECTION_READING_BODY:
-        refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
+        end_receipt(connection);
         break;
     case CONNECTION_IDLE:
         if (!KcHttpConnection_IsOutputTaken(connection->http_connection)) {
@@ -255,7 +267,7 @@
         }
         KcCounters_Add(connection->front_end->options.counters,
                        KC_COUNT_IDLE_CLOSES, 1);
-        free_connection(connection);
+        end_receipt(connection);
         break;
     case CONNECTION_SUBMITTED:
     case CONNECTION_CLOSING:
@@ -543,7 +555,7 @@
     KcGatewayFrontEnd *front_end = KcMem_New(sizeof(*front_end));
 
     front_end->options = *options;
-    front_end->end_at = KC_NEVER;
+    front_end->receive_until = KC_NEVER;
     TAILQ_INIT(&front_end->connections);
     front_end->listener = KcSocket_Listen(
         options->loop->base, options->address, on_accept, front_end);
@@ -570,21 +582,21 @@
 
 void
 KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until,
-                        KcTime end_at)
+                        KcTime receive_until)
 {
     CallerConnection *connection;
 
     front_end->is_leaving = true;
     front_end->idle_until = idle_until;
-    front_end->end_at = end_at;
+    front_end->receive_until = receive_until;
     TAILQ_FOREACH (connection, &front_end->connections, link) {
         if (connection->state == CONNECTION_IDLE) {
             wait_for_request(connection);
         }
         else if (connection->state < CONNECTION_SUBMITTED &&
-                 connection->timer.due_at > end_at) {
+                 connection->timer.due_at > receive_until) {
             KcTimers_Set(front_end->options.loop->timers, &connection->timer,
-                         end_at);
+                         receive_until);
         }
     }
 }
@@ -606,7 +618,7 @@
         else if (connection->state < CONNECTION_SUBMITTED &&
                  KcHttpConnection_UnreadBytes(connection->http_connection) ==
                      0) {
-            free_connection(connection);
+            end_receipt(connection);
         }
     }
 }
@@ -617,8 +629,7 @@
     const CallerConnection *connection;
 
     TAILQ_FOREACH (connection, &front_end->connections, link) {
-        if ((connection->state != CONNECTION_IDLE &&
-             connection->state != CONNECTION_CLOSING) ||
+        if (connection->state != CONNECTION_IDLE ||
             KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
             return false;
         }
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -36,18 +36,22 @@
  * Starts a planned stop: answers that begin from now on close their
  * connection. Idle connections are closed at idle_until, or a second after
  * they became idle or this call if that is later. Requests that have not been
- * received completely by end_at are refused.
+ * received completely by receive_until are refused.
  */
 void KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until,
-                             KcTime end_at);
+                             KcTime receive_until);
 /*
  * Ends the intake, as the process ends: closes the listening socket and the
- * connections on which nothing has arrived and nothing is owed. What has
- * arrived is still read; the gateway must refuse it. A request that arrives
- * later is left unread, which its caller can tell from one that was lost.
+ * connections on which nothing has arrived and nothing is owed, and refuses
+ * requests that are not received completely. What has arrived is still read;
+ * the gateway must refuse it. A request that arrives later is left unread,
+ * which its caller can tell from one that was lost.
  */
 void KcGatewayFrontEnd_EndIntake(KcGatewayFrontEnd *front_end);
-/* Returns whether no request is being received and no answer being sent. */
+/*
+ * Returns whether no request is being received, no answer being sent and no
+ * connection being closed in stages.
+ */
 bool KcGatewayFrontEnd_IsQuiet(const KcGatewayFrontEnd *front_end);
 /*
  * Return head and body of the request of a caller, as given to KcForwardOps;
