--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -42,8 +42,8 @@
     KcAcceptPause accept_pause;
     KcConnectionLimit connection_limit;
     bool is_leaving;
-    KcTime idle_until; /* when leaving, idle connections are closed then */
-    KcTime end_at;     /* requests must have been received by then */
+    KcTime idle_until;    /* when leaving, idle connections are closed then */
+    KcTime receive_until; /* requests must have been received by then */
     TAILQ_HEAD(, CallerConnection) connections;
 };
 
@@ -154,7 +154,8 @@
     KcTime due_at = KcLoop_Now() + delay;
 
     KcTimers_Set(front_end->options.loop->timers, &connection->timer,
-                 due_at < front_end->end_at ? due_at : front_end->end_at);
+                 due_at < front_end->receive_until ? due_at
+                                                   : front_end->receive_until);
 }
 
 /* Takes the limits in force for the next request. */
@@ -263,6 +264,17 @@
                  close_at);
 }
 
+/* Ends the wait for a request, or for the rest of one. */
+static void
+end_receipt(CallerConnection *connection)
+{
+    if (connection->state == CONNECTION_IDLE) {
+        free_connection(connection);
+        return;
+    }
+    refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
+}
+
 static void
 on_timer(KcTimer *timer, KcTime now)
 {
@@ -272,7 +284,7 @@
     switch (connection->state) {
     case CONNECTION_READING_HEAD:
     case CONNECTION_READING_BODY:
-        refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
+        end_receipt(connection);
         break;
     case CONNECTION_IDLE:
         if (!KcHttpConnection_IsOutputTaken(connection->http_connection) ||
@@ -282,7 +294,7 @@
         }
         KcCounters_Add(connection->front_end->options.counters,
                        KC_COUNT_IDLE_CLOSES, 1);
-        free_connection(connection);
+        end_receipt(connection);
         break;
     case CONNECTION_SUBMITTED:
     case CONNECTION_CLOSING:
@@ -590,7 +602,7 @@
     KcGatewayFrontEnd *front_end = KcMem_New(sizeof(*front_end));
 
     front_end->options = *options;
-    front_end->end_at = KC_NEVER;
+    front_end->receive_until = KC_NEVER;
     front_end->connection_limit =
         (KcConnectionLimit){.accept_pause = &front_end->accept_pause,
                             .connections_max = options->connections_max};
@@ -621,21 +633,21 @@
 
 void
 KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until,
-                        KcTime end_at)
+                        KcTime receive_until)
 {
     CallerConnection *connection;
 
     front_end->is_leaving = true;
     front_end->idle_until = idle_until;
-    front_end->end_at = end_at;
+    front_end->receive_until = receive_until;
     TAILQ_FOREACH (connection, &front_end->connections, link) {
         if (connection->state == CONNECTION_IDLE) {
             wait_for_request(connection);
         }
         else if (connection->state < CONNECTION_SUBMITTED &&
-                 connection->timer.due_at > end_at) {
+                 connection->timer.due_at > receive_until) {
             KcTimers_Set(front_end->options.loop->timers, &connection->timer,
-                         end_at);
+                         receive_until);
         }
     }
 }
@@ -654,7 +666,7 @@
         else if (connection->state < CONNECTION_SUBMITTED &&
                  KcHttpConnection_UnreadBytes(connection->http_connection) ==
                      0) {
-            free_connection(connection);
+            end_receipt(connection);
         }
     }
 }
@@ -665,8 +677,7 @@
     const CallerConnection *connection;
 
     TAILQ_FOREACH (connection, &front_end->connections, link) {
-        if ((connection->state != CONNECTION_IDLE &&
-             connection->state != CONNECTION_CLOSING) ||
+        if (connection->state != CONNECTION_IDLE ||
             KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
             return false;
         }
