Skip messages of unknown types, and further fields of known ones

During an update in steps processes of an older version close a link at the first message of a type that they do not know, and again after each new connection: gateways lose what their keepers say of adapters, and the loads in progress with it, until the last process is updated.

The length of a frame and the type in its header make skipping possible. A frame of an unknown type that is otherwise sound is now skipped, counted (kcc_messages_skipped_total) and logged once for each link, at gateways, keepers, entries and agents; fields after the known ones are ignored. A frame that is cut off, too short, no msgpack or too large, and any message before the HELLO, stays a protocol error. It helps from this version on: older ones close the link still.

--- a/lib/connection/codec.c
+++ b/lib/connection/codec.c
@@ -222,14 +222,15 @@
     return KC_ERR_PARSE;
 }
 
-/* Decodes the four fields common to all messages. */
+/* Decodes the four fields common to all messages.  Returns 0, KC_ERR_PARSE or
+ * KC_ERR_UNKNOWN_MESSAGE. */
 static int
 read_header(const msgpack_object *header_fields, KcMsg *msg)
 {
     uint64_t type = 0;
     uint64_t stream = 0;
 
-    if (read_unsigned(&header_fields[0], KC_MSG_COUNT - 1, &type) != 0 ||
+    if (read_unsigned(&header_fields[0], INT32_MAX, &type) != 0 ||
         read_unsigned(&header_fields[1], UINT64_MAX, &msg->generation) != 0 ||
         read_unsigned(&header_fields[2], UINT64_MAX, &msg->clock) != 0 ||
         read_unsigned(&header_fields[3], UINT32_MAX, &stream) != 0) {
@@ -237,7 +238,7 @@
     }
     msg->type = (KcMsgType)type;
     msg->stream_id = (uint32_t)stream;
-    return 0;
+    return type < KC_MSG_COUNT ? 0 : KC_ERR_UNKNOWN_MESSAGE;
 }
 
 int
@@ -247,6 +248,7 @@
     const KcMsgLayout *layout;
     const msgpack_object_array *array;
     size_t consumed = 0;
+    int code;
 
     memset(msg, 0, sizeof(*msg));
     if (msgpack_unpack_next(&decoder->unpacked, frame, size, &consumed) !=
@@ -256,12 +258,15 @@
         return KC_ERR_PARSE;
     }
     array = &decoder->unpacked.data.via.array;
-    if (array->size < HEADER_FIELD_COUNT ||
-        read_header(array->ptr, msg) != 0) {
+    if (array->size < HEADER_FIELD_COUNT) {
         return KC_ERR_PARSE;
     }
+    code = read_header(array->ptr, msg);
+    if (code != 0) {
+        return code;
+    }
     layout = &KcMsg_Layouts[msg->type];
-    if (array->size != HEADER_FIELD_COUNT + layout->field_count) {
+    if (array->size < HEADER_FIELD_COUNT + layout->field_count) {
         return KC_ERR_PARSE;
     }
     for (size_t i = 0; i < layout->field_count; i++) {
--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -254,7 +254,10 @@
 
 /*
  * Decodes a frame without its prefix.  The message borrows from frame and
- * decoder until the next call.  Returns 0 or KC_ERR_PARSE.
+ * decoder until the next call.  Fields after those that are known are ignored.
+ * Returns 0, KC_ERR_PARSE, or KC_ERR_UNKNOWN_MESSAGE: msg->type is then the
+ * number of a type that this version does not have, and only the fields before
+ * msg->u are valid.
  */
 int KcDecoder_Decode(KcDecoder *decoder, const void *frame, size_t size,
                      KcMsg *msg);
@@ -293,6 +296,7 @@
     bool initiator;      /* this side connected, and opens the streams */
     bool hello_received; /* the peer's HELLO has arrived */
     bool peer_leaving;   /* the peer's LEAVING has arrived */
+    bool has_skipped;    /* a message of an unknown type was skipped */
     char peer_name[KC_NAME_MAX];
     uint64_t peer_incarnation;
     uint64_t peer_generation;
@@ -339,4 +343,13 @@
 int KcLink_Receive(KcLink *link, const KcMsg *msg, KcStream **stream,
                    KcTime now, KcError *err);
 
+/*
+ * Skips a message of an unknown type, which a newer peer may send at any time
+ * after its HELLO.  Returns 0, or KC_ERR_PROTOCOL, with err filled, before it:
+ * the connection must be closed.  *is_first: none was skipped on the link
+ * before.
+ */
+int KcLink_Skip(KcLink *link, const KcMsg *msg, bool *is_first, KcTime now,
+                KcError *err);
+
 #endif
--- a/lib/connection/link.c
+++ b/lib/connection/link.c
@@ -187,15 +187,35 @@
     return receive_answer(link, msg, *stream, err);
 }
 
-int
-KcLink_Receive(KcLink *link, const KcMsg *msg, KcStream **stream, KcTime now,
-               KcError *err)
+/* Notes what any message tells of the peer. */
+static void
+note_message(KcLink *link, const KcMsg *msg, KcTime now)
 {
-    *stream = NULL;
     link->last_received_at = now;
     if (msg->generation > link->peer_generation) {
         link->peer_generation = msg->generation;
     }
+}
+
+int
+KcLink_Skip(KcLink *link, const KcMsg *msg, bool *is_first, KcTime now,
+            KcError *err)
+{
+    if (!link->hello_received) {
+        return set_protocol_error(link, err, "message before hello");
+    }
+    note_message(link, msg, now);
+    *is_first = !link->has_skipped;
+    link->has_skipped = true;
+    return 0;
+}
+
+int
+KcLink_Receive(KcLink *link, const KcMsg *msg, KcStream **stream, KcTime now,
+               KcError *err)
+{
+    *stream = NULL;
+    note_message(link, msg, now);
     if (msg->type == KC_MSG_HELLO) {
         return receive_hello(link, msg, err);
     }
--- a/lib/kcc_types.h
+++ b/lib/kcc_types.h
@@ -69,9 +69,10 @@
     KC_ERR_BACKEND = -25,     /* the backend server reported a failure */
     /* the service requires an Idempotency-Key */
     KC_ERR_IDEMPOTENCY_KEY_REQUIRED = -26,
-    KC_ERR_UNKNOWN_WORK = -27, /* the agent never received this attempt */
-    KC_ERR_BLOCKED = -28,      /* a part of the prompt ends servers */
-    KC_ERR_RANGE_END = -29     /* one below the last code; not an error */
+    KC_ERR_UNKNOWN_WORK = -27,    /* the agent never received this attempt */
+    KC_ERR_BLOCKED = -28,         /* a part of the prompt ends servers */
+    KC_ERR_UNKNOWN_MESSAGE = -29, /* a message of a newer version's type */
+    KC_ERR_RANGE_END = -30        /* one below the last code; not an error */
 } KcErrorCode;
 
 /* An error with the step that failed and the peer it concerns. */
--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -55,6 +55,9 @@
                                 "Messages sent on links."},
     [KC_COUNT_MESSAGES_RECEIVED] = {"kcc_messages_received_total",
                                     "Messages received on links."},
+    [KC_COUNT_MESSAGES_SKIPPED] =
+        {"kcc_messages_skipped_total",
+         "Messages of unknown types received on links, and skipped."},
     [KC_COUNT_BYTES_SENT] = {"kcc_link_bytes_sent_total",
                              "Bytes sent on links."},
     [KC_COUNT_BYTES_RECEIVED] = {"kcc_link_bytes_received_total",
--- a/lib/process/error.c
+++ b/lib/process/error.c
@@ -41,6 +41,7 @@
     "idempotency_key_required",
     "unknown_work",
     "blocked",
+    "unknown_message",
 };
 
 _Static_assert(sizeof(error_names) / sizeof(error_names[0]) ==
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -47,6 +47,7 @@
     KC_COUNT_MESSAGES_RECEIVED, /* messages received on links */
     KC_COUNT_BYTES_SENT,        /* bytes sent on links */
     KC_COUNT_BYTES_RECEIVED,    /* bytes received on links */
+    KC_COUNT_MESSAGES_SKIPPED,  /* received messages of unknown types */
     KC_COUNT_PROTOCOL_ERRORS,   /* links closed for a protocol error */
     KC_COUNT_OBJECT_CALLS,      /* calls of the object API */
     KC_COUNT_OBJECT_FAILURES,   /* calls of the object API without an answer */
--- a/programs/connection/tcp.c
+++ b/programs/connection/tcp.c
@@ -139,6 +139,56 @@
                                tcp->link);
 }
 
+static void
+report_protocol_error(KcTcpConnection *tcp, int code)
+{
+    KcCounters_Add(tcp->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
+    report_closed(tcp, code);
+}
+
+static void
+skip_message(KcTcpConnection *tcp, const KcMsg *msg)
+{
+    bool is_first = false;
+    KcError error;
+    int code = KcLink_Skip(tcp->link, msg, &is_first, KcLoop_Now(), &error);
+
+    if (code != 0) {
+        report_protocol_error(tcp, code);
+        return;
+    }
+    KcCounters_Add(tcp->options.counters, KC_COUNT_MESSAGES_SKIPPED, 1);
+    if (is_first) {
+        tcp->options.ops->on_skipped(tcp->options.context, tcp->link,
+                                     (int)msg->type);
+    }
+}
+
+/* Decodes a frame without its prefix and hands its message on. */
+static void
+handle_frame(KcTcpConnection *tcp, const unsigned char *frame, size_t size)
+{
+    KcMsg msg;
+
+    switch (KcDecoder_Decode(tcp->decoder, frame, size, &msg)) {
+    case 0:
+        if (tcp->link_reported) {
+            tcp->options.ops->on_message(tcp->options.context, tcp->link,
+                                         &msg);
+        }
+        else {
+            receive_hello(tcp, &msg);
+        }
+        break;
+    case KC_ERR_UNKNOWN_MESSAGE:
+        skip_message(tcp, &msg);
+        break;
+    default:
+        report_protocol_error(tcp, KC_ERR_PARSE);
+        break;
+    }
+}
+
 /*
  * Reads one frame from the input and handles its message. Returns false when
  * no frame is complete or the connection was closed.
@@ -149,15 +199,13 @@
     unsigned char prefix[FRAME_PREFIX_BYTES];
     size_t size;
     const unsigned char *frame;
-    KcMsg msg;
 
     if (evbuffer_copyout(input, prefix, FRAME_PREFIX_BYTES) !=
         FRAME_PREFIX_BYTES) {
         return false;
     }
     if (KcDecoder_ReadFrameSize(prefix, &size) != 0) {
-        KcCounters_Add(tcp->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
-        report_closed(tcp, KC_ERR_TOO_LARGE);
+        report_protocol_error(tcp, KC_ERR_TOO_LARGE);
         return false;
     }
     if (evbuffer_get_length(input) < FRAME_PREFIX_BYTES + size) {
@@ -167,18 +215,7 @@
     KcCounters_Add(tcp->options.counters, KC_COUNT_MESSAGES_RECEIVED, 1);
     KcCounters_Add(tcp->options.counters, KC_COUNT_BYTES_RECEIVED,
                    FRAME_PREFIX_BYTES + size);
-    if (KcDecoder_Decode(tcp->decoder, frame + FRAME_PREFIX_BYTES, size,
-                         &msg) != 0) {
-        KcCounters_Add(tcp->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
-        report_closed(tcp, KC_ERR_PARSE);
-        return false;
-    }
-    if (tcp->link_reported) {
-        tcp->options.ops->on_message(tcp->options.context, tcp->link, &msg);
-    }
-    else {
-        receive_hello(tcp, &msg);
-    }
+    handle_frame(tcp, frame + FRAME_PREFIX_BYTES, size);
     if (!tcp->is_closed) {
         evbuffer_drain(input, FRAME_PREFIX_BYTES + size);
     }
--- a/programs/connection/tcp.h
+++ b/programs/connection/tcp.h
@@ -24,6 +24,12 @@
      * the connection.
      */
     void (*on_message)(void *context, KcLink *link, const KcMsg *msg);
+    /*
+     * The first message of a type that this version does not know was skipped;
+     * later ones on the link are skipped without a report. Must not close the
+     * connection.
+     */
+    void (*on_skipped)(void *context, KcLink *link, int type);
     /*
      * The connection ended without KcTcpConnection_Close(). The transport is
      * already freed. The callback must free the link, which is NULL when
--- a/programs/process/agent_role.c
+++ b/programs/process/agent_role.c
@@ -47,7 +47,8 @@
     KcAgent_OnLinkLost(role->agent, link, code, KcLoop_Now());
 }
 
-static const KcTcpOps tcp_ops = {NULL, on_message, on_closed};
+static const KcTcpOps tcp_ops = {NULL, on_message, KcLog_SkippedMessage,
+                                 on_closed};
 
 /* ---- administration ----------------------------------------------------- */
 
--- a/programs/process/entry_role.c
+++ b/programs/process/entry_role.c
@@ -57,7 +57,8 @@
     }
 }
 
-static const KcTcpOps tcp_ops = {on_ready, on_message, on_closed};
+static const KcTcpOps tcp_ops = {on_ready, on_message, KcLog_SkippedMessage,
+                                 on_closed};
 
 static void
 connect_backend(void *context, KcBackend *backend)
--- a/programs/process/gateway_keepers.c
+++ b/programs/process/gateway_keepers.c
@@ -166,7 +166,8 @@
     KcGateway_OnKeeperLost(role->gateway, connections->server, KcLoop_Now());
 }
 
-static const KcTcpOps tcp_ops = {on_ready, on_message, on_closed};
+static const KcTcpOps tcp_ops = {on_ready, on_message, KcLog_SkippedMessage,
+                                 on_closed};
 
 /* Connects to the keeper, unless that is being done; false when it could not
  * be reached shortly before. */
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -209,7 +209,8 @@
     close_link(context, link);
 }
 
-static const KcTcpOps tcp_ops = {NULL, on_message, on_closed};
+static const KcTcpOps tcp_ops = {NULL, on_message, KcLog_SkippedMessage,
+                                 on_closed};
 
 static void
 notify_gateways(void *context, KcLink *link, const char *model,
--- a/programs/process/log.c
+++ b/programs/process/log.c
@@ -286,6 +286,18 @@
     KcLog_Write(KC_LOG_WARN, &fields, "record cannot be used");
 }
 
+void
+KcLog_SkippedMessage(void *context, KcLink *link, int type)
+{
+    KcLogFields fields = {.peer = link->peer_name,
+                          .step = "link",
+                          .code = KC_ERR_UNKNOWN_MESSAGE};
+
+    (void)context;
+    KcLog_Write(KC_LOG_WARN, &fields,
+                "message skipped, type=%d; later ones are counted only", type);
+}
+
 void
 KcLog_StoreStatus(int code)
 {
--- a/programs/process/log.h
+++ b/programs/process/log.h
@@ -58,6 +58,9 @@
 void KcLog_Suspect(const char *service, KcSuspectStep step,
                    const KcSuspect *suspect, bool is_own);
 
+/* Logs that a message of a newer peer was skipped; see KcTcpOps.on_skipped. */
+void KcLog_SkippedMessage(void *context, KcLink *link, int type);
+
 /* Logs that the store is unavailable (code < 0) or available again (0). */
 void KcLog_StoreStatus(int code);
 
