Count a wrong first message of a peer as a protocol error

A connection whose peer began with another message than a HELLO, or with the HELLO of another version of the protocol, was closed, but kcc_protocol_errors_total did not grow, by which operators are told to see it.

--- a/programs/connection/tcp.c
+++ b/programs/connection/tcp.c
@@ -121,6 +121,13 @@
     options.ops->on_closed(options.context, peer_context, link, code);
 }
 
+static void
+report_protocol_error(KcTcpConnection *tcp, int code)
+{
+    KcCounters_Add(tcp->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
+    report_closed(tcp, code);
+}
+
 /* Handles the first message on the connecting side, which must be HELLO. */
 static void
 receive_hello(KcTcpConnection *tcp, const KcMsg *msg)
@@ -130,7 +137,7 @@
 
     if (msg->type != KC_MSG_HELLO ||
         KcLink_Receive(tcp->link, msg, &stream, KcLoop_Now(), &error) != 0) {
-        report_closed(tcp, KC_ERR_PROTOCOL);
+        report_protocol_error(tcp, KC_ERR_PROTOCOL);
         return;
     }
     KcTimers_Clear(tcp->options.loop->timers, &tcp->setup_timer);
@@ -139,13 +146,6 @@
                                tcp->link);
 }
 
-static void
-report_protocol_error(KcTcpConnection *tcp, int code)
-{
-    KcCounters_Add(tcp->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
-    report_closed(tcp, code);
-}
-
 static void
 skip_message(KcTcpConnection *tcp, const KcMsg *msg)
 {
--- a/tests/connection/test_tcp.c
+++ b/tests/connection/test_tcp.c
@@ -4,6 +4,7 @@
  *
  * Steps, separated by semicolons; all but the last two send bytes:
  *   hello, want ADAPTER     messages that both versions know
+ *   otherhello              the hello of another version of the protocol
  *   unknown TYPE            a message of a type of a newer version
  *   longer ADAPTER          a want with a further field of a newer version
  *   shorter ADAPTER         a want without its last field
@@ -73,6 +74,20 @@
                         (guint)bytes.size);
 }
 
+static void
+step_other_hello(Fixture *fixture, char **words)
+{
+    KcMsg hello;
+    KcBytes bytes;
+
+    (void)words;
+    KcMsg_InitHello(&hello, "peer", 1);
+    hello.u.hello.protocol_version++;
+    KcEncoder_Encode(fixture->encoder, &hello, &bytes);
+    g_byte_array_append(fixture->bytes, (const guint8 *)bytes.data,
+                        (guint)bytes.size);
+}
+
 /* Encodes a want without its length, with room for a further field. */
 static size_t
 encode_want(Fixture *fixture, const char *adapter, unsigned char payload[256])
@@ -166,11 +181,17 @@
 }
 
 static const StepHandler step_handlers[] = {
-    {"hello", step_hello},     {"want", step_want},
-    {"unknown", step_unknown}, {"longer", step_longer},
-    {"shorter", step_shorter}, {"garbage", step_garbage},
-    {"half", step_half},       {"endless", step_endless},
-    {"close", step_close},     {"silent", step_silent},
+    {"hello", step_hello},
+    {"want", step_want},
+    {"unknown", step_unknown},
+    {"longer", step_longer},
+    {"shorter", step_shorter},
+    {"garbage", step_garbage},
+    {"half", step_half},
+    {"endless", step_endless},
+    {"otherhello", step_other_hello},
+    {"close", step_close},
+    {"silent", step_silent},
 };
 
 /* ---- the tested end ------------------------------------------------------ */
@@ -307,8 +328,10 @@
      "closed peer_lost; ", ""},
     {"a peer that closes at once", "close", "closed peer_lost; ",
      "closed peer_lost; "},
-    {"another message before the hello", "want a", "closed protocol_error; ",
-     "denied; "},
+    {"another message before the hello", "want a",
+     "closed protocol_error; errors 1; ", "denied; "},
+    {"the hello of another version of the protocol", "otherhello;hello",
+     "closed protocol_error; errors 1; ", "denied; hello; "},
     {"a message of an unknown type", "hello;unknown 200",
      "ready; skip 200; skipped 1; ", "hello; skip 200; skipped 1; "},
     {"messages of unknown types between known ones",
