--- a/programs/connection/tcp.c
+++ b/programs/connection/tcp.c
@@ -123,6 +123,13 @@
     options.ops->on_closed(options.context, peer_context, link, code);
 }
 
+static void
+report_protocol_error(KcTcpConnection *tcp, int code)
+{
+    KcCounters_Add(tcp->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
+    report_closed(tcp, code);
+}
+
 /* Handles the first message on the connecting side, which must be HELLO. */
 static void
 receive_hello(KcTcpConnection *tcp, const KcMsg *msg)
@@ -132,7 +139,7 @@
 
     if (msg->type != KC_MSG_HELLO ||
         KcLink_Receive(tcp->link, msg, &stream, KcLoop_Now(), &error) != 0) {
-        report_closed(tcp, KC_ERR_PROTOCOL);
+        report_protocol_error(tcp, KC_ERR_PROTOCOL);
         return;
     }
     KcTimers_Clear(tcp->options.loop->timers, &tcp->setup_timer);
@@ -141,6 +148,49 @@
                                tcp->link);
 }
 
+static void
+skip_message(KcTcpConnection *tcp, const KcMsg *msg)
+{
+    bool is_first = false;
+    KcError error;
+    int code = KcLink_Skip(tcp->link, msg, &is_first, KcLoop_Now(), &error);
+
+    if (code != 0) {
+        report_protocol_error(tcp, code);
+        return;
+    }
+    KcCounters_Add(tcp->options.counters, KC_COUNT_MESSAGES_SKIPPED, 1);
+    if (is_first) {
+        tcp->options.ops->on_skipped(tcp->options.context, tcp->link,
+                                     (int)msg->type);
+    }
+}
+
+/* Decodes a frame without its prefix and hands its message on. */
+static void
+handle_frame(KcTcpConnection *tcp, const unsigned char *frame, size_t size)
+{
+    KcMsg msg;
+
+    switch (KcDecoder_Decode(tcp->decoder, frame, size, &msg)) {
+    case 0:
+        if (tcp->link_reported) {
+            tcp->options.ops->on_message(tcp->options.context, tcp->link,
+                                         &msg);
+        }
+        else {
+            receive_hello(tcp, &msg);
+        }
+        break;
+    case KC_ERR_UNKNOWN_MESSAGE:
+        skip_message(tcp, &msg);
+        break;
+    default:
+        report_protocol_error(tcp, KC_ERR_PARSE);
+        break;
+    }
+}
+
 /*
  * Reads one frame from the input and handles its message. Returns false when
  * no frame is complete or the connection was closed.
@@ -151,15 +201,13 @@
     unsigned char prefix[FRAME_PREFIX_BYTES];
     size_t size;
     const unsigned char *frame;
-    KcMsg msg;
 
     if (evbuffer_copyout(input, prefix, FRAME_PREFIX_BYTES) !=
         FRAME_PREFIX_BYTES) {
         return false;
     }
     if (KcDecoder_ReadFrameSize(prefix, &size) != 0) {
-        KcCounters_Add(tcp->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
-        report_closed(tcp, KC_ERR_TOO_LARGE);
+        report_protocol_error(tcp, KC_ERR_TOO_LARGE);
         return false;
     }
     if (evbuffer_get_length(input) < FRAME_PREFIX_BYTES + size) {
@@ -169,18 +217,7 @@
     KcCounters_Add(tcp->options.counters, KC_COUNT_MESSAGES_RECEIVED, 1);
     KcCounters_Add(tcp->options.counters, KC_COUNT_BYTES_RECEIVED,
                    FRAME_PREFIX_BYTES + size);
-    if (KcDecoder_Decode(tcp->decoder, frame + FRAME_PREFIX_BYTES, size,
-                         &msg) != 0) {
-        KcCounters_Add(tcp->options.counters, KC_COUNT_PROTOCOL_ERRORS, 1);
-        report_closed(tcp, KC_ERR_PARSE);
-        return false;
-    }
-    if (tcp->link_reported) {
-        tcp->options.ops->on_message(tcp->options.context, tcp->link, &msg);
-    }
-    else {
-        receive_hello(tcp, &msg);
-    }
+    handle_frame(tcp, frame + FRAME_PREFIX_BYTES, size);
     if (!tcp->is_closed) {
         evbuffer_drain(input, FRAME_PREFIX_BYTES + size);
     }
