Check watches by what other answers of the store show

Cause: a watch whose connection is dead looks like one without changes. That of the configuration lasts 30 s and is given up 0.7 s later. It was left to the watch of the servers to notice a dead store, and this one sees only its own connection.

Change: the store has one revision for all collections. The feeds of a process share what each answer shows of it. A feed behind it asks, by a call that is answered at once and may lag, for what it may have missed; the revision of that answer proves as much as a call that does not lag if it is the later one. Only if nothing has shown for 90% of the promise that the feed is current, the check may not lag. A check that finds a change replaces the watch, and the log says so. The servers' watch that may not lag is short, so that its answer comes in time for the others. New settings config_ms and version_ms, from the platform's bounds.

Ruled out: signs of life of the connection (what is dropped is acknowledged), shorter watches (0.67 calls a second for 1.5 s, at the full price), one connection for all watches.

--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -4,35 +4,10 @@
 #include <assert.h>
 #include <stdlib.h>
 
-#include "kcc_feed.h"
-
-typedef enum FeedState {
-    FEED_IDLE = 0, /* no call outstanding */
-    FEED_LISTING,
-    FEED_WATCHING
-} FeedState;
-
-struct KcFeed {
-    KcFeedOptions options;
-    FeedState state;
-    char page_after[KC_OBJECT_NAME_MAX]; /* next page begins after this name;
-                                          * "" for the first */
-    bool needs_list;                     /* the next call is a list */
-    bool has_list;          /* a list was completed at least once */
-    bool store_unavailable; /* the last call had no valid answer */
-    bool call_may_lag; /* the last call may be answered by a lagging copy */
-    KcTime lag_until;  /* calls may lag until then */
-    uint64_t watch_revision; /* the next watch begins after it */
-    uint64_t list_revision;  /* of the first page of the list */
-    KcTime listed_at;        /* end of the last complete list */
-    KcTime called_at;        /* start of the last call */
-    KcTime retry_delay;      /* after the next failure */
-    KcTimer timer;           /* starts the next call */
-};
-
-/* Starts the next list or watch. */
-static void
-start_call(KcFeed *feed, KcTime now)
+#include "feed_internal.h"
+
+void
+KcFeed_StartCall(KcFeed *feed, KcTime now)
 {
     const KcFeedOptions *options = &feed->options;
 
@@ -44,20 +19,30 @@
     }
     if (feed->needs_list) {
         feed->state = FEED_LISTING;
-        if (feed->page_after[0] == '\0' && options->on_list_begin != NULL) {
-            options->on_list_begin(options->context);
+        if (feed->page_after[0] == '\0') {
+            feed->list_called_at = now;
+            feed->list_may_lag = false;
+            if (options->on_list_begin != NULL) {
+                options->on_list_begin(options->context);
+            }
         }
+        feed->list_may_lag = feed->list_may_lag || feed->call_may_lag;
         options->ops->list(options->store, feed, options->collection,
                            feed->page_after, feed->call_may_lag);
     }
     else {
+        KcTime timeout =
+            feed->call_may_lag || options->current_watch_timeout == 0
+                ? options->watch_timeout
+                : options->current_watch_timeout;
+
         feed->state = FEED_WATCHING;
         options->ops->watch(options->store, feed, options->collection,
-                            feed->watch_revision, options->watch_timeout,
-                            feed->call_may_lag);
+                            feed->watch_revision, timeout, feed->call_may_lag);
         if (feed->call_may_lag) {
             KcTimers_Set(options->timers, &feed->timer, feed->lag_until);
         }
+        KcFeedCheck_Schedule(feed, now);
     }
 }
 
@@ -70,7 +55,7 @@
         /* A lagging copy might never report what the store knows. */
         feed->options.ops->cancel(feed->options.store, feed);
     }
-    start_call(feed, now);
+    KcFeed_StartCall(feed, now);
 }
 
 KcFeed *
@@ -82,6 +67,7 @@
     feed->needs_list = true;
     feed->retry_delay = options->retry_delay;
     KcTimer_Init(&feed->timer, on_timer, feed);
+    KcFeedCheck_Init(feed);
     return feed;
 }
 
@@ -92,6 +78,7 @@
     if (feed->state != FEED_IDLE) {
         feed->options.ops->cancel(feed->options.store, feed);
     }
+    KcFeedCheck_Clear(feed);
     free(feed);
 }
 
@@ -100,7 +87,8 @@
 {
     /* What a new process has read before it knows every change may lag. */
     feed->lag_until = now + feed->options.lag_timeout;
-    start_call(feed, now);
+    feed->current_at = now;
+    KcFeed_StartCall(feed, now);
 }
 
 void
@@ -129,11 +117,12 @@
     if (feed->state != FEED_WATCHING) {
         return;
     }
+    (void)KcFeedCheck_Stop(feed);
     feed->options.ops->cancel(feed->options.store, feed);
     KcTimers_Clear(feed->options.timers, &feed->timer);
     feed->needs_list = true;
     feed->lag_until = 0;
-    start_call(feed, now);
+    KcFeed_StartCall(feed, now);
 }
 
 /* Ends a call that the store answered.  The state is idle before the owner is
@@ -141,6 +130,9 @@
 static void
 on_call_answered(KcFeed *feed, KcTime now)
 {
+    if (KcFeedCheck_Stop(feed)) {
+        feed->options.ops->cancel(feed->options.store, feed);
+    }
     feed->state = FEED_IDLE;
     feed->retry_delay = feed->options.retry_delay;
     KcTimers_Clear(feed->options.timers, &feed->timer);
@@ -166,7 +158,7 @@
         KcTimers_Set(feed->options.timers, &feed->timer, now + delay);
     }
     else {
-        start_call(feed, now);
+        KcFeed_StartCall(feed, now);
     }
 }
 
@@ -197,6 +189,8 @@
     feed->needs_list = false;
     feed->has_list = true;
     feed->listed_at = now;
+    KcFeedCheck_OnAnswer(feed, feed->list_revision, feed->list_may_lag,
+                         feed->list_called_at, now);
     if (feed->options.on_list_end != NULL) {
         feed->options.on_list_end(feed->options.context, now);
     }
@@ -211,6 +205,7 @@
     if (revision > feed->watch_revision) {
         feed->watch_revision = revision;
     }
+    KcFeedCheck_OnAnswer(feed, revision, feed->call_may_lag, now, now);
     schedule_call(feed, feed->options.watch_delay, now);
 }
 
@@ -222,6 +217,9 @@
      * may be out of date.  A failed watch is followed by a list, too: a list
      * is answered immediately, while a watch that the store will never answer
      * looks like one without changes. */
+    if (KcFeedCheck_Stop(feed)) {
+        feed->options.ops->cancel(feed->options.store, feed);
+    }
     feed->state = FEED_IDLE;
     feed->page_after[0] = '\0';
     feed->needs_list = true;
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -11,11 +11,28 @@
 #include "kcc_types.h"
 
 typedef struct KcFeed KcFeed;
+TAILQ_HEAD(KcFeedList, KcFeed);
 
 /*
- * Calls to the store.  A feed has one call outstanding at a time; the store
- * ends each with exactly one of KcFeed_OnPageEnd(), KcFeed_OnWatchEnd() and
- * KcFeed_OnFailure().
+ * The feeds of one store.  The store counts the changes of all collections by
+ * one revision, so that an answer to one feed tells the others that there is
+ * something they may have missed, or that there is not.
+ */
+typedef struct KcFeedGroup {
+    struct KcFeedList feeds;
+    uint64_t seen_revision;    /* highest of any answer */
+    uint64_t current_revision; /* highest of answers that did not lag */
+    KcTime current_at;         /* time at which the store had it */
+} KcFeedGroup;
+
+void KcFeedGroup_Init(KcFeedGroup *group);
+
+/*
+ * Calls to the store.  A feed has one list or watch outstanding at a time, and
+ * beside a watch at most one check; the store ends a list or watch with
+ * exactly one of KcFeed_OnPageEnd(), KcFeed_OnWatchEnd() and
+ * KcFeed_OnFailure(), and a check with KcFeed_OnCheckEnd() or
+ * KcFeed_OnCheckFailure().
  */
 typedef struct KcFeedOps {
     /* Requests the page of objects after a name, "" for the first page.
@@ -27,8 +44,13 @@
      * there is one, or without events when the timeout has passed. */
     void (*watch)(void *store, KcFeed *feed, const char *collection,
                   uint64_t revision, KcTime timeout, bool may_lag);
-    /* Cancels the outstanding call; the store doesn't answer it any more. */
+    /* Cancels the outstanding calls; the store doesn't answer them any more.
+     */
     void (*cancel)(void *store, KcFeed *feed);
+    /* Requests the changes after a revision as a watch does, but the answer
+     * comes at once. */
+    void (*check)(void *store, KcFeed *feed, const char *collection,
+                  uint64_t revision, bool may_lag);
 } KcFeedOps;
 
 /* One object of the collection, or the deletion of one. */
@@ -50,12 +72,22 @@
                            doubles each time */
     KcTime retry_delay_max; /* largest value of retry_delay */
     KcTime watch_timeout;   /* a watch without changes ends after this time */
-    KcTime watch_delay;     /* delay before the next watch, to batch changes */
+    /* The same for a watch that may not lag, which then ends the time in which
+     * calls may; 0: watch_timeout. */
+    KcTime current_watch_timeout;
+    KcTime watch_delay; /* delay before the next watch, to batch changes */
     /* So long after an answer that did not lag, or after the start, a call
      * begins that may not lag; calls before it may.  The feed knows each
      * change within this time and that of a call.  0: no call may lag. */
     KcTime lag_timeout;
     KcTime relist_interval; /* age at which a list is read again; 0: never */
+    KcFeedGroup *group;     /* of all feeds of this store; NULL: none */
+    /* A watch is checked when nothing has shown for so long that the feed
+     * knows each change; 0: never.  Needs a group. */
+    KcTime check_timeout;
+    /* Least interval between checks that may lag, which are made when the
+     * store has a later revision than the feed. */
+    KcTime check_interval;
     /* A list begins: objects that it doesn't contain no longer exist when it
      * has ended.  May be NULL. */
     void (*on_list_begin)(void *context);
@@ -65,6 +97,9 @@
     void (*on_list_end)(void *context, KcTime now);
     /* Calls began to fail (code is negative), or succeed again (0). */
     void (*on_store_status)(void *context, int code, KcTime now);
+    /* A check found changes that the watch had not reported; the watch was
+     * replaced.  May be NULL. */
+    void (*on_watch_dead)(void *context, const char *collection);
     void *context;
 } KcFeedOptions;
 
@@ -90,7 +125,7 @@
 
 /* ---- answers of the store ----------------------------------------------- */
 
-/* One object of a page, or one event of a watch. */
+/* One object of a page, or one event of a watch or check. */
 void KcFeed_OnItem(KcFeed *feed, const KcFeedItem *item, KcTime now);
 
 /* The page ended.  after: name after which the next page begins, "" when
@@ -102,8 +137,15 @@
  * after it. */
 void KcFeed_OnWatchEnd(KcFeed *feed, uint64_t revision, KcTime now);
 
-/* The call failed: KC_ERR_NOT_FOUND when the history of a watch has been
- * discarded, else the store counts as lost. */
+/* The check ended.  change_count: of the items passed before.  revision: of
+ * the store when it answered. */
+void KcFeed_OnCheckEnd(KcFeed *feed, uint32_t change_count, uint64_t revision,
+                       KcTime now);
+/* The check failed; the codes are those of KcFeed_OnFailure(). */
+void KcFeed_OnCheckFailure(KcFeed *feed, int code, KcTime now);
+
+/* The list or watch failed: KC_ERR_NOT_FOUND when the history of a watch has
+ * been discarded, else the store counts as lost. */
 void KcFeed_OnFailure(KcFeed *feed, int code, KcTime now);
 
 #endif
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -15,15 +15,24 @@
  */
 #define SERVERS_WATCH_DELAY_PERCENT 30
 #define SERVERS_LAG_PERCENT 75
+/* Longest wait of a watch of the servers that may not lag, in percent of
+ * leave_ms: its answer saves checks of the other watches. */
+#define SERVERS_CURRENT_WATCH_PERCENT 5
 /* Limits of both. */
 #define SERVERS_WATCH_DELAY_MAX (2 * KC_SECOND)
 #define SERVERS_LAG_MAX (10 * KC_SECOND)
 /* Delay between two watches of the announced versions. */
 #define VERSIONS_WATCH_DELAY (500 * KC_MS)
 /*
- * Longest wait of watches of collections that rarely change. They need not
- * notice an unavailable store: the watch of the servers, which is answered all
- * the time, does.
+ * When a watch is checked, in percent of the time after which a change must be
+ * in force: a call to the store follows.
+ */
+#define CHECK_TIMEOUT_PERCENT 90
+/* Interval of checks that may lag, in percent of that time. */
+#define CHECK_INTERVAL_PERCENT 50
+/*
+ * Longest wait of watches of collections that rarely change. They are checked,
+ * so that they need not notice an unavailable store.
  */
 #define RARE_CHANGE_WATCH_TIMEOUT (30 * KC_SECOND)
 /* Gateways' records are only listed, never watched, at this interval. */
@@ -56,6 +65,16 @@
     }
 }
 
+static void
+on_watch_dead(void *context, const char *collection)
+{
+    KcLogFields fields = {.peer = collection, .step = "store"};
+
+    (void)context;
+    KcLog_Write(KC_LOG_WARN, &fields,
+                "a check found changes that the watch did not report");
+}
+
 static void
 on_routing(void *context, const KcFeedItem *item, KcTime now)
 {
@@ -180,7 +199,8 @@
 
 /* Feed options of each collection. */
 static const struct {
-    KcTime watch_timeout; /* 0: the watch_ms setting */
+    KcTime watch_timeout;         /* 0: the watch_ms setting */
+    KcTime current_watch_timeout; /* 0: the same */
     KcTime watch_delay;
     KcTime lag_timeout;     /* 0: no call may lag */
     KcTime relist_interval; /* 0: none */
@@ -188,20 +208,36 @@
     void (*on_item)(void *context, const KcFeedItem *item, KcTime now);
     void (*on_list_end)(void *context, KcTime now);
 } collection_feeds[KC_COLLECTION_COUNT] = {
-    [KC_COLLECTION_ROUTING] = {RARE_CHANGE_WATCH_TIMEOUT, 0, 0, 0, NULL,
+    [KC_COLLECTION_ROUTING] = {RARE_CHANGE_WATCH_TIMEOUT, 0, 0, 0, 0, NULL,
                                on_routing, NULL},
-    [KC_COLLECTION_SERVERS] = {0, FROM_SETTINGS, FROM_SETTINGS, 0,
-                               on_servers_list_begin, on_server,
+    [KC_COLLECTION_SERVERS] = {0, FROM_SETTINGS, FROM_SETTINGS, FROM_SETTINGS,
+                               0, on_servers_list_begin, on_server,
                                on_servers_list_end},
-    [KC_COLLECTION_VERSIONS] = {RARE_CHANGE_WATCH_TIMEOUT,
+    [KC_COLLECTION_VERSIONS] = {RARE_CHANGE_WATCH_TIMEOUT, 0,
                                 VERSIONS_WATCH_DELAY, 0, 0, NULL, on_version,
                                 NULL},
-    [KC_COLLECTION_GATEWAYS] = {RARE_CHANGE_WATCH_TIMEOUT,
+    [KC_COLLECTION_GATEWAYS] = {RARE_CHANGE_WATCH_TIMEOUT, 0,
                                 GATEWAYS_LIST_INTERVAL, GATEWAYS_LAG_TIMEOUT,
                                 GATEWAYS_LIST_INTERVAL, on_gateways_list_begin,
                                 on_gateway, on_gateways_list_end},
 };
 
+/* The time after which a change of a collection must be in force; 0: any. */
+static KcTime
+promised_time(const KcSettings *settings, int collection)
+{
+    switch (collection) {
+    case KC_COLLECTION_ROUTING:
+        return (KcTime)(settings->config_timeout_ms * KC_MS);
+    case KC_COLLECTION_SERVERS:
+        return (KcTime)(settings->server_leave_timeout_ms * KC_MS);
+    case KC_COLLECTION_VERSIONS:
+        return (KcTime)(settings->version_timeout_ms * KC_MS);
+    default:
+        return 0;
+    }
+}
+
 /* A time of the table above, or if that is FROM_SETTINGS a part of the time in
  * which a leaving server must be known. */
 static KcTime
@@ -209,7 +245,7 @@
              KcTime maximum)
 {
     KcTime part =
-        (KcTime)(settings->server_leave_timeout_ms * KC_MS) * percent / 100;
+        promised_time(settings, KC_COLLECTION_SERVERS) * percent / 100;
 
     if (time != FROM_SETTINGS) {
         return time;
@@ -222,6 +258,7 @@
 {
     const KcSettings *settings = role->common.settings;
 
+    KcFeedGroup_Init(&role->feed_group);
     for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
         KcFeedOptions options = {
             .ops = role->platform->feed_ops,
@@ -233,6 +270,9 @@
             .watch_timeout = collection_feeds[i].watch_timeout != 0
                                  ? collection_feeds[i].watch_timeout
                                  : settings->watch_timeout_ms * KC_MS,
+            .current_watch_timeout = time_or_part(
+                settings, collection_feeds[i].current_watch_timeout,
+                SERVERS_CURRENT_WATCH_PERCENT, SERVERS_LAG_MAX),
             .watch_delay = time_or_part(
                 settings, collection_feeds[i].watch_delay,
                 SERVERS_WATCH_DELAY_PERCENT, SERVERS_WATCH_DELAY_MAX),
@@ -240,10 +280,16 @@
                 time_or_part(settings, collection_feeds[i].lag_timeout,
                              SERVERS_LAG_PERCENT, SERVERS_LAG_MAX),
             .relist_interval = collection_feeds[i].relist_interval,
+            .group = &role->feed_group,
+            .check_timeout =
+                promised_time(settings, i) * CHECK_TIMEOUT_PERCENT / 100,
+            .check_interval =
+                promised_time(settings, i) * CHECK_INTERVAL_PERCENT / 100,
             .on_list_begin = collection_feeds[i].on_list_begin,
             .on_item = collection_feeds[i].on_item,
             .on_list_end = collection_feeds[i].on_list_end,
             .on_store_status = on_store_status,
+            .on_watch_dead = on_watch_dead,
             .context = role};
 
         role->feeds[i] = KcFeed_Create(&options);
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -25,6 +25,7 @@
     KcGatewayFrontEnd *front_end;
     KcAdminServer *readiness_server; /* health checks of the load balancer */
     KcStore *store;
+    KcFeedGroup feed_group;
     KcFeed *feeds[KC_COLLECTION_COUNT];
     uint32_t listed_gateway_count; /* in the list being read */
     KcIntakePool intake_pool;      /* of replies that are not complete */
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -46,6 +46,8 @@
     int64_t object_timeout_ms;
     int64_t watch_timeout_ms;
     double server_leave_timeout_ms;
+    double config_timeout_ms;
+    double version_timeout_ms;
     int64_t instances_poll_interval_ms;
     int64_t lease_ttl_ms;
     int64_t lease_renew_interval_ms;
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -46,6 +46,8 @@
     {"faulty_calls", 0}, /* number of the next calls that busy, many and reset
                           * may hit; 0: any number, -1: no further call */
     {"silent", 0},       /* percent of calls never answered */
+    {"dead_watch", 0},   /* number in watched_collections, from 1, of the one
+                          * whose next watch is never answered; then 0 */
     {"drop", 0},         /* number of the next calls that are never answered */
     {"reset", 0},        /* percent of calls whose connection is reset */
     {"lost", 0},         /* percent of writes that take effect unanswered */
@@ -204,13 +206,34 @@
     connection->request_state = NULL;
 }
 
+static const char *const watched_collections[] = {"config", "versions",
+                                                  "servers"};
+
+/* Whether this is the watch that the knob dead_watch names. */
+static bool
+is_dead_watch(const char *collection)
+{
+    int64_t number = RawServer_GetKnob(&server, "dead_watch");
+
+    if (number == 0 ||
+        strcmp(collection, watched_collections[number - 1]) != 0) {
+        return false;
+    }
+    RawServer_SetKnob(&server, "dead_watch", 0);
+    return true;
+}
+
 static void
 start_watch(RawConnection *connection, const char *collection,
             int64_t since_revision)
 {
-    Watch *watch = KcMem_New(sizeof(*watch));
+    Watch *watch;
     json_t *events_json;
 
+    if (is_dead_watch(collection)) {
+        return;
+    }
+    watch = KcMem_New(sizeof(*watch));
     KcText_Copy(watch->collection, collection, COLLECTION_MAX);
     watch->since_revision = since_revision;
     connection->request_state = watch;
--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -61,7 +61,8 @@
     g_string_append(((Fixture *)store)->trace, "x ");
 }
 
-static const KcFeedOps feed_ops = {request_list, request_watch, cancel_call};
+static const KcFeedOps feed_ops = {request_list, request_watch, cancel_call,
+                                   NULL};
 
 static void
 on_list_begin(void *context)
