Tell other gateways of a configuration through the hubs

What callers saw: a gateway whose watch of the configuration is dead refuses a new route while another gateway serves it.

Cause: gateways that have a configuration tell nobody; each message between a gateway and a keeper has a field for the generation, which stayed 0.

Change: gateways and keepers name the highest generation that they know in each message on their links. A gateway that has read a configuration sends a PING, which is nothing but this, to the hubs of its engine services; a keeper that learns of a higher generation sends one to its other gateways. A gateway that is told of a later generation than its own waits 100 ms for its watch, then checks it by a call that may not lag, once for each generation; so a change in a sound system costs no call. Without hubs, or when nobody knows the change, the bounds of the checks hold as before.

The first check that may lag comes an interval after the start of a feed.

Tests: test_dead_watches, a case in which checks come too late: without the call of KcFeed_OnNews(), "wait_until_known: 'is_known(index, number)' should be TRUE"; with it known in 0.8 to 1.5 s after the start of all processes. test_feed_check, two cases: known 126 ms after the change, and no check if the watch reports it.

--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -36,7 +36,8 @@
     KC_MSG_HEAD,         /* either: the head as JSON */
     KC_MSG_PART_REQUEST, /* either: requests a part of the document by hash */
     KC_MSG_PART,         /* either: a part */
-    KC_MSG_PING,         /* entry: checks that the agent is running */
+    KC_MSG_PING,         /* entry: checks that the agent is running; gateway
+                          * or keeper: names a generation */
     KC_MSG_PONG,         /* agent: answers a ping */
     KC_MSG_WANT,         /* gateway: load request for an adapter */
     KC_MSG_USED,         /* gateway: its uses of an adapter */
--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -88,6 +88,7 @@
     /* What a new process has read before it knows every change may lag. */
     feed->lag_until = now + feed->options.lag_timeout;
     feed->current_at = now;
+    feed->checked_at = now;
     KcFeed_StartCall(feed, now);
 }
 
--- a/lib/version/feed_check.c
+++ b/lib/version/feed_check.c
@@ -26,7 +26,13 @@
 static KcTime
 check_deadline(const KcFeed *feed)
 {
-    return feed->current_at + feed->options.check_timeout;
+    KcTime deadline = feed->current_at + feed->options.check_timeout;
+
+    if (feed->news_at > feed->current_at &&
+        deadline > feed->news_at + CHECK_DELAY) {
+        deadline = feed->news_at + CHECK_DELAY;
+    }
+    return deadline;
 }
 
 /* Time of the next check that may lag; the deadline if none has a use. */
@@ -108,6 +114,13 @@
                  due_at > now ? due_at : now);
 }
 
+void
+KcFeed_OnNews(KcFeed *feed, KcTime now)
+{
+    feed->news_at = now;
+    KcFeedCheck_Schedule(feed, now);
+}
+
 bool
 KcFeedCheck_Stop(KcFeed *feed)
 {
--- a/lib/version/feed_internal.h
+++ b/lib/version/feed_internal.h
@@ -33,7 +33,8 @@
 
     TAILQ_ENTRY(KcFeed) group_link;
     KcTime current_at;   /* each change up to then is known */
-    KcTime checked_at;   /* start of the last check */
+    KcTime news_at;      /* last news of a change; 0: never */
+    KcTime checked_at;   /* start of the last check, or of the feed */
     bool is_checking;    /* a check is outstanding */
     bool check_may_lag;  /* the last check may be answered by a lagging copy */
     KcTimer check_timer; /* starts the next check */
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -123,6 +123,10 @@
  * feed found the store lost or regained. */
 void KcFeed_Relist(KcFeed *feed, KcTime now);
 
+/* Another process knows a change that this feed does not: unless the watch
+ * reports it first, a check that may not lag comes soon. */
+void KcFeed_OnNews(KcFeed *feed, KcTime now);
+
 /* ---- answers of the store ----------------------------------------------- */
 
 /* One object of a page, or one event of a watch or check. */
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -75,6 +75,25 @@
                 "a check found changes that the watch did not report");
 }
 
+uint64_t
+KcGatewayRole_GetGeneration(const GatewayRole *role)
+{
+    const KcRouting *routing = KcGateway_GetRouting(role->gateway);
+
+    return routing != NULL ? routing->version : 0;
+}
+
+void
+KcGatewayRole_OnGenerationNamed(GatewayRole *role, uint64_t generation,
+                                KcTime now)
+{
+    if (generation > role->named_generation &&
+        generation > KcGatewayRole_GetGeneration(role)) {
+        role->named_generation = generation;
+        KcFeed_OnNews(role->feeds[KC_COLLECTION_ROUTING], now);
+    }
+}
+
 static void
 on_routing(void *context, const KcFeedItem *item, KcTime now)
 {
@@ -97,6 +116,7 @@
                 routing->rule_count);
     KcCounters_Add(&role->common.counters, KC_COUNT_ADOPTIONS, 1);
     KcGateway_SetRouting(role->gateway, routing);
+    KcGatewayRole_PublishGeneration(role);
 }
 
 static void
--- a/programs/process/gateway_keepers.c
+++ b/programs/process/gateway_keepers.c
@@ -57,16 +57,25 @@
     KcLink_Send(context, &msg);
 }
 
+static void
+stamp_message(void *context, KcMsg *msg)
+{
+    msg->generation = KcGatewayRole_GetGeneration(context);
+}
+
 static void
 on_ready(void *context, void *peer_context, KcLink *link)
 {
+    GatewayRole *role = context;
     ServerConnections *connections = peer_context;
     PendingMessage *pending;
 
-    (void)context;
     connections->keeper_connecting = NULL;
     connections->keeper_link = link;
     link->owner = connections;
+    link->stamp = stamp_message;
+    link->stamp_context = role;
+    KcGatewayRole_OnGenerationNamed(role, link->peer_generation, KcLoop_Now());
     TAILQ_FOREACH (pending, &connections->pending_messages, link) {
         KcLink_Send(link, &pending->msg);
     }
@@ -117,6 +126,16 @@
     return code;
 }
 
+/* It names a generation, as each message does. */
+static int
+take_ping(GatewayRole *role, KcServer *server, const KcMsg *msg)
+{
+    (void)role;
+    (void)server;
+    (void)msg;
+    return 0;
+}
+
 /* What is done with each message of a keeper; NULL: none is expected. */
 static int (*const message_takers[KC_MSG_COUNT])(GatewayRole *role,
                                                  KcServer *server,
@@ -124,6 +143,7 @@
     [KC_MSG_HELD] = take_held,
     [KC_MSG_ENDED] = take_ended,
     [KC_MSG_SUSPECT] = take_suspect,
+    [KC_MSG_PING] = take_ping,
 };
 
 static void
@@ -140,7 +160,10 @@
         fields.code = KC_ERR_PROTOCOL;
         KcLog_Write(KC_LOG_WARN, &fields,
                     "unexpected message from the keeper");
+        return;
     }
+    KcGatewayRole_OnGenerationNamed(context, link->peer_generation,
+                                    KcLoop_Now());
 }
 
 static void
@@ -190,6 +213,7 @@
         return false;
     }
     KcMsg_InitHello(&hello, settings->name, role->incarnation);
+    stamp_message(role, &hello);
     KcAddress_Parse(connections->server->address, host, &port);
     snprintf(address, sizeof(address), "%s:%d", host,
              (int)settings->keeper_port);
@@ -314,6 +338,29 @@
     }
 }
 
+static void
+tell_generation(void *context, KcServerPool *pool)
+{
+    KcServer *hubs[KC_HUBS_MAX];
+    uint32_t count = KcServerPool_ListHubs(pool, hubs);
+    KcMsg msg = {.type = KC_MSG_PING};
+
+    (void)context;
+    for (uint32_t i = 0; i < count; i++) {
+        const ServerConnections *connections = hubs[i]->connections;
+
+        if (connections != NULL && connections->keeper_link != NULL) {
+            KcLink_Send(connections->keeper_link, &msg);
+        }
+    }
+}
+
+void
+KcGatewayRole_PublishGeneration(GatewayRole *role)
+{
+    KcGateway_VisitEnginePools(role->gateway, tell_generation, role);
+}
+
 void
 KcGatewayRole_LogSuspect(void *context, const KcServerPool *pool,
                          KcSuspectStep step, const KcSuspect *suspect,
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -64,10 +64,7 @@
 static uint64_t
 get_generation(void *context)
 {
-    const KcRouting *routing =
-        KcGateway_GetRouting(((GatewayRole *)context)->gateway);
-
-    return routing != NULL ? routing->version : 0;
+    return KcGatewayRole_GetGeneration(context);
 }
 
 static void
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -27,6 +27,7 @@
     KcStore *store;
     KcFeedGroup feed_group;
     KcFeed *feeds[KC_COLLECTION_COUNT];
+    uint64_t named_generation;     /* highest that a keeper named */
     uint32_t listed_gateway_count; /* in the list being read */
     KcIntakePool intake_pool;      /* of replies that are not complete */
     KcTimer use_report_timer;
@@ -75,6 +76,8 @@
 void KcGatewayRole_DisconnectKeeper(ServerConnections *connections);
 /* Reports the uses of adapters to their keepers, a little later. */
 void KcGatewayRole_ScheduleUseReport(GatewayRole *role);
+/* Tells the hubs of the generation in force. */
+void KcGatewayRole_PublishGeneration(GatewayRole *role);
 /* Members of KcGatewayOps. */
 bool KcGatewayRole_RequestLoad(void *context, const KcLoadRequest *request);
 void KcGatewayRole_AskEnd(void *context, KcServer *server,
@@ -90,6 +93,12 @@
 /* Starts a feed for each collection of the store. */
 void KcGatewayRole_StartFeeds(GatewayRole *role);
 void KcGatewayRole_FreeFeeds(GatewayRole *role);
+/* Version of the routing configuration in force, 0 when there is none. */
+uint64_t KcGatewayRole_GetGeneration(const GatewayRole *role);
+/* Reads the configuration when a keeper names a later one than that in force.
+ */
+void KcGatewayRole_OnGenerationNamed(GatewayRole *role, uint64_t generation,
+                                     KcTime now);
 /* Starts writing this gateway's own record; retried until it is written. */
 void KcGatewayRole_WriteOwnRecord(GatewayRole *role);
 
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -42,17 +42,46 @@
     struct KcLinkList links;
     KcOwnRecord fence_record; /* its revision is the fencing number */
     uint64_t incarnation;
-    uint64_t generation; /* of the routing configuration in force */
+    uint64_t generation;       /* of the routing configuration in force */
+    uint64_t named_generation; /* highest that a gateway or the store named */
 } KeeperRole;
 
 /* ---- gateways ------------------------------------------------------------ */
 
+/* Each message names the generation, so that a gateway that has missed one
+ * learns of it. */
+static void
+stamp_message(void *context, KcMsg *msg)
+{
+    msg->generation = ((const KeeperRole *)context)->named_generation;
+}
+
+/* Passes a generation on to the gateways that may not know it. */
+static void
+learn_generation(KeeperRole *role, uint64_t generation, const KcLink *from)
+{
+    KcMsg msg = {.type = KC_MSG_PING};
+    KcLink *link;
+
+    if (generation <= role->named_generation) {
+        return;
+    }
+    role->named_generation = generation;
+    TAILQ_FOREACH (link, &role->links, link) {
+        if (link->hello_received && link != from) {
+            KcLink_Send(link, &msg);
+        }
+    }
+}
+
 static void
 on_accepted(void *context, KcLink *link)
 {
     KeeperRole *role = context;
 
     link->owner = role;
+    link->stamp = stamp_message;
+    link->stamp_context = role;
     TAILQ_INSERT_TAIL(&role->links, link, link);
 }
 
@@ -167,6 +196,7 @@
         close_link(role, link);
         return;
     }
+    learn_generation(role, link->peer_generation, link);
     switch (msg->type) {
     case KC_MSG_HELLO:
         accept_hello(role, link);
@@ -187,6 +217,8 @@
     case KC_MSG_SUSPECT:
         code = take_suspect(role, link, msg, now);
         break;
+    case KC_MSG_PING: /* names a generation */
+        break;
     default:
         code = KC_ERR_PROTOCOL;
         break;
@@ -334,6 +366,7 @@
         KcRouting_FindService(routing, role->common.settings->service_name);
     if (routing->version > role->generation && service != NULL) {
         role->generation = routing->version;
+        learn_generation(role, routing->version, NULL);
         fields.generation = routing->version;
         KcLog_Write(KC_LOG_INFO, &fields, "engine has %u adapter slots",
                     service->engine.adapter_slots);
--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -384,6 +384,10 @@
                 "[keeper]\nport = %d\n[retry]\nshare = 0.2\nburst = 20\n",
                 host, GATEWAY_CLUSTER_HTTP_PORT, host, READY_PORT,
                 GATEWAY_CLUSTER_LEAVE_MS, GATEWAY_CLUSTER_KEEPER_PORT);
+        if (cluster->options.config_ms != 0) {
+            fprintf(file, "[platform]\nconfig_ms = %d\n",
+                    cluster->options.config_ms);
+        }
     }
     else {
         fprintf(file,
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -28,6 +28,7 @@
     int plain_workers;
     int gateways;
     uint64_t seed;    /* of the stand-ins' random faults */
+    int config_ms;    /* setting of the gateways; 0: the default */
     bool has_proxies; /* the store and the workers are reached through
                        * GATEWAY_CLUSTER_PROXY_PORT, where the caller runs a
                        * proxy */
--- a/tests/daemons/test_dead_watches.c
+++ b/tests/daemons/test_dead_watches.c
@@ -13,6 +13,7 @@
 #define KNOWN_TIMEOUT (10 * G_USEC_PER_SEC)
 
 static GatewayCluster *cluster;
+static uint8_t network_octet;
 
 static void
 write_config(int version)
@@ -32,23 +33,28 @@
     const char *knob;
     void (*change)(int number);
     const char *log_format; /* of the gateway, with the change's number */
+    int gateways;
+    int config_ms; /* 0: the default; else no check comes in time */
 } cases[] = {
     {"configuration", "dead_watch=1", write_config,
-     "generation=%d step=\"routing\" msg=\"configuration read"},
+     "generation=%d step=\"routing\" msg=\"configuration read", 1, 0},
     {"version", "dead_watch=2", announce_version,
-     "msg=\"version %d is announced"},
+     "msg=\"version %d is announced", 1, 0},
+    {"configuration that another gateway knows", "dead_watch=1", write_config,
+     "generation=%d step=\"routing\" msg=\"configuration read", 2, 60000},
 };
 
 static bool
-is_known(size_t index, int number)
+is_known_by(size_t index, int gateway, int number)
 {
     char path[512];
     char line[256];
     char *log = NULL;
     bool is_found;
 
-    snprintf(path, sizeof(path), "%s/%d-0.log",
-             GatewayCluster_GetDirectory(cluster), GATEWAY_CLUSTER_GATEWAY);
+    snprintf(path, sizeof(path), "%s/%d-%d.log",
+             GatewayCluster_GetDirectory(cluster), GATEWAY_CLUSTER_GATEWAY,
+             gateway);
     snprintf(line, sizeof(line), cases[index].log_format, number);
     g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
     is_found = strstr(log, line) != NULL;
@@ -56,6 +62,17 @@
     return is_found;
 }
 
+static bool
+is_known(size_t index, int number)
+{
+    bool by_all = true;
+
+    for (int i = 0; i < cases[index].gateways; i++) {
+        by_all = by_all && is_known_by(index, i, number);
+    }
+    return by_all;
+}
+
 static void
 wait_until_known(size_t index, int number)
 {
@@ -92,30 +109,29 @@
 test_dead_watch(gconstpointer data)
 {
     size_t index = GPOINTER_TO_SIZE(data);
+    GatewayClusterOptions options = {.network_octet = network_octet,
+                                     .llm_workers = 1,
+                                     .plain_workers = 1,
+                                     .gateways = cases[index].gateways,
+                                     .config_ms = cases[index].config_ms,
+                                     .seed = 7};
 
+    cluster = GatewayCluster_Start(&options);
     GatewayCluster_SetKnob(cluster, GATEWAY_CLUSTER_STORE, 0,
                            cases[index].knob);
     cases[index].change(2);
     wait_for_dead_watch();
     cases[index].change(3);
     wait_until_known(index, 3);
+    GatewayCluster_Stop(cluster);
 }
 
 int
 main(int argc, char **argv)
 {
-    GatewayClusterOptions options = {
-        .network_octet = GatewayCluster_ReserveNetwork(128, 227),
-        .plain_workers = 1,
-        .gateways = 1,
-        .seed = 7};
-    int status;
-
+    network_octet = GatewayCluster_ReserveNetwork(128, 227);
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/dead_watches", cases, G_N_ELEMENTS(cases),
                    sizeof(cases[0]), test_dead_watch);
-    cluster = GatewayCluster_Start(&options);
-    status = g_test_run();
-    GatewayCluster_Stop(cluster);
-    return status;
+    return g_test_run();
 }
--- a/tests/version/test_feed_check.c
+++ b/tests/version/test_feed_check.c
@@ -54,7 +54,8 @@
                             * that time are never answered */
     bool waits_for_strong; /* they die when that of the servers may not lag */
     bool is_silent;        /* nor is any call that begins in that time */
-    bool is_away;          /* each call of that time fails at once */
+    KcTime news_delay; /* another process tells of the change; 0: none does */
+    bool is_away;      /* each call of that time fails at once */
 } Trouble;
 
 typedef struct Sim {
@@ -409,6 +410,10 @@
             write_record(sim, collection);
             sim->change_revision = sim->revision;
         }
+        if (trouble->news_delay != 0 &&
+            sim->now == change_at + trouble->news_delay) {
+            KcFeed_OnNews(sim->feeds[collection].feed, sim->now);
+        }
         for (int i = 0; i < COLLECTION_COUNT; i++) {
             for (int j = 0; j < 2; j++) {
                 if (sim->feeds[i].calls[j].kind != CALL_NONE) {
@@ -473,6 +478,17 @@
      3 * KC_SECOND,
      true,
      {NEAR, BUSY, DIES, .lag = 4 * KC_SECOND, .dead_watches = ALL_WATCHES}},
+    {"a dead watch of the configuration, another process knows the change",
+     ROUTING,
+     300 * KC_MS,
+     true,
+     {NEAR, BUSY, DIES, .lag = 4 * KC_SECOND, .dead_watches = 1 << ROUTING,
+      .news_delay = 20 * KC_MS}},
+    {"news that come before the watch reports the change",
+     ROUTING,
+     60 * KC_MS,
+     false,
+     {.latency = 60 * KC_MS, BUSY, .news_delay = 20 * KC_MS}},
     {"a dead watch of the servers",
      SERVERS,
      3 * KC_SECOND,
