Begin the watch after a list at the earliest revision of its pages

Cause, found in reading: a list of several pages can have a first page that does not lag, after which calls may lag, and a later one from a copy that does. The watch began at the revision of the first page, so that a change between the two revisions, of an object on the later page, was never reported.

Now the watch begins at the earliest revision of the pages. Objects of the first page may be reported once more, which their revisions sort out.

Tests: two cases of test_feed; before, "begins l() +a l(a) +b listed w(7)" in place of w(6). The step `page` is as before.

--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -176,7 +176,7 @@
 {
     assert(feed->state == FEED_LISTING);
     on_call_answered(feed, now);
-    if (feed->page_after[0] == '\0') {
+    if (feed->page_after[0] == '\0' || revision < feed->list_revision) {
         feed->list_revision = revision;
     }
     KcText_Copy(feed->page_after, after, sizeof(feed->page_after));
@@ -184,8 +184,9 @@
         schedule_call(feed, 0, now);
         return;
     }
-    /* The watch begins at the first page's revision, so that it reports what
-     * changed while later pages were read. */
+    /* The watch begins at the earliest page's revision, so that it reports
+     * what changed while later pages were read, and what a lagging copy
+     * missed. */
     feed->watch_revision = feed->list_revision;
     feed->needs_list = false;
     feed->has_list = true;
--- a/lib/version/feed_internal.h
+++ b/lib/version/feed_internal.h
@@ -23,7 +23,7 @@
     bool call_may_lag; /* the last call may be answered by a lagging copy */
     KcTime lag_until;  /* calls may lag until then */
     uint64_t watch_revision; /* each change up to it is known */
-    uint64_t list_revision;  /* of the first page of the list */
+    uint64_t list_revision;  /* earliest of the pages of the list */
     KcTime list_called_at;   /* start of the call for the first page */
     bool list_may_lag;       /* one of its pages may be of a lagging copy */
     KcTime listed_at;        /* end of the last complete list */
--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -4,6 +4,8 @@
  *
  * Steps, separated by semicolons:
  *   page NAME... [more]     answers a list call; more: not the last page
+ *   pageat REVISION NAME... [more]  the same with the revision that the store
+ *                               had, in place of 5
  *   watched REVISION NAME...    answers a watch; -NAME is a deletion
  *   discarded               the watch's history is discarded
  *   fail                    the call fails
@@ -112,16 +114,28 @@
 }
 
 static void
-step_page(Fixture *fixture, char **words)
+answer_page(Fixture *fixture, uint64_t revision, char **names)
 {
-    guint count = g_strv_length(words);
-    bool more = strcmp(words[count - 1], "more") == 0;
+    guint count = g_strv_length(names);
+    bool more = strcmp(names[count - 1], "more") == 0;
 
-    answer_items(fixture, words + 1);
-    KcFeed_OnPageEnd(fixture->feed, more ? words[count - 2] : "", 5,
+    answer_items(fixture, names);
+    KcFeed_OnPageEnd(fixture->feed, more ? names[count - 2] : "", revision,
                      fixture->now);
 }
 
+static void
+step_page(Fixture *fixture, char **words)
+{
+    answer_page(fixture, 5, words + 1);
+}
+
+static void
+step_page_at(Fixture *fixture, char **words)
+{
+    answer_page(fixture, (uint64_t)atoi(words[1]), words + 2);
+}
+
 static void
 step_watched(Fixture *fixture, char **words)
 {
@@ -179,10 +193,15 @@
 }
 
 static const StepHandler step_handlers[] = {
-    {"page", step_page},           {"watched", step_watched},
-    {"discarded", step_discarded}, {"fail", step_fail},
-    {"relist", step_relist},       {"relistwithin", step_relist_within},
-    {"wait", step_wait},           {"mark", step_mark},
+    {"page", step_page},
+    {"pageat", step_page_at},
+    {"watched", step_watched},
+    {"discarded", step_discarded},
+    {"fail", step_fail},
+    {"relist", step_relist},
+    {"relistwithin", step_relist_within},
+    {"wait", step_wait},
+    {"mark", step_mark},
     {"hurry", step_hurry},
 };
 
@@ -263,6 +282,12 @@
     {"a relist may not lag and ends the timeout of the watch",
      "page a;wait 20;relist;wait 200;page a;wait 20",
      "begins l() +a listed w(5) x begins L() +a listed w(5) "},
+    {"a later page that lags behind the first sets the watch back",
+     "pageat 7 a more;pageat 6 b;wait 20",
+     "begins l() +a l(a) +b listed w(6) "},
+    {"a later page does not move the watch on",
+     "pageat 7 a more;pageat 8 b;wait 20",
+     "begins l() +a l(a) +b listed w(7) "},
     {"a revision that lags does not set the watch back",
      "page a;wait 20;watched 3;wait 20", "begins l() +a listed w(5) w(5) "},
 };
