Refuse requests on connections above the limit in place of closing them

A connection above connections_max was closed as soon as it was accepted: its caller saw a reset or a bare close, which promises nothing. Failed before (test_connection_limits): "receive: assertion failed (errno == EAGAIN): (104 == 11)", and three other rows likewise or for want of what they count.

Now 32 more connections are accepted. A request on them is answered 503 with Retry-After and Connection: close, and the connection closed in stages, or served if there is room by then. One without a request is closed after 1 s, so that idle ones don't hold up the others. Beyond these 32 the listening socket is paused and connections wait in the kernel, so refusals cannot take the last descriptors; it goes on when a connection ends. Ruled out: answering on the accept, as bytes that arrive before a request are no answer to it.

--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -82,6 +82,9 @@
          "Requests refused before they were received completely."},
     [KC_COUNT_IDLE_CLOSES] = {"kcc_idle_closes_total",
                               "Callers' connections closed while idle."},
+    [KC_COUNT_EXCESS_CALLERS] =
+        {"kcc_excess_callers_total",
+         "Requests refused, as there were too many connections."},
     [KC_COUNT_ACCEPT_ERRORS] =
         {"kcc_accept_errors_total",
          "Failed accepts, as when no descriptor is left."},
--- a/programs/connection/accept_pause.c
+++ b/programs/connection/accept_pause.c
@@ -45,7 +45,7 @@
 void
 KcAcceptPause_SetHeld(KcAcceptPause *pause, bool held)
 {
-    if (pause->is_held != held) {
+    if (pause->loop != NULL && pause->is_held != held) {
         pause->is_held = held;
         update_listener(pause);
     }
--- a/programs/connection/accept_pause.h
+++ b/programs/connection/accept_pause.h
@@ -26,7 +26,10 @@
  * a short time. To be called from the listener's error callback.
  */
 void KcAcceptPause_OnError(KcAcceptPause *pause);
-/* Accepts nothing until the owner no longer holds the listener. */
+/*
+ * Accepts nothing until the owner no longer holds the listener; no effect
+ * after KcAcceptPause_Clear().
+ */
 void KcAcceptPause_SetHeld(KcAcceptPause *pause, bool held);
 /* To be called before the listener is freed; also for one never begun. */
 void KcAcceptPause_Clear(KcAcceptPause *pause);
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -8,7 +8,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../connection/accept_pause.h"
+#include "../connection/connection_limit.h"
 #include "../connection/socket.h"
 #include "../process/log.h"
 
@@ -23,6 +23,13 @@
  * close.
  */
 #define IDLE_TIME_PERCENT 80
+/*
+ * Time that a connection above the limit has to send a request, which is
+ * refused.
+ */
+#define EXCESS_REQUEST_TIMEOUT (1 * KC_SECOND)
+/* Callers whose connection is refused are asked to come back after this. */
+#define EXCESS_RETRY_AFTER (400 * KC_MS)
 /*
  * Shortest time that a connection which is accepted or idle during a planned
  * stop has to send a request.
@@ -33,7 +40,7 @@
     KcGatewayFrontEndOptions options;
     struct evconnlistener *listener;
     KcAcceptPause accept_pause;
-    uint32_t connection_count;
+    KcConnectionLimit connection_limit;
     bool is_leaving;
     KcTime idle_until; /* when leaving, idle connections are closed then */
     KcTime end_at;     /* requests must have been received by then */
@@ -61,6 +68,7 @@
     TAILQ_ENTRY(CallerConnection) link;
     KcGatewayFrontEnd *front_end;
     KcHttpConnection *http_connection;
+    bool is_admitted; /* within the limit of connections */
     ConnectionState state;
     KcTimer timer;         /* ends a state that lasts too long */
     KcCallerLimits limits; /* of the request, from its first byte to its end */
@@ -131,7 +139,8 @@
     record_end(connection);
     KcTimers_Clear(front_end->options.loop->timers, &connection->timer);
     TAILQ_REMOVE(&front_end->connections, connection, link);
-    front_end->connection_count--;
+    KcConnectionLimit_Remove(&front_end->connection_limit,
+                             connection->is_admitted);
     KcBuffer_Clear(&connection->request_body);
     KcHttpConnection_Close(connection->http_connection);
     free(connection);
@@ -177,7 +186,9 @@
 static void
 refuse_early(CallerConnection *connection, int code, const char *step)
 {
-    KcForwardRefusal refusal = {.error = {.code = code, .step = step}};
+    KcForwardRefusal refusal = {
+        .error = {.code = code, .step = step},
+        .retry_after = connection->is_admitted ? 0 : EXCESS_RETRY_AFTER};
     KcLogFields fields = {.step = step, .code = code};
 
     KcCounters_Add(connection->front_end->options.counters,
@@ -212,6 +223,16 @@
     free_connection(connection);
 }
 
+/* Returns whether the connection is within the limit, by now. */
+static bool
+is_admitted(CallerConnection *connection)
+{
+    connection->is_admitted =
+        connection->is_admitted ||
+        KcConnectionLimit_Admit(&connection->front_end->connection_limit);
+    return connection->is_admitted;
+}
+
 static void
 wait_for_request(CallerConnection *connection)
 {
@@ -234,6 +255,9 @@
         close_at = close_at > front_end->idle_until ? close_at
                                                     : front_end->idle_until;
     }
+    if (!is_admitted(connection)) {
+        close_at = KcLoop_Now() + EXCESS_REQUEST_TIMEOUT;
+    }
     connection->state = CONNECTION_IDLE;
     KcTimers_Set(front_end->options.loop->timers, &connection->timer,
                  close_at);
@@ -251,7 +275,8 @@
         refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
         break;
     case CONNECTION_IDLE:
-        if (!KcHttpConnection_IsOutputTaken(connection->http_connection)) {
+        if (!KcHttpConnection_IsOutputTaken(connection->http_connection) ||
+            (!connection->is_admitted && is_admitted(connection))) {
             wait_for_request(connection);
             break;
         }
@@ -436,6 +461,12 @@
     const char *host = KcHttpMessage_FindField(message, "Host");
 
     connection->request_head = message;
+    if (!is_admitted(connection)) {
+        KcCounters_Add(connection->front_end->options.counters,
+                       KC_COUNT_EXCESS_CALLERS, 1);
+        refuse_early(connection, KC_ERR_BUSY, "connections");
+        return;
+    }
     if (message->is_before_http_1_1 || host == NULL || host[0] == '\0') {
         refuse_early(connection, KC_ERR_PARSE, "Host");
         return;
@@ -521,10 +552,6 @@
     (void)listener;
     (void)address;
     (void)size;
-    if (front_end->connection_count >= front_end->options.connections_max) {
-        evutil_closesocket(fd);
-        return;
-    }
     connection = KcMem_New(sizeof(*connection));
     options.owner = connection;
     connection->front_end = front_end;
@@ -535,7 +562,8 @@
     }
     KcTimer_Init(&connection->timer, on_timer, connection);
     TAILQ_INSERT_TAIL(&front_end->connections, connection, link);
-    front_end->connection_count++;
+    connection->is_admitted =
+        KcConnectionLimit_Add(&front_end->connection_limit);
     wait_for_request(connection);
 }
 
@@ -563,6 +591,9 @@
 
     front_end->options = *options;
     front_end->end_at = KC_NEVER;
+    front_end->connection_limit =
+        (KcConnectionLimit){.accept_pause = &front_end->accept_pause,
+                            .connections_max = options->connections_max};
     TAILQ_INIT(&front_end->connections);
     front_end->listener = KcSocket_Listen(
         options->loop->base, options->address, on_accept, front_end);
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -16,7 +16,7 @@
     KcGateway *gateway;
     const KcHttpDialect *dialect;
     KcCounters *counters;
-    uint32_t connections_max;
+    uint32_t connections_max;      /* requests on others are refused */
     KcCallerLimits initial_limits; /* while no configuration is in force */
     KcTime silence_timeout;        /* see KcSocket_SetConnectionOptions() */
     KcTime stall_timeout; /* longest time in which a caller takes nothing of an
--- a/tests/request/test_connection_limits.c
+++ b/tests/request/test_connection_limits.c
@@ -387,6 +387,21 @@
     {"the loop spins while callers can't be accepted",
      "listen gateway 10;connect 2;exhaust;iterations 50 500;restore;send 1;"
      "served 1"},
+    {"a caller above the limit is closed without a word",
+     "listen gateway 1;connect 1;wait 20;connect 1;send 1;refused 1;send 0;"
+     "served 0"},
+    {"a caller above the limit is refused though there is room",
+     "listen gateway 1;connect 1;wait 20;connect 1;wait 20;close 0 0;wait 20;"
+     "send 1;served 1"},
+    {"callers above the limit take all descriptors",
+     "listen gateway 2;connect 90;wait 50;accepted 34;iterations 50 200;"
+     "close 0 88;wait 100;send 89;served 89"},
+    {"idle callers above the limit hold up the others",
+     "listen gateway 1;connect 34;wait 50;accepted 33;wait 1100;send 33;"
+     "refused 33"},
+    {"a caller that waits for room is closed",
+     "listen gateway 1;connect 2;wait 50;close 0 0;wait 1100;send 1;"
+     "served 1"},
     {"an entry spins while callers can't be accepted",
      "listen entry 10;connect 2;exhaust;iterations 50 500;restore;wait 200;"
      "accepted 2"},
