Notice a caller that leaves many bytes behind

A caller that sent more than 64 KB behind its request and then left was not noticed, by a close or a reset: its request went on at the backend server until the answer. Cause: reading stops at 64 KB while a request is in progress, and libevent asks for no event on the socket then.

A caller that has only sent ahead is not taken for gone, which a case holds. Ruled out: EPOLLRDHUP, as libevent hands a reset to readers and writers only, so an event for the end alone would be ready without being called.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -16,6 +16,7 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#include "leave_watch.h"
 #include "lingering_close.h"
 #include "output_watch.h"
 #include "socket.h"
@@ -64,6 +65,7 @@
     bool close_when_sent; /* the connection belongs to closing */
     KcLingeringClose closing;
     KcOutputWatch output_watch;
+    KcLeaveWatch leave_watch;    /* of an accepted connection */
     bool end_of_stream_received; /* the peer has shut down its sending side */
 };
 
@@ -303,6 +305,7 @@
     connection->is_closed = true;
     KcLingeringClose_Clear(&connection->closing);
     KcOutputWatch_Clear(&connection->output_watch);
+    KcLeaveWatch_Clear(&connection->leave_watch);
     bufferevent_free(connection->bev);
     connection->bev = NULL;
     KcLoop_DeferFree(connection->options.loop, &connection->deferred_free);
@@ -417,6 +420,9 @@
         if (connection->parser.type == HTTP_RESPONSE) {
             report_failed(connection, KC_ERR_PROTOCOL);
         }
+        else {
+            KcLeaveWatch_OnRead(&connection->leave_watch);
+        }
         return;
     }
     parse_input(connection);
@@ -516,12 +522,19 @@
 {
     KcHttpConnection *connection =
         create_connection(options, fd, HTTP_REQUEST);
+    KcLeaveWatchOptions leave_watch_options = {.loop = options->loop,
+                                               .input_bytes_max =
+                                                   READ_AHEAD_BYTES_MAX,
+                                               .on_left = on_peer_lost,
+                                               .owner = connection};
 
     if (connection == NULL) {
         evutil_closesocket(fd);
         return NULL;
     }
     KcSocket_SetConnectionOptions(fd, options->silence_timeout);
+    leave_watch_options.bev = connection->bev;
+    KcLeaveWatch_Init(&connection->leave_watch, &leave_watch_options);
     if (options->stall_timeout > 0) {
         KcOutputWatchOptions watch_options = {
             .loop = options->loop,
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -533,6 +533,34 @@
     g_assert_cmpint(taken, <=, atoll(words[3]));
 }
 
+/* leave close|reset: the caller closes, or resets the connection. */
+static void
+step_leave(Fixture *fixture, char **words)
+{
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+    if (strcmp(words[1], "reset") == 0) {
+        setsockopt(fixture->caller, SOL_SOCKET, SO_LINGER, &reset,
+                   sizeof(reset));
+    }
+    close(fixture->caller);
+    fixture->caller = -1;
+}
+
+/* gone: the server is told that the caller has left. */
+static void
+step_gone(Fixture *fixture, char **words)
+{
+    KcTime guard_at = KcLoop_Now() + GUARD_TIMEOUT;
+
+    (void)words;
+    g_assert_nonnull(fixture->attempt);
+    while (fixture->attempt != NULL) {
+        run_loop(fixture, POLL_INTERVAL);
+        g_assert_cmpint(KcLoop_Now(), <, guard_at);
+    }
+}
+
 /* quiet: a planned stop may end now. */
 static void
 step_quiet(Fixture *fixture, char **words)
@@ -551,6 +579,7 @@
     {"timeouts", step_timeouts}, {"cut", step_cut},
     {"sip", step_sip},           {"dropped", step_dropped},
     {"trailer", step_trailer},   {"pipeline", step_pipeline},
+    {"leave", step_leave},       {"gone", step_gone},
 };
 
 /* ---- cases -------------------------------------------------------------------- */
@@ -657,6 +686,15 @@
      "connect;send chunked;wait 20;trailer 20;answer 10;read 200"},
     {"a long trailer behind a chunked body",
      "connect;send chunked;wait 20;trailer 1500;answer 10;read 200"},
+    {"a caller that leaves is not noticed",
+     "connect;send get;wait 50;leave close;gone"},
+    {"a caller that leaves many bytes behind is not noticed",
+     "connect;send get;wait 50;filler 100000;wait 50;leave close;gone"},
+    {"a caller that resets after many bytes is not noticed",
+     "connect;send get;wait 50;filler 100000;wait 50;leave reset;gone"},
+    {"a caller that sends many bytes ahead is taken for one that has left",
+     "connect;send get;wait 50;filler 100000;wait 500;answer 10;read 200;"
+     "read 400;end 1000"},
     {"a caller that sends requests and reads no answer",
      "connect 4096;pipeline 200 1000000 32000000"},
 };
