Send a made answer to the end to a caller that has ended its stream

A caller that shuts down its sending side after a request lost what was unsent of its answer.

The end of the stream closed the connection at once, whether or not a request was still in progress. When the answer is made, nothing runs for the caller any more, so the rest is sent and the connection closed in stages: a caller that has closed answers the next bytes with a reset, and one that only does not read is given up after the usual time.

An end during the request still counts as leaving: it cannot be told from a close before something is written, and its backend server must not work on.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -693,6 +693,12 @@
     return KcHttpConnection_UnparsedBytes(connection) + (size_t)kernel_bytes;
 }
 
+bool
+KcHttpConnection_HasInputEnded(const KcHttpConnection *connection)
+{
+    return connection->end_of_stream_received;
+}
+
 size_t
 KcHttpConnection_UnparsedBytes(const KcHttpConnection *connection)
 {
--- a/programs/connection/http_connection.h
+++ b/programs/connection/http_connection.h
@@ -122,6 +122,8 @@
  * those that the kernel holds; 0 for a closed connection.
  */
 size_t KcHttpConnection_UnreadBytes(const KcHttpConnection *connection);
+/* Returns whether the peer has ended its stream; it may still read. */
+bool KcHttpConnection_HasInputEnded(const KcHttpConnection *connection);
 /* Returns the number of received bytes not yet parsed. */
 size_t KcHttpConnection_UnparsedBytes(const KcHttpConnection *connection);
 /* Returns whether the connection could not be made, as nothing accepts any at
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -220,6 +220,13 @@
         refuse_early(connection, code, "read");
         return;
     }
+    if (connection->state == CONNECTION_IDLE &&
+        KcHttpConnection_HasInputEnded(connection->http_connection) &&
+        KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
+        /* A caller that has closed answers the next bytes with a reset. */
+        close_when_sent(connection);
+        return;
+    }
     free_connection(connection);
 }
 
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -547,6 +547,14 @@
     fixture->caller = -1;
 }
 
+/* half-close: the caller ends its stream and goes on reading. */
+static void
+step_half_close(Fixture *fixture, char **words)
+{
+    (void)words;
+    g_assert_cmpint(shutdown(fixture->caller, SHUT_WR), ==, 0);
+}
+
 /* gone: the server is told that the caller has left. */
 static void
 step_gone(Fixture *fixture, char **words)
@@ -570,16 +578,27 @@
 }
 
 static const StepHandler handlers[] = {
-    {"config", step_config},     {"connect", step_connect},
-    {"send", step_send},         {"filler", step_filler},
-    {"wait", step_wait},         {"read", step_read},
-    {"answer", step_answer},     {"end", step_end},
-    {"open", step_open},         {"trickle", step_trickle},
-    {"flood", step_flood},       {"quiet", step_quiet},
-    {"timeouts", step_timeouts}, {"cut", step_cut},
-    {"sip", step_sip},           {"dropped", step_dropped},
-    {"trailer", step_trailer},   {"pipeline", step_pipeline},
-    {"leave", step_leave},       {"gone", step_gone},
+    {"config", step_config},
+    {"connect", step_connect},
+    {"send", step_send},
+    {"filler", step_filler},
+    {"wait", step_wait},
+    {"read", step_read},
+    {"answer", step_answer},
+    {"end", step_end},
+    {"open", step_open},
+    {"trickle", step_trickle},
+    {"flood", step_flood},
+    {"quiet", step_quiet},
+    {"timeouts", step_timeouts},
+    {"cut", step_cut},
+    {"sip", step_sip},
+    {"dropped", step_dropped},
+    {"trailer", step_trailer},
+    {"pipeline", step_pipeline},
+    {"leave", step_leave},
+    {"gone", step_gone},
+    {"half-close", step_half_close},
 };
 
 /* ---- cases -------------------------------------------------------------------- */
@@ -686,6 +705,20 @@
      "connect;send chunked;wait 20;trailer 20;answer 10;read 200"},
     {"a long trailer behind a chunked body",
      "connect;send chunked;wait 20;trailer 1500;answer 10;read 200"},
+    {"a caller that ends its stream loses what is unsent of an answer",
+     "connect 4096;send get;answer 16000000;wait 50;half-close;wait 50;"
+     "read 200;end 1000"},
+    {"a caller that ends its stream loses what is unsent of the last answer",
+     "connect 4096;send get-and-close;answer 16000000;wait 50;half-close;"
+     "wait 50;read 200;end 1000"},
+    {"a caller that ended its stream and reads nothing holds its answer",
+     "timeouts 3000 1000;connect 4096;send get;answer 16000000;wait 50;"
+     "half-close;dropped 1000 2000"},
+    {"a caller that closed holds its answer",
+     "connect 4096;send get;answer 16000000;wait 50;leave close;dropped 0 "
+     "2000"},
+    {"a caller that ends its stream during its request is not noticed",
+     "connect;send get;wait 50;half-close;gone;end 1000"},
     {"a caller that leaves is not noticed",
      "connect;send get;wait 50;leave close;gone"},
     {"a caller that leaves many bytes behind is not noticed",
