Refuse requests on connections above an entry's limit, too

An entry closed a connection above connections_max on the accept, without a word, as a gateway did. Failed before (test_connection_limits): "receive: assertion failed (errno == EAGAIN): (104 == 11)" and three rows likewise.

Connections have a file of their own, which also checks the headers' limit as before. evhtp_request_set_keepalive() only ever sets its flag, so the flag is cleared by hand.

--- a/programs/request/entry_front_end.c
+++ b/programs/request/entry_front_end.c
@@ -12,20 +12,22 @@
 #include <string.h>
 #include <time.h>
 
-#include "../connection/accept_pause.h"
 #include "../process/log.h"
 #include "answer.h"
+#include "entry_connection.h"
 
 #define LISTEN_BACKLOG 1024
 #define DEFAULT_CUSTOMER "anonymous"
 /* Longest deadline that a caller may request. */
 #define DEADLINE_MS_MAX 3600000
+/* Callers whose connection is refused are asked to come back after this. */
+#define EXCESS_RETRY_AFTER (1 * KC_SECOND)
 
 struct KcEntryFrontEnd {
     KcEntryFrontEndOptions options;
     evhtp_t *http;
     KcAcceptPause accept_pause;
-    int64_t connection_count;
+    KcEntryConnections connections;
 };
 
 /* A caller's request and its answer. Freed with the evhtp request. */
@@ -498,6 +500,24 @@
     }
 }
 
+/* Refuses a request on a connection above the limit. */
+static void
+on_excess_request(evhtp_request_t *http, void *context)
+{
+    KcEntryFrontEnd *front_end = context;
+    KcResult result = {.outcome = KC_OUTCOME_NOT_RUN,
+                       .finish_reason = "",
+                       .error = {.code = KC_ERR_BUSY, .step = "connections"},
+                       .retry_after = EXCESS_RETRY_AFTER};
+    Caller *caller = create_caller(front_end, http);
+
+    KcCounters_Add(front_end->options.counters, KC_COUNT_EXCESS_CALLERS, 1);
+    caller->is_finished = true;
+    /* evhtp_request_set_keepalive() can only set the flag. */
+    http->flags &= (uint16_t)~EVHTP_REQ_FLAG_KEEPALIVE;
+    send_error(caller, &result);
+}
+
 static void
 add_adapter_versions(struct evbuffer *out, const KcAdapter *adapter,
                      bool *is_first)
@@ -538,51 +558,6 @@
 
 /* ---- connections -------------------------------------------------------- */
 
-/* Rejects a request whose headers exceed the limit, as each header arrives. */
-static evhtp_res
-on_header(evhtp_request_t *http, evhtp_header_t *header, void *context)
-{
-    KcEntryFrontEnd *front_end = context;
-    size_t header_bytes = 0;
-    evhtp_header_t *received;
-
-    (void)header;
-    TAILQ_FOREACH (received, http->headers_in, next) {
-        header_bytes += received->klen + received->vlen;
-    }
-    if (header_bytes > (size_t)front_end->options.settings->header_bytes_max) {
-        return EVHTP_RES_ENTOOLARGE;
-    }
-    return EVHTP_RES_OK;
-}
-
-static evhtp_res
-on_connection_end(evhtp_connection_t *connection, void *context)
-{
-    KcEntryFrontEnd *front_end = context;
-
-    (void)connection;
-    front_end->connection_count--;
-    return EVHTP_RES_OK;
-}
-
-static evhtp_res
-on_accept(evhtp_connection_t *connection, void *context)
-{
-    KcEntryFrontEnd *front_end = context;
-
-    if (front_end->connection_count >=
-        front_end->options.connections_max) {
-        return EVHTP_RES_ERROR;
-    }
-    front_end->connection_count++;
-    evhtp_connection_set_hook(connection, evhtp_hook_on_header,
-                              (evhtp_hook)on_header, front_end);
-    evhtp_connection_set_hook(connection, evhtp_hook_on_connection_fini,
-                              (evhtp_hook)on_connection_end, front_end);
-    return EVHTP_RES_OK;
-}
-
 static void
 on_accept_error(struct evconnlistener *listener, void *context)
 {
@@ -600,7 +575,8 @@
     evhtp_set_timeouts(front_end->http, &read_timeout, &write_timeout);
     evhtp_set_max_body_size(front_end->http,
                             (uint64_t)settings->body_bytes_max);
-    evhtp_set_post_accept_cb(front_end->http, on_accept, front_end);
+    evhtp_set_post_accept_cb(front_end->http, KcEntryConnections_OnAccept,
+                             &front_end->connections);
     evhtp_set_cb(front_end->http, "/v1/completions", on_model_request,
                  front_end);
     evhtp_set_cb(front_end->http, "/v1/chat/completions", on_model_request,
@@ -617,6 +593,14 @@
     uint16_t port;
 
     front_end->options = *options;
+    front_end->connections = (KcEntryConnections){
+        .limit = {.accept_pause = &front_end->accept_pause,
+                  .connections_max = options->connections_max},
+        .header_bytes_max = (size_t)options->settings->header_bytes_max,
+        .read_timeout = timeval_of_ms(options->settings->read_timeout_ms),
+        .write_timeout = timeval_of_ms(options->settings->write_timeout_ms),
+        .refuse = on_excess_request,
+        .context = front_end};
     front_end->http = evhtp_new(options->loop->base, &front_end->accept_pause);
     configure_http(front_end);
     if (KcAddress_Parse(options->settings->callers_address, host, &port) !=
