Hear a silent server beside an answer that is not read

While one caller left its answer unread, its server never counted as silent: streams beside it stayed at a frozen server until shortly before their callers timed out, and new requests went there. Failed before (test_gateway_silence): a resumable stream with "2:begin; 2:0; " stays in place of "2x; 2>b+0; ", and a request goes to the silent server, "3>a" in place of "3>b".

The unread answer shows nothing, but another answer that has begun and is read does: without an event of it the server is silent, as it would be without the unread one. A request that has not begun shows nothing either, as it may wait for its turn; there nothing changes.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -245,6 +245,7 @@
 
     if (!attempt->has_first_event) {
         attempt->has_first_event = true;
+        attempt->server->answering_count++;
         KcForward_NoteAnswer(forward, now);
         KcServer_NoteFirstByte(attempt->server, now - attempt->started_at,
                                now);
--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -142,10 +142,21 @@
     return server->in_flight > 0 ? now - silent_since : 0;
 }
 
+/*
+ * An answer that is not read does not show whether its server lives, nor does
+ * a request that may wait there for its turn.
+ */
+static bool
+would_be_heard(const KcServer *server)
+{
+    return server->paused_count == 0 ||
+           server->answering_count > server->paused_count;
+}
+
 bool
 KcServer_IsSilent(const KcServer *server, KcTime now)
 {
-    return server->paused_count == 0 &&
+    return would_be_heard(server) &&
            KcServer_Silence(server, now) >
                (server->in_flight >= SILENCE_BUSY_REQUESTS_MIN
                     ? SILENCE_MAX_BUSY
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -30,6 +30,7 @@
     assert(server->in_flight > 0 &&
            server->in_flight_tokens >= forward->tokens_max);
     server->in_flight--;
+    server->answering_count -= attempt->has_first_event ? 1 : 0;
     server->in_flight_tokens -= forward->tokens_max;
     if (attempt->replica != NULL) {
         KcReplica_EndUse(forward->gateway, attempt->replica);
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -120,6 +120,8 @@
     uint32_t in_flight;        /* attempts of this gateway in progress */
     uint32_t paused_count;     /* of these attempts, whose answer is not read
                                 * at present, see KcForward_SetReadPaused() */
+    uint32_t answering_count;  /* of these attempts, whose answer is a stream
+                                * that has begun */
     uint64_t in_flight_tokens; /* their tokens, see KcForward.tokens_max */
     uint32_t others_in_flight; /* other gateways' requests, as last reported */
     KcTime load_reported_at;   /* when it last reported its load; 0: never */
