--- a/programs/connection/accept_pause.h
+++ b/programs/connection/accept_pause.h
@@ -27,8 +27,8 @@
  */
 void KcAcceptPause_OnError(KcAcceptPause *pause);
 /*
- * Accepts nothing until the owner no longer holds the listener; no effect after
- * KcAcceptPause_Clear().
+ * Accepts nothing until the owner no longer holds the listener; no effect
+ * after KcAcceptPause_Clear().
  */
 void KcAcceptPause_SetHeld(KcAcceptPause *pause, bool held);
 /* To be called before the listener is freed; also for one never begun. */
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -541,14 +541,40 @@
     g_assert_false(KcGatewayFrontEnd_IsQuiet(fixture->front_end));
 }
 
-/* leave: the caller closes. */
+/* leave close|reset: the caller closes, or resets the connection. */
 static void
 step_leave(Fixture *fixture, char **words)
 {
-    (void)words;
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+    if (strcmp(words[1], "reset") == 0) {
+        setsockopt(fixture->caller, SOL_SOCKET, SO_LINGER, &reset,
+                   sizeof(reset));
+    }
     close(fixture->caller);
     fixture->caller = -1;
-    run_loop(fixture, 50 * KC_MS);
+}
+
+/* half-close: the caller ends its stream and goes on reading. */
+static void
+step_half_close(Fixture *fixture, char **words)
+{
+    (void)words;
+    g_assert_cmpint(shutdown(fixture->caller, SHUT_WR), ==, 0);
+}
+
+/* gone: the server is told that the caller has left. */
+static void
+step_gone(Fixture *fixture, char **words)
+{
+    KcTime guard_at = KcLoop_Now() + GUARD_TIMEOUT;
+
+    (void)words;
+    g_assert_nonnull(fixture->attempt);
+    while (fixture->attempt != NULL) {
+        run_loop(fixture, POLL_INTERVAL);
+        g_assert_cmpint(KcLoop_Now(), <, guard_at);
+    }
 }
 
 /* quiet: a planned stop may end now. */
@@ -560,16 +586,28 @@
 }
 
 static const StepHandler handlers[] = {
-    {"config", step_config},     {"connect", step_connect},
-    {"send", step_send},         {"filler", step_filler},
-    {"wait", step_wait},         {"read", step_read},
-    {"answer", step_answer},     {"end", step_end},
-    {"open", step_open},         {"trickle", step_trickle},
-    {"flood", step_flood},       {"quiet", step_quiet},
-    {"timeouts", step_timeouts}, {"cut", step_cut},
-    {"sip", step_sip},           {"dropped", step_dropped},
-    {"trailer", step_trailer},   {"pipeline", step_pipeline},
-    {"busy", step_busy},         {"leave", step_leave},
+    {"config", step_config},
+    {"connect", step_connect},
+    {"send", step_send},
+    {"filler", step_filler},
+    {"wait", step_wait},
+    {"read", step_read},
+    {"answer", step_answer},
+    {"end", step_end},
+    {"open", step_open},
+    {"trickle", step_trickle},
+    {"flood", step_flood},
+    {"quiet", step_quiet},
+    {"timeouts", step_timeouts},
+    {"cut", step_cut},
+    {"sip", step_sip},
+    {"dropped", step_dropped},
+    {"trailer", step_trailer},
+    {"pipeline", step_pipeline},
+    {"leave", step_leave},
+    {"gone", step_gone},
+    {"half-close", step_half_close},
+    {"busy", step_busy},
 };
 
 /* ---- cases -------------------------------------------------------------------- */
@@ -671,13 +709,37 @@
      "timeouts 1000 10000;connect 4096;send get;answer 16000000;wait 500;cut;"
      "dropped 700 4500"},
     {"a planned stop waits for a refused caller until it closes",
-     "connect;send no-request;wait 50;busy;read 400;end 500;busy;leave;quiet"},
+     "connect;send no-request;wait 50;busy;read 400;end 500;busy;leave "
+     "close;wait 50;quiet"},
     {"a planned stop does not wait for a refused caller that stays",
      "connect;send no-request;wait 50;busy;read 400;end 500;wait 2000;quiet"},
     {"a short trailer behind a chunked body",
      "connect;send chunked;wait 20;trailer 20;answer 10;read 200"},
     {"a long trailer behind a chunked body",
      "connect;send chunked;wait 20;trailer 1500;answer 10;read 200"},
+    {"a caller that ends its stream loses what is unsent of an answer",
+     "connect 4096;send get;answer 16000000;wait 50;half-close;wait 50;"
+     "read 200;end 1000"},
+    {"a caller that ends its stream loses what is unsent of the last answer",
+     "connect 4096;send get-and-close;answer 16000000;wait 50;half-close;"
+     "wait 50;read 200;end 1000"},
+    {"a caller that ended its stream and reads nothing holds its answer",
+     "timeouts 3000 1000;connect 4096;send get;answer 16000000;wait 50;"
+     "half-close;dropped 1000 2000"},
+    {"a caller that closed holds its answer",
+     "connect 4096;send get;answer 16000000;wait 50;leave close;dropped 0 "
+     "2000"},
+    {"a caller that ends its stream during its request is not noticed",
+     "connect;send get;wait 50;half-close;gone;end 1000"},
+    {"a caller that leaves is not noticed",
+     "connect;send get;wait 50;leave close;gone"},
+    {"a caller that leaves many bytes behind is not noticed",
+     "connect;send get;wait 50;filler 100000;wait 50;leave close;gone"},
+    {"a caller that resets after many bytes is not noticed",
+     "connect;send get;wait 50;filler 100000;wait 50;leave reset;gone"},
+    {"a caller that sends many bytes ahead is taken for one that has left",
+     "connect;send get;wait 50;filler 100000;wait 500;answer 10;read 200;"
+     "read 400;end 1000"},
     {"a caller that sends requests and reads no answer",
      "connect 4096;pipeline 200 1000000 32000000"},
 };
