Play a deadly part of prompts in the soak's second half

The soak had no such fault: no stand-in of it tied the end of a worker to a request.

After the random faults and the check of recovery, the soak now goes on for 18 s with callers whose prompts have parts. From 2 s on a quarter of the streams has the part on which the model workers end; they are started again after 0.2 to 2.2 s, and other faults come for 5 s meanwhile. Two rules judge it, with the platform's stable window of 4 s: BUDGET, no more than three requests with the part reach workers later than a window after the fifth end; LOST, from two windows after the fifth end (or the last of fewer) sound requests with the same first part are answered at least half as often as before the part came, 20 or more of each. Recovery is checked again at the end, and all other rules hold for these calls.

test_deadly_parts arms its workers by the same argument of the stand-in in place of a knob, so that a worker that is started again is armed from its start; its cases and bounds are as they were.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -414,6 +414,7 @@
         role == GATEWAY_CLUSTER_LLM_WORKER ? "llm" : "plain",
         seed,
         record_address,
+        cluster->options.deadly_part, /* or the end */
         NULL};
     const char *store_arguments[] = {"standin-store", process->address, seed,
                                      NULL};
@@ -479,6 +480,18 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+bool
+GatewayCluster_HasExited(const GatewayCluster *cluster,
+                         GatewayClusterRole role, int number)
+{
+    siginfo_t info = {.si_pid = 0};
+    pid_t pid = GatewayCluster_GetPid(cluster, role, number);
+
+    return pid > 0 &&
+           waitid(P_PID, (id_t)pid, &info, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+           info.si_pid == pid && info.si_code == CLD_EXITED;
+}
+
 void
 GatewayCluster_RestartProcess(GatewayCluster *cluster, GatewayClusterRole role,
                               int number)
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -27,10 +27,12 @@
     int llm_workers;       /* numbers of processes */
     int plain_workers;
     int gateways;
-    uint64_t seed;    /* of the stand-ins' random faults */
-    bool has_proxies; /* the store and the workers are reached through
-                       * GATEWAY_CLUSTER_PROXY_PORT, where the caller runs a
-                       * proxy */
+    uint64_t seed;           /* of the stand-ins' random faults */
+    const char *deadly_part; /* id of the part of a prompt on which model
+                              * workers end; NULL: none */
+    bool has_proxies;        /* the store and the workers are reached through
+                              * GATEWAY_CLUSTER_PROXY_PORT, where the caller runs a
+                              * proxy */
 } GatewayClusterOptions;
 
 /* Port of the store, the workers and, for callers, the gateways. */
@@ -76,6 +78,9 @@
  * ended it or when it did not run. */
 int GatewayCluster_WaitForExit(GatewayCluster *cluster,
                                GatewayClusterRole role, int number);
+/* Has a process ended by itself?  It is still to be waited for. */
+bool GatewayCluster_HasExited(const GatewayCluster *cluster,
+                              GatewayClusterRole role, int number);
 /* Starts a process again after GatewayCluster_WaitForExit(). */
 void GatewayCluster_RestartProcess(GatewayCluster *cluster,
                                    GatewayClusterRole role, int number);
--- a/tests/daemons/test_deadly_parts.c
+++ b/tests/daemons/test_deadly_parts.c
@@ -103,16 +103,6 @@
     return count;
 }
 
-static void
-arm_worker(Fixture *fixture, int worker)
-{
-    char *knob = g_strdup_printf("deadly=%lu", strtoul(DEADLY_PART, NULL, 16));
-
-    GatewayCluster_SetKnob(fixture->cluster, GATEWAY_CLUSTER_LLM_WORKER,
-                           worker, knob);
-    g_free(knob);
-}
-
 /* Starts the workers again that have ended.  Returns the number of ends so
  * far. */
 static int
@@ -140,7 +130,6 @@
         }
         g_assert_nonnull(state);
         json_decref(state);
-        arm_worker(fixture, i);
     }
     return total;
 }
@@ -249,14 +238,12 @@
                                      .llm_workers = WORKERS,
                                      .plain_workers = 1,
                                      .gateways = GATEWAYS,
-                                     .seed = 5};
+                                     .seed = 5,
+                                     .deadly_part = DEADLY_PART};
     Fixture fixture = {.path = cases[index].path};
     int ends = 0;
 
     fixture.cluster = GatewayCluster_Start(&options);
-    for (int i = 0; i < WORKERS; i++) {
-        arm_worker(&fixture, i);
-    }
     for (int i = 0; i < DEADLY_REQUESTS; i++) {
         for (int gateway = 0; gateway < GATEWAYS; gateway++) {
             await_sound_answer(&fixture, gateway);
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "../../programs/connection/http_connection.h"
+#include "deadly.h"
 #include "faults.h"
 #include "soak.h"
 
@@ -81,12 +82,16 @@
 {
     bool is_chunked = body_bytes > 0 && Soak_DrawBelow(2) == 0;
     KcBuffer *request = &caller->request;
+    char prompt[DEADLY_PROMPT_SIZE];
     char text[512];
-    int size = snprintf(
+    int size;
+
+    Deadly_WritePrompt(caller->call, prompt);
+    size = snprintf(
         text, sizeof(text),
         "%s %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nDeadline-Ms: 3000\r\n"
-        "Token-Count: 20,20\r\nAnswer-Bytes: %zu\r\n%s%d\r\n",
-        kind->method, kind->path, caller->call->id, answer_bytes,
+        "Token-Count: 20,20\r\nAnswer-Bytes: %zu\r\n%s%s%d\r\n",
+        kind->method, kind->path, caller->call->id, answer_bytes, prompt,
         kind->is_stream ? "Model: m/a" : "X: ", (int)Soak_DrawBelow(40));
 
     KcBuffer_DropFront(request, KcBuffer_Size(request));
@@ -429,8 +434,17 @@
         caller->number = i;
         KcTimer_Init(&caller->timer, on_caller_timer, caller);
         KcTimer_Init(&caller->habit_timer, on_habit_timer, caller);
-        KcTimers_Set(options->loop->timers, &caller->timer,
-                     options->begin_at + i * 10 * KC_MS);
+    }
+    Callers_Resume(options->begin_at);
+}
+
+void
+Callers_Resume(KcTime begin_at)
+{
+    all.ended = false;
+    for (int i = 0; i < CALLER_COUNT; i++) {
+        KcTimers_Set(all.options.loop->timers, &all.callers[i].timer,
+                     begin_at + i * 10 * KC_MS);
     }
 }
 
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -19,6 +19,8 @@
 } CallersOptions;
 
 void Callers_Start(const CallersOptions *options);
+/* Begins calls again after Callers_EndCalls(). */
+void Callers_Resume(KcTime begin_at);
 /* Begins no more calls; those in progress go on. */
 void Callers_EndCalls(void);
 /* Are calls in progress? */
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -13,6 +13,7 @@
 #include "soak.h"
 
 #define PROXIES_MAX 64
+#define PROCESSES_MAX 64 /* in a role */
 /* Workers of a kind that have a proxy, at the most. */
 #define PROXIED_WORKERS_MAX 20
 
@@ -28,7 +29,9 @@
     ProxiedProcess proxies[PROXIES_MAX];
     int proxy_count;
     KcTimer fault_timer;
-    int config_version; /* latest version written */
+    KcTime end_at;                   /* no fault begins later */
+    pid_t ended_pids[PROCESSES_MAX]; /* of model workers that ended */
+    int config_version;              /* latest version written */
     bool has_extra_route;
     GatewayClusterLimits limits; /* of the latest version */
     int adapter_version;         /* latest version announced */
@@ -380,8 +383,7 @@
 static void
 on_fault(KcTimer *timer, KcTime now)
 {
-    if (now >= faults.options.end_at) {
-        KcLoop_Stop(faults.options.loop);
+    if (now >= faults.end_at) {
         return;
     }
     fault_functions[Soak_DrawBelow(sizeof(fault_functions) /
@@ -430,8 +432,32 @@
         add_proxy(GATEWAY_CLUSTER_PLAIN_WORKER, i);
     }
     KcTimer_Init(&faults.fault_timer, on_fault, NULL);
-    KcTimers_Set(options->loop->timers, &faults.fault_timer,
-                 options->begin_at);
+}
+
+void
+Faults_Inject(KcTime begin_at, KcTime end_at)
+{
+    faults.end_at = end_at;
+    KcTimers_Set(faults.options.loop->timers, &faults.fault_timer, begin_at);
+}
+
+void
+Faults_RestartEnded(void)
+{
+    GatewayClusterRole role = GATEWAY_CLUSTER_LLM_WORKER;
+
+    for (int i = 0; i < Soak_CountProcesses(role); i++) {
+        pid_t pid = GatewayCluster_GetPid(faults.options.cluster, role, i);
+
+        if (pid != faults.ended_pids[i] &&
+            GatewayCluster_HasExited(faults.options.cluster, role, i)) {
+            faults.ended_pids[i] = pid;
+            print_fault("ended", role, i);
+            schedule_fault_end(DISTURBANCE_RESTART, role, i,
+                               draw_fault_duration())
+                ->restart = true;
+        }
+    }
 }
 
 bool
--- a/tests/soak/faults.h
+++ b/tests/soak/faults.h
@@ -12,13 +12,14 @@
     KcLoop *loop;
     GatewayCluster *cluster; /* has configuration version 1 */
     const GatewayClusterOptions *cluster_options;
-    KcTime begin_at;
-    KcTime end_at; /* then the loop is stopped */
 } FaultsOptions;
 
-/* Starts the proxies, and the faults at their time; exits with status 2 when a
- * proxy cannot listen. */
+/* Starts the proxies; exits with status 2 when one cannot listen. */
 void Faults_Start(const FaultsOptions *options);
+/* Begins faults from begin_at to end_at. */
+void Faults_Inject(KcTime begin_at, KcTime end_at);
+/* Restarts the model workers that have ended on their own, after a while. */
+void Faults_RestartEnded(void);
 /* Ends every fault at once. */
 void Faults_EndAll(void);
 void Faults_FreeProxies(void);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -17,13 +17,19 @@
 
 #include "../daemons/gateway_cluster.h"
 #include "callers.h"
+#include "deadly.h"
 #include "faults.h"
 #include "history.h"
 #include "rules.h"
 #include "soak.h"
 
-#define EVENTS_PER_STREAM 10              /* as the workers send them */
-#define PRINTED_BYTES_MAX 400             /* of an answer with wrong bytes */
+#define EVENTS_PER_STREAM 10  /* as the workers send them */
+#define PRINTED_BYTES_MAX 400 /* of an answer with wrong bytes */
+/* Of the part of the soak with the deadly part: its calls begin, faults begin
+ * no more, and its end. */
+#define DEADLY_CALLS_AFTER (2 * KC_SECOND)
+#define DEADLY_FAULTS_UNTIL (7 * KC_SECOND)
+#define DEADLY_TIME (18 * KC_SECOND)
 #define RECOVERY_TIMEOUT (12 * KC_SECOND) /* recover_s of the platform */
 
 /* ---- random numbers ------------------------------------------------------ */
@@ -38,6 +44,12 @@
     return (random_state >> 33) % limit;
 }
 
+static void
+seed_random(uint64_t seed)
+{
+    random_state = seed * 2654435761u + 1;
+}
+
 /* ---- the run ------------------------------------------------------------- */
 
 typedef struct Soak {
@@ -45,6 +57,7 @@
     GatewayCluster *cluster;
     GatewayClusterOptions options;
     Call *calls;
+    KcTimer end_timer; /* stops the loop */
     int violation_count;
 } Soak;
 
@@ -234,11 +247,13 @@
         }
         json_decref(state);
     }
+    Deadly_ReadLogs(soak.cluster);
     check_workers(GATEWAY_CLUSTER_LLM_WORKER, &rule_counts);
     check_workers(GATEWAY_CLUSTER_PLAIN_WORKER, &rule_counts);
     HASH_ITER(hh, soak.calls, call, next)
     {
         check_call(call, &rule_counts);
+        Deadly_CountCall(call);
         outcome_counts[call->status == 200 && call->is_complete ? 0
                        : call->status == 0                      ? 2
                                                                 : 1]++;
@@ -253,6 +268,7 @@
         rule_counts.killed, rule_counts.crossed, rule_counts.outlasted,
         rule_counts.slow, rule_counts.leavings, rule_counts.waits,
         rule_counts.pauses);
+    Deadly_Check();
 }
 
 /* Waits until a gateway serves every route of the newest configuration; false
@@ -321,29 +337,60 @@
     }
 }
 
-/* ---- set-up -------------------------------------------------------------- */
+/* ---- phases -------------------------------------------------------------- */
+
+static void
+on_phase_end(KcTimer *timer, KcTime now)
+{
+    (void)timer;
+    (void)now;
+    KcLoop_Stop(soak.loop);
+}
+
+/* Runs calls and faults until then, ends them, and checks the recovery. */
+static void
+run_phase(KcTime end_at)
+{
+    KcTimers_Set(soak.loop->timers, &soak.end_timer, end_at);
+    soak.loop->stop_requested = false;
+    KcLoop_Run(soak.loop);
+    Callers_EndCalls();
+    Faults_EndAll();
+    check_recovery();
+}
 
 static void
-set_up(uint64_t seed, int seconds, int workers)
+run_deadly_phase(void)
 {
-    FaultsOptions faults_options;
+    KcTime now = KcLoop_Now();
+
+    printf("%7.3f deadly part\n",
+           (double)(now % (1000 * KC_SECOND)) / KC_SECOND);
+    Deadly_Start(soak.loop, now + DEADLY_CALLS_AFTER);
+    Callers_Resume(now);
+    Faults_Inject(now + DEADLY_CALLS_AFTER, now + DEADLY_FAULTS_UNTIL);
+    run_phase(now + DEADLY_TIME);
+}
+
+/* ---- set-up -------------------------------------------------------------- */
 
+static void
+set_up(uint64_t seed, int workers)
+{
     soak.options = (GatewayClusterOptions){
         .network_octet = GatewayCluster_ReserveNetwork(60, 119),
         .llm_workers = workers,
         .plain_workers = workers,
         .gateways = workers > 4 ? workers / 2 : 2,
         .seed = seed,
+        .deadly_part = DEADLY_PART,
         .has_proxies = true};
     soak.loop = KcLoop_Create();
     soak.cluster = GatewayCluster_Start(&soak.options);
-    faults_options =
-        (FaultsOptions){.loop = soak.loop,
-                        .cluster = soak.cluster,
-                        .cluster_options = &soak.options,
-                        .begin_at = KcLoop_Now() + 2 * KC_SECOND,
-                        .end_at = KcLoop_Now() + (seconds + 2) * KC_SECOND};
-    Faults_Start(&faults_options);
+    KcTimer_Init(&soak.end_timer, on_phase_end, NULL);
+    Faults_Start(&(FaultsOptions){.loop = soak.loop,
+                                  .cluster = soak.cluster,
+                                  .cluster_options = &soak.options});
     Callers_Start(&(CallersOptions){.loop = soak.loop,
                                     .cluster = soak.cluster,
                                     .gateways = soak.options.gateways,
@@ -356,15 +403,18 @@
     uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
     int seconds = argc > 2 ? atoi(argv[2]) : 10;
     int workers = argc > 3 ? atoi(argv[3]) : 2;
+    KcTime begin_at;
 
     printf("seed %" PRIu64 ", %d s, %d workers of a kind\n", seed, seconds,
            workers);
-    random_state = seed * 2654435761u + 1;
-    set_up(seed, seconds, workers);
-    KcLoop_Run(soak.loop);
-    Callers_EndCalls();
-    Faults_EndAll();
-    check_recovery();
+    seed_random(seed);
+    set_up(seed, workers);
+    begin_at = KcLoop_Now() + 2 * KC_SECOND;
+    Faults_Inject(begin_at, begin_at + seconds * KC_SECOND);
+    run_phase(begin_at + seconds * KC_SECOND);
+    /* Whatever was drawn before, which depends on the timing. */
+    seed_random(~seed);
+    run_deadly_phase();
     Callers_Close();
     check_calls();
     Faults_FreeProxies();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -23,7 +23,10 @@
     int gateway; /* number of the gateway that it was sent to */
     bool is_repeatable;
     bool is_stream;
-    bool is_excessive; /* its body is above the limit */
+    bool is_excessive;     /* its body is above the limit */
+    bool has_parts;        /* its prompt has parts */
+    bool is_deadly;        /* one of them is the deadly one */
+    bool has_arrived_late; /* at a worker, see deadly.c */
     const struct CallHabit *habit;
     GatewayClusterLimits limits; /* at its beginning, if its body trickles */
     KcTime connected_at;         /* when its connection was begun */
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -4,10 +4,12 @@
  * counts the runs of each Attempt-Id, so that tests can check that no attempt
  * ran twice, and that none ran that was reported as not run.
  *
- *   standin-worker ADDRESS STORE ID SERVICE ZONE KIND [SEED [RECORD_ADDRESS]]
+ *   standin-worker ADDRESS STORE ID SERVICE ZONE KIND
+ *                  [SEED [RECORD_ADDRESS [DEADLY_PART]]]
  *
  * KIND is plain or llm.  RECORD_ADDRESS is the address in its record, such as
- * that of a proxy; ADDRESS if absent.
+ * that of a proxy; ADDRESS if absent.  DEADLY_PART is the value of knob deadly
+ * in hexadecimal.
  *
  * Lines on standard output, which are complete even after the process was
  * killed; TIME is KcLoop_Now(), so that it can be compared with that of other
@@ -818,7 +820,7 @@
 {
     if (argc < 7) {
         fprintf(stderr, "standin-worker ADDRESS STORE ID SERVICE ZONE KIND "
-                        "[SEED [RECORD_ADDRESS]]\n");
+                        "[SEED [RECORD_ADDRESS [DEADLY_PART]]]\n");
         return 2;
     }
     address = argv[1];
@@ -831,6 +833,10 @@
     has_model = is_llm;
     RawServer_Init(&server, &server_options, address,
                    argc > 7 ? strtoull(argv[7], NULL, 10) : 1);
+    if (argc > 9) {
+        RawServer_SetKnob(&server, "deadly",
+                          (int64_t)strtoull(argv[9], NULL, 16));
+    }
     printf("start %" PRId64 "\n", KcLoop_Now());
     fflush(stdout);
     started_at_ms = (KcLoop_Now() + server.loop->wall_offset) / KC_MS;
