Let the dispatch alone decide whether a queued request is held

The check before the choice of a server in dispatch_queued did nothing that KcForward_Dispatch does not do: its planted fault survived. Without it a request that waits in vain, as all servers leave, is refused at once, held or not.

--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -433,9 +433,6 @@
 {
     KcChoice choice;
 
-    if (KcForward_HeldUntil(forward) > now) {
-        return;
-    }
     KcGateway_Choose(forward, now, &choice);
     switch (choice.action) {
     case KC_CHOICE_NONE:
