Notice a dead watch of the document's head within the time of a change

Cause, found in reading, the same as that of the dead watches of gateways: an entry or agent whose watch of the head is on a dead connection knows so 32 s after its start, unless a peer that is ahead sends a message; a change is to be in force everywhere within 16 s. The default of watch_ms is 10 s now: 10 s, 2 s until the watch counts as failed, and 2 s for each of the two calls that follow.

Test: a case of test_settings; before, "(36000 <= 16000)".

--- a/programs/process/objects_http.c
+++ b/programs/process/objects_http.c
@@ -8,8 +8,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Time for the answer to arrive after the longest wait of a watch. */
-#define WATCH_MARGIN (2 * KC_SECOND)
 #define PATH_SIZE (KC_OBJECT_NAME_MAX + 64)
 
 /* One outstanding call. */
@@ -160,9 +158,10 @@
     KcHttpCallOptions options = {
         .method = "GET",
         .path = path,
-        .progress_timeout = client->options.watch_timeout + WATCH_MARGIN,
+        .progress_timeout =
+            client->options.watch_timeout + KC_OBJECT_WATCH_MARGIN,
         .limits.timeout =
-            client->options.watch_timeout + WATCH_MARGIN +
+            client->options.watch_timeout + KC_OBJECT_WATCH_MARGIN +
             KC_HTTP_CALL_TIMEOUT_FACTOR * client->options.call_timeout};
 
     snprintf(path, sizeof(path),
--- a/programs/process/objects_http.h
+++ b/programs/process/objects_http.h
@@ -20,6 +20,9 @@
 
 typedef struct KcObjectClient KcObjectClient;
 
+/* Time for the answer to arrive after the longest wait of a watch. */
+#define KC_OBJECT_WATCH_MARGIN (2 * KC_SECOND)
+
 typedef struct KcObjectClientOptions {
     KcLoop *loop;
     const char *address;  /* "address:port"; copied */
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -101,7 +101,7 @@
                    object_timeout_ms, "2000", 10, 60000,
                    "Wait for an answer of the object API."),
     NUMBER_SETTING("platform", "watch_ms", ROLES_ALL, watch_timeout_ms,
-                   "30000", 100, 600000, "Longest wait of one watch."),
+                   "10000", 100, 600000, "Longest wait of one watch."),
     DECIMAL_SETTING("platform", "leave_ms", ROLES_GATEWAY,
                     server_leave_timeout_ms, "3000", 100, 60000,
                     "A leaving server gets no new request after this time."),
--- a/tests/process/test_settings.c
+++ b/tests/process/test_settings.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "../../programs/process/objects_http.h"
 #include "../../programs/process/settings.h"
 
 #define ENTRY                                                                 \
@@ -115,11 +116,30 @@
     g_assert_cmpint(settings.window_bytes, ==, 65536);
 }
 
+/* Time after which a change is in force everywhere. */
+#define CHANGE_TIMEOUT_MS 16000
+
+static void
+test_dead_watch_outlasts_change(void)
+{
+    KcProblemList problems = TAILQ_HEAD_INITIALIZER(problems);
+    KcSettings settings;
+
+    KcSettings_Parse("f", ENTRY, strlen(ENTRY), &settings, &problems);
+    /* The head and the parts are read when the watch has failed. */
+    g_assert_cmpint(settings.watch_timeout_ms +
+                        KC_OBJECT_WATCH_MARGIN / KC_MS +
+                        2 * settings.object_timeout_ms,
+                    <=, CHANGE_TIMEOUT_MS);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/settings/cases", test_cases);
     g_test_add_func("/settings/defaults", test_defaults);
+    g_test_add_func("/settings/dead watch of the head outlasts a change",
+                    test_dead_watch_outlasts_change);
     return g_test_run();
 }
