Give a request that begins late in a planned stop time to arrive

A planned stop refuses what is not received completely 2 s before its end.

Each request now has a second from its first byte; the end of the intake still refuses what is not complete then, with 0.3 s to arrive. The new row fails without it: "(503 == 200)".

--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -67,7 +67,8 @@
     KcForward *forward;
     bool answer_is_chunked; /* a stream, sent with chunked encoding */
     bool close_after_answer;
-    KcTime idle_time; /* promised with the last answer; 0: none */
+    KcTime idle_time;     /* promised with the last answer; 0: none */
+    KcTime receive_until; /* in a planned stop, for the present request */
 } CallerConnection;
 
 static const KcCallerLimits *
@@ -135,16 +136,30 @@
     free(connection);
 }
 
+/*
+ * Decides until when a request must be received. One that begins late in a
+ * planned stop gets some time all the same, as it may come in several parts.
+ */
+static void
+limit_receipt(CallerConnection *connection)
+{
+    KcTime late_until = KcLoop_Now() + LEAVING_REQUEST_TIMEOUT;
+    KcTime receive_until = connection->front_end->receive_until;
+
+    connection->receive_until =
+        late_until > receive_until ? late_until : receive_until;
+}
+
 /* Limits the time for the next part of a request. */
 static void
 start_receipt_timer(CallerConnection *connection, KcTime delay)
 {
-    KcGatewayFrontEnd *front_end = connection->front_end;
     KcTime due_at = KcLoop_Now() + delay;
 
-    KcTimers_Set(front_end->options.loop->timers, &connection->timer,
-                 due_at < front_end->receive_until ? due_at
-                                                   : front_end->receive_until);
+    KcTimers_Set(
+        connection->front_end->options.loop->timers, &connection->timer,
+        due_at < connection->receive_until ? due_at
+                                           : connection->receive_until);
 }
 
 /* Takes the limits in force for the next request. */
@@ -436,6 +451,7 @@
 
     connection->state = CONNECTION_READING_HEAD;
     take_limits(connection);
+    limit_receipt(connection);
     start_receipt_timer(connection, connection->limits.header_timeout);
 }
 
@@ -593,10 +609,12 @@
         if (connection->state == CONNECTION_IDLE) {
             wait_for_request(connection);
         }
-        else if (connection->state < CONNECTION_SUBMITTED &&
-                 connection->timer.due_at > receive_until) {
-            KcTimers_Set(front_end->options.loop->timers, &connection->timer,
-                         receive_until);
+        else if (connection->state < CONNECTION_SUBMITTED) {
+            limit_receipt(connection);
+            if (connection->timer.due_at > connection->receive_until) {
+                KcTimers_Set(front_end->options.loop->timers,
+                             &connection->timer, connection->receive_until);
+            }
         }
     }
 }
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -36,7 +36,8 @@
  * Starts a planned stop: answers that begin from now on close their
  * connection. Idle connections are closed at idle_until, or a second after
  * they became idle or this call if that is later. Requests that have not been
- * received completely by receive_until are refused.
+ * received completely by receive_until, or a second after they began if that
+ * is later, are refused.
  */
 void KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until,
                              KcTime receive_until);
--- a/tests/request/test_stop_closes.c
+++ b/tests/request/test_stop_closes.c
@@ -292,6 +292,7 @@
 } texts[] = {
     {"get", "GET /x/a HTTP/1.1\r\nHost: h\r\n\r\n"},
     {"half-a-head", "GET /x/a HTTP/1.1\r\nHos"},
+    {"half-a-short-head", "GET /x/a HTTP/1.1\r\nDeadline-Ms: 300\r\nHos"},
     {"rest-of-head", "t: h\r\n\r\n"},
     {"large-post", "POST /x/a HTTP/1.1\r\nHost: h\r\n"
                    "Content-Length: 1000000\r\n\r\n"},
@@ -460,6 +461,10 @@
      "connect;send get;wait 20;stop 1000;send half-a-head;wait 800;"
      "send rest-of-head;wait 50;send get;wait 50;send get;read 502;close;"
      "ends 0 1200"},
+    {"a request that begins late and comes in two parts is taken",
+     "connect;send get;wait 20;stop 4000;wait 2900;caller 1;connect;"
+     "send half-a-short-head;wait 50;send rest-of-head;wait 50;answer;"
+     "read 200;close;caller 0;read 502;close;ends 0 4200"},
     {"a refused caller that never closes does not hold the stop",
      "connect;stop 8000;send no-request;ends 1900 3000;read 400"},
     {"a refused caller that never closes does not hold a short stop",
