Refuse what crosses a close of a planned stop

None had reached the process: no connection ended with unread bytes, and each falls on the close of idle connections 2.5 s after the stop began, or on the end of the intake.

The gateway cannot know of them, so it answers in advance: an idle connection that a stop closes is sent 408 (RFC 9110, 15.5.9) and closed in stages. On the platform 408 promises that the request did not run. The end of the intake accepts what the kernel has established before it closes the listening socket, and the process waits until the connections are closed, asking the role once more (KcRoleOps.is_drained).

Failed without it: two rows of test_stop_closes ("crosses ... is refused": the connection ends without a byte), three of test_stop_end; and with the accepting alone left out two more, "(0 == 1)" requests.

Rows of test_stop_end that change: "a request on a new connection is not taken" is now refused (503), and two requests that arrive after the intake, which were left unread, get 408; none of them reaches the gateway's servers, as before.

--- a/programs/process/role.c
+++ b/programs/process/role.c
@@ -135,29 +135,38 @@
     KcLoop_Free(common->loop);
 }
 
-/* Ends the loop. Its last pass still handles sockets that are ready. */
 static void
-end_drain(KcRoleCommon *common)
+end_intake(KcRoleCommon *common)
 {
+    common->intake_ended = true;
     if (common->ops->end_intake != NULL) {
         common->ops->end_intake(common->role);
     }
-    KcLoop_Stop(common->loop);
 }
 
+/*
+ * The end of the intake may bring what has to be answered, so the role is
+ * asked again after it.
+ */
 static void
 on_drain_timer(KcTimer *timer, KcTime now)
 {
     KcRoleCommon *common = timer->owner;
+    bool is_drained = common->ops->is_drained(common->role);
 
-    if (common->ops->is_drained(common->role)) {
+    if (is_drained && !common->intake_ended) {
+        end_intake(common);
+        is_drained = common->ops->is_drained(common->role);
+    }
+    if (is_drained) {
         KcLog_Write(KC_LOG_INFO, NULL, "drained, stopping");
-        end_drain(common);
+        KcLoop_Stop(common->loop);
     }
     else if (now >= common->drain_until) {
         KcLog_Write(KC_LOG_WARN, NULL,
                     "planned stop timed out, requests are still in progress");
-        end_drain(common);
+        end_intake(common);
+        KcLoop_Stop(common->loop); /* handles sockets that are ready */
     }
     else {
         KcTimers_Set(common->loop->timers, timer, now + DRAIN_CHECK_INTERVAL);
--- a/programs/process/role.h
+++ b/programs/process/role.h
@@ -14,7 +14,7 @@
 typedef struct KcRoleOps {
     /* Starts a planned stop; called once. */
     void (*begin_drain)(void *role);
-    /* Whether the process may end. */
+    /* Whether the process may end; asked again after end_intake. */
     bool (*is_drained)(void *role);
     /*
      * Takes nothing more that would have to be answered, as the process ends.
@@ -45,7 +45,8 @@
     KcTimer drain_timer;  /* checks whether the role is drained */
     KcTime drain_timeout; /* longest duration of a planned stop */
     KcTime drain_until;
-    bool draining; /* a planned stop has begun */
+    bool draining;     /* a planned stop has begun */
+    bool intake_ended; /* the role was told so */
 } KcRoleCommon;
 
 /*
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "../connection/socket.h"
 #include "../process/log.h"
@@ -253,12 +254,34 @@
                  close_at);
 }
 
+/*
+ * Closes an idle connection. In a planned stop a request that crosses the
+ * close is answered in advance (RFC 9110, 15.5.9): its caller knows that it
+ * did not run.
+ */
+static void
+close_idle(CallerConnection *connection)
+{
+    KcGatewayFrontEnd *front_end = connection->front_end;
+    KcForwardRefusal refusal = {
+        .error = {.code = KC_ERR_LEAVING, .step = "await request"}};
+
+    KcCounters_Add(front_end->options.counters, KC_COUNT_IDLE_CLOSES, 1);
+    if (!front_end->is_leaving) {
+        free_connection(connection);
+        return;
+    }
+    front_end->options.dialect->write_refusal(
+        KcHttpConnection_Output(connection->http_connection), &refusal, 0);
+    close_when_sent(connection);
+}
+
 /* Ends the wait for a request, or for the rest of one. */
 static void
 end_receipt(CallerConnection *connection)
 {
     if (connection->state == CONNECTION_IDLE) {
-        free_connection(connection);
+        close_idle(connection);
         return;
     }
     refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
@@ -280,8 +303,6 @@
             wait_for_request(connection);
             break;
         }
-        KcCounters_Add(connection->front_end->options.counters,
-                       KC_COUNT_IDLE_CLOSES, 1);
         end_receipt(connection);
         break;
     case CONNECTION_SUBMITTED:
@@ -565,6 +586,19 @@
     wait_for_request(connection);
 }
 
+/* Accepts the connections that the kernel has established so far. */
+static void
+accept_waiting(KcGatewayFrontEnd *front_end)
+{
+    evutil_socket_t listening = evconnlistener_get_fd(front_end->listener);
+    evutil_socket_t fd;
+
+    while ((fd = accept4(listening, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        on_accept(front_end->listener, fd, NULL, 0, front_end);
+    }
+}
+
 KcGatewayFrontEnd *
 KcGatewayFrontEnd_Create(const KcGatewayFrontEndOptions *options)
 {
@@ -626,6 +660,7 @@
     CallerConnection *next;
 
     if (front_end->listener != NULL) {
+        accept_waiting(front_end);
         evconnlistener_free(front_end->listener);
         front_end->listener = NULL;
     }
@@ -648,6 +683,7 @@
 
     TAILQ_FOREACH (connection, &front_end->connections, link) {
         if (connection->state != CONNECTION_IDLE ||
+            front_end->listener == NULL ||
             KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
             return false;
         }
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -35,23 +35,23 @@
 /*
  * Starts a planned stop: answers that begin from now on close their
  * connection. Idle connections are closed at idle_until, or a second after
- * they became idle or this call if that is later. Requests that have not been
- * received completely by receive_until, or a second after they began if that
- * is later, are refused.
+ * they became idle or this call if that is later; a request that crosses the
+ * close is refused. Requests that have not been received completely by
+ * receive_until, or a second after they began if that is later, are refused.
  */
 void KcGatewayFrontEnd_Drain(KcGatewayFrontEnd *front_end, KcTime idle_until,
                              KcTime receive_until);
 /*
- * Ends the intake, as the process ends: closes the listening socket and the
- * connections on which nothing has arrived and nothing is owed, and refuses
- * requests that are not received completely. What has arrived is still read;
- * the gateway must refuse it. A request that arrives later is left unread,
- * which its caller can tell from one that was lost.
+ * Ends the intake, as the process ends: accepts the connections that are
+ * established, closes the listening socket, and refuses what is not received
+ * completely or not begun. What has arrived is still read; the gateway must
+ * refuse it.
  */
 void KcGatewayFrontEnd_EndIntake(KcGatewayFrontEnd *front_end);
 /*
  * Returns whether no request is being received, no answer being sent and no
- * connection being closed in stages.
+ * connection being closed in stages; after the intake has ended, whether there
+ * is no connection.
  */
 bool KcGatewayFrontEnd_IsQuiet(const KcGatewayFrontEnd *front_end);
 /*
