--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -7,6 +7,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "../connection/connection_limit.h"
 #include "../connection/socket.h"
@@ -77,7 +78,8 @@
     KcForward *forward;
     bool answer_is_chunked; /* a stream, sent with chunked encoding */
     bool close_after_answer;
-    KcTime idle_time; /* promised with the last answer; 0: none */
+    KcTime idle_time;     /* promised with the last answer; 0: none */
+    KcTime receive_until; /* in a planned stop, for the present request */
 } CallerConnection;
 
 static const KcCallerLimits *
@@ -146,16 +148,30 @@
     free(connection);
 }
 
+/*
+ * Decides until when a request must be received. One that begins late in a
+ * planned stop gets some time all the same, as it may come in several parts.
+ */
+static void
+limit_receipt(CallerConnection *connection)
+{
+    KcTime late_until = KcLoop_Now() + LEAVING_REQUEST_TIMEOUT;
+    KcTime receive_until = connection->front_end->receive_until;
+
+    connection->receive_until =
+        late_until > receive_until ? late_until : receive_until;
+}
+
 /* Limits the time for the next part of a request. */
 static void
 start_receipt_timer(CallerConnection *connection, KcTime delay)
 {
-    KcGatewayFrontEnd *front_end = connection->front_end;
     KcTime due_at = KcLoop_Now() + delay;
 
-    KcTimers_Set(front_end->options.loop->timers, &connection->timer,
-                 due_at < front_end->receive_until ? due_at
-                                                   : front_end->receive_until);
+    KcTimers_Set(
+        connection->front_end->options.loop->timers, &connection->timer,
+        due_at < connection->receive_until ? due_at
+                                           : connection->receive_until);
 }
 
 /* Takes the limits in force for the next request. */
@@ -271,12 +287,34 @@
                  close_at);
 }
 
+/*
+ * Closes an idle connection. In a planned stop a request that crosses the
+ * close is answered in advance (RFC 9110, 15.5.9): its caller knows that it
+ * did not run.
+ */
+static void
+close_idle(CallerConnection *connection)
+{
+    KcGatewayFrontEnd *front_end = connection->front_end;
+    KcForwardRefusal refusal = {
+        .error = {.code = KC_ERR_LEAVING, .step = "await request"}};
+
+    KcCounters_Add(front_end->options.counters, KC_COUNT_IDLE_CLOSES, 1);
+    if (!front_end->is_leaving) {
+        free_connection(connection);
+        return;
+    }
+    front_end->options.dialect->write_refusal(
+        KcHttpConnection_Output(connection->http_connection), &refusal, 0);
+    close_when_sent(connection);
+}
+
 /* Ends the wait for a request, or for the rest of one. */
 static void
 end_receipt(CallerConnection *connection)
 {
     if (connection->state == CONNECTION_IDLE) {
-        free_connection(connection);
+        close_idle(connection);
         return;
     }
     refuse_early(connection, KC_ERR_DEADLINE_EXCEEDED, "read request");
@@ -299,8 +337,6 @@
             wait_for_request(connection);
             break;
         }
-        KcCounters_Add(connection->front_end->options.counters,
-                       KC_COUNT_IDLE_CLOSES, 1);
         end_receipt(connection);
         break;
     case CONNECTION_SUBMITTED:
@@ -470,6 +506,7 @@
 
     connection->state = CONNECTION_READING_HEAD;
     take_limits(connection);
+    limit_receipt(connection);
     start_receipt_timer(connection, connection->limits.header_timeout);
 }
 
@@ -603,6 +640,19 @@
     }
 }
 
+/* Accepts the connections that the kernel has established so far. */
+static void
+accept_waiting(KcGatewayFrontEnd *front_end)
+{
+    evutil_socket_t listening = evconnlistener_get_fd(front_end->listener);
+    evutil_socket_t fd;
+
+    while ((fd = accept4(listening, NULL, NULL,
+                         SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
+        on_accept(front_end->listener, fd, NULL, 0, front_end);
+    }
+}
+
 KcGatewayFrontEnd *
 KcGatewayFrontEnd_Create(const KcGatewayFrontEndOptions *options)
 {
@@ -651,10 +701,12 @@
         if (connection->state == CONNECTION_IDLE) {
             wait_for_request(connection);
         }
-        else if (connection->state < CONNECTION_SUBMITTED &&
-                 connection->timer.due_at > receive_until) {
-            KcTimers_Set(front_end->options.loop->timers, &connection->timer,
-                         receive_until);
+        else if (connection->state < CONNECTION_SUBMITTED) {
+            limit_receipt(connection);
+            if (connection->timer.due_at > connection->receive_until) {
+                KcTimers_Set(front_end->options.loop->timers,
+                             &connection->timer, connection->receive_until);
+            }
         }
     }
 }
@@ -665,6 +717,9 @@
     CallerConnection *connection;
     CallerConnection *next;
 
+    if (front_end->listener != NULL) {
+        accept_waiting(front_end);
+    }
     close_listener(front_end);
     TAILQ_FOREACH_SAFE (connection, &front_end->connections, link, next) {
         if (KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
@@ -685,6 +740,7 @@
 
     TAILQ_FOREACH (connection, &front_end->connections, link) {
         if (connection->state != CONNECTION_IDLE ||
+            front_end->listener == NULL ||
             KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
             return false;
         }
