--- a/lib/process/keeper_order.c
+++ b/lib/process/keeper_order.c
@@ -248,23 +248,23 @@
 }
 
 /*
- * Does the last report date from after the load request?  A gateway that
- * requests what it was told is loaded may have been refused by the engine.
- * Otherwise sees to a report.
+ * Returns true while a load request for what is loaded, by the last report,
+ * must wait for a newer report, and requests that: its gateway may have been
+ * refused by the engine.
  */
 static bool
-is_confirmed(KcKeeper *keeper, const KcPendingLoadRequest *load_request,
-             KcTime now)
+await_newer_report(KcKeeper *keeper, const KcPendingLoadRequest *load_request,
+                   KcTime now)
 {
     if (keeper->report_requested_at >= load_request->requested_at) {
-        return true;
+        return false;
     }
     /* Until then the timer is set: see KcKeeper_ScheduleReport(). */
     if (now - keeper->report_requested_at >=
         keeper->options.loading_report_interval) {
         KcKeeper_RequestReport(keeper, now);
     }
-    return false;
+    return true;
 }
 
 /*
@@ -296,7 +296,7 @@
         return false;
     }
     if (load_request->adapter[0] == '\0') {
-        if (!is_confirmed(keeper, load_request, now)) {
+        if (await_newer_report(keeper, load_request, now)) {
             return false;
         }
         notify_requested_adapter(keeper, load_request, KC_HELD_LOADED);
@@ -313,7 +313,7 @@
     }
     if (slot != NULL &&
         KcKeeper_SlotVersion(slot) >= load_request->version_min) {
-        if (!is_confirmed(keeper, load_request, now)) {
+        if (await_newer_report(keeper, load_request, now)) {
             return false;
         }
         KcKeeper_NotifySlot(keeper, NULL, slot, KC_HELD_LOADED);
