Test when a planned stop refuses what is not received

The plant "incomplete request refused too late in a planned stop" went uncaught: since the intake ends 0.3 s before the stop, its refusal still arrived. The new row asks for the refusal while another request still has time for its answer; with the plant it fails: "'attempt' should not be NULL".

--- a/tests/request/test_stop_closes.c
+++ b/tests/request/test_stop_closes.c
@@ -479,6 +479,10 @@
     {"a head that is not received by the end is refused early enough",
      "connect;send half-a-head;stop 3000;wait 2770;send rest-of-head;wait 50;"
      "send get;wait 30;send get;read 503;close;ends 0 3200"},
+    {"an incomplete request is refused before the last answers are due",
+     "connect;send post;caller 1;connect;send get;wait 20;stop 3000;wait 2000;"
+     "caller 0;read 503;close;caller 1;wait 100;answer;read 200;close;ends 0 "
+     "3200"},
     {"a head that begins late is refused early enough",
      "connect;send get;wait 20;stop 2000;wait 1500;caller 1;connect;"
      "send half-a-head;wait 250;send rest-of-head;wait 30;send get;wait 30;"
