Know the refusal in advance of a stopping gateway in the soak

Each is the 408 that a planned stop sends on an idle connection that it closes, so that a request which crosses the close is refused and not lost. RFC 9110, 15.5.9 allows it on a connection without a request, and no rule of the platform forbids it: only a success there is wrong.

The check stays as strict for all else: an answer without a request is a violation unless it is a 408 that closes its connection, of a gateway that was stopping while the connection lived; and the caller sends nothing more on it.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -11,6 +11,7 @@
 #include "../../programs/connection/http_connection.h"
 #include "deadly.h"
 #include "faults.h"
+#include "history.h"
 #include "soak.h"
 
 #define CALLER_COUNT 24
@@ -311,6 +312,17 @@
     return seconds * KC_SECOND;
 }
 
+/* Is it the refusal in advance of a gateway that stops, after which it closes
+ * the connection (RFC 9110, 15.5.9)? */
+static bool
+is_refusal_in_advance(const Caller *caller, const KcHttpMessage *message)
+{
+    return message->status == 408 && !message->keep_alive &&
+           History_Find(DISTURBANCE_STOP, GATEWAY_CLUSTER_GATEWAY,
+                        caller->gateway, caller->connected_at,
+                        KcLoop_Now()) != NULL;
+}
+
 static void
 on_head(void *owner, const KcHttpMessage *message)
 {
@@ -319,7 +331,10 @@
     const char *server_seal = KcHttpMessage_FindField(message, "Server-Seal");
 
     if (caller->call == NULL) {
-        Soak_ReportViolation("an answer that nobody asked for", NULL);
+        if (!is_refusal_in_advance(caller, message)) {
+            Soak_ReportViolation("an answer that nobody asked for", NULL);
+        }
+        caller->is_last_call = true;
         return;
     }
     caller->is_last_call =
