Take the addresses of connections that a stop accepts at its end

cppcheck reports the missing address as a null pointer, so make lint failed. They are passed on as a listener passes them; no behaviour with it.

--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -645,11 +645,15 @@
 accept_waiting(KcGatewayFrontEnd *front_end)
 {
     evutil_socket_t listening = evconnlistener_get_fd(front_end->listener);
+    struct sockaddr_storage remote;
+    struct sockaddr *address = (struct sockaddr *)&remote;
+    socklen_t size = sizeof(remote);
     evutil_socket_t fd;
 
-    while ((fd = accept4(listening, NULL, NULL,
+    while ((fd = accept4(listening, address, &size,
                          SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0) {
-        on_accept(front_end->listener, fd, NULL, 0, front_end);
+        on_accept(front_end->listener, fd, address, (int)size, front_end);
+        size = sizeof(remote);
     }
 }
 
