Revert sending requests with a suspected part one at a time

With 16 held requests at the head of the queue a request's end dispatches nothing behind them, and sound ones are refused although a server is free. Two ends of one moment, as of a rack, and ends that a blocked part explains hold a sound part, which suspects.c counts once and not at all.

A form that counts ends as suspects.c does and keeps held requests out of the queue was not built.

--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -279,23 +279,6 @@
     enqueue_or_refuse(forward, KC_ERR_BUSY, now);
 }
 
-/* Lets the request wait in the queue until it may be sent. */
-static void
-hold(KcForward *forward, KcTime held_until, KcTime now)
-{
-    KcTime end = wait_until(forward);
-
-    if (now >= end) {
-        refuse(forward, KC_ERR_BUSY, now);
-        return;
-    }
-    if (forward->error.code == 0) {
-        KcError_Set(&forward->error, KC_ERR_BUSY, "queue", "");
-    }
-    join_queue(forward);
-    KcForward_SetTimer(forward, held_until < end ? held_until : end);
-}
-
 /* Carries out a choice; false when its server cannot be reached. */
 static bool
 execute_choice(KcForward *forward, const KcChoice *choice, KcTime now)
@@ -341,7 +324,6 @@
 KcForward_Dispatch(KcForward *forward, KcTime now)
 {
     KcChoice choice;
-    KcTime held_until;
 
     KcForward_LeaveWaitList(forward);
     if (now >= forward->deadline) {
@@ -351,11 +333,6 @@
     if (KcForward_RefuseIfBlocked(forward, now)) {
         return;
     }
-    held_until = KcForward_HeldUntil(forward);
-    if (held_until > now) {
-        hold(forward, held_until, now);
-        return;
-    }
     for (;;) {
         KcGateway_Choose(forward, now, &choice);
         if (choice.new_replica_server != NULL) {
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -127,14 +127,6 @@
 /* May the request not be sent? */
 bool KcForward_IsBlocked(const KcForward *forward);
 
-/* ---- requests with suspected parts (gateway_hold.c) ---------------------- */
-
-/* Has the request's prompt a part that is suspected? */
-bool KcForward_IsSuspected(const KcForward *forward);
-/* Until when the request must not be sent, unless the attempts of others with
- * the same suspected part end before; it may be over.  0: it may be sent. */
-KcTime KcForward_HeldUntil(const KcForward *forward);
-
 /* ---- costs (gateway_cost.c) ---------------------------------------------- */
 
 /* Recomputes the means over a pool's servers when they are out of date. */
--- a/lib/process/gateway_suspects.c
+++ b/lib/process/gateway_suspects.c
@@ -143,13 +143,8 @@
 void
 KcForward_NoteAnswer(KcForward *forward, KcTime now)
 {
-    bool was_suspected = KcForward_IsSuspected(forward);
-
     KcSuspects_NoteAnswer(&forward->pool->suspects, forward->parts,
                           forward->part_count, now);
-    if (was_suspected) {
-        KcGateway_DispatchWholeQueue(forward->pool, now);
-    }
 }
 
 void
@@ -181,9 +176,6 @@
         cleared = KcSuspects_DescribeCleared(suspects, news->part);
         publish(pool, &cleared);
     }
-    if (news->kind == KC_SUSPECT_NEWS_CLEARED) {
-        KcGateway_DispatchWholeQueue(pool, now);
-    }
     schedule_review(pool, now);
 }
 
--- a/tests/process/test_gateway_parts.c
+++ b/tests/process/test_gateway_parts.c
@@ -10,8 +10,6 @@
 
 /* Part 3 is blocked, as another gateway says. */
 #define BLOCK_3 "news a blocked 3 0;cleartrace;"
-/* Part 3 is suspected by two ends. */
-#define SUSPECT_3 "ended a 1 3;ended b 1 3;cleartrace;"
 
 static const GatewayCase cases[] = {
     /* evidence */
@@ -117,55 +115,6 @@
      PLAIN "server c llm 4 m x@1;news c blocked 3 0;cleartrace;request 1 /s/ "
            "parts=3",
      "1>a; "},
-    /* suspected parts */
-    {"requests with a suspected part are sent one at a time",
-     LLM SUSPECT_3 "request 1 /t/ m/x parts=1,3;request 2 /t/ m/x parts=2,3;"
-                   "request 3 /t/ m/x parts=1,2",
-     "1>a; 3>a; "},
-    {"a part that one server has ended on holds nothing back",
-     LLM "ended a 1 3;cleartrace;request 1 /t/ m/x parts=3;"
-         "request 2 /t/ m/x parts=3",
-     "1>a; 2>a; "},
-    {"a request without one of two suspects is not held back",
-     LLM "ended a 1 2,3;ended b 1 2,3;cleartrace;"
-         "request 1 /t/ m/x parts=2,3;request 2 /t/ m/x parts=2,3;"
-         "request 3 /t/ m/x parts=2",
-     "1>a; 3>a; "},
-    {"a suspect with fewer ends beside the worst one holds nothing back",
-     LLM "ended a 1 2,3;ended b 1 2,3;ended a 2 3;cleartrace;"
-         "request 1 /t/ m/x parts=2,3;request 2 /t/ m/x parts=2;"
-         "request 3 /t/ m/x parts=3",
-     "1>a; 2>a; "},
-    {"requests with a suspected part are sent when it is cleared",
-     LLM SUSPECT_3 "request 1 /t/ m/x parts=3;request 2 /t/ m/x parts=3;"
-                   "request 3 /t/ m/x parts=3;cleartrace;begin 1;event 1 0",
-     "3 cleared; say cleared 3; 2>a; 3>a; 1:begin; 1:0; "},
-    {"requests with a suspected part are sent when others cleared it",
-     LLM SUSPECT_3 "request 1 /t/ m/x parts=3;request 2 /t/ m/x parts=3;"
-                   "cleartrace;news a cleared 3 1",
-     "3 cleared; 2>a; "},
-    {"the next request with a suspected part is sent after a loss",
-     LLM "server b llm 4 at=near m x@1;" SUSPECT_3
-         "request 1 /t/ m/x parts=3;request 2 /t/ m/x parts=3;"
-         "request 3 /t/ m/x parts=3;cleartrace;lost 1",
-     "ask a 3; 2>b; 1:unknown peer_lost; "},
-    {"a request with a suspected part is refused after its time in the queue",
-     LLM SUSPECT_3 "request 1 /t/ m/x parts=3;request 2 /t/ m/x parts=3;"
-                   "cleartrace;wait 999",
-     "2:not run busy; "},
-    {"a silent attempt holds back no request after a second",
-     LLM "server b llm 4 at=near m x@1;" SUSPECT_3
-         "request 1 /t/ m/x parts=3;wait 900;request 2 /t/ m/x parts=3;"
-         "cleartrace;wait 80;request 3 /t/ m/x;wait 30",
-     "3>b; 2>b; "},
-    {"an attempt that is being answered holds back no request",
-     LLM "request 1 /t/ m/x parts=3;begin 1;event 1 0;" SUSPECT_3
-         "request 2 /t/ m/x parts=3",
-     "2>a; "},
-    {"a stream that goes on elsewhere is not held back",
-     LLM "server b llm 4 at=near m x@1;request 1 /r/ m/x parts=3;begin 1;"
-         "event 1 0;" SUSPECT_3 "request 2 /t/ m/x parts=3;cleartrace;lost 1",
-     "1>b+0; "},
     /* the way back */
     {"a trial is asked for when it is due, once a second",
      LLM BLOCK_3 "request 1 /t/ m/x parts=3;wait 60000;"
