Send what is unsent of earlier answers to a caller that has ended its stream

A caller that pipelines and ends its stream inside or during its next request lost the rest of the answer before it: only an idle connection sent what was unsent. The end of the stream still abandons the request in progress; the connection is closed when its output is taken, as an idle one is.

Two rows of test_caller_closes fail before: "98304 bytes of an answer, then the end". They fill the kernel's buffers step by step, whatever their size.

--- a/programs/request/caller_connection.c
+++ b/programs/request/caller_connection.c
@@ -195,7 +195,7 @@
         refuse_early(connection, code, "read");
         return;
     }
-    if (connection->state == CONNECTION_IDLE &&
+    if (connection->state != CONNECTION_CLOSING &&
         KcHttpConnection_HasInputEnded(connection->http_connection) &&
         KcHttpConnection_UnsentBytes(connection->http_connection) > 0) {
         /* A caller that has closed answers the next bytes with a reset. */
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -39,6 +39,7 @@
     int received_error; /* of recv(), 0 at the end of the stream, or -1 */
     KcForwardAttempt *attempt; /* at the backend server; NULL: none */
     KcTime answered_at;
+    int filling_count; /* answers of step_fill() */
 } Fixture;
 
 /* ---- the gateway and its backend server ----------------------------------- */
@@ -533,6 +534,34 @@
     g_assert_cmpint(taken, <=, atoll(words[3]));
 }
 
+/* fill: answers are made until the kernel does not take all of the last. */
+static void
+step_fill(Fixture *fixture, char **words)
+{
+    char *send[] = {(char *)"send", (char *)"get", NULL};
+    char *answer[] = {(char *)"answer", (char *)"200000", NULL};
+
+    (void)words;
+    do {
+        step_send(fixture, send);
+        step_answer(fixture, answer);
+        run_loop(fixture, 20 * KC_MS);
+        fixture->filling_count++;
+    } while (KcGatewayFrontEnd_IsQuiet(fixture->front_end));
+}
+
+/* read-filled: the caller receives the answers of step_fill(). */
+static void
+step_read_filled(Fixture *fixture, char **words)
+{
+    char *read[] = {(char *)"read", (char *)"200", NULL};
+
+    (void)words;
+    for (; fixture->filling_count > 0; fixture->filling_count--) {
+        step_read(fixture, read);
+    }
+}
+
 /* busy: a planned stop may not end now. */
 static void
 step_busy(Fixture *fixture, char **words)
@@ -608,6 +637,8 @@
     {"gone", step_gone},
     {"half-close", step_half_close},
     {"busy", step_busy},
+    {"fill", step_fill},
+    {"read-filled", step_read_filled},
 };
 
 /* ---- cases -------------------------------------------------------------------- */
@@ -731,6 +762,14 @@
      "2000"},
     {"a caller that ends its stream during its request is not noticed",
      "connect;send get;wait 50;half-close;gone;end 1000"},
+    {"a caller that ends its stream inside a request loses an answer before "
+     "it",
+     "connect 4096;fill;send half-a-head;wait 30;half-close;wait 30;"
+     "read-filled;end 1000"},
+    {"a caller that ends its stream during a request loses an answer before "
+     "it",
+     "connect 4096;fill;send get;wait 30;half-close;gone;read-filled;"
+     "end 1000"},
     {"a caller that leaves is not noticed",
      "connect;send get;wait 50;leave close;gone"},
     {"a caller that leaves many bytes behind is not noticed",
