Pass on no end behind bytes that a proxy of the soak has dropped

TCP delivers no end behind a gap, so no gateway can meet this but behind such a proxy. A connection that has dropped bytes is reset now when one of its ends closes.

The new case fails before: an end without an error behind dropped bytes. The check of the soak is as before.

--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -1,6 +1,7 @@
 /*
  * A TCP proxy with faults.  A connection that has dropped bytes drops all
- * later ones too, in any mode, until one end closes it: the stream has a gap.
+ * later ones too, in any mode: the stream has a gap.  When one end closes it
+ * the other is reset, as TCP delivers no end behind a gap.
  */
 #include "proxy.h"
 
@@ -131,9 +132,11 @@
         return;
     }
     forward_bytes(connection);
-    if ((events & BEV_EVENT_ERROR) || connection->is_ending ||
+    if ((events & BEV_EVENT_ERROR) || connection->is_silenced ||
+        connection->is_ending ||
         evbuffer_get_length(bufferevent_get_output(other)) == 0) {
-        close_connection(connection, (events & BEV_EVENT_ERROR) != 0);
+        close_connection(connection, (events & BEV_EVENT_ERROR) != 0 ||
+                                         connection->is_silenced);
         return;
     }
     connection->is_ending = true;
--- a/tests/soak/test_proxy.c
+++ b/tests/soak/test_proxy.c
@@ -1,6 +1,6 @@
 /*
- * Tests that the proxies of the soak lose no bytes by themselves: a server
- * sends some and closes.
+ * Tests that the proxies of the soak lose no bytes by themselves, and pass no
+ * end on behind bytes that they drop: a server sends some and closes.
  */
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
@@ -33,12 +33,15 @@
     ProxyMode mode;
     const char *bytes; /* sent at once */
     const char *last_bytes;
+    bool is_dropped; /* the caller gets a reset in place of all this */
 } cases[] = {
-    {"bytes before an end", PROXY_PASS, "id: 0\ndata: piece 0\n\n", ""},
+    {"bytes before an end", PROXY_PASS, "id: 0\ndata: piece 0\n\n", "", false},
     {"bytes in two pieces", PROXY_PASS, "id: 0\ndata: piece 0\n\n",
-     "id: 1\ndata: pie"},
+     "id: 1\ndata: pie", false},
     {"delayed bytes", PROXY_DELAY, "id: 0\ndata: piece 0\n\n",
-     "id: 1\ndata: pie"},
+     "id: 1\ndata: pie", false},
+    {"an end behind dropped bytes", PROXY_SILENT_FROM_TARGET,
+     "id: 0\ndata: piece 0\n\n", "", true},
 };
 
 static void
@@ -68,10 +71,13 @@
     if (!(events & (BEV_EVENT_EOF | BEV_EVENT_ERROR))) {
         return;
     }
-    g_assert_false(events & BEV_EVENT_ERROR);
+    g_assert_cmpint((events & BEV_EVENT_ERROR) != 0, ==,
+                    cases[fixture->index].is_dropped);
     g_assert_cmpuint(evbuffer_get_length(bufferevent_get_input(bev)), ==,
-                     strlen(cases[fixture->index].bytes) +
-                         strlen(cases[fixture->index].last_bytes));
+                     cases[fixture->index].is_dropped
+                         ? 0
+                         : strlen(cases[fixture->index].bytes) +
+                               strlen(cases[fixture->index].last_bytes));
     bufferevent_free(bev);
     if (++fixture->connections == CONNECTIONS) {
         KcLoop_Stop(fixture->loop);
@@ -126,7 +132,7 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    Steps_AddCases("/proxy/passes", cases, G_N_ELEMENTS(cases),
-                   sizeof(cases[0]), test_bytes_pass);
+    Steps_AddCases("/proxy", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
+                   test_bytes_pass);
     return g_test_run();
 }
