review/3: an adapter's old version serves too long on a dead watch

The gateway's open connections to the store go silent, a new version of an adapter that all workers hold is acknowledged, and requests begin on the old one until 6.3 s after that; version_ms is 5,000. The time until the dead watch is checked and the time for which an older version may serve add up.

--- a/review/common/worker.c
+++ b/review/common/worker.c
@@ -9,14 +9,19 @@
  * stray, N: after each Nth answer come bytes that belong to no request, at the
  * point where the next answer of the connection is due; 0: never.
  *
- * LOG gets a line "run ATTEMPT_ID PATH" when a request begins to run, and
- * "done ATTEMPT_ID" when its answer was written whole.
+ * With model=NAME it is a model worker that holds the model, and adapter=NAME
+ * of it in version 1, from its start: it takes orders and gives reports;
+ * load_ms is the time to load an adapter.
+ *
+ * LOG gets a line "run ATTEMPT_ID PATH version V at_ms T" when a request
+ * begins to run, and "done ATTEMPT_ID" when its answer was written whole.
  */
 #include <fcntl.h>
 #include <pthread.h>
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stdbool.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -36,12 +41,26 @@
 static int stray_interval;
 static atomic_int answer_count;
 
+/* The adapter of a model worker; it has one. */
+static char model_name[64];
+static char adapter_name[64];
+static int adapter_version = 1;
+static int coming_version; /* being loaded; 0: none */
+static int64_t coming_at_ms;
+static int sequence;
+static int load_ms = 250;
+static int64_t born_ms;
+static pthread_mutex_t state_lock = PTHREAD_MUTEX_INITIALIZER;
+
 typedef struct Request {
     char method[16];
     char path[256];
     char id[64];
     char expected_instance[64];
+    char model[128];
+    int version; /* Expect-Version; 0: none */
     size_t length;
+    char body[512]; /* its beginning */
 } Request;
 
 static void
@@ -111,6 +130,13 @@
             snprintf(request->expected_instance,
                      sizeof(request->expected_instance), "%.63s", line + 17);
         }
+        else if (strncasecmp(line, "Model: ", 7) == 0) {
+            snprintf(request->model, sizeof(request->model), "%.127s",
+                     line + 7);
+        }
+        else if (strncasecmp(line, "Expect-Version: ", 16) == 0) {
+            request->version = atoi(line + 16);
+        }
         else if (strncasecmp(line, "Content-Length: ", 16) == 0) {
             request->length = strtoul(line + 16, NULL, 10);
         }
@@ -122,6 +148,9 @@
         if (size == 0) {
             return -1;
         }
+        if (left == request->length && size < sizeof(request->body)) {
+            memcpy(request->body, byte, size);
+        }
         left -= size;
     }
     return 0;
@@ -189,6 +218,129 @@
     return send_text(fd, text);
 }
 
+/* ---- a model worker ------------------------------------------------------ */
+
+static int64_t
+read_wall_ms(void)
+{
+    struct timespec now;
+
+    clock_gettime(CLOCK_REALTIME, &now);
+    return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
+/* A load that is over takes effect; the lock is held. */
+static void
+finish_load(void)
+{
+    if (coming_version != 0 && read_wall_ms() >= coming_at_ms) {
+        adapter_version = coming_version;
+        coming_version = 0;
+        write_log("loaded %s@%d\n", adapter_name, adapter_version);
+    }
+}
+
+static int
+send_json(int fd, int status, const char *body)
+{
+    char text[1024];
+
+    snprintf(text, sizeof(text),
+             "HTTP/1.1 %d -\r\nContent-Type: application/json\r\n"
+             "Instance-Id: %s\r\nContent-Length: %zu\r\n\r\n%s",
+             status, instance_id, strlen(body), body);
+    return send_text(fd, text);
+}
+
+static int
+answer_report(int fd)
+{
+    char body[768];
+    char coming[160] = "";
+
+    pthread_mutex_lock(&state_lock);
+    finish_load();
+    if (coming_version != 0) {
+        snprintf(coming, sizeof(coming), "\"%s/%s@%d\"", model_name,
+                 adapter_name, coming_version);
+    }
+    snprintf(body, sizeof(body),
+             "{\"stage\":\"both\",\"models\":[{\"name\":\"%s\","
+             "\"version\":1,\"adapters\":[\"%s@%d\"]}],\"coming\":[%s],"
+             "\"busy\":false,\"sequence\":%d,\"queued\":0,\"active\":0,"
+             "\"kv_used\":0,\"kv_total\":150000,\"handles\":0,"
+             "\"born\":%lld}",
+             model_name, adapter_name, adapter_version, coming, sequence,
+             (long long)born_ms);
+    pthread_mutex_unlock(&state_lock);
+    return send_json(fd, 200, body);
+}
+
+/* Takes an order to load a version of the adapter; refuses all others. */
+static int
+answer_order(int fd, const Request *request)
+{
+    const char *expected = strstr(request->body, "\"expect\":");
+    const char *version = strstr(request->body, "\"version\":");
+    char name[80];
+    int status = 202;
+
+    snprintf(name, sizeof(name), "\"adapter\":\"%s\"", adapter_name);
+    pthread_mutex_lock(&state_lock);
+    finish_load();
+    if (expected != NULL && atoi(expected + 9) != sequence) {
+        status = 409;
+    }
+    else if (strstr(request->body, "\"op_code\":\"load\"") == NULL ||
+             strstr(request->body, name) == NULL) {
+        status = 400;
+    }
+    else {
+        coming_version = version != NULL ? atoi(version + 10) : 1;
+        coming_at_ms = read_wall_ms() + load_ms;
+        sequence++;
+    }
+    write_log("order %d %s\n", status, request->body);
+    pthread_mutex_unlock(&state_lock);
+    return send_json(fd, status, "{}");
+}
+
+/* Does the worker hold what the request names?  Notes the version. */
+static bool
+holds_model(const Request *request, int *version)
+{
+    char name[160];
+    bool holds;
+
+    pthread_mutex_lock(&state_lock);
+    finish_load();
+    snprintf(name, sizeof(name), "%s/%s", model_name, adapter_name);
+    holds = strcmp(request->model, name) == 0 &&
+            (request->version == 0 || request->version == adapter_version);
+    *version = adapter_version;
+    pthread_mutex_unlock(&state_lock);
+    return holds;
+}
+
+/* Answers what is no client's request; false when it is one. */
+static bool
+answer_call(int fd, const Request *request, int *code)
+{
+    if (strcmp(request->path, "/report") == 0) {
+        *code = answer_report(fd);
+        return true;
+    }
+    if (strcmp(request->path, "/order") == 0) {
+        *code = answer_order(fd, request);
+        return true;
+    }
+    if (strcmp(request->path, "/health") == 0) {
+        *code = send_json(fd, 200, "{}");
+        return true;
+    }
+    return false;
+}
+
 static void *
 serve_connection(void *argument)
 {
@@ -197,6 +349,7 @@
     Request request;
     int code = 0;
     bool has_stray = false;
+    int version = 0;
 
     while (code == 0 && read_request(input, &request) == 0) {
         if (has_stray) {
@@ -205,12 +358,17 @@
                           "stray\n");
             write_log("stray before %s\n", request.id);
         }
-        if (request.expected_instance[0] != '\0' &&
-            strcmp(request.expected_instance, instance_id) != 0) {
+        if (answer_call(fd, &request, &code)) {
+            continue;
+        }
+        if ((request.expected_instance[0] != '\0' &&
+             strcmp(request.expected_instance, instance_id) != 0) ||
+            (model_name[0] != '\0' && !holds_model(&request, &version))) {
             code = answer_misdirected(fd, &request);
             continue;
         }
-        write_log("run %s %s\n", request.id, request.path);
+        write_log("run %s %s version %d at_ms %lld\n", request.id,
+                  request.path, version, (long long)read_wall_ms());
         code = strncmp(request.path, "/stream/", 8) == 0
                    ? answer_stream(fd, &request)
                    : answer_plain(fd, &request);
@@ -237,11 +395,15 @@
     }
     signal(SIGPIPE, SIG_IGN);
     instance_id = argv[2];
+    born_ms = read_wall_ms();
     log_fd = open(argv[3], O_WRONLY | O_CREAT | O_APPEND, 0600);
     for (int i = 4; i < argc; i++) {
         sscanf(argv[i], "work_ms=%d", &work_ms);
         sscanf(argv[i], "events=%d", &event_count);
         sscanf(argv[i], "unframed=%d", &is_unframed);
+        sscanf(argv[i], "model=%63s", model_name);
+        sscanf(argv[i], "adapter=%63s", adapter_name);
+        sscanf(argv[i], "load_ms=%d", &load_ms);
         sscanf(argv[i], "stray=%d", &stray_interval);
     }
     snprintf(host, sizeof(host), "%.*s", (int)(colon - argv[1]), argv[1]);
