--- a/review/2/case.c
+++ b/review/2/case.c
@@ -3,7 +3,7 @@
  * chunks, while the gateway's machine is frozen, and is back before that
  * wakes. Does the stream end as complete?
  */
-#include "harness.h"
+#include "../common/harness.h"
 
 #include <pthread.h>
 #include <signal.h>
--- a/review/4/case.c
+++ b/review/4/case.c
@@ -5,7 +5,7 @@
  * This program plays the platform too: it ends the process once its memory
  * exceeds memory_mb of its machine.
  */
-#include "harness.h"
+#include "../common/harness.h"
 
 #include <pthread.h>
 #include <stdio.h>
