review/5: a late order from before a restart overfills a worker

An unanswered order of a keeper is carried out 11 s late, after its worker has crashed and started again under the id that it had. The order's instance and count fit again, all adapter slots are taken by then, and the worker is ordered to load more than they hold, and crashes.

--- a/review/common/worker.c
+++ b/review/common/worker.c
@@ -9,9 +9,10 @@
  * stray, N: after each Nth answer come bytes that belong to no request, at the
  * point where the next answer of the connection is due; 0: never.
  *
- * With model=NAME it is a model worker that holds the model, and adapter=NAME
- * of it in version 1, from its start: it takes orders and gives reports;
- * load_ms is the time to load an adapter.
+ * With model=NAME it is a model worker that takes orders and gives reports: it
+ * holds the model from its start unless held=0, and the adapters that are
+ * given by adapter=NAME, in version 1; load_ms is the time to load an adapter,
+ * and it has slots=N for them.
  *
  * LOG gets a line "run ATTEMPT_ID PATH version V at_ms T" when a request
  * begins to run, and "done ATTEMPT_ID" when its answer was written whole.
@@ -41,14 +42,26 @@
 static int stray_interval;
 static atomic_int answer_count;
 
-/* The adapter of a model worker; it has one. */
-static char model_name[64];
-static char adapter_name[64];
-static int adapter_version = 1;
-static int coming_version; /* being loaded; 0: none */
-static int64_t coming_at_ms;
+#define ADAPTERS_MAX 64
+
+/* An adapter of a model worker; coming_version replaces version, which is 0
+ * for one that was not there before, at coming_at_ms. */
+typedef struct Adapter {
+    char name[64];
+    int version;
+    int coming_version; /* 0: none */
+    int64_t coming_at_ms;
+} Adapter;
+
+static char model_name[64]; /* "": no model worker */
+static int has_model = 1;
+static int64_t model_coming_at_ms; /* 0: not being loaded */
+static Adapter adapters[ADAPTERS_MAX];
+static int adapter_count;
+static int adapter_slots = 17;
 static int sequence;
 static int load_ms = 250;
+static int model_load_ms = 800;
 static int64_t born_ms;
 static pthread_mutex_t state_lock = PTHREAD_MUTEX_INITIALIZER;
 
@@ -229,15 +242,37 @@
     return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
-/* A load that is over takes effect; the lock is held. */
+/* Loads that are over take effect; the lock is held. */
 static void
-finish_load(void)
+finish_loads(void)
 {
-    if (coming_version != 0 && read_wall_ms() >= coming_at_ms) {
-        adapter_version = coming_version;
-        coming_version = 0;
-        write_log("loaded %s@%d\n", adapter_name, adapter_version);
+    int64_t now_ms = read_wall_ms();
+
+    if (model_coming_at_ms != 0 && now_ms >= model_coming_at_ms) {
+        has_model = 1;
+        model_coming_at_ms = 0;
+        write_log("loaded %s\n", model_name);
+    }
+    for (int i = 0; i < adapter_count; i++) {
+        Adapter *adapter = &adapters[i];
+
+        if (adapter->coming_version != 0 && now_ms >= adapter->coming_at_ms) {
+            adapter->version = adapter->coming_version;
+            adapter->coming_version = 0;
+            write_log("loaded %s@%d\n", adapter->name, adapter->version);
+        }
+    }
+}
+
+static Adapter *
+find_adapter(const char *name)
+{
+    for (int i = 0; i < adapter_count; i++) {
+        if (strcmp(adapters[i].name, name) == 0) {
+            return &adapters[i];
+        }
     }
+    return NULL;
 }
 
 static int
@@ -252,55 +287,131 @@
     return send_text(fd, text);
 }
 
+/* Appends "text", after a comma if the list is not empty. */
+static void
+append_to_list(char *list, size_t list_size, const char *text)
+{
+    size_t used = strlen(list);
+
+    snprintf(list + used, list_size - used, "%s\"%s\"", used > 0 ? "," : "",
+             text);
+}
+
 static int
 answer_report(int fd)
 {
-    char body[768];
-    char coming[160] = "";
+    char body[8192];
+    char held[3072] = "";
+    char coming[3072] = "";
+    char models[3328] = "";
+    char text[160];
 
     pthread_mutex_lock(&state_lock);
-    finish_load();
-    if (coming_version != 0) {
-        snprintf(coming, sizeof(coming), "\"%s/%s@%d\"", model_name,
-                 adapter_name, coming_version);
+    finish_loads();
+    for (int i = 0; i < adapter_count; i++) {
+        const Adapter *adapter = &adapters[i];
+
+        if (adapter->version > 0) {
+            snprintf(text, sizeof(text), "%.63s@%d", adapter->name,
+                     adapter->version);
+            append_to_list(held, sizeof(held), text);
+        }
+        if (adapter->coming_version > 0) {
+            snprintf(text, sizeof(text), "%.63s/%.63s@%d", model_name,
+                     adapter->name, adapter->coming_version);
+            append_to_list(coming, sizeof(coming), text);
+        }
+    }
+    if (has_model) {
+        snprintf(models, sizeof(models),
+                 "{\"name\":\"%s\",\"version\":1,\"adapters\":[%s]}",
+                 model_name, held);
     }
     snprintf(body, sizeof(body),
-             "{\"stage\":\"both\",\"models\":[{\"name\":\"%s\","
-             "\"version\":1,\"adapters\":[\"%s@%d\"]}],\"coming\":[%s],"
-             "\"busy\":false,\"sequence\":%d,\"queued\":0,\"active\":0,"
+             "{\"stage\":\"both\",\"models\":[%s],\"coming\":[%s],"
+             "\"busy\":%s,\"sequence\":%d,\"queued\":0,\"active\":0,"
              "\"kv_used\":0,\"kv_total\":150000,\"handles\":0,"
              "\"born\":%lld}",
-             model_name, adapter_name, adapter_version, coming, sequence,
-             (long long)born_ms);
+             models, coming, model_coming_at_ms != 0 ? "true" : "false",
+             sequence, (long long)born_ms);
     pthread_mutex_unlock(&state_lock);
     return send_json(fd, 200, body);
 }
 
-/* Takes an order to load a version of the adapter; refuses all others. */
+/* Copies the text of a field of an order; "" if it has none. */
+static void
+read_field(const Request *request, const char *name, char value[64])
+{
+    char key[32];
+    const char *field;
+
+    snprintf(key, sizeof(key), "\"%s\":\"", name);
+    field = strstr(request->body, key);
+    value[0] = '\0';
+    if (field != NULL) {
+        field += strlen(key);
+        snprintf(value, 64, "%.*s", (int)strcspn(field, "\""), field);
+    }
+}
+
+/* Carries out an order for an adapter; the lock is held.  A worker that is
+ * ordered to load more than it has slots crashes. */
+static int
+order_adapter(const char *name, bool unload, int version)
+{
+    Adapter *adapter = find_adapter(name);
+
+    if (unload) {
+        if (adapter != NULL) {
+            *adapter = adapters[--adapter_count];
+        }
+        return 200;
+    }
+    if (adapter == NULL) {
+        if (adapter_count >= adapter_slots) {
+            write_log("overloaded by %s, %d adapters in %d slots\n", name,
+                      adapter_count + 1, adapter_slots);
+            _exit(1);
+        }
+        adapter = &adapters[adapter_count++];
+        memset(adapter, 0, sizeof(*adapter));
+        snprintf(adapter->name, sizeof(adapter->name), "%s", name);
+    }
+    adapter->coming_version = version;
+    adapter->coming_at_ms = read_wall_ms() + load_ms;
+    return 202;
+}
+
 static int
 answer_order(int fd, const Request *request)
 {
     const char *expected = strstr(request->body, "\"expect\":");
     const char *version = strstr(request->body, "\"version\":");
-    char name[80];
+    bool unload = strstr(request->body, "\"op_code\":\"unload\"") != NULL;
+    char name[64];
     int status = 202;
 
-    snprintf(name, sizeof(name), "\"adapter\":\"%s\"", adapter_name);
+    read_field(request, "adapter", name);
     pthread_mutex_lock(&state_lock);
-    finish_load();
-    if (expected != NULL && atoi(expected + 9) != sequence) {
+    finish_loads();
+    if (strcmp(request->expected_instance, instance_id) != 0) {
+        status = 421;
+    }
+    else if (expected != NULL && atoi(expected + 9) != sequence) {
         status = 409;
     }
-    else if (strstr(request->body, "\"op_code\":\"load\"") == NULL ||
-             strstr(request->body, name) == NULL) {
-        status = 400;
+    else if (name[0] != '\0') {
+        status = order_adapter(name, unload,
+                               version != NULL ? atoi(version + 10) : 1);
+    }
+    else if (unload || model_coming_at_ms != 0) {
+        status = unload ? 400 : 409;
     }
     else {
-        coming_version = version != NULL ? atoi(version + 10) : 1;
-        coming_at_ms = read_wall_ms() + load_ms;
-        sequence++;
+        model_coming_at_ms = read_wall_ms() + model_load_ms;
     }
-    write_log("order %d %s\n", status, request->body);
+    sequence += status / 100 == 2 ? 1 : 0;
+    write_log("order %d sequence %d %s\n", status, sequence, request->body);
     pthread_mutex_unlock(&state_lock);
     return send_json(fd, status, "{}");
 }
@@ -309,15 +420,16 @@
 static bool
 holds_model(const Request *request, int *version)
 {
-    char name[160];
+    const char *slash = strchr(request->model, '/');
+    const Adapter *adapter;
     bool holds;
 
     pthread_mutex_lock(&state_lock);
-    finish_load();
-    snprintf(name, sizeof(name), "%s/%s", model_name, adapter_name);
-    holds = strcmp(request->model, name) == 0 &&
-            (request->version == 0 || request->version == adapter_version);
-    *version = adapter_version;
+    finish_loads();
+    adapter = slash != NULL ? find_adapter(slash + 1) : NULL;
+    holds = has_model && adapter != NULL && adapter->version > 0 &&
+            (request->version == 0 || request->version == adapter->version);
+    *version = adapter != NULL ? adapter->version : 0;
     pthread_mutex_unlock(&state_lock);
     return holds;
 }
@@ -402,8 +514,13 @@
         sscanf(argv[i], "events=%d", &event_count);
         sscanf(argv[i], "unframed=%d", &is_unframed);
         sscanf(argv[i], "model=%63s", model_name);
-        sscanf(argv[i], "adapter=%63s", adapter_name);
+        sscanf(argv[i], "held=%d", &has_model);
+        sscanf(argv[i], "slots=%d", &adapter_slots);
         sscanf(argv[i], "load_ms=%d", &load_ms);
+        if (sscanf(argv[i], "adapter=%63s", adapters[adapter_count].name) ==
+            1) {
+            adapters[adapter_count++].version = 1;
+        }
         sscanf(argv[i], "stray=%d", &stray_interval);
     }
     snprintf(host, sizeof(host), "%.*s", (int)(colon - argv[1]), argv[1]);
