review/2: one crash beside a deadly part blocks a route's first part

Three requests with a deadly part end their workers, and a worker that runs a sound request with the same first part crashes for another reason. From then on every sound request of the route with that part gets 501 for a minute.

sh review/build.sh && sh review/2/run.sh

--- a/review/common/worker.c
+++ b/review/common/worker.c
@@ -14,6 +14,9 @@
  * given by adapter=NAME, in version 1; load_ms is the time to load an adapter,
  * and it has slots=N for them.
  *
+ * With deadly=ID, the process ends as it begins to write an answer on that
+ * part of a prompt.
+ *
  * LOG gets a line "run ATTEMPT_ID PATH version V at_ms T" when a request
  * begins to run, and "done ATTEMPT_ID" when its answer was written whole.
  */
@@ -60,6 +63,7 @@
 static int adapter_count;
 static int adapter_slots = 17;
 static int sequence;
+static char deadly_part[64]; /* "": none */
 static int load_ms = 250;
 static int model_load_ms = 800;
 static int64_t born_ms;
@@ -71,7 +75,8 @@
     char id[64];
     char expected_instance[64];
     char model[128];
-    int version; /* Expect-Version; 0: none */
+    char prompt[256]; /* Prompt-Prefix */
+    int version;      /* Expect-Version; 0: none */
     size_t length;
     char body[512]; /* its beginning */
 } Request;
@@ -147,6 +152,10 @@
             snprintf(request->model, sizeof(request->model), "%.127s",
                      line + 7);
         }
+        else if (strncasecmp(line, "Prompt-Prefix: ", 15) == 0) {
+            snprintf(request->prompt, sizeof(request->prompt), "%.255s",
+                     line + 15);
+        }
         else if (strncasecmp(line, "Expect-Version: ", 16) == 0) {
             request->version = atoi(line + 16);
         }
@@ -169,6 +178,17 @@
     return 0;
 }
 
+/* The process ends as it begins to write an answer on the deadly part. */
+static void
+end_if_deadly(const Request *request)
+{
+    if (deadly_part[0] != '\0' &&
+        strstr(request->prompt, deadly_part) != NULL) {
+        write_log("deadly %s\n", request->id);
+        _exit(1);
+    }
+}
+
 static int
 answer_stream(int fd, const Request *request)
 {
@@ -179,13 +199,14 @@
              "Content-Type: text/event-stream\r\n%s\r\n",
              request->id, instance_id, request->id,
              is_unframed ? "" : "Transfer-Encoding: chunked\r\n");
-    if (send_text(fd, text) != 0) {
+    if (event_count == 0 || send_text(fd, text) != 0) {
         return -1;
     }
     for (int i = 0; i < event_count; i++) {
         char event[64];
 
         sleep_ms(work_ms);
+        end_if_deadly(request);
         snprintf(event, sizeof(event), "id: %d\ndata: piece %d\n\n", i, i);
         if (is_unframed) {
             snprintf(text, sizeof(text), "%s", event);
@@ -427,9 +448,15 @@
     pthread_mutex_lock(&state_lock);
     finish_loads();
     adapter = slash != NULL ? find_adapter(slash + 1) : NULL;
-    holds = has_model && adapter != NULL && adapter->version > 0 &&
+    if (slash == NULL) {
+        holds = has_model && strcmp(request->model, model_name) == 0;
+    }
+    else {
+        holds =
+            has_model && adapter != NULL && adapter->version > 0 &&
             (request->version == 0 || request->version == adapter->version);
-    *version = adapter != NULL ? adapter->version : 0;
+    }
+    *version = adapter != NULL ? adapter->version : 1;
     pthread_mutex_unlock(&state_lock);
     return holds;
 }
@@ -514,6 +541,7 @@
         sscanf(argv[i], "events=%d", &event_count);
         sscanf(argv[i], "unframed=%d", &is_unframed);
         sscanf(argv[i], "model=%63s", model_name);
+        sscanf(argv[i], "deadly=%63s", deadly_part);
         sscanf(argv[i], "held=%d", &has_model);
         sscanf(argv[i], "slots=%d", &adapter_slots);
         sscanf(argv[i], "load_ms=%d", &load_ms);
