--- a/review/common/harness.c
+++ b/review/common/harness.c
@@ -29,6 +29,7 @@
 #define ADMIN_PORT 7395
 #define READY_TIMEOUT_MS 10000
 
+static bool has_trouble;
 static int network;
 static int reservation = -1;
 static char directory[PATH_SIZE];
@@ -109,7 +110,12 @@
 
     signal(SIGPIPE, SIG_IGN);
     begun_at_ms = read_clock_ms();
-    snprintf(path, sizeof(path), "%s/record.txt", argc > 1 ? argv[1] : ".");
+    if (argc != 3) {
+        fprintf(stderr, "%s FOLDER on|off\n", argv[0]);
+        exit(CASE_NOT_RUN);
+    }
+    has_trouble = strcmp(argv[2], "off") != 0;
+    snprintf(path, sizeof(path), "%s/record.txt", argv[1]);
     record_file = fopen(path, "w");
     if (record_file == NULL) {
         perror(path);
@@ -126,9 +132,7 @@
 bool
 Harness_HasTrouble(void)
 {
-    const char *value = getenv("TROUBLE");
-
-    return value == NULL || strcmp(value, "0") != 0;
+    return has_trouble;
 }
 
 void
--- a/review/common/harness.h
+++ b/review/common/harness.h
@@ -21,9 +21,10 @@
 #define RULE_BROKEN 1
 #define CASE_NOT_RUN 2
 
-/* Opens FOLDER/record.txt; argv is that of main(): FOLDER. */
+/* Opens FOLDER/record.txt; argv is that of main(): FOLDER, and "on" or "off"
+ * for the disruption, as run.sh has it from TROUBLE. */
 void Harness_Begin(int argc, char **argv);
-/* False when TROUBLE=0 is set. */
+/* False when the case runs without its disruption. */
 bool Harness_HasTrouble(void);
 /* Ends all processes, removes the temporary folder, and exits. */
 void Harness_End(int status) __attribute__((noreturn));
