http_attempt: count and log replies that belong to no request

The log told that a request was refused, but not whether by its own answer: a reply with another id was skipped without a word.

--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -106,6 +106,9 @@
     [KC_COUNT_UNREAD_NOTICES] =
         {"kcc_unread_notices_total",
          "Answers with a notice that was not readable."},
+    [KC_COUNT_STRAY_REPLIES] =
+        {"kcc_stray_replies_total",
+         "Replies of backend servers that belong to no request in progress."},
     [KC_COUNT_ENGINE_ENDS] =
         {"kcc_engine_ends_total",
          "Engines that ended on their own with requests in progress."},
--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -224,6 +224,13 @@
     KcForward_FinishAnswered(forward, reply->status, now);
 }
 
+void
+KcForwardAttempt_OnStrayReply(KcForwardAttempt *attempt)
+{
+    KcCounters_Add(attempt->forward->gateway->options.counters,
+                   KC_COUNT_STRAY_REPLIES, 1);
+}
+
 void
 KcForwardAttempt_OnStreamBegin(KcForwardAttempt *attempt, const KcReply *reply,
                                KcTime now)
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -65,6 +65,7 @@
     KC_COUNT_LEAVING_NOTICES,   /* servers that said that they leave */
     KC_COUNT_WAIT_NOTICES,      /* answers that asked to wait */
     KC_COUNT_UNREAD_NOTICES,    /* answers whose notice was not readable */
+    KC_COUNT_STRAY_REPLIES,     /* replies that belong to no request */
     KC_COUNT_ENGINE_ENDS,       /* engines that ended on their own */
     KC_COUNT_PARTS_SUSPECTED,   /* prompt parts that came under suspicion */
     KC_COUNT_PARTS_BLOCKED,     /* prompt parts that were blocked */
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -120,6 +120,10 @@
 void KcForwardAttempt_OnReply(KcForwardAttempt *attempt, const KcReply *reply,
                               KcTime now);
 
+/* The head of a reply that belongs to no request in progress has arrived on
+ * the attempt's connection. */
+void KcForwardAttempt_OnStrayReply(KcForwardAttempt *attempt);
+
 /* The head of a stream has arrived; reply->head must stay valid until the
  * attempt ends. */
 void KcForwardAttempt_OnStreamBegin(KcForwardAttempt *attempt,
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -47,6 +47,17 @@
                              "", KcLoop_Now());
 }
 
+/* Handles a reply on a connection without a request. */
+static void
+on_stray_head(void *context, const KcHttpMessage *message)
+{
+    const ServerConnections *connections = context;
+
+    KcCounters_Add(&connections->role->common.counters, KC_COUNT_STRAY_REPLIES,
+                   1);
+    on_unexpected_head(context, message);
+}
+
 ServerConnections *
 KcGatewayRole_GetConnections(GatewayRole *role, KcServer *server)
 {
@@ -59,7 +70,7 @@
         connections->http_pool =
             KcHttpConnectionPool_Create(role->common.loop);
         KcHttpConnectionPool_SetHeadCallback(connections->http_pool,
-                                             on_unexpected_head, connections);
+                                             on_stray_head, connections);
         TAILQ_INIT(&connections->pending_messages);
         server->connections = connections;
     }
--- a/programs/request/dialect.h
+++ b/programs/request/dialect.h
@@ -24,6 +24,8 @@
 
 /* What the gateway needs from the head of a backend server's reply. */
 typedef struct KcReplyHead {
+    const char *request_id; /* that it names; borrowed from the message; NULL:
+                               none */
     bool matches_request; /* the reply has the id of the request, or none */
     bool not_run; /* the server states that it did not run the request */
     bool is_misdirected;   /* not the server, model or version addressed */
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -7,6 +7,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../process/log.h"
 #include "event_stream.h"
 #include "intake_log.h"
 
@@ -128,6 +129,22 @@
                              attempt->forwarded->forward->id, now);
 }
 
+/* Counts and logs a reply that is not to this request. */
+static void
+record_stray(const KcHttpAttempt *attempt, int status)
+{
+    const KcForward *forward = attempt->forwarded->forward;
+    const char *id = attempt->reply_head.request_id;
+    KcLogFields fields = {.caller_request_id = forward->id,
+                          .peer = attempt->parameters.server->id,
+                          .step = "answer"};
+
+    KcForwardAttempt_OnStrayReply(attempt->forwarded);
+    KcLog_Write(KC_LOG_WARN, &fields,
+                "reply to another request skipped, status=%d id='%.*s'",
+                status, KC_CALLER_ID_MAX, id != NULL ? id : "");
+}
+
 static void
 on_head(void *owner, const KcHttpMessage *message)
 {
@@ -144,6 +161,9 @@
     attempt->options.dialect->parse_reply_head(
         message, attempt->forwarded->forward->id, reply);
     attempt->skip_reply = message->status < 200 || !reply->matches_request;
+    if (attempt->skip_reply && message->status >= 200) {
+        record_stray(attempt, message->status);
+    }
     report_notice(attempt, now);
     code = KcIntake_AddHead(&attempt->intake, reply->is_stream ? 0 : length,
                             attempt->skip_reply);
