dialect: take a reply without the request's id as one to no request

Callers saw 503, a promise that a request has not run, for requests that ran. Bytes that belong to no request, sent by a faulty worker where its next answer is due, were taken for that answer if they had no Attempt-Id, and a Not-Executed or a 421 among them for a proof. Workers repeat the id in each answer to a request; only a request without an id may get one without. A reply with another id, with two, or with none is now skipped, and the worker's own answer is read behind it.

The stand-in worker refused without an id, against the protocol, and repeats it now.

--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -42,7 +42,7 @@
     GatewayRole *role = connections->role;
     KcReplyHead head;
 
-    role->platform->dialect->parse_reply_head(message, "", &head);
+    role->platform->dialect->parse_reply_head(message, NULL, &head);
     KcGateway_OnServerNotice(role->gateway, connections->server, &head.notice,
                              "", KcLoop_Now());
 }
--- a/programs/request/dialect.h
+++ b/programs/request/dialect.h
@@ -26,8 +26,9 @@
 typedef struct KcReplyHead {
     const char *request_id; /* that it names; borrowed from the message; NULL:
                                none */
-    bool matches_request; /* the reply has the id of the request, or none */
-    bool not_run; /* the server states that it did not run the request */
+    bool matches_request;   /* the reply has the id of the request */
+    bool not_run; /* the server states that it did not run the request; only
+                     with matches_request */
     bool is_misdirected;   /* not the server, model or version addressed */
     bool is_stream;        /* the body is a stream of server-sent events */
     bool must_not_forward; /* the reply must not be passed on to the caller */
@@ -59,9 +60,10 @@
     void (*write_request_head)(struct evbuffer *out,
                                const KcHttpMessage *message, size_t body_size,
                                const KcAttemptParams *params);
-    /* Parses the head of a reply to the request with this id. */
-    void (*parse_reply_head)(const KcHttpMessage *message, const char *id,
-                             KcReplyHead *head);
+    /* Parses the head of a reply on a connection that has carried the request
+     * last; request is NULL for one that waits for no reply. */
+    void (*parse_reply_head)(const KcHttpMessage *message,
+                             const KcHttpMessage *request, KcReplyHead *head);
     /*
      * Writes status line and headers of an answer from the reply's head,
      * without Content-Length or Transfer-Encoding and without the empty line.
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -159,7 +159,7 @@
     int code;
 
     attempt->options.dialect->parse_reply_head(
-        message, attempt->forwarded->forward->id, reply);
+        message, attempt->options.request_head, reply);
     attempt->skip_reply = message->status < 200 || !reply->matches_request;
     if (attempt->skip_reply && message->status >= 200) {
         record_stray(attempt, message->status);
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -124,12 +124,15 @@
     size_t index = GPOINTER_TO_SIZE(data);
     char **lines = g_strsplit(notice_cases[index].headers, "|", 0);
     KcHttpMessage message = {.status = 0};
+    KcHttpMessage request = {.fields = {{"Attempt-Id", "id"}},
+                             .field_count = 1};
     KcReplyHead head;
 
     fill_message(&message, notice_cases[index].status, lines);
     message.fields[message.field_count++] =
         (KcHttpField){"Server-Load", "1,2,3"};
-    KcPlatform_Current.dialect->parse_reply_head(&message, "id", &head);
+    message.fields[message.field_count++] = (KcHttpField){"Attempt-Id", "id"};
+    KcPlatform_Current.dialect->parse_reply_head(&message, &request, &head);
     g_assert_cmpint(head.notice.is_leaving, ==,
                     notice_cases[index].is_leaving);
     g_assert_cmpint(head.notice.retry_after / KC_SECOND, ==,
--- a/tests/request/test_notices.c
+++ b/tests/request/test_notices.c
@@ -32,7 +32,8 @@
 #define WAIT "Retry-After: 3\r\n"
 #define NOT_RUN "Not-Executed: 1\r\n"
 #define EMPTY "Content-Length: 0\r\n\r\n"
-#define OK "HTTP/1.1 200 -\r\nAttempt-Id: this\r\n"
+#define ID "Attempt-Id: this\r\n"
+#define OK "HTTP/1.1 200 -\r\n" ID
 
 /* Trace: "leaving", "closed SECONDS", "unread HEADER=VALUE", then "end",
  * "refused" or "broken", as what the caller gets. */
@@ -49,29 +50,34 @@
      OK LEAVING "Content-Type: text/event-stream\r\nContent-Length: 15\r\n\r\n"
                 "id: 0\ndata: x\n\n",
      NULL, "leaving; end; "},
-    {"404", AT_ONCE, "HTTP/1.1 404 -\r\n" LEAVING EMPTY, NULL,
+    {"404", AT_ONCE, "HTTP/1.1 404 -\r\n" ID LEAVING EMPTY, NULL,
      "leaving; end; "},
-    {"421", AT_ONCE, "HTTP/1.1 421 -\r\n" LEAVING NOT_RUN EMPTY, NULL,
+    {"421", AT_ONCE, "HTTP/1.1 421 -\r\n" ID LEAVING NOT_RUN EMPTY, NULL,
      "leaving; refused; "},
-    {"500", AT_ONCE, "HTTP/1.1 500 -\r\n" LEAVING EMPTY, NULL,
+    {"500", AT_ONCE, "HTTP/1.1 500 -\r\n" ID LEAVING EMPTY, NULL,
      "leaving; end; "},
     {"503 of a server that leaves", AT_ONCE,
-     "HTTP/1.1 503 -\r\n" LEAVING NOT_RUN EMPTY, NULL, "leaving; refused; "},
-    {"503 with both", AT_ONCE, "HTTP/1.1 503 -\r\n" LEAVING WAIT NOT_RUN EMPTY,
-     NULL, "leaving; closed 3; refused; "},
-    {"503", AT_ONCE, "HTTP/1.1 503 -\r\n" WAIT NOT_RUN EMPTY, NULL,
-     "closed 3; refused; "},
-    {"503 without a promise", AT_ONCE, "HTTP/1.1 503 -\r\n" WAIT EMPTY, NULL,
+     "HTTP/1.1 503 -\r\n" ID LEAVING NOT_RUN EMPTY, NULL,
+     "leaving; refused; "},
+    {"503 with both", AT_ONCE,
+     "HTTP/1.1 503 -\r\n" ID LEAVING WAIT NOT_RUN EMPTY, NULL,
+     "leaving; closed 3; refused; "},
+    {"503", AT_ONCE, "HTTP/1.1 503 -\r\n" ID WAIT NOT_RUN EMPTY, NULL,
      "closed 3; refused; "},
+    {"503 without a promise", AT_ONCE, "HTTP/1.1 503 -\r\n" ID WAIT EMPTY,
+     NULL, "closed 3; refused; "},
     {"wait with another status", AT_ONCE, OK WAIT EMPTY, NULL, "end; "},
     {"value that is not readable", AT_ONCE,
-     "HTTP/1.1 503 -\r\nRetry-After: soon\r\n" NOT_RUN EMPTY, NULL,
+     "HTTP/1.1 503 -\r\n" ID "Retry-After: soon\r\n" NOT_RUN EMPTY, NULL,
      "unread Retry-After=soon; refused; "},
     {"interim answer", AT_ONCE, "HTTP/1.1 103 -\r\n" LEAVING "\r\n" OK EMPTY,
      NULL, "leaving; end; "},
     {"late answer to another request", AT_ONCE,
      "HTTP/1.1 503 -\r\nAttempt-Id: other\r\n" WAIT NOT_RUN EMPTY OK EMPTY,
      NULL, "closed 3; end; "},
+    {"answer without an id", AT_ONCE,
+     "HTTP/1.1 503 -\r\n" WAIT NOT_RUN EMPTY OK EMPTY, NULL,
+     "closed 3; end; "},
     {"answer that is cut off", AT_ONCE,
      OK LEAVING "Content-Length: 9\r\nConnection: close\r\n\r\nabc", NULL,
      "leaving; refused; "},
@@ -83,7 +89,7 @@
      "HTTP/1.1 503 -\r\n" WAIT EMPTY, "end; closed 3; "},
     {"no answer on an idle connection", LATER, OK EMPTY, "x\r\n\r\n", "end; "},
     {"answer before the request was sent", UNREAD,
-     "HTTP/1.1 503 -\r\n" WAIT NOT_RUN EMPTY, NULL, "closed 3; refused; "},
+     "HTTP/1.1 503 -\r\n" ID WAIT NOT_RUN EMPTY, NULL, "closed 3; refused; "},
     {"request that is not written yet", NOT_WRITTEN, OK EMPTY, NULL,
      "leaving; refused; "},
 };
@@ -318,7 +324,7 @@
     Fixture *fixture = context;
     KcReplyHead head;
 
-    KcPlatform_Current.dialect->parse_reply_head(message, "", &head);
+    KcPlatform_Current.dialect->parse_reply_head(message, NULL, &head);
     KcGateway_OnServerNotice(fixture->gateway,
                              KcGateway_FindServer(fixture->gateway, "w"),
                              &head.notice, "", KcLoop_Now());
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -585,12 +585,13 @@
 static void
 reply_not_run(RawConnection *connection, int status, KcTime wait_left)
 {
-    char lines[2 * NOTICE_SIZE];
+    const char *id = RawConnection_FindHeader(connection, "Attempt-Id");
+    char lines[2 * NOTICE_SIZE + KC_CALLER_ID_MAX];
     char notice[NOTICE_SIZE];
 
-    tell_state(notice, RawConnection_FindHeader(connection, "Attempt-Id"),
-               wait_left);
-    snprintf(lines, sizeof(lines), "Not-Executed: 1\r\n%s", notice);
+    tell_state(notice, id, wait_left);
+    snprintf(lines, sizeof(lines), "Attempt-Id: %.*s\r\nNot-Executed: 1\r\n%s",
+             KC_CALLER_ID_MAX, id, notice);
     RawConnection_Reply(connection, status, lines, "");
 }
 
