gateway: send a request again to a server only on a new connection

Callers saw 503 for a request that ran: its first attempt was refused (503 with Retry-After), the second one went to the same server on the connection of the first, and the refusal, which a faulty server sent twice, arrived there. All attempts of a request bear its id, so that nothing in the reply tells it from an answer to the second attempt. On a connection that has not carried the request there is no such reply.

Evidence: two cases of test_not_run fail before and hold now. Attempts at other servers use kept connections as before.

--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -102,6 +102,21 @@
     return false;
 }
 
+/* May an attempt of the request have been sent to the server? */
+static bool
+may_have_been_sent_to(const KcForward *forward, const KcServer *server)
+{
+    if (forward->attempt_count > KC_FORWARD_TRIED_MAX) {
+        return true;
+    }
+    for (uint32_t i = 0; i < forward->attempt_count; i++) {
+        if (forward->sent_servers[i] == server) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Starts an attempt at the chosen server; false when that is impossible. */
 static bool
 begin_attempt(KcForward *forward, const KcChoice *choice, KcTime now)
@@ -116,9 +131,10 @@
                               .has_last_event = forward->has_last_event,
                               .last_event_id = forward->last_event_id,
                               .events_max = forward->events_max,
-                              .needs_fresh_connection =
-                                  forward->rule->kind ==
-                                  KC_REQUEST_KIND_UNSAFE};
+                              .needs_fresh_connection = forward->rule->kind ==
+                                                        KC_REQUEST_KIND_UNSAFE,
+                              .needs_new_connection =
+                                  may_have_been_sent_to(forward, server)};
 
     if (choice->replica != NULL && forward->adapter->newest_version > 0) {
         params.version = choice->replica->version;
@@ -135,6 +151,9 @@
     forward->attempt_started_at = now;
     forward->first_attempt_at =
         forward->attempt_count == 0 ? now : forward->first_attempt_at;
+    if (forward->attempt_count < KC_FORWARD_TRIED_MAX) {
+        forward->sent_servers[forward->attempt_count] = server;
+    }
     forward->attempt_count++;
     if (server->in_flight == 0) {
         server->last_activity_at = now;
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -89,6 +89,9 @@
     bool needs_fresh_connection; /* not on a connection that has been idle for
                                   * long: the server may have closed it, and
                                   * the request may not be repeated */
+    bool needs_new_connection;   /* not on a connection that an earlier attempt
+                                  * of the request may have used, as a late
+                                  * answer to that bears the same id */
 } KcAttemptParams;
 
 /* A backend server's answer: its head, and its body unless it is a stream. */
@@ -203,6 +206,9 @@
     uint32_t possible_runs;    /* ended attempts that may have run */
     struct KcServer *tried_servers[KC_FORWARD_TRIED_MAX];
     uint32_t tried_count;
+    struct KcServer *sent_servers[KC_FORWARD_TRIED_MAX]; /* of the first
+                                                          * attempts; may have
+                                                          * been freed */
     KcTime refused_at;   /* when one of them last ended an attempt while
                           * another was in progress; 0: none */
     bool was_moved;      /* another server was tried, as one was silent */
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -480,9 +480,11 @@
     KcIntake_Begin(&attempt->intake, &attempt->options.limits, KcLoop_Now());
     attempt->deferred_free.free_owner = free_attempt;
     KcTimer_Init(&attempt->connect_timer, on_connect_timeout, attempt);
-    attempt->connection = KcHttpConnectionPool_Take(
-        options->pool,
-        params->needs_fresh_connection ? FRESH_IDLE_AGE_MAX : KC_NEVER);
+    if (!params->needs_new_connection) {
+        attempt->connection = KcHttpConnectionPool_Take(
+            options->pool,
+            params->needs_fresh_connection ? FRESH_IDLE_AGE_MAX : KC_NEVER);
+    }
     if (attempt->connection != NULL) {
         KcHttpConnection_SetOwner(attempt->connection, &connection_ops,
                                   attempt);
