gateway: decide in one place whether a request may have run

Five callers of KcForward_FinishFailed() each said whether the request may have run, from a flag, from the list of attempts, or both. may_have_run() says it now, from how the attempts have ended (KcAttemptEnd_MayHaveRun) and whether those in progress were sent (KcForwardAttempt_OnSent).

A request whose attempts were all still being connected at its deadline, at the end of a planned stop, or when they were given up as silent was answered 504 or 502, though it can't run: its caller may now come back with it. A new attempt that was not sent doesn't count as a possible run either when another one's answer begins. The rows of test_gateway and test_gateway_stop about requests that were not sent fail before (unknown in place of not run).

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -39,13 +39,12 @@
     KcServer *server = attempt->server;
     KcRetryInput input = {.end = end,
                           .repeatable = forward->repeatable,
-                          .may_have_run = forward->may_have_run,
+                          .may_have_run = forward->possible_runs > 0,
                           .cancelled = now >= forward->deadline,
                           .can_continue = KcForward_CanContinue(forward),
                           .part_delivered = forward->answer_begun,
                           .charge_refusals = true,
                           .attempts_max = forward->rule->attempts_max};
-    bool ran = end == KC_ATTEMPT_FAILED || end == KC_ATTEMPT_LOST;
     bool is_declined = end == KC_ATTEMPT_NEVER_SENT &&
                        (code == KC_ERR_LEAVING || code == KC_ERR_BUSY ||
                         code == KC_ERR_VERSION_RETIRED);
@@ -60,9 +59,8 @@
         (end != KC_ATTEMPT_REFUSED || KcServer_TakesRequests(server, now))) {
         KcForward_NoteTried(forward, server);
     }
-    forward->possible_runs += ran ? 1 : 0;
+    forward->possible_runs += KcAttemptEnd_MayHaveRun(end) ? 1 : 0;
     if (!TAILQ_EMPTY(&forward->attempts)) {
-        forward->may_have_run = forward->may_have_run || ran;
         forward->refused_at = now;
         KcForward_SetSilenceTimer(forward);
         return;
@@ -70,13 +68,12 @@
     input.attempt_count = forward->possible_runs;
     switch (KcRetry_Decide(&input, &forward->pool->retry_budget)) {
     case KC_RETRY_NEXT:
-        forward->may_have_run = forward->may_have_run || ran;
         KcCounters_Add(forward->gateway->options.counters, KC_COUNT_RETRIES,
                        1);
         KcForward_Dispatch(forward, now);
         break;
     case KC_RETRY_NOT_RUN:
-        KcForward_FinishFailed(forward, false, now);
+        KcForward_FinishFailed(forward, now);
         break;
     case KC_RETRY_UNKNOWN:
         if (may_await_budget(forward, end, now)) {
@@ -84,7 +81,7 @@
             KcForward_AwaitPlace(forward, now);
             break;
         }
-        KcForward_FinishFailed(forward, true, now);
+        KcForward_FinishFailed(forward, now);
         break;
     }
 }
@@ -94,7 +91,9 @@
                         KcTime now)
 {
     KcForwardAttempt_Withdraw(attempt, now);
-    KcForwardAttempt_RetryOrFinish(attempt, KC_ATTEMPT_LOST, code, step, now);
+    KcForwardAttempt_RetryOrFinish(
+        attempt, attempt->is_sent ? KC_ATTEMPT_LOST : KC_ATTEMPT_NEVER_SENT,
+        code, step, now);
 }
 
 void
@@ -125,14 +124,19 @@
         KcForwardAttempt_GiveUpSilent(other, now);
     }
     while ((other = TAILQ_NEXT(attempt, link)) != NULL) {
+        forward->possible_runs += other->is_sent ? 1 : 0;
         KcForwardAttempt_Cancel(other, now);
-        forward->possible_runs++;
-        forward->may_have_run = true;
     }
     KcForward_SetSilenceTimer(forward);
     KcGateway_DispatchQueue(forward->pool, now);
 }
 
+void
+KcForwardAttempt_OnSent(KcForwardAttempt *attempt)
+{
+    attempt->is_sent = true;
+}
+
 void
 KcForwardAttempt_OnFailed(KcForwardAttempt *attempt, KcAttemptEnd end,
                           int code, KcTime now)
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -244,7 +244,7 @@
     if (forward->error.code == 0) {
         KcError_Set(&forward->error, code, "choose", "");
     }
-    KcForward_FinishFailed(forward, forward->may_have_run, now);
+    KcForward_FinishFailed(forward, now);
 }
 
 /*
@@ -532,7 +532,7 @@
 KcForward_OnQueueTimer(KcForward *forward, KcTime now)
 {
     if (now >= wait_until(forward)) {
-        KcForward_FinishFailed(forward, forward->may_have_run, now);
+        KcForward_FinishFailed(forward, now);
         return;
     }
     /* A server that refused may have capacity by now. */
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -121,24 +121,44 @@
     return opens_at != 0 ? opens_at - now : RETRY_AFTER;
 }
 
+/*
+ * May an attempt of the request have run, or still run?  False is what a
+ * caller is promised with a refusal: those that have ended were refused or
+ * never sent, and those in progress, which end with the request, were not sent
+ * yet.
+ */
+static bool
+may_have_run(const KcForward *forward)
+{
+    const KcForwardAttempt *attempt;
+
+    TAILQ_FOREACH (attempt, &forward->attempts, link) {
+        if (attempt->is_sent) {
+            return true;
+        }
+    }
+    return forward->possible_runs > 0 || forward->answer_begun;
+}
+
 void
-KcForward_FinishFailed(KcForward *forward, bool may_have_run, KcTime now)
+KcForward_FinishFailed(KcForward *forward, KcTime now)
 {
     const KcForwardOps *ops = forward->ops;
     void *caller = forward->caller;
     bool answer_begun = forward->answer_begun;
     KcForwardRefusal refusal = {.error = forward->error,
-                                .may_have_run = may_have_run};
+                                .may_have_run = may_have_run(forward)};
 
-    if (!may_have_run && forward->error.code != KC_ERR_BLOCKED) {
+    if (!refusal.may_have_run && forward->error.code != KC_ERR_BLOCKED) {
         refusal.retry_after = retry_after(forward, now);
     }
     KcCounters_Add(forward->gateway->options.counters,
-                   may_have_run ? KC_COUNT_UNKNOWN : KC_COUNT_NOT_RUN, 1);
+                   refusal.may_have_run ? KC_COUNT_UNKNOWN : KC_COUNT_NOT_RUN,
+                   1);
     end_request(forward,
-                answer_begun
-                    ? "broken"
-                    : (may_have_run ? "failed, may have run" : "not run"),
+                answer_begun ? "broken"
+                             : (refusal.may_have_run ? "failed, may have run"
+                                                     : "not run"),
                 0, &refusal.error, now);
     if (answer_begun) {
         ops->on_broken(caller, &refusal.error);
@@ -153,9 +173,7 @@
 {
     KcError_Set(&forward->error, code, step,
                 forward->server != NULL ? forward->server->id : "");
-    KcForward_FinishFailed(
-        forward, forward->may_have_run || !TAILQ_EMPTY(&forward->attempts),
-        now);
+    KcForward_FinishFailed(forward, now);
 }
 
 /* ---- arrival ------------------------------------------------------------- */
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -242,7 +242,7 @@
 /* End the request and free it: with a complete answer, with forward->error, or
  * with this error; step is where it failed, static text. */
 void KcForward_FinishAnswered(KcForward *forward, int status, KcTime now);
-void KcForward_FinishFailed(KcForward *forward, bool may_have_run, KcTime now);
+void KcForward_FinishFailed(KcForward *forward, KcTime now);
 void KcForward_Fail(KcForward *forward, int code, const char *step,
                     KcTime now);
 
--- a/lib/process/gateway_suspects.c
+++ b/lib/process/gateway_suspects.c
@@ -318,9 +318,7 @@
     KcError_Set(&forward->error, KC_ERR_BLOCKED, "prompt part", name);
     KcCounters_Add(forward->gateway->options.counters,
                    KC_COUNT_BLOCKED_REQUESTS, 1);
-    KcForward_FinishFailed(
-        forward, forward->may_have_run || !TAILQ_EMPTY(&forward->attempts),
-        now);
+    KcForward_FinishFailed(forward, now);
     return true;
 }
 
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -112,6 +112,7 @@
     void *handle; /* of KcGatewayOps.start_attempt; NULL: not started yet */
     KcTime started_at;
     int64_t server_started_at_ms; /* KcServer.started_at_ms at its start */
+    bool is_sent;            /* given to its connection, so that it may run */
     const void *stream_head; /* KcReply.head of its stream; NULL: not begun */
     bool has_first_event;    /* an event of its stream has arrived */
 };
@@ -147,6 +148,10 @@
  */
 int KcForwardAttempt_CheckSend(const KcForwardAttempt *attempt, KcTime now);
 
+/* The request is written to the attempt's connection: from now on it may run,
+ * unless KcForwardAttempt_OnFailed() says otherwise. */
+void KcForwardAttempt_OnSent(KcForwardAttempt *attempt);
+
 /* The attempt failed: how far it came, and a KcErrorCode.  Ends it. */
 void KcForwardAttempt_OnFailed(KcForwardAttempt *attempt, KcAttemptEnd end,
                                int code, KcTime now);
@@ -215,7 +220,6 @@
     bool is_trial;       /* the one request that tries a blocked part */
     uint64_t trial_part; /* that part; valid with is_trial */
     bool owes_retry;     /* the next attempt takes from the retry budget */
-    bool may_have_run;   /* an earlier attempt may have run */
     bool read_paused;    /* see KcForward_SetReadPaused() */
     bool answer_begun;   /* the caller has the head of an answer */
     bool has_last_event;
--- a/lib/request/kcc_request.h
+++ b/lib/request/kcc_request.h
@@ -224,12 +224,15 @@
 
 /* How an attempt without a complete answer ended. */
 typedef enum KcAttemptEnd {
-    KC_ATTEMPT_NEVER_SENT, /* no connection was made */
+    KC_ATTEMPT_NEVER_SENT, /* no byte of it was sent */
     KC_ATTEMPT_REFUSED,    /* the peer reported that it did not run */
     KC_ATTEMPT_FAILED,     /* it ran and failed */
     KC_ATTEMPT_LOST        /* unknown whether it ran */
 } KcAttemptEnd;
 
+/* Returns false when an attempt that ended so has not run, and never will. */
+bool KcAttemptEnd_MayHaveRun(KcAttemptEnd end);
+
 /* Input of KcRetry_Decide(): the attempt that ended, and its request. */
 typedef struct KcRetryInput {
     KcAttemptEnd end;
--- a/lib/request/retry.c
+++ b/lib/request/retry.c
@@ -40,6 +40,12 @@
     return true;
 }
 
+bool
+KcAttemptEnd_MayHaveRun(KcAttemptEnd end)
+{
+    return end == KC_ATTEMPT_FAILED || end == KC_ATTEMPT_LOST;
+}
+
 /* Returns the decision when no further attempt is made. */
 static KcRetryDecision
 decide_without_retry(const KcRetryInput *input, bool may_have_run)
@@ -68,8 +74,7 @@
 KcRetryDecision
 KcRetry_Decide(const KcRetryInput *input, KcRetryBudget *budget)
 {
-    bool attempt_may_have_run =
-        input->end == KC_ATTEMPT_FAILED || input->end == KC_ATTEMPT_LOST;
+    bool attempt_may_have_run = KcAttemptEnd_MayHaveRun(input->end);
     bool may_have_run = input->may_have_run || attempt_may_have_run;
     bool is_charged;
 
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -355,6 +355,7 @@
     KcAttemptParams parameters = attempt->parameters;
 
     attempt->request_written = true;
+    KcForwardAttempt_OnSent(attempt->forwarded);
     parameters.time_left =
         attempt->forwarded->forward->deadline - KcLoop_Now();
     if (strcmp(options->request_head->method, "HEAD") == 0) {
--- a/tests/plays/gateway.c
+++ b/tests/plays/gateway.c
@@ -40,6 +40,7 @@
     PlayMessage message = {.deliver = PlayServer_OnRequest,
                            .attempt = attempt};
 
+    KcForwardAttempt_OnSent(attempt->forwarded);
     attempt->state = PLAY_ATTEMPT_ON_ITS_WAY;
     attempt->sent_at = gateway->play->now;
     Play_Trace(gateway->play, "g%u sends %u to %s from event %d",
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -34,6 +34,7 @@
  *   version ADAPTER VERSION [MS]  announces a version, at the most so long ago
  *   load SERVER RUNNING WAITING CONCURRENCY_MAX
  *   nokeeper SERVER, nosend SERVER     the keeper or server is unreachable
+ *   connecting              attempts are sent by "written" only from now on
  *   gateways N              number of gateways that share the retry budget
  *   checks                  traces checks of servers from now on
  *   alive SERVER            the server answers a check
@@ -391,6 +392,13 @@
                 sizeof(fixture->no_keeper_server));
 }
 
+static void
+step_connecting(Fixture *fixture, char **words)
+{
+    (void)words;
+    fixture->is_connecting = true;
+}
+
 static void
 step_no_send(Fixture *fixture, char **words)
 {
@@ -451,6 +459,7 @@
                                   fixture->now);
         return;
     }
+    KcForwardAttempt_OnSent(attempt);
     g_string_append_printf(fixture->trace, "%s written; ", words[1]);
 }
 
@@ -518,6 +527,7 @@
     {"load", step_load},
     {"nokeeper", step_no_keeper},
     {"nosend", step_no_send},
+    {"connecting", step_connecting},
     {"gateways", step_gateway_count},
     {"checks", step_checks},
     {"alive", step_alive},
--- a/tests/process/gateway_steps_internal.h
+++ b/tests/process/gateway_steps_internal.h
@@ -33,6 +33,7 @@
     Caller callers[REQUEST_COUNT_MAX];
     bool traces_checks;        /* checks of servers are traced */
     bool is_checking;          /* a check is unanswered */
+    bool is_connecting;        /* attempts are not sent at their start */
     char no_keeper_server[16]; /* its keeper is unreachable */
     char no_send_server[16];   /* no attempt can be sent to it */
 };
--- a/tests/process/gateway_steps_trace.c
+++ b/tests/process/gateway_steps_trace.c
@@ -26,6 +26,9 @@
                                (int)params->last_event_id);
     }
     g_string_append(fixture->trace, "; ");
+    if (!fixture->is_connecting) {
+        KcForwardAttempt_OnSent(attempt);
+    }
     return attempt;
 }
 
--- a/tests/process/test_gateway_stop.c
+++ b/tests/process/test_gateway_stop.c
@@ -42,16 +42,19 @@
     KcGateway *gateway;
     KcTime now;
     Caller callers[REQUEST_COUNT_MAX];
+    bool is_connected; /* to the server */
     GString *outcome;
 };
 
+#define NOT_CONNECTED (-1)
+
 /* One request, or several at once; times from the start of the stop. */
 static const struct {
     const char *name;
     const char *path;
     int sent_ms;
-    int timeout_ms; /* the caller's; 0: none */
-    int work_ms;
+    int timeout_ms;    /* the caller's; 0: none */
+    int work_ms;       /* NOT_CONNECTED: the request can't be sent */
     int closed_ms;     /* the server takes no requests until then; 0: open */
     int request_count; /* 0 is taken as 1 */
     const char *outcome;
@@ -61,6 +64,8 @@
      0, 0, "unknown leaving at 7400"},
     {"a safe one is not sent again then", "/s/", -1500, 0, 9500, 0, 0,
      "unknown leaving at 7400"},
+    {"one that has not been sent yet", "/u/", -1500, 0, NOT_CONNECTED, 0, 0,
+     "not run leaving at 7400"},
     {"one that waits for its server", "/u/", 500, 9000, 50, 8500, 0,
      "not run leaving at 7400"},
     {"one that waits for another at its server", "/u/", 500, 9000, 2000, 7000,
@@ -93,6 +98,9 @@
     Caller *caller = attempt->forward->caller;
 
     (void)params;
+    if (caller->fixture->is_connected) {
+        KcForwardAttempt_OnSent(attempt);
+    }
     caller->attempt = attempt;
     caller->started_at = ((Fixture *)context)->now;
     return caller;
@@ -279,7 +287,7 @@
 test_case(gconstpointer data)
 {
     size_t index = GPOINTER_TO_SIZE(data);
-    Fixture fixture = {0};
+    Fixture fixture = {.is_connected = cases[index].work_ms != NOT_CONNECTED};
     KcForwardCall call = {.id = "1",
                           .host = "h",
                           .path = cases[index].path,
@@ -301,7 +309,7 @@
         if (time_after_stop(&fixture) == cases[index].sent_ms) {
             submit(&fixture, &call, request_count);
         }
-        for (int i = 0; i < request_count; i++) {
+        for (int i = 0; i < request_count && fixture.is_connected; i++) {
             run_server(&fixture.callers[i], is_stream,
                        cases[index].work_ms * KC_MS);
         }
