http_attempt: an attempt of which no byte was sent has not run

A caller of an unsafe request saw 502, which promises nothing, when its server reset the kept connection between the last answer and the first byte of the request: the request stood whole in the output that the kernel had not taken. As such an attempt can't arrive it ends as never sent, and goes to another server or is answered 503.

A part that was sent ends as lost, as before.

--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -40,7 +40,7 @@
     KcHttpConnection *ended_connection;
     int64_t server_started_at_ms; /* as known when the attempt started */
     KcTimer connect_timer;        /* limits connecting */
-    bool request_written;         /* the request was given to the connection */
+    size_t request_bytes;         /* given to the connection; 0: none yet */
     bool skip_reply; /* interim, or the reply to an earlier request */
     bool is_finished;
     KcIntake intake;                    /* of the reply */
@@ -329,6 +329,17 @@
     report_end(attempt);
 }
 
+/* How an attempt ends whose connection ends: what the kernel has not taken
+ * can't arrive. */
+static KcAttemptEnd
+end_without_reply(const KcHttpAttempt *attempt)
+{
+    size_t unsent_bytes = KcHttpConnection_UnsentBytes(attempt->connection);
+
+    return unsent_bytes == attempt->request_bytes ? KC_ATTEMPT_NEVER_SENT
+                                                  : KC_ATTEMPT_LOST;
+}
+
 static void
 on_failed(void *owner, int code)
 {
@@ -339,10 +350,7 @@
             "answer head", KcHttpConnection_FramingBytes(attempt->connection),
             attempt->options.head_bytes_max, attempt->parameters.server->id);
     }
-    fail_attempt(attempt,
-                 attempt->request_written ? KC_ATTEMPT_LOST
-                                          : KC_ATTEMPT_NEVER_SENT,
-                 code);
+    fail_attempt(attempt, end_without_reply(attempt), code);
 }
 
 /* ---- the request --------------------------------------------------------- */
@@ -354,7 +362,6 @@
     const KcHttpAttemptOptions *options = &attempt->options;
     KcAttemptParams parameters = attempt->parameters;
 
-    attempt->request_written = true;
     KcForwardAttempt_OnSent(attempt->forwarded);
     parameters.time_left =
         attempt->forwarded->forward->deadline - KcLoop_Now();
@@ -364,6 +371,7 @@
     options->dialect->write_request_head(
         out, options->request_head, options->request_body.size, &parameters);
     evbuffer_add(out, options->request_body.data, options->request_body.size);
+    attempt->request_bytes = KcHttpConnection_UnsentBytes(attempt->connection);
 }
 
 static void
@@ -386,10 +394,7 @@
     KcHttpAttempt *attempt = timer->owner;
 
     (void)now;
-    fail_attempt(attempt,
-                 attempt->request_written ? KC_ATTEMPT_LOST
-                                          : KC_ATTEMPT_NEVER_SENT,
-                 KC_ERR_PEER_LOST);
+    fail_attempt(attempt, end_without_reply(attempt), KC_ERR_PEER_LOST);
 }
 
 static const KcHttpConnectionOps connection_ops = {.on_connected =
