soak: workers of both kinds send answers that belong to no request

The stand-in worker's knob stray sends a whole answer, a refusal, a 421 or the beginning of a stream, without an id, with another one or with that of the answered request: behind the answer, on the resting connection, or where its next answer is due.

--- a/tests/standins/raw_server.c
+++ b/tests/standins/raw_server.c
@@ -41,12 +41,18 @@
     find_knob(server, name)->value = value;
 }
 
-bool
-RawServer_DrawFault(RawServer *server, const char *knob)
+size_t
+RawServer_DrawNumber(RawServer *server, size_t limit)
 {
     server->random_state =
         server->random_state * 6364136223846793005ULL + 1442695040888963407ULL;
-    return (int64_t)((server->random_state >> 33) % 100) <
+    return (size_t)((server->random_state >> 33) % limit);
+}
+
+bool
+RawServer_DrawFault(RawServer *server, const char *knob)
+{
+    return (int64_t)RawServer_DrawNumber(server, 100) <
            RawServer_GetKnob(server, knob);
 }
 
@@ -115,12 +121,45 @@
     }
     number = (size_t)RawServer_GetKnob(server, "endless_kind");
     if (number == 0) {
-        number = 1 + (server->random_state >> 40) % Endless_PatternCount();
+        number = 1 + RawServer_DrawNumber(server, Endless_PatternCount());
     }
     RawConnection_SendEndless(connection, Endless_Pattern(number));
     return true;
 }
 
+/* Time after an answer at which its connection rests. */
+#define STRAY_DELAY (20 * KC_MS)
+
+static void
+write_stray(RawConnection *connection)
+{
+    RawConnection_Write(connection, KcBuffer_Data(&connection->stray),
+                        KcBuffer_Size(&connection->stray));
+    KcBuffer_Clear(&connection->stray);
+}
+
+static void
+on_stray_timer(KcTimer *timer, KcTime now)
+{
+    (void)now;
+    write_stray(timer->owner);
+}
+
+void
+RawConnection_WriteStray(RawConnection *connection, const char *text,
+                         RawMoment moment)
+{
+    KcBuffer_Append(&connection->stray, text, strlen(text));
+    connection->is_stray_due = moment == RAW_WHEN_DUE;
+    if (moment == RAW_AT_ONCE) {
+        write_stray(connection);
+    }
+    else if (moment == RAW_AT_REST) {
+        KcTimers_Set(connection->server->loop->timers,
+                     &connection->stray_timer, KcLoop_Now() + STRAY_DELAY);
+    }
+}
+
 void
 RawConnection_ReadNextRequest(RawConnection *connection)
 {
@@ -152,6 +191,8 @@
     }
     KcTimers_Clear(server->loop->timers, &connection->timer);
     KcTimers_Clear(server->loop->timers, &connection->endless_timer);
+    KcTimers_Clear(server->loop->timers, &connection->stray_timer);
+    KcBuffer_Clear(&connection->stray);
     TAILQ_REMOVE(&server->connections, connection, link);
     KcBuffer_Clear(&connection->body);
     free(connection);
@@ -266,6 +307,10 @@
     const char *target = connection->message->target;
 
     KcBuffer_Append(&connection->body, "", 1);
+    if (connection->is_stray_due) {
+        connection->is_stray_due = false;
+        write_stray(connection);
+    }
     if (strncmp(target, "/standin/set", 12) == 0) {
         set_knobs(connection);
     }
@@ -318,6 +363,7 @@
     }
     KcTimer_Init(&connection->timer, server->options->on_timer, connection);
     KcTimer_Init(&connection->endless_timer, on_endless_timer, connection);
+    KcTimer_Init(&connection->stray_timer, on_stray_timer, connection);
     TAILQ_INSERT_TAIL(&server->connections, connection, link);
 }
 
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -35,8 +35,20 @@
     const EndlessPattern *endless;
     uint64_t endless_counter;
     KcTimer endless_timer;
+    /* Bytes that belong to no request, and when they are written. */
+    KcBuffer stray;
+    bool is_stray_due; /* with the next request; else when the timer is due */
+    KcTimer stray_timer;
 } RawConnection;
 
+/* When bytes that belong to no request are written. */
+typedef enum RawMoment {
+    RAW_AT_ONCE = 0, /* behind the answer */
+    RAW_AT_REST,     /* some time after it */
+    RAW_WHEN_DUE,    /* when the next request has come, before its answer */
+    RAW_MOMENT_COUNT
+} RawMoment;
+
 typedef struct RawServerOptions {
     RawKnob *knobs; /* the last row has a NULL name */
     /* A whole request was received; connection->body ends with a NUL. */
@@ -63,6 +75,8 @@
 /* Serves until SIGTERM, then closes all connections and frees the loop. */
 void RawServer_Run(RawServer *server);
 
+/* Draws a number below limit. */
+size_t RawServer_DrawNumber(RawServer *server, size_t limit);
 /* Reads or sets a knob; exits with a message when there is none of this
  * name. */
 int64_t RawServer_GetKnob(const RawServer *server, const char *name);
@@ -82,6 +96,9 @@
  * the knob "endless_kind" gives, by any one when that is 0, and returns
  * true. */
 bool RawConnection_DrawEndless(RawConnection *connection, const char *knob);
+/* Writes bytes that belong to no request, after an answer that is written. */
+void RawConnection_WriteStray(RawConnection *connection, const char *text,
+                              RawMoment moment);
 /* Writes bytes to the connection unchanged. */
 void RawConnection_Write(RawConnection *connection, const char *bytes,
                          size_t size);
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -100,6 +100,7 @@
     {"truncate", 0},    /* percent cut off in the middle of the answer */
     {"garbage", 0},     /* percent run and answered by invalid bytes */
     {"extra", 0},       /* percent of plain requests answered twice */
+    {"stray", 0},       /* percent of answers with a row of strays behind */
     {"mute", 0},        /* percent run and never answered */
     {"late_orders", 0}, /* percent of orders executed but not answered */
     {"draining", 0},    /* 1: record and health check say draining */
@@ -141,6 +142,18 @@
     {"Retry-After: 3600\r\nRetry-After: 7200\r\n", true},
 };
 
+/* Answers to no request, with the place of a line that gives an id. */
+static const char *const strays[] = {
+    "HTTP/1.1 200 -\r\n%sContent-Length: 5\r\n\r\nstray",
+    "HTTP/1.1 503 -\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 421 -\r\n%sNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+    /* the beginning of a stream */
+    "HTTP/1.1 200 -\r\n%sContent-Type: text/event-stream\r\n"
+    "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 0\ndata: x\n\n\r\n",
+};
+
+#define STRAY_SIZE_MAX 256
+
 /* ---- the record in the store --------------------------------------------- */
 
 /* Lists the adapters that are loading, or those that are loaded. */
@@ -406,6 +419,28 @@
     }
 }
 
+/* After an answer by knob stray, writes an answer to no request: without an
+ * id, with another one, or with that of the request that was answered. */
+static void
+draw_stray(RawConnection *connection, const char *attempt_id)
+{
+    char id_lines[3][KC_CALLER_ID_MAX + 16] = {"", "Attempt-Id: another\r\n"};
+    char text[STRAY_SIZE_MAX];
+
+    if (!RawServer_DrawFault(&server, "stray")) {
+        return;
+    }
+    snprintf(id_lines[2], sizeof(id_lines[2]), "Attempt-Id: %.*s\r\n",
+             KC_CALLER_ID_MAX - 1, attempt_id);
+    snprintf(text, sizeof(text),
+             strays[RawServer_DrawNumber(&server,
+                                         sizeof(strays) / sizeof(strays[0]))],
+             id_lines[RawServer_DrawNumber(&server, 3)]);
+    RawConnection_WriteStray(
+        connection, text,
+        (RawMoment)RawServer_DrawNumber(&server, RAW_MOMENT_COUNT));
+}
+
 /* Answers a plain request. */
 static void
 answer_plain(RawConnection *connection, const Job *job)
@@ -442,6 +477,7 @@
         RawConnection_Write(connection, body, (size_t)size);
         write_padding(connection, job->padding_bytes);
     }
+    draw_stray(connection, job->attempt_id);
     free_job(connection);
     RawConnection_ReadNextRequest(connection);
 }
@@ -496,6 +532,7 @@
         return;
     }
     RawConnection_Write(connection, "0\r\n\r\n", 5);
+    draw_stray(connection, job->attempt_id);
     free_job(connection);
     RawConnection_ReadNextRequest(connection);
 }
@@ -585,14 +622,17 @@
 static void
 reply_not_run(RawConnection *connection, int status, KcTime wait_left)
 {
-    const char *id = RawConnection_FindHeader(connection, "Attempt-Id");
+    char id[KC_CALLER_ID_MAX];
     char lines[2 * NOTICE_SIZE + KC_CALLER_ID_MAX];
     char notice[NOTICE_SIZE];
 
+    KcText_Copy(id, RawConnection_FindHeader(connection, "Attempt-Id"),
+                sizeof(id));
     tell_state(notice, id, wait_left);
-    snprintf(lines, sizeof(lines), "Attempt-Id: %.*s\r\nNot-Executed: 1\r\n%s",
-             KC_CALLER_ID_MAX, id, notice);
+    snprintf(lines, sizeof(lines), "Attempt-Id: %s\r\nNot-Executed: 1\r\n%s",
+             id, notice);
     RawConnection_Reply(connection, status, lines, "");
+    draw_stray(connection, id);
 }
 
 static void
