http_connection: reject a response whose head goes on with another one

A refusal that a faulty worker cut off inside the value of a header, where its next answer was due, took that answer's head for its rest: the status 503 and Not-Executed of the one, the id of the other. The request ran and was answered 503. A status line inside a value ends the connection now, so that the request is answered 502.

Evidence: two of four cases of test_not_run with answers that are cut off in their heads fail before and hold now; behind a whole line or inside a name the parser rejected the head before, too.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -196,7 +196,11 @@
         field->value = connection->field_offsets[i].value != 0
                            ? text + connection->field_offsets[i].value
                            : "";
-        if (!KcHttpField_HasValidCharacters(field)) {
+        /* A response that was cut off inside a value takes the head of the
+         * next one for its rest. */
+        if (!KcHttpField_HasValidCharacters(field) ||
+            (connection->parser.type == HTTP_RESPONSE &&
+             KcHttpField_HoldsStatusLine(field))) {
             return KC_ERR_PARSE;
         }
         host_count += strcasecmp(field->name, "Host") == 0 ? 1 : 0;
--- a/programs/connection/http_message.c
+++ b/programs/connection/http_message.c
@@ -46,6 +46,25 @@
     return is_token(field->name) && is_field_value(field->value);
 }
 
+bool
+KcHttpField_HoldsStatusLine(const KcHttpField *field)
+{
+    static const char digits[] = "0123456789";
+    const char *version = strstr(field->value, "HTTP/1.");
+    const char *status;
+
+    if (version == NULL) {
+        return false;
+    }
+    status = version + strlen("HTTP/1.");
+    if (strspn(status, digits) != 1 || status[1] != ' ') {
+        return false;
+    }
+    status += 2;
+    return strspn(status, digits) == 3 &&
+           (status[3] == ' ' || status[3] == '\0');
+}
+
 const char *
 KcHttpMessage_FindField(const KcHttpMessage *message, const char *name)
 {
--- a/programs/connection/http_message.h
+++ b/programs/connection/http_message.h
@@ -44,6 +44,10 @@
  */
 bool KcHttpField_HasValidCharacters(const KcHttpField *field);
 
+/* Returns whether the value goes on with the status line of another response.
+ */
+bool KcHttpField_HoldsStatusLine(const KcHttpField *field);
+
 /*
  * Returns the value of the first header with this name, compared without
  * regard to case, or NULL when there is none. Owned by the message.
--- a/tests/request/test_not_run.c
+++ b/tests/request/test_not_run.c
@@ -133,6 +133,16 @@
      HEAD("200") ID("1") SEAL EMPTY, "200 1; 200 1; 200 1; ", 1},
     {"stream with another id, when due", STREAMED, NULL, true, WHEN_DUE,
      HEAD("200") ID("1") STREAM EVENT, "200 1; 200 1; 200 1; ", 1},
+    /* the beginning of an answer, whose head goes on with that of the next */
+    {"refusal that is cut off in a value, when due", UNSAFE, NULL, true,
+     WHEN_DUE, HEAD("503") NOT_RUN "Server-Load: 1,0", "200 1; 502 1; 200 1; ",
+     0},
+    {"200 that is cut off in a value, when due", UNSAFE, NULL, true, WHEN_DUE,
+     HEAD("200") SEAL "Server-Load: 1,0", "200 1; 502 1; 200 1; ", 0},
+    {"refusal that is cut off in a name, when due", UNSAFE, NULL, true,
+     WHEN_DUE, HEAD("503") NOT_RUN "Server-Lo", "200 1; 502 1; 200 1; ", 0},
+    {"refusal that is cut off behind a line, when due", UNSAFE, NULL, true,
+     WHEN_DUE, HEAD("503") NOT_RUN, "200 1; 502 1; 200 1; ", 0},
     /* answers to an earlier attempt of the same request */
     {"refusal of an earlier attempt, when due", STREAMED,
      HEAD("503") ID("1") NOT_RUN KEPT "Retry-After: 1\r\n" EMPTY, false,
