test_not_run: bytes that cross a request, and a request of which a part is sent

A request that the gateway writes to a kept connection on which bytes or a close have arrived by then is not sent: no test held that its caller gets a promise. One of the rows fails: bytes that are no answer end the attempt as never sent, but with the error of their parsing, which dialect.c answers with 400, as if the request were malformed. Clients repeat nothing after a 400.

With the condition of end_without_reply() as before the answer is 502; a close that crosses the request is answered 502 then, and 503 now. The row of the request that is sent in part alone of this table kills the first of the two mutants.

--- a/tests/request/test_not_run.c
+++ b/tests/request/test_not_run.c
@@ -29,14 +29,21 @@
 /* When the server sends the bytes beside its answers. */
 typedef enum Moment {
     NEVER = 0,
-    AT_ONCE, /* with its first answer */
-    AT_REST, /* on the idle connection after its first answer */
-    WHEN_DUE /* where its next answer on that connection is due */
+    AT_ONCE,  /* with its first answer */
+    AT_REST,  /* on the idle connection after its first answer */
+    CROSSING, /* just before the gateway sends it the next request */
+    WHEN_DUE  /* where its next answer on that connection is due */
 } Moment;
 
 /* In place of bytes: the server resets the connection before any byte of the
  * next request is sent on it. */
 #define RESET_UNSENT "reset"
+/* In place of bytes: the next request has a body, and the server resets the
+ * connection when the first part of it has come. */
+#define RESET_BEGUN "reset behind a part"
+#define LONG_BODY 131072
+/* In place of bytes: the server closes the connection. */
+#define CLOSED "close"
 
 #define HEAD(status) "HTTP/1.1 " status " -\r\n"
 #define ID(id) "Attempt-Id: " id "\r\n"
@@ -122,6 +129,10 @@
      HEAD("421") EMPTY, "200 1; 200 1; 200 1; ", 1},
     {"stream without an id, when due", STREAMED, NULL, true, WHEN_DUE,
      HEAD("200") STREAM EVENT, "200 1; 200 1; 200 1; ", 1},
+    {"503 without an id, crossing the request", UNSAFE, NULL, true, CROSSING,
+     HEAD("503") NOT_RUN EMPTY, "200 1; 200 1; 200 1; ", 1},
+    {"503 without an id or a length, when due", UNSAFE, NULL, true, WHEN_DUE,
+     HEAD("503") NOT_RUN "\r\n", "200 1; 504 1; 200 1; ", 1},
     /* answers with the id of another request */
     {"503 with another id, when due", UNSAFE, NULL, true, WHEN_DUE,
      HEAD("503") ID("1") NOT_RUN EMPTY, "200 1; 200 1; 200 1; ", 1},
@@ -157,6 +168,12 @@
      RESET_UNSENT, "200 1; 503 0; 200 1; ", 0},
     {"stream that is not sent", STREAMED, NULL, true, WHEN_DUE, RESET_UNSENT,
      "200 1; 503 0; 200 1; ", 0},
+    {"unsafe request of which a part is sent", UNSAFE, NULL, true, WHEN_DUE,
+     RESET_BEGUN, "200 1; 502 1; 200 1; ", 0},
+    {"unsafe request that crosses a close", UNSAFE, NULL, true, CROSSING,
+     CLOSED, "200 1; 503 0; 200 1; ", 0},
+    {"unsafe request that crosses bytes that are no answer", UNSAFE, NULL,
+     true, CROSSING, "x\r\n\r\n", "200 1; 503 0; 200 1; ", 0},
 };
 
 typedef struct Fixture {
@@ -198,10 +215,10 @@
 }
 
 static bool
-is_reset_unsent(const Fixture *fixture)
+is_beside(const Fixture *fixture, const char *event)
 {
     return cases[fixture->index].beside != NULL &&
-           strcmp(cases[fixture->index].beside, RESET_UNSENT) == 0;
+           strcmp(cases[fixture->index].beside, event) == 0;
 }
 
 static void
@@ -304,13 +321,17 @@
     fixture->answering_id = atoi(id + strlen("Attempt-Id: "));
     fixture->runs[fixture->answering_id] +=
         fixture->has_answered || cases[fixture->index].is_first_run ? 1 : 0;
+    g_free(text);
+    if (bev == fixture->first_connection && is_beside(fixture, RESET_BEGUN)) {
+        reset_first_connection(fixture);
+        return;
+    }
     if (bev == fixture->first_connection &&
         cases[fixture->index].moment == WHEN_DUE) {
         send_beside(fixture);
     }
     KcTimers_Set(fixture->loop->timers, &fixture->answer_timer,
                  KcLoop_Now() + ANSWER_DELAY);
-    g_free(text);
 }
 
 static void
@@ -362,10 +383,12 @@
                    .unnumbered_events_max = 4,
                    .pool = &fixture->intake_pool},
         .request_head =
-            KcGatewayFrontEnd_RequestHead(attempt->forward->caller)};
+            KcGatewayFrontEnd_RequestHead(attempt->forward->caller),
+        .request_body =
+            KcGatewayFrontEnd_RequestBody(attempt->forward->caller)};
     void *handle = KcHttpAttempt_Start(&options, attempt, params);
 
-    if (is_reset_unsent(fixture) && fixture->has_answered) {
+    if (is_beside(fixture, RESET_UNSENT) && fixture->has_answered) {
         reset_first_connection(fixture);
     }
     return handle;
@@ -426,7 +449,7 @@
     add_rule(routing, "/u/", KC_REQUEST_KIND_UNSAFE);
     add_rule(routing, "/t/", KC_REQUEST_KIND_STREAM);
     routing->limits = (KcCallerLimits){.header_bytes_max = 16384,
-                                       .body_bytes_max = 16384,
+                                       .body_bytes_max = LONG_BODY,
                                        .header_timeout = KC_SECOND,
                                        .idle_timeout = 10 * KC_SECOND};
     g_assert_cmpint(KcRouting_Validate(routing, &error), ==, 0);
@@ -442,13 +465,41 @@
 
 /* ---- the caller ----------------------------------------------------------- */
 
+/* Sends the bytes, or a close, ahead of those that wait to be sent. */
+static void
+send_at_once(struct bufferevent *bev, const char *text)
+{
+    evutil_socket_t fd = bufferevent_getfd(bev);
+
+    if (strcmp(text, CLOSED) == 0) {
+        g_assert_cmpint(shutdown(fd, SHUT_WR), ==, 0);
+    }
+    else {
+        g_assert_cmpint(send(fd, text, strlen(text), 0), ==, strlen(text));
+    }
+}
+
+/* Of a request that crosses bytes the gateway handles the request first. */
 static void
 send_request(Fixture *fixture)
 {
-    fixture->request_id++;
-    evbuffer_add_printf(bufferevent_get_output(fixture->caller),
-                        "%s HTTP/1.1\r\nHost: h\r\n" ID("%d") EMPTY,
-                        cases[fixture->index].request, fixture->request_id);
+    bool is_second = ++fixture->request_id == 2;
+    size_t size = is_second && is_beside(fixture, RESET_BEGUN) ? LONG_BODY : 0;
+    char *body = g_malloc0(size + 1);
+    char *head = g_strdup_printf(
+        "%s HTTP/1.1\r\nHost: h\r\n" ID("%d") "Content-Length: %zu\r\n\r\n",
+        cases[fixture->index].request, fixture->request_id, size);
+
+    if (is_second && cases[fixture->index].moment == CROSSING) {
+        send_at_once(fixture->caller, head);
+        send_at_once(fixture->first_connection, cases[fixture->index].beside);
+    }
+    else {
+        send_text(fixture->caller, head);
+        bufferevent_write(fixture->caller, body, size);
+    }
+    g_free(head);
+    g_free(body);
 }
 
 static void
