test_not_run: answers that are skipped before an answer to HEAD

The connection forgets that the request was a HEAD at the end of any message, so that behind an interim or a skipped answer it awaits a body that doesn't come: the request is answered 504 at its timeout, though its answer has arrived.

--- a/tests/request/test_not_run.c
+++ b/tests/request/test_not_run.c
@@ -58,6 +58,7 @@
 
 #define UNSAFE "POST /u/x"
 #define STREAMED "POST /t/x"
+#define BODILESS "HEAD /u/x"
 
 /* The requests have the ids 1, 2 and 3. */
 static const struct {
@@ -77,6 +78,8 @@
      "200 1; 200 1; 200 1; ", 0},
     {"streams of runs", STREAMED, NULL, true, NEVER, NULL,
      "200 1; 200 1; 200 1; ", 0},
+    {"answers of runs without a body", BODILESS, NULL, true, NEVER, NULL,
+     "200 1; 200 1; 200 1; ", 0},
     /* the server's own answers */
     {"refused with 503", UNSAFE, HEAD("503") ID("1") NOT_RUN EMPTY, false,
      NEVER, NULL, "503 0; 200 1; 200 1; ", 0},
@@ -133,6 +136,10 @@
      HEAD("503") NOT_RUN EMPTY, "200 1; 200 1; 200 1; ", 1},
     {"503 without an id or a length, when due", UNSAFE, NULL, true, WHEN_DUE,
      HEAD("503") NOT_RUN "\r\n", "200 1; 504 1; 200 1; ", 1},
+    {"503 without an id before an answer without a body", BODILESS, NULL, true,
+     WHEN_DUE, HEAD("503") NOT_RUN EMPTY, "200 1; 200 1; 200 1; ", 1},
+    {"interim answer before one without a body", BODILESS, NULL, true,
+     WHEN_DUE, HEAD("103") "\r\n", "200 1; 200 1; 200 1; ", 0},
     /* answers with the id of another request */
     {"503 with another id, when due", UNSAFE, NULL, true, WHEN_DUE,
      HEAD("503") ID("1") NOT_RUN EMPTY, "200 1; 200 1; 200 1; ", 1},
@@ -266,6 +273,9 @@
     if (strcmp(cases[fixture->index].request, STREAMED) == 0) {
         evbuffer_add_printf(out, STREAM EVENT);
     }
+    else if (strcmp(cases[fixture->index].request, BODILESS) == 0) {
+        evbuffer_add_printf(out, "Content-Length: 1\r\n\r\n");
+    }
     else {
         evbuffer_add_printf(out, "Content-Length: 1\r\n\r\n%d", id);
     }
