test_gateway: requests whose connection or refusal comes after their timeout

A gateway that was kept from its loop handles its sockets before its timers. A connection that is made after the request's deadline then gets the request, and the caller a 504 in place of a promise: KcForwardAttempt_CheckSend() doesn't look at the deadline. The new step "late" passes time without running timers.

--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -47,6 +47,7 @@
  *   cleartrace              forgets what was traced so far
  *   each FIRST LAST STEP [WORD...]     the step for each of these numbers
  *   pause MS                the gateway's process stands still
+ *   late MS                 the same; the steps behind come before its timers
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
  * after event 5, "1x" attempt cancelled, "1x a" the one at server a of
@@ -496,6 +497,12 @@
     KcTimers_Run(fixture->timers, fixture->now);
 }
 
+static void
+step_late(Fixture *fixture, char **words)
+{
+    fixture->now += atoi(words[1]) * KC_MS;
+}
+
 static void
 step_clear_trace(Fixture *fixture, char **words)
 {
@@ -538,6 +545,7 @@
     {"drain", step_drain},
     {"wait", step_wait},
     {"pause", step_pause},
+    {"late", step_late},
     {"cleartrace", step_clear_trace},
     {"each", step_each},
     {"ended", GatewaySteps_Ended},
