test_dialect: whose reply it is, by its id

No table held how the id of a reply is compared: none, two, cut off, longer than the gateway keeps of it, or on a connection without a request. All 19 rows hold. Two mutants: the first of two ids counts, which test_dialect alone kills; 408 as a statement of a worker, which test_not_run kills.

--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -151,6 +151,68 @@
     g_strfreev(lines);
 }
 
+/* ---- whose reply it is --------------------------------------------------- */
+
+#define ID_70                                                                 \
+    "0123456789012345678901234567890123456789012345678901234567890123456789"
+
+/* A refusal with these headers is one of the request with those. */
+static const struct {
+    const char *name;
+    const char *request;
+    const char *reply;
+    bool is_of_request;
+} id_cases[] = {
+    {"same", "Attempt-Id: a", "Attempt-Id: a", true},
+    {"name in lower case", "Attempt-Id: a", "attempt-id: a", true},
+    {"another", "Attempt-Id: a", "Attempt-Id: b", false},
+    {"in capitals", "Attempt-Id: a", "Attempt-Id: A", false},
+    {"longer", "Attempt-Id: a", "Attempt-Id: ab", false},
+    {"beginning", "Attempt-Id: ab", "Attempt-Id: a", false},
+    {"none", "Attempt-Id: a", "Server: x", false},
+    {"empty", "Attempt-Id: a", "Attempt-Id: ", false},
+    {"same twice", "Attempt-Id: a", "Attempt-Id: a|Attempt-Id: a", false},
+    {"same first of two", "Attempt-Id: a", "Attempt-Id: a|Attempt-Id: b",
+     false},
+    {"same last of two", "Attempt-Id: a", "Attempt-Id: b|Attempt-Id: a",
+     false},
+    {"same last of three", "Attempt-Id: a",
+     "Attempt-Id: b|Attempt-Id: b|Attempt-Id: a", false},
+    {"longer than is logged", "Attempt-Id: " ID_70 "abc",
+     "Attempt-Id: " ID_70 "abc", true},
+    {"different behind what is logged", "Attempt-Id: " ID_70 "abc",
+     "Attempt-Id: " ID_70 "abd", false},
+    {"cut to what is logged", "Attempt-Id: " ID_70 "abc",
+     "Attempt-Id: " ID_70 "a", false},
+    {"none, to a request without one", "Host: h", "Server: x", true},
+    {"any, to a request without one", "Host: h", "Attempt-Id: a", false},
+    {"none, without a request", NULL, "Server: x", false},
+    {"any, without a request", NULL, "Attempt-Id: a", false},
+};
+
+static void
+test_id(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    const char *request_headers = id_cases[index].request;
+    char **request_lines = g_strsplit(
+        request_headers != NULL ? request_headers : "Host: h", "|", 0);
+    char **reply_lines = g_strsplit(id_cases[index].reply, "|", 0);
+    KcHttpMessage request = {.status = 0};
+    KcHttpMessage reply = {.status = 0};
+    KcReplyHead head;
+
+    fill_message(&request, 0, request_lines);
+    fill_message(&reply, 503, reply_lines);
+    reply.fields[reply.field_count++] = (KcHttpField){"Not-Executed", "1"};
+    KcPlatform_Current.dialect->parse_reply_head(
+        &reply, request_headers != NULL ? &request : NULL, &head);
+    g_assert_cmpint(head.matches_request, ==, id_cases[index].is_of_request);
+    g_assert_cmpint(head.not_run, ==, id_cases[index].is_of_request);
+    g_strfreev(request_lines);
+    g_strfreev(reply_lines);
+}
+
 /* ---- parts of prompts ---------------------------------------------------- */
 
 /* The last part belongs to the request alone, and is left out; so is what is
@@ -211,6 +273,8 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
+    Steps_AddCases("/dialect/reply id", id_cases, G_N_ELEMENTS(id_cases),
+                   sizeof(id_cases[0]), test_id);
     Steps_AddCases("/dialect/notice", notice_cases, G_N_ELEMENTS(notice_cases),
                    sizeof(notice_cases[0]), test_notice);
     Steps_AddCases("/dialect/parts", parts_cases, G_N_ELEMENTS(parts_cases),
