http_connection: find a head that goes on in a reason phrase, or twice

A refusal or a 421 that was cut off in its reason phrase took the head of the next answer for its rest, with that answer's id: the request ran and was answered 503. With a 404 the client got 404 with the seal of a 200. So it was with two beginnings in one value, as only the first status line was looked at. Both end the connection now.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -44,7 +44,8 @@
     KcHttpConnectionOptions options;
     struct bufferevent *bev;
     http_parser parser;
-    KcBuffer head_text; /* target, names and values, each NUL-terminated */
+    KcBuffer head_text; /* target or reason phrase, names and values, each
+                           NUL-terminated */
     FieldOffsets field_offsets[KC_HTTP_MESSAGE_FIELDS_MAX];
     size_t field_count;
     bool in_field_value; /* the parser reports a value, not a name */
@@ -117,8 +118,9 @@
     return connection->is_closed ? 1 : 0;
 }
 
+/* Takes the target of a request, or the reason phrase of a response. */
 static int
-on_url(http_parser *parser, const char *text, size_t size)
+on_start_line_text(http_parser *parser, const char *text, size_t size)
 {
     KcHttpConnection *connection = parser->data;
 
@@ -175,6 +177,17 @@
     return 0;
 }
 
+/*
+ * Returns whether a text of a response shows that its head was cut off there,
+ * so that it has taken the head of the next response for its rest.
+ */
+static bool
+is_cut_off(const KcHttpConnection *connection, const char *text)
+{
+    return connection->parser.type == HTTP_RESPONSE &&
+           KcHttpText_HoldsStatusLine(text);
+}
+
 /* Fills in the message from head_text. Returns 0 or KC_ERR_PARSE. */
 static int
 build_message(KcHttpConnection *connection)
@@ -189,6 +202,9 @@
     message->field_count = connection->field_count;
     message->target = text;
     message->head_bytes = connection->head_bytes;
+    if (is_cut_off(connection, message->target)) {
+        return KC_ERR_PARSE;
+    }
     for (size_t i = 0; i < connection->field_count; i++) {
         KcHttpField *field = &message->fields[i];
 
@@ -196,11 +212,8 @@
         field->value = connection->field_offsets[i].value != 0
                            ? text + connection->field_offsets[i].value
                            : "";
-        /* A response that was cut off inside a value takes the head of the
-         * next one for its rest. */
         if (!KcHttpField_HasValidCharacters(field) ||
-            (connection->parser.type == HTTP_RESPONSE &&
-             KcHttpField_HoldsStatusLine(field))) {
+            is_cut_off(connection, field->value)) {
             return KC_ERR_PARSE;
         }
         host_count += strcasecmp(field->name, "Host") == 0 ? 1 : 0;
@@ -281,7 +294,8 @@
 
 static const http_parser_settings parser_settings = {
     .on_message_begin = on_message_begin,
-    .on_url = on_url,
+    .on_url = on_start_line_text,
+    .on_status = on_start_line_text,
     .on_header_field = on_field_name,
     .on_header_value = on_field_value,
     .on_headers_complete = on_headers_complete,
--- a/programs/connection/http_message.c
+++ b/programs/connection/http_message.c
@@ -46,23 +46,31 @@
     return is_token(field->name) && is_field_value(field->value);
 }
 
-bool
-KcHttpField_HoldsStatusLine(const KcHttpField *field)
+/* Returns whether text goes on with a status line behind "HTTP/1.". */
+static bool
+is_status_line(const char *text)
 {
     static const char digits[] = "0123456789";
-    const char *version = strstr(field->value, "HTTP/1.");
-    const char *status;
 
-    if (version == NULL) {
+    if (strspn(text, digits) != 1 || text[1] != ' ') {
         return false;
     }
-    status = version + strlen("HTTP/1.");
-    if (strspn(status, digits) != 1 || status[1] != ' ') {
-        return false;
+    text += 2;
+    return strspn(text, digits) == 3 && (text[3] == ' ' || text[3] == '\0');
+}
+
+bool
+KcHttpText_HoldsStatusLine(const char *text)
+{
+    static const char version[] = "HTTP/1.";
+
+    while ((text = strstr(text, version)) != NULL) {
+        text += strlen(version);
+        if (is_status_line(text)) {
+            return true;
+        }
     }
-    status += 2;
-    return strspn(status, digits) == 3 &&
-           (status[3] == ' ' || status[3] == '\0');
+    return false;
 }
 
 const char *
--- a/programs/connection/http_message.h
+++ b/programs/connection/http_message.h
@@ -44,9 +44,9 @@
  */
 bool KcHttpField_HasValidCharacters(const KcHttpField *field);
 
-/* Returns whether the value goes on with the status line of another response.
- */
-bool KcHttpField_HoldsStatusLine(const KcHttpField *field);
+/* Returns whether a reason phrase or the value of a header goes on with the
+ * status line of another response. */
+bool KcHttpText_HoldsStatusLine(const char *text);
 
 /*
  * Returns the value of the first header with this name, compared without
