http_attempt: a request that was not sent is not the one in error

Since a request of which no byte was sent kept the error that ended its connection. Bytes that are no answer, on a kept connection, made it a parse error, and the caller got 400 for a proper request, after which it does not come back. The error is the lost connection now, and the answer 503.

--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -344,13 +344,17 @@
 on_failed(void *owner, int code)
 {
     KcHttpAttempt *attempt = owner;
+    KcAttemptEnd end;
 
     if (code == KC_ERR_TOO_LARGE) {
         KcIntakeLog_WriteBytes(
             "answer head", KcHttpConnection_FramingBytes(attempt->connection),
             attempt->options.head_bytes_max, attempt->parameters.server->id);
     }
-    fail_attempt(attempt, end_without_reply(attempt), code);
+    end = end_without_reply(attempt);
+    /* What the server sent is no answer to a request that was not sent. */
+    fail_attempt(attempt, end,
+                 end == KC_ATTEMPT_NEVER_SENT ? KC_ERR_PEER_LOST : code);
 }
 
 /* ---- the request --------------------------------------------------------- */
