standins: endless answers bear the id of their request; no stray in an answer

Since replies without an id are skipped, the endless answers of the stand-in met the limit of skipped bytes only, and test_endless missed the pool of kept bytes. They bear the id now; those to an earlier request stay as they are.

A stray that was to come on a resting connection could come inside the answer to a request that came sooner. Found by the review of the trace.

--- a/tests/standins/endless.c
+++ b/tests/standins/endless.c
@@ -15,7 +15,8 @@
 #define STREAM                                                                \
     OK "Content-Type: text/event-stream\r\nTransfer-Encoding: "               \
        "chunked\r\n\r\n"
-#define LATE OK "Attempt-Id: an-earlier-request\r\n"
+#define ID "Attempt-Id: "
+#define LATE OK ID "an-earlier-request\r\n"
 #define CHUNK_128 "80\r\n" TEXT_128 "\r\n"
 
 static const EndlessPattern patterns[] = {
@@ -72,6 +73,22 @@
     return 0;
 }
 
+void
+Endless_AppendStart(const EndlessPattern *pattern, const char *request_id,
+                    KcBuffer *out)
+{
+    const char *rest = pattern->start;
+
+    if (request_id[0] != '\0' && strncmp(rest, OK, strlen(OK)) == 0 &&
+        strncmp(rest, LATE, strlen(LATE)) != 0) {
+        KcBuffer_Append(out, OK ID, strlen(OK ID));
+        KcBuffer_Append(out, request_id, strlen(request_id));
+        KcBuffer_Append(out, "\r\n", 2);
+        rest += strlen(OK);
+    }
+    KcBuffer_Append(out, rest, strlen(rest));
+}
+
 void
 Endless_AppendFiller(const EndlessPattern *pattern, uint64_t *counter,
                      KcBuffer *out)
--- a/tests/standins/endless.h
+++ b/tests/standins/endless.h
@@ -22,6 +22,11 @@
 /* Returns the number of the pattern with this name, 0 when there is none. */
 size_t Endless_FindPattern(const char *name);
 
+/* Appends what is sent once, with the id of the request where the answer is
+ * one to it; "" is none. */
+void Endless_AppendStart(const EndlessPattern *pattern, const char *request_id,
+                         KcBuffer *out);
+
 /* Appends the bytes of one write.  counter holds the number that grows. */
 void Endless_AppendFiller(const EndlessPattern *pattern, uint64_t *counter,
                           KcBuffer *out);
--- a/tests/standins/raw_server.c
+++ b/tests/standins/raw_server.c
@@ -105,8 +105,14 @@
 RawConnection_SendEndless(RawConnection *connection,
                           const EndlessPattern *pattern)
 {
+    KcBuffer bytes = {0};
+
     connection->endless = pattern;
-    RawConnection_Write(connection, pattern->start, strlen(pattern->start));
+    Endless_AppendStart(
+        pattern, RawConnection_FindHeader(connection, "Attempt-Id"), &bytes);
+    RawConnection_Write(connection, KcBuffer_Data(&bytes),
+                        KcBuffer_Size(&bytes));
+    KcBuffer_Clear(&bytes);
     continue_endless(connection);
 }
 
@@ -307,10 +313,13 @@
     const char *target = connection->message->target;
 
     KcBuffer_Append(&connection->body, "", 1);
+    /* What was to come at rest does not: the connection rests no more. */
+    KcTimers_Clear(connection->server->loop->timers, &connection->stray_timer);
     if (connection->is_stray_due) {
         connection->is_stray_due = false;
         write_stray(connection);
     }
+    KcBuffer_Clear(&connection->stray);
     if (strncmp(target, "/standin/set", 12) == 0) {
         set_knobs(connection);
     }
