http_connection: expect no body until the final answer to HEAD

The flag was cleared at the end of any message, so that after an interim answer, or a reply that belongs to no request, a body was awaited that an answer to HEAD does not have, and the caller got 504. It holds for its owner's request now.

Evidence: two cases of test_not_run fail before and hold now. Found by the review of the trace.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -58,7 +58,7 @@
     int callback_error;   /* KcErrorCode of the callback that failed, or 0 */
     bool message_started; /* a byte of the current message has been parsed */
     bool message_ended;   /* no parsing until ReadNextMessage() is called */
-    bool expect_no_body;  /* the next response answers a HEAD request */
+    bool expect_no_body;  /* the owner's request is HEAD */
     bool is_parsing;      /* parse_input() is on the stack */
     bool is_closed; /* freed by the loop when its callbacks have returned */
     bool read_paused;
@@ -287,7 +287,6 @@
     KcHttpConnection *connection = parser->data;
 
     connection->message_ended = true;
-    connection->expect_no_body = false;
     http_parser_pause(parser, 1);
     return 0;
 }
@@ -664,6 +663,7 @@
 {
     connection->options.ops = ops;
     connection->options.owner = owner;
+    connection->expect_no_body = false;
     connection->parsed_bytes = 0;
     connection->body_bytes = 0;
 }
