answer: no 503 or 429 for a request whose outcome is unknown

The model API said outcome unknown with status 503 for a request that a planned stop cut off while it ran, or that was refused after an attempt which may have run: callers that go by the status took it for one that did not run.

--- a/programs/request/answer.c
+++ b/programs/request/answer.c
@@ -171,16 +171,23 @@
     {KC_ERR_DOCUMENT_BEHIND, 503},
 };
 
+#define STATUS_UNKNOWN 502
+
 int
-KcAnswer_HttpStatus(int code)
+KcAnswer_HttpStatus(const KcResult *result)
 {
     for (size_t i = 0; i < sizeof(error_statuses) / sizeof(error_statuses[0]);
          i++) {
-        if (error_statuses[i].code == code) {
-            return error_statuses[i].status;
+        int status = error_statuses[i].status;
+        bool promises_not_run = status == 429 || status == 503;
+
+        if (error_statuses[i].code == result->error.code) {
+            return promises_not_run && result->outcome == KC_OUTCOME_UNKNOWN
+                       ? STATUS_UNKNOWN
+                       : status;
         }
     }
-    return 502;
+    return STATUS_UNKNOWN;
 }
 
 static const char *
--- a/programs/request/answer.h
+++ b/programs/request/answer.h
@@ -40,9 +40,11 @@
 const KcAnswerFormat *KcAnswer_FindFormat(const char *path);
 
 /*
- * Returns the HTTP status for a KcErrorCode; 502 when it has none of its own.
+ * Returns the HTTP status of a request that failed: that of its KcErrorCode;
+ * 502 when the code has none, or one that says that the request did not run
+ * though its outcome is unknown.
  */
-int KcAnswer_HttpStatus(int code);
+int KcAnswer_HttpStatus(const KcResult *result);
 
 /* Appends the error of a request to out as a JSON object. */
 void KcAnswer_WriteError(const KcResult *result, struct evbuffer *out);
--- a/programs/request/entry_front_end.c
+++ b/programs/request/entry_front_end.c
@@ -84,7 +84,7 @@
                        KcOutcome_Name(result->outcome));
     KcAnswer_WriteError(result, caller->http_request->buffer_out);
     evhtp_send_reply(caller->http_request,
-                     (evhtp_res)KcAnswer_HttpStatus(result->error.code));
+                     (evhtp_res)KcAnswer_HttpStatus(result));
 }
 
 static void
