test_stop_closes: report attempts as sent

Four cases of this program fail since the gateway decides by KcForwardAttempt_OnSent() whether a request may have run: the program's start_attempt() never called it, so that requests that run at the server counted as not sent, and were refused with 503 in place of 502:

start_attempt() now reports the request as sent, as the HTTP attempt does on an open connection. What the cases expect is unchanged.

--- a/tests/request/test_stop_closes.c
+++ b/tests/request/test_stop_closes.c
@@ -50,6 +50,7 @@
               const KcAttemptParams *params)
 {
     (void)params;
+    KcForwardAttempt_OnSent(attempt);
     ((Fixture *)context)->attempt = attempt;
     return context;
 }
