gateway: send nothing from the end of a planned stop on

A gateway that is frozen past the end of its planned stop handles what has arrived, and the timers that came due before its end_timer, first.

The time of the stop is now looked at, not whether its timer has run: KcForward_Dispatch(), through which each request seeks a server, the timer of a request, and KcForwardAttempt_CheckSend() before a request is written on a new connection. What has not been sent is refused as not run; a server error that would be retried is passed on. Which error a caller hears no longer depends on the order of the timers.

test_gateway: 13 cases with a step that lets time pass without timers.

--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -56,12 +56,7 @@
 static void
 on_end_timer(KcTimer *timer, KcTime now)
 {
-    KcGateway *gateway = timer->owner;
-    KcForward *forward;
-
-    while ((forward = TAILQ_FIRST(&gateway->forwards)) != NULL) {
-        KcForward_Fail(forward, KC_ERR_LEAVING, "planned stop", now);
-    }
+    KcGateway_EndRequests(timer->owner, now);
 }
 
 void
@@ -165,6 +160,27 @@
     KcTimers_Set(gateway->options.timers, &gateway->end_timer, end_at);
 }
 
+bool
+KcGateway_HasEnded(const KcGateway *gateway, KcTime now)
+{
+    return now >= gateway->end_at;
+}
+
+void
+KcGateway_EndRequests(KcGateway *gateway, KcTime now)
+{
+    KcForward *forward;
+
+    KcTimers_Clear(gateway->options.timers, &gateway->end_timer);
+    if (!KcGateway_HasEnded(gateway, now)) {
+        gateway->refuse_at = now;
+        gateway->end_at = now;
+    }
+    while ((forward = TAILQ_FIRST(&gateway->forwards)) != NULL) {
+        KcForward_FailLeaving(forward, now);
+    }
+}
+
 void
 KcGateway_Abort(KcGateway *gateway, KcTime now)
 {
--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -180,6 +180,7 @@
     return reply->status >= 500 &&
            forward->rule->kind == KC_REQUEST_KIND_SAFE &&
            now < forward->deadline &&
+           !KcGateway_HasEnded(forward->gateway, now) &&
            (!is_only_attempt(attempt) ||
             (forward->possible_runs + 1 < forward->rule->attempts_max &&
              KcRetryBudget_CanTake(&forward->pool->retry_budget)));
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -345,6 +345,10 @@
     KcChoice choice;
 
     KcForward_LeaveWaitList(forward);
+    if (KcGateway_HasEnded(forward->gateway, now)) {
+        KcForward_FailLeaving(forward, now);
+        return;
+    }
     if (now >= forward->deadline) {
         KcForward_Fail(forward, KC_ERR_DEADLINE_EXCEEDED, "choose", now);
         return;
@@ -458,7 +462,7 @@
     KcForward *next;
     uint32_t visited = 0;
 
-    if (pool->is_dispatching || now >= pool->gateway->end_at) {
+    if (pool->is_dispatching || KcGateway_HasEnded(pool->gateway, now)) {
         return;
     }
     pool->is_dispatching = true;
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -176,6 +176,12 @@
     KcForward_FinishFailed(forward, now);
 }
 
+void
+KcForward_FailLeaving(KcForward *forward, KcTime now)
+{
+    KcForward_Fail(forward, KC_ERR_LEAVING, "planned stop", now);
+}
+
 /* ---- arrival ------------------------------------------------------------- */
 
 static KcTime
@@ -191,7 +197,7 @@
 comes_too_late(const KcGateway *gateway, const KcForwardCall *call,
                const KcRouteRule *rule, KcTime now)
 {
-    return now >= gateway->end_at ||
+    return KcGateway_HasEnded(gateway, now) ||
            (now >= gateway->refuse_at &&
             (rule->kind == KC_REQUEST_KIND_STREAM ||
              find_deadline(call, rule, now) > gateway->end_at));
@@ -308,6 +314,10 @@
 {
     KcForward *forward = timer->owner;
 
+    if (KcGateway_HasEnded(forward->gateway, now)) {
+        KcForward_FailLeaving(forward, now);
+        return;
+    }
     if (now >= forward->deadline) {
         KcForward_Fail(forward, KC_ERR_DEADLINE_EXCEEDED,
                        TAILQ_EMPTY(&forward->attempts) ? "await place"
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -39,6 +39,9 @@
     KcTimer missing_timer; /* checks servers whose record is missing */
 };
 
+/* Is the planned stop at its end?  Asked by whatever could send, as other
+ * timers and events may be handled before end_timer. */
+bool KcGateway_HasEnded(const KcGateway *gateway, KcTime now);
 /* Starts to detect pauses of this process, until no request is in flight. */
 void KcGateway_DetectPauses(KcGateway *gateway, KcTime now);
 /* True just after a pause of this process, in whatever order timers are run:
@@ -245,6 +248,8 @@
 void KcForward_FinishFailed(KcForward *forward, KcTime now);
 void KcForward_Fail(KcForward *forward, int code, const char *step,
                     KcTime now);
+/* End the request and free it, as the planned stop is at its end. */
+void KcForward_FailLeaving(KcForward *forward, KcTime now);
 
 /* Sets the request's timer to due_at, at the latest to its deadline. */
 void KcForward_SetTimer(KcForward *forward, KcTime due_at);
--- a/lib/process/gateway_notice.c
+++ b/lib/process/gateway_notice.c
@@ -29,7 +29,8 @@
 {
     const KcServer *server = attempt->server;
 
-    if (KcServer_IsLeaving(server)) {
+    if (KcGateway_HasEnded(attempt->forward->gateway, now) ||
+        KcServer_IsLeaving(server)) {
         return KC_ERR_LEAVING;
     }
     if (attempt->replica != NULL &&
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -474,8 +474,11 @@
  * Begins a planned stop.  From refuse_at on, streams are refused, and requests
  * whose deadline lies after end_at.  At end_at the requests in progress are
  * ended with an answer, as the process will end; all later ones are refused.
+ * Nothing is sent to a server from end_at on, also when the end is late.
  */
 void KcGateway_Drain(KcGateway *gateway, KcTime refuse_at, KcTime end_at);
+/* Ends the requests in progress; the planned stop ends now, if it has not. */
+void KcGateway_EndRequests(KcGateway *gateway, KcTime now);
 
 /* Ends every request without an answer, as when the process stops. */
 void KcGateway_Abort(KcGateway *gateway, KcTime now);
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -143,8 +143,9 @@
 /*
  * To be called before the request is written to a connection that was not yet
  * open when the attempt started.  Returns 0, or KC_ERR_LEAVING or KC_ERR_BUSY
- * when the server has said meanwhile that it takes no requests: the attempt
- * must then be ended as KC_ATTEMPT_NEVER_SENT with that code.
+ * when the server has said meanwhile that it takes no requests, or the planned
+ * stop of the gateway has ended: the attempt must then be ended as
+ * KC_ATTEMPT_NEVER_SENT with that code.
  */
 int KcForwardAttempt_CheckSend(const KcForwardAttempt *attempt, KcTime now);
 
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -473,9 +473,10 @@
 static void
 step_drain(Fixture *fixture, char **words)
 {
-    (void)words;
+    int duration_ms = words[1] != NULL ? atoi(words[1]) : 7500;
+
     KcGateway_Drain(fixture->gateway, fixture->now + 2 * KC_SECOND,
-                    fixture->now + 7500 * KC_MS);
+                    fixture->now + duration_ms * KC_MS);
 }
 
 static void
@@ -496,6 +497,13 @@
     KcTimers_Run(fixture->timers, fixture->now);
 }
 
+/* Until the next wait or pause no timer is run. */
+static void
+step_freeze(Fixture *fixture, char **words)
+{
+    fixture->now += atoi(words[1]) * KC_MS;
+}
+
 static void
 step_clear_trace(Fixture *fixture, char **words)
 {
@@ -538,6 +546,7 @@
     {"drain", step_drain},
     {"wait", step_wait},
     {"pause", step_pause},
+    {"freeze", step_freeze},
     {"cleartrace", step_clear_trace},
     {"each", step_each},
     {"ended", GatewaySteps_Ended},
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -268,6 +268,52 @@
      "1>a; 1:200; 1:end; 2>a; 2:200; 2:end; 3:not run leaving; "},
     {"a draining gateway soon refuses streams",
      LLM "drain;wait 2000;request 1 /t/x m/x", "1:not run leaving; "},
+    /* a planned stop that ends while the process is frozen */
+    {"an answer that arrived in a freeze beyond the stop is passed on",
+     PLAIN "request 1 /u/x;drain 1000;freeze 1100;reply 1 200;wait 10",
+     "1>a; 1:200; 1:end; "},
+    {"a refused request is not sent on after a late stop",
+     PLAIN "request 1 /u/x;drain 1000;freeze 1100;notrun 1;wait 10",
+     "1>a; 1:not run leaving; "},
+    {"a request that was never sent is not sent on after a late stop",
+     PLAIN "request 1 /u/x;drain 1000;freeze 1100;neversent 1;wait 10",
+     "1>a; 1:not run leaving; "},
+    {"a lost request is not sent again after a late stop",
+     PLAIN "request 1 /s/x;drain 1000;freeze 1100;lost 1;wait 10",
+     "1>a; 1:unknown leaving; "},
+    {"a server error is passed on after a late stop, not retried",
+     PLAIN "request 1 /s/x;drain 1000;freeze 1100;reply 1 500;wait 10",
+     "1>a; 1:500; 1:end; "},
+    {"a stream is not resumed after a late stop",
+     LLM "server b llm 4 m x@1;request 1 /r/x m/x;begin 1;event 1 0;"
+         "drain 1000;freeze 1100;lost 1;wait 10",
+     "1>a; 1:begin; 1:0; 1:broken; "},
+    {"a request is not written after a late stop",
+     PLAIN "connecting;request 1 /u/x;drain 1000;freeze 1100;written 1;"
+           "wait 10",
+     "1>a; 1:not run leaving; "},
+    {"a request is not sent to a loaded adapter after a late stop",
+     LLM "request 1 /t/x m/q;drain 1000;freeze 1100;report a q 1 loaded;"
+         "wait 10",
+     "?a q@0; 1:not run leaving; "},
+    {"no adapter is loaded after a late stop",
+     LLM "request 1 /t/x m/q;drain 1600;freeze 1700;wait 10",
+     "?a q@0; 1:not run leaving; "},
+    {"a request is not sent to a free server after a late stop",
+     "config 1;server a plain 1;load a 9 0 1;request 1 /u/x;drain 100;"
+     "freeze 200;load a 0 0 1;wait 10",
+     "1:not run leaving; "},
+    {"a request is not sent to a server that opens after a late stop",
+     "config 1;server a plain 4;notice a wait 1050;request 1 /u/x;drain 1000;"
+     "freeze 1100;wait 10",
+     "a:closed 1050; 1:not run leaving; "},
+    {"the end of a late stop comes before the end of a wait",
+     "config 1;server a plain 1;load a 9 0 1;request 1 /u/x;drain 140;"
+     "freeze 200;wait 10",
+     "1:not run leaving; "},
+    {"the end of a late stop comes before a deadline",
+     LLM "request 1 /t/x m/x;drain 4050;freeze 4100;wait 10",
+     "1>a; 1x; 1:unknown leaving; "},
 };
 
 static void
