role: answer what runs at the end of a planned stop, however late it is

When a gateway was late at the end of its planned stop, the check whether it is drained could run before the timers that end the intake and the requests. It ended the intake, but only set the gateway's timer anew, and stopped the loop: requests in progress were abandoned without an answer, and what was written had one pass of the loop to leave.

The stop has one timer now: that of the role, which looks at the time first. It ends the intake answer_time before the end of the stop, or as soon as it runs; the gateway's requests are ended by that call and not by another timer; and the process goes on for answer_time after it, if its connections need it, also when it is late. KcGatewayStop needs no timer any more.

test_stop_closes: 5 cases with a freeze.

--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -136,9 +136,9 @@
     KcGatewayStopOptions options;
 
     KcGatewayStopOptions_Init(&options);
-    options.timers = role->common.loop->timers;
     options.gateway = role->gateway;
     options.front_end = role->front_end;
+    role->common.answer_time = options.answer_time;
     KcGatewayStop_Begin(&role->stop, &options, role->common.drain_timeout,
                         KcLoop_Now());
 }
@@ -270,7 +270,6 @@
         KcGatewayRole_FreeFeeds(role);
         role->platform->close_store(role->store);
     }
-    KcGatewayStop_Clear(&role->stop);
     KcGateway_Abort(role->gateway, KcLoop_Now());
     if (role->front_end != NULL) {
         KcGatewayFrontEnd_Free(role->front_end);
--- a/programs/process/gateway_stop.c
+++ b/programs/process/gateway_stop.c
@@ -45,12 +45,6 @@
                                                    : KC_LINGERING_TIMEOUT;
 }
 
-static void
-on_end_timer(KcTimer *timer, KcTime now)
-{
-    KcGatewayStop_EndIntake(timer->owner, now);
-}
-
 void
 KcGatewayStop_Begin(KcGatewayStop *stop, const KcGatewayStopOptions *options,
                     KcTime duration_max, KcTime now)
@@ -59,8 +53,6 @@
 
     stop->options = *options;
     stop->started_at = now;
-    KcTimer_Init(&stop->end_timer, on_end_timer, stop);
-    KcTimers_Set(options->timers, &stop->end_timer, now + duration);
     KcGateway_Drain(options->gateway, now + options->refusal_delay,
                     now + duration);
     KcGatewayFrontEnd_Drain(options->front_end,
@@ -68,14 +60,6 @@
                             now + duration - get_closing_time(duration));
 }
 
-void
-KcGatewayStop_Clear(KcGatewayStop *stop)
-{
-    if (stop->options.timers != NULL) {
-        KcTimers_Clear(stop->options.timers, &stop->end_timer);
-    }
-}
-
 bool
 KcGatewayStop_IsDone(const KcGatewayStop *stop, KcTime now)
 {
@@ -87,6 +71,6 @@
 void
 KcGatewayStop_EndIntake(KcGatewayStop *stop, KcTime now)
 {
-    KcGateway_Drain(stop->options.gateway, now, now); /* sends no more */
     KcGatewayFrontEnd_EndIntake(stop->options.front_end);
+    KcGateway_EndRequests(stop->options.gateway, now);
 }
--- a/programs/process/gateway_stop.h
+++ b/programs/process/gateway_stop.h
@@ -8,7 +8,6 @@
 #include "../request/gateway_front_end.h"
 
 typedef struct KcGatewayStopOptions {
-    KcTimers *timers;
     KcGateway *gateway;
     KcGatewayFrontEnd *front_end;
     /* Delays are counted from the beginning of the stop. */
@@ -22,15 +21,15 @@
 typedef struct KcGatewayStop {
     KcGatewayStopOptions options;
     KcTime started_at;
-    KcTimer end_timer; /* ends the intake */
 } KcGatewayStop;
 
-/* Sets the defaults; timers, gateway and front_end are left NULL. */
+/* Sets the defaults; gateway and front_end are left NULL. */
 void KcGatewayStopOptions_Init(KcGatewayStopOptions *options);
 /*
- * Begins a stop that lasts duration_max at most. What is refused in it has
- * answer_time at least to arrive, and a request that is not received
- * completely as long as its connection may be closed in stages.
+ * Begins a stop that lasts duration_max at most. Its intake is to be ended
+ * answer_time before that, so that what is answered then can arrive. A request
+ * that is not received completely is refused so long before that as its
+ * connection may take to be closed in stages.
  */
 void KcGatewayStop_Begin(KcGatewayStop *stop,
                          const KcGatewayStopOptions *options,
@@ -40,9 +39,8 @@
  * in stages has come to its end.
  */
 bool KcGatewayStop_IsDone(const KcGatewayStop *stop, KcTime now);
-/* Takes nothing more, as the process ends. */
+/* Takes nothing more, as the process ends, and ends the requests in progress.
+ */
 void KcGatewayStop_EndIntake(KcGatewayStop *stop, KcTime now);
-/* Ends a stop that may have begun; stop may be zeroed. */
-void KcGatewayStop_Clear(KcGatewayStop *stop);
 
 #endif
--- a/programs/process/role.c
+++ b/programs/process/role.c
@@ -144,9 +144,28 @@
     }
 }
 
+/* When the intake ends, also while requests are in progress. */
+static KcTime
+get_intake_end(const KcRoleCommon *common)
+{
+    return common->drain_until - common->answer_time;
+}
+
+static void
+set_drain_timer(KcRoleCommon *common, KcTime now)
+{
+    KcTime check_at = now + DRAIN_CHECK_INTERVAL;
+    KcTime end_at =
+        common->intake_ended ? common->drain_until : get_intake_end(common);
+
+    KcTimers_Set(common->loop->timers, &common->drain_timer,
+                 check_at < end_at ? check_at : end_at);
+}
+
 /*
  * The end of the intake may bring what has to be answered, so the role is
- * asked again after it.
+ * asked again after it. The answers have their time also if the process is
+ * late.
  */
 static void
 on_drain_timer(KcTimer *timer, KcTime now)
@@ -154,8 +173,12 @@
     KcRoleCommon *common = timer->owner;
     bool is_drained = common->ops->is_drained(common->role);
 
-    if (is_drained && !common->intake_ended) {
+    if (!common->intake_ended &&
+        (is_drained || now >= get_intake_end(common))) {
         end_intake(common);
+        if (common->drain_until < now + common->answer_time) {
+            common->drain_until = now + common->answer_time;
+        }
         is_drained = common->ops->is_drained(common->role);
     }
     if (is_drained) {
@@ -165,11 +188,11 @@
     else if (now >= common->drain_until) {
         KcLog_Write(KC_LOG_WARN, NULL,
                     "planned stop timed out, requests are still in progress");
-        end_intake(common);
+        end_intake(common);        /* refuses what is still incomplete */
         KcLoop_Stop(common->loop); /* handles sockets that are ready */
     }
     else {
-        KcTimers_Set(common->loop->timers, timer, now + DRAIN_CHECK_INTERVAL);
+        set_drain_timer(common, now);
     }
 }
 
@@ -185,8 +208,7 @@
     common->drain_until = now + common->drain_timeout;
     KcLog_Write(KC_LOG_INFO, NULL, "planned stop begins");
     common->ops->begin_drain(common->role);
-    KcTimers_Set(common->loop->timers, &common->drain_timer,
-                 now + DRAIN_CHECK_INTERVAL);
+    set_drain_timer(common, now);
 }
 
 static void
--- a/programs/process/role.h
+++ b/programs/process/role.h
@@ -17,8 +17,9 @@
     /* Whether the process may end; asked again after end_intake. */
     bool (*is_drained)(void *role);
     /*
-     * Takes nothing more that would have to be answered, as the process ends.
-     * NULL: there is nothing of that kind.
+     * Takes nothing more that would have to be answered, and answers what is
+     * in progress, as the process ends. Called again at the very end if the
+     * role is not drained by then. NULL: there is nothing of that kind.
      */
     void (*end_intake)(void *role);
     /*
@@ -45,8 +46,10 @@
     KcTimer drain_timer;  /* checks whether the role is drained */
     KcTime drain_timeout; /* longest duration of a planned stop */
     KcTime drain_until;
-    bool draining;     /* a planned stop has begun */
-    bool intake_ended; /* the role was told so */
+    KcTime answer_time; /* least time between the end of the intake and that of
+                           the process, unless the role is drained */
+    bool draining;      /* a planned stop has begun */
+    bool intake_ended;  /* the role was told so */
 } KcRoleCommon;
 
 /*
--- a/tests/request/test_stop_closes.c
+++ b/tests/request/test_stop_closes.c
@@ -141,12 +141,12 @@
     KcGatewayStopOptions options;
 
     KcGatewayStopOptions_Init(&options);
-    options.timers = fixture->common.loop->timers;
     options.gateway = fixture->gateway;
     options.front_end = fixture->front_end;
     options.idle_close_delay = 500 * KC_MS;
     options.refusal_delay = 500 * KC_MS;
     options.duration_min = 0;
+    fixture->common.answer_time = options.answer_time;
     fixture->stopped_at = KcLoop_Now();
     KcGatewayStop_Begin(&fixture->stop, &options,
                         fixture->common.drain_timeout, fixture->stopped_at);
@@ -187,7 +187,6 @@
     if (fixture->front_end == NULL) {
         return;
     }
-    KcGatewayStop_Clear(&fixture->stop);
     KcGateway_Abort(fixture->gateway, KcLoop_Now());
     KcGatewayFrontEnd_Free(fixture->front_end);
     fixture->front_end = NULL;
@@ -358,6 +357,14 @@
     run_loop(fixture, atoi(words[1]) * KC_MS);
 }
 
+/* freeze MS: the process does nothing. */
+static void
+step_freeze(Fixture *fixture, char **words)
+{
+    (void)fixture;
+    g_usleep((gulong)(atoi(words[1]) * KC_MS));
+}
+
 /* stop MS: a planned stop begins that lasts so long at most. */
 static void
 step_stop(Fixture *fixture, char **words)
@@ -448,6 +455,7 @@
     {"send", step_send},
     {"filler", step_filler},
     {"wait", step_wait},
+    {"freeze", step_freeze},
     {"stop", step_stop},
     {"answer", step_answer},
     {"read", step_read},
@@ -513,6 +521,22 @@
      "connect;stop 8000;send no-request;ends 1900 3000;read 400"},
     {"a refused caller that never closes does not hold a short stop",
      "connect;stop 1000;send no-request;ends 900 1300;read 400"},
+    {"what runs at the end of a stop is answered after a freeze beyond it",
+     "connect;send get;wait 20;stop 1000;wait 100;freeze 1200;wait 100;"
+     "send get;wait 50;send get;read 502;close;ends 1300 1700"},
+    {"what is answered late in a stop has its time to arrive",
+     "connect;send get;wait 20;stop 1000;wait 100;freeze 850;wait 150;"
+     "send get;wait 50;send get;read 502;close;ends 1100 1350"},
+    {"a request that is not complete is refused after a freeze beyond the "
+     "stop",
+     "connect;send half-a-head;stop 1000;wait 100;freeze 1200;wait 100;"
+     "send rest-of-head;wait 50;send get;read 503;close;ends 1300 1700"},
+    {"a request that arrives in a freeze beyond the stop is refused",
+     "connect;stop 1000;wait 20;freeze 1200;send get;wait 100;send get;"
+     "read 503;close;ends 1300 1700"},
+    {"an answer that arrives in a freeze beyond the stop is passed on",
+     "connect;send get;wait 20;stop 1000;wait 100;freeze 1200;answer;wait 100;"
+     "send get;read 200;close;ends 1300 1700"},
     {"a caller without a request does not hold the stop",
      "connect;stop 8000;ends 0 3000;read 408"},
 };
