loop: give timers the time by which everything was read

The loop reads what had arrived by some time before it runs the timers that were due then, but told the timers the present time. When the process was frozen between the two, a timer that was due before compared its later times, a deadline or the end of a planned stop, with the time after the freeze, and ended a request whose answer lay unread.

The timers are now given the time of the poll, so what they decide by it can't overlook what had arrived; later times are looked at in the next turn, after a poll. KcTimers_RunUntil(), which kept the two times apart, goes.

test_loop: a timer is not given a time by which something unread has arrived.

--- a/lib/request/kcc_request.h
+++ b/lib/request/kcc_request.h
@@ -50,10 +50,6 @@
 /* Clears every timer that is due and calls its on_due. */
 void KcTimers_Run(KcTimers *timers, KcTime now);
 
-/* The same for the timers that were due by due_until, at the latest now; those
- * due since then wait for a later run. */
-void KcTimers_RunUntil(KcTimers *timers, KcTime due_until, KcTime now);
-
 /* Returns the latest time by which KcTimers_Run() must be called, KC_NEVER
  * when there is none.  May be earlier than any timer is due. */
 KcTime KcTimers_NextDue(const KcTimers *timers);
--- a/lib/request/timers.c
+++ b/lib/request/timers.c
@@ -93,10 +93,9 @@
     timers->occupied[index / WORD_BITS] &= ~(1ULL << (index % WORD_BITS));
 }
 
-/* Fires the timers of one list that were due by due_until and puts the others
- * back. */
+/* Fires the timers of one list that are due and puts the others back. */
 static void
-run_list(KcTimers *timers, int64_t index, KcTime due_until, KcTime now)
+run_list(KcTimers *timers, int64_t index, KcTime now)
 {
     struct KcTimerList detached;
     KcTimer *timer;
@@ -106,7 +105,7 @@
         KcTime due = timer->due_at;
 
         KcTimers_Clear(timers, timer);
-        if (due <= due_until) {
+        if (due <= now) {
             timer->on_due(timer, now);
         }
         else {
@@ -118,13 +117,7 @@
 void
 KcTimers_Run(KcTimers *timers, KcTime now)
 {
-    KcTimers_RunUntil(timers, now, now);
-}
-
-void
-KcTimers_RunUntil(KcTimers *timers, KcTime due_until, KcTime now)
-{
-    int64_t until_tick = due_until / TICK_DURATION;
+    int64_t until_tick = now / TICK_DURATION;
 
     /* After a long pause each list needs one visit, not one per tick. */
     if (until_tick - timers->last_tick > WHEEL_LIST_COUNT) {
@@ -134,7 +127,7 @@
         int64_t index = ++timers->last_tick & (WHEEL_LIST_COUNT - 1);
 
         if ((timers->occupied[index / WORD_BITS] >> (index % WORD_BITS)) & 1) {
-            run_list(timers, index, due_until, now);
+            run_list(timers, index, now);
         }
     }
 }
--- a/programs/process/loop.c
+++ b/programs/process/loop.c
@@ -151,9 +151,9 @@
 }
 
 static void
-run_timers(KcLoop *loop, KcTime due_until)
+run_timers(KcLoop *loop, KcTime now)
 {
-    KcTimers_RunUntil(loop->timers, due_until, KcLoop_Now());
+    KcTimers_Run(loop->timers, now);
     if (loop->stop_requested) {
         /* Sends what is ready to be sent; other sockets may be ready always.
          */
@@ -166,7 +166,8 @@
 /*
  * What had arrived by some time is read before a timer that was due then is
  * run, as it may be what the timer waits for. This matters when other work has
- * kept the loop from both.
+ * kept the loop from both. That time is also the present one for the timers,
+ * which compare it with times other than their own.
  */
 void
 KcLoop_Run(KcLoop *loop)
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -268,6 +268,14 @@
      "1>a; 1:200; 1:end; 2>a; 2:200; 2:end; 3:not run leaving; "},
     {"a draining gateway soon refuses streams",
      LLM "drain;wait 2000;request 1 /t/x m/x", "1:not run leaving; "},
+    /* the process is frozen */
+    {"an answer that arrived in a freeze beyond its deadline is passed on",
+     PLAIN "request 1 /u/x;freeze 20000;reply 1 200;wait 10",
+     "1>a; 1:200; 1:end; "},
+    {"a request is not written if its version was retired in a freeze",
+     LLM "connecting;version x 2;request 1 /t/x m/x;cleartrace;freeze 2600;"
+         "written 1;report b x 2 loaded",
+     "1>b; "},
     /* a planned stop that ends while the process is frozen */
     {"an answer that arrived in a freeze beyond the stop is passed on",
      PLAIN "request 1 /u/x;drain 1000;freeze 1100;reply 1 200;wait 10",
--- a/tests/process/test_loop.c
+++ b/tests/process/test_loop.c
@@ -30,6 +30,7 @@
     int reads;
     KcTime due_at; /* of the first timer */
     int timers_run;
+    KcTime sent_at; /* the bytes that the first read caused; KC_NEVER: none */
     Pair pairs[SOCKETS_MAX];
     KcTimer timers[TIMERS_MAX];
 };
@@ -58,6 +59,8 @@
      "read; timer; "},
     {"what arrived during a long read is read before a timer due meanwhile", 0,
      1, 50 * KC_MS, false, false, 1, 2, "read; timer; "},
+    {"a timer is not given a time by which something unread has arrived",
+     100 * KC_MS, 1, 150 * KC_MS, false, false, 1, 1, "read; timer; read; "},
     {"timers that had to wait run in the order in which they were due",
      100 * KC_MS, 1, 0, false, false, 2, 1, "read; timer; timer; "},
     {"a socket that is always readable does not keep a loop from its end",
@@ -119,6 +122,7 @@
     note_read(fixture);
     if (fixture->reads++ == 0 && cases[fixture->index].read_delay > 0) {
         wait_until(fixture->due_at + cases[fixture->index].read_delay);
+        fixture->sent_at = KcLoop_Now();
         send_byte(pair + 1);
     }
 }
@@ -134,6 +138,9 @@
     if (cases[fixture->index].reads >= 0) {
         g_assert_cmpint(fixture->reads, ==, cases[fixture->index].reads);
     }
+    if (fixture->reads <= cases[fixture->index].sockets) {
+        g_assert_cmpint(now, <=, fixture->sent_at);
+    }
     if (++fixture->timers_run == cases[fixture->index].timers) {
         KcLoop_Stop(fixture->loop);
     }
@@ -164,8 +171,10 @@
     int sockets = cases[index].sockets;
     /* One more that has nothing to read at first. */
     int pairs = sockets < SOCKETS_MAX ? sockets + 1 : sockets;
-    Fixture fixture = {
-        .loop = KcLoop_Create(), .index = index, .trace = g_string_new("")};
+    Fixture fixture = {.loop = KcLoop_Create(),
+                       .index = index,
+                       .sent_at = KC_NEVER,
+                       .trace = g_string_new("")};
     struct bufferevent *repeated =
         bufferevent_socket_new(fixture.loop->base, -1, 0);
 
