lease: a renewal sent before a pause doesn't prove the lease after it

A process that was frozen after its renewal had been sent reads the answer when it goes on. The answer cleared paused_since_renewal, so KcLease_MayOrder() took the lease for held, although it had lapsed a minute ago and another process may have taken it since.

The answer now clears the flag only if the process wasn't paused since the write was sent; otherwise the lease is renewed at once.

test_process: two cases of a freeze with an unread answer to a renewal, which is read before and after the timers. Before: the first failed (may order right after the freeze; the test stops there); after: both pass and the lease recovers.

--- a/lib/process/lease.c
+++ b/lib/process/lease.c
@@ -33,6 +33,7 @@
     KcTime last_awake_at;          /* last time this process was running */
     bool held_before;              /* this process has held the lease */
     bool paused_since_renewal;     /* longer than PROCESS_PAUSE_MAX */
+    bool paused_since_write;       /* the same since write_sent_at */
     bool call_pending;             /* a read or write is outstanding */
     bool freed;                    /* memory is freed when that call ends */
     bool leaving;
@@ -93,6 +94,7 @@
 {
     if (now - lease->last_awake_at > PROCESS_PAUSE_MAX) {
         lease->paused_since_renewal = true;
+        lease->paused_since_write = true;
     }
     lease->last_awake_at = now;
 }
@@ -132,11 +134,15 @@
     if (reply->code == 0) {
         lease->object_version = reply->version;
         lease->held_until = lease->write_sent_at + lease->options.ttl;
-        lease->paused_since_renewal = false;
+        /* Says nothing of the time after it was sent. */
+        lease->paused_since_renewal = lease->paused_since_write;
         set_fence(lease, lease->write_fence, now);
-        schedule_call(lease,
-                      shorten_randomly(lease, lease->options.renew_interval),
-                      now);
+        schedule_call(
+            lease,
+            lease->paused_since_write
+                ? 0
+                : shorten_randomly(lease, lease->options.renew_interval),
+            now);
         if (lease->generation != lease->written_generation ||
             lease->leaving != lease->written_leaving) {
             schedule_write(lease, lease->options.confirm_delay_max, now);
@@ -177,6 +183,7 @@
     bytes.size = KcLeaseValue_Encode(&value, text, sizeof(text));
     assert(bytes.size > 0);
     lease->write_sent_at = now;
+    lease->paused_since_write = false;
     lease->write_fence = fence;
     lease->written_generation = lease->generation;
     lease->written_leaving = lease->leaving;
--- a/tests/process/test_process.c
+++ b/tests/process/test_process.c
@@ -111,6 +111,10 @@
     LEASE_OUTAGE, /* the object API is down from then on; a minute passes */
     LEASE_PAUSE,  /* the process is frozen for a minute */
     LEASE_PAUSE_AND_OUTAGE,
+    /* the process is frozen for a minute with the answer to a renewal unread,
+     * which is the first that it reads, or after its timers */
+    LEASE_PAUSE_IN_RENEWAL,
+    LEASE_PAUSE_IN_RENEWAL_TIMERS_FIRST,
     LEASE_STOLEN,    /* another process takes it and renews it */
     LEASE_RESTARTED, /* a later process of the same instance takes it */
 } LeaseEvent;
@@ -130,6 +134,10 @@
     {"process frozen beyond the expiry", NULL, LEASE_PAUSE, false, true},
     {"process frozen during an outage", NULL, LEASE_PAUSE_AND_OUTAGE, false,
      false},
+    {"process frozen beyond the expiry while its renewal is answered", NULL,
+     LEASE_PAUSE_IN_RENEWAL, false, true},
+    {"process frozen while its renewal is answered, timers first", NULL,
+     LEASE_PAUSE_IN_RENEWAL_TIMERS_FIRST, false, true},
     {"taken by another process", NULL, LEASE_STOLEN, false, false},
     {"taken by a restart of the same instance", NULL, LEASE_RESTARTED, false,
      true},
@@ -166,6 +174,28 @@
     return lease;
 }
 
+/* Gives the outstanding call its answer. */
+static void
+answer_call(FakeObjectApi *api)
+{
+    KcObjectCallback callback = api->callback;
+
+    api->callback = NULL;
+    callback(api->context, &api->reply);
+}
+
+static void
+freeze_in_renewal(FakeObjectApi *api, KcTimers *timers)
+{
+    uint64_t version = api->version;
+
+    while (api->version == version) {
+        api->now += 50 * KC_MS;
+        KcTimers_Run(timers, api->now);
+    }
+    api->now += 60 * KC_SECOND;
+}
+
 static void
 apply_lease_event(FakeObjectApi *api, KcTimers *timers, LeaseEvent event)
 {
@@ -183,6 +213,15 @@
         api->is_down = true;
         api->now += 60 * KC_SECOND;
         break;
+    case LEASE_PAUSE_IN_RENEWAL:
+        freeze_in_renewal(api, timers);
+        answer_call(api);
+        break;
+    case LEASE_PAUSE_IN_RENEWAL_TIMERS_FIRST:
+        freeze_in_renewal(api, timers);
+        KcTimers_Run(timers, api->now);
+        answer_call(api);
+        break;
     case LEASE_STOLEN:
         write_other_lease(api, "other", 7);
         advance_time(api, timers, 5 * KC_SECOND);
