http_connection_pool: take no connection whose idle time is over

A pooled connection was closed by its timer only. When the process was frozen, what had arrived is handled before the timers, so a request went onto a connection that the server had been allowed to close long ago; a stream or another request that can't be sent again was lost by that, as it may have run.

KcHttpConnectionPool_Take() now looks at the time itself, and passes over such connections to older ones with a longer idle time.

--- a/programs/connection/http_connection_pool.c
+++ b/programs/connection/http_connection_pool.c
@@ -137,20 +137,32 @@
     free(pool);
 }
 
+/* Is its time over, though its timer may not have run yet? */
+static bool
+is_overdue(const IdleConnection *idle, KcTime now)
+{
+    return now >= idle->idle_timer.due_at;
+}
+
 KcHttpConnection *
 KcHttpConnectionPool_Take(KcHttpConnectionPool *pool, KcTime idle_age_max)
 {
-    IdleConnection *idle = TAILQ_FIRST(&pool->idle_connections);
+    KcTime now = KcLoop_Now();
+    IdleConnection *idle;
     KcHttpConnection *connection;
 
-    /* Spoiled ones are at the end of the list. */
-    if (idle == NULL || idle->is_spoiled ||
-        KcLoop_Now() - idle->released_at > idle_age_max) {
-        return NULL;
+    TAILQ_FOREACH (idle, &pool->idle_connections, link) {
+        /* Spoiled ones are at the end of the list. */
+        if (idle->is_spoiled || now - idle->released_at > idle_age_max) {
+            return NULL;
+        }
+        if (!is_overdue(idle, now)) {
+            connection = idle->connection;
+            remove_idle_connection(idle);
+            return connection;
+        }
     }
-    connection = idle->connection;
-    remove_idle_connection(idle);
-    return connection;
+    return NULL;
 }
 
 void
