http_connection_pool: take no connection on which something has arrived

An idle connection that its server has ended is removed when its event is handled. Among the events of one turn of the loop the order is any, and after a freeze there are many: a request that came first went onto a connection whose end lay unread in the kernel, and was lost; one that can't be sent again was reported as one that may have run.

KcHttpConnectionPool_Take() now looks at the socket, one recv() with MSG_PEEK, and passes over a connection on which bytes or an end have arrived. What has not arrived by then is still found out as before.

test_pool: 4 more cases.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -697,6 +697,17 @@
     return KcHttpConnection_UnparsedBytes(connection) + (size_t)kernel_bytes;
 }
 
+bool
+KcHttpConnection_HasInput(const KcHttpConnection *connection)
+{
+    char byte;
+
+    return KcHttpConnection_UnparsedBytes(connection) > 0 ||
+           recv(bufferevent_getfd(connection->bev), &byte, 1,
+                MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+           errno != EAGAIN;
+}
+
 bool
 KcHttpConnection_HasInputEnded(const KcHttpConnection *connection)
 {
--- a/programs/connection/http_connection.h
+++ b/programs/connection/http_connection.h
@@ -122,6 +122,9 @@
  * those that the kernel holds; 0 for a closed connection.
  */
 size_t KcHttpConnection_UnreadBytes(const KcHttpConnection *connection);
+/* Returns whether bytes, or the end of the stream, have arrived that were not
+ * parsed. */
+bool KcHttpConnection_HasInput(const KcHttpConnection *connection);
 /* Returns whether the peer has ended its stream; it may still read. */
 bool KcHttpConnection_HasInputEnded(const KcHttpConnection *connection);
 /* Returns the number of received bytes not yet parsed. */
--- a/programs/connection/http_connection_pool.c
+++ b/programs/connection/http_connection_pool.c
@@ -137,11 +137,13 @@
     free(pool);
 }
 
-/* Is its time over, though its timer may not have run yet? */
+/* Is it about to be closed, though its timer or its input may not have been
+ * handled yet? */
 static bool
-is_overdue(const IdleConnection *idle, KcTime now)
+is_over(const IdleConnection *idle, KcTime now)
 {
-    return now >= idle->idle_timer.due_at;
+    return now >= idle->idle_timer.due_at ||
+           KcHttpConnection_HasInput(idle->connection);
 }
 
 KcHttpConnection *
@@ -156,7 +158,7 @@
         if (idle->is_spoiled || now - idle->released_at > idle_age_max) {
             return NULL;
         }
-        if (!is_overdue(idle, now)) {
+        if (!is_over(idle, now)) {
             connection = idle->connection;
             remove_idle_connection(idle);
             return connection;
--- a/programs/connection/http_connection_pool.h
+++ b/programs/connection/http_connection_pool.h
@@ -22,10 +22,11 @@
     void *context);
 
 /*
- * Takes the most recently used connection whose idle time is not over out of
- * the pool, if it has been idle for at most idle_age_max. The caller then owns
- * it and must set itself as its owner with KcHttpConnection_SetOwner().
- * Returns NULL when there is none.
+ * Takes the most recently used connection whose idle time is not over, and on
+ * which nothing has arrived since it was put into the pool, out of the pool,
+ * if it has been idle for at most idle_age_max. The caller then owns it and
+ * must set itself as its owner with KcHttpConnection_SetOwner(). Returns NULL
+ * when there is none.
  */
 KcHttpConnection *KcHttpConnectionPool_Take(KcHttpConnectionPool *pool,
                                             KcTime idle_age_max);
--- a/tests/connection/test_pool.c
+++ b/tests/connection/test_pool.c
@@ -41,6 +41,22 @@
      {LONG_TIMEOUT, SHORT_TIMEOUT},
      SERVER_KEEPS,
      0},
+    {"a connection that its server has ended is not taken",
+     {LONG_TIMEOUT},
+     SERVER_ENDS,
+     -1},
+    {"a connection that its server has reset is not taken",
+     {LONG_TIMEOUT},
+     SERVER_RESETS,
+     -1},
+    {"a connection with bytes that belong to no request is not taken",
+     {LONG_TIMEOUT},
+     SERVER_SENDS,
+     -1},
+    {"an older connection is taken when the server has ended the newest",
+     {LONG_TIMEOUT, LONG_TIMEOUT},
+     SERVER_ENDS,
+     0},
 };
 
 typedef struct Fixture {
