--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -47,7 +47,7 @@
  *   cleartrace              forgets what was traced so far
  *   each FIRST LAST STEP [WORD...]     the step for each of these numbers
  *   pause MS                the gateway's process stands still
- *   late MS                 the same; the steps behind come before its timers
+ *   freeze MS               the same; the steps behind come before its timers
  *
  * Trace: "1>a" attempt of request 1 at server a, "1>a+5" one that resumes
  * after event 5, "1x" attempt cancelled, "1x a" the one at server a of
@@ -474,9 +474,10 @@
 static void
 step_drain(Fixture *fixture, char **words)
 {
-    (void)words;
+    int duration_ms = words[1] != NULL ? atoi(words[1]) : 7500;
+
     KcGateway_Drain(fixture->gateway, fixture->now + 2 * KC_SECOND,
-                    fixture->now + 7500 * KC_MS);
+                    fixture->now + duration_ms * KC_MS);
 }
 
 static void
@@ -497,8 +498,9 @@
     KcTimers_Run(fixture->timers, fixture->now);
 }
 
+/* Until the next wait or pause no timer is run. */
 static void
-step_late(Fixture *fixture, char **words)
+step_freeze(Fixture *fixture, char **words)
 {
     fixture->now += atoi(words[1]) * KC_MS;
 }
@@ -545,7 +547,7 @@
     {"drain", step_drain},
     {"wait", step_wait},
     {"pause", step_pause},
-    {"late", step_late},
+    {"freeze", step_freeze},
     {"cleartrace", step_clear_trace},
     {"each", step_each},
     {"ended", GatewaySteps_Ended},
