gateway: write no request after its deadline

A late process handles sockets before timers, so that a connection which was made after the deadline of its request got the request, and its caller 504, though nothing need have been sent. KcForwardAttempt_CheckSend() looks at the deadline; the request ends as not run.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -45,9 +45,10 @@
                           .part_delivered = forward->answer_begun,
                           .charge_refusals = true,
                           .attempts_max = forward->rule->attempts_max};
-    bool is_declined = end == KC_ATTEMPT_NEVER_SENT &&
-                       (code == KC_ERR_LEAVING || code == KC_ERR_BUSY ||
-                        code == KC_ERR_VERSION_RETIRED);
+    bool is_declined =
+        end == KC_ATTEMPT_NEVER_SENT &&
+        (code == KC_ERR_LEAVING || code == KC_ERR_BUSY ||
+         code == KC_ERR_VERSION_RETIRED || now >= forward->deadline);
 
     KcError_Set(&forward->error, code, step, server->id);
     if (!is_declined) {
--- a/lib/process/gateway_notice.c
+++ b/lib/process/gateway_notice.c
@@ -33,6 +33,9 @@
         KcServer_IsLeaving(server)) {
         return KC_ERR_LEAVING;
     }
+    if (now >= attempt->forward->deadline) {
+        return KC_ERR_DEADLINE_EXCEEDED;
+    }
     if (attempt->replica != NULL &&
         KcReplica_IsOutdated(attempt->replica, now)) {
         return KC_ERR_VERSION_RETIRED;
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -144,7 +144,9 @@
  * To be called before the request is written to a connection that was not yet
  * open when the attempt started.  Returns 0, or KC_ERR_LEAVING or KC_ERR_BUSY
  * when the server has said meanwhile that it takes no requests, or the planned
- * stop of the gateway has ended: the attempt must then be ended as
+ * stop of the gateway has ended, KC_ERR_VERSION_RETIRED or
+ * KC_ERR_DEADLINE_EXCEEDED when the time of the version or of the request is
+ * over: the attempt must then be ended as
  * KC_ATTEMPT_NEVER_SENT with that code.
  */
 int KcForwardAttempt_CheckSend(const KcForwardAttempt *attempt, KcTime now);
