http_attempt: an unframed answer is whole if its server still lives

Cause: a server that crashes ends an answer with neither a length nor chunks as one that is complete. The gateway then opened a connection to the address, and took its being accepted for a sign of life of the server. A later instance, or a proxy, accepts it as well, at the latest when the gateway has stood still in between.

The new cases of test_unframed and test_restarts: ten of test_unframed and the two with a lost worker of test_restarts failed before.

Fix: the gateway asks at the address who is there, on a new connection as before, and only after such an answer. A model server tells its start time in its report, without a place; any other its id, at its health path. The answer is complete only if the start time is that which was known when the request was sent; or, where only an id is told, if it is the same id, the record names no other start by now, and the end was not read after a pause of the gateway of 500 ms or more. Without an identity within 2 s it is broken off. A server that is leaving or full may tell its id with an error.

Price: one report or health check for each such answer, and the time that it takes. The connection is kept for the next request, as before.

Tests: REQUEST_TIMEOUT of test_unframed grows to 1.5 s, so that a pause of 700 ms fits into a request; rows have two more columns, and none has changed otherwise. Three planted faults in IsFrom() and one in http_attempt.c are each caught by test_unframed.

Open: a plain server that is back under its id within 500 ms, before its new record is known, or while the machine was suspended, is not told from the one that answered.

--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -27,6 +27,7 @@
 
     if (now - timer->due_at > PAUSE_MIN) {
         gateway->last_pause_at = now;
+        gateway->last_pause_length = now - timer->due_at;
     }
     if (gateway->in_flight > 0) {
         KcTimers_Set(gateway->options.timers, timer,
@@ -43,14 +44,24 @@
     }
 }
 
-bool
-KcGateway_HasPaused(const KcGateway *gateway, KcTime now)
+KcTime
+KcGateway_PauseLength(const KcGateway *gateway, KcTime now)
 {
     const KcTimer *timer = &gateway->pause_timer;
 
-    return (timer->is_set && now - timer->due_at > PAUSE_MIN) ||
-           (gateway->last_pause_at != 0 &&
-            now - gateway->last_pause_at < PAUSE_CHECK_INTERVAL);
+    if (timer->is_set && now - timer->due_at > PAUSE_MIN) {
+        return now - timer->due_at;
+    }
+    return gateway->last_pause_at != 0 &&
+                   now - gateway->last_pause_at < PAUSE_CHECK_INTERVAL
+               ? gateway->last_pause_length
+               : 0;
+}
+
+bool
+KcGateway_HasPaused(const KcGateway *gateway, KcTime now)
+{
+    return KcGateway_PauseLength(gateway, now) > 0;
 }
 
 static void
--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -3,9 +3,13 @@
  * fails requests without an answer.
  */
 #include <assert.h>
+#include <string.h>
 
 #include "gateway_internal.h"
 
+/* A server that has ended is not back under its id in a shorter time. */
+#define RESTART_MIN (500 * KC_MS)
+
 bool
 KcForward_CanContinue(const KcForward *forward)
 {
@@ -303,3 +307,31 @@
     KcForwardAttempt_Release(attempt, now);
     KcForward_FinishAnswered(forward, 200, now);
 }
+
+/* ---- answers that end with their connection ------------------------------ */
+
+void
+KcForwardAttempt_OnUnframedEnd(KcForwardAttempt *attempt, KcTime now)
+{
+    attempt->ended_in_pause =
+        KcGateway_PauseLength(attempt->forward->gateway, now) >= RESTART_MIN;
+}
+
+bool
+KcForwardAttempt_IsFrom(const KcForwardAttempt *attempt,
+                        const KcServerIdentity *identity)
+{
+    const KcServer *server = attempt->server;
+    int64_t started_at_ms = attempt->server_started_at_ms;
+    bool has_id = identity->id[0] != '\0';
+
+    if (has_id && strcmp(identity->id, server->id) != 0) {
+        return false;
+    }
+    if (identity->started_at_ms != 0 && started_at_ms != 0) {
+        return identity->started_at_ms == started_at_ms;
+    }
+    /* A later instance may have the same id. */
+    return has_id && !attempt->ended_in_pause &&
+           server->started_at_ms == started_at_ms;
+}
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -33,8 +33,9 @@
     uint64_t random_state;
     KcTime refuse_at; /* of a planned stop, see KcGateway_Drain() */
     KcTime end_at;
-    KcTimer end_timer;     /* ends the requests in progress at end_at */
-    KcTime last_pause_at;  /* when this process last went on after a pause */
+    KcTimer end_timer;    /* ends the requests in progress at end_at */
+    KcTime last_pause_at; /* when this process last went on after a pause */
+    KcTime last_pause_length;
     KcTimer pause_timer;   /* detects pauses while requests are in flight */
     KcTimer missing_timer; /* checks servers whose record is missing */
 };
@@ -44,6 +45,8 @@
 /* True just after a pause of this process, in whatever order timers are run:
  * what its servers sent meanwhile may not have been read yet. */
 bool KcGateway_HasPaused(const KcGateway *gateway, KcTime now);
+/* How long that pause was; 0: there was none. */
+KcTime KcGateway_PauseLength(const KcGateway *gateway, KcTime now);
 
 /* ---- adapters (gateway_adapters.c) --------------------------------------- */
 
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -115,6 +115,7 @@
     bool is_sent;            /* given to its connection, so that it may run */
     const void *stream_head; /* KcReply.head of its stream; NULL: not begun */
     bool has_first_event;    /* an event of its stream has arrived */
+    bool ended_in_pause;     /* see KcForwardAttempt_OnUnframedEnd() */
 };
 
 /* In the order of their start. */
@@ -152,6 +153,23 @@
  * unless KcForwardAttempt_OnFailed() says otherwise. */
 void KcForwardAttempt_OnSent(KcForwardAttempt *attempt);
 
+/* What a server says of itself. */
+typedef struct KcServerIdentity {
+    const char *id;        /* "": not said */
+    int64_t started_at_ms; /* wall clock of its start; 0: not said */
+} KcServerIdentity;
+
+/*
+ * The connection of an answer that has no other framing has ended.  That of a
+ * server that crashes ends in the same way: the answer is complete only if
+ * the server is asked from now on who it is, and KcForwardAttempt_IsFrom().
+ */
+void KcForwardAttempt_OnUnframedEnd(KcForwardAttempt *attempt, KcTime now);
+
+/* Is it the instance of the server that the attempt was sent to? */
+bool KcForwardAttempt_IsFrom(const KcForwardAttempt *attempt,
+                             const KcServerIdentity *identity);
+
 /* The attempt failed: how far it came, and a KcErrorCode.  Ends it. */
 void KcForwardAttempt_OnFailed(KcForwardAttempt *attempt, KcAttemptEnd end,
                                int code, KcTime now);
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -103,6 +103,23 @@
 
 /* ---- attempts ------------------------------------------------------------ */
 
+/* A model server tells its start without a place; any other one its id only,
+ * like a request. */
+static const char *
+identity_path(const GatewayRole *role, const KcForwardAttempt *attempt)
+{
+    const KcForward *forward = attempt->forward;
+    const KcRoutedService *service =
+        KcRouting_FindService(forward->routing, forward->pool->service);
+
+    if (service == NULL) {
+        return "";
+    }
+    return service->engine.is_configured && attempt->server_started_at_ms != 0
+               ? role->platform->status_path
+               : service->health_path;
+}
+
 static void *
 start_attempt(void *context, KcForwardAttempt *attempt,
               const KcAttemptParams *params)
@@ -116,6 +133,7 @@
         .connect_timeout = settings->connect_timeout_ms * KC_MS,
         .silence_timeout = settings->connection_silence_timeout_ms * KC_MS,
         .head_bytes_max = REPLY_HEAD_BYTES_MAX,
+        .identity_path = identity_path(role, attempt),
         .limits = {.body_bytes_max = REPLY_BODY_BYTES_MAX,
                    .skipped_bytes_max = SKIPPED_BYTES_MAX,
                    .skipped_max = SKIPPED_REPLIES_MAX,
--- a/programs/request/dialect.h
+++ b/programs/request/dialect.h
@@ -76,6 +76,11 @@
      * server's reply; idle_time as above. */
     void (*write_refusal)(struct evbuffer *out,
                           const KcForwardRefusal *refusal, KcTime idle_time);
+    /* Header by which a server states its id, in some of its answers. */
+    const char *server_id_header;
+    /* Returns when the server started, by the body of its report, as in
+     * KcServerIdentity. */
+    int64_t (*parse_start_time)(KcBytes body);
 } KcHttpDialect;
 
 #endif
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -9,6 +9,7 @@
 
 #include "../process/log.h"
 #include "event_stream.h"
+#include "http_call.h"
 #include "intake_log.h"
 
 /*
@@ -28,6 +29,11 @@
  * timeout.
  */
 #define FRESH_IDLE_AGE_MAX (50 * KC_MS)
+/* How long a server may take to tell who it is; a pause of a sound server
+ * lasts at most about this long. */
+#define IDENTITY_TIMEOUT (2 * KC_SECOND)
+/* Largest answer to that. */
+#define IDENTITY_BYTES_MAX ((size_t)1024 * 1024)
 
 struct KcHttpAttempt {
     KcDeferredFree deferred_free;
@@ -35,9 +41,7 @@
     KcForwardAttempt *forwarded; /* reported to */
     KcAttemptParams parameters;
     KcHttpConnection *connection;
-    /* The one that ended the reply, while connection looks for a sign of life;
-     * NULL: none. */
-    KcHttpConnection *ended_connection;
+    KcHttpCall *identity_call;    /* after the end of the reply; NULL: none */
     int64_t server_started_at_ms; /* as known when the attempt started */
     KcTimer connect_timer;        /* limits connecting */
     size_t request_bytes;         /* given to the connection; 0: none yet */
@@ -70,8 +74,8 @@
 finish_attempt(KcHttpAttempt *attempt)
 {
     attempt->is_finished = true;
-    if (attempt->ended_connection != NULL) {
-        KcHttpConnection_Close(attempt->ended_connection);
+    if (attempt->identity_call != NULL) {
+        KcHttpCall_Cancel(attempt->identity_call);
     }
     KcTimers_Clear(attempt->options.loop->timers, &attempt->connect_timer);
     KcLoop_DeferFree(attempt->options.loop, &attempt->deferred_free);
@@ -90,7 +94,7 @@
 void
 KcHttpAttempt_SetReadPaused(KcHttpAttempt *attempt, bool paused)
 {
-    if (!attempt->is_finished) {
+    if (!attempt->is_finished && attempt->identity_call == NULL) {
         KcHttpConnection_SetReadPaused(attempt->connection, paused);
     }
 }
@@ -302,7 +306,7 @@
     KcForwardAttempt_OnReply(forwarded, &reply, KcLoop_Now());
 }
 
-static void await_sign_of_life(KcHttpAttempt *attempt);
+static void request_identity(KcHttpAttempt *attempt);
 
 static void
 on_end(void *owner)
@@ -323,7 +327,7 @@
         return;
     }
     if (is_unframed) {
-        await_sign_of_life(attempt);
+        request_identity(attempt);
         return;
     }
     report_end(attempt);
@@ -405,12 +409,12 @@
                                                    .on_failed = on_failed};
 
 static KcHttpConnection *
-connect_to_server(KcHttpAttempt *attempt, const KcHttpConnectionOps *ops)
+connect_to_server(KcHttpAttempt *attempt)
 {
     const KcHttpAttemptOptions *options = &attempt->options;
     KcHttpConnectionOptions connection_options = {
         .loop = options->loop,
-        .ops = ops,
+        .ops = &connection_ops,
         .owner = attempt,
         .head_bytes_max = options->head_bytes_max,
         .silence_timeout = options->silence_timeout};
@@ -423,53 +427,52 @@
 
 /* ---- replies that end with their connection ------------------------------ */
 
-/* The server accepts connections, so it has ended the reply by itself.  The
- * connection is as good as any other for the next request. */
 static void
-on_sign_of_life(void *owner)
+on_identity(void *context, int status, const char *id, KcBytes body)
 {
-    KcHttpAttempt *attempt = owner;
+    KcHttpAttempt *attempt = context;
+    KcServerIdentity identity = {.id = status > 0 ? id : ""};
 
-    KcHttpConnectionPool_Put(attempt->options.pool, attempt->connection,
-                             DEFAULT_IDLE_TIMEOUT);
-    attempt->connection = attempt->ended_connection;
-    attempt->ended_connection = NULL;
+    attempt->identity_call = NULL;
+    if (status == 200) {
+        identity.started_at_ms =
+            attempt->options.dialect->parse_start_time(body);
+    }
+    if (!KcForwardAttempt_IsFrom(attempt->forwarded, &identity)) {
+        fail_attempt(attempt, KC_ATTEMPT_LOST, KC_ERR_PEER_LOST);
+        return;
+    }
     report_end(attempt);
 }
 
-static void
-on_no_sign_of_life(void *owner, int code)
-{
-    fail_attempt(owner, KC_ATTEMPT_LOST, code);
-}
-
-static void
-on_unexpected_head(void *owner, const KcHttpMessage *message)
-{
-    (void)message;
-    fail_attempt(owner, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL);
-}
-
-static const KcHttpConnectionOps sign_of_life_ops = {
-    .on_connected = on_sign_of_life,
-    .on_head = on_unexpected_head,
-    .on_failed = on_no_sign_of_life};
-
 /* The connections of a server that crashes end in the same way as a reply that
- * has no other framing: what tells them apart is whether it still accepts
- * connections. */
+ * has no other framing.  That something else accepts connections there proves
+ * nothing: it may be a later instance, or a proxy. */
 static void
-await_sign_of_life(KcHttpAttempt *attempt)
+request_identity(KcHttpAttempt *attempt)
 {
-    KcHttpConnection *connection =
-        connect_to_server(attempt, &sign_of_life_ops);
-
-    if (connection == NULL) {
+    const KcHttpAttemptOptions *options = &attempt->options;
+    KcHttpCallOptions call_options = {
+        .loop = options->loop,
+        .address = attempt->parameters.server->address,
+        .method = "GET",
+        .path = options->identity_path,
+        .reported_field = options->dialect->server_id_header,
+        .progress_timeout = IDENTITY_TIMEOUT,
+        .connect_timeout = options->connect_timeout,
+        .limits = {.body_bytes_max = IDENTITY_BYTES_MAX,
+                   .timeout = IDENTITY_TIMEOUT},
+        .pool = options->pool,
+        .needs_new_connection = true,
+        .pooled_idle_timeout = DEFAULT_IDLE_TIMEOUT};
+
+    if (options->identity_path[0] == '\0') {
         fail_attempt(attempt, KC_ATTEMPT_LOST, KC_ERR_PEER_LOST);
         return;
     }
-    attempt->ended_connection = attempt->connection;
-    attempt->connection = connection;
+    KcForwardAttempt_OnUnframedEnd(attempt->forwarded, KcLoop_Now());
+    attempt->identity_call =
+        KcHttpCall_Fetch(&call_options, on_identity, attempt);
 }
 
 KcHttpAttempt *
@@ -497,7 +500,7 @@
         write_request(attempt);
         return attempt;
     }
-    attempt->connection = connect_to_server(attempt, &connection_ops);
+    attempt->connection = connect_to_server(attempt);
     if (attempt->connection == NULL) {
         finish_attempt(attempt);
         return NULL;
--- a/programs/request/http_attempt.h
+++ b/programs/request/http_attempt.h
@@ -17,6 +17,9 @@
     KcTime connect_timeout;
     KcTime silence_timeout; /* see KcSocket_SetConnectionOptions() */
     size_t head_bytes_max;  /* bytes of replies that are not body */
+    /* Where the server tells who it is: its id in a header, or the time of
+     * its start in the body; "": nowhere.  Must outlive the attempt. */
+    const char *identity_path;
     /*
      * Limits of a reply. The body's is that of a reply that is not a stream;
      * the request's deadline limits the time, its parameters the events.
--- a/programs/request/http_call.c
+++ b/programs/request/http_call.c
@@ -19,7 +19,7 @@
 #define RESPONSE_BODY_BYTES_MAX ((size_t)16 * 1024 * 1024)
 #define SKIPPED_BYTES_MAX 65536
 #define SKIPPED_RESPONSES_MAX 8
-/* How long a connection stays in the pool for the next call. */
+/* Default of KcHttpCallOptions.pooled_idle_timeout. */
 #define POOLED_IDLE_TIMEOUT (4 * KC_SECOND)
 /* The kernel ends a connection whose peer has not answered for this long. */
 #define SILENCE_TIMEOUT (3 * KC_SECOND)
@@ -30,6 +30,7 @@
     void *context;
     KcLoop *loop;
     KcHttpConnectionPool *pool;
+    KcTime pooled_idle_timeout;
     char address[KC_ADDRESS_MAX];
     const char *reported_field; /* static string */
     KcTime progress_timeout;
@@ -207,7 +208,8 @@
     }
     if (call->pool != NULL && call->keep_alive) {
         call->connection = NULL;
-        KcHttpConnectionPool_Put(call->pool, connection, POOLED_IDLE_TIMEOUT);
+        KcHttpConnectionPool_Put(call->pool, connection,
+                                 call->pooled_idle_timeout);
     }
     report_done(call, 0);
 }
@@ -344,6 +346,9 @@
     call->context = options->context;
     call->loop = options->loop;
     call->pool = options->pool;
+    call->pooled_idle_timeout = options->pooled_idle_timeout > 0
+                                    ? options->pooled_idle_timeout
+                                    : POOLED_IDLE_TIMEOUT;
     call->reported_field =
         options->reported_field != NULL ? options->reported_field : "ETag";
     call->progress_timeout = options->progress_timeout;
@@ -374,7 +379,7 @@
         return KC_ERR_INVALID;
     }
     build_request(call, options);
-    if (call->pool != NULL) {
+    if (call->pool != NULL && !options->needs_new_connection) {
         call->connection = KcHttpConnectionPool_Take(call->pool, KC_NEVER);
     }
     if (call->connection == NULL) {
--- a/programs/request/http_call.h
+++ b/programs/request/http_call.h
@@ -69,6 +69,8 @@
     KcIntakeLimits limits;
     /* Connections to address; NULL: the call opens one of its own. */
     KcHttpConnectionPool *pool;
+    bool needs_new_connection;  /* which goes to the pool afterwards */
+    KcTime pooled_idle_timeout; /* of its connection there; 0: 4 s */
     const KcHttpCallOps *ops;
     void *context;
 } KcHttpCallOptions;
--- a/tests/daemons/test_restarts.c
+++ b/tests/daemons/test_restarts.c
@@ -1,10 +1,14 @@
 /*
  * Tests that streams are served again after processes were killed and started
- * again at once, while callers go on sending, with real processes.
+ * again at once, while callers go on sending, and that an answer is not taken
+ * as whole as its worker is back, with real processes.
  */
 #include <glib.h>
+#include <poll.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "../steps.h"
 #include "gateway_cluster.h"
@@ -81,12 +85,117 @@
     g_assert_true(wait_until_served());
 }
 
+/* ---- workers that are back before their answer is read ------------------- */
+
+/* How long the gateway stands still. */
+#define FREEZE (1500 * 1000)
+
+/* Answers without framing, whose worker is lost or not; the caller gets the
+ * end of a whole answer, or none. */
+static const struct {
+    const char *name;
+    GatewayClusterRole role;
+    const char *path;
+    const char *work_ms;
+    const char *wait_for; /* in the answer, before the freeze; "": nothing */
+    bool is_lost;         /* during the freeze, and back with its id */
+    bool is_whole;
+} frozen_cases[] = {
+    {"stream", GATEWAY_CLUSTER_LLM_WORKER, "/stream/x", "work_ms=50", "id: 2",
+     false, true},
+    {"stream of a lost worker", GATEWAY_CLUSTER_LLM_WORKER, "/stream/x",
+     "work_ms=200", "id: 2", true, false},
+    {"answer", GATEWAY_CLUSTER_PLAIN_WORKER, "/unsafe/x", "work_ms=1700", "",
+     false, true},
+    {"answer of a lost worker", GATEWAY_CLUSTER_PLAIN_WORKER, "/unsafe/x",
+     "work_ms=400", "", true, false},
+};
+
+/* Reads until the text has arrived, or the end when it is NULL. */
+static void
+read_answer(int fd, const char *text, char *answer, size_t *size)
+{
+    struct pollfd readable = {.fd = fd, .events = POLLIN};
+
+    while (text == NULL || strstr(answer, text) == NULL) {
+        ssize_t count;
+
+        g_assert_cmpint(poll(&readable, 1, 5000), ==, 1);
+        count = read(fd, answer + *size, ANSWER_SIZE - 1 - *size);
+        if (count <= 0) {
+            g_assert_null(text);
+            return;
+        }
+        *size += (size_t)count;
+        answer[*size] = '\0';
+    }
+}
+
+static void
+restart_worker(GatewayClusterRole role)
+{
+    json_t *state = NULL;
+
+    GatewayCluster_SendSignal(cluster, role, 0, SIGKILL);
+    GatewayCluster_WaitForExit(cluster, role, 0);
+    GatewayCluster_RestartProcess(cluster, role, 0);
+    while (state == NULL) {
+        g_usleep(10000);
+        state = GatewayCluster_ReadState(cluster, role, 0);
+    }
+    json_decref(state);
+}
+
+static void
+test_frozen(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    GatewayClusterRole role = frozen_cases[index].role;
+    char answer[ANSWER_SIZE] = "";
+    size_t size = 0;
+    char *request = g_strdup_printf(
+        "POST %s HTTP/1.1\r\nHost: h\r\n%sAttempt-Id: frozen-%zu\r\n"
+        "Content-Length: 0\r\nConnection: close\r\n\r\n",
+        frozen_cases[index].path,
+        role == GATEWAY_CLUSTER_LLM_WORKER
+            ? "Model: m/a1\r\nToken-Count: 10,10\r\n"
+            : "",
+        index);
+    int fd;
+
+    g_assert_true(wait_until_served());
+    GatewayCluster_SetKnob(cluster, role, 0, "unframed=100");
+    GatewayCluster_SetKnob(cluster, role, 0, frozen_cases[index].work_ms);
+    fd = GatewayCluster_Connect(
+        GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_GATEWAY, 0));
+    g_assert_cmpint(write(fd, request, strlen(request)), ==, strlen(request));
+    read_answer(fd, frozen_cases[index].wait_for, answer, &size);
+    g_usleep(100000);
+    GatewayCluster_SendSignal(cluster, GATEWAY_CLUSTER_GATEWAY, 0, SIGSTOP);
+    g_usleep(FREEZE / 2);
+    if (frozen_cases[index].is_lost) {
+        restart_worker(role);
+    }
+    g_usleep(FREEZE / 2);
+    GatewayCluster_SendSignal(cluster, GATEWAY_CLUSTER_GATEWAY, 0, SIGCONT);
+    read_answer(fd, NULL, answer, &size);
+    close(fd);
+    g_test_message("%s", answer);
+    g_assert_cmpint(strstr(answer, "answer frozen") != NULL ||
+                        g_str_has_suffix(answer, "\r\n0\r\n\r\n"),
+                    ==, frozen_cases[index].is_whole);
+    GatewayCluster_SetKnob(cluster, role, 0, "unframed=0");
+    GatewayCluster_SetKnob(cluster, role, 0, "work_ms=5");
+    g_free(request);
+}
+
 int
 main(int argc, char **argv)
 {
     GatewayClusterOptions options = {
         .network_octet = GatewayCluster_ReserveNetwork(128, 227),
         .llm_workers = 1,
+        .plain_workers = 1,
         .gateways = 1,
         .seed = 7};
     int status;
@@ -94,6 +203,9 @@
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/restarts", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
                    test_case);
+    Steps_AddCases("/restarts/frozen", frozen_cases,
+                   G_N_ELEMENTS(frozen_cases), sizeof(frozen_cases[0]),
+                   test_frozen);
     cluster = GatewayCluster_Start(&options);
     status = g_test_run();
     GatewayCluster_Stop(cluster);
--- a/tests/request/test_unframed.c
+++ b/tests/request/test_unframed.c
@@ -22,7 +22,9 @@
 
 /* Longest duration of a case. */
 #define GUARD_TIMEOUT (5 * KC_SECOND)
-#define REQUEST_TIMEOUT (800 * KC_MS)
+#define REQUEST_TIMEOUT (1500 * KC_MS)
+/* How long the gateway stands still in some cases. */
+#define PAUSE (700 * KC_MS)
 
 /* How the server goes on after its bytes. */
 typedef enum ServerEnd {
@@ -36,6 +38,11 @@
 #define STREAM OK "Content-Type: text/event-stream\r\n\r\n"
 #define EVENT_0 "id: 0\ndata: x\n\n"
 #define EVENT_1 "id: 1\ndata: y\n\n"
+#define IDENTITY_PATH "/health"
+#define STARTED_AT_MS 7
+#define ID "HTTP/1.1 200 -\r\nInstance-Id: w\r\nContent-Length: 0\r\n\r\n"
+#define START(time)                                                           \
+    "HTTP/1.1 200 -\r\nContent-Length: 10\r\n\r\n{\"born\":" time "}"
 #define GET "GET /s/x HTTP/1.1\r\n"
 #define POST "POST /t/x HTTP/1.1\r\nContent-Length: 0\r\n"
 
@@ -50,62 +57,100 @@
     const char *answer;
     int accepted;
     int kept;
+    /* What the server answers when it is asked who it is; NULL: ID, "": its
+     * connection ends. */
+    const char *identity;
+    bool has_pause; /* of the gateway, before the server's end */
 } cases[] = {
     /* whole answers */
-    {"whole", GET, OK "\r\nabc", CLOSES, "200 length abc", 2, 1},
-    {"empty", GET, OK "\r\n", CLOSES, "200 length ", 2, 1},
+    {"whole", GET, OK "\r\nabc", CLOSES, "200 length abc", 2, 1, NULL, false},
+    {"empty", GET, OK "\r\n", CLOSES, "200 length ", 2, 1, NULL, false},
     {"says keep-alive", GET, OK "Connection: keep-alive\r\n\r\nabc", CLOSES,
-     "200 length abc", 2, 1},
+     "200 length abc", 2, 1, NULL, false},
     {"HTTP/1.0", GET, "HTTP/1.0 200 -\r\nAttempt-Id: this\r\n\r\nabc", CLOSES,
-     "200 length abc", 2, 1},
+     "200 length abc", 2, 1, NULL, false},
     {"error", GET, "HTTP/1.1 500 -\r\nAttempt-Id: this\r\n\r\nabc", CLOSES,
-     "500 length abc", 2, 1},
+     "500 length abc", 2, 1, NULL, false},
     {"error without an id", GET, "HTTP/1.1 500 -\r\n\r\nabc", CLOSES,
-     "502 length ", 1, 0},
-    {"reset", GET, OK "\r\nabc", RESETS, "502 length ", 1, 0},
-    {"crash", GET, OK "\r\nabc", CRASHES, "502 length ", 1, 0},
+     "502 length ", 1, 0, NULL, false},
+    {"reset", GET, OK "\r\nabc", RESETS, "502 length ", 1, 0, NULL, false},
+    {"crash", GET, OK "\r\nabc", CRASHES, "502 length ", 1, 0, NULL, false},
     {"with a length, crash behind it", GET, OK "Content-Length: 3\r\n\r\nabc",
-     CRASHES, "200 length abc", 1, 0},
+     CRASHES, "200 length abc", 1, 0, NULL, false},
     {"with a length, closed before it", GET, OK "Content-Length: 4\r\n\r\nabc",
-     CLOSES, "502 length ", 1, 0},
+     CLOSES, "502 length ", 1, 0, NULL, false},
     {"in chunks, closed before the last one", GET,
      OK "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", CLOSES,
-     "502 length ", 1, 0},
-    {"closed before the end of the head", GET, OK, CLOSES, "502 length ", 1,
-     0},
-    {"closed before the first byte", GET, "", CLOSES, "502 length ", 1, 0},
-    {"nothing more comes", GET, OK "\r\nabc", STAYS, "504 length ", 1, 0},
+     "502 length ", 1, 0, NULL, false},
+    {"closed before the end of the head", GET, OK, CLOSES, "502 length ", 1, 0,
+     NULL, false},
+    {"closed before the first byte", GET, "", CLOSES, "502 length ", 1, 0,
+     NULL, false},
+    /* who is at the address after the end */
+    {"its start", GET, OK "\r\nabc", CLOSES, "200 length abc", 2, 1,
+     START("7"), false},
+    {"its id in an error", GET, OK "\r\nabc", CLOSES, "200 length abc", 2, 1,
+     "HTTP/1.1 503 -\r\nInstance-Id: w\r\nContent-Length: 0\r\n\r\n", false},
+    {"another id", GET, OK "\r\nabc", CLOSES, "502 length ", 2, 1,
+     "HTTP/1.1 200 -\r\nInstance-Id: v\r\nContent-Length: 0\r\n\r\n", false},
+    {"a later start", GET, OK "\r\nabc", CLOSES, "502 length ", 2, 1,
+     START("8"), false},
+    {"a later start under its id", GET, OK "\r\nabc", CLOSES, "502 length ", 2,
+     1,
+     "HTTP/1.1 200 -\r\nInstance-Id: w\r\nContent-Length: 10\r\n\r\n"
+     "{\"born\":8}",
+     false},
+    {"no one it names", GET, OK "\r\nabc", CLOSES, "502 length ", 2, 1,
+     "HTTP/1.1 200 -\r\nContent-Length: 0\r\n\r\n", false},
+    {"a proxy without a server", GET, OK "\r\nabc", CLOSES, "502 length ", 2,
+     0, "", false},
+    {"one that says nothing", GET, OK "\r\nabc", CLOSES, "504 length ", 2, 0,
+     "HTTP/1.1 103 -\r\n\r\n", false},
+    {"its start after a pause", GET, OK "\r\nabc", CLOSES, "200 length abc", 2,
+     1, START("7"), true},
+    {"its id after a pause", GET, OK "\r\nabc", CLOSES, "502 length ", 2, 1,
+     ID, true},
+    {"nothing more comes", GET, OK "\r\nabc", STAYS, "504 length ", 1, 0, NULL,
+     false},
     /* without a body */
-    {"HEAD", "HEAD /s/x HTTP/1.1\r\n", OK "\r\n", STAYS, "200 length ", 1, 0},
+    {"HEAD", "HEAD /s/x HTTP/1.1\r\n", OK "\r\n", STAYS, "200 length ", 1, 0,
+     NULL, false},
     {"204", GET, "HTTP/1.1 204 -\r\nAttempt-Id: this\r\n\r\n", STAYS,
-     "204 length ", 1, 1},
+     "204 length ", 1, 1, NULL, false},
     {"304", GET, "HTTP/1.1 304 -\r\nAttempt-Id: this\r\n\r\n", STAYS,
-     "304 length ", 1, 1},
+     "304 length ", 1, 1, NULL, false},
     {"interim before", GET, "HTTP/1.1 103 -\r\n\r\n" OK "\r\nabc", CLOSES,
-     "200 length abc", 2, 1},
+     "200 length abc", 2, 1, NULL, false},
     {"late answer to another request", GET,
      "HTTP/1.1 200 -\r\nAttempt-Id: other\r\n\r\nabc", CLOSES, "502 length ",
-     1, 0},
+     1, 0, NULL, false},
     /* streams */
     {"stream", POST, STREAM EVENT_0 EVENT_1, CLOSES,
-     "200 chunks " EVENT_0 EVENT_1, 2, 1},
+     "200 chunks " EVENT_0 EVENT_1, 2, 1, NULL, false},
     {"stream, reset between events", POST, STREAM EVENT_0, RESETS,
-     "200 cut " EVENT_0, 1, 0},
+     "200 cut " EVENT_0, 1, 0, NULL, false},
     {"stream, crash between events", POST, STREAM EVENT_0, CRASHES,
-     "200 cut " EVENT_0, 1, 0},
-    {"stream, closed inside an event", POST,
-     STREAM EVENT_0 "id: 1\ndata:", CLOSES, "200 cut " EVENT_0, 1, 0},
+     "200 cut " EVENT_0, 1, 0, NULL, false},
+    {"stream, a later start after a pause", POST, STREAM EVENT_0, CLOSES,
+     "200 cut " EVENT_0, 2, 1, START("8"), true},
+    {"stream, another id after a pause", POST, STREAM EVENT_0, CLOSES,
+     "200 cut " EVENT_0, 2, 1,
+     "HTTP/1.1 200 -\r\nInstance-Id: v\r\nContent-Length: 0\r\n\r\n", true},
+    {"stream, a proxy without a server", POST, STREAM EVENT_0, CLOSES,
+     "200 cut " EVENT_0, 2, 0, "", false},
+    {"stream, closed inside an event", POST, STREAM EVENT_0 "id: 1\ndata:",
+     CLOSES, "200 cut " EVENT_0, 1, 0, NULL, false},
     {"stream, closed inside the first event", POST, STREAM "id: 0\ndata: x\n",
-     CLOSES, "502 length ", 1, 0},
+     CLOSES, "502 length ", 1, 0, NULL, false},
     {"stream, closed before an event", POST, STREAM, CLOSES, "502 length ", 1,
-     0},
+     0, NULL, false},
     {"stream in chunks, crash behind it", POST,
      OK "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         "\r\nf\r\n" EVENT_0 "\r\n0\r\n\r\n",
-     CRASHES, "200 chunks " EVENT_0, 1, 0},
+     CRASHES, "200 chunks " EVENT_0, 1, 0, NULL, false},
     /* callers */
     {"caller of HTTP/1.0", "GET /s/x HTTP/1.0\r\n", OK "\r\nabc", CLOSES,
-     "400 length ", 0, 0},
+     "400 length ", 0, 0, NULL, false},
 };
 
 typedef struct Fixture {
@@ -132,6 +177,9 @@
     Fixture *fixture = context;
     struct linger reset = {.l_onoff = 1, .l_linger = 0};
 
+    if (cases[fixture->index].has_pause) {
+        g_usleep(PAUSE);
+    }
     switch (cases[fixture->index].end) {
     case CRASHES:
         evconnlistener_free(fixture->server);
@@ -152,13 +200,33 @@
     bufferevent_setcb(bev, NULL, NULL, NULL, NULL);
 }
 
+static void
+tell_identity(Fixture *fixture, struct bufferevent *bev)
+{
+    const char *identity = cases[fixture->index].identity;
+
+    if (identity != NULL && identity[0] == '\0') {
+        shutdown(bufferevent_getfd(bev), SHUT_WR);
+        return;
+    }
+    identity = identity != NULL ? identity : ID;
+    bufferevent_write(bev, identity, strlen(identity));
+}
+
 static void
 on_server_read(struct bufferevent *bev, void *context)
 {
     const char *bytes = cases[((Fixture *)context)->index].bytes;
     struct evbuffer *input = bufferevent_get_input(bev);
+    bool is_identity =
+        evbuffer_search(input, IDENTITY_PATH, strlen(IDENTITY_PATH), NULL)
+            .pos >= 0;
 
     evbuffer_drain(input, evbuffer_get_length(input));
+    if (is_identity) {
+        tell_identity(context, bev);
+        return;
+    }
     bufferevent_setcb(bev, NULL, on_server_sent, NULL, context);
     if (bytes[0] == '\0') {
         on_server_sent(bev, context);
@@ -199,6 +267,7 @@
         .connect_timeout = KC_SECOND,
         .silence_timeout = KC_SECOND,
         .head_bytes_max = 65536,
+        .identity_path = IDENTITY_PATH,
         .limits = {.body_bytes_max = 65536,
                    .skipped_bytes_max = 65536,
                    .skipped_max = 4,
@@ -274,6 +343,7 @@
     KcText_Copy(info.service, "s", KC_NAME_MAX);
     KcText_Copy(info.address, server_address, KC_ADDRESS_MAX);
     info.concurrency_max = 8;
+    info.started_at_ms = STARTED_AT_MS;
     KcGateway_OnServerRecord(fixture->gateway, &info, 1, KcLoop_Now());
     KcServerInfo_Clear(&info);
 }
