caller_connection: share a request's body with its attempts

A gateway held the body of a request up to twice: in the buffer of the caller's connection, whose capacity doubled as it grew, and as a copy in the output to each backend server. The buffer also kept its memory until the connection ended, so an idle connection held the largest body that it had carried.

The body is now an object of its own with a count of references: one of the caller's connection, one of each output that has not been sent. libevent sends it from where it is (evbuffer_add_reference) and gives up its reference when it is sent or dropped. The connection gives up its own with the answer or the refusal. A stated length is reserved at once, so the buffer does not grow beyond it; the pages are not touched until bytes arrive.

--- a/lib/request/buffer.c
+++ b/lib/request/buffer.c
@@ -35,15 +35,21 @@
     }
 }
 
+void
+KcBuffer_Reserve(KcBuffer *buffer, size_t size)
+{
+    if (buffer->capacity - buffer->end < size) {
+        make_room(buffer, size);
+    }
+}
+
 void
 KcBuffer_Append(KcBuffer *buffer, const void *data, size_t size)
 {
     if (size == 0) {
         return;
     }
-    if (buffer->capacity - buffer->end < size) {
-        make_room(buffer, size);
-    }
+    KcBuffer_Reserve(buffer, size);
     memcpy(buffer->data + buffer->end, data, size);
     buffer->end += size;
 }
--- a/lib/request/kcc_request.h
+++ b/lib/request/kcc_request.h
@@ -66,6 +66,8 @@
     size_t capacity;
 } KcBuffer;
 
+/* Makes room for so many more bytes. */
+void KcBuffer_Reserve(KcBuffer *buffer, size_t size);
 /* Appends a copy of the bytes. */
 void KcBuffer_Append(KcBuffer *buffer, const void *data, size_t size);
 /* Removes bytes from the front; size is at most KcBuffer_Size(). */
--- a/programs/request/caller_connection.c
+++ b/programs/request/caller_connection.c
@@ -56,13 +56,17 @@
     return ((const KcCallerConnection *)caller)->request_head;
 }
 
-KcBytes
+KcRequestBody *
 KcGatewayFrontEnd_RequestBody(const void *caller)
 {
-    const KcCallerConnection *connection = caller;
+    return ((const KcCallerConnection *)caller)->request_body;
+}
 
-    return (KcBytes){KcBuffer_Data(&connection->request_body),
-                     KcBuffer_Size(&connection->request_body)};
+static void
+release_body(KcCallerConnection *connection)
+{
+    KcRequestBody_Release(connection->request_body);
+    connection->request_body = NULL;
 }
 
 /* ---- connections and their timers ---------------------------------------- */
@@ -101,7 +105,7 @@
     TAILQ_REMOVE(&front_end->connections, connection, link);
     KcConnectionLimit_Remove(&front_end->connection_limit,
                              connection->is_admitted);
-    KcBuffer_Clear(&connection->request_body);
+    release_body(connection);
     KcHttpConnection_Close(connection->http_connection);
     free(connection);
 }
@@ -170,7 +174,8 @@
                    KC_COUNT_EARLY_REFUSALS, 1);
     KcLog_Write(KC_LOG_INFO, &fields,
                 "request refused while it was received, body_bytes=%zu",
-                KcBuffer_Size(&connection->request_body));
+                KcRequestBody_Size(connection->request_body));
+    release_body(connection);
     connection->front_end->options.dialect->write_refusal(
         KcHttpConnection_Output(connection->http_connection), &refusal, 0);
     close_when_sent(connection);
@@ -310,8 +315,7 @@
 static void
 finish_answer(KcCallerConnection *connection)
 {
-    KcBuffer_DropFront(&connection->request_body,
-                       KcBuffer_Size(&connection->request_body));
+    release_body(connection);
     connection->request_head = NULL;
     if (connection->close_after_answer) {
         close_when_sent(connection);
@@ -495,6 +499,8 @@
             KcHttpConnection_Output(connection->http_connection),
             "HTTP/1.1 100 Continue\r\n\r\n");
     }
+    connection->request_body =
+        KcRequestBody_Create((size_t)message->content_length);
     connection->state = CONNECTION_READING_BODY;
     start_receipt_timer(connection, connection->limits.idle_timeout);
 }
@@ -507,12 +513,12 @@
     if (connection->state == CONNECTION_CLOSING) {
         return;
     }
-    if (KcBuffer_Size(&connection->request_body) + bytes.size >
+    if (KcRequestBody_Size(connection->request_body) + bytes.size >
         connection->limits.body_bytes_max) {
         refuse_early(connection, KC_ERR_TOO_LARGE, "body");
         return;
     }
-    KcBuffer_Append(&connection->request_body, bytes.data, bytes.size);
+    KcRequestBody_Append(connection->request_body, bytes);
     start_receipt_timer(connection, connection->limits.idle_timeout);
 }
 
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -369,8 +369,9 @@
         KcHttpConnection_ExpectNoBody(attempt->connection);
     }
     options->dialect->write_request_head(
-        out, options->request_head, options->request_body.size, &parameters);
-    evbuffer_add(out, options->request_body.data, options->request_body.size);
+        out, options->request_head, KcRequestBody_Size(options->request_body),
+        &parameters);
+    KcRequestBody_AddTo(options->request_body, out);
     attempt->request_bytes = KcHttpConnection_UnsentBytes(attempt->connection);
 }
 
--- a/programs/request/http_attempt.h
+++ b/programs/request/http_attempt.h
@@ -7,6 +7,7 @@
 
 #include "../connection/http_connection_pool.h"
 #include "dialect.h"
+#include "request_body.h"
 
 typedef struct KcHttpAttempt KcHttpAttempt;
 
@@ -22,9 +23,10 @@
      * the request's deadline limits the time, its parameters the events.
      */
     KcIntakeLimits limits;
-    /* Head and body of the caller's request; must outlive the attempt. */
+    /* Head and body of the caller's request; must outlive the attempt. The
+     * body may be NULL. */
     const KcHttpMessage *request_head;
-    KcBytes request_body;
+    KcRequestBody *request_body;
 } KcHttpAttemptOptions;
 
 /*
--- a/tests/request/test_notices.c
+++ b/tests/request/test_notices.c
@@ -110,7 +110,7 @@
     size_t received_bytes;      /* by the worker */
 } Fixture;
 
-static char *large_body;
+static KcRequestBody *large_body;
 
 /* ---- the worker ------------------------------------------------------------ */
 
@@ -196,7 +196,7 @@
                                     .request_head = &request_head};
 
     if (cases[fixture->index].manner == UNREAD) {
-        options.request_body = (KcBytes){large_body, LARGE_BODY_BYTES};
+        options.request_body = large_body;
     }
     return KcHttpAttempt_Start(&options, attempt, params);
 }
@@ -425,10 +425,13 @@
 int
 main(int argc, char **argv)
 {
+    char *bytes = g_malloc0(LARGE_BODY_BYTES);
     int status;
 
     g_test_init(&argc, &argv, NULL);
-    large_body = g_malloc0(LARGE_BODY_BYTES);
+    large_body = KcRequestBody_Create(LARGE_BODY_BYTES);
+    KcRequestBody_Append(large_body, (KcBytes){bytes, LARGE_BODY_BYTES});
+    g_free(bytes);
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         char *path = g_strdup_printf("/notices/%s", cases[i].name);
 
@@ -436,6 +439,6 @@
         g_free(path);
     }
     status = g_test_run();
-    g_free(large_body);
+    KcRequestBody_Release(large_body);
     return status;
 }
