caller_connection: bound the memory of requests

A gateway received whatever its callers sent: each body was checked against max_body_bytes, nothing against the memory of the process. In a burst of large requests it exceeded memory_mb, the platform killed it, and all answers on its connections were cut.

Requests now share a KcIntakePool, as replies do. At the end of a head room for the whole stated length is reserved; a chunked body takes room as it comes. A request without room is refused at once with 503, as not run and with Retry-After, and its connection is closed in stages. As each request may have what the pool has left beside all of them, and 16 KB beyond, large ones are refused before small ones. What was reserved can be received whatever comes later, so no reading has to pause, and what the kernel holds of a body that is being received is in its reservation.

The pool has 75% of the new setting [limits] memory_mb.

kcc_memory_refusals_total counts the refusals, and the line "no memory for a request" names what was needed and held.

--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -88,6 +88,9 @@
     [KC_COUNT_EXCESS_CALLERS] =
         {"kcc_excess_callers_total",
          "Requests refused, as there were too many connections."},
+    [KC_COUNT_MEMORY_REFUSALS] =
+        {"kcc_memory_refusals_total",
+         "Requests refused, as there was no memory to hold them."},
     [KC_COUNT_ACCEPT_ERRORS] =
         {"kcc_accept_errors_total",
          "Failed accepts, as when no descriptor is left."},
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -59,6 +59,7 @@
     KC_COUNT_EARLY_REFUSALS,    /* requests refused before they were read */
     KC_COUNT_IDLE_CLOSES,       /* callers' connections closed while idle */
     KC_COUNT_EXCESS_CALLERS,    /* requests on connections too many */
+    KC_COUNT_MEMORY_REFUSALS,   /* requests without memory to hold them */
     KC_COUNT_ACCEPT_ERRORS,     /* connections that were not accepted */
     KC_COUNT_UNREAD_CLOSES,     /* callers' connections with unread bytes */
     KC_COUNT_UNSENT_CLOSES,     /* callers' connections with unsent bytes */
--- a/lib/request/kcc_intake.h
+++ b/lib/request/kcc_intake.h
@@ -1,6 +1,7 @@
 /*
  * Intake: how much of one answer a process reads from a server, for how long,
  * and how much memory the answers take that it keeps until they are complete.
+ * The memory of callers' requests is limited in the same way.
  *
  * A server in trouble may send without end.  The reader of an answer reports
  * to its intake what arrives, and closes the connection when the intake cuts
@@ -11,8 +12,8 @@
 
 #include "kcc_types.h"
 
-/* Memory of the answers that a process keeps; zeroed memory but for the
- * limit. */
+/* Memory of the answers, or of the requests, that a process keeps; zeroed
+ * memory but for the limit. */
 typedef struct KcIntakePool {
     size_t kept_bytes_max; /* by all answers together, beyond a small part
                             * that each may keep */
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -8,6 +8,7 @@
 
 #include "descriptors.h"
 #include "gateway_role_internal.h"
+#include "memory.h"
 #include "suspects_json.h"
 
 /* A stop ends this long before the platform kills the process. */
@@ -113,6 +114,9 @@
     KcGateway_VisitServers(role->gateway, add_server_state, list);
     json_object_set_new(state, "in_flight",
                         json_integer(KcGateway_CountInFlight(role->gateway)));
+    json_object_set_new(
+        state, "request_bytes",
+        json_integer((json_int_t)role->request_pool.kept_bytes));
     json_object_set_new(state, "servers", list);
     KcGateway_VisitEnginePools(role->gateway, add_parts, parts);
     json_object_set_new(state, "parts", parts);
@@ -217,6 +221,7 @@
         .dialect = role->platform->dialect,
         .counters = &role->common.counters,
         .connections_max = (uint32_t)KcDescriptors_LimitConnections(settings),
+        .request_pool = &role->request_pool,
         .initial_limits = initial_caller_limits,
         .silence_timeout = settings->connection_silence_timeout_ms * KC_MS,
         .stall_timeout = CALLER_STALL_TIMEOUT};
@@ -231,8 +236,10 @@
         .context = role};
     KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
 
-    KcLog_Write(KC_LOG_INFO, NULL, "up to %u connections of callers",
-                front_end_options.connections_max);
+    KcLog_Write(KC_LOG_INFO, NULL,
+                "up to %u connections of callers, %zu bytes of requests",
+                front_end_options.connections_max,
+                role->request_pool.kept_bytes_max);
     role->front_end = KcGatewayFrontEnd_Create(&front_end_options);
     role->readiness_server = KcAdminServer_Create(&readiness_options);
     if (role->front_end == NULL || role->readiness_server == NULL) {
@@ -290,6 +297,7 @@
 
     memset(&role, 0, sizeof(role));
     role.intake_pool.kept_bytes_max = KEPT_REPLY_BYTES_MAX;
+    role.request_pool.kept_bytes_max = KcMemory_LimitRequests(settings);
     role.platform = &KcPlatform_Current;
     if (KcRoleCommon_Init(&role.common, settings) != 0) {
         return 1;
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -31,6 +31,7 @@
     uint64_t named_generation;     /* highest that a keeper named */
     uint32_t listed_gateway_count; /* in the list being read */
     KcIntakePool intake_pool;      /* of replies that are not complete */
+    KcIntakePool request_pool;     /* of callers' requests */
     KcTimer use_report_timer;
     KcTimer hub_timer;      /* connects to the hubs */
     KcOwnRecord own_record; /* of this gateway, in the store */
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -144,6 +144,11 @@
                    descriptors_max, "0", 0, 10000000,
                    "Descriptors that the process may open; 0: its own limit, "
                    "RLIMIT_NOFILE, which is never exceeded."),
+    DECIMAL_SETTING("limits", "memory_mb", ROLES_GATEWAY, memory_megabytes,
+                    "0", 0, 1000000,
+                    "Memory that the process may use, of which callers' "
+                    "requests may take 75%; 0: unknown, requests may take 192 "
+                    "MB, and at most 75% of the machine's memory."),
     NUMBER_SETTING("limits", "header_max", ROLES_ENTRY, header_bytes_max,
                    "16384", 256, 1048576,
                    "Bytes of all headers of a request."),
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -59,6 +59,7 @@
     int64_t requests_max;
     int64_t connections_max; /* 0: as many as the descriptors allow */
     int64_t descriptors_max; /* 0: RLIMIT_NOFILE */
+    double memory_megabytes; /* 0: unknown */
     int64_t header_bytes_max;
     int64_t body_bytes_max;
     int64_t read_timeout_ms;
--- a/programs/request/caller_connection.c
+++ b/programs/request/caller_connection.c
@@ -24,8 +24,9 @@
  * refused.
  */
 #define EXCESS_REQUEST_TIMEOUT (1 * KC_SECOND)
-/* Callers whose connection is refused are asked to come back after this. */
-#define EXCESS_RETRY_AFTER (400 * KC_MS)
+/* Callers that are refused for want of room are asked to come back after this.
+ */
+#define BUSY_RETRY_AFTER (400 * KC_MS)
 /*
  * Shortest time that a connection which is accepted or idle during a planned
  * stop has to send a request.
@@ -165,9 +166,11 @@
 static void
 refuse_early(KcCallerConnection *connection, int code, const char *step)
 {
-    KcForwardRefusal refusal = {
-        .error = {.code = code, .step = step},
-        .retry_after = connection->is_admitted ? 0 : EXCESS_RETRY_AFTER};
+    KcForwardRefusal refusal = {.error = {.code = code, .step = step},
+                                .retry_after = code == KC_ERR_BUSY ||
+                                                       !connection->is_admitted
+                                                   ? BUSY_RETRY_AFTER
+                                                   : 0};
     KcLogFields fields = {.step = step, .code = code};
 
     KcCounters_Add(connection->front_end->options.counters,
@@ -181,6 +184,22 @@
     close_when_sent(connection);
 }
 
+/* Refuses a request of which so many body bytes cannot be held. */
+static void
+refuse_for_memory(KcCallerConnection *connection, size_t body_bytes)
+{
+    const KcGatewayFrontEndOptions *options = &connection->front_end->options;
+    KcLogFields fields = {.step = "memory", .code = KC_ERR_BUSY};
+
+    KcCounters_Add(options->counters, KC_COUNT_MEMORY_REFUSALS, 1);
+    KcLog_Write(KC_LOG_INFO, &fields,
+                "no memory for a request, needed_bytes=%zu held_bytes=%zu "
+                "limit=%zu",
+                body_bytes, options->request_pool->kept_bytes,
+                options->request_pool->kept_bytes_max);
+    refuse_early(connection, KC_ERR_BUSY, "memory");
+}
+
 /*
  * Handles a failed connection: abandons its request. Input that is invalid or
  * too large is answered with an error before the connection is closed.
@@ -472,6 +491,26 @@
     start_receipt_timer(connection, connection->limits.header_timeout);
 }
 
+/* Begins a body; refuses the request when there is no memory for it. */
+static void
+begin_body(KcCallerConnection *connection, const KcHttpMessage *message)
+{
+    connection->request_body = KcRequestBody_Create(
+        connection->front_end->options.request_pool, message->head_bytes,
+        (size_t)message->content_length);
+    if (connection->request_body == NULL) {
+        refuse_for_memory(connection, (size_t)message->content_length);
+        return;
+    }
+    if (KcHttpMessage_FieldHasToken(message, "Expect", "100-continue")) {
+        evbuffer_add_printf(
+            KcHttpConnection_Output(connection->http_connection),
+            "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    connection->state = CONNECTION_READING_BODY;
+    start_receipt_timer(connection, connection->limits.idle_timeout);
+}
+
 static void
 on_head(void *owner, const KcHttpMessage *message)
 {
@@ -494,15 +533,7 @@
         refuse_early(connection, KC_ERR_TOO_LARGE, "body");
         return;
     }
-    if (KcHttpMessage_FieldHasToken(message, "Expect", "100-continue")) {
-        evbuffer_add_printf(
-            KcHttpConnection_Output(connection->http_connection),
-            "HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    connection->request_body =
-        KcRequestBody_Create((size_t)message->content_length);
-    connection->state = CONNECTION_READING_BODY;
-    start_receipt_timer(connection, connection->limits.idle_timeout);
+    begin_body(connection, message);
 }
 
 static void
@@ -518,7 +549,12 @@
         refuse_early(connection, KC_ERR_TOO_LARGE, "body");
         return;
     }
-    KcRequestBody_Append(connection->request_body, bytes);
+    if (KcRequestBody_Append(connection->request_body, bytes) != 0) {
+        refuse_for_memory(connection,
+                          KcRequestBody_Size(connection->request_body) +
+                              bytes.size);
+        return;
+    }
     start_receipt_timer(connection, connection->limits.idle_timeout);
 }
 
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -17,6 +17,8 @@
     const KcHttpDialect *dialect;
     KcCounters *counters;
     uint32_t connections_max;      /* requests on others are refused */
+    KcIntakePool *request_pool;    /* of requests' heads and bodies; must
+                                      outlive the loop; NULL: no limit */
     KcCallerLimits initial_limits; /* while no configuration is in force */
     KcTime silence_timeout;        /* see KcSocket_SetConnectionOptions() */
     KcTime stall_timeout; /* longest time in which a caller takes nothing of an
--- a/programs/request/request_body.c
+++ b/programs/request/request_body.c
@@ -7,15 +7,25 @@
 
 struct KcRequestBody {
     uint32_t reference_count;
+    KcIntake intake;
+    size_t head_bytes;
     KcBuffer buffer;
 };
 
 KcRequestBody *
-KcRequestBody_Create(size_t expected_bytes)
+KcRequestBody_Create(KcIntakePool *pool, size_t head_bytes,
+                     size_t expected_bytes)
 {
     KcRequestBody *body = KcMem_New(sizeof(*body));
+    KcIntakeLimits limits = {.pool = pool};
 
     body->reference_count = 1;
+    body->head_bytes = head_bytes;
+    KcIntake_Begin(&body->intake, &limits, 0);
+    if (KcIntake_Keep(&body->intake, head_bytes + expected_bytes) != 0) {
+        KcRequestBody_Release(body);
+        return NULL;
+    }
     KcBuffer_Reserve(&body->buffer, expected_bytes);
     return body;
 }
@@ -27,13 +37,22 @@
         return;
     }
     KcBuffer_Clear(&body->buffer);
+    KcIntake_End(&body->intake);
     free(body);
 }
 
-void
+int
 KcRequestBody_Append(KcRequestBody *body, KcBytes bytes)
 {
+    size_t kept_bytes =
+        body->head_bytes + KcBuffer_Size(&body->buffer) + bytes.size;
+
+    if (kept_bytes > body->intake.kept_bytes &&
+        KcIntake_Keep(&body->intake, kept_bytes) != 0) {
+        return KC_ERR_BUSY;
+    }
     KcBuffer_Append(&body->buffer, bytes.data, bytes.size);
+    return 0;
 }
 
 size_t
--- a/tests/request/test_notices.c
+++ b/tests/request/test_notices.c
@@ -429,7 +429,7 @@
     int status;
 
     g_test_init(&argc, &argv, NULL);
-    large_body = KcRequestBody_Create(LARGE_BODY_BYTES);
+    large_body = KcRequestBody_Create(NULL, 0, LARGE_BODY_BYTES);
     KcRequestBody_Append(large_body, (KcBytes){bytes, LARGE_BODY_BYTES});
     g_free(bytes);
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
--- a/tests/request/test_request_memory.c
+++ b/tests/request/test_request_memory.c
@@ -12,6 +12,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "../../programs/process/memory.h"
 #include "../../programs/process/platform.h"
 #include "../../programs/request/gateway_front_end.h"
 #include "../gateway_stubs.h"
@@ -33,6 +34,7 @@
     KcGatewayFrontEnd *front_end;
     KcHttpConnectionPool *pool;
     KcIntakePool intake_pool;
+    KcIntakePool request_pool;
     char address[KC_ADDRESS_MAX];
     char server_address[KC_ADDRESS_MAX];
     int server; /* listens */
@@ -171,6 +173,7 @@
                                         .dialect = KcPlatform_Current.dialect,
                                         .counters = &fixture->counters,
                                         .connections_max = CALLERS_MAX,
+                                        .request_pool = &fixture->request_pool,
                                         .silence_timeout = 60 * KC_SECOND,
                                         .stall_timeout = 60 * KC_SECOND};
 
@@ -331,6 +334,28 @@
     g_free(text);
 }
 
+/* refused CALLER: it reads a refusal for want of memory, and the end. */
+static void
+step_refused(Fixture *fixture, char **words)
+{
+    char *text = receive(fixture, atoi(words[1]), NULL);
+
+    g_assert_true(g_str_has_prefix(text, "HTTP/1.1 503 "));
+    g_assert_nonnull(strstr(text, "\"step\":\"memory\""));
+    g_assert_nonnull(strstr(text, "\"run\":\"no\""));
+    g_assert_nonnull(strstr(text, "Retry-After: "));
+    g_assert_nonnull(strstr(text, "Connection: close\r\n"));
+    g_free(text);
+}
+
+/* refusals COUNT: so many requests were refused for want of memory. */
+static void
+step_refusals(Fixture *fixture, char **words)
+{
+    g_assert_cmpuint(fixture->counters.values[KC_COUNT_MEMORY_REFUSALS], ==,
+                     (uint64_t)atoi(words[1]));
+}
+
 /* streamed CALLER: it reads an event of a stream. */
 static void
 step_streamed(Fixture *fixture, char **words)
@@ -427,6 +452,13 @@
 
 /* ---- other steps ---------------------------------------------------------- */
 
+/* limit KIB: of all requests together. */
+static void
+step_limit(Fixture *fixture, char **words)
+{
+    fixture->request_pool.kept_bytes_max = (size_t)atoi(words[1]) * KIB;
+}
+
 /* wait MS */
 static void
 step_wait(Fixture *fixture, char **words)
@@ -434,6 +466,15 @@
     run_loop(fixture, atoi(words[1]) * KC_MS);
 }
 
+/* kept KIB: the requests take so much of their pool, and less than 1 KiB more
+ * for all heads. */
+static void
+step_kept(Fixture *fixture, char **words)
+{
+    g_assert_cmpuint(fixture->request_pool.kept_bytes / KIB, ==,
+                     (size_t)atoi(words[1]));
+}
+
 /* allocated KIB: the process has allocated at most so much more than at the
  * start. */
 static void
@@ -444,36 +485,71 @@
 }
 
 static const StepHandler handlers[] = {
-    {"connect", step_connect},   {"head", step_head},
-    {"body", step_body},         {"chunk", step_chunk},
-    {"leave", step_leave},       {"answered", step_answered},
-    {"streamed", step_streamed}, {"take", step_take},
-    {"answer", step_answer},     {"event", step_event},
-    {"wait", step_wait},         {"allocated", step_allocated},
+    {"limit", step_limit},       {"connect", step_connect},
+    {"head", step_head},         {"body", step_body},
+    {"chunk", step_chunk},       {"leave", step_leave},
+    {"answered", step_answered}, {"refused", step_refused},
+    {"refusals", step_refusals}, {"streamed", step_streamed},
+    {"take", step_take},         {"answer", step_answer},
+    {"event", step_event},       {"wait", step_wait},
+    {"kept", step_kept},         {"allocated", step_allocated},
 };
 
 /* ---- cases ------------------------------------------------------------------ */
 
+/* With a limit of 1024 KiB unless a case sets another. */
 static const struct {
     const char *name;
     const char *steps;
 } cases[] = {
     {"the body is copied for the server",
+     "limit 65536;"
      "connect 1;head 0 /once/ 8192;body 0 8192;wait 50;allocated 9216;"
      "take 8192;answer 0;answered 0"},
     {"an idle connection keeps the last body",
+     "limit 65536;"
      "connect 1;head 0 /once/ 4096;body 0 4096;take 4096;answer 0;"
      "answered 0;wait 20;allocated 1024"},
     {"the body of a caller that left is kept",
-     "connect 1;head 0 /once/ 8192;body 0 8192;wait 50;leave 0;"
-     "allocated 1024"},
+     "limit 65536;connect 1;head 0 /once/ 8192;body 0 8192;wait 50;leave 0;"
+     "allocated 1024;kept 0"},
+    {"large requests exceed the memory",
+     "connect 4;head 0 /once/ 300;head 1 /once/ 300;kept 600;"
+     "head 2 /once/ 300;refused 2;refusals 1;kept 600;body 0 300;take 300;"
+     "answer 0;answered 0;kept 300;head 3 /once/ 300;body 3 300;take 300;"
+     "answer 1;answered 3;body 1 300;take 300;answer 2;answered 1;kept 0;"
+     "refusals 1"},
+    {"a refused caller that goes on sending gets a reset",
+     "connect 3;head 0 /once/ 300;head 1 /once/ 300;head 2 /once/ 300;"
+     "body 2 300;refused 2;kept 600"},
+    {"a chunked request exceeds the memory",
+     "connect 3;head 0 /once/ 300;head 1 /once/;chunk 1 300;kept 600;"
+     "chunk 1 100;refused 1;refusals 1;kept 300;body 0 300;take 300;"
+     "answer 0;answered 0;kept 0"},
+    {"large requests leave no room for small ones",
+     "connect 4;head 0 /once/ 300;head 1 /once/ 300;head 2 /once/ 300;"
+     "refused 2;head 3 /once/ 100;body 3 100;take 100;answer 0;answered 3;"
+     "refusals 1"},
+    {"small requests are refused when all memory is taken",
+     "connect 14;head 0 /once/ 500;head 1 /once/ 250;head 2 /once/ 120;"
+     "head 3 /once/ 60;head 4 /once/ 40;head 5 /once/ 25;head 6 /once/ 15;"
+     "head 7 /once/ 15;head 8 /once/ 15;head 9 /once/ 15;refusals 0;"
+     "head 10 /once/ 30;refused 10;body 9 15;take 15;answer 0;answered 9"},
+    {"memory is not given back by callers that leave",
+     "connect 4;head 0 /once/ 300;body 0 100;head 1 /once/;chunk 1 200;"
+     "kept 500;leave 0;kept 200;leave 1;kept 0;head 2 /once/ 400;body 2 400;"
+     "wait 20;leave 2;kept 0;refusals 0"},
+    {"the memory of a body that is being sent is not counted",
+     "limit 65536;connect 1;head 0 /once/ 8192;body 0 8192;wait 50;kept 8192;"
+     "take 8192;kept 8192;answer 0;answered 0;kept 0"},
 };
 
 static void
 test_case(gconstpointer data)
 {
     Fixture fixture = {.loop = KcLoop_Create(),
-                       .intake_pool = {.kept_bytes_max = 65536}};
+                       .intake_pool = {.kept_bytes_max = 65536},
+                       .request_pool = {.kept_bytes_max = 1024 * KIB}};
 
     Loopback_AssignAddress(fixture.address, sizeof(fixture.address));
     Loopback_AssignAddress(fixture.server_address,
@@ -499,6 +575,33 @@
     }
     close(fixture.server);
     KcLoop_Free(fixture.loop);
+    g_assert_cmpuint(fixture.request_pool.kept_bytes, ==, 0);
+}
+
+/* The memory of the process and of the machine, in MB, and of requests. */
+static const struct {
+    const char *name;
+    double memory_megabytes;
+    int64_t machine_megabytes;
+    size_t expected_megabytes;
+} limit_cases[] = {
+    {"nothing is known", 0, 0, 192},
+    {"a large machine", 0, 64000, 192},
+    {"a small machine", 0, 160, 120},
+    {"a limit of the process", 260, 64000, 195},
+    {"a small limit of the process", 160, 64000, 120},
+    {"a large limit of the process", 1000, 160, 750},
+};
+
+static void
+test_limit(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+
+    g_assert_cmpuint(KcMemory_RequestBytesMax(
+                         limit_cases[index].memory_megabytes,
+                         limit_cases[index].machine_megabytes * 1000000),
+                     ==, limit_cases[index].expected_megabytes * 1000000);
 }
 
 int
@@ -507,5 +610,8 @@
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/request memory", cases, G_N_ELEMENTS(cases),
                    sizeof(cases[0]), test_case);
+    Steps_AddCases("/request memory/limit", limit_cases,
+                   G_N_ELEMENTS(limit_cases), sizeof(limit_cases[0]),
+                   test_limit);
     return g_test_run();
 }
