gateway_front_end: bound the kernel's buffers of callers' connections

The kernel grows the receive buffer of a connection that carries a large request to some MB (tcp_rmem; 32 MB here), and what it holds there counts towards the memory of the process. A body that is being received is in its reservation; the bytes behind a request in progress are in none. The listening socket sets SO_RCVBUF to 128 KB now, which accepted connections inherit.

The price: at a round trip of 20 ms a caller sends about 6 MB a second at the most (computed, not measured), and the end of a caller that has left behind more than these 128 KB is noticed with its answer only.

Evidence: after a request of 16 MiB a caller could send 1,349,596 bytes ahead that the gateway did not read, of them up to 128 KB in its own buffer; "the kernel holds much of the next request" allows 700 KiB, failed before and passes now. test_caller_closes passes (47 cases).

--- a/programs/connection/socket.c
+++ b/programs/connection/socket.c
@@ -49,3 +49,10 @@
         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
         SOMAXCONN, (struct sockaddr *)&local, size);
 }
+
+void
+KcSocket_SetReceiveBuffer(struct evconnlistener *listener, int bytes)
+{
+    setsockopt(evconnlistener_get_fd(listener), SOL_SOCKET, SO_RCVBUF, &bytes,
+               sizeof(bytes));
+}
--- a/programs/connection/socket.h
+++ b/programs/connection/socket.h
@@ -27,4 +27,10 @@
                                        evconnlistener_cb on_accept,
                                        void *context);
 
+/*
+ * Limits what the kernel holds of the input of each connection that the
+ * listener accepts. Errors are ignored.
+ */
+void KcSocket_SetReceiveBuffer(struct evconnlistener *listener, int bytes);
+
 #endif
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -7,6 +7,12 @@
 #include "../connection/socket.h"
 #include "gateway_front_end_internal.h"
 
+/*
+ * What the kernel holds of a caller's input. By itself it holds some MB of a
+ * connection that has carried a large request.
+ */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
+
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
           struct sockaddr *address, int size, void *context)
@@ -68,6 +74,7 @@
         free(front_end);
         return NULL;
     }
+    KcSocket_SetReceiveBuffer(front_end->listener, RECEIVE_BUFFER_BYTES);
     KcAcceptPause_Init(&front_end->accept_pause, options->loop,
                        front_end->listener, options->counters);
     evconnlistener_set_error_cb(front_end->listener, on_accept_error);
--- a/tests/request/test_request_memory.c
+++ b/tests/request/test_request_memory.c
@@ -236,6 +236,29 @@
     }
 }
 
+/* ahead CALLER KIB: it can send at most so much that is not read. */
+static void
+step_ahead(Fixture *fixture, char **words)
+{
+    static const char bytes[KIB];
+    KcTime blocked_at = KcLoop_Now();
+    size_t sent_bytes = 0;
+
+    while (KcLoop_Now() - blocked_at < 300 * KC_MS) {
+        ssize_t size = send(fixture->callers[atoi(words[1])], bytes,
+                            sizeof(bytes), MSG_NOSIGNAL);
+
+        if (size > 0) {
+            sent_bytes += (size_t)size;
+            blocked_at = KcLoop_Now();
+        }
+        else {
+            run_loop(fixture, POLL_INTERVAL);
+        }
+    }
+    g_assert_cmpuint(sent_bytes, <=, (size_t)atoi(words[2]) * KIB);
+}
+
 /* head CALLER PREFIX [KIB]: the head of a request with such a body, or in
  * chunks. */
 static void
@@ -485,14 +508,15 @@
 }
 
 static const StepHandler handlers[] = {
-    {"limit", step_limit},       {"connect", step_connect},
-    {"head", step_head},         {"body", step_body},
-    {"chunk", step_chunk},       {"leave", step_leave},
-    {"answered", step_answered}, {"refused", step_refused},
-    {"refusals", step_refusals}, {"streamed", step_streamed},
-    {"take", step_take},         {"answer", step_answer},
-    {"event", step_event},       {"wait", step_wait},
-    {"kept", step_kept},         {"allocated", step_allocated},
+    {"limit", step_limit},         {"connect", step_connect},
+    {"head", step_head},           {"body", step_body},
+    {"chunk", step_chunk},         {"ahead", step_ahead},
+    {"leave", step_leave},         {"answered", step_answered},
+    {"refused", step_refused},     {"refusals", step_refusals},
+    {"streamed", step_streamed},   {"take", step_take},
+    {"answer", step_answer},       {"event", step_event},
+    {"wait", step_wait},           {"kept", step_kept},
+    {"allocated", step_allocated},
 };
 
 /* ---- cases ------------------------------------------------------------------ */
@@ -542,6 +566,9 @@
     {"bytes ahead of the next request are not counted",
      "connect 2;head 0 /once/ 100;body 0 100;wait 50;body 0 60;wait 100;"
      "kept 116;leave 0;wait 200;kept 0;head 1 /once/ 100;body 1 50;kept 100"},
+    {"the kernel holds much of the next request",
+     "limit 65536;connect 1;head 0 /once/ 16384;body 0 16384;wait 50;"
+     "ahead 0 700"},
     {"the memory of a body that is being sent is not counted",
      "limit 65536;connect 1;head 0 /once/ 8192;body 0 8192;wait 50;kept 8192;"
      "take 8192;kept 8192;answer 0;answered 0;kept 0"},
