caller_connection: let go of a body when no server will get it again

The body of a request was held until its answer ended, so a prompt took its part of the memory of requests for as long as its stream ran. Once a server's answer has begun, only a resumable stream goes on at another server; for any other request the body is freed, or its room given back, at that moment.

--- a/programs/request/caller_connection.c
+++ b/programs/request/caller_connection.c
@@ -374,6 +374,9 @@
     struct evbuffer *out =
         KcHttpConnection_Output(connection->http_connection);
 
+    if (!connection->forward->rule->resumable) {
+        release_body(connection); /* no other server gets the request */
+    }
     decide_idle_time(connection);
     connection->answer_is_chunked = stream;
     connection->front_end->options.dialect->write_answer_head(
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -58,7 +58,8 @@
 bool KcGatewayFrontEnd_IsQuiet(const KcGatewayFrontEnd *front_end);
 /*
  * Return head and body of the request of a caller, as given to KcForwardOps;
- * valid until its answer has ended. The body may be NULL.
+ * the head is valid until its answer has ended, the body while another server
+ * may get the request. The body may be NULL.
  */
 const KcHttpMessage *KcGatewayFrontEnd_RequestHead(const void *caller);
 KcRequestBody *KcGatewayFrontEnd_RequestBody(const void *caller);
--- a/programs/request/http_attempt.h
+++ b/programs/request/http_attempt.h
@@ -23,8 +23,8 @@
      * the request's deadline limits the time, its parameters the events.
      */
     KcIntakeLimits limits;
-    /* Head and body of the caller's request; must outlive the attempt. The
-     * body may be NULL. */
+    /* Head and body of the caller's request. The head must outlive the
+     * attempt, the body must live until a reply begins; it may be NULL. */
     const KcHttpMessage *request_head;
     KcRequestBody *request_body;
 } KcHttpAttemptOptions;
--- a/tests/request/test_request_memory.c
+++ b/tests/request/test_request_memory.c
@@ -569,6 +569,12 @@
     {"the kernel holds much of the next request",
      "limit 65536;connect 1;head 0 /once/ 16384;body 0 16384;wait 50;"
      "ahead 0 700"},
+    {"a stream holds a body that is not sent again",
+     "connect 1;head 0 /once/ 100;body 0 100;take 100;kept 100;event 0;"
+     "streamed 0;kept 0"},
+    {"a stream that may be resumed loses its body",
+     "connect 1;head 0 /again/ 100;body 0 100;take 100;event 0;streamed 0;"
+     "kept 100"},
     {"the memory of a body that is being sent is not counted",
      "limit 65536;connect 1;head 0 /once/ 8192;body 0 8192;wait 50;kept 8192;"
      "take 8192;kept 8192;answer 0;answered 0;kept 0"},
