--- a/lib/request/kcc_intake.h
+++ b/lib/request/kcc_intake.h
@@ -1,6 +1,7 @@
 /*
  * Intake: how much of one answer a process reads from a server, for how long,
  * and how much memory the answers take that it keeps until they are complete.
+ * The memory of callers' requests is limited in the same way.
  *
  * A server in trouble may send without end.  The reader of an answer reports
  * to its intake what arrives, and closes the connection when the intake cuts
@@ -11,14 +12,19 @@
 
 #include "kcc_types.h"
 
-/* Memory of the answers that a process keeps; zeroed memory but for the
- * limit. */
+/* Memory of the answers, or of the requests, that a process keeps; zeroed
+ * memory but for the limit. */
 typedef struct KcIntakePool {
     size_t kept_bytes_max; /* by all answers together, beyond a small part
                             * that each may keep */
     size_t kept_bytes;     /* kept at present */
 } KcIntakePool;
 
+/* Bytes that belong to no message yet, as they were not parsed, are kept in
+ * addition, or no longer. */
+void KcIntakePool_Adjust(KcIntakePool *pool, size_t added_bytes,
+                         size_t removed_bytes);
+
 typedef struct KcIntakeLimits {
     size_t body_bytes_max;    /* of the answer */
     size_t skipped_bytes_max; /* of bodies that are not the answer's */
--- a/programs/request/caller_connection.c
+++ b/programs/request/caller_connection.c
@@ -24,8 +24,9 @@
  * refused.
  */
 #define EXCESS_REQUEST_TIMEOUT (1 * KC_SECOND)
-/* Callers whose connection is refused are asked to come back after this. */
-#define EXCESS_RETRY_AFTER (400 * KC_MS)
+/* Callers that are refused for want of room are asked to come back after this.
+ */
+#define BUSY_RETRY_AFTER (400 * KC_MS)
 /*
  * Shortest time that a connection which is accepted or idle during a planned
  * stop has to send a request.
@@ -56,13 +57,17 @@
     return ((const KcCallerConnection *)caller)->request_head;
 }
 
-KcBytes
+KcRequestBody *
 KcGatewayFrontEnd_RequestBody(const void *caller)
 {
-    const KcCallerConnection *connection = caller;
+    return ((const KcCallerConnection *)caller)->request_body;
+}
 
-    return (KcBytes){KcBuffer_Data(&connection->request_body),
-                     KcBuffer_Size(&connection->request_body)};
+static void
+release_body(KcCallerConnection *connection)
+{
+    KcRequestBody_Release(connection->request_body);
+    connection->request_body = NULL;
 }
 
 /* ---- connections and their timers ---------------------------------------- */
@@ -101,7 +106,7 @@
     TAILQ_REMOVE(&front_end->connections, connection, link);
     KcConnectionLimit_Remove(&front_end->connection_limit,
                              connection->is_admitted);
-    KcBuffer_Clear(&connection->request_body);
+    release_body(connection);
     KcHttpConnection_Close(connection->http_connection);
     free(connection);
 }
@@ -161,21 +166,40 @@
 static void
 refuse_early(KcCallerConnection *connection, int code, const char *step)
 {
-    KcForwardRefusal refusal = {
-        .error = {.code = code, .step = step},
-        .retry_after = connection->is_admitted ? 0 : EXCESS_RETRY_AFTER};
+    KcForwardRefusal refusal = {.error = {.code = code, .step = step},
+                                .retry_after = code == KC_ERR_BUSY ||
+                                                       !connection->is_admitted
+                                                   ? BUSY_RETRY_AFTER
+                                                   : 0};
     KcLogFields fields = {.step = step, .code = code};
 
     KcCounters_Add(connection->front_end->options.counters,
                    KC_COUNT_EARLY_REFUSALS, 1);
     KcLog_Write(KC_LOG_INFO, &fields,
                 "request refused while it was received, body_bytes=%zu",
-                KcBuffer_Size(&connection->request_body));
+                KcRequestBody_Size(connection->request_body));
+    release_body(connection);
     connection->front_end->options.dialect->write_refusal(
         KcHttpConnection_Output(connection->http_connection), &refusal, 0);
     close_when_sent(connection);
 }
 
+/* Refuses a request of which so many body bytes cannot be held. */
+static void
+refuse_for_memory(KcCallerConnection *connection, size_t body_bytes)
+{
+    const KcGatewayFrontEndOptions *options = &connection->front_end->options;
+    KcLogFields fields = {.step = "memory", .code = KC_ERR_BUSY};
+
+    KcCounters_Add(options->counters, KC_COUNT_MEMORY_REFUSALS, 1);
+    KcLog_Write(KC_LOG_INFO, &fields,
+                "no memory for a request, needed_bytes=%zu held_bytes=%zu "
+                "limit=%zu",
+                body_bytes, options->request_pool->kept_bytes,
+                options->request_pool->kept_bytes_max);
+    refuse_early(connection, KC_ERR_BUSY, "memory");
+}
+
 /*
  * Handles a failed connection: abandons its request. Input that is invalid or
  * too large is answered with an error before the connection is closed.
@@ -310,8 +334,7 @@
 static void
 finish_answer(KcCallerConnection *connection)
 {
-    KcBuffer_DropFront(&connection->request_body,
-                       KcBuffer_Size(&connection->request_body));
+    release_body(connection);
     connection->request_head = NULL;
     if (connection->close_after_answer) {
         close_when_sent(connection);
@@ -351,6 +374,9 @@
     struct evbuffer *out =
         KcHttpConnection_Output(connection->http_connection);
 
+    if (!connection->forward->rule->resumable) {
+        release_body(connection); /* no other server gets the request */
+    }
     decide_idle_time(connection);
     connection->answer_is_chunked = stream;
     connection->front_end->options.dialect->write_answer_head(
@@ -468,6 +494,26 @@
     start_receipt_timer(connection, connection->limits.header_timeout);
 }
 
+/* Begins a body; refuses the request when there is no memory for it. */
+static void
+begin_body(KcCallerConnection *connection, const KcHttpMessage *message)
+{
+    connection->request_body = KcRequestBody_Create(
+        connection->front_end->options.request_pool, message->head_bytes,
+        (size_t)message->content_length);
+    if (connection->request_body == NULL) {
+        refuse_for_memory(connection, (size_t)message->content_length);
+        return;
+    }
+    if (KcHttpMessage_FieldHasToken(message, "Expect", "100-continue")) {
+        evbuffer_add_printf(
+            KcHttpConnection_Output(connection->http_connection),
+            "HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    connection->state = CONNECTION_READING_BODY;
+    start_receipt_timer(connection, connection->limits.idle_timeout);
+}
+
 static void
 on_head(void *owner, const KcHttpMessage *message)
 {
@@ -490,13 +536,7 @@
         refuse_early(connection, KC_ERR_TOO_LARGE, "body");
         return;
     }
-    if (KcHttpMessage_FieldHasToken(message, "Expect", "100-continue")) {
-        evbuffer_add_printf(
-            KcHttpConnection_Output(connection->http_connection),
-            "HTTP/1.1 100 Continue\r\n\r\n");
-    }
-    connection->state = CONNECTION_READING_BODY;
-    start_receipt_timer(connection, connection->limits.idle_timeout);
+    begin_body(connection, message);
 }
 
 static void
@@ -507,12 +547,17 @@
     if (connection->state == CONNECTION_CLOSING) {
         return;
     }
-    if (KcBuffer_Size(&connection->request_body) + bytes.size >
+    if (KcRequestBody_Size(connection->request_body) + bytes.size >
         connection->limits.body_bytes_max) {
         refuse_early(connection, KC_ERR_TOO_LARGE, "body");
         return;
     }
-    KcBuffer_Append(&connection->request_body, bytes.data, bytes.size);
+    if (KcRequestBody_Append(connection->request_body, bytes) != 0) {
+        refuse_for_memory(connection,
+                          KcRequestBody_Size(connection->request_body) +
+                              bytes.size);
+        return;
+    }
     start_receipt_timer(connection, connection->limits.idle_timeout);
 }
 
@@ -557,6 +602,7 @@
         .loop = front_end->options.loop,
         .ops = &connection_ops,
         .head_bytes_max = current_limits(front_end)->header_bytes_max,
+        .input_pool = front_end->options.request_pool,
         .silence_timeout = front_end->options.silence_timeout,
         .stall_timeout = front_end->options.stall_timeout};
     KcCallerConnection *connection = KcMem_New(sizeof(*connection));
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -17,6 +17,8 @@
     const KcHttpDialect *dialect;
     KcCounters *counters;
     uint32_t connections_max;      /* requests on others are refused */
+    KcIntakePool *request_pool;    /* of requests' heads and bodies; must
+                                      outlive the loop; NULL: no limit */
     KcCallerLimits initial_limits; /* while no configuration is in force */
     KcTime silence_timeout;        /* see KcSocket_SetConnectionOptions() */
     KcTime stall_timeout; /* longest time in which a caller takes nothing of an
@@ -56,9 +58,10 @@
 bool KcGatewayFrontEnd_IsQuiet(const KcGatewayFrontEnd *front_end);
 /*
  * Return head and body of the request of a caller, as given to KcForwardOps;
- * valid until its answer has ended.
+ * the head is valid until its answer has ended, the body while another server
+ * may get the request. The body may be NULL.
  */
 const KcHttpMessage *KcGatewayFrontEnd_RequestHead(const void *caller);
-KcBytes KcGatewayFrontEnd_RequestBody(const void *caller);
+KcRequestBody *KcGatewayFrontEnd_RequestBody(const void *caller);
 
 #endif
--- a/programs/request/http_attempt.h
+++ b/programs/request/http_attempt.h
@@ -7,6 +7,7 @@
 
 #include "../connection/http_connection_pool.h"
 #include "dialect.h"
+#include "request_body.h"
 
 typedef struct KcHttpAttempt KcHttpAttempt;
 
@@ -25,9 +26,10 @@
      * the request's deadline limits the time, its parameters the events.
      */
     KcIntakeLimits limits;
-    /* Head and body of the caller's request; must outlive the attempt. */
+    /* Head and body of the caller's request. The head must outlive the
+     * attempt, the body must live until a reply begins; it may be NULL. */
     const KcHttpMessage *request_head;
-    KcBytes request_body;
+    KcRequestBody *request_body;
 } KcHttpAttemptOptions;
 
 /*
