test_not_run: forget a connection that was reset

A later connection could be allocated at its address, and was then reset in place of an answer: deterministic in a whole run of the program, not in the case alone.

--- a/tests/request/test_not_run.c
+++ b/tests/request/test_not_run.c
@@ -259,6 +259,7 @@
         g_assert_true(fixture->first_connection ==
                       fixture->server_connections[0]);
         fixture->server_connections[0] = NULL;
+        fixture->first_connection = NULL;
     }
 }
 
