test_restarts: freeze the gateway only once it knows the worker's start

The case "stream" of /restarts/frozen failed in 1 of 2 runs beside load (24 to 27 on 8 cores), and "answer" in 2 of 2 of the sanitized build. Both broke off a sound answer, as they should:

- "stream": the case before had restarted the worker under its id, and the gateway sent the request before it had read the new record.
By its log the reply was broken 1 ms after its last event, and the server's load was reset while the attempt ran, as by a new start.
- "answer": the freeze lasted beyond the end of the answer.

--- a/tests/daemons/test_restarts.c
+++ b/tests/daemons/test_restarts.c
@@ -105,7 +105,7 @@
      false, true},
     {"stream of a lost worker", GATEWAY_CLUSTER_LLM_WORKER, "/stream/x",
      "work_ms=200", "id: 2", true, false},
-    {"answer", GATEWAY_CLUSTER_PLAIN_WORKER, "/unsafe/x", "work_ms=1700", "",
+    {"answer", GATEWAY_CLUSTER_PLAIN_WORKER, "/unsafe/x", "work_ms=2600", "",
      false, true},
     {"answer of a lost worker", GATEWAY_CLUSTER_PLAIN_WORKER, "/unsafe/x",
      "work_ms=400", "", true, false},
@@ -163,8 +163,9 @@
         index);
     int fd;
 
-    g_assert_true(wait_until_served());
     GatewayCluster_SetKnob(cluster, role, 0, "unframed=100");
+    /* Not before the gateway knows the start of the worker. */
+    g_assert_true(wait_until_served());
     GatewayCluster_SetKnob(cluster, role, 0, frozen_cases[index].work_ms);
     fd = GatewayCluster_Connect(
         GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_GATEWAY, 0));
