--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -261,10 +261,13 @@
                            bool has_extra_route,
                            const GatewayClusterLimits *limits)
 {
+    int unsafe_attempts_max = cluster->options.unsafe_attempts_max > 0
+                                  ? cluster->options.unsafe_attempts_max
+                                  : 1;
     json_t *routes = json_pack(
         "[o, o, o, o]", make_route("/safe/", "safe", "plain", 2, false),
-        make_route("/unsafe/", "unsafe", "plain", 1, false),
-        make_route("/stream/", "streaming", "llm", 1, false),
+        make_route("/unsafe/", "unsafe", "plain", unsafe_attempts_max, false),
+        make_route("/stream/", "streaming", "llm", unsafe_attempts_max, false),
         make_route("/resume/", "streaming", "llm", 2, true));
     json_t *services = json_pack(
         "[{s:s, s:s, s:i, s:{s:i, s:i, s:i, s:i, s:[{s:s, s:i, s:i}]}}, "
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -30,6 +30,8 @@
     uint64_t seed;           /* of the stand-ins' random faults */
     const char *deadly_part; /* id of the part of a prompt on which model
                               * workers end; NULL: none */
+    int unsafe_attempts_max; /* of routes whose requests run at most once;
+                              * 0: 1 */
     int config_ms;           /* setting of the gateways; 0: the default */
     bool has_proxies;        /* the store and the workers are reached through
                               * GATEWAY_CLUSTER_PROXY_PORT, where the caller runs a
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -14,7 +14,7 @@
 #include "history.h"
 #include "soak.h"
 
-#define CALLER_COUNT 24
+#define CALLERS_MAX 256
 /* From the end of the request, without the time in which the caller itself
  * does not read. */
 #define CALL_TIMEOUT (6 * KC_SECOND)
@@ -43,7 +43,7 @@
 
 static struct {
     CallersOptions options;
-    Caller callers[CALLER_COUNT];
+    Caller callers[CALLERS_MAX];
     int call_count;
     bool ended; /* no more calls begin */
 } all;
@@ -443,7 +443,10 @@
 Callers_Start(const CallersOptions *options)
 {
     all.options = *options;
-    for (int i = 0; i < CALLER_COUNT; i++) {
+    if (all.options.callers > CALLERS_MAX) {
+        all.options.callers = CALLERS_MAX;
+    }
+    for (int i = 0; i < all.options.callers; i++) {
         Caller *caller = &all.callers[i];
 
         caller->number = i;
@@ -457,7 +460,7 @@
 Callers_Resume(KcTime begin_at)
 {
     all.ended = false;
-    for (int i = 0; i < CALLER_COUNT; i++) {
+    for (int i = 0; i < all.options.callers; i++) {
         KcTimers_Set(all.options.loop->timers, &all.callers[i].timer,
                      begin_at + i * 10 * KC_MS);
     }
@@ -472,7 +475,7 @@
 bool
 Callers_HaveCalls(void)
 {
-    for (int i = 0; i < CALLER_COUNT; i++) {
+    for (int i = 0; i < all.options.callers; i++) {
         if (all.callers[i].call != NULL) {
             return true;
         }
@@ -483,7 +486,7 @@
 void
 Callers_Close(void)
 {
-    for (int i = 0; i < CALLER_COUNT; i++) {
+    for (int i = 0; i < all.options.callers; i++) {
         Caller *caller = &all.callers[i];
 
         KcTimers_Clear(all.options.loop->timers, &caller->timer);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -15,6 +15,7 @@
     KcLoop *loop;
     GatewayCluster *cluster;
     int gateways;
+    int callers;
     KcTime begin_at;
 } CallersOptions;
 
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -12,10 +12,8 @@
 #include "proxy.h"
 #include "soak.h"
 
-#define PROXIES_MAX 64
 #define PROCESSES_MAX 64 /* in a role */
-/* Workers of a kind that have a proxy, at the most. */
-#define PROXIED_WORKERS_MAX 20
+#define PROXIES_MAX (2 * PROCESSES_MAX + 1)
 
 /* A proxy and the process before which it stands. */
 typedef struct ProxiedProcess {
@@ -424,15 +422,15 @@
 void
 Faults_Start(const FaultsOptions *options)
 {
-    int workers = options->cluster_options->llm_workers;
-
     faults.options = *options;
     faults.config_version = 1;
     faults.limits = GatewayCluster_UsualLimits;
     faults.adapter_version = 1;
     add_proxy(GATEWAY_CLUSTER_STORE, 0);
-    for (int i = 0; i < workers && i < PROXIED_WORKERS_MAX; i++) {
+    for (int i = 0; i < options->cluster_options->llm_workers; i++) {
         add_proxy(GATEWAY_CLUSTER_LLM_WORKER, i);
+    }
+    for (int i = 0; i < options->cluster_options->plain_workers; i++) {
         add_proxy(GATEWAY_CLUSTER_PLAIN_WORKER, i);
     }
     KcTimer_Init(&faults.fault_timer, on_fault, NULL);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -3,7 +3,7 @@
  * that run as processes, and checks every call by its answer and by the
  * workers' logs of what they ran.
  *
- *   soak SEED [SECONDS [WORKERS]]
+ *   soak SEED [SECONDS [MODEL_WORKERS [PLAIN_WORKERS [GATEWAYS [CALLERS]]]]]
  *
  * Prints the seed, each fault, each violation and the verdict.  Exit status: 0
  * without violations, 1 with some, 2 when a proxy cannot listen.
@@ -30,6 +30,8 @@
 #define DEADLY_CALLS_AFTER (2 * KC_SECOND)
 #define DEADLY_FAULTS_UNTIL (7 * KC_SECOND)
 #define DEADLY_TIME (18 * KC_SECOND)
+/* Of requests that run at most once. */
+#define UNSAFE_ATTEMPTS_MAX 3
 #define RECOVERY_TIMEOUT (12 * KC_SECOND) /* recover_s of the platform */
 
 /* ---- random numbers ------------------------------------------------------ */
@@ -374,17 +376,33 @@
 
 /* ---- set-up -------------------------------------------------------------- */
 
+/* A number of the command line; 0 or an absent one: the default. */
+static int
+read_number(int argc, char **argv, int index, int default_value)
+{
+    int value = argc > index ? atoi(argv[index]) : 0;
+
+    return value > 0 ? value : default_value;
+}
+
 static void
-set_up(uint64_t seed, int workers)
+set_up(uint64_t seed, int argc, char **argv)
 {
+    int workers = read_number(argc, argv, 3, 2);
+    int callers = read_number(argc, argv, 6, 24);
+
     soak.options = (GatewayClusterOptions){
         .network_octet = GatewayCluster_ReserveNetwork(60, 119),
         .llm_workers = workers,
-        .plain_workers = workers,
-        .gateways = workers > 4 ? workers / 2 : 2,
+        .plain_workers = read_number(argc, argv, 4, workers),
+        .gateways = read_number(argc, argv, 5, workers > 4 ? workers / 2 : 2),
+        .unsafe_attempts_max = UNSAFE_ATTEMPTS_MAX,
         .seed = seed,
         .deadly_part = DEADLY_PART,
         .has_proxies = true};
+    printf("%d model workers, %d plain workers, %d gateways, %d callers\n",
+           soak.options.llm_workers, soak.options.plain_workers,
+           soak.options.gateways, callers);
     soak.loop = KcLoop_Create();
     soak.cluster = GatewayCluster_Start(&soak.options);
     KcTimer_Init(&soak.end_timer, on_phase_end, NULL);
@@ -394,6 +412,7 @@
     Callers_Start(&(CallersOptions){.loop = soak.loop,
                                     .cluster = soak.cluster,
                                     .gateways = soak.options.gateways,
+                                    .callers = callers,
                                     .begin_at = KcLoop_Now() + KC_SECOND});
 }
 
@@ -401,14 +420,12 @@
 main(int argc, char **argv)
 {
     uint64_t seed = argc > 1 ? strtoull(argv[1], NULL, 10) : 1;
-    int seconds = argc > 2 ? atoi(argv[2]) : 10;
-    int workers = argc > 3 ? atoi(argv[3]) : 2;
+    int seconds = read_number(argc, argv, 2, 10);
     KcTime begin_at;
 
-    printf("seed %" PRIu64 ", %d s, %d workers of a kind\n", seed, seconds,
-           workers);
+    printf("seed %" PRIu64 ", %d s\n", seed, seconds);
     seed_random(seed);
-    set_up(seed, workers);
+    set_up(seed, argc, argv);
     begin_at = KcLoop_Now() + 2 * KC_SECOND;
     Faults_Inject(begin_at, begin_at + seconds * KC_SECOND);
     run_phase(begin_at + seconds * KC_SECOND);
