soak: early refusals, forgotten connections, flapping workers, slow gateways

The bench's disruptions that the soak did not have: requests with a body that a worker refuses before it has read the body (knob early), kept connections that a worker has forgotten and resets at the next request (idle_race), workers that go down and up by turns, gateways that are late by many short pauses or frozen beyond the deadlines of their requests, stops of up to a quarter of the gateways in turn, busy and slow workers. Larger clusters get more faults at a time, and longer ones of workers, as each worker has fewer requests there.

--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -13,6 +13,10 @@
 #include "soak.h"
 
 #define PROCESSES_MAX 64 /* in a role */
+#define FLAPS 3          /* in a row */
+/* Of a gateway that is slow. */
+#define SLOW_PAUSES 20
+#define SLOW_PERIOD (100 * KC_MS)
 #define PROXIES_MAX (2 * PROCESSES_MAX + 1)
 
 /* A proxy and the process before which it stands. */
@@ -33,6 +37,8 @@
     bool has_extra_route;
     GatewayClusterLimits limits; /* of the latest version */
     int adapter_version;         /* latest version announced */
+    int next_stopped_gateway;    /* of gateways that are stopped in turn */
+    int gateways_to_stop;
 } Faults;
 
 static Faults faults;
@@ -141,6 +147,14 @@
     return (KcTime)(200 + Soak_DrawBelow(2000)) * KC_MS;
 }
 
+/* Larger clusters get more faults at a time, and longer ones of workers, as
+ * each worker has fewer requests. */
+static int
+get_pace(void)
+{
+    return 1 + Soak_CountProcesses(GATEWAY_CLUSTER_GATEWAY) / 8;
+}
+
 static void
 print_fault(const char *fault, GatewayClusterRole role, int number)
 {
@@ -159,6 +173,13 @@
     return roles[Soak_DrawBelow(4)];
 }
 
+static GatewayClusterRole
+draw_worker_role(void)
+{
+    return Soak_DrawBelow(2) == 0 ? GATEWAY_CLUSTER_LLM_WORKER
+                                  : GATEWAY_CLUSTER_PLAIN_WORKER;
+}
+
 static void
 kill_process(void)
 {
@@ -175,11 +196,8 @@
 /* A planned stop has 5.5 s, longer than grace_s, before the restart kills it.
  */
 static void
-stop_gateway(void)
+stop_gateway_number(int number)
 {
-    int number = (int)Soak_DrawBelow(
-        (uint64_t)faults.options.cluster_options->gateways);
-
     print_fault("stop", GATEWAY_CLUSTER_GATEWAY, number);
     GatewayCluster_SendSignal(faults.options.cluster, GATEWAY_CLUSTER_GATEWAY,
                               number, SIGTERM);
@@ -188,6 +206,92 @@
         ->restart = true;
 }
 
+static int
+draw_gateway(void)
+{
+    return (int)Soak_DrawBelow(
+        (uint64_t)Soak_CountProcesses(GATEWAY_CLUSTER_GATEWAY));
+}
+
+static void
+stop_gateway(void)
+{
+    stop_gateway_number(draw_gateway());
+}
+
+/* Up to a quarter of the gateways, one with each of the next faults. */
+static void
+stop_gateways_in_turn(void)
+{
+    faults.next_stopped_gateway = draw_gateway();
+    faults.gateways_to_stop = Soak_CountProcesses(GATEWAY_CLUSTER_GATEWAY) / 4;
+}
+
+static void
+stop_next_gateway(void)
+{
+    if (faults.gateways_to_stop > 0) {
+        faults.gateways_to_stop--;
+        stop_gateway_number(faults.next_stopped_gateway++ %
+                            Soak_CountProcesses(GATEWAY_CLUSTER_GATEWAY));
+    }
+}
+
+/* Schedules a signal, which is sent earlier if all faults end. */
+static void
+schedule_signal(DisturbanceKind kind, GatewayClusterRole role, int number,
+                KcTime delay, int signal)
+{
+    schedule_fault_end(kind, role, number, delay)->signal = signal;
+}
+
+/* A worker goes down and up by turns. */
+static void
+flap_worker(void)
+{
+    GatewayClusterRole role = draw_worker_role();
+    int number = (int)Soak_DrawBelow((uint64_t)Soak_CountProcesses(role));
+    KcTime period = (KcTime)(300 + Soak_DrawBelow(700)) * KC_MS;
+
+    print_fault("flap", role, number);
+    for (int i = 0; i < FLAPS; i++) {
+        schedule_signal(DISTURBANCE_RESTART, role, number, i * period,
+                        SIGKILL);
+        schedule_fault_end(DISTURBANCE_RESTART, role, number,
+                           i * period + period / 2)
+            ->restart = true;
+    }
+}
+
+/* A gateway has a tenth to a half of its time. */
+static void
+slow_gateway(void)
+{
+    int number = draw_gateway();
+    KcTime pause = (KcTime)(50 + Soak_DrawBelow(40)) * KC_MS;
+
+    print_fault("slow", GATEWAY_CLUSTER_GATEWAY, number);
+    for (int i = 0; i < SLOW_PAUSES; i++) {
+        schedule_signal(DISTURBANCE_FREEZE, GATEWAY_CLUSTER_GATEWAY, number,
+                        i * SLOW_PERIOD, SIGSTOP);
+        schedule_signal(DISTURBANCE_FREEZE, GATEWAY_CLUSTER_GATEWAY, number,
+                        i * SLOW_PERIOD + pause, SIGCONT);
+    }
+}
+
+/* Beyond the deadline of most requests that it has. */
+static void
+freeze_gateway_long(void)
+{
+    int number = draw_gateway();
+
+    print_fault("long freeze", GATEWAY_CLUSTER_GATEWAY, number);
+    GatewayCluster_SendSignal(faults.options.cluster, GATEWAY_CLUSTER_GATEWAY,
+                              number, SIGSTOP);
+    schedule_signal(DISTURBANCE_FREEZE, GATEWAY_CLUSTER_GATEWAY, number,
+                    (KcTime)(2300 + Soak_DrawBelow(500)) * KC_MS, SIGCONT);
+}
+
 /* Only keepers and gateways; workers pause, see pause_worker(). */
 static void
 freeze_process(void)
@@ -248,6 +352,16 @@
     {GATEWAY_CLUSTER_LLM_WORKER, "stray=30", "stray=0"},
     {GATEWAY_CLUSTER_LLM_WORKER, "stray=30&refuse=60", "stray=0&refuse=0"},
     {GATEWAY_CLUSTER_PLAIN_WORKER, "mute=50", "mute=0"},
+    {GATEWAY_CLUSTER_PLAIN_WORKER, "mute=20&refuse=60", "mute=0&refuse=0"},
+    {GATEWAY_CLUSTER_PLAIN_WORKER, "idle_race=60", "idle_race=0"},
+    {GATEWAY_CLUSTER_LLM_WORKER, "idle_race=60", "idle_race=0"},
+    {GATEWAY_CLUSTER_PLAIN_WORKER, "early=60", "early=0"},
+    {GATEWAY_CLUSTER_LLM_WORKER, "early=60", "early=0"},
+    {GATEWAY_CLUSTER_PLAIN_WORKER, "early=60&stray=30", "early=0&stray=0"},
+    {GATEWAY_CLUSTER_PLAIN_WORKER, "work_ms=300", "work_ms=5"},
+    {GATEWAY_CLUSTER_PLAIN_WORKER, "work_ms=60&places=1",
+     "work_ms=5&places=8"},
+    {GATEWAY_CLUSTER_LLM_WORKER, "work_ms=100&places=2", "work_ms=5&places=8"},
     {GATEWAY_CLUSTER_LLM_WORKER, "unframed=40", "unframed=0"},
     {GATEWAY_CLUSTER_PLAIN_WORKER, "unframed=40", "unframed=0"},
     {GATEWAY_CLUSTER_LLM_WORKER, "unframed=40&unframed_end=1",
@@ -268,7 +382,8 @@
 
     print_fault(knob_faults[index].fault_on, role, number);
     set_knob(role, number, knob_faults[index].fault_on);
-    schedule_fault_end(DISTURBANCE_KNOB, role, number, draw_fault_duration())
+    schedule_fault_end(DISTURBANCE_KNOB, role, number,
+                       draw_fault_duration() * get_pace())
         ->knob = knob_faults[index].fault_off;
 }
 
@@ -319,13 +434,6 @@
                                    ++faults.adapter_version);
 }
 
-static GatewayClusterRole
-draw_worker_role(void)
-{
-    return Soak_DrawBelow(2) == 0 ? GATEWAY_CLUSTER_LLM_WORKER
-                                  : GATEWAY_CLUSTER_PLAIN_WORKER;
-}
-
 /* A worker says in its answers that it leaves, in one of two cases also in its
  * record, and goes on serving; another instance takes its place. */
 static void
@@ -375,11 +483,14 @@
 }
 
 static void (*const fault_functions[])(void) = {
-    kill_process,     kill_process,    stop_gateway,   freeze_process,
-    send_hangup,      set_fault_knob,  set_fault_knob, set_fault_knob,
-    set_fault_knob,   set_proxy_fault, change_config,  set_proxy_fault,
-    announce_version, leave_worker,    close_worker,   pause_worker,
-    pause_worker,
+    kill_process,     kill_process,          stop_gateway,
+    freeze_process,   send_hangup,           set_fault_knob,
+    set_fault_knob,   set_fault_knob,        set_fault_knob,
+    set_proxy_fault,  change_config,         set_proxy_fault,
+    announce_version, leave_worker,          close_worker,
+    pause_worker,     pause_worker,          flap_worker,
+    slow_gateway,     freeze_gateway_long,   set_fault_knob,
+    set_fault_knob,   stop_gateways_in_turn,
 };
 
 static void
@@ -390,12 +501,13 @@
     }
     fault_functions[Soak_DrawBelow(sizeof(fault_functions) /
                                    sizeof(fault_functions[0]))]();
+    stop_next_gateway();
     /* One in three follows within 20 ms, so that faults overlap. */
     KcTimers_Set(faults.options.loop->timers, timer,
                  now + (KcTime)(Soak_DrawBelow(3) == 0
                                     ? 20
                                     : 100 + Soak_DrawBelow(700)) *
-                           KC_MS);
+                           KC_MS / get_pace());
 }
 
 /* ---- start and end ------------------------------------------------------- */
--- a/tests/standins/raw_server.c
+++ b/tests/standins/raw_server.c
@@ -164,6 +164,7 @@
 RawConnection_ReadNextRequest(RawConnection *connection)
 {
     KcBuffer_DropFront(&connection->body, KcBuffer_Size(&connection->body));
+    connection->is_kept = true;
     connection->message = NULL;
     connection->request_state = NULL;
     KcHttpConnection_ReadNextMessage(connection->http_connection);
@@ -291,21 +292,36 @@
 static void
 on_head(void *owner, const KcHttpMessage *message)
 {
-    ((RawConnection *)owner)->message = message;
+    RawConnection *connection = owner;
+
+    connection->message = message;
+    if (connection->server->options->on_request_head != NULL) {
+        connection->server->options->on_request_head(connection);
+    }
 }
 
 static void
 on_body(void *owner, KcBytes bytes)
 {
-    KcBuffer_Append(&((RawConnection *)owner)->body, bytes.data, bytes.size);
+    RawConnection *connection = owner;
+
+    if (!connection->is_answered) {
+        KcBuffer_Append(&connection->body, bytes.data, bytes.size);
+    }
 }
 
 static void
 on_message_end(void *owner)
 {
     RawConnection *connection = owner;
-    const char *target = connection->message->target;
+    const char *target;
 
+    if (connection->is_answered) {
+        connection->is_answered = false;
+        RawConnection_ReadNextRequest(connection);
+        return;
+    }
+    target = connection->message->target;
     KcBuffer_Append(&connection->body, "", 1);
     if (connection->is_stray_due) {
         connection->is_stray_due = false;
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -37,6 +37,8 @@
     KcTimer endless_timer;
     /* Bytes that belong to no request, and when they are written. */
     KcBuffer stray;
+    bool is_answered;  /* before its request was whole; the rest is dropped */
+    bool is_kept;      /* it has carried a request before */
     bool is_stray_due; /* with the next request; else when the timer is due */
     KcTimer stray_timer;
 } RawConnection;
@@ -59,6 +61,9 @@
     void (*add_state)(json_t *state);
     /* connection->timer is due; timer->owner is the connection. */
     void (*on_timer)(KcTimer *timer, KcTime now);
+    /* The head of a request was received; may answer it or reset the
+     * connection, but not both.  NULL: none. */
+    void (*on_request_head)(RawConnection *connection);
 } RawServerOptions;
 
 typedef struct RawServer {
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -483,8 +483,12 @@
     json_object_set_new(state, "revision", json_integer(last_revision));
 }
 
-static const RawServerOptions server_options = {
-    knobs, on_request, on_connection_lost, add_state, on_watch_timeout};
+static const RawServerOptions server_options = {.knobs = knobs,
+                                                .on_request = on_request,
+                                                .on_connection_lost =
+                                                    on_connection_lost,
+                                                .add_state = add_state,
+                                                .on_timer = on_watch_timeout};
 
 int
 main(int argc, char **argv)
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -102,6 +102,8 @@
     {"extra", 0},       /* percent of plain requests answered twice */
     {"stray", 0},       /* percent of answers with a row of strays behind */
     {"mute", 0},        /* percent run and never answered */
+    {"early", 0},       /* percent of requests with a body refused before it */
+    {"idle_race", 0},   /* percent of requests on a kept connection reset */
     {"late_orders", 0}, /* percent of orders executed but not answered */
     {"draining", 0},    /* 1: record and health check say draining */
     {"leaving", 0},     /* 1: all answers have "Server-Leaving: 1" */
@@ -635,6 +637,14 @@
     draw_stray(connection, id);
 }
 
+static void
+log_arrival(const RawConnection *connection)
+{
+    printf("arrival %s %" PRId64 "\n",
+           RawConnection_FindHeader(connection, "Attempt-Id"), KcLoop_Now());
+    fflush(stdout);
+}
+
 static void
 start_job(RawConnection *connection)
 {
@@ -645,9 +655,7 @@
     KcTime wait_left = get_wait_left();
     Job *job;
 
-    printf("arrival %s %" PRId64 "\n",
-           RawConnection_FindHeader(connection, "Attempt-Id"), KcLoop_Now());
-    fflush(stdout);
+    log_arrival(connection);
     if ((expected_instance[0] != '\0' &&
          strcmp(expected_instance, instance_id) != 0) ||
         !is_model_loaded(RawConnection_FindHeader(connection, "Model"))) {
@@ -807,15 +815,48 @@
                    headers, "");
 }
 
+/* Is it a call to the worker itself, not a request? */
+static bool
+is_own_call(const char *target)
+{
+    return strcmp(target, "/report") == 0 || strcmp(target, "/order") == 0 ||
+           strcmp(target, "/health") == 0;
+}
+
+static bool
+has_body(const RawConnection *connection)
+{
+    return strtoll(RawConnection_FindHeader(connection, "Content-Length"),
+                   NULL, 10) > 0 ||
+           RawConnection_FindHeader(connection, "Transfer-Encoding")[0] !=
+               '\0';
+}
+
+static void
+on_request_head(RawConnection *connection)
+{
+    const char *target = connection->message->target;
+
+    if (is_own_call(target) || strncmp(target, "/standin/", 9) == 0) {
+        return;
+    }
+    if (connection->is_kept && RawServer_DrawFault(&server, "idle_race")) {
+        RawConnection_Reset(connection);
+    }
+    else if (has_body(connection) && RawServer_DrawFault(&server, "early")) {
+        log_arrival(connection);
+        reply_not_run(connection, 503, 0);
+        connection->is_answered = true;
+    }
+}
+
 static void
 on_request(RawConnection *connection)
 {
     const char *target = connection->message->target;
-    bool is_own_call = strcmp(target, "/report") == 0 ||
-                       strcmp(target, "/order") == 0 ||
-                       strcmp(target, "/health") == 0;
 
-    if (is_own_call && RawServer_GetKnob(&server, "endless_report") > 0 &&
+    if (is_own_call(target) &&
+        RawServer_GetKnob(&server, "endless_report") > 0 &&
         RawConnection_DrawEndless(connection, "endless_report")) {
         return;
     }
@@ -854,7 +895,12 @@
 }
 
 static const RawServerOptions server_options = {
-    knobs, on_request, on_connection_lost, add_state, on_job_timer};
+    .knobs = knobs,
+    .on_request = on_request,
+    .on_connection_lost = on_connection_lost,
+    .add_state = add_state,
+    .on_timer = on_job_timer,
+    .on_request_head = on_request_head};
 
 int
 main(int argc, char **argv)
