soak: callers repeat requests as the protocol says

Callers sent each request once. They send it again now on a new connection, with a new Attempt-Id and the deadline that is left: safe ones after any failure, others after a promise (408, 421, 429, 503), or if the gateway can't have read them. They wait for Retry-After, up to a third of the time left; every fourth caller does not, and comes back more often. Deadlines are drawn, 0.8 to 3 s, so that a gateway can be frozen beyond them. One in five calls sends a body of up to 4 KiB, the least limit, at once, which the workers' early refusals need.

Rules: the deadline near which a stream may end is the call's own, in place of 3 s for all.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -31,6 +31,7 @@
     GatewayClusterLimits limits; /* at its beginning, if its body trickles */
     KcTime connected_at;         /* when its connection was begun */
     KcTime began_at;
+    KcTime time_limit;  /* as its request says */
     KcTime sent_at;     /* all of it; KC_NEVER: not yet */
     KcTime answered_at; /* the answer's head came; 0: none did */
     KcTime ended_at;    /* the answer was complete or broken off */
@@ -48,6 +49,9 @@
 void Soak_AddCall(Call *call);
 /* Checks the bytes of a call's answer, which has ended, and drops them. */
 void Soak_CheckBody(Call *call);
+/* Has it been answered with a status that promises that it has not run and
+ * never will? */
+bool Soak_PromisesNotRun(const Call *call);
 /* Returns the call with this Attempt-Id, or NULL. */
 Call *Soak_FindCall(const char *id);
 
