store stand-in: lose no answers to the soak's own writes

Knob lost also hit writes with X-Standin, which all other faults spare. The soak, which waits for the answers to its configurations and versions, then stood still for 2 s at a time, with all callers and proxies; meanwhile the gateways closed connections that had waited longer than the idle time of the configuration, and calls that began on them were reported as "no answer".

--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -303,6 +303,13 @@
     }
 }
 
+/* Calls of other stand-ins and of tests have no faults. */
+static bool
+is_subject_to_faults(const RawConnection *connection)
+{
+    return RawConnection_FindHeader(connection, "X-Standin")[0] == '\0';
+}
+
 /* Replaces (PUT) or creates (POST) an object. */
 static void
 write_object(RawConnection *connection, const char *collection,
@@ -315,7 +322,8 @@
         create ? json_string_value(json_object_get(meta, "name")) : name;
     json_t *expected_revision = json_object_get(meta, "revision");
     Object *object;
-    bool reply_lost = RawServer_DrawFault(&server, "lost");
+    bool reply_lost = is_subject_to_faults(connection) &&
+                      RawServer_DrawFault(&server, "lost");
 
     if (object_name == NULL || json_object_get(body, "spec") == NULL) {
         RawConnection_Reply(connection, 400, "",
@@ -454,8 +462,7 @@
         RawConnection_Reply(connection, 404, "", "{}");
         return;
     }
-    if (strcmp(RawConnection_FindHeader(connection, "X-Standin"), "") == 0 &&
-        inject_fault(connection)) {
+    if (is_subject_to_faults(connection) && inject_fault(connection)) {
         return;
     }
     name = strchr(collection, '/');
