--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -32,6 +32,7 @@
 #define DEADLY_TIME (18 * KC_SECOND)
 /* Of requests that run at most once. */
 #define UNSAFE_ATTEMPTS_MAX 3
+#define RECOVERY_PAUSE_US 20000           /* between two questions */
 #define RECOVERY_TIMEOUT (12 * KC_SECOND) /* recover_s of the platform */
 
 /* ---- random numbers ------------------------------------------------------ */
@@ -310,6 +311,7 @@
         else {
             printf("gateway %d, %s: %.12s\n", gateway, paths[served_paths],
                    answer);
+            usleep(RECOVERY_PAUSE_US);
         }
     }
     return served_paths == 5;
