soak: children hold none of the soak's sockets

The sockets by which the proxies reach the workers were inherited by each process that was started again, and all sockets by the child that waits for the recovery. As long as one of them lived, no close or reset of the proxies reached a worker: muted requests kept their places until that process ended.

Evidence: large shape, 40 s: "not recovered"; plain worker 0 refused 2,560 requests of the check as busy, from the mutes (mute=20&refuse=60) just before the check until its restart.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -304,6 +304,12 @@
 
 /* ---- processes ----------------------------------------------------------- */
 
+void
+GatewayCluster_CloseInherited(void)
+{
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+}
+
 static void
 spawn_process(GatewayCluster *cluster, GatewayClusterRole role, int number,
               const char *const *arguments)
@@ -324,6 +330,7 @@
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(fd, STDOUT_FILENO);
         dup2(fd, STDERR_FILENO);
+        GatewayCluster_CloseInherited();
         execv(program, (char *const *)arguments);
         _exit(127);
     }
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -87,6 +87,9 @@
 /* Starts a process again after GatewayCluster_WaitForExit(). */
 void GatewayCluster_RestartProcess(GatewayCluster *cluster,
                                    GatewayClusterRole role, int number);
+/* Closes, in a child process, all descriptors but the standard ones: as long
+ * as it has a socket of its parent, no close of that one reaches the peer. */
+void GatewayCluster_CloseInherited(void);
 /* Waits until a gateway reports that it is ready; false after 10 s. */
 bool GatewayCluster_WaitUntilReady(GatewayCluster *cluster, int number);
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -330,6 +330,7 @@
     if (child == 0) {
         bool all_recovered = true;
 
+        GatewayCluster_CloseInherited();
         for (int gateway = 0; gateway < soak.options.gateways; gateway++) {
             all_recovered = has_recovered(gateway) && all_recovered;
         }
