soak: failures of requests that ran, and answers that are cut off, as strays

Workers answer requests that have run with 503 or 429 without Not-Executed (knob error_status), which a gateway must not pass on as a promise, also on streams. A stray answer may be cut off in the name or the value of a header, or in its body, so that the next answer looks like its rest.

--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -91,17 +91,18 @@
 /* Percentages are drawn once for a plain request; those of reset, truncate,
  * garbage and mute are drawn for each event of a stream. */
 static RawKnob knobs[] = {
-    {"work_ms", 5},     /* time to an answer, or between two events */
-    {"load_ms", 30},    /* time to load an adapter */
-    {"places", 8},      /* concurrency limit; requests beyond it aren't run */
-    {"error", 0},       /* percent of plain requests run and answered 500 */
-    {"refuse", 0},      /* percent answered 503 and not run */
-    {"reset", 0},       /* percent run, then the connection is reset */
-    {"truncate", 0},    /* percent cut off in the middle of the answer */
-    {"garbage", 0},     /* percent run and answered by invalid bytes */
-    {"extra", 0},       /* percent of plain requests answered twice */
-    {"stray", 0},       /* percent of answers with a row of strays behind */
-    {"mute", 0},        /* percent run and never answered */
+    {"work_ms", 5},      /* time to an answer, or between two events */
+    {"load_ms", 30},     /* time to load an adapter */
+    {"places", 8},       /* concurrency limit; requests beyond it aren't run */
+    {"error", 0},        /* percent run and answered by a failure */
+    {"error_status", 0}, /* of it; 0: 500 */
+    {"refuse", 0},       /* percent answered 503 and not run */
+    {"reset", 0},        /* percent run, then the connection is reset */
+    {"truncate", 0},     /* percent cut off in the middle of the answer */
+    {"garbage", 0},      /* percent run and answered by invalid bytes */
+    {"extra", 0},        /* percent of plain requests answered twice */
+    {"stray", 0},        /* percent of answers with a row of strays behind */
+    {"mute", 0},         /* percent run and never answered */
     {"early", 0},       /* percent of requests with a body refused before it */
     {"idle_race", 0},   /* percent of requests on a kept connection reset */
     {"late_orders", 0}, /* percent of orders executed but not answered */
@@ -152,6 +153,10 @@
     /* the beginning of a stream */
     "HTTP/1.1 200 -\r\n%sContent-Type: text/event-stream\r\n"
     "Transfer-Encoding: chunked\r\n\r\nf\r\nid: 0\ndata: x\n\n\r\n",
+    /* cut off: in a name, in a value, in the body */
+    "HTTP/1.1 503 -\r\n%sNot-Executed: 1\r\nServer-Lo",
+    "HTTP/1.1 503 -\r\n%sNot-Executed: 1\r\nServer-Load: ",
+    "HTTP/1.1 200 -\r\n%sContent-Length: 40\r\n\r\nstray",
 };
 
 #define STRAY_SIZE_MAX 256
@@ -443,13 +448,24 @@
         (RawMoment)RawServer_DrawNumber(&server, RAW_MOMENT_COUNT));
 }
 
-/* Answers a plain request. */
+/* 200, or by knob error a failure of a request that has run. */
+static int
+draw_status(void)
+{
+    int error_status = (int)RawServer_GetKnob(&server, "error_status");
+
+    if (!RawServer_DrawFault(&server, "error")) {
+        return 200;
+    }
+    return error_status != 0 ? error_status : 500;
+}
+
+/* Answers by a body with a length. */
 static void
-answer_plain(RawConnection *connection, const Job *job)
+answer_plain(RawConnection *connection, const Job *job, int status)
 {
     char body[128];
     char further_lines[64];
-    int status = RawServer_DrawFault(&server, "error") ? 500 : 200;
     int size = snprintf(body, sizeof(body), "answer %s of %s", job->attempt_id,
                         instance_id);
 
@@ -563,9 +579,13 @@
         RawConnection_CloseWhenSent(connection);
         return;
     }
-    if (!job->is_stream) {
-        answer_plain(connection, job);
-        return;
+    if (connection->head_sent == 0) {
+        int status = draw_status();
+
+        if (!job->is_stream || status != 200) {
+            answer_plain(connection, job, status);
+            return;
+        }
     }
     if (job->next_event >= 0 && connection->head_sent == 0) {
         connection->head_sent = 1;
