--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -261,10 +261,13 @@
                            bool has_extra_route,
                            const GatewayClusterLimits *limits)
 {
+    int unsafe_attempts_max = cluster->options.unsafe_attempts_max > 0
+                                  ? cluster->options.unsafe_attempts_max
+                                  : 1;
     json_t *routes = json_pack(
         "[o, o, o, o]", make_route("/safe/", "safe", "plain", 2, false),
-        make_route("/unsafe/", "unsafe", "plain", 1, false),
-        make_route("/stream/", "streaming", "llm", 1, false),
+        make_route("/unsafe/", "unsafe", "plain", unsafe_attempts_max, false),
+        make_route("/stream/", "streaming", "llm", unsafe_attempts_max, false),
         make_route("/resume/", "streaming", "llm", 2, true));
     json_t *services = json_pack(
         "[{s:s, s:s, s:i, s:{s:i, s:i, s:i, s:i, s:[{s:s, s:i, s:i}]}}, "
@@ -301,6 +304,12 @@
 
 /* ---- processes ----------------------------------------------------------- */
 
+void
+GatewayCluster_CloseInherited(void)
+{
+    close_range(STDERR_FILENO + 1, ~0U, 0);
+}
+
 static void
 spawn_process(GatewayCluster *cluster, GatewayClusterRole role, int number,
               const char *const *arguments)
@@ -321,6 +330,7 @@
         prctl(PR_SET_PDEATHSIG, SIGKILL);
         dup2(fd, STDOUT_FILENO);
         dup2(fd, STDERR_FILENO);
+        GatewayCluster_CloseInherited();
         execv(program, (char *const *)arguments);
         _exit(127);
     }
