soak: one rule for the refusal in advance

The stricter conditions hold: a stop of the call's own gateway, long enough for it to close connections, no run, and an answer within 100 ms of the beginning of the call. Only a caller that stops reading may see that answer later; then it is by the end of its request. test_rules has a row for it.

--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -229,6 +229,7 @@
 {
     KcTime pause_max = kind->is_stream ? KC_SECOND : 5 * KC_SECOND;
 
+    caller->call->stops_reading = true;
     write_request(caller, kind, 0,
                   kind->is_stream ? LONG_EVENT_BYTES : LONG_ANSWER_BYTES);
     send_bytes(caller, KcBuffer_Size(&caller->request));
--- a/tests/soak/rules.c
+++ b/tests/soak/rules.c
@@ -307,8 +307,12 @@
     const Disturbance *stop =
         History_Find(DISTURBANCE_STOP, GATEWAY_CLUSTER_GATEWAY, call->gateway,
                      call->began_at, call->ended_at);
+    KcTime crossed_at = call->stops_reading && call->sent_at < call->ended_at
+                            ? call->sent_at
+                            : call->ended_at;
 
-    return call->status == 408 && has_crossed_close(call) &&
+    return call->status == 408 && call->run_count == 0 && stop != NULL &&
+           crossed_at - call->began_at < CROSSING_TIME_MAX &&
            call->ended_at - stop->begins_at > STOP_CLOSE_MIN;
 }
 
@@ -333,27 +337,13 @@
            call->ended_at - call->began_at > EXCESS_TIME_MAX;
 }
 
-/* Did it cross the refusal in advance (408) with which a gateway that stops
- * closes its connections?  One that was sent whole may be read late. */
-static bool
-has_crossed_refusal(const Call *call)
-{
-    KcTime crossed_at =
-        call->sent_at < call->ended_at ? call->sent_at : call->ended_at;
-
-    return call->status == 408 && call->run_count == 0 &&
-           crossed_at - call->began_at < CROSSING_TIME_MAX &&
-           History_Find(DISTURBANCE_STOP, GATEWAY_CLUSTER_GATEWAY,
-                        call->gateway, call->began_at, call->ended_at) != NULL;
-}
-
 /* The limits at its beginning allowed the call. */
 static bool
 is_refused_by_limits(const Call *call)
 {
     return (call->status == 413 || call->status == 408 ||
             call->status == 431) &&
-           !call->is_excessive && !has_crossed_refusal(call);
+           !call->is_excessive;
 }
 
 /* When its head had been read at the latest; a frozen gateway may read it any
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,7 @@
     bool is_repeatable;
     bool is_stream;
     bool is_excessive;     /* its body is above the limit */
+    bool stops_reading;    /* its answer may have come long before its end */
     bool has_parts;        /* its prompt has parts */
     bool is_deadly;        /* one of them is the deadly one */
     bool has_arrived_late; /* at a worker, see deadly.c */
--- a/tests/soak/test_rules.c
+++ b/tests/soak/test_rules.c
@@ -22,23 +22,27 @@
     int stopped_gateway;
     bool limits_change; /* at the beginning of the call */
     const char *violation;
+    bool stops_reading; /* the caller */
 } cases[] = {
-    {"an answer", 200, 900, 1, 0, 0, false, NULL},
+    {"an answer", 200, 900, 1, 0, 0, false, NULL, false},
     {"a request that crosses the last close of a stop", 408, 1, 0, -4700, 0,
-     false, NULL},
+     false, NULL, false},
     {"one that crosses the first close of a stop", 408, 1, 0, -2500, 0, false,
-     NULL},
-    {"a 408 without a stop", 408, 1, 0, 0, 0, false, REFUSED},
+     NULL, false},
+    {"a 408 without a stop", 408, 1, 0, 0, 0, false, REFUSED, false},
     {"a 408 beside the stop of another gateway", 408, 1, 0, -4700, 1, false,
-     REFUSED},
-    {"a 408 to a request that has run", 408, 1, 1, -4700, 0, false, REFUSED},
+     REFUSED, false},
+    {"a 408 to a request that has run", 408, 1, 1, -4700, 0, false, REFUSED,
+     false},
     {"a 408 that comes later than the crossing of a close", 408, 500, 0, -4700,
-     0, false, REFUSED},
+     0, false, REFUSED, false},
+    {"a 408 that a caller which stops reading sees later", 408, 500, 0, -4700,
+     0, false, NULL, true},
     {"a 408 before a stop closes connections", 408, 1, 0, -1000, 0, false,
-     REFUSED},
-    {"a 413 in a stop", 413, 1, 0, -4700, 0, false, REFUSED},
-    {"a 431 in a stop", 431, 1, 0, -4700, 0, false, REFUSED},
-    {"a 413 beside lower limits", 413, 1, 0, 0, 0, true, NULL},
+     REFUSED, false},
+    {"a 413 in a stop", 413, 1, 0, -4700, 0, false, REFUSED, false},
+    {"a 431 in a stop", 431, 1, 0, -4700, 0, false, REFUSED, false},
+    {"a 413 beside lower limits", 413, 1, 0, 0, 0, true, NULL, false},
 };
 
 static const char *reported;
@@ -80,6 +84,7 @@
     call.status = cases[index].status;
     call.run_count = cases[index].run_count;
     call.is_complete = true;
+    call.stops_reading = cases[index].stops_reading;
     if (cases[index].stop_ms != 0) {
         History_Begin(DISTURBANCE_STOP, GATEWAY_CLUSTER_GATEWAY,
                       cases[index].stopped_gateway,
