--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -147,8 +147,8 @@
  * when the server has said meanwhile that it takes no requests, or the planned
  * stop of the gateway has ended, KC_ERR_VERSION_RETIRED or
  * KC_ERR_DEADLINE_EXCEEDED when the time of the version or of the request is
- * over: the attempt must then be ended as
- * KC_ATTEMPT_NEVER_SENT with that code.
+ * over: the attempt must then be ended as KC_ATTEMPT_NEVER_SENT with that
+ * code.
  */
 int KcForwardAttempt_CheckSend(const KcForwardAttempt *attempt, KcTime now);
 
@@ -232,9 +232,8 @@
     uint32_t possible_runs;    /* ended attempts that may have run */
     struct KcServer *tried_servers[KC_FORWARD_TRIED_MAX];
     uint32_t tried_count;
-    struct KcServer *sent_servers[KC_FORWARD_TRIED_MAX]; /* of the first
-                                                          * attempts; may have
-                                                          * been freed */
+    /* Of the first attempts; only compared, as they may have been freed. */
+    struct KcServer *sent_servers[KC_FORWARD_TRIED_MAX];
     KcTime refused_at;   /* when one of them last ended an attempt while
                           * another was in progress; 0: none */
     bool was_moved;      /* another server was tried, as one was silent */
