platform/store.c: decode the objects of an answer one by one

Callers saw almost every request refused after a restart while one entry of another writer stood in the list of workers: nested thousands of levels deep, with a number beyond 64 bits, or with bytes that are no UTF-8. A gateway that was running went on, but learned of no further change to that collection.

Cause: one json_loadb() for the whole answer. What the library rejects in one object it rejects for the page or the events, the list was begun again, and so on without end.

Now json_text.c finds the members and elements of an answer by strings and brackets alone, without recursion, and the library decodes name, revision and value of each object by themselves. An object whose value can't be decoded reaches the feed without one: it names no worker, version or configuration, a known worker of that name counts as missing, its deletion is still a deletion, and it isn't counted as a gateway. One whose name can't be decoded is left out. The page's revision and has_more are read as before, and the next page follows the last name that can be decoded; an answer that isn't whole still fails. Single objects, finalizers and status are covered by the same function.

Held before, and kept: an odd record of a gateway.

--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -59,8 +59,8 @@
     const char *name;
     uint64_t revision;
     bool deleted;
-    /* Decoded value, in the store's own type; borrowed for the call, NULL
-     * when deleted. */
+    /* Decoded value, in the store's own type; borrowed for the call.  NULL
+     * when it can't be decoded; of a deletion it may be NULL, too. */
     const void *body;
     /* Set by the feed: the object changed after this, when the feed last knew
      * each change.  0: at any time before. */
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -207,7 +207,7 @@
     GatewayRole *role = context;
 
     (void)now;
-    role->listed_gateway_count += item->deleted ? 0 : 1;
+    role->listed_gateway_count += item->deleted || item->body == NULL ? 0 : 1;
 }
 
 static void
--- a/programs/process/platform.h
+++ b/programs/process/platform.h
@@ -69,10 +69,10 @@
     const KcFeedOps *feed_ops;
     const KcObjectOps *object_ops;
     /*
-     * Decode the body of a feed item. On an error err names the field at
-     * fault. read_routing returns a configuration that the caller releases
-     * with KcRouting_Release(), or NULL; the others return 0 or a negative
-     * error number. info must be initialised.
+     * Decode the body of a feed item, which may be NULL. On an error err names
+     * the field at fault. read_routing returns a configuration that the caller
+     * releases with KcRouting_Release(), or NULL; the others return 0 or a
+     * negative error number. info must be initialised.
      */
     KcRouting *(*read_routing)(const void *body, KcError *err);
     int (*read_server)(const KcFeedItem *item, KcServerInfo *info,
--- /dev/null
+++ b/programs/request/json_text.c
@@ -0,0 +1,256 @@
+/*
+ * Splits JSON text into members and elements.
+ *
+ * A position is a pointer into the text; functions that skip something return
+ * the position behind it, or NULL when the text doesn't have it there.
+ */
+#include "json_text.h"
+
+#include <string.h>
+
+static const char *
+skip_blanks(const char *at, const char *end)
+{
+    while (at < end &&
+           (*at == ' ' || *at == '\t' || *at == '\r' || *at == '\n')) {
+        at++;
+    }
+    return at;
+}
+
+static const char *
+skip_character(const char *at, const char *end, char character)
+{
+    return at < end && *at == character ? at + 1 : NULL;
+}
+
+static const char *
+skip_string(const char *at, const char *end)
+{
+    at = skip_character(at, end, '"');
+    while (at != NULL && at < end && *at != '"') {
+        at += *at == '\\' && at + 1 < end ? 2 : 1;
+    }
+    return at != NULL ? skip_character(at, end, '"') : NULL;
+}
+
+/* Skips an object or array with all that it contains. */
+static const char *
+skip_brackets(const char *at, const char *end)
+{
+    size_t depth = 0;
+
+    while (at < end) {
+        switch (*at) {
+        case '{':
+        case '[':
+            depth++;
+            break;
+        case '}':
+        case ']':
+            if (--depth == 0) {
+                return at + 1;
+            }
+            break;
+        case '"':
+            at = skip_string(at, end);
+            if (at == NULL) {
+                return NULL;
+            }
+            continue;
+        default:
+            break;
+        }
+        at++;
+    }
+    return NULL;
+}
+
+/* Skips a number, a literal, or what stands in its place. */
+static const char *
+skip_scalar(const char *at, const char *end)
+{
+    const char *start = at;
+
+    while (at < end && strchr(",]}:\"[{ \t\r\n", *at) == NULL) {
+        at++;
+    }
+    return at > start ? at : NULL;
+}
+
+static const char *
+skip_value(const char *at, const char *end)
+{
+    if (at == end) {
+        return NULL;
+    }
+    switch (*at) {
+    case '"':
+        return skip_string(at, end);
+    case '{':
+    case '[':
+        return skip_brackets(at, end);
+    default:
+        return skip_scalar(at, end);
+    }
+}
+
+static KcBytes
+bytes_between(const char *start, const char *end)
+{
+    return (KcBytes){start, (size_t)(end - start)};
+}
+
+/* Returns the position of the first character of a text. */
+static const char *
+start_of(KcBytes text)
+{
+    return text.size > 0 ? text.data : "";
+}
+
+/* ---- objects ------------------------------------------------------------- */
+
+/* Sets the value of the member whose name, with its quotes, is key. */
+static void
+set_member(KcJsonMember *members, size_t count, KcBytes key, KcBytes value)
+{
+    for (size_t i = 0; i < count; i++) {
+        if (strlen(members[i].name) == key.size - 2 &&
+            memcmp(members[i].name, key.data + 1, key.size - 2) == 0) {
+            members[i].value = value;
+        }
+    }
+}
+
+/* Takes one member.  Returns the position behind it, or NULL. */
+static const char *
+take_member(const char *at, const char *end, KcJsonMember *members,
+            size_t count)
+{
+    const char *key_start = at;
+    const char *key_end = skip_string(at, end);
+    const char *value_start;
+
+    if (key_end == NULL) {
+        return NULL;
+    }
+    at = skip_character(skip_blanks(key_end, end), end, ':');
+    if (at == NULL) {
+        return NULL;
+    }
+    value_start = skip_blanks(at, end);
+    at = skip_value(value_start, end);
+    if (at != NULL) {
+        set_member(members, count, bytes_between(key_start, key_end),
+                   bytes_between(value_start, at));
+    }
+    return at;
+}
+
+int
+KcJsonText_FindMembers(KcBytes text, KcJsonMember *members, size_t count)
+{
+    const char *at = start_of(text);
+    const char *end = at + text.size;
+    const char *closed;
+
+    for (size_t i = 0; i < count; i++) {
+        members[i].value = (KcBytes){NULL, 0};
+    }
+    at = skip_character(skip_blanks(at, end), end, '{');
+    if (at == NULL) {
+        return KC_ERR_PARSE;
+    }
+    at = skip_blanks(at, end);
+    closed = skip_character(at, end, '}');
+    while (closed == NULL) {
+        at = take_member(at, end, members, count);
+        if (at == NULL) {
+            return KC_ERR_PARSE;
+        }
+        at = skip_blanks(at, end);
+        closed = skip_character(at, end, '}');
+        if (closed == NULL) {
+            at = skip_character(at, end, ',');
+            if (at == NULL) {
+                return KC_ERR_PARSE;
+            }
+            at = skip_blanks(at, end);
+        }
+    }
+    return skip_blanks(closed, end) == end ? 0 : KC_ERR_PARSE;
+}
+
+/* ---- arrays -------------------------------------------------------------- */
+
+/* Lets *rest begin at a position.  Blanks there are dropped. */
+static void
+set_rest(KcBytes *rest, const char *at)
+{
+    const char *end = start_of(*rest) + rest->size;
+
+    *rest = bytes_between(skip_blanks(at, end), end);
+}
+
+int
+KcJsonText_BeginArray(KcBytes *rest)
+{
+    const char *at = start_of(*rest);
+    const char *end = at + rest->size;
+
+    at = skip_character(skip_blanks(at, end), end, '[');
+    if (at == NULL) {
+        return KC_ERR_PARSE;
+    }
+    set_rest(rest, at);
+    return 0;
+}
+
+int
+KcJsonText_TakeElement(KcBytes *rest, KcBytes *element)
+{
+    const char *start = start_of(*rest);
+    const char *end = start + rest->size;
+    const char *at;
+
+    if (skip_character(start, end, ']') != NULL) {
+        return skip_blanks(start + 1, end) == end ? 0 : KC_ERR_PARSE;
+    }
+    at = skip_value(start, end);
+    if (at == NULL) {
+        return KC_ERR_PARSE;
+    }
+    *element = bytes_between(start, at);
+    at = skip_blanks(at, end);
+    if (skip_character(at, end, ',') != NULL) {
+        at++;
+    }
+    else if (skip_character(at, end, ']') == NULL) {
+        return KC_ERR_PARSE;
+    }
+    set_rest(rest, at);
+    return 1;
+}
+
+/* ---- values -------------------------------------------------------------- */
+
+json_t *
+KcJsonText_Decode(KcBytes text, size_t flags)
+{
+    return text.size > 0 ? json_loadb(text.data, text.size,
+                                      JSON_DECODE_ANY | flags, NULL)
+                         : NULL;
+}
+
+int
+KcJsonText_DecodeInteger(KcBytes text, int64_t *number)
+{
+    json_t *value = KcJsonText_Decode(text, 0);
+    int code = json_is_integer(value) ? 0 : KC_ERR_PARSE;
+
+    if (code == 0) {
+        *number = json_integer_value(value);
+    }
+    json_decref(value);
+    return code;
+}
--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -302,6 +302,18 @@
                            "version", version));
 }
 
+void
+GatewayCluster_WriteRawObject(GatewayCluster *cluster, const char *collection,
+                              const char *name, const char *value)
+{
+    char path[TEXT_SIZE];
+    char answer[512];
+
+    snprintf(path, sizeof(path), "/raw/%s/%s", collection, name);
+    call_http(GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_STORE, 0),
+              "PUT", path, value, answer, sizeof(answer));
+}
+
 /* ---- processes ----------------------------------------------------------- */
 
 void
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -128,6 +128,12 @@
 void GatewayCluster_AnnounceVersion(GatewayCluster *cluster,
                                     const char *adapter, int version);
 
+/* Writes an object to the store whose value is a text as it is, also if that
+ * is not valid JSON. */
+void GatewayCluster_WriteRawObject(GatewayCluster *cluster,
+                                   const char *collection, const char *name,
+                                   const char *value);
+
 /* Connects to "host:port".  Returns a socket that the caller closes, or -1. */
 int GatewayCluster_Connect(const char *address);
 
--- /dev/null
+++ b/tests/daemons/test_odd_entries.c
@@ -0,0 +1,158 @@
+/*
+ * Tests gateways as processes while the store holds an entry that can't be
+ * decoded: such an entry names nothing, and all others hold.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../steps.h"
+#include "gateway_cluster.h"
+
+/* Longer than any change may take to be in force, for a busy machine. */
+#define KNOWN_TIMEOUT (10 * G_USEC_PER_SEC)
+#define REQUESTS 20
+/* More levels than the JSON library decodes, in a value that the stand-ins
+ * take. */
+#define DEEP_LEVELS 3000
+#define NAME "odd"
+#define WORKER_LOG "peer=plain-%d step=\"servers\" msg=\"server is ready"
+
+static GatewayCluster *cluster;
+static uint8_t network_octet;
+
+static const struct {
+    const char *name;
+    const char *collection;
+    const char *value; /* DEEP: nested arrays */
+    bool is_restart;   /* of the gateway, when the entry has been written */
+} cases[] = {
+    {"nested worker, restart", "servers", "DEEP", true},
+    {"nested worker, running", "servers", "DEEP", false},
+    {"nested field, restart", "servers",
+     "{\"service\":\"plain\",\"address\":\"127.0.0.1:1\",\"x\":DEEP}", true},
+    {"number beyond 64 bits, restart", "servers",
+     "{\"slots\":123456789012345678901234567890}", true},
+    {"number beyond 64 bits, running", "servers",
+     "{\"slots\":123456789012345678901234567890}", false},
+    {"nested version, restart", "versions", "DEEP", true},
+    {"nested version, running", "versions", "DEEP", false},
+    {"nested configuration, restart", "config", "DEEP", true},
+    {"nested configuration, running", "config", "DEEP", false},
+    {"nested record of a gateway, restart", "gateways", "DEEP", true},
+};
+
+static char *
+expand(const char *value)
+{
+    GString *text = g_string_new(value);
+    char *open = g_strnfill(DEEP_LEVELS, '[');
+    char *close = g_strnfill(DEEP_LEVELS, ']');
+    char *deep = g_strconcat(open, close, NULL);
+
+    g_string_replace(text, "DEEP", deep, 0);
+    g_free(open);
+    g_free(close);
+    g_free(deep);
+    return g_string_free(text, FALSE);
+}
+
+static int
+send_request(int number)
+{
+    char request[256];
+    char answer[4096];
+    int size = snprintf(request, sizeof(request),
+                        "GET /safe/x HTTP/1.1\r\nHost: h\r\n"
+                        "Attempt-Id: r%d\r\nConnection: close\r\n\r\n",
+                        number);
+
+    GatewayCluster_Exchange(
+        GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_GATEWAY, 0),
+        request, (size_t)size, answer, sizeof(answer), 3000);
+    return GatewayCluster_ReadStatus(answer);
+}
+
+/* Waits until the gateway's log, which may hold it already, has a line with a
+ * number. */
+static void
+wait_for_log(const char *format, int number)
+{
+    char *line = g_strdup_printf(format, number);
+    char *path =
+        g_strdup_printf("%s/%d-0.log", GatewayCluster_GetDirectory(cluster),
+                        GATEWAY_CLUSTER_GATEWAY);
+    gint64 started_at = g_get_monotonic_time();
+    bool is_found = false;
+
+    while (!is_found && g_get_monotonic_time() < started_at + KNOWN_TIMEOUT) {
+        char *log = NULL;
+
+        g_usleep(10000);
+        g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+        is_found = strstr(log, line) != NULL;
+        g_free(log);
+    }
+    g_test_message("%s: %d ms", line,
+                   (int)((g_get_monotonic_time() - started_at) / 1000));
+    g_assert_true(is_found);
+    g_free(line);
+    g_free(path);
+}
+
+static void
+restart_gateway(void)
+{
+    GatewayCluster_SendSignal(cluster, GATEWAY_CLUSTER_GATEWAY, 0, SIGKILL);
+    GatewayCluster_WaitForExit(cluster, GATEWAY_CLUSTER_GATEWAY, 0);
+    GatewayCluster_RestartProcess(cluster, GATEWAY_CLUSTER_GATEWAY, 0);
+}
+
+/* Checks that the gateway learns of changes to all collections. */
+static void
+check_changes(void)
+{
+    GatewayCluster_RestartProcess(cluster, GATEWAY_CLUSTER_PLAIN_WORKER, 1);
+    wait_for_log(WORKER_LOG, 1);
+    GatewayCluster_AnnounceVersion(cluster, "a1", 2);
+    wait_for_log("msg=\"version %d is announced", 2);
+    GatewayCluster_WriteConfig(cluster, 2, true);
+    wait_for_log("generation=%d step=\"routing\" msg=\"configuration read", 2);
+}
+
+static void
+test_odd_entry(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    GatewayClusterOptions options = {.network_octet = network_octet,
+                                     .plain_workers = 1,
+                                     .gateways = 1,
+                                     .seed = 7};
+    char *value = expand(cases[index].value);
+
+    cluster = GatewayCluster_Start(&options);
+    wait_for_log(WORKER_LOG, 0);
+    GatewayCluster_WriteRawObject(cluster, cases[index].collection, NAME,
+                                  value);
+    if (cases[index].is_restart) {
+        restart_gateway();
+    }
+    g_assert_true(GatewayCluster_WaitUntilReady(cluster, 0));
+    for (int i = 0; i < REQUESTS; i++) {
+        g_assert_cmpint(send_request(i), ==, 200);
+    }
+    check_changes();
+    GatewayCluster_Stop(cluster);
+    g_free(value);
+}
+
+int
+main(int argc, char **argv)
+{
+    network_octet = GatewayCluster_ReserveNetwork(128, 227);
+    g_test_init(&argc, &argv, NULL);
+    Steps_AddCases("/odd_entries", cases, G_N_ELEMENTS(cases),
+                   sizeof(cases[0]), test_odd_entry);
+    return g_test_run();
+}
--- a/tests/platform/test_records.c
+++ b/tests/platform/test_records.c
@@ -55,15 +55,22 @@
      "models", 0},
     {"not an object", "[1,2]", "service", 0},
     {"null", "null", "service", 0},
+    {"cannot be decoded", NULL, "value", 0},
 };
 
-/* Parses JSON that is written with single quotes. */
+/* Parses JSON that is written with single quotes; NULL stands for a value that
+ * can't be decoded. */
 static json_t *
 parse(const char *text)
 {
-    char *copy = g_strdelimit(g_strdup(text), "'", '"');
-    json_t *json = json_loads(copy, JSON_DECODE_ANY, NULL);
+    char *copy;
+    json_t *json;
 
+    if (text == NULL) {
+        return NULL;
+    }
+    copy = g_strdelimit(g_strdup(text), "'", '"');
+    json = json_loads(copy, JSON_DECODE_ANY, NULL);
     g_assert_nonnull(json);
     g_free(copy);
     return json;
@@ -123,6 +130,7 @@
      "'engine':{'slots':4,'adapter_slots':3,'mb':10,'models':[{'name':'m',"
      "'mb':5,'adapter_mb':1}]}}]}",
      NULL, NULL},
+    {"cannot be decoded", NULL, "value", ""},
     {"no version", "{'routes':[]}", "version", ""},
     {"version of a wrong type", "{'version':'3','routes':[]}", "version", ""},
     {"unknown kind",
@@ -216,6 +224,7 @@
     {"{'model':'m','adapter':'a'}", "version"},
     {"{'model':'m','adapter':'a','version':0}", "version"},
     {"{'model':'m','adapter':'a','version':'2'}", "version"},
+    {NULL, "value"},
 };
 
 static void
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -3,6 +3,9 @@
  * one revision counter for all, lists in pages, watches, and injected faults.
  *
  *   standin-store ADDRESS [SEED]
+ *
+ *   PUT /raw/COLLECTION/NAME   creates or replaces an object whose value is
+ * the body as it is, also if that is not valid JSON
  */
 #include <assert.h>
 #include <inttypes.h>
@@ -13,8 +16,20 @@
 #include "raw_server.h"
 
 #define COLLECTION_MAX 32
+#define OBJECTS_PREFIX "/objects/"
+#define RAW_PREFIX "/raw/"
 #define HISTORY_EVENTS_MAX 4096
 
+/* The text of a value that is sent as it is. */
+typedef struct RawValue {
+    TAILQ_ENTRY(RawValue) link;
+    int number; /* in the text that stands for it, see RAW_VALUE_FORMAT */
+    char *text;
+} RawValue;
+
+/* Stands for a raw value in the JSON of an object. */
+#define RAW_VALUE_FORMAT "@raw%d@"
+
 typedef struct Object {
     TAILQ_ENTRY(Object) link;
     char collection[COLLECTION_MAX];
@@ -33,6 +48,8 @@
 
 static TAILQ_HEAD(, Object) objects = TAILQ_HEAD_INITIALIZER(objects);
 static TAILQ_HEAD(EventList, Event) events = TAILQ_HEAD_INITIALIZER(events);
+static TAILQ_HEAD(, RawValue) raw_values = TAILQ_HEAD_INITIALIZER(raw_values);
+static int raw_value_count;
 static int64_t last_revision = 1;
 static int64_t trimmed_revision; /* events up to it are no longer kept */
 static int64_t event_count;
@@ -134,11 +151,36 @@
     int64_t since_revision; /* later events are reported */
 } Watch;
 
+/* Replaces what stands for a raw value by its text; frees the old text. */
+static char *
+insert_raw_value(char *text, const RawValue *value)
+{
+    char placeholder[32];
+    char *at;
+
+    snprintf(placeholder, sizeof(placeholder), "\"" RAW_VALUE_FORMAT "\"",
+             value->number);
+    while ((at = strstr(text, placeholder)) != NULL) {
+        size_t size = strlen(text) + strlen(value->text) + 1;
+        char *longer = KcMem_New(size);
+
+        snprintf(longer, size, "%.*s%s%s", (int)(at - text), text, value->text,
+                 at + strlen(placeholder));
+        free(text);
+        text = longer;
+    }
+    return text;
+}
+
 static void
 reply_json(RawConnection *connection, int status, json_t *json)
 {
     char *text = json_dumps(json, JSON_COMPACT);
+    const RawValue *value;
 
+    TAILQ_FOREACH (value, &raw_values, link) {
+        text = insert_raw_value(text, value);
+    }
     RawConnection_Reply(connection, status,
                         "Content-Type: application/json\r\n", text);
     free(text);
@@ -361,6 +403,28 @@
     answer_watches(collection);
 }
 
+/* Creates or replaces an object whose value is the body of the request. */
+static void
+write_raw_object(RawConnection *connection, const char *collection,
+                 const char *name)
+{
+    Object *object = find_object(collection, name);
+    RawValue *value = KcMem_New(sizeof(*value));
+
+    value->number = raw_value_count++;
+    value->text = strdup(KcBuffer_Data(&connection->body));
+    TAILQ_INSERT_TAIL(&raw_values, value, link);
+    if (object == NULL) {
+        object = insert_object(collection, name);
+    }
+    json_decref(object->spec);
+    object->spec = json_sprintf(RAW_VALUE_FORMAT, value->number);
+    object->revision = ++last_revision;
+    add_event(object, false);
+    RawConnection_Reply(connection, 200, "", "{}");
+    answer_watches(collection);
+}
+
 static void
 delete_object(RawConnection *connection, const char *collection,
               const char *name)
@@ -452,13 +516,16 @@
 {
     const char *method = connection->message->method;
     char path[KC_OBJECT_NAME_MAX + COLLECTION_MAX];
-    char *collection = path + strlen("/objects/");
+    bool is_raw = strncmp(connection->message->target, RAW_PREFIX,
+                          strlen(RAW_PREFIX)) == 0;
+    const char *prefix = is_raw ? RAW_PREFIX : OBJECTS_PREFIX;
+    char *collection = path + strlen(prefix);
     char *name;
 
     call_count++;
     KcText_Copy(path, connection->message->target, sizeof(path));
     path[strcspn(path, "?")] = '\0';
-    if (strncmp(path, "/objects/", strlen("/objects/")) != 0) {
+    if (strncmp(path, prefix, strlen(prefix)) != 0) {
         RawConnection_Reply(connection, 404, "", "{}");
         return;
     }
@@ -469,7 +536,10 @@
     if (name != NULL) {
         *name++ = '\0';
     }
-    if (strcmp(method, "GET") == 0 && name == NULL) {
+    if (is_raw && name != NULL) {
+        write_raw_object(connection, collection, name);
+    }
+    else if (strcmp(method, "GET") == 0 && name == NULL) {
         read_collection(connection, collection);
     }
     else if (strcmp(method, "GET") == 0) {
