--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -3,6 +3,7 @@
  */
 #include <assert.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "feed_internal.h"
 
@@ -19,7 +20,7 @@
     }
     if (feed->needs_list) {
         feed->state = FEED_LISTING;
-        if (feed->page_after[0] == '\0') {
+        if (feed->page_after == NULL) {
             feed->list_called_at = now;
             feed->list_may_lag = false;
             if (options->on_list_begin != NULL) {
@@ -28,7 +29,8 @@
         }
         feed->list_may_lag = feed->list_may_lag || feed->call_may_lag;
         options->ops->list(options->store, feed, options->collection,
-                           feed->page_after, feed->call_may_lag);
+                           feed->page_after != NULL ? feed->page_after : "",
+                           feed->call_may_lag);
     }
     else {
         KcTime timeout =
@@ -46,6 +48,20 @@
     }
 }
 
+/* Copies where the next page begins; "": it is the first. */
+static void
+set_page_after(KcFeed *feed, const char *after)
+{
+    size_t size = strlen(after) + 1;
+
+    free(feed->page_after);
+    feed->page_after = NULL;
+    if (after[0] != '\0') {
+        feed->page_after = KcMem_New(size);
+        memcpy(feed->page_after, after, size);
+    }
+}
+
 static void
 on_timer(KcTimer *timer, KcTime now)
 {
@@ -79,6 +95,7 @@
         feed->options.ops->cancel(feed->options.store, feed);
     }
     KcFeedCheck_Clear(feed);
+    free(feed->page_after);
     free(feed);
 }
 
@@ -179,11 +196,11 @@
 {
     assert(feed->state == FEED_LISTING);
     on_call_answered(feed, now);
-    if (feed->page_after[0] == '\0' || revision < feed->list_revision) {
+    if (feed->page_after == NULL || revision < feed->list_revision) {
         feed->list_revision = revision;
     }
-    KcText_Copy(feed->page_after, after, sizeof(feed->page_after));
-    if (after[0] != '\0') {
+    set_page_after(feed, after);
+    if (feed->page_after != NULL) {
         schedule_call(feed, 0, now);
         return;
     }
@@ -226,7 +243,7 @@
         feed->options.ops->cancel(feed->options.store, feed);
     }
     feed->state = FEED_IDLE;
-    feed->page_after[0] = '\0';
+    set_page_after(feed, "");
     feed->needs_list = true;
     feed->lag_until = 0;
     if (code == KC_ERR_NOT_FOUND) {
--- a/lib/version/feed_internal.h
+++ b/lib/version/feed_internal.h
@@ -15,9 +15,8 @@
 struct KcFeed {
     KcFeedOptions options;
     FeedState state;
-    char page_after[KC_OBJECT_NAME_MAX]; /* next page begins after this name;
-                                          * "" for the first */
-    bool needs_list;                     /* the next call is a list */
+    char *page_after;       /* where the next page begins; NULL: the first */
+    bool needs_list;        /* the next call is a list */
     bool has_list;          /* a list was completed at least once */
     bool store_unavailable; /* the last call had no valid answer */
     bool call_may_lag; /* the last call may be answered by a lagging copy */
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -36,7 +36,8 @@
  * KcFeed_OnCheckFailure().
  */
 typedef struct KcFeedOps {
-    /* Requests the page of objects after a name, "" for the first page.
+    /* Requests a page of objects.  after: as it was given to
+     * KcFeed_OnPageEnd() with the page before, "" for the first page.
      * may_lag: the answer may be from a copy that lags behind, which is
      * cheaper. */
     void (*list)(void *store, KcFeed *feed, const char *collection,
@@ -140,8 +141,9 @@
 /* One object of a page, or one event of a watch or check. */
 void KcFeed_OnItem(KcFeed *feed, const KcFeedItem *item, KcTime now);
 
-/* The page ended.  after: name after which the next page begins, "" when
- * this was the last.  revision: of the store when it read the page. */
+/* The page ended.  after: where the next page begins, in a form of the
+ * store's own and of any length, "" when this was the last; it is copied.
+ * revision: of the store when it read the page. */
 void KcFeed_OnPageEnd(KcFeed *feed, const char *after, uint64_t revision,
                       KcTime now);
 
--- a/tests/daemons/test_odd_entries.c
+++ b/tests/daemons/test_odd_entries.c
@@ -22,25 +22,37 @@
 static GatewayCluster *cluster;
 static uint8_t network_octet;
 
+/* Names of entries, as they stand in a path, which in a list come before those
+ * of sound workers and fill more than one page. */
+#define NAME_COUNT 120
+#define ODD_NAME "a%%26b%%3Dc%%20d%%2Be%%23f%%25g%%2F%d"
+
 static const struct {
     const char *name;
     const char *collection;
     const char *value; /* DEEP: nested arrays */
     bool is_restart;   /* of the gateway, when the entry has been written */
+    bool has_names;    /* NAME_COUNT entries in place of one */
 } cases[] = {
-    {"nested worker, restart", "servers", "DEEP", true},
-    {"nested worker, running", "servers", "DEEP", false},
+    {"nested worker, restart", "servers", "DEEP", true, false},
+    {"nested worker, running", "servers", "DEEP", false, false},
     {"nested field, restart", "servers",
-     "{\"service\":\"plain\",\"address\":\"127.0.0.1:1\",\"x\":DEEP}", true},
+     "{\"service\":\"plain\",\"address\":\"127.0.0.1:1\",\"x\":DEEP}", true,
+     false},
     {"number beyond 64 bits, restart", "servers",
-     "{\"slots\":123456789012345678901234567890}", true},
+     "{\"slots\":123456789012345678901234567890}", true, false},
     {"number beyond 64 bits, running", "servers",
-     "{\"slots\":123456789012345678901234567890}", false},
-    {"nested version, restart", "versions", "DEEP", true},
-    {"nested version, running", "versions", "DEEP", false},
-    {"nested configuration, restart", "config", "DEEP", true},
-    {"nested configuration, running", "config", "DEEP", false},
-    {"nested record of a gateway, restart", "gateways", "DEEP", true},
+     "{\"slots\":123456789012345678901234567890}", false, false},
+    {"nested version, restart", "versions", "DEEP", true, false},
+    {"nested version, running", "versions", "DEEP", false, false},
+    {"nested configuration, restart", "config", "DEEP", true, false},
+    {"nested configuration, running", "config", "DEEP", false, false},
+    {"nested record of a gateway, restart", "gateways", "DEEP", true, false},
+    {"names with delimiters, restart", "servers",
+     "{\"service\":\"other\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
+     "\"slots\":1,\"state\":\"ready\"}",
+     true, true},
+    {"names with delimiters, nested, restart", "servers", "DEEP", true, true},
 };
 
 static char *
@@ -121,6 +133,23 @@
     wait_for_log("generation=%d step=\"routing\" msg=\"configuration read", 2);
 }
 
+static void
+write_entries(size_t index)
+{
+    char *value = expand(cases[index].value);
+    int count = cases[index].has_names ? NAME_COUNT : 1;
+
+    for (int i = 0; i < count; i++) {
+        char *name = cases[index].has_names ? g_strdup_printf(ODD_NAME, i)
+                                            : g_strdup(NAME);
+
+        GatewayCluster_WriteRawObject(cluster, cases[index].collection, name,
+                                      value);
+        g_free(name);
+    }
+    g_free(value);
+}
+
 static void
 test_odd_entry(gconstpointer data)
 {
@@ -129,12 +158,10 @@
                                      .plain_workers = 1,
                                      .gateways = 1,
                                      .seed = 7};
-    char *value = expand(cases[index].value);
 
     cluster = GatewayCluster_Start(&options);
     wait_for_log(WORKER_LOG, 0);
-    GatewayCluster_WriteRawObject(cluster, cases[index].collection, NAME,
-                                  value);
+    write_entries(index);
     if (cases[index].is_restart) {
         restart_gateway();
     }
@@ -144,7 +171,6 @@
     }
     check_changes();
     GatewayCluster_Stop(cluster);
-    g_free(value);
 }
 
 int
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -19,9 +19,11 @@
 #define ANSWERS_MAX 4
 /* More levels than the JSON library decodes. */
 #define DEEP_LEVELS 5000
+/* Longer than any buffer for a name. */
+#define LONG_NAME_LENGTH 1000
 
-/* Answers are written with single quotes; DEEP and DEEP_OBJECT stand for
- * nested arrays and nested objects. */
+/* Answers are written with single quotes; DEEP, DEEP_OBJECT and LONG stand for
+ * nested arrays, nested objects and the characters of a long name. */
 #define ITEM(name, spec)                                                      \
     "{'meta':{'name':'" name "','revision':3},'spec':" spec "}"
 #define SOUND(name) ITEM(name, "{'a':1}")
@@ -132,10 +134,31 @@
      {FULL_PAGE(SOUND("v") "," SOUND("\xff")), PAGE(SOUND("w"))},
      "v@3=1 w@3=1",
      LIST " " AFTER("v") " " WATCH_7},
+    {"a name with a NUL names no other",
+     {FULL_PAGE(SOUND("v\\u0000x")), PAGE(SOUND("w"))},
+     "w@3=1",
+     LIST " " AFTER("v%00x") " " WATCH_7},
     {"items that are no objects",
      {PAGE("5,'x',[],null," SOUND("w"))},
      "w@3=1",
      LIST " " WATCH_7},
+    /* names in requests */
+    {"a name with delimiters",
+     {FULL_PAGE(SOUND("a&b=c d+e#f%g/h?i")), PAGE(SOUND("w"))},
+     "a&b=c d+e#f%g/h?i@3=1 w@3=1",
+     LIST " " AFTER("a%26b%3Dc%20d%2Be%23f%25g%2Fh%3Fi") " " WATCH_7},
+    {"a name that is not ASCII",
+     {FULL_PAGE(SOUND("\xc3\xa9")), PAGE(SOUND("w"))},
+     "\xc3\xa9@3=1 w@3=1",
+     LIST " " AFTER("%C3%A9") " " WATCH_7},
+    {"a name with a line break",
+     {FULL_PAGE(SOUND("a\\r\\nb")), PAGE(SOUND("w"))},
+     "a\r\nb@3=1 w@3=1",
+     LIST " " AFTER("a%0D%0Ab") " " WATCH_7},
+    {"a long name",
+     {FULL_PAGE(SOUND("LONG")), PAGE(SOUND("w"))},
+     "LONG@3=1 w@3=1",
+     LIST " " AFTER("LONG") " " WATCH_7},
     /* events */
     {"a nested value in an event",
      {PAGE(""), EVENTS(EVENT(ITEM("odd", "DEEP")) "," EVENT(SOUND("w")))},
@@ -212,12 +235,15 @@
     GString *expanded = g_string_new(text);
     char *deep = make_deep("[", "]");
     char *deep_object = make_deep("{'a':", "}");
+    char *name = g_strnfill(LONG_NAME_LENGTH, 'n');
 
     g_string_replace(expanded, "DEEP_OBJECT", deep_object, 0);
     g_string_replace(expanded, "DEEP", deep, 0);
+    g_string_replace(expanded, "LONG", name, 0);
     g_strdelimit(expanded->str, "'", '"');
     g_free(deep);
     g_free(deep_object);
+    g_free(name);
     return expanded;
 }
 
@@ -393,6 +419,9 @@
 } object_cases[] = {
     {"sound", "gateways/g", "/objects/gateways/g", SOUND("g"), "{'a':1}", 0,
      3},
+    {"a name with delimiters", "gateways/a&b c#d%e/f?g",
+     "/objects/gateways/a%26b%20c%23d%25e%2Ff%3Fg", SOUND("g"), "{'a':1}", 0,
+     3},
     {"a nested value", "gateways/g", "/objects/gateways/g", ITEM("g", "DEEP"),
      "", 0, 3},
     {"nested finalizers", "gateways/g", "/objects/gateways/g",
--- a/tests/standins/raw_server.c
+++ b/tests/standins/raw_server.c
@@ -3,6 +3,7 @@
  */
 #include "raw_server.h"
 
+#include <event2/http.h>
 #include <inttypes.h>
 #include <signal.h>
 #include <stdio.h>
@@ -258,10 +259,13 @@
                             char *text, size_t size)
 {
     const char *value = find_query(connection, name);
-    size_t length = value != NULL ? strcspn(value, "&") : 0;
+    char *encoded =
+        value != NULL ? strndup(value, strcspn(value, "&#")) : strdup("");
+    char *decoded = evhttp_uridecode(encoded, 1, NULL);
 
-    KcText_Copy(text, length > 0 ? value : "",
-                length + 1 < size ? length + 1 : size);
+    KcText_Copy(text, decoded, size);
+    free(decoded);
+    free(encoded);
 }
 
 /* ---- requests ------------------------------------------------------------ */
--- a/tests/standins/raw_server.h
+++ b/tests/standins/raw_server.h
@@ -120,7 +120,7 @@
 /* Returns a number of the query, or the default value when absent. */
 int64_t RawConnection_FindQueryNumber(const RawConnection *connection,
                                       const char *name, int64_t default_value);
-/* Copies a text of the query into a buffer, "" when absent. */
+/* Copies a decoded text of the query into a buffer, "" when absent. */
 void RawConnection_CopyQueryText(const RawConnection *connection,
                                  const char *name, char *text, size_t size);
 
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -8,6 +8,7 @@
  * the body as it is, also if that is not valid JSON
  */
 #include <assert.h>
+#include <event2/http.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -345,6 +346,16 @@
     }
 }
 
+/* Decodes a part of a path in place. */
+static void
+decode_in_place(char *text)
+{
+    char *decoded = evhttp_uridecode(text, 0, NULL);
+
+    KcText_Copy(text, decoded, strlen(text) + 1);
+    free(decoded);
+}
+
 /* Calls of other stand-ins and of tests have no faults. */
 static bool
 is_subject_to_faults(const RawConnection *connection)
@@ -535,6 +546,7 @@
     name = strchr(collection, '/');
     if (name != NULL) {
         *name++ = '\0';
+        decode_in_place(name);
     }
     if (is_raw && name != NULL) {
         write_raw_object(connection, collection, name);
