platform/records.c: no number wraps into another one

A version of weights beyond 32 bits, in an entry of a worker, a worker's report or an announcement, was taken for its lower half: another version, and one with a fraction for the version below it. So was the version of an adapter, where a sign or a text counted as a number, too. Numbers of the configuration were cast from double without an upper bound, which is undefined out of range, and two large weights of a route wrapped in their sum.

Cause: casts of double, json_int_t and strtoul() without a check of the range.

A version that isn't a whole number of its range is now not valid: the entry, report or announcement is left out, an adapter of a list is left out alone. Times, sizes and counts of the configuration that are out of range count as the end of their range, and the weights are summed in 64 bits.

--- a/lib/version/kcc_routing.h
+++ b/lib/version/kcc_routing.h
@@ -54,7 +54,7 @@
     uint32_t attempts_max; /* attempts of one request that may have run */
     bool resumable;        /* a stream may continue at another server */
     struct KcRouteTargetList targets;
-    uint32_t weight_sum; /* of the targets */
+    uint64_t weight_sum; /* of the targets */
 } KcRouteRule;
 
 TAILQ_HEAD(KcRouteRuleList, KcRouteRule);
--- a/tests/platform/test_records.c
+++ b/tests/platform/test_records.c
@@ -53,6 +53,22 @@
     {"models not a list", "{" SERVER_FIELDS ",'models':5}", "models", 0},
     {"model without a name", "{" SERVER_FIELDS ",'models':[{'version':1}]}",
      "models", 0},
+    {"version of a model beyond its range",
+     "{" SERVER_FIELDS ",'models':[{'name':'m','version':4294967297}]}",
+     "models", 0},
+    {"version of a model not a whole number",
+     "{" SERVER_FIELDS ",'models':[{'name':'m','version':1.5}]}", "models", 0},
+    {"negative version of a model",
+     "{" SERVER_FIELDS ",'models':[{'name':'m','version':-1}]}", "models", 0},
+    {"adapters whose versions can't be read",
+     "{" SERVER_FIELDS ",'models':[{'name':'m','adapters':['a1@4294967297',"
+     "'a2@99999999999999999999','a3@-1','a4@x','a5@','a6@1x','a7@4294967295']}"
+     "]}",
+     NULL, 2},
+    {"slots beyond their range",
+     "{'service':'s','address':'1.2.3.4:5','zone':'z','slots':4294967297,"
+     "'state':'ready'}",
+     "slots", 0},
     {"not an object", "[1,2]", "service", 0},
     {"null", "null", "service", 0},
     {"cannot be decoded", NULL, "value", 0},
@@ -212,6 +228,57 @@
     }
 }
 
+/* A number that is larger than its field counts as the largest. */
+static const char *const large_numbers[] = {"4294967297", "1e18", "1e300"};
+
+static void
+test_large_numbers(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(large_numbers); i++) {
+        char *text = g_strdup_printf(
+            "{'version':3,'limits':{'max_header_bytes':%1$s,"
+            "'max_body_bytes':%1$s,'header_timeout_ms':%1$s,"
+            "'idle_timeout_ms':%1$s},'services':[{'name':'s','conn_limit':%1$"
+            "s,"
+            "'engine':{'slots':%1$s,'adapter_slots':%1$s,'kv_capacity':%1$s}}]"
+            ","
+            "'routes':[{'name':'r','host':'h','path_prefix':'/a/',"
+            "'kind':'streaming','timeout_ms':%1$s,'goal_ms':%1$s,"
+            "'gap_goal_ms':%1$s,'priority':%1$s,'max_attempts':%1$s,"
+            "'split':[{'service':'s','weight':%1$s},"
+            "{'service':'t','weight':%1$s}]}]}",
+            large_numbers[i]);
+        json_t *json = parse(text);
+        KcError error = {0};
+        KcRouting *routing = KcPlatform_Current.read_routing(json, &error);
+        const KcRouteRule *rule;
+        const KcEngineCapacity *engine;
+
+        g_test_message("%s", large_numbers[i]);
+        g_assert_nonnull(routing);
+        rule = KcRouting_FindRule(routing, "h", "/a/");
+        engine = &KcRouting_FindService(routing, "s")->engine;
+        g_assert_cmpint(rule->request_timeout, >=, 4294967297 * KC_MS);
+        g_assert_cmpint(rule->latency_objective, >=, 4294967297 * KC_MS);
+        g_assert_cmpint(rule->caller_silence_timeout, >,
+                        rule->latency_objective);
+        g_assert_cmpuint(rule->priority, ==, UINT32_MAX);
+        g_assert_cmpuint(rule->attempts_max, ==, UINT32_MAX);
+        g_assert_cmpuint(rule->weight_sum, ==, 2 * (uint64_t)UINT32_MAX);
+        g_assert_cmpuint(engine->adapter_slots, ==, UINT32_MAX);
+        g_assert_cmpuint(engine->concurrency_max, ==, UINT32_MAX);
+        g_assert_cmpuint(engine->kv_cache_tokens, >=, 4294967297);
+        g_assert_cmpuint(routing->limits.header_bytes_max, >=, 4294967297);
+        g_assert_cmpuint(routing->limits.body_bytes_max, >=, 4294967297);
+        g_assert_cmpint(routing->limits.header_timeout, >=,
+                        4294967297 * KC_MS);
+        g_assert_cmpint(routing->limits.idle_timeout, >=, 4294967297 * KC_MS);
+        KcRouting_Release(routing);
+        json_decref(json);
+        g_free(text);
+    }
+}
+
 /* ---- announced versions ------------------------------------------------- */
 
 static const struct {
@@ -224,6 +291,9 @@
     {"{'model':'m','adapter':'a'}", "version"},
     {"{'model':'m','adapter':'a','version':0}", "version"},
     {"{'model':'m','adapter':'a','version':'2'}", "version"},
+    {"{'model':'m','adapter':'a','version':4294967295}", NULL},
+    {"{'model':'m','adapter':'a','version':4294967297}", "version"},
+    {"{'model':'m','adapter':'a','version':1e300}", "version"},
     {NULL, "value"},
 };
 
@@ -251,6 +321,7 @@
     g_test_add_func("/records/servers", test_servers);
     g_test_add_func("/records/configurations", test_configurations);
     g_test_add_func("/records/caller_silence", test_caller_silence);
+    g_test_add_func("/records/large_numbers", test_large_numbers);
     g_test_add_func("/records/versions", test_versions);
     return g_test_run();
 }
