--- a/tests/platform/test_records.c
+++ b/tests/platform/test_records.c
@@ -122,6 +122,41 @@
     }
 }
 
+/* A server's name is sent in a header. */
+static const struct {
+    const char *name;
+    int code;
+} server_name_cases[] = {
+    {"a", 0},
+    {"a b&c=d+e#f%g", 0},
+    {"\xc3\xa9", 0},
+    {"", KC_ERR_PARSE},
+    {"a\r\nX: y", KC_ERR_PARSE},
+    {"a\nb", KC_ERR_PARSE},
+    {"a\x7f", KC_ERR_PARSE},
+    {"0123456789012345678901234567890123456789012345678901234567890123",
+     KC_ERR_PARSE},
+};
+
+static void
+test_server_names(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(server_name_cases); i++) {
+        json_t *json = parse("{" SERVER_FIELDS "}");
+        KcFeedItem item = {
+            .name = server_name_cases[i].name, .revision = 1, .body = json};
+        KcServerInfo info;
+        KcError error = {0};
+
+        g_test_message("%s", server_name_cases[i].name);
+        KcServerInfo_Init(&info);
+        g_assert_cmpint(KcPlatform_Current.read_server(&item, &info, &error),
+                        ==, server_name_cases[i].code);
+        KcServerInfo_Clear(&info);
+        json_decref(json);
+    }
+}
+
 /* ---- the configuration -------------------------------------------------- */
 
 #define ROUTE_FIELDS                                                          \
@@ -319,6 +354,7 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/records/servers", test_servers);
+    g_test_add_func("/records/server_names", test_server_names);
     g_test_add_func("/records/configurations", test_configurations);
     g_test_add_func("/records/caller_silence", test_caller_silence);
     g_test_add_func("/records/large_numbers", test_large_numbers);
