instances_http.c: decode the instances of a list one by one

An instance that the JSON library rejects hid the whole list from an entry, as one entry of the platform's store did from a gateway.

Evidence: test_instances failed before, at the nested element; its 12 rows pass now.

--- a/programs/process/instances_http.c
+++ b/programs/process/instances_http.c
@@ -3,10 +3,10 @@
  */
 #include "instances_http.h"
 
-#include <jansson.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "../request/json_text.h"
 #include "log.h"
 
 struct KcInstancePoller {
@@ -52,31 +52,32 @@
 KcInstanceList_Decode(KcBytes bytes, KcInstance **instances,
                       uint32_t *entry_count)
 {
-    json_t *root = json_loadb(bytes.data, bytes.size, 0, NULL);
-    KcInstance *list;
-    json_t *object;
-    size_t index;
+    KcInstance *list = KcMem_New(sizeof(*list));
+    KcBytes text;
     int count = 0;
+    int code = KcJsonText_BeginArray(&bytes);
 
-    if (!json_is_array(root)) {
-        json_decref(root);
-        return KC_ERR_PARSE;
-    }
     *entry_count = 0;
-    list = KcMem_New(json_array_size(root) * sizeof(*list));
-    json_array_foreach (root, index, object) {
-        KcInstance *instance = &list[count];
+    while (code >= 0 && (code = KcJsonText_TakeElement(&bytes, &text)) > 0) {
+        json_t *object = KcJsonText_Decode(text, 0);
+        KcInstance *instance = &list[count]; /* one more than are counted */
 
         if (decode_instance(object, instance) != 0) {
-            continue; /* an invalid element must not hide the valid ones */
+            /* An invalid element must not hide the valid ones. */
         }
-        if (strcmp(instance->service, KC_ENTRY_SERVICE_NAME) == 0) {
+        else if (strcmp(instance->service, KC_ENTRY_SERVICE_NAME) == 0) {
             *entry_count += instance->leaving ? 0 : 1;
-            continue;
         }
-        count++;
+        else {
+            count++;
+            list = KcMem_Realloc(list, (size_t)(count + 1) * sizeof(*list));
+        }
+        json_decref(object);
+    }
+    if (code < 0) {
+        free(list);
+        return code;
     }
-    json_decref(root);
     *instances = list;
     return count;
 }
