http_connection.c: an answer to a request that was not taken is no answer

A worker answered an upload at once with a 200 that had no length, sent a part of its body, shut down its side and reset the connection while the upload was still being written. The client got that part as a complete answer, also on /v1, and as a complete stream.

Cause: the end of the server's stream completes an answer without other framing. It was not asked whether the server had taken the request, and a reset behind that end is seen by neither read() nor the request for the server's identity, which the server, still alive, answers.

A part of a request that lies in the server's kernel unread can't be told from one that was read: a short upload without a reset stays as it was.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -493,8 +493,8 @@
 
 /*
  * Handles an orderly shutdown by the peer. It completes a response that has
- * neither Content-Length nor chunked encoding; anything else is a lost
- * connection.
+ * neither Content-Length nor chunked encoding, if the peer has taken the whole
+ * request before; anything else is a lost connection.
  */
 static void
 on_end_of_stream(KcHttpConnection *connection)
@@ -502,7 +502,7 @@
     connection->end_of_stream_received = true;
     parse_input(connection);
     if (!connection->is_closed && !connection->message_ended &&
-        connection->message_started) {
+        connection->message_started && KcHttpConnection_IsIntact(connection)) {
         http_parser_execute(&connection->parser, &parser_settings, NULL, 0);
         if (!connection->is_closed && connection->message_ended) {
             connection->message.keep_alive = false;
@@ -764,6 +764,13 @@
     return connection->end_of_stream_received;
 }
 
+bool
+KcHttpConnection_IsIntact(const KcHttpConnection *connection)
+{
+    return KcHttpConnection_UnsentBytes(connection) == 0 &&
+           KcSocket_IsIntact(bufferevent_getfd(connection->bev));
+}
+
 size_t
 KcHttpConnection_UnparsedBytes(const KcHttpConnection *connection)
 {
--- a/programs/connection/http_connection.h
+++ b/programs/connection/http_connection.h
@@ -129,6 +129,12 @@
 bool KcHttpConnection_HasInput(const KcHttpConnection *connection);
 /* Returns whether the peer has ended its stream; it may still read. */
 bool KcHttpConnection_HasInputEnded(const KcHttpConnection *connection);
+/*
+ * Returns whether the peer has taken all output and has not reset the
+ * connection, as far as known: after the end of its stream, whether that was
+ * the end of an answer to all that was sent.
+ */
+bool KcHttpConnection_IsIntact(const KcHttpConnection *connection);
 /* Returns the number of received bytes not yet parsed. */
 size_t KcHttpConnection_UnparsedBytes(const KcHttpConnection *connection);
 /* Returns whether the connection could not be made, as nothing accepts any at
--- a/programs/connection/socket.c
+++ b/programs/connection/socket.c
@@ -3,8 +3,10 @@
  */
 #include "socket.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* Unanswered keep-alive probes after which the kernel ends a connection. */
@@ -56,3 +58,17 @@
     setsockopt(evconnlistener_get_fd(listener), SOL_SOCKET, SO_RCVBUF, &bytes,
                sizeof(bytes));
 }
+
+bool
+KcSocket_IsIntact(evutil_socket_t fd)
+{
+    int error = 0;
+    int untaken_bytes = 0;
+    socklen_t size = sizeof(error);
+
+    if (getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) == 0 &&
+        error != 0) {
+        return false;
+    }
+    return ioctl(fd, SIOCOUTQ, &untaken_bytes) != 0 || untaken_bytes == 0;
+}
--- a/programs/connection/socket.h
+++ b/programs/connection/socket.h
@@ -33,4 +33,11 @@
  */
 void KcSocket_SetReceiveBuffer(struct evconnlistener *listener, int bytes);
 
+/*
+ * Returns whether the peer's kernel has acknowledged all that was sent and the
+ * connection has no pending error, such as a reset. Where the kernel doesn't
+ * tell, this is taken for granted.
+ */
+bool KcSocket_IsIntact(evutil_socket_t fd);
+
 #endif
--- a/tests/request/test_http_call.c
+++ b/tests/request/test_http_call.c
@@ -2,13 +2,15 @@
  * Tests of HTTP calls.  One that cannot be started: the callback gets no
  * answer (status 0) exactly once, and only after KcHttpCall_Fetch() has
  * returned.  One whose reading is paused: it and the next call on its
- * connection get the whole answer.
+ * connection get the whole answer.  Which answers of a server are none.
  */
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "../../programs/connection/socket.h"
 #include "../../programs/request/http_call.h"
@@ -237,12 +239,151 @@
     KcLoop_Free(fixture.loop);
 }
 
+/* ---- answers ------------------------------------------------------------- */
+
+#define HEAD "HTTP/1.1 200 -\r\n"
+#define LENGTH "Content-Length: 3\r\n"
+/* More than the kernel holds on both sides while the server doesn't read. */
+#define LONG_UPLOAD 8000000
+
+/* What the server does with its connection after its bytes. */
+typedef enum ServerEnd { CLOSES = 0, RESETS, STAYS } ServerEnd;
+
+static const struct {
+    const char *name;
+    size_t body_bytes; /* of the request */
+    const char *bytes;
+    ServerEnd end;
+    int code; /* of the call */
+} answer_cases[] = {
+    {"length", 0, HEAD LENGTH "\r\nabc", STAYS, 0},
+    {"closed", 0, HEAD "\r\nabc", CLOSES, 0},
+    {"reset", 0, HEAD "\r\nabc", RESETS, KC_ERR_PEER_LOST},
+    {"upload, length", LONG_UPLOAD, HEAD LENGTH "\r\nabc", STAYS, 0},
+    {"upload, closed", LONG_UPLOAD, HEAD "\r\nabc", CLOSES, KC_ERR_PEER_LOST},
+    {"upload, reset", LONG_UPLOAD, HEAD "\r\nabc", RESETS, KC_ERR_PEER_LOST},
+};
+
+/* A server with one connection, and a call to it. */
+typedef struct AnswerFixture {
+    size_t index; /* of the case */
+    KcLoop *loop;
+    struct bufferevent *server;
+    int status;
+    int code; /* 1: not ended */
+} AnswerFixture;
+
+static void
+on_answer_sent(struct bufferevent *bev, void *context)
+{
+    AnswerFixture *fixture = context;
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+    switch (answer_cases[fixture->index].end) {
+    case CLOSES:
+        shutdown(bufferevent_getfd(bev), SHUT_WR);
+        break;
+    case RESETS:
+        setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset,
+                   sizeof(reset));
+        bufferevent_free(bev);
+        fixture->server = NULL;
+        break;
+    case STAYS:
+        break;
+    }
+}
+
+static void
+on_answer_request(struct bufferevent *bev, void *context)
+{
+    const char *bytes = answer_cases[((AnswerFixture *)context)->index].bytes;
+
+    bufferevent_disable(bev, EV_READ);
+    bufferevent_setcb(bev, NULL, on_answer_sent, NULL, context);
+    bufferevent_write(bev, bytes, strlen(bytes));
+}
+
+static void
+on_answer_accept(struct evconnlistener *listener, evutil_socket_t fd,
+                 struct sockaddr *address, int size, void *context)
+{
+    AnswerFixture *fixture = context;
+
+    (void)listener;
+    (void)address;
+    (void)size;
+    g_assert_null(fixture->server);
+    fixture->server =
+        bufferevent_socket_new(fixture->loop->base, fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(fixture->server, on_answer_request, NULL, NULL, fixture);
+    bufferevent_enable(fixture->server, EV_READ | EV_WRITE);
+}
+
+static void
+on_answer_head(void *context, const KcHttpResponseHead *head)
+{
+    ((AnswerFixture *)context)->status = head->status;
+}
+
+static void
+on_answer_done(void *context, int code, bool sent)
+{
+    AnswerFixture *fixture = context;
+
+    g_assert_true(sent);
+    fixture->code = code;
+    KcLoop_Stop(fixture->loop);
+}
+
+static void
+test_answer(gconstpointer data)
+{
+    static const KcHttpCallOps ops = {.on_head = on_answer_head,
+                                      .on_done = on_answer_done};
+    AnswerFixture fixture = {
+        .index = GPOINTER_TO_SIZE(data), .loop = KcLoop_Create(), .code = 1};
+    size_t body_bytes = answer_cases[fixture.index].body_bytes;
+    char *body = g_malloc0(body_bytes);
+    char address[KC_ADDRESS_MAX];
+    struct evconnlistener *listener;
+    KcHttpCallOptions options = {.loop = fixture.loop,
+                                 .address = address,
+                                 .method = "POST",
+                                 .path = "/",
+                                 .body = {body, body_bytes},
+                                 .progress_timeout = KC_SECOND,
+                                 .ops = &ops,
+                                 .context = &fixture};
+
+    Loopback_AssignAddress(address, sizeof(address));
+    listener = KcSocket_Listen(fixture.loop->base, address, on_answer_accept,
+                               &fixture);
+    g_assert_nonnull(listener);
+    g_assert_nonnull(KcHttpCall_Start(&options));
+    KcLoop_Run(fixture.loop);
+    g_assert_cmpint(fixture.code, ==, answer_cases[fixture.index].code);
+    if (fixture.code == 0) {
+        g_assert_cmpint(fixture.status, ==, 200);
+    }
+    if (fixture.server != NULL) {
+        bufferevent_free(fixture.server);
+    }
+    evconnlistener_free(listener);
+    KcLoop_Free(fixture.loop);
+    g_free(body);
+}
+
 int
 main(int argc, char **argv)
 {
+    signal(SIGPIPE, SIG_IGN);
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/http_call/not_started", test_not_started);
     Steps_AddCases("/http_call", pause_cases, G_N_ELEMENTS(pause_cases),
                    sizeof(pause_cases[0]), test_paused);
+    Steps_AddCases("/http_call/answer", answer_cases,
+                   G_N_ELEMENTS(answer_cases), sizeof(answer_cases[0]),
+                   test_answer);
     return g_test_run();
 }
--- a/tests/request/test_unframed.c
+++ b/tests/request/test_unframed.c
@@ -7,6 +7,7 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <glib.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -28,10 +29,13 @@
 
 /* How the server goes on after its bytes. */
 typedef enum ServerEnd {
-    CLOSES = 0, /* its connection, and takes others */
-    RESETS,     /* its connection, and takes others */
-    CRASHES,    /* its connections close, and it takes no others */
-    STAYS       /* nothing is closed */
+    CLOSES = 0,         /* its connection, and takes others */
+    RESETS,             /* its connection, and takes others */
+    CRASHES,            /* its connections close, and it takes no others */
+    STAYS,              /* nothing is closed */
+    CLOSES_THEN_RESETS, /* its connection, before the rest is read */
+    RESETS_LATE         /* its connection, closed before, when it is asked who
+                         * it is */
 } ServerEnd;
 
 #define OK "HTTP/1.1 200 -\r\nAttempt-Id: this\r\n"
@@ -45,6 +49,13 @@
     "HTTP/1.1 200 -\r\nContent-Length: 10\r\n\r\n{\"born\":" time "}"
 #define GET "GET /s/x HTTP/1.1\r\n"
 #define POST "POST /t/x HTTP/1.1\r\nContent-Length: 0\r\n"
+/* Requests of which the server reads just the first bytes: more than the
+ * kernel holds on both sides, than the server's side holds, and less. */
+#define UPLOAD_BYTES_MAX 8000000
+#define LONG_UPLOAD "POST /s/x HTTP/1.1\r\nContent-Length: 8000000\r\n"
+#define UPLOAD "POST /s/x HTTP/1.1\r\nContent-Length: 1000000\r\n"
+#define SHORT_UPLOAD "POST /s/x HTTP/1.1\r\nContent-Length: 40000\r\n"
+#define STREAM_UPLOAD "POST /t/x HTTP/1.1\r\nContent-Length: 8000000\r\n"
 
 /* The answer to the caller: status, "length", "chunks" or "cut" (chunks whose
  * end is missing), and the body; connections that the server accepted, and
@@ -148,6 +159,36 @@
      OK "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
         "\r\nf\r\n" EVENT_0 "\r\n0\r\n\r\n",
      CRASHES, "200 chunks " EVENT_0, 1, 0, NULL, false},
+    /* answered before the request was read */
+    {"long upload, closed", LONG_UPLOAD, OK "\r\nabc", CLOSES, "502 length ",
+     1, 0, NULL, false},
+    {"long upload, closed before a pause", LONG_UPLOAD, OK "\r\nabc", CLOSES,
+     "502 length ", 1, 0, START("7"), true},
+    {"long upload, reset", LONG_UPLOAD, OK "\r\nabc", RESETS, "502 length ", 1,
+     0, NULL, false},
+    {"long upload, reset before a pause", LONG_UPLOAD, OK "\r\nabc", RESETS,
+     "502 length ", 1, 0, START("7"), true},
+    {"long upload, closed and reset", LONG_UPLOAD, OK "\r\nabc",
+     CLOSES_THEN_RESETS, "502 length ", 1, 0, NULL, false},
+    {"upload, closed", UPLOAD, OK "\r\nabc", CLOSES, "502 length ", 1, 0, NULL,
+     false},
+    {"upload, closed and reset", UPLOAD, OK "\r\nabc", CLOSES_THEN_RESETS,
+     "502 length ", 1, 0, NULL, false},
+    {"short upload, reset", SHORT_UPLOAD, OK "\r\nabc", RESETS, "502 length ",
+     1, 0, NULL, false},
+    {"short upload, closed and reset", SHORT_UPLOAD, OK "\r\nabc",
+     CLOSES_THEN_RESETS, "502 length ", 1, 0, NULL, false},
+    {"short upload, closed and reset before a pause", SHORT_UPLOAD,
+     OK "\r\nabc", CLOSES_THEN_RESETS, "502 length ", 1, 0, START("7"), true},
+    {"short upload, closed and reset late", SHORT_UPLOAD, OK "\r\nabc",
+     RESETS_LATE, "502 length ", 2, 1, NULL, false},
+    {"closed and reset late", GET, OK "\r\nabc", RESETS_LATE, "502 length ", 2,
+     1, NULL, false},
+    {"stream of a long upload, closed", STREAM_UPLOAD, STREAM EVENT_0, CLOSES,
+     "200 cut " EVENT_0, 1, 0, NULL, false},
+    {"long upload, with a length", LONG_UPLOAD,
+     OK "Content-Length: 3\r\nConnection: close\r\n\r\nabc", CLOSES,
+     "200 length abc", 1, 0, NULL, false},
     /* callers */
     {"caller of HTTP/1.0", "GET /s/x HTTP/1.0\r\n", OK "\r\nabc", CLOSES,
      "400 length ", 0, 0, NULL, false},
@@ -169,13 +210,34 @@
     GString *received; /* by the caller */
 } Fixture;
 
+/* Length of the body of a case's request. */
+static size_t
+upload_bytes(const Fixture *fixture)
+{
+    const char *length =
+        strstr(cases[fixture->index].request, "Content-Length: ");
+
+    return length != NULL ? strtoul(length + 16, NULL, 10) : 0;
+}
+
 /* ---- the server ----------------------------------------------------------- */
 
+static void
+reset_connection(Fixture *fixture)
+{
+    struct bufferevent *bev = fixture->server_connections[0];
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+
+    setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset,
+               sizeof(reset));
+    bufferevent_free(bev);
+    fixture->server_connections[0] = NULL;
+}
+
 static void
 on_server_sent(struct bufferevent *bev, void *context)
 {
     Fixture *fixture = context;
-    struct linger reset = {.l_onoff = 1, .l_linger = 0};
 
     if (cases[fixture->index].has_pause) {
         g_usleep(PAUSE);
@@ -186,13 +248,15 @@
         fixture->server = NULL;
         /* fall through */
     case CLOSES:
+    case RESETS_LATE:
         shutdown(bufferevent_getfd(bev), SHUT_WR);
         break;
+    case CLOSES_THEN_RESETS:
+        shutdown(bufferevent_getfd(bev), SHUT_WR);
+        reset_connection(fixture);
+        return;
     case RESETS:
-        setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset,
-                   sizeof(reset));
-        bufferevent_free(bev);
-        fixture->server_connections[0] = NULL;
+        reset_connection(fixture);
         return;
     case STAYS:
         break;
@@ -205,6 +269,9 @@
 {
     const char *identity = cases[fixture->index].identity;
 
+    if (cases[fixture->index].end == RESETS_LATE) {
+        reset_connection(fixture);
+    }
     if (identity != NULL && identity[0] == '\0') {
         shutdown(bufferevent_getfd(bev), SHUT_WR);
         return;
@@ -227,6 +294,9 @@
         tell_identity(context, bev);
         return;
     }
+    if (upload_bytes(context) > 0) {
+        bufferevent_disable(bev, EV_READ);
+    }
     bufferevent_setcb(bev, NULL, on_server_sent, NULL, context);
     if (bytes[0] == '\0') {
         on_server_sent(bev, context);
@@ -274,7 +344,9 @@
                    .unnumbered_events_max = 4,
                    .pool = &fixture->intake_pool},
         .request_head =
-            KcGatewayFrontEnd_RequestHead(attempt->forward->caller)};
+            KcGatewayFrontEnd_RequestHead(attempt->forward->caller),
+        .request_body =
+            KcGatewayFrontEnd_RequestBody(attempt->forward->caller)};
 
     return KcHttpAttempt_Start(&options, attempt, params);
 }
@@ -333,7 +405,7 @@
     add_rule(routing, "/s/", KC_REQUEST_KIND_UNSAFE);
     add_rule(routing, "/t/", KC_REQUEST_KIND_STREAM);
     routing->limits = (KcCallerLimits){.header_bytes_max = 16384,
-                                       .body_bytes_max = 16384,
+                                       .body_bytes_max = UPLOAD_BYTES_MAX,
                                        .header_timeout = KC_SECOND,
                                        .idle_timeout = 10 * KC_SECOND};
     g_assert_cmpint(KcRouting_Validate(routing, &error), ==, 0);
@@ -376,6 +448,7 @@
 {
     struct sockaddr_storage remote;
     int size = sizeof(remote);
+    char *body;
 
     g_assert_cmpint(
         evutil_parse_sockaddr_port(address, (struct sockaddr *)&remote, &size),
@@ -391,6 +464,10 @@
         bufferevent_get_output(fixture->caller),
         "%sHost: h\r\nAttempt-Id: this\r\nConnection: close\r\n\r\n",
         cases[fixture->index].request);
+    body = g_malloc0(upload_bytes(fixture));
+    evbuffer_add(bufferevent_get_output(fixture->caller), body,
+                 upload_bytes(fixture));
+    g_free(body);
 }
 
 /* The body of an answer in chunks; *is_complete: with its end. */
@@ -524,6 +601,7 @@
 int
 main(int argc, char **argv)
 {
+    signal(SIGPIPE, SIG_IGN);
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/unframed", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
                    test_case);
