http_connection.c: reject statuses outside 100 to 599

A worker in trouble sent an answer with the status 000. It counted as an interim answer, as every status below 200 did: the caller waited for another one until its deadline (504), or got nothing before the connection ended. A status above 599 went to the client as an answer.

Cause: http_parser takes any number up to 999. A status outside the range of HTTP now fails the connection like other bytes that are no answer, for every reader: 502 at once for a request that may not be repeated.

Held before, and kept as tests: names of fields with a blank, a tab, a control byte, DEL, a byte above 127, none, no colon, also of a stream and an interim answer.

--- a/programs/connection/http_connection.c
+++ b/programs/connection/http_connection.c
@@ -3,7 +3,8 @@
  *
  * http_parser checks lengths and chunks strictly. Invalid or ambiguous input
  * that it lets pass is rejected here: characters of header names and values, a
- * second Host header, transfer encodings other than chunked.
+ * second Host header, transfer encodings other than chunked, statuses out of
+ * their range.
  */
 #include "http_connection.h"
 
@@ -228,6 +229,10 @@
     return 0;
 }
 
+/* Range of the statuses of HTTP. */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+
 /* Return values of on_headers_complete(), defined by http_parser. */
 #define HEADERS_STOP_PARSING (-1)
 #define HEADERS_SKIP_BODY 1
@@ -262,6 +267,10 @@
     }
     else {
         message->status = parser->status_code;
+        if (message->status < STATUS_MIN || message->status > STATUS_MAX) {
+            connection->callback_error = KC_ERR_PARSE;
+            return HEADERS_STOP_PARSING;
+        }
     }
     connection->options.ops->on_head(connection->options.owner, message);
     if (connection->is_closed) {
--- a/programs/connection/http_message.h
+++ b/programs/connection/http_message.h
@@ -25,7 +25,7 @@
 typedef struct KcHttpMessage {
     const char *method;      /* of a request */
     const char *target;      /* of a request */
-    int status;              /* of a response */
+    int status;              /* of a response, from 100 to 599 */
     bool is_before_http_1_1; /* HTTP/1.0 or older */
     KcHttpField fields[KC_HTTP_MESSAGE_FIELDS_MAX];
     size_t field_count;
--- a/tests/request/test_unframed.c
+++ b/tests/request/test_unframed.c
@@ -1,6 +1,7 @@
 /*
  * Tests answers of backend servers that have neither a length nor chunks and
- * end with their connection: when they are complete, and what the caller gets.
+ * end with their connection: when they are complete, and what the caller gets;
+ * and heads that are none of an answer.
  * Each case is the bytes of a server and how it ends, and the answer to the
  * caller, read from a socket.
  */
@@ -42,6 +43,11 @@
 #define STREAM OK "Content-Type: text/event-stream\r\n\r\n"
 #define EVENT_0 "id: 0\ndata: x\n\n"
 #define EVENT_1 "id: 1\ndata: y\n\n"
+/* Heads up to a status or a field, with the answer behind it. */
+#define STATUS(status)                                                        \
+    "HTTP/1.1 " status " -\r\nAttempt-Id: this\r\nContent-Length: 3\r\n"      \
+    "\r\nabc"
+#define FIELD(field) OK field "\r\nContent-Length: 3\r\n\r\nabc"
 #define IDENTITY_PATH "/health"
 #define STARTED_AT_MS 7
 #define ID "HTTP/1.1 200 -\r\nInstance-Id: w\r\nContent-Length: 0\r\n\r\n"
@@ -189,6 +195,55 @@
     {"long upload, with a length", LONG_UPLOAD,
      OK "Content-Length: 3\r\nConnection: close\r\n\r\nabc", CLOSES,
      "200 length abc", 1, 0, NULL, false},
+    /* heads that are none of an answer */
+    {"status 000", GET, STATUS("000"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 001", GET, STATUS("001"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 099", GET, STATUS("099"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 600", GET, STATUS("600"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 999", GET, STATUS("999"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 2", GET, STATUS("2"), STAYS, "502 length ", 1, 0, NULL, false},
+    {"status 20", GET, STATUS("20"), STAYS, "502 length ", 1, 0, NULL, false},
+    {"status 000, an answer behind it", GET,
+     "HTTP/1.1 000 -\r\n\r\n" STATUS("200"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 000 of a stream", POST,
+     "HTTP/1.1 000 -\r\nAttempt-Id: this\r\n"
+     "Content-Type: text/event-stream\r\n\r\n" EVENT_0,
+     CLOSES, "502 length ", 1, 0, NULL, false},
+    {"status 199", GET, "HTTP/1.1 199 -\r\n\r\n" STATUS("200"), STAYS,
+     "200 length abc", 1, 1, NULL, false},
+    {"status 599", GET, STATUS("599"), STAYS, "599 length abc", 1, 1, NULL,
+     false},
+    {"blank in the name of a field", GET, FIELD("A b: c"), STAYS,
+     "502 length ", 1, 0, NULL, false},
+    {"blank behind the name of a field", GET, FIELD("A : c"), STAYS,
+     "502 length ", 1, 0, NULL, false},
+    {"tab in the name of a field", GET, FIELD("A\tb: c"), STAYS, "502 length ",
+     1, 0, NULL, false},
+    {"control byte in the name of a field", GET, FIELD("A\001b: c"), STAYS,
+     "502 length ", 1, 0, NULL, false},
+    {"DEL in the name of a field", GET, FIELD("A\177b: c"), STAYS,
+     "502 length ", 1, 0, NULL, false},
+    {"byte above 127 in the name of a field", GET, FIELD("A\xe9: c"), STAYS,
+     "502 length ", 1, 0, NULL, false},
+    {"no name of a field", GET, FIELD(": c"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"no colon in a field", GET, FIELD("Ab"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"blank in the name of the length", GET,
+     OK "Content Length: 1\r\nContent-Length: 3\r\n\r\nabc", STAYS,
+     "502 length ", 1, 0, NULL, false},
+    {"control byte in the name of a field of a stream", POST,
+     OK "Content-Type: text/event-stream\r\nA\001b: c\r\n\r\n" EVENT_0, CLOSES,
+     "502 length ", 1, 0, NULL, false},
+    {"blank in the name of a field of an interim answer", GET,
+     "HTTP/1.1 103 -\r\nA b: c\r\n\r\n" STATUS("200"), STAYS, "502 length ", 1,
+     0, NULL, false},
     /* callers */
     {"caller of HTTP/1.0", "GET /s/x HTTP/1.0\r\n", OK "\r\nabc", CLOSES,
      "400 length ", 0, 0, NULL, false},
