engine_call.c: an event that can't be decoded ends the call

An engine in trouble sent an event that is no JSON within a stream. The caller of /v1 got a whole answer without the text of that event.

Cause: the reader skipped such an event and went on to the end of the stream. The call now ends as after a line without end, with KC_ERR_PARSE and the request counted as run; the agent decides whether another engine goes on from the text that was delivered.

--- a/programs/request/engine_call.c
+++ b/programs/request/engine_call.c
@@ -112,6 +112,17 @@
     return true;
 }
 
+/* Ends a call whose answer can't be read further. */
+static void
+cut_off(KcBackendCall *call, int code)
+{
+    KcHttpCall *http_call = call->http_call;
+
+    call->http_call = NULL;
+    KcHttpCall_Cancel(http_call);
+    KcBackendCall_End(call, code, true, "");
+}
+
 /* Handles one line of the stream. Returns false when the call was ended. */
 static bool
 handle_line(KcBackendCall *call, const char *line, size_t size)
@@ -137,7 +148,8 @@
     }
     event = json_loadb(line, size, 0, NULL);
     if (event == NULL) {
-        return true;
+        cut_off(call, KC_ERR_PARSE); /* its text would be missing */
+        return false;
     }
     call_continues = handle_event(call, event);
     json_decref(event);
@@ -152,20 +164,6 @@
     call->http_status = head->status;
 }
 
-/* Ends a call whose answer has a line without end. */
-static void
-cut_off_line(KcBackendCall *call)
-{
-    KcHttpCall *http_call = call->http_call;
-
-    KcIntakeLog_WriteBytes("answer line", KcBuffer_Size(&call->partial_line),
-                           LINE_BYTES_MAX,
-                           call->client->settings->backend_address);
-    call->http_call = NULL;
-    KcHttpCall_Cancel(http_call);
-    KcBackendCall_End(call, KC_ERR_TOO_LARGE, true, "");
-}
-
 static void
 on_data(void *context, KcBytes bytes)
 {
@@ -178,7 +176,10 @@
     }
     KcBuffer_Append(&call->partial_line, bytes.data, bytes.size);
     if (KcBuffer_Size(&call->partial_line) > LINE_BYTES_MAX) {
-        cut_off_line(call);
+        KcIntakeLog_WriteBytes(
+            "answer line", KcBuffer_Size(&call->partial_line), LINE_BYTES_MAX,
+            call->client->settings->backend_address);
+        cut_off(call, KC_ERR_TOO_LARGE);
         return;
     }
     while ((newline = memchr(KcBuffer_Data(&call->partial_line), '\n',
--- a/tests/daemons/test_daemons.c
+++ b/tests/daemons/test_daemons.c
@@ -75,6 +75,15 @@
                          "cut=2");
 }
 
+static void
+send_odd_events(Traffic *traffic)
+{
+    EntryCluster_SetKnob(traffic->cluster, ENTRY_CLUSTER_ENGINE, 0,
+                         "odd_event=3");
+    EntryCluster_SetKnob(traffic->cluster, ENTRY_CLUSTER_ENGINE, 1,
+                         "odd_event=3");
+}
+
 static void
 answer_from_wrong_model(Traffic *traffic)
 {
@@ -150,6 +159,7 @@
     {"plain agent frozen", freeze_plain_agent, true, false, true},
     {"engine restarted", restart_engine, false, false, false},
     {"answers truncated", truncate_answers, true, false, false},
+    {"events that are no JSON", send_odd_events, true, false, false},
     {"answers from a wrong model", answer_from_wrong_model, false, false,
      false},
     {"loads fail", fail_loads, false, false, true},
--- a/tests/standins/engine.c
+++ b/tests/standins/engine.c
@@ -20,6 +20,9 @@
     {"fail_loads", 0, "this many loads fail"},
     {"wrong_model", 0, "this many answers name another model"},
     {"cut", 0, "this many answers are cut off after the first token"},
+    {"odd_event", 0,
+     "this many answers have an event that is no JSON in place "
+     "of the second token"},
     {"list_lag_ms", 0, "greatest age of the list of adapters that is shown"},
     {"restart", 0,
      "setting it to non-zero restarts the engine without adapters"},
@@ -328,6 +331,16 @@
     json_decref(event);
 }
 
+static void
+send_odd_event(Completion *completion)
+{
+    struct evbuffer *chunk = evbuffer_new();
+
+    evbuffer_add_printf(chunk, "data: {\"choices\":[{\"text\":\n\n");
+    evhtp_send_reply_chunk(completion->http, chunk);
+    evbuffer_free(chunk);
+}
+
 static void
 finish_completion(Completion *completion)
 {
@@ -375,7 +388,13 @@
         }
     } while (length == 0);
     counters.tokens++;
-    send_event(completion, token + completion->skip_bytes, NULL);
+    if (completion->next_token == 2 &&
+        Standin_TakeFault(&standin, "odd_event")) {
+        send_odd_event(completion);
+    }
+    else {
+        send_event(completion, token + completion->skip_bytes, NULL);
+    }
     completion->skip_bytes = 0;
     if (completion->next_token == 1 && Standin_TakeFault(&standin, "cut")) {
         drop_completion(completion);
