--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -269,6 +269,38 @@
     g_string_free(parts, TRUE);
 }
 
+/* ---- start times --------------------------------------------------------- */
+
+static const struct {
+    const char *name;
+    const char *body; /* with single quotes */
+    int64_t started_at_ms;
+} start_cases[] = {
+    {"sound", "{'born':7}", 7},
+    {"beside a number beyond 64 bits",
+     "{'x':123456789012345678901234567890,'born':7}", 7},
+    {"beside bytes that are no UTF-8", "{'born':7,'x':'\xff'}", 7},
+    {"none", "{}", 0},
+    {"text", "{'born':'7'}", 0},
+    {"fraction", "{'born':7.5}", 0},
+    {"beyond 64 bits", "{'born':123456789012345678901234567890}", 0},
+    {"cut off", "{'born':7", 0},
+    {"no JSON", "busy", 0},
+    {"nothing", "", 0},
+};
+
+static void
+test_start(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    char *body = g_strdelimit(g_strdup(start_cases[index].body), "'", '"');
+
+    g_assert_cmpint(KcPlatform_Current.dialect->parse_start_time(
+                        (KcBytes){body, strlen(body)}),
+                    ==, start_cases[index].started_at_ms);
+    g_free(body);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -279,5 +311,8 @@
                    sizeof(notice_cases[0]), test_notice);
     Steps_AddCases("/dialect/parts", parts_cases, G_N_ELEMENTS(parts_cases),
                    sizeof(parts_cases[0]), test_parts);
+    Steps_AddCases("/dialect/start time", start_cases,
+                   G_N_ELEMENTS(start_cases), sizeof(start_cases[0]),
+                   test_start);
     return g_test_run();
 }
