--- a/tests/daemons/test_odd_entries.c
+++ b/tests/daemons/test_odd_entries.c
@@ -7,15 +7,13 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../json_cases.h"
 #include "../steps.h"
 #include "gateway_cluster.h"
 
 /* Longer than any change may take to be in force, for a busy machine. */
 #define KNOWN_TIMEOUT (10 * G_USEC_PER_SEC)
 #define REQUESTS 20
-/* More levels than the JSON library decodes, in a value that the stand-ins
- * take. */
-#define DEEP_LEVELS 3000
 #define NAME "odd"
 #define WORKER_LOG "peer=plain-%d step=\"servers\" msg=\"server is ready"
 
@@ -30,46 +28,30 @@
 static const struct {
     const char *name;
     const char *collection;
-    const char *value; /* DEEP: nested arrays */
+    const char *value; /* see json_cases.h */
     bool is_restart;   /* of the gateway, when the entry has been written */
     bool has_names;    /* NAME_COUNT entries in place of one */
 } cases[] = {
     {"nested worker, restart", "servers", "DEEP", true, false},
     {"nested worker, running", "servers", "DEEP", false, false},
     {"nested field, restart", "servers",
-     "{\"service\":\"plain\",\"address\":\"127.0.0.1:1\",\"x\":DEEP}", true,
-     false},
+     "{'service':'plain','address':'127.0.0.1:1','x':DEEP}", true, false},
     {"number beyond 64 bits, restart", "servers",
-     "{\"slots\":123456789012345678901234567890}", true, false},
+     "{'slots':123456789012345678901234567890}", true, false},
     {"number beyond 64 bits, running", "servers",
-     "{\"slots\":123456789012345678901234567890}", false, false},
+     "{'slots':123456789012345678901234567890}", false, false},
     {"nested version, restart", "versions", "DEEP", true, false},
     {"nested version, running", "versions", "DEEP", false, false},
     {"nested configuration, restart", "config", "DEEP", true, false},
     {"nested configuration, running", "config", "DEEP", false, false},
     {"nested record of a gateway, restart", "gateways", "DEEP", true, false},
     {"names with delimiters, restart", "servers",
-     "{\"service\":\"other\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\","
-     "\"slots\":1,\"state\":\"ready\"}",
+     "{'service':'other','address':'127.0.0.1:1','zone':'a',"
+     "'slots':1,'state':'ready'}",
      true, true},
     {"names with delimiters, nested, restart", "servers", "DEEP", true, true},
 };
 
-static char *
-expand(const char *value)
-{
-    GString *text = g_string_new(value);
-    char *open = g_strnfill(DEEP_LEVELS, '[');
-    char *close = g_strnfill(DEEP_LEVELS, ']');
-    char *deep = g_strconcat(open, close, NULL);
-
-    g_string_replace(text, "DEEP", deep, 0);
-    g_free(open);
-    g_free(close);
-    g_free(deep);
-    return g_string_free(text, FALSE);
-}
-
 static int
 send_request(int number)
 {
@@ -136,7 +118,7 @@
 static void
 write_entries(size_t index)
 {
-    char *value = expand(cases[index].value);
+    char *value = JsonCases_Expand(cases[index].value);
     int count = cases[index].has_names ? NAME_COUNT : 1;
 
     for (int i = 0; i < count; i++) {
--- a/tests/platform/test_engine.c
+++ b/tests/platform/test_engine.c
@@ -9,13 +9,11 @@
 
 #include "../../programs/connection/socket.h"
 #include "../../programs/process/platform.h"
+#include "../json_cases.h"
 #include "../loopback.h"
 #include "../steps.h"
 
-/* More levels than the JSON library decodes. */
-#define DEEP_LEVELS 5000
-
-/* Reports are written with single quotes; DEEP stands for nested arrays. */
+/* Reports are written as in json_cases.h. */
 #define FIELDS                                                                \
     "'sequence':2,'busy':true,'born':7,'models':[{'name':'m','version':3,"    \
     "'adapters':['a@2']}]"
@@ -54,21 +52,12 @@
 static void
 on_request(struct bufferevent *bev, void *context)
 {
-    GString *report = g_string_new(cases[((Fixture *)context)->index].report);
-    char *open = g_strnfill(DEEP_LEVELS, '[');
-    char *close = g_strnfill(DEEP_LEVELS, ']');
-    char *deep = g_strconcat(open, close, NULL);
+    char *report = JsonCases_Expand(cases[((Fixture *)context)->index].report);
 
-    g_string_replace(report, "DEEP", deep, 0);
-    g_strdelimit(report->str, "'", '"');
     evbuffer_add_printf(bufferevent_get_output(bev),
-                        "HTTP/1.1 200 -\r\nContent-Length: %zu\r\n\r\n",
-                        report->len);
-    bufferevent_write(bev, report->str, report->len);
-    g_free(open);
-    g_free(close);
-    g_free(deep);
-    g_string_free(report, TRUE);
+                        "HTTP/1.1 200 -\r\nContent-Length: %zu\r\n\r\n%s",
+                        strlen(report), report);
+    g_free(report);
 }
 
 static void
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -11,19 +11,14 @@
 
 #include "../../programs/connection/socket.h"
 #include "../../programs/process/platform.h"
+#include "../json_cases.h"
 #include "../loopback.h"
 #include "../steps.h"
 
 /* Longest duration of a case. */
 #define GUARD_TIMEOUT (5 * KC_SECOND)
 #define ANSWERS_MAX 4
-/* More levels than the JSON library decodes. */
-#define DEEP_LEVELS 5000
-/* Longer than any buffer for a name. */
-#define LONG_NAME_LENGTH 1000
-
-/* Answers are written with single quotes; DEEP, DEEP_OBJECT and LONG stand for
- * nested arrays, nested objects and the characters of a long name. */
+/* Answers are written as in json_cases.h. */
 #define ITEM(name, spec)                                                      \
     "{'meta':{'name':'" name "','revision':3},'spec':" spec "}"
 #define SOUND(name) ITEM(name, "{'a':1}")
@@ -213,40 +208,6 @@
 
 /* ---- the server ----------------------------------------------------------- */
 
-static char *
-make_deep(const char *open, const char *close)
-{
-    GString *text = g_string_new("");
-
-    for (int i = 0; i < DEEP_LEVELS; i++) {
-        g_string_append(text, open);
-    }
-    g_string_append(text, "1");
-    for (int i = 0; i < DEEP_LEVELS; i++) {
-        g_string_append(text, close);
-    }
-    return g_string_free(text, FALSE);
-}
-
-/* Replaces what the texts of the cases abbreviate. */
-static GString *
-expand(const char *text)
-{
-    GString *expanded = g_string_new(text);
-    char *deep = make_deep("[", "]");
-    char *deep_object = make_deep("{'a':", "}");
-    char *name = g_strnfill(LONG_NAME_LENGTH, 'n');
-
-    g_string_replace(expanded, "DEEP_OBJECT", deep_object, 0);
-    g_string_replace(expanded, "DEEP", deep, 0);
-    g_string_replace(expanded, "LONG", name, 0);
-    g_strdelimit(expanded->str, "'", '"');
-    g_free(deep);
-    g_free(deep_object);
-    g_free(name);
-    return expanded;
-}
-
 /* Notes the target of a request, and sends the next answer. */
 static void
 on_request(struct bufferevent *bev, void *context)
@@ -255,7 +216,7 @@
     struct evbuffer *input = bufferevent_get_input(bev);
     const char *head;
     const char *target;
-    GString *answer;
+    char *answer;
 
     if (evbuffer_search(input, "\r\n\r\n", 4, NULL).pos < 0) {
         return;
@@ -272,12 +233,12 @@
         KcLoop_Stop(fixture->loop);
         return;
     }
-    answer = expand(fixture->answers[fixture->answer_count++]);
+    answer = JsonCases_Expand(fixture->answers[fixture->answer_count++]);
     evbuffer_add_printf(bufferevent_get_output(bev),
                         "HTTP/1.1 200 -\r\nContent-Length: %zu\r\n\r\n",
-                        answer->len);
-    bufferevent_write(bev, answer->str, answer->len);
-    g_string_free(answer, TRUE);
+                        strlen(answer));
+    bufferevent_write(bev, answer, strlen(answer));
+    g_free(answer);
 }
 
 static void
@@ -389,8 +350,8 @@
                              .on_store_status = on_store_status,
                              .context = &fixture};
     KcFeed *feed;
-    GString *items = expand(feed_cases[index].items);
-    GString *targets = expand(feed_cases[index].targets);
+    char *items = JsonCases_Expand(feed_cases[index].items);
+    char *targets = JsonCases_Expand(feed_cases[index].targets);
 
     start_fixture(&fixture, feed_cases[index].answers);
     options.store = fixture.store;
@@ -398,12 +359,12 @@
     feed = KcFeed_Create(&options);
     KcFeed_Start(feed, KcLoop_Now());
     KcLoop_Run(fixture.loop);
-    g_assert_cmpstr(fixture.items->str, ==, items->str);
-    g_assert_cmpstr(fixture.targets->str, ==, targets->str);
+    g_assert_cmpstr(fixture.items->str, ==, items);
+    g_assert_cmpstr(fixture.targets->str, ==, targets);
     KcFeed_Free(feed);
     end_fixture(&fixture);
-    g_string_free(items, TRUE);
-    g_string_free(targets, TRUE);
+    g_free(items);
+    g_free(targets);
 }
 
 /* ---- single objects ------------------------------------------------------- */
@@ -449,18 +410,19 @@
     size_t index = GPOINTER_TO_SIZE(data);
     const char *answers[ANSWERS_MAX] = {object_cases[index].answer};
     Fixture fixture;
-    GString *value = expand(object_cases[index].value);
+    char *value = JsonCases_Expand(object_cases[index].value);
+    char *reply = g_strdup_printf("%s %d %d", value, object_cases[index].code,
+                                  object_cases[index].version);
 
     start_fixture(&fixture, answers);
     KcPlatform_Current.object_ops->get(
         fixture.store, object_cases[index].object, on_object, &fixture);
     KcLoop_Run(fixture.loop);
-    g_string_append_printf(value, " %d %d", object_cases[index].code,
-                           object_cases[index].version);
     g_assert_cmpstr(fixture.targets->str, ==, object_cases[index].target);
-    g_assert_cmpstr(fixture.items->str, ==, value->str);
+    g_assert_cmpstr(fixture.items->str, ==, reply);
     end_fixture(&fixture);
-    g_string_free(value, TRUE);
+    g_free(value);
+    g_free(reply);
 }
 
 int
--- a/tests/process/test_instances.c
+++ b/tests/process/test_instances.c
@@ -7,11 +7,9 @@
 #include <string.h>
 
 #include "../../programs/process/instances_http.h"
+#include "../json_cases.h"
 
-/* More levels than the JSON library decodes. */
-#define DEEP_LEVELS 5000
-
-/* Lists are written with single quotes; DEEP stands for nested arrays. */
+/* Lists are written as in json_cases.h. */
 #define INSTANCE(name, service)                                               \
     "{'name':'" name "','service':'" service "','datacentre':'d',"            \
     "'address':'127.0.0.1:1','state':'ready'}"
@@ -43,27 +41,11 @@
     {"nothing", "", NULL, 0},
 };
 
-static char *
-expand(const char *list)
-{
-    GString *text = g_string_new(list);
-    char *open = g_strnfill(DEEP_LEVELS, '[');
-    char *close = g_strnfill(DEEP_LEVELS, ']');
-    char *deep = g_strconcat(open, close, NULL);
-
-    g_string_replace(text, "DEEP", deep, 0);
-    g_strdelimit(text->str, "'", '"');
-    g_free(open);
-    g_free(close);
-    g_free(deep);
-    return g_string_free(text, FALSE);
-}
-
 static void
 test_decode(void)
 {
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        char *list = expand(cases[i].list);
+        char *list = JsonCases_Expand(cases[i].list);
         GString *names = g_string_new("");
         KcInstance *instances = NULL;
         uint32_t entry_count = 0;
