--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -443,6 +443,7 @@
         identity.started_at_ms =
             attempt->options.dialect->parse_start_time(body);
     }
+    /* A reset behind the end of the reply is reported by nothing else. */
     if (!KcForwardAttempt_IsFrom(attempt->forwarded, &identity) ||
         !KcHttpConnection_IsIntact(attempt->connection)) {
         fail_attempt(attempt, KC_ATTEMPT_LOST, KC_ERR_PEER_LOST);
