tests: one server with prepared answers for test_store and test_engine

Both had the same listener, the same writing of an answer and the same end of a connection; tests/canned_server.c has them now. The cases and assertions are unchanged.

--- a/tests/platform/test_engine.c
+++ b/tests/platform/test_engine.c
@@ -2,15 +2,11 @@
  * Tests of the client of a worker's reports: what it takes of a report, parts
  * of which come from others than the worker, such as the ids of requests.
  */
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <glib.h>
 #include <string.h>
 
-#include "../../programs/connection/socket.h"
 #include "../../programs/process/platform.h"
-#include "../json_cases.h"
-#include "../loopback.h"
+#include "../canned_server.h"
 #include "../steps.h"
 
 /* Reports are written as in json_cases.h. */
@@ -43,45 +39,12 @@
 };
 
 typedef struct Fixture {
-    size_t index;
     KcLoop *loop;
+    CannedServer server;
     KcCounters counters;
     char *description; /* of the report */
 } Fixture;
 
-static void
-on_request(struct bufferevent *bev, void *context)
-{
-    char *report = JsonCases_Expand(cases[((Fixture *)context)->index].report);
-
-    evbuffer_add_printf(bufferevent_get_output(bev),
-                        "HTTP/1.1 200 -\r\nContent-Length: %zu\r\n\r\n%s",
-                        strlen(report), report);
-    g_free(report);
-}
-
-static void
-on_server_event(struct bufferevent *bev, short events, void *context)
-{
-    (void)events;
-    (void)context;
-    bufferevent_free(bev);
-}
-
-static void
-on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-          struct sockaddr *address, int size, void *context)
-{
-    struct bufferevent *bev = bufferevent_socket_new(
-        ((Fixture *)context)->loop->base, fd, BEV_OPT_CLOSE_ON_FREE);
-
-    (void)listener;
-    (void)address;
-    (void)size;
-    bufferevent_setcb(bev, on_request, NULL, on_server_event, context);
-    bufferevent_enable(bev, EV_READ | EV_WRITE);
-}
-
 static void
 on_report(void *context, const KcEngineReport *report)
 {
@@ -119,11 +82,11 @@
 static void
 test_report(gconstpointer data)
 {
-    Fixture fixture = {.index = GPOINTER_TO_SIZE(data),
-                       .loop = KcLoop_Create()};
-    char address[KC_ADDRESS_MAX];
+    size_t index = GPOINTER_TO_SIZE(data);
+    const char *answers[] = {cases[index].report, NULL};
+    Fixture fixture = {.loop = KcLoop_Create()};
     KcEngineOptions options = {.loop = fixture.loop,
-                               .address = address,
+                               .address = fixture.server.address,
                                .keeper_name = "k",
                                .call_timeout = KC_SECOND,
                                .counters = &fixture.counters,
@@ -131,19 +94,15 @@
                                .on_report = on_report,
                                .on_gone = on_gone,
                                .context = &fixture};
-    struct evconnlistener *listener;
     KcEngineClient *engine;
 
-    Loopback_AssignAddress(address, sizeof(address));
-    listener =
-        KcSocket_Listen(fixture.loop->base, address, on_accept, &fixture);
-    g_assert_nonnull(listener);
+    CannedServer_Start(&fixture.server, fixture.loop, answers);
     engine = KcPlatform_Current.open_engine(&options);
     KcPlatform_Current.request_report(engine);
     KcLoop_Run(fixture.loop);
-    g_assert_cmpstr(fixture.description, ==, cases[fixture.index].description);
+    g_assert_cmpstr(fixture.description, ==, cases[index].description);
     KcPlatform_Current.close_engine(engine);
-    evconnlistener_free(listener);
+    CannedServer_Stop(&fixture.server);
     KcLoop_Free(fixture.loop);
     g_free(fixture.description);
 }
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -3,21 +3,19 @@
  * that hold entries of other writers, and what it requests next.  Each case is
  * the bytes of the answers of a server.
  */
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <glib.h>
 #include <jansson.h>
 #include <string.h>
 
-#include "../../programs/connection/socket.h"
 #include "../../programs/process/platform.h"
+#include "../canned_server.h"
 #include "../json_cases.h"
-#include "../loopback.h"
 #include "../steps.h"
 
 /* Longest duration of a case. */
 #define GUARD_TIMEOUT (5 * KC_SECOND)
-#define ANSWERS_MAX 4
+#define ANSWERS_MAX 3 /* with the NULL behind them */
+
 /* Answers are written as in json_cases.h. */
 #define ITEM(name, spec)                                                      \
     "{'meta':{'name':'" name "','revision':3},'spec':" spec "}"
@@ -196,74 +194,13 @@
 
 typedef struct Fixture {
     KcLoop *loop;
+    CannedServer server;
     KcCounters counters;
     KcStore *store;
-    const char *const *answers;
-    size_t answer_count; /* sent so far */
-    GString *targets;
     GString *items;
     KcTimer guard;
-    struct evconnlistener *listener;
 } Fixture;
 
-/* ---- the server ----------------------------------------------------------- */
-
-/* Notes the target of a request, and sends the next answer. */
-static void
-on_request(struct bufferevent *bev, void *context)
-{
-    Fixture *fixture = context;
-    struct evbuffer *input = bufferevent_get_input(bev);
-    const char *head;
-    const char *target;
-    char *answer;
-
-    if (evbuffer_search(input, "\r\n\r\n", 4, NULL).pos < 0) {
-        return;
-    }
-    evbuffer_add(input, "", 1);
-    head = (const char *)evbuffer_pullup(input, -1);
-    target = strchr(head, ' ') + 1;
-    g_string_append_printf(
-        fixture->targets, "%s%.*s", fixture->targets->len > 0 ? " " : "",
-        (int)(strstr(target, " HTTP/1.1") - target), target);
-    evbuffer_drain(input, evbuffer_get_length(input));
-    if (fixture->answer_count == ANSWERS_MAX ||
-        fixture->answers[fixture->answer_count] == NULL) {
-        KcLoop_Stop(fixture->loop);
-        return;
-    }
-    answer = JsonCases_Expand(fixture->answers[fixture->answer_count++]);
-    evbuffer_add_printf(bufferevent_get_output(bev),
-                        "HTTP/1.1 200 -\r\nContent-Length: %zu\r\n\r\n",
-                        strlen(answer));
-    bufferevent_write(bev, answer, strlen(answer));
-    g_free(answer);
-}
-
-static void
-on_server_event(struct bufferevent *bev, short events, void *context)
-{
-    (void)events;
-    (void)context;
-    bufferevent_free(bev);
-}
-
-static void
-on_accept(struct evconnlistener *listener, evutil_socket_t fd,
-          struct sockaddr *address, int size, void *context)
-{
-    Fixture *fixture = context;
-    struct bufferevent *bev =
-        bufferevent_socket_new(fixture->loop->base, fd, BEV_OPT_CLOSE_ON_FREE);
-
-    (void)listener;
-    (void)address;
-    (void)size;
-    bufferevent_setcb(bev, on_request, NULL, on_server_event, fixture);
-    bufferevent_enable(bev, EV_READ | EV_WRITE);
-}
-
 static void
 on_guard(KcTimer *timer, KcTime now)
 {
@@ -275,19 +212,13 @@
 static void
 start_fixture(Fixture *fixture, const char *const *answers)
 {
-    char address[KC_ADDRESS_MAX];
-    KcStoreOptions options = {.address = address, .call_timeout = KC_SECOND};
+    KcStoreOptions options = {.call_timeout = KC_SECOND};
 
-    *fixture = (Fixture){.loop = KcLoop_Create(),
-                         .answers = answers,
-                         .targets = g_string_new(""),
-                         .items = g_string_new("")};
+    *fixture = (Fixture){.loop = KcLoop_Create(), .items = g_string_new("")};
+    CannedServer_Start(&fixture->server, fixture->loop, answers);
     options.loop = fixture->loop;
+    options.address = fixture->server.address;
     options.counters = &fixture->counters;
-    Loopback_AssignAddress(address, sizeof(address));
-    fixture->listener =
-        KcSocket_Listen(fixture->loop->base, address, on_accept, fixture);
-    g_assert_nonnull(fixture->listener);
     fixture->store = KcPlatform_Current.open_store(&options);
     KcTimer_Init(&fixture->guard, on_guard, fixture);
     KcTimers_Set(fixture->loop->timers, &fixture->guard,
@@ -299,9 +230,8 @@
 {
     KcTimers_Clear(fixture->loop->timers, &fixture->guard);
     KcPlatform_Current.close_store(fixture->store);
-    evconnlistener_free(fixture->listener);
+    CannedServer_Stop(&fixture->server);
     KcLoop_Free(fixture->loop);
-    g_string_free(fixture->targets, TRUE);
     g_string_free(fixture->items, TRUE);
 }
 
@@ -360,7 +290,7 @@
     KcFeed_Start(feed, KcLoop_Now());
     KcLoop_Run(fixture.loop);
     g_assert_cmpstr(fixture.items->str, ==, items);
-    g_assert_cmpstr(fixture.targets->str, ==, targets);
+    g_assert_cmpstr(fixture.server.targets->str, ==, targets);
     KcFeed_Free(feed);
     end_fixture(&fixture);
     g_free(items);
@@ -418,7 +348,8 @@
     KcPlatform_Current.object_ops->get(
         fixture.store, object_cases[index].object, on_object, &fixture);
     KcLoop_Run(fixture.loop);
-    g_assert_cmpstr(fixture.targets->str, ==, object_cases[index].target);
+    g_assert_cmpstr(fixture.server.targets->str, ==,
+                    object_cases[index].target);
     g_assert_cmpstr(fixture.items->str, ==, reply);
     end_fixture(&fixture);
     g_free(value);
