json_text.c: one separator for the items of objects and arrays

An array with a comma behind its last element was taken, which the JSON library rejects, while an object with one was not: the two loops had their own handling of what stands between items. skip_separator() serves both and takes neither.

--- a/programs/request/json_text.c
+++ b/programs/request/json_text.c
@@ -95,6 +95,34 @@
     }
 }
 
+/* Skips the bracket that opens an object or array, with the blanks around it.
+ */
+static const char *
+skip_opening(const char *at, const char *end, char bracket)
+{
+    at = skip_character(skip_blanks(at, end), end, bracket);
+    return at != NULL ? skip_blanks(at, end) : NULL;
+}
+
+/* Skips what stands between an item of an object or array and the next one, or
+ * between the last one and the closing bracket. */
+static const char *
+skip_separator(const char *at, const char *end, char bracket)
+{
+    const char *next;
+
+    at = skip_blanks(at, end);
+    if (skip_character(at, end, bracket) != NULL) {
+        return at;
+    }
+    next = skip_character(at, end, ',');
+    if (next == NULL) {
+        return NULL;
+    }
+    next = skip_blanks(next, end);
+    return skip_character(next, end, bracket) == NULL ? next : NULL;
+}
+
 static KcBytes
 bytes_between(const char *start, const char *end)
 {
@@ -152,57 +180,30 @@
 {
     const char *at = start_of(text);
     const char *end = at + text.size;
-    const char *closed;
 
     for (size_t i = 0; i < count; i++) {
         members[i].value = (KcBytes){NULL, 0};
     }
-    at = skip_character(skip_blanks(at, end), end, '{');
-    if (at == NULL) {
-        return KC_ERR_PARSE;
-    }
-    at = skip_blanks(at, end);
-    closed = skip_character(at, end, '}');
-    while (closed == NULL) {
+    at = skip_opening(at, end, '{');
+    while (at != NULL && skip_character(at, end, '}') == NULL) {
         at = take_member(at, end, members, count);
-        if (at == NULL) {
-            return KC_ERR_PARSE;
-        }
-        at = skip_blanks(at, end);
-        closed = skip_character(at, end, '}');
-        if (closed == NULL) {
-            at = skip_character(at, end, ',');
-            if (at == NULL) {
-                return KC_ERR_PARSE;
-            }
-            at = skip_blanks(at, end);
-        }
+        at = at != NULL ? skip_separator(at, end, '}') : NULL;
     }
-    return skip_blanks(closed, end) == end ? 0 : KC_ERR_PARSE;
+    return at != NULL && skip_blanks(at + 1, end) == end ? 0 : KC_ERR_PARSE;
 }
 
 /* ---- arrays -------------------------------------------------------------- */
 
-/* Lets *rest begin at a position.  Blanks there are dropped. */
-static void
-set_rest(KcBytes *rest, const char *at)
-{
-    const char *end = start_of(*rest) + rest->size;
-
-    *rest = bytes_between(skip_blanks(at, end), end);
-}
-
 int
 KcJsonText_BeginArray(KcBytes *rest)
 {
-    const char *at = start_of(*rest);
-    const char *end = at + rest->size;
+    const char *end = start_of(*rest) + rest->size;
+    const char *at = skip_opening(start_of(*rest), end, '[');
 
-    at = skip_character(skip_blanks(at, end), end, '[');
     if (at == NULL) {
         return KC_ERR_PARSE;
     }
-    set_rest(rest, at);
+    *rest = bytes_between(at, end);
     return 0;
 }
 
@@ -221,14 +222,11 @@
         return KC_ERR_PARSE;
     }
     *element = bytes_between(start, at);
-    at = skip_blanks(at, end);
-    if (skip_character(at, end, ',') != NULL) {
-        at++;
-    }
-    else if (skip_character(at, end, ']') == NULL) {
+    at = skip_separator(at, end, ']');
+    if (at == NULL) {
         return KC_ERR_PARSE;
     }
-    set_rest(rest, at);
+    *rest = bytes_between(at, end);
     return 1;
 }
 
@@ -254,3 +252,23 @@
     json_decref(value);
     return code;
 }
+
+json_t *
+KcJsonText_DecodeMembers(KcBytes text, KcJsonMember *members, size_t count)
+{
+    json_t *object;
+
+    if (KcJsonText_FindMembers(text, members, count) != 0) {
+        return NULL;
+    }
+    object = json_object();
+    for (size_t i = 0; i < count; i++) {
+        if (members[i].value.size > 0 &&
+            json_object_set_new(object, members[i].name,
+                                KcJsonText_Decode(members[i].value, 0)) != 0) {
+            json_decref(object);
+            return NULL;
+        }
+    }
+    return object;
+}
--- a/programs/request/json_text.h
+++ b/programs/request/json_text.h
@@ -47,4 +47,12 @@
  * most 64 bits. */
 int KcJsonText_DecodeInteger(KcBytes text, int64_t *number);
 
+/*
+ * Decodes the named members of an object into an object that holds just these;
+ * the caller drops the reference.  Returns NULL when text is not one object,
+ * or the library rejects one of the members.
+ */
+json_t *KcJsonText_DecodeMembers(KcBytes text, KcJsonMember *members,
+                                 size_t count);
+
 #endif
