tests: read the log of a process by one function, and more odd entries

Five tests of daemons built the path of a log and read it; they call GatewayCluster_ReadLog() now, and gateway_cluster.c builds that path in one place. test_odd_entries has seven more rows, so that each odd entry of the list of workers is played after a restart and in a running process: a number of another type, bytes that are no UTF-8, a nested field and the names while running.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -48,6 +48,37 @@
     return cluster->directory;
 }
 
+static void
+format_log_path(const GatewayCluster *cluster, GatewayClusterRole role,
+                int number, char path[TEXT_SIZE * 2])
+{
+    snprintf(path, TEXT_SIZE * 2, "%s/%d-%d.log", cluster->directory,
+             (int)role, number);
+}
+
+char *
+GatewayCluster_ReadLog(const GatewayCluster *cluster, GatewayClusterRole role,
+                       int number)
+{
+    char path[TEXT_SIZE * 2];
+    char *text = NULL;
+    size_t size = 0;
+    FILE *file;
+
+    format_log_path(cluster, role, number, path);
+    file = fopen(path, "r");
+    if (file == NULL) {
+        return NULL;
+    }
+    /* A log holds no NUL, so that this reads all of it. */
+    if (getdelim(&text, &size, '\0', file) < 0) {
+        free(text);
+        text = strdup("");
+    }
+    fclose(file);
+    return text;
+}
+
 const char *
 GatewayCluster_GetAddress(const GatewayCluster *cluster,
                           GatewayClusterRole role, int number)
@@ -332,8 +363,7 @@
 
     snprintf(program, sizeof(program), "%s/%s", get_build_directory(),
              arguments[0]);
-    snprintf(log_path, sizeof(log_path), "%s/%d-%d.log", cluster->directory,
-             (int)role, number);
+    format_log_path(cluster, role, number, log_path);
     process->pid = fork();
     if (process->pid == 0) {
         int fd = open(log_path, O_WRONLY | O_CREAT | O_APPEND, 0600);
@@ -646,8 +676,8 @@
             if (process->settings_path[0] != '\0') {
                 unlink(process->settings_path);
             }
-            snprintf(log_path, sizeof(log_path), "%s/%d-%d.log",
-                     cluster->directory, role, number);
+            format_log_path(cluster, (GatewayClusterRole)role, number,
+                            log_path);
             unlink(log_path);
         }
     }
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -96,6 +96,11 @@
 /* Directory with the output of each process, in ROLE-NUMBER.log. */
 const char *GatewayCluster_GetDirectory(const GatewayCluster *cluster);
 
+/* Reads the output of a process so far.  Returns text that the caller frees
+ * with free(), or NULL when there is none. */
+char *GatewayCluster_ReadLog(const GatewayCluster *cluster,
+                             GatewayClusterRole role, int number);
+
 /* Sets a knob of a stand-in, "NAME=VALUE". */
 void GatewayCluster_SetKnob(GatewayCluster *cluster, GatewayClusterRole role,
                             int number, const char *knob);
--- a/tests/daemons/test_dead_watches.c
+++ b/tests/daemons/test_dead_watches.c
@@ -4,6 +4,7 @@
  */
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "../steps.h"
@@ -47,18 +48,15 @@
 static bool
 is_known_by(size_t index, int gateway, int number)
 {
-    char path[512];
     char line[256];
-    char *log = NULL;
+    char *log =
+        GatewayCluster_ReadLog(cluster, GATEWAY_CLUSTER_GATEWAY, gateway);
     bool is_found;
 
-    snprintf(path, sizeof(path), "%s/%d-%d.log",
-             GatewayCluster_GetDirectory(cluster), GATEWAY_CLUSTER_GATEWAY,
-             gateway);
     snprintf(line, sizeof(line), cases[index].log_format, number);
-    g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+    g_assert_nonnull(log);
     is_found = strstr(log, line) != NULL;
-    g_free(log);
+    free(log);
     return is_found;
 }
 
--- a/tests/daemons/test_deadly_parts.c
+++ b/tests/daemons/test_deadly_parts.c
@@ -87,19 +87,16 @@
 static int
 count_deadly_lines(const Fixture *fixture, int worker)
 {
-    char *path = g_strdup_printf("%s/%d-%d.log",
-                                 GatewayCluster_GetDirectory(fixture->cluster),
-                                 (int)GATEWAY_CLUSTER_LLM_WORKER, worker);
-    char *text = NULL;
+    char *text = GatewayCluster_ReadLog(fixture->cluster,
+                                        GATEWAY_CLUSTER_LLM_WORKER, worker);
     int count = 0;
 
-    g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    g_assert_nonnull(text);
     for (const char *line = text; (line = strstr(line, "deadly ")) != NULL;
          line++) {
         count++;
     }
-    g_free(text);
-    g_free(path);
+    free(text);
     return count;
 }
 
--- a/tests/daemons/test_odd_entries.c
+++ b/tests/daemons/test_odd_entries.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "../json_cases.h"
@@ -36,10 +37,24 @@
     {"nested worker, running", "servers", "DEEP", false, false},
     {"nested field, restart", "servers",
      "{'service':'plain','address':'127.0.0.1:1','x':DEEP}", true, false},
+    {"nested field, running", "servers",
+     "{'service':'plain','address':'127.0.0.1:1','x':DEEP}", false, false},
     {"number beyond 64 bits, restart", "servers",
      "{'slots':123456789012345678901234567890}", true, false},
     {"number beyond 64 bits, running", "servers",
      "{'slots':123456789012345678901234567890}", false, false},
+    {"number of another type, restart", "servers",
+     "{'service':'plain','address':'127.0.0.1:1','zone':'a',"
+     "'slots':'1','state':'ready'}",
+     true, false},
+    {"number of another type, running", "servers",
+     "{'service':'plain','address':'127.0.0.1:1','zone':'a',"
+     "'slots':'1','state':'ready'}",
+     false, false},
+    {"bytes that are no UTF-8, restart", "servers", "{'service':'\xff'}", true,
+     false},
+    {"bytes that are no UTF-8, running", "servers", "{'service':'\xff'}",
+     false, false},
     {"nested version, restart", "versions", "DEEP", true, false},
     {"nested version, running", "versions", "DEEP", false, false},
     {"nested configuration, restart", "config", "DEEP", true, false},
@@ -49,7 +64,12 @@
      "{'service':'other','address':'127.0.0.1:1','zone':'a',"
      "'slots':1,'state':'ready'}",
      true, true},
+    {"names with delimiters, running", "servers",
+     "{'service':'other','address':'127.0.0.1:1','zone':'a',"
+     "'slots':1,'state':'ready'}",
+     false, true},
     {"names with delimiters, nested, restart", "servers", "DEEP", true, true},
+    {"names with delimiters, nested, running", "servers", "DEEP", false, true},
 };
 
 static int
@@ -74,25 +94,22 @@
 wait_for_log(const char *format, int number)
 {
     char *line = g_strdup_printf(format, number);
-    char *path =
-        g_strdup_printf("%s/%d-0.log", GatewayCluster_GetDirectory(cluster),
-                        GATEWAY_CLUSTER_GATEWAY);
     gint64 started_at = g_get_monotonic_time();
     bool is_found = false;
 
     while (!is_found && g_get_monotonic_time() < started_at + KNOWN_TIMEOUT) {
-        char *log = NULL;
+        char *log;
 
         g_usleep(10000);
-        g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+        log = GatewayCluster_ReadLog(cluster, GATEWAY_CLUSTER_GATEWAY, 0);
+        g_assert_nonnull(log);
         is_found = strstr(log, line) != NULL;
-        g_free(log);
+        free(log);
     }
     g_test_message("%s: %d ms", line,
                    (int)((g_get_monotonic_time() - started_at) / 1000));
     g_assert_true(is_found);
     g_free(line);
-    g_free(path);
 }
 
 static void
--- a/tests/daemons/test_platform.c
+++ b/tests/daemons/test_platform.c
@@ -708,20 +708,16 @@
 read_last_fence(void)
 {
     static const char fence_log_text[] = "fencing number ";
-    char *path =
-        g_strdup_printf("%s/%d-0.log", GatewayCluster_GetDirectory(cluster),
-                        GATEWAY_CLUSTER_KEEPER);
-    char *text = NULL;
+    char *text = GatewayCluster_ReadLog(cluster, GATEWAY_CLUSTER_KEEPER, 0);
     const char *match;
     long fence = 0;
 
-    g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    g_assert_nonnull(text);
     match = g_strrstr(text, fence_log_text);
     if (match != NULL) {
         fence = strtol(match + strlen(fence_log_text), NULL, 10);
     }
-    g_free(text);
-    g_free(path);
+    free(text);
     return fence;
 }
 
--- a/tests/daemons/test_worker_notices.c
+++ b/tests/daemons/test_worker_notices.c
@@ -123,16 +123,12 @@
 read_log(const Fixture *fixture, GatewayClusterRole role, int number,
          long offset)
 {
-    char *path = g_strdup_printf("%s/%d-%d.log",
-                                 GatewayCluster_GetDirectory(fixture->cluster),
-                                 (int)role, number);
-    char *text = NULL;
+    char *text = GatewayCluster_ReadLog(fixture->cluster, role, number);
     char *part;
 
-    g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+    g_assert_nonnull(text);
     part = g_strdup(text + offset);
-    g_free(text);
-    g_free(path);
+    free(text);
     return part;
 }
 
