Interfaces of customers, keys and quotas; the present work

No deployment before has customers, so that nothing changes for them. Measured: builds; no test was run on this commit.

--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -35,6 +35,7 @@
 #include "kcc_agent.h"
 #include "kcc_gateway.h"
 #include "kcc_keeper.h"
+#include "kcc_quota.h"
 
 /* Advanced use. */
 #include "kcc_connection.h"
--- a/lib/kcc_types.h
+++ b/lib/kcc_types.h
@@ -72,7 +72,9 @@
     KC_ERR_UNKNOWN_WORK = -27,    /* the agent never received this attempt */
     KC_ERR_BLOCKED = -28,         /* a part of the prompt ends servers */
     KC_ERR_UNKNOWN_MESSAGE = -29, /* a message of a newer version's type */
-    KC_ERR_RANGE_END = -30        /* one below the last code; not an error */
+    KC_ERR_UNKNOWN_KEY = -30,     /* no customer has the request's key */
+    KC_ERR_UNCONFIRMED = -31,     /* the configuration may be out of date */
+    KC_ERR_RANGE_END = -32        /* one below the last code; not an error */
 } KcErrorCode;
 
 /* An error with the step that failed and the peer it concerns. */
--- a/lib/process/error.c
+++ b/lib/process/error.c
@@ -42,6 +42,8 @@
     "unknown_work",
     "blocked",
     "unknown_message",
+    "unknown_key",
+    "unconfirmed",
 };
 
 _Static_assert(sizeof(error_names) / sizeof(error_names[0]) ==
--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -97,6 +97,7 @@
     TAILQ_INIT(&gateway->forwards);
     KcTimer_Init(&gateway->pause_timer, on_pause_timer, gateway);
     KcTimer_Init(&gateway->end_timer, on_end_timer, gateway);
+    gateway->quotas = KcQuotas_Create();
     KcGateway_InitServers(gateway);
     return gateway;
 }
@@ -109,6 +110,7 @@
     KcTimers_Clear(gateway->options.timers, &gateway->end_timer);
     KcGateway_ClearServers(gateway);
     KcRouting_Release(gateway->routing);
+    KcQuotas_Free(gateway->quotas);
     free(gateway);
 }
 
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -58,8 +58,8 @@
     KcForward *later;
 
     TAILQ_FOREACH (later, &forward->pool->queue, wait_link) {
-        if (later->rule->priority > forward->rule->priority ||
-            (later->rule->priority == forward->rule->priority &&
+        if (later->priority > forward->priority ||
+            (later->priority == forward->priority &&
              later->arrived_at > forward->arrived_at)) {
             break;
         }
@@ -125,16 +125,18 @@
     const KcGatewayOptions *options = &gateway->options;
     KcServer *server = choice->server;
     KcForwardAttempt *attempt = KcMem_New(sizeof(*attempt));
-    KcAttemptParams params = {.server = server,
-                              .time_left = forward->deadline - now,
-                              .priority = forward->rule->priority,
-                              .has_last_event = forward->has_last_event,
-                              .last_event_id = forward->last_event_id,
-                              .events_max = forward->events_max,
-                              .needs_fresh_connection = forward->rule->kind ==
-                                                        KC_REQUEST_KIND_UNSAFE,
-                              .needs_new_connection =
-                                  may_have_been_sent_to(forward, server)};
+    KcAttemptParams params = {
+        .server = server,
+        .time_left = forward->deadline - now,
+        .priority = forward->priority,
+        .has_last_event = forward->has_last_event,
+        .last_event_id = forward->last_event_id,
+        .events_max = forward->events_max,
+        .has_customers = forward->routing->has_customers,
+        .customer = forward->customer != NULL ? forward->customer->name : NULL,
+        .needs_fresh_connection =
+            forward->rule->kind == KC_REQUEST_KIND_UNSAFE,
+        .needs_new_connection = may_have_been_sent_to(forward, server)};
 
     if (choice->replica != NULL && forward->adapter->newest_version > 0) {
         params.version = choice->replica->version;
@@ -189,7 +191,7 @@
                                   .adapter = forward->adapter,
                                   .version_min =
                                       forward->adapter->newest_version,
-                                  .priority = forward->rule->priority};
+                                  .priority = forward->priority};
 
     forward->adapter->load_requested_at = now;
     if (!options->ops->request_load(options->context, &load_request)) {
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -152,6 +152,9 @@
     if (!refusal.may_have_run && forward->error.code != KC_ERR_BLOCKED) {
         refusal.retry_after = retry_after(forward, now);
     }
+    if (!refusal.may_have_run) {
+        KcForward_GiveBackQuota(forward, now);
+    }
     KcCounters_Add(forward->gateway->options.counters,
                    refusal.may_have_run ? KC_COUNT_UNKNOWN : KC_COUNT_NOT_RUN,
                    1);
@@ -205,7 +208,8 @@
 
 static KcForward *
 create_forward(KcGateway *gateway, const KcForwardCall *call,
-               const KcRouteRule *rule, KcTime now)
+               const KcRouteRule *rule, const KcAdmission *admission,
+               KcTime now)
 {
     KcForward *forward = KcMem_New(sizeof(*forward));
     const KcRoutedService *service;
@@ -216,6 +220,13 @@
     forward->gateway = gateway;
     forward->routing = KcRouting_Retain(gateway->routing);
     forward->rule = rule;
+    forward->customer = admission->customer;
+    forward->key_digest = call->key_digest;
+    forward->quota_cost = admission->cost;
+    forward->priority =
+        admission->customer != NULL && admission->customer->has_priority
+            ? admission->customer->priority
+            : rule->priority;
     forward->pool = KcGateway_GetPool(gateway, target->service);
     service = KcRouting_FindService(gateway->routing, target->service);
     if (call->model[0] != '\0' && service != NULL &&
@@ -250,9 +261,9 @@
 /* Refuses a request for which no KcForward is created. */
 static void
 refuse_at_once(KcGateway *gateway, const KcForwardOps *ops, void *caller,
-               int code, const char *step)
+               int code, const char *step, KcTime retry_after)
 {
-    KcForwardRefusal refusal = {.retry_after = RETRY_AFTER};
+    KcForwardRefusal refusal = {.retry_after = retry_after};
 
     KcError_Set(&refusal.error, code, step, "");
     KcCounters_Add(gateway->options.counters, KC_COUNT_NOT_RUN, 1);
@@ -265,24 +276,36 @@
                  KcForward **forward_out, KcTime now)
 {
     const KcRouteRule *rule;
+    KcAdmission admission;
     KcForward *forward;
+    int code;
 
     *forward_out = NULL;
     KcCounters_Add(gateway->options.counters, KC_COUNT_REQUESTS, 1);
     if (gateway->routing == NULL) {
-        refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route");
+        refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route",
+                       RETRY_AFTER);
         return;
     }
     rule = KcRouting_FindRule(gateway->routing, call->host, call->path);
     if (rule == NULL) {
-        refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route");
+        refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route",
+                       RETRY_AFTER);
         return;
     }
     if (comes_too_late(gateway, call, rule, now)) {
-        refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route");
+        refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route",
+                       RETRY_AFTER);
+        return;
+    }
+    code = KcGateway_Admit(gateway, call, rule, &admission, now);
+    if (code != 0) {
+        refuse_at_once(gateway, ops, caller, code, admission.step,
+                       admission.retry_after != 0 ? admission.retry_after
+                                                  : RETRY_AFTER);
         return;
     }
-    forward = create_forward(gateway, call, rule, now);
+    forward = create_forward(gateway, call, rule, &admission, now);
     forward->ops = ops;
     forward->caller = caller;
     KcRetryBudget_Deposit(&forward->pool->retry_budget);
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -18,6 +18,7 @@
     char datacentre[KC_NAME_MAX];
     char region[KC_NAME_MAX];
     KcRouting *routing; /* in force; NULL: none yet */
+    KcQuotas *quotas;   /* of the customers */
     KcServer *servers;  /* hash table by id */
     KcServer *servers_by_address;
     KcServerPool *pools;
@@ -51,6 +52,25 @@
 /* How long that pause was; 0: there was none. */
 KcTime KcGateway_PauseLength(const KcGateway *gateway, KcTime now);
 
+/* ---- customers (gateway_customers.c) ------------------------------------- */
+
+/* In whose name a request is taken, and what that costs. */
+typedef struct KcAdmission {
+    const KcRoutedCustomer *customer; /* NULL: it needs no key */
+    uint64_t cost;                    /* taken from the customer's quota */
+    KcTime retry_after;               /* of a refusal; 0: no hint */
+    const char *step;                 /* of a refusal, static text */
+} KcAdmission;
+
+/* Decides in whose name a request is, and takes it from the customer's quota.
+ * Returns 0, KC_ERR_UNKNOWN_KEY, KC_ERR_UNCONFIRMED or KC_ERR_LIMIT_EXCEEDED.
+ */
+int KcGateway_Admit(KcGateway *gateway, const KcForwardCall *call,
+                    const KcRouteRule *rule, KcAdmission *admission,
+                    KcTime now);
+/* The request has not run and will not run: gives its cost back. */
+void KcForward_GiveBackQuota(KcForward *forward, KcTime now);
+
 /* ---- adapters (gateway_adapters.c) --------------------------------------- */
 
 /* Returns the count as faded by now. */
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -12,6 +12,7 @@
 
 #include "kcc_forward.h"
 #include "kcc_process.h"
+#include "kcc_quota.h"
 #include "kcc_routing.h"
 #include "kcc_suspects.h"
 
@@ -307,6 +308,10 @@
                            bool is_own);
     /* Called when the gateway learned something from a notice. */
     void (*record_notice)(void *context, const KcNoticeRecord *record);
+    /* How long ago the configuration in force was certain to be the newest,
+     * by a clock that also counts while the machine is suspended; KC_NEVER:
+     * it never was. */
+    KcTime (*configuration_age)(void *context);
 } KcGatewayOps;
 
 typedef struct KcGatewayOptions {
@@ -326,6 +331,8 @@
                              * takes no new requests and is removed */
     KcTime version_timeout; /* so long after the announcement of a newer
                              * version no request may begin on an older one */
+    KcTime revoke_timeout;  /* a key that was taken away runs no request that
+                             * comes so long after; 0: no such promise */
     KcSuspectOptions suspects; /* ops, context and counters are not used */
 } KcGatewayOptions;
 
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -45,6 +45,10 @@
                                  * requests may share, in order */
     uint32_t part_count;        /* KC_PROMPT_PARTS_MAX at the most */
     KcTime timeout;             /* can only shorten the route's; 0: none */
+    bool has_key;               /* the caller names itself by a key */
+    KcKeyDigest key_digest;     /* of the key; valid with has_key */
+    bool states_tokens;         /* the request says how many tokens it has */
+    uint64_t quota_tokens;      /* of prompt and answer, as it says */
     bool has_last_event;        /* the stream goes on after an earlier event */
     uint64_t last_event_id;     /* valid with has_last_event */
 } KcForwardCall;
@@ -84,8 +88,12 @@
     uint32_t priority;   /* 0 is the most urgent */
     bool has_last_event; /* the stream goes on after an earlier event */
     uint64_t last_event_id;
-    uint32_t version;    /* of the adapter that the server must use; 0: any */
-    uint64_t events_max; /* the stream has no more; 0: unknown */
+    uint32_t version;     /* of the adapter that the server must use; 0: any */
+    uint64_t events_max;  /* the stream has no more; 0: unknown */
+    bool has_customers;   /* no key goes to a server, and only the gateway says
+                           * in whose name the request is */
+    const char *customer; /* in whose name, with has_customers; NULL: no one's
+                           */
     bool needs_fresh_connection; /* not on a connection that has been idle for
                                   * long: the server may have closed it, and
                                   * the request may not be repeated */
@@ -213,6 +221,12 @@
     struct KcServerPool *pool;
     struct KcAdapterState *adapter; /* NULL when the request names no model
                                      * or the service has no engine */
+    /* In whose name the request is; of routing; NULL: no one's. */
+    const KcRoutedCustomer *customer;
+    KcKeyDigest key_digest; /* of its key; valid with customer */
+    uint32_t priority;      /* of the customer or else of the route, 0 is the
+                             * most urgent */
+    uint64_t quota_cost; /* units taken from the customer's quota; 0: none */
     char id[KC_CALLER_ID_MAX];
     KcTime arrived_at;
     KcTime deadline;     /* the request has ended by then */
--- a/lib/version/kcc_routing.h
+++ b/lib/version/kcc_routing.h
@@ -53,6 +53,7 @@
     uint32_t priority;             /* 0 is the most urgent */
     uint32_t attempts_max; /* attempts of one request that may have run */
     bool resumable;        /* a stream may continue at another server */
+    bool keyless;          /* needs no key, where there are customers */
     struct KcRouteTargetList targets;
     uint64_t weight_sum; /* of the targets */
 } KcRouteRule;
@@ -97,6 +98,42 @@
 
 TAILQ_HEAD(KcRoutedServiceList, KcRoutedService);
 
+/* What a customer's quota counts. */
+typedef enum KcQuotaUnit {
+    KC_QUOTA_REQUESTS = 0,
+    KC_QUOTA_TOKENS /* of prompt and answer, as the request states them */
+} KcQuotaUnit;
+
+/* A customer: whoever holds one of its keys sends requests in its name. */
+typedef struct KcRoutedCustomer {
+    UT_hash_handle hh; /* KcRouting.customers, by name */
+    TAILQ_ENTRY(KcRoutedCustomer) link;
+    char name[KC_NAME_MAX];
+    bool has_priority;
+    uint32_t priority; /* 0 is the most urgent; goes before the route's */
+    KcQuotaUnit unit;
+    double rate_per_s;   /* of its quota; 0: no limit */
+    double burst;        /* units beyond the rate that may be saved up */
+    uint64_t plain_cost; /* tokens of a request that states none */
+    uint32_t key_count;  /* keys that can be read */
+} KcRoutedCustomer;
+
+TAILQ_HEAD(KcRoutedCustomerList, KcRoutedCustomer);
+
+/* SHA-256 of a customer's key.  The key itself is kept nowhere. */
+#define KC_KEY_DIGEST_BYTES 32
+
+typedef struct KcKeyDigest {
+    uint8_t bytes[KC_KEY_DIGEST_BYTES];
+} KcKeyDigest;
+
+/* A key of a customer. */
+typedef struct KcCustomerKey {
+    UT_hash_handle hh; /* KcRouting.keys, by digest */
+    KcKeyDigest digest;
+    const KcRoutedCustomer *customer;
+} KcCustomerKey;
+
 /* Limits on the requests of callers. */
 typedef struct KcCallerLimits {
     size_t header_bytes_max; /* of target and headers of a request */
@@ -114,6 +151,11 @@
     KcRoutedService *services; /* uthash by name */
     struct KcRoutedServiceList service_list;
     uint32_t rule_count; /* of all hosts */
+    /* Are there customers?  If not, requests need no key. */
+    bool has_customers;
+    KcRoutedCustomer *customers; /* uthash by name */
+    struct KcRoutedCustomerList customer_list;
+    KcCustomerKey *keys; /* uthash by digest */
 } KcRouting;
 
 /* ---- Part 2: building --------------------------------------------------- */
@@ -128,6 +170,14 @@
 void KcRouting_AddTarget(KcRouteRule *rule, const char *service,
                          uint32_t weight);
 
+/* Returns the customer of that name, which is added when there is none; the
+ * caller sets its fields. */
+KcRoutedCustomer *KcRouting_AddCustomer(KcRouting *routing, const char *name);
+/* Adds a key of a customer.  Returns 0, or KC_ERR_CONFLICT when another
+ * customer has it: then it is no one's. */
+int KcRouting_AddKey(KcRouting *routing, KcRoutedCustomer *customer,
+                     const KcKeyDigest *digest);
+
 /* Initialises a capacity that is not configured and has no models. */
 void KcEngineCapacity_Init(KcEngineCapacity *capacity);
 /* Adds a model; copies the name. */
@@ -176,6 +226,11 @@
 const KcRoutedService *KcRouting_FindService(const KcRouting *routing,
                                              const char *name);
 
+/* Finds the customer that holds a key; NULL when there is none.  The digests
+ * are compared in a time that does not depend on their bytes. */
+const KcRoutedCustomer *KcRouting_FindCustomer(const KcRouting *routing,
+                                               const KcKeyDigest *digest);
+
 /* Returns "safe", "unsafe" or "stream". */
 const char *KcRequestKind_Name(KcRequestKind kind);
 
--- a/lib/version/routing.c
+++ b/lib/version/routing.c
@@ -8,6 +8,7 @@
 #include <strings.h>
 
 #include "kcc_routing.h"
+#include "routing_internal.h"
 
 KcRouting *
 KcRouting_Create(uint64_t version)
@@ -17,6 +18,7 @@
     routing->references = 1;
     routing->version = version;
     TAILQ_INIT(&routing->service_list);
+    TAILQ_INIT(&routing->customer_list);
     return routing;
 }
 
@@ -236,6 +238,7 @@
         KcEngineCapacity_Clear(&service->engine);
         free(service);
     }
+    KcRouting_ClearCustomers(routing);
     free(routing);
 }
 
