Customers in the configuration, keys, and who may send a request

Cause: nothing read the customers of a configuration; keys went to the workers, and a key that was taken away went on.

--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -128,6 +128,12 @@
     [KC_COUNT_BLOCKED_REQUESTS] =
         {"kcc_blocked_requests_total",
          "Requests refused because a part of their prompt is blocked."},
+    [KC_COUNT_UNKNOWN_KEYS] =
+        {"kcc_unknown_keys_total",
+         "Requests refused because no customer has their key."},
+    [KC_COUNT_UNCONFIRMED_KEYS] =
+        {"kcc_unconfirmed_keys_total",
+         "Requests refused because the configuration may be out of date."},
 };
 
 const char *
--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -13,6 +13,7 @@
  * seconds of an outage of its store. */
 #define MISSING_TIMEOUT_DEFAULT (2200 * KC_MS)
 #define VERSION_TIMEOUT_DEFAULT (5 * KC_SECOND)
+#define CONFIG_TIMEOUT_DEFAULT (3 * KC_SECOND)
 
 /* While requests are in flight a timer fires at this interval.  When it is
  * late by more than PAUSE_MIN, the process was paused, and the time does not
@@ -76,7 +77,8 @@
     *options = (KcGatewayOptions){.retry_percent = 20,
                                   .retry_burst = 10,
                                   .missing_timeout = MISSING_TIMEOUT_DEFAULT,
-                                  .version_timeout = VERSION_TIMEOUT_DEFAULT};
+                                  .version_timeout = VERSION_TIMEOUT_DEFAULT,
+                                  .config_timeout = CONFIG_TIMEOUT_DEFAULT};
     KcSuspectOptions_Init(&options->suspects);
 }
 
--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -52,7 +52,8 @@
     bool is_declined =
         end == KC_ATTEMPT_NEVER_SENT &&
         (code == KC_ERR_LEAVING || code == KC_ERR_BUSY ||
-         code == KC_ERR_VERSION_RETIRED || now >= forward->deadline);
+         code == KC_ERR_VERSION_RETIRED || code == KC_ERR_UNKNOWN_KEY ||
+         code == KC_ERR_UNCONFIRMED || now >= forward->deadline);
 
     KcError_Set(&forward->error, code, step, server->id);
     if (!is_declined) {
--- a/lib/process/gateway_customers.c
+++ b/lib/process/gateway_customers.c
@@ -1,37 +1,80 @@
 /*
  * In whose name a request is: its key, and the quota of its customer.
+ *
+ * A configuration decides only while it is certain to be the newest: about a
+ * key that it has until the key might have been taken away for too long, about
+ * one that it lacks until a newer one should have been in force.  After that
+ * the caller is asked to come back, as another gateway may be able to decide.
  */
+#include <string.h>
+
 #include "gateway_internal.h"
 
+/* Was the configuration in force certain to be the newest less than this time
+ * ago? */
+static bool
+is_certain_within(const KcGateway *gateway, KcTime timeout)
+{
+    const KcGatewayOptions *options = &gateway->options;
+
+    return options->ops->configuration_age == NULL ||
+           options->ops->configuration_age(options->context) < timeout;
+}
+
 /* May the configuration in force decide about a key? */
 static bool
 is_confirmed(const KcGateway *gateway)
 {
-    const KcGatewayOptions *options = &gateway->options;
+    KcTime timeout = gateway->options.revoke_timeout;
+
+    return timeout == 0 || is_certain_within(gateway, timeout);
+}
+
+/* Finds the holder of a key.  Returns 0, KC_ERR_UNCONFIRMED, or
+ * KC_ERR_UNKNOWN_KEY if no newer configuration can know it. */
+static int
+find_holder(const KcGateway *gateway, bool has_key, const KcKeyDigest *digest,
+            const KcRoutedCustomer **holder)
+{
+    *holder = NULL;
+    if (!is_confirmed(gateway)) {
+        return KC_ERR_UNCONFIRMED;
+    }
+    if (has_key) {
+        *holder = KcRouting_FindCustomer(gateway->routing, digest);
+    }
+    if (*holder != NULL) {
+        return 0;
+    }
+    return is_certain_within(gateway, gateway->options.config_timeout)
+               ? KC_ERR_UNKNOWN_KEY
+               : KC_ERR_UNCONFIRMED;
+}
 
-    return options->revoke_timeout == 0 ||
-           options->ops->configuration_age(options->context) <
-               options->revoke_timeout;
+static void
+count_refusal(const KcGateway *gateway, int code)
+{
+    KcCounters_Add(gateway->options.counters,
+                   code == KC_ERR_UNKNOWN_KEY ? KC_COUNT_UNKNOWN_KEYS
+                                              : KC_COUNT_UNCONFIRMED_KEYS,
+                   1);
 }
 
 int
 KcGateway_Admit(KcGateway *gateway, const KcForwardCall *call,
                 const KcRouteRule *rule, KcAdmission *admission, KcTime now)
 {
-    const KcRouting *routing = gateway->routing;
+    int code;
 
     *admission = (KcAdmission){.step = "key"};
-    if (!routing->has_customers || rule->keyless) {
+    if (!gateway->routing->has_customers || rule->keyless) {
         return 0;
     }
-    if (!is_confirmed(gateway)) {
-        return KC_ERR_UNCONFIRMED;
-    }
-    admission->customer =
-        call->has_key ? KcRouting_FindCustomer(routing, &call->key_digest)
-                      : NULL;
-    if (admission->customer == NULL) {
-        return KC_ERR_UNKNOWN_KEY;
+    code = find_holder(gateway, call->has_key, &call->key_digest,
+                       &admission->customer);
+    if (code != 0) {
+        count_refusal(gateway, code);
+        return code;
     }
     admission->step = "quota";
     admission->cost = KcQuota_Cost(admission->customer, call->states_tokens,
@@ -40,6 +83,51 @@
                          &admission->retry_after, now);
 }
 
+int
+KcForward_CheckKey(const KcForward *forward)
+{
+    const KcGateway *gateway = forward->gateway;
+    const KcRoutedCustomer *holder;
+    int code;
+
+    if (forward->answer_begun || !gateway->routing->has_customers) {
+        return 0;
+    }
+    if (!forward->routing->has_customers) {
+        /* It is in no one's name, which the newest no longer allows. */
+        return KC_ERR_UNCONFIRMED;
+    }
+    if (forward->customer == NULL) {
+        return 0;
+    }
+    code = find_holder(gateway, true, &forward->key_digest, &holder);
+    if (code == 0 && strcmp(holder->name, forward->customer->name) != 0) {
+        return KC_ERR_UNCONFIRMED;
+    }
+    return code;
+}
+
+bool
+KcForward_RefuseForKey(KcForward *forward, KcTime now)
+{
+    int code = KcForward_CheckKey(forward);
+
+    if (code == 0) {
+        return false;
+    }
+    count_refusal(forward->gateway, code);
+    KcError_Set(&forward->error, code, "key", "");
+    KcForward_FinishFailed(forward, now);
+    return true;
+}
+
+bool
+KcForward_HidesKey(const KcForward *forward)
+{
+    return forward->routing->has_customers ||
+           forward->gateway->routing->has_customers;
+}
+
 void
 KcForward_GiveBackQuota(KcForward *forward, KcTime now)
 {
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -132,7 +132,7 @@
         .has_last_event = forward->has_last_event,
         .last_event_id = forward->last_event_id,
         .events_max = forward->events_max,
-        .has_customers = forward->routing->has_customers,
+        .has_customers = KcForward_HidesKey(forward),
         .customer = forward->customer != NULL ? forward->customer->name : NULL,
         .needs_fresh_connection =
             forward->rule->kind == KC_REQUEST_KIND_UNSAFE,
@@ -355,7 +355,8 @@
         KcForward_Fail(forward, KC_ERR_DEADLINE_EXCEEDED, "choose", now);
         return;
     }
-    if (KcForward_RefuseIfBlocked(forward, now)) {
+    if (KcForward_RefuseForKey(forward, now) ||
+        KcForward_RefuseIfBlocked(forward, now)) {
         return;
     }
     for (;;) {
@@ -417,7 +418,7 @@
 {
     KcChoice choice;
 
-    if (KcForward_IsBlocked(forward) ||
+    if (KcForward_CheckKey(forward) != 0 || KcForward_IsBlocked(forward) ||
         !KcRetryBudget_CanTake(&forward->pool->retry_budget) ||
         !choose_other(forward, now, &choice)) {
         return false;
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -328,6 +328,9 @@
 void
 KcForward_Abandon(KcForward *forward, KcTime now)
 {
+    if (!may_have_run(forward)) {
+        KcForward_GiveBackQuota(forward, now);
+    }
     KcCounters_Add(forward->gateway->options.counters, KC_COUNT_ABANDONED, 1);
     end_request(forward, "abandoned", 0, NULL, now);
 }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -68,6 +68,18 @@
 int KcGateway_Admit(KcGateway *gateway, const KcForwardCall *call,
                     const KcRouteRule *rule, KcAdmission *admission,
                     KcTime now);
+/*
+ * May a request that was taken still be sent, by the newest configuration?
+ * Returns 0, KC_ERR_UNKNOWN_KEY when its key was taken away meanwhile, or
+ * KC_ERR_UNCONFIRMED when that is not certain, or it would have to be taken in
+ * another name now.  An answer that has begun goes on.
+ */
+int KcForward_CheckKey(const KcForward *forward);
+/* Refuses the request, if KcForward_CheckKey() says that it may not be sent;
+ * returns whether it did. */
+bool KcForward_RefuseForKey(KcForward *forward, KcTime now);
+/* Is every key to be kept from the servers? */
+bool KcForward_HidesKey(const KcForward *forward);
 /* The request has not run and will not run: gives its cost back. */
 void KcForward_GiveBackQuota(KcForward *forward, KcTime now);
 
--- a/lib/process/gateway_notice.c
+++ b/lib/process/gateway_notice.c
@@ -28,6 +28,7 @@
 KcForwardAttempt_CheckSend(const KcForwardAttempt *attempt, KcTime now)
 {
     const KcServer *server = attempt->server;
+    int code;
 
     if (KcGateway_HasEnded(attempt->forward->gateway, now) ||
         KcServer_IsLeaving(server)) {
@@ -40,6 +41,10 @@
         KcReplica_IsOutdated(attempt->replica, now)) {
         return KC_ERR_VERSION_RETIRED;
     }
+    code = KcForward_CheckKey(attempt->forward);
+    if (code != 0) {
+        return code;
+    }
     return server->closed_until > now || (server->closed_until != 0 &&
                                           server->trial != attempt->forward)
                ? KC_ERR_BUSY
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -310,7 +310,7 @@
     void (*record_notice)(void *context, const KcNoticeRecord *record);
     /* How long ago the configuration in force was certain to be the newest,
      * by a clock that also counts while the machine is suspended; KC_NEVER:
-     * it never was. */
+     * it never was.  NULL: it is always taken to be the newest. */
     KcTime (*configuration_age)(void *context);
 } KcGatewayOps;
 
@@ -331,6 +331,10 @@
                              * takes no new requests and is removed */
     KcTime version_timeout; /* so long after the announcement of a newer
                              * version no request may begin on an older one */
+    KcTime config_timeout;  /* a new configuration is in force so long after;
+                             * one that was not certain to be the newest within
+                             * that time can't say that no customer has a key
+                             */
     KcTime revoke_timeout;  /* a key that was taken away runs no request that
                              * comes so long after; 0: no such promise */
     KcSuspectOptions suspects; /* ops, context and counters are not used */
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -73,6 +73,10 @@
     KC_COUNT_PARTS_TRIED,       /* trials of blocked parts that were granted */
     KC_COUNT_PARTS_CLEARED,     /* prompt parts cleared of evidence */
     KC_COUNT_BLOCKED_REQUESTS,  /* requests refused for a blocked part */
+    KC_COUNT_UNKNOWN_KEYS,      /* requests refused, as no customer has their
+                                 * key */
+    KC_COUNT_UNCONFIRMED_KEYS,  /* requests refused, as the configuration may
+                                 * be out of date */
     KC_COUNTER_COUNT
 } KcCounter;
 
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -155,8 +155,9 @@
  * when the server has said meanwhile that it takes no requests, or the planned
  * stop of the gateway has ended, KC_ERR_VERSION_RETIRED or
  * KC_ERR_DEADLINE_EXCEEDED when the time of the version or of the request is
- * over: the attempt must then be ended as KC_ATTEMPT_NEVER_SENT with that
- * code.
+ * over, KC_ERR_UNKNOWN_KEY or KC_ERR_UNCONFIRMED when its key may no longer be
+ * used or that is not certain: the attempt must then be ended as
+ * KC_ATTEMPT_NEVER_SENT with that code.
  */
 int KcForwardAttempt_CheckSend(const KcForwardAttempt *attempt, KcTime now);
 
--- a/lib/version/kcc_routing.h
+++ b/lib/version/kcc_routing.h
@@ -156,6 +156,10 @@
     KcRoutedCustomer *customers; /* uthash by name */
     struct KcRoutedCustomerList customer_list;
     KcCustomerKey *keys; /* uthash by digest */
+    /* Customers and keys that can't be read, and keys that two customers
+     * have: requests in their name are refused. */
+    uint32_t unread_customers;
+    uint32_t unread_keys;
 } KcRouting;
 
 /* ---- Part 2: building --------------------------------------------------- */
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -117,6 +117,12 @@
     fields.generation = routing->version;
     KcLog_Write(KC_LOG_INFO, &fields, "configuration read, %u routes",
                 routing->rule_count);
+    if (routing->unread_customers > 0 || routing->unread_keys > 0) {
+        KcLog_Write(KC_LOG_ERROR, &fields,
+                    "%u customers and %u keys can't be read, or name more "
+                    "than one customer: their requests are refused",
+                    routing->unread_customers, routing->unread_keys);
+    }
     KcCounters_Add(&role->common.counters, KC_COUNT_ADOPTIONS, 1);
     KcGateway_SetRouting(role->gateway, routing);
     KcGatewayRole_PublishGeneration(role);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -205,6 +205,7 @@
     options.retry_percent = retry_percent(settings);
     options.retry_burst = (int64_t)settings->retry_burst;
     options.version_timeout = (KcTime)(settings->version_timeout_ms * KC_MS);
+    options.config_timeout = (KcTime)(settings->config_timeout_ms * KC_MS);
     options.suspects = KcRoleCommon_GetSuspectOptions(settings);
     role->gateway = KcGateway_Create(&options);
 }
