tests: customers, keys and who may send a request

Cause: nothing tested the new decisions and decoders. Change: tables of cases for the holders of keys, the decoding of customers, the key header, what a worker gets, refusals, and the gateway's decisions with changes of the configuration; two tables of random bytes with fixed seeds. gateway_steps.c learns customers, keys and the configuration's age.

--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -1,7 +1,8 @@
 /*
  * Tests of the platform's HTTP headers: what is read from the heads of
  * workers' answers about the worker itself, and from those of clients'
- * requests about the parts of their prompts.
+ * requests about the parts of their prompts and their keys; what a worker gets
+ * of these, and the statuses of refusals.
  */
 #include <glib.h>
 #include <inttypes.h>
@@ -269,6 +270,290 @@
     g_string_free(parts, TRUE);
 }
 
+/* ---- customers' keys ------------------------------------------------------ */
+
+#define KEY "k7b2ex5wa5xwyhks8nbk"
+#define CUSTOMER_KEY "Credential: " KEY
+
+/* Which key a request names; headers are separated by bars. */
+static const struct {
+    const char *name;
+    const char *headers;
+    const char *key; /* NULL: none */
+} key_cases[] = {
+    {"no header", "Host: h", NULL},
+    {"a key", CUSTOMER_KEY, KEY},
+    {"name in lower case", "credential: " KEY, KEY},
+    {"name in capitals", "CREDENTIAL: " KEY, KEY},
+    {"blanks around it", "Credential:  \t" KEY "\t  ", KEY},
+    {"blanks within it", "Credential: a b", "a b"},
+    {"another case", "Credential: K7B2EX5WA5XWYHKS8NBK",
+     "K7B2EX5WA5XWYHKS8NBK"},
+    {"a comma", "Credential: " KEY "," KEY, KEY "," KEY},
+    {"a scheme before it", "Credential: Bearer " KEY, "Bearer " KEY},
+    {"quoted", "Credential: \"" KEY "\"", "\"" KEY "\""},
+    {"empty", "Credential: ", NULL},
+    {"blank", "Credential:  \t ", NULL},
+    {"twice", CUSTOMER_KEY "|Credential: other", NULL},
+    {"twice the same", CUSTOMER_KEY "|" CUSTOMER_KEY, NULL},
+    {"twice in another case", CUSTOMER_KEY "|CREDENTIAL: " KEY, NULL},
+    {"twice, first empty", "Credential: |" CUSTOMER_KEY, NULL},
+    {"three times", CUSTOMER_KEY "|" CUSTOMER_KEY "|" CUSTOMER_KEY, NULL},
+    {"beside a longer name", "Credentials: x|" CUSTOMER_KEY, KEY},
+    {"under another name", "Authorization: " KEY, NULL},
+    {"with underscores", "_Credential: " KEY, NULL},
+    {"bytes above 127", "Credential: \xc3\xa9", "\xc3\xa9"},
+    {"named as a header of one connection",
+     "Connection: Credential|" CUSTOMER_KEY, KEY},
+};
+
+static KcKeyDigest
+make_digest(const char *key)
+{
+    GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+    KcKeyDigest digest;
+    gsize size = sizeof(digest.bytes);
+
+    g_checksum_update(checksum, (const guchar *)key, (gssize)strlen(key));
+    g_checksum_get_digest(checksum, digest.bytes, &size);
+    g_checksum_free(checksum);
+    return digest;
+}
+
+static void
+read_request(KcHttpMessage *message, char **lines, KcForwardCall *call)
+{
+    static KcCallNames names;
+    KcError error;
+
+    memset(call, 0, sizeof(*call));
+    message->target = "/x";
+    message->method = "GET";
+    fill_message(message, 0, lines);
+    g_assert_cmpint(KcPlatform_Current.dialect->parse_caller_request(
+                        message, call, &names, &error),
+                    ==, 0);
+}
+
+static void
+check_key(const KcForwardCall *call, const char *key)
+{
+    KcKeyDigest digest;
+
+    g_assert_cmpint(call->has_key, ==, key != NULL);
+    if (key != NULL) {
+        digest = make_digest(key);
+        g_assert_cmpmem(call->key_digest.bytes, KC_KEY_DIGEST_BYTES,
+                        digest.bytes, KC_KEY_DIGEST_BYTES);
+    }
+}
+
+static void
+test_key(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    char **lines = g_strsplit(key_cases[index].headers, "|", 0);
+    KcHttpMessage message = {.status = 0};
+    KcForwardCall call;
+
+    read_request(&message, lines, &call);
+    check_key(&call, key_cases[index].key);
+    g_strfreev(lines);
+}
+
+/* The longest key, and one that is longer. */
+static void
+test_long_keys(void)
+{
+    for (size_t size = 1024; size <= 1025; size++) {
+        char *key = g_strnfill(size, 'k');
+        char *line = g_strdup_printf("Credential: %s", key);
+        char *lines[] = {line, NULL};
+        KcHttpMessage message = {.status = 0};
+        KcForwardCall call;
+
+        read_request(&message, lines, &call);
+        check_key(&call, size == 1024 ? key : NULL);
+        g_free(line);
+        g_free(key);
+    }
+}
+
+/* What of these headers a worker gets.  Without customers both pass. */
+static const struct {
+    const char *name;
+    const char *headers;
+    bool has_customers;
+    const char *customer;
+    const char *passed; /* each followed by a bar */
+} hidden_cases[] = {
+    {"no customers", CUSTOMER_KEY "|Tenant-Name: t", false, NULL,
+     CUSTOMER_KEY "|Tenant-Name: t|"},
+    {"no customers, twice", "credential: a|Credential: b|Tenant-Name: t",
+     false, NULL, "credential: a|Credential: b|Tenant-Name: t|"},
+    {"a name without customers", CUSTOMER_KEY, false, "c", CUSTOMER_KEY "|"},
+    {"a customer", CUSTOMER_KEY, true, "c", "Tenant-Name: c|"},
+    {"no one's", CUSTOMER_KEY, true, NULL, ""},
+    {"the client's name", CUSTOMER_KEY "|Tenant-Name: t", true, "c",
+     "Tenant-Name: c|"},
+    {"the client's name, no one's", "Tenant-Name: t", true, NULL, ""},
+    {"the client's names",
+     "tenant-name: c|TENANT-NAME: t|Tenant-Name: |" CUSTOMER_KEY, true, "c",
+     "Tenant-Name: c|"},
+    {"several keys", "credential: a|CREDENTIAL: b|" CUSTOMER_KEY, true, NULL,
+     ""},
+    {"named as headers of one connection",
+     "Connection: Tenant-Name, Credential|" CUSTOMER_KEY "|Tenant-Name: t",
+     true, "c", "Tenant-Name: c|"},
+    {"others pass", "Credentials: a|X-Tenant-Name: b|" CUSTOMER_KEY, true, "c",
+     "Credentials: a|X-Tenant-Name: b|Tenant-Name: c|"},
+};
+
+static void
+test_hidden(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    char **lines = g_strsplit(hidden_cases[index].headers, "|", 0);
+    KcHttpMessage message = {.target = "/x", .method = "GET"};
+    KcServer server = {.id = "s"};
+    KcAttemptParams params = {.server = &server,
+                              .time_left = KC_SECOND,
+                              .has_customers =
+                                  hidden_cases[index].has_customers,
+                              .customer = hidden_cases[index].customer};
+    struct evbuffer *out = evbuffer_new();
+    GString *passed = g_string_new("");
+    char **written;
+
+    fill_message(&message, 0, lines);
+    KcPlatform_Current.dialect->write_request_head(out, &message, 0, &params);
+    evbuffer_add(out, "", 1);
+    written = g_strsplit((char *)evbuffer_pullup(out, -1), "\r\n", 0);
+    for (char **line = written + 1; **line != '\0'; line++) {
+        if (!g_str_has_prefix(*line, "Deadline-Ms: ") &&
+            !g_str_has_prefix(*line, "Expect-Instance: ") &&
+            !g_str_has_prefix(*line, "Request-Priority: ")) {
+            g_string_append_printf(passed, "%s|", *line);
+        }
+    }
+    g_assert_cmpstr(passed->str, ==, hidden_cases[index].passed);
+    g_strfreev(written);
+    g_string_free(passed, TRUE);
+    evbuffer_free(out);
+    g_strfreev(lines);
+}
+
+/* Tokens that count for a quota: the hint does not. */
+static const struct {
+    const char *name;
+    const char *headers;
+    bool states_tokens;
+    uint64_t tokens;
+} token_cases[] = {
+    {"none", "Host: h", false, 0},
+    {"a hint alone", "Length-Hint: 5", false, 0},
+    {"both", "Token-Count: 1460,80", true, 1540},
+    {"with a smaller hint", "Token-Count: 1460,80|Length-Hint: 5", true, 1540},
+    {"zeros", "Token-Count: 0,0", true, 0},
+    {"no output", "Token-Count: 7,0", true, 7},
+    {"at the end of the range", "Token-Count: 18446744073709551614,1", true,
+     UINT64_MAX},
+    {"beyond it", "Token-Count: 18446744073709551615,1", true, UINT64_MAX},
+    {"far beyond it", "Token-Count: " HUGE_NUMBER "," HUGE_NUMBER, true,
+     UINT64_MAX},
+};
+
+static void
+test_tokens(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    char **lines = g_strsplit(token_cases[index].headers, "|", 0);
+    KcHttpMessage message = {.status = 0};
+    KcForwardCall call;
+
+    read_request(&message, lines, &call);
+    g_assert_cmpint(call.states_tokens, ==, token_cases[index].states_tokens);
+    g_assert_cmpuint(call.quota_tokens, ==, token_cases[index].tokens);
+    g_strfreev(lines);
+}
+
+/* Refusals.  401 is no promise, but says more: it won't be served at all. */
+static const struct {
+    const char *name;
+    int code;
+    bool may_have_run;
+    int status;
+} refusal_cases[] = {
+    {"unknown key", KC_ERR_UNKNOWN_KEY, false, 401},
+    {"unknown key, may have run", KC_ERR_UNKNOWN_KEY, true, 502},
+    {"unconfirmed", KC_ERR_UNCONFIRMED, false, 503},
+    {"unconfirmed, may have run", KC_ERR_UNCONFIRMED, true, 502},
+    {"limit", KC_ERR_LIMIT_EXCEEDED, false, 429},
+    {"limit, may have run", KC_ERR_LIMIT_EXCEEDED, true, 502},
+    {"busy", KC_ERR_BUSY, false, 503},
+};
+
+static void
+test_refusal(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    KcForwardRefusal refusal = {
+        .error = {.code = refusal_cases[index].code, .step = "key"},
+        .may_have_run = refusal_cases[index].may_have_run,
+        .retry_after = 1500 * KC_MS};
+    struct evbuffer *out = evbuffer_new();
+    char *expected =
+        g_strdup_printf("HTTP/1.1 %d ", refusal_cases[index].status);
+    const char *text;
+
+    KcPlatform_Current.dialect->write_refusal(out, &refusal, 0);
+    evbuffer_add(out, "", 1);
+    text = (const char *)evbuffer_pullup(out, -1);
+    g_assert_true(g_str_has_prefix(text, expected));
+    g_assert_cmpint(strstr(text, "Retry-After: 1.500\r\n") != NULL, ==,
+                    !refusal_cases[index].may_have_run);
+    g_free(expected);
+    evbuffer_free(out);
+}
+
+/* Random bytes as the values of both headers, and as a key. */
+#define RANDOM_ROUNDS 20000
+
+static void
+test_random_keys(void)
+{
+    GRand *random = g_rand_new_with_seed(52);
+
+    for (int round = 0; round < RANDOM_ROUNDS; round++) {
+        static const char *const names[] = {"Credential", "credential", "X"};
+        char values[3][40];
+        KcHttpMessage message = {.target = "/x", .method = "GET"};
+        int key_count = 0;
+        KcForwardCall call;
+        KcCallNames names_out;
+        KcError error;
+
+        memset(&call, 0, sizeof(call));
+        for (int i = 0; i < 3; i++) {
+            int size = g_rand_int_range(random, 0, 39);
+            int name = g_rand_int_range(random, 0, 3);
+
+            for (int j = 0; j < size; j++) {
+                values[i][j] = (char)g_rand_int_range(random, 1, 256);
+            }
+            values[i][size] = '\0';
+            key_count += name < 2 ? 1 : 0;
+            message.fields[message.field_count++] =
+                (KcHttpField){names[name], values[i]};
+        }
+        g_assert_cmpint(KcPlatform_Current.dialect->parse_caller_request(
+                            &message, &call, &names_out, &error),
+                        ==, 0);
+        g_assert_true(!call.has_key || key_count == 1);
+    }
+    g_rand_free(random);
+}
+
 /* ---- start times --------------------------------------------------------- */
 
 static const struct {
@@ -311,6 +596,17 @@
                    sizeof(notice_cases[0]), test_notice);
     Steps_AddCases("/dialect/parts", parts_cases, G_N_ELEMENTS(parts_cases),
                    sizeof(parts_cases[0]), test_parts);
+    Steps_AddCases("/dialect/key", key_cases, G_N_ELEMENTS(key_cases),
+                   sizeof(key_cases[0]), test_key);
+    g_test_add_func("/dialect/key/long", test_long_keys);
+    g_test_add_func("/dialect/key/random", test_random_keys);
+    Steps_AddCases("/dialect/hidden", hidden_cases, G_N_ELEMENTS(hidden_cases),
+                   sizeof(hidden_cases[0]), test_hidden);
+    Steps_AddCases("/dialect/tokens", token_cases, G_N_ELEMENTS(token_cases),
+                   sizeof(token_cases[0]), test_tokens);
+    Steps_AddCases("/dialect/refusal", refusal_cases,
+                   G_N_ELEMENTS(refusal_cases), sizeof(refusal_cases[0]),
+                   test_refusal);
     Steps_AddCases("/dialect/start time", start_cases,
                    G_N_ELEMENTS(start_cases), sizeof(start_cases[0]),
                    test_start);
--- a/tests/platform/test_records.c
+++ b/tests/platform/test_records.c
@@ -314,6 +314,296 @@
     }
 }
 
+/* ---- customers ------------------------------------------------------------ */
+
+/* Customers are listed as "NAME KEYS [UNIT PLAIN_COST RATE BURST [PRIORITY]]",
+ * each key that it holds as the letter that it begins with. */
+#define CUSTOMER(name, keys) "{'name':'" name "','keys':[" keys "]}"
+#define PLAIN_TERMS " requests 1 0 0; "
+#define WITH(field) "[{'name':'a','keys':['x']," field "}]"
+#define LONG_NAME                                                             \
+    "0123456789012345678901234567890123456789012345678901234567890123"
+
+static const struct {
+    const char *name;
+    const char *json;      /* of the customers */
+    const char *customers; /* NULL: the configuration is not valid */
+    int unread_customers;
+    int unread_keys;
+    bool needs_no_key;
+} customer_cases[] = {
+    /* none */
+    {"null", "null", "", 0, 0, true},
+    {"empty list", "[]", "", 0, 0, true},
+    /* sound */
+    {"one", "[" CUSTOMER("a", "'x'") "]", "a x" PLAIN_TERMS, 0, 0, false},
+    {"two", "[" CUSTOMER("a", "'x','y'") "," CUSTOMER("b", "'z'") "]",
+     "a xy" PLAIN_TERMS "b z" PLAIN_TERMS, 0, 0, false},
+    {"all fields",
+     WITH("'priority':1,'unit':'tokens','plain_tokens':200,"
+          "'rate_per_s':412485.5,'burst':7"),
+     "a x tokens 200 412485.5 7 1; ", 0, 0, false},
+    {"priority 0", WITH("'priority':0"), "a x requests 1 0 0 0; ", 0, 0,
+     false},
+    {"unit requests", WITH("'unit':'requests','rate_per_s':3"),
+     "a x requests 1 3 0; ", 0, 0, false},
+    {"null fields",
+     WITH("'priority':null,'unit':null,'plain_tokens':null,"
+          "'rate_per_s':null,'burst':null"),
+     "a x" PLAIN_TERMS, 0, 0, false},
+    {"unknown fields", WITH("'new':{'x':[1]}"), "a x" PLAIN_TERMS, 0, 0,
+     false},
+    {"no keys", "[{'name':'a'}]", "a " PLAIN_TERMS, 0, 0, false},
+    {"keys null", "[{'name':'a','keys':null}]", "a " PLAIN_TERMS, 0, 0, false},
+    {"numbers beyond their range",
+     WITH("'priority':1e18,'plain_tokens':1e300,'rate_per_s':1e300,"
+          "'burst':1e300"),
+     "a x requests 1000000000000000 1e+15 1e+15 4294967295; ", 0, 0, false},
+    /* lists of another type */
+    {"an object", "{'a':1}", NULL, 0, 0, false},
+    {"a text", "'a'", NULL, 0, 0, false},
+    {"a number", "5", NULL, 0, 0, false},
+    {"true", "true", NULL, 0, 0, false},
+    /* customers that can't be read */
+    {"entries of another type", "['a',5,null,[],{}," CUSTOMER("b", "'z'") "]",
+     "b z" PLAIN_TERMS, 5, 0, false},
+    {"none that can be read", "[7]", "", 1, 0, false},
+    {"no name", "[{'keys':['x']}," CUSTOMER("b", "'z'") "]", "b z" PLAIN_TERMS,
+     1, 0, false},
+    {"name of another type",
+     "[{'name':7,'keys':['x']}," CUSTOMER("b", "'z'") "]", "b z" PLAIN_TERMS,
+     1, 0, false},
+    {"empty name", "[" CUSTOMER("", "'x'") "," CUSTOMER("b", "'z'") "]",
+     "b z" PLAIN_TERMS, 1, 0, false},
+    {"name too long", "[" CUSTOMER(LONG_NAME, "'x'") "]", "", 1, 0, false},
+    {"name with a line end", "[" CUSTOMER("a\\r\\nX: y", "'x'") "]", "", 1, 0,
+     false},
+    {"name with a blank behind", "[" CUSTOMER("a ", "'x'") "]", "", 1, 0,
+     false},
+    {"keys of another type", "[{'name':'a','keys':'x'}]", "", 1, 0, false},
+    {"priority of another type", WITH("'priority':'1'"), "", 1, 0, false},
+    {"negative priority", WITH("'priority':-1"), "", 1, 0, false},
+    {"rate of another type", WITH("'rate_per_s':'9'"), "", 1, 0, false},
+    {"negative rate", WITH("'rate_per_s':-1"), "", 1, 0, false},
+    {"burst of another type", WITH("'burst':[]"), "", 1, 0, false},
+    {"plain tokens of another type", WITH("'plain_tokens':true"), "", 1, 0,
+     false},
+    {"unknown unit", WITH("'unit':'bytes'"), "", 1, 0, false},
+    {"unit of another type", WITH("'unit':1"), "", 1, 0, false},
+    /* keys that can't be read */
+    {"keys of other types",
+     "[" CUSTOMER("a", "7,null,['x'],{'x':1},true,'x'") "]", "a x" PLAIN_TERMS,
+     0, 5, false},
+    {"empty key", "[" CUSTOMER("a", "'','x'") "]", "a x" PLAIN_TERMS, 0, 1,
+     false},
+    {"key with a line end", "[" CUSTOMER("a", "'x\\n','y'") "]",
+     "a y" PLAIN_TERMS, 0, 1, false},
+    {"keys with blanks around them", "[" CUSTOMER("a", "' x','x\\t','y'") "]",
+     "a y" PLAIN_TERMS, 0, 2, false},
+    /* twice */
+    {"a key twice", "[" CUSTOMER("a", "'x','x'") "]", "a x" PLAIN_TERMS, 0, 0,
+     false},
+    {"a key of two customers",
+     "[" CUSTOMER("a", "'x','y'") "," CUSTOMER("b", "'x','z'") "]",
+     "a y" PLAIN_TERMS "b z" PLAIN_TERMS, 0, 1, false},
+    {"a name twice",
+     "[{'name':'a','keys':['x'],'rate_per_s':5},"
+     "{'name':'a','keys':['y'],'rate_per_s':6}]",
+     "a xy requests 1 6 0; ", 0, 0, false},
+    {"a name twice, the second can't be read",
+     "[{'name':'a','keys':['x'],'rate_per_s':5},"
+     "{'name':'a','keys':['y'],'rate_per_s':'6'}]",
+     "a x requests 1 5 0; ", 1, 0, false},
+};
+
+static void
+append_customer(GString *text, const KcRouting *routing,
+                const KcRoutedCustomer *customer)
+{
+    g_string_append_printf(text, "%s ", customer->name);
+    for (char key = 'x'; key <= 'z'; key++) {
+        GChecksum *checksum = g_checksum_new(G_CHECKSUM_SHA256);
+        KcKeyDigest digest;
+        gsize size = sizeof(digest.bytes);
+
+        g_checksum_update(checksum, (const guchar *)&key, 1);
+        g_checksum_get_digest(checksum, digest.bytes, &size);
+        g_checksum_free(checksum);
+        if (KcRouting_FindCustomer(routing, &digest) == customer) {
+            g_string_append_c(text, key);
+        }
+    }
+    g_string_append_printf(
+        text, " %s %" G_GUINT64_FORMAT " %.10g %.10g",
+        customer->unit == KC_QUOTA_TOKENS ? "tokens" : "requests",
+        customer->plain_cost, customer->rate_per_s, customer->burst);
+    if (customer->has_priority) {
+        g_string_append_printf(text, " %u", customer->priority);
+    }
+    g_string_append(text, "; ");
+}
+
+static KcRouting *
+read_customers(const char *customers, KcError *error)
+{
+    char *text = g_strdup_printf("{'version':3,'routes':[{" ROUTE_FIELDS
+                                 ",'service':'s'}],"
+                                 "'tenants':%s}",
+                                 customers);
+    json_t *json = parse(text);
+    KcRouting *routing = KcPlatform_Current.read_routing(json, error);
+
+    json_decref(json);
+    g_free(text);
+    return routing;
+}
+
+static void
+test_customers(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(customer_cases); i++) {
+        KcError error = {0};
+        KcRouting *routing = read_customers(customer_cases[i].json, &error);
+        GString *text = g_string_new("");
+        const KcRoutedCustomer *customer;
+
+        g_test_message("%s", customer_cases[i].name);
+        if (customer_cases[i].customers == NULL) {
+            g_assert_null(routing);
+            g_assert_cmpstr(error.step, ==, "tenants");
+        }
+        else {
+            g_assert_nonnull(routing);
+            TAILQ_FOREACH (customer, &routing->customer_list, link) {
+                append_customer(text, routing, customer);
+            }
+            g_assert_cmpstr(text->str, ==, customer_cases[i].customers);
+            g_assert_cmpint(routing->unread_customers, ==,
+                            customer_cases[i].unread_customers);
+            g_assert_cmpint(routing->unread_keys, ==,
+                            customer_cases[i].unread_keys);
+            g_assert_cmpint(routing->has_customers, ==,
+                            !customer_cases[i].needs_no_key);
+        }
+        g_string_free(text, TRUE);
+        KcRouting_Release(routing);
+    }
+}
+
+/* The longest key, and one that is longer. */
+static void
+test_long_keys(void)
+{
+    for (size_t size = 1024; size <= 1025; size++) {
+        char *key = g_strnfill(size, 'k');
+        char *list = g_strdup_printf("[" CUSTOMER("a", "'%s'") "]", key);
+        KcError error = {0};
+        KcRouting *routing = read_customers(list, &error);
+
+        g_assert_nonnull(routing);
+        g_assert_cmpuint(routing->unread_keys, ==, size - 1024);
+        g_assert_cmpuint(TAILQ_FIRST(&routing->customer_list)->key_count, ==,
+                         1025 - size);
+        KcRouting_Release(routing);
+        g_free(list);
+        g_free(key);
+    }
+}
+
+/* Only true makes a route one that needs no key. */
+static const struct {
+    const char *field;
+    bool keyless;
+} keyless_cases[] = {
+    {"", false},
+    {",'keyless':true", true},
+    {",'keyless':false", false},
+    {",'keyless':null", false},
+    {",'keyless':1", false},
+    {",'keyless':'true'", false},
+};
+
+static void
+test_keyless(void)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(keyless_cases); i++) {
+        char *text = g_strdup_printf("{'version':3,'routes':[{" ROUTE_FIELDS
+                                     ",'service':'s'%s}]}",
+                                     keyless_cases[i].field);
+        json_t *json = parse(text);
+        KcError error = {0};
+        KcRouting *routing = KcPlatform_Current.read_routing(json, &error);
+
+        g_assert_nonnull(routing);
+        g_assert_cmpint(KcRouting_FindRule(routing, "h", "/a/")->keyless, ==,
+                        keyless_cases[i].keyless);
+        KcRouting_Release(routing);
+        json_decref(json);
+        g_free(text);
+    }
+}
+
+/* Random pieces of JSON as customers: whatever can be parsed is decoded, and
+ * the sound customer behind it holds its key. */
+#define RANDOM_ROUNDS 20000
+
+static void
+test_random_customers(void)
+{
+    static const char *const pieces[] = {"{",           "}",
+                                         "[",           "]",
+                                         ",",           ":",
+                                         "'name'",      "'keys'",
+                                         "'x'",         "'b'",
+                                         "'unit'",      "'tokens'",
+                                         "'priority'",  "1",
+                                         "-1",          "1e300",
+                                         "null",        "true",
+                                         "''",          "' '",
+                                         "'burst'",     "'rate_per_s'",
+                                         "{'name':'a'", "'keys':",
+                                         "['x','y']"};
+    GRand *random = g_rand_new_with_seed(52);
+    int decoded_count = 0;
+
+    for (int round = 0; round < RANDOM_ROUNDS; round++) {
+        GString *list = g_string_new("[");
+        json_t *json;
+        int count = g_rand_int_range(random, 1, 12);
+
+        for (int i = 0; i < count; i++) {
+            g_string_append(
+                list,
+                pieces[g_rand_int_range(random, 0, G_N_ELEMENTS(pieces))]);
+        }
+        g_string_append(list, "," CUSTOMER("sound", "'z'") "]");
+        g_strdelimit(list->str, "'", '"');
+        json = json_loads(list->str, 0, NULL);
+        if (json != NULL) {
+            json_t *config = json_pack("{s:i, s:[], s:o}", "version", 1,
+                                       "routes", "tenants", json);
+            KcError error = {0};
+            KcRouting *routing =
+                KcPlatform_Current.read_routing(config, &error);
+            GString *sound = g_string_new("");
+
+            g_assert_nonnull(routing);
+            g_assert_true(routing->has_customers);
+            append_customer(
+                sound, routing,
+                TAILQ_LAST(&routing->customer_list, KcRoutedCustomerList));
+            g_assert_cmpstr(sound->str, ==, "sound z" PLAIN_TERMS);
+            g_string_free(sound, TRUE);
+            KcRouting_Release(routing);
+            json_decref(config);
+            decoded_count++;
+        }
+        g_string_free(list, TRUE);
+    }
+    g_assert_cmpint(decoded_count, >, 100);
+    g_rand_free(random);
+}
+
 /* ---- announced versions ------------------------------------------------- */
 
 static const struct {
@@ -358,6 +648,10 @@
     g_test_add_func("/records/configurations", test_configurations);
     g_test_add_func("/records/caller_silence", test_caller_silence);
     g_test_add_func("/records/large_numbers", test_large_numbers);
+    g_test_add_func("/records/customers", test_customers);
+    g_test_add_func("/records/long_keys", test_long_keys);
+    g_test_add_func("/records/keyless", test_keyless);
+    g_test_add_func("/records/random_customers", test_random_customers);
     g_test_add_func("/records/versions", test_versions);
     return g_test_run();
 }
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -10,11 +10,11 @@
  * 400 ms are on time.  Servers are in the gateway's data centre "here" unless
  * at= names another: "near" in the same region, "far" in another one.
  *
- * Steps, separated by semicolons:
- *   config VERSION          takes a routing configuration
- *   inforce                 traces the version in force, as "v2"
- *   server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [port=N] [leaving]
- *          [again] REPLICA...  a server's record; born is its start time, x@1
+ * gateway_steps_customers.c describes the steps on customers, and what they
+ * add to others.  Steps, separated by semicolons: config VERSION takes a
+ * routing configuration inforce                 traces the version in force,
+ * as "v2" server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [port=N]
+ * [leaving] [again] REPLICA...  a server's record; born is its start time, x@1
  *                           is version 1 of adapter x, m the base model of all
  *                           adapters; each ID has a port unless one is given;
  *                           again: the record has not changed
@@ -77,7 +77,7 @@
 
 /* ---- steps -------------------------------------------------------------- */
 
-static void
+static KcRouteRule *
 add_rule(KcRouting *routing, const char *prefix, KcRequestKind kind,
          bool resumable)
 {
@@ -90,9 +90,11 @@
     rule->event_interval_max = 400 * KC_MS;
     rule->caller_silence_timeout = 3 * KC_SECOND;
     rule->resumable = resumable;
+    rule->priority = 7;
     rule->attempts_max = 2;
     KcRouting_AddTarget(rule, kind == KC_REQUEST_KIND_STREAM ? "llm" : "plain",
                         1);
+    return rule;
 }
 
 static void
@@ -105,8 +107,10 @@
     KcRouting_AddService(routing, "plain");
     add_rule(routing, "/s/", KC_REQUEST_KIND_SAFE, false);
     add_rule(routing, "/u/", KC_REQUEST_KIND_UNSAFE, false);
+    add_rule(routing, "/k/", KC_REQUEST_KIND_SAFE, false)->keyless = true;
     add_rule(routing, "/t/", KC_REQUEST_KIND_STREAM, false);
     add_rule(routing, "/r/", KC_REQUEST_KIND_STREAM, true);
+    GatewaySteps_AddCustomers(routing, words + 2);
     g_assert_cmpint(KcRouting_Validate(routing, &error), ==, 0);
     KcGateway_SetRouting(fixture->gateway, routing);
 }
@@ -216,6 +220,9 @@
     uint32_t last = g_strv_length(words) - 1;
     char **parts;
 
+    if (GatewaySteps_TakeKey(&call, words[last])) {
+        g_clear_pointer(&words[last--], g_free);
+    }
     if (g_str_has_prefix(words[last], "parts=")) {
         call.parts = prompt_parts;
         call.part_count = GatewaySteps_ReadParts(
@@ -516,6 +523,7 @@
 
 static const StepHandler step_handlers[] = {
     {"config", step_config},
+    {"age", GatewaySteps_Age},
     {"inforce", step_in_force},
     {"server", step_server},
     {"missing", step_missing},
@@ -590,6 +598,8 @@
      */
     options.wall_offset = -2 * KC_SECOND;
     options.retry_burst = 20;
+    options.config_timeout = 4 * KC_SECOND;
+    options.revoke_timeout = 5 * KC_SECOND;
     fixture->gateway = KcGateway_Create(&options);
     KcGateway_SetGatewayCount(fixture->gateway, 1, fixture->now);
     Steps_Run(fixture, step_handlers, G_N_ELEMENTS(step_handlers), steps);
--- a/tests/process/gateway_steps_internal.h
+++ b/tests/process/gateway_steps_internal.h
@@ -1,7 +1,8 @@
 /*
  * State of a case of gateway_steps.c, and functions shared by its files:
  * gateway_steps.c has the steps, gateway_steps_parts.c those on parts of
- * prompts, gateway_steps_trace.c the calls that the gateway makes.
+ * prompts, gateway_steps_customers.c those on customers, gateway_steps_trace.c
+ * the calls that the gateway makes.
  */
 #ifndef KCC_GATEWAY_STEPS_INTERNAL_H
 #define KCC_GATEWAY_STEPS_INTERNAL_H
@@ -29,6 +30,7 @@
     KcGateway *gateway;
     GString *trace;
     KcTime now;
+    KcTime configuration_age;
     uint64_t revision;
     Caller callers[REQUEST_COUNT_MAX];
     bool traces_checks;        /* checks of servers are traced */
@@ -46,6 +48,12 @@
 /* Reads "1,2" into ids of parts; returns their number. */
 uint32_t GatewaySteps_ReadParts(const char *text,
                                 uint64_t parts[KC_PROMPT_PARTS_MAX]);
+/* Adds the customers of a configuration step. */
+void GatewaySteps_AddCustomers(KcRouting *routing, char **words);
+/* Takes the key from "key=K"; false when the word is another one. */
+bool GatewaySteps_TakeKey(KcForwardCall *call, const char *word);
+/* Sets the age of the configuration. */
+void GatewaySteps_Age(Fixture *fixture, char **words);
 /* Steps on parts. */
 void GatewaySteps_Ended(Fixture *fixture, char **words);
 void GatewaySteps_News(Fixture *fixture, char **words);
--- a/tests/process/gateway_steps_trace.c
+++ b/tests/process/gateway_steps_trace.c
@@ -25,6 +25,12 @@
         g_string_append_printf(fixture->trace, "+%d",
                                (int)params->last_event_id);
     }
+    if (params->has_customers) {
+        g_string_append_printf(fixture->trace, " %s %u",
+                               params->customer != NULL ? params->customer
+                                                        : "-",
+                               params->priority);
+    }
     g_string_append(fixture->trace, "; ");
     if (!fixture->is_connecting) {
         KcForwardAttempt_OnSent(attempt);
@@ -137,19 +143,26 @@
                            (int)suspect->part, KcSuspectStep_Name(step));
 }
 
-const KcGatewayOps GatewaySteps_Ops = {.start_attempt = start_attempt,
-                                       .cancel_attempt = cancel_attempt,
-                                       .request_load = request_load,
-                                       .check_server = check_server,
-                                       .refresh_servers = refresh_servers,
-                                       .close_connections =
-                                           GatewayStubs_IgnoreServer,
-                                       .record_request = record_request,
-                                       .record_loss = GatewayStubs_RecordLoss,
-                                       .ask_end = ask_end,
-                                       .publish_suspect = publish_suspect,
-                                       .record_suspect = record_suspect,
-                                       .record_notice = record_notice};
+static KcTime
+get_configuration_age(void *context)
+{
+    return ((Fixture *)context)->configuration_age;
+}
+
+const KcGatewayOps GatewaySteps_Ops = {
+    .start_attempt = start_attempt,
+    .cancel_attempt = cancel_attempt,
+    .request_load = request_load,
+    .check_server = check_server,
+    .refresh_servers = refresh_servers,
+    .close_connections = GatewayStubs_IgnoreServer,
+    .record_request = record_request,
+    .record_loss = GatewayStubs_RecordLoss,
+    .ask_end = ask_end,
+    .publish_suspect = publish_suspect,
+    .record_suspect = record_suspect,
+    .record_notice = record_notice,
+    .configuration_age = get_configuration_age};
 
 static void
 on_answer_begin(void *context, const void *head, bool stream)
