tests: customers with a gateway as a process

Cause: the path of a key from a caller's bytes to a worker, and what processes put out of it, was tested in parts only. The worker stand-in prints headers on demand, the cluster writes customers.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -33,6 +33,7 @@
 struct GatewayCluster {
     GatewayClusterOptions options;
     char directory[TEXT_SIZE];
+    const char *customers; /* see GatewayCluster_SetCustomers() */
     Process processes[GATEWAY_CLUSTER_ROLE_COUNT][PROCESSES_PER_ROLE_MAX];
 };
 
@@ -279,6 +280,24 @@
     .header_timeout_ms = 1000,
     .idle_timeout_ms = 3000};
 
+void
+GatewayCluster_SetCustomers(GatewayCluster *cluster, const char *customers)
+{
+    cluster->customers = customers;
+}
+
+/* Adds the customers, and the route that needs no key. */
+static void
+add_customers(const GatewayCluster *cluster, json_t *config)
+{
+    json_t *route = make_route("/open/", "safe", "plain", 2, false);
+
+    json_object_set_new(route, "keyless", json_true());
+    json_array_append_new(json_object_get(config, "routes"), route);
+    json_object_set_new(config, "tenants",
+                        json_loads(cluster->customers, 0, NULL));
+}
+
 void
 GatewayCluster_WriteConfig(GatewayCluster *cluster, int version,
                            bool has_extra_route)
@@ -307,18 +326,21 @@
         "slots", 8, "kv_capacity", 100000, "adapter_slots", 15, "mb", 1000,
         "models", "name", "m", "mb", 100, "adapter_mb", 1, "name", "plain",
         "health_path", "/health", "conn_limit", 100);
+    json_t *config;
 
     if (has_extra_route) {
         json_array_append_new(
             routes, make_route("/extra/", "safe", "plain", 2, false));
     }
-    write_object(cluster, "config", "main",
-                 json_pack("{s:i, s:o, s:o, s:{s:i, s:i, s:i, s:i}}",
-                           "version", version, "routes", routes, "services",
-                           services, "limits", "max_header_bytes", 4096,
-                           "max_body_bytes", limits->body_bytes_max,
-                           "header_timeout_ms", limits->header_timeout_ms,
-                           "idle_timeout_ms", limits->idle_timeout_ms));
+    config = json_pack(
+        "{s:i, s:o, s:o, s:{s:i, s:i, s:i, s:i}}", "version", version,
+        "routes", routes, "services", services, "limits", "max_header_bytes",
+        4096, "max_body_bytes", limits->body_bytes_max, "header_timeout_ms",
+        limits->header_timeout_ms, "idle_timeout_ms", limits->idle_timeout_ms);
+    if (cluster->customers != NULL) {
+        add_customers(cluster, config);
+    }
+    write_object(cluster, "config", "main", config);
 }
 
 void
@@ -360,6 +382,7 @@
     Process *process = get_process(cluster, role, number);
     char log_path[TEXT_SIZE * 2];
     char program[TEXT_SIZE * 2];
+    pid_t test = getpid();
 
     snprintf(program, sizeof(program), "%s/%s", get_build_directory(),
              arguments[0]);
@@ -370,6 +393,9 @@
 
         /* Ends with the test, also when the test crashes. */
         prctl(PR_SET_PDEATHSIG, SIGKILL);
+        if (getppid() != test) {
+            _exit(127); /* it has crashed already */
+        }
         dup2(fd, STDOUT_FILENO);
         dup2(fd, STDERR_FILENO);
         GatewayCluster_CloseInherited();
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -119,6 +119,12 @@
 /* The limits of GatewayCluster_WriteConfig(). */
 extern const GatewayClusterLimits GatewayCluster_UsualLimits;
 
+/* The configurations that are written from now on have these customers, a
+ * list in JSON that must stay valid, and a route /open/ that needs no key;
+ * NULL: neither. */
+void GatewayCluster_SetCustomers(GatewayCluster *cluster,
+                                 const char *customers);
+
 /*
  * Writes the routing configuration with this version to the store: host h
  * with the routes /safe/, /unsafe/, /stream/, /resume/ and, when
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -21,6 +21,7 @@
  *   leaving ATTEMPT_ID TIME       answered with "Server-Leaving: 1"
  *   wait ATTEMPT_ID TIME SECONDS  answered 503 with "Retry-After: SECONDS"
  *   notice ATTEMPT_ID TIME        answered with a line of raw_notices
+ *   header ATTEMPT_ID NAME: VALUE a header of any call, with knob headers
  *   deadly ATTEMPT_ID TIME        the process ends, as it was to begin an
  *                                 answer on the part of knob deadly
  *
@@ -118,6 +119,7 @@
     /* Id of a part in Prompt-Prefix: the process ends when it begins to answer
      * on it; 0: none. */
     {"deadly", 0},
+    {"headers", 0}, /* 1: the headers of all calls are printed */
     /* Percent of answers without a length or chunks, which end with their
      * connection; unframed_end is the number of a row of unframed_ends. */
     {"unframed", 0},
@@ -870,11 +872,28 @@
     }
 }
 
+static void
+log_headers(const RawConnection *connection)
+{
+    const KcHttpMessage *message = connection->message;
+    const char *attempt_id =
+        RawConnection_FindHeader(connection, "Attempt-Id");
+
+    for (size_t i = 0; i < message->field_count; i++) {
+        printf("header %s %s: %s\n", attempt_id[0] != '\0' ? attempt_id : "-",
+               message->fields[i].name, message->fields[i].value);
+    }
+    fflush(stdout);
+}
+
 static void
 on_request(RawConnection *connection)
 {
     const char *target = connection->message->target;
 
+    if (RawServer_GetKnob(&server, "headers") > 0) {
+        log_headers(connection);
+    }
     if (is_own_call(target) &&
         RawServer_GetKnob(&server, "endless_report") > 0 &&
         RawConnection_DrawEndless(connection, "endless_report")) {
