--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -258,14 +258,16 @@
     return forward;
 }
 
-/* Refuses a request for which no KcForward is created. */
+/* Refuses a request for which no KcForward is created; customer is in whose
+ * name it was, "" for no one's. */
 static void
 refuse_at_once(KcGateway *gateway, const KcForwardOps *ops, void *caller,
-               int code, const char *step, KcTime retry_after)
+               int code, const char *step, const char *customer,
+               KcTime retry_after)
 {
     KcForwardRefusal refusal = {.retry_after = retry_after};
 
-    KcError_Set(&refusal.error, code, step, "");
+    KcError_Set(&refusal.error, code, step, customer);
     KcCounters_Add(gateway->options.counters, KC_COUNT_NOT_RUN, 1);
     ops->on_refusal(caller, &refusal);
 }
@@ -283,26 +285,27 @@
     *forward_out = NULL;
     KcCounters_Add(gateway->options.counters, KC_COUNT_REQUESTS, 1);
     if (gateway->routing == NULL) {
-        refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route",
+        refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route", "",
                        RETRY_AFTER);
         return;
     }
     rule = KcRouting_FindRule(gateway->routing, call->host, call->path);
     if (rule == NULL) {
-        refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route",
+        refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route", "",
                        RETRY_AFTER);
         return;
     }
     if (comes_too_late(gateway, call, rule, now)) {
-        refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route",
+        refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route", "",
                        RETRY_AFTER);
         return;
     }
     code = KcGateway_Admit(gateway, call, rule, &admission, now);
     if (code != 0) {
-        refuse_at_once(gateway, ops, caller, code, admission.step,
-                       admission.retry_after != 0 ? admission.retry_after
-                                                  : RETRY_AFTER);
+        refuse_at_once(
+            gateway, ops, caller, code, admission.step,
+            admission.customer != NULL ? admission.customer->name : "",
+            admission.retry_after != 0 ? admission.retry_after : RETRY_AFTER);
         return;
     }
     forward = create_forward(gateway, call, rule, &admission, now);
--- a/programs/request/caller_connection.c
+++ b/programs/request/caller_connection.c
@@ -464,11 +464,29 @@
     finish_answer(connection);
 }
 
+/* Logs a request that was refused before the gateway took it. */
+static void
+log_refusal(const KcCallerConnection *connection, const KcError *error)
+{
+    const KcRouting *routing =
+        KcGateway_GetRouting(connection->front_end->options.gateway);
+    KcLogFields fields = {.caller_request_id = connection->request_id,
+                          .generation = routing != NULL ? routing->version : 0,
+                          .peer = error->peer,
+                          .step = error->step,
+                          .code = error->code};
+
+    KcLog_Write(KC_LOG_INFO, &fields, "not run, as it was not taken");
+}
+
 static void
 on_refused(void *caller, const KcForwardRefusal *refusal)
 {
     KcCallerConnection *connection = caller;
 
+    if (connection->forward == NULL) {
+        log_refusal(connection, &refusal->error);
+    }
     connection->forward = NULL;
     decide_idle_time(connection);
     connection->front_end->options.dialect->write_refusal(
@@ -578,9 +596,11 @@
     memset(&call, 0, sizeof(call));
     if (front_end->options.dialect->parse_caller_request(
             connection->request_head, &call, &names, &refusal.error) != 0) {
+        connection->request_id = call.id;
         on_refused(connection, &refusal);
         return;
     }
+    connection->request_id = call.id;
     KcGateway_Submit(front_end->options.gateway, &call, &forward_ops,
                      connection, &connection->forward, KcLoop_Now());
 }
--- a/programs/request/gateway_front_end_internal.h
+++ b/programs/request/gateway_front_end_internal.h
@@ -40,6 +40,7 @@
     KcTimer timer;         /* ends a state that lasts too long */
     KcCallerLimits limits; /* of the request, from its first byte to its end */
     const KcHttpMessage *request_head;
+    const char *request_id; /* its caller's, while it is being submitted */
     KcRequestBody *request_body; /* from the end of the head; NULL: none */
     KcForward *forward;
     bool answer_is_chunked; /* a stream, sent with chunked encoding */
--- a/tests/daemons/test_customers.c
+++ b/tests/daemons/test_customers.c
@@ -324,7 +324,7 @@
 check_case(size_t index)
 {
     const char *customer = cases[index].customer;
-    char *id = g_strdup_printf("case-%zu", index);
+    char *id = g_strdup_printf("case-%zu.", index);
     char answer[ANSWER_SIZE];
     int status = send_case(index, id, answer);
 
@@ -343,6 +343,36 @@
     g_free(id);
 }
 
+/* The gateway's log tells what became of a request, and in whose name. */
+static void
+check_log(size_t index)
+{
+    const char *customer = cases[index].customer;
+    char *id = g_strdup_printf("id=case-%zu. ", index);
+    char *log = read_log(GATEWAY_CLUSTER_GATEWAY);
+    const char *line = strstr(log, id);
+
+    if (cases[index].status == 400) {
+        g_assert_null(line); /* it has not been received */
+    }
+    else {
+        char *text = g_strndup(line, strcspn(line, "\n"));
+        char *field = g_strdup_printf(" customer=%s", customer);
+
+        g_assert_cmpint(strstr(text, "error=unknown_key") != NULL, ==,
+                        cases[index].status == 401);
+        g_assert_cmpint(strstr(text, "msg=\"not run") != NULL, ==,
+                        cases[index].status == 401);
+        g_assert_cmpint(strstr(text, " customer=") != NULL, ==,
+                        customer != NULL);
+        g_assert_cmpint(strstr(text, field) != NULL, ==, customer != NULL);
+        g_free(field);
+        g_free(text);
+    }
+    free(log);
+    g_free(id);
+}
+
 /* All requests, and then whatever processes have put out. */
 static void
 test_keys(void)
@@ -354,6 +384,9 @@
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
         check_case(i);
     }
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        check_log(i);
+    }
     g_assert_cmpint(count_headers("inner", ""), ==, 0);
     logs = read_logs();
     assert_no_key("a log", logs);
