Certainty of the configuration: since when it is the newest

Cause: a key that was taken away must not work anywhere for longer than revoke_ms, also at a gateway that the store doesn't reach; nothing told how old the knowledge of the configuration was. A waiting watch proves nothing. Change: a feed knows up to which moment it has seen each acknowledged change, counted from the sending of a call that may not lag, with what the answers to the other feeds of the group show; [customers] revoke_ms makes the checks of the configuration come after 35% of it. An answer of another era of the store proves nothing until the collection was listed again. The loop's clock counts while the machine is suspended, so that what lapses meanwhile has lapsed. The tests that initialise KcGatewayOps by position got the new member. Measured: test_feed, test_feed_check, test_store, test_endless, test_settings and test_loop pass; the templates of a site without strict_revoke give the same settings as before.

--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -128,6 +128,10 @@
     [KC_COUNT_BLOCKED_REQUESTS] =
         {"kcc_blocked_requests_total",
          "Requests refused because a part of their prompt is blocked."},
+    [KC_COUNT_UNCERTAIN] =
+        {"kcc_uncertain_total",
+         "Times that keys began to be refused, as the configuration could be "
+         "out of date."},
 };
 
 const char *
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -73,6 +73,7 @@
     KC_COUNT_PARTS_TRIED,       /* trials of blocked parts that were granted */
     KC_COUNT_PARTS_CLEARED,     /* prompt parts cleared of evidence */
     KC_COUNT_BLOCKED_REQUESTS,  /* requests refused for a blocked part */
+    KC_COUNT_UNCERTAIN,         /* times the configuration became uncertain */
     KC_COUNTER_COUNT
 } KcCounter;
 
--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -208,11 +208,12 @@
      * what changed while later pages were read, and what a lagging copy
      * missed. */
     feed->watch_revision = feed->list_revision;
+    feed->era = feed->list_era;
     feed->needs_list = false;
     feed->has_list = true;
     feed->listed_at = now;
     KcFeedCheck_OnAnswer(feed, feed->list_revision, feed->list_may_lag,
-                         feed->list_called_at, now);
+                         feed->list_called_at, feed->list_called_at, now);
     if (feed->options.on_list_end != NULL) {
         feed->options.on_list_end(feed->options.context, now);
     }
@@ -227,7 +228,8 @@
     if (revision > feed->watch_revision) {
         feed->watch_revision = revision;
     }
-    KcFeedCheck_OnAnswer(feed, revision, feed->call_may_lag, now, now);
+    KcFeedCheck_OnAnswer(feed, revision, feed->call_may_lag, feed->called_at,
+                         now, now);
     schedule_call(feed, feed->options.watch_delay, now);
 }
 
--- a/lib/version/feed_check.c
+++ b/lib/version/feed_check.c
@@ -50,6 +50,10 @@
         deadline > behind_deadline(feed)) {
         deadline = behind_deadline(feed);
     }
+    if (feed->options.certain_timeout > 0 &&
+        deadline > feed->certain_at + feed->options.certain_timeout) {
+        deadline = feed->certain_at + feed->options.certain_timeout;
+    }
     if (feed->news_at > feed->current_at &&
         deadline > feed->news_at + CHECK_DELAY) {
         deadline = feed->news_at + CHECK_DELAY;
@@ -124,7 +128,8 @@
         feed->call_may_lag) {
         return;
     }
-    if (feed->watch_revision >= options->group->current_revision &&
+    if (feed->era == options->group->era &&
+        feed->watch_revision >= options->group->current_revision &&
         feed->current_at < options->group->current_at) {
         feed->current_at = options->group->current_at;
     }
@@ -156,12 +161,15 @@
 /* Notes what an answer shows of the store, and lets the other feeds plan their
  * checks by it. */
 static void
-note_revision(KcFeed *feed, uint64_t revision, bool may_lag, KcTime at,
-              KcTime now)
+note_revision(KcFeed *feed, uint64_t revision, bool may_lag, KcTime sent_at,
+              KcTime at, KcTime now)
 {
     KcFeedGroup *group = feed->options.group;
     KcFeed *member;
 
+    if (!may_lag) {
+        KcFeedCertainty_OnAnswer(feed, revision, sent_at);
+    }
     if (group == NULL) {
         return;
     }
@@ -172,20 +180,24 @@
         group->current_revision = revision;
         group->current_at = at > group->current_at ? at : group->current_at;
         group->current_shown_at = now;
+        if (sent_at > group->current_sent_at) {
+            group->current_sent_at = sent_at;
+        }
     }
+    KcFeedCertainty_Update(feed);
     TAILQ_FOREACH (member, &group->feeds, group_link) {
         KcFeedCheck_Schedule(member, now);
     }
 }
 
 void
-KcFeedCheck_OnAnswer(KcFeed *feed, uint64_t revision, bool may_lag, KcTime at,
-                     KcTime now)
+KcFeedCheck_OnAnswer(KcFeed *feed, uint64_t revision, bool may_lag,
+                     KcTime sent_at, KcTime at, KcTime now)
 {
     if (!may_lag) {
         feed->current_at = at;
     }
-    note_revision(feed, revision, may_lag, at, now);
+    note_revision(feed, revision, may_lag, sent_at, at, now);
 }
 
 void
@@ -211,7 +223,8 @@
         }
         KcFeed_StartCall(feed, now);
     }
-    note_revision(feed, revision, feed->check_may_lag, feed->checked_at, now);
+    note_revision(feed, revision, feed->check_may_lag, feed->checked_at,
+                  feed->checked_at, now);
 }
 
 void
--- a/lib/version/feed_internal.h
+++ b/lib/version/feed_internal.h
@@ -1,5 +1,6 @@
 /*
- * State of a feed.  feed.c lists and watches, feed_check.c checks watches.
+ * State of a feed.  feed.c lists and watches, feed_check.c checks watches,
+ * certainty.c tells how old what the feed knows may be.
  */
 #ifndef KCC_FEED_INTERNAL_H
 #define KCC_FEED_INTERNAL_H
@@ -37,6 +38,10 @@
     bool is_checking;    /* a check is outstanding */
     bool check_may_lag;  /* the last check may be answered by a lagging copy */
     KcTimer check_timer; /* starts the next check */
+
+    KcTime certain_at; /* each change acknowledged before is known; 0: never */
+    uint64_t era;      /* of watch_revision */
+    uint64_t list_era; /* of the pages of the list */
 };
 
 /* Starts the next list or watch. */
@@ -53,9 +58,20 @@
 /* The watch ends: it is not checked any more.  Returns true when a check is
  * outstanding, which the caller cancels. */
 bool KcFeedCheck_Stop(KcFeed *feed);
-/* A list or watch was answered completely; the store had the revision at a
- * time. */
+/* A list or watch that was sent at a time was answered completely; the store
+ * had the revision at another. */
 void KcFeedCheck_OnAnswer(KcFeed *feed, uint64_t revision, bool may_lag,
-                          KcTime at, KcTime now);
+                          KcTime sent_at, KcTime at, KcTime now);
+
+/* ---- certainty (certainty.c) --------------------------------------------- */
+
+/*
+ * Takes an answer that may not lag to a call of any feed of the group: each
+ * change acknowledged before sent_at has that revision or an earlier one.
+ */
+void KcFeedCertainty_OnAnswer(KcFeed *feed, uint64_t revision,
+                              KcTime sent_at);
+/* The feed knows more changes than before. */
+void KcFeedCertainty_Update(KcFeed *feed);
 
 #endif
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -24,6 +24,9 @@
     uint64_t current_revision; /* highest of answers that did not lag */
     KcTime current_at;         /* time at which the store had it */
     KcTime current_shown_at;   /* when the answer that shows it came */
+    KcTime current_sent_at;    /* a call was sent then whose answer, which did
+                                * not lag, has shown no later revision */
+    uint64_t era;              /* latest of any answer, see KcFeed_OnEra() */
 } KcFeedGroup;
 
 void KcFeedGroup_Init(KcFeedGroup *group);
@@ -110,6 +113,9 @@
      * replaced.  May be NULL. */
     void (*on_watch_dead)(void *context, const char *collection);
     void *context;
+    /* Checks keep KcFeed_CertainAge() under this and the time of a call, as
+     * long as the store answers; 0: they don't.  Needs check_timeout. */
+    KcTime certain_timeout;
 } KcFeedOptions;
 
 /* Creates a feed; the options are copied. */
@@ -136,8 +142,25 @@
  * reports it first, a check that may not lag comes soon. */
 void KcFeed_OnNews(KcFeed *feed, KcTime now);
 
+/*
+ * Returns how long ago the feed was certain to know each change that the store
+ * had acknowledged; KC_NEVER: it never was.  Counted from the moment at which a
+ * call that may not lag was sent, never from its answer.
+ */
+KcTime KcFeed_CertainAge(const KcFeed *feed, KcTime now);
+
 /* ---- answers of the store ----------------------------------------------- */
 
+/*
+ * Called for each answer before its items: the era of the store's history, 0
+ * when it names none.  A store that was restored from a copy is in a later era,
+ * and gives out revisions of earlier ones again.  Returns 0, or the error by
+ * which the call is to be ended instead: KC_ERR_NOT_FOUND when its revisions
+ * are of another history than what the feed knows, and
+ * KC_ERR_OBJECT_API_UNAVAILABLE for a list of an earlier era than one seen.
+ */
+int KcFeed_OnEra(KcFeed *feed, uint64_t era);
+
 /* One object of a page, or one event of a watch or check. */
 void KcFeed_OnItem(KcFeed *feed, const KcFeedItem *item, KcTime now);
 
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -2,6 +2,7 @@
  * The gateway's feeds of the store's collections, and its own record in the
  * store.
  */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -31,6 +32,14 @@
 /* The same of the versions if the copy is known to lag: until the older ones
  * are replaced more has to follow than for other changes. */
 #define VERSIONS_BEHIND_PERCENT 60
+/*
+ * In percent of the time after which a key that was taken away must not work:
+ * when the configuration is to be certain again, and the longest delay of
+ * calls for it while the store fails. What is left bridges a short loss of the
+ * store.
+ */
+#define CERTAIN_PERCENT 35
+#define CERTAIN_RETRY_PERCENT 6
 /* Interval of checks that may lag, in percent of that time. */
 #define CHECK_INTERVAL_PERCENT 50
 /*
@@ -281,6 +290,52 @@
     return part < maximum ? part : maximum;
 }
 
+/* The feed of the configuration decides for how long keys may be accepted. */
+static void
+set_certainty(KcFeedOptions *options, const KcSettings *settings)
+{
+    KcTime revoke_timeout = (KcTime)(settings->revoke_timeout_ms * KC_MS);
+    KcTime retry_delay_max = revoke_timeout * CERTAIN_RETRY_PERCENT / 100;
+
+    if (revoke_timeout == 0) {
+        return;
+    }
+    options->certain_timeout = revoke_timeout * CERTAIN_PERCENT / 100;
+    if (options->retry_delay_max > retry_delay_max) {
+        options->retry_delay_max = retry_delay_max;
+    }
+    if (options->retry_delay > retry_delay_max) {
+        options->retry_delay = retry_delay_max;
+    }
+}
+
+KcTime
+KcGatewayRole_GetConfigurationAge(void *context)
+{
+    GatewayRole *role = context;
+    KcTime age = KcFeed_CertainAge(role->feeds[KC_COLLECTION_ROUTING],
+                                   KcLoop_Now());
+    bool is_certain = age < role->revoke_timeout;
+    KcLogFields fields = {.step = "certainty",
+                          .generation = KcGatewayRole_GetGeneration(role)};
+
+    if (role->revoke_timeout > 0 && is_certain != role->is_certain) {
+        role->is_certain = is_certain;
+        if (is_certain) {
+            KcLog_Write(KC_LOG_INFO, &fields,
+                        "configuration is certain again, keys are accepted");
+        }
+        else {
+            KcCounters_Add(&role->common.counters, KC_COUNT_UNCERTAIN, 1);
+            KcLog_Write(KC_LOG_WARN, &fields,
+                        "configuration may be out of date, certain %" PRId64
+                        " ms ago: requests with keys are refused",
+                        age != KC_NEVER ? age / KC_MS : -1);
+        }
+    }
+    return age;
+}
+
 void
 KcGatewayRole_StartFeeds(GatewayRole *role)
 {
@@ -322,6 +377,9 @@
             .on_watch_dead = on_watch_dead,
             .context = role};
 
+        if (i == KC_COLLECTION_ROUTING) {
+            set_certainty(&options, settings);
+        }
         role->feeds[i] = KcFeed_Create(&options);
         KcFeed_Start(role->feeds[i], KcLoop_Now());
     }
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -324,4 +324,5 @@
     .ask_end = KcGatewayRole_AskEnd,
     .publish_suspect = KcGatewayRole_PublishSuspect,
     .record_suspect = KcGatewayRole_LogSuspect,
-    .record_notice = log_notice};
+    .record_notice = log_notice,
+    .configuration_age = KcGatewayRole_GetConfigurationAge};
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -104,6 +104,22 @@
     return cleared.was_held;
 }
 
+/* Adds how old the certainty of the configuration is: null, it never was. */
+static void
+add_certainty(const GatewayRole *role, json_t *state)
+{
+    KcTime age = KcFeed_CertainAge(role->feeds[KC_COLLECTION_ROUTING],
+                                   KcLoop_Now());
+
+    json_object_set_new(
+        state, "configuration_age_ms",
+        age != KC_NEVER ? json_integer((json_int_t)(age / KC_MS))
+                        : json_null());
+    json_object_set_new(
+        state, "revoke_ms",
+        json_integer((json_int_t)(role->revoke_timeout / KC_MS)));
+}
+
 static void
 add_state(void *context, json_t *state)
 {
@@ -120,6 +136,7 @@
     json_object_set_new(state, "servers", list);
     KcGateway_VisitEnginePools(role->gateway, add_parts, parts);
     json_object_set_new(state, "parts", parts);
+    add_certainty(role, state);
 }
 
 static void
@@ -205,6 +222,7 @@
     options.retry_percent = retry_percent(settings);
     options.retry_burst = (int64_t)settings->retry_burst;
     options.version_timeout = (KcTime)(settings->version_timeout_ms * KC_MS);
+    options.revoke_timeout = role->revoke_timeout;
     options.suspects = KcRoleCommon_GetSuspectOptions(settings);
     role->gateway = KcGateway_Create(&options);
 }
@@ -302,6 +320,8 @@
         return 1;
     }
     role.incarnation = KcLoop_GetRandomBits();
+    role.revoke_timeout = (KcTime)(settings->revoke_timeout_ms * KC_MS);
+    role.is_certain = true;
     role.common.drain_timeout =
         (KcTime)(settings->grace_period_s * KC_SECOND) - GRACE_PERIOD_MARGIN;
     if (role.common.drain_timeout < 0) {
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -38,6 +38,8 @@
     uint64_t incarnation;
     KcGatewayStop stop;             /* while a planned stop runs */
     KcTime store_status_changed_at; /* lost or regained; 0: never */
+    KcTime revoke_timeout;          /* see KcGatewayOptions */
+    bool is_certain; /* the configuration, when it was last asked for */
 } GatewayRole;
 
 /* A message that waits for the connection to the keeper. */
@@ -97,6 +99,8 @@
 void KcGatewayRole_FreeFeeds(GatewayRole *role);
 /* Version of the routing configuration in force, 0 when there is none. */
 uint64_t KcGatewayRole_GetGeneration(const GatewayRole *role);
+/* Member of KcGatewayOps; logs when keys begin and cease to be refused. */
+KcTime KcGatewayRole_GetConfigurationAge(void *context);
 /* Reads the configuration when a keeper names a later one than that in force.
  */
 void KcGatewayRole_OnGenerationNamed(GatewayRole *role, uint64_t generation,
--- a/programs/process/loop.c
+++ b/programs/process/loop.c
@@ -29,7 +29,7 @@
 KcTime
 KcLoop_Now(void)
 {
-    return read_clock(CLOCK_MONOTONIC);
+    return read_clock(CLOCK_BOOTTIME);
 }
 
 static void
--- a/programs/process/loop.h
+++ b/programs/process/loop.h
@@ -38,7 +38,8 @@
 KcLoop *KcLoop_Create(void);
 void KcLoop_Free(KcLoop *loop);
 
-/* Monotonic clock, in microseconds. */
+/* Monotonic clock, in microseconds, that also counts while the machine is
+ * suspended: what lapses meanwhile has lapsed when it resumes. */
 KcTime KcLoop_Now(void);
 
 /* Runs the loop until KcLoop_Stop() is called. */
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -112,6 +112,13 @@
     DECIMAL_SETTING("platform", "version_ms", ROLES_GATEWAY,
                     version_timeout_ms, "5000", 100, 60000,
                     "An announced version is required after this time."),
+    DECIMAL_SETTING("customers", "revoke_ms", ROLES_GATEWAY,
+                    revoke_timeout_ms, "0", 0, 60000,
+                    "A customer's key that was taken away runs no request "
+                    "that comes so long after, even when the store is out of "
+                    "reach: requests with keys are refused when the "
+                    "configuration was not certain within this time; 0: no "
+                    "such promise."),
     NUMBER_SETTING("platform", "instances_poll_ms", ROLES_ENTRY,
                    instances_poll_interval_ms, "2000", 50, 60000,
                    "Interval of asking for the instance list."),
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -48,6 +48,7 @@
     double server_leave_timeout_ms;
     double config_timeout_ms;
     double version_timeout_ms;
+    double revoke_timeout_ms; /* 0: no promise about keys taken away */
     int64_t instances_poll_interval_ms;
     int64_t lease_ttl_ms;
     int64_t lease_renew_interval_ms;
--- a/tests/process/test_gateway_stop.c
+++ b/tests/process/test_gateway_stop.c
@@ -124,7 +124,8 @@
                                          GatewayStubs_AskEnd,
                                          GatewayStubs_PublishSuspect,
                                          GatewayStubs_RecordSuspect,
-                                         GatewayStubs_RecordNotice};
+                                         GatewayStubs_RecordNotice,
+                                         NULL};
 
 static int
 time_after_stop(const Fixture *fixture)
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -400,7 +400,8 @@
                                      GatewayStubs_AskEnd,
                                      GatewayStubs_PublishSuspect,
                                      GatewayStubs_RecordSuspect,
-                                     GatewayStubs_RecordNotice};
+                                     GatewayStubs_RecordNotice,
+                                     NULL};
     KcForwardCall call = {.id = "this-request",
                           .host = "h",
                           .path = "/r/x",
--- a/tests/request/test_notices.c
+++ b/tests/request/test_notices.c
@@ -243,7 +243,8 @@
                                          GatewayStubs_AskEnd,
                                          GatewayStubs_PublishSuspect,
                                          GatewayStubs_RecordSuspect,
-                                         record_notice};
+                                         record_notice,
+                                         NULL};
 
 static const char *
 region_of(void *context, const char *datacentre)
--- a/tests/request/test_stop_closes.c
+++ b/tests/request/test_stop_closes.c
@@ -73,7 +73,8 @@
                                          GatewayStubs_AskEnd,
                                          GatewayStubs_PublishSuspect,
                                          GatewayStubs_RecordSuspect,
-                                         GatewayStubs_RecordNotice};
+                                         GatewayStubs_RecordNotice,
+                                         NULL};
 
 static void
 add_server(Fixture *fixture)
