test_unframed: uploads in chunks, resets of streams, further statuses

Cause: two ways in which other systems hand a worker's broken answer on as a whole one (MIXED): a reset behind an early 200 without a length, a status 000. Change: 21 more cases: the upload in chunks, streams, a FIN in place of the reset, a reset behind the FIN; the statuses 00, 0, 1000, 2000, 20x, 2xx, 200x, -200, none, and 000 without a length, to an upload and of a stream. No case that was there before is changed.

--- a/tests/request/test_unframed.c
+++ b/tests/request/test_unframed.c
@@ -62,6 +62,9 @@
 #define UPLOAD "POST /s/x HTTP/1.1\r\nContent-Length: 1000000\r\n"
 #define SHORT_UPLOAD "POST /s/x HTTP/1.1\r\nContent-Length: 40000\r\n"
 #define STREAM_UPLOAD "POST /t/x HTTP/1.1\r\nContent-Length: 8000000\r\n"
+#define CHUNKED "Transfer-Encoding: chunked\r\n"
+#define CHUNKED_UPLOAD "POST /s/x HTTP/1.1\r\n" CHUNKED
+#define CHUNKED_STREAM_UPLOAD "POST /t/x HTTP/1.1\r\n" CHUNKED
 
 /* The answer to the caller: status, "length", "chunks" or "cut" (chunks whose
  * end is missing), and the body; connections that the server accepted, and
@@ -192,6 +195,23 @@
      1, NULL, false},
     {"stream of a long upload, closed", STREAM_UPLOAD, STREAM EVENT_0, CLOSES,
      "200 cut " EVENT_0, 1, 0, NULL, false},
+    {"stream of a long upload, reset", STREAM_UPLOAD, STREAM EVENT_0, RESETS,
+     "502 length ", 1, 0, NULL, false},
+    {"stream of a long upload, closed and reset", STREAM_UPLOAD,
+     STREAM EVENT_0, CLOSES_THEN_RESETS, "502 length ", 1, 0, NULL,
+     false},
+    {"upload in chunks, closed", CHUNKED_UPLOAD, OK "\r\nabc", CLOSES,
+     "502 length ", 1, 0, NULL, false},
+    {"upload in chunks, reset", CHUNKED_UPLOAD, OK "\r\nabc", RESETS,
+     "502 length ", 1, 0, NULL, false},
+    {"upload in chunks, reset before a pause", CHUNKED_UPLOAD, OK "\r\nabc",
+     RESETS, "502 length ", 1, 0, START("7"), true},
+    {"upload in chunks, closed and reset", CHUNKED_UPLOAD, OK "\r\nabc",
+     CLOSES_THEN_RESETS, "502 length ", 1, 0, NULL, false},
+    {"stream of an upload in chunks, closed", CHUNKED_STREAM_UPLOAD,
+     STREAM EVENT_0, CLOSES, "200 cut " EVENT_0, 1, 0, NULL, false},
+    {"stream of an upload in chunks, reset", CHUNKED_STREAM_UPLOAD,
+     STREAM EVENT_0, RESETS, "502 length ", 1, 0, NULL, false},
     {"long upload, with a length", LONG_UPLOAD,
      OK "Content-Length: 3\r\nConnection: close\r\n\r\nabc", CLOSES,
      "200 length abc", 1, 0, NULL, false},
@@ -208,6 +228,33 @@
      false},
     {"status 2", GET, STATUS("2"), STAYS, "502 length ", 1, 0, NULL, false},
     {"status 20", GET, STATUS("20"), STAYS, "502 length ", 1, 0, NULL, false},
+    {"status 00", GET, STATUS("00"), STAYS, "502 length ", 1, 0, NULL, false},
+    {"status 0", GET, STATUS("0"), STAYS, "502 length ", 1, 0, NULL, false},
+    {"status 1000", GET, STATUS("1000"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 2000", GET, STATUS("2000"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 20x", GET, STATUS("20x"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 2xx", GET, STATUS("2xx"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status 200x", GET, STATUS("200x"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"status -200", GET, STATUS("-200"), STAYS, "502 length ", 1, 0, NULL,
+     false},
+    {"no status", GET, STATUS(""), STAYS, "502 length ", 1, 0, NULL, false},
+    {"no status and no reason", GET,
+     "HTTP/1.1\r\nAttempt-Id: this\r\nContent-Length: 3\r\n\r\nabc", STAYS,
+     "502 length ", 1, 0, NULL, false},
+    {"status 000 without a length", GET,
+     "HTTP/1.1 000 -\r\nAttempt-Id: this\r\n\r\nabc", CLOSES, "502 length ",
+     1, 0, NULL, false},
+    {"status 000 to a long upload", LONG_UPLOAD, STATUS("000"), RESETS,
+     "502 length ", 1, 0, NULL, false},
+    {"status 000 of a stream of a long upload", STREAM_UPLOAD,
+     "HTTP/1.1 000 -\r\nAttempt-Id: this\r\n"
+     "Content-Type: text/event-stream\r\n\r\n" EVENT_0,
+     CLOSES, "502 length ", 1, 0, NULL, false},
     {"status 000, an answer behind it", GET,
      "HTTP/1.1 000 -\r\n\r\n" STATUS("200"), STAYS, "502 length ", 1, 0, NULL,
      false},
@@ -265,6 +312,12 @@
     GString *received; /* by the caller */
 } Fixture;
 
+static bool
+is_chunked_upload(const Fixture *fixture)
+{
+    return strstr(cases[fixture->index].request, CHUNKED) != NULL;
+}
+
 /* Length of the body of a case's request. */
 static size_t
 upload_bytes(const Fixture *fixture)
@@ -272,6 +325,9 @@
     const char *length =
         strstr(cases[fixture->index].request, "Content-Length: ");
 
+    if (is_chunked_upload(fixture)) {
+        return UPLOAD_BYTES_MAX;
+    }
     return length != NULL ? strtoul(length + 16, NULL, 10) : 0;
 }
 
@@ -520,8 +576,16 @@
         "%sHost: h\r\nAttempt-Id: this\r\nConnection: close\r\n\r\n",
         cases[fixture->index].request);
     body = g_malloc0(upload_bytes(fixture));
+    if (is_chunked_upload(fixture)) {
+        evbuffer_add_printf(bufferevent_get_output(fixture->caller), "%zx\r\n",
+                            upload_bytes(fixture));
+    }
     evbuffer_add(bufferevent_get_output(fixture->caller), body,
                  upload_bytes(fixture));
+    if (is_chunked_upload(fixture)) {
+        evbuffer_add_printf(bufferevent_get_output(fixture->caller),
+                            "\r\n0\r\n\r\n");
+    }
     g_free(body);
 }
 
