--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -134,6 +134,10 @@
     [KC_COUNT_UNCONFIRMED_KEYS] =
         {"kcc_unconfirmed_keys_total",
          "Requests refused because the configuration may be out of date."},
+    [KC_COUNT_UNCERTAIN] =
+        {"kcc_uncertain_total",
+         "Times that keys began to be refused, as the configuration could be "
+         "out of date."},
 };
 
 const char *
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -77,6 +77,7 @@
                                  * key */
     KC_COUNT_UNCONFIRMED_KEYS,  /* requests refused, as the configuration may
                                  * be out of date */
+    KC_COUNT_UNCERTAIN,         /* times the configuration became uncertain */
     KC_COUNTER_COUNT
 } KcCounter;
 
