Quotas: the bucket of a gateway, the hub that adds up, and their messages

Change: each gateway has a bucket per customer over all use as far as heard, a keeper adds up what gateways report; two new message types at the end of KcMsgType. Nothing sends them yet.

--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -46,6 +46,8 @@
                           * was lost; has the engine ended? */
     KC_MSG_ENDED,        /* keeper: it has, on its own */
     KC_MSG_SUSPECT,      /* either: news of a part of prompts */
+    KC_MSG_USAGE,        /* gateway: what customers use and ask for there */
+    KC_MSG_TOTALS,       /* keeper: the same of all gateways, in answer */
     KC_MSG_COUNT
 } KcMsgType;
 
@@ -185,6 +187,25 @@
     KcBytes companions; /* see KcParts_Encode() */
 } KcMsgSuspect;
 
+/* A gateway's report of its customers' use, see KcQuotas_WriteReport(). */
+typedef struct KcMsgUsage {
+    uint32_t sequence;      /* number of the report, at least 1 */
+    uint32_t joined;        /* as in the last answer; 0: none */
+    uint32_t gateway_count; /* all gateways; 0: not known */
+    uint32_t lease_ms;      /* the gateway is counted for so long */
+    bool is_leaving;        /* it is no longer counted; no answer is due */
+    KcBytes rows;           /* see KcQuotaRow */
+} KcMsgUsage;
+
+/* The answer to it, see KcQuotaHub_OnReport(). */
+typedef struct KcMsgTotals {
+    uint32_t sequence;      /* of the report */
+    uint32_t joined;        /* another number: its counts begin anew */
+    uint32_t group_size;    /* gateways that are counted */
+    uint32_t gateway_count; /* the highest that one of them named */
+    KcBytes rows;           /* see KcQuotaRow */
+} KcMsgTotals;
+
 /* One message.  Pointers in it are borrowed. */
 typedef struct KcMsg {
     KcMsgType type;
@@ -208,6 +229,8 @@
         KcMsgHeld held;
         KcMsgEnded ended; /* LOST, too */
         KcMsgSuspect suspect;
+        KcMsgUsage usage;
+        KcMsgTotals totals;
     } u;
 } KcMsg;
 
--- a/lib/connection/message_table.c
+++ b/lib/connection/message_table.c
@@ -123,6 +123,16 @@
     BYTES(suspect.companions),
 };
 
+static const KcField usage_fields[] = {
+    U32(usage.sequence), U32(usage.joined),      U32(usage.gateway_count),
+    U32(usage.lease_ms), BOOL(usage.is_leaving), BYTES(usage.rows),
+};
+
+static const KcField totals_fields[] = {
+    U32(totals.sequence),      U32(totals.joined), U32(totals.group_size),
+    U32(totals.gateway_count), BYTES(totals.rows),
+};
+
 #define LAYOUT(name, rule, fields)                                            \
     {                                                                         \
         name, rule, sizeof(fields) / sizeof((fields)[0]), fields              \
@@ -157,4 +167,6 @@
     [KC_MSG_LOST] = LAYOUT("lost", KC_RULE_CONNECTION, ended_fields),
     [KC_MSG_ENDED] = LAYOUT("ended", KC_RULE_CONNECTION, ended_fields),
     [KC_MSG_SUSPECT] = LAYOUT("suspect", KC_RULE_CONNECTION, suspect_fields),
+    [KC_MSG_USAGE] = LAYOUT("usage", KC_RULE_CONNECTION, usage_fields),
+    [KC_MSG_TOTALS] = LAYOUT("totals", KC_RULE_CONNECTION, totals_fields),
 };
--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -78,6 +78,7 @@
                                   .missing_timeout = MISSING_TIMEOUT_DEFAULT,
                                   .version_timeout = VERSION_TIMEOUT_DEFAULT};
     KcSuspectOptions_Init(&options->suspects);
+    KcQuotaOptions_Init(&options->quotas);
 }
 
 KcGateway *
@@ -97,7 +98,7 @@
     TAILQ_INIT(&gateway->forwards);
     KcTimer_Init(&gateway->pause_timer, on_pause_timer, gateway);
     KcTimer_Init(&gateway->end_timer, on_end_timer, gateway);
-    gateway->quotas = KcQuotas_Create();
+    gateway->quotas = KcQuotas_Create(&options->quotas);
     KcGateway_InitServers(gateway);
     return gateway;
 }
@@ -132,37 +133,56 @@
     return gateway->routing;
 }
 
-void
-KcGateway_SetGatewayCount(KcGateway *gateway, uint32_t gateway_count,
-                          KcTime now)
+KcQuotas *
+KcGateway_GetQuotas(KcGateway *gateway, KcTime now)
+{
+    if (gateway->routing != NULL &&
+        gateway->routing->version != gateway->quotas_version) {
+        gateway->quotas_version = gateway->routing->version;
+        KcQuotas_SetCustomers(gateway->quotas, gateway->routing, now);
+    }
+    return gateway->quotas;
+}
+
+static void
+set_retry_budgets(KcGateway *gateway)
 {
     KcServerPool *pool;
     KcServerPool *next;
 
-    (void)now;
-    if (gateway_count == 0) {
-        return;
-    }
-    gateway->gateway_count = gateway_count;
     HASH_ITER(hh, gateway->pools, pool, next)
     {
         int64_t millitokens = pool->retry_budget.millitokens;
 
         KcRetryBudget_Init(&pool->retry_budget, gateway->options.retry_percent,
-                           gateway->options.retry_burst / gateway_count);
+                           gateway->options.retry_burst /
+                               gateway->gateway_count);
         if (pool->retry_budget.millitokens > millitokens) {
             pool->retry_budget.millitokens = millitokens;
         }
     }
 }
 
+void
+KcGateway_SetGatewayCount(KcGateway *gateway, uint32_t gateway_count,
+                          KcTime now)
+{
+    if (gateway_count == 0) {
+        return;
+    }
+    gateway->gateway_count = gateway_count;
+    KcQuotas_SetGatewayCount(gateway->quotas, gateway_count, now);
+    set_retry_budgets(gateway);
+}
+
 void
 KcGateway_SetRetryBudget(KcGateway *gateway, int64_t percent, int64_t burst,
                          KcTime now)
 {
+    (void)now;
     gateway->options.retry_percent = percent;
     gateway->options.retry_burst = burst;
-    KcGateway_SetGatewayCount(gateway, gateway->gateway_count, now);
+    set_retry_budgets(gateway);
 }
 
 void
--- a/lib/process/gateway_customers.c
+++ b/lib/process/gateway_customers.c
@@ -36,7 +36,8 @@
     admission->step = "quota";
     admission->cost = KcQuota_Cost(admission->customer, call->states_tokens,
                                    call->quota_tokens);
-    return KcQuotas_Take(gateway->quotas, admission->customer, admission->cost,
+    return KcQuotas_Take(KcGateway_GetQuotas(gateway, now),
+                         admission->customer, admission->cost,
                          &admission->retry_after, now);
 }
 
@@ -44,7 +45,7 @@
 KcForward_GiveBackQuota(KcForward *forward, KcTime now)
 {
     if (forward->customer != NULL) {
-        KcQuotas_GiveBack(forward->gateway->quotas, forward->customer,
-                          forward->quota_cost, now);
+        KcQuotas_GiveBack(KcGateway_GetQuotas(forward->gateway, now),
+                          forward->customer, forward->quota_cost, now);
     }
 }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -17,9 +17,10 @@
     KcGatewayOptions options;
     char datacentre[KC_NAME_MAX];
     char region[KC_NAME_MAX];
-    KcRouting *routing; /* in force; NULL: none yet */
-    KcQuotas *quotas;   /* of the customers */
-    KcServer *servers;  /* hash table by id */
+    KcRouting *routing;      /* in force; NULL: none yet */
+    KcQuotas *quotas;        /* of the customers; see KcGateway_GetQuotas() */
+    uint64_t quotas_version; /* of the routing that they were taken from */
+    KcServer *servers;       /* hash table by id */
     KcServer *servers_by_address;
     KcServerPool *pools;
     KcAdapterState *adapters;
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -334,6 +334,7 @@
     KcTime revoke_timeout;  /* a key that was taken away runs no request that
                              * comes so long after; 0: no such promise */
     KcSuspectOptions suspects; /* ops, context and counters are not used */
+    KcQuotaOptions quotas;
 } KcGatewayOptions;
 
 /* Sets the defaults; the fields from ops to seed must be filled in. */
@@ -356,7 +357,10 @@
 void KcGateway_SetRetryBudget(KcGateway *gateway, int64_t percent,
                               int64_t burst, KcTime now);
 
-/* Sets how many gateways share retry_burst; 0 is ignored. */
+/* Returns the customers' quotas by the configuration in force. */
+KcQuotas *KcGateway_GetQuotas(KcGateway *gateway, KcTime now);
+
+/* Sets how many gateways share retry_burst and the quotas; 0 is ignored. */
 void KcGateway_SetGatewayCount(KcGateway *gateway, uint32_t gateway_count,
                                KcTime now);
 
