--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -22,9 +22,9 @@
 #define GATEWAY_COUNT_UNKNOWN 64
 
 /* Interval of reports, by the number of gateways. */
-#define INTERVAL_PER_GATEWAY (15 * KC_MS)
+#define INTERVAL_PER_GATEWAY (10 * KC_MS)
 #define INTERVAL_MIN (250 * KC_MS)
-#define INTERVAL_MAX (3 * KC_SECOND)
+#define INTERVAL_MAX (1500 * KC_MS)
 
 /* Parts of what the promise allows beyond the quota: to make up for gateways
  * that have ended, and to be spent in advance.  The rest is for what is
@@ -38,12 +38,12 @@
  * that was asked for nothing can begin; without pressure what is shared by
  * requests is shared evenly, too, to this part. */
 #define EVEN_FRACTION 0.1
-#define EVEN_FRACTION_CALM 0.5
+#define EVEN_FRACTION_CALM 1.0
 /* A customer presses when it asks for more than this part of its rate. */
 #define PRESSURE_FRACTION 0.9
 
-/* Time constant of asked rates. */
-#define RATE_TIME (700 * KC_MS)
+/* Time constant of asked rates: the longer of this and two intervals. */
+#define RATE_TIME_MIN (700 * KC_MS)
 /* Weight of a request in the mean cost. */
 #define COST_WEIGHT 0.05
 
@@ -78,7 +78,8 @@
         used_joined; /* in the report by which the gateway joined its hub */
     double asked;    /* units asked for since rated_at */
     double asked_rate;
-    double asked_rate_sent;
+    double asked_rate_sent;   /* in the last report, */
+    double asked_rate_before; /* and in the one before it */
     KcTime rated_at;
     KcTime asked_at;
     double mean_cost;
@@ -96,7 +97,9 @@
     double granted; /* level at granted_at */
     double spent;   /* since then, by this gateway */
     KcTime granted_at;
-    double share;    /* of this gateway */
+    double share; /* of this gateway */
+    double room;  /* units that it may spend, as of settled_at */
+    KcTime settled_at;
     bool is_pressed; /* then a request passes by chance when less than its
                       * cost is left */
     double draw;     /* 0 to 1, of that chance */
@@ -248,15 +251,30 @@
     return fmin(fraction, 1) * ADVANCE_FRACTION * excess_units(quotas, quota);
 }
 
-/* The level of the grant by now, without this gateway's use since then. */
+/* What this group may save up. */
 static double
-level_at(const Quota *quota, double fraction, double accrued_fraction,
-         KcTime now)
+level_max(const Quota *quota, double fraction)
+{
+    return fmin(fraction, 1) * quota->burst;
+}
+
+/* The level by now, if it had no end; accrued_part: of what accrues. */
+static double
+endless_level_at(const Quota *quota, double fraction, double accrued_part,
+                 KcTime now)
 {
-    double level = quota->granted + accrued_fraction * fraction * quota->rate *
-                                        to_seconds(now - quota->granted_at);
+    return quota->granted - quota->spent +
+           accrued_part * fraction * quota->rate *
+               to_seconds(now - quota->granted_at);
+}
 
-    return fmin(level, fmin(fraction, 1) * quota->burst);
+/* The level by now.  The use since the grant is taken to be spread evenly, as
+ * is what accrues. */
+static double
+level_at(const Quota *quota, double fraction, KcTime now)
+{
+    return fmin(endless_level_at(quota, fraction, 1, now),
+                level_max(quota, fraction));
 }
 
 static double
@@ -270,23 +288,32 @@
 static void
 grant(KcQuotas *quotas, Quota *quota, double level, KcTime now)
 {
-    double level_min = -window_units(quotas, quota);
-
-    quota->granted = fmax(level, level_min);
+    quota->granted = fmax(level, -window_units(quotas, quota));
     quota->granted_at = now;
     quota->spent = 0;
     quota->draw = draw_number(quotas);
 }
 
-/* What this gateway may spend at once. */
-static double
-room_at(const KcQuotas *quotas, const Quota *quota, KcTime now)
+/* Brings the room up to date. */
+static void
+settle(const KcQuotas *quotas, Quota *quota, KcTime now)
 {
     double fraction = group_fraction(quotas, quota);
+    double accrued = quota->share * fraction * quota->rate *
+                     to_seconds(now - quota->settled_at);
+
+    quota->room =
+        fmin(quota->room + accrued, quota->share * level_max(quota, fraction));
+    quota->settled_at = now;
+}
 
-    return quota->share * (level_at(quota, fraction, 1, now) +
-                           advance_units(quotas, quota, fraction)) -
-           quota->spent;
+/* What this gateway may spend at once; the quota is settled. */
+static double
+room_of(const KcQuotas *quotas, const Quota *quota)
+{
+    return quota->room +
+           quota->share *
+               advance_units(quotas, quota, group_fraction(quotas, quota));
 }
 
 /* Units a second that this gateway may spend. */
@@ -296,19 +323,15 @@
     return quota->share * group_fraction(quotas, quota) * quota->rate;
 }
 
-/* The gateway hears nobody any more: it keeps its share of the level. */
+/* The gateway hears nobody any more: it keeps its room. */
 static void
 go_alone(KcQuotas *quotas, KcTime now)
 {
     Quota *quota;
 
     TAILQ_FOREACH (quota, &quotas->list, link) {
-        double level =
-            quota->share *
-                level_at(quota, group_fraction(quotas, quota), 1, now) -
-            quota->spent;
-
-        grant(quotas, quota, level, now);
+        settle(quotas, quota, now);
+        grant(quotas, quota, quota->room, now);
         quota->share = 1;
         quota->is_pressed = true;
         quota->all_rate = 0;
@@ -334,21 +357,7 @@
     }
 }
 
-/* Begins a new grant of one who hears nobody, whose bucket is its own. */
-static void
-settle_alone(KcQuotas *quotas, Quota *quota, KcTime now)
-{
-    if (!quotas->is_hearing && now > quota->granted_at) {
-        double draw = quota->draw;
-
-        grant(quotas, quota,
-              level_at(quota, group_fraction(quotas, quota), 1, now) -
-                  quota->spent,
-              now);
-        quota->draw = draw;
-    }
-}
-
+/* Begins a new grant for each customer, as what it depends on changes. */
 static void
 settle_all(KcQuotas *quotas, KcTime now)
 {
@@ -356,7 +365,9 @@
 
     check_lease(quotas, now);
     TAILQ_FOREACH (quota, &quotas->list, link) {
-        settle_alone(quotas, quota, now);
+        settle(quotas, quota, now);
+        grant(quotas, quota,
+              level_at(quota, group_fraction(quotas, quota), now), now);
     }
 }
 
@@ -412,6 +423,7 @@
     quota->is_pressed = true;
     quota->draw = draw_number(quotas);
     quota->granted_at = now;
+    quota->settled_at = now;
     quota->rated_at = now;
     quota->asked_at = -REPORT_TIMEOUT;
     HASH_ADD(hh, quotas->table, id, sizeof(quota->id), quota);
@@ -419,25 +431,19 @@
     return quota;
 }
 
-/* Takes over a customer's quota; its level stays, within the new burst. */
+/* Takes over a customer's quota, which is settled; its level stays, within the
+ * new burst. */
 static void
 set_limits(KcQuotas *quotas, Quota *quota, const KcRoutedCustomer *customer,
-           bool is_new, KcTime now)
+           bool is_new)
 {
     if (!is_new && (quota->unit != customer->unit || quota->rate <= 0)) {
         quota->granted = 0;
-        quota->spent = 0;
+        quota->room = 0;
         quota->mean_cost = 0;
         quota->asked_rate = 0;
         quota->asked = 0;
         quota->awaited = 0;
-        quota->granted_at = now;
-    }
-    else if (!is_new) {
-        /* What accrued at the old rate stays. */
-        quota->granted =
-            level_at(quota, group_fraction(quotas, quota), 1, now);
-        quota->granted_at = now;
     }
     quota->unit = customer->unit;
     quota->rate = customer->rate_per_s > 0 ? customer->rate_per_s : 0;
@@ -446,6 +452,7 @@
     if (is_new && quotas->has_customers) {
         /* No gateway can have spent of it before. */
         quota->granted = group_fraction(quotas, quota) * quota->burst;
+        quota->room = quota->share * quota->granted;
     }
 }
 
@@ -465,11 +472,11 @@
     TAILQ_FOREACH (customer, &routing->customer_list, link) {
         quota = find_quota(quotas, KcQuota_HashCustomer(customer->name));
         if (quota != NULL) {
-            set_limits(quotas, quota, customer, false, now);
+            set_limits(quotas, quota, customer, false);
         }
         else {
             quota = add_quota(quotas, customer->name, now);
-            set_limits(quotas, quota, customer, true, now);
+            set_limits(quotas, quota, customer, true);
         }
     }
     TAILQ_FOREACH_SAFE (quota, &quotas->list, link, next) {
@@ -550,7 +557,7 @@
     double debt_max = DEBT_FRACTION * excess_units(quotas, quota);
 
     return (double)cost > debt_max &&
-           level_at(quota, fraction, 1, now) - quota->spent +
+           level_at(quota, fraction, now) +
                    advance_units(quotas, quota, fraction) <
                (double)cost - debt_max;
 }
@@ -566,8 +573,8 @@
         .unit = quota->unit,
         .rate_per_s = quota->rate,
         .burst = quota->burst,
-        .level = level_at(quota, fraction, 1, now) - quota->spent,
-        .may_spend = fmax(0, room_at(quotas, quota, now)),
+        .level = level_at(quota, fraction, now),
+        .may_spend = fmax(0, room_of(quotas, quota)),
         .may_rate = rate_here(quotas, quota),
         .asked_rate = quota->asked_rate,
         .all_rate = fmax(quota->all_rate, quota->asked_rate),
@@ -631,18 +638,19 @@
     }
     cost = cost < COST_MAX ? cost : COST_MAX;
     check_lease(quotas, now);
-    settle_alone(quotas, quota, now);
+    settle(quotas, quota, now);
     count_asked(quota, cost, now);
     if (quota->rate <= 0 || cost == 0) {
         quota->admitted++;
         quota->used += (int64_t)cost;
         return 0;
     }
-    missing = room_needed(quotas, quota) - room_at(quotas, quota, now);
+    missing = room_needed(quotas, quota) - room_of(quotas, quota);
     if (missing < 0 && !is_too_large(quotas, quota, cost, now)) {
         quota->admitted++;
         quota->used += (int64_t)cost;
         quota->spent += (double)cost;
+        quota->room -= (double)cost;
         quota->draw = draw_number(quotas);
         return 0;
     }
@@ -666,11 +674,12 @@
     }
     cost = cost < COST_MAX ? cost : COST_MAX;
     check_lease(quotas, now);
-    settle_alone(quotas, quota, now);
+    settle(quotas, quota, now);
     quota->used -= (int64_t)cost;
     quota->asked_at = now;
     if (quota->rate > 0) {
         quota->spent -= (double)cost;
+        quota->room += (double)cost;
     }
 }
 
@@ -701,7 +710,7 @@
 }
 
 static void
-update_rate(Quota *quota, KcTime now)
+update_rate(Quota *quota, KcTime time_constant, KcTime now)
 {
     double elapsed = to_seconds(now - quota->rated_at);
 
@@ -709,7 +718,7 @@
         return;
     }
     quota->asked_rate += (quota->asked / elapsed - quota->asked_rate) *
-                         (1 - exp(-elapsed / to_seconds(RATE_TIME)));
+                         (1 - exp(-elapsed / to_seconds(time_constant)));
     quota->asked = 0;
     quota->rated_at = now;
 }
@@ -717,11 +726,15 @@
 void
 KcQuotas_Review(KcQuotas *quotas, KcTime now)
 {
+    KcTime rate_time = 2 * KcQuotas_Interval(quotas);
     Quota *quota;
 
+    if (rate_time < RATE_TIME_MIN) {
+        rate_time = RATE_TIME_MIN;
+    }
     check_lease(quotas, now);
     TAILQ_FOREACH (quota, &quotas->list, link) {
-        update_rate(quota, now);
+        update_rate(quota, rate_time, now);
         if (quota->is_limited && now - quota->refused_at >= LIMITED_TIMEOUT) {
             set_limited(quotas, quota, false, now);
         }
@@ -756,6 +769,7 @@
                           .asked_rate = quota->asked_rate};
 
         quota->used_sent = quota->used;
+        quota->asked_rate_before = quota->asked_rate_sent;
         quota->asked_rate_sent = quota->asked_rate;
         if (quota->rate > 0 && now - quota->asked_at < REPORT_TIMEOUT) {
             KcQuotaRow_Append(&row, &quotas->rows);
@@ -824,13 +838,20 @@
     *msg = (KcMsg){.type = KC_MSG_USAGE, .u.usage = {.is_leaving = true}};
 }
 
-/* What this gateway may count on while it did not hear of the others: they
- * have used what was theirs. */
+/* The level as an answer comes, before the use of the others since the last
+ * one is taken off.  Of a time in which that was not counted, they are taken
+ * to have used what was theirs. */
 static double
-level_unheard(const KcQuotas *quotas, const Quota *quota, KcTime now)
+level_heard(const KcQuotas *quotas, const Quota *quota, bool is_joining,
+            KcTime now)
 {
-    return level_at(quota, group_fraction(quotas, quota), quota->share, now) -
-           quota->spent;
+    double fraction = group_fraction(quotas, quota);
+
+    if (!quotas->is_hearing) {
+        return quota->room;
+    }
+    return endless_level_at(quota, fraction, is_joining ? quota->share : 1,
+                            now);
 }
 
 static void
@@ -838,7 +859,9 @@
 {
     double even = 1.0 / quotas->group_size;
     double all = fmax(quota->all_rate, quota->asked_rate_sent);
-    double asked = all > 0 ? quota->asked_rate_sent / all : even;
+    /* While all ask for more, few of the others' reports say so yet. */
+    double own = fmin(quota->asked_rate_sent, quota->asked_rate_before);
+    double asked = all > 0 ? own / all : even;
 
     quota->is_pressed =
         quota->granted < 0 ||
@@ -902,13 +925,8 @@
                  quotas->hub_incarnation != incarnation ||
                  quotas->joined != totals->joined;
     TAILQ_FOREACH (quota, &quotas->list, link) {
-        double level =
-            is_joining && quotas->is_hearing
-                ? level_unheard(quotas, quota, now)
-                : level_at(quota, group_fraction(quotas, quota), 1, now) -
-                      quota->spent;
-
-        grant(quotas, quota, level, now);
+        settle(quotas, quota, now);
+        grant(quotas, quota, level_heard(quotas, quota, is_joining, now), now);
         quota->is_heard = false;
         quota->all_rate = 0;
         if (is_joining) {
@@ -927,7 +945,10 @@
     quotas->sent_at = KC_NEVER;
     TAILQ_FOREACH (quota, &quotas->list, link) {
         quota->is_told = true;
+        quota->granted = fmin(quota->granted,
+                              level_max(quota, group_fraction(quotas, quota)));
         set_share(quotas, quota);
+        quota->room = quota->share * quota->granted;
     }
     return 0;
 }
@@ -943,7 +964,7 @@
     check_lease(quotas, now);
     TAILQ_FOREACH (quota, &quotas->list, link) {
         if (quota->removed_at == KC_NEVER) {
-            settle_alone(quotas, quota, now);
+            settle(quotas, quota, now);
             describe(quotas, quota, &state, now);
             visit(context, &state);
         }
