Quotas: reports of gateways to a hub, answers, settings, log, metrics

Cause: the buckets of lib/process/quota.c heard of nobody. Change: gateway_quotas.c reports to the first hub of the first engine pool that answers; a keeper answers each report at once. [customers] quota_window_s, quota_excess and quota_slack come from the bounds where there are some. One log line when a customer begins and ends to be limited and when another hub answers; /debug/state has the customers, /metrics the eight largest and the rest.

--- a/lib/process/kcc_quota.h
+++ b/lib/process/kcc_quota.h
@@ -134,9 +134,9 @@
 /* Hubs among which a gateway chooses. */
 #define KC_QUOTA_HUBS_MAX 3
 
-/* Returns the hub of the next report: the first of the given ones that has not
- * left one unanswered lately, 0 when there is none.  The ids are any numbers
- * but 0. */
+/* Returns the hub of the next report: the first of those that can be reached
+ * that has not left one unanswered lately, 0 when there is none.  The ids are
+ * any numbers but 0. */
 uint64_t KcQuotas_ChooseHub(KcQuotas *quotas, const uint64_t *hubs,
                             uint32_t count, KcTime now);
 
@@ -147,8 +147,6 @@
  */
 bool KcQuotas_WriteReport(KcQuotas *quotas, uint64_t hub, KcMsg *msg,
                           KcTime now);
-/* Forgets an unanswered report, as the link that it went over is lost. */
-void KcQuotas_DropReport(KcQuotas *quotas);
 /* Writes a message for a hub that this gateway no longer reports to. */
 void KcQuotas_WriteLeave(KcMsg *msg);
 
--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -809,6 +809,17 @@
     return false;
 }
 
+static bool
+is_among(uint64_t hub, const uint64_t *hubs, uint32_t count)
+{
+    for (uint32_t i = 0; i < count; i++) {
+        if (hubs[i] == hub) {
+            return true;
+        }
+    }
+    return false;
+}
+
 uint64_t
 KcQuotas_ChooseHub(KcQuotas *quotas, const uint64_t *hubs, uint32_t count,
                    KcTime now)
@@ -818,6 +829,10 @@
         avoid_hub(quotas, quotas->asked_hub, now);
         quotas->sent_at = KC_NEVER;
     }
+    if (quotas->sent_at != KC_NEVER &&
+        !is_among(quotas->asked_hub, hubs, count)) {
+        quotas->sent_at = KC_NEVER; /* the link is lost */
+    }
     for (uint32_t i = 0; i < count; i++) {
         if (!is_avoided(quotas, hubs[i], now)) {
             return hubs[i];
@@ -826,12 +841,6 @@
     return 0;
 }
 
-void
-KcQuotas_DropReport(KcQuotas *quotas)
-{
-    quotas->sent_at = KC_NEVER;
-}
-
 void
 KcQuotas_WriteLeave(KcMsg *msg)
 {
--- a/programs/process/admin_http.c
+++ b/programs/process/admin_http.c
@@ -43,12 +43,20 @@
 on_metrics(evhtp_request_t *http, void *context)
 {
     KcAdminServer *admin_server = context;
+    const KcAdminServerOps *ops = admin_server->options.ops;
     char *text = KcCounters_Format(admin_server->options.counters);
+    KcBuffer own = {0};
 
     evbuffer_add_printf(http->buffer_out,
                         "# TYPE kcc_log_dropped_total counter\n"
                         "kcc_log_dropped_total %" PRIu64 "\n",
                         KcLog_DroppedCount());
+    if (ops->format_metrics != NULL) {
+        ops->format_metrics(admin_server->options.context, &own);
+        evbuffer_add(http->buffer_out, KcBuffer_Data(&own),
+                     KcBuffer_Size(&own));
+        KcBuffer_Clear(&own);
+    }
     reply_text(http, EVHTP_RES_OK, "text/plain; version=0.0.4", text);
     free(text);
 }
--- a/programs/process/admin_http.h
+++ b/programs/process/admin_http.h
@@ -33,6 +33,8 @@
     /* Clears a part of prompts; false when nothing is held against it.  NULL
      * where no parts are known. */
     bool (*clear_part)(void *context, uint64_t part);
+    /* Adds the role's own lines to the metrics; may be NULL. */
+    void (*format_metrics)(void *context, KcBuffer *text);
 } KcAdminServerOps;
 
 typedef struct KcAdminServerOptions {
--- a/programs/process/agent_role.c
+++ b/programs/process/agent_role.c
@@ -114,8 +114,8 @@
     KcRoleCommon_BeginDrain(&((AgentRole *)context)->common);
 }
 
-static const KcAdminServerOps admin_ops = {check_ready, get_generation,
-                                           add_state, admin_begin_drain, NULL};
+static const KcAdminServerOps admin_ops = {
+    check_ready, get_generation, add_state, admin_begin_drain, NULL, NULL};
 
 static void
 begin_drain(void *context)
--- a/programs/process/gateway_keepers.c
+++ b/programs/process/gateway_keepers.c
@@ -143,6 +143,7 @@
     [KC_MSG_HELD] = take_held,
     [KC_MSG_ENDED] = take_ended,
     [KC_MSG_SUSPECT] = take_suspect,
+    [KC_MSG_TOTALS] = KcGatewayRole_TakeTotals,
     [KC_MSG_PING] = take_ping,
 };
 
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -120,6 +120,7 @@
     json_object_set_new(state, "servers", list);
     KcGateway_VisitEnginePools(role->gateway, add_parts, parts);
     json_object_set_new(state, "parts", parts);
+    KcGatewayRole_AddCustomers(role, state);
 }
 
 static void
@@ -129,7 +130,8 @@
 }
 
 static const KcAdminServerOps admin_ops = {
-    check_ready, get_generation, add_state, admin_begin_drain, clear_part};
+    check_ready,       get_generation, add_state,
+    admin_begin_drain, clear_part,     KcGatewayRole_FormatMetrics};
 
 /* ---- planned stops and changed settings ---------------------------------- */
 
@@ -206,6 +208,12 @@
     options.retry_burst = (int64_t)settings->retry_burst;
     options.version_timeout = (KcTime)(settings->version_timeout_ms * KC_MS);
     options.suspects = KcRoleCommon_GetSuspectOptions(settings);
+    options.quotas.ops = &KcGatewayRole_QuotaOps;
+    options.quotas.context = role;
+    options.quotas.window = (KcTime)(settings->quota_window_s * KC_SECOND);
+    options.quotas.excess = settings->quota_excess;
+    options.quotas.slack = settings->quota_slack;
+    options.quotas.seed = options.seed;
     role->gateway = KcGateway_Create(&options);
 }
 
@@ -263,6 +271,7 @@
 
     role->store = role->platform->open_store(&store_options);
     KcGatewayRole_StartKeepers(role);
+    KcGatewayRole_StartQuotas(role);
     KcGatewayRole_StartFeeds(role);
     KcGatewayRole_WriteOwnRecord(role);
     KcRoleCommon_HandleSignals(&role->common, &role_ops, role);
@@ -272,6 +281,7 @@
 free_all(GatewayRole *role)
 {
     if (role->store != NULL) {
+        KcGatewayRole_StopQuotas(role);
         KcGatewayRole_StopKeepers(role);
         KcOwnRecord_Clear(&role->own_record);
         KcGatewayRole_FreeFeeds(role);
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -3,8 +3,8 @@
  *
  * gateway_role.c starts and stops it and answers administrators,
  * gateway_links.c holds the connections to servers, gateway_keepers.c those to
- * their keepers, gateway_feeds.c reads the store and writes the gateway's own
- * record.
+ * their keepers, gateway_quotas.c shares the customers' quotas over them,
+ * gateway_feeds.c reads the store and writes the gateway's own record.
  */
 #ifndef KCC_GATEWAY_ROLE_INTERNAL_H
 #define KCC_GATEWAY_ROLE_INTERNAL_H
@@ -34,6 +34,8 @@
     KcIntakePool request_pool;     /* of callers' requests */
     KcTimer use_report_timer;
     KcTimer hub_timer;      /* connects to the hubs */
+    KcTimer quota_timer;    /* reports customers' use to a hub */
+    uint64_t quota_hub;     /* that answered last; 0: none */
     KcOwnRecord own_record; /* of this gateway, in the store */
     uint64_t incarnation;
     KcGatewayStop stop;             /* while a planned stop runs */
@@ -90,6 +92,21 @@
                               KcSuspectStep step, const KcSuspect *suspect,
                               bool is_own);
 
+/* ---- quotas (gateway_quotas.c) ------------------------------------------- */
+
+/* Starts to report the customers' use, and ends it. */
+void KcGatewayRole_StartQuotas(GatewayRole *role);
+void KcGatewayRole_StopQuotas(GatewayRole *role);
+/* Takes the answer of a hub.  Returns 0 or KC_ERR_PROTOCOL. */
+int KcGatewayRole_TakeTotals(GatewayRole *role, KcServer *server,
+                             const KcMsg *msg);
+/* Adds the customers to the JSON of /debug/state. */
+void KcGatewayRole_AddCustomers(GatewayRole *role, json_t *state);
+/* Member of KcAdminServerOps. */
+void KcGatewayRole_FormatMetrics(void *context, KcBuffer *text);
+/* Log of the quotas. */
+extern const KcQuotaOps KcGatewayRole_QuotaOps;
+
 /* ---- the store (gateway_feeds.c) ----------------------------------------- */
 
 /* Starts a feed for each collection of the store. */
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -41,6 +41,7 @@
     KcTcpListener *listener;
     struct KcLinkList links;
     KcOwnRecord fence_record; /* its revision is the fencing number */
+    KcQuotaHub *quota_hub;    /* customers' use at the gateways */
     uint64_t incarnation;
     uint64_t generation;       /* of the routing configuration in force */
     uint64_t named_generation; /* highest that a gateway or the store named */
@@ -167,6 +168,20 @@
     return code;
 }
 
+/* Returns 0 or an error code; what a gateway uses is answered by the sums. */
+static int
+take_usage(KeeperRole *role, KcLink *link, const KcMsg *msg, KcTime now)
+{
+    KcMsg answer;
+    int code = KcQuotaHub_OnReport(role->quota_hub, link->peer_name,
+                                   link->peer_incarnation, msg, &answer, now);
+
+    if (code == 0 && answer.type == KC_MSG_TOTALS) {
+        KcLink_Send(link, &answer);
+    }
+    return code;
+}
+
 static void
 accept_hello(KeeperRole *role, KcLink *link)
 {
@@ -217,6 +232,9 @@
     case KC_MSG_SUSPECT:
         code = take_suspect(role, link, msg, now);
         break;
+    case KC_MSG_USAGE:
+        code = take_usage(role, link, msg, now);
+        break;
     case KC_MSG_PING: /* names a generation */
         break;
     default:
@@ -461,8 +479,9 @@
                                 KcLoop_Now());
 }
 
-static const KcAdminServerOps admin_ops = {
-    check_ready, get_generation, add_state, admin_begin_drain, clear_part};
+static const KcAdminServerOps admin_ops = {check_ready, get_generation,
+                                           add_state,   admin_begin_drain,
+                                           clear_part,  NULL};
 
 static void
 begin_drain(void *context)
@@ -515,6 +534,7 @@
     options.counters = &role->common.counters;
     options.suspects = KcRoleCommon_GetSuspectOptions(settings);
     role->keeper = KcKeeper_Create(&options);
+    role->quota_hub = KcQuotaHub_Create();
 }
 
 static int
@@ -578,6 +598,7 @@
         KcTcpListener_Free(role->listener);
     }
     KcKeeper_Free(role->keeper);
+    KcQuotaHub_Free(role->quota_hub);
     role->platform->close_engine(role->engine);
     KcRoleCommon_Clear(&role->common);
 }
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -242,6 +242,16 @@
     NUMBER_SETTING("parts", "remembered_max", ROLES_PLATFORM, parts_max,
                    "10000", 16, 1000000,
                    "Parts of prompts that are remembered for each service."),
+    DECIMAL_SETTING("customers", "quota_window_s", ROLES_GATEWAY,
+                    quota_window_s, "8", 1, 3600,
+                    "Quotas are kept in any span of this length, in seconds."),
+    DECIMAL_SETTING("customers", "quota_excess", ROLES_GATEWAY, quota_excess,
+                    "0.1", 0, 10,
+                    "More than its quota that a customer may use in such a "
+                    "span, as a fraction."),
+    DECIMAL_SETTING("customers", "quota_slack", ROLES_GATEWAY, quota_slack,
+                    "0", 0, 1000000000,
+                    "More beside that, in units of the quota."),
 };
 
 /* Section with lines DATACENTRE = REGION. */
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -97,6 +97,9 @@
     int64_t part_evidence_timeout_s;
     int64_t part_trial_delay_s;
     int64_t parts_max;
+    double quota_window_s; /* see KcQuotaOptions */
+    double quota_excess;
+    double quota_slack;
 } KcSettings;
 
 /*
