tests: the bucket, the hub, the choice of a hub and wrong messages

Cause: test_quota_play shows the whole, not which step does what. A request that never passes no longer counts in the mean cost of a customer.

--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -519,11 +519,14 @@
 }
 
 static void
-count_asked(Quota *quota, uint64_t cost, KcTime now)
+count_asked(const KcQuotas *quotas, Quota *quota, uint64_t cost, KcTime now)
 {
-    quota->asked += (double)cost;
     quota->asked_units += cost;
     quota->asked_at = now;
+    if (quota->rate > 0 && (double)cost > window_units(quotas, quota)) {
+        return; /* it never passes */
+    }
+    quota->asked += (double)cost;
     quota->mean_cost += ((double)cost - quota->mean_cost) *
                         (quota->mean_cost > 0 ? COST_WEIGHT : 1);
 }
@@ -639,7 +642,7 @@
     cost = cost < COST_MAX ? cost : COST_MAX;
     check_lease(quotas, now);
     settle(quotas, quota, now);
-    count_asked(quota, cost, now);
+    count_asked(quotas, quota, cost, now);
     if (quota->rate <= 0 || cost == 0) {
         quota->admitted++;
         quota->used += (int64_t)cost;
--- a/tests/connection/test_link.c
+++ b/tests/connection/test_link.c
@@ -69,6 +69,14 @@
         KcText_Copy(msg->u.part.hash, "0123", sizeof(msg->u.part.hash));
         msg->u.part.bytes = (KcBytes){"x", 1};
         break;
+    case KC_MSG_USAGE:
+        msg->u.usage =
+            (KcMsgUsage){1, 2, 3, 4, true, {"12345678901234567890", 20}};
+        break;
+    case KC_MSG_TOTALS:
+        msg->u.totals =
+            (KcMsgTotals){1, 2, 3, 4, {"12345678901234567890", 20}};
+        break;
     default:
         break;
     }
