--- a/programs/kcc/command.h
+++ b/programs/kcc/command.h
@@ -62,6 +62,7 @@
 int KcCommand_Call(const KcArguments *arguments);
 int KcCommand_Capacity(const KcArguments *arguments);
 int KcCommand_Parts(const KcArguments *arguments);
+int KcCommand_Customers(const KcArguments *arguments);
 int KcCommand_Unblock(const KcArguments *arguments);
 
 /* Prints the step, name and peer of err to stderr, returns KC_EXIT_FAILED. */
--- a/programs/kcc/main.c
+++ b/programs/kcc/main.c
@@ -35,6 +35,9 @@
     {"parts", "ADMIN-ADDRESS",
      "Show the prompt parts that a gateway or keeper blocks or suspects", 1, 1,
      false, KcCommand_Parts},
+    {"customers", "ADMIN-ADDRESS",
+     "Show the customers of a gateway, their use and quotas", 1, 1, false,
+     KcCommand_Customers},
     {"unblock", "ADMIN-ADDRESS PART", "Clear a blocked or suspected part", 2,
      2, false, KcCommand_Unblock},
 };
