Quotas: a gateway that hears nobody remembers how many there are

Cause: test_quotas, with three gateways whose keepers are killed, let 703 requests pass in 8 s where the promise allows 594: a list of gateways read at the start names fewer than there are, and is read again after 20 s; alone, each took itself for one of these few. A row of the play has the list at a tenth.

--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -57,6 +57,9 @@
 #define REPORT_TIMEOUT (10 * KC_SECOND)
 /* A hub that left a report unanswered is asked again after this. */
 #define AVOID_TIMEOUT (5 * KC_SECOND)
+/* A number of gateways that was heard of holds for so long without a higher
+ * one; gateways are listed more often. */
+#define KNOWN_COUNT_TIMEOUT (60 * KC_SECOND)
 /* Costs are counted up to this. */
 #define COST_MAX ((uint64_t)1 << 40)
 
@@ -123,7 +126,8 @@
     uint64_t hub_incarnation;
     uint32_t joined;
     uint32_t group_size;
-    uint32_t heard_count; /* of all gateways, as the hub knows it */
+    uint32_t known_count; /* most gateways that were heard of, */
+    KcTime known_at;      /* when that was last */
     KcTime heard_at;      /* when the report was sent that was answered */
 
     struct {
@@ -211,17 +215,11 @@
 static uint32_t
 count_all(const KcQuotas *quotas)
 {
-    uint32_t count = quotas->gateway_count;
+    uint32_t count = quotas->gateway_count > quotas->known_count
+                         ? quotas->gateway_count
+                         : quotas->known_count;
 
-    if (quotas->is_hearing && quotas->heard_count > count) {
-        count = quotas->heard_count;
-    }
-    if (count == 0) {
-        count = GATEWAY_COUNT_UNKNOWN;
-    }
-    return quotas->is_hearing && quotas->group_size > count
-               ? quotas->group_size
-               : count;
+    return count > 0 ? count : GATEWAY_COUNT_UNKNOWN;
 }
 
 KcQuotaGroup
@@ -488,9 +486,25 @@
     quotas->has_customers = true;
 }
 
+/* Remembers how many gateways were heard of, for longer than a list may lag:
+ * one that hears nobody any more must not take itself for the only one. */
+static void
+learn_count(KcQuotas *quotas, uint32_t count, KcTime now)
+{
+    if (count >= quotas->known_count ||
+        now - quotas->known_at >= KNOWN_COUNT_TIMEOUT) {
+        quotas->known_count = count;
+        quotas->known_at = now;
+    }
+}
+
 void
 KcQuotas_SetGatewayCount(KcQuotas *quotas, uint32_t gateway_count, KcTime now)
 {
+    if (now - quotas->known_at >= KNOWN_COUNT_TIMEOUT) {
+        settle_all(quotas, now);
+        quotas->known_count = quotas->is_hearing ? quotas->group_size : 0;
+    }
     if (gateway_count != quotas->gateway_count) {
         settle_all(quotas, now);
         quotas->gateway_count = gateway_count;
@@ -952,7 +966,11 @@
     quotas->hub_incarnation = incarnation;
     quotas->joined = totals->joined;
     quotas->group_size = totals->group_size;
-    quotas->heard_count = totals->gateway_count;
+    learn_count(quotas,
+                totals->gateway_count > totals->group_size
+                    ? totals->gateway_count
+                    : totals->group_size,
+                now);
     quotas->heard_at = quotas->sent_at;
     quotas->sent_at = KC_NEVER;
     TAILQ_FOREACH (quota, &quotas->list, link) {
--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -308,17 +308,22 @@
         "models", "name", "m", "mb", 100, "adapter_mb", 1, "name", "plain",
         "health_path", "/health", "conn_limit", 100);
 
+    json_t *customers = cluster->options.customers != NULL
+                            ? json_loads(cluster->options.customers, 0, NULL)
+                            : NULL;
+
     if (has_extra_route) {
         json_array_append_new(
             routes, make_route("/extra/", "safe", "plain", 2, false));
     }
     write_object(cluster, "config", "main",
-                 json_pack("{s:i, s:o, s:o, s:{s:i, s:i, s:i, s:i}}",
+                 json_pack("{s:i, s:o, s:o, s:o*, s:{s:i, s:i, s:i, s:i}}",
                            "version", version, "routes", routes, "services",
-                           services, "limits", "max_header_bytes", 4096,
-                           "max_body_bytes", limits->body_bytes_max,
-                           "header_timeout_ms", limits->header_timeout_ms,
-                           "idle_timeout_ms", limits->idle_timeout_ms));
+                           services, "tenants", customers, "limits",
+                           "max_header_bytes", 4096, "max_body_bytes",
+                           limits->body_bytes_max, "header_timeout_ms",
+                           limits->header_timeout_ms, "idle_timeout_ms",
+                           limits->idle_timeout_ms));
 }
 
 void
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -36,6 +36,7 @@
     bool has_proxies;        /* the store and the workers are reached through
                               * GATEWAY_CLUSTER_PROXY_PORT, where the caller runs a
                               * proxy */
+    const char *customers;   /* JSON list in the configuration; NULL: none */
 } GatewayClusterOptions;
 
 /* Port of the store, the workers and, for callers, the gateways. */
--- a/tests/process/test_quota_play.c
+++ b/tests/process/test_quota_play.c
@@ -108,6 +108,8 @@
     {"N high", "counts", 30, 400000, 0.55, 7, 1, 1.3, 0, 1, true, 0.75},
     {"N high calm", "counts", 30, 400000, 0.55, 1, 1, 1.5, 0, 1, true, 0.95},
     {"N low", "counts", 30, 400000, 0.55, 7, 1, 0.8, 0, 1, true, 0.85},
+    {"N low, all cut", "counts", 30, 400000, 0.55, 7, 1, 0.1, TROUBLE_CUT, 1,
+     true, 0.5},
     {"N unknown", "counts", 30, 400000, 0.55, 7, 1, 0, 0, 1, true, 0.4},
 };
 
