Quotas: a group of which nobody has listed the gateways stays small

Cause: two groups that begin apart, before any list, would each take all. Change: as long as no gateway of the group has listed them, 64 are assumed.

--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -128,6 +128,7 @@
     uint32_t group_size;
     uint32_t known_count; /* most gateways that were heard of, */
     KcTime known_at;      /* when that was last */
+    bool is_count_heard;  /* a gateway of the group has listed them */
     KcTime heard_at;      /* when the report was sent that was answered */
 
     struct {
@@ -218,8 +219,10 @@
     uint32_t count = quotas->gateway_count > quotas->known_count
                          ? quotas->gateway_count
                          : quotas->known_count;
+    bool is_listed = quotas->gateway_count > 0 || quotas->is_count_heard;
 
-    return count > 0 ? count : GATEWAY_COUNT_UNKNOWN;
+    return is_listed || count > GATEWAY_COUNT_UNKNOWN ? count
+                                                      : GATEWAY_COUNT_UNKNOWN;
 }
 
 KcQuotaGroup
@@ -966,6 +969,7 @@
     quotas->hub_incarnation = incarnation;
     quotas->joined = totals->joined;
     quotas->group_size = totals->group_size;
+    quotas->is_count_heard = totals->gateway_count > 0;
     learn_count(quotas,
                 totals->gateway_count > totals->group_size
                     ? totals->gateway_count
