--- a/tests/check-docs.sh
+++ b/tests/check-docs.sh
@@ -61,8 +61,10 @@
 every_counter_is_defined() {
     grep -oh 'kcc_[a-z_]*_total' "$ROOT/docs/OPERATIONS.md" | sort -u |
         while read -r counter; do
-            # The counter of dropped log lines is written by admin_http.c.
-            grep -q "\"$counter\"" "$ROOT/lib/process/counters.c" ||
+            # The counter of dropped log lines is written by admin_http.c, those
+            # of customers by gateway_quotas.c.
+            grep -q "\"$counter\"" "$ROOT/lib/process/counters.c" \
+                "$ROOT/programs/process/gateway_quotas.c" ||
                 grep -q "# TYPE $counter counter" \
                     "$ROOT/programs/process/admin_http.c" || exit 1
         done
