--- a/tests/process/test_quota.c
+++ b/tests/process/test_quota.c
@@ -49,7 +49,7 @@
     {"a gateway that has begun has an empty bucket",
      0,
      {{STEP_COUNT, 1, 0, 0},
-      {STEP_TAKE, 20, 100, 0},
+      {STEP_TAKE, 20, 1, 0},
       {STEP_WAIT, 500, 0, 0},
       {STEP_TAKE, 20, 100, 5}}},
     {"no more than the burst is saved up",
