Quotas: half of what is apart goes to the gateways that hear each other

Change: the group with most gateways has what the others, at half of their part, leave; without engines in the configuration, and so without hubs, each keeps its whole part.

--- a/lib/process/kcc_quota.h
+++ b/lib/process/kcc_quota.h
@@ -31,6 +31,7 @@
     bool is_hearing; /* it hears of the use of the others */
     uint32_t size;   /* gateways that hear each other, with itself */
     uint32_t count;  /* all gateways; at least size */
+    bool has_hub;    /* it is known, and some keepers are hubs */
 } KcQuotaGroup;
 
 /* How quotas are shared; see KcQuotaPolicy_At(). */
--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -34,6 +34,11 @@
 /* A cost above this part of it has to be in the bucket. */
 #define DEBT_FRACTION 0.25
 
+/* Of the part of a quota that is theirs by their number, gateways that are
+ * apart from most others may spend this fraction: most of those that aren't
+ * heard of serve no one. */
+#define MINORITY_FRACTION 0.5
+
 /* Of a bucket under pressure this part is shared evenly, so that a gateway
  * that was asked for nothing can begin; without pressure what is shared by
  * requests is shared evenly, too, to this part. */
@@ -118,6 +123,7 @@
     Quota *table;
     TAILQ_HEAD(, Quota) list;
     bool has_customers;     /* a configuration was set before */
+    bool has_hub;           /* see KcQuotaGroup */
     uint32_t gateway_count; /* as listed; 0: not known */
     uint64_t random_state;
 
@@ -148,11 +154,12 @@
 {
     double part = (double)group->size / (double)group->count;
 
-    if (!group->is_hearing) {
-        return 1.0 / (double)group->count;
+    if (!group->has_hub) {
+        return part;
     }
-    /* At most one group has most gateways. */
-    return fmin(1, part + (part > 0.5 ? makeup : 0));
+    /* At most one group has most gateways.  It has what the others leave. */
+    return part > 0.5 ? fmin(1, 1 - MINORITY_FRACTION * (1 - part) + makeup)
+                      : MINORITY_FRACTION * part;
 }
 
 static double
@@ -213,16 +220,23 @@
            quotas->options.slack;
 }
 
+/* Is it known how many gateways there are? */
+static bool
+is_listed(const KcQuotas *quotas)
+{
+    return quotas->gateway_count > 0 || quotas->is_count_heard;
+}
+
 static uint32_t
 count_all(const KcQuotas *quotas)
 {
     uint32_t count = quotas->gateway_count > quotas->known_count
                          ? quotas->gateway_count
                          : quotas->known_count;
-    bool is_listed = quotas->gateway_count > 0 || quotas->is_count_heard;
 
-    return is_listed || count > GATEWAY_COUNT_UNKNOWN ? count
-                                                      : GATEWAY_COUNT_UNKNOWN;
+    return is_listed(quotas) || count > GATEWAY_COUNT_UNKNOWN
+               ? count
+               : GATEWAY_COUNT_UNKNOWN;
 }
 
 KcQuotaGroup
@@ -230,7 +244,8 @@
 {
     return (KcQuotaGroup){.is_hearing = quotas->is_hearing,
                           .size = quotas->is_hearing ? quotas->group_size : 1,
-                          .count = count_all(quotas)};
+                          .count = count_all(quotas),
+                          .has_hub = quotas->has_hub && is_listed(quotas)};
 }
 
 /* The fraction of a quota that the gateways that hear each other may spend. */
@@ -457,6 +472,19 @@
     }
 }
 
+static bool
+has_engines(const KcRouting *routing)
+{
+    const KcRoutedService *service;
+
+    TAILQ_FOREACH (service, &routing->service_list, link) {
+        if (service->engine.is_configured) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void
 KcQuotas_SetCustomers(KcQuotas *quotas, const KcRouting *routing, KcTime now)
 {
@@ -465,6 +493,7 @@
     Quota *next;
 
     settle_all(quotas, now);
+    quotas->has_hub = has_engines(routing);
     TAILQ_FOREACH (quota, &quotas->list, link) {
         if (quota->removed_at == KC_NEVER) {
             quota->removed_at = now;
--- a/tests/process/test_quota_play.c
+++ b/tests/process/test_quota_play.c
@@ -434,6 +434,7 @@
         }
     }
     world->routing = KcRouting_Create(1);
+    KcRouting_AddService(world->routing, "s")->engine.is_configured = true;
     customer = KcRouting_AddCustomer(world->routing, "hot");
     customer->unit = KC_QUOTA_TOKENS;
     customer->rate_per_s = the_case->rate;
