--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -137,6 +137,7 @@
     KcGateway_VisitEnginePools(role->gateway, add_parts, parts);
     json_object_set_new(state, "parts", parts);
     add_certainty(role, state);
+    KcGatewayRole_AddCustomers(role, state);
 }
 
 static void
@@ -146,7 +147,8 @@
 }
 
 static const KcAdminServerOps admin_ops = {
-    check_ready, get_generation, add_state, admin_begin_drain, clear_part};
+    check_ready,       get_generation, add_state,
+    admin_begin_drain, clear_part,     KcGatewayRole_FormatMetrics};
 
 /* ---- planned stops and changed settings ---------------------------------- */
 
@@ -225,6 +227,12 @@
     options.config_timeout = (KcTime)(settings->config_timeout_ms * KC_MS);
     options.revoke_timeout = role->revoke_timeout;
     options.suspects = KcRoleCommon_GetSuspectOptions(settings);
+    options.quotas.ops = &KcGatewayRole_QuotaOps;
+    options.quotas.context = role;
+    options.quotas.window = (KcTime)(settings->quota_window_s * KC_SECOND);
+    options.quotas.excess = settings->quota_excess;
+    options.quotas.slack = settings->quota_slack;
+    options.quotas.seed = options.seed;
     role->gateway = KcGateway_Create(&options);
 }
 
@@ -282,6 +290,7 @@
 
     role->store = role->platform->open_store(&store_options);
     KcGatewayRole_StartKeepers(role);
+    KcGatewayRole_StartQuotas(role);
     KcGatewayRole_StartFeeds(role);
     KcGatewayRole_WriteOwnRecord(role);
     KcRoleCommon_HandleSignals(&role->common, &role_ops, role);
@@ -291,6 +300,7 @@
 free_all(GatewayRole *role)
 {
     if (role->store != NULL) {
+        KcGatewayRole_StopQuotas(role);
         KcGatewayRole_StopKeepers(role);
         KcOwnRecord_Clear(&role->own_record);
         KcGatewayRole_FreeFeeds(role);
