gateway_dispatch.c: move the order and the wait of the queue to lib/process/load

The order of what waits, how long it waits and when a refused caller comes back are decisions without network or clock; they leave the gateway for the room of decisions under load.

--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -6,11 +6,6 @@
 
 #include "gateway_internal.h"
 
-/* A request waits in the queue for its route's objective divided by this, but
- * at least QUEUE_TIMEOUT_MIN, and is then refused: the platform prices later
- * refusals. */
-#define QUEUE_TIMEOUT_DIVISOR 8
-#define QUEUE_TIMEOUT_MIN (20 * KC_MS)
 /* A request waits at most this long for one server to load its adapter. */
 #define LOAD_TIMEOUT (1500 * KC_MS)
 /* After it did not load an adapter a server gets no load requests for this
@@ -26,14 +21,6 @@
  * besides those that are kept, which the retry budget limits. */
 #define QUEUE_SCAN_MAX 16
 
-KcTime
-KcForward_QueueTimeout(const KcRouteRule *rule)
-{
-    KcTime timeout = rule->latency_objective / QUEUE_TIMEOUT_DIVISOR;
-
-    return timeout > QUEUE_TIMEOUT_MIN ? timeout : QUEUE_TIMEOUT_MIN;
-}
-
 /* ---- waiting ------------------------------------------------------------- */
 
 void
@@ -51,24 +38,36 @@
     }
 }
 
-/* Inserts the request into the queue by priority, then by arrival. */
+/* The request as the order of the queue sees it. */
+static KcQueued
+describe(const KcForward *forward)
+{
+    return (KcQueued){.urgency = forward->priority,
+                      .arrived_at = forward->arrived_at};
+}
+
+/* Inserts the request into the queue after those that go before it; nearly all
+ * do. */
 static void
 join_queue(KcForward *forward)
 {
-    KcForward *later;
+    KcQueued queued = describe(forward);
+    KcForward *earlier;
+
+    TAILQ_FOREACH_REVERSE(earlier, &forward->pool->queue, KcForwardList,
+                          wait_link)
+    {
+        KcQueued other = describe(earlier);
 
-    TAILQ_FOREACH (later, &forward->pool->queue, wait_link) {
-        if (later->priority > forward->priority ||
-            (later->priority == forward->priority &&
-             later->arrived_at > forward->arrived_at)) {
+        if (!KcQueued_IsBefore(&queued, &other)) {
             break;
         }
     }
-    if (later != NULL) {
-        TAILQ_INSERT_BEFORE(later, forward, wait_link);
+    if (earlier != NULL) {
+        TAILQ_INSERT_AFTER(&forward->pool->queue, earlier, forward, wait_link);
     }
     else {
-        TAILQ_INSERT_TAIL(&forward->pool->queue, forward, wait_link);
+        TAILQ_INSERT_HEAD(&forward->pool->queue, forward, wait_link);
     }
     forward->state = KC_FORWARD_QUEUED;
     forward->in_wait_list = true;
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -7,9 +7,6 @@
 
 #include "gateway_internal.h"
 
-/* Retry hint to a caller whose request did not run. */
-#define RETRY_AFTER (400 * KC_MS)
-
 static void on_timer(KcTimer *timer, KcTime now);
 
 /* ---- ends ---------------------------------------------------------------- */
@@ -118,7 +115,7 @@
 {
     KcTime opens_at = KcGateway_FirstOpening(forward, now);
 
-    return opens_at != 0 ? opens_at - now : RETRY_AFTER;
+    return opens_at != 0 ? opens_at - now : KcRefusal_RetryAfter();
 }
 
 /*
@@ -240,7 +237,7 @@
     forward->arrived_at = now;
     forward->last_event_at = now;
     forward->deadline = find_deadline(call, rule, now);
-    forward->dispatch_until = now + KcForward_QueueTimeout(rule);
+    forward->dispatch_until = now + KcRefusal_WaitMin(rule->latency_objective);
     forward->tokens_max = call->prompt_tokens + call->answer_tokens_max;
     forward->events_max = call->answer_events_max;
     forward->part_count = call->part_count;
@@ -284,25 +281,25 @@
     KcCounters_Add(gateway->options.counters, KC_COUNT_REQUESTS, 1);
     if (gateway->routing == NULL) {
         refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route",
-                       RETRY_AFTER);
+                       KcRefusal_RetryAfter());
         return;
     }
     rule = KcRouting_FindRule(gateway->routing, call->host, call->path);
     if (rule == NULL) {
         refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route",
-                       RETRY_AFTER);
+                       KcRefusal_RetryAfter());
         return;
     }
     if (comes_too_late(gateway, call, rule, now)) {
         refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route",
-                       RETRY_AFTER);
+                       KcRefusal_RetryAfter());
         return;
     }
     code = KcGateway_Admit(gateway, call, rule, &admission, now);
     if (code != 0) {
         refuse_at_once(gateway, ops, caller, code, admission.step,
                        admission.retry_after != 0 ? admission.retry_after
-                                                  : RETRY_AFTER);
+                                                  : KcRefusal_RetryAfter());
         return;
     }
     forward = create_forward(gateway, call, rule, &admission, now);
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -244,8 +244,6 @@
  */
 void KcGateway_DispatchForAdapter(KcAdapterState *adapter, KcServer *refused,
                                   KcTime now);
-/* How long a request of the route waits in the queue. */
-KcTime KcForward_QueueTimeout(const KcRouteRule *rule);
 /* Removes the request from the list that it waits in, if any. */
 void KcForward_LeaveWaitList(KcForward *forward);
 /* Handle the timer of a request in the queue, or one that waits for its
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -12,6 +12,7 @@
 
 #include "kcc_forward.h"
 #include "kcc_process.h"
+#include "kcc_queue.h"
 #include "kcc_quota.h"
 #include "kcc_routing.h"
 #include "kcc_suspects.h"
