lib/process/load: order and refusal by what is known of the queue

A request without a server was refused after an eighth of its objective whatever was known, the queue was by priority and arrival alone, and each refused caller was told to come back after 400 ms.

The order is now urgency, then what can still be in time before what can't, then the turns of customers (start-time fair queueing by tokens, only where there are customers), then the time that is left. A request waits on while its queue is worked off fast enough for an answer before its deadline, up to half of its time, so that its caller can still return; it is refused at once when its turn comes after its deadline. Before a refusal a server is looked for once more. A refused caller is told to come back when those before it have been served, one by one, at most after a third of its time. Where nothing is known of the queue, all of this is as before.

Counters and the line of the request tell why, with the place and the wait expected.

--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -128,6 +128,15 @@
     [KC_COUNT_BLOCKED_REQUESTS] =
         {"kcc_blocked_requests_total",
          "Requests refused because a part of their prompt is blocked."},
+    [KC_COUNT_WAITS_TOO_LONG] =
+        {"kcc_waits_too_long_total",
+         "Requests refused as their turn comes after their deadline."},
+    [KC_COUNT_WAITS_ENDED] =
+        {"kcc_waits_ended_total",
+         "Requests refused after a wait in which no server had room."},
+    [KC_COUNT_BUDGET_REFUSALS] =
+        {"kcc_budget_refusals_total",
+         "Requests refused by a server and not sent again, for the budget."},
 };
 
 const char *
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -21,58 +21,6 @@
  * besides those that are kept, which the retry budget limits. */
 #define QUEUE_SCAN_MAX 16
 
-/* ---- waiting ------------------------------------------------------------- */
-
-void
-KcForward_LeaveWaitList(KcForward *forward)
-{
-    if (!forward->in_wait_list) {
-        return;
-    }
-    forward->in_wait_list = false;
-    if (forward->state == KC_FORWARD_LOADING) {
-        TAILQ_REMOVE(&forward->adapter->waiting_requests, forward, wait_link);
-    }
-    else {
-        TAILQ_REMOVE(&forward->pool->queue, forward, wait_link);
-    }
-}
-
-/* The request as the order of the queue sees it. */
-static KcQueued
-describe(const KcForward *forward)
-{
-    return (KcQueued){.urgency = forward->priority,
-                      .arrived_at = forward->arrived_at};
-}
-
-/* Inserts the request into the queue after those that go before it; nearly all
- * do. */
-static void
-join_queue(KcForward *forward)
-{
-    KcQueued queued = describe(forward);
-    KcForward *earlier;
-
-    TAILQ_FOREACH_REVERSE(earlier, &forward->pool->queue, KcForwardList,
-                          wait_link)
-    {
-        KcQueued other = describe(earlier);
-
-        if (!KcQueued_IsBefore(&queued, &other)) {
-            break;
-        }
-    }
-    if (earlier != NULL) {
-        TAILQ_INSERT_AFTER(&forward->pool->queue, earlier, forward, wait_link);
-    }
-    else {
-        TAILQ_INSERT_HEAD(&forward->pool->queue, forward, wait_link);
-    }
-    forward->state = KC_FORWARD_QUEUED;
-    forward->in_wait_list = true;
-}
-
 /* ---- attempts ------------------------------------------------------------ */
 
 void
@@ -141,6 +89,7 @@
         params.version = choice->replica->version;
     }
     KcForward_LeaveWaitList(forward);
+    KcForward_EndWait(forward, true, now);
     attempt->forward = forward;
     attempt->server = server;
     attempt->replica = choice->replica;
@@ -203,6 +152,7 @@
 static void
 await_adapter(KcForward *forward, KcServer *server, KcTime now)
 {
+    KcForward_EndWait(forward, true, now);
     forward->state = KC_FORWARD_LOADING;
     forward->server = server;
     forward->in_wait_list = true;
@@ -216,25 +166,15 @@
     return forward->answer_begun || forward->was_moved;
 }
 
-/* When a queued request is refused. */
+/* When the timer of a request that is kept is due: servers that refused it are
+ * asked again. */
 static KcTime
-wait_until(const KcForward *forward)
+next_kept_check(const KcForward *forward, KcTime now)
 {
-    return KcForward_IsKept(forward) ? KcForward_EndStreamAt(forward)
-                                     : forward->dispatch_until;
-}
+    KcTime end = KcForward_EndStreamAt(forward);
 
-/* When the timer of a queued request is due: of one that is kept, when servers
- * that refused it are asked again. */
-static KcTime
-next_queue_check(const KcForward *forward, KcTime now)
-{
-    KcTime end = wait_until(forward);
-
-    if (KcForward_IsKept(forward) && now + RESUME_RETRY_INTERVAL < end) {
-        return now + RESUME_RETRY_INTERVAL;
-    }
-    return end;
+    return now + RESUME_RETRY_INTERVAL < end ? now + RESUME_RETRY_INTERVAL
+                                             : end;
 }
 
 /* Fails a request that did not find a server; code is the error if no attempt
@@ -275,22 +215,47 @@
     return true;
 }
 
-/* Queues the request, or fails it when it has waited or tried too long; code
- * is the error if no attempt has failed before. */
+/* Decides whether the request waits, and until when; false if not. */
+static bool
+may_wait(KcForward *forward, KcTime now, KcTime *until)
+{
+    KcWaitDecision decision;
+
+    if (KcForward_IsKept(forward)) {
+        *until = next_kept_check(forward, now);
+        return now < KcForward_EndStreamAt(forward);
+    }
+    if (forward->tried_count == KC_FORWARD_TRIED_MAX) {
+        return false;
+    }
+    KcForward_DecideWait(forward, now, &decision);
+    *until = decision.until;
+    if (decision.verdict != KC_WAIT_ON) {
+        KcCounters_Add(forward->gateway->options.counters,
+                       decision.verdict == KC_WAIT_TOO_LONG
+                           ? KC_COUNT_WAITS_TOO_LONG
+                           : KC_COUNT_WAITS_ENDED,
+                       1);
+    }
+    return decision.verdict == KC_WAIT_ON;
+}
+
+/* Queues the request, or fails it when it is of no use or has tried too much;
+ * code is the error if no attempt has failed before. */
 static void
 enqueue_or_refuse(KcForward *forward, int code, KcTime now)
 {
-    if (now >= wait_until(forward) ||
-        (forward->tried_count == KC_FORWARD_TRIED_MAX &&
-         !KcForward_IsKept(forward))) {
+    KcTime until;
+
+    if (!may_wait(forward, now, &until)) {
         refuse(forward, code, now);
         return;
     }
     if (forward->error.code == 0) {
         KcError_Set(&forward->error, code, "queue", "");
     }
-    join_queue(forward);
-    KcForward_SetTimer(forward, next_queue_check(forward, now));
+    KcForward_JoinQueue(forward, now);
+    KcForward_SetTimer(forward, until);
 }
 
 void
@@ -442,7 +407,9 @@
     case KC_CHOICE_REFUSE:
     case KC_CHOICE_AWAIT_OPENING:
         if (prolong_wait(forward, &choice)) {
-            KcForward_SetTimer(forward, next_queue_check(forward, now));
+            KcForward_SetTimer(forward, KcForward_IsKept(forward)
+                                            ? next_kept_check(forward, now)
+                                            : forward->dispatch_until);
         }
         else {
             refuse(forward, KC_ERR_NO_BACKEND, now);
@@ -536,11 +503,12 @@
 void
 KcForward_OnQueueTimer(KcForward *forward, KcTime now)
 {
-    if (now >= wait_until(forward)) {
+    if (KcForward_IsKept(forward) && now >= KcForward_EndStreamAt(forward)) {
         KcForward_FinishFailed(forward, now);
         return;
     }
-    /* A server that refused may have capacity by now. */
+    /* A server that refused may have capacity by now; only if none has, the
+     * request is refused. */
     forward->tried_count = 0;
     KcForward_Dispatch(forward, now);
 }
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -87,6 +87,7 @@
     gateway->options.ops->record_request(gateway->options.context, &record);
     record_times(forward, now);
     KcForward_LeaveWaitList(forward);
+    KcForward_EndWait(forward, false, now);
     while ((attempt = TAILQ_FIRST(&forward->attempts)) != NULL) {
         KcForwardAttempt_Cancel(attempt, now);
     }
@@ -113,9 +114,17 @@
 static KcTime
 retry_after(const KcForward *forward, KcTime now)
 {
+    KcServerPool *pool = forward->pool;
     KcTime opens_at = KcGateway_FirstOpening(forward, now);
 
-    return opens_at != 0 ? opens_at - now : KcRefusal_RetryAfter();
+    if (opens_at != 0) {
+        return opens_at - now;
+    }
+    if (now >= forward->deadline) {
+        return KC_RETRY_AFTER_DEFAULT;
+    }
+    return KcQueuePace_RetryAfter(&pool->pace, pool->queue_length,
+                                  forward->deadline - now, now);
 }
 
 /*
@@ -237,7 +246,7 @@
     forward->arrived_at = now;
     forward->last_event_at = now;
     forward->deadline = find_deadline(call, rule, now);
-    forward->dispatch_until = now + KcRefusal_WaitMin(rule->latency_objective);
+    forward->dispatch_until = now + KcWait_Min(rule->latency_objective);
     forward->tokens_max = call->prompt_tokens + call->answer_tokens_max;
     forward->events_max = call->answer_events_max;
     forward->part_count = call->part_count;
@@ -281,25 +290,25 @@
     KcCounters_Add(gateway->options.counters, KC_COUNT_REQUESTS, 1);
     if (gateway->routing == NULL) {
         refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route",
-                       KcRefusal_RetryAfter());
+                       KC_RETRY_AFTER_DEFAULT);
         return;
     }
     rule = KcRouting_FindRule(gateway->routing, call->host, call->path);
     if (rule == NULL) {
         refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route",
-                       KcRefusal_RetryAfter());
+                       KC_RETRY_AFTER_DEFAULT);
         return;
     }
     if (comes_too_late(gateway, call, rule, now)) {
         refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route",
-                       KcRefusal_RetryAfter());
+                       KC_RETRY_AFTER_DEFAULT);
         return;
     }
     code = KcGateway_Admit(gateway, call, rule, &admission, now);
     if (code != 0) {
         refuse_at_once(gateway, ops, caller, code, admission.step,
                        admission.retry_after != 0 ? admission.retry_after
-                                                  : KcRefusal_RetryAfter());
+                                                  : KC_RETRY_AFTER_DEFAULT);
         return;
     }
     forward = create_forward(gateway, call, rule, &admission, now);
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -2,11 +2,13 @@
  * The gateway's state, and the functions that its source files share.
  *
  * gateway_forward.c (requests) calls gateway_dispatch.c (seeking a server),
- * which calls gateway_choose.c (decisions), which calls gateway_cost.c (costs
- * of servers), gateway_servers.c (servers) and gateway_adapters.c (adapters
- * and their replicas).  gateway_answer.c handles the reports of attempts,
- * gateway_silence.c attempts whose server reports nothing, gateway_notice.c
- * what servers say of themselves, gateway_suspects.c prompts that end servers.
+ * which calls gateway_queue.c (the queue of a service, by the decisions of
+ * lib/process/load) and gateway_choose.c (decisions), which calls
+ * gateway_cost.c (costs of servers), gateway_servers.c (servers) and
+ * gateway_adapters.c (adapters and their replicas).  gateway_answer.c handles
+ * the reports of attempts, gateway_silence.c attempts whose server reports
+ * nothing, gateway_notice.c what servers say of themselves, gateway_suspects.c
+ * prompts that end servers.
  */
 #ifndef KCC_GATEWAY_INTERNAL_H
 #define KCC_GATEWAY_INTERNAL_H
@@ -244,8 +246,6 @@
  */
 void KcGateway_DispatchForAdapter(KcAdapterState *adapter, KcServer *refused,
                                   KcTime now);
-/* Removes the request from the list that it waits in, if any. */
-void KcForward_LeaveWaitList(KcForward *forward);
 /* Handle the timer of a request in the queue, or one that waits for its
  * adapter. */
 void KcForward_OnQueueTimer(KcForward *forward, KcTime now);
@@ -255,6 +255,19 @@
 void KcForward_NoteTried(KcForward *forward, KcServer *server);
 bool KcForward_HasTried(const KcForward *forward, const KcServer *server);
 
+/* ---- the queue of a service (gateway_queue.c) ---------------------------- */
+
+/* Decides whether a request that found no server waits for one; for those that
+ * are not kept. */
+void KcForward_DecideWait(KcForward *forward, KcTime now,
+                          KcWaitDecision *decision);
+/* Inserts the request into the queue of its service. */
+void KcForward_JoinQueue(KcForward *forward, KcTime now);
+/* Removes the request from the list that it waits in, if any. */
+void KcForward_LeaveWaitList(KcForward *forward);
+/* The request waits for no server any more: it found one, or it ends. */
+void KcForward_EndWait(KcForward *forward, bool found_server, KcTime now);
+
 /* ---- requests (gateway_forward.c) ---------------------------------------- */
 
 /* Ends the attempt's use of its server and its replica, and frees it. */
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -407,6 +407,7 @@
         (KcTime)((double)(duration - server->first_byte_ewma) *
                  FIRST_BYTE_EWMA_WEIGHT);
     server->first_byte_ewma_at = now;
+    KcQueuePace_NoteFirstByte(&server->pool->pace, duration);
 }
 
 void
@@ -459,6 +460,7 @@
     HASH_ITER(hh, gateway->pools, pool, next_pool)
     {
         HASH_DEL(gateway->pools, pool);
+        KcTurns_Clear(&pool->turns);
         KcServerPool_ClearSuspects(pool);
         free(pool);
     }
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -181,6 +181,10 @@
     /* Attempts that were withdrawn before an answer, the oldest first. */
     struct KcWithdrawnAttemptList withdrawn;
     uint32_t withdrawn_count;
+    uint32_t queue_length;  /* requests in queue */
+    uint32_t waiting_count; /* requests with KcForward.is_waiting */
+    KcQueuePace pace;       /* of the queue */
+    KcTurns turns;          /* of the customers in the queue */
 } KcServerPool;
 
 /* ---- Part 2: adapters ----------------------------------------------------- */
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -73,6 +73,10 @@
     KC_COUNT_PARTS_TRIED,       /* trials of blocked parts that were granted */
     KC_COUNT_PARTS_CLEARED,     /* prompt parts cleared of evidence */
     KC_COUNT_BLOCKED_REQUESTS,  /* requests refused for a blocked part */
+    KC_COUNT_WAITS_TOO_LONG,    /* requests refused as their turn in a queue
+                                 * comes after their deadline */
+    KC_COUNT_WAITS_ENDED,       /* requests refused after a wait in a queue */
+    KC_COUNT_BUDGET_REFUSALS,   /* requests refused for want of retry budget */
     KC_COUNTER_COUNT
 } KcCounter;
 
--- /dev/null
+++ b/lib/process/load/queue_pace.c
@@ -0,0 +1,103 @@
+/*
+ * How fast the queue of a service is worked off.
+ */
+#include <math.h>
+
+#include "kcc_queue.h"
+
+/* A request that was sent counts for about this long. */
+#define FADE_TIME (1 * KC_SECOND)
+/* Fewer requests tell nothing. */
+#define SERVED_MIN 2.0
+/* Share of an answer in the mean time to the first byte. */
+#define FIRST_BYTE_WEIGHT 10
+
+/* The requests sent lately, as of now. */
+static double
+served_by(const KcQueuePace *pace, KcTime now)
+{
+    return pace->served *
+           exp(-(double)(now - pace->served_at) / (double)FADE_TIME);
+}
+
+void
+KcQueuePace_Begin(KcQueuePace *pace, KcTime now)
+{
+    if (pace->begun_at == 0) {
+        pace->begun_at = now;
+        pace->served_at = now;
+        pace->served = 0;
+    }
+}
+
+void
+KcQueuePace_End(KcQueuePace *pace)
+{
+    pace->begun_at = 0;
+}
+
+void
+KcQueuePace_NoteServed(KcQueuePace *pace, KcTime now)
+{
+    if (pace->begun_at != 0) {
+        pace->served = served_by(pace, now) + 1;
+        pace->served_at = now;
+    }
+}
+
+void
+KcQueuePace_NoteFirstByte(KcQueuePace *pace, KcTime duration)
+{
+    pace->first_byte += pace->first_byte == 0 ? duration
+                                              : (duration - pace->first_byte) /
+                                                    FIRST_BYTE_WEIGHT;
+}
+
+/* Mean time between requests that are sent; KC_NEVER: unknown. */
+static KcTime
+service_interval(const KcQueuePace *pace, KcTime now)
+{
+    double served;
+    double seen;
+
+    if (pace->begun_at == 0 || now <= pace->begun_at) {
+        return KC_NEVER;
+    }
+    served = served_by(pace, now);
+    /* The part of FADE_TIME, as weighted, that the queue has lasted. */
+    seen = 1 - exp(-(double)(now - pace->begun_at) / (double)FADE_TIME);
+    return served >= SERVED_MIN * seen && pace->served >= SERVED_MIN
+               ? (KcTime)(seen * (double)FADE_TIME / served)
+               : KC_NEVER;
+}
+
+KcTime
+KcQueuePace_ExpectedWait(const KcQueuePace *pace, uint32_t place, KcTime now)
+{
+    KcTime interval = service_interval(pace, now);
+
+    return interval != KC_NEVER ? interval * ((KcTime)place + 1) : KC_NEVER;
+}
+
+KcTime
+KcQueuePace_RetryAfter(KcQueuePace *pace, uint32_t waiting, KcTime time_left,
+                       KcTime now)
+{
+    KcTime interval = service_interval(pace, now);
+    KcTime latest = now + time_left / 3;
+    KcTime return_at;
+
+    if (interval == KC_NEVER) {
+        return_at = now + KC_RETRY_AFTER_DEFAULT;
+        return (return_at < latest ? return_at : latest) - now;
+    }
+    return_at = now + interval * ((KcTime)waiting + 1);
+    if (return_at < pace->last_return_at + interval) {
+        return_at = pace->last_return_at + interval;
+    }
+    if (return_at > latest) {
+        return latest - now;
+    }
+    pace->last_return_at = return_at;
+    return return_at - now;
+}
--- /dev/null
+++ b/lib/process/load/queue_turns.c
@@ -0,0 +1,83 @@
+/*
+ * Fair shares of customers in a queue.
+ */
+#include <stdlib.h>
+
+#include "kcc_queue.h"
+
+/* Share of a request in the mean work. */
+#define MEAN_WORK_WEIGHT 0.05
+
+static KcTurn *
+find_turn(KcTurns *turns, const char *customer)
+{
+    KcTurn *turn;
+
+    HASH_FIND_STR(turns->by_customer, customer, turn);
+    return turn;
+}
+
+static double
+counted_work(const KcTurns *turns, uint64_t work)
+{
+    if (work > 0) {
+        return (double)work;
+    }
+    return turns->mean_work > 0 ? turns->mean_work : 1;
+}
+
+double
+KcTurns_Take(KcTurns *turns, const char *customer, uint64_t work)
+{
+    KcTurn *turn = find_turn(turns, customer);
+    double start;
+
+    if (work > 0) {
+        turns->mean_work += ((double)work - turns->mean_work) *
+                            (turns->mean_work > 0 ? MEAN_WORK_WEIGHT : 1);
+    }
+    if (turn == NULL) {
+        turn = KcMem_New(sizeof(*turn));
+        KcText_Copy(turn->customer, customer, sizeof(turn->customer));
+        HASH_ADD_STR(turns->by_customer, customer, turn);
+    }
+    start = turn->end > turns->now ? turn->end : turns->now;
+    turn->end = start + counted_work(turns, work);
+    return start;
+}
+
+void
+KcTurns_NoteServed(KcTurns *turns, double turn)
+{
+    if (turn > turns->now) {
+        turns->now = turn;
+    }
+}
+
+void
+KcTurns_GiveBack(KcTurns *turns, const char *customer, uint64_t work)
+{
+    KcTurn *turn = find_turn(turns, customer);
+
+    if (turn == NULL) {
+        return;
+    }
+    turn->end -= counted_work(turns, work);
+    if (turn->end < turns->now) {
+        turn->end = turns->now;
+    }
+}
+
+void
+KcTurns_Clear(KcTurns *turns)
+{
+    KcTurn *turn;
+    KcTurn *next;
+
+    HASH_ITER(hh, turns->by_customer, turn, next)
+    {
+        HASH_DEL(turns->by_customer, turn);
+        free(turn);
+    }
+    turns->now = 0;
+}
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -267,6 +267,11 @@
     KcError error;          /* of the last attempt that failed */
     KcTimer timer; /* next check: of the queue, the load, the server's silence
                     * or the deadline */
+    bool is_waiting;      /* it joined the queue and has found no server yet */
+    double queue_turn;    /* of its customer there, see KcTurns_Take() */
+    uint32_t queue_place; /* requests before it, when that was last decided */
+    KcTime expected_wait; /* KcWaitDecision.expected_wait of that decision */
+    uint32_t wait_verdict; /* KcWaitVerdict of that decision */
 };
 
 TAILQ_HEAD(KcForwardList, KcForward);
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -229,7 +229,7 @@
         KC_LOG_INFO, &fields,
         "%s route=%s kind=%s status=%d sends=%u runs=%u total_ms=%d "
         "sent_ms=%d first_ms=%d silent_ms=%d server_silent_ms=%d adapter=%s "
-        "server_load=%u load_age_ms=%d",
+        "server_load=%u load_age_ms=%d wait=%s place=%u expected_ms=%d",
         record->outcome, forward->rule->name,
         KcRequestKind_Name(forward->rule->kind), record->status,
         forward->attempt_count, forward->possible_runs,
@@ -245,7 +245,11 @@
         (int)(forward->server_silence / KC_MS),
         forward->adapter != NULL ? forward->adapter->key : "",
         server != NULL ? server->in_flight + server->others_in_flight : 0,
-        (int)load_age_ms);
+        (int)load_age_ms, KcWaitVerdict_Name(forward->wait_verdict),
+        forward->queue_place,
+        forward->expected_wait != KC_NEVER
+            ? (int)(forward->expected_wait / KC_MS)
+            : -1);
 }
 
 /* Logs an attempt that may have ended its server. */
