gateway_answer.c: load the adapter of a request that is refused for the retry budget

The budget bounds what servers get and stays as it is. But a load is no attempt: it is asked for at once, and the caller is told to come back when loads, as lately measured, have ended. test_gateway has the case with and without a measured load, and one for the look for a server before a wait ends.

--- a/lib/process/gateway_adapters.c
+++ b/lib/process/gateway_adapters.c
@@ -25,6 +25,9 @@
 #define OLD_VERSION_PERCENT 70
 /* A use count fades to 0 in this time. */
 #define USE_COUNT_FADE_TIME (10 * KC_SECOND)
+/* A load that was asked for before this tells nothing of how long loads take.
+ */
+#define LOAD_TIME_MAX (4 * KC_SECOND)
 
 /* ---- counts of uses ------------------------------------------------------ */
 
@@ -356,6 +359,20 @@
     }
 }
 
+/* Notes how long a load took that this gateway has asked for lately. */
+static void
+note_load(KcServer *server, const KcAdapterState *adapter, KcHeldState state,
+          KcTime now)
+{
+    const KcReplica *replica = find_replica(server, adapter);
+    KcTime duration = now - adapter->load_requested_at;
+
+    if (state == KC_HELD_LOADED && replica != NULL && replica->loading &&
+        duration < LOAD_TIME_MAX) {
+        KcQueuePace_NoteLoad(&server->pool->pace, duration);
+    }
+}
+
 void
 KcGateway_OnKeeperReport(KcGateway *gateway, KcServer *server,
                          const char *model, const char *name, uint32_t version,
@@ -382,6 +399,7 @@
         }
     }
     else {
+        note_load(server, adapter, state, now);
         set_replica(server, adapter, version, state == KC_HELD_LOADING);
     }
     if (state != KC_HELD_LOADING) {
--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -78,6 +78,11 @@
         KcForward_Dispatch(forward, now);
         break;
     case KC_RETRY_NOT_RUN:
+        if (end == KC_ATTEMPT_REFUSED && now < forward->deadline &&
+            forward->possible_runs < forward->rule->attempts_max) {
+            KcForward_RefuseForBudget(forward, now);
+            break;
+        }
         KcForward_FinishFailed(forward, now);
         break;
     case KC_RETRY_UNKNOWN:
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -393,6 +393,28 @@
     return KcRetryBudget_Take(&forward->pool->retry_budget);
 }
 
+void
+KcForward_RefuseForBudget(KcForward *forward, KcTime now)
+{
+    KcChoice choice = {.action = KC_CHOICE_NONE};
+
+    if (forward->adapter != NULL &&
+        !KcGateway_HasEnded(forward->gateway, now) &&
+        !KcForward_IsBlocked(forward)) {
+        KcGateway_Choose(forward, now, &choice);
+    }
+    if (choice.action == KC_CHOICE_AWAIT_LOAD) {
+        forward->is_load_ordered = true;
+    }
+    else if (choice.action == KC_CHOICE_LOAD) {
+        forward->is_load_ordered =
+            send_load_request(forward, choice.server, now);
+    }
+    KcCounters_Add(forward->gateway->options.counters,
+                   KC_COUNT_BUDGET_REFUSALS, 1);
+    KcForward_FinishFailed(forward, now);
+}
+
 /* Dispatches a queued request, or decides again how long it waits. */
 static void
 dispatch_queued(KcForward *forward, KcTime now)
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -123,6 +123,10 @@
     if (now >= forward->deadline) {
         return KC_RETRY_AFTER_DEFAULT;
     }
+    if (forward->is_load_ordered) {
+        return KcQueuePace_RetryAfterLoad(&pool->pace,
+                                          forward->deadline - now);
+    }
     return KcQueuePace_RetryAfter(&pool->pace, pool->queue_length,
                                   forward->deadline - now, now);
 }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -232,6 +232,12 @@
 /* Queues a request whose attempt was refused, or fails it when it has waited
  * too long. */
 void KcForward_AwaitPlace(KcForward *forward, KcTime now);
+/*
+ * Refuses a request that its server turned away and that is not sent again for
+ * want of retry budget.  If it needs its adapter elsewhere, a load is
+ * requested, and its caller is told to come back when that is done.
+ */
+void KcForward_RefuseForBudget(KcForward *forward, KcTime now);
 /* Dispatches requests of the pool's queue, the most urgent first; ends those
  * for which waiting is in vain. */
 void KcGateway_DispatchQueue(KcServerPool *pool, KcTime now);
--- a/lib/process/load/kcc_queue.h
+++ b/lib/process/load/kcc_queue.h
@@ -60,8 +60,8 @@
     KcTurn *by_customer;
 } KcTurns;
 
-/* The turn of a request that joins the queue.  work: in tokens, 0 if it states
- * none, which counts as the mean. */
+/* The turn of a request that joins the queue, in steps of a few requests'
+ * work. work: in tokens, 0 if it states none, which counts as the mean. */
 double KcTurns_Take(KcTurns *turns, const char *customer, uint64_t work);
 /* A request with that turn was served. */
 void KcTurns_NoteServed(KcTurns *turns, double turn);
@@ -81,6 +81,7 @@
     KcTime first_byte;     /* mean time from a send to its first byte; 0:
                             * unknown */
     KcTime last_return_at; /* the last caller that was refused comes back */
+    KcTime load_time; /* mean time until an adapter is loaded; 0: unknown */
 } KcQueuePace;
 
 /* The first request waits, or none waits any more. */
@@ -90,6 +91,8 @@
 void KcQueuePace_NoteServed(KcQueuePace *pace, KcTime now);
 /* An answer began so long after its request was sent. */
 void KcQueuePace_NoteFirstByte(KcQueuePace *pace, KcTime duration);
+/* An adapter was loaded so long after it was asked for. */
+void KcQueuePace_NoteLoad(KcQueuePace *pace, KcTime duration);
 /* Until the request at that place, 0 for the first one, is sent; KC_NEVER:
  * too few were sent lately to tell. */
 KcTime KcQueuePace_ExpectedWait(const KcQueuePace *pace, uint32_t place,
@@ -140,7 +143,9 @@
  */
 KcTime KcQueuePace_RetryAfter(KcQueuePace *pace, uint32_t waiting,
                               KcTime time_left, KcTime now);
-/* The same when nothing is known of a queue. */
+/* The same for a caller whose adapter is being loaded for its return. */
+KcTime KcQueuePace_RetryAfterLoad(const KcQueuePace *pace, KcTime time_left);
+/* The same when nothing is known. */
 #define KC_RETRY_AFTER_DEFAULT (400 * KC_MS)
 
 #endif
--- a/lib/process/load/queue_pace.c
+++ b/lib/process/load/queue_pace.c
@@ -9,8 +9,12 @@
 #define FADE_TIME (1 * KC_SECOND)
 /* Fewer requests tell nothing. */
 #define SERVED_MIN 2.0
-/* Share of an answer in the mean time to the first byte. */
-#define FIRST_BYTE_WEIGHT 10
+/* An answer counts for this part of the mean time to the first byte, and a
+ * load for the same of the mean time of a load. */
+#define MEAN_DIVISOR 10
+/* A load that takes longer than the mean by this part still ends before the
+ * return. */
+#define LOAD_MARGIN_DIVISOR 4
 
 /* The requests sent lately, as of now. */
 static double
@@ -45,12 +49,23 @@
     }
 }
 
+/* The mean with one more duration; 0: there was none. */
+static KcTime
+mean_with(KcTime mean, KcTime duration)
+{
+    return mean == 0 ? duration : mean + (duration - mean) / MEAN_DIVISOR;
+}
+
 void
 KcQueuePace_NoteFirstByte(KcQueuePace *pace, KcTime duration)
 {
-    pace->first_byte += pace->first_byte == 0 ? duration
-                                              : (duration - pace->first_byte) /
-                                                    FIRST_BYTE_WEIGHT;
+    pace->first_byte = mean_with(pace->first_byte, duration);
+}
+
+void
+KcQueuePace_NoteLoad(KcQueuePace *pace, KcTime duration)
+{
+    pace->load_time = mean_with(pace->load_time, duration);
 }
 
 /* Mean time between requests that are sent; KC_NEVER: unknown. */
@@ -101,3 +116,14 @@
     pace->last_return_at = return_at;
     return return_at - now;
 }
+
+KcTime
+KcQueuePace_RetryAfterLoad(const KcQueuePace *pace, KcTime time_left)
+{
+    KcTime delay =
+        pace->load_time == 0
+            ? KC_RETRY_AFTER_DEFAULT
+            : pace->load_time + pace->load_time / LOAD_MARGIN_DIVISOR;
+
+    return delay < time_left / 3 ? delay : time_left / 3;
+}
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -272,6 +272,7 @@
     uint32_t queue_place; /* requests before it, when that was last decided */
     KcTime expected_wait; /* KcWaitDecision.expected_wait of that decision */
     uint32_t wait_verdict; /* KcWaitVerdict of that decision */
+    bool is_load_ordered;  /* its adapter is loaded for its caller's return */
 };
 
 TAILQ_HEAD(KcForwardList, KcForward);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -136,6 +136,10 @@
     {"a waiting request is refused before its objective",
      "config 1;server a plain 2;load a 3 0 2;request 1 /u/x;wait 130",
      "1:not run busy; "},
+    {"before its wait ends a waiting request looks for a server again",
+     "config 1;server a plain 2;load a 3 0 2;request 1 /u/x;wait 120;"
+     "load a 0 0 2;wait 10",
+     "1>a; "},
     {"a waiting request is sent when another ends",
      "config 1;server a plain 2;load a 1 0 2;request 1 /u/x;"
      "request 2 /u/x;request 3 /u/x;reply 1 200",
@@ -183,6 +187,14 @@
     {"a misdirected attempt (421) drops the replica",
      LLM "request 1 /t/x m/x;misdirected 1;report b x 1 loaded",
      "1>a; refresh; ?b x@0; 1>b; "},
+    {"without retry budget an adapter is loaded for the caller's return",
+     LLM "gateways 100;request 1 /t/x m/x;misdirected 1;wait 200;"
+         "report b x 1 loaded;request 2 /t/x m/x",
+     "1>a; refresh; ?b x@0; 1:not run wrong_model; 2>b; "},
+    {"the caller is told to return when such a load has ended by then",
+     LLM "gateways 100;request 1 /t/x m/q;wait 200;report a q 1 loaded;"
+         "misdirected 1",
+     "?a q@0; 1>a; refresh; ?b q@0; 1:not run wrong_model after 250; "},
     {"a record that has not changed does not bring back what a 421 denied",
      LLM "nokeeper b;request 1 /t/x m/x;misdirected 1;"
          "server a llm 4 again m x@1;request 2 /t/x m/x;"
