--- a/lib/process/load/queue_turns.c
+++ b/lib/process/load/queue_turns.c
@@ -1,12 +1,16 @@
 /*
  * Fair shares of customers in a queue.
  */
+#include <math.h>
 #include <stdlib.h>
 
 #include "kcc_queue.h"
 
 /* Share of a request in the mean work. */
 #define MEAN_WORK_WEIGHT 0.05
+/* Turns are told apart by this much mean work: customers that are nearly level
+ * are served by the time that their requests have left. */
+#define TURN_STEP 4
 
 static KcTurn *
 find_turn(KcTurns *turns, const char *customer)
@@ -31,6 +35,7 @@
 {
     KcTurn *turn = find_turn(turns, customer);
     double start;
+    double step;
 
     if (work > 0) {
         turns->mean_work += ((double)work - turns->mean_work) *
@@ -43,7 +48,8 @@
     }
     start = turn->end > turns->now ? turn->end : turns->now;
     turn->end = start + counted_work(turns, work);
-    return start;
+    step = TURN_STEP * (turns->mean_work > 0 ? turns->mean_work : 1);
+    return floor(start / step) * step;
 }
 
 void
