lib/process/load: what few requests tell of a queue

One request that was sent tells that a queue moves and prolongs the wait of the others; four are needed to refuse one for the wait expected.

--- a/lib/process/load/kcc_queue.h
+++ b/lib/process/load/kcc_queue.h
@@ -94,10 +94,13 @@
 /* An adapter was loaded so long after it was asked for. */
 void KcQueuePace_NoteLoad(KcQueuePace *pace, KcTime duration);
 /* Until the request at that place, 0 for the first one, is sent; KC_NEVER:
- * too few were sent lately to tell. */
+ * none was sent lately, which tells nothing. */
 KcTime KcQueuePace_ExpectedWait(const KcQueuePace *pace, uint32_t place,
                                 KcTime now);
 
+/* True when enough were sent to refuse a request for the wait expected. */
+bool KcQueuePace_IsSure(const KcQueuePace *pace, KcTime now);
+
 /* ---- Part 4: refusal (refusal.c) ----------------------------------------- */
 
 typedef enum KcWaitVerdict {
--- a/lib/process/load/queue_pace.c
+++ b/lib/process/load/queue_pace.c
@@ -7,8 +7,9 @@
 
 /* A request that was sent counts for about this long. */
 #define FADE_TIME (1 * KC_SECOND)
-/* Fewer requests tell nothing. */
-#define SERVED_MIN 2.0
+/* So many requests tell whether the queue moves, and how fast it does. */
+#define SERVED_MIN 1.0
+#define SERVED_SURE 4.0
 /* An answer counts for this part of the mean time to the first byte, and a
  * load for the same of the mean time of a load. */
 #define MEAN_DIVISOR 10
@@ -68,21 +69,35 @@
     pace->load_time = mean_with(pace->load_time, duration);
 }
 
+/* The part of FADE_TIME, as weighted, that the queue has lasted. */
+static double
+seen_by(const KcQueuePace *pace, KcTime now)
+{
+    return 1 - exp(-(double)(now - pace->begun_at) / (double)FADE_TIME);
+}
+
+/* Were so many requests sent while the queue lasted, or in FADE_TIME? */
+static bool
+has_served(const KcQueuePace *pace, double count, KcTime now)
+{
+    return pace->begun_at != 0 && now > pace->begun_at &&
+           served_by(pace, now) >= count * seen_by(pace, now) &&
+           pace->served >= count;
+}
+
+bool
+KcQueuePace_IsSure(const KcQueuePace *pace, KcTime now)
+{
+    return has_served(pace, SERVED_SURE, now);
+}
+
 /* Mean time between requests that are sent; KC_NEVER: unknown. */
 static KcTime
 service_interval(const KcQueuePace *pace, KcTime now)
 {
-    double served;
-    double seen;
-
-    if (pace->begun_at == 0 || now <= pace->begun_at) {
-        return KC_NEVER;
-    }
-    served = served_by(pace, now);
-    /* The part of FADE_TIME, as weighted, that the queue has lasted. */
-    seen = 1 - exp(-(double)(now - pace->begun_at) / (double)FADE_TIME);
-    return served >= SERVED_MIN * seen && pace->served >= SERVED_MIN
-               ? (KcTime)(seen * (double)FADE_TIME / served)
+    return has_served(pace, SERVED_MIN, now)
+               ? (KcTime)(seen_by(pace, now) * (double)FADE_TIME /
+                          served_by(pace, now))
                : KC_NEVER;
 }
 
--- a/tests/process/test_load_queue.c
+++ b/tests/process/test_load_queue.c
@@ -54,6 +54,7 @@
     struct RequestList queue;
     uint32_t length;
     uint32_t running;
+    uint32_t slots;
     bool is_down; /* no place can be used */
     KcQueuePace pace;
     KcTurns turns;
@@ -189,9 +190,10 @@
 
 typedef struct Load {
     const char *name;
+    uint32_t slots;
     KcTime down_from; /* no place can be used meanwhile */
     KcTime down_until;
-    Stream streams[4];
+    Stream streams[6];
 } Load;
 
 #define MS KC_MS
@@ -203,28 +205,33 @@
     }
 
 static const Load loads[] = {
-    {"light", 0, 0, {KIND(-1, 0, 0, 10000, 10, 1)}},
+    {"light", SLOTS, 0, 0, {KIND(-1, 0, 0, 10000, 10, 1)}},
     {"burst",
+     SLOTS,
      0,
      0,
      {KIND(-1, 0, 0, 10000, 10, 1), KIND(-1, 0, 3000, 5000, 10, 2)}},
     {"wave",
+     SLOTS,
      0,
      0,
      {KIND(-1, 0, 0, 10000, 10, 1), KIND(-1, 0, 1000, 3000, 20, 3),
       KIND(-1, 0, 6000, 8000, 20, 3)}},
-    {"clumps", 0, 0, {KIND(-1, 0, 0, 10000, 500, 80)}},
-    {"outage", 3000 * MS, 4300 * MS, {KIND(-1, 0, 0, 10000, 6, 1)}},
-    {"usual", 0, 0, {KIND(-1, 0, 0, 10000, 6, 1)}},
+    {"clumps", SLOTS, 0, 0, {KIND(-1, 0, 0, 10000, 500, 80)}},
+    {"outage", SLOTS, 3000 * MS, 4300 * MS, {KIND(-1, 0, 0, 10000, 6, 1)}},
+    {"usual", SLOTS, 0, 0, {KIND(-1, 0, 0, 10000, 6, 1)}},
     {"hot customer",
+     SLOTS,
      0,
      0,
      {KIND(-1, 0, 0, 10000, 6, 1), KIND(0, 0, 2000, 8000, 16, 1)}},
     {"two urgencies",
+     SLOTS,
      0,
      0,
      {KIND(-1, 0, 0, 10000, 10, 1), KIND(-1, 1, 2000, 8000, 10, 2)}},
     {"mixed sizes",
+     SLOTS,
      0,
      0,
      {{-1, 0, 0, 10000 * MS, 10 * MS, 1, 50 * MS, 400 * MS, 2500 * MS, 10},
@@ -366,7 +373,7 @@
 static bool
 has_room(const Play *play)
 {
-    return !play->is_down && play->running < SLOTS;
+    return !play->is_down && play->running < play->slots;
 }
 
 static void
@@ -427,6 +434,7 @@
     Play *play = g_new0(Play, 1);
 
     play->policy = policy;
+    play->slots = load->slots;
     TAILQ_INIT(&play->queue);
     add_load(play, load);
     for (play->now = KC_SECOND; play->now < PLAY_TIME; play->now += TICK) {
@@ -588,6 +596,96 @@
     }
 }
 
+/* ---- the best that is possible ------------------------------------------- */
+
+#define ONE(AT, WORK, OBJECTIVE, DEADLINE)                                    \
+    {                                                                         \
+        0, 0, (AT)*MS, (AT + 1) * MS, CLUMP_INTERVAL, 1, (WORK)*MS,           \
+            (OBJECTIVE)*MS, (DEADLINE)*MS, 0                                  \
+    }
+
+/* Few requests at one place. */
+static const Load small_loads[] = {
+    {"all can be in time",
+     1,
+     0,
+     0,
+     {ONE(0, 50, 400, 2500), ONE(0, 50, 400, 2500), ONE(0, 50, 400, 2500),
+      ONE(0, 50, 400, 2500), ONE(0, 50, 400, 2500), ONE(0, 50, 400, 2500)}},
+    {"the short objective goes first",
+     1,
+     0,
+     0,
+     {ONE(0, 20, 800, 2500), ONE(1, 50, 800, 2500), ONE(2, 50, 800, 2500),
+      ONE(3, 20, 400, 2500), ONE(4, 50, 800, 2500), ONE(5, 20, 400, 2500)}},
+    {"not all can be in time",
+     1,
+     0,
+     0,
+     {ONE(0, 60, 240, 2500), ONE(0, 60, 240, 2500), ONE(0, 60, 240, 2500),
+      ONE(10, 60, 240, 2500), ONE(20, 60, 240, 2500), ONE(30, 60, 240, 2500)}},
+    {"after an outage not all can be in time",
+     1,
+     60 * MS,
+     100 * MS,
+     {ONE(0, 50, 240, 2500), ONE(60, 50, 240, 2500), ONE(62, 50, 240, 2500),
+      ONE(90, 50, 240, 2500), ONE(95, 50, 240, 2500),
+      ONE(100, 50, 240, 2500)}},
+};
+
+/* When a run can start at the place, which is free from then on. */
+static KcTime
+start_at(const Request *request, const Load *load, KcTime free_at)
+{
+    KcTime at = free_at > request->first_at ? free_at : request->first_at;
+
+    return at >= load->down_from + KC_SECOND &&
+                   at < load->down_until + KC_SECOND
+               ? load->down_until + KC_SECOND
+               : at;
+}
+
+/* The most worth that the requests which have not been served can get. */
+static double
+search_best(Play *play, const Load *load, KcTime free_at)
+{
+    double best = 0;
+
+    for (uint32_t i = 0; i < play->request_count; i++) {
+        Request *request = &play->requests[i];
+        KcTime end_at = start_at(request, load, free_at) + request->work;
+        double worth = end_at <= request->queued.in_time_until ? 1
+                       : end_at <= request->queued.deadline    ? LATE_WORTH
+                                                               : 0;
+
+        if (request->state == STATE_ENDED || worth == 0) {
+            continue;
+        }
+        request->state = STATE_ENDED;
+        worth += search_best(play, load, end_at);
+        request->state = STATE_AWAY;
+        best = worth > best ? worth : best;
+    }
+    return best;
+}
+
+static void
+test_best(gconstpointer data)
+{
+    const Load *load = &small_loads[GPOINTER_TO_SIZE(data)];
+    Play *play = play_load(&policies[KCC], load);
+    Play *best = g_new0(Play, 1);
+    double worth = worth_of_all(play) * play->request_count;
+    double best_worth;
+
+    add_load(best, load);
+    best_worth = search_best(best, load, 0);
+    g_test_message("%.1f of %.1f", worth, best_worth);
+    g_assert_cmpfloat(worth, >=, 0.9 * best_worth);
+    g_free(play);
+    g_free(best);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -598,5 +696,7 @@
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/load queue", claims, G_N_ELEMENTS(claims),
                    sizeof(claims[0]), test_claim);
+    Steps_AddCases("/best possible", small_loads, G_N_ELEMENTS(small_loads),
+                   sizeof(small_loads[0]), test_best);
     return g_test_run();
 }
