--- a/tests/process/test_load_queue.c
+++ b/tests/process/test_load_queue.c
@@ -686,6 +686,126 @@
     g_free(best);
 }
 
+/* ---- single decisions ---------------------------------------------------- */
+
+/* A request that arrived at 0 in a queue where so many were sent, one at each
+ * interval, by now. */
+typedef struct WaitCase {
+    const char *name;
+    KcTime now;
+    int served;
+    KcTime interval;
+    KcTime first_byte;
+    uint32_t place;
+    KcTime deadline;
+    KcWaitVerdict verdict;
+    KcTime until_min;
+    KcTime until_max;
+} WaitCase;
+
+/* The objective is 400 ms: a request waits 50 ms whatever is known. */
+static const WaitCase wait_cases[] = {
+    {"nothing is known", 0, 0, 0, 0, 5, 2500 * MS, KC_WAIT_ON, 50 * MS,
+     50 * MS},
+    {"nothing was sent in time", 50 * MS, 0, 0, 0, 5, 2500 * MS, KC_WAIT_ENDED,
+     0, KC_NEVER},
+    {"an answer takes longer", 50 * MS, 0, 0, 80 * MS, 5, 2500 * MS,
+     KC_WAIT_ON, 100 * MS, 100 * MS},
+    {"answers take too long", 200 * MS, 0, 0, 800 * MS, 5, 2500 * MS,
+     KC_WAIT_ENDED, 0, KC_NEVER},
+    {"its turn comes", 100 * MS, 5, 20 * MS, 0, 4, 2500 * MS, KC_WAIT_ON,
+     200 * MS, 400 * MS},
+    {"its turn may still come", 100 * MS, 5, 20 * MS, 0, 200, 2500 * MS,
+     KC_WAIT_ON, 400 * MS, 401 * MS},
+    {"it waits on when it is late, but not for over half of its time",
+     900 * MS, 40, 20 * MS, 0, 50, 2500 * MS, KC_WAIT_ON, 1250 * MS,
+     1250 * MS},
+    {"its turn comes after its deadline", 100 * MS, 5, 20 * MS, 0, 300,
+     2500 * MS, KC_WAIT_TOO_LONG, 0, KC_NEVER},
+    {"its answer would begin after its deadline", 100 * MS, 5, 20 * MS,
+     300 * MS, 15, 500 * MS, KC_WAIT_TOO_LONG, 0, KC_NEVER},
+    {"few tell too little to refuse it", 100 * MS, 2, 20 * MS, 0, 300,
+     2500 * MS, KC_WAIT_ON, 400 * MS, 401 * MS},
+    {"half of its time is over", 1250 * MS, 40, 20 * MS, 0, 50, 2500 * MS,
+     KC_WAIT_ENDED, 0, KC_NEVER},
+};
+
+/* The pace of a queue that began at 1 s. */
+static KcQueuePace
+make_pace(int served, KcTime interval, KcTime first_byte)
+{
+    KcQueuePace pace = {.first_byte = first_byte};
+
+    KcQueuePace_Begin(&pace, KC_SECOND);
+    for (int i = 1; i <= served; i++) {
+        KcQueuePace_NoteServed(&pace, KC_SECOND + i * interval);
+    }
+    return pace;
+}
+
+static void
+test_wait(gconstpointer data)
+{
+    const WaitCase *wait_case = &wait_cases[GPOINTER_TO_SIZE(data)];
+    KcQueuePace pace = make_pace(wait_case->served, wait_case->interval,
+                                 wait_case->first_byte);
+    KcQueued queued = {.arrived_at = KC_SECOND,
+                       .in_time_until = KC_SECOND + 400 * MS,
+                       .deadline = KC_SECOND + wait_case->deadline};
+    KcWaitInput input = {.queued = &queued,
+                         .objective = 400 * MS,
+                         .place = wait_case->place,
+                         .pace = &pace};
+    KcWaitDecision decision;
+
+    KcWait_Decide(&input, KC_SECOND + wait_case->now, &decision);
+    g_assert_cmpstr(KcWaitVerdict_Name(decision.verdict), ==,
+                    KcWaitVerdict_Name(wait_case->verdict));
+    if (decision.verdict == KC_WAIT_ON) {
+        g_assert_cmpint(decision.until - KC_SECOND, >=, wait_case->until_min);
+        g_assert_cmpint(decision.until - KC_SECOND, <=, wait_case->until_max);
+    }
+}
+
+/* When callers come back that are refused one after the other at one moment.
+ */
+typedef struct ReturnCase {
+    const char *name;
+    int served; /* one each 20 ms */
+    uint32_t waiting;
+    KcTime time_left;
+    int refused;       /* before this one */
+    KcTime return_min; /* after the refusal */
+    KcTime return_max;
+} ReturnCase;
+
+static const ReturnCase return_cases[] = {
+    {"nothing is known", 0, 20, 3000 * MS, 0, 400 * MS, 400 * MS},
+    {"nothing is known, and little time is left", 0, 20, 600 * MS, 0, 200 * MS,
+     200 * MS},
+    {"behind those that wait", 10, 20, 3000 * MS, 0, 380 * MS, 440 * MS},
+    {"behind those that were refused", 10, 20, 3000 * MS, 10, 560 * MS,
+     640 * MS},
+    {"at most a third of the time left", 10, 20, 900 * MS, 10, 300 * MS,
+     300 * MS},
+};
+
+static void
+test_return(gconstpointer data)
+{
+    const ReturnCase *return_case = &return_cases[GPOINTER_TO_SIZE(data)];
+    KcQueuePace pace = make_pace(return_case->served, 20 * MS, 0);
+    KcTime delay = 0;
+
+    for (int i = 0; i <= return_case->refused; i++) {
+        delay = KcQueuePace_RetryAfter(&pace, return_case->waiting,
+                                       return_case->time_left,
+                                       KC_SECOND + 200 * MS);
+    }
+    g_assert_cmpint(delay, >=, return_case->return_min);
+    g_assert_cmpint(delay, <=, return_case->return_max);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -696,6 +816,10 @@
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/load queue", claims, G_N_ELEMENTS(claims),
                    sizeof(claims[0]), test_claim);
+    Steps_AddCases("/wait", wait_cases, G_N_ELEMENTS(wait_cases),
+                   sizeof(wait_cases[0]), test_wait);
+    Steps_AddCases("/return", return_cases, G_N_ELEMENTS(return_cases),
+                   sizeof(return_cases[0]), test_return);
     Steps_AddCases("/best possible", small_loads, G_N_ELEMENTS(small_loads),
                    sizeof(small_loads[0]), test_best);
     return g_test_run();
