--- a/tests/process/test_load_queue.c
+++ b/tests/process/test_load_queue.c
@@ -806,6 +806,78 @@
     g_assert_cmpint(delay, <=, return_case->return_max);
 }
 
+/* ---- turns --------------------------------------------------------------- */
+
+/* Steps: take CUSTOMER WORK COUNT, give CUSTOMER WORK COUNT (back), served
+ * TURN. Trace: the turn of the last request taken. */
+struct Fixture {
+    KcTurns turns;
+    GString *trace;
+};
+
+typedef struct TurnCase {
+    const char *name;
+    const char *steps;
+    const char *trace;
+} TurnCase;
+
+/* A turn is told apart by four requests' work. */
+static const TurnCase turn_cases[] = {
+    {"like customers have like turns", "take a 100 1;take b 100 1", "0 0 "},
+    {"a customer's turns follow one another", "take a 100 17;take b 100 1",
+     "1600 0 "},
+    {"the work counts", "take a 100 1;take b 800 1;take b 100 1;take a 100 1",
+     "0 0 533 0 "},
+    {"what is refused is not paid for",
+     "take a 100 40;give a 100 40;take a 100 1", "3600 0 "},
+    {"what was not used is not saved",
+     "take a 100 40;served 3600;take b 100 1", "3600 3600 "},
+    {"a request that states no work counts as the mean",
+     "take a 100 1;take a 0 16;take a 100 1", "0 1600 1600 "},
+};
+
+static void
+step_take(struct Fixture *fixture, char **words)
+{
+    double turn = 0;
+
+    for (int i = 0; i < atoi(words[3]); i++) {
+        turn =
+            KcTurns_Take(&fixture->turns, words[1], (uint64_t)atoi(words[2]));
+    }
+    g_string_append_printf(fixture->trace, "%.0f ", turn);
+}
+
+static void
+step_give(struct Fixture *fixture, char **words)
+{
+    for (int i = 0; i < atoi(words[3]); i++) {
+        KcTurns_GiveBack(&fixture->turns, words[1], (uint64_t)atoi(words[2]));
+    }
+}
+
+static void
+step_served(struct Fixture *fixture, char **words)
+{
+    KcTurns_NoteServed(&fixture->turns, atoi(words[1]));
+}
+
+static const StepHandler turn_steps[] = {
+    {"take", step_take}, {"give", step_give}, {"served", step_served}};
+
+static void
+test_turns(gconstpointer data)
+{
+    const TurnCase *turn_case = &turn_cases[GPOINTER_TO_SIZE(data)];
+    struct Fixture fixture = {.trace = g_string_new("")};
+
+    Steps_Run(&fixture, turn_steps, G_N_ELEMENTS(turn_steps),
+              turn_case->steps);
+    g_assert_cmpstr(fixture.trace->str, ==, turn_case->trace);
+    KcTurns_Clear(&fixture.turns);
+    g_string_free(fixture.trace, TRUE);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -816,6 +888,8 @@
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/load queue", claims, G_N_ELEMENTS(claims),
                    sizeof(claims[0]), test_claim);
+    Steps_AddCases("/turns", turn_cases, G_N_ELEMENTS(turn_cases),
+                   sizeof(turn_cases[0]), test_turns);
     Steps_AddCases("/wait", wait_cases, G_N_ELEMENTS(wait_cases),
                    sizeof(wait_cases[0]), test_wait);
     Steps_AddCases("/return", return_cases, G_N_ELEMENTS(return_cases),
