--- a/tests/process/test_load_queue.c
+++ b/tests/process/test_load_queue.c
@@ -96,6 +96,24 @@
                              play->now);
 }
 
+static bool
+is_before_lateness(const Play *play, const Request *a, const Request *b)
+{
+    KcTime first_byte = play->pace.first_byte;
+    bool is_in_time = KcQueued_IsInTime(&a->queued, first_byte, play->now);
+
+    return is_in_time != KcQueued_IsInTime(&b->queued, first_byte, play->now)
+               ? is_in_time
+               : is_before_kcc(play, a, b);
+}
+
+/* The least work first. */
+static bool
+is_before_shortest(const Play *play, const Request *a, const Request *b)
+{
+    return a->work != b->work ? a->work < b->work : is_before_kcc(play, a, b);
+}
+
 static bool
 may_wait_for_ever(Play *play, Request *request, uint32_t place)
 {
@@ -160,12 +178,16 @@
     {"constant Retry-After", is_before_kcc, may_wait_kcc, retry_after_constant,
      true},
     {"kcc", is_before_kcc, may_wait_kcc, retry_after_kcc, true},
+    {"in time before urgent", is_before_lateness, may_wait_kcc,
+     retry_after_kcc, true},
+    {"least work first", is_before_shortest, may_wait_kcc, retry_after_kcc,
+     true},
     {"kcc without customers", is_before_kcc, may_wait_kcc, retry_after_kcc,
      false},
 };
 
 #define POLICY_COUNT G_N_ELEMENTS(policies)
-enum { FCFS = 0, FIXED, EIGHTH, CONSTANT, KCC, PLAIN };
+enum { FCFS = 0, FIXED, EIGHTH, CONSTANT, KCC, LATENESS, SHORTEST, PLAIN };
 
 /* ---- loads --------------------------------------------------------------- */
 
