--- a/lib/process/load/refusal.c
+++ b/lib/process/load/refusal.c
@@ -59,7 +59,8 @@
             decision->verdict = KC_WAIT_TOO_LONG;
             return;
         }
-        prolonged = now + expected * WAIT_ERROR;
+        prolonged = expected * WAIT_ERROR;
+        prolonged = now + (prolonged > WAIT_MIN ? prolonged : WAIT_MIN);
         prolonged = prolonged < latest ? prolonged : latest;
         until = until > prolonged ? until : prolonged;
     }
