--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -138,6 +138,15 @@
         {"kcc_uncertain_total",
          "Times that keys began to be refused, as the configuration could be "
          "out of date."},
+    [KC_COUNT_WAITS_TOO_LONG] =
+        {"kcc_waits_too_long_total",
+         "Requests refused as their turn comes after their deadline."},
+    [KC_COUNT_WAITS_ENDED] =
+        {"kcc_waits_ended_total",
+         "Requests refused after a wait in which no server had room."},
+    [KC_COUNT_BUDGET_REFUSALS] =
+        {"kcc_budget_refusals_total",
+         "Requests refused by a server and not sent again, for the budget."},
 };
 
 const char *
