lib/process/load: the room

The decisions under load get a folder of their own, a package whose sources call nothing of the gateway. The first one is the speed that a server tells of itself. A package's objects go to build/<its path>, so that packages may be nested. No behaviour changes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # Each package has its own Makefile.
 include config.mk
 
-LIB_PACKAGES = lib/request lib/connection lib/version lib/process
+LIB_PACKAGES = lib/request lib/connection lib/version lib/process lib/process/load
 PROGRAM_PACKAGES = programs/kccd programs/kcc
 PACKAGES = $(LIB_PACKAGES) $(PROGRAM_PACKAGES) tests
 FORMATTED = $(shell git ls-files --cached --others --exclude-standard '*.c' '*.h')
@@ -88,7 +88,7 @@
 	    $(DESTDIR)$(PREFIX)/include/kcc
 	install -m 755 $(BUILD)/kccd $(BUILD)/kcc $(DESTDIR)$(PREFIX)/bin
 	install -m 644 $(BUILD)/libkcc.a $(DESTDIR)$(PREFIX)/lib
-	install -m 644 lib/kcc.h lib/kcc_types.h lib/*/kcc_*.h \
+	install -m 644 lib/kcc.h lib/kcc_types.h lib/*/kcc_*.h lib/process/load/kcc_*.h \
 	    $(DESTDIR)$(PREFIX)/include/kcc
 	sed 's|@PREFIX@|$(PREFIX)|' libkcc.pc.in \
 	    > $(DESTDIR)$(PREFIX)/lib/pkgconfig/libkcc.pc
--- a/config.mk
+++ b/config.mk
@@ -14,7 +14,7 @@
 endif
 
 INCLUDES = -I$(ROOT)lib -I$(ROOT)lib/request -I$(ROOT)lib/connection \
-    -I$(ROOT)lib/version -I$(ROOT)lib/process
+    -I$(ROOT)lib/version -I$(ROOT)lib/process -I$(ROOT)lib/process/load
 CFLAGS_BASE = -std=gnu11 -D_GNU_SOURCE $(INCLUDES) $(EXTRA_INCLUDES)
 CFLAGS_ALL = $(CFLAGS_BASE) -Wall -Wextra -Wshadow -Werror -g $(OPTIMIZE) \
     $(SANITIZERS) -MMD -MP $(CFLAGS)
--- a/lib/package.mk
+++ b/lib/package.mk
@@ -2,7 +2,7 @@
 include $(dir $(lastword $(MAKEFILE_LIST)))../config.mk
 
 NAME := $(notdir $(CURDIR))
-OUT := $(BUILD)/lib/$(NAME)
+OUT := $(BUILD)/$(patsubst $(ROOT)%,%,$(CURDIR))
 OBJECTS := $(patsubst %.c,$(OUT)/%.o,$(wildcard *.c))
 
 all: $(OUT)/libkcc_$(NAME).a
--- /dev/null
+++ b/lib/process/load/kcc_load.h
@@ -0,0 +1,27 @@
+/*
+ * Decisions under load: how fast servers are.  State in, decision out; nothing
+ * here calls the gateway, knows a socket or reads a clock.
+ */
+#ifndef KCC_LOAD_H
+#define KCC_LOAD_H
+
+#include "kcc_types.h"
+
+/* ---- speed ---------------------------------------------------------------- */
+
+/* How long work takes when a server says nothing of it, in percent. */
+#define KC_SPEED_USUAL_PERCENT 100
+
+/* What is known of how long work takes at a server; zeroed: nothing. */
+typedef struct KcSpeed {
+    uint32_t told_percent; /* the last that the server told */
+    KcTime told_at;        /* 0: it never told */
+} KcSpeed;
+
+/* The server told how long work takes there now, in percent of what is usual;
+ * 0 is ignored. */
+void KcSpeed_NoteTold(KcSpeed *speed, uint32_t percent, KcTime now);
+/* True once the server has told it. */
+bool KcSpeed_IsTold(const KcSpeed *speed);
+
+#endif
