Connections to a server within what it accepts from all gateways

Cause: unsafe requests take no connection that was idle for over 50 ms, so each opened one, and up to 16 idle ones were kept for each server by each gateway: 21 gateways held more than the 190 that a server of kitchen-ledger accepts. Change: a new connection replaces the least recently used idle one; idle ones and requests stay within a fifth less than conn_limit divided by the gateways; while a server does not tell its load, requests beyond that part wait in our queue. The fourth figure of Server-Load is read, logged and not used yet.

--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -193,6 +193,45 @@
     return tokens * 100 / service->engine.kv_cache_tokens;
 }
 
+/* Connections that the server accepts from all gateways; 0: unknown. */
+static uint32_t
+connections_max(const KcServer *server)
+{
+    const KcRouting *routing = server->pool->gateway->routing;
+    const KcRoutedService *service =
+        routing != NULL ? KcRouting_FindService(routing, server->pool->service)
+                        : NULL;
+
+    return service != NULL ? service->connections_max : 0;
+}
+
+static uint32_t
+connections_part(const KcServer *server)
+{
+    return KcConnections_Part(connections_max(server),
+                              server->pool->gateway->gateway_count);
+}
+
+uint32_t
+KcServer_IdleConnectionsMax(const KcServer *server)
+{
+    return KcConnections_IdleMax(connections_part(server), server->in_flight);
+}
+
+/* Would one more connection be beyond what the server accepts?  While it does
+ * not tell how many requests the other gateways have there, they may use all
+ * but this one's part. */
+static bool
+lacks_connections(const KcServer *server, KcTime now)
+{
+    if (server->load_reported_at != 0 &&
+        now - server->load_reported_at < LOAD_STALE_AGE) {
+        return KcServer_Load(server, now) >=
+               KcConnections_Part(connections_max(server), 1);
+    }
+    return server->in_flight >= connections_part(server);
+}
+
 bool
 KcServer_IsFull(const KcServer *server, const KcForward *forward, KcTime now)
 {
@@ -205,6 +244,7 @@
         return false; /* a request that is too large here fits no server */
     }
     return load * 100 >= server->concurrency_max * FULL_LOAD_PERCENT ||
+           lacks_connections(server, now) ||
            memory_use_percent(forward, server, load) > MEMORY_MAX_PERCENT;
 }
 
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -11,6 +11,7 @@
 #include <uthash.h>
 
 #include "kcc_forward.h"
+#include "kcc_load.h"
 #include "kcc_process.h"
 #include "kcc_quota.h"
 #include "kcc_routing.h"
@@ -143,6 +144,7 @@
     bool has_keeper_reports;       /* its keeper reports adapters, which takes
                                     * precedence over the record */
     void *connections; /* the program's connections to it; NULL: none */
+    KcSpeed speed;     /* how long work takes there */
     TAILQ_HEAD(, KcReplica) replicas;
 } KcServer;
 
@@ -463,6 +465,10 @@
 
 /* True when the server takes no new requests until it is replaced. */
 bool KcServer_IsLeaving(const KcServer *server);
+/* How many idle connections to the server may be kept beside those of the
+ * requests there, so that all gateways together don't exceed what it accepts.
+ */
+uint32_t KcServer_IdleConnectionsMax(const KcServer *server);
 /* True when requests may be sent to the server now, as far as it has said. */
 bool KcServer_TakesRequests(const KcServer *server, KcTime now);
 
--- a/lib/process/load/kcc_load.h
+++ b/lib/process/load/kcc_load.h
@@ -24,4 +24,16 @@
 /* True once the server has told it. */
 bool KcSpeed_IsTold(const KcSpeed *speed);
 
+/* ---- connections ---------------------------------------------------------- */
+
+/*
+ * How many connections one gateway keeps to a server that accepts
+ * connections_max from all gateways together; UINT32_MAX when connections_max
+ * is 0, as it is unknown then.  At least 1.
+ */
+uint32_t KcConnections_Part(uint32_t connections_max, uint32_t gateway_count);
+/* How many idle connections a gateway keeps of its part, while it has this
+ * many requests at the server. */
+uint32_t KcConnections_IdleMax(uint32_t part, uint32_t in_flight);
+
 #endif
--- a/lib/version/kcc_routing.h
+++ b/lib/version/kcc_routing.h
@@ -94,6 +94,8 @@
     char name[KC_NAME_MAX];
     char health_path[KC_ROUTE_PATH_MAX]; /* of its backend servers */
     KcEngineCapacity engine;             /* of each of its engines */
+    uint32_t connections_max; /* that each of its servers accepts from all
+                               * gateways together; 0: unknown */
 } KcRoutedService;
 
 TAILQ_HEAD(KcRoutedServiceList, KcRoutedService);
--- a/programs/connection/http_connection_pool.c
+++ b/programs/connection/http_connection_pool.c
@@ -29,6 +29,7 @@
     void (*on_head)(void *context, const KcHttpMessage *message);
     void *context; /* of on_head */
     uint32_t idle_count;
+    uint32_t idle_max;
     TAILQ_HEAD(IdleConnectionList, IdleConnection) idle_connections;
 };
 
@@ -106,6 +107,7 @@
     KcHttpConnectionPool *pool = KcMem_New(sizeof(*pool));
 
     pool->loop = loop;
+    pool->idle_max = IDLE_CONNECTIONS_MAX;
     TAILQ_INIT(&pool->idle_connections);
     return pool;
 }
@@ -120,14 +122,35 @@
     pool->context = context;
 }
 
+/* Closes the least recently used ones beyond the maximum. */
+static void
+close_surplus(KcHttpConnectionPool *pool, uint32_t idle_max)
+{
+    while (pool->idle_count > idle_max) {
+        close_idle_connection(
+            TAILQ_LAST(&pool->idle_connections, IdleConnectionList));
+    }
+}
+
 void
-KcHttpConnectionPool_CloseAll(KcHttpConnectionPool *pool)
+KcHttpConnectionPool_SetIdleMax(KcHttpConnectionPool *pool, uint32_t idle_max)
 {
-    IdleConnection *idle;
+    pool->idle_max =
+        idle_max < IDLE_CONNECTIONS_MAX ? idle_max : IDLE_CONNECTIONS_MAX;
+}
 
-    while ((idle = TAILQ_FIRST(&pool->idle_connections)) != NULL) {
-        close_idle_connection(idle);
-    }
+void
+KcHttpConnectionPool_MakeRoom(KcHttpConnectionPool *pool)
+{
+    uint32_t kept = pool->idle_count > 0 ? pool->idle_count - 1 : 0;
+
+    close_surplus(pool, kept < pool->idle_max ? kept : pool->idle_max);
+}
+
+void
+KcHttpConnectionPool_CloseAll(KcHttpConnectionPool *pool)
+{
+    close_surplus(pool, 0);
 }
 
 void
@@ -204,8 +227,5 @@
     KcHttpConnection_ReadNextMessage(connection);
     /* The end of a response may come with the bytes that led to a pause. */
     KcHttpConnection_SetReadPaused(connection, false);
-    if (pool->idle_count > IDLE_CONNECTIONS_MAX) {
-        close_idle_connection(
-            TAILQ_LAST(&pool->idle_connections, IdleConnectionList));
-    }
+    close_surplus(pool, pool->idle_max);
 }
--- a/programs/connection/http_connection_pool.h
+++ b/programs/connection/http_connection_pool.h
@@ -41,6 +41,15 @@
                               KcHttpConnection *connection,
                               KcTime idle_timeout);
 
+/* Sets how many idle connections are kept at most when one is put into the
+ * pool; the pool's own limit holds besides. */
+void KcHttpConnectionPool_SetIdleMax(KcHttpConnectionPool *pool,
+                                     uint32_t idle_max);
+/* Before a new connection is opened: closes the least recently used one, so
+ * that connections which are never taken don't add up, and those beyond the
+ * maximum. */
+void KcHttpConnectionPool_MakeRoom(KcHttpConnectionPool *pool);
+
 /* Closes all idle connections; the pool stays usable. */
 void KcHttpConnectionPool_CloseAll(KcHttpConnectionPool *pool);
 
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -144,6 +144,8 @@
         .request_body =
             KcGatewayFrontEnd_RequestBody(attempt->forward->caller)};
 
+    KcHttpConnectionPool_SetIdleMax(
+        options.pool, KcServer_IdleConnectionsMax(params->server));
     KcGatewayRole_ScheduleUseReport(role);
     return KcHttpAttempt_Start(&options, attempt, params);
 }
@@ -229,7 +231,7 @@
         KC_LOG_INFO, &fields,
         "%s route=%s kind=%s status=%d sends=%u runs=%u total_ms=%d "
         "sent_ms=%d first_ms=%d silent_ms=%d server_silent_ms=%d adapter=%s "
-        "server_load=%u load_age_ms=%d",
+        "server_load=%u load_age_ms=%d work_percent=%u",
         record->outcome, forward->rule->name,
         KcRequestKind_Name(forward->rule->kind), record->status,
         forward->attempt_count, forward->possible_runs,
@@ -245,7 +247,7 @@
         (int)(forward->server_silence / KC_MS),
         forward->adapter != NULL ? forward->adapter->key : "",
         server != NULL ? server->in_flight + server->others_in_flight : 0,
-        (int)load_age_ms);
+        (int)load_age_ms, server != NULL ? server->speed.told_percent : 0);
 }
 
 /* Logs an attempt that may have ended its server. */
--- a/programs/request/dialect.h
+++ b/programs/request/dialect.h
@@ -37,6 +37,8 @@
     uint32_t running_requests; /* requests that run */
     uint32_t waiting_requests; /* requests in the server's queue */
     uint32_t concurrency_max;  /* concurrency limit of the server */
+    uint32_t work_percent; /* how long work takes there now, in percent of what
+                              is usual; 0: not told */
     KcServerNotice notice; /* its value that was not read is borrowed from the
                               message; started_at_ms is left 0 */
     KcTime keep_alive_timeout; /* how long the server keeps an idle connection;
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -183,6 +183,8 @@
         KcGateway_OnLoadReport(
             attempt->parameters.server, reply->running_requests,
             reply->waiting_requests, reply->concurrency_max, now);
+        KcSpeed_NoteTold(&attempt->parameters.server->speed,
+                         reply->work_percent, now);
     }
     if (reply->must_not_forward) {
         fail_attempt(attempt, KC_ATTEMPT_LOST, KC_ERR_PROTOCOL);
@@ -507,6 +509,7 @@
         write_request(attempt);
         return attempt;
     }
+    KcHttpConnectionPool_MakeRoom(options->pool);
     attempt->connection = connect_to_server(attempt);
     if (attempt->connection == NULL) {
         finish_attempt(attempt);
--- a/tests/connection/test_pool.c
+++ b/tests/connection/test_pool.c
@@ -13,7 +13,7 @@
 #include "../loopback.h"
 #include "../steps.h"
 
-#define CONNECTIONS_MAX 2
+#define CONNECTIONS_MAX 3
 #define BLOCKED_TIME (100 * KC_MS)
 #define SHORT_TIMEOUT (50 * KC_MS)
 #define LONG_TIMEOUT (60 * KC_SECOND)
@@ -199,11 +199,65 @@
     KcLoop_Free(fixture.loop);
 }
 
+/* ---- room ---------------------------------------------------------------- */
+
+/* Connections are put into the pool one after the other; then a new one is to
+ * be opened, if is_opening. */
+static const struct {
+    const char *name;
+    uint32_t idle_max; /* 0: not set */
+    int put_count;
+    bool is_opening;
+    int kept; /* how many can be taken, the newest first */
+} room_cases[] = {
+    {"without a limit all are kept", 0, 3, false, 3},
+    {"a new one replaces the least recently used", 0, 3, true, 2},
+    {"a new one replaces the only one", 0, 1, true, 0},
+    {"a new one when there is none", 0, 0, true, 0},
+    {"what exceeds the limit is closed", 2, 3, false, 2},
+    {"a new one within the limit replaces one too", 3, 3, true, 2},
+    {"a new one beyond the limit", 1, 3, true, 0},
+};
+
+static void
+test_room(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    Fixture fixture = {.loop = KcLoop_Create()};
+
+    fixture.pool = KcHttpConnectionPool_Create(fixture.loop);
+    listen_for_connections(&fixture);
+    if (room_cases[index].idle_max > 0) {
+        KcHttpConnectionPool_SetIdleMax(fixture.pool,
+                                        room_cases[index].idle_max);
+    }
+    for (int i = 0; i < room_cases[index].put_count; i++) {
+        fixture.connections[i] = add_connection(&fixture, LONG_TIMEOUT);
+    }
+    if (room_cases[index].is_opening) {
+        KcHttpConnectionPool_MakeRoom(fixture.pool);
+    }
+    for (int i = 0; i < room_cases[index].kept; i++) {
+        KcHttpConnection *taken =
+            KcHttpConnectionPool_Take(fixture.pool, KC_NEVER);
+
+        g_assert_true(
+            taken == fixture.connections[room_cases[index].put_count - 1 - i]);
+        KcHttpConnection_Close(taken);
+    }
+    g_assert_null(KcHttpConnectionPool_Take(fixture.pool, KC_NEVER));
+    KcHttpConnectionPool_Free(fixture.pool);
+    close(fixture.listening);
+    KcLoop_Free(fixture.loop);
+}
+
 int
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
     Steps_AddCases("/pool", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
                    test_case);
+    Steps_AddCases("/pool/room", room_cases, G_N_ELEMENTS(room_cases),
+                   sizeof(room_cases[0]), test_room);
     return g_test_run();
 }
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -151,6 +151,48 @@
     g_strfreev(lines);
 }
 
+/* ---- load ---------------------------------------------------------------- */
+
+static const struct {
+    const char *name;
+    const char *value;
+    bool has_load;
+    uint32_t work_percent;
+} load_cases[] = {
+    {"three figures", "1,2,3", true, 0},
+    {"four figures", "1,2,3,100", true, 100},
+    {"four figures with spaces", "1, 2, 3, 250 ", true, 250},
+    {"a fourth one with a fraction", "1,2,3,87.5", true, 87},
+    {"the fourth one is empty", "1,2,3,", true, 0},
+    {"the fourth one is no number", "1,2,3,fast", true, 0},
+    {"the fourth one has a unit", "1,2,3,100%", true, 0},
+    {"the fourth one is 0", "1,2,3,0", true, 0},
+    {"the fourth one is negative", "1,2,3,-100", true, 0},
+    {"the fourth one is not finite", "1,2,3,nan", true, 0},
+    {"the fourth one is beyond belief", "1,2,3,1e9", true, 0},
+    {"a fifth one", "1,2,3,100,7", true, 0},
+    {"two figures", "1,2", false, 0},
+    {"none", "idle", false, 0},
+};
+
+static void
+test_load(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    KcHttpMessage message = {
+        .status = 200,
+        .fields = {{"Server-Load", load_cases[index].value},
+                   {"Attempt-Id", "id"}},
+        .field_count = 2};
+    KcHttpMessage request = {.fields = {{"Attempt-Id", "id"}},
+                             .field_count = 1};
+    KcReplyHead head;
+
+    KcPlatform_Current.dialect->parse_reply_head(&message, &request, &head);
+    g_assert_cmpint(head.has_load, ==, load_cases[index].has_load);
+    g_assert_cmpuint(head.work_percent, ==, load_cases[index].work_percent);
+}
+
 /* ---- whose reply it is --------------------------------------------------- */
 
 #define ID_70                                                                 \
@@ -309,6 +351,8 @@
                    sizeof(id_cases[0]), test_id);
     Steps_AddCases("/dialect/notice", notice_cases, G_N_ELEMENTS(notice_cases),
                    sizeof(notice_cases[0]), test_notice);
+    Steps_AddCases("/dialect/load", load_cases, G_N_ELEMENTS(load_cases),
+                   sizeof(load_cases[0]), test_load);
     Steps_AddCases("/dialect/parts", parts_cases, G_N_ELEMENTS(parts_cases),
                    sizeof(parts_cases[0]), test_parts);
     Steps_AddCases("/dialect/start time", start_cases,
--- a/tests/platform/test_records.c
+++ b/tests/platform/test_records.c
@@ -300,6 +300,8 @@
         g_assert_cmpuint(rule->priority, ==, UINT32_MAX);
         g_assert_cmpuint(rule->attempts_max, ==, UINT32_MAX);
         g_assert_cmpuint(rule->weight_sum, ==, 2 * (uint64_t)UINT32_MAX);
+        g_assert_cmpuint(KcRouting_FindService(routing, "s")->connections_max,
+                         ==, UINT32_MAX);
         g_assert_cmpuint(engine->adapter_slots, ==, 100000);
         g_assert_cmpuint(engine->concurrency_max, ==, UINT32_MAX);
         g_assert_cmpuint(engine->kv_cache_tokens, >=, 4294967297);
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -11,7 +11,8 @@
  * at= names another: "near" in the same region, "far" in another one.
  *
  * Steps, separated by semicolons:
- *   config VERSION          takes a routing configuration
+ *   config VERSION [CONNECTIONS_MAX]   takes a routing configuration; a server
+ *                           of service plain accepts so many connections
  *   inforce                 traces the version in force, as "v2"
  *   server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [port=N] [leaving]
  *          [again] REPLICA...  a server's record; born is its start time, x@1
@@ -102,7 +103,8 @@
     KcError error;
 
     KcRouting_AddService(routing, "llm")->engine.is_configured = true;
-    KcRouting_AddService(routing, "plain");
+    KcRouting_AddService(routing, "plain")->connections_max =
+        words[2] != NULL ? (uint32_t)atoi(words[2]) : 0;
     add_rule(routing, "/s/", KC_REQUEST_KIND_SAFE, false);
     add_rule(routing, "/u/", KC_REQUEST_KIND_UNSAFE, false);
     add_rule(routing, "/t/", KC_REQUEST_KIND_STREAM, false);
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -140,6 +140,23 @@
      "config 1;server a plain 2;load a 1 0 2;request 1 /u/x;"
      "request 2 /u/x;request 3 /u/x;reply 1 200",
      "1>a; 2>a; 1:200; 3>a; 1:end; "},
+    /* connections that a server accepts from all gateways together */
+    {"a gateway keeps to its part of the connections of a server that does "
+     "not tell its load",
+     "config 1 10;gateways 4;server a plain 9;request 1 /u/x;request 2 /u/x;"
+     "request 3 /u/x;reply 1 200",
+     "1>a; 2>a; 1:200; 3>a; 1:end; "},
+    {"a gateway uses the connections that the others leave",
+     "config 1 10;gateways 4;server a plain 9;request 1 /u/x;request 2 /u/x;"
+     "load a 2 0 9;request 3 /u/x;request 4 /u/x",
+     "1>a; 2>a; 3>a; 4>a; "},
+    {"a gateway leaves the connections that the others use",
+     "config 1 10;gateways 4;server a plain 9;request 1 /u/x;"
+     "load a 8 0 9;request 2 /u/x;reply 1 200",
+     "1>a; 1:200; 2>a; 1:end; "},
+    {"one connection is always opened",
+     "config 1 1;gateways 40;server a plain 4;request 1 /u/x;request 2 /u/x",
+     "1>a; "},
     /* the retry budget: 20 retries at the start, shared by all gateways */
     {"the retry budget limits further attempts",
      PLAIN "gateways 10;request 1 /u/x;notrun 1;request 2 /u/x;notrun 2;"
