An adapter is loaded again where it was, and not where loads wait

The home of an adapter moved whenever its server was crowded, and moved back later. Change: a gateway remembers the two servers where an adapter was loaded last, of all gateways' loads, as keepers tell them all; these come before the highest rank, crowded or not. Among the others those where three loads are on their way come last.

--- a/lib/process/gateway_adapters.c
+++ b/lib/process/gateway_adapters.c
@@ -279,6 +279,33 @@
     }
 }
 
+static void
+note_holder(KcAdapterState *adapter, uint64_t server)
+{
+    uint64_t previous = server;
+
+    for (int i = 0; i < KC_HOLDERS_MAX; i++) {
+        uint64_t holder = adapter->holders[i];
+
+        adapter->holders[i] = previous;
+        if (holder == server) {
+            return;
+        }
+        previous = holder;
+    }
+}
+
+bool
+KcAdapter_WasHeldBy(const KcAdapterState *adapter, const KcServer *server)
+{
+    for (int i = 0; i < KC_HOLDERS_MAX; i++) {
+        if (adapter->holders[i] == server->id_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Adds or updates the replica of an adapter at a server. */
 static void
 set_replica(KcServer *server, KcAdapterState *adapter, uint32_t version,
@@ -296,6 +323,9 @@
     replica->version = version;
     replica->loading = loading;
     replica->dropped = false;
+    if (!loading) {
+        note_holder(adapter, server->id_hash);
+    }
     update_version_min(adapter);
 }
 
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -277,10 +277,45 @@
                                 forward->adapter->hash);
 }
 
+/* An engine loads so many adapters at once; a further one waits. */
+#define LOADS_AT_ONCE 3
+
+/* Would a load wait for others there, as far as this gateway knows? */
+static bool
+is_loading_much(const KcServer *server)
+{
+    const KcReplica *replica;
+    uint32_t count = 0;
+
+    TAILQ_FOREACH (replica, &server->replicas, server_link) {
+        count += replica->loading && !replica->dropped ? 1 : 0;
+    }
+    return count >= LOADS_AT_ONCE;
+}
+
+/* How much a server is preferred as a home, the least preferred first. */
+typedef enum HomeClass {
+    HOME_BUSY = 0, /* crowded, or loads wait there */
+    HOME_FREE,
+    HOME_WARM /* it had the adapter lately, and has it at hand */
+} HomeClass;
+
+static HomeClass
+classify_home(const KcForward *forward, const KcServer *server, KcTime now)
+{
+    if (KcAdapter_WasHeldBy(forward->adapter, server)) {
+        return HOME_WARM;
+    }
+    return KcServer_IsCrowded(server, now) || is_loading_much(server)
+               ? HOME_BUSY
+               : HOME_FREE;
+}
+
 /*
  * The best server, at most at the given distance, to load the adapter at; NULL
- * when there is none.  It is the one of the highest rank that has capacity: an
- * engine that had the adapter before reloads it from its own memory.  The
+ * when there is none.  It is one that had the adapter before, as an engine
+ * reloads it from its own memory, else the one of the highest rank that has
+ * capacity.  The
  * server must have the base model, unless no server has it; then the model is
  * loaded with the adapter.  serving: see may_replace().
  */
@@ -292,14 +327,13 @@
     KcServer *server;
     KcServer *home = NULL;
     uint64_t highest_rank = 0;
-    bool home_is_crowded = true;
+    HomeClass highest_class = HOME_BUSY;
 
     TAILQ_FOREACH (server, &forward->pool->servers, link) {
         uint64_t rank = home_rank(forward, server);
-        bool is_crowded;
+        HomeClass class;
 
         if (server->distance > farthest ||
-            (!home_is_crowded && rank <= highest_rank) ||
             !is_eligible(forward, server, now) || server->missing_at != 0 ||
             server->suspect_until > now || server->no_loads_until > now ||
             KcServer_IsSilent(server, now) ||
@@ -312,15 +346,15 @@
              !has_base_model(server, forward->adapter->model))) {
             continue;
         }
-        is_crowded = KcServer_IsCrowded(server, now);
+        class = classify_home(forward, server, now);
         if (home != NULL &&
-            (is_crowded > home_is_crowded ||
-             (is_crowded == home_is_crowded && rank <= highest_rank))) {
+            (class < highest_class ||
+             (class == highest_class && rank <= highest_rank))) {
             continue;
         }
         home = server;
         highest_rank = rank;
-        home_is_crowded = is_crowded;
+        highest_class = class;
     }
     return home;
 }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -95,6 +95,9 @@
 void KcServer_DropReplicas(KcGateway *gateway, KcServer *server,
                            bool with_models);
 
+/* True when the server is one of the last that had the adapter loaded. */
+bool KcAdapter_WasHeldBy(const KcAdapterState *adapter,
+                         const KcServer *server);
 /* True when requests may no longer begin on its version. */
 bool KcReplica_IsOutdated(const KcReplica *replica, KcTime now);
 /* True when the replica is loaded and its version may still serve. */
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -202,6 +202,9 @@
     uint32_t unreported_uses; /* begun since KcGateway_ReportUses() */
 } KcReplica;
 
+/* Servers that an adapter was loaded at last, which are remembered. */
+#define KC_HOLDERS_MAX 2
+
 /* An adapter, or a base model, with its replicas and versions. */
 typedef struct KcAdapterState {
     UT_hash_handle hh;                /* KcGateway.adapters, by key */
@@ -220,6 +223,9 @@
     KcTime load_requested_at; /* last request to load a replica */
     TAILQ_HEAD(, KcReplica) replicas;
     struct KcForwardList waiting_requests; /* until it is loaded */
+    /* KcServer.id_hash of the servers that it was loaded at last, the latest
+     * first; 0: none.  They may have it at hand. */
+    uint64_t holders[KC_HOLDERS_MAX];
 } KcAdapterState;
 
 /* Least recently used first. */
