Servers are chosen by how long work takes there now

Cause: of six plain servers and 42 engines some take 55 and others 120 percent of the usual time for good, and each takes 2.5 times as long for 600 ms by turns, a seventh of the time; they tell it in the fourth figure of Server-Load, which nothing used. Change: speed.c keeps the last reading, which fades to the mean of the readings within 600 ms: of 1,019 slow readings of plain servers 87 in 100 were slow 50 ms later, 51 in 100 after 300 ms, 14 in 100 after 600 ms, which is the usual share. placing.c makes a cost of it: the request's own work and the delay by those that are there, times the difference from the usual. For plain services it takes the place of the time to the first byte, which had favoured servers that were not tried lately. A server that never told a speed has the cost that it had.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -218,6 +218,7 @@
     }
     keep_only(attempt, now);
     KcServer_NoteFirstByte(server, now - attempt->started_at, now);
+    KcServer_NoteWork(server, now - attempt->started_at, now);
     if (reply->status < 300) {
         KcForward_NoteAnswer(forward, now);
     }
--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -43,6 +43,8 @@
  * CONTENTION_TOKENS tokens of the request. */
 #define CONTENTION_DELAY (KC_MS * 15 / 100)
 #define CONTENTION_TOKENS 2500
+/* Usual time to read a token of a prompt, us. */
+#define PROMPT_TOKEN_TIME 30
 /* A server is crowded when its load is above CROWDED_PERCENT of the mean plus
  * CROWDED_MARGIN requests. */
 #define CROWDED_PERCENT 150
@@ -301,17 +303,36 @@
     return delay + delay * (KcTime)forward->tokens_max / CONTENTION_TOKENS;
 }
 
+/* The request's work there at the usual speed.  load_delay: by the other
+ * requests. */
+static KcPlacingWork
+placing_work(const KcServer *server, const KcForward *forward,
+             KcTime load_delay)
+{
+    return (KcPlacingWork){.own = forward->adapter != NULL
+                                      ? (KcTime)forward->tokens_max *
+                                            PROMPT_TOKEN_TIME
+                                      : server->pool->work_ewma,
+                           .others = load_delay};
+}
+
 KcTime
 KcServer_Cost(const KcServer *server, const KcForward *forward, KcTime now)
 {
     uint32_t load = KcServer_Load(server, now);
-    KcTime cost = distance_cost[server->distance] +
-                  load_cost(load, server->concurrency_max) +
-                  failure_cost(server, now) + expected_first_byte(server, now);
+    KcTime load_delay = load_cost(load, server->concurrency_max);
+    KcTime cost = distance_cost[server->distance] + failure_cost(server, now);
+    KcPlacingWork work;
+
+    if (forward->adapter != NULL || !KcSpeed_IsTold(&server->speed)) {
+        cost += expected_first_byte(server, now);
+    }
 
     if (forward->adapter != NULL) {
-        cost += contention_cost(forward, load);
+        load_delay += contention_cost(forward, load);
     }
+    work = placing_work(server, forward, load_delay);
+    cost += load_delay + KcPlacing_SpeedCost(&server->speed, &work, now);
     if (server->suspect_until > now) {
         cost += FAILURE_COST + (server->suspect_until - now);
     }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -119,6 +119,9 @@
 void KcServer_NoteSuccess(KcServer *server);
 /* Records the time from an attempt's start to the first byte of its answer. */
 void KcServer_NoteFirstByte(KcServer *server, KcTime duration, KcTime now);
+/* Records the time from an attempt's start to its answer, which is not a
+ * stream. */
+void KcServer_NoteWork(KcServer *server, KcTime duration, KcTime now);
 /* Records an attempt that failed, also by an answer with a status of 500 or
  * more; refusals are no failures. */
 void KcServer_NoteFailure(KcServer *server, KcAttemptEnd end, KcTime now);
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -21,6 +21,8 @@
 /* Weight of the latest attempt in first_byte_ewma; higher, as the time to the
  * first byte follows the server's load. */
 #define FIRST_BYTE_EWMA_WEIGHT 0.2
+/* Weight of one answer in the mean work of a service. */
+#define WORK_EWMA_WEIGHT 0.02
 /* A server that said that it leaves is remembered for this long without a
  * record: a store that comes back may still have an old one.  Longer than
  * regions lose each other. */
@@ -409,6 +411,19 @@
     server->first_byte_ewma_at = now;
 }
 
+void
+KcServer_NoteWork(KcServer *server, KcTime duration, KcTime now)
+{
+    KcTime *work = &server->pool->work_ewma;
+    KcTime usual;
+
+    if (KcSpeed_IsTold(&server->speed)) {
+        usual = duration * KC_SPEED_USUAL_PERCENT /
+                (KcTime)KcSpeed_Percent(&server->speed, now);
+        *work += (KcTime)((double)(usual - *work) * WORK_EWMA_WEIGHT);
+    }
+}
+
 void
 KcServer_NoteFailure(KcServer *server, KcAttemptEnd end, KcTime now)
 {
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -176,6 +176,8 @@
     uint64_t mean_others_in_flight; /* other gateways' requests per server */
     uint64_t mean_load;             /* all gateways' requests per server */
     uint32_t mean_server_count;     /* servers that the means include */
+    KcTime work_ewma; /* of requests without a model at servers that tell their
+                       * speed, from attempt to answer, at the usual speed */
     KcUseCount adapter_uses; /* this gateway's, of all adapters and models */
     KcSuspects suspects; /* parts of prompts that end servers of the service */
     KcTimer review_timer;
@@ -223,8 +225,8 @@
     KcTime load_requested_at; /* last request to load a replica */
     TAILQ_HEAD(, KcReplica) replicas;
     struct KcForwardList waiting_requests; /* until it is loaded */
-    /* KcServer.id_hash of the servers that it was loaded at last, the latest
-     * first; 0: none.  They may have it at hand. */
+    /* KcServer.id_hash of the servers that its newest version was loaded at
+     * last, the latest first; 0: none.  They may have it at hand. */
     uint64_t holders[KC_HOLDERS_MAX];
 } KcAdapterState;
 
