Keepers tell of loads that wait, and homes are where the fewest do

Change: a keeper tells all gateways of an adapter that it can't load at once, in the message that said so when the load began; that one is not sent again then. A server is busy as a home also while its requests are as many as it has places for adapters; of busy ones that with the fewest loads is taken. What an adapter's last servers are is forgotten with a new version, which no server has at hand. Tests: ten cases of test_keeper.c have the new message in their trace.

--- a/lib/process/gateway_adapters.c
+++ b/lib/process/gateway_adapters.c
@@ -180,6 +180,7 @@
     if (version > adapter->newest_version) {
         keep_previous_version(adapter, now);
         adapter->newest_version = version;
+        memset(adapter->holders, 0, sizeof(adapter->holders));
         adapter->older_until = older_until(gateway->options.version_timeout,
                                            announced_after, now);
         update_version_min(adapter);
@@ -323,7 +324,7 @@
     replica->version = version;
     replica->loading = loading;
     replica->dropped = false;
-    if (!loading) {
+    if (!loading && version >= adapter->newest_version) {
         note_holder(adapter, server->id_hash);
     }
     update_version_min(adapter);
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -277,12 +277,12 @@
                                 forward->adapter->hash);
 }
 
-/* An engine loads so many adapters at once; a further one waits. */
+/* An engine loads so many adapters at once; further ones wait. */
 #define LOADS_AT_ONCE 3
 
-/* Would a load wait for others there, as far as this gateway knows? */
-static bool
-is_loading_much(const KcServer *server)
+/* Adapters on their way to the server, or waiting for that. */
+static uint32_t
+count_loading(const KcServer *server)
 {
     const KcReplica *replica;
     uint32_t count = 0;
@@ -290,27 +290,61 @@
     TAILQ_FOREACH (replica, &server->replicas, server_link) {
         count += replica->loading && !replica->dropped ? 1 : 0;
     }
-    return count >= LOADS_AT_ONCE;
+    return count;
+}
+
+/* May every place for adapters be in use? */
+static bool
+lacks_places(const KcForward *forward, const KcServer *server, KcTime now)
+{
+    const KcRoutedService *service =
+        KcRouting_FindService(forward->routing, server->pool->service);
+
+    return service != NULL && service->engine.adapter_slots > 0 &&
+           KcServer_Load(server, now) >= service->engine.adapter_slots;
 }
 
 /* How much a server is preferred as a home, the least preferred first. */
 typedef enum HomeClass {
-    HOME_BUSY = 0, /* crowded, or loads wait there */
+    HOME_BUSY = 0, /* crowded, or a load waits there */
     HOME_FREE,
     HOME_WARM /* it had the adapter lately, and has it at hand */
 } HomeClass;
 
+/* A server as a home. */
+typedef struct Home {
+    KcServer *server; /* NULL: none */
+    HomeClass class;
+    uint32_t loading_count;
+    uint64_t rank;
+} Home;
+
 static HomeClass
-classify_home(const KcForward *forward, const KcServer *server, KcTime now)
+classify_home(const KcForward *forward, const KcServer *server,
+              uint32_t loading_count, KcTime now)
 {
     if (KcAdapter_WasHeldBy(forward->adapter, server)) {
         return HOME_WARM;
     }
-    return KcServer_IsCrowded(server, now) || is_loading_much(server)
+    return loading_count >= LOADS_AT_ONCE || KcServer_IsCrowded(server, now) ||
+                   lacks_places(forward, server, now)
                ? HOME_BUSY
                : HOME_FREE;
 }
 
+static bool
+is_better_home(const Home *home, const Home *best)
+{
+    if (best->server == NULL || home->class != best->class) {
+        return best->server == NULL || home->class > best->class;
+    }
+    if (home->class == HOME_BUSY &&
+        home->loading_count != best->loading_count) {
+        return home->loading_count < best->loading_count;
+    }
+    return home->rank > best->rank;
+}
+
 /*
  * The best server, at most at the given distance, to load the adapter at; NULL
  * when there is none.  It is one that had the adapter before, as an engine
@@ -325,13 +359,10 @@
 {
     bool base_model_held = is_base_model_held(forward);
     KcServer *server;
-    KcServer *home = NULL;
-    uint64_t highest_rank = 0;
-    HomeClass highest_class = HOME_BUSY;
+    Home best = {.server = NULL};
 
     TAILQ_FOREACH (server, &forward->pool->servers, link) {
-        uint64_t rank = home_rank(forward, server);
-        HomeClass class;
+        Home home = {.server = server, .rank = home_rank(forward, server)};
 
         if (server->distance > farthest ||
             !is_eligible(forward, server, now) || server->missing_at != 0 ||
@@ -346,17 +377,13 @@
              !has_base_model(server, forward->adapter->model))) {
             continue;
         }
-        class = classify_home(forward, server, now);
-        if (home != NULL &&
-            (class < highest_class ||
-             (class == highest_class && rank <= highest_rank))) {
-            continue;
+        home.loading_count = count_loading(server);
+        home.class = classify_home(forward, server, home.loading_count, now);
+        if (is_better_home(&home, &best)) {
+            best = home;
         }
-        home = server;
-        highest_rank = rank;
-        highest_class = class;
     }
-    return home;
+    return best.server;
 }
 
 /* Is the best replica of an older version than the newest?  NULL: there is
--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -265,6 +265,43 @@
     TAILQ_INSERT_TAIL(&keeper->load_requests, load_request, link);
 }
 
+/* Tells all gateways of an adapter that waits for its load, so that they wait
+ * for it too, and see how many loads wait here.  Not of one that is loaded:
+ * requests go to it until it is replaced or found missing. */
+static void
+tell_waiting(KcKeeper *keeper, KcPendingLoadRequest *load_request, KcTime now)
+{
+    char key[ADAPTER_KEY_MAX];
+    const KcSlot *slot;
+
+    KcKeeper_MakeKey(load_request->model, load_request->adapter, key);
+    slot = KcKeeper_FindOrAddModel(keeper, key, now)->slot;
+    if (slot != NULL && slot->state != KC_SLOT_EVICTING) {
+        return;
+    }
+    load_request->is_told = true;
+    keeper->options.ops->notify_gateways(
+        keeper->options.context, NULL, load_request->model,
+        load_request->adapter, load_request->version_min, KC_HELD_LOADING);
+}
+
+/* Tells of those that wait though orders may be given. */
+static void
+tell_all_waiting(KcKeeper *keeper, KcTime now)
+{
+    KcPendingLoadRequest *load_request;
+
+    if (!keeper->engine_state_known || keeper->fence == 0 ||
+        keeper->residency.slot_target == 0) {
+        return;
+    }
+    TAILQ_FOREACH (load_request, &keeper->load_requests, link) {
+        if (!load_request->is_told && load_request->adapter[0] != '\0') {
+            tell_waiting(keeper, load_request, now);
+        }
+    }
+}
+
 void
 KcKeeper_OnLoadRequest(KcKeeper *keeper, const char *model,
                        const char *adapter, uint32_t version_min,
@@ -302,6 +339,7 @@
     insert_load_request(keeper, load_request);
     keeper->load_request_count++;
     KcKeeper_GiveNextOrder(keeper, now);
+    tell_all_waiting(keeper, now);
     KcKeeper_ScheduleReport(keeper, now);
 }
 
--- a/lib/process/keeper_internal.h
+++ b/lib/process/keeper_internal.h
@@ -27,6 +27,7 @@
     uint32_t version_min;      /* lowest that is sufficient; 0: any */
     uint32_t priority;         /* 0 is the most urgent */
     KcTime requested_at;
+    bool is_told; /* gateways know that the adapter is on its way */
 } KcPendingLoadRequest;
 
 TAILQ_HEAD(KcPendingLoadRequestList, KcPendingLoadRequest);
--- a/lib/process/keeper_order.c
+++ b/lib/process/keeper_order.c
@@ -51,7 +51,9 @@
     KcKeeper_SetSlotVersion(slot, load_request->version_min);
     KcPace_Begin(&keeper->pace, now);
     KcCounters_Add(keeper->options.counters, KC_COUNT_LOADS, 1);
-    KcKeeper_NotifySlot(keeper, NULL, slot, KC_HELD_LOADING);
+    if (!load_request->is_told) {
+        KcKeeper_NotifySlot(keeper, NULL, slot, KC_HELD_LOADING);
+    }
     send_slot_order(keeper, slot, false, load_request->version_min);
 }
 
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -6,6 +6,9 @@
 #include "../steps.h"
 #include "gateway_steps.h"
 
+/* Two engines without adapters. */
+#define BOTH "config 1;server a llm 4 m;server b llm 4 m;"
+
 static const GatewayCase cases[] = {
     /* routes */
     {"a request without a configuration is refused", "request 1 /s/x",
@@ -170,6 +173,30 @@
      "config 1;server a llm 4 m;request 1 /t/x m/y;"
      "report a y 1 loading;request 2 /t/x m/y;report a y 1 loaded",
      "?a y@0; 1>a; 2>a; "},
+    /* Both servers, as one of them is the adapter's home anyhow. */
+    {"an adapter is loaded again at a, where it was",
+     BOTH "report a y 1 loaded;report a y 1 not_loaded;request 1 /t/x m/y",
+     "?a y@0; "},
+    {"an adapter is loaded again at b, where it was",
+     BOTH "report b y 1 loaded;report b y 1 not_loaded;request 1 /t/x m/y",
+     "?b y@0; "},
+    {"an adapter is loaded where it was though loads wait there",
+     BOTH "report b y 1 loaded;report b y 1 not_loaded;report b p 1 loading;"
+          "report b q 1 loading;report b r 1 loading;request 1 /t/x m/y",
+     "?b y@0; "},
+    {"an adapter is not loaded at a while three loads are on their way there",
+     BOTH "report a p 1 loading;report a q 1 loading;report a r 1 loading;"
+          "request 1 /t/x m/y",
+     "?b y@0; "},
+    {"an adapter is not loaded at b while three loads are on their way there",
+     BOTH "report b p 1 loading;report b q 1 loading;report b r 1 loading;"
+          "request 1 /t/x m/y",
+     "?a y@0; "},
+    {"an adapter is loaded where the fewest loads wait",
+     BOTH "report a p 1 loading;report a q 1 loading;report a r 1 loading;"
+          "report a s 1 loading;report b p 1 loading;report b q 1 loading;"
+          "report b r 1 loading;request 1 /t/x m/y",
+     "?b y@0; "},
     {"an unreachable keeper gets no load request",
      LLM "nokeeper b;request 1 /t/x m/q;nokeeper a;request 2 /t/x m/q",
      "?a q@0; "},
--- a/tests/process/test_keeper.c
+++ b/tests/process/test_keeper.c
@@ -397,7 +397,7 @@
      "report 0 1 m a@1 b@1 c@1;fence 5;capacity 2;"
      "report 0 1 m a@1 b@1 c@1;loadrequest d 0",
      "?; =restarted; m=loaded; a=loaded; b=loaded; c=loaded; ?; "
-     "a=not_loaded; U a #0; "},
+     "a=not_loaded; U a #0; d=loading; "},
     {"the least used adapter is evicted",
      LOAD_AB
      ";usage b 5 0;wait 2000;report 2 1 m a@1 b@1;loadrequest c 0;done",
@@ -405,15 +405,15 @@
     {"an adapter in use is not evicted",
      LOAD_AB ";usage a 1 1;usage b 1 1;wait 2000;report 2 1 m a@1 b@1;"
              "loadrequest c 0;usage a 0 0;wait 40;report 2 1 m a@1 b@1",
-     LOAD_AB_TRACE "?; ?; a=not_loaded; U a #2; "},
+     LOAD_AB_TRACE "?; c=loading; ?; a=not_loaded; U a #2; "},
     {"an adapter in use by a lost gateway may be evicted",
      LOAD_AB ";usage a 9 1;usage b 1 1;gatewaylost;wait 2000;"
              "report 2 1 m a@1 b@1;loadrequest c 0",
-     LOAD_AB_TRACE "?; b=not_loaded; U b #2; "},
+     LOAD_AB_TRACE "?; b=not_loaded; U b #2; c=loading; "},
     {"an adapter just loaded is not evicted",
      LOAD_AB ";loadrequest c 0;wait 40;report 2 1 m a@1 b@1;wait 400;"
              "report 2 1 m a@1 b@1",
-     LOAD_AB_TRACE "?; ?; a=not_loaded; U a #2; "},
+     LOAD_AB_TRACE "c=loading; ?; ?; a=not_loaded; U a #2; "},
     {"a load request for a loaded adapter is answered at once",
      LOAD_A ";loadrequest a 1", LOAD_A_TRACE "a=loaded; "},
     {"an adapter that is requested again is looked up in a report",
@@ -433,7 +433,7 @@
     {"load requests in quick succession do not put off a report",
      LOAD_AB ";usage a 1 1;usage b 1 1;loadrequest c 0;wait 30;"
              "loadrequest d 0;wait 15;report 2 1 m a@1 b@1",
-     LOAD_AB_TRACE "?; "},
+     LOAD_AB_TRACE "c=loading; d=loading; ?; "},
     {"the next report is timed from the last one",
      LOAD_A ";wait 400;lost 0 1 7;report 1 1 m a@1;wait 450;wait 55",
      LOAD_A_TRACE "?; ?; "},
@@ -463,18 +463,19 @@
            "report 2 1 m a@1 b@1;loadrequest c 0",
      READY_TRACE
      "a=loading; L a@0 #0; ?; a=not_loaded; b=loading; L b@0 #0; ?; "
-     "a=loading; L b@0 #1; ?; b=loaded; a=loaded; "},
+     "a=loading; L b@0 #1; ?; b=loaded; a=loaded; c=loading; "},
     {"an unload without an answer is looked up in a report",
      LOAD_AB ";wait 2000;report 2 1 m a@1 b@1;loadrequest c 0;unknown;"
              "report 3 1 m b@1",
-     LOAD_AB_TRACE "?; a=not_loaded; U a #2; ?; c=loading; L c@0 #3; "},
+     LOAD_AB_TRACE "?; a=not_loaded; U a #2; c=loading; ?; L c@0 #3; "},
     {"an engine that restarted empty gets its base model again",
      LOAD_A ";wait 1000;report 0 2;accepted;wait 40;report 1 2 busy;wait 40;"
             "report 1 2 m",
      LOAD_A_TRACE "?; =restarted; m=not_loaded; L m@0 #0; ?; ?; m=loaded; "},
     {"a base model is not ordered twice",
      LOAD_A ";wait 1000;report 0 2;unknown;report 1 2 busy;loadrequest a 0",
-     LOAD_A_TRACE "?; =restarted; m=not_loaded; L m@0 #0; ?; "},
+     LOAD_A_TRACE
+     "?; =restarted; m=not_loaded; L m@0 #0; ?; a=loading; "},
     {"a model that does not fit is refused",
      READY ";loadrequest a 0;accepted;wait 40;report 1 1 m n a@1;"
            "loadrequest b 0;accepted",
@@ -483,10 +484,11 @@
     {"load requests expire",
      LOAD_AB
      ";usage a 1 1;usage b 1 1;loadrequest c 0;wait 1500;report 2 1 m a@1 b@1",
-     LOAD_AB_TRACE "?; c=not_loaded; "},
+     LOAD_AB_TRACE "c=loading; ?; c=not_loaded; "},
     {"a refused order is not repeated at once",
      READY ";loadrequest a 0;refused;report 0 1 m;loadrequest a 0;wait 100",
-     READY_TRACE "a=loading; L a@0 #0; a=not_loaded; ?; ?; "},
+     READY_TRACE
+     "a=loading; L a@0 #0; a=not_loaded; ?; a=loading; ?; "},
     {"no order is given while a report is unanswered",
      LOAD_A ";wait 1000;noreport;loadrequest b 0;wait 100",
      LOAD_A_TRACE "?; ?; "},
