--- a/lib/process/gateway_adapters.c
+++ b/lib/process/gateway_adapters.c
@@ -183,6 +183,7 @@
     if (version > adapter->newest_version) {
         keep_previous_version(adapter, now);
         adapter->newest_version = version;
+        memset(adapter->holders, 0, sizeof(adapter->holders));
         adapter->older_until = older_until(gateway->options.version_timeout,
                                            announced_after, now);
         update_version_min(adapter);
@@ -282,6 +283,33 @@
     }
 }
 
+static void
+note_holder(KcAdapterState *adapter, uint64_t server)
+{
+    uint64_t previous = server;
+
+    for (int i = 0; i < KC_HOLDERS_MAX; i++) {
+        uint64_t holder = adapter->holders[i];
+
+        adapter->holders[i] = previous;
+        if (holder == server) {
+            return;
+        }
+        previous = holder;
+    }
+}
+
+bool
+KcAdapter_WasHeldBy(const KcAdapterState *adapter, const KcServer *server)
+{
+    for (int i = 0; i < KC_HOLDERS_MAX; i++) {
+        if (adapter->holders[i] == server->id_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Adds or updates the replica of an adapter at a server. */
 static void
 set_replica(KcServer *server, KcAdapterState *adapter, uint32_t version,
@@ -299,6 +327,9 @@
     replica->version = version;
     replica->loading = loading;
     replica->dropped = false;
+    if (!loading && version >= adapter->newest_version) {
+        note_holder(adapter, server->id_hash);
+    }
     update_version_min(adapter);
 }
 
--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -43,6 +43,8 @@
  * CONTENTION_TOKENS tokens of the request. */
 #define CONTENTION_DELAY (KC_MS * 15 / 100)
 #define CONTENTION_TOKENS 2500
+/* Usual time to read a token of a prompt, us. */
+#define PROMPT_TOKEN_TIME 30
 /* A server is crowded when its load is above CROWDED_PERCENT of the mean plus
  * CROWDED_MARGIN requests. */
 #define CROWDED_PERCENT 150
@@ -193,6 +195,45 @@
     return tokens * 100 / service->engine.kv_cache_tokens;
 }
 
+/* Connections that the server accepts from all gateways; 0: unknown. */
+static uint32_t
+connections_max(const KcServer *server)
+{
+    const KcRouting *routing = server->pool->gateway->routing;
+    const KcRoutedService *service =
+        routing != NULL ? KcRouting_FindService(routing, server->pool->service)
+                        : NULL;
+
+    return service != NULL ? service->connections_max : 0;
+}
+
+static uint32_t
+connections_part(const KcServer *server)
+{
+    return KcConnections_Part(connections_max(server),
+                              server->pool->gateway->gateway_count);
+}
+
+uint32_t
+KcServer_IdleConnectionsMax(const KcServer *server)
+{
+    return KcConnections_IdleMax(connections_part(server), server->in_flight);
+}
+
+/* Would one more connection be beyond what the server accepts?  While it does
+ * not tell how many requests the other gateways have there, they may use all
+ * but this one's part. */
+static bool
+lacks_connections(const KcServer *server, KcTime now)
+{
+    if (server->load_reported_at != 0 &&
+        now - server->load_reported_at < LOAD_STALE_AGE) {
+        return KcServer_Load(server, now) >=
+               KcConnections_Part(connections_max(server), 1);
+    }
+    return server->in_flight >= connections_part(server);
+}
+
 bool
 KcServer_IsFull(const KcServer *server, const KcForward *forward, KcTime now)
 {
@@ -205,6 +246,7 @@
         return false; /* a request that is too large here fits no server */
     }
     return load * 100 >= server->concurrency_max * FULL_LOAD_PERCENT ||
+           lacks_connections(server, now) ||
            memory_use_percent(forward, server, load) > MEMORY_MAX_PERCENT;
 }
 
@@ -261,17 +303,36 @@
     return delay + delay * (KcTime)forward->tokens_max / CONTENTION_TOKENS;
 }
 
+/* The request's work there at the usual speed.  load_delay: by the other
+ * requests. */
+static KcPlacingWork
+placing_work(const KcServer *server, const KcForward *forward,
+             KcTime load_delay)
+{
+    return (KcPlacingWork){.own = forward->adapter != NULL
+                                      ? (KcTime)forward->tokens_max *
+                                            PROMPT_TOKEN_TIME
+                                      : server->pool->work_ewma,
+                           .others = load_delay};
+}
+
 KcTime
 KcServer_Cost(const KcServer *server, const KcForward *forward, KcTime now)
 {
     uint32_t load = KcServer_Load(server, now);
-    KcTime cost = distance_cost[server->distance] +
-                  load_cost(load, server->concurrency_max) +
-                  failure_cost(server, now) + expected_first_byte(server, now);
+    KcTime load_delay = load_cost(load, server->concurrency_max);
+    KcTime cost = distance_cost[server->distance] + failure_cost(server, now);
+    KcPlacingWork work;
+
+    if (forward->adapter != NULL || !KcSpeed_IsTold(&server->speed)) {
+        cost += expected_first_byte(server, now);
+    }
 
     if (forward->adapter != NULL) {
-        cost += contention_cost(forward, load);
+        load_delay += contention_cost(forward, load);
     }
+    work = placing_work(server, forward, load_delay);
+    cost += load_delay + KcPlacing_SpeedCost(&server->speed, &work, now);
     if (server->suspect_until > now) {
         cost += FAILURE_COST + (server->suspect_until - now);
     }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -110,6 +110,9 @@
 void KcServer_DropReplicas(KcGateway *gateway, KcServer *server,
                            bool with_models);
 
+/* True when the server is one of the last that had the adapter loaded. */
+bool KcAdapter_WasHeldBy(const KcAdapterState *adapter,
+                         const KcServer *server);
 /* True when requests may no longer begin on its version. */
 bool KcReplica_IsOutdated(const KcReplica *replica, KcTime now);
 /* True when the replica is loaded and its version may still serve. */
@@ -131,6 +134,9 @@
 void KcServer_NoteSuccess(KcServer *server);
 /* Records the time from an attempt's start to the first byte of its answer. */
 void KcServer_NoteFirstByte(KcServer *server, KcTime duration, KcTime now);
+/* Records the time from an attempt's start to its answer, which is not a
+ * stream. */
+void KcServer_NoteWork(KcServer *server, KcTime duration, KcTime now);
 /* Records an attempt that failed, also by an answer with a status of 500 or
  * more; refusals are no failures. */
 void KcServer_NoteFailure(KcServer *server, KcAttemptEnd end, KcTime now);
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -11,6 +11,7 @@
 #include <uthash.h>
 
 #include "kcc_forward.h"
+#include "kcc_load.h"
 #include "kcc_process.h"
 #include "kcc_queue.h"
 #include "kcc_quota.h"
@@ -144,6 +145,7 @@
     bool has_keeper_reports;       /* its keeper reports adapters, which takes
                                     * precedence over the record */
     void *connections; /* the program's connections to it; NULL: none */
+    KcSpeed speed;     /* how long work takes there */
     TAILQ_HEAD(, KcReplica) replicas;
 } KcServer;
 
@@ -175,6 +177,8 @@
     uint64_t mean_others_in_flight; /* other gateways' requests per server */
     uint64_t mean_load;             /* all gateways' requests per server */
     uint32_t mean_server_count;     /* servers that the means include */
+    KcTime work_ewma; /* of requests without a model at servers that tell their
+                       * speed, from attempt to answer, at the usual speed */
     KcUseCount adapter_uses; /* this gateway's, of all adapters and models */
     KcSuspects suspects; /* parts of prompts that end servers of the service */
     KcTimer review_timer;
@@ -205,6 +209,9 @@
     uint32_t unreported_uses; /* begun since KcGateway_ReportUses() */
 } KcReplica;
 
+/* Servers that an adapter was loaded at last, which are remembered. */
+#define KC_HOLDERS_MAX 2
+
 /* An adapter, or a base model, with its replicas and versions. */
 typedef struct KcAdapterState {
     UT_hash_handle hh;                /* KcGateway.adapters, by key */
@@ -223,6 +230,9 @@
     KcTime load_requested_at; /* last request to load a replica */
     TAILQ_HEAD(, KcReplica) replicas;
     struct KcForwardList waiting_requests; /* until it is loaded */
+    /* KcServer.id_hash of the servers that its newest version was loaded at
+     * last, the latest first; 0: none.  They may have it at hand. */
+    uint64_t holders[KC_HOLDERS_MAX];
 } KcAdapterState;
 
 /* Least recently used first. */
@@ -476,6 +486,10 @@
 
 /* True when the server takes no new requests until it is replaced. */
 bool KcServer_IsLeaving(const KcServer *server);
+/* How many idle connections to the server may be kept beside those of the
+ * requests there, so that all gateways together don't exceed what it accepts.
+ */
+uint32_t KcServer_IdleConnectionsMax(const KcServer *server);
 /* True when requests may be sent to the server now, as far as it has said. */
 bool KcServer_TakesRequests(const KcServer *server, KcTime now);
 
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -6,6 +6,9 @@
 #include "../steps.h"
 #include "gateway_steps.h"
 
+/* Two engines without adapters. */
+#define BOTH "config 1;server a llm 4 m;server b llm 4 m;"
+
 static const GatewayCase cases[] = {
     /* routes */
     {"a request without a configuration is refused", "request 1 /s/x",
@@ -144,6 +147,23 @@
      "config 1;server a plain 2;load a 1 0 2;request 1 /u/x;"
      "request 2 /u/x;request 3 /u/x;reply 1 200",
      "1>a; 2>a; 1:200; 3>a; 1:end; "},
+    /* connections that a server accepts from all gateways together */
+    {"a gateway keeps to its part of the connections of a server that does "
+     "not tell its load",
+     "config 1 10;gateways 4;server a plain 9;request 1 /u/x;request 2 /u/x;"
+     "request 3 /u/x;reply 1 200",
+     "1>a; 2>a; 1:200; 3>a; 1:end; "},
+    {"a gateway uses the connections that the others leave",
+     "config 1 10;gateways 4;server a plain 9;request 1 /u/x;request 2 /u/x;"
+     "load a 2 0 9;request 3 /u/x;request 4 /u/x",
+     "1>a; 2>a; 3>a; 4>a; "},
+    {"a gateway leaves the connections that the others use",
+     "config 1 10;gateways 4;server a plain 9;request 1 /u/x;"
+     "load a 8 0 9;request 2 /u/x;reply 1 200",
+     "1>a; 1:200; 2>a; 1:end; "},
+    {"one connection is always opened",
+     "config 1 1;gateways 40;server a plain 4;request 1 /u/x;request 2 /u/x",
+     "1>a; "},
     /* the retry budget: 20 retries at the start, shared by all gateways */
     {"the retry budget limits further attempts",
      PLAIN "gateways 10;request 1 /u/x;notrun 1;request 2 /u/x;notrun 2;"
@@ -157,6 +177,30 @@
      "config 1;server a llm 4 m;request 1 /t/x m/y;"
      "report a y 1 loading;request 2 /t/x m/y;report a y 1 loaded",
      "?a y@0; 1>a; 2>a; "},
+    /* Both servers, as one of them is the adapter's home anyhow. */
+    {"an adapter is loaded again at a, where it was",
+     BOTH "report a y 1 loaded;report a y 1 not_loaded;request 1 /t/x m/y",
+     "?a y@0; "},
+    {"an adapter is loaded again at b, where it was",
+     BOTH "report b y 1 loaded;report b y 1 not_loaded;request 1 /t/x m/y",
+     "?b y@0; "},
+    {"an adapter is loaded where it was though loads wait there",
+     BOTH "report b y 1 loaded;report b y 1 not_loaded;report b p 1 loading;"
+          "report b q 1 loading;report b r 1 loading;request 1 /t/x m/y",
+     "?b y@0; "},
+    {"an adapter is not loaded at a while three loads are on their way there",
+     BOTH "report a p 1 loading;report a q 1 loading;report a r 1 loading;"
+          "request 1 /t/x m/y",
+     "?b y@0; "},
+    {"an adapter is not loaded at b while three loads are on their way there",
+     BOTH "report b p 1 loading;report b q 1 loading;report b r 1 loading;"
+          "request 1 /t/x m/y",
+     "?a y@0; "},
+    {"an adapter is loaded where the fewest loads wait",
+     BOTH "report a p 1 loading;report a q 1 loading;report a r 1 loading;"
+          "report a s 1 loading;report b p 1 loading;report b q 1 loading;"
+          "report b r 1 loading;request 1 /t/x m/y",
+     "?b y@0; "},
     {"an unreachable keeper gets no load request",
      LLM "nokeeper b;request 1 /t/x m/q;nokeeper a;request 2 /t/x m/q",
      "?a q@0; "},
