Second attempts against slow answers, within the operator's limit

Cause: a request that may be repeated waited for its one slow server until that was silent for three quarters of the objective. Change: KcSecondAttempts knows how long answers of a size took lately; a request slower than all but extra_percent of them is sent to a second server, by the mechanism of silent servers. [slow_answers] extra_percent bounds the attempts and their tokens; the default 0 changes nothing.

--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -46,6 +46,7 @@
 #include "kcc_request.h"
 #include "kcc_residency.h"
 #include "kcc_routing.h"
+#include "kcc_second_attempts.h"
 #include "kcc_suspects.h"
 
 #endif
--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -128,6 +128,28 @@
     [KC_COUNT_BLOCKED_REQUESTS] =
         {"kcc_blocked_requests_total",
          "Requests refused because a part of their prompt is blocked."},
+    [KC_COUNT_SECOND_ATTEMPTS] = {"kcc_second_attempts_total",
+                                  "Second attempts for slow answers."},
+    [KC_COUNT_SECOND_WON] = {"kcc_second_attempts_won_total",
+                             "Second attempts whose answer began first."},
+    [KC_COUNT_SECOND_LOST] =
+        {"kcc_second_attempts_lost_total",
+         "Second attempts whose first attempt began to answer sooner."},
+    [KC_COUNT_SECOND_LIMITED] =
+        {"kcc_second_attempts_limited_total",
+         "Slow answers beyond the limit of second attempts."},
+    [KC_COUNT_SECOND_LOADED] =
+        {"kcc_second_attempts_loaded_total",
+         "Slow answers without a second attempt: loaded servers."},
+    [KC_COUNT_SECOND_NOT_SOONER] =
+        {"kcc_second_attempts_not_sooner_total",
+         "Slow answers that no other server would have begun sooner."},
+    [KC_COUNT_SECOND_NO_BUDGET] =
+        {"kcc_second_attempts_no_budget_total",
+         "Slow answers without a second attempt: no retry budget left."},
+    [KC_COUNT_SECOND_OVER_QUOTA] =
+        {"kcc_second_attempts_over_quota_total",
+         "Slow answers without a second attempt: the customer's quota."},
 };
 
 const char *
--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -165,6 +165,19 @@
     KcGateway_SetGatewayCount(gateway, gateway->gateway_count, now);
 }
 
+void
+KcGateway_SetExtraFraction(KcGateway *gateway, double extra_fraction)
+{
+    KcServerPool *pool;
+    KcServerPool *next;
+
+    gateway->options.extra_fraction = extra_fraction;
+    HASH_ITER(hh, gateway->pools, pool, next)
+    {
+        KcSecondAttempts_SetLimit(&pool->second_attempts, extra_fraction);
+    }
+}
+
 void
 KcGateway_Drain(KcGateway *gateway, KcTime refuse_at, KcTime end_at)
 {
--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -114,23 +114,53 @@
         attempt->stream_head != NULL ? "next event" : "first byte", now);
 }
 
+/* Notes how long the answer took to begin, over all attempts: those that were
+ * given up would have taken longer. */
+static void
+note_beginning(const KcForward *forward, KcTime now)
+{
+    KcSecondAttempts_NoteAnswer(&forward->pool->second_attempts,
+                                forward->tokens_max,
+                                now - forward->first_attempt_at);
+}
+
+/* Cancels an attempt whose server has done nothing wrong. */
+static void
+cancel_other(KcForwardAttempt *other, KcTime now)
+{
+    other->forward->possible_runs += other->is_sent ? 1 : 0;
+    KcForwardAttempt_Cancel(other, now);
+}
+
 /* Ends the request's other attempts: this one's answer has begun.  Those
- * before it were at silent servers. */
+ * before it were at silent servers, or at a slow one. */
 static void
 keep_only(KcForwardAttempt *attempt, KcTime now)
 {
     KcForward *forward = attempt->forward;
+    KcCounters *counters = forward->gateway->options.counters;
     KcForwardAttempt *other;
 
     if (is_only_attempt(attempt)) {
         return;
     }
+    if (forward->is_doubled) {
+        KcCounters_Add(counters,
+                       TAILQ_FIRST(&forward->attempts) == attempt
+                           ? KC_COUNT_SECOND_LOST
+                           : KC_COUNT_SECOND_WON,
+                       1);
+    }
     while ((other = TAILQ_FIRST(&forward->attempts)) != attempt) {
-        KcForwardAttempt_GiveUpSilent(other, now);
+        if (forward->is_doubled) {
+            cancel_other(other, now);
+        }
+        else {
+            KcForwardAttempt_GiveUpSilent(other, now);
+        }
     }
     while ((other = TAILQ_NEXT(attempt, link)) != NULL) {
-        forward->possible_runs += other->is_sent ? 1 : 0;
-        KcForwardAttempt_Cancel(other, now);
+        cancel_other(other, now);
     }
     KcForward_SetSilenceTimer(forward);
     KcGateway_DispatchQueue(forward->pool, now);
@@ -218,6 +248,7 @@
     }
     keep_only(attempt, now);
     KcServer_NoteFirstByte(server, now - attempt->started_at, now);
+    note_beginning(forward, now);
     if (reply->status < 300) {
         KcForward_NoteAnswer(forward, now);
     }
@@ -269,6 +300,7 @@
     if (forward->answer_begun) {
         return;
     }
+    note_beginning(forward, now);
     forward->answer_begun = true;
     forward->first_event_at = now;
     forward->ops->on_begin(forward->caller, attempt->stream_head, true);
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -404,6 +404,39 @@
            !KcServer_IsFailing(choice->server, now);
 }
 
+/* Would another server begin sooner than that of the attempt in progress began
+ * its own?  It has waited there already. */
+static bool
+begins_sooner(const KcForward *forward, const KcServer *other, KcTime now)
+{
+    return KcServer_Cost(other, forward, now) <=
+               KcServer_Cost(forward->server, forward, now) &&
+           !KcServer_IsCrowded(other, now);
+}
+
+bool
+KcForward_TrySooner(KcForward *forward, KcTime now)
+{
+    KcChoice choice;
+
+    if (KcForward_IsBlocked(forward) ||
+        !KcRetryBudget_CanTake(&forward->pool->retry_budget) ||
+        forward->tried_count == KC_FORWARD_TRIED_MAX) {
+        return false;
+    }
+    KcGateway_Choose(forward, now, &choice);
+    if (choice.action != KC_CHOICE_SEND || choice.server->closed_until != 0 ||
+        KcServer_IsFailing(choice.server, now) ||
+        !begins_sooner(forward, choice.server, now)) {
+        return false;
+    }
+    if (!begin_attempt(forward, &choice, now)) {
+        KcForward_NoteTried(forward, choice.server);
+        return false;
+    }
+    return KcRetryBudget_Take(&forward->pool->retry_budget);
+}
+
 bool
 KcForward_CanMove(KcForward *forward, KcTime now)
 {
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -309,6 +309,8 @@
     forward->ops = ops;
     forward->caller = caller;
     KcRetryBudget_Deposit(&forward->pool->retry_budget);
+    KcSecondAttempts_NoteRequest(&forward->pool->second_attempts,
+                                 forward->tokens_max);
     TAILQ_INSERT_TAIL(&gateway->forwards, forward, link);
     gateway->in_flight++;
     KcGateway_DetectPauses(gateway, now);
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -222,6 +222,9 @@
 /* Starts a further attempt at that server, and takes it from the retry budget;
  * false when that is impossible. */
 bool KcForward_TryElsewhere(KcForward *forward, KcTime now);
+/* The same at a server that is expected to begin sooner than the present one.
+ * No adapter is loaded for it. */
+bool KcForward_TrySooner(KcForward *forward, KcTime now);
 /* Is the request kept for as long as its caller waits, also without a server?
  * So is an answer that has begun, as only this gateway can resume it, and a
  * request that was tried elsewhere for its server's silence, as that server
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -79,6 +79,8 @@
                 (gateway->gateway_count > 0 ? gateway->gateway_count : 1));
         /* Starts half full: an earlier process may have spent its budget. */
         pool->retry_budget.millitokens /= 2;
+        KcSecondAttempts_SetLimit(&pool->second_attempts,
+                                  gateway->options.extra_fraction);
         KcServerPool_InitSuspects(pool);
         HASH_ADD_STR(gateway->pools, service, pool);
     }
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -9,6 +9,9 @@
  * ended shortly before its caller would time out, if its server is taken to be
  * lost: otherwise a frozen server would keep the work of callers that have
  * disconnected.
+ *
+ * A request whose server is not silent but slower than usual gets a second
+ * attempt in the same way, within the operator's limit (second_attempts.c).
  */
 #include "gateway_internal.h"
 
@@ -46,7 +49,31 @@
     return TAILQ_LAST(&forward->attempts, KcForwardAttemptList);
 }
 
-/* When the request should be tried at another server. */
+/* Does the answer go on after an event?  No two servers may work on the same
+ * rest. */
+static bool
+goes_on(const KcForward *forward)
+{
+    return forward->answer_begun || forward->has_last_event;
+}
+
+/* When the request counts as slow; KC_NEVER if that changes nothing. */
+static KcTime
+slow_at(const KcForward *forward)
+{
+    KcTime delay;
+
+    if (!forward->repeatable || forward->slowness_judged ||
+        forward->was_moved || goes_on(forward)) {
+        return KC_NEVER;
+    }
+    delay = KcSecondAttempts_Delay(&forward->pool->second_attempts,
+                                   forward->tokens_max);
+    return delay != KC_NEVER ? newest_attempt(forward)->started_at + delay
+                             : KC_NEVER;
+}
+
+/* When the request should be tried at another server, as its own is silent. */
 static KcTime
 retry_at(const KcForward *forward)
 {
@@ -95,8 +122,10 @@
 {
     KcTime retry = retry_at(forward);
     KcTime check = check_server_at(forward);
+    KcTime slow = slow_at(forward);
     KcTime due = retry < check ? retry : check;
 
+    due = slow < due ? slow : due;
     KcForward_SetTimer(forward, due > earliest ? due : earliest);
 }
 
@@ -156,6 +185,69 @@
     forward->was_moved = true;
 }
 
+/* Counters of the verdicts. */
+static const KcCounter verdict_counters[KC_SECOND_VERDICT_COUNT] = {
+    [KC_SECOND_MADE] = KC_COUNT_SECOND_ATTEMPTS,
+    [KC_SECOND_LIMITED] = KC_COUNT_SECOND_LIMITED,
+    [KC_SECOND_LOADED] = KC_COUNT_SECOND_LOADED,
+    [KC_SECOND_NOT_SOONER] = KC_COUNT_SECOND_NOT_SOONER,
+    [KC_SECOND_NO_BUDGET] = KC_COUNT_SECOND_NO_BUDGET,
+    [KC_SECOND_OVER_QUOTA] = KC_COUNT_SECOND_OVER_QUOTA,
+};
+
+/* Takes the cost of a second attempt from the customer's quota, as its server
+ * runs the request, too. */
+static bool
+take_quota(KcForward *forward, KcTime now)
+{
+    KcTime unused;
+
+    return forward->customer == NULL ||
+           KcQuotas_Take(forward->gateway->quotas, forward->customer,
+                         forward->quota_cost, &unused, now) == 0;
+}
+
+static KcSecondVerdict
+try_second(KcForward *forward, KcTime now)
+{
+    KcServerPool *pool = forward->pool;
+    KcSecondInput input = {
+        .concurrency_max = newest_attempt(forward)->server->concurrency_max,
+        .has_queue = !TAILQ_EMPTY(&pool->queue),
+        .has_budget = may_run_again(forward)};
+    KcSecondVerdict verdict;
+
+    KcServerPool_RefreshMeans(pool, now);
+    input.mean_load = pool->mean_load;
+    verdict = KcSecondAttempts_Decide(&pool->second_attempts, &input);
+    if (verdict != KC_SECOND_MADE) {
+        return verdict;
+    }
+    if (!take_quota(forward, now)) {
+        return KC_SECOND_OVER_QUOTA;
+    }
+    if (!KcForward_TrySooner(forward, now)) {
+        KcForward_GiveBackQuota(forward, now);
+        return KC_SECOND_NOT_SOONER;
+    }
+    KcSecondAttempts_Take(&pool->second_attempts, forward->tokens_max);
+    forward->was_moved = true;
+    forward->is_doubled = true;
+    return KC_SECOND_MADE;
+}
+
+/* Decides once whether a slow request gets a second attempt. */
+static void
+judge_slowness(KcForward *forward, KcTime now)
+{
+    if (now < slow_at(forward)) {
+        return;
+    }
+    forward->slowness_judged = true;
+    KcCounters_Add(forward->gateway->options.counters,
+                   verdict_counters[try_second(forward, now)], 1);
+}
+
 /* Is every server with an attempt of the request taken to be lost? */
 static bool
 are_servers_lost(const KcForward *forward, KcTime now)
@@ -170,14 +262,6 @@
     return true;
 }
 
-/* Does the answer go on after an event?  No two servers may work on the same
- * rest. */
-static bool
-goes_on(const KcForward *forward)
-{
-    return forward->answer_begun || forward->has_last_event;
-}
-
 /* Must the attempts be given up, at the end or to go on elsewhere? */
 static bool
 should_leave(KcForward *forward, KcTime now)
@@ -235,6 +319,7 @@
         return;
     }
     if (!goes_on(forward)) {
+        judge_slowness(forward, now);
         try_elsewhere(forward, now);
     }
     if (is_stream(forward) && now >= check_server_at(forward)) {
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -14,6 +14,7 @@
 #include "kcc_process.h"
 #include "kcc_quota.h"
 #include "kcc_routing.h"
+#include "kcc_second_attempts.h"
 #include "kcc_suspects.h"
 
 /* ---- Part 1: backend servers --------------------------------------------- */
@@ -175,6 +176,7 @@
     uint64_t mean_load;             /* all gateways' requests per server */
     uint32_t mean_server_count;     /* servers that the means include */
     KcUseCount adapter_uses; /* this gateway's, of all adapters and models */
+    KcSecondAttempts second_attempts; /* against slow answers */
     KcSuspects suspects; /* parts of prompts that end servers of the service */
     KcTimer review_timer;
     /* Attempts that were withdrawn before an answer, the oldest first. */
@@ -333,6 +335,8 @@
                              * version no request may begin on an older one */
     KcTime revoke_timeout;  /* a key that was taken away runs no request that
                              * comes so long after; 0: no such promise */
+    double extra_fraction;  /* second attempts against slow answers, of all
+                             * requests of a service; 0: none */
     KcSuspectOptions suspects; /* ops, context and counters are not used */
 } KcGatewayOptions;
 
@@ -356,6 +360,9 @@
 void KcGateway_SetRetryBudget(KcGateway *gateway, int64_t percent,
                               int64_t burst, KcTime now);
 
+/* Changes extra_fraction, see KcGatewayOptions. */
+void KcGateway_SetExtraFraction(KcGateway *gateway, double extra_fraction);
+
 /* Sets how many gateways share retry_burst; 0 is ignored. */
 void KcGateway_SetGatewayCount(KcGateway *gateway, uint32_t gateway_count,
                                KcTime now);
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -73,6 +73,14 @@
     KC_COUNT_PARTS_TRIED,       /* trials of blocked parts that were granted */
     KC_COUNT_PARTS_CLEARED,     /* prompt parts cleared of evidence */
     KC_COUNT_BLOCKED_REQUESTS,  /* requests refused for a blocked part */
+    KC_COUNT_SECOND_ATTEMPTS,   /* second attempts for slow answers */
+    KC_COUNT_SECOND_WON,        /* whose answer began first */
+    KC_COUNT_SECOND_LOST,       /* whose first attempt began sooner */
+    KC_COUNT_SECOND_LIMITED,    /* not made: beyond the operator's limit */
+    KC_COUNT_SECOND_LOADED,     /* not made: the servers were loaded */
+    KC_COUNT_SECOND_NOT_SOONER, /* not made: no server would begin sooner */
+    KC_COUNT_SECOND_NO_BUDGET,  /* not made: no retry budget, or attempts */
+    KC_COUNT_SECOND_OVER_QUOTA, /* not made: the customer had no room */
     KC_COUNTER_COUNT
 } KcCounter;
 
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -248,14 +248,18 @@
     uint32_t tried_count;
     /* Of the first attempts; only compared, as they may have been freed. */
     struct KcServer *sent_servers[KC_FORWARD_TRIED_MAX];
-    KcTime refused_at;   /* when one of them last ended an attempt while
-                          * another was in progress; 0: none */
-    bool was_moved;      /* another server was tried, as one was silent */
-    bool is_trial;       /* the one request that tries a blocked part */
-    uint64_t trial_part; /* that part; valid with is_trial */
-    bool owes_retry;     /* the next attempt takes from the retry budget */
-    bool read_paused;    /* see KcForward_SetReadPaused() */
-    bool answer_begun;   /* the caller has the head of an answer */
+    KcTime refused_at;    /* when one of them last ended an attempt while
+                           * another was in progress; 0: none */
+    bool was_moved;       /* another server was tried, as one was silent or
+                           * slow */
+    bool is_doubled;      /* the second of its attempts was made because the
+                           * first one was slow */
+    bool slowness_judged; /* whether to make one was decided */
+    bool is_trial;        /* the one request that tries a blocked part */
+    uint64_t trial_part;  /* that part; valid with is_trial */
+    bool owes_retry;      /* the next attempt takes from the retry budget */
+    bool read_paused;     /* see KcForward_SetReadPaused() */
+    bool answer_begun;    /* the caller has the head of an answer */
     bool has_last_event;
     uint64_t last_event_id; /* passed on to the caller, or that it had before;
                              * valid with has_last_event */
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -228,8 +228,8 @@
     KcLog_Write(
         KC_LOG_INFO, &fields,
         "%s route=%s kind=%s status=%d sends=%u runs=%u total_ms=%d "
-        "sent_ms=%d first_ms=%d silent_ms=%d server_silent_ms=%d adapter=%s "
-        "server_load=%u load_age_ms=%d",
+        "sent_ms=%d first_ms=%d silent_ms=%d server_silent_ms=%d doubled=%d "
+        "adapter=%s server_load=%u load_age_ms=%d",
         record->outcome, forward->rule->name,
         KcRequestKind_Name(forward->rule->kind), record->status,
         forward->attempt_count, forward->possible_runs,
@@ -242,7 +242,7 @@
             ? (int)((forward->first_event_at - forward->arrived_at) / KC_MS)
             : -1,
         (int)((record->ended_at - forward->last_event_at) / KC_MS),
-        (int)(forward->server_silence / KC_MS),
+        (int)(forward->server_silence / KC_MS), (int)forward->is_doubled,
         forward->adapter != NULL ? forward->adapter->key : "",
         server != NULL ? server->in_flight + server->others_in_flight : 0,
         (int)load_age_ms);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -173,6 +173,7 @@
 
     KcGateway_SetRetryBudget(role->gateway, retry_percent(settings),
                              (int64_t)settings->retry_burst, KcLoop_Now());
+    KcGateway_SetExtraFraction(role->gateway, settings->extra_percent / 100);
 }
 
 static const KcRoleOps role_ops = {begin_drain, is_drained, end_intake,
@@ -204,6 +205,7 @@
     options.seed = KcLoop_GetRandomBits();
     options.retry_percent = retry_percent(settings);
     options.retry_burst = (int64_t)settings->retry_burst;
+    options.extra_fraction = settings->extra_percent / 100;
     options.version_timeout = (KcTime)(settings->version_timeout_ms * KC_MS);
     options.suspects = KcRoleCommon_GetSuspectOptions(settings);
     role->gateway = KcGateway_Create(&options);
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -239,6 +239,10 @@
         "parts", "trial_s", ROLES_PLATFORM, part_trial_delay_s, "60", 1, 86400,
         "A blocked part is tried after this, in seconds; the second "
         "and third trial wait 5 and 25 times as long."),
+    DECIMAL_SETTING("slow_answers", "extra_percent", ROLES_GATEWAY,
+                    extra_percent, "0", 0, 20,
+                    "Second attempts against slow answers, in percent of a "
+                    "service's requests and of their tokens; 0: none."),
     NUMBER_SETTING("parts", "remembered_max", ROLES_PLATFORM, parts_max,
                    "10000", 16, 1000000,
                    "Parts of prompts that are remembered for each service."),
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -92,6 +92,7 @@
     double retry_burst;    /* additional retries, shared by all gateways */
     int64_t keeper_port;
     int64_t connection_silence_timeout_ms;
+    double extra_percent;       /* second attempts against slow answers */
     int64_t part_ends_to_block; /* see KcSuspectOptions */
     int64_t part_answers_min;
     int64_t part_evidence_timeout_s;
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -36,6 +36,7 @@
  *   nokeeper SERVER, nosend SERVER     the keeper or server is unreachable
  *   connecting              attempts are sent by "written" only from now on
  *   gateways N              number of gateways that share the retry budget
+ *   extra PERCENT           limit of second attempts against slow answers
  *   checks                  traces checks of servers from now on
  *   alive SERVER            the server answers a check
  *   notice SERVER leaving [BORN], notice SERVER wait MS, notice SERVER unread
@@ -414,6 +415,12 @@
                               fixture->now);
 }
 
+static void
+step_extra(Fixture *fixture, char **words)
+{
+    KcGateway_SetExtraFraction(fixture->gateway, atoi(words[1]) / 100.0);
+}
+
 static void
 step_checks(Fixture *fixture, char **words)
 {
@@ -538,6 +545,7 @@
     {"nosend", step_no_send},
     {"connecting", step_connecting},
     {"gateways", step_gateway_count},
+    {"extra", step_extra},
     {"checks", step_checks},
     {"alive", step_alive},
     {"notice", step_notice},
