--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -16,6 +16,7 @@
 #include "kcc_queue.h"
 #include "kcc_quota.h"
 #include "kcc_routing.h"
+#include "kcc_second_attempts.h"
 #include "kcc_suspects.h"
 
 /* ---- Part 1: backend servers --------------------------------------------- */
@@ -180,6 +181,7 @@
     KcTime work_ewma; /* of requests without a model at servers that tell their
                        * speed, from attempt to answer, at the usual speed */
     KcUseCount adapter_uses; /* this gateway's, of all adapters and models */
+    KcSecondAttempts second_attempts; /* against slow answers */
     KcSuspects suspects; /* parts of prompts that end servers of the service */
     KcTimer review_timer;
     /* Attempts that were withdrawn before an answer, the oldest first. */
@@ -352,6 +354,8 @@
                              */
     KcTime revoke_timeout;  /* a key that was taken away runs no request that
                              * comes so long after; 0: no such promise */
+    double extra_fraction;  /* second attempts against slow answers, of all
+                             * requests of a service; 0: none */
     KcSuspectOptions suspects; /* ops, context and counters are not used */
     KcQuotaOptions quotas;
 } KcGatewayOptions;
@@ -376,6 +380,9 @@
 void KcGateway_SetRetryBudget(KcGateway *gateway, int64_t percent,
                               int64_t burst, KcTime now);
 
+/* Changes extra_fraction, see KcGatewayOptions. */
+void KcGateway_SetExtraFraction(KcGateway *gateway, double extra_fraction);
+
 /* Returns the customers' quotas by the configuration in force. */
 KcQuotas *KcGateway_GetQuotas(KcGateway *gateway, KcTime now);
 
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -82,6 +82,14 @@
                                  * comes after their deadline */
     KC_COUNT_WAITS_ENDED,       /* requests refused after a wait in a queue */
     KC_COUNT_BUDGET_REFUSALS,   /* requests refused for want of retry budget */
+    KC_COUNT_SECOND_ATTEMPTS,   /* second attempts for slow answers */
+    KC_COUNT_SECOND_WON,        /* whose answer began first */
+    KC_COUNT_SECOND_LOST,       /* whose first attempt began sooner */
+    KC_COUNT_SECOND_LIMITED,    /* not made: beyond the operator's limit */
+    KC_COUNT_SECOND_LOADED,     /* not made: the servers were loaded */
+    KC_COUNT_SECOND_NOT_SOONER, /* not made: no server would begin sooner */
+    KC_COUNT_SECOND_NO_BUDGET,  /* not made: no retry budget, or attempts */
+    KC_COUNT_SECOND_OVER_QUOTA, /* not made: the customer had no room */
     KC_COUNTER_COUNT
 } KcCounter;
 
--- a/programs/process/gateway_links.c
+++ b/programs/process/gateway_links.c
@@ -230,9 +230,9 @@
     KcLog_Write(
         KC_LOG_INFO, &fields,
         "%s route=%s kind=%s status=%d sends=%u runs=%u total_ms=%d "
-        "sent_ms=%d first_ms=%d silent_ms=%d server_silent_ms=%d adapter=%s "
-        "server_load=%u load_age_ms=%d work_percent=%u wait=%s place=%u "
-        "expected_ms=%d%s%s",
+        "sent_ms=%d first_ms=%d silent_ms=%d server_silent_ms=%d doubled=%d "
+        "adapter=%s server_load=%u load_age_ms=%d work_percent=%u wait=%s "
+        "place=%u expected_ms=%d%s%s",
         record->outcome, forward->rule->name,
         KcRequestKind_Name(forward->rule->kind), record->status,
         forward->attempt_count, forward->possible_runs,
@@ -245,12 +245,11 @@
             ? (int)((forward->first_event_at - forward->arrived_at) / KC_MS)
             : -1,
         (int)((record->ended_at - forward->last_event_at) / KC_MS),
-        (int)(forward->server_silence / KC_MS),
+        (int)(forward->server_silence / KC_MS), (int)forward->is_doubled,
         forward->adapter != NULL ? forward->adapter->key : "",
         server != NULL ? server->in_flight + server->others_in_flight : 0,
         (int)load_age_ms, server != NULL ? server->speed.told_percent : 0,
-        KcWaitVerdict_Name(forward->wait_verdict),
-        forward->queue_place,
+        KcWaitVerdict_Name(forward->wait_verdict), forward->queue_place,
         forward->expected_wait != KC_NEVER
             ? (int)(forward->expected_wait / KC_MS)
             : -1,
