--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -36,7 +36,6 @@
     bool has_proxies;        /* the store and the workers are reached through
                               * GATEWAY_CLUSTER_PROXY_PORT, where the caller runs a
                               * proxy */
-    const char *customers;   /* JSON list in the configuration; NULL: none */
 } GatewayClusterOptions;
 
 /* Port of the store, the workers and, for callers, the gateways. */
@@ -120,6 +119,12 @@
 /* The limits of GatewayCluster_WriteConfig(). */
 extern const GatewayClusterLimits GatewayCluster_UsualLimits;
 
+/* The configurations that are written from now on have these customers, a
+ * list in JSON that must stay valid, and a route /open/ that needs no key;
+ * NULL: neither. */
+void GatewayCluster_SetCustomers(GatewayCluster *cluster,
+                                 const char *customers);
+
 /*
  * Writes the routing configuration with this version to the store: host h
  * with the routes /safe/, /unsafe/, /stream/, /resume/ and, when
