Quotas: a report before its time when half of a grant is spent

Change: once half of a grant is spent while something is left in all, the next report is brought forward, to a quarter of the interval after the last.

--- a/lib/process/kcc_quota.h
+++ b/lib/process/kcc_quota.h
@@ -72,6 +72,10 @@
 typedef struct KcQuotaOps {
     /* A customer begins or ends to be limited, for the log. */
     void (*record_limit)(void *context, const KcQuotaState *state);
+    /* A report is wanted before the interval is over, as half of what a
+     * customer may spend here is spent and there is more in all.  Not before
+     * KcQuotas_EarlyInterval() after the last one. */
+    void (*request_report)(void *context);
 } KcQuotaOps;
 
 typedef struct KcQuotaOptions {
@@ -127,6 +131,8 @@
 
 /* Interval of KcQuotas_Review(), and of reports to the hub. */
 KcTime KcQuotas_Interval(const KcQuotas *quotas);
+/* Shortest interval of reports. */
+KcTime KcQuotas_EarlyInterval(const KcQuotas *quotas);
 
 /* Brings the asked rates up to date and records which customers are no longer
  * limited. */
--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -65,6 +65,8 @@
 /* A number of gateways that was heard of holds for so long without a higher
  * one; gateways are listed more often. */
 #define KNOWN_COUNT_TIMEOUT (60 * KC_SECOND)
+/* A report is requested when less than this part of a grant is left. */
+#define EARLY_FRACTION 0.5
 /* Costs are counted up to this. */
 #define COST_MAX ((uint64_t)1 << 40)
 
@@ -107,6 +109,8 @@
     KcTime granted_at;
     double share; /* of this gateway */
     double room;  /* units that it may spend, as of settled_at */
+    double room_granted;
+    bool is_report_requested; /* since the grant */
     KcTime settled_at;
     bool is_pressed; /* then a request passes by chance when less than its
                       * cost is left */
@@ -675,6 +679,19 @@
     return (KcTime)(seconds * (double)KC_SECOND) + KcQuotas_Interval(quotas);
 }
 
+/* Asks for a report once a grant is half spent, unless nothing is left. */
+static void
+request_report(const KcQuotas *quotas, Quota *quota, KcTime now)
+{
+    if (quotas->is_hearing && !quota->is_report_requested &&
+        quotas->options.ops != NULL &&
+        quota->room < quota->room_granted * EARLY_FRACTION &&
+        level_at(quota, group_fraction(quotas, quota), now) > 0) {
+        quota->is_report_requested = true;
+        quotas->options.ops->request_report(quotas->options.context);
+    }
+}
+
 int
 KcQuotas_Take(KcQuotas *quotas, const KcRoutedCustomer *customer,
               uint64_t cost, KcTime *retry, KcTime now)
@@ -702,6 +719,7 @@
         quota->spent += (double)cost;
         quota->room -= (double)cost;
         quota->draw = draw_number(quotas);
+        request_report(quotas, quota, now);
         return 0;
     }
     quota->refused++;
@@ -759,6 +777,12 @@
     return interval < INTERVAL_MIN ? INTERVAL_MIN : interval;
 }
 
+KcTime
+KcQuotas_EarlyInterval(const KcQuotas *quotas)
+{
+    return KcQuotas_Interval(quotas) / 4;
+}
+
 static void
 update_rate(Quota *quota, KcTime time_constant, KcTime now)
 {
@@ -1013,6 +1037,8 @@
                               level_max(quota, group_fraction(quotas, quota)));
         set_share(quotas, quota);
         quota->room = quota->share * quota->granted;
+        quota->room_granted = quota->room;
+        quota->is_report_requested = false;
     }
     return 0;
 }
--- a/programs/process/gateway_quotas.c
+++ b/programs/process/gateway_quotas.c
@@ -95,6 +95,7 @@
     KcQuotas *quotas = KcGateway_GetQuotas(role->gateway, now);
     KcTime interval = NO_LIMITS_INTERVAL;
 
+    role->quota_reviewed_at = now;
     if (KcQuotas_HasLimits(quotas)) {
         KcQuotas_Review(quotas, now);
         send_report(role, quotas, now);
@@ -179,7 +180,23 @@
         age_ms(state), state->group.size, state->group.count);
 }
 
-const KcQuotaOps KcGatewayRole_QuotaOps = {record_limit};
+/* Brings the next report forward. */
+static void
+request_report(void *context)
+{
+    GatewayRole *role = context;
+    KcTime now = KcLoop_Now();
+    KcTime due_at =
+        role->quota_reviewed_at +
+        KcQuotas_EarlyInterval(KcGateway_GetQuotas(role->gateway, now));
+
+    if (role->quota_timer.is_set && due_at < role->quota_timer.due_at) {
+        KcTimers_Set(role->common.loop->timers, &role->quota_timer,
+                     due_at > now ? due_at : now);
+    }
+}
+
+const KcQuotaOps KcGatewayRole_QuotaOps = {record_limit, request_report};
 
 static void
 add_customer(void *context, const KcQuotaState *state)
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -33,8 +33,9 @@
     KcIntakePool intake_pool;      /* of replies that are not complete */
     KcIntakePool request_pool;     /* of callers' requests */
     KcTimer use_report_timer;
-    KcTimer hub_timer;      /* connects to the hubs */
-    KcTimer quota_timer;    /* reports customers' use to a hub */
+    KcTimer hub_timer;   /* connects to the hubs */
+    KcTimer quota_timer; /* reports customers' use to a hub */
+    KcTime quota_reviewed_at;
     uint64_t quota_hub;     /* that answered last; 0: none */
     KcOwnRecord own_record; /* of this gateway, in the store */
     uint64_t incarnation;
--- a/tests/process/test_quota.c
+++ b/tests/process/test_quota.c
@@ -211,7 +211,13 @@
     ((Fixture *)context)->logged++;
 }
 
-static const KcQuotaOps quota_ops = {count_record};
+static void
+ignore_request(void *context)
+{
+    (void)context;
+}
+
+static const KcQuotaOps quota_ops = {count_record, ignore_request};
 
 static void
 set_customer(Fixture *fixture, double rate, double burst, KcQuotaUnit unit)
--- a/tests/process/test_quota_play.c
+++ b/tests/process/test_quota_play.c
@@ -120,6 +120,7 @@
     KcQuotas *quotas;
     uint64_t incarnation;
     KcTime review_at;
+    KcTime reviewed_at;
     double weight;
     bool is_running;
     bool is_frozen;
@@ -267,9 +268,31 @@
         KcQuotas_WriteReport(gateway->quotas, hub, &msg, world->now)) {
         send_parcel(world, gateway, (int)hub - 1, false, &msg);
     }
+    gateway->reviewed_at = world->now;
     gateway->review_at = world->now + KcQuotas_Interval(gateway->quotas);
 }
 
+static void
+ignore_limit(void *context, const KcQuotaState *state)
+{
+    (void)context;
+    (void)state;
+}
+
+static void
+bring_forward(void *context)
+{
+    Gateway *gateway = context;
+    KcTime due_at =
+        gateway->reviewed_at + KcQuotas_EarlyInterval(gateway->quotas);
+
+    if (due_at < gateway->review_at) {
+        gateway->review_at = due_at;
+    }
+}
+
+static const KcQuotaOps quota_ops = {ignore_limit, bring_forward};
+
 static void
 start_gateway(World *world, int index)
 {
@@ -285,6 +308,8 @@
     options.window = WINDOW;
     options.excess = EXCESS;
     options.slack = SLACK;
+    options.ops = &quota_ops;
+    options.context = gateway;
     options.seed = ++world->last_incarnation;
     *gateway = (Gateway){.quotas = KcQuotas_Create(&options),
                          .incarnation = world->last_incarnation,
