--- a/tests/daemons/test_quotas.c
+++ b/tests/daemons/test_quotas.c
@@ -115,8 +115,7 @@
                                      .llm_workers = GATEWAYS,
                                      .plain_workers = 1,
                                      .gateways = GATEWAYS,
-                                     .seed = 11,
-                                     .customers = CUSTOMERS};
+                                     .seed = 11};
     gint64 started_at;
     gint64 ask_time;
     double seconds;
@@ -126,6 +125,8 @@
     bool is_killed = false;
 
     cluster = GatewayCluster_Start(&options);
+    GatewayCluster_SetCustomers(cluster, CUSTOMERS);
+    GatewayCluster_WriteConfig(cluster, 2, false);
     wait_until_shared();
     if (cases[index].knob != NULL) {
         GatewayCluster_SetKnob(cluster, GATEWAY_CLUSTER_PLAIN_WORKER, 0,
--- a/tests/process/test_quota_play.c
+++ b/tests/process/test_quota_play.c
@@ -18,7 +18,8 @@
 /* Requests begin before what is checked, as buckets are empty at first. */
 #define ASKED_FROM (5 * KC_SECOND)
 #define SEEDS 4
-#define WINDOW (8 * KC_SECOND)
+#define WINDOW_S 8.0
+#define WINDOW ((KcTime)(WINDOW_S * KC_SECOND))
 #define STEP_COUNT ((int)((WARM_UP + DURATION) / STEP))
 #define WINDOW_STEPS ((int)(WINDOW / STEP))
 #define EXCESS 0.1
@@ -119,6 +120,7 @@
     KcQuotas *quotas;
     uint64_t incarnation;
     KcTime review_at;
+    KcTime reviewed_at;
     double weight;
     bool is_running;
     bool is_frozen;
@@ -266,9 +268,31 @@
         KcQuotas_WriteReport(gateway->quotas, hub, &msg, world->now)) {
         send_parcel(world, gateway, (int)hub - 1, false, &msg);
     }
+    gateway->reviewed_at = world->now;
     gateway->review_at = world->now + KcQuotas_Interval(gateway->quotas);
 }
 
+static void
+ignore_limit(void *context, const KcQuotaState *state)
+{
+    (void)context;
+    (void)state;
+}
+
+static void
+bring_forward(void *context)
+{
+    Gateway *gateway = context;
+    KcTime due_at =
+        gateway->reviewed_at + KcQuotas_EarlyInterval(gateway->quotas);
+
+    if (due_at < gateway->review_at) {
+        gateway->review_at = due_at;
+    }
+}
+
+static const KcQuotaOps quota_ops = {ignore_limit, bring_forward};
+
 static void
 start_gateway(World *world, int index)
 {
@@ -284,6 +308,8 @@
     options.window = WINDOW;
     options.excess = EXCESS;
     options.slack = SLACK;
+    options.ops = &quota_ops;
+    options.context = gateway;
     options.seed = ++world->last_incarnation;
     *gateway = (Gateway){.quotas = KcQuotas_Create(&options),
                          .incarnation = world->last_incarnation,
@@ -474,9 +500,7 @@
 check_play(World *world, const Case *the_case)
 {
     double promised =
-        (the_case->rate * (double)(WINDOW / KC_SECOND) + the_case->rate) *
-            (1 + EXCESS) +
-        SLACK;
+        (the_case->rate * WINDOW_S + the_case->rate) * (1 + EXCESS) + SLACK;
     double admitted = 0;
     double best = 0;
     double window = 0;
@@ -497,7 +521,8 @@
            "promise, served %.3f of the best, %.0f bytes/s at a hub\n",
            the_case->name, the_case->policy, the_case->gateways,
            the_case->rate, worst / promised, admitted / best,
-           (double)world->bytes / ((double)(WARM_UP + DURATION) / KC_SECOND));
+           (double)world->bytes /
+               ((double)(WARM_UP + DURATION) / (double)KC_SECOND));
     if ((worst <= promised) != the_case->is_kept ||
         admitted / best < the_case->served_min) {
         printf("    expected: promise %s, served %.3f or more\n",
