No further replica of a rare adapter as its server is slow

The request itself goes to the replica that is there, and the next one comes later. Change: slowness calls for a further replica only above two uses of the adapter at this gateway within its count's 10 s, as spreading does.

--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -284,6 +284,14 @@
      "?b x@2; 1>a; 2>a; 3>b; "},
     {"a restarted server has no adapters",
      LLM "server a llm 4 born=2 m;nokeeper b;request 1 /t/x m/x", "?a x@0; "},
+    {"an adapter that is seldom asked for stays at a slow server alone",
+     LLM "each 1 3 request /t/x m;wait 1900;each 1 3 begin;each 1 3 event 0;"
+         "each 1 3 end;cleartrace;request 4 /t/x m/x",
+     "4>a; "},
+    {"one that is often asked for gets a second replica",
+     LLM "each 1 3 request /t/x m/x;wait 1900;each 1 3 begin;"
+         "each 1 3 event 0;each 1 3 end;cleartrace;request 4 /t/x m/x",
+     "?b x@0; 4>a; "},
     {"an adapter at a busy server gets a second replica",
      LLM "load a 3 0 4;request 1 /t/x m/x", "?b x@0; 1>a; "},
     {"an adapter at a silent server is loaded elsewhere",
