No further replica of a rare adapter as its server has much to do, either

Cause: as for slowness: a request goes to the replica that is there anyhow, until its server is full.

Test: the case of one request at a busy server, which had a second replica, is now two: none for the adapter asked for once, one for the adapter asked for four times.

--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -395,21 +395,20 @@
 }
 
 /* Should another server take over some of this replica's requests?  Not of an
- * adapter that is seldom asked for, if its server is only slow: this request
- * goes there anyhow, and the next one comes later. */
+ * adapter that is seldom asked for, if its server is only slow or has much to
+ * do: this request goes there anyhow, and the next one comes later. */
 static bool
 needs_further_replica(const KcForward *forward, const KcReplica *replica,
                       KcTime now)
 {
     const KcServer *server = replica->server;
 
-    return serves_older_version(replica) ||
-           KcServer_Load(server, now) * 100 >
-               server->concurrency_max * REPLICA_LOAD_MAX_PERCENT ||
-           KcServer_IsFailing(server, now) ||
+    return serves_older_version(replica) || KcServer_IsFailing(server, now) ||
            (KcUseCount_Value(&forward->adapter->uses, now) >
                 SPREAD_USES_DISCOUNT &&
-            KcServer_IsSlow(server, forward, now));
+            (KcServer_Load(server, now) * 100 >
+                 server->concurrency_max * REPLICA_LOAD_MAX_PERCENT ||
+             KcServer_IsSlow(server, forward, now)));
 }
 
 /* Number of replicas with which a server gets no more requests for this
