--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -655,7 +655,6 @@
 
     signal(SIGPIPE, SIG_IGN);
     cluster->options = *options;
-    cluster->customers = options->customers;
     snprintf(cluster->directory, sizeof(cluster->directory),
              "/tmp/kcc-test-XXXXXX");
     if (mkdtemp(cluster->directory) == NULL) {
