soak: customers, keys and a key that comes and goes

Cause: the random faults were played without customers. Checked: no key and no forged name reaches a worker, each run is in its customer's name, an unknown key runs nothing, a lasting one is never denied.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -655,6 +655,7 @@
 
     signal(SIGPIPE, SIG_IGN);
     cluster->options = *options;
+    cluster->customers = options->customers;
     snprintf(cluster->directory, sizeof(cluster->directory),
              "/tmp/kcc-test-XXXXXX");
     if (mkdtemp(cluster->directory) == NULL) {
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -13,6 +13,7 @@
 #include "deadly.h"
 #include "faults.h"
 #include "history.h"
+#include "keys.h"
 #include "soak.h"
 
 #define CALLERS_MAX 256
@@ -101,16 +102,17 @@
     bool is_chunked = body_bytes > 0 && Soak_DrawBelow(2) == 0;
     KcBuffer *request = &caller->request;
     char prompt[DEADLY_PROMPT_SIZE];
-    char text[512];
+    char text[640];
     int size;
 
     Deadly_WritePrompt(caller->call, prompt);
     size = snprintf(
         text, sizeof(text),
         "%s %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\n"
+        "Credential: %s\r\nTenant-Name: forged\r\n"
         "Deadline-Ms: %" PRId64 "\r\n"
         "Token-Count: 20,20\r\nAnswer-Bytes: %zu\r\n%s%s%d\r\n",
-        kind->method, kind->path, caller->call->id,
+        kind->method, kind->path, caller->call->id, caller->call->key,
         caller->call->time_limit / KC_MS, answer_bytes, prompt,
         kind->is_stream ? "Model: m/a" : "X: ", (int)Soak_DrawBelow(40));
 
@@ -363,6 +365,7 @@
     kind = caller->kind;
     caller->retry_after = 0;
 
+    Keys_Choose(call, caller->number, all.call_count);
     snprintf(call->id, sizeof(call->id), "c%d-%d", caller->number,
              all.call_count++);
     call->gateway = caller->gateway;
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -9,6 +9,7 @@
 #include <string.h>
 
 #include "history.h"
+#include "keys.h"
 #include "proxy.h"
 #include "soak.h"
 
@@ -426,6 +427,8 @@
     History_Begin(DISTURBANCE_LIMITS, GATEWAY_CLUSTER_STORE, 0, KcLoop_Now())
         ->ends_at = KcLoop_Now();
     printf("        configuration %d\n", ++faults.config_version);
+    GatewayCluster_SetCustomers(faults.options.cluster,
+                                Keys_GetCustomers(faults.config_version));
     GatewayCluster_WriteLimits(faults.options.cluster, faults.config_version,
                                faults.has_extra_route, &faults.limits);
 }
--- a/tests/soak/rules.c
+++ b/tests/soak/rules.c
@@ -127,6 +127,19 @@
     }
 }
 
+/* The worker got the call in a customer's name. */
+static void
+on_customer(Call *call, const char *line)
+{
+    char name[32] = "";
+
+    sscanf(line, "%*s %*s %31s", name);
+    call->is_named = true;
+    if (call->customer == NULL || strcmp(call->customer, name) != 0) {
+        Soak_ReportViolation("in another customer's name", call);
+    }
+}
+
 /* The answer counts as passed on when the client has received its head. */
 static void
 on_leaving(Worker *worker, const Call *call, const char *worker_id)
@@ -225,6 +238,12 @@
         else if (strcmp(event, "arrival") == 0) {
             on_arrival(&worker, call, at);
         }
+        else if (strcmp(event, "customer") == 0) {
+            on_customer(call, line);
+        }
+        else if (strcmp(event, "key") == 0) {
+            Soak_ReportViolation("key passed on to a worker", call);
+        }
         else if (strcmp(event, "run") == 0) {
             call->run_count++;
             check_pause(&worker, call);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -20,6 +20,7 @@
 #include "deadly.h"
 #include "faults.h"
 #include "history.h"
+#include "keys.h"
 #include "rules.h"
 #include "soak.h"
 
@@ -235,6 +236,7 @@
     if (call->status == 404 || call->status == 400) {
         Soak_ReportViolation("denied", call);
     }
+    Keys_CheckCall(call);
     Rules_CheckEnd(call, counts);
 }
 
@@ -298,6 +300,7 @@
             snprintf(request, sizeof(request),
                      "GET %s HTTP/1.1\r\nHost: h\r\nAttempt-Id: r%d-%" PRId64
                      "\r\nModel: m/a1\r\nContent-Length: 0\r\n"
+                     "Credential: " KEYS_LASTING "\r\n"
                      "Connection: close\r\n\r\n",
                      paths[served_paths], gateway, KcLoop_Now());
 
@@ -406,6 +409,7 @@
         .gateways = read_number(argc, argv, 5, workers > 4 ? workers / 2 : 2),
         .unsafe_attempts_max = UNSAFE_ATTEMPTS_MAX,
         .seed = seed,
+        .customers = Keys_GetCustomers(1),
         .deadly_part = DEADLY_PART,
         .has_proxies = true};
     printf("%d model workers, %d plain workers, %d gateways, %d callers\n",
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -21,6 +21,8 @@
  *   leaving ATTEMPT_ID TIME       answered with "Server-Leaving: 1"
  *   wait ATTEMPT_ID TIME SECONDS  answered 503 with "Retry-After: SECONDS"
  *   notice ATTEMPT_ID TIME        answered with a line of raw_notices
+ *   customer ATTEMPT_ID NAME      after the arrival, if it has a Tenant-Name
+ *   key ATTEMPT_ID                after the arrival, if it has a Credential
  *   header ATTEMPT_ID NAME: VALUE a header of any call, with knob headers
  *   deadly ATTEMPT_ID TIME        the process ends, as it was to begin an
  *                                 answer on the part of knob deadly
@@ -662,8 +664,16 @@
 static void
 log_arrival(const RawConnection *connection)
 {
-    printf("arrival %s %" PRId64 "\n",
-           RawConnection_FindHeader(connection, "Attempt-Id"), KcLoop_Now());
+    const char *id = RawConnection_FindHeader(connection, "Attempt-Id");
+    const char *customer = RawConnection_FindHeader(connection, "Tenant-Name");
+
+    printf("arrival %s %" PRId64 "\n", id, KcLoop_Now());
+    if (customer[0] != '\0') {
+        printf("customer %s %s\n", id, customer);
+    }
+    if (RawConnection_FindHeader(connection, "Credential")[0] != '\0') {
+        printf("key %s\n", id);
+    }
     fflush(stdout);
 }
 
