--- a/tests/process/test_quota.c
+++ b/tests/process/test_quota.c
@@ -29,6 +29,7 @@
     STEP_OTHER,   /* the same, from a hub that has begun anew */
     STEP_RETRY,   /* a refused request of a units: it may come back in b to c
                    * ms */
+    STEP_EARLY,   /* a reports were requested before their time */
     STEP_LIMITED, /* a: 1 if the customer is limited after a review */
 } StepKind;
 
@@ -159,6 +160,18 @@
       {STEP_WAIT, 500, 0, 0},
       {STEP_TOTALS, 2, 900, 100}, /* 600 are left, half of it here */
       {STEP_TAKE, 90, 10, 30}}},
+    {"a report is requested once a grant is half spent",
+     0,
+     {{STEP_COUNT, 2, 0, 0},
+      {STEP_TOTALS, 2, 0, 0},
+      {STEP_WAIT, 500, 0, 0},
+      {STEP_TOTALS, 2, 0, 100}, /* 500 are left, half of it here */
+      {STEP_TAKE, 12, 10, 12},
+      {STEP_EARLY, 0, 0, 0},
+      {STEP_TAKE, 1, 10, 1},
+      {STEP_EARLY, 1, 0, 0},
+      {STEP_TAKE, 9, 10, 9},
+      {STEP_EARLY, 1, 0, 0}}},
     {"use before it heard of the hub is not",
      0,
      {{STEP_COUNT, 1, 0, 0},
@@ -202,6 +215,7 @@
     uint64_t incarnation;
     KcTime now;
     uint32_t logged;
+    uint32_t requested;
 } Fixture;
 
 static void
@@ -212,12 +226,12 @@
 }
 
 static void
-ignore_request(void *context)
+count_request(void *context)
 {
-    (void)context;
+    ((Fixture *)context)->requested++;
 }
 
-static const KcQuotaOps quota_ops = {count_record, ignore_request};
+static const KcQuotaOps quota_ops = {count_record, count_request};
 
 static void
 set_customer(Fixture *fixture, double rate, double burst, KcQuotaUnit unit)
@@ -342,6 +356,9 @@
     case STEP_RETRY:
         check_retry(fixture, step);
         break;
+    case STEP_EARLY:
+        g_assert_cmpuint(fixture->requested, ==, step->a);
+        break;
     case STEP_LIMITED:
         KcQuotas_Review(fixture->quotas, fixture->now);
         KcQuotas_Visit(fixture->quotas, store_limited, &is_limited,
