Memory of answers that callers have not taken: one bound of the process

Cause: a whole answer of up to 2 MB was held for each caller that did not read it, and 256 KB of each stream, for any number of connections; the kernel held some MB more of each. 150 such callers took a gateway to 282 MB. Change: KcOutputPool counts what is untaken, a tenth of the machine's memory. The fuller it is, the sooner servers of streams are no longer read; when it is exceeded, the caller that has taken nothing for longest loses its connection.

--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -42,6 +42,7 @@
 #include "kcc_feed.h"
 #include "kcc_forward.h"
 #include "kcc_intake.h"
+#include "kcc_output_pool.h"
 #include "kcc_process.h"
 #include "kcc_request.h"
 #include "kcc_residency.h"
--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -132,6 +132,10 @@
         {"kcc_uncertain_total",
          "Times that keys began to be refused, as the configuration could be "
          "out of date."},
+    [KC_COUNT_SLOW_CALLERS] =
+        {"kcc_slow_callers_total",
+         "Callers' connections ended, as unsent answers took too much "
+         "memory."},
 };
 
 const char *
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -74,6 +74,7 @@
     KC_COUNT_PARTS_CLEARED,     /* prompt parts cleared of evidence */
     KC_COUNT_BLOCKED_REQUESTS,  /* requests refused for a blocked part */
     KC_COUNT_UNCERTAIN,         /* times the configuration became uncertain */
+    KC_COUNT_SLOW_CALLERS,      /* callers' connections ended for memory */
     KC_COUNTER_COUNT
 } KcCounter;
 
--- a/programs/connection/socket.c
+++ b/programs/connection/socket.c
@@ -59,6 +59,13 @@
                sizeof(bytes));
 }
 
+void
+KcSocket_SetSendBuffer(struct evconnlistener *listener, int bytes)
+{
+    setsockopt(evconnlistener_get_fd(listener), SOL_SOCKET, SO_SNDBUF, &bytes,
+               sizeof(bytes));
+}
+
 bool
 KcSocket_IsIntact(evutil_socket_t fd)
 {
--- a/programs/connection/socket.h
+++ b/programs/connection/socket.h
@@ -32,6 +32,8 @@
  * listener accepts. Errors are ignored.
  */
 void KcSocket_SetReceiveBuffer(struct evconnlistener *listener, int bytes);
+/* The same of the output. */
+void KcSocket_SetSendBuffer(struct evconnlistener *listener, int bytes);
 
 /*
  * Returns whether the peer's kernel has acknowledged all that was sent and the
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -313,8 +313,8 @@
 KcGatewayRole_GetConfigurationAge(void *context)
 {
     GatewayRole *role = context;
-    KcTime age = KcFeed_CertainAge(role->feeds[KC_COLLECTION_ROUTING],
-                                   KcLoop_Now());
+    KcTime age =
+        KcFeed_CertainAge(role->feeds[KC_COLLECTION_ROUTING], KcLoop_Now());
     bool is_certain = age < role->revoke_timeout;
     KcLogFields fields = {.step = "certainty",
                           .generation = KcGatewayRole_GetGeneration(role)};
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -108,13 +108,13 @@
 static void
 add_certainty(const GatewayRole *role, json_t *state)
 {
-    KcTime age = KcFeed_CertainAge(role->feeds[KC_COLLECTION_ROUTING],
-                                   KcLoop_Now());
+    KcTime age =
+        KcFeed_CertainAge(role->feeds[KC_COLLECTION_ROUTING], KcLoop_Now());
 
-    json_object_set_new(
-        state, "configuration_age_ms",
-        age != KC_NEVER ? json_integer((json_int_t)(age / KC_MS))
-                        : json_null());
+    json_object_set_new(state, "configuration_age_ms",
+                        age != KC_NEVER
+                            ? json_integer((json_int_t)(age / KC_MS))
+                            : json_null());
     json_object_set_new(
         state, "revoke_ms",
         json_integer((json_int_t)(role->revoke_timeout / KC_MS)));
@@ -133,6 +133,9 @@
     json_object_set_new(
         state, "request_bytes",
         json_integer((json_int_t)role->request_pool.kept_bytes));
+    json_object_set_new(state, "unsent_bytes",
+                        json_integer((json_int_t)KcGatewayFrontEnd_UnsentBytes(
+                            role->front_end)));
     json_object_set_new(state, "servers", list);
     KcGateway_VisitEnginePools(role->gateway, add_parts, parts);
     json_object_set_new(state, "parts", parts);
@@ -242,7 +245,8 @@
         .request_pool = &role->request_pool,
         .initial_limits = initial_caller_limits,
         .silence_timeout = settings->connection_silence_timeout_ms * KC_MS,
-        .stall_timeout = CALLER_STALL_TIMEOUT};
+        .stall_timeout = CALLER_STALL_TIMEOUT,
+        .unsent_bytes_max = KcMemory_LimitAnswers(settings)};
     KcAdminServerOptions readiness_options = {
         .loop = role->common.loop,
         .settings = settings,
@@ -255,9 +259,11 @@
     KcLogFields fields = {.step = "listen", .code = KC_ERR_INVALID};
 
     KcLog_Write(KC_LOG_INFO, NULL,
-                "up to %u connections of callers, %zu bytes of requests",
+                "up to %u connections of callers, %zu bytes of requests, %zu "
+                "bytes of answers",
                 front_end_options.connections_max,
-                role->request_pool.kept_bytes_max);
+                role->request_pool.kept_bytes_max,
+                front_end_options.unsent_bytes_max);
     role->front_end = KcGatewayFrontEnd_Create(&front_end_options);
     role->readiness_server = KcAdminServer_Create(&readiness_options);
     if (role->front_end == NULL || role->readiness_server == NULL) {
--- a/programs/process/memory.h
+++ b/programs/process/memory.h
@@ -1,5 +1,5 @@
 /*
- * How much memory callers' requests may take.
+ * How much memory callers' requests and their answers may take.
  */
 #ifndef KCC_MEMORY_H
 #define KCC_MEMORY_H
@@ -12,7 +12,10 @@
  */
 size_t KcMemory_RequestBytesMax(double memory_megabytes,
                                 int64_t machine_bytes);
-/* Returns the bytes of requests that this process may hold. */
+/* The same of answers that callers have not taken yet. */
+size_t KcMemory_AnswerBytesMax(double memory_megabytes, int64_t machine_bytes);
+/* Return the bytes of requests and of answers that this process may hold. */
 size_t KcMemory_LimitRequests(const KcSettings *settings);
+size_t KcMemory_LimitAnswers(const KcSettings *settings);
 
 #endif
--- a/programs/process/settings.c
+++ b/programs/process/settings.c
@@ -112,8 +112,8 @@
     DECIMAL_SETTING("platform", "version_ms", ROLES_GATEWAY,
                     version_timeout_ms, "5000", 100, 60000,
                     "An announced version is required after this time."),
-    DECIMAL_SETTING("customers", "revoke_ms", ROLES_GATEWAY,
-                    revoke_timeout_ms, "0", 0, 60000,
+    DECIMAL_SETTING("customers", "revoke_ms", ROLES_GATEWAY, revoke_timeout_ms,
+                    "0", 0, 60000,
                     "A customer's key that was taken away runs no request "
                     "that comes so long after, even when the store is out of "
                     "reach: requests with keys are refused when the "
@@ -154,8 +154,9 @@
     DECIMAL_SETTING("limits", "memory_mb", ROLES_GATEWAY, memory_megabytes,
                     "0", 0, 1000000,
                     "Memory that the process may use, of which callers' "
-                    "requests may take 75%; 0: unknown, requests may take 192 "
-                    "MB, and at most 75% of the machine's memory."),
+                    "requests may take 75%, and answers that they have not "
+                    "taken 10%; 0: unknown, 192 MB and 32 MB, and at most "
+                    "these parts of the machine's memory."),
     NUMBER_SETTING("limits", "header_max", ROLES_ENTRY, header_bytes_max,
                    "16384", 256, 1048576,
                    "Bytes of all headers of a request."),
--- a/programs/request/caller_connection.c
+++ b/programs/request/caller_connection.c
@@ -1,6 +1,7 @@
 /*
  * A caller's connection to a gateway: its requests and answers.
  */
+#include <stddef.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,10 +9,8 @@
 #include "../process/log.h"
 #include "gateway_front_end_internal.h"
 
-/*
- * Unsent bytes above which reading a streamed answer from its backend server
- * is paused, or the caller's next request is not read, until all are sent.
- */
+/* Unsent bytes above which the caller's next request is not read, until all
+ * are sent. */
 #define UNSENT_BYTES_MAX (256 * 1024)
 /*
  * Percentage of the idle timeout for which callers are told that they may
@@ -96,12 +95,55 @@
     }
 }
 
+static void
+on_output_changed(struct evbuffer *output,
+                  const struct evbuffer_cb_info *change, void *context)
+{
+    KcCallerConnection *connection = context;
+    KcGatewayFrontEnd *front_end = connection->front_end;
+
+    KcOutputPool_Update(&front_end->output_pool, &connection->output_share,
+                        evbuffer_get_length(output), change->n_deleted > 0);
+    if (change->n_added > 0 &&
+        KcOutputPool_FindExcess(&front_end->output_pool) != NULL) {
+        KcTimers_Set(front_end->options.loop->timers, &front_end->excess_timer,
+                     KcLoop_Now());
+    }
+}
+
+void
+KcCallerConnection_EndSlow(KcOutputShare *share, KcTime now)
+{
+    KcCallerConnection *connection =
+        (KcCallerConnection *)((char *)share -
+                               offsetof(KcCallerConnection, output_share));
+    KcGatewayFrontEnd *front_end = connection->front_end;
+    KcForward *forward = connection->forward;
+    KcLogFields fields = {.step = "output", .code = KC_ERR_BUSY};
+
+    KcCounters_Add(front_end->options.counters, KC_COUNT_SLOW_CALLERS, 1);
+    KcLog_Write(KC_LOG_WARN, &fields,
+                "unsent answers take too much memory, unsent_bytes=%zu of "
+                "%zu, limit=%zu",
+                share->bytes, front_end->output_pool.bytes,
+                front_end->output_pool.bytes_max);
+    if (forward != NULL) {
+        connection->forward = NULL;
+        KcForward_Abandon(forward, now);
+    }
+    KcCallerConnection_Free(connection);
+}
+
 void
 KcCallerConnection_Free(KcCallerConnection *connection)
 {
     KcGatewayFrontEnd *front_end = connection->front_end;
 
     record_end(connection);
+    evbuffer_remove_cb(KcHttpConnection_Output(connection->http_connection),
+                       on_output_changed, connection);
+    KcOutputPool_Update(&front_end->output_pool, &connection->output_share, 0,
+                        false);
     KcTimers_Clear(front_end->options.loop->timers, &connection->timer);
     TAILQ_REMOVE(&front_end->connections, connection, link);
     KcConnectionLimit_Remove(&front_end->connection_limit,
@@ -417,7 +459,7 @@
     evbuffer_add(out, bytes.data, bytes.size);
     evbuffer_add(out, "\r\n", 2);
     if (KcHttpConnection_UnsentBytes(connection->http_connection) >
-        UNSENT_BYTES_MAX) {
+        KcOutputPool_PauseBytes(&connection->front_end->output_pool)) {
         set_reply_read_paused(connection->forward, true);
     }
 }
@@ -614,6 +656,8 @@
         free(connection);
         return;
     }
+    evbuffer_add_cb(KcHttpConnection_Output(connection->http_connection),
+                    on_output_changed, connection);
     KcTimer_Init(&connection->timer, on_timer, connection);
     TAILQ_INSERT_TAIL(&front_end->connections, connection, link);
     connection->is_admitted =
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -12,6 +12,9 @@
  * connection that has carried a large request.
  */
 #define RECEIVE_BUFFER_BYTES (128 * 1024)
+/* The same of its output, which by itself grows to some MB for a caller that
+ * reads slowly. */
+#define SEND_BUFFER_BYTES (128 * 1024)
 
 static void
 on_accept(struct evconnlistener *listener, evutil_socket_t fd,
@@ -57,6 +60,19 @@
     }
 }
 
+/* Not done where bytes are added: a request is being answered there. */
+static void
+on_excess_timer(KcTimer *timer, KcTime now)
+{
+    KcGatewayFrontEnd *front_end = timer->owner;
+    KcOutputShare *share;
+
+    while ((share = KcOutputPool_FindExcess(&front_end->output_pool)) !=
+           NULL) {
+        KcCallerConnection_EndSlow(share, now);
+    }
+}
+
 KcGatewayFrontEnd *
 KcGatewayFrontEnd_Create(const KcGatewayFrontEndOptions *options)
 {
@@ -68,6 +84,8 @@
         (KcConnectionLimit){.accept_pause = &front_end->accept_pause,
                             .connections_max = options->connections_max};
     TAILQ_INIT(&front_end->connections);
+    KcOutputPool_Init(&front_end->output_pool, options->unsent_bytes_max);
+    KcTimer_Init(&front_end->excess_timer, on_excess_timer, front_end);
     front_end->listener = KcSocket_Listen(
         options->loop->base, options->address, on_accept, front_end);
     if (front_end->listener == NULL) {
@@ -75,6 +93,7 @@
         return NULL;
     }
     KcSocket_SetReceiveBuffer(front_end->listener, RECEIVE_BUFFER_BYTES);
+    KcSocket_SetSendBuffer(front_end->listener, SEND_BUFFER_BYTES);
     KcAcceptPause_Init(&front_end->accept_pause, options->loop,
                        front_end->listener, options->counters);
     evconnlistener_set_error_cb(front_end->listener, on_accept_error);
@@ -90,6 +109,7 @@
         KcCallerConnection_Free(connection);
     }
     close_listener(front_end);
+    KcTimers_Clear(front_end->options.loop->timers, &front_end->excess_timer);
     free(front_end);
 }
 
@@ -135,3 +155,9 @@
     }
     return true;
 }
+
+size_t
+KcGatewayFrontEnd_UnsentBytes(const KcGatewayFrontEnd *front_end)
+{
+    return front_end->output_pool.bytes;
+}
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -23,6 +23,8 @@
     KcTime silence_timeout;        /* see KcSocket_SetConnectionOptions() */
     KcTime stall_timeout; /* longest time in which a caller takes nothing of an
                              answer */
+    size_t unsent_bytes_max; /* of answers of all callers, see KcOutputPool;
+                                0: no limit */
 } KcGatewayFrontEndOptions;
 
 /*
@@ -56,6 +58,8 @@
  * is no connection.
  */
 bool KcGatewayFrontEnd_IsQuiet(const KcGatewayFrontEnd *front_end);
+/* Returns the bytes of answers that callers have not taken yet. */
+size_t KcGatewayFrontEnd_UnsentBytes(const KcGatewayFrontEnd *front_end);
 /*
  * Return head and body of the request of a caller, as given to KcForwardOps;
  * the head is valid until its answer has ended, the body while another server
--- a/programs/request/gateway_front_end_internal.h
+++ b/programs/request/gateway_front_end_internal.h
@@ -20,6 +20,8 @@
     KcTime idle_until;    /* when leaving, idle connections are closed then */
     KcTime receive_until; /* requests must have been received by then */
     TAILQ_HEAD(, KcCallerConnection) connections;
+    KcOutputPool output_pool;
+    KcTimer excess_timer; /* ends connections when the pool is exceeded */
 };
 
 typedef enum ConnectionState {
@@ -46,6 +48,7 @@
     bool close_after_answer;
     KcTime idle_time;     /* promised with the last answer; 0: none */
     KcTime receive_until; /* in a planned stop, for the present request */
+    KcOutputShare output_share;
 };
 
 /*
@@ -56,6 +59,9 @@
                                evutil_socket_t fd);
 /* Closes the connection at once. */
 void KcCallerConnection_Free(KcCallerConnection *connection);
+/* Ends the connection with this share, whose caller doesn't take its answer,
+ * and abandons its request. */
+void KcCallerConnection_EndSlow(KcOutputShare *share, KcTime now);
 /* Applies the times of the planned stop that the front end has begun. */
 void KcCallerConnection_Drain(KcCallerConnection *connection);
 /*
--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -440,6 +440,10 @@
             fprintf(file, "[platform]\nconfig_ms = %d\n",
                     cluster->options.config_ms);
         }
+        if (cluster->options.memory_mb != 0) {
+            fprintf(file, "[limits]\nmemory_mb = %d\n",
+                    cluster->options.memory_mb);
+        }
     }
     else {
         fprintf(file,
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -36,6 +36,7 @@
     bool has_proxies;        /* the store and the workers are reached through
                               * GATEWAY_CLUSTER_PROXY_PORT, where the caller runs a
                               * proxy */
+    int memory_mb;           /* setting of the gateways; 0: the default */
 } GatewayClusterOptions;
 
 /* Port of the store, the workers and, for callers, the gateways. */
