--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -43,6 +43,7 @@
 #include "kcc_forward.h"
 #include "kcc_intake.h"
 #include "kcc_load.h"
+#include "kcc_output_pool.h"
 #include "kcc_process.h"
 #include "kcc_request.h"
 #include "kcc_residency.h"
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -90,6 +90,7 @@
     KC_COUNT_SECOND_NOT_SOONER, /* not made: no server would begin sooner */
     KC_COUNT_SECOND_NO_BUDGET,  /* not made: no retry budget, or attempts */
     KC_COUNT_SECOND_OVER_QUOTA, /* not made: the customer had no room */
+    KC_COUNT_SLOW_CALLERS,      /* callers' connections ended for memory */
     KC_COUNTER_COUNT
 } KcCounter;
 
