--- a/lib/version/feed_internal.h
+++ b/lib/version/feed_internal.h
@@ -69,8 +69,7 @@
  * Takes an answer that may not lag to a call of any feed of the group: each
  * change acknowledged before sent_at has that revision or an earlier one.
  */
-void KcFeedCertainty_OnAnswer(KcFeed *feed, uint64_t revision,
-                              KcTime sent_at);
+void KcFeedCertainty_OnAnswer(KcFeed *feed, uint64_t revision, KcTime sent_at);
 /* The feed knows more changes than before. */
 void KcFeedCertainty_Update(KcFeed *feed);
 
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -144,8 +144,8 @@
 
 /*
  * Returns how long ago the feed was certain to know each change that the store
- * had acknowledged; KC_NEVER: it never was.  Counted from the moment at which a
- * call that may not lag was sent, never from its answer.
+ * had acknowledged; KC_NEVER: it never was.  Counted from the moment at which
+ * a call that may not lag was sent, never from its answer.
  */
 KcTime KcFeed_CertainAge(const KcFeed *feed, KcTime now);
 
@@ -153,10 +153,10 @@
 
 /*
  * Called for each answer before its items: the era of the store's history, 0
- * when it names none.  A store that was restored from a copy is in a later era,
- * and gives out revisions of earlier ones again.  Returns 0, or the error by
- * which the call is to be ended instead: KC_ERR_NOT_FOUND when its revisions
- * are of another history than what the feed knows, and
+ * when it names none.  A store that was restored from a copy is in a later
+ * era, and gives out revisions of earlier ones again.  Returns 0, or the error
+ * by which the call is to be ended instead: KC_ERR_NOT_FOUND when its
+ * revisions are of another history than what the feed knows, and
  * KC_ERR_OBJECT_API_UNAVAILABLE for a list of an earlier era than one seen.
  */
 int KcFeed_OnEra(KcFeed *feed, uint64_t era);
--- a/tests/version/feed_sim.c
+++ b/tests/version/feed_sim.c
@@ -52,11 +52,11 @@
         g_assert_cmpint(call->kind, ==, CALL_NONE);
         sim->troubled_calls += is_in_trouble(sim) ? 1 : 0;
         *call = (FeedSimCall){.kind = kind,
-                       .may_lag = may_lag,
-                       .dead = is_lost(sim),
-                       .revision = revision,
-                       .started_at = sim->now,
-                       .timeout = timeout};
+                              .may_lag = may_lag,
+                              .dead = is_lost(sim),
+                              .revision = revision,
+                              .started_at = sim->now,
+                              .timeout = timeout};
         sim->strong_calls += may_lag ? 0 : 1;
         sim->lagging_calls += may_lag ? 1 : 0;
         return;
@@ -261,8 +261,7 @@
         return;
     }
     revision = visible_revision(sim, call);
-    if (asked.kind == CALL_WATCH &&
-        age < asked.timeout + latency &&
+    if (asked.kind == CALL_WATCH && age < asked.timeout + latency &&
         !has_change(feed, asked.revision, revision)) {
         return;
     }
@@ -337,7 +336,8 @@
             .watch_delay = rows[i].watch_delay,
             .lag_timeout = rows[i].lag_timeout,
             .group = &sim->group,
-            .check_timeout = sim_options->has_checks ? rows[i].promise * 90 / 100 : 0,
+            .check_timeout =
+                sim_options->has_checks ? rows[i].promise * 90 / 100 : 0,
             .behind_timeout = i == VERSIONS ? rows[i].promise * 60 / 100 : 0,
             .check_interval = rows[i].promise * 50 / 100,
             .on_item = on_item,
--- a/tests/version/feed_sim.h
+++ b/tests/version/feed_sim.h
@@ -52,7 +52,8 @@
     struct {
         int collection;
         KcTime at;
-        int serial; /* counts the changes; unlike revisions never given twice */
+        int serial; /* counts the changes; unlike revisions never given twice
+                     */
     } writes[FEED_SIM_REVISIONS_MAX];
     int serial;                         /* of the last change */
     uint64_t era;                       /* of the store */
