tests: revocation with the store cut off, with real processes

Cause: a key that was taken away must not run a request once revoke_ms is over, at a gateway that can't learn of it.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -470,6 +470,10 @@
             fprintf(file, "[limits]\nmemory_mb = %d\n",
                     cluster->options.memory_mb);
         }
+        if (cluster->options.revoke_ms != 0) {
+            fprintf(file, "[customers]\nrevoke_ms = %d\n",
+                    cluster->options.revoke_ms);
+        }
     }
     else {
         fprintf(file,
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -32,11 +32,14 @@
                               * workers end; NULL: none */
     int unsafe_attempts_max; /* of routes whose requests run at most once;
                               * 0: 1 */
+    const char *customers;   /* of version 1, as for
+                              * GatewayCluster_SetCustomers() */
     int config_ms;           /* setting of the gateways; 0: the default */
     bool has_proxies;        /* the store and the workers are reached through
                               * GATEWAY_CLUSTER_PROXY_PORT, where the caller runs a
                               * proxy */
     int memory_mb;           /* setting of the gateways; 0: the default */
+    int revoke_ms;           /* setting of the gateways; 0: the default */
 } GatewayClusterOptions;
 
 /* Port of the store, the workers and, for callers, the gateways. */
