--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -169,6 +169,10 @@
     [KC_COUNT_SECOND_OVER_QUOTA] =
         {"kcc_second_attempts_over_quota_total",
          "Slow answers without a second attempt: the customer's quota."},
+    [KC_COUNT_SLOW_CALLERS] =
+        {"kcc_slow_callers_total",
+         "Callers' connections ended, as unsent answers took too much "
+         "memory."},
 };
 
 const char *
