--- a/tests/process/test_quota_play.c
+++ b/tests/process/test_quota_play.c
@@ -39,7 +39,8 @@
     TROUBLE_RESTART, /* gateways end and begin again at once */
     TROUBLE_ADD,     /* gateways begin that are not listed yet */
     TROUBLE_HUB,     /* the first hub stands still */
-    TROUBLE_SPLIT    /* gateways do not reach the first hub */
+    TROUBLE_SPLIT,   /* gateways do not reach the first hub */
+    TROUBLE_FLOOD /* 30 times the rate for 0.3 s, 1.2 s after the hot time */
 } Trouble;
 
 typedef struct Case {
@@ -105,6 +106,8 @@
     {"split", "counts", 30, 400000, 0.55, 7, 1, 1, TROUBLE_SPLIT, 3, true,
      0.7},
     {"split", "lent", 30, 400000, 0.55, 7, 1, 1, TROUBLE_SPLIT, 3, false, 0},
+    {"flood", "counts", 30, 4e6, 0.55, 7, 0, 1, TROUBLE_FLOOD, 1, true, 0.8},
+    {"flood", "counts", 300, 4e6, 0.55, 7, 0, 1, TROUBLE_FLOOD, 1, true, 0.8},
     /* The number of gateways is wrong. */
     {"N high", "counts", 30, 400000, 0.55, 7, 1, 1.3, 0, 1, true, 0.75},
     {"N high calm", "counts", 30, 400000, 0.55, 1, 1, 1.5, 0, 1, true, 0.95},
@@ -360,6 +363,14 @@
     bool is_hot = world->now >= WARM_UP + 5 * KC_SECOND &&
                   world->now < WARM_UP + 15 * KC_SECOND;
 
+    if (the_case->trouble == TROUBLE_FLOOD &&
+        world->now >= WARM_UP + 12 * KC_SECOND) {
+        KcTime since = world->now - WARM_UP - 12 * KC_SECOND;
+
+        return since >= 1200 * KC_MS && since < 1500 * KC_MS
+                   ? the_case->rate * 30
+                   : 0;
+    }
     return the_case->rate * the_case->usual * (is_hot ? the_case->hot : 1);
 }
 
