--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -42,10 +42,12 @@
 #include "kcc_feed.h"
 #include "kcc_forward.h"
 #include "kcc_intake.h"
+#include "kcc_load.h"
 #include "kcc_process.h"
 #include "kcc_request.h"
 #include "kcc_residency.h"
 #include "kcc_routing.h"
+#include "kcc_second_attempts.h"
 #include "kcc_suspects.h"
 
 #endif
--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -134,6 +134,41 @@
     [KC_COUNT_UNCONFIRMED_KEYS] =
         {"kcc_unconfirmed_keys_total",
          "Requests refused because the configuration may be out of date."},
+    [KC_COUNT_UNCERTAIN] =
+        {"kcc_uncertain_total",
+         "Times that keys began to be refused, as the configuration could be "
+         "out of date."},
+    [KC_COUNT_WAITS_TOO_LONG] =
+        {"kcc_waits_too_long_total",
+         "Requests refused as their turn comes after their deadline."},
+    [KC_COUNT_WAITS_ENDED] =
+        {"kcc_waits_ended_total",
+         "Requests refused after a wait in which no server had room."},
+    [KC_COUNT_BUDGET_REFUSALS] =
+        {"kcc_budget_refusals_total",
+         "Requests refused by a server and not sent again, for the budget."},
+    [KC_COUNT_SECOND_ATTEMPTS] = {"kcc_second_attempts_total",
+                                  "Second attempts for slow answers."},
+    [KC_COUNT_SECOND_WON] = {"kcc_second_attempts_won_total",
+                             "Second attempts whose answer began first."},
+    [KC_COUNT_SECOND_LOST] =
+        {"kcc_second_attempts_lost_total",
+         "Second attempts whose first attempt began to answer sooner."},
+    [KC_COUNT_SECOND_LIMITED] =
+        {"kcc_second_attempts_limited_total",
+         "Slow answers beyond the limit of second attempts."},
+    [KC_COUNT_SECOND_LOADED] =
+        {"kcc_second_attempts_loaded_total",
+         "Slow answers without a second attempt: loaded servers."},
+    [KC_COUNT_SECOND_NOT_SOONER] =
+        {"kcc_second_attempts_not_sooner_total",
+         "Slow answers that no other server would have begun sooner."},
+    [KC_COUNT_SECOND_NO_BUDGET] =
+        {"kcc_second_attempts_no_budget_total",
+         "Slow answers without a second attempt: no retry budget left."},
+    [KC_COUNT_SECOND_OVER_QUOTA] =
+        {"kcc_second_attempts_over_quota_total",
+         "Slow answers without a second attempt: the customer's quota."},
 };
 
 const char *
--- a/lib/process/gateway_adapters.c
+++ b/lib/process/gateway_adapters.c
@@ -25,6 +25,9 @@
 #define OLD_VERSION_PERCENT 70
 /* A use count fades to 0 in this time. */
 #define USE_COUNT_FADE_TIME (10 * KC_SECOND)
+/* A load that was asked for before this tells nothing of how long loads take.
+ */
+#define LOAD_TIME_MAX (4 * KC_SECOND)
 
 /* ---- counts of uses ------------------------------------------------------ */
 
@@ -180,6 +183,7 @@
     if (version > adapter->newest_version) {
         keep_previous_version(adapter, now);
         adapter->newest_version = version;
+        memset(adapter->holders, 0, sizeof(adapter->holders));
         adapter->older_until = older_until(gateway->options.version_timeout,
                                            announced_after, now);
         update_version_min(adapter);
@@ -279,6 +283,33 @@
     }
 }
 
+static void
+note_holder(KcAdapterState *adapter, uint64_t server)
+{
+    uint64_t previous = server;
+
+    for (int i = 0; i < KC_HOLDERS_MAX; i++) {
+        uint64_t holder = adapter->holders[i];
+
+        adapter->holders[i] = previous;
+        if (holder == server) {
+            return;
+        }
+        previous = holder;
+    }
+}
+
+bool
+KcAdapter_WasHeldBy(const KcAdapterState *adapter, const KcServer *server)
+{
+    for (int i = 0; i < KC_HOLDERS_MAX; i++) {
+        if (adapter->holders[i] == server->id_hash) {
+            return true;
+        }
+    }
+    return false;
+}
+
 /* Adds or updates the replica of an adapter at a server. */
 static void
 set_replica(KcServer *server, KcAdapterState *adapter, uint32_t version,
@@ -296,6 +327,9 @@
     replica->version = version;
     replica->loading = loading;
     replica->dropped = false;
+    if (!loading && version >= adapter->newest_version) {
+        note_holder(adapter, server->id_hash);
+    }
     update_version_min(adapter);
 }
 
@@ -356,6 +390,20 @@
     }
 }
 
+/* Notes how long a load took that this gateway has asked for lately. */
+static void
+note_load(KcServer *server, const KcAdapterState *adapter, KcHeldState state,
+          KcTime now)
+{
+    const KcReplica *replica = find_replica(server, adapter);
+    KcTime duration = now - adapter->load_requested_at;
+
+    if (state == KC_HELD_LOADED && replica != NULL && replica->loading &&
+        duration < LOAD_TIME_MAX) {
+        KcQueuePace_NoteLoad(&server->pool->pace, duration);
+    }
+}
+
 void
 KcGateway_OnKeeperReport(KcGateway *gateway, KcServer *server,
                          const char *model, const char *name, uint32_t version,
@@ -382,6 +430,7 @@
         }
     }
     else {
+        note_load(server, adapter, state, now);
         set_replica(server, adapter, version, state == KC_HELD_LOADING);
     }
     if (state != KC_HELD_LOADING) {
--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -277,10 +277,79 @@
                                 forward->adapter->hash);
 }
 
+/* An engine loads so many adapters at once; further ones wait. */
+#define LOADS_AT_ONCE 3
+
+/* Adapters on their way to the server, or waiting for that. */
+static uint32_t
+count_loading(const KcServer *server)
+{
+    const KcReplica *replica;
+    uint32_t count = 0;
+
+    TAILQ_FOREACH (replica, &server->replicas, server_link) {
+        count += replica->loading && !replica->dropped ? 1 : 0;
+    }
+    return count;
+}
+
+/* May every place for adapters be in use? */
+static bool
+lacks_places(const KcForward *forward, const KcServer *server, KcTime now)
+{
+    const KcRoutedService *service =
+        KcRouting_FindService(forward->routing, server->pool->service);
+
+    return service != NULL && service->engine.adapter_slots > 0 &&
+           KcServer_Load(server, now) >= service->engine.adapter_slots;
+}
+
+/* How much a server is preferred as a home, the least preferred first. */
+typedef enum HomeClass {
+    HOME_BUSY = 0, /* crowded, or a load waits there */
+    HOME_FREE,
+    HOME_WARM /* it had the adapter lately, and has it at hand */
+} HomeClass;
+
+/* A server as a home. */
+typedef struct Home {
+    KcServer *server; /* NULL: none */
+    HomeClass class;
+    uint32_t loading_count;
+    uint64_t rank;
+} Home;
+
+static HomeClass
+classify_home(const KcForward *forward, const KcServer *server,
+              uint32_t loading_count, KcTime now)
+{
+    if (KcAdapter_WasHeldBy(forward->adapter, server)) {
+        return HOME_WARM;
+    }
+    return loading_count >= LOADS_AT_ONCE || KcServer_IsCrowded(server, now) ||
+                   lacks_places(forward, server, now)
+               ? HOME_BUSY
+               : HOME_FREE;
+}
+
+static bool
+is_better_home(const Home *home, const Home *best)
+{
+    if (best->server == NULL || home->class != best->class) {
+        return best->server == NULL || home->class > best->class;
+    }
+    if (home->class == HOME_BUSY &&
+        home->loading_count != best->loading_count) {
+        return home->loading_count < best->loading_count;
+    }
+    return home->rank > best->rank;
+}
+
 /*
  * The best server, at most at the given distance, to load the adapter at; NULL
- * when there is none.  It is the one of the highest rank that has capacity: an
- * engine that had the adapter before reloads it from its own memory.  The
+ * when there is none.  It is one that had the adapter before, as an engine
+ * reloads it from its own memory, else the one of the highest rank that has
+ * capacity.  The
  * server must have the base model, unless no server has it; then the model is
  * loaded with the adapter.  serving: see may_replace().
  */
@@ -290,16 +359,12 @@
 {
     bool base_model_held = is_base_model_held(forward);
     KcServer *server;
-    KcServer *home = NULL;
-    uint64_t highest_rank = 0;
-    bool home_is_crowded = true;
+    Home best = {.server = NULL};
 
     TAILQ_FOREACH (server, &forward->pool->servers, link) {
-        uint64_t rank = home_rank(forward, server);
-        bool is_crowded;
+        Home home = {.server = server, .rank = home_rank(forward, server)};
 
         if (server->distance > farthest ||
-            (!home_is_crowded && rank <= highest_rank) ||
             !is_eligible(forward, server, now) || server->missing_at != 0 ||
             server->suspect_until > now || server->no_loads_until > now ||
             KcServer_IsSilent(server, now) ||
@@ -312,17 +377,13 @@
              !has_base_model(server, forward->adapter->model))) {
             continue;
         }
-        is_crowded = KcServer_IsCrowded(server, now);
-        if (home != NULL &&
-            (is_crowded > home_is_crowded ||
-             (is_crowded == home_is_crowded && rank <= highest_rank))) {
-            continue;
+        home.loading_count = count_loading(server);
+        home.class = classify_home(forward, server, home.loading_count, now);
+        if (is_better_home(&home, &best)) {
+            best = home;
         }
-        home = server;
-        highest_rank = rank;
-        home_is_crowded = is_crowded;
     }
-    return home;
+    return best.server;
 }
 
 /* Is the best replica of an older version than the newest?  NULL: there is
@@ -333,18 +394,21 @@
     return best != NULL && best->version < best->adapter->newest_version;
 }
 
-/* Should another server take over some of this replica's requests? */
+/* Should another server take over some of this replica's requests?  Not of an
+ * adapter that is seldom asked for, if its server is only slow or has much to
+ * do: this request goes there anyhow, and the next one comes later. */
 static bool
 needs_further_replica(const KcForward *forward, const KcReplica *replica,
                       KcTime now)
 {
     const KcServer *server = replica->server;
 
-    return serves_older_version(replica) ||
-           KcServer_Load(server, now) * 100 >
-               server->concurrency_max * REPLICA_LOAD_MAX_PERCENT ||
-           KcServer_IsSlow(server, forward, now) ||
-           KcServer_IsFailing(server, now);
+    return serves_older_version(replica) || KcServer_IsFailing(server, now) ||
+           (KcUseCount_Value(&forward->adapter->uses, now) >
+                SPREAD_USES_DISCOUNT &&
+            (KcServer_Load(server, now) * 100 >
+                 server->concurrency_max * REPLICA_LOAD_MAX_PERCENT ||
+             KcServer_IsSlow(server, forward, now)));
 }
 
 /* Number of replicas with which a server gets no more requests for this
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -7,9 +7,6 @@
 
 #include "gateway_internal.h"
 
-/* Retry hint to a caller whose request did not run. */
-#define RETRY_AFTER (400 * KC_MS)
-
 static void on_timer(KcTimer *timer, KcTime now);
 
 /* ---- ends ---------------------------------------------------------------- */
@@ -90,6 +87,7 @@
     gateway->options.ops->record_request(gateway->options.context, &record);
     record_times(forward, now);
     KcForward_LeaveWaitList(forward);
+    KcForward_EndWait(forward, false, now);
     while ((attempt = TAILQ_FIRST(&forward->attempts)) != NULL) {
         KcForwardAttempt_Cancel(attempt, now);
     }
@@ -116,9 +114,21 @@
 static KcTime
 retry_after(const KcForward *forward, KcTime now)
 {
+    KcServerPool *pool = forward->pool;
     KcTime opens_at = KcGateway_FirstOpening(forward, now);
 
-    return opens_at != 0 ? opens_at - now : RETRY_AFTER;
+    if (opens_at != 0) {
+        return opens_at - now;
+    }
+    if (now >= forward->deadline) {
+        return KC_RETRY_AFTER_DEFAULT;
+    }
+    if (forward->is_load_ordered) {
+        return KcQueuePace_RetryAfterLoad(&pool->pace,
+                                          forward->deadline - now);
+    }
+    return KcQueuePace_RetryAfter(&pool->pace, pool->queue_length,
+                                  forward->deadline - now, now);
 }
 
 /*
@@ -240,7 +250,7 @@
     forward->arrived_at = now;
     forward->last_event_at = now;
     forward->deadline = find_deadline(call, rule, now);
-    forward->dispatch_until = now + KcForward_QueueTimeout(rule);
+    forward->dispatch_until = now + KcWait_Min(rule->latency_objective);
     forward->tokens_max = call->prompt_tokens + call->answer_tokens_max;
     forward->events_max = call->answer_events_max;
     forward->part_count = call->part_count;
@@ -286,32 +296,35 @@
     KcCounters_Add(gateway->options.counters, KC_COUNT_REQUESTS, 1);
     if (gateway->routing == NULL) {
         refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route", "",
-                       RETRY_AFTER);
+                       KC_RETRY_AFTER_DEFAULT);
         return;
     }
     rule = KcRouting_FindRule(gateway->routing, call->host, call->path);
     if (rule == NULL) {
         refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route", "",
-                       RETRY_AFTER);
+                       KC_RETRY_AFTER_DEFAULT);
         return;
     }
     if (comes_too_late(gateway, call, rule, now)) {
         refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route", "",
-                       RETRY_AFTER);
+                       KC_RETRY_AFTER_DEFAULT);
         return;
     }
     code = KcGateway_Admit(gateway, call, rule, &admission, now);
     if (code != 0) {
-        refuse_at_once(
-            gateway, ops, caller, code, admission.step,
-            admission.customer != NULL ? admission.customer->name : "",
-            admission.retry_after != 0 ? admission.retry_after : RETRY_AFTER);
+        refuse_at_once(gateway, ops, caller, code, admission.step,
+                       admission.customer != NULL ? admission.customer->name
+                                                  : "",
+                       admission.retry_after != 0 ? admission.retry_after
+                                                  : KC_RETRY_AFTER_DEFAULT);
         return;
     }
     forward = create_forward(gateway, call, rule, &admission, now);
     forward->ops = ops;
     forward->caller = caller;
     KcRetryBudget_Deposit(&forward->pool->retry_budget);
+    KcSecondAttempts_NoteRequest(&forward->pool->second_attempts,
+                                 forward->tokens_max);
     TAILQ_INSERT_TAIL(&gateway->forwards, forward, link);
     gateway->in_flight++;
     KcGateway_DetectPauses(gateway, now);
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -2,11 +2,13 @@
  * The gateway's state, and the functions that its source files share.
  *
  * gateway_forward.c (requests) calls gateway_dispatch.c (seeking a server),
- * which calls gateway_choose.c (decisions), which calls gateway_cost.c (costs
- * of servers), gateway_servers.c (servers) and gateway_adapters.c (adapters
- * and their replicas).  gateway_answer.c handles the reports of attempts,
- * gateway_silence.c attempts whose server reports nothing, gateway_notice.c
- * what servers say of themselves, gateway_suspects.c prompts that end servers.
+ * which calls gateway_queue.c (the queue of a service, by the decisions of
+ * lib/process/load) and gateway_choose.c (decisions), which calls
+ * gateway_cost.c (costs of servers), gateway_servers.c (servers) and
+ * gateway_adapters.c (adapters and their replicas).  gateway_answer.c handles
+ * the reports of attempts, gateway_silence.c attempts whose server reports
+ * nothing, gateway_notice.c what servers say of themselves, gateway_suspects.c
+ * prompts that end servers.
  */
 #ifndef KCC_GATEWAY_INTERNAL_H
 #define KCC_GATEWAY_INTERNAL_H
@@ -108,6 +110,9 @@
 void KcServer_DropReplicas(KcGateway *gateway, KcServer *server,
                            bool with_models);
 
+/* True when the server is one of the last that had the adapter loaded. */
+bool KcAdapter_WasHeldBy(const KcAdapterState *adapter,
+                         const KcServer *server);
 /* True when requests may no longer begin on its version. */
 bool KcReplica_IsOutdated(const KcReplica *replica, KcTime now);
 /* True when the replica is loaded and its version may still serve. */
@@ -129,6 +134,9 @@
 void KcServer_NoteSuccess(KcServer *server);
 /* Records the time from an attempt's start to the first byte of its answer. */
 void KcServer_NoteFirstByte(KcServer *server, KcTime duration, KcTime now);
+/* Records the time from an attempt's start to its answer, which is not a
+ * stream. */
+void KcServer_NoteWork(KcServer *server, KcTime duration, KcTime now);
 /* Records an attempt that failed, also by an answer with a status of 500 or
  * more; refusals are no failures. */
 void KcServer_NoteFailure(KcServer *server, KcAttemptEnd end, KcTime now);
@@ -235,6 +243,9 @@
 /* Starts a further attempt at that server, and takes it from the retry budget;
  * false when that is impossible. */
 bool KcForward_TryElsewhere(KcForward *forward, KcTime now);
+/* The same at a server that is expected to begin sooner than the present one.
+ * No adapter is loaded for it. */
+bool KcForward_TrySooner(KcForward *forward, KcTime now);
 /* Is the request kept for as long as its caller waits, also without a server?
  * So is an answer that has begun, as only this gateway can resume it, and a
  * request that was tried elsewhere for its server's silence, as that server
@@ -243,6 +254,12 @@
 /* Queues a request whose attempt was refused, or fails it when it has waited
  * too long. */
 void KcForward_AwaitPlace(KcForward *forward, KcTime now);
+/*
+ * Refuses a request that its server turned away and that is not sent again for
+ * want of retry budget.  If it needs its adapter elsewhere, a load is
+ * requested, and its caller is told to come back when that is done.
+ */
+void KcForward_RefuseForBudget(KcForward *forward, KcTime now);
 /* Dispatches requests of the pool's queue, the most urgent first; ends those
  * for which waiting is in vain. */
 void KcGateway_DispatchQueue(KcServerPool *pool, KcTime now);
@@ -257,10 +274,6 @@
  */
 void KcGateway_DispatchForAdapter(KcAdapterState *adapter, KcServer *refused,
                                   KcTime now);
-/* How long a request of the route waits in the queue. */
-KcTime KcForward_QueueTimeout(const KcRouteRule *rule);
-/* Removes the request from the list that it waits in, if any. */
-void KcForward_LeaveWaitList(KcForward *forward);
 /* Handle the timer of a request in the queue, or one that waits for its
  * adapter. */
 void KcForward_OnQueueTimer(KcForward *forward, KcTime now);
@@ -270,6 +283,19 @@
 void KcForward_NoteTried(KcForward *forward, KcServer *server);
 bool KcForward_HasTried(const KcForward *forward, const KcServer *server);
 
+/* ---- the queue of a service (gateway_queue.c) ---------------------------- */
+
+/* Decides whether a request that found no server waits for one; for those that
+ * are not kept. */
+void KcForward_DecideWait(KcForward *forward, KcTime now,
+                          KcWaitDecision *decision);
+/* Inserts the request into the queue of its service. */
+void KcForward_JoinQueue(KcForward *forward, KcTime now);
+/* Removes the request from the list that it waits in, if any. */
+void KcForward_LeaveWaitList(KcForward *forward);
+/* The request waits for no server any more: it found one, or it ends. */
+void KcForward_EndWait(KcForward *forward, bool found_server, KcTime now);
+
 /* ---- requests (gateway_forward.c) ---------------------------------------- */
 
 /* Ends the attempt's use of its server and its replica, and frees it. */
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -21,6 +21,8 @@
 /* Weight of the latest attempt in first_byte_ewma; higher, as the time to the
  * first byte follows the server's load. */
 #define FIRST_BYTE_EWMA_WEIGHT 0.2
+/* Weight of one answer in the mean work of a service. */
+#define WORK_EWMA_WEIGHT 0.02
 /* A server that said that it leaves is remembered for this long without a
  * record: a store that comes back may still have an old one.  Longer than
  * regions lose each other. */
@@ -79,6 +81,8 @@
                 (gateway->gateway_count > 0 ? gateway->gateway_count : 1));
         /* Starts half full: an earlier process may have spent its budget. */
         pool->retry_budget.millitokens /= 2;
+        KcSecondAttempts_SetLimit(&pool->second_attempts,
+                                  gateway->options.extra_fraction);
         KcServerPool_InitSuspects(pool);
         HASH_ADD_STR(gateway->pools, service, pool);
     }
@@ -407,6 +411,20 @@
         (KcTime)((double)(duration - server->first_byte_ewma) *
                  FIRST_BYTE_EWMA_WEIGHT);
     server->first_byte_ewma_at = now;
+    KcQueuePace_NoteFirstByte(&server->pool->pace, duration);
+}
+
+void
+KcServer_NoteWork(KcServer *server, KcTime duration, KcTime now)
+{
+    KcTime *work = &server->pool->work_ewma;
+    KcTime usual;
+
+    if (KcSpeed_IsTold(&server->speed)) {
+        usual = duration * KC_SPEED_USUAL_PERCENT /
+                (KcTime)KcSpeed_Percent(&server->speed, now);
+        *work += (KcTime)((double)(usual - *work) * WORK_EWMA_WEIGHT);
+    }
 }
 
 void
@@ -459,6 +477,7 @@
     HASH_ITER(hh, gateway->pools, pool, next_pool)
     {
         HASH_DEL(gateway->pools, pool);
+        KcTurns_Clear(&pool->turns);
         KcServerPool_ClearSuspects(pool);
         free(pool);
     }
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -11,9 +11,12 @@
 #include <uthash.h>
 
 #include "kcc_forward.h"
+#include "kcc_load.h"
 #include "kcc_process.h"
+#include "kcc_queue.h"
 #include "kcc_quota.h"
 #include "kcc_routing.h"
+#include "kcc_second_attempts.h"
 #include "kcc_suspects.h"
 
 /* ---- Part 1: backend servers --------------------------------------------- */
@@ -143,6 +146,7 @@
     bool has_keeper_reports;       /* its keeper reports adapters, which takes
                                     * precedence over the record */
     void *connections; /* the program's connections to it; NULL: none */
+    KcSpeed speed;     /* how long work takes there */
     TAILQ_HEAD(, KcReplica) replicas;
 } KcServer;
 
@@ -174,12 +178,19 @@
     uint64_t mean_others_in_flight; /* other gateways' requests per server */
     uint64_t mean_load;             /* all gateways' requests per server */
     uint32_t mean_server_count;     /* servers that the means include */
+    KcTime work_ewma; /* of requests without a model at servers that tell their
+                       * speed, from attempt to answer, at the usual speed */
     KcUseCount adapter_uses; /* this gateway's, of all adapters and models */
+    KcSecondAttempts second_attempts; /* against slow answers */
     KcSuspects suspects; /* parts of prompts that end servers of the service */
     KcTimer review_timer;
     /* Attempts that were withdrawn before an answer, the oldest first. */
     struct KcWithdrawnAttemptList withdrawn;
     uint32_t withdrawn_count;
+    uint32_t queue_length;  /* requests in queue */
+    uint32_t waiting_count; /* requests with KcForward.is_waiting */
+    KcQueuePace pace;       /* of the queue */
+    KcTurns turns;          /* of the customers in the queue */
 } KcServerPool;
 
 /* ---- Part 2: adapters ----------------------------------------------------- */
@@ -200,6 +211,9 @@
     uint32_t unreported_uses; /* begun since KcGateway_ReportUses() */
 } KcReplica;
 
+/* Servers that an adapter was loaded at last, which are remembered. */
+#define KC_HOLDERS_MAX 2
+
 /* An adapter, or a base model, with its replicas and versions. */
 typedef struct KcAdapterState {
     UT_hash_handle hh;                /* KcGateway.adapters, by key */
@@ -218,6 +232,9 @@
     KcTime load_requested_at; /* last request to load a replica */
     TAILQ_HEAD(, KcReplica) replicas;
     struct KcForwardList waiting_requests; /* until it is loaded */
+    /* KcServer.id_hash of the servers that its newest version was loaded at
+     * last, the latest first; 0: none.  They may have it at hand. */
+    uint64_t holders[KC_HOLDERS_MAX];
 } KcAdapterState;
 
 /* Least recently used first. */
@@ -337,6 +354,8 @@
                              */
     KcTime revoke_timeout;  /* a key that was taken away runs no request that
                              * comes so long after; 0: no such promise */
+    double extra_fraction;  /* second attempts against slow answers, of all
+                             * requests of a service; 0: none */
     KcSuspectOptions suspects; /* ops, context and counters are not used */
     KcQuotaOptions quotas;
 } KcGatewayOptions;
@@ -361,6 +380,9 @@
 void KcGateway_SetRetryBudget(KcGateway *gateway, int64_t percent,
                               int64_t burst, KcTime now);
 
+/* Changes extra_fraction, see KcGatewayOptions. */
+void KcGateway_SetExtraFraction(KcGateway *gateway, double extra_fraction);
+
 /* Returns the customers' quotas by the configuration in force. */
 KcQuotas *KcGateway_GetQuotas(KcGateway *gateway, KcTime now);
 
@@ -471,6 +493,10 @@
 
 /* True when the server takes no new requests until it is replaced. */
 bool KcServer_IsLeaving(const KcServer *server);
+/* How many idle connections to the server may be kept beside those of the
+ * requests there, so that all gateways together don't exceed what it accepts.
+ */
+uint32_t KcServer_IdleConnectionsMax(const KcServer *server);
 /* True when requests may be sent to the server now, as far as it has said. */
 bool KcServer_TakesRequests(const KcServer *server, KcTime now);
 
