tests: planted faults in the queue of the gateway

Two of three survived at first; requests without a key that send much, and a queue that moves, have cases now.

--- a/tests/process/test_gateway_queue.c
+++ b/tests/process/test_gateway_queue.c
@@ -5,9 +5,10 @@
  * One server runs two requests, which are there from the start.  Then requests
  * come, each a letter: its customer, a to c, or k for one that needs no key;
  * capitals have eight times the tokens.  Customer c is more urgent than the
- * route.  A dash is 60 ms without arrivals.  At last the server answers one
- * request after the other every millisecond.  Trace: the letters in the order
- * in which they are sent, and in brackets the requests that were refused.
+ * route.  A dash is 60 ms without arrivals, a dot 10 ms and an answer.  At
+ * last the server answers one request after the other every millisecond.
+ * Trace: the letters in the order in which they are sent, and in brackets the
+ * requests that were refused.
  */
 #include <glib.h>
 #include <string.h>
@@ -21,6 +22,7 @@
 #define LARGE_FACTOR 8
 #define REQUESTS_MAX 64
 #define PAUSE (60 * KC_MS)
+#define ANSWER_INTERVAL (10 * KC_MS)
 
 typedef struct Case {
     const char *name;
@@ -41,6 +43,10 @@
      "ccaabb"},
     {"an urgent customer's share is its own", true, "aaaaaabcccccccc",
      "ccccccccaaaabaa"},
+    {"those that need no key are one customer", true, "kkkkkkkkkkkka",
+     "kkkkakkkkkkkk"},
+    {"a queue that moves is waited for", false, "aaaaaaaaaaaa.......",
+     "aaaaaaaaaaaa"},
     {"an eighth of the objective while nothing is known", true, "aaaaaaaa-ab",
      "ab[aaaaaaaa]"},
 };
@@ -227,16 +233,27 @@
                      fixture->now);
 }
 
-static void
-answer_all(QueueFixture *fixture)
+/* Lets time pass, and the server answer the first request that it runs; false
+ * if it runs none. */
+static bool
+answer(QueueFixture *fixture, KcTime duration)
 {
     KcReply reply = {.status = 200};
-    KcForwardAttempt *attempt;
+    KcForwardAttempt *attempt = g_queue_pop_head(&fixture->running);
 
-    while ((attempt = g_queue_pop_head(&fixture->running)) != NULL) {
-        fixture->now += KC_MS;
+    fixture->now += duration;
+    if (attempt != NULL) {
         KcForwardAttempt_OnReply(attempt, &reply, fixture->now);
     }
+    KcTimers_Run(fixture->timers, fixture->now);
+    return attempt != NULL;
+}
+
+static void
+pass_time(QueueFixture *fixture, KcTime duration)
+{
+    fixture->now += duration;
+    KcTimers_Run(fixture->timers, fixture->now);
 }
 
 static void
@@ -266,13 +283,17 @@
     g_string_truncate(fixture.sent, 0);
     for (const char *letter = test->arrivals; *letter != '\0'; letter++) {
         if (*letter == '-') {
-            fixture.now += PAUSE;
-            KcTimers_Run(fixture.timers, fixture.now);
-            continue;
+            pass_time(&fixture, PAUSE);
+        }
+        else if (*letter == '.') {
+            answer(&fixture, ANSWER_INTERVAL);
         }
-        submit(&fixture, caller++, *letter);
+        else {
+            submit(&fixture, caller++, *letter);
+        }
+    }
+    while (answer(&fixture, KC_MS)) {
     }
-    answer_all(&fixture);
     if (fixture.refused->len > 0) {
         g_string_append_printf(fixture.sent, "[%s]", fixture.refused->str);
     }
