--- a/tests/process/test_keeper.c
+++ b/tests/process/test_keeper.c
@@ -474,8 +474,7 @@
      LOAD_A_TRACE "?; =restarted; m=not_loaded; L m@0 #0; ?; ?; m=loaded; "},
     {"a base model is not ordered twice",
      LOAD_A ";wait 1000;report 0 2;unknown;report 1 2 busy;loadrequest a 0",
-     LOAD_A_TRACE
-     "?; =restarted; m=not_loaded; L m@0 #0; ?; a=loading; "},
+     LOAD_A_TRACE "?; =restarted; m=not_loaded; L m@0 #0; ?; a=loading; "},
     {"a model that does not fit is refused",
      READY ";loadrequest a 0;accepted;wait 40;report 1 1 m n a@1;"
            "loadrequest b 0;accepted",
@@ -487,8 +486,7 @@
      LOAD_AB_TRACE "c=loading; ?; c=not_loaded; "},
     {"a refused order is not repeated at once",
      READY ";loadrequest a 0;refused;report 0 1 m;loadrequest a 0;wait 100",
-     READY_TRACE
-     "a=loading; L a@0 #0; a=not_loaded; ?; a=loading; ?; "},
+     READY_TRACE "a=loading; L a@0 #0; a=not_loaded; ?; a=loading; ?; "},
     {"no order is given while a report is unanswered",
      LOAD_A ";wait 1000;noreport;loadrequest b 0;wait 100",
      LOAD_A_TRACE "?; ?; "},
