--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -52,7 +52,8 @@
     bool is_declined =
         end == KC_ATTEMPT_NEVER_SENT &&
         (code == KC_ERR_LEAVING || code == KC_ERR_BUSY ||
-         code == KC_ERR_VERSION_RETIRED || now >= forward->deadline);
+         code == KC_ERR_VERSION_RETIRED || code == KC_ERR_UNKNOWN_KEY ||
+         code == KC_ERR_UNCONFIRMED || now >= forward->deadline);
 
     KcError_Set(&forward->error, code, step, server->id);
     if (!is_declined) {
@@ -78,6 +79,11 @@
         KcForward_Dispatch(forward, now);
         break;
     case KC_RETRY_NOT_RUN:
+        if (end == KC_ATTEMPT_REFUSED && now < forward->deadline &&
+            forward->possible_runs < forward->rule->attempts_max) {
+            KcForward_RefuseForBudget(forward, now);
+            break;
+        }
         KcForward_FinishFailed(forward, now);
         break;
     case KC_RETRY_UNKNOWN:
@@ -114,23 +120,53 @@
         attempt->stream_head != NULL ? "next event" : "first byte", now);
 }
 
+/* Notes how long the answer took to begin, over all attempts: those that were
+ * given up would have taken longer. */
+static void
+note_beginning(const KcForward *forward, KcTime now)
+{
+    KcSecondAttempts_NoteAnswer(&forward->pool->second_attempts,
+                                forward->tokens_max,
+                                now - forward->first_attempt_at);
+}
+
+/* Cancels an attempt whose server has done nothing wrong. */
+static void
+cancel_other(KcForwardAttempt *other, KcTime now)
+{
+    other->forward->possible_runs += other->is_sent ? 1 : 0;
+    KcForwardAttempt_Cancel(other, now);
+}
+
 /* Ends the request's other attempts: this one's answer has begun.  Those
- * before it were at silent servers. */
+ * before it were at silent servers, or at a slow one. */
 static void
 keep_only(KcForwardAttempt *attempt, KcTime now)
 {
     KcForward *forward = attempt->forward;
+    KcCounters *counters = forward->gateway->options.counters;
     KcForwardAttempt *other;
 
     if (is_only_attempt(attempt)) {
         return;
     }
+    if (forward->is_doubled) {
+        KcCounters_Add(counters,
+                       TAILQ_FIRST(&forward->attempts) == attempt
+                           ? KC_COUNT_SECOND_LOST
+                           : KC_COUNT_SECOND_WON,
+                       1);
+    }
     while ((other = TAILQ_FIRST(&forward->attempts)) != attempt) {
-        KcForwardAttempt_GiveUpSilent(other, now);
+        if (forward->is_doubled) {
+            cancel_other(other, now);
+        }
+        else {
+            KcForwardAttempt_GiveUpSilent(other, now);
+        }
     }
     while ((other = TAILQ_NEXT(attempt, link)) != NULL) {
-        forward->possible_runs += other->is_sent ? 1 : 0;
-        KcForwardAttempt_Cancel(other, now);
+        cancel_other(other, now);
     }
     KcForward_SetSilenceTimer(forward);
     KcGateway_DispatchQueue(forward->pool, now);
@@ -219,6 +255,7 @@
     keep_only(attempt, now);
     KcServer_NoteFirstByte(server, now - attempt->started_at, now);
     KcServer_NoteWork(server, now - attempt->started_at, now);
+    note_beginning(forward, now);
     if (reply->status < 300) {
         KcForward_NoteAnswer(forward, now);
     }
@@ -270,6 +307,7 @@
     if (forward->answer_begun) {
         return;
     }
+    note_beginning(forward, now);
     forward->answer_begun = true;
     forward->first_event_at = now;
     forward->ops->on_begin(forward->caller, attempt->stream_head, true);
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -6,11 +6,6 @@
 
 #include "gateway_internal.h"
 
-/* A request waits in the queue for its route's objective divided by this, but
- * at least QUEUE_TIMEOUT_MIN, and is then refused: the platform prices later
- * refusals. */
-#define QUEUE_TIMEOUT_DIVISOR 8
-#define QUEUE_TIMEOUT_MIN (20 * KC_MS)
 /* A request waits at most this long for one server to load its adapter. */
 #define LOAD_TIMEOUT (1500 * KC_MS)
 /* After it did not load an adapter a server gets no load requests for this
@@ -26,54 +21,6 @@
  * besides those that are kept, which the retry budget limits. */
 #define QUEUE_SCAN_MAX 16
 
-KcTime
-KcForward_QueueTimeout(const KcRouteRule *rule)
-{
-    KcTime timeout = rule->latency_objective / QUEUE_TIMEOUT_DIVISOR;
-
-    return timeout > QUEUE_TIMEOUT_MIN ? timeout : QUEUE_TIMEOUT_MIN;
-}
-
-/* ---- waiting ------------------------------------------------------------- */
-
-void
-KcForward_LeaveWaitList(KcForward *forward)
-{
-    if (!forward->in_wait_list) {
-        return;
-    }
-    forward->in_wait_list = false;
-    if (forward->state == KC_FORWARD_LOADING) {
-        TAILQ_REMOVE(&forward->adapter->waiting_requests, forward, wait_link);
-    }
-    else {
-        TAILQ_REMOVE(&forward->pool->queue, forward, wait_link);
-    }
-}
-
-/* Inserts the request into the queue by priority, then by arrival. */
-static void
-join_queue(KcForward *forward)
-{
-    KcForward *later;
-
-    TAILQ_FOREACH (later, &forward->pool->queue, wait_link) {
-        if (later->priority > forward->priority ||
-            (later->priority == forward->priority &&
-             later->arrived_at > forward->arrived_at)) {
-            break;
-        }
-    }
-    if (later != NULL) {
-        TAILQ_INSERT_BEFORE(later, forward, wait_link);
-    }
-    else {
-        TAILQ_INSERT_TAIL(&forward->pool->queue, forward, wait_link);
-    }
-    forward->state = KC_FORWARD_QUEUED;
-    forward->in_wait_list = true;
-}
-
 /* ---- attempts ------------------------------------------------------------ */
 
 void
@@ -132,7 +79,7 @@
         .has_last_event = forward->has_last_event,
         .last_event_id = forward->last_event_id,
         .events_max = forward->events_max,
-        .has_customers = forward->routing->has_customers,
+        .has_customers = KcForward_HidesKey(forward),
         .customer = forward->customer != NULL ? forward->customer->name : NULL,
         .needs_fresh_connection =
             forward->rule->kind == KC_REQUEST_KIND_UNSAFE,
@@ -142,6 +89,7 @@
         params.version = choice->replica->version;
     }
     KcForward_LeaveWaitList(forward);
+    KcForward_EndWait(forward, true, now);
     attempt->forward = forward;
     attempt->server = server;
     attempt->replica = choice->replica;
@@ -204,6 +152,7 @@
 static void
 await_adapter(KcForward *forward, KcServer *server, KcTime now)
 {
+    KcForward_EndWait(forward, true, now);
     forward->state = KC_FORWARD_LOADING;
     forward->server = server;
     forward->in_wait_list = true;
@@ -217,25 +166,15 @@
     return forward->answer_begun || forward->was_moved;
 }
 
-/* When a queued request is refused. */
+/* When the timer of a request that is kept is due: servers that refused it are
+ * asked again. */
 static KcTime
-wait_until(const KcForward *forward)
+next_kept_check(const KcForward *forward, KcTime now)
 {
-    return KcForward_IsKept(forward) ? KcForward_EndStreamAt(forward)
-                                     : forward->dispatch_until;
-}
+    KcTime end = KcForward_EndStreamAt(forward);
 
-/* When the timer of a queued request is due: of one that is kept, when servers
- * that refused it are asked again. */
-static KcTime
-next_queue_check(const KcForward *forward, KcTime now)
-{
-    KcTime end = wait_until(forward);
-
-    if (KcForward_IsKept(forward) && now + RESUME_RETRY_INTERVAL < end) {
-        return now + RESUME_RETRY_INTERVAL;
-    }
-    return end;
+    return now + RESUME_RETRY_INTERVAL < end ? now + RESUME_RETRY_INTERVAL
+                                             : end;
 }
 
 /* Fails a request that did not find a server; code is the error if no attempt
@@ -276,22 +215,47 @@
     return true;
 }
 
-/* Queues the request, or fails it when it has waited or tried too long; code
- * is the error if no attempt has failed before. */
+/* Decides whether the request waits, and until when; false if not. */
+static bool
+may_wait(KcForward *forward, KcTime now, KcTime *until)
+{
+    KcWaitDecision decision;
+
+    if (KcForward_IsKept(forward)) {
+        *until = next_kept_check(forward, now);
+        return now < KcForward_EndStreamAt(forward);
+    }
+    if (forward->tried_count == KC_FORWARD_TRIED_MAX) {
+        return false;
+    }
+    KcForward_DecideWait(forward, now, &decision);
+    *until = decision.until;
+    if (decision.verdict != KC_WAIT_ON) {
+        KcCounters_Add(forward->gateway->options.counters,
+                       decision.verdict == KC_WAIT_TOO_LONG
+                           ? KC_COUNT_WAITS_TOO_LONG
+                           : KC_COUNT_WAITS_ENDED,
+                       1);
+    }
+    return decision.verdict == KC_WAIT_ON;
+}
+
+/* Queues the request, or fails it when it is of no use or has tried too much;
+ * code is the error if no attempt has failed before. */
 static void
 enqueue_or_refuse(KcForward *forward, int code, KcTime now)
 {
-    if (now >= wait_until(forward) ||
-        (forward->tried_count == KC_FORWARD_TRIED_MAX &&
-         !KcForward_IsKept(forward))) {
+    KcTime until;
+
+    if (!may_wait(forward, now, &until)) {
         refuse(forward, code, now);
         return;
     }
     if (forward->error.code == 0) {
         KcError_Set(&forward->error, code, "queue", "");
     }
-    join_queue(forward);
-    KcForward_SetTimer(forward, next_queue_check(forward, now));
+    KcForward_JoinQueue(forward, now);
+    KcForward_SetTimer(forward, until);
 }
 
 void
@@ -355,7 +319,8 @@
         KcForward_Fail(forward, KC_ERR_DEADLINE_EXCEEDED, "choose", now);
         return;
     }
-    if (KcForward_RefuseIfBlocked(forward, now)) {
+    if (KcForward_RefuseForKey(forward, now) ||
+        KcForward_RefuseIfBlocked(forward, now)) {
         return;
     }
     for (;;) {
@@ -404,6 +369,39 @@
            !KcServer_IsFailing(choice->server, now);
 }
 
+/* Would another server begin sooner than that of the attempt in progress began
+ * its own?  It has waited there already. */
+static bool
+begins_sooner(const KcForward *forward, const KcServer *other, KcTime now)
+{
+    return KcServer_Cost(other, forward, now) <=
+               KcServer_Cost(forward->server, forward, now) &&
+           !KcServer_IsCrowded(other, now);
+}
+
+bool
+KcForward_TrySooner(KcForward *forward, KcTime now)
+{
+    KcChoice choice;
+
+    if (KcForward_CheckKey(forward) != 0 || KcForward_IsBlocked(forward) ||
+        !KcRetryBudget_CanTake(&forward->pool->retry_budget) ||
+        forward->tried_count == KC_FORWARD_TRIED_MAX) {
+        return false;
+    }
+    KcGateway_Choose(forward, now, &choice);
+    if (choice.action != KC_CHOICE_SEND || choice.server->closed_until != 0 ||
+        KcServer_IsFailing(choice.server, now) ||
+        !begins_sooner(forward, choice.server, now)) {
+        return false;
+    }
+    if (!begin_attempt(forward, &choice, now)) {
+        KcForward_NoteTried(forward, choice.server);
+        return false;
+    }
+    return KcRetryBudget_Take(&forward->pool->retry_budget);
+}
+
 bool
 KcForward_CanMove(KcForward *forward, KcTime now)
 {
@@ -417,7 +415,7 @@
 {
     KcChoice choice;
 
-    if (KcForward_IsBlocked(forward) ||
+    if (KcForward_CheckKey(forward) != 0 || KcForward_IsBlocked(forward) ||
         !KcRetryBudget_CanTake(&forward->pool->retry_budget) ||
         !choose_other(forward, now, &choice)) {
         return false;
@@ -429,6 +427,28 @@
     return KcRetryBudget_Take(&forward->pool->retry_budget);
 }
 
+void
+KcForward_RefuseForBudget(KcForward *forward, KcTime now)
+{
+    KcChoice choice = {.action = KC_CHOICE_NONE};
+
+    if (forward->adapter != NULL &&
+        !KcGateway_HasEnded(forward->gateway, now) &&
+        !KcForward_IsBlocked(forward)) {
+        KcGateway_Choose(forward, now, &choice);
+    }
+    if (choice.action == KC_CHOICE_AWAIT_LOAD) {
+        forward->is_load_ordered = true;
+    }
+    else if (choice.action == KC_CHOICE_LOAD) {
+        forward->is_load_ordered =
+            send_load_request(forward, choice.server, now);
+    }
+    KcCounters_Add(forward->gateway->options.counters,
+                   KC_COUNT_BUDGET_REFUSALS, 1);
+    KcForward_FinishFailed(forward, now);
+}
+
 /* Dispatches a queued request, or decides again how long it waits. */
 static void
 dispatch_queued(KcForward *forward, KcTime now)
@@ -443,7 +463,9 @@
     case KC_CHOICE_REFUSE:
     case KC_CHOICE_AWAIT_OPENING:
         if (prolong_wait(forward, &choice)) {
-            KcForward_SetTimer(forward, next_queue_check(forward, now));
+            KcForward_SetTimer(forward, KcForward_IsKept(forward)
+                                            ? next_kept_check(forward, now)
+                                            : forward->dispatch_until);
         }
         else {
             refuse(forward, KC_ERR_NO_BACKEND, now);
@@ -537,12 +559,16 @@
 void
 KcForward_OnQueueTimer(KcForward *forward, KcTime now)
 {
-    if (now >= wait_until(forward)) {
+    if (KcForward_IsKept(forward) && now >= KcForward_EndStreamAt(forward)) {
         KcForward_FinishFailed(forward, now);
         return;
     }
-    /* A server that refused may have capacity by now. */
-    forward->tried_count = 0;
+    /* A server that refused may have capacity by now, if that was not lately.
+     */
+    if (KcForward_IsKept(forward) ||
+        now - forward->attempt_started_at >= RESUME_RETRY_INTERVAL) {
+        forward->tried_count = 0;
+    }
     KcForward_Dispatch(forward, now);
 }
 
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -81,6 +81,8 @@
                 (gateway->gateway_count > 0 ? gateway->gateway_count : 1));
         /* Starts half full: an earlier process may have spent its budget. */
         pool->retry_budget.millitokens /= 2;
+        KcSecondAttempts_SetLimit(&pool->second_attempts,
+                                  gateway->options.extra_fraction);
         KcServerPool_InitSuspects(pool);
         HASH_ADD_STR(gateway->pools, service, pool);
     }
@@ -409,6 +411,7 @@
         (KcTime)((double)(duration - server->first_byte_ewma) *
                  FIRST_BYTE_EWMA_WEIGHT);
     server->first_byte_ewma_at = now;
+    KcQueuePace_NoteFirstByte(&server->pool->pace, duration);
 }
 
 void
@@ -474,6 +477,7 @@
     HASH_ITER(hh, gateway->pools, pool, next_pool)
     {
         HASH_DEL(gateway->pools, pool);
+        KcTurns_Clear(&pool->turns);
         KcServerPool_ClearSuspects(pool);
         free(pool);
     }
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -13,8 +13,10 @@
 #include "kcc_forward.h"
 #include "kcc_load.h"
 #include "kcc_process.h"
+#include "kcc_queue.h"
 #include "kcc_quota.h"
 #include "kcc_routing.h"
+#include "kcc_second_attempts.h"
 #include "kcc_suspects.h"
 
 /* ---- Part 1: backend servers --------------------------------------------- */
@@ -179,11 +181,16 @@
     KcTime work_ewma; /* of requests without a model at servers that tell their
                        * speed, from attempt to answer, at the usual speed */
     KcUseCount adapter_uses; /* this gateway's, of all adapters and models */
+    KcSecondAttempts second_attempts; /* against slow answers */
     KcSuspects suspects; /* parts of prompts that end servers of the service */
     KcTimer review_timer;
     /* Attempts that were withdrawn before an answer, the oldest first. */
     struct KcWithdrawnAttemptList withdrawn;
     uint32_t withdrawn_count;
+    uint32_t queue_length;  /* requests in queue */
+    uint32_t waiting_count; /* requests with KcForward.is_waiting */
+    KcQueuePace pace;       /* of the queue */
+    KcTurns turns;          /* of the customers in the queue */
 } KcServerPool;
 
 /* ---- Part 2: adapters ----------------------------------------------------- */
@@ -320,7 +327,7 @@
     void (*record_notice)(void *context, const KcNoticeRecord *record);
     /* How long ago the configuration in force was certain to be the newest,
      * by a clock that also counts while the machine is suspended; KC_NEVER:
-     * it never was. */
+     * it never was.  NULL: it is always taken to be the newest. */
     KcTime (*configuration_age)(void *context);
 } KcGatewayOps;
 
@@ -341,9 +348,16 @@
                              * takes no new requests and is removed */
     KcTime version_timeout; /* so long after the announcement of a newer
                              * version no request may begin on an older one */
+    KcTime config_timeout;  /* a new configuration is in force so long after;
+                             * one that was not certain to be the newest within
+                             * that time can't say that no customer has a key
+                             */
     KcTime revoke_timeout;  /* a key that was taken away runs no request that
                              * comes so long after; 0: no such promise */
+    double extra_fraction;  /* second attempts against slow answers, of all
+                             * requests of a service; 0: none */
     KcSuspectOptions suspects; /* ops, context and counters are not used */
+    KcQuotaOptions quotas;
 } KcGatewayOptions;
 
 /* Sets the defaults; the fields from ops to seed must be filled in. */
@@ -366,7 +380,13 @@
 void KcGateway_SetRetryBudget(KcGateway *gateway, int64_t percent,
                               int64_t burst, KcTime now);
 
-/* Sets how many gateways share retry_burst; 0 is ignored. */
+/* Changes extra_fraction, see KcGatewayOptions. */
+void KcGateway_SetExtraFraction(KcGateway *gateway, double extra_fraction);
+
+/* Returns the customers' quotas by the configuration in force. */
+KcQuotas *KcGateway_GetQuotas(KcGateway *gateway, KcTime now);
+
+/* Sets how many gateways share retry_burst and the quotas; 0 is ignored. */
 void KcGateway_SetGatewayCount(KcGateway *gateway, uint32_t gateway_count,
                                KcTime now);
 
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -104,6 +104,22 @@
     return cleared.was_held;
 }
 
+/* Adds how old the certainty of the configuration is: null, it never was. */
+static void
+add_certainty(const GatewayRole *role, json_t *state)
+{
+    KcTime age = KcFeed_CertainAge(role->feeds[KC_COLLECTION_ROUTING],
+                                   KcLoop_Now());
+
+    json_object_set_new(
+        state, "configuration_age_ms",
+        age != KC_NEVER ? json_integer((json_int_t)(age / KC_MS))
+                        : json_null());
+    json_object_set_new(
+        state, "revoke_ms",
+        json_integer((json_int_t)(role->revoke_timeout / KC_MS)));
+}
+
 static void
 add_state(void *context, json_t *state)
 {
@@ -120,6 +136,8 @@
     json_object_set_new(state, "servers", list);
     KcGateway_VisitEnginePools(role->gateway, add_parts, parts);
     json_object_set_new(state, "parts", parts);
+    add_certainty(role, state);
+    KcGatewayRole_AddCustomers(role, state);
 }
 
 static void
@@ -129,7 +147,8 @@
 }
 
 static const KcAdminServerOps admin_ops = {
-    check_ready, get_generation, add_state, admin_begin_drain, clear_part};
+    check_ready,       get_generation, add_state,
+    admin_begin_drain, clear_part,     KcGatewayRole_FormatMetrics};
 
 /* ---- planned stops and changed settings ---------------------------------- */
 
@@ -173,6 +192,7 @@
 
     KcGateway_SetRetryBudget(role->gateway, retry_percent(settings),
                              (int64_t)settings->retry_burst, KcLoop_Now());
+    KcGateway_SetExtraFraction(role->gateway, settings->extra_percent / 100);
 }
 
 static const KcRoleOps role_ops = {begin_drain, is_drained, end_intake,
@@ -204,8 +224,17 @@
     options.seed = KcLoop_GetRandomBits();
     options.retry_percent = retry_percent(settings);
     options.retry_burst = (int64_t)settings->retry_burst;
+    options.extra_fraction = settings->extra_percent / 100;
     options.version_timeout = (KcTime)(settings->version_timeout_ms * KC_MS);
+    options.config_timeout = (KcTime)(settings->config_timeout_ms * KC_MS);
+    options.revoke_timeout = role->revoke_timeout;
     options.suspects = KcRoleCommon_GetSuspectOptions(settings);
+    options.quotas.ops = &KcGatewayRole_QuotaOps;
+    options.quotas.context = role;
+    options.quotas.window = (KcTime)(settings->quota_window_s * KC_SECOND);
+    options.quotas.excess = settings->quota_excess;
+    options.quotas.slack = settings->quota_slack;
+    options.quotas.seed = options.seed;
     role->gateway = KcGateway_Create(&options);
 }
 
@@ -263,6 +292,7 @@
 
     role->store = role->platform->open_store(&store_options);
     KcGatewayRole_StartKeepers(role);
+    KcGatewayRole_StartQuotas(role);
     KcGatewayRole_StartFeeds(role);
     KcGatewayRole_WriteOwnRecord(role);
     KcRoleCommon_HandleSignals(&role->common, &role_ops, role);
@@ -272,6 +302,7 @@
 free_all(GatewayRole *role)
 {
     if (role->store != NULL) {
+        KcGatewayRole_StopQuotas(role);
         KcGatewayRole_StopKeepers(role);
         KcOwnRecord_Clear(&role->own_record);
         KcGatewayRole_FreeFeeds(role);
@@ -302,6 +333,8 @@
         return 1;
     }
     role.incarnation = KcLoop_GetRandomBits();
+    role.revoke_timeout = (KcTime)(settings->revoke_timeout_ms * KC_MS);
+    role.is_certain = true;
     role.common.drain_timeout =
         (KcTime)(settings->grace_period_s * KC_SECOND) - GRACE_PERIOD_MARGIN;
     if (role.common.drain_timeout < 0) {
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -3,8 +3,8 @@
  *
  * gateway_role.c starts and stops it and answers administrators,
  * gateway_links.c holds the connections to servers, gateway_keepers.c those to
- * their keepers, gateway_feeds.c reads the store and writes the gateway's own
- * record.
+ * their keepers, gateway_quotas.c shares the customers' quotas over them,
+ * gateway_feeds.c reads the store and writes the gateway's own record.
  */
 #ifndef KCC_GATEWAY_ROLE_INTERNAL_H
 #define KCC_GATEWAY_ROLE_INTERNAL_H
@@ -33,11 +33,16 @@
     KcIntakePool intake_pool;      /* of replies that are not complete */
     KcIntakePool request_pool;     /* of callers' requests */
     KcTimer use_report_timer;
-    KcTimer hub_timer;      /* connects to the hubs */
+    KcTimer hub_timer;   /* connects to the hubs */
+    KcTimer quota_timer; /* reports customers' use to a hub */
+    KcTime quota_reviewed_at;
+    uint64_t quota_hub;     /* that answered last; 0: none */
     KcOwnRecord own_record; /* of this gateway, in the store */
     uint64_t incarnation;
     KcGatewayStop stop;             /* while a planned stop runs */
     KcTime store_status_changed_at; /* lost or regained; 0: never */
+    KcTime revoke_timeout;          /* see KcGatewayOptions */
+    bool is_certain; /* the configuration, when it was last asked for */
 } GatewayRole;
 
 /* A message that waits for the connection to the keeper. */
@@ -90,6 +95,21 @@
                               KcSuspectStep step, const KcSuspect *suspect,
                               bool is_own);
 
+/* ---- quotas (gateway_quotas.c) ------------------------------------------- */
+
+/* Starts to report the customers' use, and ends it. */
+void KcGatewayRole_StartQuotas(GatewayRole *role);
+void KcGatewayRole_StopQuotas(GatewayRole *role);
+/* Takes the answer of a hub.  Returns 0 or KC_ERR_PROTOCOL. */
+int KcGatewayRole_TakeTotals(GatewayRole *role, KcServer *server,
+                             const KcMsg *msg);
+/* Adds the customers to the JSON of /debug/state. */
+void KcGatewayRole_AddCustomers(GatewayRole *role, json_t *state);
+/* Member of KcAdminServerOps. */
+void KcGatewayRole_FormatMetrics(void *context, KcBuffer *text);
+/* Log of the quotas. */
+extern const KcQuotaOps KcGatewayRole_QuotaOps;
+
 /* ---- the store (gateway_feeds.c) ----------------------------------------- */
 
 /* Starts a feed for each collection of the store. */
@@ -97,6 +117,8 @@
 void KcGatewayRole_FreeFeeds(GatewayRole *role);
 /* Version of the routing configuration in force, 0 when there is none. */
 uint64_t KcGatewayRole_GetGeneration(const GatewayRole *role);
+/* Member of KcGatewayOps; logs when keys begin and cease to be refused. */
+KcTime KcGatewayRole_GetConfigurationAge(void *context);
 /* Reads the configuration when a keeper names a later one than that in force.
  */
 void KcGatewayRole_OnGenerationNamed(GatewayRole *role, uint64_t generation,
--- a/programs/process/settings.h
+++ b/programs/process/settings.h
@@ -48,6 +48,7 @@
     double server_leave_timeout_ms;
     double config_timeout_ms;
     double version_timeout_ms;
+    double revoke_timeout_ms; /* 0: no promise about keys taken away */
     int64_t instances_poll_interval_ms;
     int64_t lease_ttl_ms;
     int64_t lease_renew_interval_ms;
@@ -92,11 +93,15 @@
     double retry_burst;    /* additional retries, shared by all gateways */
     int64_t keeper_port;
     int64_t connection_silence_timeout_ms;
+    double extra_percent;       /* second attempts against slow answers */
     int64_t part_ends_to_block; /* see KcSuspectOptions */
     int64_t part_answers_min;
     int64_t part_evidence_timeout_s;
     int64_t part_trial_delay_s;
     int64_t parts_max;
+    double quota_window_s; /* see KcQuotaOptions */
+    double quota_excess;
+    double quota_slack;
 } KcSettings;
 
 /*
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -10,9 +10,13 @@
  * 400 ms are on time.  Servers are in the gateway's data centre "here" unless
  * at= names another: "near" in the same region, "far" in another one.
  *
+ * gateway_steps_customers.c describes the steps on customers, and what they
+ * add to others.
+ *
  * Steps, separated by semicolons:
- *   config VERSION [CONNECTIONS_MAX]   takes a routing configuration; a server
- *                           of service plain accepts so many connections
+ *   config VERSION [CONNECTIONS_MAX] [CUSTOMER...]
+ *                           takes a routing configuration; a server of service
+ *                           plain accepts so many connections
  *   inforce                 traces the version in force, as "v2"
  *   server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [port=N] [leaving]
  *          [again] REPLICA...  a server's record; born is its start time, x@1
@@ -37,6 +41,7 @@
  *   nokeeper SERVER, nosend SERVER     the keeper or server is unreachable
  *   connecting              attempts are sent by "written" only from now on
  *   gateways N              number of gateways that share the retry budget
+ *   extra PERCENT           limit of second attempts against slow answers
  *   checks                  traces checks of servers from now on
  *   alive SERVER            the server answers a check
  *   notice SERVER leaving [BORN], notice SERVER wait MS, notice SERVER unread
@@ -78,7 +83,7 @@
 
 /* ---- steps -------------------------------------------------------------- */
 
-static void
+static KcRouteRule *
 add_rule(KcRouting *routing, const char *prefix, KcRequestKind kind,
          bool resumable)
 {
@@ -91,24 +96,32 @@
     rule->event_interval_max = 400 * KC_MS;
     rule->caller_silence_timeout = 3 * KC_SECOND;
     rule->resumable = resumable;
+    rule->priority = 7;
     rule->attempts_max = 2;
     KcRouting_AddTarget(rule, kind == KC_REQUEST_KIND_STREAM ? "llm" : "plain",
                         1);
+    return rule;
 }
 
 static void
 step_config(Fixture *fixture, char **words)
 {
     KcRouting *routing = KcRouting_Create((uint64_t)atoi(words[1]));
+    char **customers = words + 2;
+    uint32_t connections_max = 0;
     KcError error;
 
     KcRouting_AddService(routing, "llm")->engine.is_configured = true;
-    KcRouting_AddService(routing, "plain")->connections_max =
-        words[2] != NULL ? (uint32_t)atoi(words[2]) : 0;
+    if (*customers != NULL && g_ascii_isdigit(**customers)) {
+        connections_max = (uint32_t)atoi(*customers++);
+    }
+    KcRouting_AddService(routing, "plain")->connections_max = connections_max;
     add_rule(routing, "/s/", KC_REQUEST_KIND_SAFE, false);
     add_rule(routing, "/u/", KC_REQUEST_KIND_UNSAFE, false);
+    add_rule(routing, "/k/", KC_REQUEST_KIND_SAFE, false)->keyless = true;
     add_rule(routing, "/t/", KC_REQUEST_KIND_STREAM, false);
     add_rule(routing, "/r/", KC_REQUEST_KIND_STREAM, true);
+    GatewaySteps_AddCustomers(routing, customers);
     g_assert_cmpint(KcRouting_Validate(routing, &error), ==, 0);
     KcGateway_SetRouting(fixture->gateway, routing);
 }
@@ -218,6 +231,9 @@
     uint32_t last = g_strv_length(words) - 1;
     char **parts;
 
+    if (GatewaySteps_TakeKey(&call, words[last])) {
+        g_clear_pointer(&words[last--], g_free);
+    }
     if (g_str_has_prefix(words[last], "parts=")) {
         call.parts = prompt_parts;
         call.part_count = GatewaySteps_ReadParts(
@@ -416,6 +432,12 @@
                               fixture->now);
 }
 
+static void
+step_extra(Fixture *fixture, char **words)
+{
+    KcGateway_SetExtraFraction(fixture->gateway, atoi(words[1]) / 100.0);
+}
+
 static void
 step_checks(Fixture *fixture, char **words)
 {
@@ -518,6 +540,7 @@
 
 static const StepHandler step_handlers[] = {
     {"config", step_config},
+    {"age", GatewaySteps_Age},
     {"inforce", step_in_force},
     {"server", step_server},
     {"missing", step_missing},
@@ -540,6 +563,7 @@
     {"nosend", step_no_send},
     {"connecting", step_connecting},
     {"gateways", step_gateway_count},
+    {"extra", step_extra},
     {"checks", step_checks},
     {"alive", step_alive},
     {"notice", step_notice},
@@ -592,6 +616,8 @@
      */
     options.wall_offset = -2 * KC_SECOND;
     options.retry_burst = 20;
+    options.config_timeout = 4 * KC_SECOND;
+    options.revoke_timeout = 5 * KC_SECOND;
     fixture->gateway = KcGateway_Create(&options);
     KcGateway_SetGatewayCount(fixture->gateway, 1, fixture->now);
     Steps_Run(fixture, step_handlers, G_N_ELEMENTS(step_handlers), steps);
