A plain server that is slow now gets no request that it would answer late

A slow server was filled like the others once those were full. Change: it counts as full for a plain request whose expected end there is beyond its objective, unless the usual work already is.

--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -234,6 +234,25 @@
     return server->in_flight >= connections_part(server);
 }
 
+/* Would a request without a model be late at a server that is slow now, though
+ * its work is short enough for its objective? */
+static bool
+would_be_late(const KcServer *server, const KcForward *forward, uint32_t load,
+              KcTime now)
+{
+    uint32_t percent = KcSpeed_Percent(&server->speed, now);
+    KcTime objective = forward->rule->latency_objective;
+    KcTime usual = server->pool->work_ewma;
+    KcTime work = usual * (KcTime)percent / KC_SPEED_USUAL_PERCENT;
+
+    if (load >= server->concurrency_max) {
+        work += work * (load + 1 - server->concurrency_max) /
+                server->concurrency_max;
+    }
+    return forward->adapter == NULL && percent > KC_SPEED_USUAL_PERCENT &&
+           usual <= objective && work > objective;
+}
+
 bool
 KcServer_IsFull(const KcServer *server, const KcForward *forward, KcTime now)
 {
@@ -246,6 +265,7 @@
         return false; /* a request that is too large here fits no server */
     }
     return load * 100 >= server->concurrency_max * FULL_LOAD_PERCENT ||
+           would_be_late(server, forward, load, now) ||
            lacks_connections(server, now) ||
            memory_use_percent(forward, server, load) > MEMORY_MAX_PERCENT;
 }
