gateway: one start of an attempt beside those in progress

Cause: KcForward_TrySooner() repeated the checks and the start of KcForward_TryElsewhere(), and the check of a choice of choose_other(). Change: both call may_begin_another(), takes_at_once() and begin_another(). Behaviour is unchanged.

--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -340,6 +340,15 @@
     }
 }
 
+/* A server that asked to wait may refuse its first request after that. */
+static bool
+takes_at_once(const KcChoice *choice, KcTime now)
+{
+    return choice->action == KC_CHOICE_SEND &&
+           choice->server->closed_until == 0 &&
+           !KcServer_IsFailing(choice->server, now);
+}
+
 /* Chooses a server besides those of the attempts in progress; false when none
  * is likely to take the request at once. */
 static bool
@@ -363,10 +372,28 @@
         now - forward->adapter->load_requested_at >= MOVE_LOAD_INTERVAL) {
         send_load_request(forward, load_server, now);
     }
-    /* A server that asked to wait may refuse its first request after that. */
-    return choice->action == KC_CHOICE_SEND &&
-           choice->server->closed_until == 0 &&
-           !KcServer_IsFailing(choice->server, now);
+    return takes_at_once(choice, now);
+}
+
+/* May an attempt begin beside those in progress, as far as its key, its parts
+ * and the retry budget tell? */
+static bool
+may_begin_another(const KcForward *forward)
+{
+    return KcForward_CheckKey(forward) == 0 && !KcForward_IsBlocked(forward) &&
+           KcRetryBudget_CanTake(&forward->pool->retry_budget);
+}
+
+/* Starts an attempt beside those in progress; false when the server cannot be
+ * reached. */
+static bool
+begin_another(KcForward *forward, const KcChoice *choice, KcTime now)
+{
+    if (!begin_attempt(forward, choice, now)) {
+        KcForward_NoteTried(forward, choice->server);
+        return false;
+    }
+    return KcRetryBudget_Take(&forward->pool->retry_budget);
 }
 
 /* Would another server begin sooner than that of the attempt in progress began
@@ -384,22 +411,14 @@
 {
     KcChoice choice;
 
-    if (KcForward_CheckKey(forward) != 0 || KcForward_IsBlocked(forward) ||
-        !KcRetryBudget_CanTake(&forward->pool->retry_budget) ||
+    if (!may_begin_another(forward) ||
         forward->tried_count == KC_FORWARD_TRIED_MAX) {
         return false;
     }
     KcGateway_Choose(forward, now, &choice);
-    if (choice.action != KC_CHOICE_SEND || choice.server->closed_until != 0 ||
-        KcServer_IsFailing(choice.server, now) ||
-        !begins_sooner(forward, choice.server, now)) {
-        return false;
-    }
-    if (!begin_attempt(forward, &choice, now)) {
-        KcForward_NoteTried(forward, choice.server);
-        return false;
-    }
-    return KcRetryBudget_Take(&forward->pool->retry_budget);
+    return takes_at_once(&choice, now) &&
+           begins_sooner(forward, choice.server, now) &&
+           begin_another(forward, &choice, now);
 }
 
 bool
@@ -415,16 +434,8 @@
 {
     KcChoice choice;
 
-    if (KcForward_CheckKey(forward) != 0 || KcForward_IsBlocked(forward) ||
-        !KcRetryBudget_CanTake(&forward->pool->retry_budget) ||
-        !choose_other(forward, now, &choice)) {
-        return false;
-    }
-    if (!begin_attempt(forward, &choice, now)) {
-        KcForward_NoteTried(forward, choice.server);
-        return false;
-    }
-    return KcRetryBudget_Take(&forward->pool->retry_budget);
+    return may_begin_another(forward) && choose_other(forward, now, &choice) &&
+           begin_another(forward, &choice, now);
 }
 
 void
