quota: room_needed() calls KcQuota_LevelMax()

Cause: it wrote the same product again. Change: it calls the function. Behaviour is unchanged. Measured: the unit tests of platform/, process/ and request/ that ran in 22 s (43 programs) had no failure; test_caller_closes, test_stop_closes and test_unframed were cut off by the time limit, not failed. format-check passes.

--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -228,7 +228,7 @@
     if (quotas->is_hearing) {
         return quota->draw * quota->mean_cost;
     }
-    room_max = fmin(fraction, 1) * quota->burst +
+    room_max = KcQuota_LevelMax(quota, fraction) +
                KcQuota_AdvanceUnits(quotas, quota, fraction);
     return quota->draw * fmin(quota->mean_cost, room_max);
 }
