kcc: parts and customers share the print of a list of the state

Cause: KcCommand_Customers() repeated the fetch, the look-up and the error of KcCommand_Parts(). Change: KcCommand_PrintStateList() serves both; messages are unchanged. Measured: both print the messages of before for an address without a process.

--- a/programs/kcc/command.h
+++ b/programs/kcc/command.h
@@ -5,6 +5,7 @@
 #ifndef KCC_COMMAND_H
 #define KCC_COMMAND_H
 
+#include <jansson.h>
 #include <kcc.h>
 
 #define KC_OPERANDS_MAX 8
@@ -65,6 +66,12 @@
 int KcCommand_Customers(const KcArguments *arguments);
 int KcCommand_Unblock(const KcArguments *arguments);
 
+/* parts_commands.c: prints each item of a list of the state of the process at
+ * address; who is named when it has no such list.  Returns an exit status. */
+int KcCommand_PrintStateList(const char *address, const char *key,
+                             const char *who,
+                             void (*print_item)(const json_t *item));
+
 /* Prints the step, name and peer of err to stderr, returns KC_EXIT_FAILED. */
 int KcCommand_ReportError(const KcError *err);
 
--- a/programs/kcc/customers_command.c
+++ b/programs/kcc/customers_command.c
@@ -5,7 +5,6 @@
 #include <jansson.h>
 #include <stdio.h>
 
-#include "blocking_http.h"
 #include "command.h"
 
 static double
@@ -43,29 +42,6 @@
 int
 KcCommand_Customers(const KcArguments *arguments)
 {
-    KcHttpResponse response;
-    json_t *state = NULL;
-    json_t *customers;
-    json_t *customer;
-    size_t index;
-    int status = KC_EXIT_FAILED;
-
-    KcBlockingHttp_Get(arguments->operands[0], "/debug/state", &response);
-    if (response.status == 200) {
-        state = json_loads(KcBuffer_Data(&response.body), 0, NULL);
-    }
-    customers = json_object_get(state, "customers");
-    if (json_is_array(customers)) {
-        json_array_foreach (customers, index, customer) {
-            print_customer(customer);
-        }
-        status = KC_EXIT_OK;
-    }
-    else {
-        fprintf(stderr, "kcc: no gateway answers at %s\n",
-                arguments->operands[0]);
-    }
-    json_decref(state);
-    KcHttpResponse_Clear(&response);
-    return status;
+    return KcCommand_PrintStateList(arguments->operands[0], "customers",
+                                    "gateway", print_customer);
 }
--- a/programs/kcc/parts_commands.c
+++ b/programs/kcc/parts_commands.c
@@ -28,35 +28,42 @@
 }
 
 int
-KcCommand_Parts(const KcArguments *arguments)
+KcCommand_PrintStateList(const char *address, const char *key, const char *who,
+                         void (*print_item)(const json_t *item))
 {
     KcHttpResponse response;
     json_t *state = NULL;
-    json_t *parts;
-    json_t *part;
+    json_t *items;
+    json_t *item;
     size_t index;
     int status = KC_EXIT_FAILED;
 
-    KcBlockingHttp_Get(arguments->operands[0], "/debug/state", &response);
+    KcBlockingHttp_Get(address, "/debug/state", &response);
     if (response.status == 200) {
         state = json_loads(KcBuffer_Data(&response.body), 0, NULL);
     }
-    parts = json_object_get(state, "parts");
-    if (json_is_array(parts)) {
-        json_array_foreach (parts, index, part) {
-            print_part(part);
+    items = json_object_get(state, key);
+    if (json_is_array(items)) {
+        json_array_foreach (items, index, item) {
+            print_item(item);
         }
         status = KC_EXIT_OK;
     }
     else {
-        fprintf(stderr, "kcc: no gateway or keeper answers at %s\n",
-                arguments->operands[0]);
+        fprintf(stderr, "kcc: no %s answers at %s\n", who, address);
     }
     json_decref(state);
     KcHttpResponse_Clear(&response);
     return status;
 }
 
+int
+KcCommand_Parts(const KcArguments *arguments)
+{
+    return KcCommand_PrintStateList(arguments->operands[0], "parts",
+                                    "gateway or keeper", print_part);
+}
+
 int
 KcCommand_Unblock(const KcArguments *arguments)
 {
