--- a/tests/gateway_stubs.h
+++ b/tests/gateway_stubs.h
@@ -22,6 +22,18 @@
                                 bool is_own);
 void GatewayStubs_RecordNotice(void *context, const KcNoticeRecord *record);
 
+/* The fields of a KcGatewayOps that these functions fill; the record of a
+ * notice is left to the test. */
+#define GATEWAY_STUBS_OPS                                                     \
+    .request_load = GatewayStubs_RequestLoad,                                 \
+    .check_server = GatewayStubs_IgnoreServer,                                \
+    .refresh_servers = GatewayStubs_RefreshServers,                           \
+    .close_connections = GatewayStubs_IgnoreServer,                           \
+    .record_request = GatewayStubs_RecordRequest,                             \
+    .record_loss = GatewayStubs_RecordLoss, .ask_end = GatewayStubs_AskEnd,   \
+    .publish_suspect = GatewayStubs_PublishSuspect,                           \
+    .record_suspect = GatewayStubs_RecordSuspect
+
 /* Each data centre is a region of its own. */
 const char *GatewayStubs_FindRegion(void *context, const char *datacentre);
 
--- a/tests/process/test_gateway_stop.c
+++ b/tests/process/test_gateway_stop.c
@@ -113,19 +113,10 @@
     ((Caller *)handle)->started_at = 0;
 }
 
-static const KcGatewayOps gateway_ops = {start_attempt,
-                                         cancel_attempt,
-                                         GatewayStubs_RequestLoad,
-                                         GatewayStubs_IgnoreServer,
-                                         GatewayStubs_RefreshServers,
-                                         GatewayStubs_IgnoreServer,
-                                         GatewayStubs_RecordRequest,
-                                         GatewayStubs_RecordLoss,
-                                         GatewayStubs_AskEnd,
-                                         GatewayStubs_PublishSuspect,
-                                         GatewayStubs_RecordSuspect,
-                                         GatewayStubs_RecordNotice,
-                                         NULL};
+static const KcGatewayOps gateway_ops = {
+    GATEWAY_STUBS_OPS, .start_attempt = start_attempt,
+    .cancel_attempt = cancel_attempt,
+    .record_notice = GatewayStubs_RecordNotice};
 
 static int
 time_after_stop(const Fixture *fixture)
--- a/tests/process/test_load_play.c
+++ b/tests/process/test_load_play.c
@@ -14,6 +14,7 @@
 
 #include <kcc.h>
 
+#include "../gateway_stubs.h"
 #include "../steps.h"
 
 #define SERVERS 6
@@ -202,48 +203,10 @@
     work->attempt = NULL;
 }
 
-static void
-refresh_servers(void *context)
-{
-    (void)context;
-}
-
-static void
-check_server(void *context, KcServer *server)
-{
-    (void)context;
-    (void)server;
-}
-
-static void
-close_connections(void *context, KcServer *server)
-{
-    (void)context;
-    (void)server;
-}
-
-static void
-record_request(void *context, const KcForwardRecord *record)
-{
-    (void)context;
-    (void)record;
-}
-
-static void
-record_loss(void *context, const KcLossRecord *record)
-{
-    (void)context;
-    (void)record;
-}
-
-static const KcGatewayOps gateway_ops = {.start_attempt = start_attempt,
-                                         .cancel_attempt = cancel_attempt,
-                                         .check_server = check_server,
-                                         .refresh_servers = refresh_servers,
-                                         .close_connections =
-                                             close_connections,
-                                         .record_request = record_request,
-                                         .record_loss = record_loss};
+static const KcGatewayOps gateway_ops = {
+    GATEWAY_STUBS_OPS, .start_attempt = start_attempt,
+    .cancel_attempt = cancel_attempt,
+    .record_notice = GatewayStubs_RecordNotice};
 
 static void
 on_begin(void *caller, const void *head, bool stream)
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -389,19 +389,10 @@
 static void
 read_worker_answer(Reading *reading)
 {
-    static const KcGatewayOps ops = {start_attempt,
-                                     cancel_attempt,
-                                     GatewayStubs_RequestLoad,
-                                     GatewayStubs_IgnoreServer,
-                                     GatewayStubs_RefreshServers,
-                                     GatewayStubs_IgnoreServer,
-                                     GatewayStubs_RecordRequest,
-                                     GatewayStubs_RecordLoss,
-                                     GatewayStubs_AskEnd,
-                                     GatewayStubs_PublishSuspect,
-                                     GatewayStubs_RecordSuspect,
-                                     GatewayStubs_RecordNotice,
-                                     NULL};
+    static const KcGatewayOps ops = {
+        GATEWAY_STUBS_OPS, .start_attempt = start_attempt,
+        .cancel_attempt = cancel_attempt,
+        .record_notice = GatewayStubs_RecordNotice};
     KcForwardCall call = {.id = "this-request",
                           .host = "h",
                           .path = "/r/x",
--- a/tests/request/test_notices.c
+++ b/tests/request/test_notices.c
@@ -232,19 +232,9 @@
     }
 }
 
-static const KcGatewayOps gateway_ops = {start_attempt,
-                                         cancel_attempt,
-                                         GatewayStubs_RequestLoad,
-                                         GatewayStubs_IgnoreServer,
-                                         GatewayStubs_RefreshServers,
-                                         GatewayStubs_IgnoreServer,
-                                         GatewayStubs_RecordRequest,
-                                         GatewayStubs_RecordLoss,
-                                         GatewayStubs_AskEnd,
-                                         GatewayStubs_PublishSuspect,
-                                         GatewayStubs_RecordSuspect,
-                                         record_notice,
-                                         NULL};
+static const KcGatewayOps gateway_ops = {
+    GATEWAY_STUBS_OPS, .start_attempt = start_attempt,
+    .cancel_attempt = cancel_attempt, .record_notice = record_notice};
 
 static const char *
 region_of(void *context, const char *datacentre)
--- a/tests/request/test_unframed.c
+++ b/tests/request/test_unframed.c
@@ -469,17 +469,8 @@
 }
 
 static const KcGatewayOps gateway_ops = {
-    .start_attempt = start_attempt,
+    GATEWAY_STUBS_OPS, .start_attempt = start_attempt,
     .cancel_attempt = cancel_attempt,
-    .request_load = GatewayStubs_RequestLoad,
-    .check_server = GatewayStubs_IgnoreServer,
-    .refresh_servers = GatewayStubs_RefreshServers,
-    .close_connections = GatewayStubs_IgnoreServer,
-    .record_request = GatewayStubs_RecordRequest,
-    .record_loss = GatewayStubs_RecordLoss,
-    .ask_end = GatewayStubs_AskEnd,
-    .publish_suspect = GatewayStubs_PublishSuspect,
-    .record_suspect = GatewayStubs_RecordSuspect,
     .record_notice = GatewayStubs_RecordNotice};
 
 static void
