--- a/programs/process/agent_role.c
+++ b/programs/process/agent_role.c
@@ -114,8 +114,10 @@
     KcRoleCommon_BeginDrain(&((AgentRole *)context)->common);
 }
 
-static const KcAdminServerOps admin_ops = {
-    check_ready, get_generation, add_state, admin_begin_drain, NULL, NULL};
+static const KcAdminServerOps admin_ops = {.check_ready = check_ready,
+                                           .get_generation = get_generation,
+                                           .add_state = add_state,
+                                           .begin_drain = admin_begin_drain};
 
 static void
 begin_drain(void *context)
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -149,9 +149,13 @@
     KcRoleCommon_BeginDrain(&((GatewayRole *)context)->common);
 }
 
-static const KcAdminServerOps admin_ops = {
-    check_ready,       get_generation, add_state,
-    admin_begin_drain, clear_part,     KcGatewayRole_FormatMetrics};
+static const KcAdminServerOps admin_ops = {.check_ready = check_ready,
+                                           .get_generation = get_generation,
+                                           .add_state = add_state,
+                                           .begin_drain = admin_begin_drain,
+                                           .clear_part = clear_part,
+                                           .format_metrics =
+                                               KcGatewayRole_FormatMetrics};
 
 /* ---- planned stops and changed settings ---------------------------------- */
 
