Slow answers: the time of an answer without the attempts that ended before it

Cause: the time that a request may take before it counts as slow was the quantile of times from the request's first attempt, and was compared with the time of its last one.

Change: the time counts from the last attempt that had none beside it; of attempts side by side still from the first, so that those which a second one cut short do not make all look fast. Two cases; the first fails before.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -120,14 +120,15 @@
         attempt->stream_head != NULL ? "next event" : "first byte", now);
 }
 
-/* Notes how long the answer took to begin, over all attempts: those that were
- * given up would have taken longer. */
+/* Notes how long the answer took to begin, without attempts that had ended
+ * before.  Of attempts side by side the first counts: without the others the
+ * answer would have taken longer. */
 static void
 note_beginning(const KcForward *forward, KcTime now)
 {
     KcSecondAttempts_NoteAnswer(&forward->pool->second_attempts,
                                 forward->tokens_max,
-                                now - forward->first_attempt_at);
+                                now - forward->awaited_since);
 }
 
 /* Cancels an attempt whose server has done nothing wrong. */
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -95,6 +95,9 @@
     attempt->replica = choice->replica;
     attempt->started_at = now;
     attempt->server_started_at_ms = server->started_at_ms;
+    if (TAILQ_EMPTY(&forward->attempts)) {
+        forward->awaited_since = now;
+    }
     TAILQ_INSERT_TAIL(&forward->attempts, attempt, link);
     forward->state = KC_FORWARD_SENT;
     forward->server = server;
--- a/lib/process/kcc_second_attempts.h
+++ b/lib/process/kcc_second_attempts.h
@@ -54,8 +54,8 @@
 
 /* Counts a new request of the service. */
 void KcSecondAttempts_NoteRequest(KcSecondAttempts *second, uint64_t tokens);
-/* Records the time from a request's first attempt to the beginning of its
- * answer. */
+/* Records the time from a request's attempt, the first of those side by side,
+ * to the beginning of its answer. */
 void KcSecondAttempts_NoteAnswer(KcSecondAttempts *second, uint64_t tokens,
                                  KcTime duration);
 
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -243,6 +243,8 @@
     struct KcForwardAttemptList attempts; /* in progress */
     KcTime attempt_started_at; /* start of the last attempt; 0: none */
     KcTime first_attempt_at;   /* start of the first attempt; 0: none */
+    KcTime awaited_since;      /* start of the last attempt with none beside
+                                * it */
     uint32_t attempt_count;    /* attempts started so far */
     uint32_t possible_runs;    /* ended attempts that may have run */
     struct KcServer *tried_servers[KC_FORWARD_TRIED_MAX];
--- a/tests/process/test_gateway_slowness.c
+++ b/tests/process/test_gateway_slowness.c
@@ -50,6 +50,18 @@
      FIVE "request 1 /s/x;wait 60;reply 1@b 200;wait 2000;cleartrace;"
           "request 2 /s/x",
      "2>a; "},
+    /* the times that are noted */
+    {"of a request that another server refused: that of its last attempt",
+     SERVERS "extra 5;each 1 24 request /s/x;wait 50;each 1 24 reply 200;"
+             "each 30 45 request /s/x;wait 50;each 30 45 notrun;wait 50;"
+             "each 30 45 reply 200;wait 1000;cleartrace;"
+             "request 50 /s/x;wait 60;reply 50@b 200",
+     "50>a; 50>b; 50x a; 50:200; 50:end; "},
+    {"of a request with a second attempt: that of both",
+     SERVERS "extra 20;" SEEN "each 1 16 request /s/x;wait 100;"
+             "each 1 16 reply 200;wait 1000;cleartrace;"
+             "request 20 /s/x;wait 90;reply 20 200",
+     "20>a; 20:200; 20:end; "},
     /* the limits */
     {"as many as the limit allows",
      FIVE "each 1 5 request /s/x;wait 60;each 1 5 reply 200",
