Keys: uncertain also while the configuration has no customers

Without customers no key was looked at, however old the configuration: a key that comes and goes in versions that a gateway doesn't know ran for ever there. Ruled out: the clock, which is read at each decision; an answer to a call sent after the removal.

Change: a request with a key gets 503 once the certainty is as old as revoke_ms, without customers, too; without a key all is as before, and so it is without revoke_ms. The test waits until version 2 is in force.

--- a/lib/process/gateway_customers.c
+++ b/lib/process/gateway_customers.c
@@ -30,16 +30,24 @@
     return timeout == 0 || is_certain_within(gateway, timeout);
 }
 
-/* Finds the holder of a key.  Returns 0, KC_ERR_UNCONFIRMED, or
- * KC_ERR_UNKNOWN_KEY if no newer configuration can know it. */
+/* Finds the holder of a key, NULL while there are no customers.  Returns 0,
+ * KC_ERR_UNCONFIRMED, or KC_ERR_UNKNOWN_KEY if no newer configuration can know
+ * it. */
 static int
 find_holder(const KcGateway *gateway, bool has_key, const KcKeyDigest *digest,
             const KcRoutedCustomer **holder)
 {
+    bool has_customers = gateway->routing->has_customers;
+
     *holder = NULL;
-    if (!is_confirmed(gateway)) {
+    /* A key may have come and gone in configurations that aren't known here.
+     */
+    if ((has_customers || has_key) && !is_confirmed(gateway)) {
         return KC_ERR_UNCONFIRMED;
     }
+    if (!has_customers) {
+        return 0;
+    }
     if (has_key) {
         *holder = KcRouting_FindCustomer(gateway->routing, digest);
     }
@@ -67,7 +75,7 @@
     int code;
 
     *admission = (KcAdmission){.step = "key"};
-    if (!gateway->routing->has_customers || rule->keyless) {
+    if (rule->keyless) {
         return 0;
     }
     code = find_holder(gateway, call->has_key, &call->key_digest,
@@ -76,6 +84,9 @@
         count_refusal(gateway, code);
         return code;
     }
+    if (admission->customer == NULL) {
+        return 0;
+    }
     admission->step = "quota";
     admission->cost = KcQuota_Cost(admission->customer, call->states_tokens,
                                    call->quota_tokens);
--- a/tests/daemons/test_revocation.c
+++ b/tests/daemons/test_revocation.c
@@ -18,6 +18,7 @@
 #define CUT_TIME ((REVOKE_MS + 2000) * G_TIME_SPAN_MILLISECOND)
 #define REQUEST_INTERVAL (20 * G_TIME_SPAN_MILLISECOND)
 
+#define UNKNOWN_KEY "kxxx-1d8gq0w2n7yb5t"
 #define TAKEN_KEY "kone-5wa5xwyhks8nbk"
 #define OTHER_KEY "ktwo-cuyj8pjbvk9m68"
 #define CUSTOMERS                                                             \
@@ -27,16 +28,22 @@
 static GatewayCluster *cluster;
 static uint8_t network_octet;
 
-/* What keeps the gateway from the change. */
+/* What keeps the gateway from the change, and whether it knows the key. */
 static const struct {
     const char *name;
     const char *knob; /* of the store; NULL: the gateway stands still */
     const char *end_knob;
+    bool is_key_known; /* or it knows no customers at all */
 } cases[] = {
-    {"calls reach the store, no answer comes back", "silent=100", "silent=0"},
-    {"the store turns the gateway away", "busy=100", "busy=0"},
-    {"connections to the store are reset", "reset=100", "reset=0"},
-    {"the gateway stands still", NULL, NULL},
+    {"calls reach the store, no answer comes back", "silent=100", "silent=0",
+     true},
+    {"the store turns the gateway away", "busy=100", "busy=0", true},
+    {"connections to the store are reset", "reset=100", "reset=0", true},
+    {"the gateway stands still", NULL, NULL, true},
+    {"the key comes and goes while no answer comes back", "silent=100",
+     "silent=0", false},
+    {"the key comes and goes while the gateway stands still", NULL, NULL,
+     false},
 };
 
 /* Sends a request with a key; 0: no answer. */
@@ -147,11 +154,15 @@
 
     cluster = GatewayCluster_Start(&options);
     GatewayCluster_SetKnob(cluster, GATEWAY_CLUSTER_STORE, 0, "dead_watch=1");
-    write_customers(2, CUSTOMERS);
+    /* The configuration's watch ends, and its next one is dead. */
+    write_customers(2, cases[index].is_key_known ? CUSTOMERS : NULL);
     wait_for_dead_watch();
+    /* Without customers every key passes. */
+    wait_for_status(UNKNOWN_KEY, cases[index].is_key_known ? 401 : 200);
     wait_for_status(TAKEN_KEY, 200);
     begin_cut(index);
-    write_customers(3, CUSTOMERS_AFTER);
+    write_customers(3, CUSTOMERS);
+    write_customers(4, CUSTOMERS_AFTER);
     acknowledged_at = g_get_monotonic_time();
     if (cases[index].knob != NULL) {
         check_refused(acknowledged_at);
