quota: what isn't reported has no part in the shares

A customer that no gateway was asked for within 10 s is reported by none, so the answer names no rate of all. Each gateway then divided its own, fading rate by itself: its share was 1, and each might spend the whole bucket at once. A burst at all gateways after such a silence broke the promise.

The rate as sent is now 0 where none was sent, so the customer is shared evenly.

test_quota "a customer asked for nowhere is shared evenly" fails without the change (90 requests of 90 pass in place of 50).

--- a/lib/process/quota_report.c
+++ b/lib/process/quota_report.c
@@ -109,9 +109,10 @@
 
         quota->used_sent = quota->used;
         quota->asked_rate_before = quota->asked_rate_sent;
-        quota->asked_rate_sent = quota->asked_rate;
+        quota->asked_rate_sent = 0;
         if (quota->rate > 0 &&
             now - quota->asked_at < KC_QUOTA_REPORT_TIMEOUT) {
+            quota->asked_rate_sent = quota->asked_rate;
             KcQuotaRow_Append(&row, &quotas->rows);
         }
     }
--- a/tests/process/test_quota.c
+++ b/tests/process/test_quota.c
@@ -160,6 +160,18 @@
       {STEP_WAIT, 500, 0, 0},
       {STEP_TOTALS, 2, 900, 100}, /* 600 are left, half of it here */
       {STEP_TAKE, 90, 10, 30}}},
+    {"a customer asked for nowhere is shared evenly",
+     0,
+     {{STEP_COUNT, 4, 0, 0},
+      {STEP_TOTALS, 4, 0, 0},
+      {STEP_WAIT, 500, 0, 0},
+      {STEP_TAKE, 1, 10, 1},
+      {STEP_LIMITED, 0, 0, 0},
+      {STEP_WAIT, 11000, 0, 0}, /* it is no longer told of */
+      {STEP_TOTALS, 4, 0, 0},
+      {STEP_WAIT, 1000, 0, 0},
+      {STEP_TOTALS, 4, 0, 0},
+      {STEP_TAKE, 90, 10, 50}}}, /* half of it, as without pressure */
     {"a report is requested once a grant is half spent",
      0,
      {{STEP_COUNT, 2, 0, 0},
--- a/tests/process/test_quota_play.c
+++ b/tests/process/test_quota_play.c
@@ -40,9 +40,32 @@
     TROUBLE_ADD,     /* gateways begin that are not listed yet */
     TROUBLE_HUB,     /* the first hub stands still */
     TROUBLE_SPLIT,   /* gateways do not reach the first hub */
-    TROUBLE_FLOOD /* 30 times the rate for 0.3 s, 1.2 s after the hot time */
+    TROUBLE_FLOOD, /* 30 times the rate for 0.3 s, 1.2 s after the hot time */
+    TROUBLE_AGAIN, /* quiet, hot for a window, quiet for one, hot again */
+    TROUBLE_EDGES, /* bursts at the end of one window and the next's start */
+    TROUBLE_SHORT  /* hot for less than a window, again and again */
 } Trouble;
 
+/* What is asked for from one time to another, in times the usual. */
+typedef struct Phase {
+    int from_ms; /* after the warm-up */
+    int until_ms;
+    double times;
+} Phase;
+
+/* In place of the hot time. */
+static const Phase phases[][5] = {
+    [TROUBLE_AGAIN] = {{0, 8000, 0},
+                       {8000, 16000, 7},
+                       {16000, 24000, 0},
+                       {24000, 32000, 7}},
+    [TROUBLE_EDGES] = {{0, 15500, 0},
+                       {15500, 16500, 30},
+                       {16500, 24000, 0},
+                       {24000, 25000, 30}},
+    [TROUBLE_SHORT] = {{5000, 8000, 7}, {13000, 16000, 7}, {21000, 24000, 7}},
+};
+
 typedef struct Case {
     const char *name;
     const char *policy;
@@ -108,6 +131,26 @@
     {"split", "lent", 30, 400000, 0.55, 7, 1, 1, TROUBLE_SPLIT, 3, false, 0},
     {"flood", "counts", 30, 4e6, 0.55, 7, 0, 1, TROUBLE_FLOOD, 1, true, 0.8},
     {"flood", "counts", 300, 4e6, 0.55, 7, 0, 1, TROUBLE_FLOOD, 1, true, 0.8},
+    /* Hot times and bursts against the windows. */
+    {"again", "counts", 30, 29000, 0.55, 0, 1, 1, TROUBLE_AGAIN, 1, true, 0.9},
+    {"again", "counts", 30, 400000, 0.55, 0, 1, 1, TROUBLE_AGAIN, 1, true,
+     0.9},
+    {"again", "counts", 300, 400000, 0.55, 0, 1, 1, TROUBLE_AGAIN, 1, true,
+     0.85},
+    {"edges", "counts", 30, 29000, 0.55, 0, 1, 1, TROUBLE_EDGES, 1, true, 0.9},
+    {"edges", "counts", 30, 4e6, 0.55, 0, 1, 1, TROUBLE_EDGES, 1, true, 0.9},
+    {"edges", "counts", 30, 400000, 0.55, 0, 1, 1, TROUBLE_EDGES, 1, true,
+     0.9},
+    {"edges", "counts", 300, 29000, 0.55, 0, 1, 1, TROUBLE_EDGES, 1, true,
+     0.85},
+    {"edges", "counts", 300, 4e6, 0.55, 0, 1, 1, TROUBLE_EDGES, 1, true, 0.85},
+    {"edges", "counts", 300, 400000, 0.55, 0, 1, 1, TROUBLE_EDGES, 1, true,
+     0.85},
+    {"edges", "counts", 100, 400000, 0.55, 0, 0, 1, TROUBLE_EDGES, 1, true,
+     0.85},
+    {"short", "counts", 30, 29000, 0.55, 0, 1, 1, TROUBLE_SHORT, 1, true, 0.9},
+    {"short", "counts", 30, 400000, 0.55, 0, 1, 1, TROUBLE_SHORT, 1, true,
+     0.9},
     /* The number of gateways is wrong. */
     {"N high", "counts", 30, 400000, 0.55, 7, 1, 1.3, 0, 1, true, 0.75},
     {"N high calm", "counts", 30, 400000, 0.55, 1, 1, 1.5, 0, 1, true, 0.95},
@@ -356,12 +399,32 @@
     }
 }
 
+/* How many times the usual is asked for. */
 static double
-asked_rate(const World *world)
+times_asked(const World *world)
 {
     const Case *the_case = world->the_case;
     bool is_hot = world->now >= WARM_UP + 5 * KC_SECOND &&
                   world->now < WARM_UP + 15 * KC_SECOND;
+    int now_ms = (int)((world->now - WARM_UP) / KC_MS);
+
+    if (the_case->trouble < TROUBLE_AGAIN) {
+        return is_hot ? the_case->hot : 1;
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(phases[0]); i++) {
+        const Phase *phase = &phases[the_case->trouble][i];
+
+        if (now_ms >= phase->from_ms && now_ms < phase->until_ms) {
+            return phase->times;
+        }
+    }
+    return 1;
+}
+
+static double
+asked_rate(const World *world)
+{
+    const Case *the_case = world->the_case;
 
     if (the_case->trouble == TROUBLE_FLOOD &&
         world->now >= WARM_UP + 12 * KC_SECOND) {
@@ -371,7 +434,7 @@
                    ? the_case->rate * 30
                    : 0;
     }
-    return the_case->rate * the_case->usual * (is_hot ? the_case->hot : 1);
+    return the_case->rate * the_case->usual * times_asked(world);
 }
 
 /* The gateway that is asked next; callers of one that has ended or stands
