gateway: costs, full servers and homes as tables of reasons

Change: the parts of the cost, the reasons for which a server is full and what keeps it from being a home are tables of function pointers, by which KcServer_Cost(), KcServer_IsFull() and KcForward_FindHome() decide. The decisions are the same; nothing was measured. test_gateway passes.

--- a/lib/process/gateway_choose.c
+++ b/lib/process/gateway_choose.c
@@ -1,20 +1,15 @@
 /*
- * Chooses the backend server for a request, and where adapters are loaded.
+ * Chooses the backend server for a request.
  *
  * The server of the lowest cost is taken, see gateway_cost.c.  A request for a
  * loaded adapter is decided in time linear in the adapter's replicas; one that
  * needs a load, or names no model, in time linear in the service's servers.
  */
-#include <xxhash.h>
-
 #include "gateway_internal.h"
 
 /* Added cost of a full server: OVERLOAD_COST in gateway_cost.c, as for a load
  * of twice its concurrency limit. */
 #define FULL_COST (800 * KC_MS)
-/* No adapter is loaded at a server whose load is at least this percentage of
- * its concurrency limit. */
-#define HOME_LOAD_MAX_PERCENT 70
 /* A further replica is loaded when the load of the best one's server is above
  * this percentage of its concurrency limit. */
 #define REPLICA_LOAD_MAX_PERCENT 60
@@ -33,44 +28,13 @@
  * requests are no large share. */
 #define SPREAD_TOTAL_PRIOR 8.0
 
-/* May the request be sent to the server, or wait for a load there? */
-static bool
-is_eligible(const KcForward *forward, const KcServer *server, KcTime now)
+bool
+KcForward_MayUse(const KcForward *forward, const KcServer *server, KcTime now)
 {
     return KcServer_TakesRequests(server, now) &&
            !KcForward_HasTried(forward, server);
 }
 
-/* Does the server hold the adapter's base model? */
-static bool
-has_base_model(const KcServer *server, const char *model)
-{
-    const KcReplica *replica;
-
-    TAILQ_FOREACH (replica, &server->replicas, server_link) {
-        if (replica->adapter->name[0] == '\0' && !replica->dropped &&
-            !replica->loading && strcmp(replica->adapter->model, model) == 0) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Is the adapter's base model at any server that is not leaving? */
-static bool
-is_base_model_held(const KcForward *forward)
-{
-    const KcServer *server;
-
-    TAILQ_FOREACH (server, &forward->pool->servers, link) {
-        if (!KcServer_IsLeaving(server) &&
-            has_base_model(server, forward->adapter->model)) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* ---- when no server takes the request now -------------------------------- */
 
 /* Is some server of the service closed and not leaving?  Seldom, so that the
@@ -95,7 +59,7 @@
 {
     return !KcServer_IsLeaving(server) &&
            (!needs_base_model ||
-            has_base_model(server, forward->adapter->model));
+            KcServer_HasBaseModel(server, forward->adapter->model));
 }
 
 /* When the first server opens that could take the request; 0 if none is closed
@@ -111,7 +75,8 @@
     if (!any_closed(forward->pool, now)) {
         return 0;
     }
-    needs_base_model = forward->adapter != NULL && is_base_model_held(forward);
+    needs_base_model =
+        forward->adapter != NULL && KcForward_IsBaseModelHeld(forward);
     TAILQ_FOREACH (server, &forward->pool->servers, link) {
         if (!is_candidate(forward, server, needs_base_model) ||
             (!with_tried && KcForward_HasTried(forward, server))) {
@@ -172,7 +137,7 @@
     TAILQ_FOREACH (server, &forward->pool->servers, link) {
         KcTime cost;
 
-        if (!is_eligible(forward, server, now)) {
+        if (!KcForward_MayUse(forward, server, now)) {
             continue;
         }
         any_eligible = true;
@@ -208,7 +173,7 @@
 
         if (replica->server->pool != forward->pool ||
             !KcReplica_IsUsable(replica, now) ||
-            !is_eligible(forward, replica->server, now)) {
+            !KcForward_MayUse(forward, replica->server, now)) {
             continue;
         }
         cost = KcServer_Cost(replica->server, forward, now);
@@ -230,162 +195,13 @@
 
     TAILQ_FOREACH (replica, &forward->adapter->replicas, adapter_link) {
         if (replica->loading && replica->server->pool == forward->pool &&
-            is_eligible(forward, replica->server, now)) {
+            KcForward_MayUse(forward, replica->server, now)) {
             return replica;
         }
     }
     return NULL;
 }
 
-/* Is the replica usable, or will it be? */
-static bool
-is_current(const KcReplica *replica, KcTime now)
-{
-    return replica->loading || KcReplica_IsUsable(replica, now);
-}
-
-/* May an older version that still serves give way to the newest one?  Not the
- * one that goes on meanwhile; that is NULL if none may. */
-static bool
-may_replace(const KcReplica *replica, const KcReplica *serving)
-{
-    return serving != NULL && replica != serving && !replica->loading &&
-           replica->version < replica->adapter->newest_version;
-}
-
-static bool
-has_current_replica(const KcForward *forward, const KcServer *server,
-                    const KcReplica *serving, KcTime now)
-{
-    const KcReplica *replica;
-
-    TAILQ_FOREACH (replica, &forward->adapter->replicas, adapter_link) {
-        if (replica->server == server && is_current(replica, now) &&
-            !may_replace(replica, serving)) {
-            return true;
-        }
-    }
-    return false;
-}
-
-/* Rendezvous hashing: an adapter's home, the preferred server to load it, is
- * the one of the highest rank, the same for all gateways. */
-static uint64_t
-home_rank(const KcForward *forward, const KcServer *server)
-{
-    return XXH3_64bits_withSeed(&server->id_hash, sizeof(server->id_hash),
-                                forward->adapter->hash);
-}
-
-/* An engine loads so many adapters at once; further ones wait. */
-#define LOADS_AT_ONCE 3
-
-/* Adapters on their way to the server, or waiting for that. */
-static uint32_t
-count_loading(const KcServer *server)
-{
-    const KcReplica *replica;
-    uint32_t count = 0;
-
-    TAILQ_FOREACH (replica, &server->replicas, server_link) {
-        count += replica->loading && !replica->dropped ? 1 : 0;
-    }
-    return count;
-}
-
-/* May every place for adapters be in use? */
-static bool
-lacks_places(const KcForward *forward, const KcServer *server, KcTime now)
-{
-    const KcRoutedService *service =
-        KcRouting_FindService(forward->routing, server->pool->service);
-
-    return service != NULL && service->engine.adapter_slots > 0 &&
-           KcServer_Load(server, now) >= service->engine.adapter_slots;
-}
-
-/* How much a server is preferred as a home, the least preferred first. */
-typedef enum HomeClass {
-    HOME_BUSY = 0, /* crowded, or a load waits there */
-    HOME_FREE,
-    HOME_WARM /* it had the adapter lately, and has it at hand */
-} HomeClass;
-
-/* A server as a home. */
-typedef struct Home {
-    KcServer *server; /* NULL: none */
-    HomeClass class;
-    uint32_t loading_count;
-    uint64_t rank;
-} Home;
-
-static HomeClass
-classify_home(const KcForward *forward, const KcServer *server,
-              uint32_t loading_count, KcTime now)
-{
-    if (KcAdapter_WasHeldBy(forward->adapter, server)) {
-        return HOME_WARM;
-    }
-    return loading_count >= LOADS_AT_ONCE || KcServer_IsCrowded(server, now) ||
-                   lacks_places(forward, server, now)
-               ? HOME_BUSY
-               : HOME_FREE;
-}
-
-static bool
-is_better_home(const Home *home, const Home *best)
-{
-    if (best->server == NULL || home->class != best->class) {
-        return best->server == NULL || home->class > best->class;
-    }
-    if (home->class == HOME_BUSY &&
-        home->loading_count != best->loading_count) {
-        return home->loading_count < best->loading_count;
-    }
-    return home->rank > best->rank;
-}
-
-/*
- * The best server, at most at the given distance, to load the adapter at; NULL
- * when there is none.  It is one that had the adapter before, as an engine
- * reloads it from its own memory, else the one of the highest rank that has
- * capacity.  The
- * server must have the base model, unless no server has it; then the model is
- * loaded with the adapter.  serving: see may_replace().
- */
-static KcServer *
-find_home(const KcForward *forward, KcDistance farthest,
-          const KcReplica *serving, KcTime now)
-{
-    bool base_model_held = is_base_model_held(forward);
-    KcServer *server;
-    Home best = {.server = NULL};
-
-    TAILQ_FOREACH (server, &forward->pool->servers, link) {
-        Home home = {.server = server, .rank = home_rank(forward, server)};
-
-        if (server->distance > farthest ||
-            !is_eligible(forward, server, now) || server->missing_at != 0 ||
-            server->suspect_until > now || server->no_loads_until > now ||
-            KcServer_IsSilent(server, now) ||
-            KcServer_Load(server, now) * 100 >=
-                server->concurrency_max * HOME_LOAD_MAX_PERCENT ||
-            KcServer_IsSlow(server, forward, now) ||
-            KcServer_IsFull(server, forward, now) ||
-            has_current_replica(forward, server, serving, now) ||
-            (base_model_held &&
-             !has_base_model(server, forward->adapter->model))) {
-            continue;
-        }
-        home.loading_count = count_loading(server);
-        home.class = classify_home(forward, server, home.loading_count, now);
-        if (is_better_home(&home, &best)) {
-            best = home;
-        }
-    }
-    return best.server;
-}
-
 /* Is the best replica of an older version than the newest?  NULL: there is
  * none. */
 static bool
@@ -438,8 +254,8 @@
 
     TAILQ_FOREACH (replica, &forward->adapter->replicas, adapter_link) {
         if (replica->server->pool == forward->pool &&
-            is_current(replica, now) &&
-            is_eligible(forward, replica->server, now)) {
+            KcReplica_IsCurrent(replica, now) &&
+            KcForward_MayUse(forward, replica->server, now)) {
             count++;
         }
     }
@@ -472,7 +288,7 @@
         return NULL;
     }
     if (should_spread(forward, now)) {
-        server = find_home(forward, KC_DISTANCE_REMOTE, NULL, now);
+        server = KcForward_FindHome(forward, KC_DISTANCE_REMOTE, NULL, now);
         if (server != NULL || !serves_older_version(best)) {
             return server;
         }
@@ -482,15 +298,16 @@
         return NULL;
     }
     if (needs_further_replica(forward, best, now)) {
-        server = find_home(forward, KC_DISTANCE_REMOTE, NULL, now);
+        server = KcForward_FindHome(forward, KC_DISTANCE_REMOTE, NULL, now);
         return server != NULL || !serves_older_version(best)
                    ? server
-                   : find_home(forward, KC_DISTANCE_REMOTE, best, now);
+                   : KcForward_FindHome(forward, KC_DISTANCE_REMOTE, best,
+                                        now);
     }
     if (best->server->distance != KC_DISTANCE_DATACENTRE &&
         KcUseCount_Value(&adapter->uses, now) > NEARER_REPLICA_USES) {
-        return find_home(forward, (KcDistance)(best->server->distance - 1),
-                         NULL, now);
+        return KcForward_FindHome(
+            forward, (KcDistance)(best->server->distance - 1), NULL, now);
     }
     return NULL;
 }
@@ -516,12 +333,13 @@
         choice->server = loading_replica->server;
         return;
     }
-    choice->server = choice->new_replica_server != NULL
-                         ? choice->new_replica_server
-                         : find_home(forward, KC_DISTANCE_REMOTE, NULL, now);
+    choice->server =
+        choice->new_replica_server != NULL
+            ? choice->new_replica_server
+            : KcForward_FindHome(forward, KC_DISTANCE_REMOTE, NULL, now);
     choice->new_replica_server = NULL;
-    if (choice->server != NULL &&
-        (forward->adapter->name[0] != '\0' || !is_base_model_held(forward))) {
+    if (choice->server != NULL && (forward->adapter->name[0] != '\0' ||
+                                   !KcForward_IsBaseModelHeld(forward))) {
         choice->action = KC_CHOICE_LOAD;
     }
     else {
--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -253,21 +253,68 @@
            usual <= objective && work > objective;
 }
 
-bool
-KcServer_IsFull(const KcServer *server, const KcForward *forward, KcTime now)
+static bool
+has_full_load(const KcServer *server, const KcForward *forward, uint32_t load,
+              KcTime now)
+{
+    (void)forward;
+    (void)now;
+    return load * 100 >= server->concurrency_max * FULL_LOAD_PERCENT;
+}
+
+static bool
+has_all_connections(const KcServer *server, const KcForward *forward,
+                    uint32_t load, KcTime now)
+{
+    (void)forward;
+    (void)load;
+    return lacks_connections(server, now);
+}
+
+static bool
+lacks_memory(const KcServer *server, const KcForward *forward, uint32_t load,
+             KcTime now)
+{
+    (void)now;
+    return memory_use_percent(forward, server, load) > MEMORY_MAX_PERCENT;
+}
+
+/* Why a server with requests has no capacity for a further one. */
+static const struct {
+    const char *name;
+    bool (*is_met)(const KcServer *server, const KcForward *forward,
+                   uint32_t load, KcTime now);
+} full_reasons[] = {
+    {"requests", has_full_load},
+    {"late", would_be_late},
+    {"connections", has_all_connections},
+    {"memory", lacks_memory},
+};
+
+const char *
+KcServer_WhyFull(const KcServer *server, const KcForward *forward, KcTime now)
 {
     uint32_t load = KcServer_Load(server, now);
 
     if (server->trial != NULL) {
-        return true; /* see KcServer.closed_until */
+        return "on trial"; /* see KcServer.closed_until */
     }
     if (load == 0) {
-        return false; /* a request that is too large here fits no server */
+        return NULL; /* a request that is too large here fits no server */
     }
-    return load * 100 >= server->concurrency_max * FULL_LOAD_PERCENT ||
-           would_be_late(server, forward, load, now) ||
-           lacks_connections(server, now) ||
-           memory_use_percent(forward, server, load) > MEMORY_MAX_PERCENT;
+    for (size_t i = 0; i < sizeof(full_reasons) / sizeof(full_reasons[0]);
+         i++) {
+        if (full_reasons[i].is_met(server, forward, load, now)) {
+            return full_reasons[i].name;
+        }
+    }
+    return NULL;
+}
+
+bool
+KcServer_IsFull(const KcServer *server, const KcForward *forward, KcTime now)
+{
+    return KcServer_WhyFull(server, forward, now) != NULL;
 }
 
 static KcTime
@@ -336,31 +383,134 @@
                            .others = load_delay};
 }
 
-KcTime
-KcServer_Cost(const KcServer *server, const KcForward *forward, KcTime now)
+/* Delay by the other requests at the server, at its usual speed. */
+static KcTime
+load_delay(const KcServer *server, const KcForward *forward, uint32_t load)
+{
+    return load_cost(load, server->concurrency_max) +
+           (forward->adapter != NULL ? contention_cost(forward, load) : 0);
+}
+
+/* ---- terms of the cost ---------------------------------------------------- */
+
+static KcTime
+distance_term(const KcServer *server, const KcForward *forward, uint32_t load,
+              KcTime now)
+{
+    (void)forward;
+    (void)load;
+    (void)now;
+    return distance_cost[server->distance];
+}
+
+static KcTime
+failures_term(const KcServer *server, const KcForward *forward, uint32_t load,
+              KcTime now)
+{
+    (void)forward;
+    (void)load;
+    return failure_cost(server, now);
+}
+
+static KcTime
+first_byte_term(const KcServer *server, const KcForward *forward,
+                uint32_t load, KcTime now)
+{
+    (void)load;
+    return forward->adapter != NULL || !KcSpeed_IsTold(&server->speed)
+               ? expected_first_byte(server, now)
+               : 0;
+}
+
+static KcTime
+load_term(const KcServer *server, const KcForward *forward, uint32_t load,
+          KcTime now)
+{
+    (void)now;
+    return load_delay(server, forward, load);
+}
+
+static KcTime
+speed_term(const KcServer *server, const KcForward *forward, uint32_t load,
+           KcTime now)
+{
+    KcPlacingWork work =
+        placing_work(server, forward, load_delay(server, forward, load));
+
+    return KcPlacing_SpeedCost(&server->speed, &work, now);
+}
+
+static KcTime
+suspect_term(const KcServer *server, const KcForward *forward, uint32_t load,
+             KcTime now)
+{
+    (void)forward;
+    (void)load;
+    return server->suspect_until > now
+               ? FAILURE_COST + (server->suspect_until - now)
+               : 0;
+}
+
+static KcTime
+missing_term(const KcServer *server, const KcForward *forward, uint32_t load,
+             KcTime now)
+{
+    (void)forward;
+    (void)load;
+    (void)now;
+    return server->missing_at != 0 ? MISSING_COST : 0;
+}
+
+static KcTime
+silence_term(const KcServer *server, const KcForward *forward, uint32_t load,
+             KcTime now)
+{
+    (void)forward;
+    (void)load;
+    return KcServer_IsSilent(server, now) ? SILENCE_COST : 0;
+}
+
+static const struct {
+    const char *name;
+    KcTime (*cost)(const KcServer *server, const KcForward *forward,
+                   uint32_t load, KcTime now);
+} terms[KC_COST_TERM_COUNT] = {
+    {"distance", distance_term},
+    {"failures", failures_term},
+    {"first byte", first_byte_term},
+    {"load", load_term},
+    {"speed", speed_term},
+    {"failed lately", suspect_term},
+    {"record missing", missing_term},
+    {"silence", silence_term},
+};
+
+const char *
+KcCostTerm_Name(size_t term)
+{
+    return terms[term].name;
+}
+
+void
+KcServer_ListCosts(const KcServer *server, const KcForward *forward,
+                   KcTime costs[KC_COST_TERM_COUNT], KcTime now)
 {
     uint32_t load = KcServer_Load(server, now);
-    KcTime load_delay = load_cost(load, server->concurrency_max);
-    KcTime cost = distance_cost[server->distance] + failure_cost(server, now);
-    KcPlacingWork work;
 
-    if (forward->adapter != NULL || !KcSpeed_IsTold(&server->speed)) {
-        cost += expected_first_byte(server, now);
+    for (size_t i = 0; i < KC_COST_TERM_COUNT; i++) {
+        costs[i] = terms[i].cost(server, forward, load, now);
     }
+}
 
-    if (forward->adapter != NULL) {
-        load_delay += contention_cost(forward, load);
-    }
-    work = placing_work(server, forward, load_delay);
-    cost += load_delay + KcPlacing_SpeedCost(&server->speed, &work, now);
-    if (server->suspect_until > now) {
-        cost += FAILURE_COST + (server->suspect_until - now);
-    }
-    if (server->missing_at != 0) {
-        cost += MISSING_COST;
-    }
-    if (KcServer_IsSilent(server, now)) {
-        cost += SILENCE_COST;
+KcTime
+KcServer_Cost(const KcServer *server, const KcForward *forward, KcTime now)
+{
+    KcTime costs[KC_COST_TERM_COUNT];
+    KcTime sum = 0;
+
+    KcServer_ListCosts(server, forward, costs, now);
+    for (size_t i = 0; i < KC_COST_TERM_COUNT; i++) {
+        sum += costs[i];
     }
-    return cost;
+    return sum;
 }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -4,8 +4,9 @@
  * gateway_forward.c (requests) calls gateway_dispatch.c (seeking a server),
  * which calls gateway_queue.c (the queue of a service, by the decisions of
  * lib/process/load) and gateway_choose.c (decisions), which calls
- * gateway_cost.c (costs of servers), gateway_servers.c (servers) and
- * gateway_adapters.c (adapters and their replicas).  gateway_answer.c handles
+ * gateway_homes.c (where adapters are loaded), gateway_cost.c (costs of
+ * servers), gateway_servers.c (servers) and gateway_adapters.c (adapters and
+ * their replicas).  gateway_answer.c handles
  * the reports of attempts, gateway_silence.c attempts whose server reports
  * nothing, gateway_notice.c what servers say of themselves, gateway_suspects.c
  * prompts that end servers.
@@ -185,9 +186,17 @@
 void KcServerPool_RefreshMeans(KcServerPool *pool, KcTime now);
 /* Estimated requests at the server, of all gateways. */
 uint32_t KcServer_Load(const KcServer *server, KcTime now);
-/* Cost of an attempt at the server, as expected added latency. */
+/* The parts of the cost of an attempt at the server, as listed in
+ * gateway_cost.c; see KcCostTerm_Name(). */
+void KcServer_ListCosts(const KcServer *server, const KcForward *forward,
+                        KcTime costs[KC_COST_TERM_COUNT], KcTime now);
+/* Cost of an attempt at the server, as expected added latency: their sum. */
 KcTime KcServer_Cost(const KcServer *server, const KcForward *forward,
                      KcTime now);
+/* Why the server has no capacity for the request at present, static text; NULL
+ * when it has. */
+const char *KcServer_WhyFull(const KcServer *server, const KcForward *forward,
+                             KcTime now);
 /* True when the server has no capacity for the request at present. */
 bool KcServer_IsFull(const KcServer *server, const KcForward *forward,
                      KcTime now);
@@ -229,10 +238,35 @@
 
 /* Chooses what to do with a request now. */
 void KcGateway_Choose(const KcForward *forward, KcTime now, KcChoice *choice);
+/* May the request be sent to the server, or wait for a load there? */
+bool KcForward_MayUse(const KcForward *forward, const KcServer *server,
+                      KcTime now);
 /* When the first server opens that could take a request like this one, if all
  * are closed; 0 otherwise. */
 KcTime KcGateway_FirstOpening(const KcForward *forward, KcTime now);
 
+/* ---- where adapters are loaded (gateway_homes.c) ------------------------- */
+
+/*
+ * The best server, at most at the given distance, to load the adapter at; NULL
+ * when there is none.  The server must have the base model, unless no server
+ * has it; then the model is loaded with the adapter.  serving: a replica that
+ * goes on while older versions at other servers give way; NULL: none gives
+ * way.
+ */
+KcServer *KcForward_FindHome(const KcForward *forward, KcDistance farthest,
+                             const KcReplica *serving, KcTime now);
+/* Why the adapter is not loaded at the server, static text; NULL: it may be.
+ */
+const char *KcForward_WhyNoHome(const KcForward *forward,
+                                const KcServer *server, KcTime now);
+/* Is the replica usable, or will it be? */
+bool KcReplica_IsCurrent(const KcReplica *replica, KcTime now);
+/* Does the server hold the base model? */
+bool KcServer_HasBaseModel(const KcServer *server, const char *model);
+/* Is the adapter's base model at any server that is not leaving? */
+bool KcForward_IsBaseModelHeld(const KcForward *forward);
+
 /* ---- seeking a server (gateway_dispatch.c) ------------------------------- */
 
 /* Chooses a server for a request that has none, and carries that out. */
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -539,6 +539,12 @@
                           void (*report)(void *context, KcReplica *replica),
                           void *context);
 
+/* Parts of the cost of a server, see gateway_cost.c. */
+#define KC_COST_TERM_COUNT 8
+
+/* Returns the name of a part of the cost, static text. */
+const char *KcCostTerm_Name(size_t term);
+
 /* Visits every server. */
 void KcGateway_VisitServers(KcGateway *gateway,
                             void (*visit)(void *context, KcServer *server),
