gateway: KcGateway_Explain(), what would become of a request now

Change: gateway_explain.c takes the steps of KcGateway_Submit() and KcForward_Dispatch() with a request that exists only there. What decided and acted in one function is split, so that both call the same deciding code: route, target, admission, blocked parts, wait, return; KcQuotas_Foresee() takes from a copy, KcTurns_Foresee() returns the turn without taking it. Tests: each case of gateway_steps is run a second time with every request foreseen; so are the requests of the plays and of the queue's test, and what is taken from quotas in the tests of quotas. Each must come true, and all bytes that the gateway decides by must be the same before and after.

--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -33,6 +33,7 @@
 #include "kcc_version.h"
 #include "kcc_entry.h"
 #include "kcc_agent.h"
+#include "kcc_explain.h"
 #include "kcc_gateway.h"
 #include "kcc_keeper.h"
 #include "kcc_quota.h"
--- a/lib/process/gateway_adapters.c
+++ b/lib/process/gateway_adapters.c
@@ -91,14 +91,42 @@
     }
 }
 
+static void
+format_key(char key[KC_ADAPTER_KEY_MAX], const char *model, const char *name)
+{
+    snprintf(key, KC_ADAPTER_KEY_MAX, "%.63s/%.62s", model, name);
+}
+
+void
+KcAdapterState_Init(KcAdapterState *adapter, const char *model,
+                    const char *name)
+{
+    *adapter = (KcAdapterState){.load_requested_at = -KC_SECOND};
+    format_key(adapter->key, model, name);
+    KcText_Copy(adapter->model, model, KC_NAME_MAX);
+    KcText_Copy(adapter->name, name, KC_NAME_MAX);
+    adapter->hash = XXH3_64bits(adapter->key, strlen(adapter->key));
+    TAILQ_INIT(&adapter->replicas);
+    TAILQ_INIT(&adapter->waiting_requests);
+}
+
 KcAdapterState *
-KcGateway_GetAdapter(KcGateway *gateway, const char *model, const char *name)
+KcGateway_FindAdapter(const KcGateway *gateway, const char *model,
+                      const char *name)
 {
     char key[KC_ADAPTER_KEY_MAX];
     KcAdapterState *adapter;
 
-    snprintf(key, sizeof(key), "%.63s/%.62s", model, name);
+    format_key(key, model, name);
     HASH_FIND_STR(gateway->adapters, key, adapter);
+    return adapter;
+}
+
+KcAdapterState *
+KcGateway_GetAdapter(KcGateway *gateway, const char *model, const char *name)
+{
+    KcAdapterState *adapter = KcGateway_FindAdapter(gateway, model, name);
+
     if (adapter != NULL) {
         TAILQ_REMOVE(&gateway->adapter_list, adapter, link);
         TAILQ_INSERT_TAIL(&gateway->adapter_list, adapter, link);
@@ -106,13 +134,7 @@
     }
     forget_one_adapter(gateway);
     adapter = KcMem_New(sizeof(*adapter));
-    KcText_Copy(adapter->key, key, sizeof(adapter->key));
-    KcText_Copy(adapter->model, model, KC_NAME_MAX);
-    KcText_Copy(adapter->name, name, KC_NAME_MAX);
-    adapter->hash = XXH3_64bits(key, strlen(key));
-    adapter->load_requested_at = -KC_SECOND;
-    TAILQ_INIT(&adapter->replicas);
-    TAILQ_INIT(&adapter->waiting_requests);
+    KcAdapterState_Init(adapter, model, name);
     HASH_ADD_STR(gateway->adapters, key, adapter);
     TAILQ_INSERT_TAIL(&gateway->adapter_list, adapter, link);
     gateway->adapter_count++;
--- a/lib/process/gateway_customers.c
+++ b/lib/process/gateway_customers.c
@@ -30,20 +30,16 @@
     return timeout == 0 || is_certain_within(gateway, timeout);
 }
 
-/* Finds the holder of a key.  Returns 0, KC_ERR_UNCONFIRMED, or
- * KC_ERR_UNKNOWN_KEY if no newer configuration can know it. */
+/* May a request be in the name of the holder by the configuration in force?
+ * NULL: it has none.  Returns 0, KC_ERR_UNCONFIRMED, or KC_ERR_UNKNOWN_KEY if
+ * no newer configuration can know one. */
 static int
-find_holder(const KcGateway *gateway, bool has_key, const KcKeyDigest *digest,
-            const KcRoutedCustomer **holder)
+check_holder(const KcGateway *gateway, const KcRoutedCustomer *holder)
 {
-    *holder = NULL;
     if (!is_confirmed(gateway)) {
         return KC_ERR_UNCONFIRMED;
     }
-    if (has_key) {
-        *holder = KcRouting_FindCustomer(gateway->routing, digest);
-    }
-    if (*holder != NULL) {
+    if (holder != NULL) {
         return 0;
     }
     return is_certain_within(gateway, gateway->options.config_timeout)
@@ -51,6 +47,23 @@
                : KC_ERR_UNCONFIRMED;
 }
 
+/* Finds the holder of a key.  Returns as check_holder(); *holder is NULL on
+ * errors. */
+static int
+find_holder(const KcGateway *gateway, bool has_key, const KcKeyDigest *digest,
+            const KcRoutedCustomer **holder)
+{
+    int code;
+
+    *holder =
+        has_key ? KcRouting_FindCustomer(gateway->routing, digest) : NULL;
+    code = check_holder(gateway, *holder);
+    if (code != 0) {
+        *holder = NULL;
+    }
+    return code;
+}
+
 static void
 count_refusal(const KcGateway *gateway, int code)
 {
@@ -60,6 +73,46 @@
                    1);
 }
 
+static bool
+needs_key(const KcGateway *gateway, const KcRouteRule *rule)
+{
+    return gateway->routing->has_customers && !rule->keyless;
+}
+
+int
+KcGateway_ForeseeAdmission(const KcGateway *gateway, const KcForwardCall *call,
+                           const KcRouteRule *rule, const char *customer,
+                           KcAdmission *admission, bool *is_quota_unknown,
+                           KcTime now)
+{
+    const KcRoutedCustomer *holder = NULL;
+    int code;
+
+    *admission = (KcAdmission){.step = "key"};
+    *is_quota_unknown = false;
+    if (!needs_key(gateway, rule)) {
+        return 0;
+    }
+    if (customer[0] != '\0') {
+        holder = KcRouting_FindCustomerByName(gateway->routing, customer);
+        admission->step = holder != NULL ? "key" : "customer";
+    }
+    code = check_holder(gateway, holder);
+    if (code != 0) {
+        return code;
+    }
+    admission->customer = holder;
+    admission->step = "quota";
+    admission->cost =
+        KcQuota_Cost(holder, call->states_tokens, call->quota_tokens);
+    if (gateway->quotas_version != gateway->routing->version) {
+        *is_quota_unknown = holder->rate_per_s > 0;
+        return 0;
+    }
+    return KcQuotas_Foresee(gateway->quotas, holder, admission->cost,
+                            &admission->retry_after, now);
+}
+
 int
 KcGateway_Admit(KcGateway *gateway, const KcForwardCall *call,
                 const KcRouteRule *rule, KcAdmission *admission, KcTime now)
@@ -67,7 +120,7 @@
     int code;
 
     *admission = (KcAdmission){.step = "key"};
-    if (!gateway->routing->has_customers || rule->keyless) {
+    if (!needs_key(gateway, rule)) {
         return 0;
     }
     code = find_holder(gateway, call->has_key, &call->key_digest,
--- a/lib/process/gateway_dispatch.c
+++ b/lib/process/gateway_dispatch.c
@@ -188,15 +188,8 @@
     KcForward_FinishFailed(forward, now);
 }
 
-/*
- * For a request that waits, or is about to: false if that is in vain, as every
- * server leaves, or none opens before its deadline.  Otherwise prolongs the
- * time until which it waits for a server that opens, and for its turn there.
- * A caller that has the beginning of an answer gains nothing by an earlier
- * end.
- */
-static bool
-prolong_wait(KcForward *forward, const KcChoice *choice)
+bool
+KcForward_ProlongWait(KcForward *forward, const KcChoice *choice)
 {
     /* The one request that tries the server is answered by then. */
     KcTime until = choice->opens_at + forward->rule->latency_objective;
@@ -264,11 +257,20 @@
     enqueue_or_refuse(forward, KC_ERR_BUSY, now);
 }
 
+int
+KcChoice_Error(const KcChoice *choice)
+{
+    return choice->action == KC_CHOICE_QUEUE ||
+                   choice->action == KC_CHOICE_AWAIT_OPENING
+               ? KC_ERR_BUSY
+               : KC_ERR_NO_BACKEND;
+}
+
 /* Carries out a choice; false when its server cannot be reached. */
 static bool
 execute_choice(KcForward *forward, const KcChoice *choice, KcTime now)
 {
-    int code = KC_ERR_NO_BACKEND;
+    int code = KcChoice_Error(choice);
 
     switch (choice->action) {
     case KC_CHOICE_SEND:
@@ -290,13 +292,11 @@
         return true;
     case KC_CHOICE_QUEUE:
     case KC_CHOICE_AWAIT_OPENING:
-        code = KC_ERR_BUSY;
-        break;
     case KC_CHOICE_REFUSE:
     case KC_CHOICE_NONE:
         break;
     }
-    if (prolong_wait(forward, choice)) {
+    if (KcForward_ProlongWait(forward, choice)) {
         enqueue_or_refuse(forward, code, now);
     }
     else {
@@ -473,7 +473,7 @@
         break;
     case KC_CHOICE_REFUSE:
     case KC_CHOICE_AWAIT_OPENING:
-        if (prolong_wait(forward, &choice)) {
+        if (KcForward_ProlongWait(forward, &choice)) {
             KcForward_SetTimer(forward, KcForward_IsKept(forward)
                                             ? next_kept_check(forward, now)
                                             : forward->dispatch_until);
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -110,11 +110,9 @@
     ops->on_end(caller);
 }
 
-/* When it is of use that the caller tries again. */
-static KcTime
-retry_after(const KcForward *forward, KcTime now)
+KcTime
+KcForward_RetryAfter(const KcForward *forward, KcQueuePace *pace, KcTime now)
 {
-    KcServerPool *pool = forward->pool;
     KcTime opens_at = KcGateway_FirstOpening(forward, now);
 
     if (opens_at != 0) {
@@ -124,10 +122,9 @@
         return KC_RETRY_AFTER_DEFAULT;
     }
     if (forward->is_load_ordered) {
-        return KcQueuePace_RetryAfterLoad(&pool->pace,
-                                          forward->deadline - now);
+        return KcQueuePace_RetryAfterLoad(pace, forward->deadline - now);
     }
-    return KcQueuePace_RetryAfter(&pool->pace, pool->queue_length,
+    return KcQueuePace_RetryAfter(pace, forward->pool->queue_length,
                                   forward->deadline - now, now);
 }
 
@@ -160,7 +157,8 @@
                                 .may_have_run = may_have_run(forward)};
 
     if (!refusal.may_have_run && forward->error.code != KC_ERR_BLOCKED) {
-        refusal.retry_after = retry_after(forward, now);
+        refusal.retry_after =
+            KcForward_RetryAfter(forward, &forward->pool->pace, now);
     }
     if (!refusal.may_have_run) {
         KcForward_GiveBackQuota(forward, now);
@@ -216,19 +214,46 @@
              find_deadline(call, rule, now) > gateway->end_at));
 }
 
-static KcForward *
-create_forward(KcGateway *gateway, const KcForwardCall *call,
-               const KcRouteRule *rule, const KcAdmission *admission,
-               KcTime now)
+int
+KcGateway_Route(const KcGateway *gateway, const KcForwardCall *call,
+                const KcRouteRule **rule, KcTime now)
 {
-    KcForward *forward = KcMem_New(sizeof(*forward));
-    const KcRoutedService *service;
-    const KcRouteTarget *target;
+    *rule = NULL;
+    if (gateway->routing == NULL) {
+        return KC_ERR_NO_DOCUMENT;
+    }
+    *rule = KcRouting_FindRule(gateway->routing, call->host, call->path);
+    if (*rule == NULL) {
+        return KC_ERR_NOT_FOUND;
+    }
+    return comes_too_late(gateway, call, *rule, now) ? KC_ERR_LEAVING : 0;
+}
 
-    gateway->random_state = gateway->random_state * 6364136223846793005ULL + 1;
-    target = KcRouting_ChooseTarget(rule, gateway->random_state >> 33);
-    forward->gateway = gateway;
-    forward->routing = KcRouting_Retain(gateway->routing);
+const KcRouteTarget *
+KcGateway_DrawTarget(const KcGateway *gateway, const KcRouteRule *rule,
+                     uint64_t *random_state)
+{
+    *random_state = gateway->random_state * 6364136223846793005ULL + 1;
+    return KcRouting_ChooseTarget(rule, *random_state >> 33);
+}
+
+bool
+KcGateway_NeedsAdapter(const KcGateway *gateway, const KcForwardCall *call,
+                       const KcRouteTarget *target)
+{
+    const KcRoutedService *service =
+        KcRouting_FindService(gateway->routing, target->service);
+
+    return call->model[0] != '\0' && service != NULL &&
+           service->engine.is_configured;
+}
+
+void
+KcForward_Init(KcForward *forward, KcGateway *gateway,
+               const KcForwardCall *call, const KcRouteRule *rule,
+               const KcAdmission *admission, KcTime now)
+{
+    *forward = (KcForward){.gateway = gateway, .routing = gateway->routing};
     forward->rule = rule;
     forward->customer = admission->customer;
     forward->key_digest = call->key_digest;
@@ -237,15 +262,6 @@
         admission->customer != NULL && admission->customer->has_priority
             ? admission->customer->priority
             : rule->priority;
-    forward->pool = KcGateway_GetPool(gateway, target->service);
-    service = KcRouting_FindService(gateway->routing, target->service);
-    if (call->model[0] != '\0' && service != NULL &&
-        service->engine.is_configured) {
-        forward->adapter =
-            KcGateway_GetAdapter(gateway, call->model, call->adapter);
-        KcUseCount_Add(&forward->adapter->uses, now);
-        KcUseCount_Add(&forward->pool->adapter_uses, now);
-    }
     KcText_Copy(forward->id, call->id, sizeof(forward->id));
     forward->arrived_at = now;
     forward->last_event_at = now;
@@ -265,6 +281,26 @@
     forward->last_event_id = call->last_event_id;
     TAILQ_INIT(&forward->attempts);
     KcTimer_Init(&forward->timer, on_timer, forward);
+}
+
+static KcForward *
+create_forward(KcGateway *gateway, const KcForwardCall *call,
+               const KcRouteRule *rule, const KcAdmission *admission,
+               KcTime now)
+{
+    KcForward *forward = KcMem_New(sizeof(*forward));
+    const KcRouteTarget *target =
+        KcGateway_DrawTarget(gateway, rule, &gateway->random_state);
+
+    KcForward_Init(forward, gateway, call, rule, admission, now);
+    KcRouting_Retain(forward->routing);
+    forward->pool = KcGateway_GetPool(gateway, target->service);
+    if (KcGateway_NeedsAdapter(gateway, call, target)) {
+        forward->adapter =
+            KcGateway_GetAdapter(gateway, call->model, call->adapter);
+        KcUseCount_Add(&forward->adapter->uses, now);
+        KcUseCount_Add(&forward->pool->adapter_uses, now);
+    }
     return forward;
 }
 
@@ -294,19 +330,9 @@
 
     *forward_out = NULL;
     KcCounters_Add(gateway->options.counters, KC_COUNT_REQUESTS, 1);
-    if (gateway->routing == NULL) {
-        refuse_at_once(gateway, ops, caller, KC_ERR_NO_DOCUMENT, "route", "",
-                       KC_RETRY_AFTER_DEFAULT);
-        return;
-    }
-    rule = KcRouting_FindRule(gateway->routing, call->host, call->path);
-    if (rule == NULL) {
-        refuse_at_once(gateway, ops, caller, KC_ERR_NOT_FOUND, "route", "",
-                       KC_RETRY_AFTER_DEFAULT);
-        return;
-    }
-    if (comes_too_late(gateway, call, rule, now)) {
-        refuse_at_once(gateway, ops, caller, KC_ERR_LEAVING, "route", "",
+    code = KcGateway_Route(gateway, call, &rule, now);
+    if (code != 0) {
+        refuse_at_once(gateway, ops, caller, code, "route", "",
                        KC_RETRY_AFTER_DEFAULT);
         return;
     }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -6,7 +6,8 @@
  * lib/process/load) and gateway_choose.c (decisions), which calls
  * gateway_homes.c (where adapters are loaded), gateway_cost.c (costs of
  * servers), gateway_servers.c (servers) and gateway_adapters.c (adapters and
- * their replicas).  gateway_answer.c handles
+ * their replicas).  gateway_explain.c calls all of them for a request that is
+ * only foreseen.  gateway_answer.c handles
  * the reports of attempts, gateway_silence.c attempts whose server reports
  * nothing, gateway_notice.c what servers say of themselves, gateway_suspects.c
  * prompts that end servers.
@@ -72,6 +73,16 @@
 int KcGateway_Admit(KcGateway *gateway, const KcForwardCall *call,
                     const KcRouteRule *rule, KcAdmission *admission,
                     KcTime now);
+/*
+ * What KcGateway_Admit() would do for a request of that customer, "" for none.
+ * is_quota_unknown: the customer's quota is taken to have room, as the quotas
+ * have not been taken from the configuration in force yet.
+ */
+int KcGateway_ForeseeAdmission(const KcGateway *gateway,
+                               const KcForwardCall *call,
+                               const KcRouteRule *rule, const char *customer,
+                               KcAdmission *admission, bool *is_quota_unknown,
+                               KcTime now);
 /*
  * May a request that was taken still be sent, by the newest configuration?
  * Returns 0, KC_ERR_UNKNOWN_KEY when its key was taken away meanwhile, or
@@ -94,6 +105,12 @@
 /* Adds one use. */
 void KcUseCount_Add(KcUseCount *count, KcTime now);
 
+/* Initialises an adapter of which nothing is known. */
+void KcAdapterState_Init(KcAdapterState *adapter, const char *model,
+                         const char *name);
+/* Finds an adapter; NULL when it is not known. */
+KcAdapterState *KcGateway_FindAdapter(const KcGateway *gateway,
+                                      const char *model, const char *name);
 /* Finds or creates an adapter and marks it as the most recently used. */
 KcAdapterState *KcGateway_GetAdapter(KcGateway *gateway, const char *model,
                                      const char *name);
@@ -128,6 +145,12 @@
 
 /* ---- servers (gateway_servers.c) ----------------------------------------- */
 
+/* Initialises a pool without servers. */
+void KcServerPool_Init(KcServerPool *pool, KcGateway *gateway,
+                       const char *service);
+/* Finds the pool of a service; NULL when there is none yet. */
+KcServerPool *KcGateway_FindPool(const KcGateway *gateway,
+                                 const char *service);
 /* Finds or creates the pool of a service. */
 KcServerPool *KcGateway_GetPool(KcGateway *gateway, const char *service);
 
@@ -177,6 +200,9 @@
 /* Refuses the request, if it has a part that must not be sent; returns whether
  * it did. */
 bool KcForward_RefuseIfBlocked(KcForward *forward, KcTime now);
+/* The part for which the request is refused; NULL: none.  A request that may
+ * try its part becomes the one that does. */
+const KcSuspect *KcForward_FindRefusedPart(KcForward *forward);
 /* May the request not be sent? */
 bool KcForward_IsBlocked(const KcForward *forward);
 
@@ -285,6 +311,16 @@
  * request that was tried elsewhere for its server's silence, as that server
  * could still have answered. */
 bool KcForward_IsKept(const KcForward *forward);
+/*
+ * For a request that waits, or is about to: false if that is in vain, as every
+ * server leaves, or none opens before its deadline.  Otherwise prolongs the
+ * time until which it waits for a server that opens, and for its turn there.
+ * A caller that has the beginning of an answer gains nothing by an earlier
+ * end.
+ */
+bool KcForward_ProlongWait(KcForward *forward, const KcChoice *choice);
+/* The error of a request that is refused by such a choice. */
+int KcChoice_Error(const KcChoice *choice);
 /* Queues a request whose attempt was refused, or fails it when it has waited
  * too long. */
 void KcForward_AwaitPlace(KcForward *forward, KcTime now);
@@ -323,6 +359,10 @@
  * are not kept. */
 void KcForward_DecideWait(KcForward *forward, KcTime now,
                           KcWaitDecision *decision);
+/* The same for a request that is only foreseen; pace is a copy of that of its
+ * service. */
+void KcForward_ForeseeWait(KcForward *forward, KcQueuePace *pace, KcTime now,
+                           KcWaitDecision *decision);
 /* Inserts the request into the queue of its service. */
 void KcForward_JoinQueue(KcForward *forward, KcTime now);
 /* Removes the request from the list that it waits in, if any. */
@@ -347,6 +387,30 @@
 /* End the request and free it, as the planned stop is at its end. */
 void KcForward_FailLeaving(KcForward *forward, KcTime now);
 
+/* Finds the route.  Returns 0, or KC_ERR_NO_DOCUMENT, KC_ERR_NOT_FOUND or
+ * KC_ERR_LEAVING. */
+int KcGateway_Route(const KcGateway *gateway, const KcForwardCall *call,
+                    const KcRouteRule **rule, KcTime now);
+/* Draws the target of the next request; *random_state is the gateway's from
+ * then on. */
+const KcRouteTarget *KcGateway_DrawTarget(const KcGateway *gateway,
+                                          const KcRouteRule *rule,
+                                          uint64_t *random_state);
+/* Does the request need an adapter, or a base model, of the target's engines?
+ */
+bool KcGateway_NeedsAdapter(const KcGateway *gateway,
+                            const KcForwardCall *call,
+                            const KcRouteTarget *target);
+/* Fills in an admitted request but for its service and its adapter.  It holds
+ * no reference to the routing yet. */
+void KcForward_Init(KcForward *forward, KcGateway *gateway,
+                    const KcForwardCall *call, const KcRouteRule *rule,
+                    const KcAdmission *admission, KcTime now);
+/* When it is of use that the caller of a request that did not run tries again;
+ * pace: of the service, which counts the return. */
+KcTime KcForward_RetryAfter(const KcForward *forward, KcQueuePace *pace,
+                            KcTime now);
+
 /* Sets the request's timer to due_at, at the latest to its deadline. */
 void KcForward_SetTimer(KcForward *forward, KcTime due_at);
 
--- a/lib/process/gateway_queue.c
+++ b/lib/process/gateway_queue.c
@@ -94,20 +94,19 @@
     }
 }
 
-void
-KcForward_DecideWait(KcForward *forward, KcTime now, KcWaitDecision *decision)
+/* Decides on a request that has its turn, and notes that. */
+static void
+decide(KcForward *forward, const KcQueuePace *pace, KcTime now,
+       KcWaitDecision *decision)
 {
-    KcServerPool *pool = forward->pool;
-    KcQueued queued;
+    KcQueued queued = describe(forward);
     KcWaitInput input = {.queued = &queued,
                          .objective = forward->rule->latency_objective,
-                         .pace = &pool->pace};
+                         .pace = pace};
     uint32_t behind;
 
-    begin_wait(forward, now);
-    queued = describe(forward);
     find_earlier(forward, now, &behind);
-    input.place = pool->queue_length - behind;
+    input.place = forward->pool->queue_length - behind;
     KcWait_Decide(&input, now, decision);
     if (decision->verdict != KC_WAIT_TOO_LONG &&
         now < forward->dispatch_until) {
@@ -122,6 +121,27 @@
     forward->expected_wait = decision->expected_wait;
 }
 
+void
+KcForward_DecideWait(KcForward *forward, KcTime now, KcWaitDecision *decision)
+{
+    begin_wait(forward, now);
+    decide(forward, &forward->pool->pace, now, decision);
+}
+
+void
+KcForward_ForeseeWait(KcForward *forward, KcQueuePace *pace, KcTime now,
+                      KcWaitDecision *decision)
+{
+    const char *customer = turn_name(forward);
+
+    KcQueuePace_Begin(pace, now);
+    if (customer != NULL) {
+        forward->queue_turn = KcTurns_Foresee(&forward->pool->turns, customer,
+                                              forward->tokens_max);
+    }
+    decide(forward, pace, now, decision);
+}
+
 void
 KcForward_JoinQueue(KcForward *forward, KcTime now)
 {
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -63,27 +63,41 @@
 
 /* ---- servers ------------------------------------------------------------- */
 
+void
+KcServerPool_Init(KcServerPool *pool, KcGateway *gateway, const char *service)
+{
+    *pool = (KcServerPool){.gateway = gateway};
+    KcText_Copy(pool->service, service, KC_NAME_MAX);
+    TAILQ_INIT(&pool->servers);
+    TAILQ_INIT(&pool->queue);
+    KcRetryBudget_Init(
+        &pool->retry_budget, gateway->options.retry_percent,
+        gateway->options.retry_burst /
+            (gateway->gateway_count > 0 ? gateway->gateway_count : 1));
+    /* Starts half full: an earlier process may have spent its budget. */
+    pool->retry_budget.millitokens /= 2;
+    KcSecondAttempts_SetLimit(&pool->second_attempts,
+                              gateway->options.extra_fraction);
+    KcServerPool_InitSuspects(pool);
+}
+
 KcServerPool *
-KcGateway_GetPool(KcGateway *gateway, const char *service)
+KcGateway_FindPool(const KcGateway *gateway, const char *service)
 {
     KcServerPool *pool;
 
     HASH_FIND_STR(gateway->pools, service, pool);
+    return pool;
+}
+
+KcServerPool *
+KcGateway_GetPool(KcGateway *gateway, const char *service)
+{
+    KcServerPool *pool = KcGateway_FindPool(gateway, service);
+
     if (pool == NULL) {
         pool = KcMem_New(sizeof(*pool));
-        KcText_Copy(pool->service, service, KC_NAME_MAX);
-        pool->gateway = gateway;
-        TAILQ_INIT(&pool->servers);
-        TAILQ_INIT(&pool->queue);
-        KcRetryBudget_Init(
-            &pool->retry_budget, gateway->options.retry_percent,
-            gateway->options.retry_burst /
-                (gateway->gateway_count > 0 ? gateway->gateway_count : 1));
-        /* Starts half full: an earlier process may have spent its budget. */
-        pool->retry_budget.millitokens /= 2;
-        KcSecondAttempts_SetLimit(&pool->second_attempts,
-                                  gateway->options.extra_fraction);
-        KcServerPool_InitSuspects(pool);
+        KcServerPool_Init(pool, gateway, service);
         HASH_ADD_STR(gateway->pools, service, pool);
     }
     return pool;
--- a/lib/process/gateway_suspects.c
+++ b/lib/process/gateway_suspects.c
@@ -277,17 +277,29 @@
     return find_blocked(forward) != NULL;
 }
 
-/* Makes the request the one that tries the part, if this gateway may send one;
- * otherwise asks whether it may, if a trial is due. */
+const KcSuspect *
+KcForward_FindRefusedPart(KcForward *forward)
+{
+    const KcSuspect *suspect = find_blocked(forward);
+
+    if (suspect != NULL && suspect->may_try && !forward->is_trial) {
+        forward->is_trial = true;
+        forward->trial_part = suspect->part;
+        suspect = find_blocked(forward);
+    }
+    return suspect;
+}
+
+/* Takes the permission to send one request that tries the part, if it has it;
+ * otherwise asks for it, if a trial is due. */
 static void
-try_part(KcForward *forward, KcSuspect *suspect, KcTime now)
+note_trial(const KcForward *forward, KcSuspect *suspect, bool is_new_trial,
+           KcTime now)
 {
     KcServerPool *pool = forward->pool;
 
-    if (suspect->may_try && !forward->is_trial) {
+    if (is_new_trial) {
         suspect->may_try = false;
-        forward->is_trial = true;
-        forward->trial_part = suspect->part;
     }
     else if (KcSuspects_IsTrialDue(&pool->suspects, suspect, now) &&
              (suspect->asked_at == 0 ||
@@ -304,12 +316,13 @@
 bool
 KcForward_RefuseIfBlocked(KcForward *forward, KcTime now)
 {
-    KcSuspect *suspect = find_blocked(forward);
+    KcSuspect *first = find_blocked(forward);
+    bool was_trial = forward->is_trial;
+    const KcSuspect *suspect = KcForward_FindRefusedPart(forward);
     char name[KC_PARTS_TEXT_SIZE];
 
-    if (suspect != NULL) {
-        try_part(forward, suspect, now);
-        suspect = find_blocked(forward);
+    if (first != NULL) {
+        note_trial(forward, first, forward->is_trial && !was_trial, now);
     }
     if (suspect == NULL) {
         return false;
--- a/lib/process/load/kcc_queue.h
+++ b/lib/process/load/kcc_queue.h
@@ -63,6 +63,9 @@
 /* The turn of a request that joins the queue, in steps of a few requests'
  * work. work: in tokens, 0 if it states none, which counts as the mean. */
 double KcTurns_Take(KcTurns *turns, const char *customer, uint64_t work);
+/* The turn that KcTurns_Take() would return; changes nothing. */
+double KcTurns_Foresee(const KcTurns *turns, const char *customer,
+                       uint64_t work);
 /* A request with that turn was served. */
 void KcTurns_NoteServed(KcTurns *turns, double turn);
 /* A request left the queue unserved: its customer doesn't pay for it. */
--- a/lib/process/load/queue_turns.c
+++ b/lib/process/load/queue_turns.c
@@ -13,7 +13,7 @@
 #define TURN_STEP 4
 
 static KcTurn *
-find_turn(KcTurns *turns, const char *customer)
+find_turn(const KcTurns *turns, const char *customer)
 {
     KcTurn *turn;
 
@@ -30,26 +30,54 @@
     return turns->mean_work > 0 ? turns->mean_work : 1;
 }
 
-double
-KcTurns_Take(KcTurns *turns, const char *customer, uint64_t work)
+static void
+add_work(KcTurns *turns, uint64_t work)
 {
-    KcTurn *turn = find_turn(turns, customer);
-    double start;
-    double step;
-
     if (work > 0) {
         turns->mean_work += ((double)work - turns->mean_work) *
                             (turns->mean_work > 0 ? MEAN_WORK_WEIGHT : 1);
     }
+}
+
+/* When the customer's next request is served; NULL: it has no turn yet. */
+static double
+next_start(const KcTurns *turns, const KcTurn *turn)
+{
+    return turn != NULL && turn->end > turns->now ? turn->end : turns->now;
+}
+
+static double
+round_turn(const KcTurns *turns, double start)
+{
+    double step = TURN_STEP * (turns->mean_work > 0 ? turns->mean_work : 1);
+
+    return floor(start / step) * step;
+}
+
+double
+KcTurns_Foresee(const KcTurns *turns, const char *customer, uint64_t work)
+{
+    KcTurns with_work = *turns;
+
+    add_work(&with_work, work);
+    return round_turn(&with_work,
+                      next_start(turns, find_turn(turns, customer)));
+}
+
+double
+KcTurns_Take(KcTurns *turns, const char *customer, uint64_t work)
+{
+    KcTurn *turn = find_turn(turns, customer);
+    double start = next_start(turns, turn);
+
+    add_work(turns, work);
     if (turn == NULL) {
         turn = KcMem_New(sizeof(*turn));
         KcText_Copy(turn->customer, customer, sizeof(turn->customer));
         HASH_ADD_STR(turns->by_customer, customer, turn);
     }
-    start = turn->end > turns->now ? turn->end : turns->now;
     turn->end = start + counted_work(turns, work);
-    step = TURN_STEP * (turns->mean_work > 0 ? turns->mean_work : 1);
-    return floor(start / step) * step;
+    return round_turn(turns, start);
 }
 
 void
--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -326,17 +326,13 @@
     }
 }
 
-int
-KcQuotas_Take(KcQuotas *quotas, const KcRoutedCustomer *customer,
-              uint64_t cost, KcTime *retry, KcTime now)
+/* KcQuotas_Take() from this quota. */
+static int
+take(KcQuotas *quotas, KcQuota *quota, uint64_t cost, KcTime *retry,
+     KcTime now)
 {
-    KcQuota *quota = find_customer(quotas, customer);
     double missing;
 
-    *retry = 0;
-    if (quota == NULL) {
-        return 0;
-    }
     cost = cost < COST_MAX ? cost : COST_MAX;
     KcQuotas_CheckLease(quotas, now);
     KcQuota_Settle(quotas, quota, now);
@@ -365,6 +361,35 @@
     return KC_ERR_LIMIT_EXCEEDED;
 }
 
+int
+KcQuotas_Take(KcQuotas *quotas, const KcRoutedCustomer *customer,
+              uint64_t cost, KcTime *retry, KcTime now)
+{
+    KcQuota *quota = find_customer(quotas, customer);
+
+    *retry = 0;
+    return quota != NULL ? take(quotas, quota, cost, retry, now) : 0;
+}
+
+int
+KcQuotas_Foresee(const KcQuotas *quotas, const KcRoutedCustomer *customer,
+                 uint64_t cost, KcTime *retry, KcTime now)
+{
+    const KcQuota *quota = find_customer(quotas, customer);
+    KcQuotas copied_quotas = *quotas;
+    KcQuota copied;
+
+    *retry = 0;
+    if (quota == NULL) {
+        return 0;
+    }
+    copied = *quota;
+    copied_quotas.options.ops = NULL;
+    TAILQ_INIT(&copied_quotas.list);
+    TAILQ_INSERT_TAIL(&copied_quotas.list, &copied, link);
+    return take(&copied_quotas, &copied, cost, retry, now);
+}
+
 void
 KcQuotas_GiveBack(KcQuotas *quotas, const KcRoutedCustomer *customer,
                   uint64_t cost, KcTime now)
--- a/lib/version/kcc_routing.h
+++ b/lib/version/kcc_routing.h
@@ -232,6 +232,9 @@
 const KcRoutedService *KcRouting_FindService(const KcRouting *routing,
                                              const char *name);
 
+/* Finds a customer by name; NULL when there is none. */
+const KcRoutedCustomer *KcRouting_FindCustomerByName(const KcRouting *routing,
+                                                     const char *name);
 /* Finds the customer that holds a key; NULL when there is none.  The digests
  * are compared in a time that does not depend on their bytes. */
 const KcRoutedCustomer *KcRouting_FindCustomer(const KcRouting *routing,
--- a/lib/version/routing_customers.c
+++ b/lib/version/routing_customers.c
@@ -62,6 +62,15 @@
     return 0;
 }
 
+const KcRoutedCustomer *
+KcRouting_FindCustomerByName(const KcRouting *routing, const char *name)
+{
+    KcRoutedCustomer *customer;
+
+    HASH_FIND_STR(routing->customers, name, customer);
+    return customer;
+}
+
 const KcRoutedCustomer *
 KcRouting_FindCustomer(const KcRouting *routing, const KcKeyDigest *digest)
 {
--- a/tests/plays/caller.c
+++ b/tests/plays/caller.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../foresight.h"
 #include "play.h"
 
 #define CALLER_SILENCE_TIMEOUT (3 * KC_SECOND)
@@ -242,6 +243,7 @@
                           .part_count = caller->part_count,
                           .answer_events_max =
                               is_stream ? caller->event_count : 0};
+    Foresight foresight;
 
     if (is_stream) {
         snprintf(adapter, sizeof(adapter), "a%u", caller->adapter);
@@ -253,8 +255,11 @@
                adapter, is_stream ? (int)caller->event_count : 0,
                (int)(rule->request_timeout / KC_MS));
     set_leave_timer(caller, now);
+    Foresight_Begin(&foresight, gateway, &call, now);
     KcGateway_Submit(gateway, &call, &caller_ops, caller, &caller->forward,
                      now);
+    Foresight_Check(&foresight, caller->forward, NULL, now);
+    Foresight_Clear(&foresight);
     Oracle_CheckWaiting(caller->gateway);
 }
 
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -72,6 +72,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../foresight.h"
 #include "gateway_steps_internal.h"
 
 static const char *
@@ -217,6 +218,29 @@
     KcGateway_EndServerList(fixture->gateway, fixture->now);
 }
 
+static void
+submit(Caller *caller, const KcForwardCall *call)
+{
+    Fixture *fixture = caller->fixture;
+    Foresight foresight;
+
+    if (fixture->foresees) {
+        Foresight_Begin(&foresight, fixture->gateway, call, fixture->now);
+    }
+    KcGateway_Submit(fixture->gateway, call, &GatewaySteps_CallerOps, caller,
+                     &caller->forward, fixture->now);
+    if (!fixture->foresees) {
+        return;
+    }
+    /* What is unreachable is found out by trying only. */
+    if (!Foresight_Asks(&foresight, fixture->no_keeper_server) &&
+        !Foresight_Asks(&foresight, fixture->no_send_server)) {
+        Foresight_Check(&foresight, caller->forward, &caller->refusal,
+                        fixture->now);
+    }
+    Foresight_Clear(&foresight);
+}
+
 static void
 step_request(Fixture *fixture, char **words)
 {
@@ -253,8 +277,7 @@
     }
     caller->fixture = fixture;
     caller->number = atoi(words[1]);
-    KcGateway_Submit(fixture->gateway, &call, &GatewaySteps_CallerOps, caller,
-                     &caller->forward, fixture->now);
+    submit(caller, &call);
     g_strfreev(parts);
 }
 
@@ -596,12 +619,13 @@
 
 /* ---- running -------------------------------------------------------------- */
 
-void
-GatewaySteps_Run(const char *steps, const char *trace)
+static void
+run(const char *steps, const char *trace, bool foresees)
 {
     Fixture *fixture = g_new0(Fixture, 1);
     KcGatewayOptions options;
 
+    fixture->foresees = foresees;
     fixture->now = KC_SECOND;
     fixture->trace = g_string_new("");
     fixture->timers = KcTimers_Create(fixture->now);
@@ -628,3 +652,10 @@
     g_string_free(fixture->trace, TRUE);
     g_free(fixture);
 }
+
+void
+GatewaySteps_Run(const char *steps, const char *trace)
+{
+    run(steps, trace, false);
+    run(steps, trace, true);
+}
--- a/tests/process/gateway_steps.h
+++ b/tests/process/gateway_steps.h
@@ -16,7 +16,8 @@
     const char *trace; /* of all that happens */
 } GatewayCase;
 
-/* Runs the steps with a new gateway and checks the trace. */
+/* Runs the steps with a new gateway and checks the trace; and again with each
+ * request foreseen, which must come true and change nothing. */
 void GatewaySteps_Run(const char *steps, const char *trace);
 
 #endif
--- a/tests/process/gateway_steps_internal.h
+++ b/tests/process/gateway_steps_internal.h
@@ -21,7 +21,8 @@
 typedef struct Caller {
     Fixture *fixture;
     int number;
-    KcForward *forward; /* NULL once the request has ended */
+    KcForward *forward;       /* NULL once the request has ended */
+    KcForwardRefusal refusal; /* of a request that was refused */
 } Caller;
 
 struct Fixture {
@@ -33,6 +34,7 @@
     KcTime configuration_age;
     uint64_t revision;
     Caller callers[REQUEST_COUNT_MAX];
+    bool foresees;             /* each request is foreseen first */
     bool traces_checks;        /* checks of servers are traced */
     bool is_checking;          /* a check is unanswered */
     bool is_connecting;        /* attempts are not sent at their start */
--- a/tests/process/gateway_steps_trace.c
+++ b/tests/process/gateway_steps_trace.c
@@ -211,6 +211,7 @@
     Caller *caller = context;
 
     caller->forward = NULL;
+    caller->refusal = *refusal;
     g_string_append_printf(caller->fixture->trace, "%d:%s %s", caller->number,
                            refusal->may_have_run ? "unknown" : "not run",
                            KcError_Name(refusal->error.code));
--- a/tests/process/test_gateway_queue.c
+++ b/tests/process/test_gateway_queue.c
@@ -15,6 +15,7 @@
 
 #include <kcc.h>
 
+#include "../foresight.h"
 #include "../gateway_stubs.h"
 #include "../steps.h"
 
@@ -224,13 +225,17 @@
                           .has_key = true,
                           .key_digest = digest_of(small)};
     KcForward *forward;
+    Foresight foresight;
 
     if (letter != small) {
         call.prompt_tokens *= LARGE_FACTOR;
     }
     *caller = (QueueCaller){.fixture = fixture, .letter = letter};
+    Foresight_Begin(&foresight, fixture->gateway, &call, fixture->now);
     KcGateway_Submit(fixture->gateway, &call, &forward_ops, caller, &forward,
                      fixture->now);
+    Foresight_Check(&foresight, forward, NULL, fixture->now);
+    Foresight_Clear(&foresight);
 }
 
 /* Lets time pass, and the server answer the first request that it runs; false
--- a/tests/process/test_quota.c
+++ b/tests/process/test_quota.c
@@ -9,6 +9,7 @@
 
 #include <kcc.h>
 
+#include "../foresight.h"
 #define STEPS_MAX 10
 #define HUB 7
 #define HUB_INCARNATION 70
@@ -263,9 +264,9 @@
     KcTime retry_after;
 
     for (int64_t i = 0; i < count; i++) {
-        passed +=
-            KcQuotas_Take(fixture->quotas, fixture->customer, (uint64_t)cost,
-                          &retry_after, fixture->now) == 0;
+        passed += Foresight_TakeQuota(fixture->quotas, fixture->customer,
+                                      (uint64_t)cost, &retry_after,
+                                      fixture->now) == 0;
     }
     return passed;
 }
@@ -300,9 +301,9 @@
 {
     KcTime retry_after;
 
-    g_assert_cmpint(KcQuotas_Take(fixture->quotas, fixture->customer,
-                                  (uint64_t)step->a, &retry_after,
-                                  fixture->now),
+    g_assert_cmpint(Foresight_TakeQuota(fixture->quotas, fixture->customer,
+                                        (uint64_t)step->a, &retry_after,
+                                        fixture->now),
                     ==, KC_ERR_LIMIT_EXCEEDED);
     g_assert_cmpint(retry_after, >=, step->b * KC_MS);
     g_assert_cmpint(retry_after, <=, step->c * KC_MS);
--- a/tests/process/test_quota_play.c
+++ b/tests/process/test_quota_play.c
@@ -12,6 +12,7 @@
 
 #include <kcc.h>
 
+#include "../foresight.h"
 #define STEP (10 * KC_MS)
 #define DURATION (40 * KC_SECOND)
 #define WARM_UP (10 * KC_SECOND)
@@ -417,8 +418,8 @@
         world->best_level -= (double)cost;
         world->best[step] += (double)cost;
     }
-    if (KcQuotas_Take(gateway->quotas, world->customer, cost, &retry_after,
-                      world->now) == 0) {
+    if (Foresight_TakeQuota(gateway->quotas, world->customer, cost,
+                            &retry_after, world->now) == 0) {
         world->admitted[step] += (double)cost;
     }
 }
