--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -285,10 +285,10 @@
     bool (*is_met)(const KcServer *server, const KcForward *forward,
                    uint32_t load, KcTime now);
 } full_reasons[] = {
-    {"requests", has_full_load},
-    {"late", would_be_late},
-    {"connections", has_all_connections},
-    {"memory", lacks_memory},
+    {"full: requests", has_full_load},
+    {"full: slow", would_be_late},
+    {"full: connections", has_all_connections},
+    {"full: memory", lacks_memory},
 };
 
 const char *
@@ -297,7 +297,7 @@
     uint32_t load = KcServer_Load(server, now);
 
     if (server->trial != NULL) {
-        return "on trial"; /* see KcServer.closed_until */
+        return "full: on trial"; /* see KcServer.closed_until */
     }
     if (load == 0) {
         return NULL; /* a request that is too large here fits no server */
@@ -480,7 +480,7 @@
     {"first byte", first_byte_term},
     {"load", load_term},
     {"speed", speed_term},
-    {"failed lately", suspect_term},
+    {"avoided", suspect_term},
     {"record missing", missing_term},
     {"silence", silence_term},
 };
--- a/lib/process/gateway_explain.c
+++ b/lib/process/gateway_explain.c
@@ -167,6 +167,9 @@
     const KcServer *server = candidate->server;
     const char *why_full;
 
+    if (explanation->part != 0) {
+        return "not asked";
+    }
     if (server == explanation->server) {
         return chosen[explanation->foresight];
     }
@@ -179,10 +182,14 @@
     if (server == explanation->new_replica_server) {
         return "gets a further replica";
     }
+    if (candidate->adapter != NULL &&
+        strcmp(candidate->adapter, "loading") == 0) {
+        return "not loaded there yet";
+    }
     if (candidate->adapter != NULL &&
         strcmp(candidate->adapter, "loaded") != 0) {
         return candidate->no_load != NULL ? candidate->no_load
-                                          : "adapter not there";
+                                          : "not loaded there";
     }
     why_full = KcServer_WhyFull(server, forward, now);
     return why_full != NULL ? why_full : "costs more";
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -12,6 +12,8 @@
  *
  * gateway_steps_customers.c describes the steps on customers, and what they
  * add to others.
+ * gateway_steps_explain.c describes the step "explain N PATH ...", which takes
+ * the words of "request".
  *
  * Steps, separated by semicolons:
  *   config VERSION [CONNECTIONS_MAX] [CUSTOMER...]
@@ -219,11 +221,13 @@
 }
 
 static void
-submit(Caller *caller, const KcForwardCall *call)
+submit(Fixture *fixture, int number, const KcForwardCall *call)
 {
-    Fixture *fixture = caller->fixture;
+    Caller *caller = &fixture->callers[number];
     Foresight foresight;
 
+    caller->fixture = fixture;
+    caller->number = number;
     if (fixture->foresees) {
         Foresight_Begin(&foresight, fixture->gateway, call, fixture->now);
     }
@@ -241,10 +245,11 @@
     Foresight_Clear(&foresight);
 }
 
+/* Reads "NAME N PATH ..." and passes the call on. */
 static void
-step_request(Fixture *fixture, char **words)
+with_call(Fixture *fixture, char **words,
+          void (*use)(Fixture *fixture, int number, const KcForwardCall *call))
 {
-    Caller *caller = &fixture->callers[atoi(words[1])];
     KcForwardCall call = {.id = words[1],
                           .host = "H:80",
                           .path = words[2],
@@ -275,12 +280,22 @@
         call.last_event_id =
             call.has_last_event ? (uint64_t)atoi(words[5]) : 0;
     }
-    caller->fixture = fixture;
-    caller->number = atoi(words[1]);
-    submit(caller, &call);
+    use(fixture, atoi(words[1]), &call);
     g_strfreev(parts);
 }
 
+static void
+step_request(Fixture *fixture, char **words)
+{
+    with_call(fixture, words, submit);
+}
+
+static void
+step_explain(Fixture *fixture, char **words)
+{
+    with_call(fixture, words, GatewaySteps_Explain);
+}
+
 static KcForward *
 find_forward(Fixture *fixture, const char *number)
 {
@@ -569,6 +584,7 @@
     {"missing", step_missing},
     {"list", step_list},
     {"request", step_request},
+    {"explain", step_explain},
     {"abandon", step_abandon},
     {"reply", step_reply},
     {"notrun", step_not_run},
--- a/tests/process/gateway_steps_internal.h
+++ b/tests/process/gateway_steps_internal.h
@@ -1,8 +1,9 @@
 /*
  * State of a case of gateway_steps.c, and functions shared by its files:
  * gateway_steps.c has the steps, gateway_steps_parts.c those on parts of
- * prompts, gateway_steps_customers.c those on customers, gateway_steps_trace.c
- * the calls that the gateway makes.
+ * prompts, gateway_steps_customers.c those on customers,
+ * gateway_steps_explain.c that on foreseen requests, gateway_steps_trace.c the
+ * calls that the gateway makes.
  */
 #ifndef KCC_GATEWAY_STEPS_INTERNAL_H
 #define KCC_GATEWAY_STEPS_INTERNAL_H
@@ -56,6 +57,9 @@
 bool GatewaySteps_TakeKey(KcForwardCall *call, const char *word);
 /* Sets the age of the configuration. */
 void GatewaySteps_Age(Fixture *fixture, char **words);
+/* Traces what is foreseen of a call. */
+void GatewaySteps_Explain(Fixture *fixture, int number,
+                          const KcForwardCall *call);
 /* Steps on parts. */
 void GatewaySteps_Ended(Fixture *fixture, char **words);
 void GatewaySteps_News(Fixture *fixture, char **words);
