gateway: GET /explain on the administrators' address

The query describes a request in fields of a table; a customer is named, and there is no field for a key; an unknown field is refused without its text. The answer is JSON: result, route, customer with its room, queue, and each server with its reason and the parts of its cost. Other roles answer 404. KcQuotas_Foresee() also tells the quota before the request.

--- a/lib/process/gateway_customers.c
+++ b/lib/process/gateway_customers.c
@@ -81,16 +81,14 @@
 
 int
 KcGateway_ForeseeAdmission(const KcGateway *gateway, const KcForwardCall *call,
-                           const KcRouteRule *rule, const char *customer,
-                           KcAdmission *admission, bool *is_quota_unknown,
-                           KcTime now)
+                           const char *customer, KcAdmission *admission,
+                           KcExplanation *explanation, KcTime now)
 {
     const KcRoutedCustomer *holder = NULL;
     int code;
 
     *admission = (KcAdmission){.step = "key"};
-    *is_quota_unknown = false;
-    if (!needs_key(gateway, rule)) {
+    if (!needs_key(gateway, explanation->rule)) {
         return 0;
     }
     if (customer[0] != '\0') {
@@ -105,12 +103,14 @@
     admission->step = "quota";
     admission->cost =
         KcQuota_Cost(holder, call->states_tokens, call->quota_tokens);
+    explanation->customer = holder;
+    explanation->quota_cost = admission->cost;
     if (gateway->quotas_version != gateway->routing->version) {
-        *is_quota_unknown = holder->rate_per_s > 0;
+        explanation->is_quota_unknown = true;
         return 0;
     }
     return KcQuotas_Foresee(gateway->quotas, holder, admission->cost,
-                            &admission->retry_after, now);
+                            &admission->retry_after, &explanation->quota, now);
 }
 
 int
--- a/lib/process/gateway_explain.c
+++ b/lib/process/gateway_explain.c
@@ -8,7 +8,6 @@
 #include <string.h>
 
 #include "gateway_internal.h"
-#include "kcc_explain.h"
 
 /* What a request is foreseen with. */
 typedef struct Foresight {
@@ -336,11 +335,8 @@
         return;
     }
     explanation->priority = explanation->rule->priority;
-    code = KcGateway_ForeseeAdmission(gateway, call, explanation->rule,
-                                      customer, &admission,
-                                      &explanation->is_quota_unknown, now);
-    explanation->customer = admission.customer;
-    explanation->quota_cost = admission.cost;
+    code = KcGateway_ForeseeAdmission(gateway, call, customer, &admission,
+                                      explanation, now);
     if (code != 0) {
         refuse(explanation, code, admission.step,
                admission.retry_after != 0 ? admission.retry_after
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -15,7 +15,7 @@
 #ifndef KCC_GATEWAY_INTERNAL_H
 #define KCC_GATEWAY_INTERNAL_H
 
-#include "kcc_gateway.h"
+#include "kcc_explain.h"
 
 struct KcGateway {
     KcGatewayOptions options;
@@ -73,16 +73,12 @@
 int KcGateway_Admit(KcGateway *gateway, const KcForwardCall *call,
                     const KcRouteRule *rule, KcAdmission *admission,
                     KcTime now);
-/*
- * What KcGateway_Admit() would do for a request of that customer, "" for none.
- * is_quota_unknown: the customer's quota is taken to have room, as the quotas
- * have not been taken from the configuration in force yet.
- */
+/* What KcGateway_Admit() would do with a request on explanation->rule in the
+ * name of that customer, "" for none; explains it. */
 int KcGateway_ForeseeAdmission(const KcGateway *gateway,
-                               const KcForwardCall *call,
-                               const KcRouteRule *rule, const char *customer,
-                               KcAdmission *admission, bool *is_quota_unknown,
-                               KcTime now);
+                               const KcForwardCall *call, const char *customer,
+                               KcAdmission *admission,
+                               KcExplanation *explanation, KcTime now);
 /*
  * May a request that was taken still be sent, by the newest configuration?
  * Returns 0, KC_ERR_UNKNOWN_KEY when its key was taken away meanwhile, or
--- a/lib/process/kcc_explain.h
+++ b/lib/process/kcc_explain.h
@@ -51,6 +51,7 @@
     const KcRouteTarget *target;      /* whose turn it is; NULL: not chosen */
     const KcRoutedCustomer *customer; /* NULL: no one's */
     uint64_t quota_cost;              /* in the unit of the customer */
+    KcQuotaState quota;               /* of the customer, before that */
     bool is_quota_unknown; /* it is not in force yet: taken to have room */
     uint32_t priority;
     KcTime time_left; /* until its deadline */
--- a/lib/process/kcc_quota.h
+++ b/lib/process/kcc_quota.h
@@ -117,9 +117,11 @@
 int KcQuotas_Take(KcQuotas *quotas, const KcRoutedCustomer *customer,
                   uint64_t cost, KcTime *retry_after, KcTime now);
 
-/* What KcQuotas_Take() would return and set now; takes and changes nothing. */
+/* What KcQuotas_Take() would return and set now, and the customer's quota
+ * before that; takes and changes nothing. */
 int KcQuotas_Foresee(const KcQuotas *quotas, const KcRoutedCustomer *customer,
-                     uint64_t cost, KcTime *retry_after, KcTime now);
+                     uint64_t cost, KcTime *retry_after, KcQuotaState *state,
+                     KcTime now);
 
 /* Gives back the cost of a request that did not run and will not run. */
 void KcQuotas_GiveBack(KcQuotas *quotas, const KcRoutedCustomer *customer,
--- a/lib/process/quota.c
+++ b/lib/process/quota.c
@@ -373,13 +373,14 @@
 
 int
 KcQuotas_Foresee(const KcQuotas *quotas, const KcRoutedCustomer *customer,
-                 uint64_t cost, KcTime *retry, KcTime now)
+                 uint64_t cost, KcTime *retry, KcQuotaState *state, KcTime now)
 {
     const KcQuota *quota = find_customer(quotas, customer);
     KcQuotas copied_quotas = *quotas;
     KcQuota copied;
 
     *retry = 0;
+    *state = (KcQuotaState){.name = customer->name};
     if (quota == NULL) {
         return 0;
     }
@@ -387,6 +388,10 @@
     copied_quotas.options.ops = NULL;
     TAILQ_INIT(&copied_quotas.list);
     TAILQ_INSERT_TAIL(&copied_quotas.list, &copied, link);
+    KcQuotas_CheckLease(&copied_quotas, now);
+    KcQuota_Settle(&copied_quotas, &copied, now);
+    KcQuota_Describe(&copied_quotas, &copied, state, now);
+    state->name = customer->name;
     return take(&copied_quotas, &copied, cost, retry, now);
 }
 
--- a/programs/process/admin_http.c
+++ b/programs/process/admin_http.c
@@ -3,6 +3,8 @@
  */
 #include "admin_http.h"
 
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
 #include <evhtp.h>
 #include <inttypes.h>
 #include <stdlib.h>
@@ -173,6 +175,63 @@
     }
 }
 
+/* The fields of a query, decoded; NULL if it can't be read. */
+static json_t *
+read_query(const evhtp_request_t *http)
+{
+    const char *text = (const char *)http->uri->query_raw;
+    json_t *fields = json_object();
+    struct evkeyvalq query;
+    const struct evkeyval *field;
+    int code = 0;
+
+    TAILQ_INIT(&query);
+    if (text != NULL) {
+        code = evhttp_parse_query_str(text, &query);
+    }
+    TAILQ_FOREACH (field, &query, next) {
+        code |=
+            json_object_set_new(fields, field->key, json_string(field->value));
+    }
+    evhttp_clear_headers(&query);
+    if (code != 0) {
+        json_decref(fields);
+        return NULL;
+    }
+    return fields;
+}
+
+static void
+on_explain(evhtp_request_t *http, void *context)
+{
+    KcAdminServer *admin_server = context;
+    const KcAdminServerOps *ops = admin_server->options.ops;
+    json_t *fields = read_query(http);
+    const char *problem = "the query can't be read";
+    json_t *answer = NULL;
+
+    if (evhtp_request_get_method(http) != htp_method_GET) {
+        reply_text(http, EVHTP_RES_METHNALLOWED, "text/plain", "use GET\n");
+    }
+    else if (ops->explain == NULL) {
+        reply_text(http, EVHTP_RES_NOTFOUND, "text/plain",
+                   "only gateways explain\n");
+    }
+    else {
+        if (fields != NULL) {
+            answer =
+                ops->explain(admin_server->options.context, fields, &problem);
+        }
+        if (answer != NULL) {
+            reply_json(http, answer);
+        }
+        else {
+            reply_text(http, EVHTP_RES_BADREQ, "text/plain", problem);
+        }
+    }
+    json_decref(fields);
+}
+
 static void
 on_accept_error(struct evconnlistener *listener, void *context)
 {
@@ -195,6 +254,7 @@
     evhtp_set_cb(admin_server->http, "/readyz", on_readyz, admin_server);
     evhtp_set_cb(admin_server->http, "/debug/events", on_events, admin_server);
     evhtp_set_cb(admin_server->http, "/debug/state", on_state, admin_server);
+    evhtp_set_cb(admin_server->http, "/explain", on_explain, admin_server);
     evhtp_set_cb(admin_server->http, "/admin/drain", on_drain, admin_server);
     evhtp_set_cb(admin_server->http, "/admin/unblock", on_unblock,
                  admin_server);
--- a/programs/process/admin_http.h
+++ b/programs/process/admin_http.h
@@ -7,6 +7,8 @@
  *                          error name
  *   GET  /debug/events     the event ring as JSON
  *   GET  /debug/state      state of the process as JSON
+ *   GET  /explain?host=&path=...  what would become of a request, as JSON; see
+ *                          explain_json.h
  *   POST /admin/drain      begins a planned stop
  *   POST /admin/unblock?part=HEX  clears a part of prompts, see
  * suspects_json.h
@@ -35,6 +37,11 @@
     bool (*clear_part)(void *context, uint64_t part);
     /* Adds the role's own lines to the metrics; may be NULL. */
     void (*format_metrics)(void *context, KcBuffer *text);
+    /* Returns what would become of the request that an object of texts
+     * describes; or NULL, with *problem, static text, on what is wrong.  NULL
+     * where no requests are forwarded. */
+    json_t *(*explain)(void *context, const json_t *fields,
+                       const char **problem);
 } KcAdminServerOps;
 
 typedef struct KcAdminServerOptions {
--- a/programs/process/entry_role.c
+++ b/programs/process/entry_role.c
@@ -155,7 +155,8 @@
 }
 
 static const KcAdminServerOps admin_ops = {
-    check_ready, get_generation, add_state, admin_begin_drain, NULL, NULL};
+    check_ready, get_generation, add_state, admin_begin_drain,
+    NULL,        NULL,           NULL};
 
 static void
 begin_drain(void *context)
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "descriptors.h"
+#include "explain_json.h"
 #include "gateway_role_internal.h"
 #include "memory.h"
 #include "suspects_json.h"
@@ -143,6 +144,29 @@
     KcGatewayRole_AddCustomers(role, state);
 }
 
+static json_t *
+explain(void *context, const json_t *fields, const char **problem)
+{
+    GatewayRole *role = context;
+    KcExplainQuestion question;
+    KcExplanation explanation;
+    json_t *json;
+
+    *problem = KcExplainQuestion_Read(&question, fields);
+    if (*problem != NULL) {
+        return NULL;
+    }
+    KcGateway_Explain(role->gateway, &question.call, question.customer,
+                      &explanation, KcLoop_Now());
+    json = KcExplanation_ToJson(&explanation);
+    json_object_set_new(json, "gateway",
+                        json_string(role->common.settings->name));
+    json_object_set_new(json, "generation",
+                        json_integer((json_int_t)get_generation(role)));
+    KcExplanation_Clear(&explanation);
+    return json;
+}
+
 static void
 admin_begin_drain(void *context)
 {
@@ -150,8 +174,10 @@
 }
 
 static const KcAdminServerOps admin_ops = {
-    check_ready,       get_generation, add_state,
-    admin_begin_drain, clear_part,     KcGatewayRole_FormatMetrics};
+    check_ready, get_generation,
+    add_state,   admin_begin_drain,
+    clear_part,  KcGatewayRole_FormatMetrics,
+    explain};
 
 /* ---- planned stops and changed settings ---------------------------------- */
 
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -485,9 +485,9 @@
                                 KcLoop_Now());
 }
 
-static const KcAdminServerOps admin_ops = {check_ready, get_generation,
-                                           add_state,   admin_begin_drain,
-                                           clear_part,  NULL};
+static const KcAdminServerOps admin_ops = {
+    check_ready, get_generation, add_state, admin_begin_drain,
+    clear_part,  NULL,           NULL};
 
 static void
 begin_drain(void *context)
--- a/tests/foresight.c
+++ b/tests/foresight.c
@@ -237,8 +237,9 @@
 {
     uint64_t hash = hash_quotas(quotas);
     KcTime foreseen_retry;
+    KcQuotaState state;
     int foreseen =
-        KcQuotas_Foresee(quotas, customer, cost, &foreseen_retry, now);
+        KcQuotas_Foresee(quotas, customer, cost, &foreseen_retry, &state, now);
     int code;
 
     g_assert_cmpuint(hash_quotas(quotas), ==, hash);
