kcc explain ADMIN-ADDRESS: where a gateway would send a request now, and why

Without an address it tells of past requests as before. A customer is named; there is no option for a key. Test: test_explain, 16 commands on a gateway as a process; afterwards it has counted no request and no attempt, admitted nothing and ordered no load, and no output holds a key.

--- a/programs/kcc/command.h
+++ b/programs/kcc/command.h
@@ -26,6 +26,12 @@
     const char *priority;
     const char *author;
     const char *base_generation;
+    const char *host;
+    const char *parts;
+    const char *prompt_tokens;
+    const char *answer_tokens;
+    const char *hint_tokens;
+    const char *timeout_ms;
     bool stream;
     bool json;
     bool all_sections;
@@ -60,6 +66,7 @@
 int KcCommand_Drain(const KcArguments *arguments);
 int KcCommand_Timeline(const KcArguments *arguments);
 int KcCommand_Explain(const KcArguments *arguments);
+int KcCommand_ExplainRequest(const KcArguments *arguments);
 int KcCommand_Call(const KcArguments *arguments);
 int KcCommand_Capacity(const KcArguments *arguments);
 int KcCommand_Parts(const KcArguments *arguments);
@@ -72,6 +79,8 @@
                              const char *who,
                              void (*print_item)(const json_t *item));
 
+/* Says that the command needs the object API; returns KC_EXIT_USAGE. */
+int KcCommand_ReportNoObjects(const char *command_name);
 /* Prints the step, name and peer of err to stderr, returns KC_EXIT_FAILED. */
 int KcCommand_ReportError(const KcError *err);
 
--- a/programs/kcc/main.c
+++ b/programs/kcc/main.c
@@ -24,10 +24,11 @@
      KcCommand_Drain},
     {"timeline", "", "Show events of all processes in causal order", 0, 0,
      true, KcCommand_Timeline},
-    {"explain", "",
+    {"explain", "[ADMIN-ADDRESS]",
      "Show how a request was routed (--request), or which agents "
-     "hold an adapter (--adapter)",
-     0, 0, true, KcCommand_Explain},
+     "hold an adapter (--adapter); or where a gateway would send a request "
+     "now, and why (--host, --path)",
+     0, 1, false, KcCommand_Explain},
     {"call", "[TEXT]", "Send a request to an entry", 0, 1, false,
      KcCommand_Call},
     {"capacity", "FILE", "Compute a fleet's load from its size", 1, 1, false,
@@ -59,7 +60,13 @@
     KEY_BASE,
     KEY_STREAM,
     KEY_JSON,
-    KEY_ALL
+    KEY_ALL,
+    KEY_HOST,
+    KEY_PARTS,
+    KEY_PROMPT_TOKENS,
+    KEY_ANSWER_TOKENS,
+    KEY_HINT_TOKENS,
+    KEY_TIMEOUT_MS
 };
 
 static const struct argp_option options[] = {
@@ -70,17 +77,30 @@
     {"adapter", KEY_ADAPTER, "NAME", 0, "Only this adapter", 0},
     {"process", KEY_PROCESS, "NAME", 0, "Only this process", 0},
     {"generation", KEY_GENERATION, "N", 0, "Only this generation", 0},
-    {"model", KEY_MODEL, "ADAPTER[@VERSION]", 0, "Model to call", 0},
-    {"path", KEY_PATH, "PATH", 0, "Path of a plain service to call", 0},
+    {"model", KEY_MODEL, "ADAPTER[@VERSION]", 0,
+     "Model to call; base model of a request to explain", 0},
+    {"path", KEY_PATH, "PATH", 0,
+     "Path of a plain service to call, or of a request to explain", 0},
+    {"host", KEY_HOST, "HOST", 0, "Host of a request to explain", 0},
+    {"parts", KEY_PARTS, "PART,...", 0, "Prompt parts of such a request", 0},
+    {"prompt-tokens", KEY_PROMPT_TOKENS, "N", 0, "Tokens of its prompt", 0},
+    {"answer-tokens", KEY_ANSWER_TOKENS, "N", 0,
+     "Tokens of its answer at the most", 0},
+    {"hint-tokens", KEY_HINT_TOKENS, "N", 0,
+     "Tokens of its answer as expected", 0},
+    {"timeout-ms", KEY_TIMEOUT_MS, "MS", 0, "Time that its caller gives it",
+     0},
     {"key", KEY_IDEMPOTENCY_KEY, "TEXT", 0, "Idempotency-Key of a call", 0},
-    {"customer", KEY_CUSTOMER, "NAME", 0, "Customer of a call", 0},
+    {"customer", KEY_CUSTOMER, "NAME", 0,
+     "Customer of a call, or of a request to explain", 0},
     {"priority", KEY_PRIORITY, "0-9", 0, "Priority of a call", 0},
     {"author", KEY_AUTHOR, "NAME", 0,
      "Author recorded by apply (default $USER)", 0},
     {"base", KEY_BASE, "N", 0,
      "Apply only if the section last changed in generation N", 0},
     {"stream", KEY_STREAM, NULL, 0, "Stream the answer of a call", 0},
-    {"json", KEY_JSON, NULL, 0, "Print the time line as trace-event JSON", 0},
+    {"json", KEY_JSON, NULL, 0,
+     "Print the time line as trace-event JSON, or an explanation as JSON", 0},
     {"all", KEY_ALL, NULL, 0, "Apply every section in a directory", 0},
     {NULL, 0, NULL, 0, NULL, 0},
 };
@@ -103,6 +123,12 @@
     {KEY_PRIORITY, offsetof(KcArguments, priority)},
     {KEY_AUTHOR, offsetof(KcArguments, author)},
     {KEY_BASE, offsetof(KcArguments, base_generation)},
+    {KEY_HOST, offsetof(KcArguments, host)},
+    {KEY_PARTS, offsetof(KcArguments, parts)},
+    {KEY_PROMPT_TOKENS, offsetof(KcArguments, prompt_tokens)},
+    {KEY_ANSWER_TOKENS, offsetof(KcArguments, answer_tokens)},
+    {KEY_HINT_TOKENS, offsetof(KcArguments, hint_tokens)},
+    {KEY_TIMEOUT_MS, offsetof(KcArguments, timeout_ms)},
 };
 
 /* The command line during parsing. */
@@ -225,6 +251,14 @@
     return KC_EXIT_FAILED;
 }
 
+int
+KcCommand_ReportNoObjects(const char *command_name)
+{
+    fprintf(stderr, "kcc: %s needs --objects ADDRESS or $KCC_OBJECTS\n",
+            command_name);
+    return KC_EXIT_USAGE;
+}
+
 int
 main(int argc, char **argv)
 {
@@ -249,9 +283,7 @@
     }
     if (command->needs_object_api &&
         command_line.arguments.object_api_address == NULL) {
-        fprintf(stderr, "kcc: %s needs --objects ADDRESS or $KCC_OBJECTS\n",
-                command->name);
-        return KC_EXIT_USAGE;
+        return KcCommand_ReportNoObjects(command->name);
     }
     return command->run(&command_line.arguments);
 }
--- a/programs/kcc/timeline_commands.c
+++ b/programs/kcc/timeline_commands.c
@@ -388,9 +388,15 @@
     KcError err;
     int status;
 
+    if (arguments->operand_count > 0) {
+        return KcCommand_ExplainRequest(arguments);
+    }
+    if (arguments->object_api_address == NULL) {
+        return KcCommand_ReportNoObjects("explain");
+    }
     if ((arguments->request_id == NULL) == (arguments->adapter_name == NULL)) {
-        fprintf(stderr, "usage: kcc explain (--request ID | --adapter "
-                        "NAME)\n");
+        fprintf(stderr, "usage: kcc explain (--request ID | --adapter NAME | "
+                        "ADMIN-ADDRESS --host HOST --path PATH ...)\n");
         return KC_EXIT_USAGE;
     }
     if (arguments->adapter_name != NULL) {
