kcc explain: the customer's priority also in a refusal; cases with quotas

Cause: the priority was taken from the request, which isn't made when the quota refuses; a customer without a limit had its quota reported as not in force yet after GET /explain's commit. Change: KcAdmission_Priority() for both paths. Steps of gateways give a customer a quota; three cases: not in force yet, room, none, in which the Retry-After of two foreseen requests and of the real one behind them agree.

--- a/lib/process/gateway_customers.c
+++ b/lib/process/gateway_customers.c
@@ -106,13 +106,21 @@
     explanation->customer = holder;
     explanation->quota_cost = admission->cost;
     if (gateway->quotas_version != gateway->routing->version) {
-        explanation->is_quota_unknown = true;
+        explanation->is_quota_unknown = holder->rate_per_s > 0;
         return 0;
     }
     return KcQuotas_Foresee(gateway->quotas, holder, admission->cost,
                             &admission->retry_after, &explanation->quota, now);
 }
 
+uint32_t
+KcAdmission_Priority(const KcAdmission *admission, const KcRouteRule *rule)
+{
+    return admission->customer != NULL && admission->customer->has_priority
+               ? admission->customer->priority
+               : rule->priority;
+}
+
 int
 KcGateway_Admit(KcGateway *gateway, const KcForwardCall *call,
                 const KcRouteRule *rule, KcAdmission *admission, KcTime now)
--- a/lib/process/gateway_explain.c
+++ b/lib/process/gateway_explain.c
@@ -334,9 +334,10 @@
         refuse(explanation, code, "route", KC_RETRY_AFTER_DEFAULT);
         return;
     }
-    explanation->priority = explanation->rule->priority;
     code = KcGateway_ForeseeAdmission(gateway, call, customer, &admission,
                                       explanation, now);
+    explanation->priority =
+        KcAdmission_Priority(&admission, explanation->rule);
     if (code != 0) {
         refuse(explanation, code, admission.step,
                admission.retry_after != 0 ? admission.retry_after
@@ -345,7 +346,6 @@
     }
     KcForward_Init(&foresight.forward, gateway, call, explanation->rule,
                    &admission, now);
-    explanation->priority = foresight.forward.priority;
     explanation->time_left = foresight.forward.deadline - now;
     find_target(&foresight, call);
     borrowed = borrow(&foresight.forward, now);
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -258,10 +258,7 @@
     forward->customer = admission->customer;
     forward->key_digest = call->key_digest;
     forward->quota_cost = admission->cost;
-    forward->priority =
-        admission->customer != NULL && admission->customer->has_priority
-            ? admission->customer->priority
-            : rule->priority;
+    forward->priority = KcAdmission_Priority(admission, rule);
     KcText_Copy(forward->id, call->id, sizeof(forward->id));
     forward->arrived_at = now;
     forward->last_event_at = now;
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -79,6 +79,9 @@
                                const KcForwardCall *call, const char *customer,
                                KcAdmission *admission,
                                KcExplanation *explanation, KcTime now);
+/* The priority of the customer, or else of the route. */
+uint32_t KcAdmission_Priority(const KcAdmission *admission,
+                              const KcRouteRule *rule);
 /*
  * May a request that was taken still be sent, by the newest configuration?
  * Returns 0, KC_ERR_UNKNOWN_KEY when its key was taken away meanwhile, or
--- a/tests/foresight.c
+++ b/tests/foresight.c
@@ -188,6 +188,9 @@
                      (explanation->new_replica_server != NULL);
 
     check_candidates(explanation);
+    if (explanation->is_quota_unknown) {
+        return; /* taken to have room */
+    }
     if (forward == NULL) {
         check_refusal(explanation, refusal);
         return;
--- a/tests/process/test_gateway_explain.c
+++ b/tests/process/test_gateway_explain.c
@@ -70,6 +70,22 @@
      "| b not asked, absent: distance 10] "},
     {"a customer", "config 1 c:k:3;server a plain 4;explain 1 /s/x key=k",
      "[send a c 3 cost 1 | a chosen] "},
+    {"a quota that is not in force yet",
+     "config 1 c:k:3:10;server a plain 4;explain 1 /s/x key=k",
+     "[send a c 3 cost 1? | a chosen] "},
+    {"a quota with room",
+     "config 1 c:k:3:10;server a plain 4;request 1 /s/x key=k;reply 1 "
+     "200;wait 900;"
+     "cleartrace;explain 2 /s/x key=k;request 3 /s/x key=k",
+     "[send a c 3 cost 1 | a chosen] 3>a c 3; "},
+    {"a quota without room",
+     "config 1 c:k:3:10;server a plain 4;request 1 /s/x key=k;reply 1 "
+     "200;wait 900;"
+     "each 2 30 request /s/x key=k;cleartrace;explain 31 /s/x key=k;"
+     "explain 31 /s/x key=k;request 32 /s/x key=k",
+     "[refuse quota limit_exceeded after 2156 c 3 cost 1] [refuse quota "
+     "limit_exceeded after 2156 c 3 cost 1] 32:not run limit_exceeded after "
+     "2156; "},
     {"no customer", "config 1 c:k:3;server a plain 4;explain 1 /s/x",
      "[refuse key unknown_key after 400] "},
     {"a configuration that is not certain",
