--- a/programs/kcc/explain_command.c
+++ b/programs/kcc/explain_command.c
@@ -200,17 +200,31 @@
     printf("\n");
 }
 
+/* How old the last report of the load is. */
+static void
+format_age(const json_t *server, char *text, size_t size)
+{
+    if (json_is_integer(json_object_get(server, "load_age_ms"))) {
+        snprintf(text, size, "%lld ms", number_of(server, "load_age_ms"));
+    }
+    else {
+        snprintf(text, size, "-");
+    }
+}
+
 static void
 print_server(const json_t *server)
 {
     const char *term;
     json_t *cost;
     const char *separator = " = ";
+    char age[32];
 
-    printf("%-20s %-8s %4lld/%-4lld %8.1f ms  %s", text_of(server, "server"),
-           text_of(server, "adapter"), number_of(server, "load"),
-           number_of(server, "concurrency_max"),
-           json_number_value(json_object_get(server, "cost_ms")),
+    format_age(server, age, sizeof(age));
+    printf("%-20s %-8s %4lld/%-4lld %10s %8.1f ms  %s",
+           text_of(server, "server"), text_of(server, "adapter"),
+           number_of(server, "load"), number_of(server, "concurrency_max"),
+           age, json_number_value(json_object_get(server, "cost_ms")),
            text_of(server, "reason"));
     if (number_of(server, "closed_ms") > 0) {
         printf(" for %lld ms", number_of(server, "closed_ms"));
@@ -233,8 +247,8 @@
     print_route(answer);
     print_customer(answer);
     if (json_array_size(servers) > 0) {
-        printf("%-20s %-8s %9s %11s  %s\n", "server", "adapter", "load",
-               "cost", "reason");
+        printf("%-20s %-8s %9s %10s %11s  %s\n", "server", "adapter", "load",
+               "told", "cost", "reason");
     }
     json_array_foreach (servers, index, server) {
         print_server(server);
