test_explain: the customer's room is far above a request's cost

Cause: with 60 requests a second the gateway, which hears no other one, had room for 1.1 requests, and what must be left for one to pass is drawn at random per customer; the cases on routes and servers must not hang on that. The case of a customer without room stays.

--- a/tests/daemons/test_explain.c
+++ b/tests/daemons/test_explain.c
@@ -13,8 +13,8 @@
 #define KNOWN_TIMEOUT (10 * G_USEC_PER_SEC)
 #define KEY "kone-5wa5xwyhks8nbk"
 #define CUSTOMERS                                                             \
-    "[{\"name\":\"first\",\"keys\":[\"" KEY "\"],\"rate_per_s\":60,"          \
-    "\"burst\":60},"                                                          \
+    "[{\"name\":\"first\",\"keys\":[\"" KEY "\"],\"rate_per_s\":6000,"        \
+    "\"burst\":6000},"                                                        \
     "{\"name\":\"small\",\"keys\":[\"key-of-small\"],\"rate_per_s\":1,"       \
     "\"burst\":0,\"unit\":\"tokens\"}]"
 
