--- a/lib/process/gateway_customers.c
+++ b/lib/process/gateway_customers.c
@@ -30,28 +30,22 @@
     return timeout == 0 || is_certain_within(gateway, timeout);
 }
 
-/* Finds the holder of a key, NULL while there are no customers.  Returns 0,
+/* May a request be in the name of the holder by the configuration in force?
+ * holder: NULL if there is none; names_one: the request names one.  Returns 0,
  * KC_ERR_UNCONFIRMED, or KC_ERR_UNKNOWN_KEY if no newer configuration can know
- * it. */
+ * one. */
 static int
-find_holder(const KcGateway *gateway, bool has_key, const KcKeyDigest *digest,
-            const KcRoutedCustomer **holder)
+check_holder(const KcGateway *gateway, bool names_one,
+             const KcRoutedCustomer *holder)
 {
     bool has_customers = gateway->routing->has_customers;
 
-    *holder = NULL;
     /* A key may have come and gone in configurations that aren't known here.
      */
-    if ((has_customers || has_key) && !is_confirmed(gateway)) {
+    if ((has_customers || names_one) && !is_confirmed(gateway)) {
         return KC_ERR_UNCONFIRMED;
     }
-    if (!has_customers) {
-        return 0;
-    }
-    if (has_key) {
-        *holder = KcRouting_FindCustomer(gateway->routing, digest);
-    }
-    if (*holder != NULL) {
+    if (!has_customers || holder != NULL) {
         return 0;
     }
     return is_certain_within(gateway, gateway->options.config_timeout)
@@ -59,6 +53,23 @@
                : KC_ERR_UNCONFIRMED;
 }
 
+/* Finds the holder of a key.  Returns as check_holder(); *holder is NULL on
+ * errors. */
+static int
+find_holder(const KcGateway *gateway, bool has_key, const KcKeyDigest *digest,
+            const KcRoutedCustomer **holder)
+{
+    int code;
+
+    *holder =
+        has_key ? KcRouting_FindCustomer(gateway->routing, digest) : NULL;
+    code = check_holder(gateway, has_key, *holder);
+    if (code != 0) {
+        *holder = NULL;
+    }
+    return code;
+}
+
 static void
 count_refusal(const KcGateway *gateway, int code)
 {
@@ -68,6 +79,48 @@
                    1);
 }
 
+int
+KcGateway_ForeseeAdmission(const KcGateway *gateway, const KcForwardCall *call,
+                           const char *customer, KcAdmission *admission,
+                           KcExplanation *explanation, KcTime now)
+{
+    const KcRoutedCustomer *holder = NULL;
+    int code;
+
+    *admission = (KcAdmission){.step = "key"};
+    if (explanation->rule->keyless) {
+        return 0;
+    }
+    if (customer[0] != '\0') {
+        holder = KcRouting_FindCustomerByName(gateway->routing, customer);
+        admission->step = holder != NULL ? "key" : "customer";
+    }
+    code = check_holder(gateway, call->has_key || customer[0] != '\0', holder);
+    if (code != 0 || holder == NULL) {
+        return code;
+    }
+    admission->customer = holder;
+    admission->step = "quota";
+    admission->cost =
+        KcQuota_Cost(holder, call->states_tokens, call->quota_tokens);
+    explanation->customer = holder;
+    explanation->quota_cost = admission->cost;
+    if (gateway->quotas_version != gateway->routing->version) {
+        explanation->is_quota_unknown = holder->rate_per_s > 0;
+        return 0;
+    }
+    return KcQuotas_Foresee(gateway->quotas, holder, admission->cost,
+                            &admission->retry_after, &explanation->quota, now);
+}
+
+uint32_t
+KcAdmission_Priority(const KcAdmission *admission, const KcRouteRule *rule)
+{
+    return admission->customer != NULL && admission->customer->has_priority
+               ? admission->customer->priority
+               : rule->priority;
+}
+
 int
 KcGateway_Admit(KcGateway *gateway, const KcForwardCall *call,
                 const KcRouteRule *rule, KcAdmission *admission, KcTime now)
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -4,8 +4,10 @@
  * gateway_forward.c (requests) calls gateway_dispatch.c (seeking a server),
  * which calls gateway_queue.c (the queue of a service, by the decisions of
  * lib/process/load) and gateway_choose.c (decisions), which calls
- * gateway_cost.c (costs of servers), gateway_servers.c (servers) and
- * gateway_adapters.c (adapters and their replicas).  gateway_answer.c handles
+ * gateway_homes.c (where adapters are loaded), gateway_cost.c (costs of
+ * servers), gateway_servers.c (servers) and gateway_adapters.c (adapters and
+ * their replicas).  gateway_explain.c calls all of them for a request that is
+ * only foreseen.  gateway_answer.c handles
  * the reports of attempts, gateway_silence.c attempts whose server reports
  * nothing, gateway_notice.c what servers say of themselves, gateway_suspects.c
  * prompts that end servers.
@@ -13,7 +15,7 @@
 #ifndef KCC_GATEWAY_INTERNAL_H
 #define KCC_GATEWAY_INTERNAL_H
 
-#include "kcc_gateway.h"
+#include "kcc_explain.h"
 
 struct KcGateway {
     KcGatewayOptions options;
@@ -71,6 +73,15 @@
 int KcGateway_Admit(KcGateway *gateway, const KcForwardCall *call,
                     const KcRouteRule *rule, KcAdmission *admission,
                     KcTime now);
+/* What KcGateway_Admit() would do with a request on explanation->rule in the
+ * name of that customer, "" for none; explains it. */
+int KcGateway_ForeseeAdmission(const KcGateway *gateway,
+                               const KcForwardCall *call, const char *customer,
+                               KcAdmission *admission,
+                               KcExplanation *explanation, KcTime now);
+/* The priority of the customer, or else of the route. */
+uint32_t KcAdmission_Priority(const KcAdmission *admission,
+                              const KcRouteRule *rule);
 /*
  * May a request that was taken still be sent, by the newest configuration?
  * Returns 0, KC_ERR_UNKNOWN_KEY when its key was taken away meanwhile, or
@@ -93,6 +104,12 @@
 /* Adds one use. */
 void KcUseCount_Add(KcUseCount *count, KcTime now);
 
+/* Initialises an adapter of which nothing is known. */
+void KcAdapterState_Init(KcAdapterState *adapter, const char *model,
+                         const char *name);
+/* Finds an adapter; NULL when it is not known. */
+KcAdapterState *KcGateway_FindAdapter(const KcGateway *gateway,
+                                      const char *model, const char *name);
 /* Finds or creates an adapter and marks it as the most recently used. */
 KcAdapterState *KcGateway_GetAdapter(KcGateway *gateway, const char *model,
                                      const char *name);
@@ -127,6 +144,12 @@
 
 /* ---- servers (gateway_servers.c) ----------------------------------------- */
 
+/* Initialises a pool without servers. */
+void KcServerPool_Init(KcServerPool *pool, KcGateway *gateway,
+                       const char *service);
+/* Finds the pool of a service; NULL when there is none yet. */
+KcServerPool *KcGateway_FindPool(const KcGateway *gateway,
+                                 const char *service);
 /* Finds or creates the pool of a service. */
 KcServerPool *KcGateway_GetPool(KcGateway *gateway, const char *service);
 
@@ -176,6 +199,9 @@
 /* Refuses the request, if it has a part that must not be sent; returns whether
  * it did. */
 bool KcForward_RefuseIfBlocked(KcForward *forward, KcTime now);
+/* The part for which the request is refused; NULL: none.  A request that may
+ * try its part becomes the one that does. */
+const KcSuspect *KcForward_FindRefusedPart(KcForward *forward);
 /* May the request not be sent? */
 bool KcForward_IsBlocked(const KcForward *forward);
 
@@ -185,9 +211,17 @@
 void KcServerPool_RefreshMeans(KcServerPool *pool, KcTime now);
 /* Estimated requests at the server, of all gateways. */
 uint32_t KcServer_Load(const KcServer *server, KcTime now);
-/* Cost of an attempt at the server, as expected added latency. */
+/* The parts of the cost of an attempt at the server, as listed in
+ * gateway_cost.c; see KcCostTerm_Name(). */
+void KcServer_ListCosts(const KcServer *server, const KcForward *forward,
+                        KcTime costs[KC_COST_TERM_COUNT], KcTime now);
+/* Cost of an attempt at the server, as expected added latency: their sum. */
 KcTime KcServer_Cost(const KcServer *server, const KcForward *forward,
                      KcTime now);
+/* Why the server has no capacity for the request at present, static text; NULL
+ * when it has. */
+const char *KcServer_WhyFull(const KcServer *server, const KcForward *forward,
+                             KcTime now);
 /* True when the server has no capacity for the request at present. */
 bool KcServer_IsFull(const KcServer *server, const KcForward *forward,
                      KcTime now);
@@ -229,10 +263,35 @@
 
 /* Chooses what to do with a request now. */
 void KcGateway_Choose(const KcForward *forward, KcTime now, KcChoice *choice);
+/* May the request be sent to the server, or wait for a load there? */
+bool KcForward_MayUse(const KcForward *forward, const KcServer *server,
+                      KcTime now);
 /* When the first server opens that could take a request like this one, if all
  * are closed; 0 otherwise. */
 KcTime KcGateway_FirstOpening(const KcForward *forward, KcTime now);
 
+/* ---- where adapters are loaded (gateway_homes.c) ------------------------- */
+
+/*
+ * The best server, at most at the given distance, to load the adapter at; NULL
+ * when there is none.  The server must have the base model, unless no server
+ * has it; then the model is loaded with the adapter.  serving: a replica that
+ * goes on while older versions at other servers give way; NULL: none gives
+ * way.
+ */
+KcServer *KcForward_FindHome(const KcForward *forward, KcDistance farthest,
+                             const KcReplica *serving, KcTime now);
+/* Why the adapter is not loaded at the server, static text; NULL: it may be.
+ */
+const char *KcForward_WhyNoHome(const KcForward *forward,
+                                const KcServer *server, KcTime now);
+/* Is the replica usable, or will it be? */
+bool KcReplica_IsCurrent(const KcReplica *replica, KcTime now);
+/* Does the server hold the base model? */
+bool KcServer_HasBaseModel(const KcServer *server, const char *model);
+/* Is the adapter's base model at any server that is not leaving? */
+bool KcForward_IsBaseModelHeld(const KcForward *forward);
+
 /* ---- seeking a server (gateway_dispatch.c) ------------------------------- */
 
 /* Chooses a server for a request that has none, and carries that out. */
@@ -251,6 +310,16 @@
  * request that was tried elsewhere for its server's silence, as that server
  * could still have answered. */
 bool KcForward_IsKept(const KcForward *forward);
+/*
+ * For a request that waits, or is about to: false if that is in vain, as every
+ * server leaves, or none opens before its deadline.  Otherwise prolongs the
+ * time until which it waits for a server that opens, and for its turn there.
+ * A caller that has the beginning of an answer gains nothing by an earlier
+ * end.
+ */
+bool KcForward_ProlongWait(KcForward *forward, const KcChoice *choice);
+/* The error of a request that is refused by such a choice. */
+int KcChoice_Error(const KcChoice *choice);
 /* Queues a request whose attempt was refused, or fails it when it has waited
  * too long. */
 void KcForward_AwaitPlace(KcForward *forward, KcTime now);
@@ -289,6 +358,10 @@
  * are not kept. */
 void KcForward_DecideWait(KcForward *forward, KcTime now,
                           KcWaitDecision *decision);
+/* The same for a request that is only foreseen; pace is a copy of that of its
+ * service. */
+void KcForward_ForeseeWait(KcForward *forward, KcQueuePace *pace, KcTime now,
+                           KcWaitDecision *decision);
 /* Inserts the request into the queue of its service. */
 void KcForward_JoinQueue(KcForward *forward, KcTime now);
 /* Removes the request from the list that it waits in, if any. */
@@ -313,6 +386,30 @@
 /* End the request and free it, as the planned stop is at its end. */
 void KcForward_FailLeaving(KcForward *forward, KcTime now);
 
+/* Finds the route.  Returns 0, or KC_ERR_NO_DOCUMENT, KC_ERR_NOT_FOUND or
+ * KC_ERR_LEAVING. */
+int KcGateway_Route(const KcGateway *gateway, const KcForwardCall *call,
+                    const KcRouteRule **rule, KcTime now);
+/* Draws the target of the next request; *random_state is the gateway's from
+ * then on. */
+const KcRouteTarget *KcGateway_DrawTarget(const KcGateway *gateway,
+                                          const KcRouteRule *rule,
+                                          uint64_t *random_state);
+/* Does the request need an adapter, or a base model, of the target's engines?
+ */
+bool KcGateway_NeedsAdapter(const KcGateway *gateway,
+                            const KcForwardCall *call,
+                            const KcRouteTarget *target);
+/* Fills in an admitted request but for its service and its adapter.  It holds
+ * no reference to the routing yet. */
+void KcForward_Init(KcForward *forward, KcGateway *gateway,
+                    const KcForwardCall *call, const KcRouteRule *rule,
+                    const KcAdmission *admission, KcTime now);
+/* When it is of use that the caller of a request that did not run tries again;
+ * pace: of the service, which counts the return. */
+KcTime KcForward_RetryAfter(const KcForward *forward, KcQueuePace *pace,
+                            KcTime now);
+
 /* Sets the request's timer to due_at, at the latest to its deadline. */
 void KcForward_SetTimer(KcForward *forward, KcTime due_at);
 
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -12,6 +12,8 @@
  *
  * gateway_steps_customers.c describes the steps on customers, and what they
  * add to others.
+ * gateway_steps_explain.c describes the step "explain N PATH ...", which takes
+ * the words of "request".
  *
  * Steps, separated by semicolons:
  *   config VERSION [CONNECTIONS_MAX] [CUSTOMER...]
@@ -72,6 +74,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../foresight.h"
 #include "gateway_steps_internal.h"
 
 static const char *
@@ -218,9 +221,35 @@
 }
 
 static void
-step_request(Fixture *fixture, char **words)
+submit(Fixture *fixture, int number, const KcForwardCall *call)
+{
+    Caller *caller = &fixture->callers[number];
+    Foresight foresight;
+
+    caller->fixture = fixture;
+    caller->number = number;
+    if (fixture->foresees) {
+        Foresight_Begin(&foresight, fixture->gateway, call, fixture->now);
+    }
+    KcGateway_Submit(fixture->gateway, call, &GatewaySteps_CallerOps, caller,
+                     &caller->forward, fixture->now);
+    if (!fixture->foresees) {
+        return;
+    }
+    /* What is unreachable is found out by trying only. */
+    if (!Foresight_Asks(&foresight, fixture->no_keeper_server) &&
+        !Foresight_Asks(&foresight, fixture->no_send_server)) {
+        Foresight_Check(&foresight, caller->forward, &caller->refusal,
+                        fixture->now);
+    }
+    Foresight_Clear(&foresight);
+}
+
+/* Reads "NAME N PATH ..." and passes the call on. */
+static void
+with_call(Fixture *fixture, char **words,
+          void (*use)(Fixture *fixture, int number, const KcForwardCall *call))
 {
-    Caller *caller = &fixture->callers[atoi(words[1])];
     KcForwardCall call = {.id = words[1],
                           .host = "H:80",
                           .path = words[2],
@@ -251,13 +280,22 @@
         call.last_event_id =
             call.has_last_event ? (uint64_t)atoi(words[5]) : 0;
     }
-    caller->fixture = fixture;
-    caller->number = atoi(words[1]);
-    KcGateway_Submit(fixture->gateway, &call, &GatewaySteps_CallerOps, caller,
-                     &caller->forward, fixture->now);
+    use(fixture, atoi(words[1]), &call);
     g_strfreev(parts);
 }
 
+static void
+step_request(Fixture *fixture, char **words)
+{
+    with_call(fixture, words, submit);
+}
+
+static void
+step_explain(Fixture *fixture, char **words)
+{
+    with_call(fixture, words, GatewaySteps_Explain);
+}
+
 static KcForward *
 find_forward(Fixture *fixture, const char *number)
 {
@@ -546,6 +584,7 @@
     {"missing", step_missing},
     {"list", step_list},
     {"request", step_request},
+    {"explain", step_explain},
     {"abandon", step_abandon},
     {"reply", step_reply},
     {"notrun", step_not_run},
@@ -596,12 +635,13 @@
 
 /* ---- running -------------------------------------------------------------- */
 
-void
-GatewaySteps_Run(const char *steps, const char *trace)
+static void
+run(const char *steps, const char *trace, bool foresees)
 {
     Fixture *fixture = g_new0(Fixture, 1);
     KcGatewayOptions options;
 
+    fixture->foresees = foresees;
     fixture->now = KC_SECOND;
     fixture->trace = g_string_new("");
     fixture->timers = KcTimers_Create(fixture->now);
@@ -628,3 +668,10 @@
     g_string_free(fixture->trace, TRUE);
     g_free(fixture);
 }
+
+void
+GatewaySteps_Run(const char *steps, const char *trace)
+{
+    run(steps, trace, false);
+    run(steps, trace, true);
+}
--- a/tests/process/gateway_steps_internal.h
+++ b/tests/process/gateway_steps_internal.h
@@ -1,8 +1,9 @@
 /*
  * State of a case of gateway_steps.c, and functions shared by its files:
  * gateway_steps.c has the steps, gateway_steps_parts.c those on parts of
- * prompts, gateway_steps_customers.c those on customers, gateway_steps_trace.c
- * the calls that the gateway makes.
+ * prompts, gateway_steps_customers.c those on customers,
+ * gateway_steps_explain.c that on foreseen requests, gateway_steps_trace.c the
+ * calls that the gateway makes.
  */
 #ifndef KCC_GATEWAY_STEPS_INTERNAL_H
 #define KCC_GATEWAY_STEPS_INTERNAL_H
@@ -21,7 +22,8 @@
 typedef struct Caller {
     Fixture *fixture;
     int number;
-    KcForward *forward; /* NULL once the request has ended */
+    KcForward *forward;       /* NULL once the request has ended */
+    KcForwardRefusal refusal; /* of a request that was refused */
 } Caller;
 
 struct Fixture {
@@ -33,6 +35,7 @@
     KcTime configuration_age;
     uint64_t revision;
     Caller callers[REQUEST_COUNT_MAX];
+    bool foresees;             /* each request is foreseen first */
     bool traces_checks;        /* checks of servers are traced */
     bool is_checking;          /* a check is unanswered */
     bool is_connecting;        /* attempts are not sent at their start */
@@ -54,6 +57,9 @@
 bool GatewaySteps_TakeKey(KcForwardCall *call, const char *word);
 /* Sets the age of the configuration. */
 void GatewaySteps_Age(Fixture *fixture, char **words);
+/* Traces what is foreseen of a call. */
+void GatewaySteps_Explain(Fixture *fixture, int number,
+                          const KcForwardCall *call);
 /* Steps on parts. */
 void GatewaySteps_Ended(Fixture *fixture, char **words);
 void GatewaySteps_News(Fixture *fixture, char **words);
