gateway: customers' use is reported as soon as a hub is connected

A gateway looked for customers with limits each second while it had none, so one that started told no hub of its use until a second after its start, and had half of one gateway's part of each quota until then.

Now the first report goes when the configuration is read or a hub's connection is ready, whichever comes last, and each second no timer fires where no customer has a limit. test_quotas shares no quota without these events.

--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -135,6 +135,7 @@
     KcCounters_Add(&role->common.counters, KC_COUNT_ADOPTIONS, 1);
     KcGateway_SetRouting(role->gateway, routing);
     KcGatewayRole_PublishGeneration(role);
+    KcGatewayRole_JoinHub(role);
 }
 
 static void
--- a/programs/process/gateway_keepers.c
+++ b/programs/process/gateway_keepers.c
@@ -82,6 +82,7 @@
     drop_pending_messages(connections);
     KcSuspects_TellAll(&connections->server->pool->suspects, tell_suspect,
                        link, KcLoop_Now());
+    KcGatewayRole_JoinHub(role);
 }
 
 static int
--- a/programs/process/gateway_quotas.c
+++ b/programs/process/gateway_quotas.c
@@ -9,8 +9,6 @@
 
 #include "gateway_role_internal.h"
 
-/* Interval of looking for limits while no customer has one. */
-#define NO_LIMITS_INTERVAL (1 * KC_SECOND)
 /* Customers of which the metrics tell by name. */
 #define METRIC_CUSTOMERS_MAX 8
 /* Size of one line of the metrics. */
@@ -93,15 +91,14 @@
 {
     GatewayRole *role = timer->owner;
     KcQuotas *quotas = KcGateway_GetQuotas(role->gateway, now);
-    KcTime interval = NO_LIMITS_INTERVAL;
 
     role->quota_reviewed_at = now;
     if (KcQuotas_HasLimits(quotas)) {
         KcQuotas_Review(quotas, now);
         send_report(role, quotas, now);
-        interval = KcQuotas_Interval(quotas);
+        KcTimers_Set(role->common.loop->timers, timer,
+                     now + KcQuotas_Interval(quotas));
     }
-    KcTimers_Set(role->common.loop->timers, timer, now + interval);
 }
 
 /* Tells the hub before that this gateway is not to be counted there. */
@@ -146,7 +143,15 @@
 KcGatewayRole_StartQuotas(GatewayRole *role)
 {
     KcTimer_Init(&role->quota_timer, on_quota_timer, role);
-    KcTimers_Set(role->common.loop->timers, &role->quota_timer, KcLoop_Now());
+}
+
+void
+KcGatewayRole_JoinHub(GatewayRole *role)
+{
+    if (role->quota_hub == 0 || !role->quota_timer.is_set) {
+        KcTimers_Set(role->common.loop->timers, &role->quota_timer,
+                     KcLoop_Now());
+    }
 }
 
 void
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -97,9 +97,12 @@
 
 /* ---- quotas (gateway_quotas.c) ------------------------------------------- */
 
-/* Starts to report the customers' use, and ends it. */
+/* Prepares reports of the customers' use, and ends them. */
 void KcGatewayRole_StartQuotas(GatewayRole *role);
 void KcGatewayRole_StopQuotas(GatewayRole *role);
+/* Begins to report, as the configuration or a hub's connection is new: at
+ * once, unless a hub has answered before. */
+void KcGatewayRole_JoinHub(GatewayRole *role);
 /* Takes the answer of a hub.  Returns 0 or KC_ERR_PROTOCOL. */
 int KcGatewayRole_TakeTotals(GatewayRole *role, KcServer *server,
                              const KcMsg *msg);
