gateway: callers wait until a new process can serve, 600 ms at the most

KcGateway_OpensAt() decides (test_gateway_start); KcGatewayFrontEnd_SetOpen() carries it out (test_connection_limits).

--- a/lib/process/gateway.c
+++ b/lib/process/gateway.c
@@ -15,6 +15,10 @@
 #define VERSION_TIMEOUT_DEFAULT (5 * KC_SECOND)
 #define CONFIG_TIMEOUT_DEFAULT (3 * KC_SECOND)
 
+/* A new process lets callers wait for this long, less than a third of the
+ * shortest deadline: after that they take what was not read as lost. */
+#define OPEN_TIMEOUT (600 * KC_MS)
+
 /* While requests are in flight a timer fires at this interval.  When it is
  * late by more than PAUSE_MIN, the process was paused, and the time does not
  * count as silence of its servers. */
@@ -248,6 +252,14 @@
     return gateway->server_list_known ? 0 : KC_ERR_NO_BACKEND;
 }
 
+KcTime
+KcGateway_OpensAt(const KcGateway *gateway, KcTime started_at, KcTime now)
+{
+    KcTime latest = started_at + OPEN_TIMEOUT;
+
+    return KcGateway_CheckReady(gateway) == 0 || latest < now ? now : latest;
+}
+
 uint32_t
 KcGateway_CountInFlight(const KcGateway *gateway)
 {
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -527,6 +527,14 @@
 /* Returns 0 when requests can be served; KC_ERR_NO_DOCUMENT without a routing
  * configuration, KC_ERR_NO_BACKEND before the first list of servers. */
 int KcGateway_CheckReady(const KcGateway *gateway);
+/*
+ * When a process that started at a time accepts callers' connections: now if
+ * requests can be served.  Otherwise soon, though they can't: each caller that
+ * is refused then has used up a try, and one that waits has not.  Until then
+ * it is to be asked again when a configuration or a list of servers is known.
+ */
+KcTime KcGateway_OpensAt(const KcGateway *gateway, KcTime started_at,
+                         KcTime now);
 /* Returns the number of requests that have not ended. */
 uint32_t KcGateway_CountInFlight(const KcGateway *gateway);
 
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -136,6 +136,7 @@
     KcGateway_SetRouting(role->gateway, routing);
     KcGatewayRole_PublishGeneration(role);
     KcGatewayRole_JoinHub(role);
+    KcGatewayRole_ReviewOpening(role);
 }
 
 static void
@@ -187,6 +188,7 @@
 {
     KcGateway_EndServerList(((GatewayRole *)context)->gateway, now);
     KcGatewayRole_ConnectHubs(context);
+    KcGatewayRole_ReviewOpening(context);
 }
 
 static void
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -153,6 +153,44 @@
     check_ready,       get_generation, add_state,
     admin_begin_drain, clear_part,     KcGatewayRole_FormatMetrics};
 
+/* ---- callers -------------------------------------------------------------- */
+
+static void
+open_for_callers(GatewayRole *role)
+{
+    KcTimers_Clear(role->common.loop->timers, &role->open_timer);
+    KcGatewayFrontEnd_SetOpen(role->front_end, true);
+}
+
+static void
+on_open_timer(KcTimer *timer, KcTime now)
+{
+    (void)now;
+    open_for_callers(timer->owner);
+}
+
+void
+KcGatewayRole_ReviewOpening(GatewayRole *role)
+{
+    KcTime now = KcLoop_Now();
+
+    if (role->open_timer.is_set &&
+        KcGateway_OpensAt(role->gateway, role->started_at, now) <= now) {
+        open_for_callers(role);
+    }
+}
+
+static void
+await_readiness(GatewayRole *role)
+{
+    role->started_at = KcLoop_Now();
+    KcGatewayFrontEnd_SetOpen(role->front_end, false);
+    KcTimer_Init(&role->open_timer, on_open_timer, role);
+    KcTimers_Set(
+        role->common.loop->timers, &role->open_timer,
+        KcGateway_OpensAt(role->gateway, role->started_at, role->started_at));
+}
+
 /* ---- planned stops and changed settings ---------------------------------- */
 
 static void
@@ -165,6 +203,7 @@
     options.gateway = role->gateway;
     options.front_end = role->front_end;
     role->common.answer_time = options.answer_time;
+    open_for_callers(role);
     KcGatewayStop_Begin(&role->stop, &options, role->common.drain_timeout,
                         KcLoop_Now());
 }
@@ -296,6 +335,7 @@
                                         settings->object_timeout_ms * KC_MS,
                                     .counters = &role->common.counters};
 
+    await_readiness(role);
     role->store = role->platform->open_store(&store_options);
     KcGatewayRole_StartKeepers(role);
     KcGatewayRole_StartQuotas(role);
@@ -310,6 +350,7 @@
     if (role->store != NULL) {
         KcGatewayRole_StopQuotas(role);
         KcGatewayRole_StopKeepers(role);
+        KcTimers_Clear(role->common.loop->timers, &role->open_timer);
         KcOwnRecord_Clear(&role->own_record);
         KcGatewayRole_FreeFeeds(role);
         role->platform->close_store(role->store);
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -32,6 +32,8 @@
     uint32_t listed_gateway_count; /* in the list being read */
     KcIntakePool intake_pool;      /* of replies that are not complete */
     KcIntakePool request_pool;     /* of callers' requests */
+    KcTime started_at;
+    KcTimer open_timer; /* set until callers' connections are accepted */
     KcTimer use_report_timer;
     KcTimer hub_timer;   /* connects to the hubs */
     KcTimer quota_timer; /* reports customers' use to a hub */
@@ -113,6 +115,11 @@
 /* Log of the quotas. */
 extern const KcQuotaOps KcGatewayRole_QuotaOps;
 
+/* ---- callers (gateway_role.c) --------------------------------------------- */
+
+/* Decides again whether callers' connections are accepted. */
+void KcGatewayRole_ReviewOpening(GatewayRole *role);
+
 /* ---- the store (gateway_feeds.c) ----------------------------------------- */
 
 /* Starts a feed for each collection of the store. */
--- a/programs/request/gateway_front_end.c
+++ b/programs/request/gateway_front_end.c
@@ -100,6 +100,12 @@
     return front_end;
 }
 
+void
+KcGatewayFrontEnd_SetOpen(KcGatewayFrontEnd *front_end, bool is_open)
+{
+    KcAcceptPause_SetHeld(&front_end->accept_pause, !is_open);
+}
+
 void
 KcGatewayFrontEnd_Free(KcGatewayFrontEnd *front_end)
 {
--- a/programs/request/gateway_front_end.h
+++ b/programs/request/gateway_front_end.h
@@ -33,6 +33,9 @@
  */
 KcGatewayFrontEnd *
 KcGatewayFrontEnd_Create(const KcGatewayFrontEndOptions *options);
+/* Accepts connections from now on, or not: then callers can connect, and
+ * nothing is read of them. */
+void KcGatewayFrontEnd_SetOpen(KcGatewayFrontEnd *front_end, bool is_open);
 /* Closes all connections. Every request must have ended. */
 void KcGatewayFrontEnd_Free(KcGatewayFrontEnd *front_end);
 
--- a/tests/request/test_connection_limits.c
+++ b/tests/request/test_connection_limits.c
@@ -236,6 +236,13 @@
     }
 }
 
+/* open yes|no: the gateway's front end accepts connections, or not. */
+static void
+step_open(Fixture *fixture, char **words)
+{
+    KcGatewayFrontEnd_SetOpen(fixture->listener, strcmp(words[1], "yes") == 0);
+}
+
 /* send CALLER: this caller sends a request. */
 static void
 step_send(Fixture *fixture, char **words)
@@ -369,17 +376,12 @@
 }
 
 static const StepHandler handlers[] = {
-    {"listen", step_listen},
-    {"connect", step_connect},
-    {"send", step_send},
-    {"close", step_close},
-    {"wait", step_wait},
-    {"served", step_served},
-    {"refused", step_refused},
-    {"accepted", step_accepted},
-    {"exhaust", step_exhaust},
-    {"restore", step_restore},
-    {"iterations", step_iterations},
+    {"listen", step_listen},     {"connect", step_connect},
+    {"open", step_open},         {"send", step_send},
+    {"close", step_close},       {"wait", step_wait},
+    {"served", step_served},     {"refused", step_refused},
+    {"accepted", step_accepted}, {"exhaust", step_exhaust},
+    {"restore", step_restore},   {"iterations", step_iterations},
 };
 
 /* ---- cases -------------------------------------------------------------------- */
@@ -391,6 +393,9 @@
     {"the loop spins while callers can't be accepted",
      "listen gateway 10;connect 2;exhaust;iterations 50 500;restore;send 1;"
      "served 1"},
+    {"callers that come before a gateway opens are served then",
+     "listen gateway 10;open no;connect 2;send 0;wait 50;accepted 0;open yes;"
+     "served 0;send 1;served 1"},
     {"a caller above the limit is closed without a word",
      "listen gateway 1;connect 1;wait 20;connect 1;send 1;refused 1;send 0;"
      "served 0"},
