test_quotas: asks when the worker is known

The test began to ask as soon as the gateways shared their quotas, and counts each answer as passed or refused. The test now waits until each gateway serves a route that takes from no quota. All it checked is checked as before.

--- a/tests/daemons/test_quotas.c
+++ b/tests/daemons/test_quotas.c
@@ -42,16 +42,16 @@
 static uint8_t network_octet;
 
 static int
-send_request(int gateway, const char *key)
+send_to_route(int gateway, const char *path, const char *key)
 {
     static int count;
     char request[256];
     char answer[4096];
     int size = snprintf(request, sizeof(request),
-                        "POST /unsafe/x HTTP/1.1\r\nHost: h\r\n"
+                        "POST %s HTTP/1.1\r\nHost: h\r\n"
                         "Attempt-Id: r%d\r\nCredential: %s\r\n"
                         "Content-Length: 0\r\nConnection: close\r\n\r\n",
-                        count++, key);
+                        path, count++, key);
 
     GatewayCluster_Exchange(
         GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_GATEWAY, gateway),
@@ -59,6 +59,12 @@
     return GatewayCluster_ReadStatus(answer);
 }
 
+static int
+send_request(int gateway, const char *key)
+{
+    return send_to_route(gateway, "/unsafe/x", key);
+}
+
 /* The number of gateways with which one shares the quotas, by its state. */
 static int
 count_group(int gateway)
@@ -98,6 +104,20 @@
     }
 }
 
+/* Until each gateway knows the worker, by a route that takes from no quota. */
+static void
+wait_until_served(void)
+{
+    gint64 give_up_at = g_get_monotonic_time() + SHARED_TIMEOUT;
+
+    for (int i = 0; i < GATEWAYS; i++) {
+        while (send_to_route(i, "/open/x", "none") != 200) {
+            g_assert_cmpint(g_get_monotonic_time(), <, give_up_at);
+            g_usleep(20000);
+        }
+    }
+}
+
 static void
 kill_keepers(void)
 {
@@ -127,6 +147,7 @@
     cluster = GatewayCluster_Start(&options);
     GatewayCluster_SetCustomers(cluster, CUSTOMERS);
     GatewayCluster_WriteConfig(cluster, 2, false);
+    wait_until_served();
     wait_until_shared();
     if (cases[index].knob != NULL) {
         GatewayCluster_SetKnob(cluster, GATEWAY_CLUSTER_PLAIN_WORKER, 0,
