--- a/tests/process/test_keeper_record.c
+++ b/tests/process/test_keeper_record.c
@@ -83,6 +83,7 @@
     KcObjectReply reply = {code, version, {value, strlen(value)}};
     KcObjectCallback on_done = fixture->on_done;
 
+    g_assert_nonnull(on_done);
     fixture->on_done = NULL;
     on_done(fixture->done_context, &reply);
 }
