--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -32,6 +32,8 @@
     uint32_t listed_gateway_count; /* in the list being read */
     KcIntakePool intake_pool;      /* of replies that are not complete */
     KcIntakePool request_pool;     /* of callers' requests */
+    KcTime started_at;
+    KcTimer open_timer; /* set until callers' connections are accepted */
     KcTimer use_report_timer;
     KcTimer hub_timer;   /* connects to the hubs */
     KcTimer quota_timer; /* reports customers' use to a hub */
@@ -97,9 +99,12 @@
 
 /* ---- quotas (gateway_quotas.c) ------------------------------------------- */
 
-/* Starts to report the customers' use, and ends it. */
+/* Prepares reports of the customers' use, and ends them. */
 void KcGatewayRole_StartQuotas(GatewayRole *role);
 void KcGatewayRole_StopQuotas(GatewayRole *role);
+/* Begins to report, as the configuration or a hub's connection is new: at
+ * once, unless a hub has answered before. */
+void KcGatewayRole_JoinHub(GatewayRole *role);
 /* Takes the answer of a hub.  Returns 0 or KC_ERR_PROTOCOL. */
 int KcGatewayRole_TakeTotals(GatewayRole *role, KcServer *server,
                              const KcMsg *msg);
@@ -110,6 +115,11 @@
 /* Log of the quotas. */
 extern const KcQuotaOps KcGatewayRole_QuotaOps;
 
+/* ---- callers (gateway_role.c) --------------------------------------------- */
+
+/* Decides again whether callers' connections are accepted. */
+void KcGatewayRole_ReviewOpening(GatewayRole *role);
+
 /* ---- the store (gateway_feeds.c) ----------------------------------------- */
 
 /* Starts a feed for each collection of the store. */
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -1,26 +1,15 @@
 /*
- * Process of a keeper: its engine, connections from gateways, and the record
- * in the store whose revision is its fencing number.
+ * Process of a keeper: its engine and connections from gateways.
  */
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
 
-#include "../connection/tcp.h"
 #include "admin_http.h"
+#include "keeper_role_internal.h"
 #include "log.h"
-#include "own_record.h"
-#include "platform.h"
-#include "role.h"
 #include "suspects_json.h"
 
-/*
- * Interval of reads of the routing configuration. It is not watched, as a
- * keeper needs only the engine's capacity, which hardly ever changes.
- */
-#define ROUTING_POLL_INTERVAL (60 * KC_SECOND)
-/* Interval of these reads until the engine's capacity is known. */
-#define ROUTING_POLL_INTERVAL_INITIAL (500 * KC_MS)
 /*
  * The engine runs on the same machine: it answers within a few milliseconds or
  * not at all.
@@ -32,27 +21,6 @@
  * same sequence number.
  */
 #define ENGINE_ORDER_TIMEOUT (30 * KC_MS)
-/* These reads may lag, unless the store failed. */
-#define ROUTING_LAG_TIMEOUT (3600 * KC_SECOND)
-/* Collection of the keepers' own records. */
-#define KEEPERS_COLLECTION "kcc-keepers"
-
-typedef struct KeeperRole {
-    KcRoleCommon common;
-    const KcPlatform *platform;
-    KcKeeper *keeper;
-    KcEngineClient *engine;
-    KcStore *store;
-    KcFeed *routing_feed;
-    KcTcpListener *listener;
-    struct KcLinkList links;
-    KcOwnRecord fence_record; /* its revision is the fencing number */
-    KcQuotaHub *quota_hub;    /* customers' use at the gateways */
-    uint64_t incarnation;
-    uint64_t generation;       /* of the routing configuration in force */
-    uint64_t named_generation; /* highest that a gateway or the store named */
-} KeeperRole;
-
 /* ---- gateways ------------------------------------------------------------ */
 
 /* Each message names the generation, so that a gateway that has missed one
@@ -63,9 +31,9 @@
     msg->generation = ((const KeeperRole *)context)->named_generation;
 }
 
-/* Passes a generation on to the gateways that may not know it. */
-static void
-learn_generation(KeeperRole *role, uint64_t generation, const KcLink *from)
+void
+KcKeeperRole_LearnGeneration(KeeperRole *role, uint64_t generation,
+                             const KcLink *from)
 {
     KcMsg msg = {.type = KC_MSG_PING};
     KcLink *link;
@@ -217,7 +185,7 @@
         close_link(role, link);
         return;
     }
-    learn_generation(role, link->peer_generation, link);
+    KcKeeperRole_LearnGeneration(role, link->peer_generation, link);
     switch (msg->type) {
     case KC_MSG_HELLO:
         accept_hello(role, link);
@@ -367,78 +335,6 @@
                                        .send_suspect = send_suspect,
                                        .log_suspect = log_suspect};
 
-/* ---- the store ----------------------------------------------------------- */
-
-/* Reads the engine's capacity from the routing configuration. */
-static void
-on_routing(void *context, const KcFeedItem *item, KcTime now)
-{
-    KeeperRole *role = context;
-    KcLogFields fields = {.step = "routing"};
-    const KcRoutedService *service;
-    KcRouting *routing;
-    KcError error = {0};
-
-    if (item->deleted) {
-        return;
-    }
-    routing = role->platform->read_routing(item->body, &error);
-    if (routing == NULL) {
-        KcLog_RecordInvalid(item->name, &error);
-        return;
-    }
-    service =
-        KcRouting_FindService(routing, role->common.settings->service_name);
-    if (routing->version > role->generation && service != NULL) {
-        role->generation = routing->version;
-        learn_generation(role, routing->version, NULL);
-        fields.generation = routing->version;
-        KcLog_Write(KC_LOG_INFO, &fields, "engine has %u adapter slots",
-                    service->engine.adapter_slots);
-        role->platform->set_health_path(role->engine, service->health_path);
-        KcFeed_SetIntervals(role->routing_feed, ROUTING_POLL_INTERVAL,
-                            ROUTING_POLL_INTERVAL);
-        KcKeeper_SetCapacity(role->keeper, &service->engine, now);
-    }
-    KcRouting_Release(routing);
-}
-
-static void
-on_store_status(void *context, int code, KcTime now)
-{
-    (void)context;
-    (void)now;
-    KcLog_StoreStatus(code);
-}
-
-/* Each write of the record raises its revision above all earlier ones. */
-static void
-on_fence_written(void *context, uint64_t revision)
-{
-    KeeperRole *role = context;
-    KcLogFields fields = {.step = "fence"};
-
-    KcLog_Write(KC_LOG_INFO, &fields, "fencing number %" PRIu64, revision);
-    KcKeeper_SetFence(role->keeper, revision, KcLoop_Now());
-}
-
-static void
-acquire_fence(KeeperRole *role)
-{
-    KcOwnRecordOptions options = {.object_ops = role->platform->object_ops,
-                                  .object_context = role->store,
-                                  .timers = role->common.loop->timers,
-                                  .collection = KEEPERS_COLLECTION,
-                                  .name = role->common.settings->name,
-                                  .on_written = on_fence_written,
-                                  .context = role};
-    char value[64];
-
-    snprintf(value, sizeof(value), "{\"incarnation\":\"%016" PRIx64 "\"}",
-             role->incarnation);
-    KcOwnRecord_Write(&role->fence_record, &options, value);
-}
-
 /* ---- administration ------------------------------------------------------ */
 
 static int
@@ -560,31 +456,7 @@
 static void
 start_all(KeeperRole *role)
 {
-    const KcSettings *settings = role->common.settings;
-    KcStoreOptions store_options = {.loop = role->common.loop,
-                                    .address = settings->object_api_address,
-                                    .call_timeout =
-                                        settings->object_timeout_ms * KC_MS,
-                                    .counters = &role->common.counters};
-    KcFeedOptions feed_options = {
-        .ops = role->platform->feed_ops,
-        .timers = role->common.loop->timers,
-        .collection = role->platform->collection_names[KC_COLLECTION_ROUTING],
-        .retry_delay = KC_STORE_RETRY_DELAY,
-        .retry_delay_max = KC_STORE_RETRY_DELAY_MAX,
-        .watch_timeout = settings->watch_timeout_ms * KC_MS,
-        .watch_delay = ROUTING_POLL_INTERVAL_INITIAL,
-        .lag_timeout = ROUTING_LAG_TIMEOUT,
-        .relist_interval = ROUTING_POLL_INTERVAL_INITIAL,
-        .on_item = on_routing,
-        .on_store_status = on_store_status,
-        .context = role};
-
-    role->store = role->platform->open_store(&store_options);
-    feed_options.store = role->store;
-    role->routing_feed = KcFeed_Create(&feed_options);
-    KcFeed_Start(role->routing_feed, KcLoop_Now());
-    acquire_fence(role);
+    KcKeeperRole_StartStore(role);
     KcKeeper_Start(role->keeper, KcLoop_Now());
     KcRoleCommon_HandleSignals(&role->common, &role_ops, role);
 }
@@ -595,9 +467,7 @@
     KcLink *link;
 
     if (role->store != NULL) {
-        KcOwnRecord_Clear(&role->fence_record);
-        KcFeed_Free(role->routing_feed);
-        role->platform->close_store(role->store);
+        KcKeeperRole_StopStore(role);
     }
     while ((link = TAILQ_FIRST(&role->links)) != NULL) {
         link->ops->close(link->transport);
