kccd: handle SIGTERM before an address is opened

A role opened its addresses in listen_all() and handled signals at the end of start_all(): a SIGTERM between the two ended the process at once, and with it the callers whose connections the kernel had accepted. KcRoleCommon_Init() now takes the role's functions and handles signals, so that no role can open an address before; the handler itself runs in the loop, as before.

The entry and the agent have the change by the same function; no test of their own.

--- a/programs/process/agent_role.c
+++ b/programs/process/agent_role.c
@@ -187,13 +187,12 @@
     int status = 1;
 
     memset(&role, 0, sizeof(role));
-    if (KcRoleCommon_Init(&role.common, settings) != 0) {
+    if (KcRoleCommon_Init(&role.common, settings, &role_ops, &role) != 0) {
         return 1;
     }
     create_agent(&role);
     if (listen_all(&role) == 0) {
         KcAgent_Start(role.agent, KcLoop_Now());
-        KcRoleCommon_HandleSignals(&role.common, &role_ops, &role);
         KcLog_Write(KC_LOG_INFO, NULL, "agent for %s listens on %s",
                     settings->backend_address, settings->links_address);
         KcLoop_Run(role.common.loop);
--- a/programs/process/entry_role.c
+++ b/programs/process/entry_role.c
@@ -235,7 +235,6 @@
     KcTimer_Init(&role->idle_link_timer, on_idle_link_timer, role);
     KcTimers_Set(role->common.loop->timers, &role->idle_link_timer,
                  KcLoop_Now() + IDLE_LINK_CHECK_INTERVAL);
-    KcRoleCommon_HandleSignals(&role->common, &role_ops, role);
 }
 
 static void
@@ -260,7 +259,7 @@
     int status = 1;
 
     memset(&role, 0, sizeof(role));
-    if (KcRoleCommon_Init(&role.common, settings) != 0) {
+    if (KcRoleCommon_Init(&role.common, settings, &role_ops, &role) != 0) {
         return 1;
     }
     create_entry(&role);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -301,7 +301,6 @@
     KcGatewayRole_StartQuotas(role);
     KcGatewayRole_StartFeeds(role);
     KcGatewayRole_WriteOwnRecord(role);
-    KcRoleCommon_HandleSignals(&role->common, &role_ops, role);
 }
 
 static void
@@ -335,7 +334,7 @@
     role.intake_pool.kept_bytes_max = KEPT_REPLY_BYTES_MAX;
     role.request_pool.kept_bytes_max = KcMemory_LimitRequests(settings);
     role.platform = &KcPlatform_Current;
-    if (KcRoleCommon_Init(&role.common, settings) != 0) {
+    if (KcRoleCommon_Init(&role.common, settings, &role_ops, &role) != 0) {
         return 1;
     }
     role.incarnation = KcLoop_GetRandomBits();
--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -584,7 +584,6 @@
     KcFeed_Start(role->routing_feed, KcLoop_Now());
     acquire_fence(role);
     KcKeeper_Start(role->keeper, KcLoop_Now());
-    KcRoleCommon_HandleSignals(&role->common, &role_ops, role);
 }
 
 static void
@@ -619,7 +618,7 @@
     memset(&role, 0, sizeof(role));
     role.platform = &KcPlatform_Current;
     TAILQ_INIT(&role.links);
-    if (KcRoleCommon_Init(&role.common, settings) != 0) {
+    if (KcRoleCommon_Init(&role.common, settings, &role_ops, &role) != 0) {
         return 1;
     }
     role.incarnation = KcLoop_GetRandomBits();
--- a/programs/process/role.c
+++ b/programs/process/role.c
@@ -16,31 +16,6 @@
 /* Interval of checks of the settings file, which may change without SIGHUP. */
 #define SETTINGS_CHECK_INTERVAL (2 * KC_SECOND)
 
-int
-KcRoleCommon_Init(KcRoleCommon *common, const KcSettings *settings)
-{
-    KcObjectClientOptions options;
-
-    memset(common, 0, sizeof(*common));
-    common->settings = settings;
-    common->drain_timeout = settings->drain_timeout_ms * KC_MS;
-    common->loop = KcLoop_Create();
-    if (common->loop == NULL) {
-        return KC_ERR_INVALID;
-    }
-    common->loop->on_iteration_end = KcLog_Flush;
-    common->events = KcEvents_Create((size_t)settings->event_capacity,
-                                     common->loop->wall_offset);
-    options = (KcObjectClientOptions){
-        .loop = common->loop,
-        .address = settings->object_api_address,
-        .call_timeout = settings->object_timeout_ms * KC_MS,
-        .watch_timeout = settings->watch_timeout_ms * KC_MS,
-        .counters = &common->counters};
-    common->object_client = KcObjectClient_Create(&options);
-    return 0;
-}
-
 static KcTime
 read_clock(void *context)
 {
@@ -306,6 +281,35 @@
     }
 }
 
+/* ---- set-up -------------------------------------------------------------- */
+
+int
+KcRoleCommon_Init(KcRoleCommon *common, const KcSettings *settings,
+                  const KcRoleOps *ops, void *role)
+{
+    KcObjectClientOptions options;
+
+    memset(common, 0, sizeof(*common));
+    common->settings = settings;
+    common->drain_timeout = settings->drain_timeout_ms * KC_MS;
+    common->loop = KcLoop_Create();
+    if (common->loop == NULL) {
+        return KC_ERR_INVALID;
+    }
+    common->loop->on_iteration_end = KcLog_Flush;
+    KcRoleCommon_HandleSignals(common, ops, role);
+    common->events = KcEvents_Create((size_t)settings->event_capacity,
+                                     common->loop->wall_offset);
+    options = (KcObjectClientOptions){
+        .loop = common->loop,
+        .address = settings->object_api_address,
+        .call_timeout = settings->object_timeout_ms * KC_MS,
+        .watch_timeout = settings->watch_timeout_ms * KC_MS,
+        .counters = &common->counters};
+    common->object_client = KcObjectClient_Create(&options);
+    return 0;
+}
+
 KcSuspectOptions
 KcRoleCommon_GetSuspectOptions(const KcSettings *settings)
 {
--- a/programs/process/role.h
+++ b/programs/process/role.h
@@ -63,11 +63,13 @@
 int KcKeeperRole_Run(const KcSettings *settings);
 
 /*
- * Creates the loop, the events and the object API client. settings must
- * outlive common. Returns 0, or KC_ERR_INVALID when the loop cannot be
+ * Creates the loop, the events and the object API client, and handles signals.
+ * The role opens its addresses after it. settings must outlive common, role is
+ * the context of ops. Returns 0, or KC_ERR_INVALID when the loop cannot be
  * created.
  */
-int KcRoleCommon_Init(KcRoleCommon *common, const KcSettings *settings);
+int KcRoleCommon_Init(KcRoleCommon *common, const KcSettings *settings,
+                      const KcRoleOps *ops, void *role);
 void KcRoleCommon_Clear(KcRoleCommon *common);
 
 /*
@@ -92,8 +94,10 @@
                                     KcMemberOptions *member);
 
 /*
- * Begins a planned stop on SIGTERM or SIGINT. If the role has apply_settings,
- * reads the settings file again on SIGHUP and when it has changed.
+ * Begins a planned stop on SIGTERM or SIGINT, in the loop; also for a signal
+ * that comes before that runs. If the role has apply_settings, reads the
+ * settings file again on SIGHUP and when it has changed. Called by
+ * KcRoleCommon_Init().
  */
 void KcRoleCommon_HandleSignals(KcRoleCommon *common, const KcRoleOps *ops,
                                 void *role);
