codec: count the elements of a frame before it is decoded

A frame of six bytes that claims an array of 4 G elements made msgpack reserve memory for all of them (0x1000000008 bytes; 10 M elements: 268 MB, until the next frame), before it looked whether they are there.

The time that the count takes was not measured.

--- a/lib/connection/codec.c
+++ b/lib/connection/codec.c
@@ -251,7 +251,8 @@
     int code;
 
     memset(msg, 0, sizeof(*msg));
-    if (msgpack_unpack_next(&decoder->unpacked, frame, size, &consumed) !=
+    if (!KcFrame_HasFewElements(frame, size) ||
+        msgpack_unpack_next(&decoder->unpacked, frame, size, &consumed) !=
             MSGPACK_UNPACK_SUCCESS ||
         consumed != size ||
         decoder->unpacked.data.type != MSGPACK_OBJECT_ARRAY) {
--- a/lib/connection/message_table_internal.h
+++ b/lib/connection/message_table_internal.h
@@ -42,4 +42,8 @@
 /* By KcMsgType. */
 extern const KcMsgLayout KcMsg_Layouts[KC_MSG_COUNT];
 
+/* Is a frame, without its prefix, one whole element of msgpack with no more
+ * elements in it than a message may have? */
+bool KcFrame_HasFewElements(const unsigned char *frame, size_t size);
+
 #endif
--- a/tests/connection/test_link.c
+++ b/tests/connection/test_link.c
@@ -2,6 +2,7 @@
  * Tests of the encoding of messages and of the protocol rules of a link.
  */
 #include <glib.h>
+#include <malloc.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -169,16 +170,34 @@
      "\x94\x03\x00\x00\xcf\x01\x00\x00\x00\x00\x00\x00"
      "\x00",
      13, KC_ERR_PARSE},
+    {"an array of 4 G elements", "\xdd\xff\xff\xff\xff\x00", 6, KC_ERR_PARSE},
+    {"an array of 10 M elements", "\xdd\x00\x98\x96\x80\x00", 6, KC_ERR_PARSE},
+    {"an array of 65,535 elements", "\xdc\xff\xff\x00", 4, KC_ERR_PARSE},
+    {"a field with 10 M elements", "\x95\x7f\x00\x00\x00\xdd\x00\x98\x96\x80",
+     10, KC_ERR_PARSE},
+    {"a field with a map of 10 M pairs",
+     "\x95\x7f\x00\x00\x00\xdf\x00\x98\x96\x80", 10, KC_ERR_PARSE},
+    {"a text of 4 GB", "\x95\x7f\x00\x00\x00\xdb\xff\xff\xff\xff", 10,
+     KC_ERR_PARSE},
+    {"unknown type with fields of all kinds",
+     "\xdc\x00\x0c\x7f\x00\x00\x00\xd1\x00\x00\xc7\x01\x05x"
+     "\xd4\x05x\x81\xa1x\xc3\xde\x00\x00\xca\x00\x00\x00\x00"
+     "\xd9\x02xx\xc5\x00\x01x",
+     37, KC_ERR_UNKNOWN_MESSAGE},
     {"name with a NUL",
      "\x97\x00\x00\x00\x00\xc4\x02"
      "a\x00\x01\x01",
      11, KC_ERR_PARSE},
 };
 
+/* That the decoder may take for a small frame. */
+#define FRAME_MEMORY_MAX ((size_t)64 * 1024)
+
 static void
 test_bad_frames(void)
 {
     KcDecoder *decoder = KcDecoder_Create();
+    size_t used_bytes = mallinfo2().hblkhd + mallinfo2().uordblks;
     KcMsg msg;
 
     for (size_t i = 0; i < G_N_ELEMENTS(bad_frames); i++) {
@@ -186,6 +205,9 @@
         g_assert_cmpint(KcDecoder_Decode(decoder, bad_frames[i].bytes,
                                          bad_frames[i].size, &msg),
                         ==, bad_frames[i].code);
+        /* What it decoded stays until the next frame. */
+        g_assert_cmpuint(mallinfo2().hblkhd + mallinfo2().uordblks, <,
+                         used_bytes + FRAME_MEMORY_MAX);
     }
     KcDecoder_Free(decoder);
 }
