--- a/programs/process/keeper_role.c
+++ b/programs/process/keeper_role.c
@@ -458,7 +458,6 @@
 {
     KcKeeperRole_StartStore(role);
     KcKeeper_Start(role->keeper, KcLoop_Now());
-    KcRoleCommon_HandleSignals(&role->common, &role_ops, role);
 }
 
 static void
@@ -491,7 +490,7 @@
     memset(&role, 0, sizeof(role));
     role.platform = &KcPlatform_Current;
     TAILQ_INIT(&role.links);
-    if (KcRoleCommon_Init(&role.common, settings) != 0) {
+    if (KcRoleCommon_Init(&role.common, settings, &role_ops, &role) != 0) {
         return 1;
     }
     role.incarnation = KcLoop_GetRandomBits();
