--- a/tests/fuzz/fuzz_libfuzzer.c
+++ b/tests/fuzz/fuzz_libfuzzer.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "decoders.h"
 #include "operations.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
@@ -11,10 +12,13 @@
 int
 LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
 {
-    FuzzResult result = Fuzz_Run(data, size);
+    const char *finding = Fuzz_Run(data, size).finding;
 
-    if (result.finding != NULL) {
-        fprintf(stderr, "finding: %s\n", result.finding);
+    if (finding == NULL) {
+        finding = Decoders_Run(data, size);
+    }
+    if (finding != NULL) {
+        fprintf(stderr, "finding: %s\n", finding);
         abort();
     }
     return 0;
--- a/tests/fuzz/fuzz_seeds.c
+++ b/tests/fuzz/fuzz_seeds.c
@@ -5,13 +5,15 @@
  *                                  that many operations were applied
  *   fuzz-seeds --input FILE        runs and traces one input
  *
- * Prints one line of totals.  Exit status 1 with a finding, 2 with wrong
- * usage; the input that led to a finding is written to finding.bin.
+ * Each input also goes through the decoders.  Prints one line of totals.  Exit
+ * status 1 with a finding, 2 with wrong usage; the input that led to a finding
+ * is written to finding.bin.
  */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "decoders.h"
 #include "operations.h"
 
 #define INPUT_OPERATIONS_MAX 160
@@ -53,6 +55,9 @@
     size = fread(data, 1, sizeof(data), file);
     fclose(file);
     result = Fuzz_RunTraced(data, size);
+    if (result.finding == NULL) {
+        result.finding = Decoders_Run(data, size);
+    }
     printf("%s\n", result.finding != NULL ? result.finding : "no finding");
     return result.finding != NULL;
 }
@@ -76,6 +81,9 @@
             data[i] = (uint8_t)(draw_random(&state) >> 24);
         }
         result = Fuzz_Run(data, size);
+        if (result.finding == NULL) {
+            result.finding = Decoders_Run(data, size);
+        }
         operations += result.operations;
         requests_ended += result.requests_ended;
         requests_answered += result.requests_answered;
