--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -21,6 +21,7 @@
 #include "faults.h"
 #include "history.h"
 #include "keys.h"
+#include "quotas.h"
 #include "rules.h"
 #include "soak.h"
 
@@ -260,6 +261,7 @@
     Deadly_ReadLogs(soak.cluster);
     check_workers(GATEWAY_CLUSTER_LLM_WORKER, &rule_counts);
     check_workers(GATEWAY_CLUSTER_PLAIN_WORKER, &rule_counts);
+    Quotas_CheckCalls(soak.calls);
     HASH_ITER(hh, soak.calls, call, next)
     {
         check_call(call, &rule_counts);
