--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -173,6 +173,9 @@
     {"the fourth one is beyond belief", "1,2,3,1e9", true, 0},
     {"a fifth one", "1,2,3,100,7", true, 0},
     {"two figures", "1,2", false, 0},
+    {"a negative one", "1,-2,3", false, 0},
+    {"one beyond all numbers", "1,2,99999999999", false, 0},
+    {"one with a sign", "+1,2,3", false, 0},
     {"none", "idle", false, 0},
 };
 
