buffer: no arithmetic on a pointer that is NULL

Clang's UBSan reported NULL + 0 in KcBuffer_Data() of an empty buffer (libFuzzer with the decoders, 70 s). An empty buffer has NULL for its bytes now, as it had by effect.

--- a/lib/request/kcc_request.h
+++ b/lib/request/kcc_request.h
@@ -82,7 +82,8 @@
 static inline const char *
 KcBuffer_Data(const KcBuffer *buffer)
 {
-    return buffer->data + buffer->start;
+    /* An empty buffer has no memory. */
+    return buffer->data != NULL ? buffer->data + buffer->start : NULL;
 }
 
 /* ---- Part 2: the interface to the object API ---------------------------- */
