kcc explain: the separator of fields is kept, not read off the length

Cause: the question's first field was told from the later ones by ftell(out) > 8, the length of "/explain"; another path would have spoilt it in silence.

Change: the separator is a variable. The questions are the same; nothing was measured. test_explain asks with up to seven fields.

--- a/programs/kcc/explain_command.c
+++ b/programs/kcc/explain_command.c
@@ -37,6 +37,7 @@
 {
     char *path = NULL;
     size_t size = 0;
+    char separator = '?';
     FILE *out = open_memstream(&path, &size);
 
     fputs("/explain", out);
@@ -48,8 +49,9 @@
         if (text != NULL && text[0] != '\0') {
             char *encoded = evhttp_uriencode(text, -1, 0);
 
-            fprintf(out, "%c%s=%s", ftell(out) > 8 ? '&' : '?',
-                    question_fields[i].name, encoded);
+            fprintf(out, "%c%s=%s", separator, question_fields[i].name,
+                    encoded);
+            separator = '&';
             free(encoded);
         }
     }
