kcc explain: a customer by its key, read from a file

The digest lives in the question on the stack.

Checks: foresight.c foresees each request of the cases and plays by its key, as it was sent (so far by the name of the key's holder), and besides by the name, which must say the same; the step of a refusal for an unknown key is now compared as well.

--- a/lib/process/gateway_customers.c
+++ b/lib/process/gateway_customers.c
@@ -84,7 +84,7 @@
                            const char *customer, KcAdmission *admission,
                            KcExplanation *explanation, KcTime now)
 {
-    const KcRoutedCustomer *holder = NULL;
+    const KcRoutedCustomer *holder;
     int code;
 
     *admission = (KcAdmission){.step = "key"};
@@ -94,8 +94,11 @@
     if (customer[0] != '\0') {
         holder = KcRouting_FindCustomerByName(gateway->routing, customer);
         admission->step = holder != NULL ? "key" : "customer";
+        code = check_holder(gateway, true, holder);
+    }
+    else {
+        code = find_holder(gateway, call->has_key, &call->key_digest, &holder);
     }
-    code = check_holder(gateway, call->has_key || customer[0] != '\0', holder);
     if (code != 0 || holder == NULL) {
         return code;
     }
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -74,7 +74,7 @@
                     const KcRouteRule *rule, KcAdmission *admission,
                     KcTime now);
 /* What KcGateway_Admit() would do with a request on explanation->rule in the
- * name of that customer, "" for none; explains it. */
+ * name of that customer, "" for the holder of the call's key; explains it. */
 int KcGateway_ForeseeAdmission(const KcGateway *gateway,
                                const KcForwardCall *call, const char *customer,
                                KcAdmission *admission,
--- a/lib/process/kcc_explain.h
+++ b/lib/process/kcc_explain.h
@@ -68,11 +68,12 @@
 } KcExplanation;
 
 /*
- * Foresees what KcGateway_Submit() would do with the call now.  In place of a
- * key it names the customer, "" for none; a name that is not known is refused
- * as KC_ERR_UNKNOWN_KEY with the step "customer".  Servers and keepers that
- * turn out to be unreachable are not foreseen.  To be cleared by
- * KcExplanation_Clear().
+ * Foresees what KcGateway_Submit() would do with the call now.  It is in the
+ * name of the customer, whatever key the call has; "": of the holder of its
+ * key, if it has one.  A name that is not known is refused as
+ * KC_ERR_UNKNOWN_KEY with the step "customer".  Nothing of the key is kept.
+ * Servers and keepers that turn out to be unreachable are not foreseen.  To be
+ * cleared by KcExplanation_Clear().
  */
 void KcGateway_Explain(KcGateway *gateway, const KcForwardCall *call,
                        const char *customer, KcExplanation *explanation,
--- a/programs/kcc/command.h
+++ b/programs/kcc/command.h
@@ -23,6 +23,7 @@
     const char *path;
     const char *idempotency_key;
     const char *customer;
+    const char *key_file;
     const char *priority;
     const char *author;
     const char *base_generation;
--- a/programs/kcc/explain_command.c
+++ b/programs/kcc/explain_command.c
@@ -2,6 +2,7 @@
  * kcc explain ADMIN-ADDRESS: what would become of a request at a gateway now,
  * and why.  Nothing is sent to a server.
  */
+#include <errno.h>
 #include <event2/http.h>
 #include <jansson.h>
 #include <stddef.h>
@@ -9,6 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../process/admin_http.h"
+#include "../process/platform.h"
 #include "blocking_http.h"
 #include "command.h"
 
@@ -59,6 +62,53 @@
     return path;
 }
 
+/* Room for a key with the end of its line, "\r\n", or one byte too long. */
+#define KEY_LINE_SIZE (KC_KEY_BYTES_MAX + 2)
+
+/* Takes a key, with a NUL behind it, from the first line that begins with the
+ * bytes.  Returns NULL or what is wrong. */
+static const char *
+take_key(char line[KEY_LINE_SIZE + 1], size_t size)
+{
+    KcHttpField field = {.name = KC_HEADER_EXPLAIN_KEY, .value = line};
+    const char *end = memchr(line, '\n', size);
+
+    if (end != NULL) {
+        size = (size_t)(end - line);
+        if (size > 0 && line[size - 1] == '\r') {
+            size--;
+        }
+    }
+    line[size] = '\0';
+    if (size == 0) {
+        return "its first line is empty";
+    }
+    if (size > KC_KEY_BYTES_MAX) {
+        return "the key is too long";
+    }
+    if (strlen(line) < size || !KcHttpField_HasValidCharacters(&field)) {
+        return "the key has characters that no header can have";
+    }
+    return NULL;
+}
+
+/* Reads a key from a file.  Returns NULL or what is wrong. */
+static const char *
+read_key_file(const char *path, char line[KEY_LINE_SIZE + 1])
+{
+    FILE *file = fopen(path, "r");
+    bool is_read;
+    size_t size;
+
+    if (file == NULL) {
+        return strerror(errno);
+    }
+    size = fread(line, 1, KEY_LINE_SIZE, file);
+    is_read = ferror(file) == 0;
+    fclose(file);
+    return is_read ? take_key(line, size) : "it can't be read";
+}
+
 /* ---- the answer for people ------------------------------------------------- */
 
 static const char *
@@ -257,16 +307,22 @@
     }
 }
 
-int
-KcCommand_ExplainRequest(const KcArguments *arguments)
+/* Sends the question, with the key unless it is NULL; returns the exit status.
+ */
+static int
+ask(const KcArguments *arguments, const char *key)
 {
     const char *address = arguments->operands[0];
     char *path = write_question(arguments);
+    KcHttpCallOptions options = {.address = address,
+                                 .method = "GET",
+                                 .path = path,
+                                 .headers = {{KC_HEADER_EXPLAIN_KEY, key}}};
     KcHttpResponse response;
     json_t *answer = NULL;
     int status = KC_EXIT_FAILED;
 
-    KcBlockingHttp_Get(address, path, &response);
+    KcBlockingHttp_Call(&options, &response);
     if (response.status == 200) {
         answer = json_loads(KcBuffer_Data(&response.body), 0, NULL);
     }
@@ -290,3 +346,24 @@
     free(path);
     return status;
 }
+
+int
+KcCommand_ExplainRequest(const KcArguments *arguments)
+{
+    char key[KEY_LINE_SIZE + 1];
+    const char *problem;
+
+    if (arguments->key_file == NULL) {
+        return ask(arguments, NULL);
+    }
+    if (arguments->customer != NULL) {
+        fprintf(stderr, "kcc: explain takes --customer or --key-file\n");
+        return KC_EXIT_USAGE;
+    }
+    problem = read_key_file(arguments->key_file, key);
+    if (problem != NULL) {
+        fprintf(stderr, "kcc: %s: %s\n", arguments->key_file, problem);
+        return KC_EXIT_FAILED;
+    }
+    return ask(arguments, key);
+}
--- a/programs/process/admin_http.c
+++ b/programs/process/admin_http.c
@@ -201,27 +201,63 @@
     return fields;
 }
 
+/* Finds the key that comes with a question; NULL: none.  Returns false if it
+ * comes more than once. */
+static bool
+find_key(const evhtp_request_t *http, const char **key)
+{
+    const evhtp_kv_t *header;
+
+    *key = NULL;
+    TAILQ_FOREACH (header, http->headers_in, next) {
+        if (strcasecmp(header->key, KC_HEADER_EXPLAIN_KEY) == 0) {
+            if (*key != NULL) {
+                return false;
+            }
+            *key = header->val;
+        }
+    }
+    return true;
+}
+
+static json_t *
+explain(const KcAdminServer *admin_server, const evhtp_request_t *http,
+        const char **problem)
+{
+    json_t *fields = read_query(http);
+    const char *key;
+    json_t *answer = NULL;
+
+    if (fields == NULL) {
+        *problem = "the query can't be read";
+    }
+    else if (!find_key(http, &key)) {
+        *problem = "the key is given twice";
+    }
+    else {
+        answer = admin_server->options.ops->explain(
+            admin_server->options.context, fields, key, problem);
+    }
+    json_decref(fields);
+    return answer;
+}
+
 static void
 on_explain(evhtp_request_t *http, void *context)
 {
     KcAdminServer *admin_server = context;
-    const KcAdminServerOps *ops = admin_server->options.ops;
-    json_t *fields = read_query(http);
-    const char *problem = "the query can't be read";
-    json_t *answer = NULL;
+    const char *problem;
+    json_t *answer;
 
     if (evhtp_request_get_method(http) != htp_method_GET) {
         reply_text(http, EVHTP_RES_METHNALLOWED, "text/plain", "use GET\n");
     }
-    else if (ops->explain == NULL) {
+    else if (admin_server->options.ops->explain == NULL) {
         reply_text(http, EVHTP_RES_NOTFOUND, "text/plain",
                    "only gateways explain\n");
     }
     else {
-        if (fields != NULL) {
-            answer =
-                ops->explain(admin_server->options.context, fields, &problem);
-        }
+        answer = explain(admin_server, http, &problem);
         if (answer != NULL) {
             reply_json(http, answer);
         }
@@ -229,7 +265,6 @@
             reply_text(http, EVHTP_RES_BADREQ, "text/plain", problem);
         }
     }
-    json_decref(fields);
 }
 
 static void
--- a/programs/process/admin_http.h
+++ b/programs/process/admin_http.h
@@ -8,7 +8,7 @@
  *   GET  /debug/events     the event ring as JSON
  *   GET  /debug/state      state of the process as JSON
  *   GET  /explain?host=&path=...  what would become of a request, as JSON; see
- *                          explain_json.h
+ *                          explain_json.h and KC_HEADER_EXPLAIN_KEY
  *   POST /admin/drain      begins a planned stop
  *   POST /admin/unblock?part=HEX  clears a part of prompts, see
  * suspects_json.h
@@ -21,6 +21,10 @@
 #include "loop.h"
 #include "settings.h"
 
+/* Of GET /explain: the key of the request's customer, which has no place in
+ * the URL. */
+#define KC_HEADER_EXPLAIN_KEY "X-Kcc-Explain-Key"
+
 typedef struct KcAdminServer KcAdminServer;
 
 /* Functions that each role implements. */
@@ -38,9 +42,9 @@
     /* Adds the role's own lines to the metrics; may be NULL. */
     void (*format_metrics)(void *context, KcBuffer *text);
     /* Returns what would become of the request that an object of texts
-     * describes; or NULL, with *problem, static text, on what is wrong.  NULL
-     * where no requests are forwarded. */
-    json_t *(*explain)(void *context, const json_t *fields,
+     * describes, with the key, NULL: none; or NULL, with *problem, static
+     * text, on what is wrong.  NULL where no requests are forwarded. */
+    json_t *(*explain)(void *context, const json_t *fields, const char *key,
                        const char **problem);
 } KcAdminServerOps;
 
--- a/programs/process/explain_json.c
+++ b/programs/process/explain_json.c
@@ -100,7 +100,7 @@
                        : question_fields[i].problem;
         }
     }
-    return "a field is not known; a customer is named, and no key is taken";
+    return "a field is not known; a key is no field";
 }
 
 /* Counts tokens as the front end does: quotas without the hint. */
--- a/programs/process/explain_json.h
+++ b/programs/process/explain_json.h
@@ -1,6 +1,6 @@
 /*
  * The question of GET /explain as a table of fields, and its answer as JSON.
- * No field takes a key: a customer is named.
+ * No field takes a key, which comes with the question and isn't in the answer.
  */
 #ifndef KCC_EXPLAIN_JSON_H
 #define KCC_EXPLAIN_JSON_H
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -144,8 +144,26 @@
     KcGatewayRole_AddCustomers(role, state);
 }
 
+/* Puts the question in the name of the key's holder.  Returns NULL or what is
+ * wrong. */
+static const char *
+take_key(const GatewayRole *role, KcExplainQuestion *question, const char *key)
+{
+    KcForwardCall *call = &question->call;
+
+    if (key == NULL) {
+        return NULL;
+    }
+    if (question->customer[0] != '\0') {
+        return "a request has a customer or a key, not both";
+    }
+    call->has_key = role->platform->read_key(key, &call->key_digest);
+    return call->has_key ? NULL : "the key is empty or too long";
+}
+
 static json_t *
-explain(void *context, const json_t *fields, const char **problem)
+explain(void *context, const json_t *fields, const char *key,
+        const char **problem)
 {
     GatewayRole *role = context;
     KcExplainQuestion question;
@@ -153,6 +171,9 @@
     json_t *json;
 
     *problem = KcExplainQuestion_Read(&question, fields);
+    if (*problem == NULL) {
+        *problem = take_key(role, &question, key);
+    }
     if (*problem != NULL) {
         return NULL;
     }
--- a/programs/process/platform.h
+++ b/programs/process/platform.h
@@ -17,6 +17,9 @@
 #define KC_STORE_RETRY_DELAY (200 * KC_MS)
 #define KC_STORE_RETRY_DELAY_MAX (1 * KC_SECOND)
 
+/* Longest key of a customer; a longer one names no one. */
+#define KC_KEY_BYTES_MAX 1024
+
 typedef struct KcStore KcStore;
 
 typedef struct KcStoreOptions {
@@ -80,6 +83,9 @@
                        KcError *err);
     int (*read_version)(const void *body, KcReplicaInfo *version,
                         KcError *err);
+    /* Digests a key as it is sent in a header, without the blanks around it;
+     * false: it is none, as it is empty or too long. */
+    bool (*read_key)(const char *text, KcKeyDigest *digest);
     /* Path at which a model server answers a GET without waiting for a place,
      * as long as it lives. */
     const char *status_path;
--- a/tests/daemons/test_explain.c
+++ b/tests/daemons/test_explain.c
@@ -3,19 +3,24 @@
  * request, and that nothing is sent or counted.
  */
 #include <glib.h>
+#include <glib/gstdio.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/wait.h>
 
+#include "../../programs/process/admin_http.h"
 #include "gateway_cluster.h"
 
 #define KNOWN_TIMEOUT (10 * G_USEC_PER_SEC)
 #define KEY "kone-5wa5xwyhks8nbk"
+#define KEY_OF_SMALL "ksmall-q8zt2m5cvx0w"
+#define KEY_UNKNOWN "kfour-u3yx6d0vnfp8"
+#define KEY_NEW "knew-7hd3ba90rjs2"
 #define CUSTOMERS                                                             \
     "[{\"name\":\"first\",\"keys\":[\"" KEY "\"],\"rate_per_s\":6000,"        \
     "\"burst\":6000},"                                                        \
-    "{\"name\":\"small\",\"keys\":[\"key-of-small\"],\"rate_per_s\":1,"       \
+    "{\"name\":\"small\",\"keys\":[\"" KEY_OF_SMALL "\"],\"rate_per_s\":1,"   \
     "\"burst\":0,\"unit\":\"tokens\"}]"
 
 #define SAFE "--host h --path /safe/x --customer first"
@@ -59,11 +64,74 @@
      "kcc: parts are hexadecimal"},
     {"tokens that are no number", SAFE " --prompt-tokens -1", 1,
      "kcc: prompt_tokens is no number"},
+    {"no key file", "--host h --path /safe/x --key-file /none/at/all", 1,
+     "kcc: /none/at/all: No such file or directory"},
+    {"a directory as a key file", "--host h --path /safe/x --key-file /", 1,
+     "kcc: /: it can't be read"},
     {"a keeper", "KEEPER" SAFE, 1, "kcc: no gateway answers at "},
 };
 
+/* None of them, nor its digest, may be put out. */
+static const char *const keys[] = {KEY, KEY_OF_SMALL, KEY_UNKNOWN, KEY_NEW};
+
+#define CUSTOMERS_LATER "[{\"name\":\"first\",\"keys\":[\"" KEY_NEW "\"]}]"
+
+#define KEYED "--host h --path /safe/x"
+#define KEY_HEADER(key) KC_HEADER_EXPLAIN_KEY ": " key "\r\n"
+#define FOUR(text) text text text text
+/* As long as a key may be. */
+#define LONGEST FOUR(FOUR(FOUR(FOUR(FOUR("k")))))
+#define CONTENT(text) text, sizeof(text) - 1
+#define UNKNOWN "refused: unknown_key by the step \"key\""
+#define BAD_CHARACTERS "kcc: */key: the key has characters that no header can"
+
+/* Commands with "--key-file FILE" behind the arguments. */
+static const struct {
+    const char *name;
+    const char *content; /* of the file */
+    size_t size;
+    const char *arguments;
+    int status;
+    const char *expected; /* in the output, a pattern */
+} key_cases[] = {
+    {"a key", CONTENT(KEY "\n"), KEYED, 0,
+     "sent at once to *\ncustomer first, cost 1 requests, *may spend*chosen"},
+    {"as JSON", CONTENT(KEY "\n"), KEYED " --json", 0,
+     "\"result\":\"send\"*\"name\":\"first\""},
+    {"a line without an end", CONTENT(KEY), KEYED, 0, "customer first, "},
+    {"a line with the other end", CONTENT(KEY "\r\n"), KEYED, 0,
+     "customer first, "},
+    {"further lines", CONTENT(KEY "\n" KEY_UNKNOWN "\n\001"), KEYED, 0,
+     "customer first, "},
+    {"blanks around", CONTENT(" " KEY "\t \n"), KEYED, 0, "customer first, "},
+    {"the key of another customer, without room", CONTENT(KEY_OF_SMALL "\n"),
+     KEYED " --prompt-tokens 500", 0,
+     "refused: limit_exceeded by the step \"quota\"*customer small, cost 500"},
+    {"an unknown key", CONTENT(KEY_UNKNOWN "\n"), KEYED, 0, UNKNOWN},
+    {"an unknown key on an open route", CONTENT(KEY_UNKNOWN "\n"),
+     "--host h --path /open/x", 0, "sent at once to "},
+    {"the longest key", CONTENT(LONGEST "\r\n"), KEYED, 0, UNKNOWN},
+    {"a key that is too long", CONTENT(LONGEST "k"), KEYED, 1,
+     "kcc: */key: the key is too long"},
+    {"one that is far too long", CONTENT(FOUR(LONGEST) "\n"), KEYED, 1,
+     "kcc: */key: the key is too long"},
+    {"an empty file", CONTENT(""), KEYED, 1,
+     "kcc: */key: its first line is empty"},
+    {"an empty first line", CONTENT("\r\n" KEY "\n"), KEYED, 1,
+     "kcc: */key: its first line is empty"},
+    {"a line of blanks", CONTENT(" \t\n"), KEYED, 1,
+     "kcc: the key is empty or too long"},
+    {"a control character", CONTENT(KEY "\001\n"), KEYED, 1, BAD_CHARACTERS},
+    {"a header behind the key", CONTENT(KEY "\rHost: x\n"), KEYED, 1,
+     BAD_CHARACTERS},
+    {"a NUL", CONTENT(KEY "\0x\n"), KEYED, 1, BAD_CHARACTERS},
+    {"a customer, too", CONTENT(KEY "\n"), SAFE, 2,
+     "kcc: explain takes --customer or --key-file"},
+};
+
 static GatewayCluster *cluster;
 static uint8_t network_octet;
+static char *directory; /* with the key file */
 
 static char *
 admin_address(GatewayClusterRole role)
@@ -74,23 +142,47 @@
                            GATEWAY_CLUSTER_ADMIN_PORT);
 }
 
-/* Reads a page of the gateway's administration. */
+/* Fails if a key or a digest is in the text. */
+static void
+assert_no_key(const char *source, const char *text)
+{
+    for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
+        char *digest =
+            g_compute_checksum_for_string(G_CHECKSUM_SHA256, keys[i], -1);
+
+        if (strstr(text, keys[i]) != NULL || strstr(text, digest) != NULL) {
+            g_error("%s holds key %zu", source, i + 1);
+        }
+        g_free(digest);
+    }
+}
+
+/* Reads a page of the gateway's administration, with further headers in the
+ * request. */
 static char *
-read_page(const char *path)
+read_page_with(const char *path, const char *headers)
 {
     static char page[1024 * 1024];
     char *address = admin_address(GATEWAY_CLUSTER_GATEWAY);
     char *request = g_strdup_printf(
-        "GET %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", path);
+        "GET %s HTTP/1.1\r\nHost: a\r\n%sConnection: close\r\n\r\n", path,
+        headers);
 
     page[0] = '\0';
     GatewayCluster_Exchange(address, request, strlen(request), page,
                             sizeof(page), 3000);
     g_free(request);
     g_free(address);
+    assert_no_key(path, page);
     return page;
 }
 
+static char *
+read_page(const char *path)
+{
+    return read_page_with(path, "");
+}
+
 /* Runs kcc explain; returns what it prints. */
 static char *
 explain(const char *arguments, int *status)
@@ -111,6 +203,7 @@
     *status = WEXITSTATUS(pclose(command));
     g_free(line);
     g_free(address);
+    assert_no_key(arguments, output->str);
     return g_string_free(output, FALSE);
 }
 
@@ -139,20 +232,110 @@
 }
 
 static void
-check_case(size_t index)
+check_command(const char *name, const char *arguments, int expected_status,
+              const char *expected)
 {
-    char *pattern = g_strdup_printf("*%s*", cases[index].expected);
+    char *pattern = g_strdup_printf("*%s*", expected);
     int status;
-    char *output = explain(cases[index].arguments, &status);
+    char *output = explain(arguments, &status);
 
-    g_test_message("%s: %d %s", cases[index].name, status, output);
-    g_assert_cmpint(status, ==, cases[index].status);
+    g_test_message("%s: %d %s", name, status, output);
+    g_assert_cmpint(status, ==, expected_status);
     g_assert_true(g_pattern_match_simple(pattern, output));
-    g_assert_null(strstr(output, KEY));
     g_free(output);
     g_free(pattern);
 }
 
+/* Writes the key file; returns the arguments with it. */
+static char *
+write_key_file(const char *arguments, const char *content, size_t size)
+{
+    char *file = g_build_filename(directory, "key", NULL);
+    char *with_file = g_strdup_printf("%s --key-file %s", arguments, file);
+
+    g_assert_true(g_file_set_contents(file, content, (gssize)size, NULL));
+    g_free(file);
+    return with_file;
+}
+
+static void
+check_key_case(size_t index)
+{
+    char *arguments =
+        write_key_file(key_cases[index].arguments, key_cases[index].content,
+                       key_cases[index].size);
+
+    check_command(key_cases[index].name, arguments, key_cases[index].status,
+                  key_cases[index].expected);
+    g_free(arguments);
+}
+
+/* With the next configuration a key goes and another one comes. */
+static void
+check_changed_keys(void)
+{
+    gint64 started_at = g_get_monotonic_time();
+    char *arguments = write_key_file(KEYED, KEY, strlen(KEY));
+    bool is_gone = false;
+
+    GatewayCluster_SetCustomers(cluster, CUSTOMERS_LATER);
+    GatewayCluster_WriteConfig(cluster, 2, false);
+    while (!is_gone && g_get_monotonic_time() < started_at + KNOWN_TIMEOUT) {
+        int status;
+        char *output = explain(arguments, &status);
+
+        is_gone = g_str_has_prefix(output, UNKNOWN);
+        g_free(output);
+    }
+    g_assert_true(is_gone);
+    g_free(arguments);
+    arguments = write_key_file(KEYED, KEY_NEW, strlen(KEY_NEW));
+    check_command("a new key", arguments, 0, "customer first, ");
+    g_free(arguments);
+}
+
+/* What kcc does not send, as text of the answer. */
+static const struct {
+    const char *path;
+    const char *headers;
+    const char *expected;
+} odd_questions[] = {
+    {"/explain?host=h&path=/safe/x&key=" KEY, "", " 400 *a key is no field"},
+    {"/explain?host=h&path=/safe/x", KEY_HEADER(KEY) KEY_HEADER(KEY),
+     " 400 *the key is given twice"},
+    {"/explain?host=h&path=/safe/x&customer=first", KEY_HEADER(KEY),
+     " 400 *a request has a customer or a key"},
+    {"/explain?host=h&path=/safe/x", KEY_HEADER(LONGEST "k"),
+     " 400 *the key is empty or too long"},
+    {"/explain?host=h&path=/safe/x", KEY_HEADER(""),
+     " 400 *the key is empty or too long"},
+    {"/explain?host=h&path=/safe/x", KEY_HEADER(KEY), " 200 *\"send\""},
+};
+
+static void
+check_odd_question(size_t index)
+{
+    char *pattern = g_strdup_printf("*%s*", odd_questions[index].expected);
+    char *path = g_strdup(odd_questions[index].path);
+    const char *page = read_page_with(path, odd_questions[index].headers);
+
+    g_test_message("%zu: %s", index, page);
+    g_assert_true(g_pattern_match_simple(pattern, page));
+    g_free(path);
+    g_free(pattern);
+}
+
+static void
+remove_directory(void)
+{
+    char *file = g_build_filename(directory, "key", NULL);
+
+    g_assert_cmpint(g_unlink(file), ==, 0);
+    g_assert_cmpint(g_rmdir(directory), ==, 0);
+    g_free(file);
+    g_clear_pointer(&directory, g_free);
+}
+
 /* The gateway has counted no request, and has none in progress. */
 static void
 check_nothing_sent(void)
@@ -169,7 +352,10 @@
     g_assert_nonnull(strstr(read_page("/debug/state"), "\"in_flight\":0"));
     log = GatewayCluster_ReadLog(cluster, GATEWAY_CLUSTER_GATEWAY, 0);
     g_assert_null(strstr(log, "a77"));
+    assert_no_key("log", log);
     free(log);
+    read_page("/debug/events");
+    read_page("/explain?host=h&path=/safe/x&customer=first");
 }
 
 static void
@@ -182,18 +368,24 @@
                                      .customers = CUSTOMERS,
                                      .seed = 7};
 
+    directory = g_dir_make_tmp("kcc-explain-XXXXXX", NULL);
     cluster = GatewayCluster_Start(&options);
     wait_until_known();
     for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        check_case(i);
+        check_command(cases[i].name, cases[i].arguments, cases[i].status,
+                      cases[i].expected);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(key_cases); i++) {
+        check_key_case(i);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(odd_questions); i++) {
+        check_odd_question(i);
     }
     check_nothing_sent();
-    /* A key has no place in the question, and isn't repeated. */
-    g_assert_nonnull(
-        strstr(read_page("/explain?host=h&path=/safe/x&key=" KEY), " 400 "));
-    g_assert_null(
-        strstr(read_page("/explain?host=h&path=/safe/x&key=" KEY), KEY));
+    check_changed_keys();
+    check_nothing_sent();
     GatewayCluster_Stop(cluster);
+    remove_directory();
 }
 
 int
--- a/tests/foresight.c
+++ b/tests/foresight.c
@@ -104,14 +104,39 @@
     return customer != NULL ? customer->name : "";
 }
 
+/* By the customer's name the same is said as by its key. */
+static void
+check_by_name(const KcExplanation *by_key, KcGateway *gateway,
+              const KcForwardCall *call, const char *customer, KcTime now)
+{
+    KcForwardCall named = *call;
+    KcExplanation by_name;
+
+    named.has_key = false;
+    KcGateway_Explain(gateway, &named, customer, &by_name, now);
+    g_assert_cmpint(by_name.foresight, ==, by_key->foresight);
+    g_assert_cmpint(by_name.code, ==, by_key->code);
+    g_assert_cmpstr(by_name.step, ==, by_key->step);
+    g_assert_cmpint(by_name.retry_after, ==, by_key->retry_after);
+    g_assert_true(by_name.customer == by_key->customer);
+    g_assert_cmpuint(by_name.quota_cost, ==, by_key->quota_cost);
+    g_assert_cmpuint(by_name.priority, ==, by_key->priority);
+    g_assert_true(by_name.server == by_key->server);
+    g_assert_cmpuint(by_name.queue_place, ==, by_key->queue_place);
+    KcExplanation_Clear(&by_name);
+}
+
 void
 Foresight_Begin(Foresight *foresight, KcGateway *gateway,
                 const KcForwardCall *call, KcTime now)
 {
+    const char *customer = find_customer(gateway, call);
     uint64_t hash = hash_state(gateway);
 
-    KcGateway_Explain(gateway, call, find_customer(gateway, call),
-                      &foresight->explanation, now);
+    KcGateway_Explain(gateway, call, "", &foresight->explanation, now);
+    if (customer[0] != '\0') {
+        check_by_name(&foresight->explanation, gateway, call, customer, now);
+    }
     g_assert_cmpuint(hash_state(gateway), ==, hash);
     foresight->loading_count = count_loading(
         KcGateway_FindAdapter(gateway, call->model, call->adapter));
@@ -138,9 +163,7 @@
     if (refusal != NULL) {
         g_assert_cmpint(explanation->code, ==, refusal->error.code);
         g_assert_cmpint(explanation->retry_after, ==, refusal->retry_after);
-        if (explanation->code != KC_ERR_UNKNOWN_KEY) {
-            g_assert_cmpstr(explanation->step, ==, refusal->error.step);
-        }
+        g_assert_cmpstr(explanation->step, ==, refusal->error.step);
     }
 }
 
--- a/tests/process/gateway_steps_explain.c
+++ b/tests/process/gateway_steps_explain.c
@@ -15,6 +15,7 @@
  */
 #include <string.h>
 
+#include "../foresight.h"
 #include "gateway_steps_internal.h"
 
 static void
@@ -96,30 +97,24 @@
 GatewaySteps_Explain(Fixture *fixture, int number, const KcForwardCall *call)
 {
     GString *trace = fixture->trace;
-    const KcRoutedCustomer *customer =
-        call->has_key
-            ? KcRouting_FindCustomer(KcGateway_GetRouting(fixture->gateway),
-                                     &call->key_digest)
-            : NULL;
     const KcCandidate *candidate;
-    KcExplanation explanation;
+    Foresight foresight;
+    const KcExplanation *explanation = &foresight.explanation;
 
     (void)number;
-    KcGateway_Explain(fixture->gateway, call,
-                      customer != NULL ? customer->name : "", &explanation,
-                      fixture->now);
+    Foresight_Begin(&foresight, fixture->gateway, call, fixture->now);
     g_string_append_printf(trace, "[%s",
-                           KcForesight_Name(explanation.foresight));
-    trace_foresight[explanation.foresight](trace, &explanation);
-    if (explanation.customer != NULL) {
+                           KcForesight_Name(explanation->foresight));
+    trace_foresight[explanation->foresight](trace, explanation);
+    if (explanation->customer != NULL) {
         g_string_append_printf(
-            trace, " %s %u cost %d%s", explanation.customer->name,
-            explanation.priority, (int)explanation.quota_cost,
-            explanation.is_quota_unknown ? "?" : "");
+            trace, " %s %u cost %d%s", explanation->customer->name,
+            explanation->priority, (int)explanation->quota_cost,
+            explanation->is_quota_unknown ? "?" : "");
     }
-    TAILQ_FOREACH (candidate, &explanation.candidates, link) {
+    TAILQ_FOREACH (candidate, &explanation->candidates, link) {
         trace_candidate(trace, candidate);
     }
     g_string_append(trace, "] ");
-    KcExplanation_Clear(&explanation);
+    Foresight_Clear(&foresight);
 }
