quota: an answer that is read after the lease has ended counts as lost

The gateway was frozen between its report and the hub's answer. Thawed, it took the answer as hearing, with a lease that had ended 0.87 s before; the next request ended that lease at its own end, so that the quota was settled at a time before the last one, and its rate for that time was taken off the room. Ruled out: use by others, which was some hundred requests; a hub that had begun anew.

Change: such an answer is as if it were lost. A lease that ends never settles a quota back in time.

--- a/lib/process/quota_grant.c
+++ b/lib/process/quota_grant.c
@@ -216,13 +216,18 @@
     return quota->share * KcQuota_GroupFraction(quotas, quota) * quota->rate;
 }
 
-/* The gateway hears nobody any more: it keeps its room. */
+/* The gateway hears nobody any more, since the end of its lease: it keeps its
+ * room.  A quota may be settled after that, as the interval, and with it the
+ * lease, has become shorter. */
 static void
-go_alone(KcQuotas *quotas, KcTime now)
+go_alone(KcQuotas *quotas, KcTime lease_until)
 {
     KcQuota *quota;
 
     TAILQ_FOREACH (quota, &quotas->list, link) {
+        KcTime now =
+            quota->settled_at > lease_until ? quota->settled_at : lease_until;
+
         KcQuota_Settle(quotas, quota, now);
         KcQuota_Grant(quotas, quota, quota->room, now);
         quota->share = 1;
--- a/lib/process/quota_report.c
+++ b/lib/process/quota_report.c
@@ -272,6 +272,12 @@
         hub != quotas->asked_hub) {
         return 0;
     }
+    if (now >= quotas->sent_at + KcQuotas_LeaseTime(quotas)) {
+        /* The lease that it would begin has ended: it is as if it were lost.
+         */
+        quotas->sent_at = KC_NEVER;
+        return 0;
+    }
     is_joining = !quotas->is_hearing || quotas->hub != hub ||
                  quotas->hub_incarnation != incarnation ||
                  quotas->joined != totals->joined;
--- a/tests/process/test_quota.c
+++ b/tests/process/test_quota.c
@@ -28,6 +28,7 @@
     STEP_TOTALS,  /* a report is answered: a gateways, others have used b in
                    * all and all ask for c units a second */
     STEP_OTHER,   /* the same, from a hub that has begun anew */
+    STEP_DELAY,   /* the next answer comes a ms after its report */
     STEP_RETRY,   /* a refused request of a units: it may come back in b to c
                    * ms */
     STEP_EARLY,   /* a reports were requested before their time */
@@ -173,6 +174,18 @@
       {STEP_WAIT, 1000, 0, 0},
       {STEP_TOTALS, 4, 0, 0},
       {STEP_TAKE, 90, 10, 50}}}, /* half of it, as without pressure */
+    {"an answer that is read after the lease has ended says nothing",
+     0,
+     {{STEP_COUNT, 2, 0, 0},
+      {STEP_WAIT, 10000, 0, 0},
+      {STEP_TOTALS, 2, 0, 0},
+      {STEP_WAIT, 500, 0, 0},
+      {STEP_DELAY, 3000, 0, 0},
+      {STEP_TOTALS, 2, 0, 0},
+      {STEP_TAKE, 5, 10, 5},
+      {STEP_WAIT, 250, 0, 0},
+      {STEP_TOTALS, 2, 0, 0}, /* it joins again */
+      {STEP_TAKE, 5, 10, 5}}},
     {"a report is requested once a grant is half spent",
      0,
      {{STEP_COUNT, 2, 0, 0},
@@ -229,6 +242,7 @@
     KcTime now;
     uint32_t logged;
     uint32_t requested;
+    KcTime answer_delay; /* of the next answer */
 } Fixture;
 
 static void
@@ -295,6 +309,8 @@
 
     g_assert_true(
         KcQuotas_WriteReport(fixture->quotas, HUB, &report, fixture->now));
+    fixture->now += fixture->answer_delay;
+    fixture->answer_delay = 0;
     KcQuotaRow_Append(&row, &rows);
     answer.u.totals =
         (KcMsgTotals){.sequence = report.u.usage.sequence,
@@ -366,6 +382,9 @@
     case STEP_TOTALS:
         answer_report(fixture, step);
         break;
+    case STEP_DELAY:
+        fixture->answer_delay = step->a * KC_MS;
+        break;
     case STEP_RETRY:
         check_retry(fixture, step);
         break;
