entry_cluster: begins when the entries know their backend servers

The cluster waited for the document only. Ruled out: the frame, which the agent refused as it should.

Change: EntryCluster_Start() waits until each entry lists all backend servers.

--- a/tests/daemons/entry_cluster.c
+++ b/tests/daemons/entry_cluster.c
@@ -7,6 +7,7 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <jansson.h>
 #include <signal.h>
 #include <spawn.h>
 #include <stdio.h>
@@ -328,6 +329,46 @@
     g_error("the document did not come into force");
 }
 
+/* Does an entry know so many backend servers by the instance list? */
+static bool
+knows_backends(const Process *entry, uint32_t count)
+{
+    KcHttpResponse response;
+    uint32_t known = 0;
+
+    KcBlockingHttp_Get(entry->admin_address, "/debug/state", &response);
+    if (response.status == 200) {
+        json_t *state = json_loadb(KcBuffer_Data(&response.body),
+                                   KcBuffer_Size(&response.body), 0, NULL);
+
+        known = (uint32_t)json_array_size(json_object_get(state, "backends"));
+        json_decref(state);
+    }
+    KcHttpResponse_Clear(&response);
+    return known == count;
+}
+
+/* The entries read the instance list after they have begun. */
+static void
+wait_until_listed(EntryCluster *cluster)
+{
+    const EntryClusterOptions *options = &cluster->options;
+    uint32_t number = 0;
+
+    for (int waited_ms = 0;
+         number < options->entries && waited_ms < WAIT_TIMEOUT_MS;) {
+        if (knows_backends(find_process(cluster, ENTRY_CLUSTER_ENTRY, number),
+                           options->model_agents + options->plain_agents)) {
+            number++;
+        }
+        else {
+            g_usleep(POLL_INTERVAL_MS * 1000);
+            waited_ms += POLL_INTERVAL_MS;
+        }
+    }
+    g_assert_cmpuint(number, ==, options->entries);
+}
+
 /* ---- start and stop ----------------------------------------------------- */
 
 static void
@@ -398,6 +439,7 @@
     apply[2] = cluster->directory;
     g_assert_cmpint(EntryCluster_RunKcc(cluster, apply, NULL, 0), ==, 0);
     wait_until_in_force(cluster);
+    wait_until_listed(cluster);
     check_all_running(cluster);
     return cluster;
 }
