gateway_cost: one struct for what is weighed, in place of four arguments

What was more complicated than needed: the tables of reasons and of terms gave each function four arguments, most of which it cast to void, some had wrappers only for that, the delay by a server's load was computed for two terms, and lacks_connections() asked again for the load that it was given. Change: a Weighing holds server, request, load and time, as HomeSearch does in gateway_homes.c; the delay is computed once.

--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -172,17 +172,39 @@
            KcServer_IsSilent(server, now);
 }
 
-/* ---- cost ---------------------------------------------------------------- */
+/* ---- a server beside a request -------------------------------------------- */
+
+/* A server that is weighed for a request. */
+typedef struct Weighing {
+    const KcServer *server;
+    const KcForward *forward;
+    uint32_t load;     /* of the server */
+    KcTime load_delay; /* by its other requests at its usual speed; of terms
+                        * of the cost only */
+    KcTime now;
+} Weighing;
+
+static Weighing
+begin_weighing(const KcServer *server, const KcForward *forward, KcTime now)
+{
+    return (Weighing){.server = server,
+                      .forward = forward,
+                      .load = KcServer_Load(server, now),
+                      .now = now};
+}
+
+/* ---- full servers --------------------------------------------------------- */
 
 /* Tokens of the requests at the server, with this one, as a percentage of its
  * memory; 0 when that is unknown. */
 static uint64_t
-memory_use_percent(const KcForward *forward, const KcServer *server,
-                   uint32_t load)
+memory_use_percent(const Weighing *weighing)
 {
-    const KcRoutedService *service =
-        KcRouting_FindService(forward->routing, server->pool->service);
-    uint64_t tokens = server->in_flight_tokens + forward->tokens_max;
+    const KcServer *server = weighing->server;
+    uint32_t load = weighing->load;
+    const KcRoutedService *service = KcRouting_FindService(
+        weighing->forward->routing, server->pool->service);
+    uint64_t tokens = server->in_flight_tokens + weighing->forward->tokens_max;
 
     if (service == NULL || service->engine.kv_cache_tokens == 0) {
         return 0;
@@ -224,11 +246,13 @@
  * not tell how many requests the other gateways have there, they may use all
  * but this one's part. */
 static bool
-lacks_connections(const KcServer *server, KcTime now)
+lacks_connections(const Weighing *weighing)
 {
+    const KcServer *server = weighing->server;
+
     if (server->load_reported_at != 0 &&
-        now - server->load_reported_at < LOAD_STALE_AGE) {
-        return KcServer_Load(server, now) >=
+        weighing->now - server->load_reported_at < LOAD_STALE_AGE) {
+        return weighing->load >=
                KcConnections_Part(connections_max(server), 1);
     }
     return server->in_flight >= connections_part(server);
@@ -237,11 +261,12 @@
 /* Would a request without a model be late at a server that is slow now, though
  * its work is short enough for its objective? */
 static bool
-would_be_late(const KcServer *server, const KcForward *forward, uint32_t load,
-              KcTime now)
+would_be_late(const Weighing *weighing)
 {
-    uint32_t percent = KcSpeed_Percent(&server->speed, now);
-    KcTime objective = forward->rule->latency_objective;
+    const KcServer *server = weighing->server;
+    uint32_t load = weighing->load;
+    uint32_t percent = KcSpeed_Percent(&server->speed, weighing->now);
+    KcTime objective = weighing->forward->rule->latency_objective;
     KcTime usual = server->pool->work_ewma;
     KcTime work = usual * (KcTime)percent / KC_SPEED_USUAL_PERCENT;
 
@@ -249,62 +274,49 @@
         work += work * (load + 1 - server->concurrency_max) /
                 server->concurrency_max;
     }
-    return forward->adapter == NULL && percent > KC_SPEED_USUAL_PERCENT &&
-           usual <= objective && work > objective;
-}
-
-static bool
-has_full_load(const KcServer *server, const KcForward *forward, uint32_t load,
-              KcTime now)
-{
-    (void)forward;
-    (void)now;
-    return load * 100 >= server->concurrency_max * FULL_LOAD_PERCENT;
+    return weighing->forward->adapter == NULL &&
+           percent > KC_SPEED_USUAL_PERCENT && usual <= objective &&
+           work > objective;
 }
 
 static bool
-has_all_connections(const KcServer *server, const KcForward *forward,
-                    uint32_t load, KcTime now)
+has_full_load(const Weighing *weighing)
 {
-    (void)forward;
-    (void)load;
-    return lacks_connections(server, now);
+    return weighing->load * 100 >=
+           weighing->server->concurrency_max * FULL_LOAD_PERCENT;
 }
 
 static bool
-lacks_memory(const KcServer *server, const KcForward *forward, uint32_t load,
-             KcTime now)
+lacks_memory(const Weighing *weighing)
 {
-    (void)now;
-    return memory_use_percent(forward, server, load) > MEMORY_MAX_PERCENT;
+    return memory_use_percent(weighing) > MEMORY_MAX_PERCENT;
 }
 
 /* Why a server with requests has no capacity for a further one. */
 static const struct {
     const char *name;
-    bool (*is_met)(const KcServer *server, const KcForward *forward,
-                   uint32_t load, KcTime now);
+    bool (*is_met)(const Weighing *weighing);
 } full_reasons[] = {
     {"full: requests", has_full_load},
     {"full: slow", would_be_late},
-    {"full: connections", has_all_connections},
+    {"full: connections", lacks_connections},
     {"full: memory", lacks_memory},
 };
 
 const char *
 KcServer_WhyFull(const KcServer *server, const KcForward *forward, KcTime now)
 {
-    uint32_t load = KcServer_Load(server, now);
+    Weighing weighing = begin_weighing(server, forward, now);
 
     if (server->trial != NULL) {
         return "full: on trial"; /* see KcServer.closed_until */
     }
-    if (load == 0) {
+    if (weighing.load == 0) {
         return NULL; /* a request that is too large here fits no server */
     }
     for (size_t i = 0; i < sizeof(full_reasons) / sizeof(full_reasons[0]);
          i++) {
-        if (full_reasons[i].is_met(server, forward, load, now)) {
+        if (full_reasons[i].is_met(&weighing)) {
             return full_reasons[i].name;
         }
     }
@@ -317,6 +329,8 @@
     return KcServer_WhyFull(server, forward, now) != NULL;
 }
 
+/* ---- terms of the cost ---------------------------------------------------- */
+
 static KcTime
 load_cost(uint32_t load, uint32_t concurrency_max)
 {
@@ -329,9 +343,10 @@
 
 /* Fades with time, so that a server that failed is tried again. */
 static KcTime
-failure_cost(const KcServer *server, KcTime now)
+failure_cost(const Weighing *weighing)
 {
-    KcTime age = now - server->last_failure_at;
+    const KcServer *server = weighing->server;
+    KcTime age = weighing->now - server->last_failure_at;
 
     if (server->failure_ewma == 0 || age >= FAILURE_FADE_TIME) {
         return 0;
@@ -370,113 +385,79 @@
     return delay + delay * (KcTime)forward->tokens_max / CONTENTION_TOKENS;
 }
 
-/* The request's work there at the usual speed.  load_delay: by the other
- * requests. */
-static KcPlacingWork
-placing_work(const KcServer *server, const KcForward *forward,
-             KcTime load_delay)
-{
-    return (KcPlacingWork){.own = forward->adapter != NULL
-                                      ? (KcTime)forward->tokens_max *
-                                            PROMPT_TOKEN_TIME
-                                      : server->pool->work_ewma,
-                           .others = load_delay};
-}
-
-/* Delay by the other requests at the server, at its usual speed. */
 static KcTime
-load_delay(const KcServer *server, const KcForward *forward, uint32_t load)
+load_delay(const Weighing *weighing)
 {
-    return load_cost(load, server->concurrency_max) +
-           (forward->adapter != NULL ? contention_cost(forward, load) : 0);
+    return load_cost(weighing->load, weighing->server->concurrency_max) +
+           (weighing->forward->adapter != NULL
+                ? contention_cost(weighing->forward, weighing->load)
+                : 0);
 }
 
-/* ---- terms of the cost ---------------------------------------------------- */
-
 static KcTime
-distance_term(const KcServer *server, const KcForward *forward, uint32_t load,
-              KcTime now)
+distance_term(const Weighing *weighing)
 {
-    (void)forward;
-    (void)load;
-    (void)now;
-    return distance_cost[server->distance];
+    return distance_cost[weighing->server->distance];
 }
 
 static KcTime
-failures_term(const KcServer *server, const KcForward *forward, uint32_t load,
-              KcTime now)
+first_byte_term(const Weighing *weighing)
 {
-    (void)forward;
-    (void)load;
-    return failure_cost(server, now);
-}
+    const KcServer *server = weighing->server;
 
-static KcTime
-first_byte_term(const KcServer *server, const KcForward *forward,
-                uint32_t load, KcTime now)
-{
-    (void)load;
-    return forward->adapter != NULL || !KcSpeed_IsTold(&server->speed)
-               ? expected_first_byte(server, now)
+    return weighing->forward->adapter != NULL ||
+                   !KcSpeed_IsTold(&server->speed)
+               ? expected_first_byte(server, weighing->now)
                : 0;
 }
 
 static KcTime
-load_term(const KcServer *server, const KcForward *forward, uint32_t load,
-          KcTime now)
+load_term(const Weighing *weighing)
 {
-    (void)now;
-    return load_delay(server, forward, load);
+    return weighing->load_delay;
 }
 
 static KcTime
-speed_term(const KcServer *server, const KcForward *forward, uint32_t load,
-           KcTime now)
+speed_term(const Weighing *weighing)
 {
-    KcPlacingWork work =
-        placing_work(server, forward, load_delay(server, forward, load));
+    const KcForward *forward = weighing->forward;
+    const KcServer *server = weighing->server;
+    KcPlacingWork work = {.own = forward->adapter != NULL
+                                     ? (KcTime)forward->tokens_max *
+                                           PROMPT_TOKEN_TIME
+                                     : server->pool->work_ewma,
+                          .others = weighing->load_delay};
 
-    return KcPlacing_SpeedCost(&server->speed, &work, now);
+    return KcPlacing_SpeedCost(&server->speed, &work, weighing->now);
 }
 
 static KcTime
-suspect_term(const KcServer *server, const KcForward *forward, uint32_t load,
-             KcTime now)
+suspect_term(const Weighing *weighing)
 {
-    (void)forward;
-    (void)load;
-    return server->suspect_until > now
-               ? FAILURE_COST + (server->suspect_until - now)
-               : 0;
+    KcTime left = weighing->server->suspect_until - weighing->now;
+
+    return left > 0 ? FAILURE_COST + left : 0;
 }
 
 static KcTime
-missing_term(const KcServer *server, const KcForward *forward, uint32_t load,
-             KcTime now)
+missing_term(const Weighing *weighing)
 {
-    (void)forward;
-    (void)load;
-    (void)now;
-    return server->missing_at != 0 ? MISSING_COST : 0;
+    return weighing->server->missing_at != 0 ? MISSING_COST : 0;
 }
 
 static KcTime
-silence_term(const KcServer *server, const KcForward *forward, uint32_t load,
-             KcTime now)
+silence_term(const Weighing *weighing)
 {
-    (void)forward;
-    (void)load;
-    return KcServer_IsSilent(server, now) ? SILENCE_COST : 0;
+    return KcServer_IsSilent(weighing->server, weighing->now) ? SILENCE_COST
+                                                              : 0;
 }
 
 static const struct {
     const char *name;
-    KcTime (*cost)(const KcServer *server, const KcForward *forward,
-                   uint32_t load, KcTime now);
+    KcTime (*cost)(const Weighing *weighing);
 } terms[KC_COST_TERM_COUNT] = {
     {"distance", distance_term},
-    {"failures", failures_term},
+    {"failures", failure_cost},
     {"first byte", first_byte_term},
     {"load", load_term},
     {"speed", speed_term},
@@ -495,10 +476,11 @@
 KcServer_ListCosts(const KcServer *server, const KcForward *forward,
                    KcTime costs[KC_COST_TERM_COUNT], KcTime now)
 {
-    uint32_t load = KcServer_Load(server, now);
+    Weighing weighing = begin_weighing(server, forward, now);
 
+    weighing.load_delay = load_delay(&weighing);
     for (size_t i = 0; i < KC_COST_TERM_COUNT; i++) {
-        costs[i] = terms[i].cost(server, forward, load, now);
+        costs[i] = terms[i].cost(&weighing);
     }
 }
 
