gateway: a request's quota is taken beside where it is given back

take_quota() of gateway_silence.c was the twin of KcForward_GiveBackQuota() in another file. It is KcForward_TakeQuota() now. Nothing behaves differently; test_gateway_slowness 24 and test_gateway_customers 57 pass.

--- a/lib/process/gateway_customers.c
+++ b/lib/process/gateway_customers.c
@@ -196,6 +196,17 @@
            forward->gateway->routing->has_customers;
 }
 
+bool
+KcForward_TakeQuota(KcForward *forward, KcTime now)
+{
+    KcTime unused;
+
+    return forward->customer == NULL ||
+           KcQuotas_Take(KcGateway_GetQuotas(forward->gateway, now),
+                         forward->customer, forward->quota_cost, &unused,
+                         now) == 0;
+}
+
 void
 KcForward_GiveBackQuota(KcForward *forward, KcTime now)
 {
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -94,6 +94,9 @@
 bool KcForward_RefuseForKey(KcForward *forward, KcTime now);
 /* Is every key to be kept from the servers? */
 bool KcForward_HidesKey(const KcForward *forward);
+/* Takes the request's cost once more, as a second server is to run it, too;
+ * false if its customer has no room. */
+bool KcForward_TakeQuota(KcForward *forward, KcTime now);
 /* The request has not run and will not run: gives its cost back. */
 void KcForward_GiveBackQuota(KcForward *forward, KcTime now);
 
--- a/lib/process/gateway_silence.c
+++ b/lib/process/gateway_silence.c
@@ -195,19 +195,6 @@
     [KC_SECOND_OVER_QUOTA] = KC_COUNT_SECOND_OVER_QUOTA,
 };
 
-/* Takes the cost of a second attempt from the customer's quota, as its server
- * runs the request, too. */
-static bool
-take_quota(KcForward *forward, KcTime now)
-{
-    KcTime unused;
-
-    return forward->customer == NULL ||
-           KcQuotas_Take(KcGateway_GetQuotas(forward->gateway, now),
-                         forward->customer, forward->quota_cost, &unused,
-                         now) == 0;
-}
-
 static KcSecondVerdict
 try_second(KcForward *forward, KcTime now)
 {
@@ -224,7 +211,7 @@
     if (verdict != KC_SECOND_MADE) {
         return verdict;
     }
-    if (!take_quota(forward, now)) {
+    if (!KcForward_TakeQuota(forward, now)) {
         return KC_SECOND_OVER_QUOTA;
     }
     if (!KcForward_TrySooner(forward, now)) {
