--- a/lib/version/kcc_routing.h
+++ b/lib/version/kcc_routing.h
@@ -103,7 +103,8 @@
 /* What a customer's quota counts. */
 typedef enum KcQuotaUnit {
     KC_QUOTA_REQUESTS = 0,
-    KC_QUOTA_TOKENS /* of prompt and answer, as the request states them */
+    KC_QUOTA_TOKENS, /* of prompt and answer, as the request states them */
+    KC_QUOTA_UNIT_COUNT
 } KcQuotaUnit;
 
 /* A customer: whoever holds one of its keys sends requests in its name. */
@@ -242,5 +243,7 @@
 
 /* Returns "safe", "unsafe" or "stream". */
 const char *KcRequestKind_Name(KcRequestKind kind);
+/* Returns "requests" or "tokens". */
+const char *KcQuotaUnit_Name(KcQuotaUnit unit);
 
 #endif
--- a/lib/version/routing.c
+++ b/lib/version/routing.c
@@ -303,3 +303,13 @@
     assert(kind < KC_REQUEST_KIND_COUNT);
     return names[kind];
 }
+
+const char *
+KcQuotaUnit_Name(KcQuotaUnit unit)
+{
+    static const char *const names[KC_QUOTA_UNIT_COUNT] = {"requests",
+                                                           "tokens"};
+
+    assert(unit < KC_QUOTA_UNIT_COUNT);
+    return names[unit];
+}
--- a/programs/process/explain_json.c
+++ b/programs/process/explain_json.c
@@ -237,12 +237,11 @@
 {
     const KcRoutedCustomer *customer = explanation->customer;
     const KcQuotaState *quota = &explanation->quota;
-    json_t *json =
-        json_pack("{s:s, s:s, s:f, s:I, s:b}", "name", customer->name, "unit",
-                  customer->unit == KC_QUOTA_TOKENS ? "tokens" : "requests",
-                  "rate_per_s", customer->rate_per_s, "cost",
-                  (json_int_t)explanation->quota_cost, "quota_unknown",
-                  (int)explanation->is_quota_unknown);
+    json_t *json = json_pack(
+        "{s:s, s:s, s:f, s:I, s:b}", "name", customer->name, "unit",
+        KcQuotaUnit_Name(customer->unit), "rate_per_s", customer->rate_per_s,
+        "cost", (json_int_t)explanation->quota_cost, "quota_unknown",
+        (int)explanation->is_quota_unknown);
 
     if (!explanation->is_quota_unknown && customer->rate_per_s > 0) {
         json_object_set_new(json, "level", json_real(quota->level));
--- a/programs/process/gateway_quotas.c
+++ b/programs/process/gateway_quotas.c
@@ -14,9 +14,6 @@
 /* Size of one line of the metrics. */
 #define METRIC_LINE_SIZE 256
 
-static const char *const unit_names[] = {
-    [KC_QUOTA_REQUESTS] = "requests", [KC_QUOTA_TOKENS] = "tokens"};
-
 /* ---- reports -------------------------------------------------------------- */
 
 static uint64_t
@@ -180,7 +177,7 @@
         "asked_per_s=%.0f all_asked_per_s=%.0f level=%.0f "
         "may_per_s=%.0f heard_ms_ago=%" PRId64 " gateways=%u of=%u",
         state->is_limited ? "begins to be limited" : "is no longer limited",
-        unit_names[state->unit], state->rate_per_s, state->burst,
+        KcQuotaUnit_Name(state->unit), state->rate_per_s, state->burst,
         state->asked_rate, state->all_rate, state->level, state->may_rate,
         age_ms(state), state->group.size, state->group.count);
 }
@@ -208,19 +205,19 @@
 {
     json_array_append_new(
         context,
-        json_pack("{s:s, s:s, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:I, s:I, "
-                  "s:I, s:b, s:I, s:i, s:i}",
-                  "customer", state->name, "unit", unit_names[state->unit],
-                  "rate_per_s", state->rate_per_s, "burst", state->burst,
-                  "level", state->level, "may_spend", state->may_spend,
-                  "may_per_s", state->may_rate, "asked_per_s",
-                  state->asked_rate, "all_asked_per_s", state->all_rate,
-                  "used", (json_int_t)state->used, "admitted",
-                  (json_int_t)state->admitted, "refused",
-                  (json_int_t)state->refused, "limited",
-                  (int)state->is_limited, "heard_ms_ago",
-                  (json_int_t)age_ms(state), "gateways",
-                  (int)state->group.size, "of", (int)state->group.count));
+        json_pack(
+            "{s:s, s:s, s:f, s:f, s:f, s:f, s:f, s:f, s:f, s:I, s:I, "
+            "s:I, s:b, s:I, s:i, s:i}",
+            "customer", state->name, "unit", KcQuotaUnit_Name(state->unit),
+            "rate_per_s", state->rate_per_s, "burst", state->burst, "level",
+            state->level, "may_spend", state->may_spend, "may_per_s",
+            state->may_rate, "asked_per_s", state->asked_rate,
+            "all_asked_per_s", state->all_rate, "used",
+            (json_int_t)state->used, "admitted", (json_int_t)state->admitted,
+            "refused", (json_int_t)state->refused, "limited",
+            (int)state->is_limited, "heard_ms_ago", (json_int_t)age_ms(state),
+            "gateways", (int)state->group.size, "of",
+            (int)state->group.count));
 }
 
 void
--- a/tests/platform/test_records.c
+++ b/tests/platform/test_records.c
@@ -435,10 +435,10 @@
             g_string_append_c(text, *key);
         }
     }
-    g_string_append_printf(
-        text, " %s %" G_GUINT64_FORMAT " %.10g %.10g",
-        customer->unit == KC_QUOTA_TOKENS ? "tokens" : "requests",
-        customer->plain_cost, customer->rate_per_s, customer->burst);
+    g_string_append_printf(text, " %s %" G_GUINT64_FORMAT " %.10g %.10g",
+                           KcQuotaUnit_Name(customer->unit),
+                           customer->plain_cost, customer->rate_per_s,
+                           customer->burst);
     if (customer->has_priority) {
         g_string_append_printf(text, " %u", customer->priority);
     }
