--- a/programs/process/instances_http.c
+++ b/programs/process/instances_http.c
@@ -17,31 +17,20 @@
     KcTimer timer;
 };
 
-static int
-copy_text_field(json_t *object, const char *key, char *buffer, size_t size)
-{
-    const char *text = json_string_value(json_object_get(object, key));
-
-    if (text == NULL || strlen(text) >= size) {
-        return KC_ERR_PARSE;
-    }
-    KcText_Copy(buffer, text, size);
-    return 0;
-}
-
 static int
 decode_instance(json_t *object, KcInstance *instance)
 {
     char state[16];
 
-    if (copy_text_field(object, "name", instance->name, KC_NAME_MAX) != 0 ||
-        copy_text_field(object, "service", instance->service, KC_NAME_MAX) !=
+    if (KcJsonText_CopyMember(object, "name", instance->name, KC_NAME_MAX) !=
             0 ||
-        copy_text_field(object, "datacentre", instance->datacentre,
-                        KC_NAME_MAX) != 0 ||
-        copy_text_field(object, "address", instance->address,
-                        KC_ADDRESS_MAX) != 0 ||
-        copy_text_field(object, "state", state, sizeof(state)) != 0) {
+        KcJsonText_CopyMember(object, "service", instance->service,
+                              KC_NAME_MAX) != 0 ||
+        KcJsonText_CopyMember(object, "datacentre", instance->datacentre,
+                              KC_NAME_MAX) != 0 ||
+        KcJsonText_CopyMember(object, "address", instance->address,
+                              KC_ADDRESS_MAX) != 0 ||
+        KcJsonText_CopyMember(object, "state", state, sizeof(state)) != 0) {
         return KC_ERR_PARSE;
     }
     instance->leaving = strcmp(state, "leaving") == 0;
--- a/programs/process/keeper_record.c
+++ b/programs/process/keeper_record.c
@@ -10,6 +10,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../request/json_text.h"
+
 void
 KcKeeperRecord_Init(KcKeeperRecord *record, const char *service,
                     const char *address)
@@ -75,19 +77,6 @@
     return text;
 }
 
-/* Copies a text member; false if it is missing or too long. */
-static bool
-read_text(const json_t *object, const char *key, char *text, size_t size)
-{
-    const char *value = json_string_value(json_object_get(object, key));
-
-    if (value == NULL || strlen(value) >= size) {
-        return false;
-    }
-    KcText_Copy(text, value, size);
-    return true;
-}
-
 /* Reads a number of megabytes; false if it is none. */
 static bool
 read_megabytes(const json_t *object, const char *key, double *megabytes)
@@ -120,7 +109,7 @@
         double weights_megabytes;
         double adapter_megabytes;
 
-        if (!read_text(model, "name", name, sizeof(name)) ||
+        if (KcJsonText_CopyMember(model, "name", name, sizeof(name)) != 0 ||
             !read_megabytes(model, "weights_mb", &weights_megabytes) ||
             !read_megabytes(model, "adapter_mb", &adapter_megabytes)) {
             return false;
@@ -159,12 +148,12 @@
     int code = 0;
 
     KcKeeperRecord_Init(record, "", "");
-    if (!read_text(root, "service", record->service,
-                   sizeof(record->service)) ||
-        !read_text(root, "address", record->address,
-                   sizeof(record->address)) ||
-        !read_text(root, "health_path", record->health_path,
-                   sizeof(record->health_path)) ||
+    if (KcJsonText_CopyMember(root, "service", record->service,
+                              sizeof(record->service)) != 0 ||
+        KcJsonText_CopyMember(root, "address", record->address,
+                              sizeof(record->address)) != 0 ||
+        KcJsonText_CopyMember(root, "health_path", record->health_path,
+                              sizeof(record->health_path)) != 0 ||
         !read_engine(json_object_get(root, "engine"), &record->engine)) {
         code = KC_ERR_PARSE;
     }
--- a/programs/request/json_text.c
+++ b/programs/request/json_text.c
@@ -272,3 +272,16 @@
     }
     return object;
 }
+
+int
+KcJsonText_CopyMember(const json_t *object, const char *name, char *text,
+                      size_t size)
+{
+    const char *value = json_string_value(json_object_get(object, name));
+
+    if (value == NULL || strlen(value) >= size) {
+        return KC_ERR_PARSE;
+    }
+    KcText_Copy(text, value, size);
+    return 0;
+}
--- a/programs/request/json_text.h
+++ b/programs/request/json_text.h
@@ -55,4 +55,9 @@
 json_t *KcJsonText_DecodeMembers(KcBytes text, KcJsonMember *members,
                                  size_t count);
 
+/* Copies the text of an object's member.  Returns 0, or KC_ERR_PARSE when it
+ * is missing, no text or too long. */
+int KcJsonText_CopyMember(const json_t *object, const char *name, char *text,
+                          size_t size);
+
 #endif
