--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -378,12 +378,7 @@
 static void
 start_all(GatewayRole *role)
 {
-    const KcSettings *settings = role->common.settings;
-    KcStoreOptions store_options = {.loop = role->common.loop,
-                                    .address = settings->object_api_address,
-                                    .call_timeout =
-                                        settings->object_timeout_ms * KC_MS,
-                                    .counters = &role->common.counters};
+    KcStoreOptions store_options = KcRoleCommon_GetStoreOptions(&role->common);
 
     await_readiness(role);
     role->store = role->platform->open_store(&store_options);
--- a/programs/process/keeper_store.c
+++ b/programs/process/keeper_store.c
@@ -144,11 +144,7 @@
 KcKeeperRole_StartStore(KeeperRole *role)
 {
     const KcSettings *settings = role->common.settings;
-    KcStoreOptions store_options = {.loop = role->common.loop,
-                                    .address = settings->object_api_address,
-                                    .call_timeout =
-                                        settings->object_timeout_ms * KC_MS,
-                                    .counters = &role->common.counters};
+    KcStoreOptions store_options = KcRoleCommon_GetStoreOptions(&role->common);
     KcFeedOptions feed_options = {
         .ops = role->platform->feed_ops,
         .timers = role->common.loop->timers,
--- a/programs/process/role.c
+++ b/programs/process/role.c
@@ -310,6 +310,18 @@
     return 0;
 }
 
+KcStoreOptions
+KcRoleCommon_GetStoreOptions(KcRoleCommon *common)
+{
+    const KcSettings *settings = common->settings;
+
+    return (KcStoreOptions){.loop = common->loop,
+                            .address = settings->object_api_address,
+                            .call_timeout =
+                                settings->object_timeout_ms * KC_MS,
+                            .counters = &common->counters};
+}
+
 KcSuspectOptions
 KcRoleCommon_GetSuspectOptions(const KcSettings *settings)
 {
--- a/programs/process/role.h
+++ b/programs/process/role.h
@@ -8,6 +8,7 @@
 #include "../connection/tcp.h"
 #include "admin_http.h"
 #include "loop.h"
+#include "platform.h"
 #include "settings.h"
 
 /* Functions of a role for a planned stop and for changed settings. */
@@ -105,6 +106,8 @@
 /* Begins a planned stop; no effect when one has begun. */
 void KcRoleCommon_BeginDrain(KcRoleCommon *common);
 
+/* Returns the options of a platform's store. */
+KcStoreOptions KcRoleCommon_GetStoreOptions(KcRoleCommon *common);
 /* Returns the options for parts of prompts that the settings give; the rest
  * has its defaults. */
 KcSuspectOptions KcRoleCommon_GetSuspectOptions(const KcSettings *settings);
