--- a/lib/process/second_attempts.c
+++ b/lib/process/second_attempts.c
@@ -1,6 +1,8 @@
 /*
  * Second attempts against slow answers.
  */
+#include <math.h>
+
 #include "kcc_second_attempts.h"
 
 /* The counts are halved when there are so many: about so many answers decide.
@@ -70,12 +72,6 @@
 
 /* ---- the limit ------------------------------------------------------------- */
 
-static double
-at_most(double value, double maximum)
-{
-    return value < maximum ? value : maximum;
-}
-
 static double
 request_credit_max(const KcSecondAttempts *second)
 {
@@ -90,9 +86,9 @@
 {
     double maximum = request_credit_max(second);
 
-    second->request_credit = at_most(second->request_credit, maximum);
+    second->request_credit = fmin(second->request_credit, maximum);
     second->token_credit =
-        at_most(second->token_credit, maximum * second->mean_tokens);
+        fmin(second->token_credit, maximum * second->mean_tokens);
 }
 
 void
