--- a/tests/gateway_stubs.c
+++ b/tests/gateway_stubs.c
@@ -3,6 +3,8 @@
  */
 #include "gateway_stubs.h"
 
+#include "../programs/request/http_attempt.h"
+
 bool
 GatewayStubs_RequestLoad(void *context, const KcLoadRequest *request)
 {
@@ -75,6 +77,28 @@
     (void)record;
 }
 
+void
+GatewayStubs_CancelHttp(void *context, void *handle)
+{
+    (void)context;
+    KcHttpAttempt_Cancel(handle);
+}
+
+void
+GatewayStubs_IgnoreBegin(void *caller, const void *head, bool stream)
+{
+    (void)caller;
+    (void)head;
+    (void)stream;
+}
+
+void
+GatewayStubs_IgnoreData(void *caller, KcBytes bytes)
+{
+    (void)caller;
+    (void)bytes;
+}
+
 const char *
 GatewayStubs_FindRegion(void *context, const char *datacentre)
 {
--- a/tests/gateway_stubs.h
+++ b/tests/gateway_stubs.h
@@ -1,6 +1,6 @@
 /*
- * Functions of a gateway's program that do nothing, for tests that look at
- * something else.
+ * Functions of a gateway's program that do nothing or the least, for tests
+ * that look at something else.
  */
 #ifndef KCC_GATEWAY_STUBS_H
 #define KCC_GATEWAY_STUBS_H
@@ -34,6 +34,13 @@
     .publish_suspect = GatewayStubs_PublishSuspect,                           \
     .record_suspect = GatewayStubs_RecordSuspect
 
+/* Cancels an attempt that KcHttpAttempt_Start() began. */
+void GatewayStubs_CancelHttp(void *context, void *handle);
+
+/* Of a caller that doesn't look at its answer. */
+void GatewayStubs_IgnoreBegin(void *caller, const void *head, bool stream);
+void GatewayStubs_IgnoreData(void *caller, KcBytes bytes);
+
 /* Each data centre is a region of its own. */
 const char *GatewayStubs_FindRegion(void *context, const char *datacentre);
 
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -669,9 +669,23 @@
     g_free(fixture);
 }
 
-void
-GatewaySteps_Run(const char *steps, const char *trace)
+static const GatewayCase *the_cases;
+
+static void
+test_case(gconstpointer data)
+{
+    const GatewayCase *test = &the_cases[GPOINTER_TO_SIZE(data)];
+
+    run(test->steps, test->trace, false);
+    run(test->steps, test->trace, true);
+}
+
+int
+GatewaySteps_Main(int argc, char **argv, const char *path,
+                  const GatewayCase *cases, size_t count)
 {
-    run(steps, trace, false);
-    run(steps, trace, true);
+    the_cases = cases;
+    g_test_init(&argc, &argv, NULL);
+    Steps_AddCases(path, cases, count, sizeof(cases[0]), test_case);
+    return g_test_run();
 }
--- a/tests/process/gateway_steps.h
+++ b/tests/process/gateway_steps.h
@@ -5,6 +5,8 @@
 #ifndef KCC_GATEWAY_STEPS_H
 #define KCC_GATEWAY_STEPS_H
 
+#include <stddef.h>
+
 /* Two servers of a plain service, and two of one with an engine. */
 #define PLAIN "config 1;server a plain 4;server b plain 4 at=near;"
 #define LLM "config 1;server a llm 4 m x@1;server b llm 4 at=near m;"
@@ -16,8 +18,10 @@
     const char *trace; /* of all that happens */
 } GatewayCase;
 
-/* Runs the steps with a new gateway and checks the trace; and again with each
- * request foreseen, which must come true and change nothing. */
-void GatewaySteps_Run(const char *steps, const char *trace);
+/* The main function of a program with such a table.  Runs the steps of each
+ * case with a new gateway and checks the trace; and again with each request
+ * foreseen, which must come true and change nothing. */
+int GatewaySteps_Main(int argc, char **argv, const char *path,
+                      const GatewayCase *cases, size_t count);
 
 #endif
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -3,7 +3,6 @@
  */
 #include <glib.h>
 
-#include "../steps.h"
 #include "gateway_steps.h"
 
 /* Two engines without adapters. */
@@ -403,19 +402,9 @@
      "1>a; 1x; 1:unknown leaving; "},
 };
 
-static void
-test_case(gconstpointer data)
-{
-    const GatewayCase *test = &cases[GPOINTER_TO_SIZE(data)];
-
-    GatewaySteps_Run(test->steps, test->trace);
-}
-
 int
 main(int argc, char **argv)
 {
-    g_test_init(&argc, &argv, NULL);
-    Steps_AddCases("/gateway", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
-                   test_case);
-    return g_test_run();
+    return GatewaySteps_Main(argc, argv, "/gateway", cases,
+                             G_N_ELEMENTS(cases));
 }
--- a/tests/process/test_gateway_customers.c
+++ b/tests/process/test_gateway_customers.c
@@ -7,7 +7,6 @@
  */
 #include <glib.h>
 
-#include "../steps.h"
 #include "gateway_steps.h"
 
 #define SERVERS "server a plain 4;server b plain 4 at=near;"
@@ -171,19 +170,9 @@
      "1>a+3 c 7; 1:unknown unknown_key; "},
 };
 
-static void
-test_case(gconstpointer data)
-{
-    const GatewayCase *test = &cases[GPOINTER_TO_SIZE(data)];
-
-    GatewaySteps_Run(test->steps, test->trace);
-}
-
 int
 main(int argc, char **argv)
 {
-    g_test_init(&argc, &argv, NULL);
-    Steps_AddCases("/gateway/customers", cases, G_N_ELEMENTS(cases),
-                   sizeof(cases[0]), test_case);
-    return g_test_run();
+    return GatewaySteps_Main(argc, argv, "/gateway/customers", cases,
+                             G_N_ELEMENTS(cases));
 }
--- a/tests/process/test_gateway_explain.c
+++ b/tests/process/test_gateway_explain.c
@@ -5,7 +5,6 @@
  */
 #include <glib.h>
 
-#include "../steps.h"
 #include "gateway_steps.h"
 
 static const GatewayCase cases[] = {
@@ -134,19 +133,9 @@
      "[send b | a costs more: load 9, silence 2000 | b chosen: distance 10] "},
 };
 
-static void
-test_case(gconstpointer data)
-{
-    const GatewayCase *test = &cases[GPOINTER_TO_SIZE(data)];
-
-    GatewaySteps_Run(test->steps, test->trace);
-}
-
 int
 main(int argc, char **argv)
 {
-    g_test_init(&argc, &argv, NULL);
-    Steps_AddCases("/gateway/explain", cases, G_N_ELEMENTS(cases),
-                   sizeof(cases[0]), test_case);
-    return g_test_run();
+    return GatewaySteps_Main(argc, argv, "/gateway/explain", cases,
+                             G_N_ELEMENTS(cases));
 }
--- a/tests/process/test_gateway_parts.c
+++ b/tests/process/test_gateway_parts.c
@@ -5,7 +5,6 @@
  */
 #include <glib.h>
 
-#include "../steps.h"
 #include "gateway_steps.h"
 
 /* Part 3 is blocked, as another gateway says. */
@@ -172,19 +171,9 @@
      LLM "news a cleared 3 1;news a end 3 0 1", "say cleared 3; "},
 };
 
-static void
-test_case(gconstpointer data)
-{
-    size_t index = GPOINTER_TO_SIZE(data);
-
-    GatewaySteps_Run(cases[index].steps, cases[index].trace);
-}
-
 int
 main(int argc, char **argv)
 {
-    g_test_init(&argc, &argv, NULL);
-    Steps_AddCases("/gateway_parts", cases, G_N_ELEMENTS(cases),
-                   sizeof(cases[0]), test_case);
-    return g_test_run();
+    return GatewaySteps_Main(argc, argv, "/gateway_parts", cases,
+                             G_N_ELEMENTS(cases));
 }
--- a/tests/process/test_gateway_queue.c
+++ b/tests/process/test_gateway_queue.c
@@ -101,21 +101,6 @@
     .record_notice = GatewayStubs_RecordNotice,
     .configuration_age = configuration_age};
 
-static void
-on_begin(void *caller, const void *head, bool stream)
-{
-    (void)caller;
-    (void)head;
-    (void)stream;
-}
-
-static void
-on_data(void *caller, KcBytes bytes)
-{
-    (void)caller;
-    (void)bytes;
-}
-
 static void
 on_end(void *caller)
 {
@@ -138,8 +123,8 @@
     g_string_append_c(caller->fixture->refused, caller->letter);
 }
 
-static const KcForwardOps forward_ops = {.on_begin = on_begin,
-                                         .on_data = on_data,
+static const KcForwardOps forward_ops = {.on_begin = GatewayStubs_IgnoreBegin,
+                                         .on_data = GatewayStubs_IgnoreData,
                                          .on_end = on_end,
                                          .on_broken = on_broken,
                                          .on_refusal = on_refusal};
--- a/tests/process/test_gateway_slowness.c
+++ b/tests/process/test_gateway_slowness.c
@@ -3,7 +3,6 @@
  */
 #include <glib.h>
 
-#include "../steps.h"
 #include "gateway_steps.h"
 
 /* Two servers each, and 40 answers that began after 50 ms: in the last of
@@ -104,19 +103,9 @@
      "1>a; 1>b; 1x a; 1:200; 1:end; "},
 };
 
-static void
-test_case(gconstpointer data)
-{
-    const GatewayCase *test = &cases[GPOINTER_TO_SIZE(data)];
-
-    GatewaySteps_Run(test->steps, test->trace);
-}
-
 int
 main(int argc, char **argv)
 {
-    g_test_init(&argc, &argv, NULL);
-    Steps_AddCases("/slowness", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
-                   test_case);
-    return g_test_run();
+    return GatewaySteps_Main(argc, argv, "/slowness", cases,
+                             G_N_ELEMENTS(cases));
 }
--- a/tests/process/test_load_play.c
+++ b/tests/process/test_load_play.c
@@ -208,21 +208,6 @@
     .cancel_attempt = cancel_attempt,
     .record_notice = GatewayStubs_RecordNotice};
 
-static void
-on_begin(void *caller, const void *head, bool stream)
-{
-    (void)caller;
-    (void)head;
-    (void)stream;
-}
-
-static void
-on_data(void *caller, KcBytes bytes)
-{
-    (void)caller;
-    (void)bytes;
-}
-
 static void
 on_end(void *caller)
 {
@@ -243,8 +228,8 @@
     g_free(caller);
 }
 
-static const KcForwardOps caller_ops = {.on_begin = on_begin,
-                                        .on_data = on_data,
+static const KcForwardOps caller_ops = {.on_begin = GatewayStubs_IgnoreBegin,
+                                        .on_data = GatewayStubs_IgnoreData,
                                         .on_end = on_end,
                                         .on_broken = on_broken,
                                         .on_refusal = on_refusal};
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -301,13 +301,6 @@
     return KcHttpAttempt_Start(&options, attempt, params);
 }
 
-static void
-cancel_attempt(void *context, void *handle)
-{
-    (void)context;
-    KcHttpAttempt_Cancel(handle);
-}
-
 static const char *
 region_of(void *context, const char *datacentre)
 {
@@ -316,14 +309,6 @@
     return "";
 }
 
-static void
-on_begin(void *caller, const void *head, bool stream)
-{
-    (void)caller;
-    (void)head;
-    (void)stream;
-}
-
 static void
 on_data(void *caller, KcBytes bytes)
 {
@@ -351,8 +336,8 @@
     end_reading(caller, refusal->error.code);
 }
 
-static const KcForwardOps forward_ops = {on_begin, on_data, on_end, on_broken,
-                                         on_refusal};
+static const KcForwardOps forward_ops = {GatewayStubs_IgnoreBegin, on_data,
+                                         on_end, on_broken, on_refusal};
 
 static KcRouting *
 create_routing(void)
@@ -391,7 +376,7 @@
 {
     static const KcGatewayOps ops = {
         GATEWAY_STUBS_OPS, .start_attempt = start_attempt,
-        .cancel_attempt = cancel_attempt,
+        .cancel_attempt = GatewayStubs_CancelHttp,
         .record_notice = GatewayStubs_RecordNotice};
     KcForwardCall call = {.id = "this-request",
                           .host = "h",
--- a/tests/request/test_not_run.c
+++ b/tests/request/test_not_run.c
@@ -414,16 +414,9 @@
     return handle;
 }
 
-static void
-cancel_attempt(void *context, void *handle)
-{
-    (void)context;
-    KcHttpAttempt_Cancel(handle);
-}
-
 static const KcGatewayOps gateway_ops = {
     GATEWAY_STUBS_OPS, .start_attempt = start_attempt,
-    .cancel_attempt = cancel_attempt,
+    .cancel_attempt = GatewayStubs_CancelHttp,
     .record_notice = GatewayStubs_RecordNotice};
 
 static void
--- a/tests/request/test_notices.c
+++ b/tests/request/test_notices.c
@@ -201,13 +201,6 @@
     return KcHttpAttempt_Start(&options, attempt, params);
 }
 
-static void
-cancel_attempt(void *context, void *handle)
-{
-    (void)context;
-    KcHttpAttempt_Cancel(handle);
-}
-
 static void
 record_notice(void *context, const KcNoticeRecord *record)
 {
@@ -234,7 +227,7 @@
 
 static const KcGatewayOps gateway_ops = {
     GATEWAY_STUBS_OPS, .start_attempt = start_attempt,
-    .cancel_attempt = cancel_attempt, .record_notice = record_notice};
+    .cancel_attempt = GatewayStubs_CancelHttp, .record_notice = record_notice};
 
 static const char *
 region_of(void *context, const char *datacentre)
@@ -254,21 +247,6 @@
                  KcLoop_Now() + LATER_DELAY);
 }
 
-static void
-on_begin(void *caller, const void *head, bool stream)
-{
-    (void)caller;
-    (void)head;
-    (void)stream;
-}
-
-static void
-on_data(void *caller, KcBytes bytes)
-{
-    (void)caller;
-    (void)bytes;
-}
-
 static void
 on_end(void *caller)
 {
@@ -289,8 +267,9 @@
     finish_request(caller, "refused; ");
 }
 
-static const KcForwardOps forward_ops = {on_begin, on_data, on_end, on_broken,
-                                         on_refusal};
+static const KcForwardOps forward_ops = {GatewayStubs_IgnoreBegin,
+                                         GatewayStubs_IgnoreData, on_end,
+                                         on_broken, on_refusal};
 
 /* ---- running a case -------------------------------------------------------- */
 
