tests: an administrators' page and an address are made in gateway_cluster

Four tests wrote the same request for a page of the administration, six put an address together from another one's host, and gateway_cluster.c did so four times itself. GatewayCluster_ReadPage() and GatewayCluster_FormatAddress() serve all.

--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -23,11 +23,12 @@
 #define HOST_SIZE 64
 #define PROCESSES_PER_ROLE_MAX 64
 #define READY_TIMEOUT_MS 10000
+#define PAGE_TIMEOUT_MS 3000
 
 typedef struct Process {
-    pid_t pid;                     /* 0 when it does not run */
-    char address[TEXT_SIZE];       /* of HTTP */
-    char settings_path[TEXT_SIZE]; /* "" for stand-ins */
+    pid_t pid;                                  /* 0 when it does not run */
+    char address[GATEWAY_CLUSTER_ADDRESS_SIZE]; /* of HTTP */
+    char settings_path[TEXT_SIZE];              /* "" for stand-ins */
 } Process;
 
 struct GatewayCluster {
@@ -111,6 +112,30 @@
     nanosleep(&duration, NULL);
 }
 
+/* ---- addresses ------------------------------------------------------------ */
+
+static void
+format_host(const GatewayCluster *cluster, GatewayClusterRole role, int number,
+            char host[HOST_SIZE])
+{
+    /* A keeper runs on the machine of its worker. */
+    snprintf(host, HOST_SIZE, "127.%d.%d.%d", cluster->options.network_octet,
+             role == GATEWAY_CLUSTER_KEEPER ? GATEWAY_CLUSTER_LLM_WORKER
+                                            : role,
+             number + 1);
+}
+
+void
+GatewayCluster_FormatAddress(const GatewayCluster *cluster,
+                             GatewayClusterRole role, int number, int port,
+                             char address[GATEWAY_CLUSTER_ADDRESS_SIZE])
+{
+    char host[HOST_SIZE];
+
+    format_host(cluster, role, number, host);
+    snprintf(address, GATEWAY_CLUSTER_ADDRESS_SIZE, "%s:%d", host, port);
+}
+
 /* ---- HTTP exchanges ------------------------------------------------------ */
 
 int
@@ -198,6 +223,25 @@
     return strlen(answer) > 12 ? atoi(answer + 9) : 0;
 }
 
+int
+GatewayCluster_ReadPage(const GatewayCluster *cluster, GatewayClusterRole role,
+                        int number, const char *path, const char *headers,
+                        char *page, size_t page_size)
+{
+    char address[GATEWAY_CLUSTER_ADDRESS_SIZE];
+    char request[8192];
+    int size = snprintf(request, sizeof(request),
+                        "GET %s HTTP/1.1\r\nHost: a\r\n%s"
+                        "Connection: close\r\n\r\n",
+                        path, headers);
+
+    GatewayCluster_FormatAddress(cluster, role, number,
+                                 GATEWAY_CLUSTER_ADMIN_PORT, address);
+    GatewayCluster_Exchange(address, request, (size_t)size, page, page_size,
+                            PAGE_TIMEOUT_MS);
+    return GatewayCluster_ReadStatus(page);
+}
+
 /* Sends a request; returns the status of the answer, 0 when none came in
  * 2 s. */
 static int
@@ -405,25 +449,14 @@
 }
 
 static void
-format_host(const GatewayCluster *cluster, GatewayClusterRole role, int number,
-            char host[HOST_SIZE])
-{
-    /* A keeper runs on the machine of its worker. */
-    snprintf(host, HOST_SIZE, "127.%d.%d.%d", cluster->options.network_octet,
-             role == GATEWAY_CLUSTER_KEEPER ? GATEWAY_CLUSTER_LLM_WORKER
-                                            : role,
-             number + 1);
-}
-
-static void
-format_store_address(const GatewayCluster *cluster, char address[TEXT_SIZE])
+format_store_address(const GatewayCluster *cluster,
+                     char address[GATEWAY_CLUSTER_ADDRESS_SIZE])
 {
-    char host[HOST_SIZE];
-
-    format_host(cluster, GATEWAY_CLUSTER_STORE, 0, host);
-    snprintf(address, TEXT_SIZE, "%s:%d", host,
-             cluster->options.has_proxies ? GATEWAY_CLUSTER_PROXY_PORT
-                                          : GATEWAY_CLUSTER_HTTP_PORT);
+    GatewayCluster_FormatAddress(cluster, GATEWAY_CLUSTER_STORE, 0,
+                                 cluster->options.has_proxies
+                                     ? GATEWAY_CLUSTER_PROXY_PORT
+                                     : GATEWAY_CLUSTER_HTTP_PORT,
+                                 address);
 }
 
 /* Machines alternate between two zones of one region. */
@@ -440,7 +473,7 @@
     Process *process = get_process(cluster, role, number);
     bool is_gateway = role == GATEWAY_CLUSTER_GATEWAY;
     char host[HOST_SIZE];
-    char store_address[HOST_SIZE * 2];
+    char store_address[GATEWAY_CLUSTER_ADDRESS_SIZE];
     FILE *file;
 
     format_host(cluster, role, number, host);
@@ -489,11 +522,10 @@
 start_standin(GatewayCluster *cluster, GatewayClusterRole role, int number)
 {
     Process *process = get_process(cluster, role, number);
-    char store_address[HOST_SIZE * 2];
+    char store_address[GATEWAY_CLUSTER_ADDRESS_SIZE];
     char seed[TEXT_SIZE];
     char id[TEXT_SIZE];
-    char record_address[TEXT_SIZE];
-    char host[HOST_SIZE];
+    char record_address[GATEWAY_CLUSTER_ADDRESS_SIZE];
     const char *arguments[] = {
         "standin-worker",
         process->address,
@@ -509,13 +541,13 @@
     const char *store_arguments[] = {"standin-store", process->address, seed,
                                      NULL};
 
-    format_host(cluster, GATEWAY_CLUSTER_STORE, 0, host);
-    snprintf(store_address, sizeof(store_address), "%s:%d", host,
-             GATEWAY_CLUSTER_HTTP_PORT);
-    format_host(cluster, role, number, host);
-    snprintf(record_address, sizeof(record_address), "%s:%d", host,
-             cluster->options.has_proxies ? GATEWAY_CLUSTER_PROXY_PORT
-                                          : GATEWAY_CLUSTER_HTTP_PORT);
+    GatewayCluster_FormatAddress(cluster, GATEWAY_CLUSTER_STORE, 0,
+                                 GATEWAY_CLUSTER_HTTP_PORT, store_address);
+    GatewayCluster_FormatAddress(cluster, role, number,
+                                 cluster->options.has_proxies
+                                     ? GATEWAY_CLUSTER_PROXY_PORT
+                                     : GATEWAY_CLUSTER_HTTP_PORT,
+                                 record_address);
     snprintf(seed, sizeof(seed), "%llu",
              (unsigned long long)cluster->options.seed + (uint64_t)number);
     snprintf(id, sizeof(id), "%s-%d",
@@ -528,11 +560,9 @@
 start_process(GatewayCluster *cluster, GatewayClusterRole role, int number)
 {
     Process *process = get_process(cluster, role, number);
-    char host[HOST_SIZE];
 
-    format_host(cluster, role, number, host);
-    snprintf(process->address, sizeof(process->address), "%s:%d", host,
-             GATEWAY_CLUSTER_HTTP_PORT);
+    GatewayCluster_FormatAddress(cluster, role, number,
+                                 GATEWAY_CLUSTER_HTTP_PORT, process->address);
     if (role == GATEWAY_CLUSTER_GATEWAY || role == GATEWAY_CLUSTER_KEEPER) {
         const char *arguments[] = {"kccd", process->settings_path, NULL};
 
@@ -592,12 +622,11 @@
 bool
 GatewayCluster_WaitUntilReady(GatewayCluster *cluster, int number)
 {
-    char address[TEXT_SIZE];
-    char host[HOST_SIZE];
+    char address[GATEWAY_CLUSTER_ADDRESS_SIZE];
     char answer[512];
 
-    format_host(cluster, GATEWAY_CLUSTER_GATEWAY, number, host);
-    snprintf(address, sizeof(address), "%s:%d", host, READY_PORT);
+    GatewayCluster_FormatAddress(cluster, GATEWAY_CLUSTER_GATEWAY, number,
+                                 READY_PORT, address);
     for (int i = 0; i < READY_TIMEOUT_MS / 50; i++) {
         if (call_http(address, "GET", "/ready", "", answer, sizeof(answer)) ==
             200) {
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -165,4 +165,17 @@
 /* The status of such an answer; 0: there is none. */
 int GatewayCluster_ReadStatus(const char *answer);
 
+#define GATEWAY_CLUSTER_ADDRESS_SIZE 128
+/* Formats the address of a process's port. */
+void GatewayCluster_FormatAddress(const GatewayCluster *cluster,
+                                  GatewayClusterRole role, int number,
+                                  int port,
+                                  char address[GATEWAY_CLUSTER_ADDRESS_SIZE]);
+/* Reads a page of the administration of a gateway or a keeper, with further
+ * header lines; returns the status, as GatewayCluster_ReadStatus(). */
+int GatewayCluster_ReadPage(const GatewayCluster *cluster,
+                            GatewayClusterRole role, int number,
+                            const char *path, const char *headers, char *page,
+                            size_t page_size);
+
 #endif
--- a/tests/daemons/test_customers.c
+++ b/tests/daemons/test_customers.c
@@ -238,20 +238,11 @@
 check_page(GatewayClusterRole role, const char *path)
 {
     static char page[1024 * 1024];
-    const char *address = GatewayCluster_GetAddress(cluster, role, 0);
-    char **parts = g_strsplit(address, ":", 2);
-    char *admin_address =
-        g_strdup_printf("%s:%d", parts[0], GATEWAY_CLUSTER_ADMIN_PORT);
-    char *request = g_strdup_printf(
-        "GET %s HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", path);
 
-    GatewayCluster_Exchange(admin_address, request, strlen(request), page,
-                            sizeof(page), 3000);
-    g_assert_cmpint(GatewayCluster_ReadStatus(page), ==, 200);
+    g_assert_cmpint(GatewayCluster_ReadPage(cluster, role, 0, path, "", page,
+                                            sizeof(page)),
+                    ==, 200);
     assert_no_key(path, page);
-    g_free(request);
-    g_free(admin_address);
-    g_strfreev(parts);
 }
 
 /* What the store holds of the system's own records. */
--- a/tests/daemons/test_deadly_parts.c
+++ b/tests/daemons/test_deadly_parts.c
@@ -144,18 +144,15 @@
 static char *
 run_kcc(const Fixture *fixture, const char *command, const char *part)
 {
-    char host[64];
+    char address[GATEWAY_CLUSTER_ADDRESS_SIZE];
     char *line;
     char *output = NULL;
     int status = 0;
 
-    KcText_Copy(host,
-                GatewayCluster_GetAddress(fixture->cluster,
-                                          GATEWAY_CLUSTER_GATEWAY, 0),
-                sizeof(host));
-    *strchr(host, ':') = '\0';
-    line = g_strdup_printf("%s/kcc %s %s:%d %s", g_getenv("BUILD"), command,
-                           host, GATEWAY_CLUSTER_ADMIN_PORT, part);
+    GatewayCluster_FormatAddress(fixture->cluster, GATEWAY_CLUSTER_GATEWAY, 0,
+                                 GATEWAY_CLUSTER_ADMIN_PORT, address);
+    line = g_strdup_printf("%s/kcc %s %s %s", g_getenv("BUILD"), command,
+                           address, part);
     g_assert_true(
         g_spawn_command_line_sync(line, &output, NULL, &status, NULL));
     g_assert_cmpint(status, ==, 0);
--- a/tests/daemons/test_explain.c
+++ b/tests/daemons/test_explain.c
@@ -133,15 +133,6 @@
 static uint8_t network_octet;
 static char *directory; /* with the key file */
 
-static char *
-admin_address(GatewayClusterRole role)
-{
-    const char *address = GatewayCluster_GetAddress(cluster, role, 0);
-
-    return g_strdup_printf("%.*s:%d", (int)strcspn(address, ":"), address,
-                           GATEWAY_CLUSTER_ADMIN_PORT);
-}
-
 /* Fails if a key or a digest is in the text. */
 static void
 assert_no_key(const char *source, const char *text)
@@ -163,16 +154,9 @@
 read_page_with(const char *path, const char *headers)
 {
     static char page[1024 * 1024];
-    char *address = admin_address(GATEWAY_CLUSTER_GATEWAY);
-    char *request = g_strdup_printf(
-        "GET %s HTTP/1.1\r\nHost: a\r\n%sConnection: close\r\n\r\n", path,
-        headers);
-
-    page[0] = '\0';
-    GatewayCluster_Exchange(address, request, strlen(request), page,
-                            sizeof(page), 3000);
-    g_free(request);
-    g_free(address);
+
+    GatewayCluster_ReadPage(cluster, GATEWAY_CLUSTER_GATEWAY, 0, path, headers,
+                            page, sizeof(page));
     assert_no_key(path, page);
     return page;
 }
@@ -188,21 +172,24 @@
 explain(const char *arguments, int *status)
 {
     bool is_keeper = g_str_has_prefix(arguments, "KEEPER");
-    char *address = admin_address(is_keeper ? GATEWAY_CLUSTER_LLM_WORKER
-                                            : GATEWAY_CLUSTER_GATEWAY);
-    char *line =
-        g_strdup_printf("%s/kcc explain %s %s 2>&1", g_getenv("BUILD"),
-                        address, arguments + (is_keeper ? 6 : 0));
+    char address[GATEWAY_CLUSTER_ADDRESS_SIZE];
     GString *output = g_string_new("");
-    FILE *command = popen(line, "r");
+    char *line;
+    FILE *command;
     int character;
 
+    GatewayCluster_FormatAddress(
+        cluster, is_keeper ? GATEWAY_CLUSTER_KEEPER : GATEWAY_CLUSTER_GATEWAY,
+        0, GATEWAY_CLUSTER_ADMIN_PORT, address);
+    line = g_strdup_printf("%s/kcc explain %s %s 2>&1", g_getenv("BUILD"),
+                           address, arguments + (is_keeper ? 6 : 0));
+    command = popen(line, "r");
+
     while ((character = fgetc(command)) != EOF) {
         g_string_append_c(output, (char)character);
     }
     *status = WEXITSTATUS(pclose(command));
     g_free(line);
-    g_free(address);
     assert_no_key(arguments, output->str);
     return g_string_free(output, FALSE);
 }
--- a/tests/daemons/test_quotas.c
+++ b/tests/daemons/test_quotas.c
@@ -69,25 +69,18 @@
 static int
 count_group(int gateway)
 {
-    static const char request[] =
-        "GET /debug/state HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
-    const char *address =
-        GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_GATEWAY, gateway);
-    char *admin = g_strdup_printf("%.*s:%d", (int)strcspn(address, ":"),
-                                  address, GATEWAY_CLUSTER_ADMIN_PORT);
     char answer[16384] = "";
     const char *body;
     json_t *state;
     int count = 0;
 
-    GatewayCluster_Exchange(admin, request, strlen(request), answer,
-                            sizeof(answer), 3000);
+    GatewayCluster_ReadPage(cluster, GATEWAY_CLUSTER_GATEWAY, gateway,
+                            "/debug/state", "", answer, sizeof(answer));
     body = strstr(answer, "\r\n\r\n");
     state = body != NULL ? json_loads(body, 0, NULL) : NULL;
     count = (int)json_integer_value(json_object_get(
         json_array_get(json_object_get(state, "customers"), 0), "gateways"));
     json_decref(state);
-    g_free(admin);
     return count;
 }
 
--- a/tests/daemons/test_slow_readers.c
+++ b/tests/daemons/test_slow_readers.c
@@ -68,22 +68,15 @@
 read_metric(const char *name)
 {
     static char page[1024 * 1024];
-    const char *address =
-        GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_GATEWAY, 0);
-    char *admin = g_strdup_printf("%.*s:%d", (int)strcspn(address, ":"),
-                                  address, GATEWAY_CLUSTER_ADMIN_PORT);
     char *line = g_strdup_printf("\n%s ", name);
-    static const char request[] =
-        "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
     const char *found;
     long value;
 
-    GatewayCluster_Exchange(admin, request, strlen(request), page,
-                            sizeof(page), 3000);
+    GatewayCluster_ReadPage(cluster, GATEWAY_CLUSTER_GATEWAY, 0, "/metrics",
+                            "", page, sizeof(page));
     found = strstr(page, line);
     g_assert_nonnull(found);
     value = strtol(found + strlen(line), NULL, 10);
-    g_free(admin);
     g_free(line);
     return value;
 }
--- a/tests/daemons/test_stop_at_start.c
+++ b/tests/daemons/test_stop_at_start.c
@@ -36,21 +36,18 @@
 restart(GatewayClusterRole role, int port)
 {
     gint64 give_up_at = g_get_monotonic_time() + ACCEPT_TIMEOUT;
-    const char *own_address = GatewayCluster_GetAddress(cluster, role, 0);
-    char *address;
+    char address[GATEWAY_CLUSTER_ADDRESS_SIZE];
     int fd = -1;
 
     GatewayCluster_SendSignal(cluster, role, 0, SIGKILL);
     GatewayCluster_WaitForExit(cluster, role, 0);
     GatewayCluster_RestartProcess(cluster, role, 0);
-    address = g_strdup_printf("%.*s:%d", (int)strcspn(own_address, ":"),
-                              own_address, port);
+    GatewayCluster_FormatAddress(cluster, role, 0, port, address);
     while (fd < 0) {
         g_assert_cmpint(g_get_monotonic_time(), <, give_up_at);
         g_usleep(CONNECT_PAUSE_US);
         fd = GatewayCluster_Connect(address);
     }
-    g_free(address);
     return fd;
 }
 
