forward: the tokens that a request states are taken in one place

/explain counted them as the front end does, by a copy of its lines: the sum for quotas without the hint, and the hint in place of the answer's maximum.

--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -195,6 +195,19 @@
 
 /* ---- arrival ------------------------------------------------------------- */
 
+void
+KcForwardCall_SetTokens(KcForwardCall *call, uint64_t prompt_tokens,
+                        uint64_t answer_tokens_max, uint64_t hint_tokens)
+{
+    call->states_tokens = true;
+    call->quota_tokens = prompt_tokens < UINT64_MAX - answer_tokens_max
+                             ? prompt_tokens + answer_tokens_max
+                             : UINT64_MAX;
+    call->prompt_tokens = prompt_tokens;
+    call->answer_tokens_max =
+        hint_tokens < answer_tokens_max ? hint_tokens : answer_tokens_max;
+}
+
 static KcTime
 find_deadline(const KcForwardCall *call, const KcRouteRule *rule, KcTime now)
 {
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -53,6 +53,12 @@
     uint64_t last_event_id;     /* valid with has_last_event */
 } KcForwardCall;
 
+/* Takes the tokens that a request states.  A smaller hint of the answer's
+ * takes the place of their maximum, but limits nothing, and quotas count
+ * without it; UINT64_MAX: there is none. */
+void KcForwardCall_SetTokens(KcForwardCall *call, uint64_t prompt_tokens,
+                             uint64_t answer_tokens_max, uint64_t hint_tokens);
+
 /* ---- Part 2: results for the caller -------------------------------------- */
 
 /* An error of the gateway's own in place of a backend server's answer. */
--- a/programs/process/explain_json.c
+++ b/programs/process/explain_json.c
@@ -103,18 +103,16 @@
     return "a field is not known; a key is no field";
 }
 
-/* Counts tokens as the front end does: quotas without the hint. */
+/* Takes the tokens that the request states, if it states any. */
 static void
 settle_tokens(KcExplainQuestion *question)
 {
     KcForwardCall *call = &question->call;
 
-    call->states_tokens =
-        call->prompt_tokens > 0 || call->answer_tokens_max > 0;
-    call->quota_tokens = call->prompt_tokens + call->answer_tokens_max;
-    if (question->hint_tokens > 0 &&
-        question->hint_tokens < call->answer_tokens_max) {
-        call->answer_tokens_max = question->hint_tokens;
+    if (call->prompt_tokens > 0 || call->answer_tokens_max > 0) {
+        KcForwardCall_SetTokens(
+            call, call->prompt_tokens, call->answer_tokens_max,
+            question->hint_tokens > 0 ? question->hint_tokens : UINT64_MAX);
     }
 }
 
