--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -301,9 +301,8 @@
 
 /* The feed of the configuration decides for how long keys may be accepted. */
 static void
-set_certainty(KcFeedOptions *options, const KcSettings *settings)
+set_certainty(KcFeedOptions *options, KcTime revoke_timeout)
 {
-    KcTime revoke_timeout = (KcTime)(settings->revoke_timeout_ms * KC_MS);
     KcTime retry_delay_max = revoke_timeout * CERTAIN_RETRY_PERCENT / 100;
 
     if (revoke_timeout == 0) {
@@ -387,7 +386,7 @@
             .context = role};
 
         if (i == KC_COLLECTION_ROUTING) {
-            set_certainty(&options, settings);
+            set_certainty(&options, role->revoke_timeout);
         }
         role->feeds[i] = KcFeed_Create(&options);
         KcFeed_Start(role->feeds[i], KcLoop_Now());
