--- a/lib/process/gateway_explain.c
+++ b/lib/process/gateway_explain.c
@@ -5,7 +5,6 @@
  */
 #include <assert.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include "gateway_internal.h"
 
@@ -29,6 +28,16 @@
     return names[foresight];
 }
 
+const char *
+KcHolding_Name(KcHolding holding)
+{
+    static const char *const names[KC_HOLDING_COUNT] = {
+        "none", "absent", "loading", "outdated", "loaded"};
+
+    assert(holding < KC_HOLDING_COUNT);
+    return names[holding];
+}
+
 static void
 refuse(KcExplanation *explanation, int code, const char *step,
        KcTime retry_after)
@@ -139,14 +148,15 @@
 
     candidate->version = replica != NULL ? replica->version : 0;
     if (replica == NULL) {
-        candidate->adapter = "absent";
+        candidate->holding = KC_HOLDING_ABSENT;
     }
     else if (replica->loading) {
-        candidate->adapter = "loading";
+        candidate->holding = KC_HOLDING_LOADING;
     }
     else {
-        candidate->adapter =
-            KcReplica_IsUsable(replica, now) ? "loaded" : "outdated";
+        candidate->holding = KcReplica_IsUsable(replica, now)
+                                 ? KC_HOLDING_LOADED
+                                 : KC_HOLDING_OUTDATED;
     }
     if (forward->adapter->name[0] != '\0') {
         candidate->no_load =
@@ -181,12 +191,11 @@
     if (server == explanation->new_replica_server) {
         return "gets a further replica";
     }
-    if (candidate->adapter != NULL &&
-        strcmp(candidate->adapter, "loading") == 0) {
+    if (candidate->holding == KC_HOLDING_LOADING) {
         return "not loaded there yet";
     }
-    if (candidate->adapter != NULL &&
-        strcmp(candidate->adapter, "loaded") != 0) {
+    if (candidate->holding == KC_HOLDING_ABSENT ||
+        candidate->holding == KC_HOLDING_OUTDATED) {
         return candidate->no_load != NULL ? candidate->no_load
                                           : "not loaded there";
     }
--- a/lib/process/kcc_explain.h
+++ b/lib/process/kcc_explain.h
@@ -20,13 +20,25 @@
 /* Returns "refuse", "send", "load", "await_load" or "queue". */
 const char *KcForesight_Name(KcForesight foresight);
 
+/* What a server has of the request's adapter. */
+typedef enum KcHolding {
+    KC_HOLDING_NONE = 0, /* the request needs no adapter */
+    KC_HOLDING_ABSENT,
+    KC_HOLDING_LOADING,
+    KC_HOLDING_OUTDATED, /* a version that must not be used any more */
+    KC_HOLDING_LOADED,
+    KC_HOLDING_COUNT
+} KcHolding;
+
+/* Returns "none", "absent", "loading", "outdated" or "loaded". */
+const char *KcHolding_Name(KcHolding holding);
+
 /* A server of the request's service. */
 typedef struct KcCandidate {
     TAILQ_ENTRY(KcCandidate) link; /* KcExplanation.candidates */
     const KcServer *server;
-    const char *reason;  /* why it is chosen, or not; static text */
-    const char *adapter; /* "loaded", "loading", "outdated" or "absent"; NULL
-                          * without a model */
+    const char *reason; /* why it is chosen, or not; static text */
+    KcHolding holding;
     uint32_t version;    /* of the adapter there; 0: none */
     const char *no_load; /* why the adapter is not loaded there, static text;
                           * NULL: it may be, or there is none to load */
--- a/programs/process/explain_json.c
+++ b/programs/process/explain_json.c
@@ -186,8 +186,9 @@
         encode_time(candidate->load_age), "closed_ms",
         encode_time(candidate->closed_for));
 
-    if (candidate->adapter != NULL) {
-        json_object_set_new(json, "adapter", json_string(candidate->adapter));
+    if (candidate->holding != KC_HOLDING_NONE) {
+        json_object_set_new(json, "adapter",
+                            json_string(KcHolding_Name(candidate->holding)));
         json_object_set_new(json, "version",
                             json_integer((json_int_t)candidate->version));
         json_object_set_new(json, "no_load",
--- a/tests/process/gateway_steps_explain.c
+++ b/tests/process/gateway_steps_explain.c
@@ -73,8 +73,9 @@
 
     g_string_append_printf(trace, " | %s %s", candidate->server->id,
                            candidate->reason);
-    if (candidate->adapter != NULL) {
-        g_string_append_printf(trace, ", %s", candidate->adapter);
+    if (candidate->holding != KC_HOLDING_NONE) {
+        g_string_append_printf(trace, ", %s",
+                               KcHolding_Name(candidate->holding));
         if (candidate->version != 0) {
             g_string_append_printf(trace, "@%u", candidate->version);
         }
