--- a/tests/process/test_quota.c
+++ b/tests/process/test_quota.c
@@ -1,6 +1,6 @@
 /*
- * Tests of quotas: the bucket of one gateway by steps, two gateways and a hub,
- * costs, messages that are wrong.
+ * Tests of quotas: the bucket of one gateway by steps, costs, the choice of
+ * the hub, messages that are wrong.
  */
 #include <glib.h>
 #include <stdio.h>
@@ -10,6 +10,8 @@
 #include <kcc.h>
 
 #include "../foresight.h"
+#include "../steps.h"
+
 #define STEPS_MAX 10
 #define HUB 7
 #define HUB_INCARNATION 70
@@ -451,122 +453,6 @@
     }
 }
 
-/* ---- the hub -------------------------------------------------------------- */
-
-/* Reports to a hub, and what the answer says of one customer. */
-static const struct {
-    const char *name;
-    struct {
-        int at_ms;
-        const char *gateway; /* NULL: the end */
-        uint64_t incarnation;
-        uint32_t joined; /* 0: none yet; else that of the gateway's number */
-        int64_t used;
-        double asked;
-        bool leaves;
-        uint32_t group_size; /* of the answer */
-        int64_t others_used;
-        double all_asked;
-    } reports[8];
-} hub_cases[] = {
-    {"sums of two gateways",
-     {{0, "a", 1, 0, 0, 5, false, 1, 0, 5},
-      {10, "b", 1, 0, 0, 6, false, 2, 0, 11},
-      {20, "a", 1, 1, 100, 7, false, 2, 0, 13},
-      {30, "b", 1, 2, 50, 6, false, 2, 100, 13},
-      {40, "a", 1, 1, 100, 7, false, 2, 50, 13}}},
-    {"a report that comes twice counts once",
-     {{0, "a", 1, 0, 0, 0, false, 1, 0, 0},
-      {0, "b", 1, 0, 0, 0, false, 2, 0, 0},
-      {10, "a", 1, 1, 100, 0, false, 2, 0, 0},
-      {20, "a", 1, 1, 100, 0, false, 2, 0, 0},
-      {30, "b", 1, 2, 0, 0, false, 2, 100, 0}}},
-    {"counts of a gateway that begins anew are its new ones",
-     {{0, "a", 1, 0, 0, 0, false, 1, 0, 0},
-      {0, "b", 1, 0, 0, 0, false, 2, 0, 0},
-      {10, "a", 2, 0, 7000, 0, false, 2, 0, 0},
-      {20, "a", 2, 3, 10, 0, false, 2, 0, 0},
-      {30, "b", 1, 2, 0, 0, false, 2, 10, 0}}},
-    {"use that is given back",
-     {{0, "a", 1, 0, 0, 0, false, 1, 0, 0},
-      {0, "b", 1, 0, 0, 0, false, 2, 0, 0},
-      {10, "a", 1, 1, 100, 0, false, 2, 0, 0},
-      {20, "a", 1, 1, 40, 0, false, 2, 0, 0},
-      {30, "b", 1, 2, 0, 0, false, 2, 40, 0}}},
-    {"a silent gateway is taken to have used on until its lease ends",
-     {{0, "a", 1, 0, 0, 100, false, 1, 0, 100},
-      {0, "b", 1, 0, 0, 0, false, 2, 0, 100},
-      {500, "a", 1, 1, 100, 100, false, 2, 0, 100},
-      {1499, "b", 1, 2, 0, 0, false, 2, 100, 100},
-      {1500, "b", 1, 2, 0, 0, false, 1, 200, 0}}},
-    {"one that leaves is not",
-     {{0, "a", 1, 0, 0, 100, false, 1, 0, 100},
-      {0, "b", 1, 0, 0, 0, false, 2, 0, 100},
-      {500, "a", 1, 1, 100, 100, false, 2, 0, 100},
-      {600, "a", 1, 1, 100, 0, true, 0, 0, 0},
-      {700, "b", 1, 2, 0, 0, false, 1, 100, 0}}},
-};
-
-static void
-check_answer(const KcMsg *answer, uint32_t group_size, int64_t used,
-             double asked)
-{
-    const KcMsgTotals *totals = &answer->u.totals;
-    KcQuotaRow row = {0};
-
-    g_assert_cmpint(answer->type, ==, KC_MSG_TOTALS);
-    g_assert_cmpuint(totals->group_size, ==, group_size);
-    g_assert_cmpuint(totals->gateway_count, ==, 9);
-    if (KcQuotaRow_Count(totals->rows) > 0) {
-        KcQuotaRow_Read(totals->rows, 0, &row);
-    }
-    g_assert_cmpint(row.used, ==, used);
-    g_assert_cmpfloat(row.asked_rate, ==, asked);
-}
-
-static void
-test_hub(void)
-{
-    for (size_t i = 0; i < G_N_ELEMENTS(hub_cases); i++) {
-        KcQuotaHub *hub = KcQuotaHub_Create();
-
-        g_test_message("%s", hub_cases[i].name);
-        for (int j = 0; hub_cases[i].reports[j].gateway != NULL; j++) {
-            KcQuotaRow row = {.customer = 5,
-                              .used = hub_cases[i].reports[j].used,
-                              .asked_rate = hub_cases[i].reports[j].asked};
-            KcBuffer rows = {0};
-            KcMsg msg = {.type = KC_MSG_USAGE};
-            KcMsg answer;
-
-            KcQuotaRow_Append(&row, &rows);
-            msg.u.usage = (KcMsgUsage){
-                .sequence = 1,
-                .joined = hub_cases[i].reports[j].joined,
-                .gateway_count = 9,
-                .lease_ms = 1000,
-                .is_leaving = hub_cases[i].reports[j].leaves,
-                .rows = {KcBuffer_Data(&rows), KcBuffer_Size(&rows)}};
-            g_assert_cmpint(
-                KcQuotaHub_OnReport(
-                    hub, hub_cases[i].reports[j].gateway,
-                    hub_cases[i].reports[j].incarnation, &msg, &answer,
-                    KC_SECOND + hub_cases[i].reports[j].at_ms * KC_MS),
-                ==, 0);
-            if (hub_cases[i].reports[j].leaves) {
-                g_assert_cmpint(answer.type, ==, KC_MSG_COUNT);
-            }
-            else {
-                check_answer(&answer, hub_cases[i].reports[j].group_size,
-                             hub_cases[i].reports[j].others_used,
-                             hub_cases[i].reports[j].all_asked);
-            }
-            KcBuffer_Clear(&rows);
-        }
-        KcQuotaHub_Free(hub);
-    }
-}
-
 /* ---- choice of the hub ---------------------------------------------------- */
 
 /* The hub of each report, one a second of which none is answered; '-': none.
@@ -678,14 +564,9 @@
 main(int argc, char **argv)
 {
     g_test_init(&argc, &argv, NULL);
-    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
-        char *path = g_strdup_printf("/quota/%s", cases[i].name);
-
-        g_test_add_data_func(path, GSIZE_TO_POINTER(i), test_case);
-        g_free(path);
-    }
+    Steps_AddCases("/quota", cases, G_N_ELEMENTS(cases), sizeof(cases[0]),
+                   test_case);
     g_test_add_func("/quota/costs", test_costs);
-    g_test_add_func("/quota/hub", test_hub);
     g_test_add_func("/quota/choice", test_choice);
     g_test_add_func("/quota/random messages", test_random_messages);
     return g_test_run();
