--- a/tests/process/test_gateway_explain.c
+++ b/tests/process/test_gateway_explain.c
@@ -1,7 +1,7 @@
 /*
  * Tests of a gateway: what it says of a request that is not sent.  That it
  * comes true is checked with each request of the other cases, see
- * GatewaySteps_Run().
+ * GatewaySteps_Main().
  */
 #include <glib.h>
 
