--- /dev/null
+++ b/review/common-2/worker.c
@@ -0,0 +1,255 @@
+/*
+ * A worker of the platform: a plain one whose answers end with their
+ * connection, or one with adapters that takes orders.
+ */
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "lab.h"
+#include "net.h"
+
+#define BEAT_MS 1200
+#define ADAPTERS_MAX 16
+#define HALF_BYTES 400
+/* Pause in the middle of an answer. */
+#define ANSWER_PAUSE_MS 300
+
+static const char *id;
+static const char *service;
+static const char *record_address;
+static const char *store_address;
+static bool has_model;
+static int64_t born;
+static int64_t sequence;
+static char adapters[ADAPTERS_MAX][64];
+static int adapter_count;
+static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
+
+void Lab_Join(void);
+
+static json_t *
+list_models(void)
+{
+    json_t *names = json_array();
+
+    if (!has_model) {
+        json_decref(names);
+        return json_array();
+    }
+    for (int i = 0; i < adapter_count; i++) {
+        json_array_append_new(names, json_sprintf("%s@1", adapters[i]));
+    }
+    return json_pack("[{s:s, s:i, s:o}]", "name", "m", "version", 1,
+                     "adapters", names);
+}
+
+static void
+write_entry(void)
+{
+    char path[128];
+    json_t *object = json_pack(
+        "{s:{s:s}, s:{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:o, s:I, s:I}}",
+        "meta", "name", id, "spec", "service", service, "address",
+        record_address, "zone", "zone-a", "version", "v1", "slots", 8, "state",
+        "ready", "cold_left_ms", 0, "models", list_models(), "sequence",
+        (json_int_t)sequence, "born", (json_int_t)born);
+    char *text = json_dumps(object, JSON_COMPACT);
+
+    snprintf(path, sizeof(path), "/objects/servers/%s", id);
+    if (Net_Call(store_address, "PUT", path, text) == 404) {
+        Net_Call(store_address, "POST", "/objects/servers", text);
+    }
+    free(text);
+    json_decref(object);
+}
+
+/* ---- orders -------------------------------------------------------------- */
+
+static int
+carry_out(const json_t *order)
+{
+    const char *operation =
+        json_string_value(json_object_get(order, "op_code"));
+    const char *adapter = json_string_value(json_object_get(order, "adapter"));
+    const json_t *expected = json_object_get(order, "expect");
+
+    if (operation == NULL || strcmp(operation, "load") != 0) {
+        return 400;
+    }
+    if (json_is_integer(expected) &&
+        json_integer_value(expected) != sequence) {
+        return 409;
+    }
+    sequence++;
+    if (adapter == NULL) {
+        has_model = true;
+    }
+    else if (adapter_count < ADAPTERS_MAX) {
+        snprintf(adapters[adapter_count++], sizeof(adapters[0]), "%s",
+                 adapter);
+    }
+    return 202;
+}
+
+static void
+take_order(int fd, const NetRequest *request)
+{
+    json_t *order = json_loads(request->body, 0, NULL);
+    const char *adapter = json_string_value(json_object_get(order, "adapter"));
+    const char *holder = json_string_value(json_object_get(order, "holder"));
+    long long fence =
+        (long long)json_integer_value(json_object_get(order, "fence_token"));
+    int status;
+
+    pthread_mutex_lock(&mutex);
+    status = carry_out(order);
+    Lab_Record("order at %s adapter=%s holder=%s fence=%lld status=%d", id,
+               adapter != NULL ? adapter : "-", holder != NULL ? holder : "-",
+               fence, status);
+    pthread_mutex_unlock(&mutex);
+    json_decref(order);
+    Net_Reply(fd, status, "", "{}");
+    write_entry();
+}
+
+static void
+send_report(int fd)
+{
+    char *text;
+    json_t *json;
+
+    pthread_mutex_lock(&mutex);
+    json = json_pack("{s:s, s:o, s:[], s:b, s:I, s:I, s:s}", "stage", "both",
+                     "models", list_models(), "coming", "busy", 0, "sequence",
+                     (json_int_t)sequence, "born", (json_int_t)born, "state",
+                     "ready");
+    pthread_mutex_unlock(&mutex);
+    text = json_dumps(json, JSON_COMPACT);
+    Net_Reply(fd, 200, "Content-Type: application/json\r\n", text);
+    free(text);
+    json_decref(json);
+}
+
+/* ---- requests ------------------------------------------------------------ */
+
+/* Sends an answer without a length, in two halves. */
+static void
+answer_unframed(int fd, const char *attempt_id)
+{
+    char text[512 + HALF_BYTES];
+    char half[HALF_BYTES + 1];
+    int size;
+
+    memset(half, 'a', HALF_BYTES);
+    half[HALF_BYTES] = '\0';
+    size = snprintf(text, sizeof(text),
+                    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+                    "Server-Seal: seal.%s.%s\r\n\r\n%s",
+                    attempt_id, id, attempt_id, half);
+    Net_SendAll(fd, text, (size_t)size);
+    Lab_Record("worker %s has sent %d of %d body bytes of %s", id, HALF_BYTES,
+               2 * HALF_BYTES, attempt_id);
+    Lab_Sleep(ANSWER_PAUSE_MS);
+    memset(half, 'b', HALF_BYTES);
+    Net_SendAll(fd, half, HALF_BYTES);
+    Lab_Record("worker %s has sent all body bytes of %s", id, attempt_id);
+}
+
+static bool
+holds_adapter(const char *model)
+{
+    const char *slash = strchr(model, '/');
+    bool is_held = false;
+
+    pthread_mutex_lock(&mutex);
+    for (int i = 0; slash != NULL && i < adapter_count; i++) {
+        is_held = is_held || strcmp(adapters[i], slash + 1) == 0;
+    }
+    pthread_mutex_unlock(&mutex);
+    return is_held;
+}
+
+/* Returns whether the connection goes on. */
+static bool
+take_request(int fd, const NetRequest *request)
+{
+    char attempt_id[64] = "";
+    char instance[64] = "";
+    char model[64] = "";
+    char lines[256];
+
+    Net_FindHeader(request->head, "Attempt-Id", attempt_id, 64);
+    Net_FindHeader(request->head, "Expect-Instance", instance, 64);
+    Net_FindHeader(request->head, "Model", model, 64);
+    if ((instance[0] != '\0' && strcmp(instance, id) != 0) ||
+        (model[0] != '\0' && !holds_adapter(model))) {
+        Lab_Record("worker %s rejects %s", id, attempt_id);
+        snprintf(lines, sizeof(lines), "Attempt-Id: %s\r\nNot-Executed: 1\r\n",
+                 attempt_id);
+        return Net_Reply(fd, 421, lines, "");
+    }
+    Lab_Record("worker %s runs %s", id, attempt_id);
+    if (model[0] == '\0') {
+        answer_unframed(fd, attempt_id);
+        return false;
+    }
+    snprintf(lines, sizeof(lines),
+             "Attempt-Id: %s\r\nServer-Seal: seal.%s.%s\r\n"
+             "Content-Type: text/event-stream\r\n",
+             attempt_id, id, attempt_id);
+    return Net_Reply(fd, 200, lines, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
+}
+
+static void
+serve(int fd)
+{
+    NetRequest *request = malloc(sizeof(*request));
+    char line[128];
+    bool goes_on = true;
+
+    snprintf(line, sizeof(line), "Instance-Id: %s\r\n", id);
+    while (goes_on && Net_ReadRequest(fd, request)) {
+        if (strcmp(request->path, "/report") == 0) {
+            send_report(fd);
+        }
+        else if (strcmp(request->path, "/order") == 0) {
+            take_order(fd, request);
+        }
+        else if (strcmp(request->path, "/health") == 0) {
+            Lab_Record("worker %s is asked for its health", id);
+            Net_Reply(fd, 200, line, "");
+        }
+        else {
+            goes_on = take_request(fd, request);
+        }
+    }
+    free(request);
+    close(fd);
+}
+
+int
+Worker_Main(int argc, char **argv)
+{
+    struct timespec now;
+
+    if (argc < 8) {
+        return 2;
+    }
+    Lab_Join();
+    clock_gettime(CLOCK_REALTIME, &now);
+    born = (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+    id = argv[2];
+    service = argv[3];
+    record_address = argv[5];
+    store_address = argv[6];
+    has_model = argv[7][0] == '1';
+    Net_Serve(argv[4], serve);
+    for (;;) {
+        write_entry();
+        Lab_Sleep(BEAT_MS);
+    }
+}
