--- a/review/common-2/worker.c
+++ b/review/common-2/worker.c
@@ -177,13 +177,15 @@
             Net_SendAll(fd, body, 2 * HALF_BYTES));
 }
 
+/* Is the model loaded, or its adapter? */
 static bool
-holds_adapter(const char *model)
+holds_model(const char *model)
 {
     const char *slash = strchr(model, '/');
     bool is_held = false;
 
     pthread_mutex_lock(&mutex);
+    is_held = slash == NULL && has_model;
     for (int i = 0; slash != NULL && i < adapter_count; i++) {
         is_held = is_held || strcmp(adapters[i], slash + 1) == 0;
     }
@@ -204,7 +206,7 @@
     Net_FindHeader(request->head, "Expect-Instance", instance, 64);
     Net_FindHeader(request->head, "Model", model, 64);
     if ((instance[0] != '\0' && strcmp(instance, id) != 0) ||
-        (model[0] != '\0' && !holds_adapter(model))) {
+        (model[0] != '\0' && !holds_model(model))) {
         Lab_Record("worker %s rejects %s", id, attempt_id);
         snprintf(lines, sizeof(lines), "Attempt-Id: %s\r\nNot-Executed: 1\r\n",
                  attempt_id);
@@ -218,6 +220,9 @@
         answer_unframed(fd, attempt_id);
         return false;
     }
+    if (strchr(model, '/') == NULL) {
+        Lab_Sleep(ANSWER_PAUSE_MS);
+    }
     snprintf(lines, sizeof(lines),
              "Attempt-Id: %s\r\nServer-Seal: seal.%s.%s\r\n"
              "Content-Type: text/event-stream\r\n",
