--- a/review/common-2/lab.h
+++ b/review/common-2/lab.h
@@ -16,6 +16,8 @@
 
 #define LAB_ADDRESS_SIZE 32
 #define LAB_TEXT_SIZE 512
+/* Interval at which workers write their entries. */
+#define LAB_BEAT_MS 1200
 
 /* ---- general ------------------------------------------------------------- */
 
--- a/review/common-2/worker.c
+++ b/review/common-2/worker.c
@@ -12,7 +12,6 @@
 #include "lab.h"
 #include "net.h"
 
-#define BEAT_MS 1200
 #define ADAPTERS_MAX 16
 #define HALF_BYTES 400
 /* Pause in the middle of an answer. */
@@ -276,6 +275,6 @@
     Net_Serve(argv[4], serve);
     for (;;) {
         write_entry();
-        Lab_Sleep(BEAT_MS);
+        Lab_Sleep(LAB_BEAT_MS);
     }
 }
