--- a/review/10/case.c
+++ b/review/10/case.c
@@ -19,7 +19,7 @@
 #define REQUEST_INTERVAL_MS 500
 /* In touch from stable_window_ms after the store's return; some more. */
 #define SETTLING_MS 8000
-#define AWAY_MS 500
+#define AWAY_MS 150
 #define FIRST_PATH "/status/1"
 #define LATER_PATH "/status/archive/1"
 
@@ -135,6 +135,7 @@
     Lab_Sleep(3000);
 
     Store_Copy();
+    write_config(4, false);
     write_config(5, true);
     started_at = Lab_Now();
     start_workers(later_workers, "archive");
--- a/review/common-2/worker.c
+++ b/review/common-2/worker.c
@@ -199,6 +199,8 @@
     char attempt_id[64] = "";
     char instance[64] = "";
     char model[64] = "";
+    char tenant[64];
+    char key[64];
     char lines[256];
 
     Net_FindHeader(request->head, "Attempt-Id", attempt_id, 64);
@@ -212,6 +214,12 @@
         return Net_Reply(fd, 421, lines, "");
     }
     Lab_Record("worker %s runs %s", id, attempt_id);
+    if (Net_FindHeader(request->head, "Tenant-Name", tenant, 64)) {
+        Lab_Record("worker %s got %s of tenant %s", id, attempt_id, tenant);
+    }
+    if (Net_FindHeader(request->head, "Credential", key, 64)) {
+        Lab_Record("worker %s got %s with key %s", id, attempt_id, key);
+    }
     if (strncmp(request->path, "/status/", strlen("/status/")) == 0) {
         return answer_lookup(fd, request, attempt_id);
     }
