--- a/review/9/case.c
+++ b/review/9/case.c
@@ -1,41 +1,55 @@
 /*
- * Case 9: while the workers of a service are down, a lookup by HEAD on a kept
- * connection is refused with a body, which the client reads as the beginning
- * of its next answer.
+ * Case 9: an order to load is left unanswered and carried out 8 s later. Its
+ * worker has crashed meanwhile and is back under its id; it is full again, and
+ * at the same number of orders. It is ordered to load one more, and crashes.
  */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include "../common-2/lab.h"
 #include "../common-2/net.h"
 
-#define ROUNDS 5
-#define WORKERS 3
-#define ANSWER_TIMEOUT_S 3
+/* Places for adapters, as on the sheet; one is free as the worker starts. */
+#define PLACES 15
+/* The number of orders after which a worker that restarted empty is full: one
+ * for the model, one for each adapter. */
+#define FULL_SEQUENCE (PLACES + 1)
+/* An order may be carried out 2 to 12 s late. */
+#define LATE_MS 8000
+#define STREAMS 3
+#define TRIES_MAX 20
 
 static char store_address[LAB_ADDRESS_SIZE];
 static char callers_address[LAB_ADDRESS_SIZE];
+static int keeper_port;
 static LabProcess gateway;
-static LabWorker workers[WORKERS];
+static LabProcess keeper;
+static LabWorker worker = {.id = "w-1",
+                           .service = "llm",
+                           .has_model = true,
+                           .adapter_count = PLACES - 1};
+static int request_count;
 
 static void
 write_config(void)
 {
     Store_Write(
         "config", "main",
-        json_pack("{s:i, s:[{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i}], "
-                  "s:[{s:s, s:s, s:i}], s:{s:i, s:i, s:i, s:i}}",
-                  "version", 3, "routes", "name", "status", "host",
-                  "shop.example", "path_prefix", "/status/", "kind", "safe",
-                  "timeout_ms", 2000, "goal_ms", 200, "priority", 2, "service",
-                  "desk", "max_attempts", 2, "services", "name", "desk",
-                  "health_path", "/health", "conn_limit", 110, "limits",
-                  "max_header_bytes", 16384, "max_body_bytes", 1048576,
-                  "header_timeout_ms", 10000, "idle_timeout_ms", 60000));
+        json_pack(
+            "{s:i, s:[{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:i, s:s, s:i}], "
+            "s:[{s:s, s:s, s:i, s:{s:i, s:i, s:i, s:i, s:[{s:s, s:i, s:i}]}}],"
+            " s:{s:i, s:i, s:i, s:i}}",
+            "version", 3, "routes", "name", "memo", "host", "shop.example",
+            "path_prefix", "/memo/", "kind", "streaming", "timeout_ms", 6000,
+            "goal_ms", 800, "gap_goal_ms", 400, "priority", 0, "service",
+            "llm", "max_attempts", 1, "services", "name", "llm", "health_path",
+            "/health", "conn_limit", 240, "engine", "slots", 32, "kv_capacity",
+            215273, "adapter_slots", 15, "mb", 75000, "models", "name", "m",
+            "mb", 72700, "adapter_mb", 40, "limits", "max_header_bytes", 16384,
+            "max_body_bytes", 1048576, "header_timeout_ms", 10000,
+            "idle_timeout_ms", 60000));
 }
 
 /* Settings by deploy/entry.ini. */
@@ -56,108 +70,145 @@
              "objects = %s\nwatch_ms = 2500\nleave_ms = 3000\n"
              "config_ms = 3000\nversion_ms = 5000\n[limits]\n"
              "descriptors_max = 4100\n[retry]\nshare = 0.2\nburst = 56\n"
-             "[keeper]\nport = 7380\n[regions]\nzone-a = region-a\n",
-             callers_address, ready, admin, store_address);
+             "[keeper]\nport = %d\n[regions]\nzone-a = region-a\n",
+             callers_address, ready, admin, store_address, keeper_port);
     Lab_StartDaemon(&gateway, "gateway", text);
 }
 
+/* Settings by deploy/agent.ini. */
 static void
-start_workers(void)
+start_side(void)
 {
-    for (int i = 0; i < WORKERS; i++) {
-        Worker_Start(&workers[i], store_address);
-    }
+    char admin[LAB_ADDRESS_SIZE];
+    char text[1024];
+
+    Lab_TakeAddress("127.0.9.1", worker.address);
+    memcpy(worker.record_address, worker.address, LAB_ADDRESS_SIZE);
+    worker.late_expect = Lab_HasTrouble() ? FULL_SEQUENCE : 0;
+    Worker_Start(&worker, store_address);
+    Lab_TakeAddress("127.0.9.1", admin);
+    snprintf(text, sizeof(text),
+             "[process]\nrole = keeper\nname = side-a-1\ndatacentre = zone-a\n"
+             "grace_s = 8\n[listen]\nlinks = 127.0.9.1:%d\nadmin = %s\n"
+             "[platform]\nobjects = %s\nwatch_ms = 2500\n[backend]\n"
+             "address = %s\nservice = llm\n",
+             keeper_port, admin, store_address, worker.address);
+    Lab_StartDaemon(&keeper, "side-a-1", text);
 }
 
-/* ---- a client on one connection ------------------------------------------ */
+/* The worker is killed, and starts again under its id, with nothing. */
+static void
+restart_worker(void)
+{
+    Lab_Stop(&worker.process, SIGKILL);
+    Lab_Sleep(500);
+    worker.has_model = false;
+    worker.adapter_count = 0;
+    worker.late_expect = 0;
+    Worker_Start(&worker, store_address);
+}
 
-/* Reads to the end of a head, and the body that its length tells unless the
- * request was HEAD. Returns the status, 0 for what is no answer. */
-static int
-read_answer(int fd, bool is_head_request, const char *attempt_id)
+/* Asks for an adapter until it is served; clients come back after refusals. */
+static void
+use_adapter(const char *adapter)
 {
-    char head[4096] = "";
-    char value[32] = "0";
-    char id[64] = "";
-    size_t size = 0;
-    size_t length;
-    char byte;
-
-    while (size + 1 < sizeof(head) && recv(fd, &byte, 1, 0) == 1) {
-        head[size++] = byte;
-        head[size] = '\0';
-        if (size >= 4 && strcmp(head + size - 4, "\r\n\r\n") == 0) {
-            break;
+    for (int i = 0; i < TRIES_MAX; i++) {
+        char attempt_id[32];
+        char lines[128];
+        LabAnswer answer;
+
+        snprintf(attempt_id, sizeof(attempt_id), "attempt-%d",
+                 ++request_count);
+        snprintf(lines, sizeof(lines),
+                 "Deadline-Ms: 6000\r\nModel: m/%s\r\nToken-Count: 491,70\r\n"
+                 "Content-Length: 0\r\n",
+                 adapter);
+        Client_Call(callers_address, "POST", "/memo/1", attempt_id, lines,
+                    &answer);
+        if (answer.status == 200) {
+            return;
         }
+        Lab_Sleep(200);
     }
-    if (strncmp(head, "HTTP/1.1 ", 9) != 0) {
-        Lab_Record("client gets for %s bytes that are no answer: %.60s",
-                   attempt_id, head);
-        return 0;
-    }
-    Net_FindHeader(head, "Content-Length", value, sizeof(value));
-    Net_FindHeader(head, "Attempt-Id", id, sizeof(id));
-    Lab_Record("client gets for %s status=%d Content-Length=%s Attempt-Id=%s",
-               attempt_id, atoi(head + 9), value, id);
-    length = is_head_request ? 0 : strtoul(value, NULL, 10);
-    while (length > 0 && recv(fd, &byte, 1, 0) == 1) {
-        length--;
+    Lab_GiveUp("an adapter is not served");
+}
+
+static void
+use_adapters(const char *prefix, int count)
+{
+    for (int i = 1; i <= count; i++) {
+        char name[32];
+
+        snprintf(name, sizeof(name), "%s%d", prefix, i);
+        use_adapter(name);
     }
-    return length == 0 ? atoi(head + 9) : 0;
 }
 
-/* Returns the status of the answer. */
-static int
-call(int fd, const char *method, const char *attempt_id)
+/* ---- streams that last for some seconds ---------------------------------- */
+
+typedef struct Stream {
+    char attempt_id[32];
+    LabAnswer answer;
+} Stream;
+
+static void *
+run_stream(void *context)
 {
-    char text[256];
-    int size = snprintf(text, sizeof(text),
-                        "%s /status/1 HTTP/1.1\r\nHost: shop.example\r\n"
-                        "Attempt-Id: %s\r\nDeadline-Ms: 2000\r\n\r\n",
-                        method, attempt_id);
-
-    Lab_Record("client sends %s /status/1 %s", method, attempt_id);
-    Net_SendAll(fd, text, (size_t)size);
-    return read_answer(fd, strcmp(method, "HEAD") == 0, attempt_id);
+    Stream *stream = context;
+
+    Client_Call(callers_address, "POST", "/memo/slow", stream->attempt_id,
+                "Deadline-Ms: 6000\r\nModel: m/c1\r\nToken-Count: 491,70\r\n"
+                "Content-Length: 0\r\n",
+                &stream->answer);
+    return NULL;
 }
 
-/* Returns whether the client got bytes that are no answer. */
-static bool
-play_round(int number)
+/* ---- the late order ------------------------------------------------------ */
+
+static void
+carry_out_late_order(void)
 {
-    struct timeval timeout = {.tv_sec = ANSWER_TIMEOUT_S};
-    int fd = Net_Connect(callers_address);
-    char attempt_id[32];
-    int first_status;
-    int status;
+    char text[1024] = "";
+    char lines[128];
+    FILE *file = fopen(Lab_LateOrderPath(), "r");
 
-    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
-    if (Lab_HasTrouble()) {
-        for (int i = 0; i < WORKERS; i++) {
-            Lab_Stop(&workers[i].process, SIGKILL);
-        }
+    if (file == NULL) {
+        Lab_GiveUp("no order was left unanswered");
     }
-    Lab_Sleep(200);
-    snprintf(attempt_id, sizeof(attempt_id), "lookup-%d", number);
-    first_status = call(fd, "HEAD", attempt_id);
-    if (Lab_HasTrouble()) {
-        start_workers();
-        Lab_Sleep(4000);
+    if (fgets(text, sizeof(text), file) == NULL) {
+        text[0] = '\0';
+    }
+    fclose(file);
+    Lab_Record("the unanswered order arrives: %s", text);
+    snprintf(lines, sizeof(lines), "Expect-Instance: %s\r\n", worker.id);
+    Net_Call(worker.address, "POST", "/order", lines, text);
+}
+
+/* Counts the lines of the record with a text. */
+static int
+count_lines(const char *text)
+{
+    char line[1024];
+    int count = 0;
+    FILE *file = fopen(getenv("LAB_RECORD"), "r");
+
+    while (file != NULL && fgets(line, sizeof(line), file) != NULL) {
+        count += strstr(line, text) != NULL;
     }
-    snprintf(attempt_id, sizeof(attempt_id), "read-%d", number);
-    status = call(fd, "GET", attempt_id);
-    close(fd);
-    Lab_Record("round %d: %s", number, status == 0 ? "BROKEN" : "held");
-    if (first_status == 0 || (!Lab_HasTrouble() && status != 200)) {
-        Lab_GiveUp("no answer to the first request, or none without trouble");
+    if (file != NULL) {
+        fclose(file);
     }
-    return status == 0;
+    return count;
 }
 
 int
 main(int argc, char **argv)
 {
-    int broken_count = 0;
+    static Stream streams[STREAMS];
+    char address[LAB_ADDRESS_SIZE];
+    int64_t late_at;
+    int cut_count = 0;
+    int crash_count;
 
     if (argc > 1 && strcmp(argv[1], "worker") == 0) {
         return Worker_Main(argc, argv);
@@ -165,21 +216,42 @@
     Lab_Begin(argc > 1 ? argv[1] : "record.txt");
     Store_Start(store_address);
     write_config();
-    for (int i = 0; i < WORKERS; i++) {
-        snprintf(workers[i].id, sizeof(workers[i].id), "w-%d", i + 1);
-        snprintf(workers[i].service, sizeof(workers[i].service), "desk");
-        Lab_TakeAddress("127.0.0.1", workers[i].address);
-        memcpy(workers[i].record_address, workers[i].address,
-               LAB_ADDRESS_SIZE);
-    }
-    start_workers();
-    Lab_Sleep(300);
+    Lab_TakeAddress("127.0.9.1", address);
+    keeper_port = atoi(strchr(address, ':') + 1);
+    start_side();
     start_gateway();
-    Lab_Sleep(3000);
-    for (int i = 1; i <= ROUNDS; i++) {
-        broken_count += play_round(i) ? 1 : 0;
+    Lab_Sleep(5000);
+    /* One load, then an eviction and a load for each: up to FULL_SEQUENCE. */
+    use_adapters("b", FULL_SEQUENCE / 2 + 1);
+    late_at = Lab_Now() + LATE_MS;
+    if (Lab_HasTrouble()) {
+        restart_worker();
+        Lab_Sleep(1500);
+        use_adapters("c", PLACES);
+    }
+    else {
+        use_adapter("c1");
+    }
+    Lab_Sleep(late_at - 1500 - Lab_Now());
+    for (int i = 0; i < STREAMS; i++) {
+        snprintf(streams[i].attempt_id, sizeof(streams[i].attempt_id),
+                 "stream-%d", i + 1);
+        Net_StartThread(run_stream, &streams[i]);
+    }
+    Lab_Sleep(1500);
+    if (Lab_HasTrouble()) {
+        carry_out_late_order();
+    }
+    Lab_Sleep(5000);
+    for (int i = 0; i < STREAMS; i++) {
+        cut_count +=
+            streams[i].answer.status == 200 && !streams[i].answer.is_complete;
     }
-    Lab_Record("rule MIXED broken in %d of %d rounds", broken_count, ROUNDS);
+    crash_count = count_lines(", and crashes");
+    Lab_Record("rule LIMIT: ordered beyond its places %d times, %d of %d "
+               "streams cut off: %s",
+               crash_count, cut_count, STREAMS,
+               crash_count > 0 ? "BROKEN" : "held");
     Lab_End();
-    return broken_count > 0 ? 1 : 0;
+    return crash_count > 0 ? 1 : 0;
 }
--- a/review/common-2/net.c
+++ b/review/common-2/net.c
@@ -224,7 +224,7 @@
 
 int
 Net_Call(const char *address, const char *method, const char *path,
-         const char *body)
+         const char *lines, const char *body)
 {
     char text[4096];
     char head[16384];
@@ -232,9 +232,9 @@
     int status = 0;
     int size = snprintf(text, sizeof(text),
                         "%s %s HTTP/1.1\r\nHost: s\r\nConnection: close\r\n"
-                        "Content-Type: application/json\r\n"
+                        "Content-Type: application/json\r\n%s"
                         "Content-Length: %zu\r\n\r\n%s",
-                        method, path, strlen(body), body);
+                        method, path, lines, strlen(body), body);
 
     if (fd < 0) {
         return 0;
--- a/review/common-2/net.h
+++ b/review/common-2/net.h
@@ -30,8 +30,9 @@
 bool Net_ReadRequest(int fd, NetRequest *request);
 /* Writes an answer with a length; lines end with CRLF. */
 bool Net_Reply(int fd, int status, const char *lines, const char *body);
-/* Sends a call with a body; returns the status, 0 when none came. */
+/* Sends a call with a body and further header lines, "" for none; returns the
+ * status, 0 when none came. */
 int Net_Call(const char *address, const char *method, const char *path,
-             const char *body);
+             const char *lines, const char *body);
 
 #endif
--- a/review/common-2/worker.c
+++ b/review/common-2/worker.c
@@ -12,10 +12,13 @@
 #include "lab.h"
 #include "net.h"
 
-#define ADAPTERS_MAX 16
+/* Places for adapters, as on the sheet. */
+#define PLACES 15
 #define HALF_BYTES 400
 /* Pause in the middle of an answer. */
 #define ANSWER_PAUSE_MS 300
+#define SLOW_EVENTS 14
+#define SLOW_EVENT_MS 300
 
 static const char *id;
 static const char *service;
@@ -24,7 +27,8 @@
 static bool has_model;
 static int64_t born;
 static int64_t sequence;
-static char adapters[ADAPTERS_MAX][64];
+static int late_expect; /* see LabWorker; 0 once it has come */
+static char adapters[PLACES][64];
 static int adapter_count;
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 
@@ -59,8 +63,8 @@
     char *text = json_dumps(object, JSON_COMPACT);
 
     snprintf(path, sizeof(path), "/objects/servers/%s", id);
-    if (Net_Call(store_address, "PUT", path, text) == 404) {
-        Net_Call(store_address, "POST", "/objects/servers", text);
+    if (Net_Call(store_address, "PUT", path, "", text) == 404) {
+        Net_Call(store_address, "POST", "/objects/servers", "", text);
     }
     free(text);
     json_decref(object);
@@ -68,6 +72,35 @@
 
 /* ---- orders -------------------------------------------------------------- */
 
+static void
+load(const char *adapter)
+{
+    for (int i = 0; i < adapter_count; i++) {
+        if (strcmp(adapters[i], adapter) == 0) {
+            return;
+        }
+    }
+    if (adapter_count == PLACES) {
+        Lab_Record("worker %s holds %d adapters, is ordered to load %s, and "
+                   "crashes",
+                   id, PLACES, adapter);
+        _exit(1);
+    }
+    snprintf(adapters[adapter_count++], sizeof(adapters[0]), "%s", adapter);
+}
+
+static void
+unload(const char *adapter)
+{
+    for (int i = 0; i < adapter_count; i++) {
+        if (strcmp(adapters[i], adapter) == 0) {
+            memcpy(adapters[i], adapters[--adapter_count],
+                   sizeof(adapters[0]));
+        }
+    }
+}
+
+/* Returns the status of the answer. */
 static int
 carry_out(const json_t *order)
 {
@@ -76,7 +109,7 @@
     const char *adapter = json_string_value(json_object_get(order, "adapter"));
     const json_t *expected = json_object_get(order, "expect");
 
-    if (operation == NULL || strcmp(operation, "load") != 0) {
+    if (operation == NULL) {
         return 400;
     }
     if (json_is_integer(expected) &&
@@ -84,35 +117,76 @@
         return 409;
     }
     sequence++;
+    if (strcmp(operation, "unload") == 0) {
+        unload(adapter != NULL ? adapter : "");
+        return 200;
+    }
     if (adapter == NULL) {
         has_model = true;
     }
-    else if (adapter_count < ADAPTERS_MAX) {
-        snprintf(adapters[adapter_count++], sizeof(adapters[0]), "%s",
-                 adapter);
+    else {
+        load(adapter);
     }
     return 202;
 }
 
+/* Is this the order that is carried out late? It is written to a file. */
+static bool
+is_late(const json_t *order, const char *text)
+{
+    FILE *file;
+
+    if (late_expect == 0 ||
+        json_integer_value(json_object_get(order, "expect")) != late_expect ||
+        strstr(text, "unload") != NULL) {
+        return false;
+    }
+    late_expect = 0;
+    file = fopen(Lab_LateOrderPath(), "w");
+    if (file != NULL) {
+        fputs(text, file);
+        fclose(file);
+    }
+    return true;
+}
+
 static void
 take_order(int fd, const NetRequest *request)
 {
     json_t *order = json_loads(request->body, 0, NULL);
+    const char *operation =
+        json_string_value(json_object_get(order, "op_code"));
     const char *adapter = json_string_value(json_object_get(order, "adapter"));
     const char *holder = json_string_value(json_object_get(order, "holder"));
     long long fence =
         (long long)json_integer_value(json_object_get(order, "fence_token"));
+    long long expected =
+        (long long)json_integer_value(json_object_get(order, "expect"));
+    char instance[64] = "";
     int status;
 
+    Net_FindHeader(request->head, "Expect-Instance", instance, 64);
     pthread_mutex_lock(&mutex);
-    status = carry_out(order);
-    Lab_Record("order at %s adapter=%s holder=%s fence=%lld status=%d", id,
-               adapter != NULL ? adapter : "-", holder != NULL ? holder : "-",
-               fence, status);
+    if (is_late(order, request->body)) {
+        status = 0;
+    }
+    else if (instance[0] != '\0' && strcmp(instance, id) != 0) {
+        status = 421;
+    }
+    else {
+        status = carry_out(order);
+    }
+    Lab_Record("order at %s %s adapter=%s expect=%lld holder=%s fence=%lld "
+               "status=%d adapters=%d",
+               id, operation != NULL ? operation : "-",
+               adapter != NULL ? adapter : "-", expected,
+               holder != NULL ? holder : "-", fence, status, adapter_count);
     pthread_mutex_unlock(&mutex);
     json_decref(order);
-    Net_Reply(fd, status, "", "{}");
-    write_entry();
+    if (status != 0) {
+        Net_Reply(fd, status, "", "{}");
+        write_entry();
+    }
 }
 
 static void
@@ -176,6 +250,31 @@
             Net_SendAll(fd, body, 2 * HALF_BYTES));
 }
 
+/* Sends a stream of several seconds. */
+static bool
+answer_slowly(int fd, const char *attempt_id)
+{
+    char text[256];
+    int size = snprintf(text, sizeof(text),
+                        "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\n"
+                        "Server-Seal: seal.%s.%s\r\n"
+                        "Content-Type: text/event-stream\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n",
+                        attempt_id, id, attempt_id);
+    bool is_sent = Net_SendAll(fd, text, (size_t)size);
+
+    for (int i = 1; is_sent && i <= SLOW_EVENTS; i++) {
+        char event[64];
+        int event_size =
+            snprintf(event, sizeof(event), "id: %d\ndata: x\n\n", i);
+
+        size = snprintf(text, sizeof(text), "%x\r\n%s\r\n", event_size, event);
+        is_sent = Net_SendAll(fd, text, (size_t)size);
+        Lab_Sleep(SLOW_EVENT_MS);
+    }
+    return is_sent && Net_SendAll(fd, "0\r\n\r\n", 5);
+}
+
 /* Is the model loaded, or its adapter? */
 static bool
 holds_model(const char *model)
@@ -227,6 +326,9 @@
         answer_unframed(fd, attempt_id);
         return false;
     }
+    if (strcmp(request->path, "/memo/slow") == 0) {
+        return answer_slowly(fd, attempt_id);
+    }
     if (strchr(model, '/') == NULL) {
         Lab_Sleep(ANSWER_PAUSE_MS);
     }
@@ -269,7 +371,7 @@
 {
     struct timespec now;
 
-    if (argc < 8) {
+    if (argc < 10) {
         return 2;
     }
     Lab_Join();
@@ -280,6 +382,12 @@
     record_address = argv[5];
     store_address = argv[6];
     has_model = argv[7][0] == '1';
+    while (adapter_count < atoi(argv[8]) && adapter_count < PLACES) {
+        snprintf(adapters[adapter_count], sizeof(adapters[0]), "i%d",
+                 adapter_count);
+        adapter_count++;
+    }
+    late_expect = atoi(argv[9]);
     Net_Serve(argv[4], serve);
     for (;;) {
         write_entry();
