--- a/review/9/case.c
+++ b/review/9/case.c
@@ -165,20 +165,28 @@
 
 /* ---- the late order ------------------------------------------------------ */
 
+static bool
+read_late_order(char *text, int size)
+{
+    FILE *file = fopen(Lab_LateOrderPath(), "r");
+    bool is_read = false;
+
+    if (file != NULL) {
+        is_read = fgets(text, size, file) != NULL;
+        fclose(file);
+    }
+    return is_read;
+}
+
 static void
 carry_out_late_order(void)
 {
     char text[1024] = "";
     char lines[128];
-    FILE *file = fopen(Lab_LateOrderPath(), "r");
 
-    if (file == NULL) {
+    if (!read_late_order(text, sizeof(text))) {
         Lab_GiveUp("no order was left unanswered");
     }
-    if (fgets(text, sizeof(text), file) == NULL) {
-        text[0] = '\0';
-    }
-    fclose(file);
     Lab_Record("the unanswered order arrives: %s", text);
     snprintf(lines, sizeof(lines), "Expect-Instance: %s\r\n", worker.id);
     Net_Call(worker.address, "POST", "/order", lines, text);
