--- a/review/9/case.c
+++ b/review/9/case.c
@@ -1,7 +1,8 @@
 /*
- * Case 9: an order to load is left unanswered and carried out 8 s later. Its
- * worker has crashed meanwhile and is back under its id; it is full again, and
- * at the same number of orders. It is ordered to load one more, and crashes.
+ * Case 9: a worker sends the answer to a report a second time, where that to
+ * an order to unload an adapter is due. The keeper takes it for that, and
+ * orders the next load while the adapter, which is in use, still holds its
+ * place.
  */
 #include <signal.h>
 #include <stdio.h>
@@ -11,25 +12,22 @@
 #include "../common-2/lab.h"
 #include "../common-2/net.h"
 
-/* Places for adapters, as on the sheet; one is free as the worker starts. */
+#define WORKERS 2
+/* Places for adapters, as on the sheet. */
 #define PLACES 15
-/* The number of orders after which a worker that restarted empty is full: one
- * for the model, one for each adapter. */
-#define FULL_SEQUENCE (PLACES + 1)
-/* An order may be carried out 2 to 12 s late. */
-#define LATE_MS 8000
+/* One of the two workers sends at most one of so many answers twice. */
+#define REPEAT_INTERVAL 40
+/* Requests before, whose answers and reports make up for that number. */
+#define REQUESTS 40
 #define STREAMS 3
-#define TRIES_MAX 20
+#define ADAPTER_TRIES 6
 
 static char store_address[LAB_ADDRESS_SIZE];
 static char callers_address[LAB_ADDRESS_SIZE];
 static int keeper_port;
 static LabProcess gateway;
-static LabProcess keeper;
-static LabWorker worker = {.id = "w-1",
-                           .service = "llm",
-                           .has_model = true,
-                           .adapter_count = PLACES - 1};
+static LabProcess keepers[WORKERS];
+static LabWorker workers[WORKERS];
 static int request_count;
 
 static void
@@ -75,79 +73,61 @@
     Lab_StartDaemon(&gateway, "gateway", text);
 }
 
-/* Settings by deploy/agent.ini. */
+/* Settings by deploy/agent.ini. Each side machine has an address of its own,
+ * on which its keeper has the same port. */
 static void
-start_side(void)
+start_side(int number)
 {
+    LabWorker *worker = &workers[number];
+    char host[32];
     char admin[LAB_ADDRESS_SIZE];
+    char name[32];
     char text[1024];
 
-    Lab_TakeAddress("127.0.9.1", worker.address);
-    memcpy(worker.record_address, worker.address, LAB_ADDRESS_SIZE);
-    worker.late_expect = Lab_HasTrouble() ? FULL_SEQUENCE : 0;
-    Worker_Start(&worker, store_address);
-    Lab_TakeAddress("127.0.9.1", admin);
+    snprintf(host, sizeof(host), "127.0.9.%d", number + 1);
+    snprintf(worker->id, sizeof(worker->id), "w-%d", number + 1);
+    snprintf(worker->service, sizeof(worker->service), "llm");
+    snprintf(worker->adapter_prefix, sizeof(worker->adapter_prefix), "%c",
+             'i' + number);
+    Lab_TakeAddress(host, worker->address);
+    memcpy(worker->record_address, worker->address, LAB_ADDRESS_SIZE);
+    worker->has_model = true;
+    worker->adapter_count = PLACES;
+    if (number == 0 && Lab_HasTrouble()) {
+        worker->repeat_interval = REPEAT_INTERVAL;
+    }
+    Worker_Start(worker, store_address);
+    Lab_TakeAddress(host, admin);
+    snprintf(name, sizeof(name), "side-a-%d", number + 1);
     snprintf(text, sizeof(text),
-             "[process]\nrole = keeper\nname = side-a-1\ndatacentre = zone-a\n"
-             "grace_s = 8\n[listen]\nlinks = 127.0.9.1:%d\nadmin = %s\n"
-             "[platform]\nobjects = %s\nwatch_ms = 2500\n[backend]\n"
-             "address = %s\nservice = llm\n",
-             keeper_port, admin, store_address, worker.address);
-    Lab_StartDaemon(&keeper, "side-a-1", text);
-}
-
-/* The worker is killed, and starts again under its id, with nothing. */
-static void
-restart_worker(void)
-{
-    Lab_Stop(&worker.process, SIGKILL);
-    Lab_Sleep(500);
-    worker.has_model = false;
-    worker.adapter_count = 0;
-    worker.late_expect = 0;
-    Worker_Start(&worker, store_address);
+             "[process]\nrole = keeper\nname = %s\ndatacentre = zone-a\n"
+             "grace_s = 8\n[listen]\nlinks = %s:%d\nadmin = %s\n[platform]\n"
+             "objects = %s\nwatch_ms = 2500\n[backend]\naddress = %s\n"
+             "service = llm\n",
+             name, host, keeper_port, admin, store_address, worker->address);
+    Lab_StartDaemon(&keepers[number], name, text);
 }
 
-/* Asks for an adapter until it is served; clients come back after refusals. */
-static void
-use_adapter(const char *adapter)
-{
-    for (int i = 0; i < TRIES_MAX; i++) {
-        char attempt_id[32];
-        char lines[128];
-        LabAnswer answer;
-
-        snprintf(attempt_id, sizeof(attempt_id), "attempt-%d",
-                 ++request_count);
-        snprintf(lines, sizeof(lines),
-                 "Deadline-Ms: 6000\r\nModel: m/%s\r\nToken-Count: 491,70\r\n"
-                 "Content-Length: 0\r\n",
-                 adapter);
-        Client_Call(callers_address, "POST", "/memo/1", attempt_id, lines,
-                    &answer);
-        if (answer.status == 200) {
-            return;
-        }
-        Lab_Sleep(200);
-    }
-    Lab_GiveUp("an adapter is not served");
-}
+/* ---- clients ------------------------------------------------------------- */
 
 static void
-use_adapters(const char *prefix, int count)
+call(const char *path, const char *adapter, LabAnswer *answer)
 {
-    for (int i = 1; i <= count; i++) {
-        char name[32];
+    char attempt_id[32];
+    char lines[128];
 
-        snprintf(name, sizeof(name), "%s%d", prefix, i);
-        use_adapter(name);
-    }
+    snprintf(attempt_id, sizeof(attempt_id), "attempt-%d",
+             __atomic_add_fetch(&request_count, 1, __ATOMIC_RELAXED));
+    snprintf(lines, sizeof(lines),
+             "Deadline-Ms: 6000\r\nModel: m/%s\r\nToken-Count: 491,70\r\n"
+             "Content-Length: 0\r\n",
+             adapter);
+    Client_Call(callers_address, "POST", path, attempt_id, lines, answer);
 }
 
-/* ---- streams that last for some seconds ---------------------------------- */
-
+/* A stream that lasts for some seconds. */
 typedef struct Stream {
-    char attempt_id[32];
+    const char *adapter;
     LabAnswer answer;
 } Stream;
 
@@ -156,42 +136,10 @@
 {
     Stream *stream = context;
 
-    Client_Call(callers_address, "POST", "/memo/slow", stream->attempt_id,
-                "Deadline-Ms: 6000\r\nModel: m/c1\r\nToken-Count: 491,70\r\n"
-                "Content-Length: 0\r\n",
-                &stream->answer);
+    call("/memo/slow", stream->adapter, &stream->answer);
     return NULL;
 }
 
-/* ---- the late order ------------------------------------------------------ */
-
-static bool
-read_late_order(char *text, int size)
-{
-    FILE *file = fopen(Lab_LateOrderPath(), "r");
-    bool is_read = false;
-
-    if (file != NULL) {
-        is_read = fgets(text, size, file) != NULL;
-        fclose(file);
-    }
-    return is_read;
-}
-
-static void
-carry_out_late_order(void)
-{
-    char text[1024] = "";
-    char lines[128];
-
-    if (!read_late_order(text, sizeof(text))) {
-        Lab_GiveUp("no order was left unanswered");
-    }
-    Lab_Record("the unanswered order arrives: %s", text);
-    snprintf(lines, sizeof(lines), "Expect-Instance: %s\r\n", worker.id);
-    Net_Call(worker.address, "POST", "/order", lines, text);
-}
-
 /* Counts the lines of the record with a text. */
 static int
 count_lines(const char *text)
@@ -212,9 +160,11 @@
 int
 main(int argc, char **argv)
 {
-    static Stream streams[STREAMS];
+    /* i0 is the first to give way: nothing was asked of it before. */
+    static Stream streams[STREAMS] = {
+        {.adapter = "i13"}, {.adapter = "i14"}, {.adapter = "i0"}};
     char address[LAB_ADDRESS_SIZE];
-    int64_t late_at;
+    LabAnswer answer;
     int cut_count = 0;
     int crash_count;
 
@@ -226,29 +176,28 @@
     write_config();
     Lab_TakeAddress("127.0.9.1", address);
     keeper_port = atoi(strchr(address, ':') + 1);
-    start_side();
-    start_gateway();
-    Lab_Sleep(5000);
-    /* One load, then an eviction and a load for each: up to FULL_SEQUENCE. */
-    use_adapters("b", FULL_SEQUENCE / 2 + 1);
-    late_at = Lab_Now() + LATE_MS;
-    if (Lab_HasTrouble()) {
-        restart_worker();
-        Lab_Sleep(1500);
-        use_adapters("c", PLACES);
+    for (int i = 0; i < WORKERS; i++) {
+        start_side(i);
     }
-    else {
-        use_adapter("c1");
+    start_gateway();
+    Lab_Sleep(6000);
+    for (int i = 0; i < REQUESTS; i++) {
+        call("/memo/1", i % 2 == 0 ? "i13" : "i14", &answer);
+        if (answer.status != 200) {
+            Lab_GiveUp("an adapter that is loaded is not served");
+        }
     }
-    Lab_Sleep(late_at - 1500 - Lab_Now());
+    Lab_Sleep(1000);
     for (int i = 0; i < STREAMS; i++) {
-        snprintf(streams[i].attempt_id, sizeof(streams[i].attempt_id),
-                 "stream-%d", i + 1);
         Net_StartThread(run_stream, &streams[i]);
+        Lab_Sleep(10);
     }
-    Lab_Sleep(1500);
-    if (Lab_HasTrouble()) {
-        carry_out_late_order();
+    /* New adapters are asked for; one of them goes to the first worker. */
+    for (int i = 1; i <= ADAPTER_TRIES; i++) {
+        char name[32];
+
+        snprintf(name, sizeof(name), "b%d", i);
+        call("/memo/1", name, &answer);
     }
     Lab_Sleep(5000);
     for (int i = 0; i < STREAMS; i++) {
@@ -260,6 +209,9 @@
                "streams cut off: %s",
                crash_count, cut_count, STREAMS,
                crash_count > 0 ? "BROKEN" : "held");
+    if (!Lab_HasTrouble() && cut_count > 0) {
+        Lab_GiveUp("a stream is cut off without trouble");
+    }
     Lab_End();
     return crash_count > 0 ? 1 : 0;
 }
--- a/review/common-2/lab.c
+++ b/review/common-2/lab.c
@@ -109,7 +109,6 @@
 Lab_Begin(const char *record_path)
 {
     const char *parent = getenv("TMPDIR");
-    char path[LAB_TEXT_SIZE * 2];
     char text[32];
 
     begun_at = Lab_Now();
@@ -125,8 +124,6 @@
         fprintf(stderr, "no record or no temporary folder\n");
         exit(2);
     }
-    snprintf(path, sizeof(path), "%s/late-order", folder);
-    setenv("LAB_LATE_ORDER", path, 1);
     signal(SIGPIPE, SIG_IGN);
     signal(SIGALRM, on_alarm);
     signal(SIGTERM, on_alarm);
@@ -245,19 +242,11 @@
 
 /* ---- workers ------------------------------------------------------------- */
 
-const char *
-Lab_LateOrderPath(void)
-{
-    const char *path = getenv("LAB_LATE_ORDER");
-
-    return path != NULL ? path : "";
-}
-
 void
 Worker_Start(LabWorker *worker, const char *store_address)
 {
     char adapter_count[16];
-    char late_expect[16];
+    char repeat_interval[16];
     char *arguments[] = {"/proc/self/exe",
                          "worker",
                          worker->id,
@@ -267,12 +256,14 @@
                          (char *)store_address,
                          worker->has_model ? "1" : "0",
                          adapter_count,
-                         late_expect,
+                         worker->adapter_prefix,
+                         repeat_interval,
                          NULL};
 
     snprintf(adapter_count, sizeof(adapter_count), "%d",
              worker->adapter_count);
-    snprintf(late_expect, sizeof(late_expect), "%d", worker->late_expect);
+    snprintf(repeat_interval, sizeof(repeat_interval), "%d",
+             worker->repeat_interval);
     snprintf(worker->process.name, sizeof(worker->process.name), "worker-%s",
              worker->id);
     start(&worker->process, arguments);
--- a/review/common-2/lab.h
+++ b/review/common-2/lab.h
@@ -74,15 +74,15 @@
     char address[LAB_ADDRESS_SIZE];        /* at which it listens */
     char record_address[LAB_ADDRESS_SIZE]; /* in its entry */
     bool has_model;
-    int adapter_count; /* that it holds as it starts, named i0, i1, ... */
-    /* An order to load, with this `expect`, is left unanswered and written to
-     * Lab_LateOrderPath(); 0: none. */
-    int late_expect;
+    int adapter_count; /* that it holds as it starts, PREFIX0, PREFIX1, ... */
+    char adapter_prefix[8];
+    /* The answer to a report comes twice, at most once in so many answers; 0:
+     * never. */
+    int repeat_interval;
 } LabWorker;
 
 /* Starts a worker as a process; it writes its entry to the store. */
 void Worker_Start(LabWorker *worker, const char *store_address);
-const char *Lab_LateOrderPath(void);
 /* The main function of that process. */
 int Worker_Main(int argc, char **argv);
 
--- a/review/common-2/worker.c
+++ b/review/common-2/worker.c
@@ -27,9 +27,17 @@
 static bool has_model;
 static int64_t born;
 static int64_t sequence;
-static int late_expect; /* see LabWorker; 0 once it has come */
-static char adapters[PLACES][64];
+typedef struct Adapter {
+    char name[64];
+    int runs;
+    bool is_leaving; /* goes when its runs have ended */
+} Adapter;
+
+static Adapter adapters[PLACES];
 static int adapter_count;
+/* Answers, all and when the last one was sent twice; 0: none is. */
+static int answer_count;
+static int repeat_interval;
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 
 void Lab_Join(void);
@@ -44,7 +52,7 @@
         return json_array();
     }
     for (int i = 0; i < adapter_count; i++) {
-        json_array_append_new(names, json_sprintf("%s@1", adapters[i]));
+        json_array_append_new(names, json_sprintf("%s@1", adapters[i].name));
     }
     return json_pack("[{s:s, s:i, s:o}]", "name", "m", "version", 1,
                      "adapters", names);
@@ -72,32 +80,73 @@
 
 /* ---- orders -------------------------------------------------------------- */
 
-static void
-load(const char *adapter)
+static Adapter *
+find_adapter(const char *name)
 {
     for (int i = 0; i < adapter_count; i++) {
-        if (strcmp(adapters[i], adapter) == 0) {
-            return;
+        if (strcmp(adapters[i].name, name) == 0) {
+            return &adapters[i];
         }
     }
+    return NULL;
+}
+
+static void
+load(const char *name)
+{
+    if (find_adapter(name) != NULL) {
+        return;
+    }
     if (adapter_count == PLACES) {
         Lab_Record("worker %s holds %d adapters, is ordered to load %s, and "
                    "crashes",
-                   id, PLACES, adapter);
+                   id, PLACES, name);
         _exit(1);
     }
-    snprintf(adapters[adapter_count++], sizeof(adapters[0]), "%s", adapter);
+    memset(&adapters[adapter_count], 0, sizeof(adapters[0]));
+    snprintf(adapters[adapter_count++].name, sizeof(adapters[0].name), "%s",
+             name);
 }
 
 static void
-unload(const char *adapter)
+drop_unused(Adapter *adapter)
 {
-    for (int i = 0; i < adapter_count; i++) {
-        if (strcmp(adapters[i], adapter) == 0) {
-            memcpy(adapters[i], adapters[--adapter_count],
-                   sizeof(adapters[0]));
-        }
+    if (adapter->is_leaving && adapter->runs == 0) {
+        *adapter = adapters[--adapter_count];
+    }
+}
+
+/* Returns the status of the answer: an adapter in use goes later. */
+static int
+unload(const char *name)
+{
+    Adapter *adapter = find_adapter(name);
+
+    if (adapter == NULL) {
+        return 200;
+    }
+    adapter->is_leaving = true;
+    if (adapter->runs > 0) {
+        return 202;
+    }
+    drop_unused(adapter);
+    return 200;
+}
+
+/* Counts a run of the model's adapter, or its end. */
+static void
+count_run(const char *model, int change)
+{
+    const char *slash = strchr(model, '/');
+    Adapter *adapter;
+
+    pthread_mutex_lock(&mutex);
+    adapter = slash != NULL ? find_adapter(slash + 1) : NULL;
+    if (adapter != NULL) {
+        adapter->runs += change;
+        drop_unused(adapter);
     }
+    pthread_mutex_unlock(&mutex);
 }
 
 /* Returns the status of the answer. */
@@ -118,8 +167,7 @@
     }
     sequence++;
     if (strcmp(operation, "unload") == 0) {
-        unload(adapter != NULL ? adapter : "");
-        return 200;
+        return unload(adapter != NULL ? adapter : "");
     }
     if (adapter == NULL) {
         has_model = true;
@@ -130,28 +178,35 @@
     return 202;
 }
 
-/* Is this the order that is carried out late? It is written to a file. */
-static bool
-is_late(const json_t *order, const char *text)
+/* The last answer on a connection, if it was 200 to a call that is no
+ * request. */
+typedef struct LastAnswer {
+    char lines[128];
+    char *body; /* NULL: it was another */
+} LastAnswer;
+
+/* A faulty worker sends an answer a second time, where the next one on its
+ * connection is due: before that to an order to unload an adapter in use. Not
+ * more often than one in repeat_interval answers. */
+static void
+repeat_answer(int fd, const char *operation, const char *name,
+              const LastAnswer *last)
 {
-    FILE *file;
+    const Adapter *adapter = find_adapter(name);
 
-    if (late_expect == 0 ||
-        json_integer_value(json_object_get(order, "expect")) != late_expect ||
-        strstr(text, "unload") != NULL) {
-        return false;
-    }
-    late_expect = 0;
-    file = fopen(Lab_LateOrderPath(), "w");
-    if (file != NULL) {
-        fputs(text, file);
-        fclose(file);
+    if (repeat_interval == 0 || answer_count < repeat_interval ||
+        last->body == NULL || strcmp(operation, "unload") != 0 ||
+        adapter == NULL || adapter->runs == 0) {
+        return;
     }
-    return true;
+    Lab_Record("worker %s sends its last answer again, after %d answers", id,
+               answer_count);
+    answer_count = 0;
+    Net_Reply(fd, 200, last->lines, last->body);
 }
 
 static void
-take_order(int fd, const NetRequest *request)
+take_order(int fd, const NetRequest *request, const LastAnswer *last)
 {
     json_t *order = json_loads(request->body, 0, NULL);
     const char *operation =
@@ -167,13 +222,12 @@
 
     Net_FindHeader(request->head, "Expect-Instance", instance, 64);
     pthread_mutex_lock(&mutex);
-    if (is_late(order, request->body)) {
-        status = 0;
-    }
-    else if (instance[0] != '\0' && strcmp(instance, id) != 0) {
+    if (instance[0] != '\0' && strcmp(instance, id) != 0) {
         status = 421;
     }
     else {
+        repeat_answer(fd, operation != NULL ? operation : "",
+                      adapter != NULL ? adapter : "", last);
         status = carry_out(order);
     }
     Lab_Record("order at %s %s adapter=%s expect=%lld holder=%s fence=%lld "
@@ -183,16 +237,13 @@
                holder != NULL ? holder : "-", fence, status, adapter_count);
     pthread_mutex_unlock(&mutex);
     json_decref(order);
-    if (status != 0) {
-        Net_Reply(fd, status, "", "{}");
-        write_entry();
-    }
+    Net_Reply(fd, status, "", "{}");
+    write_entry();
 }
 
 static void
-send_report(int fd)
+send_report(int fd, LastAnswer *last)
 {
-    char *text;
     json_t *json;
 
     pthread_mutex_lock(&mutex);
@@ -201,9 +252,10 @@
                      (json_int_t)sequence, "born", (json_int_t)born, "state",
                      "ready");
     pthread_mutex_unlock(&mutex);
-    text = json_dumps(json, JSON_COMPACT);
-    Net_Reply(fd, 200, "Content-Type: application/json\r\n", text);
-    free(text);
+    snprintf(last->lines, sizeof(last->lines),
+             "Content-Type: application/json\r\n");
+    last->body = json_dumps(json, JSON_COMPACT);
+    Net_Reply(fd, 200, last->lines, last->body);
     json_decref(json);
 }
 
@@ -285,7 +337,7 @@
     pthread_mutex_lock(&mutex);
     is_held = slash == NULL && has_model;
     for (int i = 0; slash != NULL && i < adapter_count; i++) {
-        is_held = is_held || strcmp(adapters[i], slash + 1) == 0;
+        is_held = is_held || strcmp(adapters[i].name, slash + 1) == 0;
     }
     pthread_mutex_unlock(&mutex);
     return is_held;
@@ -327,7 +379,12 @@
         return false;
     }
     if (strcmp(request->path, "/memo/slow") == 0) {
-        return answer_slowly(fd, attempt_id);
+        bool is_sent;
+
+        count_run(model, 1);
+        is_sent = answer_slowly(fd, attempt_id);
+        count_run(model, -1);
+        return is_sent;
     }
     if (strchr(model, '/') == NULL) {
         Lab_Sleep(ANSWER_PAUSE_MS);
@@ -339,29 +396,42 @@
     return Net_Reply(fd, 200, lines, "id: 1\ndata: x\n\nid: 2\ndata: y\n\n");
 }
 
+static void
+answer_health(int fd, LastAnswer *last)
+{
+    Lab_Record("worker %s is asked for its health", id);
+    snprintf(last->lines, sizeof(last->lines), "Instance-Id: %s\r\n", id);
+    last->body = strdup("");
+    Net_Reply(fd, 200, last->lines, last->body);
+}
+
 static void
 serve(int fd)
 {
     NetRequest *request = malloc(sizeof(*request));
-    char line[128];
+    LastAnswer last = {.body = NULL};
     bool goes_on = true;
 
-    snprintf(line, sizeof(line), "Instance-Id: %s\r\n", id);
     while (goes_on && Net_ReadRequest(fd, request)) {
+        LastAnswer before = last;
+
+        last.body = NULL;
+        __atomic_add_fetch(&answer_count, 1, __ATOMIC_RELAXED);
         if (strcmp(request->path, "/report") == 0) {
-            send_report(fd);
+            send_report(fd, &last);
         }
         else if (strcmp(request->path, "/order") == 0) {
-            take_order(fd, request);
+            take_order(fd, request, &before);
         }
         else if (strcmp(request->path, "/health") == 0) {
-            Lab_Record("worker %s is asked for its health", id);
-            Net_Reply(fd, 200, line, "");
+            answer_health(fd, &last);
         }
         else {
             goes_on = take_request(fd, request);
         }
+        free(before.body);
     }
+    free(last.body);
     free(request);
     close(fd);
 }
@@ -371,7 +441,7 @@
 {
     struct timespec now;
 
-    if (argc < 10) {
+    if (argc < 11) {
         return 2;
     }
     Lab_Join();
@@ -383,11 +453,12 @@
     store_address = argv[6];
     has_model = argv[7][0] == '1';
     while (adapter_count < atoi(argv[8]) && adapter_count < PLACES) {
-        snprintf(adapters[adapter_count], sizeof(adapters[0]), "i%d",
-                 adapter_count);
-        adapter_count++;
+        char name[64];
+
+        snprintf(name, sizeof(name), "%s%d", argv[9], adapter_count);
+        load(name);
     }
-    late_expect = atoi(argv[9]);
+    repeat_interval = atoi(argv[10]);
     Net_Serve(argv[4], serve);
     for (;;) {
         write_entry();
