--- a/lib/kcc.h
+++ b/lib/kcc.h
@@ -16,9 +16,9 @@
  * (kcc_request.h), limits of answers that are read (kcc_intake.h), a gateway's
  * requests (kcc_forward.h), documents and fetching newer versions
  * (kcc_version.h), the routing configuration of gateways (kcc_routing.h),
- * collections of the object API (kcc_feed.h), backend servers, limits and
- * leases (kcc_process.h), adapters loaded at an
- * engine (kcc_residency.h).
+ * collections of the object API (kcc_feed.h, kcc_revision.h), backend servers,
+ * limits and leases (kcc_process.h), adapters loaded at an engine
+ * (kcc_residency.h).
  *
  * Unstable: the fields of structures other than option structs may change
  * between versions.
@@ -48,6 +48,7 @@
 #include "kcc_process.h"
 #include "kcc_request.h"
 #include "kcc_residency.h"
+#include "kcc_revision.h"
 #include "kcc_routing.h"
 #include "kcc_second_attempts.h"
 #include "kcc_suspects.h"
--- a/lib/process/counters.c
+++ b/lib/process/counters.c
@@ -138,6 +138,9 @@
         {"kcc_uncertain_total",
          "Times that keys began to be refused, as the configuration could be "
          "out of date."},
+    [KC_COUNT_STORE_RESTORED] =
+        {"kcc_store_restored_total",
+         "Times that the store came back from a copy, in a later era."},
     [KC_COUNT_WAITS_TOO_LONG] =
         {"kcc_waits_too_long_total",
          "Requests refused as their turn comes after their deadline."},
--- a/lib/process/gateway_adapters.c
+++ b/lib/process/gateway_adapters.c
@@ -368,7 +368,7 @@
     KcReplica *next;
 
     if (with_models) {
-        server->held_revision = 0;
+        server->held_revision = (KcRevision){0};
     }
     TAILQ_FOREACH_SAFE (replica, &server->replicas, server_link, next) {
         if (with_models || replica->adapter->name[0] != '\0') {
@@ -385,7 +385,8 @@
     KcReplica *replica;
     KcReplica *next;
 
-    if (server->held_revision == server->record_revision) {
+    if (KcRevision_Compare(server->held_revision, server->record_revision) ==
+        0) {
         return; /* an answer or the keeper may have said otherwise since */
     }
     server->held_revision = server->record_revision;
--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -162,6 +162,21 @@
     KcServer_DropReplicas(gateway, server, true);
 }
 
+/* Is it the later one of two servers with one address? */
+static bool
+is_later_server(const KcServer *server, const KcServer *other)
+{
+    /* A record that returns from a copy is of the later era, but its server
+     * may have ended long ago. */
+    if (server->record_revision.era != other->record_revision.era &&
+        server->started_at_ms != other->started_at_ms &&
+        server->started_at_ms != 0 && other->started_at_ms != 0) {
+        return server->started_at_ms > other->started_at_ms;
+    }
+    return KcRevision_Compare(server->record_revision,
+                              other->record_revision) > 0;
+}
+
 /* Gives the server its address, unless a later server has that.  Returns
  * whether it has it. */
 static bool
@@ -174,7 +189,7 @@
     if (other == server) {
         return true;
     }
-    if (other != NULL && other->record_revision > server->record_revision) {
+    if (other != NULL && is_later_server(other, server)) {
         end_superseded_server(gateway, server, now);
         return false;
     }
@@ -206,16 +221,37 @@
     gateway->options.ops->close_connections(gateway->options.context, server);
 }
 
+/* Is the record, which may be of the copy that the store was restored from, of
+ * an earlier instance than the known one, which registers again soon? */
+static bool
+is_predecessor(const KcGateway *gateway, const KcServer *server,
+               const KcServerInfo *info, KcTime now)
+{
+    bool is_overdue =
+        server->missing_at != 0 &&
+        now - server->missing_at >= gateway->options.missing_timeout;
+
+    return !is_overdue && info->started_at_ms != 0 &&
+           info->started_at_ms < server->started_at_ms;
+}
+
 void
 KcGateway_OnServerRecord(KcGateway *gateway, const KcServerInfo *info,
-                         uint64_t revision, KcTime now)
+                         KcRevision revision, KcTime now)
 {
     KcServer *server = KcGateway_FindServer(gateway, info->id);
+    bool may_be_restored =
+        server != NULL && revision.era != server->record_revision.era;
 
     if (server != NULL) {
         server->list_epoch = gateway->current_list_epoch;
     }
-    if (server != NULL && revision < server->record_revision) {
+    if (server != NULL &&
+        KcRevision_Compare(revision, server->record_revision) < 0) {
+        return;
+    }
+    if (may_be_restored && is_predecessor(gateway, server, info, now)) {
+        KcGateway_OnServerRecordMissing(gateway, info->id, false, now);
         return;
     }
     if (server == NULL) {
@@ -224,6 +260,7 @@
     }
     else if (strcmp(server->address, info->address) != 0 ||
              server->started_at_ms != info->started_at_ms) {
+        may_be_restored = false;
         reset_server(gateway, server);
         KcServer_ReviewNotices(server, info->started_at_ms);
     }
@@ -232,6 +269,9 @@
         server->pool = KcGateway_GetPool(gateway, info->service);
         TAILQ_INSERT_TAIL(&server->pool->servers, server, link);
     }
+    server->has_announced_end =
+        info->leaving || (may_be_restored && server->has_announced_end);
+    server->leaving = server->has_announced_end;
     server->record_revision = revision;
     server->started_at_ms = info->started_at_ms;
     if (strcmp(server->address, info->address) != 0) {
@@ -242,12 +282,13 @@
     server->distance = distance_to(gateway, info->datacentre);
     server->concurrency_max =
         info->concurrency_max > 0 ? info->concurrency_max : 1;
-    server->leaving = info->leaving;
     if (!claim_address(gateway, server, now)) {
         return;
     }
     server->missing_at = 0;
-    KcServer_SetReplicas(gateway, server, info, now);
+    if (!may_be_restored || server->held_revision.number == 0) {
+        KcServer_SetReplicas(gateway, server, info, now);
+    }
     KcGateway_DispatchQueue(server->pool, now);
 }
 
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -15,6 +15,7 @@
 #include "kcc_process.h"
 #include "kcc_queue.h"
 #include "kcc_quota.h"
+#include "kcc_revision.h"
 #include "kcc_routing.h"
 #include "kcc_second_attempts.h"
 #include "kcc_suspects.h"
@@ -99,14 +100,17 @@
     char id[KC_NAME_MAX];
     char address[KC_ADDRESS_MAX];
     char datacentre[KC_NAME_MAX];
-    uint64_t id_hash;         /* for rendezvous hashing */
-    uint64_t record_revision; /* of its record in the store */
-    uint64_t held_revision;   /* of the record that its replicas were last
-                               * taken from; 0: none since they were dropped */
-    int64_t started_at_ms;    /* as in KcServerInfo */
+    uint64_t id_hash;           /* for rendezvous hashing */
+    KcRevision record_revision; /* of its record in the store */
+    KcRevision held_revision;   /* of the record that its replicas were last
+                                 * taken from; number 0: none since they were
+                                 * dropped */
+    int64_t started_at_ms;      /* as in KcServerInfo */
     KcDistance distance;
     uint32_t concurrency_max; /* requests that it runs at once */
     bool leaving;             /* takes no new requests, by its record */
+    bool has_announced_end;   /* a record of this instance said so, rather than
+                               * being deleted or missing */
     bool leaving_by_keeper;   /* takes no new requests, by its keeper */
     bool leaving_by_answer;   /* takes no new requests, by an answer to this
                                * gateway; ends only with a later instance */
@@ -401,9 +405,16 @@
  * A later start time is another instance, to which no earlier notice applies.
  * Of two servers with one address that of the older revision has ended: a
  * server registers after its predecessor at the address has gone.
+ *
+ * The first record of a server in a later era may be of the copy that the
+ * store was restored from, and older than the known one.  It shows that the
+ * server is registered, but takes nothing back: an instance that has announced
+ * its end leaves, one that began earlier than another of its id or address has
+ * ended, and replicas stay.  The next record of that era holds as it is, so
+ * the caller lists the servers once more when they have registered again.
  */
 void KcGateway_OnServerRecord(KcGateway *gateway, const KcServerInfo *info,
-                              uint64_t revision, KcTime now);
+                              KcRevision revision, KcTime now);
 /*
  * A server's record is missing or invalid.  is_deleted: it was deleted; the
  * server gets no new requests.  Otherwise it may be back soon, as after an
--- a/lib/process/kcc_process.h
+++ b/lib/process/kcc_process.h
@@ -78,6 +78,7 @@
     KC_COUNT_UNCONFIRMED_KEYS,  /* requests refused, as the configuration may
                                  * be out of date */
     KC_COUNT_UNCERTAIN,         /* times the configuration became uncertain */
+    KC_COUNT_STORE_RESTORED,    /* times the store came back from a copy */
     KC_COUNT_WAITS_TOO_LONG,    /* requests refused as their turn in a queue
                                  * comes after their deadline */
     KC_COUNT_WAITS_ENDED,       /* requests refused after a wait in a queue */
--- a/lib/version/certainty.c
+++ b/lib/version/certainty.c
@@ -53,16 +53,22 @@
 
 /* What earlier answers have shown is of another history. */
 static void
-begin_era(KcFeedGroup *group, uint64_t era)
+begin_era(KcFeedGroup *group, uint64_t era, KcTime now)
 {
+    uint64_t previous_era = group->era;
+
     group->era = era;
     group->seen_revision = 0;
     group->current_revision = 0;
     group->current_sent_at = 0;
+    if (previous_era != 0 && group->options.on_restored != NULL) {
+        group->options.on_restored(group->options.context, era, previous_era,
+                                   now);
+    }
 }
 
 int
-KcFeed_OnEra(KcFeed *feed, uint64_t era)
+KcFeed_OnEra(KcFeed *feed, uint64_t era, KcTime now)
 {
     KcFeedGroup *group = feed->options.group;
     bool is_listing = feed->state == FEED_LISTING;
@@ -74,7 +80,7 @@
         return is_listing ? KC_ERR_OBJECT_API_UNAVAILABLE : KC_ERR_NOT_FOUND;
     }
     if (era > group->era) {
-        begin_era(group, era);
+        begin_era(group, era, now);
     }
     if (is_listing && feed->page_after == NULL) {
         feed->list_era = era;
--- a/lib/version/feed.c
+++ b/lib/version/feed.c
@@ -7,15 +7,26 @@
 
 #include "feed_internal.h"
 
+static bool
+is_list_due(const KcFeed *feed, KcTime now)
+{
+    const KcFeedOptions *options = &feed->options;
+
+    if (feed->relist_at != 0 && now >= feed->relist_at) {
+        return true;
+    }
+    return options->relist_interval > 0 && feed->has_list &&
+           now - feed->listed_at >= options->relist_interval;
+}
+
 void
 KcFeed_StartCall(KcFeed *feed, KcTime now)
 {
     const KcFeedOptions *options = &feed->options;
 
     feed->called_at = now;
-    feed->call_may_lag = now < feed->lag_until;
-    if (options->relist_interval > 0 && feed->has_list &&
-        now - feed->listed_at >= options->relist_interval) {
+    feed->call_may_lag = now < feed->lag_until && feed->relist_at == 0;
+    if (is_list_due(feed, now)) {
         feed->needs_list = true;
     }
     if (feed->needs_list) {
@@ -38,6 +49,9 @@
                 ? options->watch_timeout
                 : options->current_watch_timeout;
 
+        if (feed->relist_at != 0 && timeout > feed->relist_at - now) {
+            timeout = feed->relist_at - now;
+        }
         feed->state = FEED_WATCHING;
         options->ops->watch(options->store, feed, options->collection,
                             feed->watch_revision, timeout, feed->call_may_lag);
@@ -187,9 +201,25 @@
 
     assert(feed->state != FEED_IDLE);
     dated.changed_after = feed->has_list ? feed->current_at : 0;
+    dated.revision.era =
+        feed->state == FEED_LISTING ? feed->list_era : feed->era;
     feed->options.on_item(feed->options.context, &dated, now);
 }
 
+/* The list is complete. */
+static void
+note_listed_era(KcFeed *feed, KcTime now)
+{
+    if (feed->has_list && feed->era != feed->list_era) {
+        feed->relist_at =
+            now + feed->options.group->options.restored_relist_delay;
+    }
+    else if (now >= feed->relist_at) {
+        feed->relist_at = 0;
+    }
+    feed->era = feed->list_era;
+}
+
 void
 KcFeed_OnPageEnd(KcFeed *feed, const char *after, uint64_t revision,
                  KcTime now)
@@ -208,7 +238,7 @@
      * what changed while later pages were read, and what a lagging copy
      * missed. */
     feed->watch_revision = feed->list_revision;
-    feed->era = feed->list_era;
+    note_listed_era(feed, now);
     feed->needs_list = false;
     feed->has_list = true;
     feed->listed_at = now;
--- a/lib/version/feed_check.c
+++ b/lib/version/feed_check.c
@@ -13,9 +13,9 @@
 #define CHECK_DELAY (100 * KC_MS)
 
 void
-KcFeedGroup_Init(KcFeedGroup *group)
+KcFeedGroup_Init(KcFeedGroup *group, const KcFeedGroupOptions *options)
 {
-    *group = (KcFeedGroup){.seen_revision = 0};
+    *group = (KcFeedGroup){.options = *options};
     TAILQ_INIT(&group->feeds);
 }
 
--- a/lib/version/feed_internal.h
+++ b/lib/version/feed_internal.h
@@ -42,6 +42,9 @@
     KcTime certain_at; /* each change acknowledged before is known; 0: never */
     uint64_t era;      /* of watch_revision */
     uint64_t list_era; /* of the pages of the list */
+    KcTime relist_at;  /* when the store that was restored is listed once more,
+                        * see KcFeedGroupOptions; no call lags until then; 0:
+                        * it is not */
 };
 
 /* Starts the next list or watch. */
--- a/lib/version/kcc_feed.h
+++ b/lib/version/kcc_feed.h
@@ -8,17 +8,32 @@
 #define KCC_FEED_H
 
 #include "kcc_request.h"
+#include "kcc_revision.h"
 #include "kcc_types.h"
 
 typedef struct KcFeed KcFeed;
+typedef struct KcFeedGroup KcFeedGroup;
 TAILQ_HEAD(KcFeedList, KcFeed);
 
+typedef struct KcFeedGroupOptions {
+    /* An answer was the first of a later era: the store was restored from a
+     * copy.  Not called for the first era that is seen.  May be NULL. */
+    void (*on_restored)(void *context, uint64_t era, uint64_t previous_era,
+                        KcTime now);
+    void *context;
+    /* After its first list of a later era each feed lists once more when so
+     * much time has passed: others write again what the store has lost, and
+     * until then what it holds may be older than what was known before. */
+    KcTime restored_relist_delay;
+} KcFeedGroupOptions;
+
 /*
  * The feeds of one store.  The store counts the changes of all collections by
  * one revision, so that an answer to one feed tells the others that there is
  * something they may have missed, or that there is not.
  */
-typedef struct KcFeedGroup {
+struct KcFeedGroup {
+    KcFeedGroupOptions options;
     struct KcFeedList feeds;
     uint64_t seen_revision;    /* highest of any answer */
     uint64_t current_revision; /* highest of answers that did not lag */
@@ -27,9 +42,10 @@
     KcTime current_sent_at;    /* a call was sent then whose answer, which did
                                 * not lag, has shown no later revision */
     uint64_t era;              /* latest of any answer, see KcFeed_OnEra() */
-} KcFeedGroup;
+};
 
-void KcFeedGroup_Init(KcFeedGroup *group);
+/* Copies the options. */
+void KcFeedGroup_Init(KcFeedGroup *group, const KcFeedGroupOptions *options);
 
 /*
  * Calls to the store.  A feed has one list or watch outstanding at a time, and
@@ -61,7 +77,7 @@
 /* One object of the collection, or the deletion of one. */
 typedef struct KcFeedItem {
     const char *name;
-    uint64_t revision;
+    KcRevision revision; /* the feed sets its era */
     bool deleted;
     /* Decoded value, in the store's own type; borrowed for the call.  NULL
      * when it can't be decoded; of a deletion it may be NULL, too. */
@@ -159,7 +175,7 @@
  * revisions are of another history than what the feed knows, and
  * KC_ERR_OBJECT_API_UNAVAILABLE for a list of an earlier era than one seen.
  */
-int KcFeed_OnEra(KcFeed *feed, uint64_t era);
+int KcFeed_OnEra(KcFeed *feed, uint64_t era, KcTime now);
 
 /* One object of a page, or one event of a watch or check. */
 void KcFeed_OnItem(KcFeed *feed, const KcFeedItem *item, KcTime now);
--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -77,6 +77,18 @@
     }
 }
 
+/* The feeds list again by themselves. */
+static void
+on_store_restored(void *context, uint64_t era, uint64_t previous_era,
+                  KcTime now)
+{
+    GatewayRole *role = context;
+
+    KcLog_StoreRestored(era, previous_era);
+    KcCounters_Add(&role->common.counters, KC_COUNT_STORE_RESTORED, 1);
+    role->store_status_changed_at = now;
+}
+
 static void
 on_watch_dead(void *context, const char *collection)
 {
@@ -348,8 +360,12 @@
 KcGatewayRole_StartFeeds(GatewayRole *role)
 {
     const KcSettings *settings = role->common.settings;
+    KcFeedGroupOptions group_options = {.on_restored = on_store_restored,
+                                        .context = role,
+                                        .restored_relist_delay =
+                                            STORE_RECOVERY_PERIOD};
 
-    KcFeedGroup_Init(&role->feed_group);
+    KcFeedGroup_Init(&role->feed_group, &group_options);
     for (int i = 0; i < KC_COLLECTION_COUNT; i++) {
         KcFeedOptions options = {
             .ops = role->platform->feed_ops,
--- a/programs/process/log.c
+++ b/programs/process/log.c
@@ -308,6 +308,17 @@
                           : "store is unavailable");
 }
 
+void
+KcLog_StoreRestored(uint64_t era, uint64_t previous_era)
+{
+    KcLogFields fields = {.step = "store"};
+
+    KcLog_Write(KC_LOG_WARN, &fields,
+                "store was restored from a copy, its era is %" PRIu64
+                ", was %" PRIu64,
+                era, previous_era);
+}
+
 void
 KcLog_Suspect(const char *service, KcSuspectStep step,
               const KcSuspect *suspect, bool is_own)
--- a/programs/process/log.h
+++ b/programs/process/log.h
@@ -64,4 +64,7 @@
 /* Logs that the store is unavailable (code < 0) or available again (0). */
 void KcLog_StoreStatus(int code);
 
+/* Writes that the store was restored from a copy, in a later era. */
+void KcLog_StoreRestored(uint64_t era, uint64_t previous_era);
+
 #endif
--- a/tests/daemons/gateway_cluster.c
+++ b/tests/daemons/gateway_cluster.c
@@ -411,6 +411,40 @@
               "PUT", path, value, answer, sizeof(answer));
 }
 
+static void
+call_store(GatewayCluster *cluster, const char *method, const char *path)
+{
+    char answer[512];
+
+    call_http(GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_STORE, 0),
+              method, path, "", answer, sizeof(answer));
+}
+
+void
+GatewayCluster_DeleteObject(GatewayCluster *cluster, const char *collection,
+                            const char *name)
+{
+    char path[TEXT_SIZE];
+
+    snprintf(path, sizeof(path), "/objects/%s/%s", collection, name);
+    call_store(cluster, "DELETE", path);
+}
+
+void
+GatewayCluster_CopyStore(GatewayCluster *cluster)
+{
+    call_store(cluster, "PUT", "/copy");
+}
+
+void
+GatewayCluster_RestoreStore(GatewayCluster *cluster, int away_ms)
+{
+    char path[TEXT_SIZE];
+
+    snprintf(path, sizeof(path), "/restore?away_ms=%d", away_ms);
+    call_store(cluster, "PUT", path);
+}
+
 /* ---- processes ----------------------------------------------------------- */
 
 void
--- a/tests/daemons/gateway_cluster.h
+++ b/tests/daemons/gateway_cluster.h
@@ -149,6 +149,14 @@
                                    const char *collection, const char *name,
                                    const char *value);
 
+/* Deletes an object of the store, if there is one. */
+void GatewayCluster_DeleteObject(GatewayCluster *cluster,
+                                 const char *collection, const char *name);
+/* Makes a copy of the store. */
+void GatewayCluster_CopyStore(GatewayCluster *cluster);
+/* The store is away for so long, if not 0, and comes back from the copy. */
+void GatewayCluster_RestoreStore(GatewayCluster *cluster, int away_ms);
+
 /* Connects to "host:port".  Returns a socket that the caller closes, or -1. */
 int GatewayCluster_Connect(const char *address);
 
--- a/tests/fuzz/decode_feed.c
+++ b/tests/fuzz/decode_feed.c
@@ -164,7 +164,7 @@
 
     for (uint32_t i = 0; i < count; i++) {
         KcFeedItem item = {.name = i == 0 ? "a" : "b",
-                           .revision = FuzzInput_TakeNumber(input),
+                           .revision.number = FuzzInput_TakeNumber(input),
                            .deleted = FuzzInput_TakeBelow(input, 4) == 0};
 
         KcFeed_OnItem(feed, &item, run->now);
@@ -196,7 +196,7 @@
     if (asked.kind == CALL_NONE) {
         return;
     }
-    code = KcFeed_OnEra(feed, era);
+    code = KcFeed_OnEra(feed, era, run->now);
     if (code == 0 && era < run->era) {
         run->finding = "an answer of an era that is over";
     }
@@ -258,7 +258,8 @@
 {
     run->now = KC_SECOND;
     run->timers = KcTimers_Create(run->now);
-    KcFeedGroup_Init(&run->group);
+    KcFeedGroup_Init(&run->group, &(KcFeedGroupOptions){
+                                      .restored_relist_delay = 3 * KC_SECOND});
     for (int i = 0; i < FEEDS; i++) {
         static const KcFeedOps ops = {request_list, request_watch,
                                       cancel_calls, request_check};
--- a/tests/platform/test_records.c
+++ b/tests/platform/test_records.c
@@ -97,7 +97,7 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(server_cases); i++) {
         json_t *json = parse(server_cases[i].json);
-        KcFeedItem item = {.name = "i-1", .revision = 1, .body = json};
+        KcFeedItem item = {.name = "i-1", .revision = {0, 1}, .body = json};
         KcServerInfo info;
         KcError error = {0};
         const KcReplicaInfo *replica;
@@ -143,8 +143,9 @@
 {
     for (size_t i = 0; i < G_N_ELEMENTS(server_name_cases); i++) {
         json_t *json = parse("{" SERVER_FIELDS "}");
-        KcFeedItem item = {
-            .name = server_name_cases[i].name, .revision = 1, .body = json};
+        KcFeedItem item = {.name = server_name_cases[i].name,
+                           .revision = {0, 1},
+                           .body = json};
         KcServerInfo info;
         KcError error = {0};
 
--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -252,7 +252,7 @@
 
     (void)now;
     g_string_append_printf(items, "%s%s@%d", items->len > 0 ? " " : "",
-                           item->name, (int)item->revision);
+                           item->name, (int)item->revision.number);
     if (item->deleted) {
         g_string_append(items, "-");
     }
--- a/tests/plays/store.c
+++ b/tests/plays/store.c
@@ -33,7 +33,7 @@
             KcServerInfo_AddReplica(&info, "m", name, 1, false);
         }
     }
-    KcGateway_OnServerRecord(gateway, &info, revision, now);
+    KcGateway_OnServerRecord(gateway, &info, (KcRevision){0, revision}, now);
     KcServerInfo_Clear(&info);
 }
 
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -27,6 +27,8 @@
  *                           again: the record has not changed
  *   missing ID [deleted]    the record is missing, or known to be deleted
  *   list ID...              a complete list, with these records only
+ *   restore N               the store comes back from a copy of N changes
+ *                           before, in a later era
  *   request N PATH [MODEL[/ADAPTER] [EVENTS_MAX [LAST_EVENT]]]
  * [parts=PART,...] abandon N reply N STATUS, notrun N, misdirected N, begin N,
  * event N ID, end N answers to an attempt: N is the latest one of request N,
@@ -186,9 +188,10 @@
     for (char **word = words + 4; *word != NULL; word++) {
         apply_server_word(&info, *word);
     }
+    fixture->revision.number += is_again ? 0 : 1;
     KcGateway_OnServerRecord(
         fixture->gateway, &info,
-        is_again ? known->record_revision : ++fixture->revision, fixture->now);
+        is_again ? known->record_revision : fixture->revision, fixture->now);
     KcServerInfo_Clear(&info);
 }
 
@@ -215,11 +218,20 @@
         info.concurrency_max = server->concurrency_max;
         info.started_at_ms = server->started_at_ms;
         KcGateway_OnServerRecord(fixture->gateway, &info,
-                                 server->record_revision, fixture->now);
+                                 (KcRevision){fixture->revision.era,
+                                              server->record_revision.number},
+                                 fixture->now);
     }
     KcGateway_EndServerList(fixture->gateway, fixture->now);
 }
 
+static void
+step_restore(Fixture *fixture, char **words)
+{
+    fixture->revision.era++;
+    fixture->revision.number -= (uint64_t)atoi(words[1]);
+}
+
 static void
 submit(Fixture *fixture, int number, const KcForwardCall *call)
 {
@@ -583,6 +595,7 @@
     {"server", step_server},
     {"missing", step_missing},
     {"list", step_list},
+    {"restore", step_restore},
     {"request", step_request},
     {"explain", step_explain},
     {"abandon", step_abandon},
@@ -643,6 +656,7 @@
 
     fixture->foresees = foresees;
     fixture->now = KC_SECOND;
+    fixture->revision.era = 1;
     fixture->trace = g_string_new("");
     fixture->timers = KcTimers_Create(fixture->now);
     KcGatewayOptions_Init(&options);
--- a/tests/process/gateway_steps_internal.h
+++ b/tests/process/gateway_steps_internal.h
@@ -33,7 +33,7 @@
     GString *trace;
     KcTime now;
     KcTime configuration_age;
-    uint64_t revision;
+    KcRevision revision; /* of the last record */
     Caller callers[REQUEST_COUNT_MAX];
     bool foresees;             /* each request is foreseen first */
     bool traces_checks;        /* checks of servers are traced */
--- a/tests/process/test_gateway.c
+++ b/tests/process/test_gateway.c
@@ -106,6 +106,56 @@
      "config 1;server a plain 4;server b plain 4 at=near;"
      "server c plain 4 at=far port=97;list c b a;request 1 /s/x",
      "1>b; "},
+    /* a store that was restored from a copy, and has lost records since */
+    {"a server that registers again with a lower revision stays",
+     PLAIN "server a plain 4;restore 3;list;wait 1000;server a plain 4;"
+           "wait 3000;request 1 /s/x",
+     "1>a; "},
+    {"a server that registers again with the same revision stays",
+     PLAIN "server a plain 4;restore 1;list b;wait 1000;server a plain 4;"
+           "wait 3000;request 1 /s/x",
+     "1>a; "},
+    {"a server that registers again after each of two restores stays",
+     PLAIN "server a plain 4;restore 2;list;wait 500;server a plain 4;"
+           "restore 2;list;wait 500;server a plain 4;wait 3000;request 1 /s/x",
+     "1>a; "},
+    {"a server that does not register again is gone",
+     PLAIN "restore 2;list b;wait 2500;request 1 /s/x", "1>b; "},
+    {"a server that announces its end with a lower revision leaves",
+     PLAIN "server a plain 4;restore 3;server a plain 4;server a plain 4 "
+           "leaving;request 1 /s/x",
+     "1>b; "},
+    {"a server that has announced its end leaves, though its copied record is "
+     "older",
+     PLAIN "server a plain 4 leaving;restore 1;list a b;request 1 /s/x",
+     "1>b; "},
+    {"a server that announces its end no more is chosen",
+     PLAIN "server a plain 4 leaving;restore 1;list a b;wait 3000;list a b;"
+           "request 1 /s/x",
+     "1>a; "},
+    {"a server whose address has a later one does not come back by its copied "
+     "record",
+     "config 1;server a plain 4 born=100;server c plain 4 born=200 port=97;"
+     "restore 1;list a;wait 500;server c plain 4 born=200 port=97;"
+     "request 1 /s/x",
+     "1>c; "},
+    {"an earlier instance does not come back by its copied record",
+     "config 1;server a llm 4 born=100 m;server a llm 4 born=200 port=7 m x@1;"
+     "restore 1;server a llm 4 born=100 m;request 1 /t/x m/x",
+     "1>a; "},
+    {"an earlier instance is used if the later one does not register again",
+     "config 1;server a plain 4 born=100;server a plain 4 born=200 port=7;"
+     "restore 2;server a plain 4 born=100;wait 3000;"
+     "server a plain 4 born=100;request 1 /s/x",
+     "1>a; "},
+    {"a copied record takes no replica away",
+     "config 1;server a llm 4;server a llm 4 m x@1;restore 2;"
+     "server a llm 4;request 1 /t/x m/x",
+     "1>a; "},
+    {"a record that is written again does",
+     LLM "restore 2;server a llm 4 m x@1;server a llm 4;request 1 /t/x m/x;"
+         "report b x 1 loaded",
+     "?b x@0; 1>b; "},
     {"a server that moved away leaves its address",
      "config 1;server a plain 4;server a plain 4 port=7;"
      "server b plain 4 at=near port=97;request 1 /s/x",
--- a/tests/process/test_gateway_queue.c
+++ b/tests/process/test_gateway_queue.c
@@ -184,7 +184,8 @@
     KcText_Copy(info.address, "127.0.0.1:1", KC_ADDRESS_MAX);
     KcText_Copy(info.datacentre, "here", KC_NAME_MAX);
     info.concurrency_max = 1; /* and one more, as for each server */
-    KcGateway_OnServerRecord(fixture->gateway, &info, 1, fixture->now);
+    KcGateway_OnServerRecord(fixture->gateway, &info, (KcRevision){0, 1},
+                             fixture->now);
     KcServerInfo_Clear(&info);
 }
 
--- a/tests/process/test_gateway_stop.c
+++ b/tests/process/test_gateway_stop.c
@@ -226,7 +226,8 @@
     KcText_Copy(info.address, "127.0.0.1:1", KC_ADDRESS_MAX);
     KcText_Copy(info.datacentre, "here", KC_NAME_MAX);
     info.concurrency_max = 4;
-    KcGateway_OnServerRecord(fixture->gateway, &info, 1, fixture->now);
+    KcGateway_OnServerRecord(fixture->gateway, &info, (KcRevision){0, 1},
+                             fixture->now);
     KcServerInfo_Clear(&info);
     if (closed_ms > 0) {
         notice.retry_after += STOP_AT;
--- a/tests/process/test_load_play.c
+++ b/tests/process/test_load_play.c
@@ -279,7 +279,8 @@
         snprintf(info.address, sizeof(info.address), "127.0.0.1:%d", i + 1);
         KcText_Copy(info.datacentre, "here", KC_NAME_MAX);
         info.concurrency_max = SLOTS;
-        KcGateway_OnServerRecord(gateway, &info, 1, play->now);
+        KcGateway_OnServerRecord(gateway, &info, (KcRevision){0, 1},
+                                 play->now);
         KcServerInfo_Clear(&info);
     }
     KcGateway_EndServerList(gateway, play->now);
--- a/tests/request/test_caller_closes.c
+++ b/tests/request/test_caller_closes.c
@@ -80,7 +80,8 @@
     KcText_Copy(info.service, "s", KC_NAME_MAX);
     KcText_Copy(info.address, "127.0.0.1:1", KC_ADDRESS_MAX);
     info.concurrency_max = 8;
-    KcGateway_OnServerRecord(fixture->gateway, &info, 1, KcLoop_Now());
+    KcGateway_OnServerRecord(fixture->gateway, &info, (KcRevision){0, 1},
+                             KcLoop_Now());
     KcServerInfo_Clear(&info);
 }
 
--- a/tests/request/test_endless.c
+++ b/tests/request/test_endless.c
@@ -366,7 +366,7 @@
     KcText_Copy(info.service, "s", KC_NAME_MAX);
     KcText_Copy(info.address, server_address, KC_ADDRESS_MAX);
     info.concurrency_max = 8;
-    KcGateway_OnServerRecord(gateway, &info, 1, KcLoop_Now());
+    KcGateway_OnServerRecord(gateway, &info, (KcRevision){0, 1}, KcLoop_Now());
     KcServerInfo_Clear(&info);
 }
 
--- a/tests/request/test_not_run.c
+++ b/tests/request/test_not_run.c
@@ -463,7 +463,8 @@
     KcText_Copy(info.service, "s", KC_NAME_MAX);
     KcText_Copy(info.address, server_address, KC_ADDRESS_MAX);
     info.concurrency_max = 8;
-    KcGateway_OnServerRecord(fixture->gateway, &info, 1, KcLoop_Now());
+    KcGateway_OnServerRecord(fixture->gateway, &info, (KcRevision){0, 1},
+                             KcLoop_Now());
     KcServerInfo_Clear(&info);
 }
 
--- a/tests/request/test_notices.c
+++ b/tests/request/test_notices.c
@@ -341,7 +341,8 @@
     KcText_Copy(info.address, address, KC_ADDRESS_MAX);
     info.concurrency_max = 8;
     info.started_at_ms = 5;
-    KcGateway_OnServerRecord(fixture->gateway, &info, 1, KcLoop_Now());
+    KcGateway_OnServerRecord(fixture->gateway, &info, (KcRevision){0, 1},
+                             KcLoop_Now());
     KcServerInfo_Clear(&info);
 }
 
--- a/tests/request/test_request_memory.c
+++ b/tests/request/test_request_memory.c
@@ -144,7 +144,8 @@
     KcText_Copy(info.service, "s", KC_NAME_MAX);
     KcText_Copy(info.address, fixture->server_address, KC_ADDRESS_MAX);
     info.concurrency_max = CALLERS_MAX;
-    KcGateway_OnServerRecord(fixture->gateway, &info, 1, KcLoop_Now());
+    KcGateway_OnServerRecord(fixture->gateway, &info, (KcRevision){0, 1},
+                             KcLoop_Now());
     KcServerInfo_Clear(&info);
 }
 
--- a/tests/standins/store.c
+++ b/tests/standins/store.c
@@ -6,6 +6,9 @@
  *
  *   PUT /raw/COLLECTION/NAME   creates or replaces an object whose value is
  * the body as it is, also if that is not valid JSON
+ *   PUT /copy                  makes a copy of the store
+ *   PUT /restore?away_ms=T     the store is away for so long, if not 0, and
+ * comes back from the copy, in a later era
  */
 #include <assert.h>
 #include <event2/http.h>
@@ -15,8 +18,9 @@
 #include <string.h>
 
 #include "raw_server.h"
+#include "store_objects.h"
 
-#define COLLECTION_MAX 32
+#define COLLECTION_MAX STORE_COLLECTION_MAX
 #define OBJECTS_PREFIX "/objects/"
 #define RAW_PREFIX "/raw/"
 #define HISTORY_EVENTS_MAX 4096
@@ -31,14 +35,6 @@
 /* Stands for a raw value in the JSON of an object. */
 #define RAW_VALUE_FORMAT "@raw%d@"
 
-typedef struct Object {
-    TAILQ_ENTRY(Object) link;
-    char collection[COLLECTION_MAX];
-    char name[KC_OBJECT_NAME_MAX];
-    int64_t revision;
-    json_t *spec;
-} Object;
-
 /* A change of an object, as watches report it. */
 typedef struct Event {
     TAILQ_ENTRY(Event) link;
@@ -47,11 +43,16 @@
     json_t *json;
 } Event;
 
-static TAILQ_HEAD(, Object) objects = TAILQ_HEAD_INITIALIZER(objects);
+static struct StoreObjectList objects = TAILQ_HEAD_INITIALIZER(objects);
+static struct StoreObjectList copied_objects =
+    TAILQ_HEAD_INITIALIZER(copied_objects);
 static TAILQ_HEAD(EventList, Event) events = TAILQ_HEAD_INITIALIZER(events);
 static TAILQ_HEAD(, RawValue) raw_values = TAILQ_HEAD_INITIALIZER(raw_values);
 static int raw_value_count;
 static int64_t last_revision = 1;
+static int64_t copied_revision = 1;
+static int64_t era = 1;   /* rises when the store is restored from the copy */
+static KcTime away_until; /* no call is answered until then */
 static int64_t trimmed_revision; /* events up to it are no longer kept */
 static int64_t event_count;
 static int64_t call_count;
@@ -78,24 +79,9 @@
 
 /* ---- objects ------------------------------------------------------------- */
 
-static Object *
-find_object(const char *collection, const char *name)
-{
-    Object *object;
-
-    assert(name != NULL);
-    TAILQ_FOREACH (object, &objects, link) {
-        if (strcmp(object->collection, collection) == 0 &&
-            strcmp(object->name, name) == 0) {
-            return object;
-        }
-    }
-    return NULL;
-}
-
 /* Encodes an object as the store's JSON; the caller drops the reference. */
 static json_t *
-encode_object(const Object *object)
+encode_object(const StoreObject *object)
 {
     return json_pack("{s:{s:s, s:I, s:I, s:[], s:b}, s:O, s:n}", "meta",
                      "name", object->name, "revision",
@@ -106,7 +92,7 @@
 
 /* Adds an event to the history; the oldest goes when it is full. */
 static void
-add_event(const Object *object, bool deleted)
+add_event(const StoreObject *object, bool deleted)
 {
     Event *event = KcMem_New(sizeof(*event));
 
@@ -125,25 +111,6 @@
     }
 }
 
-/* Adds an object without spec, in the order of names that pages rely on. */
-static Object *
-insert_object(const char *collection, const char *name)
-{
-    Object *object = KcMem_New(sizeof(*object));
-    Object *successor;
-
-    KcText_Copy(object->collection, collection, COLLECTION_MAX);
-    KcText_Copy(object->name, name, sizeof(object->name));
-    TAILQ_FOREACH (successor, &objects, link) {
-        if (strcmp(successor->name, name) > 0) {
-            TAILQ_INSERT_BEFORE(successor, object, link);
-            return object;
-        }
-    }
-    TAILQ_INSERT_TAIL(&objects, object, link);
-    return object;
-}
-
 /* ---- watches ------------------------------------------------------------- */
 
 /* The request state of a connection whose watch isn't answered yet. */
@@ -173,6 +140,17 @@
     return text;
 }
 
+static void
+reply_text(RawConnection *connection, int status, const char *text)
+{
+    char headers[128];
+
+    snprintf(headers, sizeof(headers),
+             "Content-Type: application/json\r\nStore-Era: %" PRId64 "\r\n",
+             era);
+    RawConnection_Reply(connection, status, headers, text);
+}
+
 static void
 reply_json(RawConnection *connection, int status, json_t *json)
 {
@@ -182,8 +160,7 @@
     TAILQ_FOREACH (value, &raw_values, link) {
         text = insert_raw_value(text, value);
     }
-    RawConnection_Reply(connection, status,
-                        "Content-Type: application/json\r\n", text);
+    reply_text(connection, status, text);
     free(text);
     json_decref(json);
 }
@@ -301,7 +278,7 @@
 {
     json_t *items = json_array();
     char after[KC_OBJECT_NAME_MAX];
-    const Object *object;
+    const StoreObject *object;
     bool has_more = false;
 
     RawConnection_CopyQueryText(connection, "after", after, sizeof(after));
@@ -336,10 +313,10 @@
     if (since_revision < 0) {
         reply_list(connection, collection);
     }
-    else if (since_revision < trimmed_revision) {
-        RawConnection_Reply(
-            connection, 410, "",
-            "{\"error\":\"revision is no longer in the history\"}");
+    else if (since_revision < trimmed_revision ||
+             since_revision > last_revision) {
+        reply_text(connection, 410,
+                   "{\"error\":\"revision is not in the history\"}");
     }
     else {
         start_watch(connection, collection, since_revision);
@@ -374,17 +351,17 @@
     const char *object_name =
         create ? json_string_value(json_object_get(meta, "name")) : name;
     json_t *expected_revision = json_object_get(meta, "revision");
-    Object *object;
+    StoreObject *object;
     bool reply_lost = is_subject_to_faults(connection) &&
                       RawServer_DrawFault(&server, "lost");
 
     if (object_name == NULL || json_object_get(body, "spec") == NULL) {
-        RawConnection_Reply(connection, 400, "",
-                            "{\"error\":\"meta.name or spec is missing\"}");
+        reply_text(connection, 400,
+                   "{\"error\":\"meta.name or spec is missing\"}");
         json_decref(body);
         return;
     }
-    object = find_object(collection, object_name);
+    object = StoreObjects_Find(&objects, collection, object_name);
     if ((create && object != NULL) ||
         (object != NULL && json_is_integer(expected_revision) &&
          json_integer_value(expected_revision) != object->revision)) {
@@ -393,12 +370,12 @@
         return;
     }
     if (!create && object == NULL) {
-        RawConnection_Reply(connection, 404, "", "{}");
+        reply_text(connection, 404, "{}");
         json_decref(body);
         return;
     }
     if (object == NULL) {
-        object = insert_object(collection, object_name);
+        object = StoreObjects_Insert(&objects, collection, object_name);
     }
     if (object->spec == NULL ||
         !json_equal(object->spec, json_object_get(body, "spec"))) {
@@ -419,20 +396,20 @@
 write_raw_object(RawConnection *connection, const char *collection,
                  const char *name)
 {
-    Object *object = find_object(collection, name);
+    StoreObject *object = StoreObjects_Find(&objects, collection, name);
     RawValue *value = KcMem_New(sizeof(*value));
 
     value->number = raw_value_count++;
     value->text = strdup(KcBuffer_Data(&connection->body));
     TAILQ_INSERT_TAIL(&raw_values, value, link);
     if (object == NULL) {
-        object = insert_object(collection, name);
+        object = StoreObjects_Insert(&objects, collection, name);
     }
     json_decref(object->spec);
     object->spec = json_sprintf(RAW_VALUE_FORMAT, value->number);
     object->revision = ++last_revision;
     add_event(object, false);
-    RawConnection_Reply(connection, 200, "", "{}");
+    reply_text(connection, 200, "{}");
     answer_watches(collection);
 }
 
@@ -440,18 +417,16 @@
 delete_object(RawConnection *connection, const char *collection,
               const char *name)
 {
-    Object *object = find_object(collection, name);
+    StoreObject *object = StoreObjects_Find(&objects, collection, name);
 
     if (object == NULL) {
-        RawConnection_Reply(connection, 404, "", "{}");
+        reply_text(connection, 404, "{}");
         return;
     }
     object->revision = ++last_revision;
     add_event(object, true);
-    TAILQ_REMOVE(&objects, object, link);
-    json_decref(object->spec);
-    free(object);
-    RawConnection_Reply(connection, 200, "", "{}");
+    StoreObjects_Remove(&objects, object);
+    reply_text(connection, 200, "{}");
     answer_watches(collection);
 }
 
@@ -459,15 +434,92 @@
 read_object(RawConnection *connection, const char *collection,
             const char *name)
 {
-    const Object *object = find_object(collection, name);
+    const StoreObject *object = StoreObjects_Find(&objects, collection, name);
 
     if (object == NULL) {
-        RawConnection_Reply(connection, 404, "", "{}");
+        reply_text(connection, 404, "{}");
         return;
     }
     reply_json(connection, 200, encode_object(object));
 }
 
+/* ---- restoring from a copy ----------------------------------------------- */
+
+static void
+make_copy(RawConnection *connection)
+{
+    StoreObjects_Copy(&copied_objects, &objects);
+    copied_revision = last_revision;
+    reply_text(connection, 200, "{}");
+}
+
+/* Drops the history that the copy does not have. */
+static void
+drop_later_events(void)
+{
+    Event *event;
+
+    while ((event = TAILQ_LAST(&events, EventList)) != NULL &&
+           event->revision > copied_revision) {
+        TAILQ_REMOVE(&events, event, link);
+        json_decref(event->json);
+        free(event);
+        event_count--;
+    }
+}
+
+static void
+reset_watches(void)
+{
+    RawConnection *connection;
+    RawConnection *next;
+
+    TAILQ_FOREACH_SAFE (connection, &server.connections, link, next) {
+        if (connection->request_state != NULL) {
+            RawConnection_Reset(connection);
+        }
+    }
+}
+
+/* Watches that wait go on if the store is not away: no call shows them the
+ * new era. */
+static void
+restore_copy(RawConnection *connection)
+{
+    KcTime away =
+        RawConnection_FindQueryNumber(connection, "away_ms", 0) * KC_MS;
+
+    StoreObjects_Copy(&objects, &copied_objects);
+    last_revision = copied_revision;
+    drop_later_events();
+    era++;
+    reply_text(connection, 200, "{}");
+    if (away > 0) {
+        away_until = KcLoop_Now() + away;
+        reset_watches();
+    }
+}
+
+static const struct {
+    const char *path;
+    void (*handle)(RawConnection *connection);
+} operations[] = {{"/copy", make_copy}, {"/restore", restore_copy}};
+
+/* Handles a call of a test that concerns the whole store. */
+static bool
+run_operation(RawConnection *connection, const char *path)
+{
+    for (size_t i = 0; i < sizeof(operations) / sizeof(operations[0]); i++) {
+        if (strcmp(path, operations[i].path) == 0) {
+            operations[i].handle(connection);
+            return true;
+        }
+    }
+    return false;
+}
+
+/* ---- faults -------------------------------------------------------------- */
+
 /* Counts a call against the number that random faults may hit. */
 static bool
 may_fail_call(void)
@@ -490,11 +542,11 @@
         return true;
     }
     if (RawServer_DrawFault(&server, "busy")) {
-        RawConnection_Reply(connection, 503, "", "{}");
+        reply_text(connection, 503, "{}");
         return true;
     }
     if (RawServer_DrawFault(&server, "many")) {
-        RawConnection_Reply(connection, 429, "", "{}");
+        reply_text(connection, 429, "{}");
         return true;
     }
     return false;
@@ -536,8 +588,15 @@
     call_count++;
     KcText_Copy(path, connection->message->target, sizeof(path));
     path[strcspn(path, "?")] = '\0';
+    if (KcLoop_Now() < away_until) {
+        RawConnection_Reset(connection);
+        return;
+    }
+    if (run_operation(connection, path)) {
+        return;
+    }
     if (strncmp(path, prefix, strlen(prefix)) != 0) {
-        RawConnection_Reply(connection, 404, "", "{}");
+        reply_text(connection, 404, "{}");
         return;
     }
     if (is_subject_to_faults(connection) && inject_fault(connection)) {
@@ -570,6 +629,7 @@
 {
     json_object_set_new(state, "calls", json_integer(call_count));
     json_object_set_new(state, "revision", json_integer(last_revision));
+    json_object_set_new(state, "era", json_integer(era));
 }
 
 static const RawServerOptions server_options = {.knobs = knobs,
--- a/tests/standins/worker.c
+++ b/tests/standins/worker.c
@@ -94,6 +94,7 @@
 /* Percentages are drawn once for a plain request; those of reset, truncate,
  * garbage and mute are drawn for each event of a stream. */
 static RawKnob knobs[] = {
+    {"record_held", 0},  /* 1: its record is not written meanwhile */
     {"work_ms", 5},      /* time to an answer, or between two events */
     {"load_ms", 30},     /* time to load an adapter */
     {"places", 8},       /* concurrency limit; requests beyond it aren't run */
@@ -245,8 +246,10 @@
 static void
 on_record_due(KcTimer *timer, KcTime now)
 {
-    write_record("POST"); /* refused when the record exists */
-    write_record("PUT");
+    if (RawServer_GetKnob(&server, "record_held") == 0) {
+        write_record("POST"); /* refused when the record exists */
+        write_record("PUT");
+    }
     KcTimers_Set(server.loop->timers, timer, now + RECORD_INTERVAL);
 }
 
--- a/tests/version/feed_sim.c
+++ b/tests/version/feed_sim.c
@@ -111,15 +111,15 @@
 {
     FeedSimFeed *feed = context;
     FeedSim *sim = feed->sim;
-    int serial = sim->writes[item->revision].serial;
+    int serial = sim->writes[item->revision.number].serial;
 
     sim->known_serial[feed->collection] =
         MAX(sim->known_serial[feed->collection], serial);
     if (sim->change_revision != 0 && sim->known_at == 0 &&
         sim->writes[sim->change_revision].collection == feed->collection &&
-        item->revision >= sim->change_revision) {
+        item->revision.number >= sim->change_revision) {
         g_assert_cmpint(item->changed_after, <=,
-                        sim->writes[item->revision].at);
+                        sim->writes[item->revision.number].at);
         sim->known_at = now;
     }
 }
@@ -183,7 +183,7 @@
 
     for (uint64_t revision = until; revision > after; revision--) {
         if (sim->writes[revision].collection == feed->collection) {
-            item.revision = revision;
+            item.revision.number = revision;
             KcFeed_OnItem(feed->feed, &item, sim->now);
             return true;
         }
@@ -265,7 +265,7 @@
         !has_change(feed, asked.revision, revision)) {
         return;
     }
-    code = KcFeed_OnEra(feed->feed, answered_era(sim, &asked));
+    code = KcFeed_OnEra(feed->feed, answered_era(sim, &asked), sim->now);
     if (code != 0) {
         fail_call(feed, call, code);
         return;
@@ -319,7 +319,8 @@
         [VERSIONS] = {30 * KC_SECOND, 0, 500 * KC_MS, 0, 5 * KC_SECOND},
     };
 
-    KcFeedGroup_Init(&sim->group);
+    KcFeedGroup_Init(&sim->group, &(KcFeedGroupOptions){
+                                      .restored_relist_delay = 3 * KC_SECOND});
     for (int i = 0; i < COLLECTION_COUNT; i++) {
         KcFeedOptions options = {
             .ops = &feed_ops,
--- a/tests/version/test_feed.c
+++ b/tests/version/test_feed.c
@@ -9,14 +9,16 @@
  *   watched REVISION NAME...    answers a watch; -NAME is a deletion
  *   discarded               the watch's history is discarded
  *   fail                    the call fails
+ *   era N                   the answer to the call is of this era; the steps
+ *                           above follow if it is taken
  *   relist, wait MS, hurry MS
  *   mark                    adds "|" to the trace
  *   relistwithin            every later on_store_status call relists
  *
  * Trace: "L(after)" and "W(revision)" calls to the store, in small letters if
- * they may lag, "x" a cancelled
- * call; "begins", "+name", "-name", "listed", "lost", "back" what the feed
- * reports.
+ * they may lag, with the timeout if that is not 1 s, "x" a cancelled call;
+ * "begins", "+name", "-name", with the era if that is not 1, "listed", "lost",
+ * "back", "restored OLD>NEW" what the feed reports.
  */
 #include <glib.h>
 #include <inttypes.h>
@@ -30,6 +32,7 @@
 typedef struct Fixture {
     KcTimers *timers;
     KcFeed *feed;
+    KcFeedGroup group;
     GString *trace;
     KcTime now;
     bool relist_within; /* on_store_status relists */
@@ -51,9 +54,13 @@
 {
     (void)feed;
     (void)collection;
-    g_assert_cmpint(timeout, ==, KC_SECOND);
-    g_string_append_printf(((Fixture *)store)->trace, "%c(%" PRIu64 ") ",
+    g_string_append_printf(((Fixture *)store)->trace, "%c(%" PRIu64,
                            may_lag ? 'w' : 'W', revision);
+    if (timeout != KC_SECOND) {
+        g_string_append_printf(((Fixture *)store)->trace, ",%d",
+                               (int)(timeout / KC_MS));
+    }
+    g_string_append(((Fixture *)store)->trace, ") ");
 }
 
 static void
@@ -75,9 +82,15 @@
 static void
 on_item(void *context, const KcFeedItem *item, KcTime now)
 {
+    GString *trace = ((Fixture *)context)->trace;
+
     (void)now;
-    g_string_append_printf(((Fixture *)context)->trace, "%s%s ",
-                           item->deleted ? "-" : "+", item->name);
+    g_string_append_printf(trace, "%s%s", item->deleted ? "-" : "+",
+                           item->name);
+    if (item->revision.era > 1) {
+        g_string_append_printf(trace, "@%d", (int)item->revision.era);
+    }
+    g_string_append(trace, " ");
 }
 
 static void
@@ -98,6 +111,14 @@
     }
 }
 
+static void
+on_restored(void *context, uint64_t era, uint64_t previous_era, KcTime now)
+{
+    (void)now;
+    g_string_append_printf(((Fixture *)context)->trace, "restored %d>%d ",
+                           (int)previous_era, (int)era);
+}
+
 /* ---- steps -------------------------------------------------------------- */
 
 static void
@@ -106,7 +127,7 @@
     for (; *words != NULL && strcmp(*words, "more") != 0; words++) {
         bool deleted = **words == '-';
         KcFeedItem item = {.name = *words + (deleted ? 1 : 0),
-                           .revision = 1,
+                           .revision = {0, 1},
                            .deleted = deleted};
 
         KcFeed_OnItem(fixture->feed, &item, fixture->now);
@@ -158,6 +179,17 @@
                      fixture->now);
 }
 
+static void
+step_era(Fixture *fixture, char **words)
+{
+    int code =
+        KcFeed_OnEra(fixture->feed, (uint64_t)atoi(words[1]), fixture->now);
+
+    if (code != 0) {
+        KcFeed_OnFailure(fixture->feed, code, fixture->now);
+    }
+}
+
 static void
 step_relist(Fixture *fixture, char **words)
 {
@@ -193,15 +225,11 @@
 }
 
 static const StepHandler step_handlers[] = {
-    {"page", step_page},
-    {"pageat", step_page_at},
-    {"watched", step_watched},
-    {"discarded", step_discarded},
-    {"fail", step_fail},
-    {"relist", step_relist},
-    {"relistwithin", step_relist_within},
-    {"wait", step_wait},
-    {"mark", step_mark},
+    {"page", step_page},       {"pageat", step_page_at},
+    {"watched", step_watched}, {"discarded", step_discarded},
+    {"fail", step_fail},       {"era", step_era},
+    {"relist", step_relist},   {"relistwithin", step_relist_within},
+    {"wait", step_wait},       {"mark", step_mark},
     {"hurry", step_hurry},
 };
 
@@ -254,6 +282,27 @@
      "begins L() +a listed W(5) x begins L() +a listed "},
     {"a relist while listing or waiting changes nothing",
      "relist;page a;relist;wait 20", "begins L() +a listed W(5) "},
+    {"a later era is followed by a list, and by one more some time later",
+     "era 1;page a;wait 20;era 2;wait 20;era 2;page b;wait 20;wait 480;era 2;"
+     "watched 6 c;wait 20;era 2;page b c;wait 20",
+     "begins L() +a listed W(5) restored 1>2 begins L() +b@2 listed W(5,480) "
+     "+c@2 begins L() +b@2 +c@2 listed W(5) "},
+    {"pages of two eras are no list",
+     "era 1;page a more;era 2;wait 20;era 2;page b",
+     "begins L() +a L(a) restored 1>2 begins L() +b@2 listed "},
+    {"a list of an earlier era is a failure",
+     "era 1;page a;wait 20;era 2;wait 20;era 1;wait 200;era 2;page b",
+     "begins L() +a listed W(5) restored 1>2 begins L() lost begins L() +b@2 "
+     "back listed "},
+    {"a list that is answered in one more later era holds",
+     "era 1;page a;wait 20;era 2;wait 20;era 3;page b;wait 20",
+     "begins L() +a listed W(5) restored 1>2 begins L() restored 2>3 +b@3 "
+     "listed W(5,480) "},
+    {"two later eras in a row are each followed by a list",
+     "era 1;page a;wait 20;era 2;wait 20;era 2;page b;wait 20;era 3;wait 20;"
+     "era 3;page c;wait 20",
+     "begins L() +a listed W(5) restored 1>2 begins L() +b@2 listed W(5,480) "
+     "restored 2>3 begins L() +c@3 listed W(5,480) "},
     {"a relist from within a failure report lists once",
      "relistwithin;page a;wait 20;fail;wait 200;page a;wait 20",
      "begins L() +a listed W(5) lost begins L() +a back listed W(5) "},
@@ -279,6 +328,11 @@
     {"after a discarded history nothing may lag",
      "page a;wait 20;discarded;wait 20;page b;wait 20",
      "begins l() +a listed w(5) begins L() +b listed w(5) "},
+    {"in a later era nothing may lag until one more list",
+     "era 1;page a;wait 20;era 2;wait 20;era 2;page b;wait 500;era 2;"
+     "watched 6 c;wait 20;era 2;page b c;wait 20",
+     "begins l() +a listed w(5) restored 1>2 begins L() +b@2 listed W(5,480) "
+     "+c@2 begins L() +b@2 +c@2 listed w(5) "},
     {"a relist may not lag and ends the timeout of the watch",
      "page a;wait 20;relist;wait 200;page a;wait 20",
      "begins l() +a listed w(5) x begins L() +a listed w(5) "},
@@ -308,8 +362,13 @@
                              .on_item = on_item,
                              .on_list_end = on_list_end,
                              .on_store_status = on_store_status,
+                             .group = &fixture.group,
                              .context = &fixture};
+    KcFeedGroupOptions group_options = {.on_restored = on_restored,
+                                        .context = &fixture,
+                                        .restored_relist_delay = 500 * KC_MS};
 
+    KcFeedGroup_Init(&fixture.group, &group_options);
     fixture.trace = g_string_new("");
     fixture.timers = KcTimers_Create(fixture.now);
     options.timers = fixture.timers;
