gateway: count no more tokens for a request than a server can hold

Cause: a request counted for as many tokens as it states, in sums of 64 bits. The second such request at a server wrapped its in_flight_tokens, and with the end of the first the assertion in KcForwardAttempt_Release() failed. The check of the server's memory wrapped as well, so that it let the second one in; the expected delay of a request and the shares of the queue were taken from such numbers, too.

Now a request counts for KC_TOKENS_MAX tokens at the most, and for no more than an engine of its service can hold: one that states more still needs a server of its own. That is decided in one place, where the request's service is known, for requests and for those that are only foreseen. The expected delay by other requests has a maximum, so that products with it fit. Quotas and what is passed on to the server keep the stated numbers.

--- a/lib/process/gateway_cost.c
+++ b/lib/process/gateway_cost.c
@@ -43,6 +43,8 @@
  * CONTENTION_TOKENS tokens of the request. */
 #define CONTENTION_DELAY (KC_MS * 15 / 100)
 #define CONTENTION_TOKENS 2500
+/* Longest expected delay; a longer one makes no difference to the choice. */
+#define CONTENTION_DELAY_MAX (3600 * KC_SECOND)
 /* Usual time to read a token of a prompt, us. */
 #define PROMPT_TOKEN_TIME 30
 /* A server is crowded when its load is above CROWDED_PERCENT of the mean plus
@@ -382,7 +384,10 @@
 {
     KcTime delay = (KcTime)load * load * CONTENTION_DELAY;
 
-    return delay + delay * (KcTime)forward->tokens_max / CONTENTION_TOKENS;
+    if (delay < CONTENTION_DELAY_MAX) {
+        delay += delay * (KcTime)forward->tokens_max / CONTENTION_TOKENS;
+    }
+    return delay < CONTENTION_DELAY_MAX ? delay : CONTENTION_DELAY_MAX;
 }
 
 static KcTime
--- a/lib/process/gateway_explain.c
+++ b/lib/process/gateway_explain.c
@@ -240,6 +240,7 @@
 
     explanation->target =
         KcGateway_DrawTarget(gateway, forward->rule, &random_state);
+    KcForward_SetTokens(forward, call, explanation->target);
     forward->pool = KcGateway_FindPool(gateway, explanation->target->service);
     if (forward->pool == NULL) {
         forward->pool = &foresight->new_pool;
--- a/lib/process/gateway_forward.c
+++ b/lib/process/gateway_forward.c
@@ -195,14 +195,23 @@
 
 /* ---- arrival ------------------------------------------------------------- */
 
+/* Adds up tokens; more than the maximum count as the maximum. */
+static uint64_t
+add_tokens(uint64_t tokens, uint64_t more, uint64_t maximum)
+{
+    if (tokens >= maximum || more >= maximum - tokens) {
+        return maximum;
+    }
+    return tokens + more;
+}
+
 void
 KcForwardCall_SetTokens(KcForwardCall *call, uint64_t prompt_tokens,
                         uint64_t answer_tokens_max, uint64_t hint_tokens)
 {
     call->states_tokens = true;
-    call->quota_tokens = prompt_tokens < UINT64_MAX - answer_tokens_max
-                             ? prompt_tokens + answer_tokens_max
-                             : UINT64_MAX;
+    call->quota_tokens =
+        add_tokens(prompt_tokens, answer_tokens_max, UINT64_MAX);
     call->prompt_tokens = prompt_tokens;
     call->answer_tokens_max =
         hint_tokens < answer_tokens_max ? hint_tokens : answer_tokens_max;
@@ -277,7 +286,6 @@
     forward->last_event_at = now;
     forward->deadline = find_deadline(call, rule, now);
     forward->dispatch_until = now + KcWait_Min(rule->latency_objective);
-    forward->tokens_max = call->prompt_tokens + call->answer_tokens_max;
     forward->events_max = call->answer_events_max;
     forward->part_count = call->part_count;
     if (call->part_count > 0) {
@@ -293,6 +301,22 @@
     KcTimer_Init(&forward->timer, on_timer, forward);
 }
 
+void
+KcForward_SetTokens(KcForward *forward, const KcForwardCall *call,
+                    const KcRouteTarget *target)
+{
+    const KcRoutedService *service =
+        KcRouting_FindService(forward->routing, target->service);
+    uint64_t maximum = KC_TOKENS_MAX;
+
+    if (service != NULL && service->engine.kv_cache_tokens > 0 &&
+        service->engine.kv_cache_tokens < maximum) {
+        maximum = service->engine.kv_cache_tokens;
+    }
+    forward->tokens_max =
+        add_tokens(call->prompt_tokens, call->answer_tokens_max, maximum);
+}
+
 static KcForward *
 create_forward(KcGateway *gateway, const KcForwardCall *call,
                const KcRouteRule *rule, const KcAdmission *admission,
@@ -303,6 +327,7 @@
         KcGateway_DrawTarget(gateway, rule, &gateway->random_state);
 
     KcForward_Init(forward, gateway, call, rule, admission, now);
+    KcForward_SetTokens(forward, call, target);
     KcRouting_Retain(forward->routing);
     forward->pool = KcGateway_GetPool(gateway, target->service);
     if (KcGateway_NeedsAdapter(gateway, call, target)) {
--- a/lib/process/gateway_internal.h
+++ b/lib/process/gateway_internal.h
@@ -403,11 +403,15 @@
 bool KcGateway_NeedsAdapter(const KcGateway *gateway,
                             const KcForwardCall *call,
                             const KcRouteTarget *target);
-/* Fills in an admitted request but for its service and its adapter.  It holds
- * no reference to the routing yet. */
+/* Fills in an admitted request but for its service, its adapter and its
+ * tokens.  It holds no reference to the routing yet. */
 void KcForward_Init(KcForward *forward, KcGateway *gateway,
                     const KcForwardCall *call, const KcRouteRule *rule,
                     const KcAdmission *admission, KcTime now);
+/* Sets the tokens that the request counts for at its target's servers: at most
+ * what one of them can hold, and KC_TOKENS_MAX. */
+void KcForward_SetTokens(KcForward *forward, const KcForwardCall *call,
+                         const KcRouteTarget *target);
 /* When it is of use that the caller of a request that did not run tries again;
  * pace: of the service, which counts the return. */
 KcTime KcForward_RetryAfter(const KcForward *forward, KcQueuePace *pace,
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -30,6 +30,10 @@
 /* Shared parts of a prompt that are looked at; further ones are not. */
 #define KC_PROMPT_PARTS_MAX 32
 
+/* Most tokens that a request counts for at a server, however many it states:
+ * sums over the requests of a gateway fit into 64 bits. */
+#define KC_TOKENS_MAX 100000000
+
 /* A request as submitted; text and parts are borrowed for KcGateway_Submit().
  */
 typedef struct KcForwardCall {
@@ -237,7 +241,8 @@
     char id[KC_CALLER_ID_MAX];
     KcTime arrived_at;
     KcTime deadline;     /* the request has ended by then */
-    uint64_t tokens_max; /* of the prompt and the longest answer */
+    uint64_t tokens_max; /* of the prompt and the longest answer, as far as
+                          * they count, see KcForward_SetTokens() */
     uint64_t events_max; /* as KcForwardCall.answer_events_max */
     uint32_t part_count; /* of parts */
     uint64_t parts[KC_PROMPT_PARTS_MAX]; /* as KcForwardCall.parts */
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -16,9 +16,10 @@
  * the words of "request".
  *
  * Steps, separated by semicolons:
- *   config VERSION [CONNECTIONS_MAX] [CUSTOMER...]
+ *   config VERSION [CONNECTIONS_MAX] [memory=TOKENS] [CUSTOMER...]
  *                           takes a routing configuration; a server of service
- *                           plain accepts so many connections
+ *                           plain accepts so many connections, one of llm
+ *                           holds so many tokens
  *   inforce                 traces the version in force, as "v2"
  *   server ID SERVICE CONCURRENCY_MAX [at=DC] [born=MS] [port=N] [leaving]
  *          [again] REPLICA...  a server's record; born is its start time, x@1
@@ -30,11 +31,15 @@
  *   restore N               the store comes back from a copy of N changes
  *                           before, in a later era
  *   request N PATH [MODEL[/ADAPTER] [EVENTS_MAX [LAST_EVENT]]]
- * [parts=PART,...] abandon N reply N STATUS, notrun N, misdirected N, begin N,
- * event N ID, end N answers to an attempt: N is the latest one of request N,
- * N@SERVER the one at that server lost N, neversent N     the attempt failed
- * after or before it was sent report SERVER ADAPTER VERSION STATE     from the
- * keeper; see state_names keeperlost SERVER       the keeper's link ended
+ *          [tokens=PROMPT,ANSWER] [parts=PART,...]
+ *                           with 10 tokens of prompt unless it states them
+ *   abandon N
+ *   reply N STATUS, notrun N, misdirected N, begin N, event N ID, end N
+ *                           answers to an attempt: N is the latest one of
+ *                           request N, N@SERVER the one at that server
+ *   lost N, neversent N     the attempt failed after or before it was sent
+ *   report SERVER ADAPTER VERSION STATE     from the keeper; see state_names
+ *   keeperlost SERVER       the keeper's link ended
  *   ended SERVER BORN PART,...  the keeper confirms that this instance ended
  *   news SERVER KIND PART EPOCH [INSTANCE | of=ID | with=PART,...]  news of a
  *                           part from a hub of the server's service: of an
@@ -113,13 +118,18 @@
 {
     KcRouting *routing = KcRouting_Create((uint64_t)atoi(words[1]));
     char **customers = words + 2;
+    KcEngineCapacity *engine = &KcRouting_AddService(routing, "llm")->engine;
     uint32_t connections_max = 0;
     KcError error;
 
-    KcRouting_AddService(routing, "llm")->engine.is_configured = true;
+    engine->is_configured = true;
     if (*customers != NULL && g_ascii_isdigit(**customers)) {
         connections_max = (uint32_t)atoi(*customers++);
     }
+    if (*customers != NULL && g_str_has_prefix(*customers, "memory=")) {
+        engine->kv_cache_tokens =
+            strtoull(*customers++ + strlen("memory="), NULL, 10);
+    }
     KcRouting_AddService(routing, "plain")->connections_max = connections_max;
     add_rule(routing, "/s/", KC_REQUEST_KIND_SAFE, false);
     add_rule(routing, "/u/", KC_REQUEST_KIND_UNSAFE, false);
@@ -257,55 +267,16 @@
     Foresight_Clear(&foresight);
 }
 
-/* Reads "NAME N PATH ..." and passes the call on. */
-static void
-with_call(Fixture *fixture, char **words,
-          void (*use)(Fixture *fixture, int number, const KcForwardCall *call))
-{
-    KcForwardCall call = {.id = words[1],
-                          .host = "H:80",
-                          .path = words[2],
-                          .model = "",
-                          .adapter = "",
-                          .prompt_tokens = 10};
-    uint64_t prompt_parts[KC_PROMPT_PARTS_MAX];
-    uint32_t last = g_strv_length(words) - 1;
-    char **parts;
-
-    if (GatewaySteps_TakeKey(&call, words[last])) {
-        g_clear_pointer(&words[last--], g_free);
-    }
-    if (g_str_has_prefix(words[last], "parts=")) {
-        call.parts = prompt_parts;
-        call.part_count = GatewaySteps_ReadParts(
-            words[last] + strlen("parts="), prompt_parts);
-        g_clear_pointer(&words[last], g_free);
-    }
-    parts = words[3] != NULL ? g_strsplit(words[3], "/", 2) : NULL;
-
-    if (parts != NULL) {
-        call.model = parts[0];
-        call.adapter = parts[1] != NULL ? parts[1] : "";
-        call.answer_events_max =
-            words[4] != NULL ? (uint64_t)atoi(words[4]) : 0;
-        call.has_last_event = words[4] != NULL && words[5] != NULL;
-        call.last_event_id =
-            call.has_last_event ? (uint64_t)atoi(words[5]) : 0;
-    }
-    use(fixture, atoi(words[1]), &call);
-    g_strfreev(parts);
-}
-
 static void
 step_request(Fixture *fixture, char **words)
 {
-    with_call(fixture, words, submit);
+    GatewaySteps_WithCall(fixture, words, submit);
 }
 
 static void
 step_explain(Fixture *fixture, char **words)
 {
-    with_call(fixture, words, GatewaySteps_Explain);
+    GatewaySteps_WithCall(fixture, words, GatewaySteps_Explain);
 }
 
 static KcForward *
--- a/tests/process/gateway_steps_internal.h
+++ b/tests/process/gateway_steps_internal.h
@@ -1,7 +1,8 @@
 /*
  * State of a case of gateway_steps.c, and functions shared by its files:
- * gateway_steps.c has the steps, gateway_steps_parts.c those on parts of
- * prompts, gateway_steps_customers.c those on customers,
+ * gateway_steps.c has the steps, gateway_steps_calls.c what requests are made
+ * of, gateway_steps_parts.c those on parts of prompts,
+ * gateway_steps_customers.c those on customers,
  * gateway_steps_explain.c that on foreseen requests, gateway_steps_trace.c the
  * calls that the gateway makes.
  */
@@ -48,6 +49,11 @@
 extern const KcGatewayOps GatewaySteps_Ops;
 extern const KcForwardOps GatewaySteps_CallerOps;
 
+/* Reads the words of "request N PATH ..." and passes the call on; takes words
+ * away. */
+void GatewaySteps_WithCall(Fixture *fixture, char **words,
+                           void (*use)(Fixture *fixture, int number,
+                                       const KcForwardCall *call));
 /* Reads "1,2" into ids of parts; returns their number. */
 uint32_t GatewaySteps_ReadParts(const char *text,
                                 uint64_t parts[KC_PROMPT_PARTS_MAX]);
