gateway: don't believe a server's load that can't be

A server that stated a load near 2^32 was taken to be idle, as the sum of running and waiting requests or its percentage wrapped around; or it made others look full, as those that have not told their load are taken for the mean. Its limit, if it was as large, made it look full.

A load or a limit above KC_SERVER_REQUESTS_MAX is not believed now: the report is left out, and the one before stays until it is too old.

--- a/lib/process/gateway_servers.c
+++ b/lib/process/gateway_servers.c
@@ -435,10 +435,14 @@
 KcGateway_OnLoadReport(KcServer *server, uint32_t running, uint32_t waiting,
                        uint32_t concurrency_max, KcTime now)
 {
-    uint32_t total = running + waiting;
+    uint64_t total = (uint64_t)running + waiting;
 
+    if (total > KC_SERVER_REQUESTS_MAX ||
+        concurrency_max > KC_SERVER_REQUESTS_MAX) {
+        return;
+    }
     server->others_in_flight =
-        total > server->in_flight ? total - server->in_flight : 0;
+        total > server->in_flight ? (uint32_t)total - server->in_flight : 0;
     server->load_reported_at = now;
     if (concurrency_max > 0) {
         server->concurrency_max = concurrency_max;
--- a/lib/process/kcc_gateway.h
+++ b/lib/process/kcc_gateway.h
@@ -37,6 +37,9 @@
 
 TAILQ_HEAD(KcReplicaInfoList, KcReplicaInfo);
 
+/* Most requests that a server can run or keep waiting, by what it states. */
+#define KC_SERVER_REQUESTS_MAX 65535
+
 /* A backend server's own record, decoded. */
 typedef struct KcServerInfo {
     char id[KC_NAME_MAX];
@@ -456,7 +459,8 @@
 
 /*
  * Takes the load that a server reported with an answer, counted in requests of
- * all gateways; concurrency_max is 0 when it did not report that.
+ * all gateways; concurrency_max is 0 when it did not report that.  A load or a
+ * limit above KC_SERVER_REQUESTS_MAX is not believed, and changes nothing.
  */
 void KcGateway_OnLoadReport(KcServer *server, uint32_t running,
                             uint32_t waiting, uint32_t concurrency_max,
--- a/tests/process/gateway_steps.c
+++ b/tests/process/gateway_steps.c
@@ -421,8 +421,10 @@
 step_load(Fixture *fixture, char **words)
 {
     KcGateway_OnLoadReport(KcGateway_FindServer(fixture->gateway, words[1]),
-                           (uint32_t)atoi(words[2]), (uint32_t)atoi(words[3]),
-                           (uint32_t)atoi(words[4]), fixture->now);
+                           (uint32_t)strtoul(words[2], NULL, 10),
+                           (uint32_t)strtoul(words[3], NULL, 10),
+                           (uint32_t)strtoul(words[4], NULL, 10),
+                           fixture->now);
 }
 
 static void
--- a/tests/process/test_gateway_numbers.c
+++ b/tests/process/test_gateway_numbers.c
@@ -4,6 +4,7 @@
  * sense, and the sums over a server's requests hold.
  */
 #include <glib.h>
+#include <string.h>
 
 #include "gateway_steps.h"
 
@@ -74,6 +75,37 @@
      "1>a; 2>b; 1x; 3>a; 2x; 3:begin; 3:end; "},
 };
 
+/* ---- figures of servers' loads --------------------------------------------- */
+
+/* Server a is the nearer one.  What can't be is not believed. */
+static const GatewayCase load_cases[] = {
+    {"load: as many as can be", PLAIN "load a 65535 0 4;request 1 /s/x", ""},
+    {"load: one more runs", PLAIN "load a 65536 0 4;request 1 /s/x", "1>a; "},
+    {"load: one more runs and waits", PLAIN "load a 65535 1 4;request 1 /s/x",
+     "1>a; "},
+    {"load: 2^31 run and wait",
+     PLAIN "load a 2147483648 2147483648 4;request 1 /s/x", "1>a; "},
+    {"load: 2^32 - 1 run", PLAIN "load a 4294967295 0 4;request 1 /s/x",
+     "1>a; "},
+    {"load: 2^32 - 1 wait", PLAIN "load a 0 4294967295 4;request 1 /s/x",
+     "1>a; "},
+    {"load: 2^32 - 1 run and wait",
+     PLAIN "load a 4294967295 4294967295 4;request 1 /s/x", "1>a; "},
+    {"load: 2^32 - 1 at each server",
+     PLAIN "load a 4294967295 0 4;load b 4294967295 0 4;request 1 /s/x",
+     "1>a; "},
+    {"load: the report before stays",
+     PLAIN "load a 4 1 4;load b 0 0 4;load a 2147483648 2147483648 4;"
+           "request 1 /s/x",
+     "1>b; "},
+    {"load: a limit that a percentage can't hold",
+     "config 1;server a plain 4;load a 3 0 34359739;request 1 /s/x", "1>a; "},
+    {"load: a limit of 2^32 - 1",
+     "config 1;server a plain 4;load a 9 0 4;load a 0 0 4294967295;"
+     "request 1 /s/x",
+     ""},
+};
+
 #define PLAY_CASES                                                            \
     (G_N_ELEMENTS(plays) * G_N_ELEMENTS(places) * G_N_ELEMENTS(widths))
 
@@ -93,9 +125,10 @@
 int
 main(int argc, char **argv)
 {
-    static GatewayCase cases[PLAY_CASES];
-    size_t count = 0;
+    static GatewayCase cases[G_N_ELEMENTS(load_cases) + PLAY_CASES];
+    size_t count = G_N_ELEMENTS(load_cases);
 
+    memcpy(cases, load_cases, sizeof(load_cases));
     for (size_t i = 0; i < G_N_ELEMENTS(plays); i++) {
         for (size_t j = 0; j < G_N_ELEMENTS(places); j++) {
             for (size_t k = 0; k < G_N_ELEMENTS(widths); k++) {
