connection: a maximum for the amounts in messages

An agent that was sent an offset near 2^64, a time left of 2^63 us or an end with an age like that added it to others: the offset of the answer's end wrapped around, so that the assertion in KcWork_UnackedBytes() could end the process, deadlines came to lie in the past, and ages became negative with time. Only our own processes send these messages; no caller has seen it.

Each field of a message has a maximum in the table of messages now, and the decoder refuses a message that is beyond one. For bytes, tokens, ms and us it is 2^48: any sum that processes make of these fits.

Evidence: the 15 cases of /connection/amounts in test_link fail with the former decoder.

--- a/lib/connection/codec.c
+++ b/lib/connection/codec.c
@@ -196,11 +196,11 @@
 
     switch (field->kind) {
     case KC_FIELD_U32:
-        code = read_unsigned(object, UINT32_MAX, &number);
+        code = read_unsigned(object, field->maximum, &number);
         *(uint32_t *)field_data = (uint32_t)number;
         return code;
     case KC_FIELD_U64:
-        return read_unsigned(object, UINT64_MAX, (uint64_t *)field_data);
+        return read_unsigned(object, field->maximum, (uint64_t *)field_data);
     case KC_FIELD_I32:
         return read_i32(object, (int32_t *)field_data);
     case KC_FIELD_BOOL:
--- a/lib/connection/kcc_connection.h
+++ b/lib/connection/kcc_connection.h
@@ -51,6 +51,10 @@
     KC_MSG_COUNT
 } KcMsgType;
 
+/* Largest amount of bytes, tokens, ms or us in a message; one with more is not
+ * valid.  Sums of many, and ms in us, fit into 64 bits. */
+#define KC_MSG_AMOUNT_MAX ((uint64_t)1 << 48)
+
 /* Borrowed bytes. */
 typedef struct KcBytes {
     const char *data;
--- a/lib/connection/message_table.c
+++ b/lib/connection/message_table.c
@@ -5,20 +5,22 @@
 #include "message_table_internal.h"
 
 /* Rows of the tables of fields; path is the field's member in KcMsg.u. */
-#define FIELD(kind, path)                                                     \
+#define FIELD(kind, path, maximum)                                            \
     {                                                                         \
-        kind, offsetof(KcMsg, u.path), 0                                      \
+        kind, offsetof(KcMsg, u.path), 0, maximum                             \
     }
 #define STRING(path)                                                          \
     {                                                                         \
         KC_FIELD_STRING, offsetof(KcMsg, u.path),                             \
-            sizeof(((KcMsg *)NULL)->u.path)                                   \
+            sizeof(((KcMsg *)NULL)->u.path), 0                                \
     }
-#define U32(path) FIELD(KC_FIELD_U32, path)
-#define U64(path) FIELD(KC_FIELD_U64, path)
-#define I32(path) FIELD(KC_FIELD_I32, path)
-#define BOOL(path) FIELD(KC_FIELD_BOOL, path)
-#define BYTES(path) FIELD(KC_FIELD_BYTES, path)
+#define U32(path) FIELD(KC_FIELD_U32, path, UINT32_MAX)
+#define U64(path) FIELD(KC_FIELD_U64, path, UINT64_MAX)
+#define I32(path) FIELD(KC_FIELD_I32, path, 0)
+#define BOOL(path) FIELD(KC_FIELD_BOOL, path, 0)
+#define BYTES(path) FIELD(KC_FIELD_BYTES, path, 0)
+/* A number that is added to others: bytes, tokens, ms or us. */
+#define AMOUNT(path) FIELD(KC_FIELD_U64, path, KC_MSG_AMOUNT_MAX)
 
 static const KcField hello_fields[] = {
     STRING(hello.name),
@@ -31,8 +33,8 @@
     U32(propose.attempt),          STRING(propose.service),
     STRING(propose.adapter),       U32(propose.version),
     STRING(propose.customer),      U32(propose.priority),
-    U64(propose.time_left_us),     BOOL(propose.repeatable),
-    U64(propose.offset),           U64(propose.tokens),
+    AMOUNT(propose.time_left_us),  BOOL(propose.repeatable),
+    AMOUNT(propose.offset),        AMOUNT(propose.tokens),
     STRING(propose.method),        STRING(propose.path),
     STRING(propose.content_type),  BYTES(propose.body),
     BYTES(propose.delivered_text),
@@ -42,10 +44,10 @@
     U64(resume.request.nonce),
     U64(resume.request.sequence),
     U32(resume.attempt),
-    U64(resume.offset),
+    AMOUNT(resume.offset),
 };
 
-static const KcField credit_fields[] = {U64(credit.offset),
+static const KcField credit_fields[] = {AMOUNT(credit.offset),
                                         BOOL(credit.end_received)};
 
 static const KcField admit_fields[] = {
@@ -54,7 +56,7 @@
 
 static const KcField refuse_fields[] = {
     I32(refuse.code),
-    U64(refuse.retry_after_ms),
+    AMOUNT(refuse.retry_after_ms),
     U32(refuse.load.queued),
     U32(refuse.load.running),
     U32(refuse.load.pending_loads),
@@ -69,16 +71,16 @@
 };
 
 static const KcField data_fields[] = {
-    U64(data.offset),
-    U64(data.tokens),
+    AMOUNT(data.offset),
+    AMOUNT(data.tokens),
     BYTES(data.bytes),
 };
 
 static const KcField end_fields[] = {
     I32(end.code),
     BOOL(end.reached_backend),
-    U64(end.offset),
-    U64(end.tokens),
+    AMOUNT(end.offset),
+    AMOUNT(end.tokens),
     STRING(end.finish_reason),
     U32(end.load.queued),
     U32(end.load.running),
@@ -112,14 +114,15 @@
 };
 
 static const KcField ended_fields[] = {
-    U64(ended.started_at_ms),
-    U64(ended.age_ms),
+    AMOUNT(ended.started_at_ms),
+    AMOUNT(ended.age_ms),
     BYTES(ended.parts),
 };
 
 static const KcField suspect_fields[] = {
-    U32(suspect.kind),         U64(suspect.part),   U32(suspect.epoch),
-    U64(suspect.instance),     U64(suspect.age_ms), U32(suspect.trial_count),
+    U32(suspect.kind),         U64(suspect.part),
+    U32(suspect.epoch),        U64(suspect.instance),
+    AMOUNT(suspect.age_ms),    U32(suspect.trial_count),
     BYTES(suspect.companions),
 };
 
--- a/lib/connection/message_table_internal.h
+++ b/lib/connection/message_table_internal.h
@@ -19,8 +19,9 @@
 /* One field of a message. */
 typedef struct KcField {
     KcFieldKind kind;
-    size_t offset; /* within KcMsg */
-    size_t size;   /* of a KC_FIELD_STRING */
+    size_t offset;    /* within KcMsg */
+    size_t size;      /* of a KC_FIELD_STRING */
+    uint64_t maximum; /* of a KC_FIELD_U32 or KC_FIELD_U64 */
 } KcField;
 
 /* Which side may send a message, and on which stream. */
--- a/tests/connection/test_link.c
+++ b/tests/connection/test_link.c
@@ -8,6 +8,8 @@
 
 #include <kcc.h>
 
+#include "../steps.h"
+
 /* ---- encoding ----------------------------------------------------------- */
 
 /* Sets the fields of a message to values that are not zero. */
@@ -113,6 +115,69 @@
     KcDecoder_Free(decoder);
 }
 
+/* Numbers of messages that are added to others: each has a maximum. */
+static const struct {
+    const char *name;
+    KcMsgType type;
+    size_t offset;
+} amounts[] = {
+    {"time left", KC_MSG_PROPOSE, offsetof(KcMsg, u.propose.time_left_us)},
+    {"offset of a proposal", KC_MSG_PROPOSE,
+     offsetof(KcMsg, u.propose.offset)},
+    {"tokens of a proposal", KC_MSG_PROPOSE,
+     offsetof(KcMsg, u.propose.tokens)},
+    {"offset of a resume", KC_MSG_RESUME, offsetof(KcMsg, u.resume.offset)},
+    {"offset of a credit", KC_MSG_CREDIT, offsetof(KcMsg, u.credit.offset)},
+    {"retry after", KC_MSG_REFUSE, offsetof(KcMsg, u.refuse.retry_after_ms)},
+    {"offset of data", KC_MSG_DATA, offsetof(KcMsg, u.data.offset)},
+    {"tokens of data", KC_MSG_DATA, offsetof(KcMsg, u.data.tokens)},
+    {"offset of an end", KC_MSG_END, offsetof(KcMsg, u.end.offset)},
+    {"tokens of an end", KC_MSG_END, offsetof(KcMsg, u.end.tokens)},
+    {"start of a lost instance", KC_MSG_LOST,
+     offsetof(KcMsg, u.ended.started_at_ms)},
+    {"age of a lost attempt", KC_MSG_LOST, offsetof(KcMsg, u.ended.age_ms)},
+    {"start of an ended instance", KC_MSG_ENDED,
+     offsetof(KcMsg, u.ended.started_at_ms)},
+    {"age of an end", KC_MSG_ENDED, offsetof(KcMsg, u.ended.age_ms)},
+    {"age of news", KC_MSG_SUSPECT, offsetof(KcMsg, u.suspect.age_ms)},
+};
+
+static void
+test_amount(gconstpointer data)
+{
+    static const struct {
+        uint64_t amount;
+        int code;
+    } values[] = {
+        {0, 0},
+        {UINT32_MAX, 0},
+        {KC_MSG_AMOUNT_MAX, 0},
+        {KC_MSG_AMOUNT_MAX + 1, KC_ERR_PARSE},
+        {INT64_MAX / KC_MS, KC_ERR_PARSE},
+        {INT64_MAX, KC_ERR_PARSE},
+        {(uint64_t)INT64_MAX + 1, KC_ERR_PARSE},
+        {UINT64_MAX, KC_ERR_PARSE},
+    };
+    size_t index = GPOINTER_TO_SIZE(data);
+    KcEncoder *encoder = KcEncoder_Create();
+    KcDecoder *decoder = KcDecoder_Create();
+
+    for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
+        KcMsg msg;
+        KcMsg decoded;
+        KcBytes bytes;
+
+        fill_message(&msg, amounts[index].type);
+        *(uint64_t *)((char *)&msg + amounts[index].offset) = values[i].amount;
+        g_assert_cmpint(KcEncoder_Encode(encoder, &msg, &bytes), ==, 0);
+        g_assert_cmpint(KcDecoder_Decode(decoder, bytes.data + 4,
+                                         bytes.size - 4, &decoded),
+                        ==, values[i].code);
+    }
+    KcEncoder_Free(encoder);
+    KcDecoder_Free(decoder);
+}
+
 /* No truncated frame is accepted, and no inverted byte crashes the decoder. */
 static void
 test_damaged_frames(void)
@@ -461,6 +526,8 @@
 {
     g_test_init(&argc, &argv, NULL);
     g_test_add_func("/connection/round_trip", test_round_trip);
+    Steps_AddCases("/connection/amounts", amounts, G_N_ELEMENTS(amounts),
+                   sizeof(amounts[0]), test_amount);
     g_test_add_func("/connection/damaged_frames", test_damaged_frames);
     g_test_add_func("/connection/bad_frames", test_bad_frames);
     g_test_add_func("/connection/frame_sizes", test_frame_sizes);
