keeper: a limit for the uses that a gateway reports

A keeper counts the uses of an adapter one by one, as many as a gateway reports: with 2^32 - 1 it stood still for more than a minute, and gave no order. The requests in flight of two gateways with 2^31 each summed up to none in 32 bits, and the adapter was unloaded in use. Only our own gateways send these reports; no caller has seen it.

A report counts for 65,535 uses and requests in flight at the most. It is not refused, as a gateway that was cut off for long may have more uses to report.

Evidence: three cases of test_keeper; with the former code one doesn't end within 60 s, the others unload the adapter.

--- a/lib/process/keeper.c
+++ b/lib/process/keeper.c
@@ -17,6 +17,9 @@
 #define LOADS_IN_FLIGHT_MAX 3
 /* Load requests that wait; further ones are refused. */
 #define LOAD_REQUESTS_MAX 256
+/* Largest number of uses, or of requests in flight, that a gateway's report
+ * counts for. */
+#define REPORTED_USES_MAX 65535
 /* Time of a load that nothing delays, as the platform states it. */
 #define NOMINAL_LOAD_TIME (250 * KC_MS)
 
@@ -392,6 +395,8 @@
     if (adapter[0] == '\0' || !KcKeeper_MakeKey(model, adapter, key)) {
         return;
     }
+    uses = uses < REPORTED_USES_MAX ? uses : REPORTED_USES_MAX;
+    in_flight = in_flight < REPORTED_USES_MAX ? in_flight : REPORTED_USES_MAX;
     for (uint32_t i = 0; i < uses; i++) {
         KcResidency_CountUse(KcKeeper_FindOrAddModel(keeper, key, now), now);
     }
--- a/tests/process/test_keeper.c
+++ b/tests/process/test_keeper.c
@@ -13,8 +13,9 @@
  *   noreport            the request for a report gets no answer
  *   gone                nothing accepts connections at the engine's address
  *   accepted, done, refused, unknown   the result of the order
- *   loadrequest ADAPTER VERSION, usage ADAPTER USES IN_FLIGHT, gatewaylost
- *                       what the one gateway sends, and the end of its link
+ *   loadrequest ADAPTER VERSION, usage ADAPTER USES IN_FLIGHT [GATEWAY],
+ *   gatewaylost         what the one gateway sends, or this one, and the end
+ *                       of its link
  *   lost GATEWAY STARTED_AT PART [AGE]  a gateway, from 0 on, asks whether
  * this instance has ended with this part, and an attempt that began AGE ms
  * before, 20 if not given disconnect GATEWAY  its link ends; connect GATEWAY
@@ -332,9 +333,12 @@
 static void
 step_usage(Fixture *fixture, char **words)
 {
-    KcKeeper_OnUsage(fixture->keeper, (KcLink *)fixture, "m", words[1],
-                     (uint32_t)atoi(words[2]), (uint32_t)atoi(words[3]),
-                     fixture->now);
+    KcLink *link =
+        words[4] != NULL ? &fixture->links[atoi(words[4])] : (KcLink *)fixture;
+
+    KcKeeper_OnUsage(fixture->keeper, link, "m", words[1],
+                     (uint32_t)strtoul(words[2], NULL, 10),
+                     (uint32_t)strtoul(words[3], NULL, 10), fixture->now);
 }
 
 static void
@@ -410,6 +414,19 @@
      LOAD_AB ";usage a 9 1;usage b 1 1;gatewaylost;wait 2000;"
              "report 2 1 m a@1 b@1;loadrequest c 0",
      LOAD_AB_TRACE "?; b=not_loaded; U b #2; c=loading; "},
+    {"as many uses as a number holds are counted at once",
+     LOAD_AB ";usage b 4294967295 0;wait 2000;report 2 1 m a@1 b@1;"
+             "loadrequest c 0;done",
+     LOAD_AB_TRACE "?; a=not_loaded; U a #2; c=loading; L c@0 #3; "},
+    {"an adapter in use by gateways with 2^31 requests each is not evicted",
+     LOAD_AB ";usage a 1 2147483648 0;usage a 1 2147483648 1;usage b 1 1;"
+             "wait 2000;report 2 1 m a@1 b@1;loadrequest c 0",
+     LOAD_AB_TRACE "?; c=loading; "},
+    {"an adapter in use by gateways with 2^32 requests together is not "
+     "evicted",
+     LOAD_AB ";usage a 1 4294967295 0;usage a 1 1 1;usage b 1 1;"
+             "wait 2000;report 2 1 m a@1 b@1;loadrequest c 0",
+     LOAD_AB_TRACE "?; c=loading; "},
     {"an adapter just loaded is not evicted",
      LOAD_AB ";loadrequest c 0;wait 40;report 2 1 m a@1 b@1;wait 400;"
              "report 2 1 m a@1 b@1",
