suspects: trials that a peer tells of have a limit

The delay until the next trial of a blocked part was multiplied once for each trial that a peer had told of, up to 2^32 times, and wrapped around. Only our own processes send these messages; no caller has seen it.

More trials than there can be count as the last one now: the part is blocked until it is cleared, as after that.

Evidence: a case of test_suspects, which fails with the former code.

--- a/lib/process/suspects.c
+++ b/lib/process/suspects.c
@@ -402,6 +402,13 @@
                            .epoch = KcSuspects_Find(suspects, part)->epoch};
 }
 
+static uint32_t
+count_trials(const KcSuspectNews *news)
+{
+    return news->trial_count < KC_SUSPECT_TRIALS_MAX ? news->trial_count
+                                                     : KC_SUSPECT_TRIALS_MAX;
+}
+
 KcSuspectReceipt
 KcSuspects_Receive(KcSuspects *suspects, const KcSuspectNews *news, KcTime now)
 {
@@ -430,7 +437,7 @@
                 return KC_SUSPECT_KNOWN;
             }
             take_companions(suspects, suspect, news, now);
-            suspect->trial_count = news->trial_count;
+            suspect->trial_count = count_trials(news);
             KcSuspects_Block(suspects, suspect, now - news->age, false, now);
             is_new = true;
             break;
@@ -440,8 +447,8 @@
             KcSuspects_ReportBlocked(suspects, suspect, now);
             is_new = true;
         }
-        if (news->trial_count > suspect->trial_count) {
-            suspect->trial_count = news->trial_count;
+        if (count_trials(news) > suspect->trial_count) {
+            suspect->trial_count = count_trials(news);
             suspect->blocked_at = now - news->age;
             is_new = true;
         }
--- a/tests/process/test_suspects.c
+++ b/tests/process/test_suspects.c
@@ -20,6 +20,8 @@
  * they know restart P               P forgets everything blocks P PROMPT
  * traces for which part P blocks the prompt, "-": none try P PART PROMPT the
  * same for a prompt that tries the part due P PART, grant P PART, clear P PART
+ * told P PART N           P is told that the part was blocked again after N
+ *                         trials, and traces how many it knows of
  * wait SECONDS
  *
  * Trace: "a!x" part x is blocked at a, "a?x" suspected, "a+x" cleared, "a~x"
@@ -320,6 +322,20 @@
     g_string_append(fixture->trace, was_held ? "yes; " : "no; ");
 }
 
+static void
+step_told(Fixture *fixture, char **words)
+{
+    KcSuspect *suspect = find_suspect(fixture, words);
+    KcSuspectNews news = {.kind = KC_SUSPECT_NEWS_BLOCKED,
+                          .part = suspect->part,
+                          .epoch = suspect->epoch,
+                          .trial_count =
+                              (uint32_t)strtoul(words[3], NULL, 10)};
+
+    receive(find_process(fixture, words), &news);
+    g_string_append_printf(fixture->trace, "%u; ", suspect->trial_count);
+}
+
 static void
 step_wait(Fixture *fixture, char **words)
 {
@@ -334,7 +350,7 @@
     {"restart", step_restart}, {"blocks", step_blocks},
     {"try", step_try},         {"due", step_due},
     {"grant", step_grant},     {"clear", step_clear},
-    {"wait", step_wait},
+    {"told", step_told},       {"wait", step_wait},
 };
 
 /* ---- cases --------------------------------------------------------------- */
@@ -543,6 +559,9 @@
      BLOCK_X "wait 60;try a x x;try a x yx;blocks a x", BLOCKED_X "-; -; x; "},
     {"a prompt that tries a part passes its companions",
      BLOCK_SX "try a x sx;try a s sx", BLOCKED_SX "-; -; "},
+    {"trials beyond the last one count as the last one",
+     BLOCK_X "told b x 1;told b x 4294967295;told b x 2;wait 9000;due b x",
+     BLOCKED_X "1; 3; 3; no; "},
     {"a prompt that tries a part is blocked for another",
      BLOCK_X "end b 4 y;end b 5 y;end b 6 y;others b 2;review b;try a x xy",
      BLOCKED_X "b?y; a?y; c?y; b!y; a!y; c!y; no; y; "},
