store: an answer at a negative revision is not valid

A watch after an answer with "at": -1 asked for changes after revision 2^64 - 1: a gateway would see none until its next list. No store that we know answers so.

A page, or the events of a watch or check, without a revision of 0 or more is not valid now, as one without any; the list is read again.

--- a/tests/platform/test_store.c
+++ b/tests/platform/test_store.c
@@ -152,6 +152,15 @@
      {FULL_PAGE(SOUND("LONG")), PAGE(SOUND("w"))},
      "LONG@3=1 w@3=1",
      LIST " " AFTER("LONG") " " WATCH_7},
+    /* Guards against a watch that begins behind all changes. */
+    {"a page at a negative revision",
+     {"{'items':[" SOUND("v") "],'has_more':false,'at':-1}", PAGE(SOUND("w"))},
+     "w@3=1",
+     LIST " " LIST " " WATCH_7},
+    {"a watch at a negative revision",
+     {PAGE(""), "{'events':[" EVENT(SOUND("v")) "],'at':-1}"},
+     "",
+     LIST " " WATCH_7 " " LIST},
     /* events */
     {"a nested value in an event",
      {PAGE(""), EVENTS(EVENT(ITEM("odd", "DEEP")) "," EVENT(SOUND("w")))},
