keeper: fencing numbers are ordered by the store's era, then by revision

The number was the revision of the keeper's record, and a restored store gives revisions out again; the era, which the store names in each answer, was dropped for answers about single objects.

Such an answer has its era now (KcObjectReply), and the number is made of both: the era in the upper bits, the revision in the lower 40. It is larger for each later write, as the store names a later era after each restore; below 2^63, and below 2^53 up to era 8,191.

--- a/lib/request/kcc_request.h
+++ b/lib/request/kcc_request.h
@@ -105,6 +105,8 @@
     int code;
     uint64_t version; /* of the object; valid with code 0 */
     KcBytes value;    /* of a get or watch; borrowed for the call */
+    uint64_t era;     /* of the version, see KcRevision; 0: the API names none
+                       */
 } KcObjectReply;
 
 typedef void (*KcObjectCallback)(void *context, const KcObjectReply *reply);
--- a/lib/version/kcc_revision.h
+++ b/lib/version/kcc_revision.h
@@ -21,4 +21,10 @@
  */
 int KcRevision_Compare(KcRevision a, KcRevision b);
 
+/*
+ * A number below 2^63 in the order of KcRevision_Compare(), as far as eras are
+ * below 2^23 and revisions below 2^40; those beyond count as the last ones.
+ */
+uint64_t KcRevision_ToNumber(KcRevision revision);
+
 #endif
--- a/programs/process/keeper_store.c
+++ b/programs/process/keeper_store.c
@@ -1,6 +1,6 @@
 /*
- * A keeper and the store: the record whose revision is its fencing number, and
- * what its engine can hold, by that record or the routing configuration.
+ * A keeper and the store: the record whose revision gives its fencing number,
+ * and what its engine can hold, by that record or the routing configuration.
  */
 #include <inttypes.h>
 #include <stdlib.h>
@@ -112,15 +112,20 @@
     KcLog_StoreStatus(code);
 }
 
-/* Each write of the record raises its revision above all earlier ones. */
+/* Each write of the record is later than all earlier ones, in a store that was
+ * restored from a copy by its era. */
 static void
-on_fence_written(void *context, uint64_t revision)
+on_fence_written(void *context, KcRevision revision)
 {
     KeeperRole *role = context;
     KcLogFields fields = {.step = "fence"};
+    uint64_t fence = KcRevision_ToNumber(revision);
 
-    KcLog_Write(KC_LOG_INFO, &fields, "fencing number %" PRIu64, revision);
-    KcKeeper_SetFence(role->keeper, revision, KcLoop_Now());
+    KcLog_Write(KC_LOG_INFO, &fields,
+                "fencing number %" PRIu64 ", era %" PRIu64
+                ", revision %" PRIu64,
+                fence, revision.era, revision.number);
+    KcKeeper_SetFence(role->keeper, fence, KcLoop_Now());
 }
 
 static void
--- a/programs/process/own_record.c
+++ b/programs/process/own_record.c
@@ -24,8 +24,9 @@
     if (reply->code == 0 && reply->version > 0) {
         record->retry_delay = KC_STORE_RETRY_DELAY;
         if (record->options.on_written != NULL) {
-            record->options.on_written(record->options.context,
-                                       reply->version);
+            record->options.on_written(
+                record->options.context,
+                (KcRevision){.era = reply->era, .number = reply->version});
         }
         if (record->is_changed) {
             put_record(record, KC_OBJECT_ANY);
--- a/programs/process/own_record.h
+++ b/programs/process/own_record.h
@@ -18,7 +18,7 @@
      * that an earlier process has left; empty: none, or it can't be read. */
     void (*on_found)(void *context, KcBytes value);
     /* The record is written, with this revision; may be NULL. */
-    void (*on_written)(void *context, uint64_t revision);
+    void (*on_written)(void *context, KcRevision revision);
     void *context;
 } KcOwnRecordOptions;
 
--- a/tests/process/test_keeper_record.c
+++ b/tests/process/test_keeper_record.c
@@ -71,16 +71,19 @@
 }
 
 static void
-on_written(void *context, uint64_t revision)
+on_written(void *context, KcRevision revision)
 {
-    g_string_append_printf(((Fixture *)context)->trace, "written:%d ",
-                           (int)revision);
+    g_string_append_printf(((Fixture *)context)->trace, "written:%d.%d ",
+                           (int)revision.era, (int)revision.number);
 }
 
 static void
 answer(Fixture *fixture, int code, uint64_t version, const char *value)
 {
-    KcObjectReply reply = {code, version, {value, strlen(value)}};
+    KcObjectReply reply = {.code = code,
+                           .version = version,
+                           .value = {value, strlen(value)},
+                           .era = 4};
     KcObjectCallback on_done = fixture->on_done;
 
     g_assert_nonnull(on_done);
@@ -126,22 +129,22 @@
     const char *steps;
     const char *trace;
 } record_cases[] = {
-    {"not read, none left", NULL, "r", "create:new written:7 "},
-    {"not read, one left", NULL, "xr", "create:new replace:new written:7 "},
-    {"none left", on_found, "fr", "get found: create:new written:7 "},
-    {"one left", on_found, "vr", "get found:old replace:new written:7 "},
+    {"not read, none left", NULL, "r", "create:new written:4.7 "},
+    {"not read, one left", NULL, "xr", "create:new replace:new written:4.7 "},
+    {"none left", on_found, "fr", "get found: create:new written:4.7 "},
+    {"one left", on_found, "vr", "get found:old replace:new written:4.7 "},
     {"one left, and taken over", on_found_change, "vr",
-     "get found:old replace:taken written:7 "},
+     "get found:old replace:taken written:4.7 "},
     {"can't be read", on_found, "dxr",
-     "get found: create:new replace:new written:7 "},
+     "get found: create:new replace:new written:4.7 "},
     {"changed after it is written", on_found, "frcr",
-     "get found: create:new written:7 replace:changed written:7 "},
+     "get found: create:new written:4.7 replace:changed written:4.7 "},
     {"changed while it is read", on_found, "cfr",
-     "get found: create:changed written:7 "},
+     "get found: create:changed written:4.7 "},
     {"changed while it is written", on_found, "fcrr",
-     "get found: create:new written:7 replace:changed written:7 "},
+     "get found: create:new written:4.7 replace:changed written:4.7 "},
     {"changed while the store is down", on_found, "fdctxr",
-     "get found: create:new create:changed replace:changed written:7 "},
+     "get found: create:new create:changed replace:changed written:4.7 "},
 };
 
 static void
--- a/tests/process/test_process.c
+++ b/tests/process/test_process.c
@@ -33,9 +33,10 @@
     (void)name;
     api->callback = callback;
     api->context = context;
-    api->reply = (KcObjectReply){api->version == 0 ? KC_ERR_NOT_FOUND : 0,
-                                 api->version,
-                                 {api->value, api->size}};
+    api->reply =
+        (KcObjectReply){.code = api->version == 0 ? KC_ERR_NOT_FOUND : 0,
+                        .version = api->version,
+                        .value = {api->value, api->size}};
 }
 
 static void
@@ -47,11 +48,12 @@
     (void)name;
     api->callback = callback;
     api->context = context;
-    api->reply = (KcObjectReply){KC_ERR_CONFLICT, 0, {"", 0}};
+    api->reply = (KcObjectReply){.code = KC_ERR_CONFLICT, .value = {"", 0}};
     if (!api->is_down && expected_version == api->version) {
         memcpy(api->value, value.data, value.size);
         api->size = value.size;
-        api->reply = (KcObjectReply){0, ++api->version, {"", 0}};
+        api->reply =
+            (KcObjectReply){.version = ++api->version, .value = {"", 0}};
     }
 }
 
