gateway: write its own record again when the store was restored

A gateway that had started in the seconds before the copy of the store was made had no record there after a restore, until its next start. The others counted one gateway too few, and took so much larger shares of the retry budget, of quotas and of a server's connections.

KcOwnRecord_Renew() creates the record again, or replaces it where the copy has one; the gateway calls it when its feeds see a later era.

Nine cases of test_keeper_record have the orders of calls.

--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -77,7 +77,8 @@
     }
 }
 
-/* The feeds list again by themselves. */
+/* The feeds list again by themselves.  Without this gateway's record the
+ * others would share budgets and connections without it. */
 static void
 on_store_restored(void *context, uint64_t era, uint64_t previous_era,
                   KcTime now)
@@ -87,6 +88,7 @@
     KcLog_StoreRestored(era, previous_era);
     KcCounters_Add(&role->common.counters, KC_COUNT_STORE_RESTORED, 1);
     role->store_status_changed_at = now;
+    KcOwnRecord_Renew(&role->own_record);
 }
 
 static void
--- a/programs/process/own_record.c
+++ b/programs/process/own_record.c
@@ -28,7 +28,10 @@
                 record->options.context,
                 (KcRevision){.era = reply->era, .number = reply->version});
         }
-        if (record->is_changed) {
+        if (record->may_be_lost) {
+            put_record(record, KC_OBJECT_ABSENT);
+        }
+        else if (record->is_changed) {
             put_record(record, KC_OBJECT_ANY);
         }
         return;
@@ -63,6 +66,7 @@
 
     record->is_calling = true;
     record->is_changed = false;
+    record->may_be_lost = false;
     options->object_ops->put(options->object_context,
                              format_name(record, name),
                              (KcBytes){record->value, strlen(record->value)},
@@ -126,6 +130,15 @@
     }
 }
 
+void
+KcOwnRecord_Renew(KcOwnRecord *record)
+{
+    record->may_be_lost = true;
+    if (!record->is_calling && !record->retry_timer.is_set) {
+        put_record(record, KC_OBJECT_ABSENT);
+    }
+}
+
 void
 KcOwnRecord_Clear(KcOwnRecord *record)
 {
--- a/programs/process/own_record.h
+++ b/programs/process/own_record.h
@@ -27,6 +27,7 @@
     char *value; /* JSON text that is written */
     bool is_calling;
     bool is_changed;    /* the value, since the call outstanding began */
+    bool may_be_lost;   /* the record, since then */
     KcTime retry_delay; /* doubles with each failure */
     KcTimer retry_timer;
 } KcOwnRecord;
@@ -36,6 +37,9 @@
                        const char *value);
 /* Replaces the value, which is copied, and writes the record again. */
 void KcOwnRecord_Change(KcOwnRecord *record, const char *value);
+/* Writes the record again: the store may have lost it, or have an earlier one.
+ */
+void KcOwnRecord_Renew(KcOwnRecord *record);
 
 /*
  * Stops retrying. A call may still be outstanding, with the record as its
--- a/tests/daemons/test_store_restores.c
+++ b/tests/daemons/test_store_restores.c
@@ -2,7 +2,7 @@
  * Tests that a gateway goes on serving what the store had acknowledged, when
  * the store comes back from a copy that lacks it and it is written again by
  * lower revisions, with real processes: a route that was added, and the only
- * server of its service.
+ * server of its service.  Gateways' own records are there again, too.
  */
 #include <glib.h>
 #include <signal.h>
@@ -102,20 +102,41 @@
     GatewayCluster_RestartProcess(cluster, GATEWAY_CLUSTER_PLAIN_WORKER, 0);
 }
 
+/* Has the store the record of a gateway? */
+static bool
+has_gateway_record(int gateway)
+{
+    char request[256];
+    char answer[4096];
+    int size = snprintf(request, sizeof(request),
+                        "GET /objects/kcc-gateways/gateway-%d HTTP/1.1\r\n"
+                        "Host: s\r\n\r\n",
+                        gateway);
+
+    GatewayCluster_Exchange(
+        GatewayCluster_GetAddress(cluster, GATEWAY_CLUSTER_STORE, 0), request,
+        (size_t)size, answer, sizeof(answer), 3000);
+    return GatewayCluster_ReadStatus(answer) == 200;
+}
+
 /* Makes a copy, and the changes that it lacks. */
 static void
 make_changes(size_t index)
 {
     kill_process(GATEWAY_CLUSTER_PLAIN_WORKER, 0);
     GatewayCluster_DeleteObject(cluster, "servers", "plain-0");
+    GatewayCluster_DeleteObject(cluster, "kcc-gateways", "gateway-1");
     GatewayCluster_CopyStore(cluster);
+    kill_process(GATEWAY_CLUSTER_GATEWAY, 1);
+    GatewayCluster_RestartProcess(cluster, GATEWAY_CLUSTER_GATEWAY, 1);
     for (int i = 0; i < cases[index].changes_lost; i++) {
         GatewayCluster_AnnounceVersion(cluster, "a1", 2 + i);
     }
     GatewayCluster_WriteConfig(cluster, 2, false);
     GatewayCluster_WriteConfig(cluster, 3, true);
     start_server();
-    for (int waited = 0; !is_served_by_all(); waited += 100) {
+    for (int waited = 0; !is_served_by_all() || !has_gateway_record(1);
+         waited += 100) {
         g_assert_cmpint(waited, <, KNOWN_TIMEOUT_MS);
         sleep_ms(100);
     }
@@ -177,6 +198,9 @@
         sleep_ms(REQUEST_INTERVAL_MS);
     }
     g_assert_cmpint(served, ==, REQUESTS);
+    for (int i = 0; i < GATEWAYS; i++) {
+        g_assert_true(has_gateway_record(i));
+    }
     GatewayCluster_Stop(cluster);
 }
 
--- a/tests/process/test_keeper_record.c
+++ b/tests/process/test_keeper_record.c
@@ -92,7 +92,8 @@
 }
 
 /* Steps: f: not found, v: an earlier value, r: written, x: conflict, d: the
- * store is down, t: the timer fires, c: the value is changed. */
+ * store is down, t: the timer fires, c: the value is changed, l: the store
+ * may have lost the record. */
 static void
 run_step(Fixture *fixture, char step)
 {
@@ -115,6 +116,9 @@
     case 't':
         KcTimers_Run(fixture->timers, KcLoop_Now() + 10 * KC_SECOND);
         break;
+    case 'l':
+        KcOwnRecord_Renew(&fixture->record);
+        break;
     case 'c':
         KcOwnRecord_Change(&fixture->record, "changed");
         break;
@@ -143,6 +147,26 @@
      "get found: create:changed written:4.7 "},
     {"changed while it is written", on_found, "fcrr",
      "get found: create:new written:4.7 replace:changed written:4.7 "},
+    {"lost after it is written", NULL, "rlr",
+     "create:new written:4.7 create:new written:4.7 "},
+    {"not lost after it is written", NULL, "rlxr",
+     "create:new written:4.7 create:new replace:new written:4.7 "},
+    {"lost while it is written", NULL, "lrr",
+     "create:new written:4.7 create:new written:4.7 "},
+    {"lost twice", NULL, "rllrr",
+     "create:new written:4.7 create:new written:4.7 create:new written:4.7 "},
+    {"lost while it is changed", NULL, "rclrr",
+     "create:new written:4.7 replace:changed written:4.7 create:changed "
+     "written:4.7 "},
+    {"lost while it is changed, and missed", NULL, "rcdltr",
+     "create:new written:4.7 replace:changed create:changed written:4.7 "},
+    {"lost and changed", NULL, "rlcrr",
+     "create:new written:4.7 create:new written:4.7 replace:changed "
+     "written:4.7 "},
+    {"lost while the store is down", NULL, "dltr",
+     "create:new create:new written:4.7 "},
+    {"lost while it is read", on_found, "lfr",
+     "get found: create:new written:4.7 "},
     {"changed while the store is down", on_found, "fdctxr",
      "get found: create:new create:changed replace:changed written:4.7 "},
 };
