--- a/tests/canned_server.c
+++ b/tests/canned_server.c
@@ -4,13 +4,34 @@
 #include "canned_server.h"
 
 #include <event2/buffer.h>
-#include <event2/bufferevent.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "../programs/connection/socket.h"
 #include "json_cases.h"
 #include "loopback.h"
 
+/* Sends an answer, and before it a copy of the last one if it is asked to. */
+static void
+send_answer(CannedServer *server, struct bufferevent *bev, const char *text)
+{
+    struct evbuffer *output = bufferevent_get_output(bev);
+    char *end;
+    int status = (int)strtol(text, &end, 10);
+    const char *body = status > 0 ? end + 1 : text;
+
+    if (server->sends_copies && server->last_connection == bev) {
+        evbuffer_add(output, server->last_answer->str,
+                     server->last_answer->len);
+    }
+    g_string_printf(server->last_answer,
+                    "HTTP/1.1 %d -\r\nInstance-Id: canned\r\n"
+                    "Content-Length: %zu\r\n\r\n%s",
+                    status > 0 ? status : 200, strlen(body), body);
+    evbuffer_add(output, server->last_answer->str, server->last_answer->len);
+    server->last_connection = bev;
+}
+
 /* Notes the target of a request, and sends the next answer. */
 static void
 on_request(struct bufferevent *bev, void *context)
@@ -34,18 +55,19 @@
         return;
     }
     answer = JsonCases_Expand(*server->answers++);
-    evbuffer_add_printf(bufferevent_get_output(bev),
-                        "HTTP/1.1 200 -\r\nInstance-Id: canned\r\n"
-                        "Content-Length: %zu\r\n\r\n%s",
-                        strlen(answer), answer);
+    send_answer(server, bev, answer);
     g_free(answer);
 }
 
 static void
 on_event(struct bufferevent *bev, short events, void *context)
 {
+    CannedServer *server = context;
+
     (void)events;
-    (void)context;
+    if (server->last_connection == bev) {
+        server->last_connection = NULL;
+    }
     bufferevent_free(bev);
 }
 
@@ -68,8 +90,10 @@
 CannedServer_Start(CannedServer *server, KcLoop *loop,
                    const char *const *answers)
 {
-    *server = (CannedServer){
-        .loop = loop, .answers = answers, .targets = g_string_new("")};
+    *server = (CannedServer){.loop = loop,
+                             .answers = answers,
+                             .targets = g_string_new(""),
+                             .last_answer = g_string_new("")};
     Loopback_AssignAddress(server->address, sizeof(server->address));
     server->listener =
         KcSocket_Listen(loop->base, server->address, on_accept, server);
@@ -81,4 +105,5 @@
 {
     evconnlistener_free(server->listener);
     g_string_free(server->targets, TRUE);
+    g_string_free(server->last_answer, TRUE);
 }
--- a/tests/platform/test_engine.c
+++ b/tests/platform/test_engine.c
@@ -165,6 +165,78 @@
     KcLoop_Free(fixture.loop);
 }
 
+#define REPORT "{" FIELDS "}"
+
+/* Guards against a worker that is ordered beyond its places, as a copy of an
+ * earlier answer counted as that to an order.  Calls are o, an order, and r, a
+ * request for a report; the first order is preceded by a health check.  On
+ * each connection the worker sends each answer once more, as the next one is
+ * due. */
+static const struct {
+    const char *name;
+    const char *calls;
+    const char *answers[6];
+    KcOrderResult results[3]; /* of the orders */
+} copy_cases[] = {
+    {"of a health check", "o", {"{}", "202 "}, {KC_ORDER_ACCEPTED}},
+    {"of a report", "ro", {REPORT, "{}", "202 "}, {KC_ORDER_ACCEPTED}},
+    {"of an order that was done",
+     "oo",
+     {"{}", "200 ", "202 "},
+     {KC_ORDER_DONE, KC_ORDER_ACCEPTED}},
+    {"of an order that was refused",
+     "oo",
+     {"{}", "409 ", "202 "},
+     {KC_ORDER_REFUSED, KC_ORDER_ACCEPTED}},
+    {"of several orders",
+     "ooo",
+     {"{}", "202 ", "409 ", "200 "},
+     {KC_ORDER_ACCEPTED, KC_ORDER_REFUSED, KC_ORDER_DONE}},
+};
+
+static void
+test_copies(gconstpointer data)
+{
+    size_t index = GPOINTER_TO_SIZE(data);
+    Fixture fixture = {.loop = KcLoop_Create()};
+    KcOrder order = {.model = "m", .adapter = "a"};
+    KcEngineOptions options = {.loop = fixture.loop,
+                               .address = fixture.server.address,
+                               .keeper_name = "k",
+                               .call_timeout = KC_SECOND,
+                               .counters = &fixture.counters,
+                               .on_order_result = on_order_result,
+                               .on_report = on_report,
+                               .on_gone = on_gone,
+                               .context = &fixture};
+    KcEngineClient *engine;
+    int order_count = 0;
+
+    CannedServer_Start(&fixture.server, fixture.loop,
+                       copy_cases[index].answers);
+    fixture.server.sends_copies = true;
+    engine = KcPlatform_Current.open_engine(&options);
+    KcPlatform_Current.set_health_path(engine, "/health");
+    for (const char *call = copy_cases[index].calls; *call != '\0'; call++) {
+        fixture.loop->stop_requested = false;
+        fixture.has_order_result = false;
+        if (*call == 'r') {
+            KcPlatform_Current.request_report(engine);
+            KcLoop_Run(fixture.loop);
+            g_clear_pointer(&fixture.description, g_free);
+            continue;
+        }
+        KcPlatform_Current.send_order(engine, &order);
+        KcLoop_Run(fixture.loop);
+        g_assert_true(fixture.has_order_result);
+        g_assert_cmpint(fixture.order_result, ==,
+                        copy_cases[index].results[order_count++]);
+    }
+    KcPlatform_Current.close_engine(engine);
+    CannedServer_Stop(&fixture.server);
+    KcLoop_Free(fixture.loop);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -173,5 +245,7 @@
                    sizeof(cases[0]), test_report);
     g_test_add_func("/engine/order without an answer",
                     test_order_without_answer);
+    Steps_AddCases("/engine/copy", copy_cases, G_N_ELEMENTS(copy_cases),
+                   sizeof(copy_cases[0]), test_copies);
     return g_test_run();
 }
