gateway: an answer that ends with its connection needs the server's start

Cause: an equal id counted as proof that the instance that answers now is the one that sent the answer, unless the gateway had paused or had learned of another start by then. Its records may be 2 s old, and a FIN may be late without a pause.

After the id the gateway now reads the server's record, by a call that may not lag, and compares its start with the one that was known when the request was sent. Servers register as they start, so a record that is read after the id was told is of whoever told it, or of a later one. Without a start, or without an answer of the store, the answer is broken off. Servers that tell their start are asked as before.

--- a/lib/process/gateway_answer.c
+++ b/lib/process/gateway_answer.c
@@ -359,6 +359,14 @@
         KcGateway_PauseLength(attempt->forward->gateway, now) >= RESTART_MIN;
 }
 
+bool
+KcForwardAttempt_NeedsStart(const KcForwardAttempt *attempt,
+                            const KcServerIdentity *identity)
+{
+    return strcmp(identity->id, attempt->server->id) == 0 &&
+           identity->started_at_ms == 0 && attempt->server_started_at_ms != 0;
+}
+
 bool
 KcForwardAttempt_IsFrom(const KcForwardAttempt *attempt,
                         const KcServerIdentity *identity)
@@ -370,10 +378,9 @@
     if (has_id && strcmp(identity->id, server->id) != 0) {
         return false;
     }
-    if (identity->started_at_ms != 0 && started_at_ms != 0) {
+    if (started_at_ms != 0) {
         return identity->started_at_ms == started_at_ms;
     }
-    /* A later instance may have the same id. */
-    return has_id && !attempt->ended_in_pause &&
-           server->started_at_ms == started_at_ms;
+    /* Its record tells no start, so that nothing better is known. */
+    return has_id && !attempt->ended_in_pause && server->started_at_ms == 0;
 }
--- a/lib/request/kcc_forward.h
+++ b/lib/request/kcc_forward.h
@@ -188,6 +188,11 @@
  */
 void KcForwardAttempt_OnUnframedEnd(KcForwardAttempt *attempt, KcTime now);
 
+/* Does the identity leave it open which instance of the server it is of?  A
+ * later one may have the same id; its record in the store tells its start. */
+bool KcForwardAttempt_NeedsStart(const KcForwardAttempt *attempt,
+                                 const KcServerIdentity *identity);
+
 /* Is it the instance of the server that the attempt was sent to? */
 bool KcForwardAttempt_IsFrom(const KcForwardAttempt *attempt,
                              const KcServerIdentity *identity);
--- a/programs/process/gateway_role.c
+++ b/programs/process/gateway_role.c
@@ -400,6 +400,7 @@
         role->platform->close_store(role->store);
     }
     KcGateway_Abort(role->gateway, KcLoop_Now());
+    KcGatewayRole_FreeStartReads(role);
     if (role->front_end != NULL) {
         KcGatewayFrontEnd_Free(role->front_end);
     }
@@ -417,6 +418,7 @@
     int status = 1;
 
     memset(&role, 0, sizeof(role));
+    TAILQ_INIT(&role.start_reads);
     role.intake_pool.kept_bytes_max = KEPT_REPLY_BYTES_MAX;
     role.request_pool.kept_bytes_max = KcMemory_LimitRequests(settings);
     role.platform = &KcPlatform_Current;
--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -2,9 +2,10 @@
  * State of a gateway process, and functions shared by its files.
  *
  * gateway_role.c starts and stops it and answers administrators,
- * gateway_links.c holds the connections to servers, gateway_keepers.c those to
- * their keepers, gateway_quotas.c shares the customers' quotas over them,
- * gateway_feeds.c reads the store and writes the gateway's own record.
+ * gateway_links.c holds the connections to servers, gateway_starts.c reads when
+ * they have started, gateway_keepers.c holds the connections to their keepers,
+ * gateway_quotas.c shares the customers' quotas over them, gateway_feeds.c
+ * reads the store and writes the gateway's own record.
  */
 #ifndef KCC_GATEWAY_ROLE_INTERNAL_H
 #define KCC_GATEWAY_ROLE_INTERNAL_H
@@ -38,8 +39,9 @@
     KcTimer hub_timer;   /* connects to the hubs */
     KcTimer quota_timer; /* reports customers' use to a hub */
     KcTime quota_reviewed_at;
-    uint64_t quota_hub;     /* that answered last; 0: none */
-    KcOwnRecord own_record; /* of this gateway, in the store */
+    uint64_t quota_hub;                  /* that answered last; 0: none */
+    KcOwnRecord own_record;              /* of this gateway, in the store */
+    TAILQ_HEAD(, StartRead) start_reads; /* unanswered */
     uint64_t incarnation;
     KcGatewayStop stop;             /* while a planned stop runs */
     KcTime store_status_changed_at; /* lost or regained; 0: never */
@@ -75,6 +77,14 @@
 ServerConnections *KcGatewayRole_GetConnections(GatewayRole *role,
                                                 KcServer *server);
 
+/* ---- starts of servers (gateway_starts.c) -------------------------------- */
+
+/* Reads servers' records; the reader is the GatewayRole. */
+extern const KcStartReaderOps KcGatewayRole_StartReaderOps;
+
+/* Frees the reads that the store has not answered, when it is closed. */
+void KcGatewayRole_FreeStartReads(GatewayRole *role);
+
 /* ---- keepers (gateway_keepers.c) ----------------------------------------- */
 
 /* Starts to keep connections to the hubs, and ends it. */
--- a/programs/request/http_attempt.c
+++ b/programs/request/http_attempt.c
@@ -42,6 +42,7 @@
     KcAttemptParams parameters;
     KcHttpConnection *connection;
     KcHttpCall *identity_call;    /* after the end of the reply; NULL: none */
+    void *start_read;             /* after that call; NULL: none */
     int64_t server_started_at_ms; /* as known when the attempt started */
     KcTimer connect_timer;        /* limits connecting */
     size_t request_bytes;         /* given to the connection; 0: none yet */
@@ -77,6 +78,10 @@
     if (attempt->identity_call != NULL) {
         KcHttpCall_Cancel(attempt->identity_call);
     }
+    if (attempt->start_read != NULL) {
+        attempt->options.start_reader_ops->cancel(
+            attempt->options.start_reader, attempt->start_read);
+    }
     KcTimers_Clear(attempt->options.loop->timers, &attempt->connect_timer);
     KcLoop_DeferFree(attempt->options.loop, &attempt->deferred_free);
 }
@@ -94,7 +99,8 @@
 void
 KcHttpAttempt_SetReadPaused(KcHttpAttempt *attempt, bool paused)
 {
-    if (!attempt->is_finished && attempt->identity_call == NULL) {
+    if (!attempt->is_finished && attempt->identity_call == NULL &&
+        attempt->start_read == NULL) {
         KcHttpConnection_SetReadPaused(attempt->connection, paused);
     }
 }
@@ -434,24 +440,50 @@
 
 /* ---- replies that end with their connection ------------------------------ */
 
+/* Ends the attempt by who the server is. */
+static void
+judge_identity(KcHttpAttempt *attempt, const KcServerIdentity *identity)
+{
+    /* A reset behind the end of the reply is reported by nothing else. */
+    if (!KcForwardAttempt_IsFrom(attempt->forwarded, identity) ||
+        !KcHttpConnection_IsIntact(attempt->connection)) {
+        fail_attempt(attempt, KC_ATTEMPT_LOST, KC_ERR_PEER_LOST);
+        return;
+    }
+    report_end(attempt);
+}
+
+static void
+on_start(void *context, int64_t started_at_ms)
+{
+    KcHttpAttempt *attempt = context;
+    KcServerIdentity identity = {.id = attempt->parameters.server->id,
+                                 .started_at_ms = started_at_ms};
+
+    attempt->start_read = NULL;
+    judge_identity(attempt, &identity);
+}
+
 static void
 on_identity(void *context, int status, const char *id, KcBytes body)
 {
     KcHttpAttempt *attempt = context;
+    const KcHttpAttemptOptions *options = &attempt->options;
     KcServerIdentity identity = {.id = status > 0 ? id : ""};
 
     attempt->identity_call = NULL;
     if (status == 200) {
-        identity.started_at_ms =
-            attempt->options.dialect->parse_start_time(body);
+        identity.started_at_ms = options->dialect->parse_start_time(body);
     }
-    /* A reset behind the end of the reply is reported by nothing else. */
-    if (!KcForwardAttempt_IsFrom(attempt->forwarded, &identity) ||
-        !KcHttpConnection_IsIntact(attempt->connection)) {
-        fail_attempt(attempt, KC_ATTEMPT_LOST, KC_ERR_PEER_LOST);
+    if (options->start_reader_ops != NULL &&
+        KcForwardAttempt_NeedsStart(attempt->forwarded, &identity)) {
+        /* Not before: a server registers as it starts, and answers after. */
+        attempt->start_read = options->start_reader_ops->begin(
+            options->start_reader, attempt->parameters.server, on_start,
+            attempt);
         return;
     }
-    report_end(attempt);
+    judge_identity(attempt, &identity);
 }
 
 /* The connections of a server that crashes end in the same way as a reply that
--- a/programs/request/http_attempt.h
+++ b/programs/request/http_attempt.h
@@ -11,6 +11,20 @@
 
 typedef struct KcHttpAttempt KcHttpAttempt;
 
+/* Reports when the instance of a server that is registered now has started,
+ * ms; 0: unknown. */
+typedef void (*KcStartCallback)(void *context, int64_t started_at_ms);
+
+/* Reads of the records that servers have in the store. */
+typedef struct KcStartReaderOps {
+    /* Reads the record as it is from now on; calls done once, never before it
+     * returns. */
+    void *(*begin)(void *reader, const struct KcServer *server,
+                   KcStartCallback done, void *done_context);
+    /* Ends a read that begin() returned; done is not called any more. */
+    void (*cancel)(void *reader, void *read);
+} KcStartReaderOps;
+
 typedef struct KcHttpAttemptOptions {
     KcLoop *loop;
     const KcHttpDialect *dialect;
@@ -21,6 +35,9 @@
     /* Where the server tells who it is: its id in a header, or the time of
      * its start in the body; "": nowhere.  Must outlive the attempt. */
     const char *identity_path;
+    /* For a server that tells its id only. */
+    const KcStartReaderOps *start_reader_ops;
+    void *start_reader; /* first argument of these */
     /*
      * Limits of a reply. The body's is that of a reply that is not a stream;
      * the request's deadline limits the time, its parameters the events.
