gateway: no body in the refusal of a HEAD request

Cause: write_refusal() of the dialect wrote the body whatever the method was; answers of servers are passed on without one.

--- a/programs/request/caller_connection.c
+++ b/programs/request/caller_connection.c
@@ -201,6 +201,18 @@
     KcHttpConnection_CloseWhenSent(connection->http_connection);
 }
 
+static void
+write_refusal(KcCallerConnection *connection, const KcForwardRefusal *refusal,
+              KcTime idle_time)
+{
+    const KcHttpMessage *request = connection->request_head;
+    bool has_body = request == NULL || strcmp(request->method, "HEAD") != 0;
+
+    connection->front_end->options.dialect->write_refusal(
+        KcHttpConnection_Output(connection->http_connection), refusal,
+        has_body, idle_time);
+}
+
 /*
  * Answers with an error before the request is complete, and closes the
  * connection.
@@ -221,8 +233,7 @@
                 "request refused while it was received, body_bytes=%zu",
                 KcRequestBody_Size(connection->request_body));
     release_body(connection);
-    connection->front_end->options.dialect->write_refusal(
-        KcHttpConnection_Output(connection->http_connection), &refusal, 0);
+    write_refusal(connection, &refusal, 0);
     close_when_sent(connection);
 }
 
@@ -328,8 +339,7 @@
         KcCallerConnection_Free(connection);
         return;
     }
-    front_end->options.dialect->write_refusal(
-        KcHttpConnection_Output(connection->http_connection), &refusal, 0);
+    write_refusal(connection, &refusal, 0);
     close_when_sent(connection);
 }
 
@@ -531,9 +541,7 @@
     }
     connection->forward = NULL;
     decide_idle_time(connection);
-    connection->front_end->options.dialect->write_refusal(
-        KcHttpConnection_Output(connection->http_connection), refusal,
-        connection->idle_time);
+    write_refusal(connection, refusal, connection->idle_time);
     finish_answer(connection);
 }
 
--- a/programs/request/dialect.h
+++ b/programs/request/dialect.h
@@ -75,9 +75,10 @@
     void (*write_answer_head)(struct evbuffer *out, const KcHttpMessage *reply,
                               KcTime idle_time);
     /* Writes a complete error answer of our own, in place of a backend
-     * server's reply; idle_time as above. */
+     * server's reply; one to HEAD has no body.  idle_time as above. */
     void (*write_refusal)(struct evbuffer *out,
-                          const KcForwardRefusal *refusal, KcTime idle_time);
+                          const KcForwardRefusal *refusal, bool has_body,
+                          KcTime idle_time);
     /* Header by which a server states its id, in some of its answers. */
     const char *server_id_header;
     /* Returns when the server started, by the body of its report, as in
--- a/tests/platform/test_dialect.c
+++ b/tests/platform/test_dialect.c
@@ -551,7 +551,7 @@
         g_strdup_printf("HTTP/1.1 %d ", refusal_cases[index].status);
     const char *text;
 
-    KcPlatform_Current.dialect->write_refusal(out, &refusal, 0);
+    KcPlatform_Current.dialect->write_refusal(out, &refusal, true, 0);
     evbuffer_add(out, "", 1);
     text = (const char *)evbuffer_pullup(out, -1);
     g_assert_true(g_str_has_prefix(text, expected));
