gateway: only the configuration under its own name is put in force

Cause: a gateway, and a keeper for its engine's capacity, took any object of that collection.

The platform names the one that counts; others are passed over.

Evidence: two cases of test_odd_entries, a running and a restarted gateway; both fail with the former code (404 in place of 200).

--- a/programs/process/gateway_feeds.c
+++ b/programs/process/gateway_feeds.c
@@ -129,7 +129,8 @@
     KcError error = {0};
 
     (void)now;
-    if (item->deleted) {
+    if (item->deleted ||
+        strcmp(item->name, role->platform->routing_name) != 0) {
         return; /* the previous configuration stays in force */
     }
     routing = role->platform->read_routing(item->body, &error);
--- a/programs/process/keeper_store.c
+++ b/programs/process/keeper_store.c
@@ -79,7 +79,8 @@
     KcRouting *routing;
     KcError error = {0};
 
-    if (item->deleted) {
+    if (item->deleted ||
+        strcmp(item->name, role->platform->routing_name) != 0) {
         return;
     }
     routing = role->platform->read_routing(item->body, &error);
--- a/programs/process/platform.h
+++ b/programs/process/platform.h
@@ -64,6 +64,8 @@
     const KcHttpDialect *dialect;
     /* Names of the collections, by KcCollection. */
     const char *const *collection_names;
+    /* The routing configuration in its collection; others there are none. */
+    const char *routing_name;
     /*
      * The store. Its functions in feed and objects take the KcStore as their
      * context; the name of a single object is COLLECTION/OBJECT.
--- a/tests/daemons/test_odd_entries.c
+++ b/tests/daemons/test_odd_entries.c
@@ -1,6 +1,7 @@
 /*
  * Tests gateways as processes while the store holds an entry that can't be
- * decoded: such an entry names nothing, and all others hold.
+ * decoded, or a configuration under a name that is not its own: such an entry
+ * stands for nothing, and all others hold.
  */
 #include <glib.h>
 #include <signal.h>
@@ -26,6 +27,15 @@
 #define NAME_COUNT 120
 #define ODD_NAME "a%%26b%%3Dc%%20d%%2Be%%23f%%25g%%2F%d"
 
+/* Without the routes of the one in force. */
+#define OTHER_CONFIG                                                          \
+    "{'version':9,'routes':[{'name':'odd','host':'odd','path_prefix':'/odd/'" \
+    ",'kind':'safe','timeout_ms':1000,'goal_ms':500,'priority':1,"            \
+    "'service':'plain','max_attempts':1}],'services':[{'name':'plain',"       \
+    "'health_path':'/health','conn_limit':100}],'limits':{"                   \
+    "'max_header_bytes':4096,'max_body_bytes':4096,"                          \
+    "'header_timeout_ms':2000,'idle_timeout_ms':2000}}"
+
 static const struct {
     const char *name;
     const char *collection;
@@ -59,6 +69,10 @@
     {"nested version, running", "versions", "DEEP", false, false},
     {"nested configuration, restart", "config", "DEEP", true, false},
     {"nested configuration, running", "config", "DEEP", false, false},
+    {"a later configuration under another name, restart", "config",
+     OTHER_CONFIG, true, false},
+    {"a later configuration under another name, running", "config",
+     OTHER_CONFIG, false, false},
     {"nested record of a gateway, restart", "gateways", "DEEP", true, false},
     {"names with delimiters, restart", "servers",
      "{'service':'other','address':'127.0.0.1:1','zone':'a',"
