--- a/programs/process/gateway_role_internal.h
+++ b/programs/process/gateway_role_internal.h
@@ -2,10 +2,10 @@
  * State of a gateway process, and functions shared by its files.
  *
  * gateway_role.c starts and stops it and answers administrators,
- * gateway_links.c holds the connections to servers, gateway_starts.c reads when
- * they have started, gateway_keepers.c holds the connections to their keepers,
- * gateway_quotas.c shares the customers' quotas over them, gateway_feeds.c
- * reads the store and writes the gateway's own record.
+ * gateway_links.c holds the connections to servers, gateway_starts.c reads
+ * when they have started, gateway_keepers.c holds the connections to their
+ * keepers, gateway_quotas.c shares the customers' quotas over them,
+ * gateway_feeds.c reads the store and writes the gateway's own record.
  */
 #ifndef KCC_GATEWAY_ROLE_INTERNAL_H
 #define KCC_GATEWAY_ROLE_INTERNAL_H
