--- a/tests/gateway_stubs.c
+++ b/tests/gateway_stubs.c
@@ -3,6 +3,7 @@
  */
 #include "gateway_stubs.h"
 
+#include "../programs/process/platform.h"
 #include "../programs/request/http_attempt.h"
 
 bool
@@ -105,3 +106,37 @@
     (void)context;
     return datacentre;
 }
+
+KcGateway *
+GatewayStubs_CreateGateway(KcLoop *loop, KcCounters *counters)
+{
+    KcGatewayOptions options;
+
+    KcGatewayOptions_Init(&options);
+    options.timers = loop->timers;
+    options.counters = counters;
+    options.datacentre = "here";
+    options.region_of = GatewayStubs_FindRegion;
+    return KcGateway_Create(&options);
+}
+
+KcGatewayFrontEnd *
+GatewayStubs_CreateFrontEnd(KcLoop *loop, KcGateway *gateway,
+                            KcCounters *counters, const char *address)
+{
+    KcGatewayFrontEndOptions options = {
+        .loop = loop,
+        .address = address,
+        .dialect = KcPlatform_Current.dialect,
+        .counters = counters,
+        .gateway = gateway,
+        .connections_max = 1,
+        .initial_limits = {.header_bytes_max = 1000,
+                           .body_bytes_max = 1000,
+                           .header_timeout = KC_SECOND * 60,
+                           .idle_timeout = KC_SECOND * 60},
+        .silence_timeout = KC_SECOND * 60,
+        .stall_timeout = KC_SECOND * 60};
+
+    return KcGatewayFrontEnd_Create(&options);
+}
--- a/tests/gateway_stubs.h
+++ b/tests/gateway_stubs.h
@@ -7,6 +7,8 @@
 
 #include <kcc.h>
 
+#include "../programs/request/gateway_front_end.h"
+
 /* Requests no load: the keeper can't be reached. */
 bool GatewayStubs_RequestLoad(void *context, const KcLoadRequest *request);
 void GatewayStubs_IgnoreServer(void *context, KcServer *server);
@@ -44,4 +46,13 @@
 /* Each data centre is a region of its own. */
 const char *GatewayStubs_FindRegion(void *context, const char *datacentre);
 
+/* Creates a gateway without a configuration, which refuses every request. */
+KcGateway *GatewayStubs_CreateGateway(KcLoop *loop, KcCounters *counters);
+/* Creates a front end for one caller at the address: heads and bodies of up to
+ * 1,000 bytes, times of 60 s. */
+KcGatewayFrontEnd *GatewayStubs_CreateFrontEnd(KcLoop *loop,
+                                               KcGateway *gateway,
+                                               KcCounters *counters,
+                                               const char *address);
+
 #endif
--- a/tests/request/test_gateway_front_end.c
+++ b/tests/request/test_gateway_front_end.c
@@ -10,7 +10,6 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#include "../../programs/process/platform.h"
 #include "../../programs/request/gateway_front_end.h"
 #include "../gateway_stubs.h"
 #include "../loopback.h"
@@ -137,32 +136,15 @@
     Fixture fixture = {.loop = KcLoop_Create(),
                        .is_quiet = cases[index].is_quiet};
     char address[32];
-    KcGatewayOptions options;
-    KcGatewayFrontEndOptions front_end_options = {
-        .loop = fixture.loop,
-        .address = address,
-        .dialect = KcPlatform_Current.dialect,
-        .counters = &fixture.counters,
-        .connections_max = 1,
-        .initial_limits = {.header_bytes_max = 1000,
-                           .body_bytes_max = 1000,
-                           .header_timeout = KC_SECOND * 60,
-                           .idle_timeout = KC_SECOND * 60},
-        .silence_timeout = KC_SECOND * 60,
-        .stall_timeout = KC_SECOND * 60};
     KcTimer check_timer;
     KcTimer guard_timer;
     KcTimer stop_timer;
 
-    KcGatewayOptions_Init(&options);
-    options.timers = fixture.loop->timers;
-    options.counters = &fixture.counters;
-    options.datacentre = "here";
-    options.region_of = GatewayStubs_FindRegion;
-    fixture.gateway = KcGateway_Create(&options);
-    front_end_options.gateway = fixture.gateway;
+    fixture.gateway =
+        GatewayStubs_CreateGateway(fixture.loop, &fixture.counters);
     Loopback_AssignAddress(address, sizeof(address));
-    fixture.front_end = KcGatewayFrontEnd_Create(&front_end_options);
+    fixture.front_end = GatewayStubs_CreateFrontEnd(
+        fixture.loop, fixture.gateway, &fixture.counters, address);
     g_assert_nonnull(fixture.front_end);
     g_assert_true(KcGatewayFrontEnd_IsQuiet(fixture.front_end));
     KcTimer_Init(&stop_timer, on_stop_timer, &fixture);
